--- /dev/null
+++ b/libplantainusher/document/document.h
@@ -0,0 +1,235 @@
+#ifndef PU_DOCUMENT_DOCUMENT_H
+#define PU_DOCUMENT_DOCUMENT_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "base/findings.h"
+
+G_BEGIN_DECLS
+
+/*
+ * document - the whole intended state, as operators submit it.
+ *
+ * The text is one strict JSON object; docs/DOCUMENT.md lists every field:
+ *
+ *   {
+ *     "services": {
+ *       "tutor": {"kind": "model", "models": ["small", "small-en"],
+ *                 "importance": 7,
+ *                 "targets": {"first_token_ms": 800, "per_token_ms": 60},
+ *                 "timeout_ms": 60000, "max_concurrency": 64,
+ *                 "max_queue": 128},
+ *       "board": {"kind": "plain", "targets": {"answer_ms": 200},
+ *                 "not_repeatable": ["POST /rooms/assign"],
+ *                 "claim_window_s": 600}
+ *     },
+ *     "models": {
+ *       "small": {"version": "3", "memory_mb": 14000, "kv_cache_mb": 6000}
+ *     },
+ *     "adapters": {
+ *       "small-en": {"base": "small", "version": "1", "memory_mb": 200}
+ *     },
+ *     "placement": {"moves_weight": 0.5, "store_loads_per_s": 2,
+ *                   "store_full_speed": 3},
+ *     "version_change": {"watch_s": 60, "max_failures": 3}
+ *   }
+ *
+ * A parsed document never changes and is shared by reference.  Services and
+ * models are rows of tables, named by small handles that are valid for that
+ * document only.  Rows are sorted by name, so that the same text gives the
+ * same handles everywhere.  Models and adapters share one table and one name
+ * space, since a caller names either in `model`.
+ */
+
+typedef struct pu_document pu_document_t;
+typedef guint32 pu_model_handle_t;
+typedef guint32 pu_service_handle_t;
+
+/* The handle of nothing.  */
+#define PU_HANDLE_NONE G_MAXUINT32
+
+/* Longest name of a service, model, adapter or version, in bytes.  */
+#define PU_DOCUMENT_NAME_MAX 64
+
+/* Longest document, in bytes; the same as PU_DOCUMENT_MAX of the log.  */
+#define PU_DOCUMENT_TEXT_MAX ((size_t)4194304)
+
+typedef enum
+{
+  PU_SERVICE_MODEL, /* requests to model engines */
+  PU_SERVICE_PLAIN  /* requests to plain backend servers */
+} pu_service_kind_t;
+
+typedef enum
+{
+  PU_MODEL_BASE,   /* a whole model */
+  PU_MODEL_ADAPTER /* loaded beside its base on the same engine */
+} pu_model_kind_t;
+
+/* Targets by which a request counts as answered in time, in milliseconds.  */
+typedef struct
+{
+  guint32 first_token_ms; /* model services; else 0 */
+  guint32 per_token_ms;   /* model services: mean between tokens; else 0 */
+  guint32 answer_ms;      /* plain services: the whole answer; else 0 */
+} pu_targets_t;
+
+/* A list of strings, owned by what holds it.  */
+typedef struct
+{
+  const char **items;
+  guint n;
+} pu_document_strings_t;
+
+typedef struct
+{
+  const char *name;
+  guint32 kind;       /* pu_service_kind_t */
+  guint32 importance; /* 1..10, 10 first */
+  pu_targets_t targets;
+  guint32 timeout_ms;      /* when the caller gives none */
+  guint32 max_concurrency; /* requests running at once, whole system */
+  guint32 max_queue;       /* requests waiting at once at one entry */
+  guint32 claim_window_s;  /* how long an at-most-once key is kept */
+  pu_document_strings_t model_names;    /* as listed */
+  pu_document_strings_t not_repeatable; /* "METHOD /path-prefix" */
+  const pu_model_handle_t *models;      /* model_names.n of them, as listed */
+} pu_service_t;
+
+typedef struct
+{
+  const char *name;
+  pu_model_kind_t kind;
+  const char *base_name;  /* adapters; else "" */
+  pu_model_handle_t base; /* adapters; else PU_HANDLE_NONE */
+  const char *version;
+  const char *previous_version; /* to roll back to; "" for none */
+  guint32 memory_mb;            /* weights, on each accelerator it uses */
+  guint32 kv_cache_mb;          /* reserve, on each accelerator; adapters: 0 */
+  guint32 accelerators; /* tensor-parallel width; adapters: the base's */
+  guint32 min_copies;   /* >= 1 */
+  guint32 max_copies;   /* >= min_copies */
+} pu_model_t;
+
+typedef struct
+{
+  double moves_weight;      /* 0: attainment only, 1: fewest moves */
+  double store_loads_per_s; /* loads that may start in a second */
+  guint32 store_full_speed; /* loads at once at full speed */
+  guint32 min_stay_s;       /* a ready copy is not moved before this */
+  guint32 payback_s;        /* a move must pay within this time */
+  bool zone_spread;         /* copies of a model in different zones first */
+} pu_placement_settings_t;
+
+/* How a new version takes over: it is loaded beside the old one, watched,
+   and given up when it fails.  */
+typedef struct
+{
+  guint32 watch_s;      /* from ready until the old version is unloaded */
+  guint32 max_failures; /* failed loads or crashes until the roll-back */
+} pu_version_change_t;
+
+/* pu_document_parse - reads LEN bytes of TEXT.  Adds a finding to F for each
+   fault, with its JSON pointer, or with line and column for bad syntax.
+   Returns a document with one reference, or NULL when there is a finding.  */
+pu_document_t *pu_document_parse (const char *text, size_t len,
+                                  pu_findings_t *f);
+
+pu_document_t *pu_document_ref (pu_document_t *d);
+/* pu_document_unref - frees D with its last reference; NULL is allowed.  */
+void pu_document_unref (pu_document_t *d);
+
+/* pu_document_text - the canonical text: as submitted, with sorted keys and
+   an indent of two.  Parsing it gives an equal document and the same text.
+   Owned by D.  */
+const char *pu_document_text (const pu_document_t *d);
+
+/* pu_document_effective - a new JSON object with every field, those left out
+   in the text at their defaults.  The caller owns it.  */
+json_t *pu_document_effective (const pu_document_t *d);
+
+guint pu_document_services (const pu_document_t *d); /* number of rows */
+guint pu_document_models (const pu_document_t *d);   /* adapters included */
+
+/* pu_document_service, pu_document_model - the row of H; H must be valid.  */
+const pu_service_t *pu_document_service (const pu_document_t *d,
+                                         pu_service_handle_t h);
+const pu_model_t *pu_document_model (const pu_document_t *d,
+                                     pu_model_handle_t h);
+const pu_placement_settings_t *pu_document_placement (const pu_document_t *d);
+const pu_version_change_t *pu_document_version_change (const pu_document_t *d);
+
+/* pu_document_find_service, pu_document_find_model - the handle of NAME (a
+   model or an adapter), or PU_HANDLE_NONE.  */
+pu_service_handle_t pu_document_find_service (const pu_document_t *d,
+                                              const char *name);
+pu_model_handle_t pu_document_find_model (const pu_document_t *d,
+                                          const char *name);
+
+/* pu_document_default_service - the service of a request that names only its
+   model: the first, in order of name, that lists H.  */
+pu_service_handle_t pu_document_default_service (const pu_document_t *d,
+                                                 pu_model_handle_t h);
+
+/* pu_document_lists - whether service S lists model M.  */
+bool pu_document_lists (const pu_document_t *d, pu_service_handle_t s,
+                        pu_model_handle_t m);
+
+/* pu_document_adapters - the handles of the adapters of base model H; sets N
+   to their number.  Owned by D; NULL when there are none.  */
+const pu_model_handle_t *pu_document_adapters (const pu_document_t *d,
+                                               pu_model_handle_t h, guint *n);
+
+/* pu_model_load_mb - memory that one copy takes on each accelerator:
+   weights and cache reserve.  This is what an order reserves.  */
+guint32 pu_model_load_mb (const pu_model_t *m);
+
+/* pu_service_not_repeatable - whether METHOD on PATH (below the service, with
+   or without a query) matches an entry of S's not_repeatable.  A prefix
+   matches whole segments; PATH is compared with escapes decoded and with
+   `.`, `..` and empty segments removed; method `*` matches all.  */
+bool pu_service_not_repeatable (const pu_service_t *s, const char *method,
+                                const char *path);
+
+/* pu_document_near_services, pu_document_near_models - up to three declared
+   names near NAME, as one text such as "small, small-en"; "" when none is
+   near.  The caller frees it.  */
+char *pu_document_near_services (const pu_document_t *d, const char *name);
+char *pu_document_near_models (const pu_document_t *d, const char *name);
+
+/* What one backend server gives.  */
+typedef struct
+{
+  const char *name;
+  guint32 accelerators;
+  guint32 memory_mb; /* of each accelerator */
+} pu_capacity_t;
+
+typedef enum
+{
+  PU_FIT_PACKED,    /* a placement of all min_copies was found */
+  PU_FIT_UNPROVED,  /* none was found, none is proved impossible */
+  PU_FIT_IMPOSSIBLE /* proved: findings say why */
+} pu_fit_t;
+
+/* pu_document_check_fit - whether min_copies of every model fit N backend
+   servers at C.  A copy takes its memory on every accelerator of the server
+   that holds it, a server holds one copy of a model at most and must have at
+   least the model's number of accelerators; an adapter goes beside its base.
+   Adds findings with the sums for PU_FIT_IMPOSSIBLE only.  */
+pu_fit_t pu_document_check_fit (const pu_document_t *d, const pu_capacity_t *c,
+                                size_t n, pu_findings_t *f);
+
+/* pu_document_diff - the difference of two document texts as JSON values
+   (NULL for none): a new array of {"path","kind","old","new"}, kind being
+   added, removed or changed; old or new is left out where there is none.
+   Objects are followed to their leaves.  Of a list of strings each entry
+   added or removed is told at the list's path; a list that differs otherwise
+   is one leaf.  The caller owns the result.  */
+json_t *pu_document_diff (const json_t *older, const json_t *newer);
+
+G_END_DECLS
+
+#endif
