--- a/libplantainusher/placement/ledger.h
+++ b/libplantainusher/placement/ledger.h
@@ -20,9 +20,9 @@
  *
  * How the state machine uses it:
  *   BACKEND_UP      pu_ledger_backend_up; on PU_LEDGER_MERGED keep what
- *                   pu_ledger_backend and pu_ledger_held give, rather than
- *                   the report, in the backend record; drop the order records
- *                   whose tokens come back in CLOSED.
+ *                   pu_ledger_backend gives, rather than the report, in the
+ *                   backend record; drop the order records whose tokens come
+ *                   back in CLOSED.
  *   BACKEND_DOWN    pu_ledger_backend_down.  Keep the record, marked as down:
  *                   the process may be alive beyond a partition, and what
  *                   was known of it must outlive a snapshot.
