--- /dev/null
+++ b/libplantainusher/state/codec.c
@@ -0,0 +1,72 @@
+#include "state/codec.h"
+
+#include <string.h>
+
+GBytes *
+pu_codec_encode (xdrproc_t proc, const void *record)
+{
+  u_long len = xdr_sizeof (proc, (void *)record);
+  char *data = g_malloc (len > 0 ? len : 1);
+  XDR x;
+
+  xdrmem_create (&x, data, (u_int)len, XDR_ENCODE);
+  if (len == 0 || !proc (&x, (void *)record))
+    g_error ("A record cannot be encoded.");
+  xdr_destroy (&x);
+  return g_bytes_new_take (data, len);
+}
+
+bool
+pu_codec_decode (xdrproc_t proc, void *record, size_t size, const void *data,
+                 size_t len, pu_error_t *e)
+{
+  XDR x;
+  bool whole;
+
+  memset (record, 0, size);
+  if (len > G_MAXINT)
+    return pu_error_set (e, PU_ERROR_TOO_LARGE, "A record is too large.");
+  xdrmem_create (&x, (char *)data, (u_int)len, XDR_DECODE);
+  whole = proc (&x, record) && xdr_getpos (&x) == len;
+  xdr_destroy (&x);
+  if (whole)
+    return true;
+  xdr_free (proc, record);
+  memset (record, 0, size);
+  return pu_error_set (e, PU_ERROR_CORRUPT, "A record does not decode.");
+}
+
+void *
+pu_codec_clone (xdrproc_t proc, const void *record, size_t size)
+{
+  GBytes *bytes = pu_codec_encode (proc, record);
+  void *copy = g_malloc0 (size);
+  gsize len;
+  const void *data = g_bytes_get_data (bytes, &len);
+
+  if (!pu_codec_decode (proc, copy, size, data, len, NULL))
+    g_error ("A record of ours does not decode.");
+  g_bytes_unref (bytes);
+  return copy;
+}
+
+void
+pu_codec_free (xdrproc_t proc, void *record)
+{
+  if (record == NULL)
+    return;
+  xdr_free (proc, record);
+  g_free (record);
+}
+
+bool
+pu_codec_equal (xdrproc_t proc, const void *a, const void *b)
+{
+  GBytes *x = pu_codec_encode (proc, a);
+  GBytes *y = pu_codec_encode (proc, b);
+  bool same = g_bytes_equal (x, y);
+
+  g_bytes_unref (x);
+  g_bytes_unref (y);
+  return same;
+}
--- /dev/null
+++ b/libplantainusher/state/image.c
@@ -0,0 +1,239 @@
+#include "state/state.h"
+
+#include <string.h>
+
+#include "state/tables.h"
+
+/*
+ * The image of the state and the bytes of commands and replies.
+ *
+ * An image is encoded from arrays of shallow copies of the records: only the
+ * arrays are freed after it, the records stay in the tables.
+ */
+
+/* The table's records, each of SIZE bytes, one after another.  */
+static void *
+gather (GTree *tree, size_t size, u_int *len)
+{
+  char *array = g_malloc0 (size * MAX (g_tree_nnodes (tree), 1));
+  u_int i = 0;
+
+  for (GTreeNode *n = g_tree_node_first (tree); n != NULL;
+       n = g_tree_node_next (n))
+    memcpy (array + size * i++, g_tree_node_value (n), size);
+  *len = i;
+  return array;
+}
+
+static void
+gather_history (const pu_state_t *s, pu_state_image *m)
+{
+  guint n = s->documents->length;
+  u_int i = 0;
+
+  m->history.history_val = g_new0 (pu_doc_record, MAX (n, 1));
+  for (GList *l = s->documents->head; l != NULL; l = l->next)
+    m->history.history_val[i++] = *(const pu_doc_record *)l->data;
+  m->history.history_len = i;
+}
+
+static const pu_doc_record no_document
+    = { 0, 0, 0, (char *)"", (char *)"", (char *)"" };
+
+GBytes *
+pu_state_encode (const pu_state_t *s, bool public_only)
+{
+  const pu_doc_record *d = pu_state_document (s);
+  pu_state_image m = { 0 };
+  GBytes *bytes;
+
+  m.position = s->position;
+  m.view = s->view;
+  m.document = d != NULL ? *d : no_document;
+  m.members.members_val
+      = gather (s->members, sizeof (pu_member_record), &m.members.members_len);
+  m.backends.backends_val = gather (s->backends, sizeof (pu_backend_record),
+                                    &m.backends.backends_len);
+  m.suspects.suspects_val = gather (s->suspects, sizeof (pu_suspect_record),
+                                    &m.suspects.suspects_len);
+  if (!public_only)
+    {
+      gather_history (s, &m);
+      m.orders.orders_val
+          = gather (s->orders, sizeof (pu_order_record), &m.orders.orders_len);
+      m.claims.claims_val
+          = gather (s->claims, sizeof (pu_claim_record), &m.claims.claims_len);
+    }
+  bytes = pu_codec_encode ((xdrproc_t)xdr_pu_state_image, &m);
+  g_free (m.history.history_val);
+  g_free (m.members.members_val);
+  g_free (m.backends.backends_val);
+  g_free (m.orders.orders_val);
+  g_free (m.claims.claims_val);
+  g_free (m.suspects.suspects_val);
+  return bytes;
+}
+
+#define CLONE(type, record)                                                   \
+  pu_codec_clone ((xdrproc_t)xdr_##type, record, sizeof (type))
+
+/* The history comes newest first and carries no text but for the newest.  */
+static void
+take_documents (pu_state_t *s, const pu_state_image *m)
+{
+  for (u_int i = m->history.history_len; i > 1; i--)
+    pu_tables_put_document (
+        s, CLONE (pu_doc_record, &m->history.history_val[i - 1]));
+  if (m->document.doc_version > 0)
+    pu_tables_put_document (s, CLONE (pu_doc_record, &m->document));
+}
+
+static void
+take_image (pu_state_t *s, const pu_state_image *m)
+{
+  s->position = m->position;
+  s->view = m->view;
+  take_documents (s, m);
+  for (u_int i = 0; i < m->members.members_len; i++)
+    pu_tables_put_member (
+        s, CLONE (pu_member_record, &m->members.members_val[i]));
+  for (u_int i = 0; i < m->backends.backends_len; i++)
+    {
+      const pu_backend_record *b = &m->backends.backends_val[i];
+
+      pu_tables_put_backend (s, CLONE (pu_backend_record, b));
+      pu_memory_restore_backend (s->memory, b);
+    }
+  for (u_int i = 0; i < m->orders.orders_len; i++)
+    {
+      const pu_order_record *o = &m->orders.orders_val[i];
+
+      pu_tables_put_order (s, CLONE (pu_order_record, o));
+      pu_memory_restore_order (s->memory, o);
+    }
+  for (u_int i = 0; i < m->claims.claims_len; i++)
+    pu_tables_put_claim (s, CLONE (pu_claim_record, &m->claims.claims_val[i]));
+  for (u_int i = 0; i < m->suspects.suspects_len; i++)
+    pu_tables_put_suspect (
+        s, CLONE (pu_suspect_record, &m->suspects.suspects_val[i]));
+}
+
+static uint64_t
+latest_claim (const pu_state_image *m)
+{
+  uint64_t wall = 0;
+
+  for (u_int i = 0; i < m->claims.claims_len; i++)
+    wall = MAX (wall, m->claims.claims_val[i].wall);
+  return wall;
+}
+
+bool
+pu_state_decode (pu_state_t *s, const void *data, size_t len, pu_error_t *e)
+{
+  pu_state_image m;
+
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_state_image, &m, sizeof m, data, len,
+                        e))
+    return false;
+  pu_tables_clear (s);
+  pu_tables_init (s);
+  take_image (s, &m);
+  s->claim_wall = latest_claim (&m);
+  s->changes++;
+  xdr_free ((xdrproc_t)xdr_pu_state_image, (char *)&m);
+  return true;
+}
+
+/* --- commands --- */
+
+GBytes *
+pu_command_encode (const pu_command *c)
+{
+  return pu_codec_encode ((xdrproc_t)xdr_pu_command, c);
+}
+
+bool
+pu_command_decode (pu_command *c, const void *data, size_t len, pu_error_t *e)
+{
+  return pu_codec_decode ((xdrproc_t)xdr_pu_command, c, sizeof *c, data, len,
+                          e);
+}
+
+void
+pu_command_clear (pu_command *c)
+{
+  xdr_free ((xdrproc_t)xdr_pu_command, (char *)c);
+  memset (c, 0, sizeof *c);
+}
+
+static const struct
+{
+  const char *name;
+  bool public;
+} command_table[] = {
+  [PU_COMMAND_NOOP] = { "noop", false },
+  [PU_COMMAND_SUBMIT] = { "submit", true },
+  [PU_COMMAND_MEMBER_UP] = { "member-up", true },
+  [PU_COMMAND_MEMBER_DOWN] = { "member-down", true },
+  [PU_COMMAND_MEMBER_LEAVING] = { "member-leaving", true },
+  [PU_COMMAND_BACKEND_UP] = { "backend-up", true },
+  [PU_COMMAND_BACKEND_DOWN] = { "backend-down", true },
+  [PU_COMMAND_BACKEND_LEAVING] = { "backend-leaving", true },
+  [PU_COMMAND_RESERVE] = { "reserve", false },
+  [PU_COMMAND_RELEASE] = { "release", false },
+  [PU_COMMAND_CLAIM] = { "claim", false },
+  [PU_COMMAND_CLAIM_DONE] = { "claim-done", false },
+  [PU_COMMAND_STRIKE] = { "strike", true },
+  [PU_COMMAND_LIFT] = { "lift", true },
+};
+
+bool
+pu_command_is_public (const pu_command *c)
+{
+  return (size_t)c->type < G_N_ELEMENTS (command_table)
+         && command_table[c->type].public;
+}
+
+const char *
+pu_command_name (pu_command_type type)
+{
+  if ((size_t)type >= G_N_ELEMENTS (command_table))
+    return "unknown";
+  return command_table[type].name;
+}
+
+/* --- replies --- */
+
+static const char *const outcome_names[] = {
+  [PU_OUTCOME_DONE] = "done",         [PU_OUTCOME_SEEN] = "seen",
+  [PU_OUTCOME_CONFLICT] = "conflict", [PU_OUTCOME_REFUSED] = "refused",
+  [PU_OUTCOME_BUSY] = "busy",
+};
+
+const char *
+pu_outcome_name (pu_outcome outcome)
+{
+  if ((size_t)outcome >= G_N_ELEMENTS (outcome_names))
+    return "unknown";
+  return outcome_names[outcome];
+}
+
+GBytes *
+pu_reply_encode (const pu_reply *r)
+{
+  return pu_codec_encode ((xdrproc_t)xdr_pu_reply, r);
+}
+
+bool
+pu_reply_decode (pu_reply *r, const void *data, size_t len, pu_error_t *e)
+{
+  return pu_codec_decode ((xdrproc_t)xdr_pu_reply, r, sizeof *r, data, len, e);
+}
+
+void
+pu_reply_clear (pu_reply *r)
+{
+  xdr_free ((xdrproc_t)xdr_pu_reply, (char *)r);
+  memset (r, 0, sizeof *r);
+}
--- /dev/null
+++ b/libplantainusher/state/state.c
@@ -0,0 +1,150 @@
+#include "state/state.h"
+
+#include "state/tables.h"
+
+#define DEFAULT_HISTORY_MAX 10000
+#define DEFAULT_CLAIM_WINDOW_MS (3600u * 1000u)
+#define DEFAULT_SUSPECT_WINDOW_MS (600u * 1000u)
+#define DEFAULT_CONVICT_STRIKES 2
+
+void
+pu_state_options_init (pu_state_options_t *o)
+{
+  o->history_max = DEFAULT_HISTORY_MAX;
+  o->claim_window_ms = DEFAULT_CLAIM_WINDOW_MS;
+  o->suspect_window_ms = DEFAULT_SUSPECT_WINDOW_MS;
+  o->convict_strikes = DEFAULT_CONVICT_STRIKES;
+}
+
+pu_state_t *
+pu_state_new (const pu_state_options_t *o)
+{
+  pu_state_t *s = g_new0 (pu_state_t, 1);
+
+  s->options = *o;
+  pu_tables_init (s);
+  return s;
+}
+
+void
+pu_state_free (pu_state_t *s)
+{
+  if (s == NULL)
+    return;
+  pu_tables_clear (s);
+  g_free (s);
+}
+
+uint64_t
+pu_state_position (const pu_state_t *s)
+{
+  return s->position;
+}
+
+uint64_t
+pu_state_view (const pu_state_t *s)
+{
+  return s->view;
+}
+
+uint64_t
+pu_state_changes (const pu_state_t *s)
+{
+  return s->changes;
+}
+
+void
+pu_state_skip (pu_state_t *s, uint64_t position)
+{
+  if (position > s->position)
+    s->position = position;
+}
+
+const pu_doc_record *
+pu_state_document (const pu_state_t *s)
+{
+  return g_queue_peek_head (s->documents);
+}
+
+void
+pu_state_each_member (const pu_state_t *s, pu_member_fn *fn, void *data)
+{
+  for (GTreeNode *n = g_tree_node_first (s->members); n != NULL;
+       n = g_tree_node_next (n))
+    fn (g_tree_node_value (n), data);
+}
+
+void
+pu_state_each_backend (const pu_state_t *s, pu_backend_fn *fn, void *data)
+{
+  for (GTreeNode *n = g_tree_node_first (s->backends); n != NULL;
+       n = g_tree_node_next (n))
+    fn (g_tree_node_value (n), data);
+}
+
+void
+pu_state_each_order (const pu_state_t *s, pu_order_fn *fn, void *data)
+{
+  for (GTreeNode *n = g_tree_node_first (s->orders); n != NULL;
+       n = g_tree_node_next (n))
+    fn (g_tree_node_value (n), data);
+}
+
+void
+pu_state_each_claim (const pu_state_t *s, pu_claim_fn *fn, void *data)
+{
+  for (GTreeNode *n = g_tree_node_first (s->claims); n != NULL;
+       n = g_tree_node_next (n))
+    fn (g_tree_node_value (n), data);
+}
+
+void
+pu_state_each_suspect (const pu_state_t *s, pu_suspect_fn *fn, void *data)
+{
+  for (GTreeNode *n = g_tree_node_first (s->suspects); n != NULL;
+       n = g_tree_node_next (n))
+    fn (g_tree_node_value (n), data);
+}
+
+void
+pu_state_each_document (const pu_state_t *s, pu_doc_fn *fn, void *data)
+{
+  for (GList *l = s->documents->head; l != NULL; l = l->next)
+    fn (l->data, data);
+}
+
+const pu_member_record *
+pu_state_member (const pu_state_t *s, const char *name)
+{
+  return g_tree_lookup (s->members, name);
+}
+
+const pu_backend_record *
+pu_state_backend (const pu_state_t *s, const char *name)
+{
+  return g_tree_lookup (s->backends, name);
+}
+
+const pu_claim_record *
+pu_state_claim (const pu_state_t *s, const char *service, const char *key)
+{
+  return pu_tables_find_claim (s, service, key);
+}
+
+const pu_suspect_record *
+pu_state_suspect (const pu_state_t *s, uint64_t fingerprint)
+{
+  return g_tree_lookup (s->suspects, &fingerprint);
+}
+
+const pu_order_record *
+pu_state_order (const pu_state_t *s, uint64_t token)
+{
+  return g_tree_lookup (s->orders, &token);
+}
+
+uint64_t
+pu_state_committed_mb (const pu_state_t *s, const char *backend)
+{
+  return pu_memory_committed (s->memory, backend);
+}
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -50,7 +50,7 @@
 void pu_state_skip (pu_state_t *s, uint64_t position);
 
 /* pu_state_encode - the image of the state as XDR bytes.  PUBLIC_ONLY leaves
-   out claims and orders, and suspects that are not convicted.  */
+   out the history, the claims and the orders.  */
 GBytes *pu_state_encode (const pu_state_t *s, bool public_only);
 
 /* pu_state_decode - replaces S by the image in DATA.  Returns false and
@@ -71,7 +71,8 @@
 /* pu_state_document - the document in force, or NULL before the first.  */
 const pu_doc_record *pu_state_document (const pu_state_t *s);
 
-/* Iteration: call FN for each record, in the order of names.  */
+/* Iteration: call FN for each record, in the order of names.  Backend servers
+   that are down come too: look at their flag.  */
 typedef void pu_member_fn (const pu_member_record *m, void *data);
 typedef void pu_backend_fn (const pu_backend_record *b, void *data);
 typedef void pu_order_fn (const pu_order_record *o, void *data);
@@ -100,9 +101,9 @@
                                            uint64_t fingerprint);
 const pu_order_record *pu_state_order (const pu_state_t *s, uint64_t token);
 
-/* pu_state_reserved_mb - memory on each accelerator of BACKEND that is loaded
-   or reserved by orders that may still take effect.  */
-uint64_t pu_state_reserved_mb (const pu_state_t *s, const char *backend);
+/* pu_state_committed_mb - memory in MB on each accelerator of BACKEND that is
+   loaded or reserved by orders that may still take effect.  */
+uint64_t pu_state_committed_mb (const pu_state_t *s, const char *backend);
 
 /* pu_command_encode, pu_command_decode - XDR bytes of a command.  A decoded
    command is freed with pu_command_clear.  */
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -9,6 +9,7 @@
 const PU_DOCUMENT_MAX = 4194304;
 const PU_RESULT_MAX = 65536;
 const PU_LIST_MAX = 4096;
+const PU_LOST_MAX = 16;
 const PU_TABLE_MAX = 1048576;
 
 typedef string pu_name<PU_NAME_MAX>;
@@ -18,6 +19,7 @@
 struct pu_doc_record
 {
   unsigned hyper doc_version; /* 1 is the first */
+  unsigned hyper position;   /* log position that accepted it */
   unsigned hyper wall;
   pu_name change_id;
   pu_name author;
@@ -74,6 +76,7 @@
   unsigned int memory_mb;    /* of each accelerator */
   bool fenced;               /* refuses an order with an old token */
   bool leaving;
+  bool down;                 /* its lease is over; kept for its memory */
   unsigned hyper token;      /* highest fencing token that it reported */
   pu_copy_record copies<PU_LIST_MAX>;
 };
@@ -115,6 +118,8 @@
   unsigned hyper fingerprint; /* of method, path and body */
   pu_name owner;             /* the entry */
   unsigned hyper owner_incarnation;
+  unsigned hyper attempt;    /* of the owner's, so that a resent command is known */
+  unsigned hyper position;   /* log position of the claim in force */
   unsigned hyper wall;       /* when it was claimed */
   pu_claim_phase phase;
   unsigned int status;       /* HTTP status of the result */
@@ -130,6 +135,7 @@
   unsigned int strikes;      /* backend servers lost while it ran */
   bool convicted;
   unsigned hyper wall;       /* of the last strike */
+  pu_detail lost<PU_LOST_MAX>; /* NAME@INCARNATION of each, the first few */
 };
 
 enum pu_voter_action
@@ -184,6 +190,7 @@
   unsigned hyper fingerprint;
   pu_name owner;
   unsigned hyper owner_incarnation;
+  unsigned hyper attempt;    /* unique within the owner's incarnation */
   unsigned hyper wall;
 };
 
@@ -258,8 +265,8 @@
   pu_claim_record *claim;    /* the claim that was there before */
 };
 
-/* The whole state at a log position.  The claims, suspects seen once and
-   orders stay empty in the copy that goes to entries.  */
+/* The whole state at a log position.  The history, the claims and the orders
+   stay empty in the copy that goes to entries.  */
 struct pu_state_image
 {
   unsigned hyper position;
--- /dev/null
+++ b/libplantainusher/state/tables.c
@@ -0,0 +1,197 @@
+#include "state/tables.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static gint
+compare_names (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  return strcmp (a, b);
+}
+
+static gint
+compare_numbers (gconstpointer a, gconstpointer b, gpointer data)
+{
+  uint64_t x = *(const uint64_t *)a;
+  uint64_t y = *(const uint64_t *)b;
+
+  (void)data;
+  return (x > y) - (x < y);
+}
+
+static void
+free_document (gpointer d)
+{
+  pu_codec_free ((xdrproc_t)xdr_pu_doc_record, d);
+}
+
+static void
+free_member (gpointer m)
+{
+  pu_codec_free ((xdrproc_t)xdr_pu_member_record, m);
+}
+
+static void
+free_backend (gpointer b)
+{
+  pu_codec_free ((xdrproc_t)xdr_pu_backend_record, b);
+}
+
+static void
+free_order (gpointer o)
+{
+  pu_codec_free ((xdrproc_t)xdr_pu_order_record, o);
+}
+
+static void
+free_claim (gpointer c)
+{
+  pu_codec_free ((xdrproc_t)xdr_pu_claim_record, c);
+}
+
+static void
+free_suspect (gpointer p)
+{
+  pu_codec_free ((xdrproc_t)xdr_pu_suspect_record, p);
+}
+
+void
+pu_tables_init (pu_state_t *s)
+{
+  s->documents = g_queue_new ();
+  s->change_ids = g_hash_table_new (g_str_hash, g_str_equal);
+  s->members = g_tree_new_full (compare_names, NULL, NULL, free_member);
+  s->backends = g_tree_new_full (compare_names, NULL, NULL, free_backend);
+  s->orders = g_tree_new_full (compare_numbers, NULL, NULL, free_order);
+  s->claims = g_tree_new_full (compare_names, NULL, g_free, free_claim);
+  s->open_claims = g_tree_new_full (compare_numbers, NULL, NULL, NULL);
+  s->claim_ages = g_tree_new_full (compare_numbers, NULL, NULL, NULL);
+  s->memory = pu_memory_new ();
+  s->suspects = g_tree_new_full (compare_numbers, NULL, NULL, free_suspect);
+}
+
+void
+pu_tables_clear (pu_state_t *s)
+{
+  pu_memory_free (s->memory);
+  g_hash_table_destroy (s->change_ids);
+  g_queue_free_full (s->documents, free_document);
+  g_tree_destroy (s->members);
+  g_tree_destroy (s->backends);
+  g_tree_destroy (s->orders);
+  g_tree_destroy (s->open_claims);
+  g_tree_destroy (s->claim_ages);
+  g_tree_destroy (s->claims);
+  g_tree_destroy (s->suspects);
+}
+
+/* The text of a document that is no longer the newest is given back: the
+   history keeps who and when.  */
+static void
+drop_text (pu_doc_record *d)
+{
+  free (d->text);
+  d->text = strdup ("");
+}
+
+static void
+trim_history (pu_state_t *s)
+{
+  while (s->documents->length > s->options.history_max)
+    {
+      pu_doc_record *old = g_queue_pop_tail (s->documents);
+
+      if (g_hash_table_lookup (s->change_ids, old->change_id) == old)
+        g_hash_table_remove (s->change_ids, old->change_id);
+      free_document (old);
+    }
+}
+
+void
+pu_tables_put_document (pu_state_t *s, pu_doc_record *d)
+{
+  pu_doc_record *last = g_queue_peek_head (s->documents);
+
+  if (last != NULL)
+    drop_text (last);
+  g_queue_push_head (s->documents, d);
+  g_hash_table_replace (s->change_ids, d->change_id, d);
+  trim_history (s);
+}
+
+void
+pu_tables_put_member (pu_state_t *s, pu_member_record *m)
+{
+  g_tree_replace (s->members, m->name, m);
+}
+
+void
+pu_tables_put_backend (pu_state_t *s, pu_backend_record *b)
+{
+  g_tree_replace (s->backends, b->name, b);
+}
+
+void
+pu_tables_put_order (pu_state_t *s, pu_order_record *o)
+{
+  g_tree_replace (s->orders, &o->token, o);
+}
+
+void
+pu_tables_put_suspect (pu_state_t *s, pu_suspect_record *p)
+{
+  g_tree_replace (s->suspects, &p->fingerprint, p);
+}
+
+static char *
+claim_key (const char *service, const char *key)
+{
+  return g_strconcat (service, "\n", key, NULL);
+}
+
+void
+pu_tables_remove_claim (pu_state_t *s, const pu_claim_record *c)
+{
+  char *key = claim_key (c->service, c->key);
+
+  g_tree_remove (s->open_claims, &c->position);
+  g_tree_remove (s->claim_ages, &c->position);
+  g_tree_remove (s->claims, key);
+  g_free (key);
+}
+
+void
+pu_tables_put_claim (pu_state_t *s, pu_claim_record *c)
+{
+  pu_claim_record *old = pu_tables_find_claim (s, c->service, c->key);
+  char *key = claim_key (c->service, c->key);
+
+  if (old != NULL)
+    pu_tables_remove_claim (s, old);
+  g_tree_replace (s->claims, key, c);
+  g_tree_replace (s->claim_ages, &c->position, c);
+  if (c->phase == PU_CLAIM_OPEN)
+    g_tree_replace (s->open_claims, &c->position, c);
+}
+
+void
+pu_tables_claim_phase (pu_state_t *s, pu_claim_record *c, pu_claim_phase phase)
+{
+  c->phase = phase;
+  if (phase == PU_CLAIM_OPEN)
+    g_tree_replace (s->open_claims, &c->position, c);
+  else
+    g_tree_remove (s->open_claims, &c->position);
+}
+
+pu_claim_record *
+pu_tables_find_claim (const pu_state_t *s, const char *service,
+                      const char *key)
+{
+  char *name = claim_key (service, key);
+  pu_claim_record *c = g_tree_lookup (s->claims, name);
+
+  g_free (name);
+  return c;
+}
