--- /dev/null
+++ b/libplantainusher/log/entry.h
@@ -0,0 +1,71 @@
+#ifndef PU_LOG_ENTRY_H
+#define PU_LOG_ENTRY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "log/generated/log_msg.h"
+
+G_BEGIN_DECLS
+
+/*
+ * entry - entries of a log in memory, and the codecs of log_msg.x.
+ */
+
+/* An entry; counted by reference, never changed.  */
+typedef struct
+{
+  uint64_t index;
+  uint64_t term;
+  pu_log_type type;
+  uint32_t len;
+  uint8_t data[];
+} pu_entry_t;
+
+pu_entry_t *pu_entry_new (uint64_t index, uint64_t term, pu_log_type type,
+                          const void *data, size_t len);
+pu_entry_t *pu_entry_ref (const pu_entry_t *n);
+void pu_entry_unref (pu_entry_t *n);
+
+/* pu_entry_to_xdr - a view of N for encoding; it borrows N's bytes.  */
+void pu_entry_to_xdr (const pu_entry_t *n, pu_log_entry *x);
+
+/* pu_entry_from_xdr - a new entry with a copy of X.  */
+pu_entry_t *pu_entry_from_xdr (const pu_log_entry *x);
+
+/* pu_xdr_encode - the bytes of the XDR value at P, or NULL when it breaks a
+   bound.  */
+GBytes *pu_xdr_encode (xdrproc_t proc, const void *p);
+
+/* pu_xdr_decode - fills the zeroed value at P from all of BYTES.  Returns
+   false, with P cleared, when they are malformed or have a rest.  */
+bool pu_xdr_decode (xdrproc_t proc, void *p, const void *bytes, size_t len);
+
+/* pu_log_msg_encode, pu_log_msg_decode - the same for a message, whose size is
+   bounded by PU_LOG_MSG_MAX.  Free a decoded one with xdr_free.  */
+#define PU_LOG_MSG_VERSION 1
+#define PU_LOG_MSG_MAX (PU_LOG_ENTRY_MAX + 2 * 1048576)
+GBytes *pu_log_msg_encode (const pu_log_msg *m);
+bool pu_log_msg_decode (pu_log_msg *m, const void *bytes, size_t len,
+                        pu_error_t *e);
+
+/* Deep copies; strings come out non-NULL.  */
+void pu_log_peer_copy (pu_log_peer *to, const pu_log_peer *from);
+void pu_log_peer_clear (pu_log_peer *p);
+void pu_log_config_copy (pu_log_config *to, const pu_log_config *from);
+void pu_log_config_clear (pu_log_config *c);
+
+/* pu_log_config_find - the member with ID, or NULL.  */
+pu_log_member *pu_log_config_find (const pu_log_config *c, uint64_t id);
+
+/* pu_log_config_voters - how many members count.  */
+uint32_t pu_log_config_voters (const pu_log_config *c);
+
+/* pu_log_counts - whether members of ROLE count for a quorum.  */
+bool pu_log_counts (pu_log_role role);
+
+G_END_DECLS
+
+#endif
