--- a/libplantainusher/log/entry.h
+++ b/libplantainusher/log/entry.h
@@ -45,7 +45,7 @@
 
 /* pu_log_msg_encode, pu_log_msg_decode - the same for a message, whose size is
    bounded by PU_LOG_MSG_MAX.  Free a decoded one with xdr_free.  */
-#define PU_LOG_MSG_VERSION 1
+#define PU_LOG_PROTOCOL 1
 #define PU_LOG_MSG_MAX (PU_LOG_ENTRY_MAX + 2 * 1048576)
 GBytes *pu_log_msg_encode (const pu_log_msg *m);
 bool pu_log_msg_decode (pu_log_msg *m, const void *bytes, size_t len,
--- a/libplantainusher/log/log_msg.x
+++ b/libplantainusher/log/log_msg.x
@@ -172,7 +172,7 @@
 
 struct pu_log_msg
 {
-  unsigned int version;
+  unsigned int protocol;
   unsigned int group;
   unsigned hyper cluster; /* 0: the sender's log is empty */
   unsigned hyper term;
@@ -191,7 +191,7 @@
 /* The voter's own record; never goes back.  */
 struct pu_log_meta
 {
-  unsigned hyper version;  /* rises with each save */
+  unsigned hyper saves;   /* rises with each save */
   unsigned hyper id;
   unsigned hyper cluster;
   unsigned hyper term;
