--- /dev/null
+++ b/libplantainusher/operator/internal.h
@@ -0,0 +1,121 @@
+#ifndef PU_OPERATOR_INTERNAL_H
+#define PU_OPERATOR_INTERNAL_H
+
+#include "operator/operator.h"
+
+#include "base/findings.h"
+
+/* What the files of this slice share; nothing here is for other slices.  */
+
+#define PU_OPERATOR_DIGEST_LEN 32
+
+typedef struct
+{
+  char *name;
+  guint8 digest[PU_OPERATOR_DIGEST_LEN]; /* SHA-256 of the key */
+} pu_operator_stored_key_t;
+
+struct pu_operator
+{
+  guint refs;   /* the owner and each exchange that waits for a hook */
+  bool closed;  /* the owner is gone: hooks may not be called */
+  GArray *keys; /* of pu_operator_stored_key_t */
+  guint32 propose_timeout_ms;
+  pu_operator_hooks_t hooks;
+};
+
+/* One request until its response, which pu_exchange_* sends and with which
+   the exchange ends.  */
+typedef struct
+{
+  pu_operator_t *op; /* a reference */
+  pu_operator_respond_fn *respond;
+  void *data;
+  char *author;     /* the name of the key's holder; "" without a key */
+  char *query;      /* of the request */
+  const char *body; /* valid until the handler returns */
+  size_t body_len;
+  json_t *document; /* submitted, for the answer to a conflict */
+  json_t *warnings; /* of the submitted document */
+  json_t *answer;   /* prepared before a hook was asked */
+} pu_exchange_t;
+
+typedef void pu_exchange_handler_fn (pu_exchange_t *x);
+
+/* Responses.  Each ends the exchange.  */
+void pu_exchange_send (pu_exchange_t *x, int status, const char *content_type,
+                       const char *body, size_t len);
+/* Takes the reference of BODY.  */
+void pu_exchange_json (pu_exchange_t *x, int status, json_t *body);
+void pu_exchange_error (pu_exchange_t *x, const pu_error_t *e);
+void pu_exchange_fail (pu_exchange_t *x, pu_error_kind_t kind,
+                       const char *format, ...) G_GNUC_PRINTF (3, 4);
+/* 401 without a key, 403 with a wrong one.  */
+void pu_exchange_deny (pu_exchange_t *x, int status, const char *message);
+/* 400 with every finding; frees F.  */
+void pu_exchange_findings (pu_exchange_t *x, pu_findings_t *f);
+/* The answer of a JSON hook, passed on; DATA is the exchange.  */
+void pu_exchange_done_json (json_t *result, const pu_error_t *e, void *data);
+
+/* pu_exchange_argument - a new copy of the query's argument NAME, decoded, or
+   NULL.  */
+char *pu_exchange_argument (const pu_exchange_t *x, const char *name);
+
+/* pu_exchange_object - the body as a JSON object, a new reference.  On a
+   fault it answers 400 and returns NULL.  */
+json_t *pu_exchange_object (pu_exchange_t *x);
+
+/* pu_exchange_view - the newest state.  */
+const pu_state_t *pu_exchange_view (const pu_exchange_t *x);
+
+/* pu_operator_unref - gives up an exchange's reference.  */
+void pu_operator_unref (pu_operator_t *op);
+
+/* Keys.  */
+void pu_operator_keys_set (GArray *keys, const pu_operator_key_t *from,
+                           size_t n);
+/* pu_operator_keys_find - the holder's name for an Authorization header, or
+   NULL.  Takes the same time whichever key matches, or none.  */
+const char *pu_operator_keys_find (const GArray *keys,
+                                   const char *authorization);
+
+/* pu_operator_near - up to three of NAMES (a GPtrArray of char *) that are
+   near NAME, as one text; "" when none is.  The caller frees it.  */
+char *pu_operator_near (const GPtrArray *names, const char *name);
+
+/* pu_operator_time - WALL (milliseconds since 1970) in UTC as
+   2026-12-02T18:30:00.123Z.  The caller frees it.  */
+char *pu_operator_time (guint64 wall);
+
+/* pu_operator_document_json - the document in force as a new JSON object, or
+   NULL before the first.  */
+json_t *pu_operator_document_json (const pu_state_t *s);
+
+/* Handlers by path.  */
+pu_exchange_handler_fn pu_operator_get_document;
+pu_exchange_handler_fn pu_operator_get_history;
+pu_exchange_handler_fn pu_operator_get_status;
+pu_exchange_handler_fn pu_operator_get_dump;
+pu_exchange_handler_fn pu_operator_get_convictions;
+pu_exchange_handler_fn pu_operator_check;
+pu_exchange_handler_fn pu_operator_submit;
+pu_exchange_handler_fn pu_operator_diff;
+pu_exchange_handler_fn pu_operator_plan;
+pu_exchange_handler_fn pu_operator_drain;
+pu_exchange_handler_fn pu_operator_voters;
+pu_exchange_handler_fn pu_operator_log_level;
+pu_exchange_handler_fn pu_operator_lift;
+
+/* Files of the console, in generated/console_data.c.  */
+typedef struct
+{
+  const char *path;
+  const char *content_type;
+  const unsigned char *data;
+  size_t len;
+} pu_console_file_t;
+
+extern const pu_console_file_t pu_console_files[];
+extern const size_t pu_console_n_files;
+
+#endif
