--- a/libplantainusher/base/json.c
+++ b/libplantainusher/base/json.c
@@ -55,9 +55,13 @@
   char c = step (b);
 
   if (c == '\n')
-    g_string_append_c (b->out, c);
+    {
+      g_string_append_c (b->out, c);
+    }
   else if (((guchar)c & 0xc0) != 0x80)
-    g_string_append_c (b->out, ' ');
+    {
+      g_string_append_c (b->out, ' ');
+    }
 }
 
 static void
@@ -99,11 +103,17 @@
 
       g_string_append_c (b->out, c);
       if (escaped)
-        escaped = false;
+        {
+          escaped = false;
+        }
       else if (c == '\\')
-        escaped = true;
+        {
+          escaped = true;
+        }
       else if (c == '"')
-        return;
+        {
+          return;
+        }
     }
 }
 
@@ -134,9 +144,13 @@
   if (!g_ascii_isspace (c))
     b->previous = c;
   if (c == '"')
-    copy_string (b);
+    {
+      copy_string (b);
+    }
   else
-    g_string_append_c (b->out, step (b));
+    {
+      g_string_append_c (b->out, step (b));
+    }
 }
 
 /* TEXT without its comments and last commas; lines and columns keep their
@@ -156,11 +170,17 @@
   while (good && b.at < b.len)
     {
       if (starts (&b, "//"))
-        blank_line_comment (&b);
+        {
+          blank_line_comment (&b);
+        }
       else if (starts (&b, "/*"))
-        good = blank_block_comment (&b, f);
+        {
+          good = blank_block_comment (&b, f);
+        }
       else
-        copy_plain (&b);
+        {
+          copy_plain (&b);
+        }
     }
   if (good)
     return b.out;
@@ -243,11 +263,17 @@
   for (const char *c = key; c < end; c++)
     {
       if (*c == '~')
-        g_string_append (path, "~0");
+        {
+          g_string_append (path, "~0");
+        }
       else if (*c == '/')
-        g_string_append (path, "~1");
+        {
+          g_string_append (path, "~1");
+        }
       else
-        g_string_append_c (path, *c);
+        {
+          g_string_append_c (path, *c);
+        }
     }
   if (*end != '\0')
     g_string_append (path, "...");
--- a/libplantainusher/base/json.h
+++ b/libplantainusher/base/json.h
@@ -44,6 +44,8 @@
 void pu_json_arena_free (pu_json_arena_t *a);
 /* pu_json_arena_alloc - SIZE zeroed bytes that live as long as A.  */
 void *pu_json_arena_alloc (pu_json_arena_t *a, size_t size);
+/* pu_json_arena_string - a copy of S, one for all equal strings.  */
+const char *pu_json_arena_string (pu_json_arena_t *a, const char *s);
 
 /* A list of strings.  */
 typedef struct
--- a/libplantainusher/base/json_diff.c
+++ b/libplantainusher/base/json_diff.c
@@ -99,9 +99,13 @@
       if (g_hash_table_contains (set, json_string_value (value)))
         continue;
       if (added)
-        report (out, path, "added", NULL, value);
+        {
+          report (out, path, "added", NULL, value);
+        }
       else
-        report (out, path, "removed", value, NULL);
+        {
+          report (out, path, "removed", value, NULL);
+        }
       n++;
     }
   return n;
@@ -142,15 +146,25 @@
   if ((older == NULL || json_is_object (older))
       && (newer == NULL || json_is_object (newer))
       && (has_leaves (older) || has_leaves (newer)))
-    compare_objects (out, path, older, newer);
+    {
+      compare_objects (out, path, older, newer);
+    }
   else if (older == NULL)
-    report (out, path->str, "added", NULL, newer);
+    {
+      report (out, path->str, "added", NULL, newer);
+    }
   else if (newer == NULL)
-    report (out, path->str, "removed", older, NULL);
+    {
+      report (out, path->str, "removed", older, NULL);
+    }
   else if (json_is_array (older) && json_is_array (newer))
-    compare_arrays (out, path, older, newer);
+    {
+      compare_arrays (out, path, older, newer);
+    }
   else
-    report (out, path->str, "changed", older, newer);
+    {
+      report (out, path->str, "changed", older, newer);
+    }
 }
 
 json_t *
--- a/libplantainusher/base/json_schema.c
+++ b/libplantainusher/base/json_schema.c
@@ -6,12 +6,6 @@
 /* Longest quoted value in a message, in characters.  */
 #define QUOTE_MAX 64
 
-struct pu_json_arena
-{
-  GStringChunk *strings;
-  GPtrArray *blocks;
-};
-
 typedef struct
 {
   pu_json_arena_t *arena;
@@ -20,37 +14,6 @@
   guint found;
 } reader_t;
 
-#define ARENA_CHUNK 4096
-
-pu_json_arena_t *
-pu_json_arena_new (void)
-{
-  pu_json_arena_t *a = g_new0 (pu_json_arena_t, 1);
-
-  a->strings = g_string_chunk_new (ARENA_CHUNK);
-  a->blocks = g_ptr_array_new_with_free_func (g_free);
-  return a;
-}
-
-void
-pu_json_arena_free (pu_json_arena_t *a)
-{
-  if (a == NULL)
-    return;
-  g_string_chunk_free (a->strings);
-  g_ptr_array_free (a->blocks, TRUE);
-  g_free (a);
-}
-
-void *
-pu_json_arena_alloc (pu_json_arena_t *a, size_t size)
-{
-  void *block = g_malloc0 (MAX (size, 1));
-
-  g_ptr_array_add (a->blocks, block);
-  return block;
-}
-
 /* Adds a finding at the reader's place; says once that there are more.  */
 static void G_GNUC_PRINTF (2, 3) find (reader_t *r, const char *format, ...)
 {
@@ -141,11 +104,19 @@
            const char *what)
 {
   if (length < field->min)
-    find (r, "has %zu %s; at least %.0f are needed", length, what, field->min);
+    {
+      find (r, "has %zu %s; at least %.0f are needed", length, what,
+            field->min);
+    }
   else if (length > field->max)
-    find (r, "has %zu %s; at most %.0f are allowed", length, what, field->max);
+    {
+      find (r, "has %zu %s; at most %.0f are allowed", length, what,
+            field->max);
+    }
   else
-    return true;
+    {
+      return true;
+    }
   return false;
 }
 
@@ -174,7 +145,7 @@
 
   if (fault != NULL)
     find_bad_string (r, field, s, fault);
-  return g_string_chunk_insert_const (r->arena->strings, s);
+  return pu_json_arena_string (r->arena, s);
 }
 
 static void
@@ -279,9 +250,13 @@
     return;
   s = read_one_string (r, field, value);
   if (g_hash_table_add (seen, (gpointer)s))
-    out->items[out->n++] = s;
+    {
+      out->items[out->n++] = s;
+    }
   else
-    find_bad_string (r, field, s, "is listed twice");
+    {
+      find_bad_string (r, field, s, "is listed twice");
+    }
 }
 
 static void
@@ -371,7 +346,7 @@
     }
   read_object (r, value, schema, row);
   *(const char **)(row + schema->key_offset)
-      = g_string_chunk_insert_const (r->arena->strings, key);
+      = pu_json_arena_string (r->arena, key);
   leave (r, length);
 }
 
@@ -473,9 +448,13 @@
   set_default (field, at);
   pu_json_path_append (r->path, field->name);
   if (value != NULL)
-    read_value (r, field, value, at);
+    {
+      read_value (r, field, value, at);
+    }
   else if ((field->flags & PU_FIELD_REQUIRED) != 0)
-    find (r, "is required");
+    {
+      find (r, "is required");
+    }
   leave (r, length);
   /* An object that is left out still gets its defaults.  */
   if (field->type == PU_FIELD_OBJECT && value == NULL)
@@ -505,9 +484,13 @@
   near = pu_json_nearest (key, names, schema->n, 1);
   pu_json_path_append (r->path, key);
   if (*near == '\0')
-    find (r, "is not a known key");
+    {
+      find (r, "is not a known key");
+    }
   else
-    find (r, "is not a known key; did you mean \"%s\"?", near);
+    {
+      find (r, "is not a known key; did you mean \"%s\"?", near);
+    }
   leave (r, length);
   g_free (near);
   g_free (names);
@@ -545,11 +528,17 @@
       char *at = out + field->offset;
 
       if (is_object)
-        read_field (r, field, json_object_get (value, field->name), at);
+        {
+          read_field (r, field, json_object_get (value, field->name), at);
+        }
       else if (field->type == PU_FIELD_OBJECT)
-        read_object (r, NULL, field->schema, at);
+        {
+          read_object (r, NULL, field->schema, at);
+        }
       else
-        set_default (field, at);
+        {
+          set_default (field, at);
+        }
     }
 }
 
@@ -564,84 +553,3 @@
   g_string_free (r.path, TRUE);
   return r.found == 0;
 }
-
-static json_t *
-write_string (const pu_field_t *field, const char *s, bool hide)
-{
-  if (hide && (field->flags & PU_FIELD_SECRET) != 0 && *s != '\0')
-    return json_string (PU_JSON_HIDDEN);
-  return json_string (s);
-}
-
-static json_t *
-write_strings (const pu_field_t *field, const pu_json_strings_t *list,
-               bool hide)
-{
-  json_t *array = json_array ();
-
-  for (guint i = 0; i < list->n; i++)
-    json_array_append_new (array, write_string (field, list->items[i], hide));
-  return array;
-}
-
-static json_t *
-write_rows (const pu_field_t *field, const pu_json_rows_t *rows, bool hide)
-{
-  const pu_schema_t *schema = field->schema;
-  bool is_map = field->type == PU_FIELD_MAP;
-  json_t *out = is_map ? json_object () : json_array ();
-
-  for (guint i = 0; i < rows->n; i++)
-    {
-      const char *row = (const char *)rows->items + i * schema->size;
-      json_t *value = pu_json_write (schema, row, hide);
-
-      if (is_map)
-        json_object_set_new (
-            out, *(const char *const *)(row + schema->key_offset), value);
-      else
-        json_array_append_new (out, value);
-    }
-  return out;
-}
-
-static json_t *
-write_value (const pu_field_t *field, const char *at, bool hide)
-{
-  switch (field->type)
-    {
-    case PU_FIELD_STRING:
-      return write_string (field, *(const char *const *)at, hide);
-    case PU_FIELD_WORD:
-      return json_string (field->words[*(const guint32 *)at]);
-    case PU_FIELD_INT:
-      return json_integer (*(const guint32 *)at);
-    case PU_FIELD_NUMBER:
-      return json_real (*(const double *)at);
-    case PU_FIELD_BOOL:
-      return json_boolean (*(const bool *)at);
-    case PU_FIELD_STRINGS:
-      return write_strings (field, (const pu_json_strings_t *)at, hide);
-    case PU_FIELD_OBJECT:
-      return pu_json_write (field->schema, at, hide);
-    case PU_FIELD_MAP:
-    case PU_FIELD_LIST:
-      return write_rows (field, (const pu_json_rows_t *)at, hide);
-    }
-  return json_null ();
-}
-
-json_t *
-pu_json_write (const pu_schema_t *schema, const void *in, bool hide)
-{
-  json_t *object = json_object ();
-
-  for (size_t i = 0; i < schema->n; i++)
-    {
-      const pu_field_t *field = &schema->fields[i];
-      const char *at = (const char *)in + field->offset;
-
-      json_object_set_new (object, field->name, write_value (field, at, hide));
-    }
-  return object;
-}
