--- /dev/null
+++ b/libplantainusher/settings/settings.h
@@ -0,0 +1,148 @@
+#ifndef PU_SETTINGS_SETTINGS_H
+#define PU_SETTINGS_SETTINGS_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "base/findings.h"
+#include "base/json.h"
+
+G_BEGIN_DECLS
+
+/*
+ * settings - what one daemon is told by its settings file.
+ *
+ * The file is JSON with comments; docs/DOCUMENT.md lists every field.  The
+ * strings live as long as the settings.  Addresses are "IP:port" with an IP
+ * number, "[IP]:port" for version 6.
+ */
+
+/* Longest settings file, in bytes.  */
+#define PU_SETTINGS_TEXT_MAX ((size_t)1048576)
+
+/* Shortest key, in bytes.  */
+#define PU_SETTINGS_KEY_MIN 16
+
+/* Most voters of the replicated log.  */
+#define PU_SETTINGS_VOTERS_MAX 7
+
+typedef struct
+{
+  const char *callers;   /* entries only; else "" */
+  const char *operators; /* of every daemon */
+  const char *peers;     /* of every daemon */
+} pu_settings_addresses_t;
+
+/* The key of one operator; the name goes into the history.  */
+typedef struct
+{
+  const char *name;
+  const char *key;
+} pu_settings_operator_t;
+
+typedef struct
+{
+  pu_json_rows_t operators;   /* pu_settings_operator_t */
+  pu_json_strings_t backends; /* any of them opens the announce path */
+  const char *peers;          /* one for all daemons */
+} pu_settings_keys_t;
+
+typedef struct
+{
+  const char *name;
+  const char *peers; /* its peers' address */
+} pu_settings_voter_t;
+
+typedef struct
+{
+  guint32 max_header_bytes;        /* of a caller's request */
+  guint32 max_body_bytes;          /* of a caller's request */
+  guint32 max_announcement_bytes;  /* of a backend server's report */
+  guint32 max_connections;         /* open at once from callers */
+  guint32 max_open_streams;        /* requests in progress at once */
+  guint32 max_peer_message_bytes;  /* one record between daemons */
+  guint32 max_backend_connections; /* open at once to one backend server */
+  guint32 max_claims;              /* at-most-once keys kept by a voter */
+  guint32 snapshot_entries;        /* log entries between two snapshots */
+  guint32 drain_s; /* a planned stop waits this long for its requests */
+} pu_settings_limits_t;
+
+typedef struct
+{
+  guint32 heartbeat_ms;        /* leader to voters */
+  guint32 lease_ms;            /* leader's lease; less than election_ms */
+  guint32 election_ms;         /* least silence before an election */
+  guint32 poll_wait_ms;        /* an empty poll is answered after this */
+  guint32 session_ms;          /* a silent daemon is down after this */
+  guint32 backend_lease_ms;    /* a silent backend server is down after */
+  guint32 report_interval_ms;  /* asked of backend servers */
+  guint32 order_life_ms;       /* an order takes effect no later */
+  guint32 rpc_timeout_ms;      /* one call between daemons */
+  guint32 connect_timeout_ms;  /* any new connection */
+  guint32 progress_timeout_ms; /* a stream without a byte is silent */
+  guint32 probe_timeout_ms;    /* second opinion on a new connection */
+  guint32 idle_connection_ms;  /* life of an idle pooled connection */
+  guint32 entries_ttl_s;       /* how long callers keep an answer */
+} pu_settings_timing_t;
+
+typedef struct
+{
+  const char *name; /* of the instance, one in the whole system */
+  const char *region;
+  const char *zone; /* availability zone */
+  bool entry;       /* role: meets callers and backend servers */
+  bool control;     /* role: votes in the replicated log */
+  pu_json_strings_t roles;
+  pu_settings_addresses_t addresses;
+  const char *data_folder; /* control only; else may be "" */
+  pu_settings_keys_t keys;
+  pu_json_strings_t join; /* peers' addresses of control daemons */
+  pu_json_rows_t voters;  /* pu_settings_voter_t: the first set, used only
+                             while the data folder is fresh */
+  pu_settings_limits_t limits;
+  pu_settings_timing_t timing;
+  guint32 log_level;      /* index; see pu_settings_log_level */
+  pu_json_arena_t *arena; /* holds the strings and lists above */
+} pu_settings_t;
+
+/* pu_settings_parse - reads LEN bytes of TEXT.  Adds a finding to F for each
+   fault.  Returns new settings, or NULL when there is a finding.  */
+pu_settings_t *pu_settings_parse (const char *text, size_t len,
+                                  pu_findings_t *f);
+
+/* pu_settings_load - the same from the file at PATH; a file that cannot be
+   read is a finding too.  */
+pu_settings_t *pu_settings_load (const char *path, pu_findings_t *f);
+
+void pu_settings_free (pu_settings_t *s);
+
+/* pu_settings_to_json - a new object with every field, defaults included and
+   keys hidden; for the dump.  The caller owns it.  */
+json_t *pu_settings_to_json (const pu_settings_t *s);
+
+/* pu_settings_log_level - "warn", "note", "info" or "debug".  */
+const char *pu_settings_log_level (const pu_settings_t *s);
+
+/* pu_settings_reloadable_diff - the fields that differ between OLDER and
+   NEWER and need a restart: a new list of JSON pointers, empty when all that
+   differs (limits, keys, log_level) may change at run time.  Free it with
+   g_strfreev.  */
+char **pu_settings_reloadable_diff (const pu_settings_t *older,
+                                    const pu_settings_t *newer);
+
+/* pu_settings_operator_name - the name of the operator whose key is KEY, or
+   NULL.  Every key is compared, each in constant time for its length.  */
+const char *pu_settings_operator_name (const pu_settings_t *s,
+                                       const char *key);
+
+/* pu_settings_split_address - splits "IP:port" or "[IP]:port" into HOST (of
+   at least PU_SETTINGS_HOST_MAX bytes) and PORT.  Returns false when ADDRESS
+   is neither, or the port is not in 1..65535.  */
+#define PU_SETTINGS_HOST_MAX 46
+bool pu_settings_split_address (const char *address, char *host,
+                                guint16 *port);
+
+G_END_DECLS
+
+#endif
