--- /dev/null
+++ b/cli/main.c
@@ -0,0 +1,7 @@
+#include "command.h"
+
+int
+main (int argc, char **argv)
+{
+  return pu_cli_main (argc, (const char **)argv);
+}
