--- a/libplantainusher/state/apply.c
+++ b/libplantainusher/state/apply.c
@@ -51,6 +51,12 @@
   return d == NULL ? 0 : d->doc_version;
 }
 
+static bool
+broken (const pu_state_t *s, pu_state_break_t rule)
+{
+  return (s->options.test_breaks & rule) != 0;
+}
+
 static void
 apply_submit (apply_t *a, const pu_submit *c)
 {
@@ -68,7 +74,7 @@
       answer (a, PU_OUTCOME_SEEN, "The change was accepted before.");
       return;
     }
-  if (c->base_version != current)
+  if (c->base_version != current && !broken (s, PU_STATE_BREAK_BASE_VERSION))
     {
       answer (a, PU_OUTCOME_CONFLICT, "The document is at version %lu.",
               (unsigned long)current);
@@ -449,6 +455,16 @@
   return m != NULL && m->incarnation == c->owner_incarnation;
 }
 
+/* Whether a claim may be granted over OLD, which may be NULL.  */
+static bool
+may_open (const pu_state_t *s, const pu_claim_record *old)
+{
+  if (old == NULL || old->phase == PU_CLAIM_NOT_RUN)
+    return true;
+  return old->phase == PU_CLAIM_UNKNOWN
+         && broken (s, PU_STATE_BREAK_REGRANT_UNKNOWN);
+}
+
 static void
 apply_claim (apply_t *a, const pu_claim_request *c)
 {
@@ -456,7 +472,8 @@
 
   drop_old_claims (a->state, c->wall);
   old = pu_tables_find_claim (a->state, c->service, c->key);
-  if (old != NULL && same_attempt (old, c))
+  if (old != NULL && same_attempt (old, c)
+      && !broken (a->state, PU_STATE_BREAK_LATE_COPY))
     {
       show_claim (a, old);
       answer (a,
@@ -469,7 +486,7 @@
       answer (a, PU_OUTCOME_REFUSED, "Entry %s is no member.", c->owner);
       return;
     }
-  if (old == NULL || old->phase == PU_CLAIM_NOT_RUN)
+  if (may_open (a->state, old))
     {
       open_claim (a, c);
       return;
--- a/libplantainusher/state/state.c
+++ b/libplantainusher/state/state.c
@@ -14,6 +14,7 @@
   o->claim_window_ms = DEFAULT_CLAIM_WINDOW_MS;
   o->suspect_window_ms = DEFAULT_SUSPECT_WINDOW_MS;
   o->convict_strikes = DEFAULT_CONVICT_STRIKES;
+  o->test_breaks = 0;
 }
 
 pu_state_t *
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -21,12 +21,21 @@
 
 typedef struct pu_state pu_state_t;
 
+/* Deliberate faults for the tests that show the checks can fail.  */
+typedef enum
+{
+  PU_STATE_BREAK_REGRANT_UNKNOWN = 1, /* claim again what a dead owner left */
+  PU_STATE_BREAK_LATE_COPY = 2,       /* a late copy opens a closed claim */
+  PU_STATE_BREAK_BASE_VERSION = 4     /* accept any base version */
+} pu_state_break_t;
+
 typedef struct
 {
   uint32_t history_max;       /* documents remembered in the history */
   uint64_t claim_window_ms;   /* a claim's result is kept that long */
   uint64_t suspect_window_ms; /* a single strike is forgotten after that */
   uint32_t convict_strikes;   /* backend servers lost until conviction */
+  uint32_t test_breaks;       /* pu_state_break_t; 0 outside tests */
 } pu_state_options_t;
 
 /* pu_state_options_init - the defaults: 1000 documents in the history, one
