--- /dev/null
+++ b/fakes/answer.h
@@ -0,0 +1,70 @@
+#ifndef FAKES_ANSWER_H
+#define FAKES_ANSWER_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/*
+ * answer - what a fake engine says, worked out from model and prompt alone.
+ *
+ * Any two engines give the same text, and a load driver knows beforehand what
+ * the whole answer must be.
+ */
+
+#define FAKE_TOKEN_SIZE 8 /* six hex digits, a space, a NUL */
+#define FAKE_DEFAULT_TOKENS 16
+#define FAKE_BLOCK_BYTES 256 /* of prompt in one block of the KV cache */
+#define FAKE_BYTES_PER_TOKEN 4
+
+typedef struct
+{
+  char *model;
+  char *prompt; /* all messages, or the prompt of a completion */
+  guint64 seed; /* of the answer */
+  guint tokens; /* length of the whole answer */
+  bool stream;
+  bool chat; /* chat/completions, else completions */
+} fake_question_t;
+
+/* fake_question_parse - reads the body of a request.  Returns false when it is
+   no such request.  Release it with fake_question_clear.  */
+bool fake_question_parse (fake_question_t *q, const char *body, size_t len,
+                          bool chat);
+void fake_question_clear (fake_question_t *q);
+
+/* fake_question_body - the request's body as a new string; FAKE_DEFAULT_TOKENS
+   when TOKENS is 0.  */
+char *fake_question_body (const char *model, const char *prompt, guint tokens,
+                          bool stream);
+
+/* fake_question_new - fills Q as parsing such a chat request would.  */
+void fake_question_make (fake_question_t *q, const char *model,
+                         const char *prompt, guint tokens);
+
+/* fake_answer_token - token INDEX (from 0) of the answer of SEED.  */
+void fake_answer_token (guint64 seed, guint index, char out[FAKE_TOKEN_SIZE]);
+
+/* fake_answer_text - the whole answer as a new string.  */
+char *fake_answer_text (const fake_question_t *q);
+
+/* fake_answer_event - appends one server-sent event with TEXT to OUT; TEXT
+   NULL makes the last one, which carries the finish reason.  */
+void fake_answer_event (GString *out, const fake_question_t *q, const char *id,
+                        const char *text);
+
+/* fake_answer_whole - the body of an answer that is not streamed.  */
+char *fake_answer_whole (const fake_question_t *q, const char *id);
+
+/* fake_answer_piece - the text inside one event or whole body, as a borrowed
+   string of ROOT; "" when it carries none, NULL when it is no answer.  */
+const char *fake_answer_piece (json_t *root);
+
+/* fake_block_hash - the hash of the prompt's first N whole blocks.  */
+guint64 fake_block_hash (const fake_question_t *q, guint n);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/fakes/service.c
@@ -0,0 +1,297 @@
+/* fake-service - a stand-in for a plain service, with a ledger of its calls.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "announcer.h"
+#include "ledger.h"
+#include "run.h"
+#include "web.h"
+
+#define TICK_MS 10
+
+typedef struct
+{
+  char *name;
+  char *service;
+  char *listen;
+  char **entries;
+  char *key;
+  char *region;
+  char *zone;
+  int work_ms;
+  int leave_ms;
+  char *ledger;
+} options_t;
+
+typedef struct
+{
+  options_t options;
+  uv_loop_t *loop;
+  uv_timer_t tick;
+  fake_ledger_t *ledger;
+  fake_faults_t faults;
+  fake_announcer_t *announcer;
+  GHashTable *runs;    /* idempotency key -> times that it ran */
+  guint64 assigned;    /* calls that ran */
+  guint doubled;       /* keys that ran more than once */
+  guint running;       /* calls in progress */
+  guint64 leave_since; /* 0: not leaving */
+} service_t;
+
+/* A call of /assign in progress.  */
+typedef struct
+{
+  service_t *service;
+  uv_timer_t timer;
+  web_exchange_t *exchange; /* NULL when the peer left */
+  char *key;
+  char *id;
+} call_t;
+
+static json_t *
+on_report (void *data, gboolean whole)
+{
+  service_t *s = data;
+  const options_t *o = &s->options;
+  json_t *out
+      = json_pack ("{s:b, s:{s:i, s:i}}", "leaving", s->leave_since != 0,
+                   "load", "running", (int)s->running, "waiting", 0);
+  json_t *fixed;
+
+  if (whole)
+    {
+      fixed = json_pack ("{s:s, s:s, s:s, s:s, s:s}", "kind", "plain",
+                         "service", o->service, "address", o->listen, "region",
+                         o->region, "zone", o->zone);
+      json_object_update (out, fixed);
+      json_decref (fixed);
+    }
+  return out;
+}
+
+static void
+answer_json (web_exchange_t *x, int status, json_t *root)
+{
+  char *body = json_dumps (root, JSON_COMPACT);
+  const char *id = web_header (x, "x-request-id");
+
+  if (id != NULL)
+    web_add_header (x, "x-request-id", id);
+  web_answer (x, status, "application/json", body);
+  free (body);
+  json_decref (root);
+}
+
+static void
+on_call_close (uv_handle_t *handle)
+{
+  call_t *call = handle->data;
+
+  g_free (call->key);
+  g_free (call->id);
+  g_free (call);
+}
+
+static guint
+count_run (service_t *s, const char *key)
+{
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (s->runs, key)) + 1;
+
+  g_hash_table_replace (s->runs, g_strdup (key), GUINT_TO_POINTER (n));
+  s->assigned++;
+  if (n == 2 && *key != '\0')
+    s->doubled++;
+  return n;
+}
+
+static void
+on_work_done (uv_timer_t *timer)
+{
+  call_t *call = timer->data;
+  service_t *s = call->service;
+  guint n = count_run (s, call->key);
+
+  fake_ledger_write (s->ledger, "ran",
+                     json_pack ("{s:s, s:s, s:i}", "key", call->key, "request",
+                                call->id, "times", (int)n));
+  if (fake_faults_take (&s->faults, FAKE_DIE_AFTER) != NULL)
+    abort ();
+  s->running--;
+  if (call->exchange != NULL)
+    answer_json (call->exchange, 200,
+                 json_pack ("{s:b, s:s, s:s, s:I}", "assigned", 1, "key",
+                            call->key, "request", call->id, "number",
+                            (json_int_t)s->assigned));
+  uv_close ((uv_handle_t *)timer, on_call_close);
+}
+
+/* A call that has begun runs on, whoever still listens.  */
+static void
+on_gone (void *data, web_exchange_t *x)
+{
+  (void)x;
+  ((call_t *)data)->exchange = NULL;
+}
+
+static char *
+header_copy (web_exchange_t *x, const char *name)
+{
+  const char *text = web_header (x, name);
+
+  return g_strdup (text == NULL ? "" : text);
+}
+
+static void
+on_assign (service_t *s, web_exchange_t *x)
+{
+  const fake_fault_t *slow = fake_faults_take (&s->faults, FAKE_SLOW);
+  guint ms = (guint)s->options.work_ms + (slow == NULL ? 0 : slow->ms);
+  call_t *call;
+
+  if (fake_faults_take (&s->faults, FAKE_DIE_BEFORE) != NULL)
+    abort ();
+  if (fake_faults_take (&s->faults, FAKE_REJECT) != NULL)
+    {
+      web_add_header (x, "x-outcome", "not-run");
+      answer_json (x, 503, json_pack ("{s:s}", "outcome", "not-run"));
+      return;
+    }
+  call = g_new0 (call_t, 1);
+  call->service = s;
+  call->exchange = x;
+  call->key = header_copy (x, "idempotency-key");
+  call->id = header_copy (x, "x-request-id");
+  web_on_gone (x, on_gone, call);
+  uv_timer_init (s->loop, &call->timer);
+  call->timer.data = call;
+  s->running++;
+  uv_timer_start (&call->timer, on_work_done, ms, 0);
+}
+
+static void
+on_state (service_t *s, web_exchange_t *x)
+{
+  json_t *out
+      = json_pack ("{s:I, s:i, s:i, s:b}", "assigned", (json_int_t)s->assigned,
+                   "doubled", (int)s->doubled, "running", (int)s->running,
+                   "leaving", s->leave_since != 0);
+
+  fake_announcer_add_state (s->announcer, out);
+  answer_json (x, 200, out);
+}
+
+static bool
+is_silent (service_t *s, web_exchange_t *x)
+{
+  const fake_fault_t *f = fake_faults_on (&s->faults, FAKE_SILENT);
+
+  return f != NULL && web_connected_ms (x) <= f->since;
+}
+
+static void
+on_request (void *data, web_exchange_t *x)
+{
+  service_t *s = data;
+  const char *path = web_path (x);
+  size_t len;
+  const char *body = web_body (x, &len);
+
+  if (is_silent (s, x))
+    return;
+  if (strcmp (path, "/fake/fault") == 0)
+    answer_json (x, fake_faults_set (&s->faults, body, len) ? 200 : 400,
+                 json_object ());
+  else if (g_str_has_suffix (path, "/state"))
+    on_state (s, x);
+  else if (g_str_has_suffix (path, "/assign"))
+    on_assign (s, x);
+  else if (g_str_has_suffix (path, "/echo"))
+    {
+      char *text = g_strndup (body, len);
+
+      web_answer (x, 200, "application/octet-stream", text);
+      g_free (text);
+    }
+  else
+    answer_json (x, 404, json_pack ("{s:s}", "error", "not_found"));
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  service_t *s = timer->data;
+  guint64 stay = s->leave_since + (guint64)s->options.leave_ms;
+
+  if (s->leave_since == 0 || uv_now (s->loop) < stay || s->running > 0)
+    return;
+  fake_ledger_write (s->ledger, "exit", NULL);
+  exit (EXIT_SUCCESS);
+}
+
+static void
+on_term (void *data)
+{
+  service_t *s = data;
+
+  if (s->leave_since != 0)
+    return;
+  s->leave_since = uv_now (s->loop);
+  fake_announcer_now (s->announcer);
+}
+
+static void
+read_options (options_t *o, int argc, char **argv)
+{
+  struct poptOption table[] = {
+    { "name", 0, POPT_ARG_STRING, &o->name, 0, "name", "NAME" },
+    { "service", 0, POPT_ARG_STRING, &o->service, 0, "service", "NAME" },
+    { "listen", 0, POPT_ARG_STRING, &o->listen, 0, "own address", "H:P" },
+    { "entry", 0, POPT_ARG_ARGV, &o->entries, 0, "an entry; any number",
+      "H:P" },
+    { "key", 0, POPT_ARG_STRING, &o->key, 0, "backend key", "KEY" },
+    { "region", 0, POPT_ARG_STRING, &o->region, 0, "region", "R" },
+    { "zone", 0, POPT_ARG_STRING, &o->zone, 0, "availability zone", "Z" },
+    { "work-ms", 0, POPT_ARG_INT, &o->work_ms, 0, "time of a call", "MS" },
+    { "leave-ms", 0, POPT_ARG_INT, &o->leave_ms, 0,
+      "stay at least so long after SIGTERM", "MS" },
+    { "ledger", 0, POPT_ARG_STRING, &o->ledger, 0, "what ran", "FILE" },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+
+  fake_run_options (argc, argv, table);
+  if (o->name == NULL || o->listen == NULL || o->service == NULL)
+    fake_run_fail ("--name, --service and --listen are needed");
+}
+
+int
+main (int argc, char **argv)
+{
+  service_t s
+      = { .options = { .region = "r", .zone = "a", .leave_ms = 2500 } };
+  fake_announcer_options_t announcer = { 0 };
+
+  read_options (&s.options, argc, argv);
+  s.loop = uv_default_loop ();
+  s.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s.ledger = fake_ledger_open (s.options.ledger, s.options.name);
+  if (s.ledger == NULL)
+    fake_run_fail ("--ledger: the file can't be opened");
+  if (web_server_new (s.loop, s.options.listen, on_request, &s) == NULL)
+    fake_run_fail ("--listen: the address can't be had");
+  announcer.loop = s.loop;
+  announcer.name = s.options.name;
+  announcer.service = s.options.service;
+  announcer.key = s.options.key;
+  announcer.entries = s.options.entries;
+  announcer.faults = &s.faults;
+  announcer.report = on_report;
+  announcer.data = &s;
+  s.announcer = fake_announcer_new (&announcer);
+  uv_timer_init (s.loop, &s.tick);
+  s.tick.data = &s;
+  uv_timer_start (&s.tick, on_tick, TICK_MS, TICK_MS);
+  fake_run_on_term (s.loop, on_term, &s);
+  return uv_run (s.loop, UV_RUN_DEFAULT);
+}
