HTTP: server on h2o, client of our own on libuv, event and answer readers

Weighed for the client: h2o's http1client (no pause, does not say whether a pooled connection was used or whether the request was written), libcurl's multi interface (sends a request again by itself when a reused connection dies, which a call that may run once forbids).

h2o does not read HTTP/1 during a request, so a caller that has gone is found by a poll of the open connections each 200 ms. h2o marks an unfinished answer by a malformed chunk: the reader gives out what came before it.

--- /dev/null
+++ b/libplantainusher/http/connection.c
@@ -0,0 +1,260 @@
+#include "http/client_private.h"
+
+#include <string.h>
+
+enum
+{
+  READ_BUFFER_SIZE = 65536,
+};
+
+static void
+handle_closed (uv_handle_t *h)
+{
+  pu_conn_t *conn = h->data;
+  pu_http_client_t *c = conn->client;
+
+  if (--conn->open_handles > 0)
+    return;
+  if (conn->head != NULL)
+    g_string_free (conn->head, TRUE);
+  g_clear_pointer (&conn->body, g_bytes_unref);
+  g_free (conn->address);
+  g_free (conn);
+  pu_client_closed (c);
+}
+
+void
+pu_conn_close (pu_conn_t *conn)
+{
+  if (conn->phase == CONN_CLOSING)
+    return;
+  if (conn->phase == CONN_IDLE)
+    pu_client_unkeep (conn);
+  conn->phase = CONN_CLOSING;
+  conn->call = NULL;
+  g_hash_table_remove (conn->client->all, conn);
+  conn->client->closing_count++;
+  uv_close ((uv_handle_t *)&conn->tcp, handle_closed);
+  uv_close ((uv_handle_t *)&conn->timer, handle_closed);
+}
+
+static pu_http_end_t
+timeout_kind (const pu_conn_t *conn)
+{
+  switch (conn->phase)
+    {
+    case CONN_CONNECTING:
+      return conn->failed ? PU_HTTP_END_CONNECT_FAILED
+                          : PU_HTTP_END_CONNECT_TIMEOUT;
+    case CONN_WAITING:
+      return PU_HTTP_END_FIRST_BYTE_TIMEOUT;
+    default:
+      return PU_HTTP_END_PROGRESS_TIMEOUT;
+    }
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  pu_conn_t *conn = t->data;
+  guint64 now = uv_now (t->loop);
+  guint64 passed;
+
+  if (conn->paused)
+    conn->last_ms = now;
+  passed = now - conn->last_ms;
+  if (!conn->failed && passed < conn->limit_ms)
+    uv_timer_start (t, on_timer, conn->limit_ms - passed, 0);
+  else if (conn->call != NULL)
+    pu_call_end (conn->call, timeout_kind (conn));
+  else
+    pu_conn_close (conn);
+}
+
+void
+pu_conn_timer (pu_conn_t *conn, guint limit_ms)
+{
+  conn->last_ms = uv_now (conn->timer.loop);
+  conn->limit_ms = limit_ms;
+  uv_timer_start (&conn->timer, on_timer, limit_ms, 0);
+}
+
+pu_conn_t *
+pu_conn_new (pu_http_client_t *c, const char *address,
+             const struct sockaddr_storage *sockaddr)
+{
+  pu_conn_t *conn = g_new0 (pu_conn_t, 1);
+
+  conn->client = c;
+  conn->address = g_strdup (address);
+  conn->sockaddr = *sockaddr;
+  uv_tcp_init (c->o.loop, &conn->tcp);
+  uv_timer_init (c->o.loop, &conn->timer);
+  conn->tcp.data = conn;
+  conn->timer.data = conn;
+  conn->open_handles = 2;
+  g_hash_table_add (c->all, conn);
+  if (c->buffer == NULL)
+    c->buffer = g_malloc (READ_BUFFER_SIZE);
+  return conn;
+}
+
+static bool
+head_event (void *data, const pu_http_response_t *r)
+{
+  pu_conn_t *conn = data;
+  pu_http_call_t *call = conn->call;
+
+  conn->phase = CONN_BODY;
+  pu_conn_timer (conn, call->progress_timeout_ms);
+  if (call->events.on_head != NULL)
+    call->events.on_head (call->data, call, r);
+  return conn->call != NULL;
+}
+
+static bool
+body_event (void *data, const char *bytes, gsize len)
+{
+  pu_conn_t *conn = data;
+  pu_http_call_t *call = conn->call;
+
+  if (call->events.on_body != NULL)
+    call->events.on_body (call->data, call, bytes, len);
+  return conn->call != NULL;
+}
+
+static void
+data_read (pu_conn_t *conn, char *bytes, gsize len)
+{
+  static const pu_http_response_calls_t calls = { head_event, body_event };
+
+  conn->received = true;
+  conn->last_ms = uv_now (conn->tcp.loop);
+  switch (pu_http_reader_feed (conn->call->reader, bytes, len, &calls, conn))
+    {
+    case PU_HTTP_READ_DONE:
+      pu_call_end (conn->call, PU_HTTP_END_COMPLETE);
+      break;
+    case PU_HTTP_READ_MALFORMED:
+      pu_call_end (conn->call, PU_HTTP_END_MALFORMED);
+      break;
+    case PU_HTTP_READ_TOO_LARGE:
+      pu_call_end (conn->call, PU_HTTP_END_TOO_LARGE);
+      break;
+    case PU_HTTP_READ_MORE:
+    case PU_HTTP_READ_STOPPED:
+      break;
+    }
+}
+
+static pu_http_end_t
+closed_kind (const pu_conn_t *conn, ssize_t why)
+{
+  const pu_http_reader_t *rd = conn->call->reader;
+
+  if (!pu_http_reader_has_head (rd))
+    return conn->reused && !conn->received ? PU_HTTP_END_STALE
+                                           : PU_HTTP_END_CLOSED;
+  if (why == UV_EOF
+      && pu_http_reader_response (rd)->body_kind == PU_HTTP_BODY_CLOSE)
+    return PU_HTTP_END_UNTIL_CLOSE;
+  return PU_HTTP_END_TRUNCATED;
+}
+
+static void
+on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+  pu_conn_t *conn = h->data;
+
+  (void)suggested;
+  *buf = uv_buf_init (conn->client->buffer, READ_BUFFER_SIZE);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  pu_conn_t *conn = stream->data;
+
+  if (n == 0)
+    return;
+  /* An idle connection must stay silent: what comes is nobody's answer.  */
+  if (conn->call == NULL)
+    pu_conn_close (conn);
+  else if (n < 0)
+    pu_call_end (conn->call, closed_kind (conn, n));
+  else
+    data_read (conn, buf->base, (gsize)n);
+}
+
+void
+pu_conn_read (pu_conn_t *conn, bool on)
+{
+  if (on)
+    uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+  else
+    uv_read_stop ((uv_stream_t *)&conn->tcp);
+}
+
+static void
+on_write (uv_write_t *w, int status)
+{
+  pu_conn_t *conn = w->data;
+
+  (void)status; /* A failure shows when reading, with what came before it.  */
+  conn->writing = false;
+}
+
+void
+pu_conn_send (pu_conn_t *conn)
+{
+  uv_buf_t bufs[2];
+  gsize len = 0;
+  char *body = NULL;
+  unsigned n = 1;
+
+  conn->phase = CONN_WAITING;
+  conn->received = false;
+  bufs[0] = uv_buf_init (conn->head->str, (unsigned)conn->head->len);
+  if (conn->body != NULL)
+    {
+      body = (char *)g_bytes_get_data (conn->body, &len);
+      bufs[n++] = uv_buf_init (body, (unsigned)len);
+    }
+  pu_conn_timer (conn, conn->call->first_byte_timeout_ms);
+  conn->call->written = true;
+  conn->writing = true;
+  conn->write.data = conn;
+  /* The request may be gone in part even when this fails.  */
+  if (uv_write (&conn->write, (uv_stream_t *)&conn->tcp, bufs, n, on_write)
+      != 0)
+    conn->writing = false;
+  pu_conn_read (conn, true);
+}
+
+static void
+on_connect (uv_connect_t *req, int status)
+{
+  pu_conn_t *conn = req->data;
+
+  if (conn->phase != CONN_CONNECTING)
+    return;
+  if (status < 0)
+    {
+      pu_call_end (conn->call, PU_HTTP_END_CONNECT_FAILED);
+      return;
+    }
+  uv_tcp_nodelay (&conn->tcp, 1);
+  pu_conn_send (conn);
+}
+
+void
+pu_conn_connect (pu_conn_t *conn)
+{
+  conn->phase = CONN_CONNECTING;
+  conn->connect.data = conn;
+  conn->failed
+      = uv_tcp_connect (&conn->connect, &conn->tcp,
+                        (const struct sockaddr *)&conn->sockaddr, on_connect)
+        != 0;
+  pu_conn_timer (conn, conn->failed ? 0 : conn->client->o.connect_timeout_ms);
+}
--- /dev/null
+++ b/libplantainusher/http/http_test.cc
@@ -0,0 +1,492 @@
+/* Server and client against each other on loopback.  */
+#include <gtest/gtest.h>
+#include <uv.h>
+
+#include <csignal>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "http/fetch.h"
+#include "http/server.h"
+
+namespace
+{
+
+constexpr guint SAFETY_MS = 20000;
+
+/* One call and what became of it.  */
+struct call
+{
+  pu_http_call_t *handle = nullptr;
+  int status = 0;
+  std::string body;
+  bool ended = false;
+  pu_http_result_t result{};
+  std::function<void (call &)> on_bytes;
+
+  static void
+  head (void *d, pu_http_call_t *, const pu_http_response_t *r)
+  {
+    static_cast<call *> (d)->status = r->status;
+  }
+  static void
+  bytes (void *d, pu_http_call_t *, const char *b, gsize n)
+  {
+    auto *c = static_cast<call *> (d);
+
+    c->body.append (b, n);
+    if (c->on_bytes)
+      c->on_bytes (*c);
+  }
+  static void
+  end (void *d, pu_http_call_t *, const pu_http_result_t *r)
+  {
+    auto *c = static_cast<call *> (d);
+
+    c->ended = true;
+    c->result = *r;
+  }
+};
+
+class Http : public testing::Test
+{
+protected:
+  uv_loop_t loop{};
+  pu_http_server_t *server = nullptr;
+  pu_http_client_t *client = nullptr;
+  std::string address;
+  std::function<void (pu_http_request_t *)> handler;
+  bool gone = false;
+  bool stopped = false;
+
+  void
+  SetUp () override
+  {
+    signal (SIGPIPE, SIG_IGN);
+    uv_loop_init (&loop);
+    handler = [] (pu_http_request_t *r) {
+      gsize n = 0;
+      const char *body = pu_http_request_body (r, &n);
+      const pu_http_header_t h[] = { { "X-Path", pu_http_request_path (r) } };
+
+      pu_http_respond (r, 200, h, 1, body, n);
+    };
+    pu_http_server_options_t so{};
+    so.loop = &loop;
+    so.host = "127.0.0.1";
+    so.body_max = 4 << 20;
+    so.write_timeout_ms = 300;
+    so.linger_ms = 1;
+    so.refusal_header = "X-Outcome";
+    so.refusal_value = "not-run";
+    so.refusal_body = "{\"refused\":true}";
+    so.handler = [] (void *d, pu_http_request_t *r) {
+      static_cast<Http *> (d)->handler (r);
+    };
+    so.data = this;
+    server = pu_http_server_new (&so, nullptr);
+    ASSERT_NE (nullptr, server);
+    address = "127.0.0.1:" + std::to_string (pu_http_server_port (server));
+    pu_http_client_options_t co{};
+    co.loop = &loop;
+    client = pu_http_client_new (&co);
+  }
+
+  void
+  TearDown () override
+  {
+    pu_http_client_free (client);
+    stop ();
+    pu_http_server_abort (server);
+    until ([this] { return stopped; });
+    pu_http_server_free (server);
+    uv_run (&loop, UV_RUN_DEFAULT);
+    EXPECT_EQ (0, uv_loop_close (&loop));
+  }
+
+  void
+  stop ()
+  {
+    pu_http_server_stop (
+        server, [] (void *d) { *static_cast<bool *> (d) = true; }, &stopped);
+  }
+
+  void
+  until (const std::function<bool ()> &done)
+  {
+    uv_timer_t limit;
+    bool over = false;
+
+    uv_timer_init (&loop, &limit);
+    limit.data = &over;
+    uv_timer_start (
+        &limit, [] (uv_timer_t *t) { *static_cast<bool *> (t->data) = true; },
+        SAFETY_MS, 0);
+    while (!done () && !over)
+      uv_run (&loop, UV_RUN_ONCE);
+    EXPECT_FALSE (over) << "the safety limit passed";
+    uv_close (reinterpret_cast<uv_handle_t *> (&limit), nullptr);
+    uv_run (&loop, UV_RUN_NOWAIT);
+  }
+
+  void
+  start (call &c, const std::string &body = "",
+         const std::function<void (pu_http_call_options_t &)> &with = {})
+  {
+    pu_http_call_options_t o{};
+    GBytes *b = g_bytes_new (body.data (), body.size ());
+
+    o.address = address.c_str ();
+    o.method = body.empty () ? "GET" : "POST";
+    o.target = "/a/b?c=d+e%20f";
+    o.body = body.empty () ? nullptr : b;
+    o.events = { call::head, call::bytes, call::end };
+    o.data = &c;
+    if (with)
+      with (o);
+    c.handle = pu_http_client_start (client, &o, nullptr);
+    g_bytes_unref (b);
+  }
+
+  void
+  finish (call &c)
+  {
+    until ([&c] { return c.ended; });
+  }
+
+  /* Watches R so that `gone` is set when its caller goes.  */
+  void
+  watch (pu_http_request_t *r)
+  {
+    static const pu_http_request_events_t events
+        = { [] (void *d) { static_cast<Http *> (d)->gone = true; }, nullptr };
+
+    pu_http_request_watch (r, &events, this);
+  }
+};
+
+TEST_F (Http, LargeBodiesBothWaysOnOneConnection)
+{
+  std::string body (3 << 20, 'x');
+
+  for (int i = 0; i < 3; i++)
+    {
+      call c;
+
+      start (c, body);
+      finish (c);
+      EXPECT_EQ (PU_HTTP_END_COMPLETE, c.result.kind);
+      EXPECT_EQ (i > 0, c.result.reused);
+      EXPECT_EQ (body, c.body);
+    }
+  EXPECT_EQ (1u, pu_http_client_open (client));
+}
+
+TEST_F (Http, RequestSaysWhatWasSent)
+{
+  call c;
+
+  handler = [] (pu_http_request_t *r) {
+    char *v = pu_http_request_query_value (r, "c");
+
+    EXPECT_STREQ ("GET", pu_http_request_method (r));
+    EXPECT_STREQ ("/a/b", pu_http_request_path (r));
+    EXPECT_STREQ ("/a/b?c=d+e%20f", pu_http_request_target (r));
+    EXPECT_STREQ ("d e f", v);
+    EXPECT_STREQ ("127.0.0.1", pu_http_request_remote (r));
+    EXPECT_STREQ ("1", pu_http_request_header (r, "x-one"));
+    EXPECT_EQ (nullptr, pu_http_request_header (r, "x-two"));
+    g_free (v);
+    pu_http_respond (r, 204, nullptr, 0, "", 0);
+  };
+  static const pu_http_header_t h[]
+      = { { "X-One", "1" }, { "X-Two", "bad\r\nX-Three: 3" } };
+  start (c, "", [] (pu_http_call_options_t &o) {
+    o.headers = h;
+    o.header_count = 2;
+  });
+  finish (c);
+  EXPECT_EQ (204, c.status);
+}
+
+TEST_F (Http, BodyOverTheLimitIsRefusedWithTheOutcome)
+{
+  call c;
+
+  start (c, std::string ((4 << 20) + 1, 'x'));
+  finish (c);
+  EXPECT_EQ (413, c.status);
+  EXPECT_EQ ("{\"refused\":true}", c.body);
+}
+
+TEST_F (Http, HeadersOverTheLimitAreRefused)
+{
+  call c;
+  std::string big (40000, 'x');
+  const pu_http_header_t h[] = { { "X-Big", big.c_str () } };
+
+  start (c, "", [&h] (pu_http_call_options_t &o) {
+    o.headers = h;
+    o.header_count = 1;
+  });
+  finish (c);
+  EXPECT_EQ (431, c.status);
+}
+
+TEST_F (Http, StreamedAnswerIsWhole)
+{
+  call c;
+
+  handler = [] (pu_http_request_t *r) {
+    pu_http_respond_start (r, 200, nullptr, 0);
+    for (int i = 0; i < 1000; i++)
+      pu_http_respond_write (r, "0123456789", 10);
+    pu_http_respond_finish (r);
+  };
+  start (c);
+  finish (c);
+  EXPECT_EQ (PU_HTTP_END_COMPLETE, c.result.kind);
+  EXPECT_EQ (10000u, c.body.size ());
+}
+
+TEST_F (Http, AbortedAnswerIsSeenAsTruncated)
+{
+  for (bool some : { true, false })
+    {
+      call c;
+
+      handler = [some] (pu_http_request_t *r) {
+        pu_http_respond_start (r, 200, nullptr, 0);
+        if (some)
+          pu_http_respond_write (r, "abc", 3);
+        pu_http_respond_abort (r);
+      };
+      start (c);
+      finish (c);
+      EXPECT_NE (PU_HTTP_END_COMPLETE, c.result.kind);
+      EXPECT_NE (PU_HTTP_END_UNTIL_CLOSE, c.result.kind);
+      EXPECT_EQ (some ? "abc" : "", c.body);
+    }
+}
+
+/* A handler that writes 64 KiB each time that the former are taken.  */
+struct flood
+{
+  pu_http_request_t *r = nullptr;
+  gsize written = 0;
+  gsize limit = 0;
+
+  static void
+  more (void *d)
+  {
+    auto *f = static_cast<flood *> (d);
+    static const std::string block (65536, 'y');
+
+    if (f->written >= f->limit)
+      {
+        pu_http_respond_finish (f->r);
+        return;
+      }
+    f->written += block.size ();
+    pu_http_respond_write (f->r, block.data (), block.size ());
+  }
+};
+
+TEST_F (Http, SlowReaderHoldsTheWriterBack)
+{
+  static const pu_http_request_events_t events = { nullptr, flood::more };
+  flood f;
+  call c;
+  bool paused = false;
+
+  f.limit = 64 << 20;
+  handler = [&f] (pu_http_request_t *r) {
+    f.r = r;
+    pu_http_request_watch (r, &events, &f);
+    pu_http_respond_start (r, 200, nullptr, 0);
+    flood::more (&f);
+  };
+  c.on_bytes = [&paused] (call &one) {
+    if (!paused)
+      pu_http_call_pause (one.handle);
+    paused = true;
+  };
+  start (c);
+  until ([&paused] { return paused; });
+  gsize before;
+  do
+    {
+      before = f.written;
+      for (int i = 0; i < 20; i++)
+        uv_run (&loop, UV_RUN_NOWAIT);
+    }
+  while (f.written != before);
+  EXPECT_LT (f.written, f.limit);
+  pu_http_call_resume (c.handle);
+  finish (c);
+  EXPECT_EQ (PU_HTTP_END_COMPLETE, c.result.kind);
+  EXPECT_EQ (f.limit, c.body.size ());
+}
+
+TEST_F (Http, CallerThatTakesNothingHasGone)
+{
+  call c;
+
+  handler = [this] (pu_http_request_t *r) {
+    static const std::string block (32 << 20, 'z');
+
+    watch (r);
+    pu_http_respond_start (r, 200, nullptr, 0);
+    pu_http_respond_write (r, block.data (), block.size ());
+  };
+  c.on_bytes = [] (call &one) { pu_http_call_pause (one.handle); };
+  start (c);
+  until ([this] { return gone; });
+  pu_http_call_cancel (c.handle);
+}
+
+TEST_F (Http, CancelClosesTheConnectionAndTheServerSeesIt)
+{
+  for (bool streaming : { false, true })
+    {
+      call c;
+      bool asked = false;
+
+      gone = false;
+      handler = [&] (pu_http_request_t *r) {
+        asked = true;
+        watch (r);
+        if (!streaming)
+          return;
+        pu_http_respond_start (r, 200, nullptr, 0);
+        pu_http_respond_write (r, "abc", 3);
+      };
+      start (c);
+      until ([&] { return streaming ? c.body.size () == 3 : asked; });
+      pu_http_call_cancel (c.handle);
+      until ([this] { return gone; });
+      EXPECT_FALSE (c.ended);
+      EXPECT_EQ (0u, pu_http_client_open (client));
+      until ([this] { return pu_http_server_connections (server) == 0; });
+    }
+}
+
+TEST_F (Http, SilentServerTripsTheTimeouts)
+{
+  call first;
+  call progress;
+  auto brief = [] (pu_http_call_options_t &o) {
+    o.first_byte_timeout_ms = 50;
+    o.progress_timeout_ms = 50;
+  };
+
+  handler = [] (pu_http_request_t *) {};
+  start (first, "", brief);
+  finish (first);
+  EXPECT_EQ (PU_HTTP_END_FIRST_BYTE_TIMEOUT, first.result.kind);
+  EXPECT_TRUE (first.result.written);
+  handler = [] (pu_http_request_t *r) {
+    pu_http_respond_start (r, 200, nullptr, 0);
+    pu_http_respond_write (r, "abc", 3);
+  };
+  start (progress, "", brief);
+  finish (progress);
+  EXPECT_EQ (PU_HTTP_END_PROGRESS_TIMEOUT, progress.result.kind);
+  EXPECT_EQ ("abc", progress.body);
+}
+
+TEST_F (Http, RefusedConnectionWroteNothing)
+{
+  call c;
+
+  start (c, "body",
+         [] (pu_http_call_options_t &o) { o.address = "127.0.0.1:1"; });
+  EXPECT_FALSE (c.ended);
+  finish (c);
+  EXPECT_EQ (PU_HTTP_END_CONNECT_FAILED, c.result.kind);
+  EXPECT_FALSE (c.result.written);
+}
+
+TEST_F (Http, BadAddressIsAnError)
+{
+  for (const char *bad : { "host:1", "127.0.0.1", "127.0.0.1:0", ":1",
+                           "127.0.0.1:70000", "[::1:1" })
+    {
+      struct sockaddr_storage a;
+      pu_error_t e{};
+
+      EXPECT_FALSE (pu_http_address_parse (bad, &a, &e)) << bad;
+      EXPECT_EQ (PU_ERROR_INVALID, e.kind);
+    }
+}
+
+TEST_F (Http, GracefulStopFinishesTheOpenStream)
+{
+  call c;
+  call late;
+  pu_http_request_t *open = nullptr;
+
+  handler = [&open] (pu_http_request_t *r) {
+    open = r;
+    pu_http_respond_start (r, 200, nullptr, 0);
+    pu_http_respond_write (r, "abc", 3);
+  };
+  start (c);
+  until ([&c] { return c.body == "abc"; });
+  stop ();
+  start (late, "", [] (pu_http_call_options_t &o) { o.fresh = true; });
+  finish (late);
+  EXPECT_EQ (PU_HTTP_END_CONNECT_FAILED, late.result.kind);
+  EXPECT_FALSE (stopped);
+  pu_http_respond_write (open, "def", 3);
+  pu_http_respond_finish (open);
+  finish (c);
+  EXPECT_EQ (PU_HTTP_END_COMPLETE, c.result.kind);
+  EXPECT_EQ ("abcdef", c.body);
+  until ([this] { return stopped; });
+}
+
+TEST_F (Http, StopClosesIdleConnections)
+{
+  call c;
+
+  start (c);
+  finish (c);
+  EXPECT_EQ (1u, pu_http_client_idle (client));
+  stop ();
+  until ([this] { return stopped && pu_http_client_open (client) == 0; });
+}
+
+TEST_F (Http, FetchBoundsTheBody)
+{
+  struct got
+  {
+    bool called = false;
+    pu_http_end_t kind{};
+    std::string body;
+  };
+  auto cb = [] (void *d, const pu_http_fetched_t *f) {
+    *static_cast<got *> (d)
+        = { true, f->result.kind, std::string (f->body, f->body_len) };
+  };
+  for (gsize max : { gsize{ 3 }, gsize{ 4 } })
+    {
+      got g;
+      GBytes *body = g_bytes_new_static ("abcd", 4);
+      pu_http_call_options_t o{};
+
+      o.address = address.c_str ();
+      o.method = "POST";
+      o.target = "/";
+      o.body = body;
+      pu_http_fetch (client, &o, max, cb, &g, nullptr);
+      g_bytes_unref (body);
+      until ([&g] { return g.called; });
+      EXPECT_EQ (max == 4 ? PU_HTTP_END_COMPLETE : PU_HTTP_END_TOO_LARGE,
+                 g.kind);
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/libplantainusher/http/response_test.cc
@@ -0,0 +1,136 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+#include "http/response.h"
+
+namespace
+{
+
+struct result
+{
+  pu_http_read_t end = PU_HTTP_READ_MORE;
+  int status = 0;
+  std::string body;
+  bool keep = false;
+};
+
+bool
+on_head (void *data, const pu_http_response_t *r)
+{
+  static_cast<result *> (data)->status = r->status;
+  return true;
+}
+
+bool
+on_body (void *data, const char *bytes, gsize len)
+{
+  static_cast<result *> (data)->body.append (bytes, len);
+  return true;
+}
+
+result
+read (std::string bytes, std::size_t step, bool no_body = false)
+{
+  static const pu_http_response_calls_t calls = { on_head, on_body };
+  pu_http_reader_t *rd = pu_http_reader_new (256, no_body);
+  result got;
+
+  for (std::size_t i = 0; i < bytes.size () && got.end == PU_HTTP_READ_MORE;
+       i += step)
+    got.end = pu_http_reader_feed (
+        rd, &bytes[i], std::min (step, bytes.size () - i), &calls, &got);
+  got.keep = pu_http_reader_keep_alive (rd);
+  pu_http_reader_free (rd);
+  return got;
+}
+
+const std::string OK = "HTTP/1.1 200 OK\r\n";
+const std::string CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
+
+TEST (Response, EndsAndReuse)
+{
+  struct
+  {
+    std::string bytes;
+    pu_http_read_t end;
+    const char *body;
+    bool keep;
+  } const table[] = {
+    { OK + "Content-Length: 2\r\n\r\nab", PU_HTTP_READ_DONE, "ab", true },
+    { OK + "Content-Length: 0\r\n\r\n", PU_HTTP_READ_DONE, "", true },
+    { OK + "Content-Length: 2\r\nConnection: close\r\n\r\nab",
+      PU_HTTP_READ_DONE, "ab", false },
+    { OK + "Content-Length: 3\r\n\r\nab", PU_HTTP_READ_MORE, "ab", true },
+    { OK + "\r\nab", PU_HTTP_READ_MORE, "ab", false },
+    { CHUNKED + "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", PU_HTTP_READ_DONE, "abc",
+      true },
+    { CHUNKED + "2\r\nab\r\n0\r\nX: y\r\n\r\n", PU_HTTP_READ_DONE, "ab",
+      true },
+    { CHUNKED + "2\r\nab\r\n", PU_HTTP_READ_MORE, "ab", true },
+    { CHUNKED + "1\r\nx\r\n\r\n1\r\n", PU_HTTP_READ_MALFORMED, "x", true },
+    { CHUNKED + "zz\r\n", PU_HTTP_READ_MALFORMED, "", true },
+    { "HTTP/1.1 100 Continue\r\n\r\n" + OK + "Content-Length: 1\r\n\r\nx",
+      PU_HTTP_READ_DONE, "x", true },
+    { "HTTP/1.1 204 No\r\n\r\n", PU_HTTP_READ_DONE, "", true },
+    { "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx", PU_HTTP_READ_DONE, "x",
+      false },
+    { OK + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+      PU_HTTP_READ_MALFORMED, "", false },
+    { OK + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+      PU_HTTP_READ_MALFORMED, "", false },
+    { OK + "Content-Length: -1\r\n\r\n", PU_HTTP_READ_MALFORMED, "", false },
+    { "HTTP/1.1 101 Up\r\n\r\n", PU_HTTP_READ_MALFORMED, "", false },
+    { "nonsense\r\n\r\n", PU_HTTP_READ_MALFORMED, "", false },
+    { OK + "X: " + std::string (300, 'x') + "\r\n\r\n", PU_HTTP_READ_TOO_LARGE,
+      "", false },
+  };
+
+  for (const auto &row : table)
+    for (std::size_t step : { 1000, 1, 7 })
+      {
+        result got = read (row.bytes, step);
+
+        EXPECT_EQ (row.end, got.end) << row.bytes;
+        EXPECT_EQ (row.body, got.body) << row.bytes;
+        EXPECT_EQ (row.keep, got.keep) << row.bytes;
+      }
+}
+
+TEST (Response, BytesAfterTheEndForbidReuse)
+{
+  EXPECT_FALSE (read (OK + "Content-Length: 1\r\n\r\nxHTTP/1.1", 1000).keep);
+  EXPECT_FALSE (read (CHUNKED + "1\r\nx\r\n0\r\n\r\nHTTP", 1000).keep);
+}
+
+TEST (Response, HeadHasNoBody)
+{
+  result got = read (OK + "Content-Length: 9\r\n\r\n", 1000, true);
+
+  EXPECT_EQ (PU_HTTP_READ_DONE, got.end);
+}
+
+RC_GTEST_PROP (Response, AnySplitOfAChunkedBodyGivesTheBody, ())
+{
+  const auto parts = *rc::gen::arbitrary<std::vector<std::string> > ();
+  const auto step = *rc::gen::inRange<std::size_t> (1, 40);
+  std::string bytes = CHUNKED;
+  std::string body;
+
+  for (const auto &p : parts)
+    if (!p.empty ())
+      {
+        char size[32];
+
+        g_snprintf (size, sizeof size, "%zx\r\n", p.size ());
+        bytes += size + p + "\r\n";
+        body += p;
+      }
+  bytes += "0\r\n\r\n";
+  result got = read (bytes, step);
+  RC_ASSERT (got.end == PU_HTTP_READ_DONE);
+  RC_ASSERT (got.body == body);
+}
+
+} // namespace
--- /dev/null
+++ b/libplantainusher/http/server_private.h
@@ -0,0 +1,89 @@
+#ifndef PU_HTTP_SERVER_PRIVATE_H
+#define PU_HTTP_SERVER_PRIVATE_H
+
+#include <h2o.h>
+
+#include "http/server.h"
+
+/*
+ * server_private - the listener and its requests, for server.c (listening,
+ * connections, stop), request.c (one exchange) and refusal.c.
+ */
+
+/* A connection of a caller; lives until h2o closes its socket.  */
+typedef struct
+{
+  pu_http_server_t *server;
+  GList link; /* in the server's conns */
+  uv_tcp_t *tcp;
+  guint active; /* requests in progress */
+} pu_server_conn_t;
+
+struct pu_http_server
+{
+  pu_http_server_options_t o;
+  h2o_globalconf_t conf;
+  h2o_context_t ctx;
+  h2o_accept_ctx_t accept;
+  uv_tcp_t listener;
+  uv_timer_t sweep;
+  GQueue conns;  /* of pu_server_conn_t */
+  GQueue open;   /* of pu_http_request_t */
+  GArray *polls; /* of struct pollfd, for the sweep */
+  GPtrArray *polled;
+  char *certificate;
+  char *refusal_header;
+  char *refusal_value;
+  char *refusal_body;
+  int port;
+  guint open_handles; /* listener and sweep */
+  bool stopping;
+  bool stopped; /* the callback was called */
+  guint64 stop_ms;
+  void (*stop_cb) (void *data);
+  void *stop_data;
+};
+
+struct pu_http_request
+{
+  h2o_generator_t generator; /* first: h2o hands it back */
+  pu_http_server_t *server;
+  pu_server_conn_t *conn;
+  h2o_req_t *req;
+  GList link; /* in the server's open */
+  pu_http_request_events_t events;
+  void *data;
+  GByteArray *pending;  /* written, not yet given to h2o */
+  GByteArray *inflight; /* given to h2o */
+  guint64 sent_ms;      /* when inflight was given */
+  bool started;
+  bool sending;   /* inflight is not yet taken */
+  bool finishing; /* nothing more is written */
+  bool aborting;  /* end as unfinished */
+  bool released;  /* the handler's side is done with it */
+  bool ended;     /* h2o has got the end */
+  const char *path;
+  const char *target;
+  char remote[INET6_ADDRSTRLEN + 1];
+};
+
+/* pu_request_accept - h2o's handler: makes the request and calls ours.  */
+int pu_request_accept (h2o_handler_t *h, h2o_req_t *req);
+
+/* pu_request_gone - the caller is known to have gone.  */
+void pu_request_gone (pu_http_request_t *r);
+
+/* pu_request_sweep - looks for callers that have gone or take nothing.  */
+void pu_request_sweep (pu_http_server_t *s);
+
+/* pu_refusal_add - answers of h2o's own on HOST get the refusal's form.  */
+void pu_refusal_add (pu_http_server_t *s, h2o_hostconf_t *host);
+
+/* The handler as registered with h2o, with its server.  */
+typedef struct
+{
+  h2o_handler_t super;
+  pu_http_server_t *server;
+} pu_handler_t;
+
+#endif
