--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -377,7 +377,8 @@
 {
   const auto pick = [&random] (int n) { return (int)(random () % n); };
   const std::string name = "e" + std::to_string (pick (3));
-  const std::string key = "k" + std::to_string (pick (3));
+  const std::string key
+      = "k" + std::to_string (step / 40) + "/" + std::to_string (pick (2));
   pu_reply r;
 
   switch (pick (8))
@@ -421,7 +422,7 @@
 
         if (c == nullptr)
           break;
-        bool not_run = pick (2) == 0;
+        bool not_run = pick (4) > 0;
         if (s.claim_done (key, c->position,
                           not_run ? PU_CLAIM_NOT_RUN : PU_CLAIM_RAN)
                 == PU_OUTCOME_DONE
