--- /dev/null
+++ b/libplantainusher/routing/choose.c
@@ -0,0 +1,270 @@
+#include "routing/router_int.h"
+
+#include <string.h>
+
+#define OUTPUT_UNKNOWN                                                        \
+  64                     /* tokens taken for a model without any answer yet   \
+                          */
+#define LOAD_TIE_MS 0.01 /* breaks ties towards the less loaded */
+#define SAMPLE_ROUNDS 3  /* times `candidates` copies are sampled */
+
+guint
+output_tokens (const pu_router_t *r, const request_t *q)
+{
+  const model_t *m = model_at (r, q->model);
+  double mean = m->mean_output > 0 ? m->mean_output : OUTPUT_UNKNOWN;
+
+  return MIN (q->max_tokens, (guint)mean);
+}
+
+double
+unloaded_ms (const pu_router_t *r, const request_t *q)
+{
+  return line_at (&model_at (r, q->model)->first, q->prompt_tokens);
+}
+
+/* The tokens of Q's prompt believed cached on S.  Blocks are chained, so a
+   cached block means that those before it are cached too.  */
+static guint
+cached_tokens (const pu_router_t *r, const request_t *q, const backend_t *s)
+{
+  guint low = 0;
+  guint high = q->n_prefix;
+
+  if (g_hash_table_size (s->blocks) == 0)
+    return 0;
+  while (low < high)
+    {
+      guint mid = (low + high + 1) / 2;
+
+      if (g_hash_table_contains (s->blocks,
+                                 GSIZE_TO_POINTER (q->prefix[mid - 1])))
+        low = mid;
+      else
+        high = mid - 1;
+    }
+  return MIN (low * r->options.block_tokens, q->prompt_tokens);
+}
+
+/* Prefill tokens that S has to work off before a new request's.  */
+static guint64
+pending_tokens (const backend_t *s, const model_t *m, guint64 now)
+{
+  double others = backend_others_waiting (s, now) * m->mean_prompt;
+
+  return s->pending_tokens + (guint64)others;
+}
+
+static bool
+was_tried (const request_t *q, const backend_t *s)
+{
+  for (guint i = 0; i < q->n_tried; i++)
+    {
+      if (q->tried[i] == s->serial)
+        return true;
+    }
+  return false;
+}
+
+/* Whether S may be used at all: neither full, nor ejected, nor short of
+   retry budget.  A backend server that comes back from an ejection gets one
+   request as a probe.  */
+static bool
+is_open (const pu_router_t *r, const request_t *q, const backend_t *s,
+         bool ignore_ejection, guint64 now)
+{
+  if (now < s->blocked_until)
+    return false;
+  if (s->ejections > 0 && s->in_flight > 0)
+    return false;
+  if (now < s->ejected_until && !ignore_ejection)
+    return false;
+  if (q->attempt > 0 && !budget_has (r, s->budget))
+    return false;
+  if (r->options.test_break == PU_ROUTER_BREAK_BACKEND_LIMIT)
+    return true;
+  return s->in_flight < slots_of (s)
+         && backend_load (s, now) < MAX (slots_of (s), 1);
+}
+
+/* Whether one more request keeps the time between tokens on target.  */
+static bool
+step_allows (const pu_router_t *r, const request_t *q, const backend_t *s,
+             guint load)
+{
+  guint target = service_at (r, q->service)->per_token_ms;
+
+  if (target == 0 || load == 0)
+    return true;
+  return backend_step_ms (r, s, model_at (r, q->model), load + 1) <= target;
+}
+
+/* Whether the work sent ahead to S leaves room for more.  */
+static bool
+window_allows (const pu_router_t *r, const request_t *q, const copy_t *c,
+               guint64 pending)
+{
+  guint target = service_at (r, q->service)->first_token_ms;
+  double ahead_ms = line_slope (&c->first) * (double)pending;
+
+  if (target == 0 || pending == 0)
+    return true;
+  return ahead_ms * 100 <= (double)target * r->options.window_pct;
+}
+
+static double
+version_cost (const pu_router_t *r, const request_t *q, const copy_t *c)
+{
+  const model_t *m = model_at (r, q->model);
+  bool preferred;
+
+  if (!m->preferred)
+    return 0;
+  preferred = strcmp (c->version, m->preferred) == 0;
+  return preferred == q->wants_preferred ? 0 : r->options.version_cost_ms;
+}
+
+static bool
+evaluate (pu_router_t *r, const request_t *q, pu_router_backend_t b,
+          guint copy, bool ignore_ejection, guint64 now, candidate_t *out)
+{
+  const backend_t *s = backend_at (r, b);
+  const copy_t *c = &g_array_index (s->copies, copy_t, copy);
+  const model_t *m = model_at (r, q->model);
+  guint load;
+  guint64 pending;
+
+  if (was_tried (q, s) || !is_open (r, q, s, ignore_ejection, now))
+    return false;
+  load = backend_load (s, now);
+  pending = pending_tokens (s, m, now);
+  if (!step_allows (r, q, s, load) || !window_allows (r, q, c, pending))
+    return false;
+  out->backend = b;
+  out->copy = copy;
+  out->cached = cached_tokens (r, q, s);
+  out->work = pending + q->prompt_tokens - out->cached;
+  out->first_ms = line_at (&c->first, (double)out->work) + s->cost_ms;
+  out->score = out->first_ms + version_cost (r, q, c) + load * LOAD_TIE_MS
+               + backend_step_ms (r, s, m, load + 1);
+  /* An idle one takes what would otherwise wait for nothing better.  */
+  return load == 0 || (double)now + out->first_ms <= (double)q->due;
+}
+
+/* Whether all copies that Q has not tried are on ejected backend servers.  */
+static bool
+all_ejected (const pu_router_t *r, const request_t *q, guint64 now)
+{
+  const GArray *ready = model_at (r, q->model)->ready;
+
+  for (guint i = 0; i < ready->len; i++)
+    {
+      const backend_t *s
+          = backend_at (r, g_array_index (ready, ready_t, i).backend);
+
+      if (!was_tried (q, s) && now >= s->ejected_until)
+        return false;
+    }
+  return true;
+}
+
+copy_left_t
+copy_left (const pu_router_t *r, const request_t *q)
+{
+  const GArray *ready = model_at (r, q->model)->ready;
+  copy_left_t left = LEFT_NONE;
+
+  for (guint i = 0; i < ready->len; i++)
+    {
+      const backend_t *s
+          = backend_at (r, g_array_index (ready, ready_t, i).backend);
+
+      if (was_tried (q, s))
+        continue;
+      if (budget_has (r, s->budget))
+        return LEFT_OPEN;
+      left = LEFT_SPENT;
+    }
+  return left;
+}
+
+bool
+candidate_on (pu_router_t *r, const request_t *q, pu_router_backend_t b,
+              guint copy, guint64 now, candidate_t *c)
+{
+  bool ejected = now < backend_at (r, b)->ejected_until;
+
+  /* An ejection may not make a model unreachable.  */
+  if (ejected && !all_ejected (r, q, now))
+    return false;
+  return evaluate (r, q, b, copy, ejected, now, c);
+}
+
+static bool
+keep_best (candidate_t *best, bool found, const candidate_t *c)
+{
+  if (!found || c->score < best->score)
+    *best = *c;
+  return true;
+}
+
+static bool
+choose_from_all (pu_router_t *r, const request_t *q, bool ignore_ejection,
+                 guint64 now, candidate_t *best)
+{
+  const GArray *ready = model_at (r, q->model)->ready;
+  guint start = ready->len > 1 ? g_rand_int (r->rand) % ready->len : 0;
+  bool found = false;
+  candidate_t c;
+
+  for (guint i = 0; i < ready->len; i++)
+    {
+      const ready_t *e
+          = &g_array_index (ready, ready_t, (start + i) % ready->len);
+
+      if (evaluate (r, q, e->backend, e->copy, ignore_ejection, now, &c))
+        found = keep_best (best, found, &c);
+    }
+  return found;
+}
+
+/* With many copies a few are sampled, and a few more when none of them may
+   take the request.  */
+static bool
+choose_from_sample (pu_router_t *r, const request_t *q, guint64 now,
+                    candidate_t *best)
+{
+  const GArray *ready = model_at (r, q->model)->ready;
+  bool found = false;
+  candidate_t c;
+
+  for (guint round = 0; round < SAMPLE_ROUNDS && !found; round++)
+    {
+      for (guint i = 0; i < r->options.candidates; i++)
+        {
+          guint at = g_rand_int (r->rand) % ready->len;
+          const ready_t *e = &g_array_index (ready, ready_t, at);
+
+          if (evaluate (r, q, e->backend, e->copy, false, now, &c))
+            found = keep_best (best, found, &c);
+        }
+    }
+  return found;
+}
+
+bool
+choose_copy (pu_router_t *r, const request_t *q, guint64 now, candidate_t *c)
+{
+  const GArray *ready = model_at (r, q->model)->ready;
+
+  if (ready->len == 0)
+    return false;
+  if (ready->len > r->options.candidates)
+    {
+      if (choose_from_sample (r, q, now, c))
+        return true;
+    }
+  else if (choose_from_all (r, q, false, now, c))
+    return true;
+  return all_ejected (r, q, now) && choose_from_all (r, q, true, now, c);
+}
--- /dev/null
+++ b/libplantainusher/routing/dump.c
@@ -0,0 +1,123 @@
+#include "routing/router_int.h"
+
+pu_router_stats_t
+pu_router_stats (const pu_router_t *r)
+{
+  return r->stats;
+}
+
+guint
+pu_router_backend_in_flight (const pu_router_t *r, pu_router_backend_t b)
+{
+  const backend_t *s = backend_at (r, b);
+
+  return s && s->used ? s->in_flight : 0;
+}
+
+guint
+pu_router_backend_slots (const pu_router_t *r, pu_router_backend_t b)
+{
+  const backend_t *s = backend_at (r, b);
+
+  return s && s->used ? slots_of (s) : 0;
+}
+
+guint
+pu_router_service_in_flight (const pu_router_t *r, pu_router_service_t s)
+{
+  const service_t *service = service_at (r, s);
+
+  return service ? service->in_flight : 0;
+}
+
+guint
+pu_router_service_limit (const pu_router_t *r, pu_router_service_t s)
+{
+  const service_t *service = service_at (r, s);
+
+  return service ? service_limit (service) : 0;
+}
+
+guint
+pu_router_service_waiting (const pu_router_t *r, pu_router_service_t s)
+{
+  const service_t *service = service_at (r, s);
+
+  return service ? service->waiting : 0;
+}
+
+guint
+pu_router_ready_copies (const pu_router_t *r, pu_router_model_t m)
+{
+  const model_t *model = model_at (r, m);
+
+  return model ? model->ready->len : 0;
+}
+
+static json_t *
+service_dump (const service_t *s)
+{
+  return json_pack ("{s:s, s:i, s:i, s:i, s:f, s:b}", "name", s->name,
+                    "in_flight", (int)s->in_flight, "waiting", (int)s->waiting,
+                    "limit", (int)service_limit (s), "retry_budget", s->budget,
+                    "declared", s->declared);
+}
+
+static json_t *
+model_dump (const model_t *m)
+{
+  return json_pack ("{s:s, s:s, s:i, s:i, s:i, s:i, s:f, s:f, s:f}", "name",
+                    m->name, "preferred", m->preferred ? m->preferred : "",
+                    "share", (int)m->share, "ready", (int)m->ready->len,
+                    "in_flight", (int)m->in_flight, "waiting", (int)m->waiting,
+                    "prefill_ms", line_slope (&m->first), "step_ms",
+                    line_at (&m->step, 1), "mean_output", m->mean_output);
+}
+
+static json_t *
+backend_dump (const backend_t *s)
+{
+  return json_pack (
+      "{s:s, s:I, s:s, s:b, s:b, s:i, s:i, s:i, s:i, s:i, s:I, s:i, s:f}",
+      "name", s->name, "incarnation", (json_int_t)s->incarnation, "zone",
+      s->zone, "leaving", s->leaving, "gone", s->gone, "copies",
+      (int)s->copies->len, "in_flight", (int)s->in_flight, "others",
+      (int)s->others_running, "slots", (int)slots_of (s), "ejections",
+      (int)s->ejections, "report_seq", (json_int_t)s->seq, "cached_blocks",
+      (int)g_hash_table_size (s->blocks), "retry_budget", s->budget);
+}
+
+static json_t *
+stats_dump (const pu_router_stats_t *s)
+{
+  return json_pack ("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+                    "offered", (json_int_t)s->offered, "dispatched",
+                    (json_int_t)s->dispatched, "retried",
+                    (json_int_t)s->retried, "refused", (json_int_t)s->refused,
+                    "finished", (json_int_t)s->finished, "cancelled",
+                    (json_int_t)s->cancelled, "ejected",
+                    (json_int_t)s->ejected, "kv_gaps", (json_int_t)s->kv_gaps,
+                    "prefix_hit_tokens", (json_int_t)s->prefix_hit_tokens,
+                    "prompt_tokens", (json_int_t)s->prompt_tokens);
+}
+
+json_t *
+pu_router_dump (const pu_router_t *r)
+{
+  json_t *services = json_array ();
+  json_t *models = json_array ();
+  json_t *backends = json_array ();
+
+  for (guint i = 0; i < r->services->len; i++)
+    json_array_append_new (services, service_dump (service_at (r, i)));
+  for (guint i = 0; i < r->models->len; i++)
+    json_array_append_new (models, model_dump (model_at (r, i)));
+  for (guint i = 0; i < r->backends->len; i++)
+    {
+      if (backend_at (r, i)->used)
+        json_array_append_new (backends, backend_dump (backend_at (r, i)));
+    }
+  return json_pack ("{s:i, s:o, s:o, s:o, s:o}", "in_flight",
+                    (int)r->in_flight, "services", services, "models", models,
+                    "backends", backends, "totals", stats_dump (&r->stats));
+}
--- /dev/null
+++ b/libplantainusher/routing/estimate.c
@@ -0,0 +1,52 @@
+#include "routing/estimate.h"
+
+#include <math.h>
+
+#define WEIGHT_FIRST 1.0 /* of the prior, in samples */
+#define WEIGHT_MAX 50.0  /* samples that are remembered */
+
+void
+line_init (line_t *l, double at_zero, double slope, double ridge)
+{
+  *l = (line_t){
+    .weight = WEIGHT_FIRST,
+    .y = at_zero,
+    .prior = slope,
+    .ridge = ridge,
+  };
+}
+
+void
+line_add (line_t *l, double x, double y)
+{
+  double share;
+  double dx;
+  double dy;
+
+  if (!isfinite (x) || !isfinite (y) || y < 0)
+    return;
+  l->weight = MIN (l->weight + 1, WEIGHT_MAX);
+  share = 1 / l->weight;
+  dx = x - l->x;
+  dy = y - l->y;
+  l->x += share * dx;
+  l->y += share * dy;
+  l->var = (1 - share) * (l->var + share * dx * dx);
+  l->cov = (1 - share) * (l->cov + share * dx * dy);
+}
+
+double
+line_slope (const line_t *l)
+{
+  double slope = (l->cov + l->ridge * l->prior) / (l->var + l->ridge);
+
+  return MAX (slope, 0);
+}
+
+double
+line_at (const line_t *l, double x)
+{
+  double y = l->y + line_slope (l) * (x - l->x);
+
+  return MAX (y, 0);
+}
--- /dev/null
+++ b/libplantainusher/routing/router.c
@@ -0,0 +1,771 @@
+#include "routing/router_int.h"
+
+#include <string.h>
+
+#define EXPLORE_MS                                                            \
+  1000                 /* how often an estimate is tried in spite of itself   \
+                        */
+#define MEAN_SHARE 0.1 /* weight of a new sample in a mean */
+#define STEP_TOKENS 8  /* tokens that make one sample of the step time */
+#define UNLOADED_FACTOR 2 /* slack over an idle copy's first token */
+
+void
+pu_router_options_init (pu_router_options_t *o)
+{
+  *o = (pu_router_options_t){
+    .seed = 1,
+    .region = "",
+    .zone = "",
+    .zone_cost_ms = 1,
+    .region_cost_ms = 20,
+    .version_cost_ms = 2000,
+    .candidates = 8,
+    .block_tokens = 16,
+    .prefix_blocks_max = 65536,
+    .slots_initial = 32,
+    .slots_max = 512,
+    .limit_initial = 64,
+    .limit_min = 8,
+    .window_pct = 50,
+    .retry_pct = 10,
+    .retry_burst = 5,
+    .attempts_max = 3,
+    .eject_failures = 2,
+    .eject_ms = 1000,
+    .eject_max_ms = 30000,
+    .retry_after_min_ms = 250,
+    .retry_after_max_ms = 30000,
+    .prefill_ms = 0.1,
+    .decode_ms = 20,
+  };
+}
+
+const char *
+pu_router_reason_name (pu_router_reason_t reason)
+{
+  switch (reason)
+    {
+    case PU_ROUTER_REASON_NONE:
+      break;
+    case PU_ROUTER_REASON_SERVICE:
+      return "service";
+    case PU_ROUTER_REASON_MODEL:
+      return "model";
+    case PU_ROUTER_REASON_COPY:
+      return "copy";
+    case PU_ROUTER_REASON_QUEUE_FULL:
+      return "queue-full";
+    case PU_ROUTER_REASON_DEADLINE:
+      return "deadline";
+    case PU_ROUTER_REASON_BUDGET:
+      return "budget";
+    case PU_ROUTER_REASON_ATTEMPTS:
+      return "attempts";
+    case PU_ROUTER_REASON_REPEAT:
+      return "repeat";
+    }
+  return "none";
+}
+
+/* Requests.  */
+
+request_t *
+request_of (const pu_router_t *r, pu_ticket_t t)
+{
+  guint index = (guint32)t - 1;
+  request_t *q;
+
+  if ((guint32)t == 0 || index >= r->requests->len)
+    return NULL;
+  q = r->requests->pdata[index];
+  if (q->state == REQUEST_FREE || ticket_of (q) != t)
+    return NULL;
+  return q;
+}
+
+/* The running request under T, or NULL.  */
+static request_t *
+running_of (const pu_router_t *r, pu_ticket_t t)
+{
+  request_t *q = request_of (r, t);
+
+  return q && q->state == REQUEST_RUNNING ? q : NULL;
+}
+
+static request_t *
+request_new (pu_router_t *r)
+{
+  request_t *q;
+
+  if (r->free_requests->len > 0)
+    {
+      guint last = r->free_requests->len - 1;
+      guint index = g_array_index (r->free_requests, guint, last);
+
+      g_array_set_size (r->free_requests, last);
+      return r->requests->pdata[index];
+    }
+  q = g_new0 (request_t, 1);
+  q->index = r->requests->len;
+  g_ptr_array_add (r->requests, q);
+  return q;
+}
+
+static void
+request_end (pu_router_t *r, request_t *q)
+{
+  guint index = q->index;
+  guint32 generation = q->generation + 1;
+
+  g_free (q->prefix);
+  *q = (request_t){ .index = index, .generation = generation };
+  g_array_append_val (r->free_requests, index);
+}
+
+/* When the first token has to come: on target, yet an idle copy always has
+   the time it needs; and before what is left to do meets the deadline.  */
+static void
+set_due (pu_router_t *r, request_t *q)
+{
+  const service_t *s = service_at (r, q->service);
+  const model_t *m = model_at (r, q->model);
+  double unloaded = unloaded_ms (r, q);
+  double decode = output_tokens (r, q) * line_at (&m->step, 1);
+  double latest = (double)q->deadline - decode;
+  double target = MAX (s->first_token_ms, UNLOADED_FACTOR * unloaded);
+
+  if (s->first_token_ms > 0 && q->attempt == 0)
+    latest = MIN (latest, (double)q->offered_at + target);
+  q->due = latest > 0 ? (guint64)latest : 0;
+  q->give_up = latest > unloaded ? (guint64)(latest - unloaded) : 0;
+  q->give_up = MIN (q->give_up, q->deadline);
+}
+
+static void
+request_fill (pu_router_t *r, request_t *q, const pu_router_request_t *in,
+              guint64 now)
+{
+  const service_t *s = service_at (r, in->service);
+  const model_t *m = model_at (r, in->model);
+
+  q->service = in->service;
+  q->model = in->model;
+  q->priority = MIN (in->priority, PU_ROUTER_PRIORITY_MAX);
+  q->offered_at = now;
+  q->deadline = in->deadline ? in->deadline : now + s->timeout_ms;
+  q->prompt_tokens = in->prompt_tokens;
+  q->max_tokens = in->max_tokens;
+  q->n_prefix = MIN (in->n_prefix, PU_ROUTER_PREFIX_MAX);
+  q->prefix = g_memdup2 (in->prefix, q->n_prefix * sizeof *in->prefix);
+  q->repeatable = in->repeatable;
+  q->wants_preferred = (guint)g_rand_int_range (r->rand, 0, 1000) < m->share;
+  set_due (r, q);
+}
+
+/* Decisions.  */
+
+static void
+refuse (pu_router_t *r, request_t *q, pu_router_reason_t reason,
+        double wait_ms, pu_router_decision_t *d)
+{
+  pu_router_ran_t ran = PU_ROUTER_NOT_RUN;
+
+  if (q->may_have_run)
+    ran = PU_ROUTER_UNKNOWN;
+  if (q->gave_tokens)
+    ran = PU_ROUTER_RAN;
+  *d = (pu_router_decision_t){
+    .verdict = PU_ROUTER_REFUSE,
+    .ticket = ticket_of (q),
+    .backend = PU_ROUTER_NONE,
+    .reason = reason,
+    .ran = ran,
+    .retry_after_ms = retry_after (r, model_at (r, q->model), wait_ms),
+  };
+  r->stats.refused++;
+  request_end (r, q);
+}
+
+static void
+wait_in_queue (pu_router_t *r, request_t *q, guint64 now,
+               pu_router_decision_t *d)
+{
+  queue_add (r, q, now);
+  *d = (pu_router_decision_t){
+    .verdict = PU_ROUTER_QUEUED,
+    .ticket = ticket_of (q),
+    .backend = PU_ROUTER_NONE,
+  };
+}
+
+static void
+start (pu_router_t *r, request_t *q, const candidate_t *c, guint64 now,
+       pu_router_decision_t *d)
+{
+  service_t *s = service_at (r, q->service);
+  backend_t *b = backend_at (r, c->backend);
+  model_t *m = model_at (r, q->model);
+
+  queue_charge (r, q, c);
+  if (q->attempt == 0)
+    budget_earn (r, &b->budget);
+  else
+    {
+      b->budget -= 1;
+      r->stats.retried++;
+    }
+  q->state = REQUEST_RUNNING;
+  q->attempt++;
+  q->backend = c->backend;
+  q->sent_at = now;
+  q->first_at = 0;
+  q->work = c->work;
+  q->own_tokens = q->prompt_tokens - c->cached;
+  q->tokens = 0;
+  q->sampled_tokens = 0;
+  b->in_flight++;
+  b->prefilling++;
+  b->pending_tokens += q->own_tokens;
+  backend_count (b, now);
+  s->in_flight++;
+  s->peak = MAX (s->peak, s->in_flight);
+  m->in_flight++;
+  m->mean_prompt += MEAN_SHARE * (q->prompt_tokens - m->mean_prompt);
+  r->in_flight++;
+  r->stats.dispatched++;
+  r->stats.prompt_tokens += q->prompt_tokens;
+  r->stats.prefix_hit_tokens += c->cached;
+  *d = (pu_router_decision_t){
+    .verdict = PU_ROUTER_DISPATCH,
+    .ticket = ticket_of (q),
+    .backend = c->backend,
+    .attempt = q->attempt,
+    .predicted_ms = (guint)c->first_ms,
+    .cached_tokens = c->cached,
+  };
+}
+
+static void
+prefill_over (pu_router_t *r, request_t *q)
+{
+  backend_t *b = backend_at (r, q->backend);
+
+  b->prefilling--;
+  b->pending_tokens -= q->own_tokens;
+}
+
+/* Takes a running request off its backend server.  */
+static void
+stop (pu_router_t *r, request_t *q, guint64 now)
+{
+  backend_t *b = backend_at (r, q->backend);
+
+  if (!q->first_at)
+    prefill_over (r, q);
+  b->in_flight--;
+  backend_count (b, now);
+  service_at (r, q->service)->in_flight--;
+  model_at (r, q->model)->in_flight--;
+  r->in_flight--;
+  backend_dirty (r, q->backend);
+  backend_release (r, q->backend);
+}
+
+static void
+stop_and_open (pu_router_t *r, request_t *q, guint64 now)
+{
+  const service_t *s = service_at (r, q->service);
+  bool was_full = !service_may_start (r, s);
+
+  stop (r, q, now);
+  if (was_full)
+    open_flows (r, s);
+}
+
+/* Offers.  */
+
+static void
+refuse_unknown (pu_router_t *r, pu_router_reason_t reason,
+                pu_router_decision_t *d)
+{
+  *d = (pu_router_decision_t){
+    .verdict = PU_ROUTER_REFUSE,
+    .backend = PU_ROUTER_NONE,
+    .reason = reason,
+    .retry_after_ms = retry_after (r, NULL, 0),
+  };
+  r->stats.refused++;
+}
+
+/* Whether Q can't meet its deadline even on an idle copy.  Now and then one
+   is let through, or a wrong estimate would stand for ever.  */
+static bool
+is_hopeless (pu_router_t *r, const request_t *q, guint64 now)
+{
+  model_t *m = model_at (r, q->model);
+
+  if (q->deadline <= now)
+    return true;
+  if (q->give_up >= now)
+    return false;
+  if (m->in_flight > 0 || m->explored_at + EXPLORE_MS > now)
+    return true;
+  m->explored_at = now;
+  return false;
+}
+
+static bool
+may_start_at_once (pu_router_t *r, const request_t *q, guint64 now,
+                   candidate_t *c)
+{
+  if (!service_may_start (r, service_at (r, q->service)))
+    return false;
+  if (!choose_copy (r, q, now, c))
+    return false;
+  /* What waits for that copy's backend server goes first.  */
+  if (model_at (r, q->model)->waiting > 0)
+    return false;
+  return !backend_at (r, c->backend)->dirty
+         || g_sequence_is_empty (r->expiries);
+}
+
+static void
+enqueue_or_refuse (pu_router_t *r, request_t *q, guint64 now,
+                   pu_router_decision_t *d)
+{
+  const service_t *s = service_at (r, q->service);
+  double wait = queue_wait_ms (r, q);
+
+  if (q->give_up < now || (double)now + wait > (double)q->give_up)
+    refuse (r, q, PU_ROUTER_REASON_DEADLINE, wait, d);
+  else if (s->waiting >= s->max_queue && !queue_displace (r, q))
+    refuse (r, q, PU_ROUTER_REASON_QUEUE_FULL, wait, d);
+  else
+    wait_in_queue (r, q, now, d);
+}
+
+static void
+decide (pu_router_t *r, request_t *q, guint64 now, pu_router_decision_t *d)
+{
+  candidate_t c;
+
+  if (model_at (r, q->model)->ready->len == 0)
+    refuse (r, q, PU_ROUTER_REASON_COPY, 0, d);
+  else if (is_hopeless (r, q, now))
+    refuse (r, q, PU_ROUTER_REASON_DEADLINE, 0, d);
+  else if (may_start_at_once (r, q, now, &c))
+    start (r, q, &c, now, d);
+  else
+    enqueue_or_refuse (r, q, now, d);
+}
+
+void
+pu_router_offer (pu_router_t *r, const pu_router_request_t *in, guint64 now,
+                 pu_router_decision_t *d)
+{
+  service_t *s = service_at (r, in->service);
+  const model_t *m = model_at (r, in->model);
+  request_t *q;
+
+  r->stats.offered++;
+  if (!s || !s->declared)
+    {
+      refuse_unknown (r, PU_ROUTER_REASON_SERVICE, d);
+      return;
+    }
+  if (!m || !m->declared)
+    {
+      refuse_unknown (r, PU_ROUTER_REASON_MODEL, d);
+      return;
+    }
+  budget_earn (r, &s->budget);
+  q = request_new (r);
+  request_fill (r, q, in, now);
+  decide (r, q, now, d);
+  if (d->verdict == PU_ROUTER_REFUSE)
+    d->ticket = 0;
+}
+
+/* Next.  */
+
+static void
+refuse_waiting (pu_router_t *r, request_t *q, pu_router_reason_t reason,
+                GArray *out)
+{
+  pu_router_decision_t d;
+
+  queue_remove (r, q);
+  refuse (r, q, reason, 0, &d);
+  g_array_append_val (out, d);
+}
+
+static void
+refuse_displaced (pu_router_t *r, GArray *out)
+{
+  for (guint i = 0; i < r->displaced->len; i++)
+    {
+      pu_ticket_t t = g_array_index (r->displaced, pu_ticket_t, i);
+      request_t *q = request_of (r, t);
+      pu_router_decision_t d;
+
+      if (!q)
+        continue;
+      refuse (r, q, PU_ROUTER_REASON_QUEUE_FULL, 0, &d);
+      g_array_append_val (out, d);
+    }
+  g_array_set_size (r->displaced, 0);
+}
+
+static void
+expire (pu_router_t *r, guint64 now, GArray *out)
+{
+  GSequenceIter *at = g_sequence_get_begin_iter (r->expiries);
+
+  while (!g_sequence_iter_is_end (at))
+    {
+      request_t *q = g_sequence_get (at);
+
+      if (q->give_up >= now)
+        return;
+      refuse_waiting (r, q, PU_ROUTER_REASON_DEADLINE, out);
+      if (r->options.test_break == PU_ROUTER_BREAK_EXPIRY)
+        {
+          pu_router_decision_t again
+              = g_array_index (out, pu_router_decision_t, out->len - 1);
+
+          g_array_append_val (out, again);
+        }
+      at = g_sequence_get_begin_iter (r->expiries);
+    }
+}
+
+static pu_router_reason_t
+why_lost (const pu_router_t *r, const request_t *q)
+{
+  const model_t *m = model_at (r, q->model);
+
+  if (!service_at (r, q->service)->declared)
+    return PU_ROUTER_REASON_SERVICE;
+  if (!m->declared)
+    return PU_ROUTER_REASON_MODEL;
+  if (m->ready->len == 0)
+    return PU_ROUTER_REASON_COPY;
+  return PU_ROUTER_REASON_NONE;
+}
+
+/* Refuses what waits for something that is no longer there.  */
+static void
+sweep (pu_router_t *r, GArray *out)
+{
+  GSequenceIter *at = g_sequence_get_begin_iter (r->expiries);
+
+  r->sweep = false;
+  while (!g_sequence_iter_is_end (at))
+    {
+      request_t *q = g_sequence_get (at);
+      pu_router_reason_t reason = why_lost (r, q);
+
+      at = g_sequence_iter_next (at);
+      if (reason != PU_ROUTER_REASON_NONE)
+        refuse_waiting (r, q, reason, out);
+    }
+}
+
+static guint64
+held_until (const backend_t *b)
+{
+  return MAX (b->blocked_until, b->ejected_until);
+}
+
+static void
+release_held (pu_router_t *r, guint64 now)
+{
+  for (guint i = r->held->len; i-- > 0;)
+    {
+      pu_router_backend_t h = g_array_index (r->held, pu_router_backend_t, i);
+      backend_t *b = backend_at (r, h);
+
+      if (held_until (b) > now)
+        continue;
+      b->held = false;
+      g_array_remove_index_fast (r->held, i);
+      backend_dirty (r, h);
+    }
+}
+
+/* Starts what waits on B while B can take it.  */
+static void
+fill_backend (pu_router_t *r, pu_router_backend_t h, guint64 now, GArray *out)
+{
+  candidate_t c;
+  request_t *q;
+
+  while ((q = queue_pick (r, h, now, &c)))
+    {
+      pu_router_decision_t d;
+
+      queue_remove (r, q);
+      queue_drained (model_at (r, q->model), now);
+      start (r, q, &c, now, &d);
+      g_array_append_val (out, d);
+    }
+}
+
+static void
+fill_dirty (pu_router_t *r, guint64 now, GArray *out)
+{
+  while (r->dirty->len > 0)
+    {
+      guint last = r->dirty->len - 1;
+      pu_router_backend_t h
+          = g_array_index (r->dirty, pu_router_backend_t, last);
+      backend_t *b = backend_at (r, h);
+
+      g_array_set_size (r->dirty, last);
+      b->dirty = false;
+      if (!b->gone && !b->leaving && !g_sequence_is_empty (r->expiries))
+        fill_backend (r, h, now, out);
+    }
+}
+
+guint
+pu_router_next (pu_router_t *r, guint64 now, GArray *out)
+{
+  guint before = out->len;
+
+  refuse_displaced (r, out);
+  if (r->sweep)
+    sweep (r, out);
+  expire (r, now, out);
+  release_held (r, now);
+  fill_dirty (r, now, out);
+  return out->len - before;
+}
+
+guint64
+pu_router_wake_at (const pu_router_t *r)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (r->expiries);
+  guint64 at;
+
+  if (r->displaced->len > 0 || r->dirty->len > 0)
+    return 0;
+  if (g_sequence_iter_is_end (first))
+    return G_MAXUINT64;
+  if (r->sweep)
+    return 0;
+  at = ((const request_t *)g_sequence_get (first))->give_up + 1;
+  for (guint i = 0; i < r->held->len; i++)
+    {
+      pu_router_backend_t h = g_array_index (r->held, pu_router_backend_t, i);
+
+      at = MIN (at, held_until (backend_at (r, h)));
+    }
+  return at;
+}
+
+/* Feedback.  */
+
+void
+pu_router_sent (pu_router_t *r, pu_ticket_t t, guint64 now)
+{
+  request_t *q = running_of (r, t);
+
+  if (q && !q->first_at)
+    q->sent_at = now;
+}
+
+static void
+learn_first (pu_router_t *r, const request_t *q, guint64 now)
+{
+  backend_t *b = backend_at (r, q->backend);
+  double ms = (double)(now - q->sent_at);
+  double net = MAX (ms - b->cost_ms, 0);
+
+  line_add (&model_at (r, q->model)->first, (double)q->work, net);
+  for (guint i = 0; i < b->copies->len; i++)
+    {
+      copy_t *c = &g_array_index (b->copies, copy_t, i);
+
+      if (c->model == q->model && c->phase == PU_ROUTER_COPY_READY)
+        line_add (&c->first, (double)q->work, net);
+    }
+}
+
+/* The prompt's blocks are cached now where it ran.  */
+static void
+claim_prefix (pu_router_t *r, const request_t *q)
+{
+  backend_t *b = backend_at (r, q->backend);
+
+  if (g_hash_table_size (b->blocks) + q->n_prefix
+      > r->options.prefix_blocks_max)
+    g_hash_table_remove_all (b->blocks);
+  for (guint i = 0; i < q->n_prefix; i++)
+    g_hash_table_add (b->blocks, GSIZE_TO_POINTER (q->prefix[i]));
+}
+
+void
+pu_router_first_token (pu_router_t *r, pu_ticket_t t, guint64 now)
+{
+  request_t *q = running_of (r, t);
+  guint target;
+
+  if (!q || q->first_at)
+    return;
+  q->first_at = MAX (now, 1);
+  q->sampled_at = now;
+  q->sampled_tokens = 1;
+  q->tokens = 1;
+  q->gave_tokens = true;
+  prefill_over (r, q);
+  learn_first (r, q, now);
+  claim_prefix (r, q);
+  target = service_at (r, q->service)->first_token_ms;
+  if (target > 0 && q->attempt == 1)
+    service_sample (r, q->service, now - q->offered_at > target);
+  backend_dirty (r, q->backend);
+}
+
+void
+pu_router_tokens (pu_router_t *r, pu_ticket_t t, guint total, guint64 now)
+{
+  request_t *q = running_of (r, t);
+  backend_t *b;
+  double ms;
+  double load;
+
+  if (!q || !q->first_at || total <= q->tokens)
+    return;
+  q->tokens = total;
+  if (total < q->sampled_tokens + STEP_TOKENS)
+    return;
+  b = backend_at (r, q->backend);
+  ms = (double)(now - q->sampled_at) / (total - q->sampled_tokens);
+  load = backend_load (b, now);
+  line_add (&b->step, load, ms);
+  line_add (&model_at (r, q->model)->step, load, ms);
+  b->step_known = true;
+  q->sampled_at = now;
+  q->sampled_tokens = total;
+}
+
+static void
+learn_output (pu_router_t *r, const request_t *q)
+{
+  model_t *m = model_at (r, q->model);
+
+  if (m->mean_output <= 0)
+    m->mean_output = q->tokens;
+  else
+    m->mean_output += MEAN_SHARE * (q->tokens - m->mean_output);
+}
+
+void
+pu_router_finished (pu_router_t *r, pu_ticket_t t, pu_router_outcome_t outcome,
+                    guint64 now)
+{
+  request_t *q = running_of (r, t);
+
+  if (!q)
+    return;
+  if (outcome == PU_ROUTER_WHOLE && q->tokens > 0)
+    learn_output (r, q);
+  backend_worked (r, q->backend);
+  stop_and_open (r, q, now);
+  r->stats.finished++;
+  request_end (r, q);
+}
+
+void
+pu_router_cancel (pu_router_t *r, pu_ticket_t t, guint64 now)
+{
+  request_t *q = request_of (r, t);
+
+  if (!q)
+    return;
+  if (q->state == REQUEST_WAITING)
+    {
+      if (q->place)
+        queue_remove (r, q);
+    }
+  else
+    stop_and_open (r, q, now);
+  r->stats.cancelled++;
+  request_end (r, q);
+}
+
+/* Retries.  */
+
+static void
+note_failure (pu_router_t *r, request_t *q, pu_router_failure_t failure,
+              guint64 now)
+{
+  pu_router_backend_t b = q->backend;
+
+  switch (failure)
+    {
+    case PU_ROUTER_FAIL_CONNECT:
+    case PU_ROUTER_FAIL_NOT_RUN:
+      break;
+    case PU_ROUTER_FAIL_DIED:
+    case PU_ROUTER_FAIL_SILENT:
+    case PU_ROUTER_FAIL_TRUNCATED:
+      q->may_have_run = true;
+      break;
+    }
+  backend_failed (r, b, failure, now);
+  if (failure != PU_ROUTER_FAIL_NOT_RUN && q->n_tried < TRIED_MAX)
+    q->tried[q->n_tried++] = backend_at (r, b)->serial;
+}
+
+/* Why Q may not be tried again; NONE when it may.  */
+static pu_router_reason_t
+why_not_again (const pu_router_t *r, const request_t *q, guint64 now)
+{
+  const service_t *s = service_at (r, q->service);
+  bool unsafe = !q->repeatable && (q->may_have_run || q->gave_tokens);
+
+  if (unsafe && r->options.test_break != PU_ROUTER_BREAK_REPEAT)
+    return PU_ROUTER_REASON_REPEAT;
+  if (why_lost (r, q) != PU_ROUTER_REASON_NONE)
+    return why_lost (r, q);
+  if (q->attempt >= r->options.attempts_max || copy_left (r, q) == LEFT_NONE)
+    return PU_ROUTER_REASON_ATTEMPTS;
+  if (q->deadline <= now || q->give_up < now)
+    return PU_ROUTER_REASON_DEADLINE;
+  if (!budget_has (r, s->budget) || copy_left (r, q) == LEFT_SPENT)
+    return PU_ROUTER_REASON_BUDGET;
+  return PU_ROUTER_REASON_NONE;
+}
+
+void
+pu_router_retry (pu_router_t *r, pu_ticket_t t, pu_router_failure_t failure,
+                 guint64 now, pu_router_decision_t *d)
+{
+  request_t *q = running_of (r, t);
+  pu_router_reason_t reason;
+  candidate_t c;
+
+  if (!q)
+    {
+      *d = (pu_router_decision_t){ .verdict = PU_ROUTER_REFUSE,
+                                   .backend = PU_ROUTER_NONE };
+      return;
+    }
+  note_failure (r, q, failure, now);
+  stop_and_open (r, q, now);
+  set_due (r, q);
+  reason = why_not_again (r, q, now);
+  if (reason != PU_ROUTER_REASON_NONE)
+    {
+      refuse (r, q, reason, 0, d);
+      return;
+    }
+  service_at (r, q->service)->budget -= 1;
+  if (service_may_start (r, service_at (r, q->service))
+      && choose_copy (r, q, now, &c))
+    start (r, q, &c, now, d);
+  else
+    enqueue_or_refuse (r, q, now, d);
+}
--- /dev/null
+++ b/libplantainusher/routing/router_fuzz_test.cc
@@ -0,0 +1,516 @@
+/* Stateful fuzz of the router: a shell that plays backend servers at random
+   beside an oracle that knows only who runs where and what may be sent.  */
+
+#include "routing/router.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+struct Op
+{
+  unsigned kind, a, b, c;
+};
+
+constexpr unsigned kServices = 3, kModels = 3, kBackends = 5;
+constexpr guint kBurst = 2;
+
+struct Backend
+{
+  pu_router_backend_t handle = PU_ROUTER_NONE;
+  bool alive = false, leaving = false, failed = false, others = false;
+  std::set<unsigned> ready; /* models */
+  std::map<unsigned, int> phases;
+  guint64 incarnation = 0;
+  guint running = 0, first = 0, retries = 0;
+};
+
+struct Request
+{
+  unsigned service = 0, model = 0, backend = 0;
+  bool running = false, repeatable = false, may_have_run = false;
+  guint64 deadline = 0;
+  unsigned failures = 0;
+};
+
+class World
+{
+public:
+  std::string fault; /* the first check that failed */
+
+  explicit World (pu_router_break_t brk)
+  {
+    pu_router_options_t o;
+    pu_router_options_init (&o);
+    o.retry_burst = kBurst;
+    o.limit_initial = 8;
+    o.limit_min = 4;
+    o.test_break = brk;
+    r_ = pu_router_new (&o);
+    for (unsigned i = 0; i < kServices; i++)
+      {
+        std::string name = "s" + std::to_string (i);
+        pu_router_service_options_t s
+            = { name.c_str (), i + 1, 200, 50, 2000, i == 0 ? 3u : 0u, 4 };
+        pu_router_set_service (r_, &s);
+      }
+    for (unsigned i = 0; i < kModels; i++)
+      pu_router_set_model (r_, ("m" + std::to_string (i)).c_str (), "1", 500);
+  }
+  ~World () { pu_router_free (r_); }
+  World (const World &) = delete;
+  World &operator= (const World &) = delete;
+
+  void
+  step (const Op &op)
+  {
+    switch (op.kind % 12)
+      {
+      case 0:
+      case 1:
+      case 2:
+      case 3:
+        return offer (op);
+      case 4:
+        return announce (op);
+      case 5:
+        return op.c % 3 ? report (op) : remove (op);
+      case 6:
+        now_ += op.a % 400;
+        return next ();
+      case 7:
+      case 8:
+        return finish (op);
+      case 9:
+        return progress (op);
+      case 10:
+        return fail (op);
+      default:
+        return op.c % 2 ? cancel (op) : leave (op);
+      }
+  }
+
+  /* Lets all that is left come to its end.  */
+  void
+  end ()
+  {
+    for (int i = 0; i < 200 && !requests_.empty () && fault.empty (); i++)
+      {
+        finish ({ 0, 0, 0, 0 });
+        now_ += 100;
+        next ();
+      }
+    expect (requests_.empty (), "a request has no final answer");
+  }
+
+private:
+  void
+  expect (bool ok, const std::string &what)
+  {
+    if (!ok && fault.empty ())
+      fault = what;
+  }
+
+  Backend *
+  by_handle (pu_router_backend_t h)
+  {
+    for (Backend &b : backends_)
+      if (b.alive && b.handle == h)
+        return &b;
+    return nullptr;
+  }
+
+  void
+  dispatched (pu_ticket_t t, const pu_router_decision_t &d)
+  {
+    Request &q = requests_[t];
+    Backend *b = by_handle (d.backend);
+    expect (!q.running, "dispatched while it runs");
+    if (!b)
+      return expect (false, "dispatched to a dead backend server");
+    expect (!b->leaving && b->ready.count (q.model),
+            "dispatched to one that is draining or without the model");
+    if (d.attempt > 1)
+      {
+        expect (q.repeatable || !q.may_have_run, "repeated");
+        expect (++retries_[q.service] <= kBurst + offered_[q.service] / 10,
+                "service's retry budget exceeded");
+        expect (++b->retries <= kBurst + b->first / 10,
+                "backend server's retry budget exceeded");
+      }
+    else
+      b->first++;
+    q.running = true;
+    q.backend = static_cast<unsigned> (b - backends_);
+    b->running++;
+    service_running_[q.service]++;
+    expect (b->running <= pu_router_backend_slots (r_, d.backend),
+            "more than a backend server's slots");
+    expect (service_running_[q.service]
+                <= pu_router_service_limit (r_, q.service),
+            "more than a service's limit");
+  }
+
+  void
+  apply (pu_ticket_t t, const pu_router_decision_t &d)
+  {
+    if (!requests_.count (t))
+      return expect (false, "a second final answer");
+    if (d.verdict == PU_ROUTER_DISPATCH)
+      return dispatched (t, d);
+    if (d.verdict == PU_ROUTER_QUEUED)
+      return;
+    expect (requests_[t].may_have_run == (d.ran != PU_ROUTER_NOT_RUN),
+            "untrue not-run");
+    requests_.erase (t);
+  }
+
+  void
+  check ()
+  {
+    for (const Backend &b : backends_)
+      if (b.alive)
+        expect (pu_router_backend_in_flight (r_, b.handle) == b.running,
+                "count of a backend server");
+    for (unsigned s = 0; s < kServices; s++)
+      expect (pu_router_service_in_flight (r_, s) == service_running_[s],
+              "count of a service");
+  }
+
+  bool
+  could_start (const Request &q)
+  {
+    if (service_running_[q.service] >= pu_router_service_limit (r_, q.service))
+      return false;
+    /* A retry may wait for budget too.  */
+    if (q.failures > 0)
+      return false;
+    for (const Backend &b : backends_)
+      if (b.alive && !b.leaving && !b.failed && !b.others && b.running == 0
+          && b.ready.count (q.model))
+        return true;
+    return false;
+  }
+
+  void
+  next ()
+  {
+    GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
+    pu_router_next (r_, now_, out);
+    for (guint i = 0; i < out->len; i++)
+      {
+        auto &d = g_array_index (out, pu_router_decision_t, i);
+        apply (d.ticket, d);
+      }
+    g_array_free (out, TRUE);
+    for (const auto &[t, q] : requests_)
+      if (!q.running)
+        {
+          expect (q.deadline >= now_, "waits past its deadline");
+          expect (!could_start (q), "waits beside an idle copy");
+        }
+    check ();
+  }
+
+  void
+  offer (const Op &op)
+  {
+    guint64 prefix[] = { op.c % 4 + 1, op.c % 8 + 10 };
+    pu_router_request_t in = {};
+    in.service = op.a % kServices;
+    in.model = op.b % kModels;
+    in.priority = op.c % 10;
+    in.deadline = now_ + 100 + op.c % 3000;
+    in.prompt_tokens = op.c % 1000;
+    in.max_tokens = op.b % 100;
+    in.prefix = prefix;
+    in.n_prefix = 2;
+    in.repeatable = op.a % 2 == 0;
+    pu_router_decision_t d;
+    offered_[in.service]++;
+    pu_router_offer (r_, &in, now_, &d);
+    if (d.verdict == PU_ROUTER_REFUSE)
+      return expect (d.ran == PU_ROUTER_NOT_RUN && d.retry_after_ms > 0,
+                     "an offer refused otherwise than not-run");
+    expect (!requests_.count (d.ticket), "a ticket used twice");
+    Request &q = requests_[d.ticket];
+    q.service = in.service;
+    q.model = in.model;
+    q.repeatable = in.repeatable;
+    q.deadline = in.deadline;
+    apply (d.ticket, d);
+    next ();
+  }
+
+  void
+  announce (const Op &op)
+  {
+    Backend &b = backends_[op.a % kBackends];
+    std::string name = "b" + std::to_string (op.a % kBackends);
+    std::vector<pu_router_copy_t> copies;
+    static const char *const models[] = { "m0", "m1", "m2" };
+    bool fresh = !b.alive || op.c % 8 == 0;
+    if (fresh)
+      lose (b);
+    b.ready.clear ();
+    for (unsigned m = 0; m < kModels; m++)
+      {
+        int phase = static_cast<int> ((op.b >> (2 * m)) % 4);
+        if (phase == 3)
+          continue;
+        copies.push_back ({ models[m], op.c % 2 ? "1" : "2",
+                            static_cast<pu_router_phase_t> (phase) });
+        if (phase == PU_ROUTER_COPY_READY)
+          b.ready.insert (m);
+      }
+    b.incarnation += fresh;
+    pu_router_backend_options_t o = {};
+    o.name = name.c_str ();
+    o.incarnation = b.incarnation;
+    o.region = "";
+    o.zone = op.c % 2 ? "a" : "b";
+    o.leaving = b.leaving;
+    o.slots = op.a % 2 ? 3 : 0;
+    o.copies = copies.data ();
+    o.n_copies = static_cast<guint> (copies.size ());
+    b.handle = pu_router_set_backend (r_, &o);
+    b.alive = true;
+    next ();
+  }
+
+  /* The backend server dies; the shell reports each request that ran.  */
+  void
+  lose (Backend &b)
+  {
+    bool was_alive = b.alive;
+    pu_router_backend_t handle = b.handle;
+    guint64 incarnation = b.incarnation;
+    b.alive = false;
+    if (was_alive)
+      pu_router_remove_backend (r_, handle);
+    std::vector<pu_ticket_t> lost;
+    for (const auto &[t, q] : requests_)
+      if (q.running && &backends_[q.backend] == &b)
+        lost.push_back (t);
+    for (pu_ticket_t t : lost)
+      failed (t, PU_ROUTER_FAIL_DIED);
+    b = Backend ();
+    b.incarnation = incarnation;
+  }
+
+  void
+  remove (const Op &op)
+  {
+    lose (backends_[op.a % kBackends]);
+    next ();
+  }
+
+  void
+  leave (const Op &op)
+  {
+    Backend &b = backends_[op.a % kBackends];
+    if (!b.alive)
+      return;
+    pu_router_set_leaving (r_, b.handle);
+    b.leaving = true;
+    next ();
+  }
+
+  void
+  report (const Op &op)
+  {
+    Backend &b = backends_[op.a % kBackends];
+    if (!b.alive)
+      return;
+    pu_router_report_t report = {};
+    report.seq = ++seq_;
+    report.running = op.b % 6;
+    report.waiting = op.c % 3;
+    pu_router_report (r_, b.handle, &report, now_);
+    b.others = true;
+    guint64 hash = op.c % 4 + 1;
+    pu_router_kv_events_t e = { op.b + 1, op.b + 1, &hash, 1, nullptr, 0 };
+    pu_router_kv_events (r_, b.handle, &e);
+    next ();
+  }
+
+  pu_ticket_t
+  pick_running (unsigned n)
+  {
+    std::vector<pu_ticket_t> list;
+    for (const auto &[t, q] : requests_)
+      if (q.running)
+        list.push_back (t);
+    return list.empty () ? 0 : list[n % list.size ()];
+  }
+
+  void
+  stopped (Request &q)
+  {
+    backends_[q.backend].running -= q.running;
+    service_running_[q.service] -= q.running;
+    q.running = false;
+  }
+
+  void
+  finish (const Op &op)
+  {
+    pu_ticket_t t = pick_running (op.a);
+    if (!t)
+      return;
+    stopped (requests_[t]);
+    pu_router_finished (r_, t, PU_ROUTER_WHOLE, now_);
+    pu_router_finished (r_, t, PU_ROUTER_WHOLE, now_); /* void by now */
+    requests_.erase (t);
+    next ();
+  }
+
+  void
+  progress (const Op &op)
+  {
+    pu_ticket_t t = pick_running (op.a);
+    if (!t)
+      return;
+    pu_router_first_token (r_, t, now_);
+    requests_[t].may_have_run = true;
+    now_ += op.b % 100;
+    pu_router_tokens (r_, t, 1 + op.c % 50, now_);
+    next ();
+  }
+
+  void
+  failed (pu_ticket_t t, pu_router_failure_t kind)
+  {
+    Request &q = requests_[t];
+    if (kind >= PU_ROUTER_FAIL_DIED)
+      q.may_have_run = true;
+    stopped (q);
+    backends_[q.backend].failed = true;
+    q.failures++;
+    pu_router_decision_t d;
+    pu_router_retry (r_, t, kind, now_, &d);
+    apply (t, d);
+  }
+
+  void
+  fail (const Op &op)
+  {
+    pu_ticket_t t = pick_running (op.a);
+    if (!t)
+      return;
+    failed (t, static_cast<pu_router_failure_t> (op.b % 5));
+    next ();
+  }
+
+  void
+  cancel (const Op &op)
+  {
+    if (requests_.empty ())
+      return;
+    auto at = requests_.begin ();
+    std::advance (at, op.a % requests_.size ());
+    stopped (at->second);
+    pu_router_cancel (r_, at->first, now_);
+    requests_.erase (at);
+    next ();
+  }
+
+  pu_router_t *r_;
+  guint64 now_ = 1000;
+  guint64 seq_ = 0;
+  Backend backends_[kBackends];
+  std::map<pu_ticket_t, Request> requests_;
+  guint service_running_[kServices] = {};
+  guint offered_[kServices] = {};
+  guint retries_[kServices] = {};
+};
+
+std::string
+run (const std::vector<Op> &ops, pu_router_break_t brk)
+{
+  World w (brk);
+  for (const Op &op : ops)
+    {
+      if (w.fault.empty ())
+        w.step (op);
+    }
+  if (w.fault.empty ())
+    w.end ();
+  return w.fault;
+}
+
+std::vector<Op>
+random_ops (unsigned seed, size_t n)
+{
+  std::mt19937 rand (seed);
+  std::vector<Op> ops;
+  for (size_t i = 0; i < n; i++)
+    ops.push_back ({ static_cast<unsigned> (rand ()) % 4096,
+                     static_cast<unsigned> (rand ()) % 4096,
+                     static_cast<unsigned> (rand ()) % 4096,
+                     static_cast<unsigned> (rand ()) % 4096 });
+  return ops;
+}
+
+RC_GTEST_PROP (RouterFuzz, HoldsAgainstTheOracle, ())
+{
+  auto number = rc::gen::inRange (0u, 4096u);
+  auto raw = *rc::gen::container<
+      std::vector<std::tuple<unsigned, unsigned, unsigned, unsigned> > > (
+      rc::gen::tuple (number, number, number, number));
+  std::vector<Op> ops;
+  for (const auto &[kind, a, b, c] : raw)
+    ops.push_back ({ kind, a, b, c });
+  std::string fault = run (ops, PU_ROUTER_BREAK_NONE);
+  if (!fault.empty ())
+    RC_FAIL (fault);
+}
+
+TEST (RouterFuzz, LongRunsHoldAgainstTheOracle)
+{
+  for (unsigned seed = 1; seed <= 300; seed++)
+    ASSERT_EQ (run (random_ops (seed, 500), PU_ROUTER_BREAK_NONE), "")
+        << "seed " << seed;
+}
+
+class RouterBreak : public testing::TestWithParam<
+                        std::pair<pu_router_break_t, const char *> >
+{
+};
+
+TEST_P (RouterBreak, IsCaught)
+{
+  for (unsigned seed = 1; seed <= 300; seed++)
+    {
+      std::string fault = run (random_ops (seed, 500), GetParam ().first);
+      if (fault == GetParam ().second)
+        return;
+    }
+  FAIL () << "not caught: " << GetParam ().second;
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    All, RouterBreak,
+    testing::Values (
+        std::pair (PU_ROUTER_BREAK_BACKEND_LIMIT,
+                   "more than a backend server's slots"),
+        std::pair (PU_ROUTER_BREAK_SERVICE_LIMIT,
+                   "more than a service's limit"),
+        std::pair (PU_ROUTER_BREAK_DRAINING,
+                   "dispatched to one that is draining or without the model"),
+        std::pair (PU_ROUTER_BREAK_BUDGET, "service's retry budget exceeded"),
+        std::pair (PU_ROUTER_BREAK_BUDGET,
+                   "backend server's retry budget exceeded"),
+        std::pair (PU_ROUTER_BREAK_REPEAT, "repeated"),
+        std::pair (PU_ROUTER_BREAK_EXPIRY, "a second final answer")));
+
+} // namespace
--- /dev/null
+++ b/libplantainusher/routing/tables.c
@@ -0,0 +1,636 @@
+#include "routing/router_int.h"
+
+#include <string.h>
+
+#define TOKEN_RIDGE 10000.0 /* tokens squared */
+#define LOAD_RIDGE 1.0      /* requests squared */
+
+static void
+index_add (pu_router_t *r, pu_router_backend_t b, guint copy)
+{
+  backend_t *s = backend_at (r, b);
+  copy_t *c = &g_array_index (s->copies, copy_t, copy);
+  ready_t ready = { b, copy };
+  model_t *m = model_at (r, c->model);
+
+  g_array_append_val (m->ready, ready);
+  m->drain_rate = 0;
+}
+
+static void
+index_remove (pu_router_t *r, pu_router_backend_t b, pu_router_model_t m)
+{
+  GArray *list = model_at (r, m)->ready;
+
+  for (guint i = list->len; i-- > 0;)
+    {
+      if (g_array_index (list, ready_t, i).backend == b)
+        g_array_remove_index_fast (list, i);
+    }
+  if (list->len == 0)
+    r->sweep = true;
+}
+
+static bool
+copy_gets_work (const pu_router_t *r, const backend_t *s, const copy_t *c)
+{
+  if (r->options.test_break == PU_ROUTER_BREAK_DRAINING)
+    return c->phase != PU_ROUTER_COPY_LOADING && !s->gone;
+  return c->phase == PU_ROUTER_COPY_READY && !s->leaving && !s->gone;
+}
+
+static void
+unindex_backend (pu_router_t *r, pu_router_backend_t b)
+{
+  backend_t *s = backend_at (r, b);
+
+  for (guint i = 0; i < s->copies->len; i++)
+    index_remove (r, b, g_array_index (s->copies, copy_t, i).model);
+}
+
+static void
+index_backend (pu_router_t *r, pu_router_backend_t b)
+{
+  backend_t *s = backend_at (r, b);
+
+  for (guint i = 0; i < s->copies->len; i++)
+    {
+      if (copy_gets_work (r, s, &g_array_index (s->copies, copy_t, i)))
+        index_add (r, b, i);
+    }
+  backend_dirty (r, b);
+}
+
+/* Services.  */
+
+pu_router_service_t
+pu_router_find_service (const pu_router_t *r, const char *name)
+{
+  gpointer p;
+
+  if (!g_hash_table_lookup_extended (r->service_names, name, NULL, &p))
+    return PU_ROUTER_NONE;
+  if (!service_at (r, GPOINTER_TO_UINT (p))->declared)
+    return PU_ROUTER_NONE;
+  return GPOINTER_TO_UINT (p);
+}
+
+static pu_router_service_t
+service_new (pu_router_t *r, const char *name)
+{
+  service_t *s = g_new0 (service_t, 1);
+  guint h = r->services->len;
+
+  s->name = g_strdup (name);
+  s->limit = r->options.limit_initial;
+  s->budget = r->options.retry_burst;
+  s->models = g_array_new (FALSE, FALSE, sizeof (pu_router_model_t));
+  g_ptr_array_add (r->services, s);
+  g_hash_table_insert (r->service_names, s->name, GUINT_TO_POINTER (h));
+  return h;
+}
+
+pu_router_service_t
+pu_router_set_service (pu_router_t *r, const pu_router_service_options_t *o)
+{
+  gpointer p;
+  guint h;
+  service_t *s;
+
+  if (g_hash_table_lookup_extended (r->service_names, o->name, NULL, &p))
+    h = GPOINTER_TO_UINT (p);
+  else
+    h = service_new (r, o->name);
+  s = service_at (r, h);
+  s->declared = true;
+  s->importance = MAX (o->importance, 1);
+  s->first_token_ms = o->first_token_ms;
+  s->per_token_ms = o->per_token_ms;
+  s->timeout_ms = o->timeout_ms;
+  s->max_concurrency = o->max_concurrency;
+  s->max_queue = o->max_queue;
+  return h;
+}
+
+void
+pu_router_remove_service (pu_router_t *r, pu_router_service_t s)
+{
+  service_t *service = service_at (r, s);
+
+  if (!service)
+    return;
+  service->declared = false;
+  r->sweep = true;
+}
+
+/* Models.  */
+
+pu_router_model_t
+pu_router_find_model (const pu_router_t *r, const char *name)
+{
+  gpointer p;
+
+  if (!g_hash_table_lookup_extended (r->model_names, name, NULL, &p))
+    return PU_ROUTER_NONE;
+  if (!model_at (r, GPOINTER_TO_UINT (p))->declared)
+    return PU_ROUTER_NONE;
+  return GPOINTER_TO_UINT (p);
+}
+
+static void
+flow_clear (gpointer data)
+{
+  flow_t *f = data;
+
+  g_sequence_free (f->queue);
+}
+
+/* The handle of NAME, declared or not.  */
+static pu_router_model_t
+model_intern (pu_router_t *r, const char *name)
+{
+  guint h = r->models->len;
+  gpointer p;
+  model_t *m;
+
+  if (g_hash_table_lookup_extended (r->model_names, name, NULL, &p))
+    return GPOINTER_TO_UINT (p);
+  m = g_new0 (model_t, 1);
+  m->name = g_strdup (name);
+  m->ready = g_array_new (FALSE, FALSE, sizeof (ready_t));
+  m->flows = g_array_new (FALSE, FALSE, sizeof (flow_t));
+  g_array_set_clear_func (m->flows, flow_clear);
+  line_init (&m->first, r->options.decode_ms, r->options.prefill_ms,
+             TOKEN_RIDGE);
+  line_init (&m->step, r->options.decode_ms, 0, LOAD_RIDGE);
+  g_ptr_array_add (r->models, m);
+  g_hash_table_insert (r->model_names, m->name, GUINT_TO_POINTER (h));
+  return h;
+}
+
+pu_router_model_t
+pu_router_set_model (pu_router_t *r, const char *name, const char *preferred,
+                     guint share)
+{
+  pu_router_model_t h = model_intern (r, name);
+  model_t *m = model_at (r, h);
+
+  m->declared = true;
+  g_free (m->preferred);
+  m->preferred = g_strdup (preferred);
+  m->share = MIN (share, 1000);
+  return h;
+}
+
+void
+pu_router_remove_model (pu_router_t *r, pu_router_model_t m)
+{
+  model_t *model = model_at (r, m);
+
+  if (!model)
+    return;
+  model->declared = false;
+  r->sweep = true;
+}
+
+/* Backend servers.  */
+
+static void
+copy_clear (gpointer data)
+{
+  copy_t *c = data;
+
+  g_free (c->version);
+}
+
+static GArray *
+copies_new (void)
+{
+  GArray *copies = g_array_new (FALSE, TRUE, sizeof (copy_t));
+
+  g_array_set_clear_func (copies, copy_clear);
+  return copies;
+}
+
+static const copy_t *
+find_copy (const GArray *copies, pu_router_model_t m, const char *version)
+{
+  for (guint i = 0; i < copies->len; i++)
+    {
+      const copy_t *c = &g_array_index (copies, copy_t, i);
+
+      if (c->model == m && strcmp (c->version, version) == 0)
+        return c;
+    }
+  return NULL;
+}
+
+/* Replaces the copies of S; what was learnt of one that stays is kept.  */
+static void
+set_copies (pu_router_t *r, backend_t *s, const pu_router_copy_t *copies,
+            guint n)
+{
+  GArray *list = copies_new ();
+
+  for (guint i = 0; i < n; i++)
+    {
+      pu_router_model_t m = model_intern (r, copies[i].model);
+      const copy_t *old = find_copy (s->copies, m, copies[i].version);
+      copy_t c = {
+        .model = m,
+        .version = g_strdup (copies[i].version),
+        .phase = copies[i].phase,
+        .first = old ? old->first : model_at (r, m)->first,
+      };
+
+      if (!old)
+        c.first.weight = MIN (c.first.weight, 1);
+      g_array_append_val (list, c);
+    }
+  g_array_free (s->copies, TRUE);
+  s->copies = list;
+}
+
+static guint
+way_cost (const pu_router_t *r, const backend_t *s)
+{
+  if (strcmp (s->region, r->region) != 0)
+    return r->options.region_cost_ms;
+  if (strcmp (s->zone, r->zone) != 0)
+    return r->options.zone_cost_ms;
+  return 0;
+}
+
+static guint
+free_backend_slot (pu_router_t *r)
+{
+  for (guint i = 0; i < r->backends->len; i++)
+    {
+      if (!backend_at (r, i)->used)
+        return i;
+    }
+  g_ptr_array_add (r->backends, g_new0 (backend_t, 1));
+  return r->backends->len - 1;
+}
+
+static pu_router_backend_t
+backend_new (pu_router_t *r, const pu_router_backend_options_t *o)
+{
+  guint h = free_backend_slot (r);
+  backend_t *s = backend_at (r, h);
+
+  *s = (backend_t){
+    .name = g_strdup (o->name),
+    .incarnation = o->incarnation,
+    .serial = ++r->serial,
+    .used = true,
+    .slots = r->options.slots_initial,
+    .copies = copies_new (),
+    .budget = r->options.retry_burst,
+    .tags = g_array_new (FALSE, TRUE, sizeof (double)),
+    .blocks = g_hash_table_new (NULL, NULL),
+  };
+  line_init (&s->step, r->options.decode_ms, 0, LOAD_RIDGE);
+  g_hash_table_replace (r->backend_names, g_strdup (o->name),
+                        GUINT_TO_POINTER (h));
+  return h;
+}
+
+pu_router_backend_t
+pu_router_find_backend (const pu_router_t *r, const char *name)
+{
+  gpointer p;
+
+  if (!g_hash_table_lookup_extended (r->backend_names, name, NULL, &p))
+    return PU_ROUTER_NONE;
+  return GPOINTER_TO_UINT (p);
+}
+
+static void
+replace_string (char **s, const char *value)
+{
+  char *copy = g_strdup (value ? value : "");
+
+  g_free (*s);
+  *s = copy;
+}
+
+pu_router_backend_t
+pu_router_set_backend (pu_router_t *r, const pu_router_backend_options_t *o)
+{
+  pu_router_backend_t h = pu_router_find_backend (r, o->name);
+  backend_t *s = backend_at (r, h);
+
+  if (s && o->incarnation < s->incarnation)
+    return PU_ROUTER_NONE;
+  if (s && o->incarnation > s->incarnation)
+    {
+      pu_router_remove_backend (r, h);
+      s = NULL;
+    }
+  if (!s)
+    h = backend_new (r, o);
+  s = backend_at (r, h);
+  unindex_backend (r, h);
+  s->kind = o->kind;
+  s->leaving = o->leaving;
+  s->fixed_slots = o->slots;
+  replace_string (&s->region, o->region);
+  replace_string (&s->zone, o->zone);
+  s->cost_ms = way_cost (r, s);
+  set_copies (r, s, o->copies, o->n_copies);
+  index_backend (r, h);
+  return h;
+}
+
+void
+pu_router_remove_backend (pu_router_t *r, pu_router_backend_t b)
+{
+  backend_t *s = backend_at (r, b);
+
+  if (!s || !s->used || s->gone)
+    return;
+  unindex_backend (r, b);
+  s->gone = true;
+  g_hash_table_remove (r->backend_names, s->name);
+  backend_release (r, b);
+}
+
+void
+pu_router_set_leaving (pu_router_t *r, pu_router_backend_t b)
+{
+  backend_t *s = backend_at (r, b);
+
+  if (!s || !s->used || s->gone || s->leaving)
+    return;
+  unindex_backend (r, b);
+  s->leaving = true;
+  index_backend (r, b);
+}
+
+static void
+forget (GArray *list, pu_router_backend_t b)
+{
+  for (guint i = list->len; i-- > 0;)
+    {
+      if (g_array_index (list, pu_router_backend_t, i) == b)
+        g_array_remove_index_fast (list, i);
+    }
+}
+
+static void
+backend_clear (backend_t *s)
+{
+  if (!s->used)
+    return;
+  g_free (s->name);
+  g_free (s->region);
+  g_free (s->zone);
+  g_array_free (s->copies, TRUE);
+  g_array_free (s->tags, TRUE);
+  g_hash_table_destroy (s->blocks);
+  *s = (backend_t){ .used = false };
+}
+
+void
+backend_release (pu_router_t *r, pu_router_backend_t b)
+{
+  backend_t *s = backend_at (r, b);
+
+  if (!s->gone || s->in_flight > 0)
+    return;
+  forget (r->dirty, b);
+  forget (r->held, b);
+  backend_clear (s);
+}
+
+const char *
+pu_router_backend_name (const pu_router_t *r, pu_router_backend_t b)
+{
+  const backend_t *s = backend_at (r, b);
+
+  return s && s->used ? s->name : "";
+}
+
+guint64
+pu_router_backend_incarnation (const pu_router_t *r, pu_router_backend_t b)
+{
+  const backend_t *s = backend_at (r, b);
+
+  return s && s->used ? s->incarnation : 0;
+}
+
+void
+backend_dirty (pu_router_t *r, pu_router_backend_t b)
+{
+  backend_t *s = backend_at (r, b);
+
+  if (s->dirty || s->gone)
+    return;
+  s->dirty = true;
+  g_array_append_val (r->dirty, b);
+}
+
+/* Load.  */
+
+/* Carries the last count on to the tick of NOW.  */
+static void
+history_advance (backend_t *s, guint64 now)
+{
+  guint64 tick = now / HISTORY_TICK_MS;
+  guint last = s->history[s->history_tick % HISTORY_MAX];
+  guint64 steps = tick - s->history_tick;
+
+  if (tick <= s->history_tick)
+    return;
+  for (guint64 i = 1; i <= MIN (steps, HISTORY_MAX); i++)
+    s->history[(s->history_tick + i) % HISTORY_MAX] = last;
+  s->history[tick % HISTORY_MAX] = last;
+  s->history_tick = tick;
+}
+
+void
+backend_count (backend_t *s, guint64 now)
+{
+  history_advance (s, now);
+  s->history[s->history_tick % HISTORY_MAX] = s->in_flight;
+}
+
+/* Own work that was there AGE milliseconds ago.  */
+static guint
+own_before (backend_t *s, guint age, guint64 now)
+{
+  guint ticks = MIN (age / HISTORY_TICK_MS, HISTORY_MAX - 1);
+
+  history_advance (s, now);
+  if (s->history_tick < ticks)
+    return 0;
+  return s->history[(s->history_tick - ticks) % HISTORY_MAX];
+}
+
+bool
+pu_router_report (pu_router_t *r, pu_router_backend_t b,
+                  const pu_router_report_t *report, guint64 now)
+{
+  backend_t *s = backend_at (r, b);
+  guint own;
+  guint total;
+
+  if (!s || !s->used || s->gone || report->seq <= s->seq)
+    return false;
+  own = own_before (s, report->age_ms, now);
+  total = report->running + report->waiting;
+  s->seq = report->seq;
+  s->reported_at = now;
+  s->report = *report;
+  s->others_running = total > own ? total - own : 0;
+  s->others_waiting = MIN (report->waiting, s->others_running);
+  slots_report (r, s, now);
+  backend_dirty (r, b);
+  return true;
+}
+
+static bool
+report_is_fresh (const backend_t *s, guint64 now)
+{
+  return s->reported_at && now < s->reported_at + REPORT_STALE_MS;
+}
+
+guint
+backend_load (const backend_t *s, guint64 now)
+{
+  return s->in_flight + (report_is_fresh (s, now) ? s->others_running : 0);
+}
+
+guint
+backend_others_waiting (const backend_t *s, guint64 now)
+{
+  return report_is_fresh (s, now) ? s->others_waiting : 0;
+}
+
+double
+backend_step_ms (const pu_router_t *r, const backend_t *s, const model_t *m,
+                 guint load)
+{
+  (void)r;
+  return line_at (s->step_known ? &s->step : &m->step, load);
+}
+
+bool
+pu_router_kv_events (pu_router_t *r, pu_router_backend_t b,
+                     const pu_router_kv_events_t *e)
+{
+  backend_t *s = backend_at (r, b);
+  bool gap;
+
+  if (!s || !s->used || s->gone)
+    return true;
+  if (s->kv_next && e->last < s->kv_next)
+    return true;
+  gap = s->kv_next && e->first != s->kv_next;
+  if (gap)
+    {
+      g_hash_table_remove_all (s->blocks);
+      r->stats.kv_gaps++;
+    }
+  if (g_hash_table_size (s->blocks) + e->n_added
+      > r->options.prefix_blocks_max)
+    g_hash_table_remove_all (s->blocks);
+  for (guint i = 0; i < e->n_added; i++)
+    g_hash_table_add (s->blocks, GSIZE_TO_POINTER (e->added[i]));
+  for (guint i = 0; i < e->n_removed; i++)
+    g_hash_table_remove (s->blocks, GSIZE_TO_POINTER (e->removed[i]));
+  s->kv_next = e->last + 1;
+  return !gap;
+}
+
+/* The whole.  */
+
+static void
+service_free (gpointer data)
+{
+  service_t *s = data;
+
+  g_free (s->name);
+  g_array_free (s->models, TRUE);
+  g_free (s);
+}
+
+static void
+model_free (gpointer data)
+{
+  model_t *m = data;
+
+  g_free (m->name);
+  g_free (m->preferred);
+  g_array_free (m->ready, TRUE);
+  g_array_free (m->flows, TRUE);
+  g_free (m);
+}
+
+static void
+backend_free (gpointer data)
+{
+  backend_clear (data);
+  g_free (data);
+}
+
+static void
+request_free (gpointer data)
+{
+  request_t *q = data;
+
+  g_free (q->prefix);
+  g_free (q);
+}
+
+pu_router_t *
+pu_router_new (const pu_router_options_t *o)
+{
+  pu_router_t *r = g_new0 (pu_router_t, 1);
+
+  r->options = *o;
+  r->options.candidates = MAX (o->candidates, 2);
+  r->region = g_strdup (o->region ? o->region : "");
+  r->zone = g_strdup (o->zone ? o->zone : "");
+  r->options.region = r->region;
+  r->options.zone = r->zone;
+  r->rand = g_rand_new_with_seed ((guint32)o->seed);
+  r->services = g_ptr_array_new_with_free_func (service_free);
+  r->models = g_ptr_array_new_with_free_func (model_free);
+  r->backends = g_ptr_array_new_with_free_func (backend_free);
+  r->service_names = g_hash_table_new (g_str_hash, g_str_equal);
+  r->model_names = g_hash_table_new (g_str_hash, g_str_equal);
+  r->backend_names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  r->requests = g_ptr_array_new_with_free_func (request_free);
+  r->free_requests = g_array_new (FALSE, FALSE, sizeof (guint));
+  r->expiries = g_sequence_new (NULL);
+  r->dirty = g_array_new (FALSE, FALSE, sizeof (pu_router_backend_t));
+  r->held = g_array_new (FALSE, FALSE, sizeof (pu_router_backend_t));
+  r->displaced = g_array_new (FALSE, FALSE, sizeof (pu_ticket_t));
+  return r;
+}
+
+void
+pu_router_free (pu_router_t *r)
+{
+  if (!r)
+    return;
+  g_hash_table_destroy (r->service_names);
+  g_hash_table_destroy (r->model_names);
+  g_hash_table_destroy (r->backend_names);
+  g_sequence_free (r->expiries);
+  g_ptr_array_free (r->requests, TRUE);
+  g_ptr_array_free (r->services, TRUE);
+  g_ptr_array_free (r->models, TRUE);
+  g_ptr_array_free (r->backends, TRUE);
+  g_array_free (r->free_requests, TRUE);
+  g_array_free (r->dirty, TRUE);
+  g_array_free (r->held, TRUE);
+  g_array_free (r->displaced, TRUE);
+  g_rand_free (r->rand);
+  g_free (r->region);
+  g_free (r->zone);
+  g_free (r);
+}
