Router: table tests; a service alone may shrink its limit

Cause: the fair share of a service that is alone was all its own work, so its limit never shrank, found by the new test of the limit. Change: the fair share protects a service only beside others. One test for each behaviour.

--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -37,7 +37,8 @@
   return s->in_flight < service_limit (s);
 }
 
-/* What S may use by its importance among the services now at work.  */
+/* What S may use by its importance among the services now at work; 0 when it
+   is alone, as its own lateness is then its own doing.  */
 static double
 fair_share (const pu_router_t *r, const service_t *s)
 {
@@ -50,7 +51,9 @@
       if (other->in_flight + other->waiting > 0)
         total += other->importance;
     }
-  return (double)r->in_flight * s->importance / MAX (total, s->importance);
+  if (total <= s->importance)
+    return 0;
+  return (double)r->in_flight * s->importance / total;
 }
 
 void
--- /dev/null
+++ b/libplantainusher/routing/router_test.cc
@@ -0,0 +1,424 @@
+/* One behaviour of the router each.  */
+
+#include "routing/router.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace
+{
+
+class Router : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    pu_router_options_init (&o_);
+    make ();
+  }
+
+  void
+  TearDown () override
+  {
+    pu_router_free (r_);
+  }
+
+  void
+  make ()
+  {
+    pu_router_free (r_);
+    r_ = pu_router_new (&o_);
+    chat_ = service ("chat", 1);
+    m_ = pu_router_set_model (r_, "m", nullptr, 0);
+  }
+
+  pu_router_service_t
+  service (const char *name, guint importance, guint concurrency = 0,
+           guint queue = 10)
+  {
+    pu_router_service_options_t s
+        = { name, importance, 400, 60, 5000, concurrency, queue };
+    return pu_router_set_service (r_, &s);
+  }
+
+  pu_router_backend_t
+  backend (const char *name, guint slots = 0, const char *version = "1",
+           pu_router_phase_t phase = PU_ROUTER_COPY_READY,
+           const char *zone = "", guint64 incarnation = 1)
+  {
+    pu_router_copy_t copy = { "m", version, phase };
+    pu_router_backend_options_t b = {};
+    b.name = name;
+    b.incarnation = incarnation;
+    b.region = "";
+    b.zone = zone;
+    b.slots = slots;
+    b.copies = &copy;
+    b.n_copies = 1;
+    return pu_router_set_backend (r_, &b);
+  }
+
+  pu_router_request_t
+  request () const
+  {
+    pu_router_request_t q = {};
+    q.service = chat_;
+    q.model = m_;
+    q.prompt_tokens = 100;
+    q.max_tokens = 10;
+    q.repeatable = true;
+    return q;
+  }
+
+  pu_router_decision_t
+  offer (const pu_router_request_t &q)
+  {
+    pu_router_decision_t d;
+    pu_router_offer (r_, &q, now_, &d);
+    return d;
+  }
+
+  pu_router_decision_t
+  retry (pu_ticket_t t, pu_router_failure_t kind)
+  {
+    pu_router_decision_t d;
+    pu_router_retry (r_, t, kind, now_, &d);
+    return d;
+  }
+
+  std::vector<pu_router_decision_t>
+  next ()
+  {
+    GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
+    pu_router_next (r_, now_, out);
+    auto *first = reinterpret_cast<pu_router_decision_t *> (out->data);
+    std::vector<pu_router_decision_t> list (first, first + out->len);
+    g_array_free (out, TRUE);
+    return list;
+  }
+
+  void
+  finish (pu_ticket_t t)
+  {
+    pu_router_finished (r_, t, PU_ROUTER_WHOLE, now_);
+  }
+
+  pu_router_options_t o_;
+  pu_router_t *r_ = nullptr;
+  pu_router_service_t chat_ = 0;
+  pu_router_model_t m_ = 0;
+  guint64 now_ = 100000;
+};
+
+TEST_F (Router, RefusesWhatIsNotDeclaredOrNotReady)
+{
+  pu_router_request_t q = request ();
+  EXPECT_EQ (offer (q).reason, PU_ROUTER_REASON_COPY);
+  backend ("a", 0, "1", PU_ROUTER_COPY_LOADING);
+  EXPECT_EQ (offer (q).reason, PU_ROUTER_REASON_COPY);
+  q.model = 99;
+  EXPECT_EQ (offer (q).reason, PU_ROUTER_REASON_MODEL);
+  q.service = PU_ROUTER_NONE;
+  pu_router_decision_t d = offer (q);
+  EXPECT_EQ (d.reason, PU_ROUTER_REASON_SERVICE);
+  EXPECT_GT (d.retry_after_ms, 0u);
+  EXPECT_EQ (d.ran, PU_ROUTER_NOT_RUN);
+}
+
+TEST_F (Router, CountsOwnWorkSinceTheLastReport)
+{
+  pu_router_backend_t a = backend ("a");
+  pu_router_backend_t b = backend ("b");
+  pu_router_request_t q = request ();
+  pu_router_report_t busy = { 1, 3, 0, 0, 0, 0 };
+  pu_router_report (r_, b, &busy, now_);
+  q.prompt_tokens = 0;
+  EXPECT_EQ (offer (q).backend, a);
+  EXPECT_EQ (offer (q).backend, a);
+  /* The report of `a` shows what this entry sent there: not counted twice. */
+  now_ += 100;
+  pu_router_report_t own = { 1, 2, 0, 0, 0, 0 };
+  pu_router_report (r_, a, &own, now_);
+  EXPECT_EQ (offer (q).backend, a);
+  EXPECT_EQ (offer (q).backend, b);
+}
+
+TEST_F (Router, IgnoresOldReportsAndOldIncarnations)
+{
+  pu_router_backend_t a = backend ("a");
+  pu_router_report_t late = { 7, 3, 0, 0, 0, 0 };
+  EXPECT_TRUE (pu_router_report (r_, a, &late, now_));
+  EXPECT_FALSE (pu_router_report (r_, a, &late, now_));
+  pu_router_backend_t fresh
+      = backend ("a", 0, "1", PU_ROUTER_COPY_READY, "", 2);
+  EXPECT_EQ (backend ("a"), PU_ROUTER_NONE);
+  EXPECT_EQ (pu_router_backend_incarnation (r_, fresh), 2u);
+  EXPECT_EQ (pu_router_ready_copies (r_, m_), 1u);
+}
+
+TEST_F (Router, PrefersCachedPrefixUntilAGap)
+{
+  backend ("a");
+  pu_router_backend_t b = backend ("b");
+  guint64 blocks[] = { 11, 12, 13 };
+  pu_router_kv_events_t e = { 1, 3, blocks, 3, nullptr, 0 };
+  pu_router_request_t q = request ();
+  q.prefix = blocks;
+  q.n_prefix = 3;
+  EXPECT_TRUE (pu_router_kv_events (r_, b, &e));
+  pu_router_decision_t d = offer (q);
+  EXPECT_EQ (d.backend, b);
+  EXPECT_EQ (d.cached_tokens, 48u);
+  finish (d.ticket);
+  pu_router_kv_events_t gap = { 6, 6, nullptr, 0, nullptr, 0 };
+  EXPECT_FALSE (pu_router_kv_events (r_, b, &gap));
+  EXPECT_EQ (offer (q).cached_tokens, 0u);
+}
+
+TEST_F (Router, LeavingAndDrainingGetNothingNewAtOnce)
+{
+  pu_router_backend_t a = backend ("a");
+  backend ("b", 0, "1", PU_ROUTER_COPY_DRAINING);
+  pu_router_decision_t d = offer (request ());
+  EXPECT_EQ (d.backend, a);
+  pu_router_set_leaving (r_, a);
+  EXPECT_EQ (offer (request ()).reason, PU_ROUTER_REASON_COPY);
+  EXPECT_EQ (pu_router_backend_in_flight (r_, a), 1u);
+  finish (d.ticket);
+  EXPECT_EQ (pu_router_backend_in_flight (r_, a), 0u);
+}
+
+TEST_F (Router, SharesBetweenVersions)
+{
+  pu_router_backend_t old_copy = backend ("a", 0, "1");
+  pu_router_backend_t new_copy = backend ("b", 0, "2");
+  pu_router_set_model (r_, "m", "2", 0);
+  EXPECT_EQ (offer (request ()).backend, old_copy);
+  pu_router_set_model (r_, "m", "2", 1000);
+  EXPECT_EQ (offer (request ()).backend, new_copy);
+}
+
+TEST_F (Router, QueuesByPriorityThenDeadlineAndExpiresAtOnce)
+{
+  backend ("a", 1);
+  pu_router_decision_t running = offer (request ());
+  ASSERT_EQ (running.verdict, PU_ROUTER_DISPATCH);
+  pu_router_request_t q = request ();
+  pu_ticket_t low = offer (q).ticket;
+  q.priority = 5;
+  pu_ticket_t high = offer (q).ticket;
+  guint64 wake = pu_router_wake_at (r_);
+  EXPECT_LE (wake, now_ + 400);
+  finish (running.ticket);
+  auto list = next ();
+  ASSERT_EQ (list.size (), 1u);
+  EXPECT_EQ (list[0].ticket, high);
+  now_ = pu_router_wake_at (r_);
+  list = next ();
+  ASSERT_EQ (list.size (), 1u);
+  EXPECT_EQ (list[0].ticket, low);
+  EXPECT_EQ (list[0].reason, PU_ROUTER_REASON_DEADLINE);
+  EXPECT_EQ (list[0].ran, PU_ROUTER_NOT_RUN);
+  EXPECT_GT (list[0].retry_after_ms, 0u);
+  EXPECT_TRUE (next ().empty ());
+}
+
+TEST_F (Router, FullQueueGivesWayToHigherPriority)
+{
+  service ("chat", 1, 0, 1);
+  backend ("a", 1);
+  offer (request ());
+  pu_ticket_t low = offer (request ()).ticket;
+  EXPECT_EQ (offer (request ()).reason, PU_ROUTER_REASON_QUEUE_FULL);
+  pu_router_request_t q = request ();
+  q.priority = 9;
+  EXPECT_EQ (offer (q).verdict, PU_ROUTER_QUEUED);
+  auto list = next ();
+  ASSERT_EQ (list.size (), 1u);
+  EXPECT_EQ (list[0].ticket, low);
+  EXPECT_EQ (list[0].reason, PU_ROUTER_REASON_QUEUE_FULL);
+}
+
+TEST_F (Router, WaitingIsRefusedWhenTheLastCopyGoes)
+{
+  pu_router_backend_t a = backend ("a", 1);
+  offer (request ());
+  pu_ticket_t waiting = offer (request ()).ticket;
+  pu_router_remove_backend (r_, a);
+  EXPECT_EQ (pu_router_wake_at (r_), 0u);
+  auto list = next ();
+  ASSERT_EQ (list.size (), 1u);
+  EXPECT_EQ (list[0].ticket, waiting);
+  EXPECT_EQ (list[0].reason, PU_ROUTER_REASON_COPY);
+}
+
+TEST_F (Router, RetriesElsewhereOnlyWhatMayRunTwice)
+{
+  struct
+  {
+    bool repeatable;
+    pu_router_failure_t kind;
+    pu_router_verdict_t verdict;
+    pu_router_ran_t ran;
+  } cases[] = {
+    { true, PU_ROUTER_FAIL_DIED, PU_ROUTER_DISPATCH, PU_ROUTER_NOT_RUN },
+    { false, PU_ROUTER_FAIL_DIED, PU_ROUTER_REFUSE, PU_ROUTER_UNKNOWN },
+    { false, PU_ROUTER_FAIL_SILENT, PU_ROUTER_REFUSE, PU_ROUTER_UNKNOWN },
+    { false, PU_ROUTER_FAIL_CONNECT, PU_ROUTER_DISPATCH, PU_ROUTER_NOT_RUN },
+    { false, PU_ROUTER_FAIL_NOT_RUN, PU_ROUTER_DISPATCH, PU_ROUTER_NOT_RUN },
+  };
+  for (const auto &c : cases)
+    {
+      make ();
+      backend ("a");
+      backend ("b");
+      pu_router_request_t q = request ();
+      q.repeatable = c.repeatable;
+      pu_router_decision_t first = offer (q);
+      pu_router_decision_t d = retry (first.ticket, c.kind);
+      EXPECT_EQ (d.verdict, c.verdict) << c.kind;
+      EXPECT_EQ (d.ran, c.ran) << c.kind;
+      EXPECT_NE (d.backend, first.backend);
+    }
+}
+
+TEST_F (Router, NoRetryPastTheDeadline)
+{
+  backend ("a");
+  backend ("b");
+  pu_router_request_t q = request ();
+  q.deadline = now_ + 1000;
+  pu_router_decision_t d = offer (q);
+  now_ += 1001;
+  d = retry (d.ticket, PU_ROUTER_FAIL_CONNECT);
+  EXPECT_EQ (d.reason, PU_ROUTER_REASON_DEADLINE);
+  EXPECT_EQ (d.ran, PU_ROUTER_NOT_RUN);
+}
+
+TEST_F (Router, EjectsAndProbesWithOneRequest)
+{
+  pu_router_backend_t a = backend ("a");
+  for (int i = 0; i < 2; i++)
+    retry (offer (request ()).ticket, PU_ROUTER_FAIL_CONNECT);
+  pu_router_backend_t b = backend ("b");
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ (offer (request ()).backend, b);
+  now_ += 1000;
+  pu_router_decision_t probe = offer (request ());
+  EXPECT_EQ (probe.backend, a);
+  EXPECT_EQ (offer (request ()).backend, b);
+  finish (probe.ticket);
+  EXPECT_EQ (offer (request ()).backend, a);
+}
+
+TEST_F (Router, EjectionNeverMakesAModelUnreachable)
+{
+  pu_router_backend_t a = backend ("a");
+  for (int i = 0; i < 5; i++)
+    {
+      pu_router_decision_t d = offer (request ());
+      ASSERT_EQ (d.backend, a);
+      retry (d.ticket, PU_ROUTER_FAIL_CONNECT);
+    }
+}
+
+TEST_F (Router, LimitShrinksWhenLateAndGrowsWhenUsed)
+{
+  for (bool late : { true, false })
+    {
+      make ();
+      backend ("a", 1000);
+      guint before = pu_router_service_limit (r_, chat_);
+      std::vector<pu_ticket_t> running;
+      pu_router_request_t q = request ();
+      q.prompt_tokens = 0;
+      for (int i = 0; i < 400; i++)
+        {
+          pu_router_decision_t d = offer (q);
+          if (d.verdict == PU_ROUTER_DISPATCH)
+            running.push_back (d.ticket);
+          if (running.size () < before)
+            continue;
+          now_ += late ? 1000 : 10;
+          for (pu_ticket_t t : running)
+            pu_router_first_token (r_, t, now_);
+          for (pu_ticket_t t : running)
+            finish (t);
+          running.clear ();
+          next ();
+        }
+      guint after = pu_router_service_limit (r_, chat_);
+      EXPECT_TRUE (late ? after < before : after > before) << after;
+    }
+}
+
+class Fairness : public Router
+{
+protected:
+  /* Of the starts on one backend server with both services waiting, the share
+     in percent of the one that is three times as important.  */
+  guint
+  share (pu_router_break_t brk)
+  {
+    o_.test_break = brk;
+    make ();
+    pu_router_service_t s[2] = { service ("x", 1), service ("y", 3) };
+    backend ("a", 4);
+    std::vector<pu_router_decision_t> running;
+    guint starts[2] = {};
+    pu_router_request_t q = request ();
+    q.deadline = now_ + 1000000;
+    for (int i = 0; i < 400; i++)
+      {
+        for (guint k = 0; k < 2; k++)
+          while (pu_router_service_waiting (r_, s[k]) < 3)
+            {
+              q.service = s[k];
+              pu_router_decision_t d = offer (q);
+              if (d.verdict != PU_ROUTER_DISPATCH)
+                break;
+              running.push_back (d);
+            }
+        if (!running.empty ())
+          finish (running.front ().ticket);
+        if (!running.empty ())
+          running.erase (running.begin ());
+        guint before = pu_router_service_in_flight (r_, s[1]);
+        for (const auto &d : next ())
+          if (d.verdict == PU_ROUTER_DISPATCH)
+            running.push_back (d);
+        guint after = pu_router_service_in_flight (r_, s[1]);
+        starts[1] += after - before;
+        starts[0] += after == before;
+      }
+    return starts[1] * 100 / (starts[0] + starts[1]);
+  }
+};
+
+TEST_F (Fairness, FollowsImportance)
+{
+  EXPECT_NEAR (share (PU_ROUTER_BREAK_NONE), 75, 5);
+}
+
+TEST_F (Fairness, BreakIsCaught)
+{
+  EXPECT_LT (share (PU_ROUTER_BREAK_FAIRNESS), 10u);
+}
+
+TEST_F (Router, DumpNamesEverything)
+{
+  backend ("a");
+  offer (request ());
+  json_t *j = pu_router_dump (r_);
+  ASSERT_NE (j, nullptr);
+  json_t *list = json_object_get (j, "backends");
+  EXPECT_STREQ (
+      json_string_value (json_object_get (json_array_get (list, 0), "name")),
+      "a");
+  json_decref (j);
+}
+
+} // namespace
