--- /dev/null
+++ b/libplantainusher/agent/agent.h
@@ -0,0 +1,149 @@
+#ifndef PU_AGENT_AGENT_H
+#define PU_AGENT_AGENT_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "rpc/client.h"
+#include "state/state.h"
+
+G_BEGIN_DECLS
+
+/*
+ * agent - a daemon's client of control: it polls one voter, keeps the public
+ * copy of the state, announces the daemon as a member and proposes commands.
+ *
+ * The copy only moves forwards.  It is ready once it holds an image: the one
+ * kept in the data folder, else one fetched from a voter.  Without a quorum
+ * the copy stays as it was.
+ */
+
+typedef struct pu_agent pu_agent_t;
+
+typedef struct
+{
+  uv_loop_t *loop;
+  const char *key;              /* the peer key */
+  const pu_member_record *self; /* copied; the incarnation is a lower bound:
+                                   the agent takes a higher one when the
+                                   state knows that one already */
+  const char *const *join;      /* peers' addresses of voters */
+  size_t n_join;
+  const char *folder;      /* where the image is kept; NULL: nowhere */
+  pu_counters_t *counters; /* may be NULL */
+  guint32 seed;
+  guint32 poll_wait_ms; /* 2000 */
+  guint32 connect_ms;   /* 1000 */
+  guint32 attempt_ms;   /* 2000: one attempt of a proposal */
+  guint32 home_ms;      /* 30000: back to the preferred voter */
+  guint32 keep_ms;      /* 1000: the image is written this long after
+                           a change */
+  pu_state_options_t state;
+
+  /* Called after the copy changed, and when it is first ready.  */
+  void (*on_change) (void *data);
+  /* Called once when a daemon of the same name and a higher incarnation has
+     taken this one's place; the agent stops polling.  May be NULL.  */
+  void (*on_superseded) (void *data);
+  void *data;
+} pu_agent_options_t;
+
+void pu_agent_options_init (pu_agent_options_t *o);
+
+/* pu_agent_new - loads the kept image and begins to poll.  Returns NULL with
+   PU_ERROR_INVALID for an address that can't be read.  */
+pu_agent_t *pu_agent_new (const pu_agent_options_t *o, pu_error_t *e);
+
+/* pu_agent_free - stops; proposals under way end with PU_ERROR_TIMEOUT or
+   PU_ERROR_UNAVAILABLE.  */
+void pu_agent_free (pu_agent_t *a);
+
+/* pu_agent_view - the public copy; never NULL, empty until ready.  */
+const pu_state_t *pu_agent_view (const pu_agent_t *a);
+
+/* pu_agent_ready - whether the copy holds an image, so that the daemon may
+   serve.  */
+bool pu_agent_ready (const pu_agent_t *a);
+
+/* pu_agent_incarnation - of this daemon; final once pu_agent_joined.  */
+uint64_t pu_agent_incarnation (const pu_agent_t *a);
+
+/* pu_agent_joined - the copy shows this daemon as a member.  */
+bool pu_agent_joined (const pu_agent_t *a);
+
+/* pu_agent_connected - the last poll was answered by a voter that knows a
+   leader.  */
+bool pu_agent_connected (const pu_agent_t *a);
+
+/* pu_agent_done_fn - E->kind is PU_OK with R; or, R being NULL,
+   PU_ERROR_UNAVAILABLE: it certainly did not run; PU_ERROR_TIMEOUT: it may
+   have run, or may not; PU_ERROR_TOO_LARGE, PU_ERROR_DENIED,
+   PU_ERROR_INVALID: not run.  */
+typedef void pu_agent_done_fn (void *data, const pu_reply *r,
+                               const pu_error_t *e);
+
+/* pu_agent_propose - has C put into the log and answers within TIMEOUT_MS.  FN
+   is called exactly once, never from within.
+
+   An attempt whose outcome is not known is made again until the time is over.
+   That is safe because each command's second copy changes nothing: submit by
+   change id, claim by attempt, claim done and release by position, member and
+   backend commands by incarnation, strike by backend server and incarnation.
+   The exceptions are BACKEND_UP and LIFT, whose late copy could undo a newer
+   one: the leader drops copies of proposals that have ended here.  RESERVE is
+   never repeated: it gets one attempt.  */
+void pu_agent_propose (pu_agent_t *a, const pu_command *c, guint timeout_ms,
+                       pu_agent_done_fn *fn, void *data);
+
+/* pu_agent_renew - backend server NAME has just reported to this daemon as
+   INCARNATION: goes with the next poll.  */
+void pu_agent_renew (pu_agent_t *a, const char *name, uint64_t incarnation);
+
+/* pu_agent_demand - callers asked for MODEL; summed up for the next poll.  */
+void pu_agent_demand (pu_agent_t *a, const char *model, guint32 requests,
+                      guint32 stream_ms);
+
+/* pu_agent_leave - proposes that this daemon is leaving; nobody is sent here
+   from then on.  */
+void pu_agent_leave (pu_agent_t *a, guint timeout_ms, pu_agent_done_fn *fn,
+                     void *data);
+
+/* pu_agent_depart - the last act: proposes that it is down, and announces it
+   no more.  */
+void pu_agent_depart (pu_agent_t *a, guint timeout_ms, pu_agent_done_fn *fn,
+                      void *data);
+
+/* pu_agent_json_fn - RESULT is borrowed; NULL with E.  */
+typedef void pu_agent_json_fn (void *data, json_t *result,
+                               const pu_error_t *e);
+
+/* pu_agent_status, pu_agent_history - asked of the leader (pu_control_status)
+   and of a voter (what `operator` calls the history: newest first, {"version",
+   "change_id","author","time"}).  */
+void pu_agent_status (pu_agent_t *a, guint timeout_ms, pu_agent_json_fn *fn,
+                      void *data);
+void pu_agent_history (pu_agent_t *a, guint timeout_ms, pu_agent_json_fn *fn,
+                       void *data);
+
+/* pu_agent_voters - ACTION "add", "remove" or "replace" (by OTHER, else "").
+   The answer is {"voters":[NAME...]}.  */
+void pu_agent_voters (pu_agent_t *a, const char *action, const char *name,
+                      const char *other, guint timeout_ms,
+                      pu_agent_json_fn *fn, void *data);
+
+/* pu_agent_peer - the connection to the daemon at ADDRESS, made when needed
+   and closed after a minute without a use; ask again for each call.  NULL for
+   an address that can't be read.  */
+pu_rpc_client_t *pu_agent_peer (pu_agent_t *a, const char *address);
+
+/* pu_agent_dump - a new object with what the agent knows, but for the view. */
+json_t *pu_agent_dump (const pu_agent_t *a);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/libplantainusher/control/control.h
@@ -0,0 +1,129 @@
+#ifndef PU_CONTROL_CONTROL_H
+#define PU_CONTROL_CONTROL_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "log/group.h"
+#include "membership/membership.h"
+#include "rpc/server.h"
+#include "state/state.h"
+
+G_BEGIN_DECLS
+
+/*
+ * control - what a daemon with the control role adds: a voter of the log, the
+ * full state, the answers to the daemons that poll it, and the duties of the
+ * leader.
+ */
+
+typedef struct pu_control pu_control_t;
+
+typedef struct
+{
+  uv_loop_t *loop;
+  pu_rpc_server_t *server;   /* the daemon's, on its peers' address; control
+                                adds its procedures.  Outlives the control */
+  const char *name;          /* of the instance */
+  const char *address;       /* its peers' address */
+  const char *key;           /* the peer key */
+  const char *folder;        /* of the log, in the data folder */
+  const pu_log_peer *voters; /* the first set; ids are ignored */
+  size_t n_voters;
+  pu_counters_t *counters; /* may be NULL */
+  uint64_t seed;
+  guint32 heartbeat_ms; /* of the log; 0 here and below: the default */
+  guint32 election_ms;
+  guint32 snapshot_entries;
+  guint32 connect_ms;        /* to other voters */
+  guint32 tick_ms;           /* 100: polls are answered and duties run */
+  guint32 sessions_ms;       /* 1000: sessions go to the leader */
+  guint32 ring_entries;      /* 4096: public entries kept for polls */
+  size_t ring_bytes;         /* 16 MiB */
+  const pu_journal_fs_t *fs; /* NULL: the operating system's; tests */
+  pu_state_options_t state;
+  pu_membership_options_t membership;
+} pu_control_options_t;
+
+/* pu_control_options_init - the defaults of all that has one.  */
+void pu_control_options_init (pu_control_options_t *o);
+
+/* pu_control_new - opens the log and begins to vote and to answer.  Returns
+   NULL with the error of pu_group_new.  */
+pu_control_t *pu_control_new (const pu_control_options_t *o, pu_error_t *e);
+
+/* pu_control_leave - the graceful stop begins: a leader hands over.  Wait
+   until pu_control_is_leader is false, two seconds at most, then close.  */
+void pu_control_leave (pu_control_t *c);
+
+/* pu_control_close - answers all that waits, closes the log and then calls
+   CLOSED (may be NULL); C is gone then.  Free the server after that.  */
+void pu_control_close (pu_control_t *c, void (*closed) (void *data),
+                       void *data);
+
+/* pu_control_state - the full state as applied on this voter.  */
+const pu_state_t *pu_control_state (const pu_control_t *c);
+
+/* pu_control_group - the log, for its status and its voters.  */
+pu_group_t *pu_control_group (const pu_control_t *c);
+
+/* pu_control_is_leader - leads and holds the lease, so that duties run.  */
+bool pu_control_is_leader (pu_control_t *c);
+
+/* pu_control_done_fn - what became of a command.  E->kind is PU_OK with R, or
+   PU_ERROR_UNAVAILABLE: certainly not run; PU_ERROR_TIMEOUT: not known.  */
+typedef void pu_control_done_fn (void *data, const pu_reply *r,
+                                 const pu_error_t *e);
+
+/* pu_control_propose - proposes C on this voter, which must lead; FN is called
+   exactly once, maybe from within.  There is no retry.  */
+void pu_control_propose (pu_control_t *c, const pu_command *command,
+                         pu_control_done_fn *fn, void *data);
+
+/*
+ * A duty runs on the leader alone, on the loop, and only while the lease is
+ * held: `begin` when the lease was got and everything before it is applied,
+ * `tick` every tick_ms after, `end` when it was lost.  TERM is the first part
+ * of a fencing token.  A duty that acts later than its own tick (a timer, an
+ * answer) asks pu_control_is_leader first.
+ */
+typedef struct
+{
+  const char *name;
+  void (*begin) (void *data, uint64_t now, uint64_t term);
+  void (*tick) (void *data, uint64_t now);
+  void (*end) (void *data);
+  void *data;
+} pu_control_duty_t;
+
+/* pu_control_add_duty - adds DUTY (copied); functions may be NULL.  */
+void pu_control_add_duty (pu_control_t *c, const pu_control_duty_t *duty);
+
+/* pu_control_on_demand - FN gets on the leader what daemons reported: REQUESTS
+   for MODEL that need STREAM_MS in all.  */
+typedef void pu_control_demand_fn (void *data, const char *model,
+                                   guint32 requests, guint32 stream_ms);
+void pu_control_on_demand (pu_control_t *c, pu_control_demand_fn *fn,
+                           void *data);
+
+/* pu_control_backend_silent_ms - leader: how long backend server NAME has not
+   been heard of; G_MAXUINT64 when it is not known.  */
+uint64_t pu_control_backend_silent_ms (pu_control_t *c, const char *name);
+
+/* pu_control_now - the clock of the duties, milliseconds, monotonic.  */
+uint64_t pu_control_now (const pu_control_t *c);
+
+/* pu_control_status - a new object: pu_group_status with "leader_address",
+   "quorum", "state":{"position","view","document_version"} and, on the leader,
+   "sessions":[{"name","incarnation","position","silent_ms","allowed_ms",
+   "voter"}].  */
+json_t *pu_control_status (pu_control_t *c);
+
+G_END_DECLS
+
+#endif
