--- /dev/null
+++ b/libplantainusher/placement/forecast.h
@@ -0,0 +1,66 @@
+#ifndef PU_PLACEMENT_FORECAST_H
+#define PU_PLACEMENT_FORECAST_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/*
+ * forecast - the demand for one model in the near future, in streams.
+ *
+ * A stream is one request running at the speed of an engine that is not
+ * crowded; the demand is the number of them that would run at once.  Two
+ * moving averages are kept, one fast and one slow.  When the fast one leaves
+ * the slow one by more than chance explains, the demand is in a burst and is
+ * followed, with its trend; else the slow one holds.  `held` falls slowly, so
+ * that capacity is not given up at the first quiet minute.
+ */
+
+typedef struct
+{
+  double fast_s; /* time constants */
+  double slow_s;
+  double held_s;
+  double lead_s; /* the trend is followed this far ahead: a load's time */
+  double sigmas; /* deviations of the fast average that make a burst */
+} pu_forecast_options_t;
+
+typedef struct
+{
+  double fast; /* streams */
+  double slow;
+  double held;      /* upper envelope */
+  double request_s; /* mean seconds of stream for each request */
+  double expected;  /* streams expected when a load ordered now is ready */
+  bool burst;
+  bool started;
+  guint32 requests; /* since the last advance */
+  double stream_s;  /* the same, seconds of stream */
+} pu_forecast_t;
+
+/* The weights of one period, shared by all models.  */
+typedef struct
+{
+  double period_s;
+  double fast;
+  double slow;
+  double held;
+} pu_forecast_period_t;
+
+void pu_forecast_options_init (pu_forecast_options_t *o);
+
+/* pu_forecast_add - REQUESTS arrived, which need STREAM_MS in all.  */
+void pu_forecast_add (pu_forecast_t *f, guint32 requests, double stream_ms);
+
+/* pu_forecast_period - the weights for a period of PERIOD_S seconds.  */
+pu_forecast_period_t pu_forecast_period (const pu_forecast_options_t *o,
+                                         double period_s);
+
+/* pu_forecast_advance - closes a period: takes in what was added.  */
+void pu_forecast_advance (pu_forecast_t *f, const pu_forecast_options_t *o,
+                          const pu_forecast_period_t *p);
+
+G_END_DECLS
+
+#endif
--- a/libplantainusher/placement/ledger.c
+++ b/libplantainusher/placement/ledger.c
@@ -157,6 +157,17 @@
   g_array_remove_index (n->orders, index);
 }
 
+/* A copy may report less than it will take until it is ready, so the order
+   that loads it counts until then.  */
+static bool
+still_loading (const entry_t *n, const pu_ledger_order_t *o)
+{
+  const pu_ledger_held_t *h = find_held (n, o->copy);
+
+  return o->kind == PU_LEDGER_LOAD && h != NULL
+         && h->phase == PU_LEDGER_LOADING;
+}
+
 /* Closes the orders that a report with the fencing token TOKEN proves to be
    over.  */
 static void
@@ -166,9 +177,11 @@
 
   for (guint i = n->orders->len; i-- > 0;)
     {
-      guint64 t = g_array_index (n->orders, pu_ledger_order_t, i).token;
+      const pu_ledger_order_t *o
+          = &g_array_index (n->orders, pu_ledger_order_t, i);
+      guint64 t = o->token;
 
-      if (t > token || (t == token && !own))
+      if (t > token || (t == token && !own) || still_loading (n, o))
         continue;
       close_order (l, n, i);
       if (closed != NULL)
@@ -347,11 +360,15 @@
     return false;
   for (guint i = 0; i < n->orders->len; i++)
     {
-      if (g_array_index (n->orders, pu_ledger_order_t, i).token == token)
-        {
-          close_order (l, n, i);
-          return true;
-        }
+      const pu_ledger_order_t *o
+          = &g_array_index (n->orders, pu_ledger_order_t, i);
+
+      if (o->token != token)
+        continue;
+      if (still_loading (n, o))
+        return false;
+      close_order (l, n, i);
+      return true;
     }
   return false;
 }
--- a/libplantainusher/placement/ledger.h
+++ b/libplantainusher/placement/ledger.h
@@ -42,6 +42,8 @@
  *   - its life is over: the leader says so by RELEASE, counted on its
  *     monotonic clock from the last moment at which it, or a leader before
  *     it, could have sent the order (see orders.h).
+ * Either way a load counts on while the copy is reported as loading, since it
+ * may report less than it will take.
  * Neither an answer, a lost answer, a timeout nor a lost lease is a proof.  A
  * new incarnation clears what was loaded, but open orders stay: an order that
  * was under way may be taken by the new process.  For backend servers that
@@ -159,7 +161,8 @@
                         pu_error_t *e);
 
 /* pu_ledger_release - the life of the order TOKEN is over (the caller's
-   word: see above).  False when no such order is open.  */
+   word: see above).  False when no such order is open, or when its copy is
+   still loading: release it again later.  */
 bool pu_ledger_release (pu_ledger_t *l, guint64 token);
 
 /* pu_ledger_restore_backend, pu_ledger_restore_order - rebuild a ledger from
--- a/libplantainusher/placement/ledger_test.cc
+++ b/libplantainusher/placement/ledger_test.cc
@@ -132,6 +132,17 @@
   EXPECT_EQ (50u, Used ());
 }
 
+TEST_F (Ledger, ALoadCountsInFullUntilItsCopyIsReady)
+{
+  Report (1, 0, {});
+  Load (5, 7, 60);
+  Report (2, 6, { { 7, 10, PU_LEDGER_LOADING } });
+  EXPECT_FALSE (pu_ledger_release (l, 5));
+  EXPECT_EQ (60u, Used ());
+  Report (3, 6, { { 7, 55, PU_LEDGER_READY } });
+  EXPECT_EQ (55u, Used ());
+}
+
 TEST_F (Ledger, AnImageRestoresTheSameSums)
 {
   pu_ledger_t *m = pu_ledger_new (nullptr);
--- /dev/null
+++ b/libplantainusher/placement/placement.c
@@ -0,0 +1,471 @@
+#include "placement/placement.h"
+
+#include <string.h>
+
+typedef struct
+{
+  bool named;
+  guint32 item;
+  guint32 version;
+} name_t;
+
+/* A backend server as last told.  */
+typedef struct
+{
+  bool known;
+  bool down;
+  pu_ledger_report_t report; /* its held points to `held` */
+  GArray *held;
+  guint32 zone;
+  double streams;
+} server_t;
+
+struct pu_placement
+{
+  pu_placement_options_t o;
+  pu_planner_t *planner;
+  pu_orders_t *orders;
+  GArray *names;       /* of name_t, by copy */
+  GHashTable *copies;  /* item and version -> copy */
+  GArray *servers;     /* of server_t, by backend */
+  GArray *wanted;      /* scratch, of pu_move_t */
+  GArray *plan_copies; /* scratch, of pu_plan_copy_t */
+  GString *reason;     /* scratch */
+};
+
+static void
+clear_server (gpointer data)
+{
+  server_t *s = data;
+
+  if (s->held != NULL)
+    g_array_unref (s->held);
+}
+
+pu_placement_t *
+pu_placement_new (const pu_placement_options_t *o, guint64 now)
+{
+  pu_placement_t *pl = g_new0 (pu_placement_t, 1);
+
+  pl->o = *o;
+  pl->planner = pu_planner_new (&o->planner);
+  pl->orders = pu_orders_new (&o->orders, now);
+  pl->names = g_array_new (FALSE, TRUE, sizeof (name_t));
+  pl->copies
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  pl->servers = g_array_new (FALSE, TRUE, sizeof (server_t));
+  g_array_set_clear_func (pl->servers, clear_server);
+  pl->wanted = g_array_new (FALSE, FALSE, sizeof (pu_move_t));
+  pl->plan_copies = g_array_new (FALSE, FALSE, sizeof (pu_plan_copy_t));
+  pl->reason = g_string_new (NULL);
+  return pl;
+}
+
+void
+pu_placement_free (pu_placement_t *pl)
+{
+  if (pl == NULL)
+    return;
+  pu_planner_free (pl->planner);
+  pu_orders_free (pl->orders);
+  g_array_unref (pl->names);
+  g_hash_table_unref (pl->copies);
+  g_array_unref (pl->servers);
+  g_array_unref (pl->wanted);
+  g_array_unref (pl->plan_copies);
+  g_string_free (pl->reason, TRUE);
+  g_free (pl);
+}
+
+pu_planner_t *
+pu_placement_planner (pu_placement_t *pl)
+{
+  return pl->planner;
+}
+
+pu_orders_t *
+pu_placement_orders (pu_placement_t *pl)
+{
+  return pl->orders;
+}
+
+static guint64
+name_key (guint32 item, guint32 version)
+{
+  return (guint64)item << 32 | version;
+}
+
+void
+pu_placement_name_copy (pu_placement_t *pl, guint32 copy, guint32 item,
+                        guint32 version)
+{
+  guint64 key = name_key (item, version);
+  name_t *n;
+
+  if (pl->names->len <= copy)
+    g_array_set_size (pl->names, copy + 1);
+  n = &g_array_index (pl->names, name_t, copy);
+  n->named = true;
+  n->item = item;
+  n->version = version;
+  g_hash_table_insert (pl->copies, g_memdup2 (&key, sizeof key),
+                       GUINT_TO_POINTER (copy + 1));
+}
+
+static bool
+find_copy (const pu_placement_t *pl, guint32 item, guint32 version,
+           guint32 *copy)
+{
+  guint64 key = name_key (item, version);
+  gpointer v = g_hash_table_lookup (pl->copies, &key);
+
+  *copy = GPOINTER_TO_UINT (v) - 1;
+  return v != NULL;
+}
+
+static server_t *
+find_server (const pu_placement_t *pl, guint32 backend)
+{
+  server_t *s;
+
+  if (backend >= pl->servers->len)
+    return NULL;
+  s = &g_array_index (pl->servers, server_t, backend);
+  return s->known ? s : NULL;
+}
+
+/* Whether an unload of COPY is under way, or was given up and may still
+   arrive.  */
+static bool
+may_be_unloaded (const pu_placement_t *pl, guint32 backend, guint32 copy)
+{
+  for (guint i = 0; i < pu_orders_count (pl->orders); i++)
+    {
+      const pu_orders_order_t *r = pu_orders_get (pl->orders, i);
+
+      if (r->wish.backend == backend && r->wish.copy == copy
+          && r->wish.kind == PU_LEDGER_UNLOAD && r->state != PU_ORDERS_DONE
+          && r->release_at != G_MAXUINT64)
+        return true;
+    }
+  return false;
+}
+
+static pu_plan_phase_t
+plan_phase (const pu_placement_t *pl, guint32 backend,
+            const pu_ledger_held_t *h)
+{
+  if (h->phase == PU_LEDGER_DRAINING || h->phase == PU_LEDGER_UNLOADING
+      || may_be_unloaded (pl, backend, h->copy))
+    return PU_PLAN_LEAVING;
+  return h->phase == PU_LEDGER_LOADING ? PU_PLAN_LOADING : PU_PLAN_READY;
+}
+
+static void
+add_plan_copy (pu_placement_t *pl, guint32 copy, guint32 memory_mb,
+               pu_plan_phase_t phase)
+{
+  pu_plan_copy_t c;
+  const name_t *n;
+
+  if (copy >= pl->names->len)
+    return;
+  n = &g_array_index (pl->names, name_t, copy);
+  if (!n->named)
+    return;
+  c.item = n->item;
+  c.version = n->version;
+  c.memory_mb = memory_mb;
+  c.phase = phase;
+  g_array_append_val (pl->plan_copies, c);
+}
+
+static bool
+holds (const server_t *s, guint32 copy)
+{
+  for (guint i = 0; i < s->held->len; i++)
+    {
+      if (g_array_index (s->held, pu_ledger_held_t, i).copy == copy)
+        return true;
+    }
+  return false;
+}
+
+/* Adds the loads under way; returns the memory that the ledger does not
+   count yet.  */
+static guint32
+add_ordered (pu_placement_t *pl, guint32 backend, const server_t *s)
+{
+  guint32 unreserved = 0;
+
+  for (guint i = 0; i < pu_orders_count (pl->orders); i++)
+    {
+      const pu_orders_order_t *r = pu_orders_get (pl->orders, i);
+
+      if (r->wish.backend != backend || r->wish.kind != PU_LEDGER_LOAD
+          || r->state > PU_ORDERS_ACKED || holds (s, r->wish.copy))
+        continue;
+      if (r->state < PU_ORDERS_RESERVED)
+        unreserved += r->wish.memory_mb;
+      add_plan_copy (pl, r->wish.copy, r->wish.memory_mb, PU_PLAN_ORDERED);
+    }
+  return unreserved;
+}
+
+/* Tells the planner how BACKEND stands now.  */
+static void
+refresh (pu_placement_t *pl, guint32 backend, guint64 now)
+{
+  const server_t *s = find_server (pl, backend);
+  pu_plan_engine_t e = { 0 };
+
+  if (s == NULL)
+    return;
+  g_array_set_size (pl->plan_copies, 0);
+  for (guint i = 0; i < s->held->len; i++)
+    {
+      const pu_ledger_held_t *h
+          = &g_array_index (s->held, pu_ledger_held_t, i);
+
+      add_plan_copy (pl, h->copy, h->memory_mb, plan_phase (pl, backend, h));
+    }
+  e.committed_mb
+      = pl->o.committed (pl->o.data, backend) + add_ordered (pl, backend, s);
+  e.zone = s->zone;
+  e.accelerators = s->report.accelerators;
+  e.memory_mb = s->report.memory_mb;
+  e.streams = s->streams;
+  e.usable = !s->down && !s->report.leaving;
+  e.closed = !pu_orders_may_load (pl->orders, s->report.fenced, now);
+  e.copies = (const pu_plan_copy_t *)(void *)pl->plan_copies->data;
+  e.n_copies = pl->plan_copies->len;
+  pu_planner_set_engine (pl->planner, backend, &e, now);
+}
+
+void
+pu_placement_backend (pu_placement_t *pl, const pu_ledger_report_t *r,
+                      bool down, guint32 zone, double streams, guint64 now)
+{
+  server_t *s;
+
+  if (pl->servers->len <= r->backend)
+    g_array_set_size (pl->servers, r->backend + 1);
+  s = &g_array_index (pl->servers, server_t, r->backend);
+  if (s->held == NULL)
+    s->held = g_array_new (FALSE, FALSE, sizeof (pu_ledger_held_t));
+  g_array_set_size (s->held, 0);
+  if (r->n_held > 0)
+    g_array_append_vals (s->held, r->held, r->n_held);
+  s->report = *r;
+  s->report.held = (const pu_ledger_held_t *)(void *)s->held->data;
+  s->known = true;
+  s->down = down;
+  s->zone = zone;
+  s->streams = streams;
+  if (down)
+    pu_orders_down (pl->orders, r->backend, now);
+  else
+    pu_orders_report (pl->orders, &s->report, now);
+  refresh (pl, r->backend, now);
+}
+
+void
+pu_placement_adopt (pu_placement_t *pl, const pu_ledger_order_t *open,
+                    guint64 now)
+{
+  const server_t *s = find_server (pl, open->backend);
+
+  pu_orders_adopt (pl->orders, open, s != NULL && s->report.fenced, now);
+  refresh (pl, open->backend, now);
+}
+
+static guint32
+backend_of (const pu_placement_t *pl, guint32 id, guint64 token)
+{
+  for (guint i = 0; i < pu_orders_count (pl->orders); i++)
+    {
+      const pu_orders_order_t *r = pu_orders_get (pl->orders, i);
+
+      if ((id != 0 && r->id == id) || (token != 0 && r->token == token))
+        return r->wish.backend;
+    }
+  return PU_PLAN_NONE;
+}
+
+void
+pu_placement_reserved (pu_placement_t *pl, guint32 id, bool accepted,
+                       guint64 token, guint64 now)
+{
+  guint32 backend = backend_of (pl, id, 0);
+
+  pu_orders_reserved (pl->orders, id, accepted, token, now);
+  refresh (pl, backend, now);
+}
+
+static void
+tell_failure (pu_placement_t *pl, const pu_orders_order_t *r, guint64 now)
+{
+  const name_t *n;
+
+  if (r->wish.kind != PU_LEDGER_LOAD || r->wish.copy >= pl->names->len)
+    return;
+  n = &g_array_index (pl->names, name_t, r->wish.copy);
+  if (n->named)
+    pu_planner_load_failed (pl->planner, r->wish.backend, n->item, n->version,
+                            now);
+}
+
+void
+pu_placement_answer (pu_placement_t *pl, guint64 token, pu_orders_answer_t a,
+                     guint64 now)
+{
+  guint32 backend = backend_of (pl, 0, token);
+
+  pu_orders_answer (pl->orders, token, a, now);
+  for (guint i = 0; i < pu_orders_count (pl->orders); i++)
+    {
+      const pu_orders_order_t *r = pu_orders_get (pl->orders, i);
+
+      if (r->token == token && r->state == PU_ORDERS_FAILED
+          && a == PU_ORDERS_REFUSED)
+        tell_failure (pl, r, now);
+    }
+  refresh (pl, backend, now);
+}
+
+void
+pu_placement_closed (pu_placement_t *pl, guint64 token, guint64 now)
+{
+  guint32 backend = backend_of (pl, 0, token);
+
+  pu_orders_closed (pl->orders, token);
+  refresh (pl, backend, now);
+}
+
+static bool
+want (pu_placement_t *pl, pu_ledger_kind_t kind, guint32 backend, guint32 copy,
+      guint32 memory_mb, const char *reason, guint64 now)
+{
+  const server_t *s = find_server (pl, backend);
+  pu_orders_wish_t w = { 0 };
+
+  if (s == NULL || s->down)
+    return false;
+  w.kind = kind;
+  w.backend = backend;
+  w.incarnation = s->report.incarnation;
+  w.fenced = s->report.fenced;
+  w.copy = copy;
+  w.memory_mb = kind == PU_LEDGER_LOAD ? memory_mb : 0;
+  w.reason = reason;
+  return pu_orders_want (pl->orders, &w, now) != 0;
+}
+
+static void
+want_move (pu_placement_t *pl, const pu_move_t *m, guint64 now)
+{
+  pu_ledger_kind_t kind
+      = m->kind == PU_MOVE_LOAD ? PU_LEDGER_LOAD : PU_LEDGER_UNLOAD;
+  guint32 copy;
+
+  if (!find_copy (pl, m->item, m->version, &copy))
+    return;
+  g_string_truncate (pl->reason, 0);
+  pu_planner_explain_move (pl->planner, m, pl->reason);
+  g_string_truncate (pl->reason, pl->reason->len - 1);
+  want (pl, kind, m->engine, copy, m->memory_mb, pl->reason->str, now);
+}
+
+static void
+plan (pu_placement_t *pl, guint64 now)
+{
+  for (guint32 i = 0; i < pl->servers->len; i++)
+    refresh (pl, i, now);
+  g_array_set_size (pl->wanted, 0);
+  pu_planner_step (pl->planner, now, pl->wanted);
+  for (guint i = 0; i < pl->wanted->len; i++)
+    want_move (pl, &g_array_index (pl->wanted, pu_move_t, i), now);
+  for (guint i = 0; i < pl->wanted->len; i++)
+    refresh (pl, g_array_index (pl->wanted, pu_move_t, i).engine, now);
+}
+
+/* Whether the copy of R may go from its engine: others are ready.  */
+static bool
+may_unload (const pu_placement_t *pl, const pu_orders_order_t *r)
+{
+  const name_t *n;
+
+  if (r->wish.copy >= pl->names->len)
+    return true;
+  n = &g_array_index (pl->names, name_t, r->wish.copy);
+  return !n->named
+         || pu_planner_may_unload (pl->planner, r->wish.backend, n->item,
+                                   n->version);
+}
+
+/* Another order for the copy of R, for its later token: an unload where the
+   copy is not needed, else a load, which changes nothing if it is there.  */
+static void
+want_fence (pu_placement_t *pl, const pu_orders_order_t *r, guint64 now)
+{
+  bool load = r->wish.kind == PU_LEDGER_UNLOAD || !may_unload (pl, r);
+  guint32 memory_mb = r->wish.memory_mb;
+  const server_t *s = find_server (pl, r->wish.backend);
+
+  for (guint i = 0; s != NULL && i < s->held->len; i++)
+    {
+      const pu_ledger_held_t *h
+          = &g_array_index (s->held, pu_ledger_held_t, i);
+
+      if (h->copy == r->wish.copy)
+        memory_mb = MAX (memory_mb, h->memory_mb);
+    }
+  want (pl, load ? PU_LEDGER_LOAD : PU_LEDGER_UNLOAD, r->wish.backend,
+        r->wish.copy, memory_mb, "a later token, to close an earlier order",
+        now);
+}
+
+/* Carries out what is the object's own in A; true when the caller must see
+   it.  */
+static bool
+filter (pu_placement_t *pl, const pu_orders_action_t *a, guint64 now)
+{
+  bool unload = a->order.wish.kind == PU_LEDGER_UNLOAD;
+
+  switch (a->what)
+    {
+    case PU_ORDERS_DO_SEND:
+      if (!unload || may_unload (pl, &a->order))
+        return true;
+      pu_orders_cancel (pl->orders, a->order.id, now);
+      return false;
+    case PU_ORDERS_DO_FENCE:
+      want_fence (pl, &a->order, now);
+      return false;
+    case PU_ORDERS_DO_FAIL:
+      tell_failure (pl, &a->order, now);
+      return true;
+    default:
+      return true;
+    }
+}
+
+void
+pu_placement_step (pu_placement_t *pl, bool planned, guint64 now,
+                   GArray *actions)
+{
+  guint from = actions->len;
+
+  if (planned)
+    plan (pl, now);
+  pu_orders_step (pl->orders, now, actions);
+  for (guint i = from; i < actions->len;)
+    {
+      pu_orders_action_t a = g_array_index (actions, pu_orders_action_t, i);
+
+      if (filter (pl, &a, now))
+        i++;
+      else
+        g_array_remove_index (actions, i);
+    }
+}
--- /dev/null
+++ b/libplantainusher/placement/planner_choose.c
@@ -0,0 +1,341 @@
+#include "placement/planner_internal.h"
+
+#include <string.h>
+
+/* Weights of the score by which engines are ranked, in units of use.  */
+#define SAME_ZONE_SCORE 0.5
+#define FULL_MEMORY_SCORE 0.2
+/* Engines tried for making room, the least used first.  */
+#define ROOM_TRIES 8
+#define CROWDED 0.5
+#define MS_PER_S 1000
+
+guint32
+pu_planned_free (const pu_planned_engine_t *e)
+{
+  return e->committed_mb < e->memory_mb ? e->memory_mb - e->committed_mb : 0;
+}
+
+guint32
+pu_planned_need (const pu_planner_t *p, const pu_planned_item_t *t)
+{
+  guint32 need = t->i.memory_mb;
+
+  for (guint i = 0; !p->lean && i < t->adapters->len; i++)
+    {
+      guint32 a = g_array_index (t->adapters, guint32, i);
+
+      need += pu_planned_item (p, a)->i.memory_mb;
+    }
+  return need;
+}
+
+void
+pu_planner_mark_item (pu_planner_t *p, guint32 item, guint32 version)
+{
+  const pu_planned_item_t *t = pu_planned_item (p, item);
+
+  p->stamp++;
+  memset (p->zone_copies, 0, p->n_zones * sizeof *p->zone_copies);
+  for (guint i = 0; i < t->places->len; i++)
+    {
+      pu_place_t at = pu_item_place (t, i);
+      const pu_planned_engine_t *e = pu_planned_engine (p, at.engine);
+      const pu_planned_copy_t *c = pu_planned_copy (e, at.slot);
+
+      if (c->c.version == version)
+        p->mark[at.engine] = p->stamp;
+      if (c->c.phase != PU_PLAN_LEAVING)
+        p->zone_copies[e->zone]++;
+    }
+}
+
+static bool
+holds_ready (const pu_planned_engine_t *e, guint32 item)
+{
+  for (guint s = 0; s < e->copies->len; s++)
+    {
+      const pu_planned_copy_t *c = pu_planned_copy (e, s);
+
+      if (c->c.item == item && c->c.phase == PU_PLAN_READY)
+        return true;
+    }
+  return false;
+}
+
+bool
+pu_planner_can_hold (const pu_planner_t *p, guint32 engine,
+                     const pu_planned_item_t *t)
+{
+  const pu_planned_engine_t *e = pu_planned_engine (p, engine);
+
+  if (!e->usable || e->closed || e->promised
+      || e->accelerators < t->i.accelerators)
+    return false;
+  if (p->mark[engine] == p->stamp || pu_planned_need (p, t) > e->memory_mb)
+    return false;
+  return t->i.base == PU_PLAN_NONE || holds_ready (e, t->i.base);
+}
+
+/* Whether the copy in SLOT may go, so far as its own item is concerned.  */
+static bool
+removable (const pu_planner_t *p, const pu_planned_engine_t *e, guint slot,
+           guint32 item, pu_room_t room, guint64 now)
+{
+  const pu_planned_copy_t *c = pu_planned_copy (e, slot);
+  const pu_planned_item_t *t = pu_planned_item (p, c->c.item);
+  const pu_planned_item_t *wants
+      = item != PU_PLAN_NONE ? pu_planned_item (p, item) : NULL;
+  guint keep = room == PU_ROOM_MINIMUM ? 1 : MAX (1, t->i.min_copies);
+  guint64 stay = (guint64)(p->o.min_stay_s * MS_PER_S);
+
+  if (c->c.phase != PU_PLAN_READY)
+    return false;
+  if (wants != NULL && c->c.item == wants->i.base)
+    return false;
+  if (!t->declared)
+    return true;
+  if (c->c.item == item && c->c.version == pu_planned_version (t))
+    return false;
+  if ((p->o.test_breaks & PU_PLANNER_BREAK_LAST_COPY) != 0)
+    keep = 0;
+  if (t->ready <= keep)
+    return false;
+  return room == PU_ROOM_MINIMUM || now >= c->since + stay;
+}
+
+bool
+pu_planner_bundle (const pu_planner_t *p, guint32 engine, guint slot,
+                   guint32 item, pu_room_t room, guint64 now, GArray *slots)
+{
+  const pu_planned_engine_t *e = pu_planned_engine (p, engine);
+  guint32 base = pu_planned_copy (e, slot)->c.item;
+
+  g_array_set_size (slots, 0);
+  if (!removable (p, e, slot, item, room, now))
+    return false;
+  for (guint s = 0; s < e->copies->len; s++)
+    {
+      const pu_planned_copy_t *c = pu_planned_copy (e, s);
+
+      if (pu_planned_item (p, c->c.item)->i.base != base
+          || c->c.phase == PU_PLAN_LEAVING)
+        continue;
+      if (!removable (p, e, s, item, room, now))
+        return false;
+      g_array_append_val (slots, s);
+    }
+  g_array_append_val (slots, slot);
+  return true;
+}
+
+static bool
+taken (const GArray *slots, guint slot)
+{
+  for (guint i = 0; i < slots->len; i++)
+    {
+      if (g_array_index (slots, guint, i) == slot)
+        return true;
+    }
+  return false;
+}
+
+/* Adds the copies in SLOTS to V; returns the memory that they give back.  */
+static guint32
+take (const pu_planner_t *p, const pu_planned_engine_t *e, const GArray *slots,
+      pu_victims_t *v)
+{
+  guint32 memory_mb = 0;
+
+  for (guint i = 0; i < slots->len; i++)
+    {
+      guint s = g_array_index (slots, guint, i);
+      const pu_planned_copy_t *c = pu_planned_copy (e, s);
+
+      if (taken (v->slots, s))
+        continue;
+      g_array_append_val (v->slots, s);
+      memory_mb += c->c.memory_mb;
+      pu_planned_item (p, c->c.item)->ready--;
+    }
+  return memory_mb;
+}
+
+/* Loss for each MB of letting SLOTS go; MB is set to their memory.  */
+static double
+loss_of (pu_planner_t *p, guint32 engine, const GArray *slots, double *mb)
+{
+  const pu_planned_engine_t *e = pu_planned_engine (p, engine);
+  double loss = 0;
+
+  *mb = 0;
+  for (guint i = 0; i < slots->len; i++)
+    {
+      pu_place_t at = { engine, g_array_index (slots, guint, i) };
+      const pu_planned_copy_t *c = pu_planned_copy (e, at.slot);
+
+      *mb += c->c.memory_mb;
+      if (pu_planned_item (p, c->c.item)->declared)
+        loss += pu_planner_loss (p, c->c.item, at);
+    }
+  return loss;
+}
+
+/* The cheapest bundle that is not in V yet, in BEST; its loss, or -1.  */
+static double
+cheapest (pu_planner_t *p, guint32 engine, guint32 item, pu_room_t room,
+          guint64 now, const pu_victims_t *v, GArray *best)
+{
+  const pu_planned_engine_t *e = pu_planned_engine (p, engine);
+  GArray *slots = g_array_new (FALSE, FALSE, sizeof (guint));
+  double best_rate = -1;
+  double best_loss = -1;
+
+  for (guint s = 0; s < e->copies->len; s++)
+    {
+      double mb;
+      double loss;
+
+      if (taken (v->slots, s)
+          || !pu_planner_bundle (p, engine, s, item, room, now, slots))
+        continue;
+      loss = loss_of (p, engine, slots, &mb);
+      if (best_rate >= 0 && (loss + 1e-6) / mb >= best_rate)
+        continue;
+      best_rate = (loss + 1e-6) / MAX (1.0, mb);
+      best_loss = loss;
+      g_array_set_size (best, 0);
+      g_array_append_vals (best, slots->data, slots->len);
+    }
+  g_array_unref (slots);
+  return best_loss;
+}
+
+bool
+pu_planner_victims (pu_planner_t *p, guint32 engine, guint32 item,
+                    pu_room_t room, guint64 now, pu_victims_t *v)
+{
+  const pu_planned_engine_t *e = pu_planned_engine (p, engine);
+  guint32 need = pu_planned_need (p, pu_planned_item (p, item));
+  guint32 have = pu_planned_free (e);
+  GArray *best;
+
+  v->loss = 0;
+  g_array_set_size (v->slots, 0);
+  if (have >= need || room == PU_ROOM_NONE)
+    return have >= need;
+
+  best = g_array_new (FALSE, FALSE, sizeof (guint));
+  while (have < need)
+    {
+      double loss = cheapest (p, engine, item, room, now, v, best);
+
+      if (loss < 0)
+        break;
+      v->loss += loss;
+      have += take (p, e, best, v);
+    }
+  for (guint i = 0; i < v->slots->len; i++)
+    {
+      guint s = g_array_index (v->slots, guint, i);
+
+      pu_planned_item (p, pu_planned_copy (e, s)->c.item)->ready++;
+    }
+  g_array_unref (best);
+  return have >= need;
+}
+
+static double
+score (const pu_planner_t *p, const pu_planned_engine_t *e)
+{
+  double s = e->load / e->streams;
+
+  if (p->o.zone_spread && p->zone_copies[e->zone] > 0)
+    s += SAME_ZONE_SCORE;
+  return s + FULL_MEMORY_SCORE * e->committed_mb / MAX (1, e->memory_mb);
+}
+
+/* Keeps the N lowest scores, sorted.  */
+static void
+keep_low (guint32 *engines, double *scores, guint *n, guint max,
+          guint32 engine, double value)
+{
+  guint i;
+
+  if (*n == max && value >= scores[max - 1])
+    return;
+  i = *n < max ? (*n)++ : max - 1;
+  for (; i > 0 && scores[i - 1] > value; i--)
+    {
+      scores[i] = scores[i - 1];
+      engines[i] = engines[i - 1];
+    }
+  scores[i] = value;
+  engines[i] = engine;
+}
+
+/* Whether one more copy on ENGINE would meet a crowd.  */
+static bool
+crowded (const pu_planner_t *p, guint32 engine)
+{
+  const pu_planned_engine_t *e = pu_planned_engine (p, engine);
+
+  return e->load > CROWDED * e->streams;
+}
+
+guint32
+pu_planner_choose (pu_planner_t *p, guint32 item, guint32 version,
+                   pu_room_t room, guint64 now, pu_victims_t *v)
+{
+  const pu_planned_item_t *t = pu_planned_item (p, item);
+  /* When nothing else would do, every engine is tried.  */
+  guint tries = room == PU_ROOM_MINIMUM ? p->engines->len : ROOM_TRIES;
+  guint32 best = PU_PLAN_NONE;
+  double best_score = 0;
+  guint32 full[tries + 1];
+  double full_scores[tries + 1];
+  double least = 0;
+  guint n_full = 0;
+  guint32 need = pu_planned_need (p, t);
+
+  pu_planner_mark_item (p, item, version);
+  v->loss = 0;
+  g_array_set_size (v->slots, 0);
+  for (guint i = 0; i < p->engines->len; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (p, i);
+      double s;
+
+      if (!pu_planner_can_hold (p, i, t))
+        continue;
+      s = score (p, e);
+      if (pu_planned_free (e) < need)
+        {
+          keep_low (full, full_scores, &n_full, tries, i, s);
+          continue;
+        }
+      if (best == PU_PLAN_NONE || s < best_score)
+        {
+          best = i;
+          best_score = s;
+        }
+    }
+  if (room == PU_ROOM_NONE || (best != PU_PLAN_NONE && !crowded (p, best)))
+    return best;
+
+  least = best_score;
+  for (guint i = 0; i < n_full; i++)
+    {
+      if (best != PU_PLAN_NONE && i >= ROOM_TRIES)
+        break;
+      if (!pu_planner_victims (p, full[i], item, room, now, v))
+        continue;
+      if (best != PU_PLAN_NONE && v->loss + full_scores[i] >= least)
+        continue;
+      best = full[i];
+      least = v->loss + full_scores[i];
+    }
+  if (best != PU_PLAN_NONE)
+    pu_planner_victims (p, best, item, room, now, v);
+  return best;
+}
--- /dev/null
+++ b/libplantainusher/placement/planner_tables.c
@@ -0,0 +1,379 @@
+#include "placement/planner_internal.h"
+
+#include <math.h>
+
+#define DEFAULT_MOVES_WEIGHT 0.5
+#define DEFAULT_PAYBACK_S 120.0
+#define DEFAULT_MOVE_PRICE 5.0
+#define DEFAULT_MIN_STAY_S 120.0
+#define DEFAULT_WATCH_S 60.0
+#define DEFAULT_MAX_FAILURES 3
+#define DEFAULT_MAX_COMING 3
+#define DEFAULT_HOT 0.6
+#define LEAST_STREAMS 0.001
+#define FAILURE_WAIT_MS 5000
+#define FAILURE_WAIT_MAX_MS 300000
+
+void
+pu_planner_options_init (pu_planner_options_t *o)
+{
+  o->moves_weight = DEFAULT_MOVES_WEIGHT;
+  o->payback_s = DEFAULT_PAYBACK_S;
+  o->move_price = DEFAULT_MOVE_PRICE;
+  o->min_stay_s = DEFAULT_MIN_STAY_S;
+  o->watch_s = DEFAULT_WATCH_S;
+  o->max_failures = DEFAULT_MAX_FAILURES;
+  o->max_coming = DEFAULT_MAX_COMING;
+  o->hot = DEFAULT_HOT;
+  o->zone_spread = true;
+  pu_forecast_options_init (&o->forecast);
+  o->test_breaks = PU_PLANNER_BREAK_NONE;
+}
+
+static void
+clear_engine (gpointer data)
+{
+  g_array_unref (((pu_planned_engine_t *)data)->copies);
+}
+
+static void
+clear_item (gpointer data)
+{
+  pu_planned_item_t *t = data;
+
+  g_free ((char *)t->i.name);
+  g_array_unref (t->places);
+  g_array_unref (t->adapters);
+}
+
+pu_planner_t *
+pu_planner_new (const pu_planner_options_t *o)
+{
+  pu_planner_t *p = g_new0 (pu_planner_t, 1);
+
+  p->o = *o;
+  p->engines = g_array_new (FALSE, TRUE, sizeof (pu_planned_engine_t));
+  p->items = g_array_new (FALSE, TRUE, sizeof (pu_planned_item_t));
+  g_array_set_clear_func (p->engines, clear_engine);
+  g_array_set_clear_func (p->items, clear_item);
+  return p;
+}
+
+void
+pu_planner_free (pu_planner_t *p)
+{
+  if (p == NULL)
+    return;
+  g_array_unref (p->engines);
+  g_array_unref (p->items);
+  g_free (p->mark);
+  g_free (p->other);
+  g_free (p->filled);
+  g_free (p->zone_copies);
+  g_free (p);
+}
+
+pu_planner_t *
+pu_planner_clone (const pu_planner_t *p)
+{
+  pu_planner_t *q = pu_planner_new (&p->o);
+
+  q->last_advance = p->last_advance;
+  q->n_zones = p->n_zones;
+  q->zone_copies = g_new0 (guint, p->n_zones);
+  for (guint i = 0; i < p->engines->len; i++)
+    {
+      pu_planned_engine_t e = *pu_planned_engine (p, i);
+
+      e.copies = g_array_copy (e.copies);
+      g_array_append_val (q->engines, e);
+    }
+  for (guint i = 0; i < p->items->len; i++)
+    {
+      pu_planned_item_t t = *pu_planned_item (p, i);
+
+      t.i.name = g_strdup (t.i.name);
+      t.places = g_array_copy (t.places);
+      t.adapters = g_array_copy (t.adapters);
+      g_array_append_val (q->items, t);
+    }
+  return q;
+}
+
+static void
+grow_engines (pu_planner_t *p, guint32 engine)
+{
+  while (p->engines->len <= engine)
+    {
+      pu_planned_engine_t e = { 0 };
+
+      e.copies = g_array_new (FALSE, FALSE, sizeof (pu_planned_copy_t));
+      e.streams = LEAST_STREAMS;
+      g_array_append_val (p->engines, e);
+    }
+}
+
+static void
+grow_items (pu_planner_t *p, guint32 item)
+{
+  while (p->items->len <= item)
+    {
+      pu_planned_item_t t = { 0 };
+
+      t.i.base = PU_PLAN_NONE;
+      t.places = g_array_new (FALSE, FALSE, sizeof (pu_place_t));
+      t.adapters = g_array_new (FALSE, FALSE, sizeof (guint32));
+      g_array_append_val (p->items, t);
+    }
+}
+
+static void
+grow_zones (pu_planner_t *p, guint32 zone)
+{
+  if (zone < p->n_zones)
+    return;
+  p->n_zones = zone + 1;
+  p->zone_copies = g_renew (guint, p->zone_copies, p->n_zones);
+}
+
+static const pu_planned_copy_t *
+find_copy (const GArray *copies, const pu_plan_copy_t *c)
+{
+  for (guint i = 0; i < copies->len; i++)
+    {
+      const pu_planned_copy_t *o
+          = &g_array_index (copies, pu_planned_copy_t, i);
+
+      if (o->c.item == c->item && o->c.version == c->version)
+        return o;
+    }
+  return NULL;
+}
+
+/* The new list of copies, with what was known of those that stay.  */
+static GArray *
+merge_copies (const pu_planned_engine_t *e, const pu_plan_engine_t *from,
+              guint64 now)
+{
+  GArray *copies = g_array_new (FALSE, FALSE, sizeof (pu_planned_copy_t));
+
+  for (guint i = 0; i < from->n_copies; i++)
+    {
+      const pu_plan_copy_t *c = &from->copies[i];
+      const pu_planned_copy_t *old = find_copy (e->copies, c);
+      pu_planned_copy_t n = { 0 };
+
+      n.reason = PU_REASON_FOUND;
+      n.since = now;
+      if (old != NULL)
+        n = *old;
+      if (old == NULL || old->c.phase != c->phase)
+        n.since = now;
+      n.c = *c;
+      g_array_append_val (copies, n);
+    }
+  return copies;
+}
+
+/* A promise is kept when its copy has come, and dropped with its engine.  */
+static void
+check_promise (pu_planned_engine_t *e)
+{
+  if (!e->promised)
+    return;
+  if (!e->usable || find_copy (e->copies, &e->promise.c) != NULL)
+    e->promised = false;
+}
+
+void
+pu_planner_set_engine (pu_planner_t *p, guint32 engine,
+                       const pu_plan_engine_t *from, guint64 now)
+{
+  pu_planned_engine_t *e;
+  GArray *copies;
+
+  grow_engines (p, engine);
+  e = pu_planned_engine (p, engine);
+  if (from == NULL)
+    {
+      g_array_set_size (e->copies, 0);
+      e->known = false;
+      e->usable = false;
+      e->promised = false;
+      return;
+    }
+  for (guint i = 0; i < from->n_copies; i++)
+    grow_items (p, from->copies[i].item);
+  grow_zones (p, from->zone);
+  copies = merge_copies (e, from, now);
+  g_array_unref (e->copies);
+  e->copies = copies;
+  e->known = true;
+  e->usable = from->usable;
+  e->closed = from->closed;
+  e->zone = from->zone;
+  e->accelerators = from->accelerators;
+  e->memory_mb = from->memory_mb;
+  e->committed_mb = from->committed_mb;
+  e->streams = fmax (from->streams, LEAST_STREAMS);
+  check_promise (e);
+}
+
+static void
+rebuild_adapters (pu_planner_t *p)
+{
+  for (guint32 i = 0; i < p->items->len; i++)
+    g_array_set_size (pu_planned_item (p, i)->adapters, 0);
+  for (guint32 i = 0; i < p->items->len; i++)
+    {
+      const pu_planned_item_t *t = pu_planned_item (p, i);
+
+      if (t->declared && t->i.base != PU_PLAN_NONE)
+        g_array_append_val (pu_planned_item (p, t->i.base)->adapters, i);
+    }
+}
+
+void
+pu_planner_set_item (pu_planner_t *p, guint32 item, const pu_plan_item_t *i)
+{
+  pu_planned_item_t *t;
+  guint32 old_base;
+
+  grow_items (p, item);
+  if (i != NULL && i->base != PU_PLAN_NONE)
+    grow_items (p, i->base);
+  t = pu_planned_item (p, item);
+  old_base = t->i.base;
+  if (i == NULL)
+    {
+      t->declared = false;
+      t->i.base = PU_PLAN_NONE;
+    }
+  else
+    {
+      char *name = g_strdup (i->name);
+
+      if (t->declared && t->i.version != i->version)
+        {
+          t->rolled_back = false;
+          t->failures = 0;
+          t->first_ready = 0;
+        }
+      g_free ((char *)t->i.name);
+      t->i = *i;
+      t->i.name = name;
+      t->declared = true;
+      t->not_before = 0;
+    }
+  if (old_base != t->i.base)
+    rebuild_adapters (p);
+}
+
+void
+pu_planner_demand (pu_planner_t *p, guint32 item, guint32 requests,
+                   double stream_ms)
+{
+  grow_items (p, item);
+  pu_forecast_add (&pu_planned_item (p, item)->forecast, requests, stream_ms);
+}
+
+static bool
+has_other_version (const pu_planner_t *p, const pu_planned_item_t *t,
+                   guint32 *version)
+{
+  for (guint i = 0; i < t->places->len; i++)
+    {
+      pu_place_t at = pu_item_place (t, i);
+      const pu_planned_copy_t *c
+          = pu_planned_copy (pu_planned_engine (p, at.engine), at.slot);
+
+      if (c->c.version == t->i.version || c->c.phase == PU_PLAN_LEAVING)
+        continue;
+      *version = c->c.version;
+      return true;
+    }
+  return false;
+}
+
+void
+pu_planner_load_failed (pu_planner_t *p, guint32 engine, guint32 item,
+                        guint32 version, guint64 now)
+{
+  pu_planned_item_t *t;
+  guint64 wait;
+  guint32 older;
+
+  grow_items (p, item);
+  (void)engine;
+  t = pu_planned_item (p, item);
+  t->failures++;
+  wait = (guint64)FAILURE_WAIT_MS << MIN (t->failures - 1, 8);
+  t->not_before = now + MIN (wait, FAILURE_WAIT_MAX_MS);
+  if (version != t->i.version || t->failures < p->o.max_failures)
+    return;
+
+  pu_planner_index (p);
+  if (has_other_version (p, t, &older))
+    t->i.previous_version = older;
+  t->rolled_back = t->i.previous_version != PU_PLAN_NONE
+                   && t->i.previous_version != t->i.version;
+  if (t->rolled_back)
+    t->not_before = now;
+}
+
+guint
+pu_planner_ready (const pu_planner_t *p, guint32 item)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < p->engines->len; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (p, i);
+
+      for (guint s = 0; e->usable && s < e->copies->len; s++)
+        {
+          const pu_plan_copy_t *c = &pu_planned_copy (e, s)->c;
+
+          n += c->item == item && c->phase == PU_PLAN_READY;
+        }
+    }
+  return n;
+}
+
+bool
+pu_planner_may_unload (const pu_planner_t *p, guint32 engine, guint32 item,
+                       guint32 version)
+{
+  if (item >= p->items->len || !pu_planned_item (p, item)->declared)
+    return true;
+  if ((p->o.test_breaks & PU_PLANNER_BREAK_LAST_COPY) != 0)
+    return true;
+  for (guint i = 0; i < p->engines->len; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (p, i);
+
+      for (guint s = 0; e->usable && s < e->copies->len; s++)
+        {
+          const pu_plan_copy_t *c = &pu_planned_copy (e, s)->c;
+
+          if (c->item == item && c->phase == PU_PLAN_READY
+              && (i != engine || c->version != version))
+            return true;
+        }
+    }
+  return false;
+}
+
+double
+pu_planner_expected (const pu_planner_t *p, guint32 item)
+{
+  if (item >= p->items->len)
+    return 0;
+  return pu_planned_item (p, item)->forecast.expected;
+}
+
+bool
+pu_planner_rolled_back (const pu_planner_t *p, guint32 item)
+{
+  return item < p->items->len && pu_planned_item (p, item)->rolled_back;
+}
