Once: the core of at-most-once calls at an entry

Cause: a call that may not be repeated must be claimed before it is sent, by one caller, and its outcome kept for resends. Ruled out: answering a timed-out claim by waiting for it (the caller gets its answer at once; the claim is closed as not run in the background); dispatching when such a claim is granted late (fuzz shows the lie).

--- /dev/null
+++ b/libplantainusher/once/once.c
@@ -0,0 +1,564 @@
+#include "once/once.h"
+
+#include <string.h>
+
+#define DEFAULT_KEYS_MAX 10000
+#define DEFAULT_WAITERS_MAX 64
+#define DEFAULT_WINDOW_MS (3600u * 1000u)
+#define DEFAULT_SKEW_MS 30000u
+#define DEFAULT_RETRY_MS 1000u
+
+typedef enum
+{
+  CLAIMING,     /* the claim is with the log */
+  CLAIM_PAUSED, /* the claim is sent again later */
+  RUNNING,      /* dispatched */
+  RECORDING,    /* the outcome is with the log */
+  RECORD_PAUSED /* the outcome is sent again later */
+} phase_t;
+
+/* A result that the core owns.  */
+typedef struct
+{
+  guint status;
+  char *content_type;
+  GBytes *body;
+} kept_t;
+
+/* One key at work at this entry.  */
+typedef struct
+{
+  pu_once_handle_t handle;
+  char *name; /* "service\nkey"; owned by nobody else */
+  char *service;
+  char *key;
+  guint64 fingerprint;
+  guint64 attempt;
+  guint64 position;
+  phase_t phase;
+  guint64 due; /* when the pause is over */
+  pu_once_outcome_t outcome;
+  kept_t *result;  /* of the run; NULL when it did not run */
+  GArray *waiters; /* of caller numbers, guint64 */
+} call_t;
+
+/* An action with what it points to.  */
+typedef struct
+{
+  pu_once_action_t action;
+  char *service;
+  char *key;
+  kept_t *result;
+} queued_t;
+
+struct pu_once
+{
+  pu_once_options_t options;
+  pu_once_handle_t last_handle;
+  guint64 last_attempt;
+  GHashTable *by_handle; /* handle -> call_t *, owns */
+  GHashTable *by_name;   /* call's name -> call_t * */
+  GHashTable *by_caller; /* &caller -> call_t *, owns the key */
+  GQueue *actions;       /* of queued_t * */
+  queued_t *shown;       /* the last one that pu_once_next gave */
+};
+
+static kept_t *
+kept_ref (kept_t *k)
+{
+  return k == NULL ? NULL : g_atomic_rc_box_acquire (k);
+}
+
+static void
+kept_clear (gpointer data)
+{
+  kept_t *k = data;
+
+  g_free (k->content_type);
+  g_bytes_unref (k->body);
+}
+
+static void
+kept_unref (kept_t *k)
+{
+  if (k != NULL)
+    g_atomic_rc_box_release_full (k, kept_clear);
+}
+
+static kept_t *
+kept_new (const pu_once_result_t *r)
+{
+  kept_t *k;
+
+  if (r == NULL)
+    return NULL;
+  k = g_atomic_rc_box_new0 (kept_t);
+  k->status = r->status;
+  k->content_type = g_strdup (r->content_type);
+  k->body = g_bytes_new (r->body, r->len);
+  return k;
+}
+
+static void
+queued_free (gpointer data)
+{
+  queued_t *q = data;
+
+  if (q == NULL)
+    return;
+  g_free (q->service);
+  g_free (q->key);
+  kept_unref (q->result);
+  g_free (q);
+}
+
+static void
+call_free (gpointer data)
+{
+  call_t *l = data;
+
+  g_free (l->name);
+  g_free (l->service);
+  g_free (l->key);
+  kept_unref (l->result);
+  g_array_free (l->waiters, TRUE);
+  g_free (l);
+}
+
+static bool
+broken (const pu_once_t *c, pu_once_break_t rule)
+{
+  return (c->options.test_breaks & rule) != 0;
+}
+
+/* --- actions --- */
+
+static queued_t *
+queue_action (pu_once_t *c, const call_t *l, pu_once_action_type_t type)
+{
+  queued_t *q = g_new0 (queued_t, 1);
+
+  q->service = g_strdup (l->service);
+  q->key = g_strdup (l->key);
+  q->action.type = type;
+  q->action.handle = l->handle;
+  q->action.service = q->service;
+  q->action.key = q->key;
+  q->action.fingerprint = l->fingerprint;
+  q->action.attempt = l->attempt;
+  q->action.position = l->position;
+  g_queue_push_tail (c->actions, q);
+  return q;
+}
+
+static void
+attach_result (queued_t *q, kept_t *result)
+{
+  gsize len = 0;
+
+  if (result == NULL)
+    return;
+  q->result = kept_ref (result);
+  q->action.result.status = result->status;
+  q->action.result.content_type = result->content_type;
+  q->action.result.body = g_bytes_get_data (result->body, &len);
+  q->action.result.len = len;
+}
+
+static void
+queue_claim (pu_once_t *c, call_t *l)
+{
+  l->phase = CLAIMING;
+  queue_action (c, l, PU_ONCE_CLAIM);
+}
+
+static void
+queue_record (pu_once_t *c, call_t *l)
+{
+  queued_t *q;
+
+  l->phase = RECORDING;
+  q = queue_action (c, l, PU_ONCE_RECORD);
+  q->action.outcome = l->outcome;
+  attach_result (q, l->result);
+}
+
+static void
+answer_one (pu_once_t *c, const call_t *l, guint64 caller,
+            pu_once_answer_t answer, kept_t *result)
+{
+  queued_t *q = queue_action (c, l, PU_ONCE_ANSWER);
+
+  q->action.caller = caller;
+  q->action.answer = answer;
+  attach_result (q, result);
+  g_hash_table_remove (c->by_caller, &caller);
+}
+
+static void
+answer_all (pu_once_t *c, call_t *l, pu_once_answer_t answer, kept_t *result)
+{
+  for (guint i = 0; i < l->waiters->len; i++)
+    answer_one (c, l, g_array_index (l->waiters, guint64, i), answer, result);
+  g_array_set_size (l->waiters, 0);
+}
+
+static void
+drop_call (pu_once_t *c, call_t *l)
+{
+  if (g_hash_table_lookup (c->by_name, l->name) == l)
+    g_hash_table_remove (c->by_name, l->name);
+  g_hash_table_remove (c->by_handle, GUINT_TO_POINTER (l->handle));
+}
+
+static void
+answer_and_drop (pu_once_t *c, call_t *l, pu_once_answer_t answer,
+                 kept_t *result)
+{
+  answer_all (c, l, answer, result);
+  drop_call (c, l);
+}
+
+/* --- begin --- */
+
+static call_t *
+call_new (pu_once_t *c, const char *service, const char *key,
+          guint64 fingerprint)
+{
+  call_t *l = g_new0 (call_t, 1);
+
+  l->handle = ++c->last_handle;
+  l->attempt = broken (c, PU_ONCE_BREAK_ONE_ATTEMPT) ? 1 : ++c->last_attempt;
+  l->service = g_strdup (service);
+  l->key = g_strdup (key);
+  l->name = g_strconcat (service, "\n", key, NULL);
+  l->fingerprint = fingerprint;
+  l->waiters = g_array_new (FALSE, FALSE, sizeof (guint64));
+  g_hash_table_insert (c->by_handle, GUINT_TO_POINTER (l->handle), l);
+  g_hash_table_replace (c->by_name, l->name, l);
+  return l;
+}
+
+static call_t *
+find_name (const pu_once_t *c, const char *service, const char *key)
+{
+  char *name = g_strconcat (service, "\n", key, NULL);
+  call_t *l = g_hash_table_lookup (c->by_name, name);
+
+  g_free (name);
+  if (broken (c, PU_ONCE_BREAK_ONE_ATTEMPT))
+    return NULL;
+  return l;
+}
+
+static void
+add_waiter (pu_once_t *c, call_t *l, guint64 caller)
+{
+  guint64 *key = g_memdup2 (&caller, sizeof caller);
+
+  g_array_append_val (l->waiters, caller);
+  g_hash_table_replace (c->by_caller, key, l);
+}
+
+static bool
+name_fits (const char *name)
+{
+  size_t n = strlen (name);
+
+  return n > 0 && n <= PU_ONCE_NAME_MAX;
+}
+
+static bool
+too_old (const pu_once_t *c, guint64 key_wall, guint64 wall)
+{
+  if (key_wall == 0)
+    return false;
+  return key_wall + c->options.window_ms < wall + c->options.skew_ms;
+}
+
+/* The answer for a caller who comes when the run is over.  */
+static void
+answer_from_record (pu_once_t *c, call_t *l, guint64 caller)
+{
+  switch (l->outcome)
+    {
+    case PU_ONCE_RAN:
+      answer_one (c, l, caller, PU_ONCE_ANSWER_RESULT, l->result);
+      return;
+    case PU_ONCE_NOT_RUN:
+      answer_one (c, l, caller, PU_ONCE_ANSWER_NOT_RUN, NULL);
+      return;
+    case PU_ONCE_UNKNOWN:
+      answer_one (c, l, caller, PU_ONCE_ANSWER_UNKNOWN, NULL);
+      return;
+    }
+}
+
+static pu_once_begin_t
+join (pu_once_t *c, call_t *l, guint64 caller, guint64 fingerprint)
+{
+  if (l->fingerprint != fingerprint)
+    return PU_ONCE_KEY_MISMATCH;
+  if (l->phase == RECORDING || l->phase == RECORD_PAUSED)
+    {
+      answer_from_record (c, l, caller);
+      return PU_ONCE_ACCEPTED;
+    }
+  if (l->waiters->len >= c->options.waiters_max)
+    return PU_ONCE_FULL;
+  add_waiter (c, l, caller);
+  return PU_ONCE_ACCEPTED;
+}
+
+pu_once_begin_t
+pu_once_begin (pu_once_t *c, guint64 caller, const char *service,
+               const char *key, guint64 fingerprint, guint64 key_wall,
+               guint64 wall, guint64 now)
+{
+  call_t *l;
+
+  (void)now;
+  if (!name_fits (key) || !name_fits (service))
+    return PU_ONCE_BAD_KEY;
+  if (too_old (c, key_wall, wall))
+    return PU_ONCE_TOO_OLD;
+  l = find_name (c, service, key);
+  if (l != NULL)
+    return join (c, l, caller, fingerprint);
+  if (g_hash_table_size (c->by_handle) >= c->options.keys_max)
+    return PU_ONCE_FULL;
+  l = call_new (c, service, key, fingerprint);
+  add_waiter (c, l, caller);
+  queue_claim (c, l);
+  return PU_ONCE_ACCEPTED;
+}
+
+/* --- the log's answers --- */
+
+static call_t *
+find_handle (const pu_once_t *c, pu_once_handle_t handle, phase_t phase)
+{
+  call_t *l = g_hash_table_lookup (c->by_handle, GUINT_TO_POINTER (handle));
+
+  return l != NULL && l->phase == phase ? l : NULL;
+}
+
+/* Nobody waits for a claim that came too late: it is closed as not run.  */
+static void
+granted (pu_once_t *c, call_t *l, guint64 position)
+{
+  l->position = position;
+  if (l->waiters->len == 0 && !broken (c, PU_ONCE_BREAK_DISPATCH_LATE))
+    {
+      l->outcome = PU_ONCE_NOT_RUN;
+      queue_record (c, l);
+      return;
+    }
+  l->phase = RUNNING;
+  queue_action (c, l, PU_ONCE_DISPATCH);
+}
+
+static void
+claim_later (pu_once_t *c, call_t *l, guint64 now)
+{
+  answer_all (c, l, PU_ONCE_ANSWER_NOT_RUN, NULL);
+  l->phase = CLAIM_PAUSED;
+  l->due = now + c->options.retry_ms;
+}
+
+void
+pu_once_claimed (pu_once_t *c, pu_once_handle_t handle, pu_once_claimed_t what,
+                 guint64 position, const pu_once_result_t *result, guint64 now)
+{
+  call_t *l = find_handle (c, handle, CLAIMING);
+  kept_t *kept;
+
+  if (l == NULL)
+    return;
+  switch (what)
+    {
+    case PU_ONCE_GRANTED:
+      granted (c, l, position);
+      return;
+    case PU_ONCE_KEPT:
+      kept = kept_new (result);
+      answer_and_drop (c, l, PU_ONCE_ANSWER_RESULT, kept);
+      kept_unref (kept);
+      return;
+    case PU_ONCE_OPEN:
+      answer_and_drop (c, l, PU_ONCE_ANSWER_RUNNING, NULL);
+      return;
+    case PU_ONCE_MISMATCH:
+      answer_and_drop (c, l, PU_ONCE_ANSWER_CONFLICT, NULL);
+      return;
+    case PU_ONCE_LOST:
+      answer_and_drop (c, l, PU_ONCE_ANSWER_UNKNOWN, NULL);
+      return;
+    case PU_ONCE_CLOSED:
+    case PU_ONCE_REFUSED:
+      answer_and_drop (c, l, PU_ONCE_ANSWER_NOT_RUN, NULL);
+      return;
+    case PU_ONCE_TIMEOUT:
+      claim_later (c, l, now);
+      return;
+    }
+}
+
+void
+pu_once_finished (pu_once_t *c, pu_once_handle_t handle,
+                  pu_once_outcome_t outcome, const pu_once_result_t *result,
+                  guint64 now)
+{
+  call_t *l = find_handle (c, handle, RUNNING);
+
+  (void)now;
+  if (l == NULL)
+    return;
+  l->outcome = outcome;
+  if (outcome == PU_ONCE_UNKNOWN && broken (c, PU_ONCE_BREAK_RAN_AS_NOT_RUN))
+    l->outcome = PU_ONCE_NOT_RUN;
+  if (outcome == PU_ONCE_RAN)
+    l->result = kept_new (result);
+  for (guint i = 0; i < l->waiters->len; i++)
+    answer_from_record (c, l, g_array_index (l->waiters, guint64, i));
+  g_array_set_size (l->waiters, 0);
+  queue_record (c, l);
+}
+
+void
+pu_once_recorded (pu_once_t *c, pu_once_handle_t handle, bool ok, guint64 now)
+{
+  call_t *l = find_handle (c, handle, RECORDING);
+
+  if (l == NULL)
+    return;
+  if (ok)
+    {
+      drop_call (c, l);
+      return;
+    }
+  l->phase = RECORD_PAUSED;
+  l->due = now + c->options.retry_ms;
+}
+
+bool
+pu_once_give_up (pu_once_t *c, guint64 caller, guint64 now)
+{
+  call_t *l = g_hash_table_lookup (c->by_caller, &caller);
+
+  (void)now;
+  if (l == NULL)
+    return false;
+  for (guint i = 0; i < l->waiters->len; i++)
+    {
+      if (g_array_index (l->waiters, guint64, i) != caller)
+        continue;
+      g_array_remove_index (l->waiters, i);
+      break;
+    }
+  answer_one (c, l, caller,
+              l->phase == RUNNING ? PU_ONCE_ANSWER_UNKNOWN
+                                  : PU_ONCE_ANSWER_NOT_RUN,
+              NULL);
+  return true;
+}
+
+void
+pu_once_tick (pu_once_t *c, guint64 now)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, c->by_handle);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      call_t *l = value;
+
+      if (l->phase == CLAIM_PAUSED && l->due <= now)
+        queue_claim (c, l);
+      else if (l->phase == RECORD_PAUSED && l->due <= now)
+        queue_record (c, l);
+    }
+}
+
+bool
+pu_once_next (pu_once_t *c, pu_once_action_t *a)
+{
+  queued_free (c->shown);
+  c->shown = g_queue_pop_head (c->actions);
+  if (c->shown == NULL)
+    return false;
+  *a = c->shown->action;
+  return true;
+}
+
+/* --- the rest --- */
+
+#define UUID_LENGTH 36
+#define UUID_VERSION_PLACE 14
+#define UUID_TIME_DIGITS 12
+
+guint64
+pu_once_key_wall (const char *key)
+{
+  guint64 wall = 0;
+  guint digits = 0;
+
+  if (strlen (key) != UUID_LENGTH || key[UUID_VERSION_PLACE] != '7')
+    return 0;
+  for (guint i = 0; digits < UUID_TIME_DIGITS; i++)
+    {
+      if (key[i] == '-')
+        continue;
+      if (!g_ascii_isxdigit (key[i]))
+        return 0;
+      wall = wall * 16 + (guint64)g_ascii_xdigit_value (key[i]);
+      digits++;
+    }
+  return wall;
+}
+
+guint
+pu_once_busy (const pu_once_t *c)
+{
+  return g_hash_table_size (c->by_handle);
+}
+
+void
+pu_once_options_init (pu_once_options_t *o)
+{
+  o->keys_max = DEFAULT_KEYS_MAX;
+  o->waiters_max = DEFAULT_WAITERS_MAX;
+  o->window_ms = DEFAULT_WINDOW_MS;
+  o->skew_ms = DEFAULT_SKEW_MS;
+  o->retry_ms = DEFAULT_RETRY_MS;
+  o->test_breaks = 0;
+}
+
+pu_once_t *
+pu_once_new (const pu_once_options_t *o)
+{
+  pu_once_t *c = g_new0 (pu_once_t, 1);
+
+  c->options = *o;
+  c->by_handle
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, call_free);
+  c->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  c->by_caller
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  c->actions = g_queue_new ();
+  return c;
+}
+
+void
+pu_once_free (pu_once_t *c)
+{
+  if (c == NULL)
+    return;
+  queued_free (c->shown);
+  g_queue_free_full (c->actions, queued_free);
+  g_hash_table_destroy (c->by_caller);
+  g_hash_table_destroy (c->by_name);
+  g_hash_table_destroy (c->by_handle);
+  g_free (c);
+}
