--- /dev/null
+++ b/libplantainusher/document/check.c
@@ -0,0 +1,226 @@
+#include "document/internal.h"
+
+/* Names proposed for one that is not declared.  */
+#define NEAR_MAX 3
+
+typedef struct
+{
+  const pu_document_t *d;
+  pu_findings_t *f;
+  guint found;
+} checker_t;
+
+/* Adds a finding at PATH, which it frees.  */
+static void G_GNUC_PRINTF (3, 4)
+    find (checker_t *c, char *path, const char *format, ...)
+{
+  va_list ap;
+  char *message;
+
+  if (c->found < PU_DOCUMENT_FINDINGS_MAX)
+    {
+      va_start (ap, format);
+      message = g_strdup_vprintf (format, ap);
+      va_end (ap);
+      pu_findings_add (c->f, path, "%s", message);
+      g_free (message);
+    }
+  c->found++;
+  g_free (path);
+}
+
+/* The JSON pointer "/TABLE/NAME" and REST; a name that is no name was found
+   by the schema, so that escaping matters for the place only.  */
+static char *
+place (const char *table, const char *name, const char *rest)
+{
+  GString *path = g_string_new (NULL);
+
+  pu_json_path_append (path, table);
+  pu_json_path_append (path, name);
+  g_string_append (path, rest);
+  return g_string_free (path, FALSE);
+}
+
+static void
+find_undeclared (checker_t *c, char *path, const char *what, const char *name)
+{
+  char *near;
+
+  if (c->found >= PU_DOCUMENT_FINDINGS_MAX)
+    {
+      g_free (path);
+      return;
+    }
+  near = pu_document_near_models (c->d, name);
+  if (*near == '\0')
+    {
+      find (c, path, "%s \"%s\" is not declared", what, name);
+    }
+  else
+    {
+      find (c, path, "%s \"%s\" is not declared; near it: %s", what, name,
+            near);
+    }
+  g_free (near);
+}
+
+static void
+check_listed (checker_t *c, const pu_service_t *s)
+{
+  for (guint i = 0; i < s->model_names.n; i++)
+    {
+      char rest[32];
+
+      if (s->models[i] != PU_HANDLE_NONE)
+        continue;
+      g_snprintf (rest, sizeof rest, "/models/%u", i);
+      find_undeclared (c, place ("services", s->name, rest), "the model",
+                       s->model_names.items[i]);
+    }
+}
+
+static void
+check_model_service (checker_t *c, const pu_service_t *s)
+{
+  if (s->model_names.n == 0)
+    {
+      find (c, place ("services", s->name, "/models"),
+            "is required for kind model: at least one");
+    }
+  if (s->targets.answer_ms != 0)
+    {
+      find (c, place ("services", s->name, "/targets/answer_ms"),
+            "is for kind plain only");
+    }
+  if (s->not_repeatable.n != 0)
+    {
+      find (c, place ("services", s->name, "/not_repeatable"),
+            "is for kind plain only");
+    }
+}
+
+static void
+check_plain_service (checker_t *c, const pu_service_t *s)
+{
+  if (s->model_names.n != 0)
+    find (c, place ("services", s->name, "/models"), "is for kind model only");
+  if (s->targets.first_token_ms != 0)
+    {
+      find (c, place ("services", s->name, "/targets/first_token_ms"),
+            "is for kind model only; plain has answer_ms");
+    }
+  if (s->targets.per_token_ms != 0)
+    {
+      find (c, place ("services", s->name, "/targets/per_token_ms"),
+            "is for kind model only; plain has answer_ms");
+    }
+}
+
+static void
+check_service (checker_t *c, const pu_service_t *s)
+{
+  switch ((pu_service_kind_t)s->kind)
+    {
+    case PU_SERVICE_MODEL:
+      check_model_service (c, s);
+      break;
+    case PU_SERVICE_PLAIN:
+      check_plain_service (c, s);
+      break;
+    }
+  check_listed (c, s);
+}
+
+static void
+check_base (checker_t *c, const pu_model_t *m)
+{
+  const pu_model_t *base;
+
+  if (*m->base_name == '\0')
+    return;
+  if (m->base == PU_HANDLE_NONE)
+    {
+      find_undeclared (c, place ("adapters", m->name, "/base"), "the base",
+                       m->base_name);
+      return;
+    }
+  base = &c->d->models[m->base];
+  if (base->kind == PU_MODEL_ADAPTER)
+    {
+      find (c, place ("adapters", m->name, "/base"),
+            "\"%s\" is an adapter; a base is a model", m->base_name);
+    }
+  else if (m->min_copies > base->max_copies)
+    {
+      find (c, place ("adapters", m->name, "/min_copies"),
+            "is %u; its base \"%s\" has at most %u copies", m->min_copies,
+            m->base_name, base->max_copies);
+    }
+}
+
+static void
+check_model (checker_t *c, pu_model_handle_t h)
+{
+  const pu_model_t *m = &c->d->models[h];
+  const char *table = m->kind == PU_MODEL_BASE ? "models" : "adapters";
+
+  if (m->min_copies > m->max_copies)
+    {
+      find (c, place (table, m->name, "/min_copies"),
+            "is %u; max_copies is %u copies", m->min_copies, m->max_copies);
+    }
+  if (*m->version != '\0' && g_str_equal (m->version, m->previous_version))
+    {
+      find (c, place (table, m->name, "/previous_version"),
+            "is the same as version");
+    }
+  if (m->kind == PU_MODEL_ADAPTER)
+    check_base (c, m);
+  if (c->d->default_service[h] == PU_HANDLE_NONE)
+    {
+      find (c, place (table, m->name, ""),
+            "is in no service, so that no caller can reach it");
+    }
+  /* Rows are sorted by name, a model before an adapter.  */
+  if (h > 0 && g_str_equal (c->d->models[h - 1].name, m->name))
+    {
+      find (c, place (table, m->name, ""),
+            "is a model too; models and adapters share their names");
+    }
+}
+
+void
+pu_document_check (const pu_document_t *d, pu_findings_t *f)
+{
+  checker_t c = { .d = d, .f = f };
+  const pu_service_t *services = d->services.items;
+
+  for (guint i = 0; i < d->services.n; i++)
+    check_service (&c, &services[i]);
+  for (pu_model_handle_t h = 0; h < d->n_models; h++)
+    check_model (&c, h);
+}
+
+static char *
+near_names (GHashTable *table, const char *name)
+{
+  guint n;
+  gpointer *names = g_hash_table_get_keys_as_array (table, &n);
+  char *near = pu_json_nearest (name, (const char *const *)names, n, NEAR_MAX);
+
+  g_free (names);
+  return near;
+}
+
+char *
+pu_document_near_services (const pu_document_t *d, const char *name)
+{
+  return near_names (d->service_names, name);
+}
+
+char *
+pu_document_near_models (const pu_document_t *d, const char *name)
+{
+  return near_names (d->model_names, name);
+}
--- /dev/null
+++ b/libplantainusher/document/document.c
@@ -0,0 +1,356 @@
+#include "document/internal.h"
+
+#include <string.h>
+
+/* Targets of a service that gives none, in milliseconds.  */
+#define FIRST_TOKEN_MS 1000
+#define PER_TOKEN_MS 100
+#define ANSWER_MS 500
+
+static gint
+compare_models (gconstpointer a, gconstpointer b)
+{
+  const pu_model_t *x = a;
+  const pu_model_t *y = b;
+  int order = strcmp (x->name, y->name);
+
+  return order != 0 ? order : (int)x->kind - (int)y->kind;
+}
+
+static void
+copy_models (pu_model_t *to, const pu_json_rows_t *rows, pu_model_kind_t kind)
+{
+  const pu_model_t *from = rows->items;
+
+  for (guint i = 0; i < rows->n; i++)
+    {
+      to[i] = from[i];
+      to[i].kind = kind;
+      to[i].base = PU_HANDLE_NONE;
+      if (kind == PU_MODEL_BASE)
+        to[i].base_name = "";
+    }
+}
+
+static void
+make_models (pu_document_t *d)
+{
+  d->n_models = d->bases.n + d->adapters.n;
+  d->models = g_new0 (pu_model_t, d->n_models);
+  copy_models (d->models, &d->bases, PU_MODEL_BASE);
+  copy_models (d->models + d->bases.n, &d->adapters, PU_MODEL_ADAPTER);
+  if (d->n_models > 0)
+    qsort (d->models, d->n_models, sizeof (pu_model_t), compare_models);
+}
+
+static guint32
+find_handle (GHashTable *names, const char *name)
+{
+  gpointer value = g_hash_table_lookup (names, name);
+
+  return value == NULL ? PU_HANDLE_NONE : GPOINTER_TO_UINT (value) - 1;
+}
+
+static void
+add_name (GHashTable *names, const char *name, guint32 h)
+{
+  /* Of a doubled name, which the checks refuse, the first counts.  */
+  if (!g_hash_table_contains (names, name))
+    g_hash_table_insert (names, (gpointer)name, GUINT_TO_POINTER (h + 1));
+}
+
+static void
+make_names (pu_document_t *d)
+{
+  const pu_service_t *services = d->services.items;
+
+  d->service_names = g_hash_table_new (g_str_hash, g_str_equal);
+  d->model_names = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < d->services.n; i++)
+    add_name (d->service_names, services[i].name, i);
+  for (guint i = 0; i < d->n_models; i++)
+    add_name (d->model_names, d->models[i].name, i);
+}
+
+/* Resolves the models that service S lists.  */
+static void
+resolve_service (pu_document_t *d, pu_service_handle_t s)
+{
+  pu_service_t *service = (pu_service_t *)d->services.items + s;
+  guint n = service->model_names.n;
+  pu_model_handle_t *models
+      = pu_json_arena_alloc (d->arena, n * sizeof *models);
+
+  for (guint i = 0; i < n; i++)
+    {
+      models[i] = find_handle (d->model_names, service->model_names.items[i]);
+      if (models[i] != PU_HANDLE_NONE
+          && d->default_service[models[i]] == PU_HANDLE_NONE)
+        d->default_service[models[i]] = s;
+    }
+  service->models = models;
+}
+
+static void
+resolve_bases (pu_document_t *d)
+{
+  for (guint h = 0; h < d->n_models; h++)
+    {
+      pu_model_t *m = &d->models[h];
+
+      if (m->kind == PU_MODEL_BASE)
+        continue;
+      m->base = find_handle (d->model_names, m->base_name);
+      if (m->base != PU_HANDLE_NONE)
+        m->accelerators = d->models[m->base].accelerators;
+    }
+}
+
+/* Groups the adapters by their base: a counting sort.  */
+static void
+group_adapters (pu_document_t *d)
+{
+  guint *next = g_new0 (guint, d->n_models + 1);
+
+  d->first_adapter = g_new0 (guint, d->n_models + 1);
+  d->by_base = g_new0 (pu_model_handle_t, d->n_models + 1);
+  for (guint h = 0; h < d->n_models; h++)
+    {
+      if (d->models[h].base != PU_HANDLE_NONE)
+        d->first_adapter[d->models[h].base + 1]++;
+    }
+  for (guint h = 0; h < d->n_models; h++)
+    d->first_adapter[h + 1] += d->first_adapter[h];
+  memcpy (next, d->first_adapter, (d->n_models + 1) * sizeof *next);
+  for (guint h = 0; h < d->n_models; h++)
+    {
+      if (d->models[h].base != PU_HANDLE_NONE)
+        d->by_base[next[d->models[h].base]++] = h;
+    }
+  g_free (next);
+}
+
+static void
+make_tables (pu_document_t *d)
+{
+  make_models (d);
+  make_names (d);
+  d->default_service = g_new (pu_service_handle_t, d->n_models + 1);
+  for (guint h = 0; h < d->n_models; h++)
+    d->default_service[h] = PU_HANDLE_NONE;
+  for (guint s = 0; s < d->services.n; s++)
+    resolve_service (d, s);
+  resolve_bases (d);
+  group_adapters (d);
+}
+
+static void
+set_default (guint32 *value, guint32 fallback)
+{
+  if (*value == 0)
+    *value = fallback;
+}
+
+/* Targets left out, once the checks have seen which were given.  */
+static void
+set_targets (pu_document_t *d)
+{
+  pu_service_t *services = d->services.items;
+
+  for (guint i = 0; i < d->services.n; i++)
+    {
+      pu_targets_t *t = &services[i].targets;
+
+      switch ((pu_service_kind_t)services[i].kind)
+        {
+        case PU_SERVICE_MODEL:
+          set_default (&t->first_token_ms, FIRST_TOKEN_MS);
+          set_default (&t->per_token_ms, PER_TOKEN_MS);
+          break;
+        case PU_SERVICE_PLAIN:
+          set_default (&t->answer_ms, ANSWER_MS);
+          break;
+        }
+    }
+}
+
+/* With a table that is no object, every name would seem undeclared.  */
+static bool
+tables_are_objects (const json_t *value)
+{
+  static const char *const tables[] = { "services", "models", "adapters" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (tables); i++)
+    {
+      const json_t *table = json_object_get (value, tables[i]);
+
+      if (table != NULL && !json_is_object (table))
+        return false;
+    }
+  return json_is_object (value);
+}
+
+static void
+read_value (pu_document_t *d, const json_t *value, pu_findings_t *f)
+{
+  pu_json_read (value, &pu_document_schema, d, d->arena, f);
+  make_tables (d);
+  if (!tables_are_objects (value))
+    return;
+  pu_document_check (d, f);
+  set_targets (d);
+  d->text = pu_json_text (value);
+  if (strlen (d->text) > PU_DOCUMENT_TEXT_MAX)
+    {
+      pu_findings_add (f, "",
+                       "the text with sorted keys has %zu bytes; at most %zu "
+                       "are allowed",
+                       strlen (d->text), PU_DOCUMENT_TEXT_MAX);
+    }
+}
+
+pu_document_t *
+pu_document_parse (const char *text, size_t len, pu_findings_t *f)
+{
+  size_t before = pu_findings_count (f);
+  json_t *value = pu_json_load_document (text, len, PU_DOCUMENT_TEXT_MAX, f);
+  pu_document_t *d;
+
+  if (value == NULL)
+    return NULL;
+  d = g_new0 (pu_document_t, 1);
+  d->refs = 1;
+  d->arena = pu_json_arena_new ();
+  read_value (d, value, f);
+  json_decref (value);
+  if (pu_findings_count (f) == before)
+    return d;
+  pu_document_unref (d);
+  return NULL;
+}
+
+pu_document_t *
+pu_document_ref (pu_document_t *d)
+{
+  d->refs++;
+  return d;
+}
+
+void
+pu_document_unref (pu_document_t *d)
+{
+  if (d == NULL || --d->refs > 0)
+    return;
+  g_hash_table_destroy (d->service_names);
+  g_hash_table_destroy (d->model_names);
+  g_free (d->models);
+  g_free (d->default_service);
+  g_free (d->by_base);
+  g_free (d->first_adapter);
+  g_free (d->text);
+  pu_json_arena_free (d->arena);
+  g_free (d);
+}
+
+const char *
+pu_document_text (const pu_document_t *d)
+{
+  return d->text;
+}
+
+json_t *
+pu_document_effective (const pu_document_t *d)
+{
+  return pu_json_write (&pu_document_schema, d, false);
+}
+
+guint
+pu_document_services (const pu_document_t *d)
+{
+  return d->services.n;
+}
+
+guint
+pu_document_models (const pu_document_t *d)
+{
+  return d->n_models;
+}
+
+const pu_service_t *
+pu_document_service (const pu_document_t *d, pu_service_handle_t h)
+{
+  g_assert (h < d->services.n);
+  return (const pu_service_t *)d->services.items + h;
+}
+
+const pu_model_t *
+pu_document_model (const pu_document_t *d, pu_model_handle_t h)
+{
+  g_assert (h < d->n_models);
+  return &d->models[h];
+}
+
+const pu_placement_settings_t *
+pu_document_placement (const pu_document_t *d)
+{
+  return &d->placement;
+}
+
+const pu_version_change_t *
+pu_document_version_change (const pu_document_t *d)
+{
+  return &d->version_change;
+}
+
+pu_service_handle_t
+pu_document_find_service (const pu_document_t *d, const char *name)
+{
+  return find_handle (d->service_names, name);
+}
+
+pu_model_handle_t
+pu_document_find_model (const pu_document_t *d, const char *name)
+{
+  return find_handle (d->model_names, name);
+}
+
+pu_service_handle_t
+pu_document_default_service (const pu_document_t *d, pu_model_handle_t h)
+{
+  g_assert (h < d->n_models);
+  return d->default_service[h];
+}
+
+bool
+pu_document_lists (const pu_document_t *d, pu_service_handle_t s,
+                   pu_model_handle_t m)
+{
+  const pu_service_t *service = pu_document_service (d, s);
+
+  for (guint i = 0; i < service->model_names.n; i++)
+    {
+      if (service->models[i] == m)
+        return true;
+    }
+  return false;
+}
+
+const pu_model_handle_t *
+pu_document_adapters (const pu_document_t *d, pu_model_handle_t h, guint *n)
+{
+  g_assert (h < d->n_models);
+  *n = d->first_adapter[h + 1] - d->first_adapter[h];
+  return *n == 0 ? NULL : &d->by_base[d->first_adapter[h]];
+}
+
+guint32
+pu_model_load_mb (const pu_model_t *m)
+{
+  return m->memory_mb + m->kv_cache_mb;
+}
+
+json_t *
+pu_document_diff (const json_t *older, const json_t *newer)
+{
+  return pu_json_diff (older, newer);
+}
--- a/libplantainusher/document/document.h
+++ b/libplantainusher/document/document.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 
 #include "base/findings.h"
+#include "base/json.h"
 
 G_BEGIN_DECLS
 
@@ -76,26 +77,19 @@
   guint32 answer_ms;      /* plain services: the whole answer; else 0 */
 } pu_targets_t;
 
-/* A list of strings, owned by what holds it.  */
-typedef struct
-{
-  const char **items;
-  guint n;
-} pu_document_strings_t;
-
 typedef struct
 {
   const char *name;
   guint32 kind;       /* pu_service_kind_t */
   guint32 importance; /* 1..10, 10 first */
   pu_targets_t targets;
-  guint32 timeout_ms;      /* when the caller gives none */
-  guint32 max_concurrency; /* requests running at once, whole system */
-  guint32 max_queue;       /* requests waiting at once at one entry */
-  guint32 claim_window_s;  /* how long an at-most-once key is kept */
-  pu_document_strings_t model_names;    /* as listed */
-  pu_document_strings_t not_repeatable; /* "METHOD /path-prefix" */
-  const pu_model_handle_t *models;      /* model_names.n of them, as listed */
+  guint32 timeout_ms;            /* when the caller gives none */
+  guint32 max_concurrency;       /* requests running at once, whole system */
+  guint32 max_queue;             /* requests waiting at once at one entry */
+  guint32 claim_window_s;        /* how long an at-most-once key is kept */
+  pu_json_strings_t model_names; /* as listed */
+  pu_json_strings_t not_repeatable; /* "METHOD /path-prefix" */
+  const pu_model_handle_t *models;  /* model_names.n of them, as listed */
 } pu_service_t;
 
 typedef struct
@@ -188,8 +182,9 @@
 
 /* pu_service_not_repeatable - whether METHOD on PATH (below the service, with
    or without a query) matches an entry of S's not_repeatable.  A prefix
-   matches whole segments; PATH is compared with escapes decoded and with
-   `.`, `..` and empty segments removed; method `*` matches all.  */
+   matches whole segments; method `*` matches all.  PATH is compared as a
+   server may read it: escapes decoded, empty and `.` segments and segment
+   parameters dropped, `..` both kept and resolved; in doubt it matches.  */
 bool pu_service_not_repeatable (const pu_service_t *s, const char *method,
                                 const char *path);
 
@@ -218,7 +213,8 @@
    servers at C.  A copy takes its memory on every accelerator of the server
    that holds it, a server holds one copy of a model at most and must have at
    least the model's number of accelerators; an adapter goes beside its base.
-   Adds findings with the sums for PU_FIT_IMPOSSIBLE only.  */
+   Adds findings with the sums for PU_FIT_IMPOSSIBLE only.  Without any server
+   (N is 0) nothing is known: PU_FIT_UNPROVED.  */
 pu_fit_t pu_document_check_fit (const pu_document_t *d, const pu_capacity_t *c,
                                 size_t n, pu_findings_t *f);
 
--- /dev/null
+++ b/libplantainusher/document/repeat.c
@@ -0,0 +1,134 @@
+#include "document/internal.h"
+
+#include <string.h>
+
+#define METHOD_MAX ((size_t)32)
+
+const char *
+pu_document_check_not_repeatable (const char *s)
+{
+  static const char fault[]
+      = "is not a method and a path prefix, such as \"POST /rooms\"";
+  size_t n = strspn (s, "ABCDEFGHIJKLMNOPQRSTUVWXYZ");
+
+  if (n == 0 && *s == '*')
+    n = 1;
+  if (n == 0 || n > METHOD_MAX || s[n] != ' ' || s[n + 1] != '/')
+    return fault;
+  for (const char *c = s + n + 1; *c != '\0'; c++)
+    {
+      if (!g_ascii_isgraph (*c) || strchr ("?#;%", *c) != NULL)
+        return fault;
+    }
+  return NULL;
+}
+
+static char *
+decoded (const char *path)
+{
+  size_t n = strcspn (path, "?#");
+  GString *out = g_string_sized_new (n);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      char c = path[i];
+
+      if (c == '%' && i + 2 < n && g_ascii_isxdigit (path[i + 1])
+          && g_ascii_isxdigit (path[i + 2]))
+        {
+          c = (char)(g_ascii_xdigit_value (path[i + 1]) * 16
+                     + g_ascii_xdigit_value (path[i + 2]));
+          i += 2;
+        }
+      if (c != '\0')
+        g_string_append_c (out, c);
+    }
+  return g_string_free (out, FALSE);
+}
+
+static void
+drop_last (GString *out)
+{
+  const char *slash = strrchr (out->str, '/');
+
+  if (slash != NULL)
+    g_string_truncate (out, (gsize)(slash - out->str));
+}
+
+/* PATH as "/a/b" without empty and `.` segments and without segment
+   parameters; with RESOLVE, `..` takes its segment away.  */
+static char *
+normalized (const char *path, bool resolve)
+{
+  char *plain = decoded (path);
+  char **segments = g_strsplit (plain, "/", -1);
+  GString *out = g_string_new (NULL);
+
+  for (char **s = segments; *s != NULL; s++)
+    {
+      (*s)[strcspn (*s, ";")] = '\0';
+      if (**s == '\0' || strcmp (*s, ".") == 0)
+        continue;
+      if (resolve && strcmp (*s, "..") == 0)
+        {
+          drop_last (out);
+        }
+      else
+        {
+          g_string_append_printf (out, "/%s", *s);
+        }
+    }
+  g_strfreev (segments);
+  g_free (plain);
+  return g_string_free (out, FALSE);
+}
+
+static bool
+under (const char *path, const char *prefix)
+{
+  size_t n = strlen (prefix);
+
+  return strncmp (path, prefix, n) == 0 && (path[n] == '\0' || path[n] == '/');
+}
+
+static bool
+matches (const char *entry, const char *method, const char *literal,
+         const char *resolved)
+{
+  const char *space = strchr (entry, ' ');
+  size_t n = (size_t)(space - entry);
+  bool any = n == 1 && *entry == '*';
+  bool found;
+  char *prefix;
+
+  if (!any
+      && (strlen (method) != n || g_ascii_strncasecmp (entry, method, n) != 0))
+    return false;
+  prefix = normalized (space + 1, true);
+  found = under (literal, prefix) || under (resolved, prefix);
+  g_free (prefix);
+  return found;
+}
+
+bool
+pu_service_not_repeatable (const pu_service_t *s, const char *method,
+                           const char *path)
+{
+  char *literal;
+  char *resolved;
+  bool found = false;
+
+  if (s->not_repeatable.n == 0)
+    return false;
+  literal = normalized (path, false);
+  resolved = normalized (path, true);
+  for (guint i = 0; i < s->not_repeatable.n && !found; i++)
+    {
+      const char *entry = s->not_repeatable.items[i];
+
+      found = matches (entry, method, literal, resolved);
+    }
+  g_free (resolved);
+  g_free (literal);
+  return found;
+}
--- /dev/null
+++ b/libplantainusher/document/schema.c
@@ -0,0 +1,164 @@
+#include "document/internal.h"
+
+/* Most rows; a copy of any of them fits the messages between daemons.  */
+#define SERVICES_MAX 1024
+#define MODELS_MAX 4096
+#define ADAPTERS_MAX 16384
+#define COPIES_MAX 1024
+#define ACCELERATORS_MAX 64
+#define MEMORY_MB_MAX 10000000
+#define NOT_REPEATABLE_MAX 256
+
+#define MINUTE_MS 60000.0
+#define HOUR_MS (60.0 * MINUTE_MS)
+#define DAY_S 86400.0
+
+#define SCHEMA(table, row, key, check)                                        \
+  {                                                                           \
+    table, G_N_ELEMENTS (table), sizeof (row), key, check                     \
+  }
+
+/* A whole number in the struct ROW, from MIN to MAX in UNIT.  */
+#define INT(row, field, least, most, start, of)                               \
+  {                                                                           \
+    .name = #field, .type = PU_FIELD_INT, .offset = offsetof (row, field),    \
+    .min = (least), .max = (most), .fallback = (start), .unit = (of)          \
+  }
+
+/* The same without a default: the field must be there.  */
+#define NEEDED_INT(row, field, least, most, of)                               \
+  {                                                                           \
+    .name = #field, .type = PU_FIELD_INT, .flags = PU_FIELD_REQUIRED,         \
+    .offset = offsetof (row, field), .min = (least), .max = (most),           \
+    .unit = (of)                                                              \
+  }
+
+#define NUMBER(row, field, least, most, start, of)                            \
+  {                                                                           \
+    .name = #field, .type = PU_FIELD_NUMBER, .offset = offsetof (row, field), \
+    .min = (least), .max = (most), .fallback = (start), .unit = (of)          \
+  }
+
+#define NAME(row, key, field, need)                                           \
+  {                                                                           \
+    .name = (key), .type = PU_FIELD_STRING, .flags = (need),                  \
+    .offset = offsetof (row, field), .max = PU_DOCUMENT_NAME_MAX,             \
+    .check = pu_json_check_name                                               \
+  }
+
+static const char *const service_kinds[]
+    = { [PU_SERVICE_MODEL] = "model", [PU_SERVICE_PLAIN] = "plain", NULL };
+
+/* A target left out is 0 here; its default depends on the kind.  */
+static const pu_field_t target_fields[] = {
+  INT (pu_targets_t, first_token_ms, 1, HOUR_MS, 0, "ms"),
+  INT (pu_targets_t, per_token_ms, 1, MINUTE_MS, 0, "ms"),
+  INT (pu_targets_t, answer_ms, 1, HOUR_MS, 0, "ms"),
+};
+static const pu_schema_t target_schema
+    = SCHEMA (target_fields, pu_targets_t, 0, NULL);
+
+static const pu_field_t service_fields[] = {
+  { .name = "kind",
+    .type = PU_FIELD_WORD,
+    .offset = offsetof (pu_service_t, kind),
+    .fallback = PU_SERVICE_MODEL,
+    .words = service_kinds },
+  { .name = "models",
+    .type = PU_FIELD_STRINGS,
+    .offset = offsetof (pu_service_t, model_names),
+    .max = MODELS_MAX + ADAPTERS_MAX,
+    .check = pu_json_check_name },
+  INT (pu_service_t, importance, 1, 10, 5, NULL),
+  { .name = "targets",
+    .type = PU_FIELD_OBJECT,
+    .offset = offsetof (pu_service_t, targets),
+    .schema = &target_schema },
+  INT (pu_service_t, timeout_ms, 10, HOUR_MS, MINUTE_MS, "ms"),
+  INT (pu_service_t, max_concurrency, 1, 1000000, 1024, "requests"),
+  INT (pu_service_t, max_queue, 0, 100000, 256, "requests"),
+  { .name = "not_repeatable",
+    .type = PU_FIELD_STRINGS,
+    .offset = offsetof (pu_service_t, not_repeatable),
+    .max = NOT_REPEATABLE_MAX,
+    .check = pu_document_check_not_repeatable },
+  INT (pu_service_t, claim_window_s, 1, DAY_S, 600, "s"),
+};
+static const pu_schema_t service_schema
+    = SCHEMA (service_fields, pu_service_t, offsetof (pu_service_t, name),
+              pu_json_check_name);
+
+static const pu_field_t model_fields[] = {
+  NAME (pu_model_t, "version", version, PU_FIELD_REQUIRED),
+  NAME (pu_model_t, "previous_version", previous_version, 0),
+  NEEDED_INT (pu_model_t, memory_mb, 1, MEMORY_MB_MAX, "MB"),
+  NEEDED_INT (pu_model_t, kv_cache_mb, 0, MEMORY_MB_MAX, "MB"),
+  INT (pu_model_t, accelerators, 1, ACCELERATORS_MAX, 1, "accelerators"),
+  INT (pu_model_t, min_copies, 1, COPIES_MAX, 1, "copies"),
+  INT (pu_model_t, max_copies, 1, COPIES_MAX, COPIES_MAX, "copies"),
+};
+static const pu_schema_t model_schema = SCHEMA (
+    model_fields, pu_model_t, offsetof (pu_model_t, name), pu_json_check_name);
+
+static const pu_field_t adapter_fields[] = {
+  NAME (pu_model_t, "base", base_name, PU_FIELD_REQUIRED),
+  NAME (pu_model_t, "version", version, PU_FIELD_REQUIRED),
+  NAME (pu_model_t, "previous_version", previous_version, 0),
+  NEEDED_INT (pu_model_t, memory_mb, 1, MEMORY_MB_MAX, "MB"),
+  INT (pu_model_t, min_copies, 1, COPIES_MAX, 1, "copies"),
+  INT (pu_model_t, max_copies, 1, COPIES_MAX, COPIES_MAX, "copies"),
+};
+static const pu_schema_t adapter_schema
+    = SCHEMA (adapter_fields, pu_model_t, offsetof (pu_model_t, name),
+              pu_json_check_name);
+
+static const pu_field_t placement_fields[] = {
+  NUMBER (pu_placement_settings_t, moves_weight, 0, 1, 0.5, NULL),
+  NUMBER (pu_placement_settings_t, store_loads_per_s, 0.01, 1000, 2,
+          "loads a second"),
+  INT (pu_placement_settings_t, store_full_speed, 1, 1000, 3, "loads"),
+  INT (pu_placement_settings_t, min_stay_s, 0, DAY_S, 120, "s"),
+  INT (pu_placement_settings_t, payback_s, 1, DAY_S, 300, "s"),
+  { .name = "zone_spread",
+    .type = PU_FIELD_BOOL,
+    .offset = offsetof (pu_placement_settings_t, zone_spread),
+    .fallback = 1 },
+};
+static const pu_schema_t placement_schema
+    = SCHEMA (placement_fields, pu_placement_settings_t, 0, NULL);
+
+static const pu_field_t version_fields[] = {
+  INT (pu_version_change_t, watch_s, 0, DAY_S, 60, "s"),
+  INT (pu_version_change_t, max_failures, 1, 100, 3, "failures"),
+};
+static const pu_schema_t version_schema
+    = SCHEMA (version_fields, pu_version_change_t, 0, NULL);
+
+static const pu_field_t fields[] = {
+  { .name = "services",
+    .type = PU_FIELD_MAP,
+    .flags = PU_FIELD_REQUIRED,
+    .offset = offsetof (pu_document_t, services),
+    .max = SERVICES_MAX,
+    .schema = &service_schema },
+  { .name = "models",
+    .type = PU_FIELD_MAP,
+    .offset = offsetof (pu_document_t, bases),
+    .max = MODELS_MAX,
+    .schema = &model_schema },
+  { .name = "adapters",
+    .type = PU_FIELD_MAP,
+    .offset = offsetof (pu_document_t, adapters),
+    .max = ADAPTERS_MAX,
+    .schema = &adapter_schema },
+  { .name = "placement",
+    .type = PU_FIELD_OBJECT,
+    .offset = offsetof (pu_document_t, placement),
+    .schema = &placement_schema },
+  { .name = "version_change",
+    .type = PU_FIELD_OBJECT,
+    .offset = offsetof (pu_document_t, version_change),
+    .schema = &version_schema },
+};
+
+const pu_schema_t pu_document_schema = SCHEMA (fields, pu_document_t, 0, NULL);
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -24,7 +24,7 @@
 #define INT(row, field, least, most, start, of)                               \
   {                                                                           \
     .name = #field, .type = PU_FIELD_INT, .offset = offsetof (row, field),    \
-    .min = least, .max = most, .fallback = start, .unit = of                  \
+    .min = (least), .max = (most), .fallback = (start), .unit = (of)          \
   }
 
 static const char *const log_levels[]
