--- /dev/null
+++ b/bench/route_bench.cc
@@ -0,0 +1,647 @@
+/* Benchmarks of the router: what one choice costs, and how its decisions fare
+   against common policies on the same seeded trace.
+
+   Usage: route_bench [--json] [--quick] [--only PREFIX] [--seeds N]  */
+
+#include "routing/router.h"
+
+#include "route_sim.h"
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using sim::Request;
+using Starts = std::vector<Request *>;
+
+/* ---- Policies ---- */
+
+enum class Kind
+{
+  RoundRobin,
+  Random,
+  LeastConnections,
+};
+
+/* The common policies: each entry knows only what itself sent.  A failed
+   request is tried once more.  */
+class Common : public sim::Policy
+{
+public:
+  Common (Kind kind, const sim::Trace &t)
+      : kind_ (kind), holders_ (t.holders),
+        open_ (sim::kEntries, std::vector<int> (sim::kEngines)),
+        turn_ (sim::kModels)
+  {
+  }
+
+  void
+  offer (Request *q, int, Starts &starts) override
+  {
+    q->engine = pick (q);
+    open_[q->entry][q->engine]++;
+    starts.push_back (q);
+  }
+
+  void
+  done (Request *q, int) override
+  {
+    open_[q->entry][q->engine]--;
+  }
+
+  void
+  failed (Request *q, bool, int now, Starts &starts) override
+  {
+    done (q, now);
+    if (q->attempts < 2)
+      offer (q, now, starts);
+  }
+
+  void
+  token (Request *q, int now) override
+  {
+    if (q->tokens == 1)
+      q->first = now;
+  }
+
+  void
+  report (int, const sim::Engine &, int) override
+  {
+  }
+
+private:
+  int
+  pick (const Request *q)
+  {
+    const auto &list = holders_[q->model];
+    int best = list[rand_ () % list.size ()];
+    if (kind_ == Kind::RoundRobin)
+      return list[turn_[q->model]++ % list.size ()];
+    if (kind_ == Kind::Random)
+      return best;
+    for (int e : list)
+      if (open_[q->entry][e] < open_[q->entry][best])
+        best = e;
+    return best;
+  }
+
+  Kind kind_;
+  std::vector<std::vector<int> > holders_;
+  std::vector<std::vector<int> > open_;
+  std::vector<unsigned> turn_;
+  std::mt19937 rand_{ 7 };
+};
+
+/* One router an entry, driven as the shell drives it.  */
+class Routed : public sim::Policy
+{
+public:
+  explicit Routed (const sim::Trace &t)
+  {
+    for (int i = 0; i < sim::kEntries; i++)
+      routers_.push_back (make (t, i));
+    running_.resize (sim::kEntries);
+    out_ = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
+  }
+
+  ~Routed () override
+  {
+    for (pu_router_t *r : routers_)
+      pu_router_free (r);
+    g_array_free (out_, TRUE);
+  }
+
+  Routed (const Routed &) = delete;
+  Routed &operator= (const Routed &) = delete;
+
+  void
+  offer (Request *q, int now, Starts &starts) override
+  {
+    guint64 prefix[sim::kPrefixTokens / 16];
+    for (guint i = 0; i < G_N_ELEMENTS (prefix); i++)
+      prefix[i] = block (q->prefix, i);
+    pu_router_request_t in = {};
+    in.service = static_cast<guint> (q->service);
+    in.model = static_cast<guint> (q->model);
+    in.prompt_tokens = static_cast<guint> (q->prompt);
+    in.max_tokens = 180;
+    in.prefix = prefix;
+    in.n_prefix = G_N_ELEMENTS (prefix);
+    in.repeatable = true;
+    pu_router_decision_t d;
+    pu_router_offer (routers_[q->entry], &in, time (now), &d);
+    apply (q, d, starts);
+  }
+
+  void
+  token (Request *q, int now) override
+  {
+    pu_router_t *r = routers_[q->entry];
+    if (q->tokens == 1)
+      {
+        q->first = now;
+        pu_router_first_token (r, q->ticket, time (now));
+      }
+    else
+      pu_router_tokens (r, q->ticket, static_cast<guint> (q->tokens),
+                        time (now));
+  }
+
+  void
+  done (Request *q, int now) override
+  {
+    running_[q->entry].erase (q->ticket);
+    pu_router_finished (routers_[q->entry], q->ticket, PU_ROUTER_WHOLE,
+                        time (now));
+  }
+
+  void
+  cancelled (Request *q, int now) override
+  {
+    running_[q->entry].erase (q->ticket);
+    pu_router_cancel (routers_[q->entry], q->ticket, time (now));
+  }
+
+  void
+  failed (Request *q, bool sent, int now, Starts &starts) override
+  {
+    pu_router_decision_t d;
+    pu_ticket_t old = q->ticket;
+    pu_router_retry (routers_[q->entry], old,
+                     sent ? PU_ROUTER_FAIL_DIED : PU_ROUTER_FAIL_CONNECT,
+                     time (now), &d);
+    running_[q->entry].erase (old);
+    apply (q, d, starts);
+  }
+
+  void
+  report (int engine, const sim::Engine &e, int now) override
+  {
+    for (pu_router_t *r : routers_)
+      {
+        pu_router_report_t report = {};
+        report.seq = static_cast<guint64> (now);
+        report.running
+            = static_cast<guint> (e.prefill.size () + e.decode.size ());
+        report.waiting = static_cast<guint> (e.waiting.size ());
+        report.age_ms = sim::kLagMs;
+        pu_router_report (r, static_cast<guint> (engine), &report, time (now));
+        events (r, engine, e);
+      }
+    numbers_[engine]++;
+  }
+
+  void
+  tick (int now, Starts &starts) override
+  {
+    for (int i = 0; i < sim::kEntries; i++)
+      {
+        g_array_set_size (out_, 0);
+        pu_router_next (routers_[i], time (now), out_);
+        for (guint k = 0; k < out_->len; k++)
+          {
+            auto &d = g_array_index (out_, pu_router_decision_t, k);
+            apply (running_[i].at (d.ticket), d, starts);
+          }
+      }
+  }
+
+private:
+  static guint64
+  block (int prefix, guint i)
+  {
+    return static_cast<guint64> (prefix) * 1000 + i + 1;
+  }
+
+  static guint64
+  time (int now)
+  {
+    return 1000000 + static_cast<guint64> (now);
+  }
+
+  /* One batch a report; one in fifty is lost.  */
+  void
+  events (pu_router_t *r, int engine, const sim::Engine &e)
+  {
+    guint64 n = numbers_[engine] + 1;
+    if (n % 50 == 49)
+      return;
+    std::vector<guint64> added;
+    std::vector<guint64> removed;
+    for (guint i = 0; i < sim::kPrefixTokens / 16; i++)
+      {
+        for (int p : e.added)
+          added.push_back (block (p, i));
+        for (int p : e.removed)
+          removed.push_back (block (p, i));
+      }
+    pu_router_kv_events_t batch = { n,
+                                    n,
+                                    added.data (),
+                                    static_cast<guint> (added.size ()),
+                                    removed.data (),
+                                    static_cast<guint> (removed.size ()) };
+    pu_router_kv_events (r, static_cast<guint> (engine), &batch);
+  }
+
+  void
+  apply (Request *q, const pu_router_decision_t &d, Starts &starts)
+  {
+    q->ticket = d.ticket;
+    if (d.verdict == PU_ROUTER_REFUSE)
+      {
+        running_[q->entry].erase (d.ticket);
+        return;
+      }
+    running_[q->entry][d.ticket] = q;
+    if (d.verdict == PU_ROUTER_QUEUED)
+      return;
+    q->engine = static_cast<int> (d.backend);
+    starts.push_back (q);
+  }
+
+  static pu_router_t *
+  make (const sim::Trace &t, int seed)
+  {
+    pu_router_options_t o;
+    pu_router_options_init (&o);
+    o.seed = static_cast<guint64> (seed) + 1;
+    pu_router_t *r = pu_router_new (&o);
+    for (int s = 0; s < sim::kServices; s++)
+      {
+        std::string name = "s" + std::to_string (s);
+        pu_router_service_options_t so = { name.c_str (),
+                                           1,
+                                           sim::kFirstTargetMs,
+                                           sim::kTokenTargetMs,
+                                           sim::kTimeoutMs,
+                                           0,
+                                           200 };
+        pu_router_set_service (r, &so);
+      }
+    for (int m = 0; m < sim::kModels; m++)
+      pu_router_set_model (r, ("m" + std::to_string (m)).c_str (), nullptr, 0);
+    for (int e = 0; e < sim::kEngines; e++)
+      {
+        std::vector<std::string> names;
+        for (int m = 0; m < sim::kModels; m++)
+          if (std::count (t.holders[m].begin (), t.holders[m].end (), e))
+            names.push_back ("m" + std::to_string (m));
+        std::vector<pu_router_copy_t> copies;
+        for (const std::string &name : names)
+          copies.push_back ({ name.c_str (), "1", PU_ROUTER_COPY_READY });
+        std::string name = "e" + std::to_string (e);
+        pu_router_backend_options_t b = {};
+        b.name = name.c_str ();
+        b.incarnation = 1;
+        b.region = "";
+        b.zone = "";
+        b.copies = copies.data ();
+        b.n_copies = static_cast<guint> (copies.size ());
+        pu_router_set_backend (r, &b);
+      }
+    return r;
+  }
+
+  std::vector<pu_router_t *> routers_;
+  std::vector<std::map<pu_ticket_t, Request *> > running_;
+  std::map<int, guint64> numbers_;
+  GArray *out_;
+};
+
+/* ---- Comparisons ---- */
+
+struct Settings
+{
+  bool json = false, quick = false;
+  std::string only;
+  int seeds = 3;
+  int
+  ms () const
+  {
+    return quick ? 30000 : 120000;
+  }
+};
+
+Settings settings;
+/* About 0.8 of what the engines can give on target.  */
+constexpr double kRate = 100;
+
+void
+print (const std::string &name, double value, const char *unit,
+       double ratio = -1)
+{
+  if (!settings.json)
+    {
+      std::printf ("%-32s %10.4f %-8s", name.c_str (), value, unit);
+      std::printf (ratio < 0 ? "\n" : "  ratio %.3f\n", ratio);
+      return;
+    }
+  std::printf ("{\"name\": \"%s\", \"value\": %.6g, \"unit\": \"%s\"",
+               name.c_str (), value, unit);
+  if (ratio >= 0)
+    std::printf (", \"ratio\": %.4g", ratio);
+  std::printf ("}\n");
+}
+
+bool
+wanted (const char *name)
+{
+  return std::string (name).compare (0, settings.only.size (), settings.only)
+         == 0;
+}
+
+using Maker = std::function<std::unique_ptr<sim::Policy> (const sim::Trace &)>;
+
+Maker
+common (Kind kind)
+{
+  return [kind] (const sim::Trace &t) {
+    return std::make_unique<Common> (kind, t);
+  };
+}
+
+std::unique_ptr<sim::Policy>
+routed (const sim::Trace &t)
+{
+  return std::make_unique<Routed> (t);
+}
+
+sim::Result
+simulate (const Maker &maker, double rate, int failing)
+{
+  sim::Result sum;
+  for (int seed = 1; seed <= settings.seeds; seed++)
+    {
+      sim::Trace t = sim::make_trace (static_cast<unsigned> (seed),
+                                      settings.ms (), rate);
+      auto policy = maker (t);
+      sim::Result r
+          = sim::Simulation (t, *policy, failing).run (settings.ms ());
+      sum.offered += r.offered;
+      sum.attained += r.attained;
+      sum.attempts += r.attempts;
+      sum.tried += r.tried;
+      sum.first_ms.insert (sum.first_ms.end (), r.first_ms.begin (),
+                           r.first_ms.end ());
+    }
+  std::sort (sum.first_ms.begin (), sum.first_ms.end ());
+  return sum;
+}
+
+double
+share (const sim::Result &r)
+{
+  return static_cast<double> (r.attained) / std::max (1, r.offered);
+}
+
+double
+percentile (const sim::Result &r, double p)
+{
+  if (r.first_ms.empty ())
+    return 0;
+  return r.first_ms[static_cast<size_t> (
+      p * static_cast<double> (r.first_ms.size () - 1))];
+}
+
+double
+print_share (const char *name, const sim::Result &r)
+{
+  print (std::string ("route.attainment.") + name, share (r), "share");
+  print (std::string ("route.first_ms.p50.") + name, percentile (r, 0.5),
+         "ms");
+  print (std::string ("route.first_ms.p99.") + name, percentile (r, 0.99),
+         "ms");
+  return share (r);
+}
+
+void
+attainment ()
+{
+  double best = 0;
+  best = std::max (
+      best, print_share ("round_robin",
+                         simulate (common (Kind::RoundRobin), kRate, 0)));
+  best = std::max (
+      best,
+      print_share ("random", simulate (common (Kind::Random), kRate, 0)));
+  best = std::max (
+      best,
+      print_share ("least_connections",
+                   simulate (common (Kind::LeastConnections), kRate, 0)));
+  sim::Result ours = simulate (routed, kRate, 0);
+  print ("route.attainment.burst", share (ours), "share", share (ours) / best);
+  print ("route.first_ms.p50", percentile (ours, 0.5), "ms");
+  print ("route.first_ms.p99", percentile (ours, 0.99), "ms");
+}
+
+void
+goodput ()
+{
+  double peak = 0;
+  double last = 0;
+  double seconds = settings.ms () / 1000.0 * settings.seeds;
+  for (double times : { 0.5, 1.0, 1.5, 2.0, 3.0 })
+    {
+      sim::Result r = simulate (routed, kRate * times, 0);
+      sim::Result lc
+          = simulate (common (Kind::LeastConnections), kRate * times, 0);
+      last = r.attained / seconds;
+      peak = std::max (peak, last);
+      char name[64];
+      std::snprintf (name, sizeof name, "route.goodput.at.%.1fx", times);
+      print (name, last, "req/s",
+             last / std::max (1e-9, lc.attained / seconds));
+    }
+  print ("route.goodput.3x", last / peak, "share");
+}
+
+void
+amplification ()
+{
+  sim::Result r = simulate (routed, kRate, 2);
+  sim::Result lc = simulate (common (Kind::LeastConnections), kRate, 2);
+  double ours = static_cast<double> (r.attempts) / std::max (1, r.tried);
+  double theirs = static_cast<double> (lc.attempts) / std::max (1, lc.tried);
+  print ("route.retry_amplification", ours, "attempts", ours / theirs);
+  print ("route.attainment.failing", share (r), "share",
+         share (r) / share (lc));
+}
+
+/* ---- Cost of a choice ---- */
+
+constexpr int kBigModels = 940, kBigEngines = 770, kHeld = 94, kHolders = 70;
+
+/* Engines 0..HOLDERS-1 hold the first models, the others the rest: six models
+   each.  Only the first OTHERS of the other engines are there.  */
+pu_router_t *
+big_router (int others)
+{
+  pu_router_options_t o;
+  pu_router_options_init (&o);
+  pu_router_t *r = pu_router_new (&o);
+  pu_router_service_options_t s = { "s", 1, 390, 56, 5000, 0, 1000 };
+  pu_router_set_service (r, &s);
+  for (int m = 0; m < kBigModels; m++)
+    pu_router_set_model (r, ("m" + std::to_string (m)).c_str (), "1", 1000);
+  for (int e = 0; e < kHolders + others; e++)
+    {
+      bool holder = e < kHolders;
+      std::vector<std::string> names;
+      for (int i = 0; i < 6; i++)
+        names.push_back (
+            "m"
+            + std::to_string (
+                holder ? (e * 6 + i) % kHeld
+                       : kHeld + (e * 6 + i) % (kBigModels - kHeld)));
+      std::vector<pu_router_copy_t> copies;
+      for (const std::string &name : names)
+        copies.push_back ({ name.c_str (), "1", PU_ROUTER_COPY_READY });
+      std::string name = "e" + std::to_string (e);
+      pu_router_backend_options_t b = {};
+      b.name = name.c_str ();
+      b.incarnation = 1;
+      b.region = "";
+      b.zone = e % 2 ? "a" : "b";
+      b.copies = copies.data ();
+      b.n_copies = 6;
+      pu_router_backend_t h = pu_router_set_backend (r, &b);
+      std::vector<guint64> blocks;
+      for (guint64 i = 0; i < 2000; i++)
+        blocks.push_back (i * 770 + static_cast<guint64> (e));
+      pu_router_kv_events_t events
+          = { 1, 1, blocks.data (), 2000, nullptr, 0 };
+      pu_router_kv_events (r, h, &events);
+    }
+  return r;
+}
+
+/* Offers and finishes, with about 2,000 requests in flight.  */
+void
+choice (benchmark::State &state, int others, int models, bool whole)
+{
+  pu_router_t *r = big_router (others);
+  GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
+  std::mt19937 rand (1);
+  std::vector<pu_ticket_t> ring (2000);
+  guint64 prefix[64];
+  guint64 now = 1000000;
+  size_t at = 0;
+  for (auto _ : state)
+    {
+      if (!whole)
+        state.PauseTiming ();
+      pu_router_first_token (r, ring[(at + 1990) % 2000], now);
+      pu_router_finished (r, ring[at], PU_ROUTER_WHOLE, now);
+      g_array_set_size (out, 0);
+      pu_router_next (r, now, out);
+      for (guint64 &block : prefix)
+        block = rand ();
+      pu_router_request_t q = {};
+      q.model = static_cast<guint> (rand ()) % static_cast<guint> (models);
+      q.prompt_tokens = 1000;
+      q.max_tokens = 200;
+      q.prefix = prefix;
+      q.n_prefix = 64;
+      pu_router_decision_t d;
+      if (!whole)
+        state.ResumeTiming ();
+      pu_router_offer (r, &q, now, &d);
+      ring[at] = d.ticket;
+      at = (at + 1) % 2000;
+      now += at % 4 == 0;
+    }
+  pu_router_free (r);
+  g_array_free (out, TRUE);
+}
+
+class Keeper : public benchmark::BenchmarkReporter
+{
+public:
+  std::map<std::string, double> us; /* by name */
+
+  bool
+  ReportContext (const Context &) override
+  {
+    return true;
+  }
+
+  void
+  ReportRuns (const std::vector<Run> &runs) override
+  {
+    for (const Run &run : runs)
+      if (run.aggregate_name == "median")
+        us[run.run_name.function_name] = run.GetAdjustedRealTime ();
+  }
+};
+
+void
+choices ()
+{
+  struct
+  {
+    const char *name;
+    int others, models;
+    bool whole;
+  } cases[] = {
+    { "all", kBigEngines - kHolders, kBigModels, false },
+    { "held", kBigEngines - kHolders, kHeld, false },
+    { "held_tenth", (kBigEngines - kHolders) / 10, kHeld, false },
+    { "request", kBigEngines - kHolders, kBigModels, true },
+  };
+  for (const auto &c : cases)
+    benchmark::RegisterBenchmark (
+        c.name,
+        [c] (benchmark::State &s) { choice (s, c.others, c.models, c.whole); })
+        ->Unit (benchmark::kMicrosecond)
+        ->Iterations (settings.quick ? 50000 : 200000)
+        ->Repetitions (5);
+  Keeper keeper;
+  benchmark::RunSpecifiedBenchmarks (&keeper);
+  print ("route.choice_us", keeper.us["all"], "us",
+         keeper.us["held"] / keeper.us["held_tenth"]);
+  print ("route.request_us", keeper.us["request"], "us");
+}
+
+} // namespace
+
+int
+main (int argc, char **argv)
+{
+  for (int i = 1; i < argc; i++)
+    {
+      if (!std::strcmp (argv[i], "--json"))
+        settings.json = true;
+      else if (!std::strcmp (argv[i], "--quick"))
+        settings.quick = true;
+      else if (!std::strcmp (argv[i], "--only") && i + 1 < argc)
+        settings.only = argv[++i];
+      else if (!std::strcmp (argv[i], "--seeds") && i + 1 < argc)
+        settings.seeds = std::max (1, std::atoi (argv[++i]));
+      else
+        {
+          std::fprintf (stderr, "usage: route_bench [--json] [--quick] "
+                                "[--only PREFIX] [--seeds N]\n");
+          return 2;
+        }
+    }
+  if (wanted ("route.choice_us"))
+    choices ();
+  if (wanted ("route.attainment"))
+    attainment ();
+  if (wanted ("route.goodput"))
+    goodput ();
+  if (wanted ("route.retry_amplification"))
+    amplification ();
+  return 0;
+}
--- a/fakes/answer.c
+++ b/fakes/answer.c
@@ -81,16 +81,6 @@
   return text;
 }
 
-void
-fake_question_make (fake_question_t *q, const char *model, const char *prompt,
-                    guint tokens)
-{
-  char *body = fake_question_body (model, prompt, tokens, true);
-
-  fake_question_parse (q, body, strlen (body), true);
-  free (body);
-}
-
 void
 fake_answer_token (guint64 seed, guint index, char out[FAKE_TOKEN_SIZE])
 {
--- a/fakes/answer.h
+++ b/fakes/answer.h
@@ -35,15 +35,11 @@
                           bool chat);
 void fake_question_clear (fake_question_t *q);
 
-/* fake_question_body - the request's body as a new string; FAKE_DEFAULT_TOKENS
-   when TOKENS is 0.  */
+/* fake_question_body - the body of a chat request as a new string, to be freed
+   with free; FAKE_DEFAULT_TOKENS when TOKENS is 0.  */
 char *fake_question_body (const char *model, const char *prompt, guint tokens,
                           bool stream);
 
-/* fake_question_new - fills Q as parsing such a chat request would.  */
-void fake_question_make (fake_question_t *q, const char *model,
-                         const char *prompt, guint tokens);
-
 /* fake_answer_token - token INDEX (from 0) of the answer of SEED.  */
 void fake_answer_token (guint64 seed, guint index, char out[FAKE_TOKEN_SIZE]);
 
