--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -64,11 +64,17 @@
     conn->last_ms = now;
   passed = now - conn->last_ms;
   if (!conn->failed && passed < conn->limit_ms)
-    uv_timer_start (t, on_timer, conn->limit_ms - passed, 0);
+    {
+      uv_timer_start (t, on_timer, conn->limit_ms - passed, 0);
+    }
   else if (conn->call != NULL)
-    pu_call_end (conn->call, timeout_kind (conn));
+    {
+      pu_call_end (conn->call, timeout_kind (conn));
+    }
   else
-    pu_conn_close (conn);
+    {
+      pu_conn_close (conn);
+    }
 }
 
 void
@@ -153,8 +159,10 @@
   const pu_http_reader_t *rd = conn->call->reader;
 
   if (!pu_http_reader_has_head (rd))
-    return conn->reused && !conn->received ? PU_HTTP_END_STALE
-                                           : PU_HTTP_END_CLOSED;
+    {
+      return conn->reused && !conn->received ? PU_HTTP_END_STALE
+                                             : PU_HTTP_END_CLOSED;
+    }
   if (why == UV_EOF
       && pu_http_reader_response (rd)->body_kind == PU_HTTP_BODY_CLOSE)
     return PU_HTTP_END_UNTIL_CLOSE;
@@ -179,20 +187,30 @@
     return;
   /* An idle connection must stay silent: what comes is nobody's answer.  */
   if (conn->call == NULL)
-    pu_conn_close (conn);
+    {
+      pu_conn_close (conn);
+    }
   else if (n < 0)
-    pu_call_end (conn->call, closed_kind (conn, n));
+    {
+      pu_call_end (conn->call, closed_kind (conn, n));
+    }
   else
-    data_read (conn, buf->base, (gsize)n);
+    {
+      data_read (conn, buf->base, (gsize)n);
+    }
 }
 
 void
 pu_conn_read (pu_conn_t *conn, bool on)
 {
   if (on)
-    uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+    {
+      uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+    }
   else
-    uv_read_stop ((uv_stream_t *)&conn->tcp);
+    {
+      uv_read_stop ((uv_stream_t *)&conn->tcp);
+    }
 }
 
 static void
--- a/libplantainusher/http/request.c
+++ b/libplantainusher/http/request.c
@@ -48,6 +48,12 @@
   return r->remote;
 }
 
+guint64
+pu_http_request_connection (const pu_http_request_t *r)
+{
+  return r->req->conn->id;
+}
+
 const char *
 pu_http_request_body (const pu_http_request_t *r, gsize *len)
 {
@@ -95,11 +101,13 @@
   char *value = NULL;
 
   for (char **p = pairs; *p != NULL && value == NULL; p++)
-    if (strncmp (*p, key, len) == 0 && (*p)[len] == '=')
-      {
-        g_strdelimit (*p, "+", ' ');
-        value = g_uri_unescape_string (*p + len + 1, NULL);
-      }
+    {
+      if (strncmp (*p, key, len) == 0 && (*p)[len] == '=')
+        {
+          g_strdelimit (*p, "+", ' ');
+          value = g_uri_unescape_string (*p + len + 1, NULL);
+        }
+    }
   g_strfreev (pairs);
   return value;
 }
@@ -183,11 +191,17 @@
   if (r->sending || r->ended)
     return;
   if (r->pending->len > 0)
-    pending_send (r);
+    {
+      pending_send (r);
+    }
   else if (r->aborting)
-    end_send (r, H2O_SEND_STATE_ERROR);
+    {
+      end_send (r, H2O_SEND_STATE_ERROR);
+    }
   else if (r->finishing)
-    end_send (r, H2O_SEND_STATE_FINAL);
+    {
+      end_send (r, H2O_SEND_STATE_FINAL);
+    }
 }
 
 static void
@@ -199,9 +213,13 @@
   r->sending = false;
   g_byte_array_set_size (r->inflight, 0);
   if (r->pending->len > 0 || r->finishing || r->aborting)
-    request_pump (r);
+    {
+      request_pump (r);
+    }
   else if (!r->released && r->events.on_drain != NULL)
-    r->events.on_drain (r->data);
+    {
+      r->events.on_drain (r->data);
+    }
 }
 
 static int
@@ -302,11 +320,17 @@
   gone_report (r);
   r->req->http1_is_persistent = 0;
   if (r->sending || r->ended)
-    connection_cut (r);
+    {
+      connection_cut (r);
+    }
   else if (r->started)
-    end_send (r, H2O_SEND_STATE_ERROR);
+    {
+      end_send (r, H2O_SEND_STATE_ERROR);
+    }
   else
-    pu_http_respond (r, STATUS_CLIENT_CLOSED, NULL, 0, "", 0);
+    {
+      pu_http_respond (r, STATUS_CLIENT_CLOSED, NULL, 0, "", 0);
+    }
 }
 
 /* HTTP/2 reads on and sees by itself that a caller has gone; HTTP/1 does not
@@ -390,7 +414,7 @@
 {
   pu_http_request_t *r = g_new0 (pu_http_request_t, 1);
   pu_http_request_t **slot
-      = h2o_mem_alloc_shared (&req->pool, sizeof *slot, on_dispose);
+      = h2o_mem_alloc_shared (&req->pool, sizeof (void *), on_dispose);
 
   *slot = r;
   r->server = s;
@@ -417,10 +441,14 @@
   const char *body = s->refusal_body != NULL ? s->refusal_body : "";
 
   if (headers_size (req) > s->o.header_max)
-    pu_http_respond (r, STATUS_HEADERS_TOO_LARGE, refusal,
-                     s->refusal_body != NULL ? G_N_ELEMENTS (refusal) : 0,
-                     body, strlen (body));
+    {
+      pu_http_respond (r, STATUS_HEADERS_TOO_LARGE, refusal,
+                       s->refusal_body != NULL ? G_N_ELEMENTS (refusal) : 0,
+                       body, strlen (body));
+    }
   else
-    s->o.handler (s->o.data, r);
+    {
+      s->o.handler (s->o.data, r);
+    }
   return 0;
 }
--- a/libplantainusher/http/response.c
+++ b/libplantainusher/http/response.c
@@ -159,13 +159,21 @@
   if (connection != NULL && list_has (connection, "keep-alive"))
     rd->keep_alive = true;
   if (rd->no_body || status_has_no_body (r->status))
-    r->body_kind = PU_HTTP_BODY_NONE;
+    {
+      r->body_kind = PU_HTTP_BODY_NONE;
+    }
   else if (chunked)
-    r->body_kind = PU_HTTP_BODY_CHUNKED;
+    {
+      r->body_kind = PU_HTTP_BODY_CHUNKED;
+    }
   else if (has_length)
-    r->body_kind = PU_HTTP_BODY_LENGTH;
+    {
+      r->body_kind = PU_HTTP_BODY_LENGTH;
+    }
   else
-    r->body_kind = PU_HTTP_BODY_CLOSE;
+    {
+      r->body_kind = PU_HTTP_BODY_CLOSE;
+    }
   rd->left = r->length;
   return true;
 }
@@ -199,8 +207,10 @@
                                  headers, &n, last_len);
 
   if (size == -2)
-    return rd->head->len > rd->head_max ? PU_HTTP_READ_TOO_LARGE
-                                        : PU_HTTP_READ_MORE;
+    {
+      return rd->head->len > rd->head_max ? PU_HTTP_READ_TOO_LARGE
+                                          : PU_HTTP_READ_MORE;
+    }
   if (size < 0 || rd->response.status == STATUS_SWITCHING)
     return PU_HTTP_READ_MALFORMED;
   if ((gsize)size > rd->head_max)
--- a/libplantainusher/http/server.c
+++ b/libplantainusher/http/server.c
@@ -68,9 +68,13 @@
   uv_tcp_init (listener->loop, tcp);
   if (uv_accept (listener, (uv_stream_t *)tcp) != 0
       || s->conns.length >= s->o.connections_max)
-    uv_close ((uv_handle_t *)tcp, tcp_closed);
+    {
+      uv_close ((uv_handle_t *)tcp, tcp_closed);
+    }
   else
-    connection_accept (s, tcp);
+    {
+      connection_accept (s, tcp);
+    }
 }
 
 static void
@@ -221,15 +225,19 @@
   s->accept.ssl_ctx = ctx;
   SSL_CTX_set_min_proto_version (ctx, TLS1_2_VERSION);
   if (SSL_CTX_use_certificate_chain_file (ctx, s->o.certificate) != 1)
-    return pu_error_set (e, PU_ERROR_INVALID,
-                         "The certificate file '%s' can't be used.",
-                         s->o.certificate);
+    {
+      return pu_error_set (e, PU_ERROR_INVALID,
+                           "The certificate file '%s' can't be used.",
+                           s->o.certificate);
+    }
   if (s->o.key == NULL
       || SSL_CTX_use_PrivateKey_file (ctx, s->o.key, SSL_FILETYPE_PEM) != 1
       || SSL_CTX_check_private_key (ctx) != 1)
-    return pu_error_set (e, PU_ERROR_INVALID,
-                         "The key file '%s' can't be used.",
-                         s->o.key != NULL ? s->o.key : "");
+    {
+      return pu_error_set (e, PU_ERROR_INVALID,
+                           "The key file '%s' can't be used.",
+                           s->o.key != NULL ? s->o.key : "");
+    }
   h2o_ssl_register_alpn_protocols (ctx, h2o_http2_alpn_protocols);
   return true;
 }
@@ -296,8 +304,10 @@
   if (rc == 0)
     rc = uv_listen ((uv_stream_t *)&s->listener, BACKLOG, on_connection);
   if (rc != 0)
-    return pu_error_set (e, PU_ERROR_IO, "Can't listen on %s port %d: %s.",
-                         s->o.host, s->o.port, uv_strerror (rc));
+    {
+      return pu_error_set (e, PU_ERROR_IO, "Can't listen on %s port %d: %s.",
+                           s->o.host, s->o.port, uv_strerror (rc));
+    }
   s->port = port_of (&s->listener);
   return true;
 }
--- a/libplantainusher/http/server.h
+++ b/libplantainusher/http/server.h
@@ -80,6 +80,8 @@
 /* what follows '?', as sent; "" when there is none */
 const char *pu_http_request_query (const pu_http_request_t *r);
 const char *pu_http_request_remote (const pu_http_request_t *r); /* IP */
+/* number of its connection in this process; a later one's is greater */
+guint64 pu_http_request_connection (const pu_http_request_t *r);
 const char *pu_http_request_body (const pu_http_request_t *r, gsize *len);
 
 /* pu_http_request_header - the first value of NAME, or NULL.  */
