Membership: adaptive suspicion of daemons, leases of backend servers

A fixed time-out calls a slow instance dead; a mean with its deviation alone (tried first) calls a slow but steady one dead at its first lost beat, as its deviation is 0. So a subject may miss one beat: twice the mean and six deviations, between bounds.

--- a/libplantainusher/membership/membership.h
+++ b/libplantainusher/membership/membership.h
@@ -17,12 +17,13 @@
  * A core: the shell feeds what was heard and when, and asks for what is down.
  * Times are milliseconds of the leader's monotonic clock.
  *
- * How long a subject may be silent follows the beats it was heard at: the
- * mean of the intervals and `deviations` times their mean deviation, between
- * its least and its most.  A slow instance is given more time, never less
- * than the least.  While the route it came by (a voter for a session, the
- * home entry for a lease) is silent itself, it gets the most: its silence
- * says nothing.  Time that the leader could not listen does not count.
+ * How long a subject may be silent follows the beats it was heard at: twice
+ * the mean of the intervals, so that one beat may get lost, and `deviations`
+ * times their mean deviation, between its least and its most.  A slow instance
+ * is given more time, never less than the least.  While the route it came by
+ * (a voter for a session, the home entry for a lease) is silent itself, it
+ * gets the most: its silence says nothing.  Time that the leader could not
+ * listen does not count.
  */
 
 typedef struct pu_membership pu_membership_t;
