--- a/libplantainusher/rpc/client.c
+++ b/libplantainusher/rpc/client.c
@@ -656,6 +656,12 @@
   return c->link != NULL;
 }
 
+bool
+pu_rpc_client_busy (const pu_rpc_client_t *c)
+{
+  return g_hash_table_size (c->calls) > 0;
+}
+
 const char *
 pu_rpc_client_address (const pu_rpc_client_t *c)
 {
--- a/libplantainusher/rpc/client.h
+++ b/libplantainusher/rpc/client.h
@@ -81,6 +81,9 @@
 /* pu_rpc_client_up - true while there is a connection after its handshake.  */
 bool pu_rpc_client_up (const pu_rpc_client_t *c);
 
+/* pu_rpc_client_busy - true while a call waits for its answer.  */
+bool pu_rpc_client_busy (const pu_rpc_client_t *c);
+
 /* pu_rpc_client_address - "host:port" of the peer.  */
 const char *pu_rpc_client_address (const pu_rpc_client_t *c);
 
--- a/libplantainusher/rpc/rpc_test.cc
+++ b/libplantainusher/rpc/rpc_test.cc
@@ -11,6 +11,7 @@
 #include "rpc/client.h"
 #include "rpc/link.h"
 #include "rpc/message.h"
+#include "rpc/pool.h"
 #include "rpc/server.h"
 }
 
@@ -504,6 +505,32 @@
   EXPECT_EQ (states, std::vector<bool>{ true });
 }
 
+TEST_F (Rpc, RemovedHandlerIsNotFound)
+{
+  serve ();
+  dial ();
+  EXPECT_EQ (call (echo).kind, PU_OK);
+  pu_rpc_server_remove (server, program, 1, echo);
+  EXPECT_EQ (call (echo).kind, PU_ERROR_NOT_FOUND);
+  EXPECT_EQ (call (refuse).kind, PU_ERROR_UNAVAILABLE);
+}
+
+TEST_F (Rpc, PoolKeepsOneClientAnAddressUntilItIsIdle)
+{
+  pu_rpc_pool_options_t o = {};
+  pu_rpc_pool_t *pool;
+
+  o.client.loop = &loop;
+  o.client.key = "secret";
+  o.idle_ms = 40;
+  pool = pu_rpc_pool_new (&o);
+  EXPECT_EQ (pu_rpc_pool_get (pool, "nowhere"), nullptr);
+  auto *first = pu_rpc_pool_get (pool, "127.0.0.1:1");
+  EXPECT_EQ (pu_rpc_pool_get (pool, "127.0.0.1:1"), first);
+  run_until ([&] { return pu_rpc_pool_size (pool) == 0; });
+  pu_rpc_pool_free (pool);
+}
+
 TEST_F (Rpc, ClientMayBeFreedFromAnAnswer)
 {
   serve ();
--- a/libplantainusher/rpc/server.c
+++ b/libplantainusher/rpc/server.c
@@ -173,14 +173,14 @@
 }
 
 static const route_t *
-route_find (const pu_rpc_server_t *s, const pu_rpc_message_t *m)
+route_find (const pu_rpc_server_t *s, guint32 program, guint32 version,
+            guint32 proc)
 {
   for (guint i = 0; i < s->routes->len; i++)
     {
       const route_t *r = &g_array_index (s->routes, route_t, i);
 
-      if (r->program == m->program && r->version == m->version
-          && r->proc == m->proc)
+      if (r->program == program && r->version == version && r->proc == proc)
         return r;
     }
   return NULL;
@@ -213,7 +213,7 @@
       conn_send (conn, &reply);
       return true;
     }
-  route = route_find (conn->server, m);
+  route = route_find (conn->server, m->program, m->version, m->proc);
   reply.kind = conn_check (conn, route);
   if (reply.kind != PU_OK || route == NULL)
     {
@@ -461,6 +461,19 @@
   g_array_append_val (s->routes, r);
 }
 
+void
+pu_rpc_server_remove (pu_rpc_server_t *s, guint32 program, guint32 version,
+                      guint32 proc)
+{
+  const route_t *r = route_find (s, program, version, proc);
+
+  if (r != NULL)
+    {
+      g_array_remove_index_fast (
+          s->routes, (guint)(r - (const route_t *)(void *)s->routes->data));
+    }
+}
+
 guint16
 pu_rpc_server_port (const pu_rpc_server_t *s)
 {
--- a/libplantainusher/rpc/server.h
+++ b/libplantainusher/rpc/server.h
@@ -47,6 +47,11 @@
 void pu_rpc_server_add (pu_rpc_server_t *s, guint32 program, guint32 version,
                         guint32 proc, pu_rpc_handler_t *handler, void *data);
 
+/* pu_rpc_server_remove - takes the handler away; calls get PU_ERROR_NOT_FOUND
+   from then on.  */
+void pu_rpc_server_remove (pu_rpc_server_t *s, guint32 program,
+                           guint32 version, guint32 proc);
+
 /* pu_rpc_server_port - the port that it listens on.  */
 guint16 pu_rpc_server_port (const pu_rpc_server_t *s);
 
