--- /dev/null
+++ b/libplantainusher/entry/entry.h
@@ -0,0 +1,139 @@
+#ifndef PU_ENTRY_ENTRY_H
+#define PU_ENTRY_ENTRY_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "state/state.h"
+
+G_BEGIN_DECLS
+
+/*
+ * entry - a daemon's listener for callers and backend servers.
+ *
+ * It answers which entries serve a service, takes the reports of backend
+ * servers, and carries each request to a backend server, or one hop to an
+ * entry that serves the service.  What it needs of the rest of the daemon
+ * comes through hooks, and the daemon tells it when the view has changed.
+ * docs/design/relay.md says what happens to a request.
+ */
+
+typedef struct pu_entry pu_entry_t;
+
+/* A load report that goes from entry to entry.  */
+typedef struct
+{
+  const char *backend;
+  guint64 incarnation;
+  guint64 seq;
+  guint running;
+  guint waiting;
+  guint kv_used_mb;
+  guint tokens_per_s;
+} pu_entry_load_t;
+
+/* pu_entry_done_fn - the same as pu_agent_done_fn.  */
+typedef void pu_entry_done_fn (void *data, const pu_reply *r,
+                               const pu_error_t *e);
+
+/* What the daemon does for the entry.  Each gets DATA first.  */
+typedef struct
+{
+  /* The public copy of the state; never NULL.  */
+  const pu_state_t *(*view) (void *data);
+  /* Whether the view may be served from.  */
+  bool (*ready) (void *data);
+  /* The incarnation of this daemon, owner of its claims.  */
+  guint64 (*incarnation) (void *data);
+  /* As pu_agent_propose: FN exactly once, never from within.  */
+  void (*propose) (void *data, const pu_command *c, guint timeout_ms,
+                   pu_entry_done_fn *fn, void *fn_data);
+  /* As pu_agent_renew and pu_agent_demand.  */
+  void (*renew) (void *data, const char *backend, guint64 incarnation);
+  void (*demand) (void *data, const char *model, guint32 requests,
+                  guint32 stream_ms);
+  /* Sends N loads to the daemon whose peers' address is ADDRESS.  May be
+     NULL.  */
+  void (*loads) (void *data, const char *address, const pu_entry_load_t *loads,
+                 guint n);
+  void *data;
+} pu_entry_hooks_t;
+
+typedef struct
+{
+  uv_loop_t *loop;
+  const char *name; /* of this instance */
+  const char *region;
+  const char *zone;
+  const char *host; /* IP number of the callers' address */
+  int port;
+  const char *certificate; /* PEM files; NULL: no TLS */
+  const char *key;
+  const char *peer_key;            /* marks a request relayed by an entry */
+  const char *const *backend_keys; /* any of them opens the announce path */
+  guint n_backend_keys;
+  pu_counters_t *counters; /* may be NULL */
+  guint32 seed;
+  gsize header_max;        /* bytes; 0 here and below: the default */
+  gsize body_max;          /* 8 MiB; also the longest whole answer */
+  gsize announcement_max;  /* 1 MiB */
+  guint connections_max;   /* 4096 */
+  guint requests_max;      /* 4096: in progress at once */
+  guint connect_ms;        /* 1000 */
+  guint progress_ms;       /* 10000: a stream without a byte is silent */
+  guint probe_ms;          /* 1000: second opinion on a new connection */
+  guint idle_ms;           /* 4000: life of an idle pooled connection */
+  guint report_ms;         /* 1000: asked of backend servers */
+  guint propose_ms;        /* 2000: a claim that takes longer is refused */
+  guint ttl_s;             /* 10: how long callers keep an answer */
+  guint64 claim_window_ms; /* as the state's; 0: one hour */
+  pu_entry_hooks_t hooks;
+} pu_entry_options_t;
+
+/* pu_entry_options_init - fills O with the defaults.  */
+void pu_entry_options_init (pu_entry_options_t *o);
+
+/* pu_entry_new - listens.  The strings of O are copied.  NULL and E as of
+   pu_http_server_new.  */
+pu_entry_t *pu_entry_new (const pu_entry_options_t *o, pu_error_t *e);
+
+/* pu_entry_view_changed - call after each change of the view, and once when
+   it is first ready.  */
+void pu_entry_view_changed (pu_entry_t *en);
+
+/* pu_entry_loads_in - loads that another entry sent.  */
+void pu_entry_loads_in (pu_entry_t *en, const pu_entry_load_t *loads, guint n);
+
+/* pu_entry_leave - from now on /healthz and /v1/entries no longer name this
+   entry.  Requests are still served.  */
+void pu_entry_leave (pu_entry_t *en);
+
+/* pu_entry_stop - the planned stop: accepts no connections, finishes what is
+   open and then calls CB.  */
+void pu_entry_stop (pu_entry_t *en, void (*cb) (void *data), void *data);
+
+/* pu_entry_abort - gives up what is still open, for a stop that takes too
+   long.  CB of pu_entry_stop still comes.  */
+void pu_entry_abort (pu_entry_t *en);
+
+/* pu_entry_free - after the callback of stop.  The loop must run until the
+   handles are closed.  */
+void pu_entry_free (pu_entry_t *en);
+
+int pu_entry_port (const pu_entry_t *en);
+
+/* pu_entry_open - requests in progress and outcomes not yet recorded.  */
+guint pu_entry_open (const pu_entry_t *en);
+
+/* pu_entry_dump - a new object with the requests, the router, the backend
+   servers that report here and the pools.  The caller owns it.  */
+json_t *pu_entry_dump (const pu_entry_t *en);
+
+G_END_DECLS
+
+#endif
