Router: adapt the work sent ahead to each backend server

Change: the allowed work ahead shrinks by a lateness and grows by each answer in time; the services' limit doubles until it was too high once.

--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -101,15 +101,15 @@
 
 /* Whether the work sent ahead to S leaves room for more.  */
 static bool
-window_allows (const pu_router_t *r, const request_t *q, const copy_t *c,
-               guint64 pending)
+window_allows (const pu_router_t *r, const request_t *q, const backend_t *s,
+               const copy_t *c, guint64 pending)
 {
   guint target = service_at (r, q->service)->first_token_ms;
   double ahead_ms = line_slope (&c->first) * (double)pending;
 
   if (target == 0 || pending == 0)
     return true;
-  return ahead_ms * 100 <= (double)target * r->options.window_pct;
+  return ahead_ms * 100 <= s->window * target * r->options.window_pct;
 }
 
 static double
@@ -138,7 +138,7 @@
     return false;
   load = backend_load (s, now);
   pending = pending_tokens (s, m, now);
-  if (!step_allows (r, q, s, load) || !window_allows (r, q, c, pending))
+  if (!step_allows (r, q, s, load) || !window_allows (r, q, s, c, pending))
     return false;
   out->backend = b;
   out->copy = copy;
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -7,12 +7,18 @@
 #define USED_PCT 90      /* of the limit, to count as used */
 #define SHRINK 0.9
 #define GROW 1.1
+#define GROW_FIRST 2.0 /* until a window was late */
 
 /* The adaptive slots of a backend server.  */
 #define SLOTS_MIN 4
 #define SLOTS_USED_PCT 80
 #define WAITING_MAX 2 /* requests an engine may have waiting */
 
+/* The adaptive share of work sent ahead to a backend server.  */
+#define AHEAD_GROW 0.02
+#define AHEAD_SHRINK 0.7
+#define AHEAD_MIN 0.1
+
 #define BLOCK_MS 100      /* rest for one that says it is full */
 #define FAILURE_SHARE 0.2 /* weight of a new outcome */
 #define FAILURE_HIGH 0.5  /* share of failures that ejects */
@@ -77,10 +83,13 @@
   double floor = MAX (r->options.limit_min, fair_share (r, s));
 
   if (late_pct > LATE_HIGH_PCT && s->limit > floor)
-    s->limit = MAX (s->limit * SHRINK, floor);
+    {
+      s->limit = MAX (s->limit * SHRINK, floor);
+      s->was_late = true;
+    }
   if (late_pct < LATE_LOW_PCT && used)
     {
-      s->limit = s->limit * GROW + 1;
+      s->limit = s->limit * (s->was_late ? GROW : GROW_FIRST) + 1;
       open_flows (r, s);
     }
   s->samples = 0;
@@ -99,6 +108,21 @@
     window_close (r, s);
 }
 
+void
+window_sample (backend_t *b, guint64 sent_at, bool late, guint64 now)
+{
+  if (!late)
+    {
+      b->window = MIN (b->window + AHEAD_GROW, 1);
+      return;
+    }
+  /* One cut for all that was sent before the last one took effect.  */
+  if (sent_at < b->window_cut_at)
+    return;
+  b->window = MAX (b->window * AHEAD_SHRINK, AHEAD_MIN);
+  b->window_cut_at = now;
+}
+
 guint
 slots_of (const backend_t *s)
 {
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -622,6 +622,8 @@
   learn_first (r, q, now);
   claim_prefix (r, q);
   target = service_at (r, q->service)->first_token_ms;
+  if (target > 0)
+    window_sample (backend_at (r, q->backend), q->sent_at, now > q->due, now);
   if (target > 0 && q->attempt == 1)
     service_sample (r, q->service, now - q->offered_at > target);
   backend_dirty (r, q->backend);
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -30,6 +30,7 @@
   guint in_flight;
   guint waiting;
   double limit;  /* adaptive */
+  bool was_late; /* it was too high once */
   guint samples; /* of this window */
   guint late;
   guint peak;     /* highest in flight in this window */
@@ -99,6 +100,8 @@
   guint in_flight;
   guint prefilling;       /* own, before their first token */
   guint64 pending_tokens; /* of these */
+  double window;          /* share of the allowed work ahead; adaptive */
+  guint64 window_cut_at;
   line_t step;
   bool step_known;
   guint64 seq;
@@ -303,6 +306,10 @@
 /* service_sample - a first token came, LATE or in time.  */
 void service_sample (pu_router_t *r, pu_router_service_t s, bool late);
 
+/* window_sample - a first token came from B for a request sent at SENT_AT,
+   LATE or in time.  */
+void window_sample (backend_t *b, guint64 sent_at, bool late, guint64 now);
+
 /* slots_of - requests that B may have at once.  */
 guint slots_of (const backend_t *b);
 void slots_report (const pu_router_t *r, backend_t *b, guint64 now);
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -285,6 +285,7 @@
     .serial = ++r->serial,
     .used = true,
     .slots = r->options.slots_initial,
+    .window = 1,
     .copies = copies_new (),
     .budget = r->options.retry_burst,
     .tags = g_array_new (FALSE, TRUE, sizeof (double)),
