--- /dev/null
+++ b/cli/cli_server_test.cc
@@ -0,0 +1,284 @@
+/* The command line against the operators' paths over a fake daemon.  */
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <string>
+#include <thread>
+#include <unistd.h>
+#include <uv.h>
+#include <vector>
+
+#include "command.h"
+#include "operator/fake_daemon.h"
+#include "operator/mount.h"
+
+namespace
+{
+
+const char DOCUMENT[]
+    = "{\"services\":{\"tutor\":{\"models\":[\"small\"]}},"
+      "\"models\":{\"small\":{\"version\":\"1\",\"memory_mb\":14000,"
+      "\"kv_cache_mb\":6000}}}";
+
+/* A server on a thread of its own.  */
+class Server
+{
+public:
+  fake::Daemon daemon;
+  std::string address;
+
+  Server ()
+  {
+    const pu_operator_key_t key = { "ann", "k-ann" };
+    pu_operator_options_t o;
+    pu_http_server_options_t so = {};
+
+    pu_operator_options_init (&o);
+    o.keys = &key;
+    o.n_keys = 1;
+    o.hooks = daemon.hooks ();
+    op = pu_operator_new (&o);
+    uv_loop_init (&loop);
+    so.loop = &loop;
+    so.host = "127.0.0.1";
+    so.body_max = PU_OPERATOR_BODY_MAX;
+    so.linger_ms = 1;
+    so.handler = pu_operator_on_request;
+    so.data = op;
+    http = pu_http_server_new (&so, nullptr);
+    address = "127.0.0.1:" + std::to_string (pu_http_server_port (http));
+    uv_async_init (&loop, &stop, [] (uv_async_t *a) {
+      auto *s = static_cast<Server *> (a->data);
+
+      uv_close ((uv_handle_t *)a, nullptr);
+      pu_http_server_stop (
+          s->http,
+          [] (void *data) {
+            pu_http_server_free (static_cast<Server *> (data)->http);
+          },
+          s);
+      pu_http_server_abort (s->http);
+    });
+    stop.data = this;
+    thread = std::thread ([this] { uv_run (&loop, UV_RUN_DEFAULT); });
+  }
+  ~Server ()
+  {
+    uv_async_send (&stop);
+    thread.join ();
+    uv_loop_close (&loop);
+    pu_operator_free (op);
+  }
+  Server (const Server &) = delete;
+
+private:
+  uv_loop_t loop = {};
+  uv_async_t stop = {};
+  pu_operator_t *op;
+  pu_http_server_t *http;
+  std::thread thread;
+};
+
+/* A port that takes connections and never answers.  */
+class Silent
+{
+public:
+  std::string address;
+
+  Silent ()
+  {
+    sockaddr_in a = {};
+    socklen_t len = sizeof a;
+
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    fd = socket (AF_INET, SOCK_STREAM, 0);
+    bind (fd, (sockaddr *)&a, sizeof a);
+    listen (fd, 8);
+    getsockname (fd, (sockaddr *)&a, &len);
+    address = "127.0.0.1:" + std::to_string (ntohs (a.sin_port));
+  }
+  ~Silent () { close (fd); }
+  Silent (const Silent &) = delete;
+
+private:
+  int fd;
+};
+
+struct CommandLine : testing::Test
+{
+  Server server;
+  std::string file;
+
+  CommandLine ()
+  {
+    g_setenv ("PLANTAINUSHER_KEY", "k-ann", TRUE);
+    g_unsetenv ("PLANTAINUSHER_SERVER");
+    char *folder = g_dir_make_tmp ("cli_server_test.XXXXXX", nullptr);
+    file = std::string (folder) + "/document.json";
+    g_free (folder);
+    write (DOCUMENT);
+  }
+  ~CommandLine () override
+  {
+    remove (file.c_str ());
+    remove ((file + ".base").c_str ());
+    rmdir (file.substr (0, file.rfind ('/')).c_str ());
+  }
+
+  void
+  write (const std::string &text)
+  {
+    g_file_set_contents (file.c_str (), text.c_str (), -1, nullptr);
+  }
+
+  static int
+  run (const std::vector<std::string> &words)
+  {
+    std::vector<const char *> argv = { "plantainusher" };
+
+    for (const auto &w : words)
+      argv.push_back (w.c_str ());
+    argv.push_back (nullptr);
+    return pu_cli_main ((int)argv.size () - 1, argv.data ());
+  }
+
+  /* Runs a command at the server and gives its standard output.  */
+  int
+  at_server (std::vector<std::string> words, std::string *out = nullptr)
+  {
+    int code;
+
+    words.insert (words.end (), { "--server", server.address });
+    testing::internal::CaptureStdout ();
+    code = run (words);
+    std::string text = testing::internal::GetCapturedStdout ();
+    if (out != nullptr)
+      *out = text;
+    return code;
+  }
+};
+
+TEST_F (CommandLine, EachExitCodeIsMet)
+{
+  EXPECT_EQ (at_server ({ "show" }), PU_CLI_NOT_FOUND);
+  EXPECT_EQ (at_server ({ "check", file }), PU_CLI_OK);
+  EXPECT_EQ (run ({ "check", file }), PU_CLI_OK);
+  EXPECT_EQ (at_server ({ "submit", file }), PU_CLI_USAGE);
+  EXPECT_EQ (at_server ({ "submit", file, "--base-version", "0" }), PU_CLI_OK);
+  EXPECT_EQ (at_server ({ "submit", file, "--base-version", "0" }),
+             PU_CLI_CONFLICT);
+  EXPECT_EQ (at_server ({ "submit", file, "--latest" }), PU_CLI_OK);
+  write ("{\"services\":{\"x\":{\"kind\":\"none\"}}}");
+  EXPECT_EQ (at_server ({ "submit", file, "--latest" }), PU_CLI_INVALID);
+  EXPECT_EQ (at_server ({ "check", file }), PU_CLI_INVALID);
+  EXPECT_EQ (run ({ "check", file }), PU_CLI_INVALID);
+  EXPECT_EQ (at_server ({ "drain", "--backend", "none" }), PU_CLI_NOT_FOUND);
+  g_setenv ("PLANTAINUSHER_KEY", "wrong", TRUE);
+  EXPECT_EQ (at_server ({ "status" }), PU_CLI_DENIED);
+}
+
+TEST_F (CommandLine, NoQuorumIsUnavailable)
+{
+  server.daemon.log = fake::Log::NO_QUORUM;
+  EXPECT_EQ (at_server ({ "submit", file, "--base-version", "0" }),
+             PU_CLI_UNAVAILABLE);
+}
+
+TEST_F (CommandLine, ALostAnswerIsSentAgain)
+{
+  std::string out;
+
+  server.daemon.log = fake::Log::LOST_ANSWER;
+  EXPECT_EQ (at_server ({ "submit", file, "--base-version", "0" }, &out),
+             PU_CLI_OK);
+  EXPECT_NE (out.find ("Accepted before as version 1"), std::string::npos);
+}
+
+TEST_F (CommandLine, TheNextServerIsTried)
+{
+  Silent silent;
+
+  EXPECT_EQ (run ({ "status", "-s", "127.0.0.1:9", "-s", server.address }),
+             PU_CLI_OK);
+  EXPECT_EQ (run ({ "status", "-s", silent.address, "-s", server.address, "-t",
+                    "6" }),
+             PU_CLI_OK);
+}
+
+TEST_F (CommandLine, SilenceIsUnknown)
+{
+  Silent silent;
+
+  EXPECT_EQ (run ({ "submit", file, "--base-version", "0", "-s",
+                    silent.address, "-t", "1" }),
+             PU_CLI_UNKNOWN);
+  EXPECT_EQ (
+      run ({ "voters", "add", "c4", "-s", silent.address, "-t", "0.3" }),
+      PU_CLI_UNKNOWN);
+}
+
+TEST_F (CommandLine, AFetchedFileKnowsItsBase)
+{
+  ASSERT_EQ (at_server ({ "submit", file, "--base-version", "0" }), PU_CLI_OK);
+  ASSERT_EQ (at_server ({ "show", "--output", file }), PU_CLI_OK);
+  EXPECT_EQ (at_server ({ "submit", file }), PU_CLI_OK);
+  EXPECT_EQ (at_server ({ "submit", file }), PU_CLI_OK);
+  ASSERT_EQ (at_server ({ "submit", file, "--latest" }), PU_CLI_OK);
+  EXPECT_EQ (pu_state_document (server.daemon.state)->doc_version, 4u);
+}
+
+TEST_F (CommandLine, EveryCommandPrintsJson)
+{
+  const std::vector<std::vector<std::string> > commands = {
+    { "submit", file, "--base-version", "0" },
+    { "check", file },
+    { "show" },
+    { "diff", file },
+    { "plan", file },
+    { "history" },
+    { "status" },
+    { "dump" },
+    { "drain", "--backend", "none" },
+    { "voters", "add", "c4" },
+    { "convictions" },
+    { "log-level", "warn" },
+    { "console" },
+  };
+
+  for (auto words : commands)
+    {
+      std::string out;
+      json_t *j;
+
+      words.push_back ("--json");
+      at_server (words, &out);
+      j = json_loads (out.c_str (), 0, nullptr);
+      EXPECT_NE (j, nullptr) << words[0] << ": " << out;
+      json_decref (j);
+    }
+}
+
+TEST_F (CommandLine, TablesNameTheirRows)
+{
+  std::string out;
+
+  server.daemon.add_member ("entry-1");
+  server.daemon.add_engine ("eng-1");
+  at_server ({ "submit", file, "--base-version", "0" });
+  EXPECT_EQ (at_server ({ "status" }, &out), PU_CLI_OK);
+  for (const char *name : { "entry-1", "eng-1", "small", "tutor" })
+    EXPECT_NE (out.find (name), std::string::npos) << out;
+  EXPECT_EQ (at_server ({ "history" }, &out), PU_CLI_OK);
+  EXPECT_NE (out.find ("ann"), std::string::npos) << out;
+  write ("{\"services\":{\"tutor\":{\"models\":[\"small\"]}},\"models\":{"
+         "\"small\":{\"version\":\"2\",\"memory_mb\":1,\"kv_cache_mb\":1}}}");
+  EXPECT_EQ (at_server ({ "diff", file }, &out), PU_CLI_OK);
+  EXPECT_NE (out.find ("~ /models/small/version: \"1\" -> \"2\""),
+             std::string::npos)
+      << out;
+}
+
+}
--- a/cli/cli_test.cc
+++ b/cli/cli_test.cc
@@ -60,7 +60,7 @@
 
 TEST (Options, RefusesBadValues)
 {
-  const std::vector<std::vector<const char *>> bad = {
+  const std::vector<std::vector<const char *> > bad = {
     { "submit", "--timeout", "0" },
     { "submit", "--timeout", "nan" },
     { "submit", "--timeout", "5x" },
@@ -108,11 +108,11 @@
     int status;
     int code;
   } rows[] = {
-    { 200, PU_CLI_OK },          { 400, PU_CLI_INVALID },
-    { 413, PU_CLI_INVALID },     { 401, PU_CLI_DENIED },
-    { 403, PU_CLI_DENIED },      { 404, PU_CLI_NOT_FOUND },
-    { 409, PU_CLI_CONFLICT },    { 503, PU_CLI_UNAVAILABLE },
-    { 504, PU_CLI_UNKNOWN },     { 500, PU_CLI_FAILED },
+    { 200, PU_CLI_OK },       { 400, PU_CLI_INVALID },
+    { 413, PU_CLI_INVALID },  { 401, PU_CLI_DENIED },
+    { 403, PU_CLI_DENIED },   { 404, PU_CLI_NOT_FOUND },
+    { 409, PU_CLI_CONFLICT }, { 503, PU_CLI_UNAVAILABLE },
+    { 504, PU_CLI_UNKNOWN },  { 500, PU_CLI_FAILED },
   };
 
   for (const auto &row : rows)
@@ -140,7 +140,7 @@
 
 /* The exit codes of whole command lines that reach no daemon.  Port 9 of
    loopback is closed.  */
-TEST (CommandLine, ExitsByItsTable)
+TEST (WithoutDaemon, ExitsByItsTable)
 {
   const struct
   {
@@ -180,9 +180,8 @@
       for (const char *word : row.words)
         line += std::string (word) + " ";
       row.words.push_back (nullptr);
-      EXPECT_EQ (
-          pu_cli_main ((int)row.words.size () - 1, row.words.data ()),
-          row.code)
+      EXPECT_EQ (pu_cli_main ((int)row.words.size () - 1, row.words.data ()),
+                 row.code)
           << line;
     }
 }
--- a/libplantainusher/operator/documents.c
+++ b/libplantainusher/operator/documents.c
@@ -4,7 +4,8 @@
 
 #include <string.h>
 
-/* Reads a document from TEXT; on a fault it answers and returns NULL.  */
+/* Reads a document from TEXT; on a fault it answers, so that X is gone, and
+   returns NULL.  */
 static pu_document_t *
 read_document (pu_exchange_t *x, const char *text, size_t len)
 {
@@ -99,12 +100,13 @@
 pu_operator_diff (pu_exchange_t *x)
 {
   pu_document_t *d = read_document (x, x->body, x->body_len);
-  const pu_state_t *s = pu_exchange_view (x);
+  const pu_state_t *s;
   json_t *newer;
   json_t *body;
 
   if (d == NULL)
     return;
+  s = pu_exchange_view (x);
   newer = json_of_document (d);
   pu_document_unref (d);
   body = json_pack ("{s:I, s:o}", "base_version",
--- a/libplantainusher/operator/exchange.c
+++ b/libplantainusher/operator/exchange.c
@@ -66,6 +66,7 @@
 {
   char *text = json_dumps (body, JSON_COMPACT);
 
+  g_assert (text != NULL);
   json_decref (body);
   pu_exchange_send (x, status, "application/json", text, strlen (text));
   free (text);
@@ -102,9 +103,13 @@
 static json_t *
 error_json (const pu_error_t *e)
 {
-  return json_pack ("{s:s, s:s, s:s}", "error", pu_error_kind_name (e->kind),
-                    "message", e->message, "outcome",
-                    e->kind == PU_ERROR_TIMEOUT ? "unknown" : "not-run");
+  char *message = g_utf8_make_valid (e->message, -1);
+  json_t *body = json_pack (
+      "{s:s, s:s, s:s}", "error", pu_error_kind_name (e->kind), "message",
+      message, "outcome", e->kind == PU_ERROR_TIMEOUT ? "unknown" : "not-run");
+
+  g_free (message);
+  return body;
 }
 
 void
--- a/libplantainusher/operator/near.c
+++ b/libplantainusher/operator/near.c
@@ -31,30 +31,52 @@
   return row[n];
 }
 
-static bool
-is_near (const char *name, const char *other)
+/* The names found so far, the nearest first.  */
+typedef struct
 {
-  size_t len = strlen (name);
+  const char *names[NEAR_MAX];
+  guint distances[NEAR_MAX];
+  guint n;
+} nearest_t;
+
+static void
+insert (nearest_t *t, const char *name, guint distance)
+{
+  guint at = t->n;
 
-  if (len > NEAR_NAME_MAX || strlen (other) > NEAR_NAME_MAX)
-    return false;
-  return edit_distance (name, other) <= 1 + len / 4;
+  while (at > 0 && t->distances[at - 1] > distance)
+    at--;
+  if (at == NEAR_MAX)
+    return;
+  t->n = MIN (t->n + 1, NEAR_MAX);
+  for (guint i = t->n - 1; i > at; i--)
+    {
+      t->names[i] = t->names[i - 1];
+      t->distances[i] = t->distances[i - 1];
+    }
+  t->names[at] = name;
+  t->distances[at] = distance;
 }
 
 char *
 pu_operator_near (const GPtrArray *names, const char *name)
 {
   GString *out = g_string_new ("");
-  guint n = 0;
+  size_t len = strlen (name);
+  nearest_t t = { 0 };
 
-  for (guint i = 0; i < names->len && n < NEAR_MAX; i++)
+  for (guint i = 0; i < names->len && len <= NEAR_NAME_MAX; i++)
     {
       const char *other = g_ptr_array_index (names, i);
+      guint distance;
 
-      if (!is_near (name, other))
+      if (strlen (other) > NEAR_NAME_MAX)
         continue;
-      g_string_append_printf (out, "%s%s", n == 0 ? "" : ", ", other);
-      n++;
+      distance = edit_distance (name, other);
+      if (distance <= 1 + len / 4)
+        insert (&t, other, distance);
     }
+  for (guint i = 0; i < t.n; i++)
+    g_string_append_printf (out, "%s%s", i == 0 ? "" : ", ", t.names[i]);
   return g_string_free (out, FALSE);
 }
--- /dev/null
+++ b/libplantainusher/operator/operator_test.cc
@@ -0,0 +1,486 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "operator/fake_daemon.h"
+#include "operator/internal.h"
+
+namespace
+{
+
+const char KEY[] = "Bearer k-ann";
+/* JSON written with ' for ".  */
+std::string
+J (std::string text)
+{
+  std::replace (text.begin (), text.end (), '\'', '"');
+  return text;
+}
+
+const std::string GOOD
+    = J ("{'services':{'tutor':{'kind':'model','models':['small']}},"
+         "'models':{'small':{'version':'1','memory_mb':14000,'kv_cache_mb':"
+         "6000}}}");
+const std::string BAD = J (
+    "{'services':{'tutor':{'kind':'model','models':['smal']}},"
+    "'models':{'small':{'version':'1','memory_mb':-4,'kv_cache_mb':6000}}}");
+
+/* What came back; JSON bodies are parsed.  */
+struct Answer
+{
+  int calls = 0;
+  int status = 0;
+  std::string type;
+  std::string text;
+  std::string retry_after;
+  json_t *body = nullptr;
+
+  ~Answer () { json_decref (body); }
+
+  std::string
+  str (const char *key) const
+  {
+    const char *s = json_string_value (json_object_get (body, key));
+
+    return s != nullptr ? s : "";
+  }
+  json_int_t
+  num (const char *key) const
+  {
+    return json_integer_value (json_object_get (body, key));
+  }
+  size_t
+  size (const char *key) const
+  {
+    return json_array_size (json_object_get (body, key));
+  }
+};
+
+void
+on_answer (const pu_operator_response_t *r, void *data)
+{
+  auto *a = static_cast<Answer *> (data);
+
+  a->calls++;
+  a->status = r->status;
+  a->type = r->content_type;
+  a->text.assign (r->body, r->body_len);
+  a->body = json_loadb (r->body, r->body_len, 0, nullptr);
+  for (size_t i = 0; i < r->n_headers; i++)
+    {
+      if (std::string (r->headers[i].name) == "Retry-After")
+        a->retry_after = r->headers[i].value;
+    }
+}
+
+using AnswerPtr = std::unique_ptr<Answer>;
+
+struct Operator : testing::Test
+{
+  fake::Daemon daemon;
+  pu_operator_t *op = nullptr;
+
+  Operator ()
+  {
+    const pu_operator_key_t keys[] = { { "ann", "k-ann" }, { "bo", "k-bo" } };
+    pu_operator_options_t o;
+
+    pu_operator_options_init (&o);
+    o.keys = keys;
+    o.n_keys = 2;
+    o.hooks = daemon.hooks ();
+    op = pu_operator_new (&o);
+  }
+  ~Operator () override { pu_operator_free (op); }
+
+  AnswerPtr
+  ask (const char *method, const char *path, const std::string &body = "",
+       const char *authorization = KEY, const char *query = "")
+  {
+    auto a = std::make_unique<Answer> ();
+    const pu_operator_request_t r
+        = { method, path, query, authorization, body.data (), body.size () };
+
+    pu_operator_handle (op, &r, on_answer, a.get ());
+    return a;
+  }
+
+  static std::string
+  submission (int base, const char *id, const std::string &document,
+              const std::string &more = "")
+  {
+    return "{\"base_version\":" + std::to_string (base) + ",\"change_id\":\""
+           + id + "\"," + more + "\"document\":" + document + "}";
+  }
+
+  AnswerPtr
+  submit (int base, const char *id, const std::string &document = GOOD,
+          const std::string &more = "")
+  {
+    return ask ("POST", "/operator/submit",
+                submission (base, id, document, more));
+  }
+};
+
+TEST_F (Operator, KeysGuardEveryPathButTheConsole)
+{
+  EXPECT_EQ (ask ("GET", "/operator/status", "", nullptr)->status, 401);
+  EXPECT_EQ (ask ("GET", "/metrics", "", nullptr)->status, 401);
+  EXPECT_EQ (ask ("GET", "/operator/none", "", nullptr)->status, 401);
+  for (const char *wrong : { "Bearer k-an", "Bearer k-annn", "Bearer ",
+                             "Basic k-ann", "k-ann", "" })
+    EXPECT_EQ (ask ("GET", "/operator/status", "", wrong)->status, 403);
+  EXPECT_EQ (ask ("GET", "/operator/status", "", "bearer k-bo")->status, 200);
+  EXPECT_EQ (ask ("GET", "/console", "", nullptr)->status, 200);
+}
+
+TEST_F (Operator, KeysCanBeReplaced)
+{
+  const pu_operator_key_t key = { "cy", "k-cy" };
+
+  pu_operator_set_keys (op, &key, 1);
+  EXPECT_EQ (ask ("GET", "/operator/status")->status, 403);
+  EXPECT_EQ (ask ("GET", "/operator/status", "", "Bearer k-cy")->status, 200);
+}
+
+TEST_F (Operator, ServesTheConsolesFiles)
+{
+  auto page = ask ("GET", "/console", "", nullptr);
+
+  EXPECT_EQ (page->type, "text/html; charset=utf-8");
+  for (size_t i = 0; i < pu_console_n_files; i++)
+    {
+      auto a = ask ("GET", pu_console_files[i].path, "", nullptr);
+
+      EXPECT_EQ (a->status, 200);
+      EXPECT_GT (a->text.size (), 500u);
+      EXPECT_TRUE (i == 0
+                   || page->text.find (pu_console_files[i].path)
+                          != std::string::npos);
+    }
+}
+
+TEST_F (Operator, UnknownPathsAndMethodsAreTold)
+{
+  auto a = ask ("GET", "/operator/statos");
+
+  EXPECT_EQ (a->status, 404);
+  EXPECT_NE (a->str ("message").find ("/operator/status"), std::string::npos);
+  EXPECT_EQ (ask ("POST", "/operator/status")->status, 405);
+}
+
+TEST_F (Operator, CheckGivesEveryFinding)
+{
+  auto good = ask ("POST", "/operator/check", GOOD);
+  auto bad = ask ("POST", "/operator/check", BAD);
+  auto syntax = ask ("POST", "/operator/check", "{\n\"services\":{,}}");
+
+  EXPECT_EQ (good->status, 200);
+  EXPECT_EQ (good->size ("findings"), 0u);
+  EXPECT_EQ (bad->status, 400);
+  EXPECT_EQ (bad->size ("findings"), 3u) << bad->text;
+  EXPECT_EQ (syntax->status, 400);
+  EXPECT_EQ (
+      json_integer_value (json_object_get (
+          json_array_get (json_object_get (syntax->body, "findings"), 0),
+          "line")),
+      2)
+      << syntax->text;
+}
+
+TEST_F (Operator, CheckWarnsWhenModelsDoNotFit)
+{
+  std::string big = GOOD;
+
+  big.replace (big.find ("14000"), 5, "90000");
+  EXPECT_EQ (ask ("POST", "/operator/check", big)->size ("warnings"), 0u);
+  daemon.add_engine ("eng-1");
+  auto a = ask ("POST", "/operator/check", big);
+  EXPECT_EQ (a->status, 200);
+  EXPECT_GT (a->size ("warnings"), 0u);
+}
+
+TEST_F (Operator, SubmitPutsADocumentInForce)
+{
+  EXPECT_EQ (ask ("GET", "/operator/document")->status, 404);
+  auto a = submit (0, "c1");
+  ASSERT_EQ (a->status, 200) << a->text;
+  EXPECT_EQ (a->num ("version"), 1);
+  EXPECT_TRUE (json_is_false (json_object_get (a->body, "seen")));
+  auto d = ask ("GET", "/operator/document");
+  EXPECT_EQ (d->num ("version"), 1);
+  EXPECT_EQ (d->str ("author"), "ann");
+  EXPECT_EQ (d->str ("change_id"), "c1");
+  json_t *good = json_loads (GOOD.c_str (), 0, nullptr);
+  EXPECT_TRUE (json_equal (json_object_get (d->body, "document"), good));
+  json_decref (good);
+}
+
+TEST_F (Operator, SubmitTakesTextAndAuthor)
+{
+  json_t *text = json_string (GOOD.c_str ());
+  char *quoted = json_dumps (text, JSON_ENCODE_ANY);
+
+  EXPECT_EQ (submit (0, "c1", quoted, "\"author\":\"cy\",")->status, 200);
+  EXPECT_EQ (ask ("GET", "/operator/document")->str ("author"), "cy");
+  free (quoted);
+  json_decref (text);
+}
+
+TEST_F (Operator, SubmitFindsADoubledKeyInText)
+{
+  EXPECT_EQ (
+      submit (0, "c1", J ("'{\\'services\\':{},\\'services\\':{}}'"))->status,
+      400);
+  EXPECT_EQ (pu_state_document (daemon.state), nullptr);
+}
+
+TEST_F (Operator, SubmitRefusesABadBody)
+{
+  const std::vector<std::string> bad = {
+    "",
+    "[]",
+    "{",
+    J ("{'base_version':0,'base_version':0}"),
+    submission (-1, "c", GOOD),
+    submission (0, "", GOOD),
+    submission (0, std::string (129, 'x').c_str (), GOOD),
+    submission (0, "c", "3"),
+    submission (0, "c", GOOD, J ("'author':3,")),
+    submission (0, "c", GOOD, J ("'autor':'x',")),
+    submission (0, "c", BAD),
+  };
+
+  for (const auto &body : bad)
+    {
+      auto a = ask ("POST", "/operator/submit", body);
+
+      EXPECT_EQ (a->status, 400) << body;
+      EXPECT_GT (a->size ("findings"), 0u) << body;
+    }
+  EXPECT_EQ (ask ("POST", "/operator/submit", "{}")->size ("findings"), 3u);
+  EXPECT_EQ (daemon.position, 0u);
+}
+
+TEST_F (Operator, TooLargeIsTold)
+{
+  const std::string spaces (PU_DOCUMENT_TEXT_MAX + 1, ' ');
+
+  EXPECT_EQ (ask ("POST", "/operator/check", spaces)->status, 413);
+  EXPECT_EQ (ask ("POST", "/operator/submit",
+                  std::string (PU_OPERATOR_BODY_MAX + 1, ' '))
+                 ->status,
+             413);
+}
+
+TEST_F (Operator, ConflictSaysWhatDiffers)
+{
+  std::string other = GOOD;
+
+  other.replace (other.find ("14000"), 5, "15000");
+  ASSERT_EQ (submit (0, "c1")->status, 200);
+  auto a = submit (0, "c2", other);
+  ASSERT_EQ (a->status, 409) << a->text;
+  EXPECT_EQ (a->num ("current_version"), 1);
+  EXPECT_EQ (a->num ("differs_version"), 1);
+  ASSERT_EQ (a->size ("differs"), 1u);
+  EXPECT_STREQ (
+      json_string_value (json_object_get (
+          json_array_get (json_object_get (a->body, "differs"), 0), "path")),
+      "/models/small/memory_mb");
+}
+
+TEST_F (Operator, NoQuorumChangesNothing)
+{
+  daemon.log = fake::Log::NO_QUORUM;
+  auto a = submit (0, "c1");
+  EXPECT_EQ (a->status, 503);
+  EXPECT_EQ (a->str ("outcome"), "not-run");
+  EXPECT_EQ (a->retry_after, "2");
+}
+
+TEST_F (Operator, ALostAnswerIsUnknownAndTheResendIsSeen)
+{
+  daemon.log = fake::Log::LOST_ANSWER;
+  auto lost = submit (0, "c1");
+  EXPECT_EQ (lost->status, 504);
+  EXPECT_EQ (lost->str ("outcome"), "unknown");
+  auto again = submit (0, "c1");
+  EXPECT_EQ (again->status, 200);
+  EXPECT_EQ (again->num ("version"), 1);
+  EXPECT_TRUE (json_is_true (json_object_get (again->body, "seen")));
+  EXPECT_EQ (ask ("GET", "/operator/document")->num ("version"), 1);
+}
+
+TEST_F (Operator, AResendIsToldItsOwnVersion)
+{
+  submit (0, "c1");
+  submit (1, "c2");
+  auto again = submit (0, "c1");
+  EXPECT_EQ (again->num ("version"), 1);
+  EXPECT_EQ (ask ("GET", "/operator/document")->num ("version"), 2);
+}
+
+TEST_F (Operator, AnAnswerAfterTheEndNeedsNoOperator)
+{
+  pu_error_t e;
+
+  daemon.log = fake::Log::HELD;
+  auto a = submit (0, "c1");
+  ASSERT_EQ (a->calls, 0);
+  pu_operator_free (op);
+  op = nullptr;
+  pu_error_set (&e, PU_ERROR_TIMEOUT, "Stopped.");
+  daemon.release (&e);
+  EXPECT_EQ (a->calls, 1);
+  EXPECT_EQ (a->status, 504);
+}
+
+TEST_F (Operator, DiffIsAgainstTheOneInForce)
+{
+  submit (0, "c1");
+  auto same = ask ("POST", "/operator/diff", GOOD);
+  auto other
+      = ask ("POST", "/operator/diff", J ("{'services':{},'models':{}}"));
+
+  EXPECT_EQ (same->size ("differs"), 0u);
+  EXPECT_EQ (same->num ("base_version"), 1);
+  EXPECT_GT (other->size ("differs"), 0u);
+}
+
+TEST_F (Operator, HistoryIsNewestFirst)
+{
+  submit (0, "c1");
+  submit (1, "c2");
+  auto a = ask ("GET", "/operator/history");
+  ASSERT_EQ (json_array_size (a->body), 2u);
+  EXPECT_STREQ (json_string_value (json_object_get (
+                    json_array_get (a->body, 0), "change_id")),
+                "c2");
+}
+
+TEST_F (Operator, AskedVersionsAreTheOneInForceOrNotFound)
+{
+  submit (0, "c1");
+  EXPECT_EQ (ask ("GET", "/operator/document", "", KEY, "version=1")->status,
+             200);
+  EXPECT_EQ (ask ("GET", "/operator/document", "", KEY, "version=2")->status,
+             404);
+}
+
+TEST_F (Operator, StatusJoinsTheViewAndTheHook)
+{
+  daemon.add_member ("entry-1");
+  daemon.add_engine ("eng-1");
+  submit (0, "c1");
+  auto a = ask ("GET", "/operator/status");
+  EXPECT_EQ (a->status, 200);
+  EXPECT_EQ (a->str ("leader"), "c1");
+  EXPECT_EQ (a->num ("version"), 1);
+  for (const char *list : { "members", "backends", "models", "services" })
+    EXPECT_EQ (a->size (list), 1u) << list;
+}
+
+TEST_F (Operator, DrainTellsNearNames)
+{
+  daemon.add_member ("entry-1");
+  daemon.add_engine ("eng-1");
+  auto far = ask ("POST", "/operator/drain", J ("{'backend':'eng-2'}"));
+  EXPECT_EQ (far->status, 404);
+  EXPECT_NE (far->str ("message").find ("eng-1"), std::string::npos);
+  EXPECT_EQ (
+      ask ("POST", "/operator/drain", J ("{'backend':'eng-1'}"))->status, 200);
+  EXPECT_TRUE (pu_state_backend (daemon.state, "eng-1")->leaving);
+  EXPECT_EQ (
+      ask ("POST", "/operator/drain", J ("{'instance':'entry-1'}"))->status,
+      200);
+  EXPECT_TRUE (pu_state_member (daemon.state, "entry-1")->leaving);
+  EXPECT_EQ (ask ("POST", "/operator/drain", "{}")->status, 400);
+  EXPECT_EQ (ask ("POST", "/operator/drain",
+                  J ("{'instance':'entry-1','backend':'eng-1'}"))
+                 ->status,
+             400);
+}
+
+TEST_F (Operator, VotersPassTheirAction)
+{
+  EXPECT_EQ (ask ("POST", "/operator/voters",
+                  J ("{'action':'replace','name':'a','with':'b'}"))
+                 ->status,
+             200);
+  EXPECT_EQ (daemon.voters, "2 a b");
+  EXPECT_EQ (
+      ask ("POST", "/operator/voters", J ("{'action':'replace','name':'a'}"))
+          ->status,
+      400);
+  EXPECT_EQ (ask ("POST", "/operator/voters", J ("{'action':'x'}"))
+                 ->size ("findings"),
+             2u);
+}
+
+TEST_F (Operator, ConvictionsAreListedAndLifted)
+{
+  daemon.convict (0xabc);
+  auto list = ask ("GET", "/operator/convictions");
+  ASSERT_EQ (list->size ("convictions"), 1u) << list->text;
+  const std::string lift = J ("{'fingerprint':'0000000000000abc'}");
+  EXPECT_EQ (ask ("POST", "/operator/convictions/lift", lift)->status, 200);
+  EXPECT_EQ (ask ("POST", "/operator/convictions/lift", lift)->status, 404);
+  EXPECT_EQ (
+      ask ("POST", "/operator/convictions/lift", J ("{'fingerprint':'xyz'}"))
+          ->status,
+      400);
+}
+
+TEST_F (Operator, TheRestOfTheHooksAnswer)
+{
+  EXPECT_EQ (ask ("GET", "/operator/dump")->str ("fake"), "dump");
+  EXPECT_EQ (ask ("POST", "/operator/plan", GOOD)->status, 200);
+  EXPECT_EQ (ask ("POST", "/operator/plan", BAD)->status, 400);
+  EXPECT_EQ (
+      ask ("POST", "/operator/log-level", J ("{'level':'warn'}"))->status,
+      200);
+  EXPECT_EQ (ask ("POST", "/operator/log-level", J ("{'level':'x'}"))->status,
+             400);
+  EXPECT_EQ (ask ("GET", "/metrics")->text, "plantainusher_x 1\n");
+}
+
+/* An answer that says "not-run" was not applied.  */
+bool
+truthful (const Answer &a, const fake::Daemon &daemon)
+{
+  return a.status == 200 || daemon.position == 0;
+}
+
+/* Whatever the path and the body, there is one answer, and it is true.  */
+RC_GTEST_FIXTURE_PROP (Operator, AnyRequestIsAnsweredOnce, ())
+{
+  const auto path = *rc::gen::element<std::string> (
+      "/operator/check", "/operator/submit", "/operator/diff",
+      "/operator/plan", "/operator/drain", "/operator/voters",
+      "/operator/log-level", "/operator/convictions/lift");
+  auto body = submission (0, "c1", GOOD);
+  const auto cuts = *rc::gen::inRange (0, 6);
+
+  for (int i = 0; i < cuts; i++)
+    body[*rc::gen::inRange<size_t> (0, body.size ())]
+        = *rc::gen::arbitrary<char> ();
+  auto a = ask ("POST", path.c_str (), body);
+  RC_ASSERT (a->calls == 1);
+  RC_ASSERT (json_is_object (a->body));
+  RC_ASSERT (truthful (*a, daemon));
+}
+
+/* The check above can fail: a log that applies and then refuses is caught.  */
+TEST_F (Operator, ALogThatAppliesAndRefusesIsCaught)
+{
+  daemon.log = fake::Log::LOST_ANSWER;
+  EXPECT_FALSE (truthful (*submit (0, "c1"), daemon));
+}
+
+}
