--- a/bench/load.c
+++ b/bench/load.c
@@ -277,11 +277,15 @@
   json_object_set_new (out, "unfinished",
                        json_integer (load_requests_open (l->requests)));
   if (l->o.json)
-    json_dumpf (out, stdout, JSON_COMPACT | JSON_REAL_PRECISION (6));
+    {
+      json_dumpf (out, stdout, JSON_COMPACT | JSON_REAL_PRECISION (6));
+    }
   else
-    json_object_foreach (out, key, value)
     {
-      printf ("%-20s %.10g\n", key, json_number_value (value));
+      json_object_foreach (out, key, value)
+      {
+        printf ("%-20s %.10g\n", key, json_number_value (value));
+      }
     }
   printf ("%s", l->o.json ? "\n" : "");
   json_decref (out);
--- a/bench/load_call.c
+++ b/bench/load_call.c
@@ -51,9 +51,13 @@
     return;
   g_string_append_len (c->text, from, to - from);
   if (c->result.first_us == 0)
-    c->result.first_us = now;
+    {
+      c->result.first_us = now;
+    }
   else
-    pu_histogram_add (c->o.gaps, (guint64)(now - c->last_us));
+    {
+      pu_histogram_add (c->o.gaps, (guint64)(now - c->last_us));
+    }
   c->last_us = now;
 }
 
@@ -65,9 +69,13 @@
   if (c->done || !ev->has_data)
     return true;
   if (pu_sse_is_done (ev))
-    c->done = true;
+    {
+      c->done = true;
+    }
   else
-    take_token (c, ev);
+    {
+      take_token (c, ev);
+    }
   return true;
 }
 
@@ -84,8 +92,10 @@
   c->right_id = g_strcmp0 (id, c->o.id) == 0;
   c->not_run = g_strcmp0 (outcome, "not-run") == 0;
   if (after != NULL)
-    c->result.retry_after_ms
-        = (guint)(g_ascii_strtod (after, NULL) * MS_PER_S);
+    {
+      c->result.retry_after_ms
+          = (guint)(g_ascii_strtod (after, NULL) * MS_PER_S);
+    }
 }
 
 static void
@@ -95,9 +105,13 @@
 
   (void)call;
   if (c->sse != NULL && c->result.status == 200)
-    pu_sse_feed (c->sse, bytes, len);
+    {
+      pu_sse_feed (c->sse, bytes, len);
+    }
   else if (c->text->len + len <= BODY_MAX)
-    g_string_append_len (c->text, bytes, (gssize)len);
+    {
+      g_string_append_len (c->text, bytes, (gssize)len);
+    }
 }
 
 static bool
@@ -219,9 +233,13 @@
   c->o = *o;
   c->text = g_string_new (NULL);
   if (o->question != NULL)
-    c->sse = pu_sse_new (EVENT_MAX, on_event, c);
+    {
+      c->sse = pu_sse_new (EVENT_MAX, on_event, c);
+    }
   else
-    h.target = path = g_strdup_printf ("/services/%s/assign", o->service);
+    {
+      h.target = path = g_strdup_printf ("/services/%s/assign", o->service);
+    }
   h.header_count = fill_headers (o, priority, timeout, headers);
   h.body = g_bytes_new (o->body, strlen (o->body));
   h.data = c;
--- a/bench/load_request.c
+++ b/bench/load_request.c
@@ -110,8 +110,11 @@
     const char *address = json_string_value (json_object_get (one, "address"));
 
     if (address != NULL)
-      add_entry (l, address,
-                 (guint)json_integer_value (json_object_get (one, "weight")));
+      {
+        add_entry (
+            l, address,
+            (guint)json_integer_value (json_object_get (one, "weight")));
+      }
   }
   json_decref (root);
   uv_timer_start (&l->learn, on_learn, (guint64)MAX (ttl, 1) * MS_PER_S, 0);
@@ -211,9 +214,13 @@
   if (result->outcome == LOAD_UNKNOWN)
     r->owner->stats.resends++;
   if (result->outcome == LOAD_NOT_SENT)
-    wait = 0;
+    {
+      wait = 0;
+    }
   else if (result->retry_after_ms != 0)
-    wait = result->retry_after_ms;
+    {
+      wait = result->retry_after_ms;
+    }
   uv_timer_start (&r->timer, on_wait_over, wait, 0);
 }
 
@@ -345,8 +352,10 @@
 
   json_object_set_new (out, "started", json_integer ((json_int_t)s->started));
   for (int i = 0; i < LOAD_OUTCOMES; i++)
-    json_object_set_new (out, names[i],
-                         json_integer ((json_int_t)s->outcomes[i]));
+    {
+      json_object_set_new (out, names[i],
+                           json_integer ((json_int_t)s->outcomes[i]));
+    }
   json_object_set_new (out, "attempts",
                        json_integer ((json_int_t)s->attempts));
   json_object_set_new (out, "resends", json_integer ((json_int_t)s->resends));
--- a/fakes/announcer.c
+++ b/fakes/announcer.c
@@ -76,17 +76,20 @@
 static void
 entry_choose (fake_announcer_t *a)
 {
-  char **entries = a->options.entries;
-  guint given = entries == NULL ? 0 : g_strv_length (entries);
+  guint given = g_strv_length (a->options.entries);
   guint i;
 
   if (a->entry != NULL || a->learnt->len + given == 0)
     return;
   i = a->next++ % (a->learnt->len + given);
   if (i < a->learnt->len)
-    a->entry = g_strdup (g_ptr_array_index (a->learnt, i));
+    {
+      a->entry = g_strdup (g_ptr_array_index (a->learnt, i));
+    }
   else
-    a->entry = g_strdup (entries[i - a->learnt->len]);
+    {
+      a->entry = g_strdup (a->options.entries[i - a->learnt->len]);
+    }
   a->whole = true;
 }
 
@@ -228,9 +231,10 @@
 {
   fake_announcer_t *a = g_new0 (fake_announcer_t, 1);
   pu_http_client_options_t client = { .loop = o->loop };
+  char *none[] = { NULL };
 
   a->options = *o;
-  a->options.entries = g_strdupv (o->entries);
+  a->options.entries = g_strdupv (o->entries != NULL ? o->entries : none);
   a->client = pu_http_client_new (&client);
   a->learnt = g_ptr_array_new_with_free_func (g_free);
   a->incarnation = g_get_real_time () / MS_PER_S;
@@ -246,9 +250,13 @@
 fake_announcer_now (fake_announcer_t *a)
 {
   if (a->busy)
-    a->again = true;
+    {
+      a->again = true;
+    }
   else
-    wait_ms (a, 0);
+    {
+      wait_ms (a, 0);
+    }
 }
 
 void
--- a/fakes/answer.c
+++ b/fakes/answer.c
@@ -117,11 +117,18 @@
       "\"choices\":[{\"index\":0,",
       id, object, q->model);
   if (q->chat && text != NULL)
-    g_string_append_printf (out, "\"delta\":{\"content\":\"%s\"}", text);
+    {
+      g_string_append_printf (out, "\"delta\":{\"content\":\"%s\"}", text);
+    }
   else if (q->chat)
-    g_string_append (out, "\"delta\":{}");
+    {
+      g_string_append (out, "\"delta\":{}");
+    }
   else
-    g_string_append_printf (out, "\"text\":\"%s\"", text == NULL ? "" : text);
+    {
+      g_string_append_printf (out, "\"text\":\"%s\"",
+                              text == NULL ? "" : text);
+    }
   g_string_append_printf (out, ",\"finish_reason\":%s}]}\n\n", finish);
 }
 
@@ -139,11 +146,15 @@
   char *body;
 
   if (q->chat)
-    json_object_set_new (
-        choice, "message",
-        json_pack ("{s:s, s:s}", "role", "assistant", "content", text));
+    {
+      json_object_set_new (
+          choice, "message",
+          json_pack ("{s:s, s:s}", "role", "assistant", "content", text));
+    }
   else
-    json_object_set_new (choice, "text", json_string (text));
+    {
+      json_object_set_new (choice, "text", json_string (text));
+    }
   body = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   g_free (text);
@@ -172,7 +183,9 @@
   guint64 hash = XXH64 (q->model, strlen (q->model), 0);
 
   for (guint i = 0; i < n; i++)
-    hash = XXH64 (q->prompt + (gsize)i * FAKE_BLOCK_BYTES, FAKE_BLOCK_BYTES,
-                  hash);
+    {
+      hash = XXH64 (q->prompt + (gsize)i * FAKE_BLOCK_BYTES, FAKE_BLOCK_BYTES,
+                    hash);
+    }
   return hash;
 }
--- a/fakes/batch.c
+++ b/fakes/batch.c
@@ -11,7 +11,7 @@
 typedef struct
 {
   fake_batch_t *batch;
-  web_exchange_t *exchange; /* NULL: nobody listens any more */
+  pu_http_request_t *request; /* NULL: nobody listens any more */
   fake_question_t question;
   char *id;
   guint priority;
@@ -73,39 +73,41 @@
 }
 
 static void
-on_gone (void *data, web_exchange_t *x)
+on_gone (void *data)
 {
   sequence_t *s = data;
   fake_batch_t *b = s->batch;
 
-  (void)x;
   b->cancelled++;
   if (g_ptr_array_remove (b->running, s))
-    write_end (s, "cancelled");
+    {
+      write_end (s, "cancelled");
+    }
   else
-    g_sequence_remove (g_sequence_lookup (b->waiting, s, by_priority, NULL));
+    {
+      g_sequence_remove (g_sequence_lookup (b->waiting, s, by_priority, NULL));
+    }
   sequence_free (s);
 }
 
-/* Whether the peer's connection has gone silent by the fault of that name.  */
-static bool
-is_silent (const sequence_t *s)
+static void
+let_go (sequence_t *s)
 {
-  const fake_fault_t *f
-      = fake_faults_on (s->batch->options.faults, FAKE_SILENT);
-
-  return f != NULL && web_connected_ms (s->exchange) <= f->since;
+  web_on_gone (s->request, NULL, NULL);
+  s->request = NULL;
 }
 
 static void
-let_go (sequence_t *s)
+start_head (sequence_t *s, const char *content_type)
 {
-  web_on_gone (s->exchange, NULL, NULL);
-  s->exchange = NULL;
+  pu_http_header_t headers[]
+      = { { "content-type", content_type }, { "x-request-id", s->id } };
+
+  pu_http_respond_start (s->request, 200, headers, G_N_ELEMENTS (headers));
 }
 
 static void
-start_answer (sequence_t *s, const char *content_type)
+start_answer (sequence_t *s)
 {
   fake_faults_t *f = s->batch->options.faults;
   const fake_fault_t *cut;
@@ -119,9 +121,8 @@
   cut = fake_faults_take (f, FAKE_TRUNCATE);
   s->cut_after = cut == NULL ? G_MAXUINT : cut->n;
   s->started = true;
-  web_add_header (s->exchange, "x-request-id", s->id);
   if (s->question.stream)
-    web_start (s->exchange, 200, content_type);
+    start_head (s, "text/event-stream");
 }
 
 static void
@@ -139,7 +140,7 @@
       fake_answer_event (out, &s->question, s->id, NULL);
       g_string_append (out, "data: [DONE]\n\n");
     }
-  web_send (s->exchange, out->str, out->len);
+  pu_http_respond_write (s->request, out->str, out->len);
   g_string_free (out, TRUE);
 }
 
@@ -147,8 +148,11 @@
 send_whole (sequence_t *s)
 {
   char *body = fake_answer_whole (&s->question, s->id);
+  pu_http_header_t headers[]
+      = { { "content-type", "application/json" }, { "x-request-id", s->id } };
 
-  web_answer (s->exchange, 200, "application/json", body);
+  pu_http_respond (s->request, 200, headers, G_N_ELEMENTS (headers), body,
+                   strlen (body));
   free (body);
 }
 
@@ -159,31 +163,35 @@
   fake_batch_t *b = s->batch;
   bool last = s->next + 1 >= s->question.tokens;
 
-  if (s->exchange != NULL && is_silent (s))
+  if (s->request != NULL && web_is_silent (s->request, b->options.faults))
     let_go (s);
   b->tokens++;
   s->sent++;
-  if (s->exchange != NULL && !s->started)
-    start_answer (s, "text/event-stream");
-  if (s->exchange != NULL && s->sent > s->cut_after)
+  if (s->request != NULL && !s->started)
+    start_answer (s);
+  if (s->request != NULL && s->sent > s->cut_after)
     {
       if (!s->question.stream)
-        web_start (s->exchange, 200, "application/json");
-      web_cut (s->exchange);
+        start_head (s, "application/json");
+      pu_http_respond_abort (s->request);
       write_end (s, "cut");
       return false;
     }
-  if (s->exchange != NULL && s->question.stream)
+  if (s->request != NULL && s->question.stream)
     send_token (s);
   s->next++;
   if (!last)
     return true;
-  if (s->exchange != NULL && s->question.stream)
-    web_end (s->exchange);
-  else if (s->exchange != NULL)
-    send_whole (s);
+  if (s->request != NULL && s->question.stream)
+    {
+      pu_http_respond_finish (s->request);
+    }
+  else if (s->request != NULL)
+    {
+      send_whole (s);
+    }
   b->done++;
-  write_end (s, s->exchange == NULL ? "silent" : "done");
+  write_end (s, s->request == NULL ? "silent" : "done");
   return false;
 }
 
@@ -304,7 +312,7 @@
 }
 
 bool
-fake_batch_add (fake_batch_t *b, web_exchange_t *x, fake_question_t *q,
+fake_batch_add (fake_batch_t *b, pu_http_request_t *r, fake_question_t *q,
                 const char *id, guint priority, guint skip)
 {
   sequence_t *s;
@@ -313,14 +321,14 @@
     return false;
   s = g_new0 (sequence_t, 1);
   s->batch = b;
-  s->exchange = x;
+  s->request = r;
   s->question = *q;
   memset (q, 0, sizeof (*q));
   s->id = g_strdup (id);
   s->priority = priority;
   s->arrival = ++b->arrivals;
   s->next = MIN (skip, s->question.tokens - 1);
-  web_on_gone (x, on_gone, s);
+  web_on_gone (r, on_gone, s);
   g_sequence_insert_sorted (b->waiting, s, by_priority, NULL);
   if (uv_is_active ((uv_handle_t *)&b->timer))
     return true;
--- a/fakes/batch.h
+++ b/fakes/batch.h
@@ -37,10 +37,10 @@
 
 fake_batch_t *fake_batch_new (const fake_batch_options_t *o);
 
-/* fake_batch_add - takes a request over: the exchange and what Q holds.  The
+/* fake_batch_add - takes a request over: the request R and what Q holds.  The
    first SKIP tokens are not sent.  Returns false, and takes nothing, when too
    many wait.  */
-bool fake_batch_add (fake_batch_t *b, web_exchange_t *x, fake_question_t *q,
+bool fake_batch_add (fake_batch_t *b, pu_http_request_t *r, fake_question_t *q,
                      const char *id, guint priority, guint skip);
 
 guint fake_batch_running (const fake_batch_t *b);
--- a/fakes/faults.c
+++ b/fakes/faults.c
@@ -42,7 +42,7 @@
 }
 
 static void
-fault_fill (fake_fault_t *one, json_t *root)
+fault_fill (fake_fault_t *one, json_t *root, guint64 connection)
 {
   json_t *count = json_object_get (root, "count");
   json_t *text = json_object_get (root, "text");
@@ -52,11 +52,12 @@
   one->n = (guint)json_integer_value (json_object_get (root, "n"));
   one->ms = (guint)json_integer_value (json_object_get (root, "ms"));
   one->text = g_strdup (json_string_value (text));
-  one->since = g_get_real_time () / 1000;
+  one->connection = connection;
 }
 
 bool
-fake_faults_set (fake_faults_t *f, const char *body, size_t len)
+fake_faults_set (fake_faults_t *f, const char *body, size_t len,
+                 guint64 connection)
 {
   json_t *root = json_loadb (body, len, 0, NULL);
   const char *kind = json_string_value (json_object_get (root, "kind"));
@@ -64,9 +65,13 @@
   bool clear = g_strcmp0 (kind, "clear") == 0;
 
   if (clear)
-    fake_faults_clear (f);
+    {
+      fake_faults_clear (f);
+    }
   else if (one != NULL)
-    fault_fill (one, root);
+    {
+      fault_fill (one, root, connection);
+    }
   json_decref (root);
   return clear || one != NULL;
 }
--- a/fakes/faults.h
+++ b/fakes/faults.h
@@ -40,7 +40,7 @@
   guint n;
   guint ms;
   char *text;
-  gint64 since; /* wall milliseconds of the switch */
+  guint64 connection; /* that the switch came on */
 } fake_fault_t;
 
 typedef struct
@@ -48,8 +48,10 @@
   fake_fault_t table[FAKE_FAULTS];
 } fake_faults_t;
 
-/* fake_faults_set - reads the body of a switch; false when it is no such.  */
-bool fake_faults_set (fake_faults_t *f, const char *body, size_t len);
+/* fake_faults_set - reads the body of a switch that came on the connection of
+   number CONNECTION; false when it is no such.  */
+bool fake_faults_set (fake_faults_t *f, const char *body, size_t len,
+                      guint64 connection);
 
 /* fake_faults_switch - sets KIND until cleared, from an option.  */
 void fake_faults_switch (fake_faults_t *f, fake_fault_kind_t kind,
--- a/fakes/kv_cache.c
+++ b/fakes/kv_cache.c
@@ -36,6 +36,15 @@
   return c;
 }
 
+void
+fake_kv_cache_free (fake_kv_cache_t *c)
+{
+  g_queue_clear_full (&c->events, g_free);
+  g_queue_clear (&c->age);
+  g_hash_table_destroy (c->blocks);
+  g_free (c);
+}
+
 static void
 tell (fake_kv_cache_t *c, guint64 hash, bool added, guint64 now)
 {
--- a/fakes/kv_cache.h
+++ b/fakes/kv_cache.h
@@ -19,6 +19,7 @@
 /* fake_kv_cache_new - holds BLOCKS; an event is told DELAY_MS late.  */
 fake_kv_cache_t *fake_kv_cache_new (guint blocks, guint delay_ms,
                                     fake_faults_t *faults);
+void fake_kv_cache_free (fake_kv_cache_t *c);
 
 /* fake_kv_cache_use - puts the blocks of Q's prompt in; returns how many bytes
    of the prompt were there already.  */
--- a/fakes/memory.c
+++ b/fakes/memory.c
@@ -106,12 +106,16 @@
       char **parts = g_strsplit (*one, ":", 0);
 
       if (g_strv_length (parts) == 3)
-        copy_add (m, parts[0], parts[1],
-                  (guint)g_ascii_strtoull (parts[2], NULL, 10))
-            ->phase
-            = FAKE_COPY_READY;
+        {
+          copy_add (m, parts[0], parts[1],
+                    (guint)g_ascii_strtoull (parts[2], NULL, 10))
+              ->phase
+              = FAKE_COPY_READY;
+        }
       else
-        good = false;
+        {
+          good = false;
+        }
       g_strfreev (parts);
     }
   g_strfreev (list);
@@ -184,11 +188,17 @@
   if (stale)
     m->stale++;
   if (stale && m->options.fenced)
-    status = 409;
+    {
+      status = 409;
+    }
   else if (o->load)
-    status = order_load (m, o, now);
+    {
+      status = order_load (m, o, now);
+    }
   else
-    status = order_unload (m, o, now);
+    {
+      status = order_unload (m, o, now);
+    }
   m->token = MAX (m->token, o->token);
   json_object_set_new (fields, "status", json_integer (status));
   json_object_set_new (fields, "stale", json_boolean (stale));
--- a/fakes/service.c
+++ b/fakes/service.c
@@ -45,7 +45,7 @@
 {
   service_t *service;
   uv_timer_t timer;
-  web_exchange_t *exchange; /* NULL when the peer left */
+  pu_http_request_t *request; /* NULL when the peer left */
   char *key;
   char *id;
 } call_t;
@@ -71,19 +71,6 @@
   return out;
 }
 
-static void
-answer_json (web_exchange_t *x, int status, json_t *root)
-{
-  char *body = json_dumps (root, JSON_COMPACT);
-  const char *id = web_header (x, "x-request-id");
-
-  if (id != NULL)
-    web_add_header (x, "x-request-id", id);
-  web_answer (x, status, "application/json", body);
-  free (body);
-  json_decref (root);
-}
-
 static void
 on_call_close (uv_handle_t *handle)
 {
@@ -119,32 +106,33 @@
   if (fake_faults_take (&s->faults, FAKE_DIE_AFTER) != NULL)
     abort ();
   s->running--;
-  if (call->exchange != NULL)
-    answer_json (call->exchange, 200,
-                 json_pack ("{s:b, s:s, s:s, s:I}", "assigned", 1, "key",
-                            call->key, "request", call->id, "number",
-                            (json_int_t)s->assigned));
+  if (call->request != NULL)
+    {
+      web_answer (call->request, 200, NULL,
+                  json_pack ("{s:b, s:s, s:s, s:I}", "assigned", 1, "key",
+                             call->key, "request", call->id, "number",
+                             (json_int_t)s->assigned));
+    }
   uv_close ((uv_handle_t *)timer, on_call_close);
 }
 
 /* A call that has begun runs on, whoever still listens.  */
 static void
-on_gone (void *data, web_exchange_t *x)
+on_gone (void *data)
 {
-  (void)x;
-  ((call_t *)data)->exchange = NULL;
+  ((call_t *)data)->request = NULL;
 }
 
 static char *
-header_copy (web_exchange_t *x, const char *name)
+header_copy (pu_http_request_t *r, const char *name)
 {
-  const char *text = web_header (x, name);
+  const char *text = pu_http_request_header (r, name);
 
   return g_strdup (text == NULL ? "" : text);
 }
 
 static void
-on_assign (service_t *s, web_exchange_t *x)
+on_assign (service_t *s, pu_http_request_t *r)
 {
   const fake_fault_t *slow = fake_faults_take (&s->faults, FAKE_SLOW);
   guint ms = (guint)s->options.work_ms + (slow == NULL ? 0 : slow->ms);
@@ -154,16 +142,16 @@
     abort ();
   if (fake_faults_take (&s->faults, FAKE_REJECT) != NULL)
     {
-      web_add_header (x, "x-outcome", "not-run");
-      answer_json (x, 503, json_pack ("{s:s}", "outcome", "not-run"));
+      web_answer (r, 503, "not-run",
+                  json_pack ("{s:s}", "outcome", "not-run"));
       return;
     }
   call = g_new0 (call_t, 1);
   call->service = s;
-  call->exchange = x;
-  call->key = header_copy (x, "idempotency-key");
-  call->id = header_copy (x, "x-request-id");
-  web_on_gone (x, on_gone, call);
+  call->request = r;
+  call->key = header_copy (r, "idempotency-key");
+  call->id = header_copy (r, "x-request-id");
+  web_on_gone (r, on_gone, call);
   uv_timer_init (s->loop, &call->timer);
   call->timer.data = call;
   s->running++;
@@ -171,7 +159,7 @@
 }
 
 static void
-on_state (service_t *s, web_exchange_t *x)
+on_state (service_t *s, pu_http_request_t *r)
 {
   json_t *out
       = json_pack ("{s:I, s:i, s:i, s:b}", "assigned", (json_int_t)s->assigned,
@@ -179,43 +167,39 @@
                    "leaving", s->leave_since != 0);
 
   fake_announcer_add_state (s->announcer, out);
-  answer_json (x, 200, out);
-}
-
-static bool
-is_silent (service_t *s, web_exchange_t *x)
-{
-  const fake_fault_t *f = fake_faults_on (&s->faults, FAKE_SILENT);
-
-  return f != NULL && web_connected_ms (x) <= f->since;
+  web_answer (r, 200, NULL, out);
 }
 
 static void
-on_request (void *data, web_exchange_t *x)
+on_request (void *data, pu_http_request_t *r)
 {
   service_t *s = data;
-  const char *path = web_path (x);
-  size_t len;
-  const char *body = web_body (x, &len);
+  const char *path = pu_http_request_path (r);
+  gsize len;
+  const char *body = pu_http_request_body (r, &len);
 
-  if (is_silent (s, x))
+  if (web_is_silent (r, &s->faults))
     return;
   if (strcmp (path, "/fake/fault") == 0)
-    answer_json (x, fake_faults_set (&s->faults, body, len) ? 200 : 400,
-                 json_object ());
+    {
+      web_on_fault (r, &s->faults);
+    }
   else if (g_str_has_suffix (path, "/state"))
-    on_state (s, x);
+    {
+      on_state (s, r);
+    }
   else if (g_str_has_suffix (path, "/assign"))
-    on_assign (s, x);
+    {
+      on_assign (s, r);
+    }
   else if (g_str_has_suffix (path, "/echo"))
     {
-      char *text = g_strndup (body, len);
-
-      web_answer (x, 200, "application/octet-stream", text);
-      g_free (text);
+      pu_http_respond (r, 200, NULL, 0, body, len);
     }
   else
-    answer_json (x, 404, json_pack ("{s:s}", "error", "not_found"));
+    {
+      web_answer (r, 404, NULL, json_pack ("{s:s}", "error", "not_found"));
+    }
 }
 
 static void
@@ -278,8 +262,7 @@
   s.ledger = fake_ledger_open (s.options.ledger, s.options.name);
   if (s.ledger == NULL)
     fake_run_fail ("--ledger: the file can't be opened");
-  if (web_server_new (s.loop, s.options.listen, on_request, &s) == NULL)
-    fake_run_fail ("--listen: the address can't be had");
+  web_listen (s.loop, s.options.listen, on_request, &s);
   announcer.loop = s.loop;
   announcer.name = s.options.name;
   announcer.service = s.options.service;
--- a/fakes/web.h
+++ b/fakes/web.h
@@ -2,56 +2,40 @@
 #define FAKES_WEB_H
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <uv.h>
 
+#include "faults.h"
+#include "http/server.h"
+
 G_BEGIN_DECLS
 
 /*
- * web - a small HTTP server for the fakes, on h2o and libuv.
- *
- * It gives what a product server does not: how old the connection of a
- * request is, so that old connections can be held silent for ever.
+ * web - what the fakes share of serving HTTP.
  */
 
-typedef struct web_server web_server_t;
-typedef struct web_exchange web_exchange_t; /* one request and its answer */
-
-typedef void (*web_request_cb) (void *data, web_exchange_t *x);
-typedef void (*web_gone_cb) (void *data, web_exchange_t *x);
-
-/* web_server_new - listens on ADDRESS ("host:port", by IP number) and calls CB
-   for each request.  Returns NULL when the address can't be had.  */
-web_server_t *web_server_new (uv_loop_t *loop, const char *address,
-                              web_request_cb cb, void *data);
-
-/* The request.  Strings live as long as the exchange; web_path is without
-   the query.  web_header returns NULL when NAME (lower case) is absent.  */
-const char *web_method (web_exchange_t *x);
-const char *web_path (web_exchange_t *x);
-const char *web_header (web_exchange_t *x, const char *name);
-const char *web_body (web_exchange_t *x, size_t *len);
+typedef void (*web_handler_t) (void *data, pu_http_request_t *r);
 
-/* web_connected_ms - when the connection was accepted, on the wall clock.  */
-gint64 web_connected_ms (web_exchange_t *x);
+/* web_listen - serves on ADDRESS, "host:port" by IP number; ends the process
+   when it can't be had.  */
+void web_listen (uv_loop_t *loop, const char *address, web_handler_t handler,
+                 void *data);
 
-/* web_on_gone - calls CB when the peer leaves before the answer has ended.
-   The exchange must not be used afterwards.  */
-void web_on_gone (web_exchange_t *x, web_gone_cb cb, void *data);
+/* web_answer - answers whole with ROOT, which is taken; OUTCOME (may be NULL)
+   goes into X-Outcome, and the request's id back into X-Request-Id.  */
+void web_answer (pu_http_request_t *r, int status, const char *outcome,
+                 json_t *root);
 
-/* web_add_header - for the answer; call it before web_start.  */
-void web_add_header (web_exchange_t *x, const char *name, const char *value);
+/* web_on_fault - carries out POST /fake/fault.  */
+void web_on_fault (pu_http_request_t *r, fake_faults_t *f);
 
-/* The answer.  After web_end or web_cut the exchange must not be used.
-   web_cut closes the connection without an end mark.  */
-void web_start (web_exchange_t *x, int status, const char *content_type);
-void web_send (web_exchange_t *x, const char *text, size_t len);
-void web_end (web_exchange_t *x);
-void web_cut (web_exchange_t *x);
+/* web_is_silent - whether R's connection is held silent by a switch.  */
+bool web_is_silent (const pu_http_request_t *r, const fake_faults_t *f);
 
-/* web_answer - a whole answer at once.  */
-void web_answer (web_exchange_t *x, int status, const char *content_type,
-                 const char *text);
+/* web_on_gone - calls CB when the peer leaves before the answer has ended;
+   a NULL CB stops that.  */
+void web_on_gone (pu_http_request_t *r, void (*cb) (void *data), void *data);
 
 G_END_DECLS
 
--- a/libplantainusher/base/histogram.c
+++ b/libplantainusher/base/histogram.c
@@ -1,7 +1,7 @@
 #include "base/histogram.h"
 
 #define SUB_BITS 5
-#define SUB_COUNT (1U << SUB_BITS)
+#define SUB_COUNT ((guint64)1 << SUB_BITS)
 #define VALUE_BITS 64
 #define BUCKETS ((VALUE_BITS - SUB_BITS + 1) * SUB_COUNT)
 
@@ -42,7 +42,7 @@
 {
   guint shift = shift_of (value);
 
-  return shift * SUB_COUNT + (guint)(value >> shift);
+  return (guint)(shift * SUB_COUNT + (value >> shift));
 }
 
 /* The greatest value that falls into BUCKET.  */
@@ -54,7 +54,7 @@
 
   if (bucket < 2 * SUB_COUNT)
     return bucket;
-  shift = bucket / SUB_COUNT - 1;
+  shift = (guint)(bucket / SUB_COUNT) - 1;
   top = SUB_COUNT + bucket % SUB_COUNT;
   return (top << shift) + ((G_GUINT64_CONSTANT (1) << shift) - 1);
 }
