--- /dev/null
+++ b/libplantainusher/entry/announce.c
@@ -0,0 +1,438 @@
+#include "entry/entry_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+#include "http/auth.h"
+#include "state/codec.h"
+
+enum
+{
+  LOG_PERIOD_MS = 60000,
+};
+
+static guint64
+now_of (const pu_entry_t *en)
+{
+  return uv_now (en->o.loop);
+}
+
+static void
+record_free (pu_backend_record *b)
+{
+  if (b != NULL)
+    pu_codec_free ((xdrproc_t)xdr_pu_backend_record, b);
+}
+
+static pu_backend_record *
+record_copy (const pu_backend_record *b)
+{
+  return pu_codec_clone ((xdrproc_t)xdr_pu_backend_record, b, sizeof *b);
+}
+
+static bool
+record_equal (const pu_backend_record *a, const pu_backend_record *b)
+{
+  return pu_codec_equal ((xdrproc_t)xdr_pu_backend_record, a, b);
+}
+
+void
+pu_reporter_free (gpointer reporter)
+{
+  pu_reporter_t *p = reporter;
+
+  record_free (p->record);
+  record_free (p->accepted);
+  record_free (p->proposed);
+  g_free (p);
+}
+
+/* --- to the log --- */
+
+typedef struct
+{
+  pu_entry_t *en;
+  char *name;
+} proposed_t;
+
+static const pu_backend_record *
+view_record (const pu_entry_t *en, const char *name)
+{
+  return pu_state_backend (en->o.hooks.view (en->o.hooks.data), name);
+}
+
+/* Whether the log must be told: it does not have what was reported last, or
+   takes the backend server for down.  What it keeps may differ from the
+   report where an order says otherwise.  */
+static bool
+must_propose (const pu_reporter_t *p)
+{
+  const pu_backend_record *b = view_record (p->en, p->record->name);
+
+  if (p->proposed != NULL)
+    return false;
+  if (b == NULL || b->down || b->incarnation < p->record->incarnation)
+    return true;
+  return p->accepted == NULL || !record_equal (p->accepted, p->record);
+}
+
+static void record_propose (pu_reporter_t *p);
+
+static void
+on_proposed (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  proposed_t *asked = data;
+  pu_entry_t *en = asked->en;
+  pu_reporter_t *p = g_hash_table_lookup (en->reporters, asked->name);
+
+  (void)e;
+  en->pending--;
+  g_free (asked->name);
+  g_free (asked);
+  if (p != NULL && p->proposed != NULL)
+    {
+      bool taken = r != NULL
+                   && (r->outcome == PU_OUTCOME_DONE
+                       || r->outcome == PU_OUTCOME_SEEN);
+
+      record_free (taken ? p->accepted : p->proposed);
+      if (taken)
+        p->accepted = p->proposed;
+      p->proposed = NULL;
+      /* It may have changed meanwhile; a refusal waits for the next report. */
+      if (taken && !record_equal (p->accepted, p->record))
+        record_propose (p);
+    }
+  pu_entry_check (en);
+}
+
+static void
+record_propose (pu_reporter_t *p)
+{
+  pu_entry_t *en = p->en;
+  pu_command c = { .type = PU_COMMAND_BACKEND_UP };
+  proposed_t *asked = g_new0 (proposed_t, 1);
+
+  asked->en = en;
+  asked->name = g_strdup (p->record->name);
+  en->pending++;
+  p->proposed = record_copy (p->record);
+  c.pu_command_u.backend_up = *p->proposed;
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, on_proposed,
+                       asked);
+}
+
+/* --- to the other entries --- */
+
+void
+pu_load_clear (gpointer load)
+{
+  g_free ((char *)((pu_entry_load_t *)load)->backend);
+}
+
+static void
+load_batch (pu_entry_t *en, const pu_announcement_t *a)
+{
+  pu_entry_load_t one = { .backend = g_strdup (a->record->name),
+                          .incarnation = a->record->incarnation,
+                          .seq = a->seq,
+                          .running = a->load.running,
+                          .waiting = a->load.waiting,
+                          .kv_used_mb = a->load.kv_used_mb,
+                          .tokens_per_s = (guint)a->load.tokens_per_s };
+
+  g_array_append_val (en->loads, one);
+}
+
+/* Adds LOAD to the batch of each other entry that serves SERVICE.  */
+static void
+load_address (pu_entry_t *en, const char *service, const pu_entry_load_t *load,
+              GHashTable *batches)
+{
+  const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
+
+  pu_directory_entries (en->directory, service, pu_service_size (en, service),
+                        NULL, NULL, found);
+  for (guint i = 0; i < found->len; i++)
+    {
+      const char *name = g_array_index (found, pu_directory_entry_t, i).name;
+      const pu_member_record *m = pu_state_member (view, name);
+      GHashTable *batch;
+
+      if (m == NULL || strcmp (name, en->name) == 0)
+        continue;
+      batch = g_hash_table_lookup (batches, m->peer_address);
+      if (batch == NULL)
+        {
+          batch = g_hash_table_new (g_str_hash, g_str_equal);
+          g_hash_table_insert (batches, m->peer_address, batch);
+        }
+      g_hash_table_insert (batch, (char *)load->backend, (gpointer)load);
+    }
+  g_array_free (found, TRUE);
+}
+
+/* The services whose requests can come to the backend server of LOAD.  */
+static void
+load_spread (pu_entry_t *en, const pu_entry_load_t *load, GHashTable *batches)
+{
+  const pu_backend_record *b = view_record (en, load->backend);
+  const pu_document_t *d = en->document;
+
+  if (b == NULL || d == NULL)
+    return;
+  if (b->kind == PU_BACKEND_PLAIN)
+    load_address (en, b->service, load, batches);
+  for (guint i = 0; i < b->copies.copies_len; i++)
+    {
+      pu_model_handle_t m
+          = pu_document_find_model (d, b->copies.copies_val[i].model);
+      pu_service_handle_t s = m != PU_HANDLE_NONE
+                                  ? pu_document_default_service (d, m)
+                                  : PU_HANDLE_NONE;
+
+      if (s != PU_HANDLE_NONE)
+        load_address (en, pu_document_service (d, s)->name, load, batches);
+    }
+}
+
+static void
+batch_send (pu_entry_t *en, const char *address, GHashTable *batch)
+{
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (pu_entry_load_t));
+  GHashTableIter it;
+  gpointer load;
+
+  g_hash_table_iter_init (&it, batch);
+  while (g_hash_table_iter_next (&it, NULL, &load))
+    g_array_append_vals (loads, load, 1);
+  en->o.hooks.loads (en->o.hooks.data, address,
+                     (const pu_entry_load_t *)(void *)loads->data, loads->len);
+  g_array_free (loads, TRUE);
+}
+
+static void
+batch_free (gpointer batch)
+{
+  g_hash_table_destroy (batch);
+}
+
+void
+pu_loads_flush (pu_entry_t *en)
+{
+  GHashTable *batches
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, batch_free);
+  GHashTableIter it;
+  gpointer address;
+  gpointer batch;
+
+  for (guint i = 0; en->o.hooks.loads != NULL && i < en->loads->len; i++)
+    load_spread (en, &g_array_index (en->loads, pu_entry_load_t, i), batches);
+  g_hash_table_iter_init (&it, batches);
+  while (g_hash_table_iter_next (&it, &address, &batch))
+    batch_send (en, address, batch);
+  g_hash_table_destroy (batches);
+  g_array_set_size (en->loads, 0);
+}
+
+void
+pu_entry_loads_in (pu_entry_t *en, const pu_entry_load_t *loads, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      const pu_entry_load_t *one = &loads[i];
+      const pu_server_t *s = pu_server_find (en, one->backend);
+      pu_router_report_t report = { .seq = one->seq,
+                                    .running = one->running,
+                                    .waiting = one->waiting,
+                                    .kv_used_mb = one->kv_used_mb,
+                                    .tokens_per_s = one->tokens_per_s };
+
+      if (s != NULL && s->handle != PU_ROUTER_NONE
+          && s->incarnation == one->incarnation)
+        pu_router_report (en->router, s->handle, &report, now_of (en));
+    }
+  pu_router_due (en);
+}
+
+/* --- one report --- */
+
+static void
+leaving_take (pu_entry_t *en, const pu_backend_record *b)
+{
+  pu_server_t *s = pu_server_find (en, b->name);
+
+  if (!b->leaving || s == NULL || s->incarnation != b->incarnation)
+    return;
+  s->leaving = true;
+  if (s->handle != PU_ROUTER_NONE)
+    pu_router_set_leaving (en->router, s->handle);
+}
+
+static void
+router_tell (pu_entry_t *en, const pu_announcement_t *a)
+{
+  const pu_server_t *s = pu_server_find (en, a->record->name);
+
+  if (s == NULL || s->handle == PU_ROUTER_NONE
+      || s->incarnation != a->record->incarnation)
+    return;
+  if (a->has_load)
+    pu_router_report (en->router, s->handle, &a->load, now_of (en));
+  if (a->has_events)
+    pu_router_kv_events (en->router, s->handle, &a->events);
+  pu_router_due (en);
+}
+
+static pu_reporter_t *
+reporter_take (pu_entry_t *en, pu_announcement_t *a)
+{
+  pu_reporter_t *p = g_hash_table_lookup (en->reporters, a->record->name);
+
+  if (p == NULL)
+    {
+      p = g_new0 (pu_reporter_t, 1);
+      p->en = en;
+      g_hash_table_insert (en->reporters, g_strdup (a->record->name), p);
+    }
+  record_free (p->record);
+  p->record = record_copy (a->record);
+  p->seq = a->seq;
+  return p;
+}
+
+static void
+report_take (pu_entry_t *en, pu_announcement_t *a)
+{
+  pu_reporter_t *p = reporter_take (en, a);
+
+  en->o.hooks.renew (en->o.hooks.data, a->record->name,
+                     a->record->incarnation);
+  leaving_take (en, a->record);
+  if (must_propose (p))
+    record_propose (p);
+  router_tell (en, a);
+  if (a->has_load)
+    load_batch (en, a);
+}
+
+/* --- the path --- */
+
+static void
+bad_report (pu_entry_t *en, pu_http_request_t *http, const pu_findings_t *f)
+{
+  const pu_finding_t *first = pu_findings_get (f, 0);
+
+  en->bad_announcements++;
+  if (pu_log_limited (&en->bad_logged, now_of (en), LOG_PERIOD_MS))
+    pu_log_warn (PU_ENTRY_PART,
+                 "%" G_GUINT64_FORMAT " bad reports so far; this one: '%s' "
+                 "%s",
+                 en->bad_announcements, first->path, first->message);
+  pu_answer_json (http, 400,
+                  json_pack ("{s:s, s:s, s:o}", "error", "invalid", "message",
+                             "The report breaks a rule.", "findings",
+                             pu_findings_to_json (f)));
+}
+
+static guint64
+known_incarnation (const pu_entry_t *en, const char *name)
+{
+  const pu_backend_record *b = view_record (en, name);
+  const pu_reporter_t *p = g_hash_table_lookup (en->reporters, name);
+  guint64 known = b != NULL ? b->incarnation : 0;
+
+  return p != NULL ? MAX (known, p->record->incarnation) : known;
+}
+
+/* What is known of this incarnation; NULL: it must say all.  */
+static const pu_backend_record *
+known_record (const pu_entry_t *en, const char *name, guint64 incarnation)
+{
+  const pu_reporter_t *p = g_hash_table_lookup (en->reporters, name);
+  const pu_backend_record *b = view_record (en, name);
+
+  if (p != NULL && p->record->incarnation == incarnation)
+    return p->record;
+  return b != NULL && b->incarnation == incarnation && !b->down ? b : NULL;
+}
+
+static void
+report_answer (const pu_entry_t *en, pu_http_request_t *http, guint64 seq,
+               bool whole)
+{
+  json_t *v = json_pack ("{s:I, s:i}", "seq", (json_int_t)seq, "interval_ms",
+                         (int)en->o.report_ms);
+
+  if (whole)
+    json_object_set_new (v, "whole", json_true ());
+  pu_answer_json (http, 200, v);
+}
+
+static void
+report_read (pu_entry_t *en, pu_http_request_t *http, const json_t *root,
+             const char *name, guint64 incarnation, pu_findings_t *f)
+{
+  const pu_backend_record *base = known_record (en, name, incarnation);
+  const pu_reporter_t *p = g_hash_table_lookup (en->reporters, name);
+  pu_announcement_t a = { 0 };
+
+  if (base == NULL && json_object_get (root, "address") == NULL)
+    {
+      report_answer (en, http, 0, true);
+      return;
+    }
+  if (!pu_announcement_read (&a, root, base, f))
+    bad_report (en, http, f);
+  else if (p != NULL && p->record->incarnation == incarnation
+           && a.seq <= p->seq)
+    report_answer (en, http, p->seq, false);
+  else
+    {
+      report_take (en, &a);
+      report_answer (en, http, a.seq, false);
+    }
+  pu_announcement_clear (&a);
+}
+
+static bool
+is_backend_key (const pu_entry_t *en, const char *authorization)
+{
+  bool good = false;
+
+  for (char **key = en->backend_keys; *key != NULL; key++)
+    good = pu_http_bearer_equal (authorization, *key) || good;
+  return good;
+}
+
+void
+pu_path_announce (pu_entry_t *en, pu_http_request_t *http)
+{
+  static const pu_refusal_t denied = { 401, "denied", PU_NOT_RUN, 0 };
+  const char *authorization = pu_http_request_header (http, "authorization");
+  pu_findings_t *f;
+  json_t *root;
+  gsize len = 0;
+  const char *body = pu_http_request_body (http, &len);
+  const char *name = NULL;
+  guint64 incarnation = 0;
+
+  if (!is_backend_key (en, authorization))
+    {
+      pu_answer_error (http, NULL, &denied, "A backend key is needed.");
+      return;
+    }
+  f = pu_findings_new ();
+  root = pu_json_load_document (body, len, en->o.announcement_max, f);
+  if (root == NULL || !pu_announcement_name (root, &name, &incarnation, f))
+    bad_report (en, http, f);
+  else if (incarnation < known_incarnation (en, name))
+    pu_answer_json (http, 409,
+                    json_pack ("{s:s, s:s}", "error", "conflict", "message",
+                               "A newer incarnation is known."));
+  else
+    report_read (en, http, root, name, incarnation, f);
+  json_decref (root);
+  pu_findings_free (f);
+}
--- /dev/null
+++ b/libplantainusher/entry/answer.c
@@ -0,0 +1,74 @@
+#include "entry/entry_private.h"
+
+#include <math.h>
+#include <string.h>
+
+#define MS_PER_S 1000
+
+static const char *const outcome_words[] = {
+  [PU_NOT_RUN] = "not-run",
+  [PU_RAN] = "ran",
+  [PU_UNKNOWN] = "unknown",
+};
+
+const char *
+pu_outcome_word (pu_outcome_word_t o)
+{
+  return outcome_words[o];
+}
+
+static char *
+json_text (json_t *v)
+{
+  char *text = json_dumps (v, JSON_COMPACT);
+  char *copy = g_strdup (text);
+
+  free (text);
+  json_decref (v);
+  return copy;
+}
+
+char *
+pu_error_text (const pu_refusal_t *r, const char *message)
+{
+  return json_text (json_pack ("{s:{s:s, s:s, s:s}}", "error", "message",
+                               message, "type", r->type, "outcome",
+                               pu_outcome_word (r->outcome)));
+}
+
+void
+pu_answer_json (pu_http_request_t *http, int status, json_t *v)
+{
+  static const pu_http_header_t headers[]
+      = { { "content-type", "application/json" },
+          { "cache-control", "no-store" } };
+  char *text = json_text (v);
+
+  pu_http_respond (http, status, headers, G_N_ELEMENTS (headers), text,
+                   strlen (text));
+  g_free (text);
+}
+
+void
+pu_answer_error (pu_http_request_t *http, const char *id,
+                 const pu_refusal_t *r, const char *message)
+{
+  pu_http_header_t headers[5]
+      = { { "content-type", "application/json" },
+          { "cache-control", "no-store" },
+          { "x-outcome", pu_outcome_word (r->outcome) } };
+  gsize n = 3;
+  char seconds[16];
+  char *text = pu_error_text (r, message);
+
+  if (id != NULL)
+    headers[n++] = (pu_http_header_t){ "x-request-id", id };
+  if (r->retry_after_ms > 0)
+    {
+      g_snprintf (seconds, sizeof seconds, "%u",
+                  (r->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+      headers[n++] = (pu_http_header_t){ "retry-after", seconds };
+    }
+  pu_http_respond (http, r->status, headers, n, text, strlen (text));
+  g_free (text);
+}
--- /dev/null
+++ b/libplantainusher/entry/claim.c
@@ -0,0 +1,371 @@
+#include "entry/entry_private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* What a proposal's answer belongs to.  */
+typedef struct
+{
+  pu_entry_t *en;
+  pu_once_handle_t handle;
+  guint64 attempt;
+} asked_t;
+
+static guint64
+now_of (const pu_entry_t *en)
+{
+  return uv_now (en->o.loop);
+}
+
+static guint64
+wall_now (void)
+{
+  return (guint64)(g_get_real_time () / G_TIME_SPAN_MILLISECOND);
+}
+
+static guint64
+call_fingerprint (const pu_exchange_t *x)
+{
+  gsize len = 0;
+  const void *body = g_bytes_get_data (x->body, &len);
+  guint64 hash = XXH64 (x->method, strlen (x->method), 0);
+
+  hash = XXH64 (x->target, strlen (x->target), hash);
+  return XXH64 (len > 0 ? body : "", len, hash);
+}
+
+static void
+begin_refuse (pu_exchange_t *x, pu_once_begin_t why)
+{
+  static const pu_refusal_t old = { 410, "key_too_old", PU_NOT_RUN, 0 };
+  static const pu_refusal_t bad = { 400, "invalid_request", PU_NOT_RUN, 0 };
+  static const pu_refusal_t other = { 422, "key_reused", PU_NOT_RUN, 0 };
+  static const pu_refusal_t full = { 503, "overloaded", PU_NOT_RUN, 1000 };
+
+  switch (why)
+    {
+    case PU_ONCE_ACCEPTED:
+      break;
+    case PU_ONCE_TOO_OLD:
+      pu_exchange_fail (x, &old, "The Idempotency-Key is too old.");
+      break;
+    case PU_ONCE_BAD_KEY:
+      pu_exchange_fail (x, &bad, "The Idempotency-Key can't be used.");
+      break;
+    case PU_ONCE_KEY_MISMATCH:
+      pu_exchange_fail (x, &other,
+                        "The Idempotency-Key was used for another request.");
+      break;
+    case PU_ONCE_FULL:
+      pu_exchange_fail (x, &full, "Too many keys are at work here.");
+      break;
+    }
+}
+
+void
+pu_claim_begin (pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+  pu_once_begin_t begun;
+
+  x->phase = PU_X_CLAIMING;
+  begun = pu_once_begin (en->once, x->number, x->service, x->key,
+                         call_fingerprint (x), pu_once_key_wall (x->key),
+                         wall_now (), now_of (en));
+  if (begun != PU_ONCE_ACCEPTED)
+    begin_refuse (x, begun);
+  else
+    pu_claim_pump (en);
+}
+
+/* --- the log's answers --- */
+
+static asked_t *
+asked_new (pu_entry_t *en, const pu_once_action_t *a)
+{
+  asked_t *asked = g_new0 (asked_t, 1);
+
+  asked->en = en;
+  asked->handle = a->handle;
+  asked->attempt = a->attempt;
+  en->pending++;
+  return asked;
+}
+
+static pu_entry_t *
+asked_over (asked_t *asked)
+{
+  pu_entry_t *en = asked->en;
+
+  en->pending--;
+  g_free (asked);
+  return en;
+}
+
+static bool
+is_own (const asked_t *asked, const pu_claim_record *c)
+{
+  const pu_entry_t *en = asked->en;
+
+  return c->attempt == asked->attempt && strcmp (c->owner, en->name) == 0
+         && c->owner_incarnation == en->o.hooks.incarnation (en->o.hooks.data);
+}
+
+static pu_once_claimed_t
+seen_claim (const asked_t *asked, const pu_claim_record *c)
+{
+  if (c == NULL)
+    return PU_ONCE_REFUSED;
+  if (is_own (asked, c))
+    return PU_ONCE_CLOSED;
+  return c->phase == PU_CLAIM_RAN ? PU_ONCE_KEPT : PU_ONCE_LOST;
+}
+
+static pu_once_claimed_t
+claimed_of (const asked_t *asked, const pu_reply *r, const pu_error_t *e)
+{
+  if (r == NULL)
+    return e->kind == PU_ERROR_TIMEOUT ? PU_ONCE_TIMEOUT : PU_ONCE_REFUSED;
+  switch (r->outcome)
+    {
+    case PU_OUTCOME_DONE:
+      return PU_ONCE_GRANTED;
+    case PU_OUTCOME_SEEN:
+      return seen_claim (asked, r->claim);
+    case PU_OUTCOME_CONFLICT:
+      return PU_ONCE_MISMATCH;
+    case PU_OUTCOME_BUSY:
+      return PU_ONCE_OPEN;
+    case PU_OUTCOME_REFUSED:
+      return PU_ONCE_REFUSED;
+    }
+  return PU_ONCE_REFUSED;
+}
+
+static void
+on_claimed (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  asked_t *asked = data;
+  pu_entry_t *en = asked->en;
+  pu_once_claimed_t what = claimed_of (asked, r, e);
+  pu_once_result_t result = { .content_type = "" };
+
+  if (what == PU_ONCE_KEPT)
+    result = (pu_once_result_t){ r->claim->status, r->claim->content_type,
+                                 r->claim->result.result_val,
+                                 r->claim->result.result_len };
+  pu_once_claimed (en->once, asked->handle, what, r != NULL ? r->position : 0,
+                   what == PU_ONCE_KEPT ? &result : NULL, now_of (en));
+  asked_over (asked);
+  pu_claim_pump (en);
+  pu_entry_check (en);
+}
+
+static void
+on_recorded (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  asked_t *asked = data;
+  pu_entry_t *en = asked->en;
+
+  (void)e;
+  /* Refused or seen: the log will not say anything else later.  */
+  pu_once_recorded (en->once, asked->handle, r != NULL, now_of (en));
+  asked_over (asked);
+  pu_claim_pump (en);
+  pu_entry_check (en);
+}
+
+/* --- actions --- */
+
+static void
+claim_propose (pu_entry_t *en, const pu_once_action_t *a)
+{
+  pu_command c = { .type = PU_COMMAND_CLAIM };
+  pu_claim_request *claim = &c.pu_command_u.claim;
+
+  claim->service = (char *)a->service;
+  claim->key = (char *)a->key;
+  claim->fingerprint = a->fingerprint;
+  claim->owner = en->name;
+  claim->owner_incarnation = en->o.hooks.incarnation (en->o.hooks.data);
+  claim->attempt = a->attempt;
+  claim->wall = wall_now ();
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, on_claimed,
+                       asked_new (en, a));
+}
+
+static pu_claim_phase
+phase_of (pu_once_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case PU_ONCE_RAN:
+      return PU_CLAIM_RAN;
+    case PU_ONCE_NOT_RUN:
+      return PU_CLAIM_NOT_RUN;
+    case PU_ONCE_UNKNOWN:
+      return PU_CLAIM_UNKNOWN;
+    }
+  return PU_CLAIM_UNKNOWN;
+}
+
+static void
+record_propose (pu_entry_t *en, const pu_once_action_t *a)
+{
+  pu_command c = { .type = PU_COMMAND_CLAIM_DONE };
+  pu_claim_done *done = &c.pu_command_u.claim_done;
+
+  done->service = (char *)a->service;
+  done->key = (char *)a->key;
+  done->position = a->position;
+  done->phase = phase_of (a->outcome);
+  done->content_type = "";
+  if (a->outcome == PU_ONCE_RAN)
+    {
+      done->status = a->result.status;
+      done->content_type = (char *)a->result.content_type;
+      done->result.result_val = (char *)a->result.body;
+      done->result.result_len = (u_int)a->result.len;
+    }
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, on_recorded,
+                       asked_new (en, a));
+}
+
+/* One of the callers that wait for the key stands for the call.  */
+static pu_exchange_t *
+claimant_find (const pu_entry_t *en, const pu_once_action_t *a)
+{
+  for (GList *l = en->open.head; l != NULL; l = l->next)
+    {
+      pu_exchange_t *x = l->data;
+
+      if (x->once && x->phase == PU_X_CLAIMING && x->claim == 0
+          && strcmp (x->key, a->key) == 0
+          && strcmp (x->service, a->service) == 0)
+        return x;
+    }
+  return NULL;
+}
+
+static void
+claim_dispatch (pu_entry_t *en, const pu_once_action_t *a)
+{
+  pu_exchange_t *x = claimant_find (en, a);
+
+  /* All its callers have gone before it was sent.  */
+  if (x == NULL)
+    {
+      pu_once_finished (en->once, a->handle, PU_ONCE_NOT_RUN, NULL,
+                        now_of (en));
+      return;
+    }
+  x->claim = a->handle;
+  g_hash_table_insert (en->claims, GUINT_TO_POINTER (x->claim), x);
+  pu_exchange_route (x);
+}
+
+static void
+result_answer (pu_exchange_t *x, const pu_once_result_t *result)
+{
+  pu_http_header_t headers[] = { { "x-request-id", x->id },
+                                 { "x-outcome", "ran" },
+                                 { "content-type", result->content_type } };
+  gsize n = G_N_ELEMENTS (headers);
+
+  if (result->content_type == NULL || *result->content_type == 0)
+    n--;
+  pu_http_respond (x->http, (int)result->status, headers, n, result->body,
+                   result->len);
+}
+
+static void
+once_answer (pu_exchange_t *x, const pu_once_action_t *a)
+{
+  static const pu_refusal_t running = { 409, "running", PU_UNKNOWN, 1000 };
+  static const pu_refusal_t other = { 422, "key_reused", PU_NOT_RUN, 0 };
+  static const pu_refusal_t unknown = { 502, "unknown", PU_UNKNOWN, 0 };
+  static const pu_refusal_t not_run = { 503, "not_run", PU_NOT_RUN, 1000 };
+
+  switch (a->answer)
+    {
+    case PU_ONCE_ANSWER_RESULT:
+      result_answer (x, &a->result);
+      break;
+    case PU_ONCE_ANSWER_RUNNING:
+      pu_answer_error (x->http, x->id, &running,
+                       "The request with this key is running.");
+      break;
+    case PU_ONCE_ANSWER_CONFLICT:
+      pu_answer_error (x->http, x->id, &other,
+                       "The Idempotency-Key was used for another request.");
+      break;
+    case PU_ONCE_ANSWER_UNKNOWN:
+      pu_answer_error (x->http, x->id, &unknown,
+                       "It may have run; it will not run again.");
+      break;
+    case PU_ONCE_ANSWER_NOT_RUN:
+      pu_answer_error (x->http, x->id, &not_run,
+                       "It did not run; send it again with the same key.");
+      break;
+    }
+}
+
+static void
+caller_answer (pu_entry_t *en, const pu_once_action_t *a)
+{
+  pu_exchange_t *x = g_hash_table_lookup (en->numbers, &a->caller);
+
+  if (x == NULL)
+    return;
+  if (x->http != NULL)
+    once_answer (x, a);
+  x->http = NULL;
+  /* The one that was sent runs on, to be recorded.  */
+  if (x->claim == 0)
+    pu_exchange_done (x);
+}
+
+void
+pu_claim_pump (pu_entry_t *en)
+{
+  pu_once_action_t a;
+
+  if (en->pumping)
+    return;
+  en->pumping = true;
+  while (pu_once_next (en->once, &a))
+    {
+      switch (a.type)
+        {
+        case PU_ONCE_CLAIM:
+          claim_propose (en, &a);
+          break;
+        case PU_ONCE_DISPATCH:
+          claim_dispatch (en, &a);
+          break;
+        case PU_ONCE_RECORD:
+          record_propose (en, &a);
+          break;
+        case PU_ONCE_ANSWER:
+          caller_answer (en, &a);
+          break;
+        }
+    }
+  en->pumping = false;
+}
+
+void
+pu_claim_finished (pu_exchange_t *x, pu_once_outcome_t outcome,
+                   const pu_once_result_t *result)
+{
+  pu_entry_t *en = x->en;
+  pu_once_handle_t handle = x->claim;
+
+  g_hash_table_remove (en->claims, GUINT_TO_POINTER (handle));
+  x->claim = 0;
+  pu_once_finished (en->once, handle, outcome, result, now_of (en));
+  x->phase = PU_X_CLAIMING;
+  if (x->http == NULL)
+    pu_exchange_done (x);
+  pu_claim_pump (en);
+}
--- /dev/null
+++ b/libplantainusher/entry/entry.c
@@ -0,0 +1,463 @@
+#include "entry/entry_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+enum
+{
+  TICK_MS = 50,
+  LOADS_MS = 200,    /* reports are sent on so often */
+  BLOCK_TOKENS = 64, /* 256 bytes of prompt, see parse.c */
+  HEADER_MAX = 32768,
+  BODY_MAX = 8 * 1024 * 1024,
+  ANNOUNCEMENT_MAX = 1024 * 1024,
+  CONNECTIONS_MAX = 4096,
+  REQUESTS_MAX = 4096,
+  CONNECT_MS = 1000,
+  PROGRESS_MS = 10000,
+  PROBE_MS = 1000,
+  IDLE_MS = 4000,
+  REPORT_MS = 1000,
+  PROPOSE_MS = 2000,
+  TTL_S = 10,
+  STARTING_RETRY_MS = 1000,
+};
+
+void
+pu_entry_options_init (pu_entry_options_t *o)
+{
+  *o = (pu_entry_options_t){
+    .header_max = HEADER_MAX,
+    .body_max = BODY_MAX,
+    .announcement_max = ANNOUNCEMENT_MAX,
+    .connections_max = CONNECTIONS_MAX,
+    .requests_max = REQUESTS_MAX,
+    .connect_ms = CONNECT_MS,
+    .progress_ms = PROGRESS_MS,
+    .probe_ms = PROBE_MS,
+    .idle_ms = IDLE_MS,
+    .report_ms = REPORT_MS,
+    .propose_ms = PROPOSE_MS,
+    .ttl_s = TTL_S,
+  };
+}
+
+/* --- requests by path --- */
+
+static bool
+is_method (pu_http_request_t *http, const char *method)
+{
+  static const pu_refusal_t refusal = { 405, "method", PU_NOT_RUN, 0 };
+
+  if (strcmp (pu_http_request_method (http), method) == 0)
+    return true;
+  pu_answer_error (http, pu_http_request_header (http, "x-request-id"),
+                   &refusal, "This path takes another method.");
+  return false;
+}
+
+static bool
+is_ready (pu_entry_t *en, pu_http_request_t *http, bool needs_document)
+{
+  static const pu_refusal_t refusal
+      = { 503, "starting", PU_NOT_RUN, STARTING_RETRY_MS };
+
+  if (en->o.hooks.ready (en->o.hooks.data)
+      && (en->document != NULL || !needs_document))
+    return true;
+  pu_answer_error (http, pu_http_request_header (http, "x-request-id"),
+                   &refusal, "This entry has no document yet.");
+  return false;
+}
+
+static void
+completion (pu_entry_t *en, pu_http_request_t *http, bool chat)
+{
+  if (is_method (http, "POST") && is_ready (en, http, true))
+    pu_exchange_begin_model (en, http, chat);
+}
+
+static void
+not_found (pu_http_request_t *http)
+{
+  static const pu_refusal_t refusal = { 404, "not_found", PU_NOT_RUN, 0 };
+
+  pu_answer_error (http, pu_http_request_header (http, "x-request-id"),
+                   &refusal, "No such path.");
+}
+
+static void
+on_request (void *data, pu_http_request_t *http)
+{
+  pu_entry_t *en = data;
+  const char *path = pu_http_request_path (http);
+
+  if (strcmp (path, "/v1/chat/completions") == 0)
+    completion (en, http, true);
+  else if (strcmp (path, "/v1/completions") == 0)
+    completion (en, http, false);
+  else if (g_str_has_prefix (path, "/services/"))
+    {
+      if (is_ready (en, http, true))
+        pu_exchange_begin_plain (en, http);
+    }
+  else if (strcmp (path, "/v1/entries") == 0)
+    {
+      if (is_method (http, "GET") && is_ready (en, http, false))
+        pu_path_entries (en, http);
+    }
+  else if (strcmp (path, "/v1/backends/announce") == 0)
+    {
+      if (is_method (http, "POST") && is_ready (en, http, false))
+        pu_path_announce (en, http);
+    }
+  else if (strcmp (path, "/v1/models") == 0)
+    {
+      if (is_method (http, "GET") && is_ready (en, http, true))
+        pu_path_models (en, http);
+    }
+  else if (strcmp (path, "/healthz") == 0)
+    pu_path_health (en, http);
+  else
+    not_found (http);
+}
+
+/* --- the router's clock --- */
+
+static void
+decisions_carry_out (pu_entry_t *en, const GArray *decisions)
+{
+  for (guint i = 0; i < decisions->len; i++)
+    {
+      const pu_router_decision_t *d
+          = &g_array_index (decisions, pu_router_decision_t, i);
+      pu_exchange_t *x = g_hash_table_lookup (en->tickets, &d->ticket);
+
+      if (x != NULL)
+        pu_exchange_decide (x, d);
+    }
+}
+
+static void
+on_wake (uv_timer_t *t)
+{
+  pu_entry_t *en = t->data;
+  GArray *decisions
+      = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
+  guint64 now = uv_now (t->loop);
+  guint64 at;
+
+  pu_router_next (en->router, now, decisions);
+  decisions_carry_out (en, decisions);
+  g_array_free (decisions, TRUE);
+  at = pu_router_wake_at (en->router);
+  if (at != G_MAXUINT64 && !uv_is_active ((uv_handle_t *)t))
+    uv_timer_start (t, on_wake, at > now ? at - now : 1, 0);
+}
+
+void
+pu_router_due (pu_entry_t *en)
+{
+  if (!en->freed)
+    uv_timer_start (&en->wake, on_wake, 0, 0);
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  pu_entry_t *en = t->data;
+  guint64 now = uv_now (t->loop);
+
+  pu_servers_tick (en, now);
+  pu_once_tick (en->once, now);
+  pu_claim_pump (en);
+  pu_exchanges_tick (en, now);
+  pu_rates_tick (en, now);
+  if (now - en->flushed >= LOADS_MS)
+    {
+      en->flushed = now;
+      pu_loads_flush (en);
+    }
+  pu_entry_check (en);
+}
+
+/* --- life --- */
+
+static void
+cores_make (pu_entry_t *en)
+{
+  pu_router_options_t router;
+  pu_directory_options_t directory;
+  pu_once_options_t once;
+  pu_suspects_options_t suspects;
+
+  pu_router_options_init (&router);
+  router.seed = en->o.seed;
+  router.region = en->region;
+  router.zone = en->zone;
+  router.block_tokens = BLOCK_TOKENS;
+  en->router = pu_router_new (&router);
+  pu_directory_options_init (&directory);
+  directory.self = en->name;
+  directory.ttl_s = en->o.ttl_s;
+  en->directory = pu_directory_new (&directory);
+  pu_once_options_init (&once);
+  if (en->o.claim_window_ms != 0)
+    once.window_ms = en->o.claim_window_ms;
+  en->once = pu_once_new (&once);
+  pu_suspects_options_init (&suspects);
+  en->suspects = pu_suspects_new (&suspects);
+}
+
+static char **
+keys_copy (const pu_entry_options_t *o)
+{
+  GPtrArray *keys = g_ptr_array_new ();
+
+  for (guint i = 0; i < o->n_backend_keys; i++)
+    g_ptr_array_add (keys, g_strdup (o->backend_keys[i]));
+  g_ptr_array_add (keys, NULL);
+  return (char **)g_ptr_array_free (keys, FALSE);
+}
+
+static void
+tables_make (pu_entry_t *en)
+{
+  en->servers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pu_server_free);
+  en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         pu_reporter_free);
+  en->struck
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  en->rates = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  en->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  en->claims = g_hash_table_new (NULL, NULL);
+  en->tickets = g_hash_table_new (g_int64_hash, g_int64_equal);
+  en->numbers = g_hash_table_new (g_int64_hash, g_int64_equal);
+  en->loads = g_array_new (FALSE, FALSE, sizeof (pu_entry_load_t));
+  g_array_set_clear_func (en->loads, pu_load_clear);
+}
+
+static pu_http_server_t *
+server_make (pu_entry_t *en, pu_error_t *e)
+{
+  const pu_entry_options_t *o = &en->o;
+  pu_http_server_options_t server
+      = { .loop = o->loop,
+          .host = o->host,
+          .port = o->port,
+          .certificate = o->certificate,
+          .key = o->key,
+          .header_max = o->header_max,
+          .body_max = o->body_max,
+          .connections_max = o->connections_max,
+          .refusal_header = "x-outcome",
+          .refusal_value = "not-run",
+          .refusal_body
+          = "{\"error\":{\"message\":\"The request breaks a rule of HTTP or a "
+            "limit of size.\",\"type\":\"invalid_request\",\"outcome\":"
+            "\"not-run\"}}",
+          .handler = on_request,
+          .data = en };
+
+  return pu_http_server_new (&server, e);
+}
+
+static void
+timers_make (pu_entry_t *en)
+{
+  uv_timer_init (en->o.loop, &en->tick);
+  uv_timer_init (en->o.loop, &en->wake);
+  en->tick.data = en;
+  en->wake.data = en;
+  en->handles = 2;
+  uv_timer_start (&en->tick, on_tick, TICK_MS, TICK_MS);
+}
+
+/* Frees what needs no loop.  */
+static void
+entry_release (pu_entry_t *en)
+{
+  if (!en->freed || en->handles > 0 || en->pending > 0)
+    return;
+  pu_router_free (en->router);
+  pu_directory_free (en->directory);
+  pu_once_free (en->once);
+  pu_suspects_free (en->suspects);
+  pu_document_unref (en->document);
+  g_hash_table_destroy (en->servers);
+  g_hash_table_destroy (en->reporters);
+  g_hash_table_destroy (en->struck);
+  g_hash_table_destroy (en->rates);
+  g_hash_table_destroy (en->counts);
+  g_hash_table_destroy (en->claims);
+  g_hash_table_destroy (en->tickets);
+  g_hash_table_destroy (en->numbers);
+  g_array_free (en->loads, TRUE);
+  g_rand_free (en->random);
+  g_strfreev (en->backend_keys);
+  g_free (en->peer_key);
+  g_free (en->name);
+  g_free (en->region);
+  g_free (en->zone);
+  g_free (en);
+}
+
+pu_entry_t *
+pu_entry_new (const pu_entry_options_t *o, pu_error_t *e)
+{
+  pu_entry_t *en = g_new0 (pu_entry_t, 1);
+  pu_http_client_options_t client = { .loop = o->loop,
+                                      .connect_timeout_ms = o->connect_ms,
+                                      .progress_timeout_ms = o->progress_ms,
+                                      .idle_ms = o->idle_ms };
+
+  en->o = *o;
+  en->name = g_strdup (o->name);
+  en->region = g_strdup (o->region);
+  en->zone = g_strdup (o->zone);
+  en->peer_key = g_strdup (o->peer_key);
+  en->backend_keys = keys_copy (o);
+  en->random = g_rand_new_with_seed (o->seed);
+  tables_make (en);
+  cores_make (en);
+  en->server = server_make (en, e);
+  if (en->server == NULL)
+    {
+      en->freed = true;
+      entry_release (en);
+      return NULL;
+    }
+  en->client = pu_http_client_new (&client);
+  en->second = uv_now (o->loop);
+  timers_make (en);
+  pu_view_sync (en);
+  return en;
+}
+
+void
+pu_entry_view_changed (pu_entry_t *en)
+{
+  pu_view_sync (en);
+}
+
+void
+pu_entry_leave (pu_entry_t *en)
+{
+  en->leaving = true;
+  en->changes = 0;
+  pu_view_sync (en);
+}
+
+void
+pu_entry_check (pu_entry_t *en)
+{
+  void (*cb) (void *data) = en->stop_cb;
+
+  if (en->freed)
+    {
+      entry_release (en);
+      return;
+    }
+  if (!en->stopping || !en->server_stopped || cb == NULL
+      || pu_entry_open (en) > 0)
+    return;
+  en->stop_cb = NULL;
+  cb (en->stop_data);
+}
+
+static void
+on_server_stopped (void *data)
+{
+  ((pu_entry_t *)data)->server_stopped = true;
+}
+
+void
+pu_entry_stop (pu_entry_t *en, void (*cb) (void *data), void *data)
+{
+  en->stopping = true;
+  en->leaving = true;
+  en->stop_cb = cb;
+  en->stop_data = data;
+  pu_http_server_stop (en->server, on_server_stopped, en);
+}
+
+void
+pu_entry_abort (pu_entry_t *en)
+{
+  pu_exchanges_abort (en);
+  pu_http_server_abort (en->server);
+}
+
+static void
+on_handle_closed (uv_handle_t *h)
+{
+  pu_entry_t *en = h->data;
+
+  en->handles--;
+  entry_release (en);
+}
+
+void
+pu_entry_free (pu_entry_t *en)
+{
+  if (en == NULL)
+    return;
+  pu_exchanges_abort (en);
+  en->freed = true;
+  pu_http_client_free (en->client);
+  pu_http_server_free (en->server);
+  uv_close ((uv_handle_t *)&en->tick, on_handle_closed);
+  uv_close ((uv_handle_t *)&en->wake, on_handle_closed);
+}
+
+int
+pu_entry_port (const pu_entry_t *en)
+{
+  return pu_http_server_port (en->server);
+}
+
+guint
+pu_entry_open (const pu_entry_t *en)
+{
+  return en->open.length + pu_once_busy (en->once);
+}
+
+static json_t *
+reporters_json (const pu_entry_t *en)
+{
+  json_t *out = json_object ();
+  GHashTableIter it;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, en->reporters);
+  while (g_hash_table_iter_next (&it, &name, &value))
+    {
+      const pu_reporter_t *p = value;
+
+      json_object_set_new (out, name,
+                           json_pack ("{s:I, s:I, s:b}", "incarnation",
+                                      (json_int_t)p->record->incarnation,
+                                      "seq", (json_int_t)p->seq, "leaving",
+                                      p->record->leaving));
+    }
+  return out;
+}
+
+json_t *
+pu_entry_dump (const pu_entry_t *en)
+{
+  return json_pack (
+      "{s:b, s:i, s:i, s:i, s:i, s:i, s:i, s:I, s:I, s:o, s:o}", "leaving",
+      en->leaving, "requests", (int)en->open.length, "caller_connections",
+      (int)pu_http_server_connections (en->server), "backend_connections",
+      (int)pu_http_client_open (en->client), "idle_connections",
+      (int)pu_http_client_idle (en->client), "claims_at_work",
+      (int)pu_once_busy (en->once), "suspects_running",
+      (int)pu_suspects_running (en->suspects), "bad_announcements",
+      (json_int_t)en->bad_announcements, "document_version",
+      (json_int_t)en->document_version, "reporters", reporters_json (en),
+      "router", pu_router_dump (en->router));
+}
--- /dev/null
+++ b/libplantainusher/entry/entry_private.h
@@ -0,0 +1,356 @@
+#ifndef PU_ENTRY_PRIVATE_H
+#define PU_ENTRY_PRIVATE_H
+
+#include "directory/directory.h"
+#include "document/document.h"
+#include "entry/entry.h"
+#include "entry/stream.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "once/once.h"
+#include "routing/router.h"
+#include "suspects/suspects.h"
+
+/*
+ * entry_private - the entry's tables and one request, shared by its files.
+ */
+
+#define PU_ENTRY_PART "entry"
+
+typedef struct pu_exchange pu_exchange_t;
+
+/* An attempt that broke at a backend server that still listened after.  */
+typedef struct
+{
+  guint64 fingerprint;
+  guint64 at; /* loop time */
+} pu_cut_t;
+
+/* A backend server, as the view or its own reports tell.  */
+typedef struct
+{
+  char *name;
+  char *address;
+  guint64 incarnation;
+  pu_router_backend_t handle; /* PU_ROUTER_NONE when down */
+  guint number;               /* of the suspects' table; never used again */
+  bool leaving;
+  bool plain;
+  bool down;       /* by the view, or found dead here */
+  guint suspects;  /* that run there from here: nothing else is sent */
+  GPtrArray *held; /* of pu_exchange_t: wait for the probe's answer */
+  GArray *cuts;    /* of pu_cut_t: the last ones that it survived */
+  pu_entry_t *en;
+  pu_http_call_t *probe;
+  guint refused;      /* probes in a row that nobody listened to */
+  guint64 probe_at;   /* loop time of the next one; 0: none */
+  guint64 dead_until; /* loop time: found dead here, whatever the view says */
+} pu_server_t;
+
+/* A backend server that reports to this entry.  */
+typedef struct
+{
+  pu_entry_t *en;
+  pu_backend_record *record;   /* as reported so far */
+  pu_backend_record *accepted; /* as the log has it from here; NULL: not */
+  pu_backend_record *proposed; /* with the log now; NULL: none */
+  guint64 seq;
+} pu_reporter_t;
+
+/* Which outcome a refusal or failure tells.  */
+typedef enum
+{
+  PU_NOT_RUN,
+  PU_RAN,
+  PU_UNKNOWN
+} pu_outcome_word_t;
+
+typedef enum
+{
+  PU_X_WAITING,  /* a suspect: its like runs */
+  PU_X_CLAIMING, /* its key is with the log */
+  PU_X_QUEUED,   /* in the router */
+  PU_X_RUNNING,  /* at a backend server or another entry */
+  PU_X_HELD,     /* its attempt broke: the backend server is probed */
+} pu_x_phase_t;
+
+/* One attempt at a backend server or another entry.  */
+typedef struct
+{
+  pu_http_call_t *call;
+  pu_server_t *server; /* NULL: another entry */
+  guint64 incarnation; /* of the backend server */
+  char *entry;         /* name of the other entry */
+  int status;
+  bool streaming; /* the answer is a stream of events */
+  bool answered;  /* the head came */
+  bool noted;     /* with the suspects' table */
+  bool apart;     /* as a suspect */
+  char *content_type;
+  char *outcome;     /* X-Outcome of another entry's answer */
+  char *retry_after; /* of the same */
+  GByteArray *whole; /* body of an answer that is not a stream */
+  pu_stream_t *stream;
+  bool foreign;                /* another request's answer */
+  bool overflow;               /* the whole answer is too large */
+  bool done;     /* the stream\'s end mark came */
+  bool broken;   /* the stream can\'t go on */
+  pu_router_failure_t failure; /* why it is held */
+} pu_attempt_t;
+
+/* One request of a caller.  */
+struct pu_exchange
+{
+  pu_entry_t *en;
+  pu_http_request_t *http; /* NULL: the caller has gone or has its answer */
+  GList link;              /* in the entry's open */
+  guint64 number;
+  char *id;
+  char *method;
+  char *target; /* path and query at the backend server */
+  char *service;
+  char *model;        /* "" for a plain service */
+  char *key;          /* of an at-most-once call */
+  GPtrArray *headers; /* names and values to pass on, in turn */
+  GBytes *body;
+  bool plain;
+  bool chat;
+  bool stream;
+  bool repeatable;
+  bool once;    /* its key is claimed before it is sent */
+  bool relayed; /* by another entry */
+  guint priority;
+  guint64 arrived; /* loop time */
+  guint64 deadline;
+  guint prompt_tokens;
+  guint max_tokens;
+  guint64 prefix[PU_ROUTER_PREFIX_MAX];
+  guint n_prefix;
+  guint64 fingerprint; /* of model and prompt */
+  pu_x_phase_t phase;
+  pu_ticket_t ticket;
+  pu_once_handle_t claim;
+  guint attempts;
+  GPtrArray *avoid; /* names of entries that failed */
+  pu_attempt_t at;
+  pu_sent_t sent; /* what the caller has got of a stream */
+  guint resumed;  /* tokens that the other entry's caller had before */
+  bool head_sent;
+  bool may_have_run;
+  guint predicted_ms; /* time to the first token, by the router */
+};
+
+struct pu_entry
+{
+  pu_entry_options_t o;
+  char *name;
+  char *region;
+  char *zone;
+  char *peer_key;
+  char **backend_keys;
+  pu_http_server_t *server;
+  pu_http_client_t *client;
+  pu_router_t *router;
+  pu_directory_t *directory;
+  pu_once_t *once;
+  pu_suspects_t *suspects;
+  pu_document_t *document;
+  guint64 document_version;
+  guint64 changes;       /* of the view, as taken in */
+  GHashTable *servers;   /* name -> pu_server_t */
+  GHashTable *reporters; /* name -> pu_reporter_t */
+  GHashTable *struck;    /* set of &fingerprint, as in the view */
+  GHashTable *rates;     /* service -> double: requests a second */
+  GHashTable *counts;    /* service -> guint in this second */
+  GHashTable *claims;    /* once handle -> pu_exchange_t */
+  GHashTable *tickets;   /* &ticket -> pu_exchange_t */
+  GHashTable *numbers;   /* &number -> pu_exchange_t */
+  GQueue open;           /* of pu_exchange_t */
+  GArray *loads;         /* of pu_entry_load_t, names owned */
+  uv_timer_t tick;
+  uv_timer_t wake; /* the router's next decision */
+  guint handles;   /* open */
+  guint pending;   /* proposals that will call back */
+  guint64 last_number;
+  guint last_server;
+  guint64 second;  /* loop time of the last rates */
+  guint64 flushed; /* loop time when loads were sent on */
+  guint64 bad_announcements;
+  guint64 bad_logged;
+  GRand *random;
+  bool leaving;
+  bool stopping;
+  bool server_stopped;
+  bool pumping; /* the actions of `once` are being carried out */
+  bool freed;
+  void (*stop_cb) (void *data);
+  void *stop_data;
+};
+
+/* --- announcement.c: the reports of backend servers --- */
+
+/* A report; what it did not say is not set.  */
+typedef struct
+{
+  bool whole; /* it says where the backend server listens */
+  guint64 seq;
+  pu_backend_record *record; /* all that is known of it now */
+  bool has_load;
+  pu_router_report_t load;
+  bool has_events;
+  pu_router_kv_events_t events;
+  GArray *added;   /* of guint64 */
+  GArray *removed; /* of guint64 */
+} pu_announcement_t;
+
+/* pu_announcement_name - reads what each report says of its sender.  False
+   with findings.  NAME belongs to ROOT.  */
+bool pu_announcement_name (const json_t *root, const char **name,
+                           guint64 *incarnation, pu_findings_t *f);
+
+/* pu_announcement_read - reads ROOT over BASE, the last report of the same
+   incarnation, or NULL.  Returns false with findings; A is to be cleared in
+   either case.  */
+bool pu_announcement_read (pu_announcement_t *a, const json_t *root,
+                           const pu_backend_record *base, pu_findings_t *f);
+void pu_announcement_clear (pu_announcement_t *a);
+
+/* --- answer.c: what callers are told --- */
+
+typedef struct
+{
+  int status;
+  const char *type; /* a word for programs */
+  pu_outcome_word_t outcome;
+  guint retry_after_ms; /* 0: no header */
+} pu_refusal_t;
+
+const char *pu_outcome_word (pu_outcome_word_t o);
+
+/* pu_answer_error - answers HTTP with a refusal; ID may be NULL.  */
+void pu_answer_error (pu_http_request_t *http, const char *id,
+                      const pu_refusal_t *r, const char *message);
+
+/* pu_answer_json - answers with V, which is consumed.  */
+void pu_answer_json (pu_http_request_t *http, int status, json_t *v);
+
+/* pu_error_text - the JSON text of an error; free it with g_free.  */
+char *pu_error_text (const pu_refusal_t *r, const char *message);
+
+/* --- entries.c, announce.c: paths that take no backend server --- */
+
+void pu_path_entries (pu_entry_t *en, pu_http_request_t *http);
+void pu_path_models (pu_entry_t *en, pu_http_request_t *http);
+void pu_path_health (pu_entry_t *en, pu_http_request_t *http);
+void pu_path_announce (pu_entry_t *en, pu_http_request_t *http);
+
+/* pu_service_size - entries in the set of SERVICE at the present demand.  */
+guint pu_service_size (const pu_entry_t *en, const char *service);
+void pu_rates_count (pu_entry_t *en, const char *service);
+void pu_rates_tick (pu_entry_t *en, guint64 now);
+
+/* pu_loads_flush - sends on what backend servers reported.  */
+void pu_loads_flush (pu_entry_t *en);
+void pu_load_clear (gpointer load);
+void pu_reporter_free (gpointer reporter);
+
+/* --- servers.c: backend servers in the router, probes, deaths --- */
+
+pu_server_t *pu_server_find (const pu_entry_t *en, const char *name);
+void pu_server_free (gpointer server);
+
+/* pu_servers_sync - takes the view's backend servers in.  */
+void pu_servers_sync (pu_entry_t *en);
+
+/* pu_server_apply - puts B into the router.  */
+pu_server_t *pu_server_apply (pu_entry_t *en, const pu_backend_record *b);
+
+/* pu_server_hold - X waits until S is known to be alive or dead.  */
+void pu_server_hold (pu_server_t *s, pu_exchange_t *x);
+
+/* pu_server_cut - the attempt of X at S broke or was cancelled while S
+   listened on.  */
+void pu_server_cut (pu_server_t *s, const pu_exchange_t *x);
+
+/* pu_server_doubt - nobody listened at S: looks again.  */
+void pu_server_doubt (pu_server_t *s);
+void pu_servers_tick (pu_entry_t *en, guint64 now);
+void pu_server_unhold (pu_exchange_t *x);
+
+/* pu_server_apart - one more (or less) suspect runs at S.  */
+void pu_server_apart (pu_entry_t *en, pu_server_t *s, bool begins);
+
+/* --- view.c --- */
+
+void pu_view_sync (pu_entry_t *en);
+
+/* --- parse.c: from HTTP to an exchange --- */
+
+/* pu_exchange_parse_model, pu_exchange_parse_plain - fill X; on false the
+   caller is answered and X is to be freed.  */
+bool pu_exchange_parse_model (pu_exchange_t *x, bool chat);
+bool pu_exchange_parse_plain (pu_exchange_t *x);
+
+/* pu_exchange_resume_body - the body of X with what the caller has got, as
+   the member "resume_text".  */
+GBytes *pu_exchange_resume_body (const pu_exchange_t *x);
+
+/* --- exchange.c: one request from admission to its end --- */
+
+void pu_exchange_begin_model (pu_entry_t *en, pu_http_request_t *http,
+                              bool chat);
+void pu_exchange_begin_plain (pu_entry_t *en, pu_http_request_t *http);
+
+/* pu_exchange_route - decides where X goes now: another entry, the router's
+   queue, a backend server, or a refusal.  */
+void pu_exchange_route (pu_exchange_t *x);
+
+/* pu_exchange_offer - the same, but here.  */
+void pu_exchange_offer (pu_exchange_t *x);
+
+/* pu_exchange_fail - the final answer is R; X is freed.  */
+void pu_exchange_fail (pu_exchange_t *x, const pu_refusal_t *r,
+                       const char *message);
+
+/* pu_exchange_refused - the same for a refusal of the router's.  */
+void pu_exchange_refused (pu_exchange_t *x, const pu_router_decision_t *d);
+
+/* pu_exchange_again - the attempt of X is over without an answer: tries
+   again, or fails.  */
+void pu_exchange_again (pu_exchange_t *x, pu_router_failure_t failure);
+
+/* pu_exchange_done - X has its answer; it is freed.  */
+void pu_exchange_done (pu_exchange_t *x);
+
+/* pu_exchange_decide - carries out a decision of the router.  */
+void pu_exchange_decide (pu_exchange_t *x, const pu_router_decision_t *d);
+
+/* pu_exchanges_tick - deadlines, and suspects that may run now.  */
+void pu_exchanges_tick (pu_entry_t *en, guint64 now);
+void pu_exchanges_abort (pu_entry_t *en);
+
+/* pu_entry_check - after a request has ended or a callback has come: whether
+   a stop or the freeing of the entry is complete.  */
+void pu_entry_check (pu_entry_t *en);
+
+/* pu_router_due - the router is asked for its next decisions soon.  */
+void pu_router_due (pu_entry_t *en);
+
+/* --- attempt.c: one try at a backend server or another entry --- */
+
+bool pu_attempt_start (pu_exchange_t *x, pu_server_t *s);
+bool pu_attempt_relay (pu_exchange_t *x, const pu_directory_entry_t *to);
+
+/* pu_attempt_clear - ends the attempt of X: cancels what runs.  */
+void pu_attempt_clear (pu_exchange_t *x);
+
+/* --- claim.c: at-most-once calls --- */
+
+void pu_claim_begin (pu_exchange_t *x);
+/* pu_claim_finished - the dispatched call X ended; frees X.  RESULT goes
+   with PU_ONCE_RAN.  */
+void pu_claim_finished (pu_exchange_t *x, pu_once_outcome_t outcome,
+                        const pu_once_result_t *result);
+void pu_claim_pump (pu_entry_t *en);
+
+#endif
--- /dev/null
+++ b/libplantainusher/entry/exchange.c
@@ -0,0 +1,566 @@
+#include "entry/entry_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+enum
+{
+  ATTEMPTS_MAX = 6,
+  BUSY_RETRY_MS = 1000,
+  STATUS_CONVICTED = 422,
+};
+
+/* --- life --- */
+
+static void
+exchange_free (pu_exchange_t *x)
+{
+  g_free (x->id);
+  g_free (x->method);
+  g_free (x->target);
+  g_free (x->service);
+  g_free (x->model);
+  g_free (x->key);
+  g_ptr_array_free (x->headers, TRUE);
+  g_ptr_array_free (x->avoid, TRUE);
+  g_clear_pointer (&x->body, g_bytes_unref);
+  pu_sent_clear (&x->sent);
+  g_free (x);
+}
+
+static void
+ticket_set (pu_exchange_t *x, pu_ticket_t ticket)
+{
+  GHashTable *tickets = x->en->tickets;
+
+  if (x->ticket != 0 && x->ticket != ticket)
+    g_hash_table_remove (tickets, &x->ticket);
+  x->ticket = ticket;
+  if (ticket != 0)
+    g_hash_table_insert (tickets, &x->ticket, x);
+}
+
+static void
+ticket_cancel (pu_exchange_t *x)
+{
+  pu_ticket_t ticket = x->ticket;
+
+  ticket_set (x, 0);
+  if (ticket == 0)
+    return;
+  pu_router_cancel (x->en->router, ticket, uv_now (x->en->o.loop));
+  pu_router_due (x->en);
+}
+
+void
+pu_exchange_done (pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+
+  pu_attempt_clear (x);
+  ticket_cancel (x);
+  if (x->claim != 0)
+    g_hash_table_remove (en->claims, GUINT_TO_POINTER (x->claim));
+  g_hash_table_remove (en->numbers, &x->number);
+  g_queue_unlink (&en->open, &x->link);
+  exchange_free (x);
+  pu_entry_check (en);
+}
+
+/* The caller has gone.  A claimed call that was sent runs on, so that its
+   outcome can be recorded; all else is cancelled.  */
+static void
+on_gone (void *data)
+{
+  pu_exchange_t *x = data;
+
+  x->http = NULL;
+  if (x->claim != 0)
+    return;
+  if (x->once && x->phase == PU_X_CLAIMING)
+    pu_once_give_up (x->en->once, x->number, uv_now (x->en->o.loop));
+  pu_exchange_done (x);
+}
+
+static void
+on_drain (void *data)
+{
+  pu_exchange_t *x = data;
+
+  if (x->at.call != NULL)
+    pu_http_call_resume (x->at.call);
+}
+
+static pu_exchange_t *
+exchange_new (pu_entry_t *en, pu_http_request_t *http)
+{
+  pu_exchange_t *x = g_new0 (pu_exchange_t, 1);
+
+  x->en = en;
+  x->http = http;
+  x->link.data = x;
+  x->number = ++en->last_number;
+  x->headers = g_ptr_array_new_with_free_func (g_free);
+  x->avoid = g_ptr_array_new_with_free_func (g_free);
+  pu_sent_init (&x->sent);
+  return x;
+}
+
+static void
+exchange_admit (pu_exchange_t *x)
+{
+  static const pu_http_request_events_t events = { on_gone, on_drain };
+  pu_entry_t *en = x->en;
+
+  pu_http_request_watch (x->http, &events, x);
+  g_queue_push_tail_link (&en->open, &x->link);
+  g_hash_table_insert (en->numbers, &x->number, x);
+  pu_rates_count (en, x->service);
+  if (!x->plain && !x->relayed)
+    en->o.hooks.demand (en->o.hooks.data, x->model, 1, 0);
+  if (x->once)
+    pu_claim_begin (x);
+  else
+    pu_exchange_route (x);
+}
+
+static bool
+has_room (pu_entry_t *en, pu_http_request_t *http)
+{
+  static const pu_refusal_t full
+      = { 503, "overloaded", PU_NOT_RUN, BUSY_RETRY_MS };
+
+  if (en->open.length < en->o.requests_max)
+    return true;
+  pu_answer_error (http, pu_http_request_header (http, "x-request-id"), &full,
+                   "Too many requests are in progress here.");
+  return false;
+}
+
+void
+pu_exchange_begin_model (pu_entry_t *en, pu_http_request_t *http, bool chat)
+{
+  pu_exchange_t *x;
+
+  if (!has_room (en, http))
+    return;
+  x = exchange_new (en, http);
+  if (pu_exchange_parse_model (x, chat))
+    exchange_admit (x);
+  else
+    exchange_free (x);
+}
+
+void
+pu_exchange_begin_plain (pu_entry_t *en, pu_http_request_t *http)
+{
+  pu_exchange_t *x;
+
+  if (!has_room (en, http))
+    return;
+  x = exchange_new (en, http);
+  if (pu_exchange_parse_plain (x))
+    exchange_admit (x);
+  else
+    exchange_free (x);
+}
+
+/* --- failures --- */
+
+/* What the caller is told must hold over all attempts.  */
+static pu_outcome_word_t
+outcome_over_all (const pu_exchange_t *x, pu_outcome_word_t o)
+{
+  if (o == PU_NOT_RUN && x->sent.tokens > 0)
+    return PU_RAN;
+  if (o == PU_NOT_RUN && x->may_have_run)
+    return PU_UNKNOWN;
+  return o;
+}
+
+static void
+failure_stream (pu_exchange_t *x, const pu_refusal_t *r, const char *message)
+{
+  char *text = pu_error_text (r, message);
+  char *event = g_strdup_printf ("event: error\ndata: %s\n\n", text);
+
+  pu_http_respond_write (x->http, event, strlen (event));
+  pu_http_respond_abort (x->http);
+  g_free (event);
+  g_free (text);
+}
+
+void
+pu_exchange_fail (pu_exchange_t *x, const pu_refusal_t *r, const char *message)
+{
+  pu_refusal_t told = *r;
+
+  told.outcome = outcome_over_all (x, r->outcome);
+  pu_log_debug (PU_ENTRY_PART, "Request %s failed: %s (%s).", x->id, message,
+                pu_outcome_word (told.outcome));
+  if (x->claim != 0)
+    {
+      pu_claim_finished (
+          x, told.outcome == PU_NOT_RUN ? PU_ONCE_NOT_RUN : PU_ONCE_UNKNOWN,
+          NULL);
+      return;
+    }
+  if (x->http != NULL && x->head_sent)
+    failure_stream (x, &told, message);
+  else if (x->http != NULL)
+    pu_answer_error (x->http, x->id, &told, message);
+  x->http = NULL;
+  pu_exchange_done (x);
+}
+
+static int
+refused_status (pu_router_reason_t reason)
+{
+  switch (reason)
+    {
+    case PU_ROUTER_REASON_SERVICE:
+    case PU_ROUTER_REASON_MODEL:
+      return 404;
+    case PU_ROUTER_REASON_QUEUE_FULL:
+      return 429;
+    case PU_ROUTER_REASON_REPEAT:
+      return 502;
+    default:
+      return 503;
+    }
+}
+
+static const char *
+refused_message (pu_router_reason_t reason)
+{
+  switch (reason)
+    {
+    case PU_ROUTER_REASON_NONE:
+    case PU_ROUTER_REASON_SERVICE:
+      return "The service is not declared.";
+    case PU_ROUTER_REASON_MODEL:
+      return "The model is not declared.";
+    case PU_ROUTER_REASON_COPY:
+      return "No backend server is ready for it now.";
+    case PU_ROUTER_REASON_QUEUE_FULL:
+      return "The queue is full.";
+    case PU_ROUTER_REASON_DEADLINE:
+      return "It can't be answered in time.";
+    case PU_ROUTER_REASON_BUDGET:
+      return "It failed, and too many requests are being tried again.";
+    case PU_ROUTER_REASON_ATTEMPTS:
+      return "It failed on every backend server that was tried.";
+    case PU_ROUTER_REASON_REPEAT:
+      return "The backend server was lost; it may have run.";
+    }
+  return "";
+}
+
+void
+pu_exchange_refused (pu_exchange_t *x, const pu_router_decision_t *d)
+{
+  pu_refusal_t r
+      = { refused_status (d->reason), pu_router_reason_name (d->reason),
+          PU_NOT_RUN, d->retry_after_ms };
+
+  if (d->ran == PU_ROUTER_UNKNOWN)
+    r.outcome = PU_UNKNOWN;
+  else if (d->ran == PU_ROUTER_RAN)
+    r.outcome = PU_RAN;
+  if (r.retry_after_ms == 0 && (r.status == 429 || r.status == 503))
+    r.retry_after_ms = BUSY_RETRY_MS;
+  /* The router forgets a ticket that it refuses.  */
+  ticket_set (x, 0);
+  pu_exchange_fail (x, &r, refused_message (d->reason));
+}
+
+static void
+fail_convicted (pu_exchange_t *x)
+{
+  static const pu_refusal_t convicted
+      = { STATUS_CONVICTED, "convicted", PU_NOT_RUN, 0 };
+
+  pu_exchange_fail (x, &convicted,
+                    "This request has crashed backend servers. An operator "
+                    "can lift the conviction.");
+}
+
+static void
+fail_deadline (pu_exchange_t *x)
+{
+  static const pu_refusal_t late = { 504, "deadline", PU_NOT_RUN, 0 };
+
+  if (x->phase == PU_X_RUNNING || x->phase == PU_X_HELD)
+    x->may_have_run = true;
+  pu_exchange_fail (x, &late, "The request was not answered in time.");
+}
+
+/* --- where it goes --- */
+
+static bool
+next_hop (pu_exchange_t *x, const char *key, guint size,
+          pu_directory_entry_t *to)
+{
+  return pu_directory_next_hop (
+      x->en->directory, key, size, x->relayed ? 1 : 0,
+      (const char *const *)x->avoid->pdata, x->avoid->len, to);
+}
+
+/* A suspect runs at one entry alone, which its model hashes to.  */
+static bool
+suspect_hop (pu_exchange_t *x, pu_directory_entry_t *to)
+{
+  char *key = g_strconcat ("suspects/", x->model, NULL);
+  bool away = next_hop (x, key, 1, to);
+
+  g_free (key);
+  return away;
+}
+
+static bool
+is_suspect (const pu_exchange_t *x)
+{
+  return !x->plain
+         && pu_suspects_is_suspect (x->en->suspects, x->fingerprint,
+                                    uv_now (x->en->o.loop));
+}
+
+static pu_suspects_verdict_t
+judge (const pu_exchange_t *x)
+{
+  if (x->plain)
+    return PU_SUSPECTS_RUN;
+  return pu_suspects_judge (x->en->suspects, x->fingerprint,
+                            uv_now (x->en->o.loop));
+}
+
+void
+pu_exchange_route (pu_exchange_t *x)
+{
+  pu_suspects_verdict_t verdict = judge (x);
+  pu_directory_entry_t to;
+  bool away;
+
+  if (verdict == PU_SUSPECTS_REFUSE)
+    {
+      fail_convicted (x);
+      return;
+    }
+  if (uv_now (x->en->o.loop) >= x->deadline)
+    {
+      fail_deadline (x);
+      return;
+    }
+  /* What may run once only is not relayed: a hop more is one more place
+     where its outcome can be lost.  */
+  if (x->once || !x->repeatable)
+    away = false;
+  else if (is_suspect (x))
+    away = suspect_hop (x, &to);
+  else
+    away = next_hop (x, x->service, pu_service_size (x->en, x->service), &to);
+  if (away && pu_attempt_relay (x, &to))
+    return;
+  if (verdict == PU_SUSPECTS_WAIT)
+    x->phase = PU_X_WAITING;
+  else
+    pu_exchange_offer (x);
+}
+
+void
+pu_exchange_offer (pu_exchange_t *x)
+{
+  pu_router_t *router = x->en->router;
+  char *plain = g_strconcat ("service:", x->service, NULL);
+  pu_router_request_t q = {
+    .service = pu_router_find_service (router, x->service),
+    .model = pu_router_find_model (router, x->plain ? plain : x->model),
+    .priority = x->priority,
+    .deadline = x->deadline,
+    .prompt_tokens = x->prompt_tokens,
+    .max_tokens = x->max_tokens,
+    .prefix = x->prefix,
+    .n_prefix = x->n_prefix,
+    .repeatable = x->repeatable,
+  };
+  pu_router_decision_t d;
+
+  g_free (plain);
+  pu_router_offer (router, &q, uv_now (x->en->o.loop), &d);
+  pu_exchange_decide (x, &d);
+}
+
+/* Whether X may be sent to S now, by what is held against either.  */
+static bool
+may_send (pu_exchange_t *x, const pu_server_t *s)
+{
+  pu_suspects_verdict_t verdict = judge (x);
+
+  if (verdict == PU_SUSPECTS_REFUSE)
+    {
+      ticket_cancel (x);
+      fail_convicted (x);
+      return false;
+    }
+  if (verdict != PU_SUSPECTS_WAIT && (!is_suspect (x) || s->suspects == 0))
+    return true;
+  ticket_cancel (x);
+  x->phase = PU_X_WAITING;
+  return false;
+}
+
+static void
+exchange_dispatch (pu_exchange_t *x, const pu_router_decision_t *d)
+{
+  const char *name = pu_router_backend_name (x->en->router, d->backend);
+  pu_server_t *s = pu_server_find (x->en, name);
+
+  x->predicted_ms = d->predicted_ms;
+  if (s != NULL && !may_send (x, s))
+    return;
+  if (s == NULL || !pu_attempt_start (x, s))
+    pu_exchange_again (x, PU_ROUTER_FAIL_CONNECT);
+}
+
+void
+pu_exchange_decide (pu_exchange_t *x, const pu_router_decision_t *d)
+{
+  pu_router_due (x->en);
+  switch (d->verdict)
+    {
+    case PU_ROUTER_DISPATCH:
+      ticket_set (x, d->ticket);
+      exchange_dispatch (x, d);
+      break;
+    case PU_ROUTER_QUEUED:
+      ticket_set (x, d->ticket);
+      x->phase = PU_X_QUEUED;
+      break;
+    case PU_ROUTER_REFUSE:
+      pu_exchange_refused (x, d);
+      break;
+    }
+}
+
+/* --- once more --- */
+
+static void
+fail_lost (pu_exchange_t *x)
+{
+  static const pu_refusal_t lost
+      = { 502, "attempts", PU_NOT_RUN, BUSY_RETRY_MS };
+
+  pu_exchange_fail (x, &lost, "It failed wherever it was tried.");
+}
+
+/* The other entry did not answer.  */
+static void
+relay_again (pu_exchange_t *x, char *entry)
+{
+  g_ptr_array_add (x->avoid, entry);
+  if (x->attempts >= ATTEMPTS_MAX || (x->may_have_run && !x->repeatable))
+    fail_lost (x);
+  else
+    pu_exchange_route (x);
+}
+
+void
+pu_exchange_again (pu_exchange_t *x, pu_router_failure_t failure)
+{
+  char *entry = g_strdup (x->at.entry);
+  pu_router_decision_t d;
+
+  if (failure != PU_ROUTER_FAIL_CONNECT && failure != PU_ROUTER_FAIL_NOT_RUN)
+    x->may_have_run = true;
+  pu_attempt_clear (x);
+  if (entry != NULL)
+    {
+      relay_again (x, entry);
+      return;
+    }
+  if (uv_now (x->en->o.loop) >= x->deadline)
+    {
+      fail_deadline (x);
+      return;
+    }
+  pu_router_retry (x->en->router, x->ticket, failure, uv_now (x->en->o.loop),
+                   &d);
+  /* One that is a suspect by now goes the suspects' way.  */
+  if (d.verdict != PU_ROUTER_REFUSE && is_suspect (x))
+    {
+      ticket_set (x, d.ticket);
+      ticket_cancel (x);
+      if (x->attempts >= ATTEMPTS_MAX)
+        fail_lost (x);
+      else
+        pu_exchange_route (x);
+      return;
+    }
+  pu_exchange_decide (x, &d);
+}
+
+/* --- time --- */
+
+static void
+exchange_tick (pu_exchange_t *x, guint64 now)
+{
+  if (x->phase == PU_X_CLAIMING)
+    {
+      if (now >= x->deadline && pu_once_give_up (x->en->once, x->number, now))
+        pu_claim_pump (x->en);
+      return;
+    }
+  if (now >= x->deadline && x->phase != PU_X_QUEUED)
+    fail_deadline (x);
+  else if (x->phase == PU_X_WAITING && judge (x) != PU_SUSPECTS_WAIT)
+    pu_exchange_route (x);
+}
+
+/* The numbers of the open exchanges: handling one may end others.  */
+static GArray *
+open_numbers (const pu_entry_t *en)
+{
+  GArray *numbers = g_array_new (FALSE, FALSE, sizeof (guint64));
+
+  for (GList *l = en->open.head; l != NULL; l = l->next)
+    g_array_append_val (numbers, ((pu_exchange_t *)l->data)->number);
+  return numbers;
+}
+
+void
+pu_exchanges_tick (pu_entry_t *en, guint64 now)
+{
+  GArray *numbers = open_numbers (en);
+
+  for (guint i = 0; i < numbers->len; i++)
+    {
+      pu_exchange_t *x = g_hash_table_lookup (
+          en->numbers, &g_array_index (numbers, guint64, i));
+
+      if (x != NULL)
+        exchange_tick (x, now);
+    }
+  g_array_free (numbers, TRUE);
+}
+
+void
+pu_exchanges_abort (pu_entry_t *en)
+{
+  static const pu_refusal_t stopping
+      = { 503, "stopping", PU_NOT_RUN, BUSY_RETRY_MS };
+  GArray *numbers = open_numbers (en);
+
+  for (guint i = 0; i < numbers->len; i++)
+    {
+      pu_exchange_t *x = g_hash_table_lookup (
+          en->numbers, &g_array_index (numbers, guint64, i));
+
+      if (x == NULL)
+        continue;
+      if (x->phase == PU_X_RUNNING || x->phase == PU_X_HELD)
+        x->may_have_run = true;
+      pu_exchange_fail (x, &stopping, "This entry is stopping.");
+    }
+  g_array_free (numbers, TRUE);
+}
--- /dev/null
+++ b/libplantainusher/entry/parse.c
@@ -0,0 +1,416 @@
+#include "entry/entry_private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "http/auth.h"
+
+enum
+{
+  BLOCK_BYTES = 256, /* of prompt, in one block of the prefix cache */
+  BYTES_PER_TOKEN = 4,
+  DEFAULT_PRIORITY = 5,
+  DEFAULT_TOKENS = 256,
+  ID_MAX = 128,
+  TIMEOUT_MAX_MS = 3600 * 1000,
+};
+
+static const pu_refusal_t bad_request
+    = { 400, "invalid_request", PU_NOT_RUN, 0 };
+static const pu_refusal_t not_found = { 404, "not_found", PU_NOT_RUN, 0 };
+
+static bool refuse (pu_exchange_t *x, const pu_refusal_t *r,
+                    const char *format, ...) G_GNUC_PRINTF (3, 4);
+
+static bool
+refuse (pu_exchange_t *x, const pu_refusal_t *r, const char *format, ...)
+{
+  va_list args;
+  char *message;
+
+  va_start (args, format);
+  message = g_strdup_vprintf (format, args);
+  va_end (args);
+  pu_answer_error (x->http, x->id, r, message);
+  x->http = NULL;
+  g_free (message);
+  return false;
+}
+
+/* --- headers --- */
+
+static bool
+is_plain_text (const char *s, gsize max)
+{
+  gsize n = strlen (s);
+
+  if (n == 0 || n > max)
+    return false;
+  for (; *s != 0; s++)
+    {
+      if (!g_ascii_isgraph (*s))
+        return false;
+    }
+  return true;
+}
+
+static char *
+id_make (pu_entry_t *en)
+{
+  return g_strdup_printf ("%08x%08x%08x%08x", g_rand_int (en->random),
+                          g_rand_int (en->random), g_rand_int (en->random),
+                          g_rand_int (en->random));
+}
+
+static bool
+number_header (pu_exchange_t *x, const char *name, guint64 min, guint64 max,
+               guint64 absent, guint64 *value)
+{
+  const char *text = pu_http_request_header (x->http, name);
+
+  *value = absent;
+  if (text == NULL)
+    return true;
+  if (g_ascii_string_to_unsigned (text, 10, min, max, value, NULL))
+    return true;
+  return refuse (x, &bad_request, "%s must be a number of %u to %u.", name,
+                 (guint)min, (guint)max);
+}
+
+static void
+id_read (pu_exchange_t *x)
+{
+  const char *id = pu_http_request_header (x->http, "x-request-id");
+
+  x->id = id != NULL && is_plain_text (id, ID_MAX) ? g_strdup (id)
+                                                   : id_make (x->en);
+}
+
+static bool
+flag_header (const pu_exchange_t *x, const char *name)
+{
+  return g_strcmp0 (pu_http_request_header (x->http, name), "1") == 0;
+}
+
+/* What all requests have; the deadline is 0 when the caller gave none.  */
+static bool
+common_read (pu_exchange_t *x)
+{
+  const char *hop = pu_http_request_header (x->http, "x-relay-hop");
+  const char *key = pu_http_request_header (x->http, "idempotency-key");
+  gsize len = 0;
+  const char *body = pu_http_request_body (x->http, &len);
+  guint64 priority = 0;
+  guint64 timeout = 0;
+
+  id_read (x);
+  x->arrived = uv_now (x->en->o.loop);
+  x->method = g_strdup (pu_http_request_method (x->http));
+  x->body = g_bytes_new (body, len);
+  x->relayed
+      = hop != NULL
+        && pu_http_key_equal (pu_http_request_header (x->http, "x-relay-key"),
+                              x->en->peer_key);
+  if (!number_header (x, "x-priority", 0, PU_ROUTER_PRIORITY_MAX,
+                      DEFAULT_PRIORITY, &priority)
+      || !number_header (x, "x-timeout-ms", 1, TIMEOUT_MAX_MS, 0, &timeout))
+    return false;
+  x->priority = (guint)priority;
+  x->deadline = timeout == 0 ? 0 : x->arrived + timeout;
+  if (key != NULL && !is_plain_text (key, PU_ONCE_NAME_MAX))
+    return refuse (x, &bad_request,
+                   "Idempotency-Key must be 1 to %d visible characters.",
+                   PU_ONCE_NAME_MAX);
+  x->key = g_strdup (key);
+  return true;
+}
+
+static void
+header_keep (pu_exchange_t *x, const char *name, const char *value)
+{
+  g_ptr_array_add (x->headers, g_strdup (name));
+  g_ptr_array_add (x->headers, g_strdup (value));
+}
+
+static void
+service_take (pu_exchange_t *x, const pu_service_t *s)
+{
+  x->service = g_strdup (s->name);
+  if (x->deadline == 0)
+    x->deadline = x->arrived + s->timeout_ms;
+}
+
+/* --- completions --- */
+
+static void
+content_append (GString *out, const json_t *content)
+{
+  const json_t *part;
+  size_t i;
+
+  if (json_is_string (content))
+    g_string_append (out, json_string_value (content));
+  json_array_foreach (content, i, part)
+  {
+    const char *text = json_string_value (json_object_get (part, "text"));
+
+    if (text != NULL)
+      g_string_append (out, text);
+  }
+}
+
+static char *
+messages_text (const json_t *messages)
+{
+  GString *out = g_string_new (NULL);
+  const json_t *one;
+  size_t i;
+
+  json_array_foreach (messages, i, one)
+  {
+    const char *role = json_string_value (json_object_get (one, "role"));
+
+    g_string_append_printf (out, "%s: ", role != NULL ? role : "");
+    content_append (out, json_object_get (one, "content"));
+    g_string_append_c (out, '\n');
+  }
+  return g_string_free (out, FALSE);
+}
+
+/* The chained hashes of the prompt's whole blocks, as engines report them.  */
+static void
+prefix_hash (pu_exchange_t *x, const char *prompt, gsize len)
+{
+  guint64 hash = XXH64 (x->model, strlen (x->model), 0);
+  guint n = (guint)MIN (len / BLOCK_BYTES, PU_ROUTER_PREFIX_MAX);
+
+  for (guint i = 0; i < n; i++)
+    {
+      hash = XXH64 (prompt + (gsize)i * BLOCK_BYTES, BLOCK_BYTES, hash);
+      x->prefix[i] = hash;
+    }
+  x->n_prefix = n;
+}
+
+static void
+prompt_take (pu_exchange_t *x, const char *prompt)
+{
+  gsize len = strlen (prompt);
+
+  x->prompt_tokens = (guint)(len / BYTES_PER_TOKEN);
+  x->fingerprint = pu_suspects_fingerprint (x->model, prompt, len);
+  prefix_hash (x, prompt, len);
+}
+
+static void
+tokens_take (pu_exchange_t *x, const json_t *root)
+{
+  const json_t *n = json_object_get (root, "max_completion_tokens");
+
+  if (n == NULL)
+    n = json_object_get (root, "max_tokens");
+  x->max_tokens = json_is_integer (n) && json_integer_value (n) > 0
+                      ? (guint)MIN (json_integer_value (n), G_MAXINT32)
+                      : DEFAULT_TOKENS;
+}
+
+static bool
+model_refuse (pu_exchange_t *x)
+{
+  char *near = pu_document_near_models (x->en->document, x->model);
+
+  refuse (x, &not_found, "No model '%s' is declared%s%s.", x->model,
+          *near != 0 ? "; near: " : "", near);
+  g_free (near);
+  return false;
+}
+
+/* Finds the service: named by the caller, else the model's default.  */
+static bool
+service_find (pu_exchange_t *x)
+{
+  const pu_document_t *d = x->en->document;
+  pu_model_handle_t m = pu_document_find_model (d, x->model);
+  const char *name = pu_http_request_header (x->http, "x-service");
+  pu_service_handle_t s;
+
+  if (m == PU_HANDLE_NONE)
+    return model_refuse (x);
+  s = name != NULL ? pu_document_find_service (d, name)
+                   : pu_document_default_service (d, m);
+  if (s == PU_HANDLE_NONE || !pu_document_lists (d, s, m))
+    return refuse (x, &not_found, "No service%s%s offers model '%s'.",
+                   name != NULL ? " " : "", name != NULL ? name : "",
+                   x->model);
+  service_take (x, pu_document_service (d, s));
+  return true;
+}
+
+static bool
+root_take (pu_exchange_t *x, const json_t *root)
+{
+  const char *model = json_string_value (json_object_get (root, "model"));
+  const json_t *messages = json_object_get (root, "messages");
+  const json_t *prompt = json_object_get (root, "prompt");
+  char *text;
+
+  if (model == NULL || *model == 0)
+    return refuse (x, &bad_request, "'model' must be a string.");
+  if (x->chat ? !json_is_array (messages) : !json_is_string (prompt))
+    return refuse (x, &bad_request, "'%s' must be %s.",
+                   x->chat ? "messages" : "prompt",
+                   x->chat ? "a list" : "a string");
+  x->model = g_strdup (model);
+  x->stream = json_is_true (json_object_get (root, "stream"));
+  tokens_take (x, root);
+  if (!service_find (x))
+    return false;
+  text = x->chat ? messages_text (messages)
+                 : g_strdup (json_string_value (prompt));
+  prompt_take (x, text);
+  g_free (text);
+  return true;
+}
+
+/* Another entry goes on with a stream here: it says what its caller has.  */
+static bool
+resume_take (pu_exchange_t *x, const json_t *root)
+{
+  const char *text = json_string_value (json_object_get (root, "resume_text"));
+  guint64 tokens = 0;
+
+  if (!x->relayed || text == NULL)
+    return true;
+  if (!number_header (x, "x-resume-tokens", 0, G_MAXINT32, 0, &tokens))
+    return false;
+  g_string_assign (x->sent.text, text);
+  x->sent.tokens = (guint)tokens;
+  x->resumed = (guint)tokens;
+  return true;
+}
+
+bool
+pu_exchange_parse_model (pu_exchange_t *x, bool chat)
+{
+  json_error_t error;
+  json_t *root;
+  gsize len = 0;
+  const char *body;
+  bool good;
+
+  if (!common_read (x))
+    return false;
+  body = g_bytes_get_data (x->body, &len);
+  x->chat = chat;
+  x->target = g_strdup (chat ? "/v1/chat/completions" : "/v1/completions");
+  x->repeatable = !flag_header (x, "x-not-repeatable");
+  x->once = !x->repeatable && x->key != NULL;
+  root = json_loadb (body != NULL ? body : "", len, JSON_REJECT_DUPLICATES,
+                     &error);
+  if (root == NULL)
+    return refuse (x, &bad_request, "Line %d, column %d: %s", error.line,
+                   error.column, error.text);
+  good = root_take (x, root) && resume_take (x, root);
+  json_decref (root);
+  header_keep (x, "content-type", "application/json");
+  return good;
+}
+
+GBytes *
+pu_exchange_resume_body (const pu_exchange_t *x)
+{
+  gsize len = 0;
+  const char *body = g_bytes_get_data (x->body, &len);
+  json_t *root = json_loadb (body, len, 0, NULL);
+  char *text;
+
+  json_object_set_new (root, "resume_text", json_string (x->sent.text->str));
+  text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  return g_bytes_new_with_free_func (text, strlen (text), free, text);
+}
+
+/* --- plain services --- */
+
+/* Headers that concern one connection, or that are set anew.  */
+static bool
+is_passed (const char *name)
+{
+  static const char *const kept_back[] = {
+    "host",        "connection",         "keep-alive",   "te",
+    "upgrade",     "transfer-encoding",  "trailer",      "content-length",
+    "expect",      "proxy-connection",   "x-request-id", "x-relay-hop",
+    "x-relay-key", "proxy-authorization"
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (kept_back); i++)
+    {
+      if (g_ascii_strcasecmp (name, kept_back[i]) == 0)
+        return false;
+    }
+  return true;
+}
+
+static void
+headers_pass (pu_exchange_t *x)
+{
+  for (gsize i = 0; i < pu_http_request_header_count (x->http); i++)
+    {
+      pu_http_header_t h = pu_http_request_header_at (x->http, i);
+
+      if (is_passed (h.name))
+        header_keep (x, h.name, h.value);
+    }
+}
+
+/* A method that HTTP itself calls idempotent.  */
+static bool
+is_idempotent (const char *method)
+{
+  return strcmp (method, "POST") != 0 && strcmp (method, "PATCH") != 0;
+}
+
+static bool
+plain_take (pu_exchange_t *x, const char *name, const char *rest)
+{
+  const pu_document_t *d = x->en->document;
+  pu_service_handle_t h = pu_document_find_service (d, name);
+  const pu_service_t *s
+      = h != PU_HANDLE_NONE ? pu_document_service (d, h) : NULL;
+  bool marked;
+
+  if (s == NULL || s->kind != PU_SERVICE_PLAIN)
+    return refuse (x, &not_found, "No plain service '%s' is declared.", name);
+  marked = flag_header (x, "x-not-repeatable")
+           || pu_service_not_repeatable (s, x->method, rest);
+  service_take (x, s);
+  x->target = g_strdup (rest);
+  x->repeatable = !marked && is_idempotent (x->method);
+  x->once = marked && x->key != NULL;
+  return true;
+}
+
+bool
+pu_exchange_parse_plain (pu_exchange_t *x)
+{
+  static const char prefix[] = "/services/";
+  const char *target = pu_http_request_target (x->http);
+  const char *name = target + sizeof prefix - 1;
+  const char *end;
+  char *service;
+  bool good;
+
+  if (!common_read (x))
+    return false;
+  if (!g_str_has_prefix (target, prefix))
+    return refuse (x, &not_found, "No such path.");
+  end = name + strcspn (name, "/?");
+  service = g_strndup (name, (gsize)(end - name));
+  x->plain = true;
+  x->model = g_strdup ("");
+  good = plain_take (x, service, *end == '/' ? end : "/");
+  g_free (service);
+  if (good)
+    headers_pass (x);
+  return good;
+}
--- /dev/null
+++ b/libplantainusher/entry/servers.c
@@ -0,0 +1,419 @@
+#include "entry/entry_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+enum
+{
+  REFUSED_DEAD = 2,     /* probes that nobody listened to */
+  PROBE_AGAIN_MS = 100, /* between them */
+  CUT_KEPT_MS = 5000,   /* a death within this may be of a cut request */
+  CUTS_MAX = 64,
+  DEAD_KEPT_MS = 5000, /* until the view must have it */
+};
+
+pu_server_t *
+pu_server_find (const pu_entry_t *en, const char *name)
+{
+  return g_hash_table_lookup (en->servers, name);
+}
+
+void
+pu_server_free (gpointer server)
+{
+  pu_server_t *s = server;
+
+  pu_http_call_cancel (s->probe);
+  g_ptr_array_free (s->held, TRUE);
+  g_array_free (s->cuts, TRUE);
+  g_free (s->name);
+  g_free (s->address);
+  g_free (s);
+}
+
+static pu_server_t *
+server_get (pu_entry_t *en, const char *name)
+{
+  pu_server_t *s = pu_server_find (en, name);
+
+  if (s != NULL)
+    return s;
+  s = g_new0 (pu_server_t, 1);
+  s->en = en;
+  s->name = g_strdup (name);
+  s->handle = PU_ROUTER_NONE;
+  s->number = ++en->last_server;
+  s->held = g_ptr_array_new ();
+  s->cuts = g_array_new (FALSE, FALSE, sizeof (pu_cut_t));
+  g_hash_table_insert (en->servers, s->name, s);
+  return s;
+}
+
+/* --- strikes --- */
+
+static void
+ignore_reply (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  (void)data;
+  (void)r;
+  (void)e;
+}
+
+static const char *
+model_of (const pu_entry_t *en, guint64 fingerprint)
+{
+  for (GList *l = en->open.head; l != NULL; l = l->next)
+    {
+      const pu_exchange_t *x = l->data;
+
+      if (x->fingerprint == fingerprint)
+        return x->model;
+    }
+  return "";
+}
+
+static void
+strike_propose (pu_entry_t *en, const pu_server_t *s, guint64 incarnation,
+                guint64 fingerprint)
+{
+  pu_command c = { .type = PU_COMMAND_STRIKE };
+  pu_strike *strike = &c.pu_command_u.strike;
+
+  strike->fingerprint = fingerprint;
+  strike->model = (char *)model_of (en, fingerprint);
+  strike->backend = s->name;
+  strike->incarnation = incarnation;
+  strike->wall = (guint64)(g_get_real_time () / G_TIME_SPAN_MILLISECOND);
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, ignore_reply,
+                       NULL);
+  pu_log_note (PU_ENTRY_PART,
+               "Request %016" G_GINT64_MODIFIER
+               "x ran at %s when it died: a strike.",
+               fingerprint, s->name);
+}
+
+/* INCARNATION of S is dead: what ran there gets a strike.  */
+static void
+incarnation_died (pu_server_t *s, guint64 incarnation)
+{
+  pu_entry_t *en = s->en;
+  GArray *strikes = g_array_new (FALSE, FALSE, sizeof (pu_suspects_strike_t));
+
+  pu_suspects_died (en->suspects, s->number, incarnation, strikes,
+                    uv_now (en->o.loop));
+  for (guint i = 0; i < strikes->len; i++)
+    {
+      const pu_suspects_strike_t *one
+          = &g_array_index (strikes, pu_suspects_strike_t, i);
+
+      strike_propose (en, s, one->incarnation, one->fingerprint);
+    }
+  g_array_free (strikes, TRUE);
+}
+
+/* INCARNATION of S is dead.  It may have died of an attempt that broke or was
+   cancelled shortly before, though it listened still or again.  */
+static void
+cuts_strike (pu_server_t *s, guint64 incarnation)
+{
+  pu_entry_t *en = s->en;
+  guint64 now = uv_now (en->o.loop);
+
+  for (guint i = 0; i < s->cuts->len; i++)
+    {
+      const pu_cut_t *cut = &g_array_index (s->cuts, pu_cut_t, i);
+
+      if (now - cut->at < CUT_KEPT_MS)
+        pu_suspects_started (en->suspects, ++en->last_number, cut->fingerprint,
+                             s->number, incarnation, now);
+    }
+  g_array_set_size (s->cuts, 0);
+  incarnation_died (s, incarnation);
+}
+
+void
+pu_server_cut (pu_server_t *s, const pu_exchange_t *x)
+{
+  pu_cut_t cut = { x->fingerprint, uv_now (s->en->o.loop) };
+
+  if (x->plain)
+    return;
+  if (s->cuts->len == CUTS_MAX)
+    g_array_remove_index (s->cuts, 0);
+  g_array_append_val (s->cuts, cut);
+}
+
+/* --- the router's table --- */
+
+static pu_router_phase_t
+phase_of (pu_copy_phase phase)
+{
+  switch (phase)
+    {
+    case PU_COPY_LOADING:
+      return PU_ROUTER_COPY_LOADING;
+    case PU_COPY_READY:
+      return PU_ROUTER_COPY_READY;
+    case PU_COPY_DRAINING:
+    case PU_COPY_UNLOADING:
+      return PU_ROUTER_COPY_DRAINING;
+    }
+  return PU_ROUTER_COPY_DRAINING;
+}
+
+static void
+copies_add (const pu_backend_record *b, const char *plain, GArray *copies)
+{
+  for (guint i = 0; i < b->copies.copies_len; i++)
+    {
+      const pu_copy_record *c = &b->copies.copies_val[i];
+      pu_router_copy_t one
+          = { c->model, c->model_version, phase_of (c->phase) };
+
+      g_array_append_val (copies, one);
+    }
+  if (b->kind == PU_BACKEND_PLAIN)
+    {
+      pu_router_copy_t one = { plain, "", PU_ROUTER_COPY_READY };
+
+      g_array_append_val (copies, one);
+    }
+}
+
+static void
+router_set (pu_server_t *s, const pu_backend_record *b)
+{
+  GArray *copies = g_array_new (FALSE, FALSE, sizeof (pu_router_copy_t));
+  char *plain = g_strconcat ("service:", b->service, NULL);
+  pu_router_backend_options_t o = {
+    .name = b->name,
+    .incarnation = b->incarnation,
+    .kind = s->plain ? PU_ROUTER_PLAIN : PU_ROUTER_ENGINE,
+    .region = b->region,
+    .zone = b->zone,
+    .leaving = s->leaving || s->suspects > 0,
+  };
+
+  copies_add (b, plain, copies);
+  o.copies = (const pu_router_copy_t *)(void *)copies->data;
+  o.n_copies = copies->len;
+  s->handle = pu_router_set_backend (s->en->router, &o);
+  g_array_free (copies, TRUE);
+  g_free (plain);
+}
+
+static void
+router_remove (pu_server_t *s)
+{
+  if (s->handle != PU_ROUTER_NONE)
+    pu_router_remove_backend (s->en->router, s->handle);
+  s->handle = PU_ROUTER_NONE;
+}
+
+static void
+incarnation_take (pu_server_t *s, const pu_backend_record *b)
+{
+  if (s->incarnation != 0)
+    cuts_strike (s, s->incarnation);
+  s->incarnation = b->incarnation;
+  s->leaving = false;
+  s->dead_until = 0;
+  s->refused = 0;
+}
+
+pu_server_t *
+pu_server_apply (pu_entry_t *en, const pu_backend_record *b)
+{
+  pu_server_t *s = server_get (en, b->name);
+
+  if (b->incarnation < s->incarnation)
+    return s;
+  if (b->incarnation > s->incarnation)
+    incarnation_take (s, b);
+  g_free (s->address);
+  s->address = g_strdup (b->address);
+  s->plain = b->kind == PU_BACKEND_PLAIN;
+  s->leaving = s->leaving || b->leaving;
+  s->down = b->down || uv_now (en->o.loop) < s->dead_until;
+  if (s->down)
+    router_remove (s);
+  else
+    router_set (s, b);
+  return s;
+}
+
+static void
+backend_take (const pu_backend_record *b, void *data)
+{
+  pu_server_apply (data, b);
+}
+
+/* A backend server that the view has forgotten.  */
+static void
+forgotten_remove (pu_entry_t *en, const pu_state_t *view)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, en->servers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      pu_server_t *s = value;
+
+      if (pu_state_backend (view, s->name) != NULL)
+        continue;
+      router_remove (s);
+      s->down = true;
+    }
+}
+
+void
+pu_servers_sync (pu_entry_t *en)
+{
+  const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
+
+  pu_state_each_backend (view, backend_take, en);
+  forgotten_remove (en, view);
+}
+
+void
+pu_server_apart (pu_entry_t *en, pu_server_t *s, bool begins)
+{
+  const pu_backend_record *b;
+
+  s->suspects += begins ? 1 : -1;
+  if (s->handle == PU_ROUTER_NONE)
+    return;
+  if (begins)
+    {
+      pu_router_set_leaving (en->router, s->handle);
+      return;
+    }
+  b = pu_state_backend (en->o.hooks.view (en->o.hooks.data), s->name);
+  if (b != NULL && b->incarnation == s->incarnation)
+    router_set (s, b);
+  pu_router_due (en);
+}
+
+/* --- probes --- */
+
+static void
+held_release (pu_server_t *s, bool alive)
+{
+  GPtrArray *held = s->held;
+
+  s->held = g_ptr_array_new ();
+  s->refused = 0;
+  s->probe_at = 0;
+  for (guint i = 0; i < held->len; i++)
+    {
+      pu_exchange_t *x = g_ptr_array_index (held, i);
+
+      if (alive)
+        pu_server_cut (s, x);
+      pu_exchange_again (x, x->at.failure);
+    }
+  g_ptr_array_free (held, TRUE);
+}
+
+static void
+down_propose (pu_server_t *s)
+{
+  pu_entry_t *en = s->en;
+  pu_command c = { .type = PU_COMMAND_BACKEND_DOWN };
+
+  c.pu_command_u.backend_down.name = s->name;
+  c.pu_command_u.backend_down.incarnation = s->incarnation;
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, ignore_reply,
+                       NULL);
+}
+
+static void
+server_dead (pu_server_t *s)
+{
+  pu_log_note (PU_ENTRY_PART, "Backend server %s is dead: nobody listens.",
+               s->name);
+  cuts_strike (s, s->incarnation);
+  router_remove (s);
+  s->down = true;
+  s->dead_until = uv_now (s->en->o.loop) + DEAD_KEPT_MS;
+  pu_http_client_close_idle (s->en->client, s->address);
+  down_propose (s);
+  held_release (s, false);
+}
+
+static void
+probe_end (void *data, pu_http_call_t *call, const pu_http_result_t *result)
+{
+  pu_server_t *s = data;
+
+  (void)call;
+  s->probe = NULL;
+  if (result->kind != PU_HTTP_END_CONNECT_FAILED)
+    {
+      held_release (s, true);
+      return;
+    }
+  if (++s->refused >= REFUSED_DEAD)
+    server_dead (s);
+  else
+    s->probe_at = uv_now (s->en->o.loop) + PROBE_AGAIN_MS;
+}
+
+static void
+probe_start (pu_server_t *s)
+{
+  pu_http_call_options_t o = { .address = s->address,
+                               .method = "GET",
+                               .target = "/health",
+                               .fresh = true,
+                               .first_byte_timeout_ms = s->en->o.probe_ms,
+                               .progress_timeout_ms = s->en->o.probe_ms,
+                               .events = { .on_end = probe_end },
+                               .data = s };
+
+  s->probe_at = 0;
+  s->probe = pu_http_client_start (s->en->client, &o, NULL);
+  if (s->probe == NULL)
+    held_release (s, true);
+}
+
+void
+pu_server_doubt (pu_server_t *s)
+{
+  if (s->probe == NULL && s->probe_at == 0 && !s->down)
+    probe_start (s);
+}
+
+void
+pu_server_hold (pu_server_t *s, pu_exchange_t *x)
+{
+  x->phase = PU_X_HELD;
+  g_ptr_array_add (s->held, x);
+  if (s->probe == NULL && s->probe_at == 0)
+    probe_start (s);
+}
+
+void
+pu_server_unhold (pu_exchange_t *x)
+{
+  if (x->at.server != NULL)
+    g_ptr_array_remove (x->at.server->held, x);
+}
+
+void
+pu_servers_tick (pu_entry_t *en, guint64 now)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, en->servers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      pu_server_t *s = value;
+
+      if (s->probe_at != 0 && s->probe_at <= now)
+        probe_start (s);
+    }
+}
--- a/libplantainusher/http/sse.c
+++ b/libplantainusher/http/sse.c
@@ -10,6 +10,7 @@
   GString *raw;     /* the lines of the event so far */
   GString *data;    /* its data lines, each followed by LF */
   GString *name;    /* its field "event" */
+  GString *id;      /* its field "id" */
   gsize line_start; /* of the unfinished line, in raw */
   bool has_data;
   bool after_cr; /* the last byte was CR: an LF now belongs to it */
@@ -26,6 +27,7 @@
   s->raw = g_string_new (NULL);
   s->data = g_string_new (NULL);
   s->name = g_string_new (NULL);
+  s->id = g_string_new (NULL);
   return s;
 }
 
@@ -37,6 +39,7 @@
   g_string_free (s->raw, TRUE);
   g_string_free (s->data, TRUE);
   g_string_free (s->name, TRUE);
+  g_string_free (s->id, TRUE);
   g_free (s);
 }
 
@@ -46,6 +49,7 @@
   g_string_truncate (s->raw, 0);
   g_string_truncate (s->data, 0);
   g_string_truncate (s->name, 0);
+  g_string_truncate (s->id, 0);
   s->line_start = 0;
   s->has_data = false;
 }
@@ -63,7 +67,14 @@
   return len == strlen (name) && memcmp (line, name, len) == 0;
 }
 
-/* Takes the field of LINE, whose first colon is at COLON, or LEN.  */
+static void
+field_set (GString *field, const char *value, gsize len)
+{
+  g_string_truncate (field, 0);
+  g_string_append_len (field, value, (gssize)len);
+}
+
+/* Takes the field of LINE.  */
 static void
 field_take (pu_sse_t *s, const char *line, gsize len)
 {
@@ -80,10 +91,9 @@
       s->has_data = true;
     }
   else if (field_is (line, name_len, "event"))
-    {
-      g_string_truncate (s->name, 0);
-      g_string_append_len (s->name, line + skip, (gssize)(len - skip));
-    }
+    field_set (s->name, line + skip, len - skip);
+  else if (field_is (line, name_len, "id"))
+    field_set (s->id, line + skip, len - skip);
 }
 
 /* Gives the finished event out; an event without any line is none.  */
@@ -103,6 +113,7 @@
       ev.data_len = s->data->len;
       ev.has_data = s->has_data;
       ev.name = s->name->str;
+      ev.id = s->id->str;
       going = s->cb (s->cb_data, &ev);
     }
   event_clear (s);
--- a/libplantainusher/http/sse.h
+++ b/libplantainusher/http/sse.h
@@ -22,6 +22,7 @@
   gsize data_len;   /* bytes */
   bool has_data;    /* false: comments or other fields only */
   const char *name; /* of its field "event"; "" when it has none */
+  const char *id;   /* of its field "id"; "" when it has none */
 } pu_sse_event_t;
 
 typedef struct pu_sse pu_sse_t;
--- a/libplantainusher/http/sse_test.cc
+++ b/libplantainusher/http/sse_test.cc
@@ -68,6 +68,21 @@
   EXPECT_EQ ("data: a\n\n: beat\n\n", parse ("data: a\r\n\r\n: beat\r\r").raw);
 }
 
+TEST (Sse, IdOfAnEventIsItsOwn)
+{
+  list ids;
+  auto take = [] (void *p, const pu_sse_event_t *ev) {
+    static_cast<list *> (p)->emplace_back (ev->id);
+    return true;
+  };
+  pu_sse_t *p = pu_sse_new (64, take, &ids);
+  const std::string text = "id: 7\ndata: a\n\ndata: b\n\n";
+
+  pu_sse_feed (p, text.data (), text.size ());
+  pu_sse_free (p);
+  EXPECT_EQ ((list{ "7", "" }), ids);
+}
+
 TEST (Sse, StopsAtTheEndMark)
 {
   EXPECT_EQ (
