--- a/libplantainusher/entry/stream.c
+++ b/libplantainusher/entry/stream.c
@@ -106,6 +106,8 @@
 
   if (g_ascii_string_to_unsigned (ev->id, 10, 0, G_MAXUINT32, &index, NULL))
     {
+      /* The indexes say what is new.  */
+      s->replay = 0;
       if (index > s->sent->tokens)
         return PU_STREAM_BROKEN;
       if (index == s->sent->tokens)
--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -1,4 +1,5 @@
 #include "http/client_private.h"
+#include "http/tcp.h"
 
 #include <string.h>
 
@@ -261,7 +262,7 @@
       pu_call_end (conn->call, PU_HTTP_END_CONNECT_FAILED);
       return;
     }
-  uv_tcp_nodelay (&conn->tcp, 1);
+  pu_http_tcp_tune (&conn->tcp);
   pu_conn_send (conn);
 }
 
--- a/libplantainusher/http/server.c
+++ b/libplantainusher/http/server.c
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "http/client.h"
+#include "http/tcp.h"
 
 enum
 {
@@ -45,7 +46,7 @@
   pu_server_conn_t *conn = g_new0 (pu_server_conn_t, 1);
   h2o_socket_t *sock;
 
-  uv_tcp_nodelay (tcp, 1);
+  pu_http_tcp_tune (tcp);
   sock = h2o_uv_socket_create ((uv_stream_t *)tcp, tcp_closed);
   conn->server = s;
   conn->tcp = tcp;
