--- a/cli/cli_server_test.cc
+++ b/cli/cli_server_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
-#include <atomic>
+#include <functional>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -22,7 +22,7 @@
       "\"models\":{\"small\":{\"version\":\"1\",\"memory_mb\":14000,"
       "\"kv_cache_mb\":6000}}}";
 
-/* A server on a thread of its own.  */
+/* A server on this thread, which serves while a command runs on another.  */
 class Server
 {
 public:
@@ -49,36 +49,44 @@
     so.data = op;
     http = pu_http_server_new (&so, nullptr);
     address = "127.0.0.1:" + std::to_string (pu_http_server_port (http));
-    uv_async_init (&loop, &stop, [] (uv_async_t *a) {
-      auto *s = static_cast<Server *> (a->data);
-
-      uv_close ((uv_handle_t *)a, nullptr);
-      pu_http_server_stop (
-          s->http,
-          [] (void *data) {
-            pu_http_server_free (static_cast<Server *> (data)->http);
-          },
-          s);
-      pu_http_server_abort (s->http);
-    });
-    stop.data = this;
-    thread = std::thread ([this] { uv_run (&loop, UV_RUN_DEFAULT); });
+    uv_async_init (&loop, &ended, [] (uv_async_t *a) { uv_stop (a->loop); });
   }
   ~Server ()
   {
-    uv_async_send (&stop);
-    thread.join ();
+    uv_close ((uv_handle_t *)&ended, nullptr);
+    pu_http_server_stop (http, on_stopped, this);
+    pu_http_server_abort (http);
+    uv_run (&loop, UV_RUN_DEFAULT);
     uv_loop_close (&loop);
     pu_operator_free (op);
   }
   Server (const Server &) = delete;
 
+  int
+  during (const std::function<int ()> &command)
+  {
+    int code = -1;
+    std::thread thread ([&] {
+      code = command ();
+      uv_async_send (&ended);
+    });
+
+    uv_run (&loop, UV_RUN_DEFAULT);
+    thread.join ();
+    return code;
+  }
+
 private:
+  static void
+  on_stopped (void *data)
+  {
+    pu_http_server_free (static_cast<Server *> (data)->http);
+  }
+
   uv_loop_t loop = {};
-  uv_async_t stop = {};
+  uv_async_t ended = {};
   pu_operator_t *op;
   pu_http_server_t *http;
-  std::thread thread;
 };
 
 /* A port that takes connections and never answers.  */
@@ -134,7 +142,7 @@
     g_file_set_contents (file.c_str (), text.c_str (), -1, nullptr);
   }
 
-  static int
+  int
   run (const std::vector<std::string> &words)
   {
     std::vector<const char *> argv = { "plantainusher" };
@@ -142,7 +150,8 @@
     for (const auto &w : words)
       argv.push_back (w.c_str ());
     argv.push_back (nullptr);
-    return pu_cli_main ((int)argv.size () - 1, argv.data ());
+    return server.during (
+        [&] { return pu_cli_main ((int)argv.size () - 1, argv.data ()); });
   }
 
   /* Runs a command at the server and gives its standard output.  */
--- a/cli/command.c
+++ b/cli/command.c
@@ -184,12 +184,16 @@
   int code;
 
   if (e->kind == PU_ERROR_IO)
-    code = pu_cli_fail (o, PU_CLI_UNREACHABLE, "%s: %s Nothing was done.", all,
-                        e->message);
+    {
+      code = pu_cli_fail (o, PU_CLI_UNREACHABLE, "%s: %s Nothing was done.",
+                          all, e->message);
+    }
   else
-    code = pu_cli_fail (
-        o, e->kind == PU_ERROR_TIMEOUT ? PU_CLI_UNKNOWN : PU_CLI_FAILED,
-        "%s: %s", all, e->message);
+    {
+      code = pu_cli_fail (
+          o, e->kind == PU_ERROR_TIMEOUT ? PU_CLI_UNKNOWN : PU_CLI_FAILED,
+          "%s: %s", all, e->message);
+    }
   g_free (all);
   return code;
 }
@@ -205,9 +209,13 @@
 
   memset (a, 0, sizeof *a);
   if (c != NULL && pu_operator_client_call (c, q, a, &e))
-    code = pu_cli_exit_of_status (a->status);
+    {
+      code = pu_cli_exit_of_status (a->status);
+    }
   else if (c != NULL)
-    code = report_error (o, &e, servers);
+    {
+      code = report_error (o, &e, servers);
+    }
   a->server = NULL;
   pu_operator_client_free (c);
   g_strfreev (servers);
@@ -237,15 +245,19 @@
   int code = pu_cli_exit_of_status (a->status);
 
   if (o->json && a->body != NULL)
-    pu_cli_print_json (a->body);
+    {
+      pu_cli_print_json (a->body);
+    }
   else if (message != NULL)
     {
       pu_cli_fail (o, code, "%s", message);
       print_details (a);
     }
   else
-    pu_cli_fail (o, code, "The server answered %d without a reason.",
-                 a->status);
+    {
+      pu_cli_fail (o, code, "The server answered %d without a reason.",
+                   a->status);
+    }
   return code;
 }
 
--- a/cli/commands.c
+++ b/cli/commands.c
@@ -75,8 +75,10 @@
 {
   fputs ("Usage: plantainusher COMMAND [FLAGS] [ARGUMENTS]\n\n", out);
   for (size_t i = 0; i < pu_cli_n_commands; i++)
-    fprintf (out, "  %-12s %s\n", pu_cli_commands[i].name,
-             pu_cli_commands[i].summary);
+    {
+      fprintf (out, "  %-12s %s\n", pu_cli_commands[i].name,
+               pu_cli_commands[i].summary);
+    }
   fputs ("\nplantainusher COMMAND --help shows a command's flags; "
          "plantainusher --version the version.\n",
          out);
--- a/cli/control.c
+++ b/cli/control.c
@@ -134,9 +134,13 @@
   int code = pu_cli_get (o, "/operator/status", &a);
 
   if (code == PU_CLI_OK && o->json)
-    pu_cli_print_json (a.body);
+    {
+      pu_cli_print_json (a.body);
+    }
   else if (code == PU_CLI_OK)
-    print_status (a.body);
+    {
+      print_status (a.body);
+    }
   pu_operator_answer_clear (&a);
   return code;
 }
@@ -162,9 +166,13 @@
   int code = pu_cli_post (o, target, body, repeatable, &a);
 
   if (code == PU_CLI_OK && o->json)
-    pu_cli_print_json (a.body);
+    {
+      pu_cli_print_json (a.body);
+    }
   else if (code == PU_CLI_OK)
-    puts (text);
+    {
+      puts (text);
+    }
   pu_operator_answer_clear (&a);
   return code;
 }
@@ -178,9 +186,11 @@
   int code;
 
   if (name == NULL || (o->instance != NULL && o->backend != NULL))
-    return pu_cli_fail (
-        o, PU_CLI_USAGE,
-        "Give one of --instance NAME and --backend NAME to drain.");
+    {
+      return pu_cli_fail (
+          o, PU_CLI_USAGE,
+          "Give one of --instance NAME and --backend NAME to drain.");
+    }
   text = g_strdup_printf ("%s gets no new work from now on.", name);
   code = act (o, "/operator/drain",
               json_pack ("{s:s}", instance ? "instance" : "backend", name),
@@ -206,9 +216,11 @@
   json_t *body;
 
   if (names == 0 || n != names + 1)
-    return pu_cli_fail (o, PU_CLI_USAGE,
-                        "Say voters add NAME, voters remove NAME, or voters "
-                        "replace NAME WITH.");
+    {
+      return pu_cli_fail (o, PU_CLI_USAGE,
+                          "Say voters add NAME, voters remove NAME, or voters "
+                          "replace NAME WITH.");
+    }
   body = json_pack ("{s:s, s:s}", "action", o->args[0], "name", o->args[1]);
   if (names == 2)
     json_object_set_new (body, "with", json_string (o->args[2]));
@@ -228,7 +240,9 @@
   int code = pu_cli_get (o, "/operator/convictions", &a);
 
   if (code == PU_CLI_OK && o->json)
-    pu_cli_print_json (a.body);
+    {
+      pu_cli_print_json (a.body);
+    }
   else if (code == PU_CLI_OK)
     {
       GString *out = g_string_new ("");
@@ -249,9 +263,11 @@
   if (n == 0)
     return list_convictions (o);
   if (n == 2 && strcmp (o->args[0], "lift") == 0)
-    return act (o, "/operator/convictions/lift",
-                json_pack ("{s:s}", "fingerprint", o->args[1]), true,
-                "The conviction is lifted.");
+    {
+      return act (o, "/operator/convictions/lift",
+                  json_pack ("{s:s}", "fingerprint", o->args[1]), true,
+                  "The conviction is lifted.");
+    }
   return pu_cli_fail (o, PU_CLI_USAGE,
                       "Say convictions, or convictions lift FINGERPRINT.");
 }
@@ -260,8 +276,10 @@
 pu_cli_log_level (const pu_cli_options_t *o)
 {
   if (g_strv_length (o->args) != 1)
-    return pu_cli_fail (o, PU_CLI_USAGE,
-                        "Say log-level debug, info, note or warn.");
+    {
+      return pu_cli_fail (o, PU_CLI_USAGE,
+                          "Say log-level debug, info, note or warn.");
+    }
   return act (o, "/operator/log-level",
               json_pack ("{s:s}", "level", o->args[0]), true,
               "The level is set.");
--- a/cli/documents.c
+++ b/cli/documents.c
@@ -75,9 +75,13 @@
   int code = pu_cli_call_quiet (o, &q, &a);
 
   if (json_object_get (a.body, "findings") != NULL)
-    code = print_check (o, file, a.body);
+    {
+      code = print_check (o, file, a.body);
+    }
   else if (a.status != 0)
-    code = pu_cli_report_answer (o, &a);
+    {
+      code = pu_cli_report_answer (o, &a);
+    }
   pu_operator_answer_clear (&a);
   return code;
 }
@@ -98,9 +102,13 @@
     return PU_CLI_FAILED;
   servers = pu_cli_servers (o);
   if (servers[0] == NULL)
-    code = check_here (o, file, text, len);
+    {
+      code = check_here (o, file, text, len);
+    }
   else
-    code = check_there (o, file, text, len);
+    {
+      code = check_there (o, file, text, len);
+    }
   g_strfreev (servers);
   g_free (text);
   return code;
@@ -148,7 +156,9 @@
   int code = pu_cli_call_quiet (o, &q, &a);
 
   if (code == PU_CLI_OK)
-    *version = json_integer_value (json_object_get (a.body, "version"));
+    {
+      *version = json_integer_value (json_object_get (a.body, "version"));
+    }
   else if (a.status == 404)
     {
       *version = 0;
@@ -165,8 +175,10 @@
 {
   *version = o->base_version;
   if (o->latest && o->base_version != PU_CLI_NO_VERSION)
-    return pu_cli_fail (o, PU_CLI_USAGE,
-                        "Give one of --base-version and --latest.");
+    {
+      return pu_cli_fail (o, PU_CLI_USAGE,
+                          "Give one of --base-version and --latest.");
+    }
   if (o->latest)
     return latest_version (o, version);
   if (*version == PU_CLI_NO_VERSION)
@@ -221,17 +233,21 @@
   if (o->json)
     return;
   if (code == PU_CLI_UNKNOWN)
-    fprintf (stderr,
-             "Send it again by the same command with --change-id %s "
-             "--base-version %" G_GINT64_FORMAT
-             ": it is accepted once at most.\n",
-             change_id, base);
+    {
+      fprintf (stderr,
+               "Send it again by the same command with --change-id %s "
+               "--base-version %" G_GINT64_FORMAT
+               ": it is accepted once at most.\n",
+               change_id, base);
+    }
   else if (code == PU_CLI_CONFLICT)
-    fprintf (stderr,
-             "This change starts from version %" G_GINT64_FORMAT
-             ".  Fetch the one in force by `show --output`, make the change "
-             "in it and submit that.\n",
-             base);
+    {
+      fprintf (stderr,
+               "This change starts from version %" G_GINT64_FORMAT
+               ".  Fetch the one in force by `show --output`, make the change "
+               "in it and submit that.\n",
+               base);
+    }
 }
 
 static int
@@ -258,9 +274,13 @@
     json_object_set_new (body, "author", json_string (o->author));
   code = pu_cli_post (o, "/operator/submit", body, true, &a);
   if (code == PU_CLI_OK)
-    code = report_accepted (o, file, &a);
+    {
+      code = report_accepted (o, file, &a);
+    }
   else
-    advise (o, code, change_id, base);
+    {
+      advise (o, code, change_id, base);
+    }
   pu_operator_answer_clear (&a);
   g_free (change_id);
   return code;
@@ -289,13 +309,22 @@
 
 /* --- show, diff, plan, history --- */
 
+/* The document of an answer in its canonical text; freed by free ().  */
+static char *
+document_text (const pu_operator_answer_t *a)
+{
+  char *text = json_dumps (json_object_get (a->body, "document"),
+                           JSON_INDENT (2) | JSON_SORT_KEYS);
+
+  return text != NULL ? text : strdup ("");
+}
+
 static int
 write_document (const pu_cli_options_t *o, const pu_operator_answer_t *a)
 {
   json_int_t version
       = json_integer_value (json_object_get (a->body, "version"));
-  char *text = json_dumps (json_object_get (a->body, "document"),
-                           JSON_INDENT (2) | JSON_SORT_KEYS);
+  char *text = document_text (a);
   char *line = g_strconcat (text, "\n", NULL);
   GError *error = NULL;
   int code = PU_CLI_OK;
@@ -307,8 +336,10 @@
       g_error_free (error);
     }
   else if (!o->json)
-    printf ("Wrote version %" JSON_INTEGER_FORMAT " to %s.\n", version,
-            o->output);
+    {
+      printf ("Wrote version %" JSON_INTEGER_FORMAT " to %s.\n", version,
+              o->output);
+    }
   g_free (line);
   free (text);
   return code;
@@ -318,8 +349,7 @@
 print_document (const pu_operator_answer_t *a)
 {
   const json_t *b = a->body;
-  char *text = json_dumps (json_object_get (b, "document"),
-                           JSON_INDENT (2) | JSON_SORT_KEYS);
+  char *text = document_text (a);
 
   /* The head goes to standard error, so that the output is the document.  */
   fprintf (stderr,
@@ -341,9 +371,13 @@
   if (code == PU_CLI_OK && o->output != NULL)
     code = write_document (o, &a);
   if (code == PU_CLI_OK && o->json)
-    pu_cli_print_json (a.body);
+    {
+      pu_cli_print_json (a.body);
+    }
   else if (code == PU_CLI_OK && o->output == NULL)
-    print_document (&a);
+    {
+      print_document (&a);
+    }
   pu_operator_answer_clear (&a);
   return code;
 }
@@ -378,16 +412,20 @@
   const json_t *differs = json_object_get (a.body, "differs");
 
   if (code == PU_CLI_OK && o->json)
-    pu_cli_print_json (a.body);
+    {
+      pu_cli_print_json (a.body);
+    }
   else if (code == PU_CLI_OK)
     {
       GString *out = g_string_new ("");
 
       pu_cli_print_differs (out, differs);
       if (json_array_size (differs) == 0)
-        g_string_append_printf (
-            out, "No difference from version %" JSON_INTEGER_FORMAT ".\n",
-            json_integer_value (json_object_get (a.body, "base_version")));
+        {
+          g_string_append_printf (
+              out, "No difference from version %" JSON_INTEGER_FORMAT ".\n",
+              json_integer_value (json_object_get (a.body, "base_version")));
+        }
       pu_cli_print (out);
     }
   pu_operator_answer_clear (&a);
@@ -405,7 +443,9 @@
   int code = post_document (o, "/operator/plan", &a);
 
   if (code == PU_CLI_OK && o->json)
-    pu_cli_print_json (a.body);
+    {
+      pu_cli_print_json (a.body);
+    }
   else if (code == PU_CLI_OK)
     {
       GString *out = g_string_new ("");
@@ -431,7 +471,9 @@
   int code = pu_cli_get (o, "/operator/history", &a);
 
   if (code == PU_CLI_OK && o->json)
-    pu_cli_print_json (a.body);
+    {
+      pu_cli_print_json (a.body);
+    }
   else if (code == PU_CLI_OK)
     {
       GString *out = g_string_new ("");
--- a/cli/options.c
+++ b/cli/options.c
@@ -88,10 +88,12 @@
   double seconds = g_ascii_strtod (value, &end);
 
   if (end == value || *end != '\0' || !(seconds > 0) || seconds > SECONDS_MAX)
-    return pu_error_set (e, PU_ERROR_INVALID,
-                         "--timeout takes seconds above 0 and up to %.0f, "
-                         "not \"%s\".",
-                         SECONDS_MAX, value);
+    {
+      return pu_error_set (e, PU_ERROR_INVALID,
+                           "--timeout takes seconds above 0 and up to %.0f, "
+                           "not \"%s\".",
+                           SECONDS_MAX, value);
+    }
   o->timeout_ms = MAX ((guint32)(seconds * 1000), 1);
   return true;
 }
@@ -102,8 +104,11 @@
   guint64 n;
 
   if (!g_ascii_string_to_unsigned (value, 10, 0, G_MAXINT64, &n, NULL))
-    return pu_error_set (e, PU_ERROR_INVALID,
-                         "--base-version takes a version, not \"%s\".", value);
+    {
+      return pu_error_set (e, PU_ERROR_INVALID,
+                           "--base-version takes a version, not \"%s\".",
+                           value);
+    }
   o->base_version = (gint64)n;
   return true;
 }
@@ -198,9 +203,11 @@
         return false;
     }
   if (flag < -1)
-    return pu_error_set (e, PU_ERROR_INVALID, "%s: %s.",
-                         poptBadOption (context, POPT_BADOPTION_NOALIAS),
-                         poptStrerror (flag));
+    {
+      return pu_error_set (e, PU_ERROR_INVALID, "%s: %s.",
+                           poptBadOption (context, POPT_BADOPTION_NOALIAS),
+                           poptStrerror (flag));
+    }
   return true;
 }
 
--- a/libplantainusher/operator/actions.c
+++ b/libplantainusher/operator/actions.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include "base/json.h"
+
 /* The string FIELD of O, or NULL after a finding in F when it is no name.  */
 static const char *
 name_field (const json_t *o, const char *field, pu_findings_t *f)
@@ -47,10 +49,14 @@
 propose (pu_exchange_t *x, const pu_command *c)
 {
   if (x->op->hooks.propose == NULL)
-    pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "There is no log here.");
+    {
+      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "There is no log here.");
+    }
   else
-    x->op->hooks.propose (c, x->op->propose_timeout_ms, command_done, x,
-                          x->op->hooks.data);
+    {
+      x->op->hooks.propose (c, x->op->propose_timeout_ms, command_done, x,
+                            x->op->hooks.data);
+    }
 }
 
 static void
@@ -69,7 +75,8 @@
 refuse_name (pu_exchange_t *x, const char *what, const char *name,
              const GPtrArray *names)
 {
-  char *near = pu_operator_near (names, name);
+  char *near = pu_json_nearest (name, (const char *const *)names->pdata,
+                                names->len, PU_OPERATOR_NEAR_MAX);
 
   pu_exchange_fail (x, PU_ERROR_NOT_FOUND, "There is no %s \"%s\"%s%s.", what,
                     name, *near != '\0' ? "; near it: " : "", near);
@@ -136,14 +143,20 @@
     pu_findings_add (f, "", "Give one of \"instance\" and \"backend\".");
   name = name_field (o, instance ? "instance" : "backend", f);
   if (pu_findings_count (f) > 0)
-    pu_exchange_findings (x, f);
+    {
+      pu_exchange_findings (x, f);
+    }
   else
     {
       pu_findings_free (f);
       if (instance)
-        drain_instance (x, name);
+        {
+          drain_instance (x, name);
+        }
       else
-        drain_backend (x, name);
+        {
+          drain_backend (x, name);
+        }
     }
   json_decref (o);
 }
@@ -187,16 +200,22 @@
   if (action == PU_OPERATOR_VOTERS_REPLACE)
     with = name_field (o, "with", f);
   if (pu_findings_count (f) > 0)
-    pu_exchange_findings (x, f);
+    {
+      pu_exchange_findings (x, f);
+    }
   else
     {
       pu_findings_free (f);
       if (x->op->hooks.voters == NULL)
-        pu_exchange_fail (x, PU_ERROR_UNAVAILABLE,
-                          "This daemon changes no voters.");
+        {
+          pu_exchange_fail (x, PU_ERROR_UNAVAILABLE,
+                            "This daemon changes no voters.");
+        }
       else
-        x->op->hooks.voters (action, name, with, pu_exchange_done_json, x,
-                             x->op->hooks.data);
+        {
+          x->op->hooks.voters (action, name, with, pu_exchange_done_json, x,
+                               x->op->hooks.data);
+        }
     }
   json_decref (o);
 }
@@ -205,16 +224,22 @@
 pu_operator_log_level (pu_exchange_t *x)
 {
   json_t *o = pu_exchange_object (x);
-  const pu_operator_hooks_t *hooks = &x->op->hooks;
+  const pu_operator_hooks_t *hooks;
   const char *level;
 
   if (o == NULL)
     return;
+  hooks = &x->op->hooks;
   level = json_string_value (json_object_get (o, "level"));
   if (hooks->set_log_level == NULL)
-    pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "The level can't be set here.");
+    {
+      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE,
+                        "The level can't be set here.");
+    }
   else if (level != NULL && hooks->set_log_level (level, hooks->data))
-    pu_exchange_json (x, 200, json_pack ("{s:s}", "level", level));
+    {
+      pu_exchange_json (x, 200, json_pack ("{s:s}", "level", level));
+    }
   else
     {
       pu_findings_t *f = pu_findings_new ();
@@ -265,7 +290,9 @@
     return;
   text = json_string_value (json_object_get (o, "fingerprint"));
   if (read_fingerprint (text, &fingerprint))
-    lift (x, fingerprint, text);
+    {
+      lift (x, fingerprint, text);
+    }
   else
     {
       pu_findings_t *f = pu_findings_new ();
--- a/libplantainusher/operator/client.c
+++ b/libplantainusher/operator/client.c
@@ -41,9 +41,13 @@
   char *result;
 
   if (g_str_has_prefix (address, local))
-    result = g_strconcat ("127.0.0.1:", address + strlen (local), NULL);
+    {
+      result = g_strconcat ("127.0.0.1:", address + strlen (local), NULL);
+    }
   else
-    result = g_strdup (address);
+    {
+      result = g_strdup (address);
+    }
   if (pu_http_address_parse (result, &addr, e))
     return result;
   g_free (result);
@@ -257,9 +261,11 @@
     }
   pu_operator_answer_clear (a);
   if (r.unknown)
-    return pu_error_set (e, PU_ERROR_TIMEOUT,
-                         "No answer in time (%s); the outcome is not known.",
-                         r.what);
+    {
+      return pu_error_set (e, PU_ERROR_TIMEOUT,
+                           "No answer in time (%s); the outcome is not known.",
+                           r.what);
+    }
   return pu_error_set (e, PU_ERROR_IO, "No server could be reached (%s).",
                        r.what);
 }
--- a/libplantainusher/operator/documents.c
+++ b/libplantainusher/operator/documents.c
@@ -50,8 +50,10 @@
 
   pu_state_each_backend (pu_exchange_view (x), add_capacity, engines);
   if (engines->len > 0)
-    pu_document_check_fit (d, (const pu_capacity_t *)engines->data,
-                           engines->len, f);
+    {
+      pu_document_check_fit (d, (const pu_capacity_t *)engines->data,
+                             engines->len, f);
+    }
   result = pu_findings_to_json (f);
   pu_findings_free (f);
   g_array_free (engines, TRUE);
@@ -124,9 +126,13 @@
   if (d == NULL)
     return;
   if (x->op->hooks.plan == NULL)
-    pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "This daemon does not plan.");
+    {
+      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "This daemon does not plan.");
+    }
   else
-    x->op->hooks.plan (d, pu_exchange_done_json, x, x->op->hooks.data);
+    {
+      x->op->hooks.plan (d, pu_exchange_done_json, x, x->op->hooks.data);
+    }
   pu_document_unref (d);
 }
 
@@ -169,19 +175,27 @@
 
   s->change_id = json_string_value (json_object_get (o, "change_id"));
   if (s->change_id == NULL)
-    pu_findings_add (f, "/change_id",
-                     "A name for this change is needed, the same again when "
-                     "it is sent again.");
+    {
+      pu_findings_add (f, "/change_id",
+                       "A name for this change is needed, the same again when "
+                       "it is sent again.");
+    }
   else
-    check_name (f, "/change_id", s->change_id);
+    {
+      check_name (f, "/change_id", s->change_id);
+    }
   s->author = x->author;
   if (author == NULL || json_is_null (author))
     return;
   s->author = json_string_value (author);
   if (s->author == NULL)
-    pu_findings_add (f, "/author", "It must be a string.");
+    {
+      pu_findings_add (f, "/author", "It must be a string.");
+    }
   else
-    check_name (f, "/author", s->author);
+    {
+      check_name (f, "/author", s->author);
+    }
 }
 
 static void
@@ -190,12 +204,18 @@
   const json_t *d = json_object_get (o, "document");
 
   if (json_is_string (d))
-    s->text = strdup (json_string_value (d));
+    {
+      s->text = strdup (json_string_value (d));
+    }
   else if (json_is_object (d))
-    s->text = json_dumps (d, JSON_COMPACT);
+    {
+      s->text = json_dumps (d, JSON_COMPACT);
+    }
   else
-    pu_findings_add (f, "/document",
-                     "The document is needed, as an object or as its text.");
+    {
+      pu_findings_add (f, "/document",
+                       "The document is needed, as an object or as its text.");
+    }
 }
 
 static void
@@ -277,11 +297,16 @@
 answer_submit_error (pu_exchange_t *x, const pu_error_t *e)
 {
   if (e->kind == PU_ERROR_TIMEOUT)
-    pu_exchange_fail (x, e->kind,
-                      "No answer in time: the change may be accepted or not. "
-                      "Send it again with the same change id.");
+    {
+      pu_exchange_fail (
+          x, e->kind,
+          "No answer in time: the change may be accepted or not. "
+          "Send it again with the same change id.");
+    }
   else
-    pu_exchange_error (x, e);
+    {
+      pu_exchange_error (x, e);
+    }
 }
 
 static void
@@ -341,18 +366,26 @@
 static void
 submit_parsed (pu_exchange_t *x, const submission_t *s)
 {
-  pu_document_t *d = read_document (x, s->text, strlen (s->text));
+  pu_document_t *d;
 
+  g_assert (s->text != NULL);
+  d = read_document (x, s->text, strlen (s->text));
   if (d == NULL)
     return;
   if (strlen (pu_document_text (d)) > PU_DOCUMENT_MAX)
-    pu_exchange_fail (x, PU_ERROR_TOO_LARGE,
-                      "The document is over its limit of %d bytes.",
-                      PU_DOCUMENT_MAX);
+    {
+      pu_exchange_fail (x, PU_ERROR_TOO_LARGE,
+                        "The document is over its limit of %d bytes.",
+                        PU_DOCUMENT_MAX);
+    }
   else if (x->op->hooks.propose == NULL)
-    pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "There is no log here.");
+    {
+      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "There is no log here.");
+    }
   else
-    propose_document (x, s, d);
+    {
+      propose_document (x, s, d);
+    }
   pu_document_unref (d);
 }
 
--- a/libplantainusher/operator/exchange.c
+++ b/libplantainusher/operator/exchange.c
@@ -161,9 +161,13 @@
 pu_exchange_done_json (json_t *result, const pu_error_t *e, void *data)
 {
   if (result != NULL)
-    pu_exchange_json (data, 200, result);
+    {
+      pu_exchange_json (data, 200, result);
+    }
   else
-    pu_exchange_error (data, e);
+    {
+      pu_exchange_error (data, e);
+    }
 }
 
 char *
@@ -194,10 +198,14 @@
     return o;
   f = pu_findings_new ();
   if (o == NULL)
-    pu_findings_add_at (f, e.line, e.column, "The body is no JSON: %s.",
-                        e.text);
+    {
+      pu_findings_add_at (f, e.line, e.column, "The body is no JSON: %s.",
+                          e.text);
+    }
   else
-    pu_findings_add (f, "", "The body must be a JSON object.");
+    {
+      pu_findings_add (f, "", "The body must be a JSON object.");
+    }
   json_decref (o);
   pu_exchange_findings (x, f);
   return NULL;
--- a/libplantainusher/operator/internal.h
+++ b/libplantainusher/operator/internal.h
@@ -62,7 +62,7 @@
 char *pu_exchange_argument (const pu_exchange_t *x, const char *name);
 
 /* pu_exchange_object - the body as a JSON object, a new reference.  On a
-   fault it answers 400 and returns NULL.  */
+   fault it answers 400, so that X is gone, and returns NULL.  */
 json_t *pu_exchange_object (pu_exchange_t *x);
 
 /* pu_exchange_view - the newest state.  */
@@ -79,9 +79,8 @@
 const char *pu_operator_keys_find (const GArray *keys,
                                    const char *authorization);
 
-/* pu_operator_near - up to three of NAMES (a GPtrArray of char *) that are
-   near NAME, as one text; "" when none is.  The caller frees it.  */
-char *pu_operator_near (const GPtrArray *names, const char *name);
+/* The most names told to who gave one that is not known.  */
+#define PU_OPERATOR_NEAR_MAX ((size_t)3)
 
 /* pu_operator_time - WALL (milliseconds since 1970) in UTC as
    2026-12-02T18:30:00.123Z.  The caller frees it.  */
--- a/libplantainusher/operator/operator.c
+++ b/libplantainusher/operator/operator.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/json.h"
+
 #define PROPOSE_TIMEOUT_MS 10000
 
 typedef struct
@@ -140,13 +142,13 @@
 static void
 refuse_path (pu_exchange_t *x, const char *path)
 {
-  GPtrArray *names = g_ptr_array_new ();
+  const char *names[G_N_ELEMENTS (routes)];
   char *near;
 
   for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
-    g_ptr_array_add (names, (gpointer)routes[i].path);
-  near = pu_operator_near (names, path);
-  g_ptr_array_free (names, TRUE);
+    names[i] = routes[i].path;
+  near = pu_json_nearest (path, names, G_N_ELEMENTS (routes),
+                          PU_OPERATOR_NEAR_MAX);
   pu_exchange_fail (x, PU_ERROR_NOT_FOUND, "There is no path %.64s%s%s.", path,
                     *near != '\0' ? "; near it: " : "", near);
   g_free (near);
@@ -203,13 +205,21 @@
     return;
   route = find_route (r, &other);
   if (route == NULL && other != NULL)
-    refuse_method (x, other);
+    {
+      refuse_method (x, other);
+    }
   else if (route == NULL)
-    refuse_path (x, r->path);
+    {
+      refuse_path (x, r->path);
+    }
   else if (r->body_len > PU_OPERATOR_BODY_MAX)
-    pu_exchange_fail (x, PU_ERROR_TOO_LARGE,
-                      "The body is over its limit of %zu bytes.",
-                      (size_t)PU_OPERATOR_BODY_MAX);
+    {
+      pu_exchange_fail (x, PU_ERROR_TOO_LARGE,
+                        "The body is over its limit of %zu bytes.",
+                        (size_t)PU_OPERATOR_BODY_MAX);
+    }
   else
-    route->handle (x);
+    {
+      route->handle (x);
+    }
 }
--- a/libplantainusher/operator/views.c
+++ b/libplantainusher/operator/views.c
@@ -115,9 +115,14 @@
 pu_operator_get_history (pu_exchange_t *x)
 {
   if (x->op->hooks.history != NULL)
-    x->op->hooks.history (pu_exchange_done_json, x, x->op->hooks.data);
+    {
+      x->op->hooks.history (pu_exchange_done_json, x, x->op->hooks.data);
+    }
   else
-    pu_exchange_json (x, 200, pu_operator_history_json (pu_exchange_view (x)));
+    {
+      pu_exchange_json (x, 200,
+                        pu_operator_history_json (pu_exchange_view (x)));
+    }
 }
 
 static void
@@ -308,18 +313,27 @@
   json_object_set_new (status, "backends", backends.list);
   add_document_parts (status, s);
   if (x->op->hooks.status == NULL)
-    pu_exchange_json (x, 200, status);
+    {
+      pu_exchange_json (x, 200, status);
+    }
   else
-    x->op->hooks.status (status, pu_exchange_done_json, x, x->op->hooks.data);
+    {
+      x->op->hooks.status (status, pu_exchange_done_json, x,
+                           x->op->hooks.data);
+    }
 }
 
 void
 pu_operator_get_dump (pu_exchange_t *x)
 {
   if (x->op->hooks.dump == NULL)
-    pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "This daemon dumps nothing.");
+    {
+      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "This daemon dumps nothing.");
+    }
   else
-    pu_exchange_json (x, 200, x->op->hooks.dump (x->op->hooks.data));
+    {
+      pu_exchange_json (x, 200, x->op->hooks.dump (x->op->hooks.data));
+    }
 }
 
 static void
