Fake engine: confirms a resume, replays, or numbers events

An entry takes up a cut stream in one of three ways; the engine now gives each: it skips and says so in X-Resume-Tokens, replays from the start (--replay), or numbers its events (--event-ids). The load driver frees what it made, so that it also passes under the address sanitizer, and no longer calls itself without end when an address can't be read.

--- a/bench/load.c
+++ b/bench/load.c
@@ -291,6 +291,27 @@
   json_decref (out);
 }
 
+static void
+options_free (options_t *o)
+{
+  g_strfreev (o->entries);
+  g_strfreev (o->direct);
+  g_free (o->service);
+  g_free (o->models);
+}
+
+static void
+load_free (load_t *l)
+{
+  for (guint i = 0; i < l->models->len; i++)
+    g_free (g_array_index (l->models, model_t, i).name);
+  g_array_free (l->models, TRUE);
+  uv_close ((uv_handle_t *)&l->tick, NULL);
+  load_requests_free (l->requests);
+  g_rand_free (l->random);
+  options_free (&l->o);
+}
+
 static void
 read_options (options_t *o, int argc, char **argv)
 {
@@ -355,7 +376,7 @@
   l.random = g_rand_new_with_seed ((guint32)l.o.seed);
   make_models (&l);
   o.loop = l.loop;
-  o.random = g_rand_new_with_seed ((guint32)l.o.seed + 1);
+  o.seed = (guint32)l.o.seed;
   o.entries = l.o.entries;
   o.direct = l.o.direct;
   o.service = l.o.service;
@@ -373,5 +394,6 @@
   print (&l);
   s = load_requests_stats (l.requests);
   wrong = s->outcomes[LOAD_WRONG] > 0;
+  load_free (&l);
   return wrong ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/bench/load_request.c
+++ b/bench/load_request.c
@@ -27,6 +27,7 @@
   uv_timer_t learn;
   guint learn_from;
   char *learn_target;
+  GRand *random;
   load_stats_t stats;
   guint open;
   guint64 numbers;
@@ -72,7 +73,7 @@
 
   for (guint i = 0; i < l->entries->len; i++)
     sum += g_array_index (l->entries, entry_t, i).weight;
-  at = (guint)g_rand_int_range (l->o.random, 0, (gint32)MAX (sum, 1));
+  at = (guint)g_rand_int_range (l->random, 0, (gint32)MAX (sum, 1));
   for (guint i = 0; i < l->entries->len; i++)
     {
       const entry_t *e = &g_array_index (l->entries, entry_t, i);
@@ -224,6 +225,13 @@
   uv_timer_start (&r->timer, on_wait_over, wait, 0);
 }
 
+/* Ends by the timer, so that a closed loop does not call itself.  */
+static void
+on_not_started (uv_timer_t *timer)
+{
+  finish (timer->data, LOAD_NOT_SENT);
+}
+
 static void
 attempt (request_t *r)
 {
@@ -243,7 +251,7 @@
   r->attempts++;
   l->stats.attempts++;
   if (o.address == NULL || !load_call_start (l->client, &o))
-    finish (r, LOAD_NOT_SENT);
+    uv_timer_start (&r->timer, on_not_started, DEFAULT_WAIT_MS, 0);
 }
 
 void
@@ -277,6 +285,7 @@
                                       .idle_max = G_MAXUINT16 };
 
   l->o = *o;
+  l->random = g_rand_new_with_seed (o->seed);
   l->client = pu_http_client_new (&client);
   l->entries = g_array_new (FALSE, TRUE, sizeof (entry_t));
   g_array_set_clear_func (l->entries, entry_clear);
@@ -306,6 +315,7 @@
   pu_histogram_free (l->stats.first);
   pu_histogram_free (l->stats.gaps);
   pu_histogram_free (l->stats.total);
+  g_rand_free (l->random);
   g_free (l->learn_target);
   g_free (l->run);
   g_free (l);
--- a/bench/load_request.h
+++ b/bench/load_request.h
@@ -24,7 +24,7 @@
 typedef struct
 {
   uv_loop_t *loop;
-  GRand *random;
+  guint32 seed;        /* of the choice among addresses */
   char **entries;      /* asked for addresses; NULL: go to `direct` */
   char **direct;       /* addresses used as they are */
   const char *service; /* NULL: none */
--- a/fakes/answer.c
+++ b/fakes/answer.c
@@ -103,10 +103,11 @@
   return g_string_free (out, FALSE);
 }
 
-/* Names are plain in the fakes, so nothing is escaped here.  */
-void
-fake_answer_event (GString *out, const fake_question_t *q, const char *id,
-                   const char *text)
+/* One event; TEXT NULL makes the last one, which carries the finish reason.
+   Names are plain in the fakes, so nothing is escaped here.  */
+static void
+event_append (GString *out, const fake_question_t *q, const char *id,
+              const char *text)
 {
   const char *object = q->chat ? "chat.completion.chunk" : "text_completion";
   const char *finish = text == NULL ? "\"length\"" : "null";
@@ -132,6 +133,25 @@
   g_string_append_printf (out, ",\"finish_reason\":%s}]}\n\n", finish);
 }
 
+void
+fake_answer_next (GString *out, const fake_question_t *q, const char *id,
+                  guint index, bool with_id)
+{
+  char token[FAKE_TOKEN_SIZE];
+
+  fake_answer_token (q->seed, index, token);
+  if (with_id)
+    g_string_append_printf (out, "id: %u\n", index);
+  event_append (out, q, id, token);
+}
+
+void
+fake_answer_end (GString *out, const fake_question_t *q, const char *id)
+{
+  event_append (out, q, id, NULL);
+  g_string_append (out, "data: [DONE]\n\n");
+}
+
 char *
 fake_answer_whole (const fake_question_t *q, const char *id)
 {
@@ -161,22 +181,6 @@
   return body;
 }
 
-const char *
-fake_answer_piece (json_t *root)
-{
-  json_t *choice = json_array_get (json_object_get (root, "choices"), 0);
-  json_t *from = json_object_get (choice, "delta");
-  json_t *text;
-
-  if (choice == NULL)
-    return NULL;
-  if (from == NULL)
-    from = json_object_get (choice, "message");
-  text = from == NULL ? json_object_get (choice, "text")
-                      : json_object_get (from, "content");
-  return text == NULL ? "" : json_string_value (text);
-}
-
 guint64
 fake_block_hash (const fake_question_t *q, guint n)
 {
--- a/fakes/answer.h
+++ b/fakes/answer.h
@@ -46,18 +46,18 @@
 /* fake_answer_text - the whole answer as a new string.  */
 char *fake_answer_text (const fake_question_t *q);
 
-/* fake_answer_event - appends one server-sent event with TEXT to OUT; TEXT
-   NULL makes the last one, which carries the finish reason.  */
-void fake_answer_event (GString *out, const fake_question_t *q, const char *id,
-                        const char *text);
+/* fake_answer_next - appends the server-sent event with token INDEX to OUT;
+   WITH_ID gives it the index as its `id` field.  */
+void fake_answer_next (GString *out, const fake_question_t *q, const char *id,
+                       guint index, bool with_id);
+
+/* fake_answer_end - appends the event with the finish reason and the end
+   mark.  */
+void fake_answer_end (GString *out, const fake_question_t *q, const char *id);
 
 /* fake_answer_whole - the body of an answer that is not streamed.  */
 char *fake_answer_whole (const fake_question_t *q, const char *id);
 
-/* fake_answer_piece - the text inside one event or whole body, as a borrowed
-   string of ROOT; "" when it carries none, NULL when it is no answer.  */
-const char *fake_answer_piece (json_t *root);
-
 /* fake_block_hash - the hash of the prompt's first N whole blocks.  */
 guint64 fake_block_hash (const fake_question_t *q, guint n);
 
--- a/fakes/batch.c
+++ b/fakes/batch.c
@@ -5,7 +5,7 @@
 
 #define PREFILL_TOKENS_PER_STEP 2048
 #define STEP_GROWTH 0.01 /* of a step's time, for each further request */
-#define NS_PER_MS 1e6
+#define US_PER_MS 1000.0
 #define FOREIGN_ID "req-of-somebody-else"
 
 typedef struct
@@ -17,6 +17,7 @@
   guint priority;
   guint64 arrival;
   guint prefill;   /* prompt tokens not read yet */
+  guint skip;      /* tokens that are not sent */
   guint next;      /* index of the next token */
   bool started;    /* the head was sent */
   guint cut_after; /* tokens; G_MAXUINT: not at all */
@@ -41,7 +42,7 @@
 static double
 now_ms (void)
 {
-  return (double)uv_hrtime () / NS_PER_MS;
+  return (double)g_get_monotonic_time () / US_PER_MS;
 }
 
 static void
@@ -100,10 +101,13 @@
 static void
 start_head (sequence_t *s, const char *content_type)
 {
-  pu_http_header_t headers[]
-      = { { "content-type", content_type }, { "x-request-id", s->id } };
+  char *skip = g_strdup_printf ("%u", s->skip);
+  pu_http_header_t headers[] = { { "content-type", content_type },
+                                 { "x-request-id", s->id },
+                                 { "x-resume-tokens", skip } };
 
-  pu_http_respond_start (s->request, 200, headers, G_N_ELEMENTS (headers));
+  pu_http_respond_start (s->request, 200, headers, s->skip > 0 ? 3 : 2);
+  g_free (skip);
 }
 
 static void
@@ -128,18 +132,14 @@
 static void
 send_token (sequence_t *s)
 {
+  bool ids = s->batch->options.event_ids;
   GString *out = g_string_new (NULL);
-  char token[FAKE_TOKEN_SIZE];
 
-  fake_answer_token (s->question.seed, s->next, token);
-  fake_answer_event (out, &s->question, s->id, token);
+  fake_answer_next (out, &s->question, s->id, s->next, ids);
   if (fake_faults_take (s->batch->options.faults, FAKE_DUPLICATE) != NULL)
-    fake_answer_event (out, &s->question, s->id, token);
+    fake_answer_next (out, &s->question, s->id, s->next, ids);
   if (s->next + 1 == s->question.tokens)
-    {
-      fake_answer_event (out, &s->question, s->id, NULL);
-      g_string_append (out, "data: [DONE]\n\n");
-    }
+    fake_answer_end (out, &s->question, s->id);
   pu_http_respond_write (s->request, out->str, out->len);
   g_string_free (out, TRUE);
 }
@@ -263,15 +263,15 @@
   fake_batch_t *b = timer->data;
   GPtrArray *now = g_ptr_array_copy (b->running, NULL, NULL);
 
-  /* A client that left is noticed by a timer or a read, never inside.  */
   for (guint i = 0; i < now->len; i++)
     {
       sequence_t *s = g_ptr_array_index (now, i);
 
-      if (s->prefill > 0 || emit (s))
-        continue;
-      g_ptr_array_remove (b->running, s);
-      sequence_free (s);
+      if (s->prefill == 0 && !emit (s))
+        {
+          g_ptr_array_remove (b->running, s);
+          sequence_free (s);
+        }
     }
   g_ptr_array_free (now, TRUE);
   begin_step (b);
@@ -327,7 +327,8 @@
   s->id = g_strdup (id);
   s->priority = priority;
   s->arrival = ++b->arrivals;
-  s->next = MIN (skip, s->question.tokens - 1);
+  s->skip = b->options.replay ? 0 : MIN (skip, s->question.tokens - 1);
+  s->next = s->skip;
   web_on_gone (r, on_gone, s);
   g_sequence_insert_sorted (b->waiting, s, by_priority, NULL);
   if (uv_is_active ((uv_handle_t *)&b->timer))
@@ -379,11 +380,10 @@
 void
 fake_batch_add_state (const fake_batch_t *b, json_t *out)
 {
-  json_t *state = json_pack (
-      "{s:i, s:i, s:I, s:I, s:I}", "running", (int)fake_batch_running (b),
-      "waiting", (int)fake_batch_waiting (b), "done", (json_int_t)b->done,
-      "cancelled", (json_int_t)b->cancelled, "tokens", (json_int_t)b->tokens);
-
-  json_object_update (out, state);
-  json_decref (state);
+  json_object_update_new (
+      out, json_pack ("{s:i, s:i, s:I, s:I, s:I}", "running",
+                      (int)fake_batch_running (b), "waiting",
+                      (int)fake_batch_waiting (b), "done", (json_int_t)b->done,
+                      "cancelled", (json_int_t)b->cancelled, "tokens",
+                      (json_int_t)b->tokens));
 }
--- a/fakes/batch.h
+++ b/fakes/batch.h
@@ -30,6 +30,8 @@
   double decode_ms; /* of a step with one request */
   guint max_batch;
   guint max_waiting;
+  bool replay;    /* does not skip tokens when asked to resume */
+  bool event_ids; /* each token's event has its index as `id` */
   fake_ledger_t *ledger;
   fake_faults_t *faults;
   fake_kv_cache_t *cache;
@@ -38,8 +40,8 @@
 fake_batch_t *fake_batch_new (const fake_batch_options_t *o);
 
 /* fake_batch_add - takes a request over: the request R and what Q holds.  The
-   first SKIP tokens are not sent.  Returns false, and takes nothing, when too
-   many wait.  */
+   first SKIP tokens are not sent, and the answer's head says so.  Returns
+   false, and takes nothing, when too many wait.  */
 bool fake_batch_add (fake_batch_t *b, pu_http_request_t *r, fake_question_t *q,
                      const char *id, guint priority, guint skip);
 
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -295,6 +295,8 @@
           .decode_ms = o->decode_ms,
           .max_batch = (guint)o->max_batch,
           .max_waiting = (guint)o->max_waiting,
+          .replay = o->replay != 0,
+          .event_ids = o->event_ids != 0,
           .ledger = e->ledger,
           .faults = &e->faults };
   fake_announcer_options_t announcer = { .loop = e->loop,
--- a/fakes/engine_options.h
+++ b/fakes/engine_options.h
@@ -26,6 +26,8 @@
   double decode_ms;
   int max_batch;
   int max_waiting;
+  int replay;
+  int event_ids;
   int load_ms;
   int kv_blocks;
   int kv_delay_ms;
--- a/fakes/run.c
+++ b/fakes/run.c
@@ -51,6 +51,8 @@
   uv_signal_init (loop, &t->interrupt);
   t->term.data = t;
   t->interrupt.data = t;
+  uv_unref ((uv_handle_t *)&t->term);
+  uv_unref ((uv_handle_t *)&t->interrupt);
   uv_signal_start (&t->term, on_signal, SIGTERM);
   uv_signal_start (&t->interrupt, on_signal, SIGINT);
 }
