--- a/bench/load_request.c
+++ b/bench/load_request.c
@@ -43,6 +43,7 @@
   char *key;
   gint64 arrived_us;
   guint attempts;
+  bool may_have_run; /* an attempt ended with its fate unknown */
   uv_timer_t timer;
   load_done_cb cb;
   void *data;
@@ -199,30 +200,43 @@
   attempt (timer->data);
 }
 
+/* Milliseconds until the next attempt: none while there is an address that was
+   not tried yet.  */
+static guint
+wait_before_next (const request_t *r, const load_result_t *result)
+{
+  bool more = r->attempts < r->owner->entries->len;
+
+  if (result->outcome == LOAD_NOT_SENT && more)
+    return 0;
+  return result->retry_after_ms != 0 ? result->retry_after_ms
+                                     : DEFAULT_WAIT_MS;
+}
+
 static void
 on_result (void *data, const load_result_t *result)
 {
   request_t *r = data;
-  guint wait = DEFAULT_WAIT_MS;
+  bool unknown = result->outcome == LOAD_UNKNOWN;
 
-  if (!may_retry (r, result))
+  r->may_have_run = r->may_have_run || unknown;
+  if (may_retry (r, result))
     {
-      if (result->outcome == LOAD_OK)
-        count_answer (r, result);
-      finish (r, result->outcome);
+      r->owner->stats.resends += unknown ? 1 : 0;
+      uv_timer_start (&r->timer, on_wait_over, wait_before_next (r, result),
+                      0);
       return;
     }
-  if (result->outcome == LOAD_UNKNOWN)
-    r->owner->stats.resends++;
-  if (result->outcome == LOAD_NOT_SENT)
+  if (result->outcome == LOAD_OK)
+    count_answer (r, result);
+  if (result->outcome == LOAD_NOT_SENT && r->may_have_run)
     {
-      wait = 0;
+      finish (r, LOAD_UNKNOWN);
     }
-  else if (result->retry_after_ms != 0)
+  else
     {
-      wait = result->retry_after_ms;
+      finish (r, result->outcome);
     }
-  uv_timer_start (&r->timer, on_wait_over, wait, 0);
 }
 
 /* Ends by the timer, so that a closed loop does not call itself.  */
--- a/bench/load_request.h
+++ b/bench/load_request.h
@@ -14,7 +14,7 @@
  * load_request - a request as a caller makes it: asks which entries to use,
  * keeps the answer for its time to live, tries again where that is safe.
  *
- * Tried again: a connection that failed, at the next address at once; a
+ * Tried again: a connection that failed, at once while addresses are left; a
  * refusal, after its Retry-After; a plain call with an idempotency key whose
  * fate is unknown.
  */
