--- /dev/null
+++ b/libplantainusher/agent/agent_private.h
@@ -0,0 +1,112 @@
+#ifndef PU_AGENT_PRIVATE_H
+#define PU_AGENT_PRIVATE_H
+
+#include "agent/agent.h"
+#include "control/generated/control_msg.h"
+#include "rpc/pool.h"
+#include "state/codec.h"
+
+G_BEGIN_DECLS
+
+/* What the files of this slice share.  Private to it.  */
+
+#define PU_AGENT_PART "agent"
+
+typedef struct pu_keep pu_keep_t;
+
+struct pu_agent
+{
+  pu_agent_options_t options;
+  pu_member_record *self;
+  pu_state_t *view;
+  pu_rpc_pool_t *pool;
+  GRand *rand;
+  uint64_t cluster; /* of the log that the view comes from; 0: none yet */
+  bool ready;       /* holds an image */
+  bool confirmed;   /* by a voter, or by the lack of one */
+  bool joined;
+  bool departed;
+  bool superseded;
+  bool closing;
+  bool announcing;
+  uint64_t announced_at; /* position of the last announcement's entry */
+  uint64_t told;         /* pu_state_changes at the last on_change */
+
+  /* voters.c: addresses, the preferred one first */
+  GPtrArray *join;
+  GPtrArray *learnt;
+  GPtrArray *ranked;
+  uint64_t voters_hash;
+  guint at;          /* in ranked: the one that is polled */
+  uint64_t moved_at; /* loop time when `at` left the preferred one */
+  char *leader;      /* address; "" when not known */
+
+  /* poll.c */
+  uv_timer_t *poll_timer;
+  uint32_t poll_handle; /* 0: none under way */
+  guint failures;       /* polls in a row */
+  guint leaderless;     /* answers in a row */
+  GHashTable *renewals; /* backend server -> renewal_t */
+  GHashTable *demand;   /* model -> demand_t */
+
+  /* propose.c */
+  GQueue proposals; /* by rising seq */
+  uint64_t next_seq;
+
+  /* query.c */
+  GQueue queries;
+
+  /* keep.c */
+  pu_keep_t *keep;        /* NULL without a folder */
+  uv_timer_t *keep_timer; /* runs while a change is not kept */
+  uint64_t kept_version;  /* of the document in the newest kept image */
+  uv_timer_t *trust_timer;
+};
+
+/* voters.c */
+void pu_agent_voters_init (pu_agent_t *a);
+void pu_agent_voters_clear (pu_agent_t *a);
+const char *pu_agent_voter (const pu_agent_t *a);
+void pu_agent_voters_learn (pu_agent_t *a, const pu_poll_reply *r);
+void pu_agent_voters_next (pu_agent_t *a);
+void pu_agent_voters_home (pu_agent_t *a);
+void pu_agent_set_leader (pu_agent_t *a, const char *address);
+
+/* poll.c */
+void pu_agent_poll_init (pu_agent_t *a);
+void pu_agent_poll_clear (pu_agent_t *a);
+
+/* view.c */
+bool pu_agent_take (pu_agent_t *a, const pu_poll_reply *r);
+void pu_agent_announce (pu_agent_t *a);
+void pu_agent_tell (pu_agent_t *a);
+
+/* propose.c */
+void pu_agent_proposals_clear (pu_agent_t *a);
+
+/* query.c */
+void pu_agent_queries_clear (pu_agent_t *a);
+
+/* keep.c: the image in the data folder.  */
+typedef struct
+{
+  uint64_t cluster;
+  GBytes *image;
+} pu_kept_t;
+
+/* pu_keep_new - the keeper of FOLDER/view, on LOOP.  */
+pu_keep_t *pu_keep_new (uv_loop_t *loop, const char *folder);
+
+/* pu_keep_free - a write under way is finished by itself.  */
+void pu_keep_free (pu_keep_t *k);
+
+/* pu_keep_load - false when there is none, or it is damaged (E says so).  */
+bool pu_keep_load (pu_keep_t *k, pu_kept_t *out, pu_error_t *e);
+
+/* pu_keep_save - writes aside, syncs and renames, on the thread pool; takes
+   IMAGE over.  While a write is under way the newest waits.  */
+void pu_keep_save (pu_keep_t *k, uint64_t cluster, GBytes *image);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/libplantainusher/agent/poll.c
@@ -0,0 +1,242 @@
+#include "agent/agent_private.h"
+
+#include "base/log.h"
+
+/* A poll's answer may come this much after its wait.  */
+#define ANSWER_MS 1000
+
+/* Pauses after polls that failed: they double up to the most.  */
+#define PAUSE_MIN_MS 20
+#define PAUSE_MAX_MS 1000
+#define PAUSE_DOUBLINGS 6
+
+/* Answers in a row of a voter that knows no leader, until another voter is
+   asked.  */
+#define LEADERLESS_MAX 2
+
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t heard;
+} renewal_t;
+
+typedef struct
+{
+  guint32 requests;
+  guint32 stream_ms;
+} demand_t;
+
+static void poll_start (pu_agent_t *a);
+
+/* --- what a poll carries --- */
+
+void
+pu_agent_renew (pu_agent_t *a, const char *name, uint64_t incarnation)
+{
+  renewal_t *r = g_hash_table_lookup (a->renewals, name);
+
+  if (r == NULL)
+    {
+      r = g_new0 (renewal_t, 1);
+      g_hash_table_insert (a->renewals, g_strdup (name), r);
+    }
+  r->incarnation = incarnation;
+  r->heard = uv_now (a->options.loop);
+}
+
+void
+pu_agent_demand (pu_agent_t *a, const char *model, guint32 requests,
+                 guint32 stream_ms)
+{
+  demand_t *d = g_hash_table_lookup (a->demand, model);
+
+  if (d == NULL)
+    {
+      d = g_new0 (demand_t, 1);
+      g_hash_table_insert (a->demand, g_strdup (model), d);
+    }
+  d->requests += requests;
+  d->stream_ms += stream_ms;
+}
+
+static void
+put_renewals (const pu_agent_t *a, pu_poll *p)
+{
+  guint n = MIN (g_hash_table_size (a->renewals), PU_CONTROL_LIST_MAX);
+  uint64_t now = uv_now (a->options.loop);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  p->renewals.renewals_val = g_new0 (pu_renewal, n);
+  g_hash_table_iter_init (&iter, a->renewals);
+  while (p->renewals.renewals_len < n
+         && g_hash_table_iter_next (&iter, &key, &value))
+    {
+      pu_renewal *r = &p->renewals.renewals_val[p->renewals.renewals_len++];
+
+      r->backend = key;
+      r->incarnation = ((renewal_t *)value)->incarnation;
+      r->age_ms = (u_int)(now - ((renewal_t *)value)->heard);
+    }
+}
+
+static void
+put_demand (const pu_agent_t *a, pu_poll *p)
+{
+  guint n = MIN (g_hash_table_size (a->demand), PU_CONTROL_LIST_MAX);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  p->demand.demand_val = g_new0 (pu_demand, n);
+  g_hash_table_iter_init (&iter, a->demand);
+  while (p->demand.demand_len < n
+         && g_hash_table_iter_next (&iter, &key, &value))
+    {
+      pu_demand *d = &p->demand.demand_val[p->demand.demand_len++];
+
+      d->model = key;
+      d->requests = ((demand_t *)value)->requests;
+      d->stream_ms = ((demand_t *)value)->stream_ms;
+    }
+}
+
+static GBytes *
+poll_encode (const pu_agent_t *a)
+{
+  pu_poll p = { .name = a->self->name,
+                .incarnation = a->self->incarnation,
+                .position = pu_state_position (a->view),
+                .voters_hash = a->voters_hash,
+                .wait_ms = a->options.poll_wait_ms,
+                .fresh = !a->ready };
+  GBytes *bytes;
+
+  put_renewals (a, &p);
+  put_demand (a, &p);
+  bytes = pu_codec_encode ((xdrproc_t)xdr_pu_poll, &p);
+  g_free (p.renewals.renewals_val);
+  g_free (p.demand.demand_val);
+  return bytes;
+}
+
+/* --- the cycle --- */
+
+static void
+on_poll_timer (uv_timer_t *t)
+{
+  poll_start (t->data);
+}
+
+static void
+poll_later (pu_agent_t *a, guint ms)
+{
+  if (!a->closing && !a->superseded)
+    uv_timer_start (a->poll_timer, on_poll_timer, ms, 0);
+}
+
+static void
+poll_failed (pu_agent_t *a, const char *why)
+{
+  guint doublings = MIN (a->failures, PAUSE_DOUBLINGS);
+  guint most = MIN (PAUSE_MIN_MS << doublings, PAUSE_MAX_MS);
+
+  if (a->failures++ == 0)
+    {
+      pu_log_info (PU_AGENT_PART, "Voter %s does not answer: %s",
+                   pu_agent_voter (a), why);
+    }
+  pu_agent_voters_next (a);
+  poll_later (
+      a, (guint)g_rand_int_range (a->rand, (gint)most / 2, (gint)most + 1));
+}
+
+static void
+poll_answered (pu_agent_t *a, const pu_poll_reply *r)
+{
+  a->failures = 0;
+  pu_agent_voters_learn (a, r);
+  a->leaderless = r->leader[0] == '\0' ? a->leaderless + 1 : 0;
+  if (a->leaderless >= LEADERLESS_MAX)
+    {
+      a->leaderless = 0;
+      pu_agent_voters_next (a);
+    }
+  if (!pu_agent_take (a, r))
+    {
+      poll_failed (a, "its log is not ours.");
+      return;
+    }
+  pu_agent_announce (a);
+  pu_agent_tell (a);
+  poll_later (a, 0);
+}
+
+static void
+on_polled (void *data, const guint8 *body, size_t n, const pu_error_t *e)
+{
+  pu_agent_t *a = data;
+  pu_poll_reply r;
+
+  a->poll_handle = 0;
+  if (e->kind != PU_OK)
+    {
+      poll_failed (a, e->message);
+      return;
+    }
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_poll_reply, &r, sizeof r, body, n,
+                        NULL))
+    {
+      poll_failed (a, "its answer does not decode.");
+      return;
+    }
+  poll_answered (a, &r);
+  xdr_free ((xdrproc_t)xdr_pu_poll_reply, &r);
+}
+
+static void
+poll_start (pu_agent_t *a)
+{
+  pu_rpc_client_t *client;
+  GBytes *bytes;
+  gsize size;
+  gconstpointer data;
+
+  pu_agent_voters_home (a);
+  client = pu_agent_voter (a) == NULL
+               ? NULL
+               : pu_rpc_pool_get (a->pool, pu_agent_voter (a));
+  if (client == NULL)
+    {
+      poll_failed (a, "no address.");
+      return;
+    }
+  bytes = poll_encode (a);
+  data = g_bytes_get_data (bytes, &size);
+  /* What is lost with a poll is a hint or comes again with a report.  */
+  g_hash_table_remove_all (a->renewals);
+  g_hash_table_remove_all (a->demand);
+  a->poll_handle = pu_rpc_client_call (
+      client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION, PU_CONTROL_POLL,
+      data, size, a->options.poll_wait_ms + ANSWER_MS, on_polled, a);
+  g_bytes_unref (bytes);
+}
+
+void
+pu_agent_poll_init (pu_agent_t *a)
+{
+  a->renewals
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  a->demand = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  a->poll_timer = pu_rpc_timer_new (a->options.loop, a);
+  poll_later (a, 0);
+}
+
+void
+pu_agent_poll_clear (pu_agent_t *a)
+{
+  pu_rpc_timer_free (a->poll_timer);
+  g_hash_table_unref (a->renewals);
+  g_hash_table_unref (a->demand);
+}
--- /dev/null
+++ b/libplantainusher/agent/propose.c
@@ -0,0 +1,254 @@
+#include "agent/agent_private.h"
+
+#include <string.h>
+
+/* Pause before an attempt is made again, with jitter.  */
+#define PAUSE_MS 40
+
+typedef struct
+{
+  pu_agent_t *agent;
+  GList node; /* in agent->proposals */
+  uint64_t seq;
+  pu_command_type type;
+  GBytes *command;
+  uint64_t due;   /* loop time, ms */
+  bool unknown;   /* an attempt ended so: it may have run */
+  bool under_way; /* an attempt is */
+  guint attempts;
+  uv_timer_t *timer; /* NULL until it is needed */
+  pu_agent_done_fn *fn;
+  void *data;
+} proposal_t;
+
+static void proposal_try (proposal_t *p);
+
+static void
+proposal_end (proposal_t *p, const pu_reply *r, const pu_error_t *e)
+{
+  pu_agent_done_fn *fn = p->fn;
+  void *data = p->data;
+
+  g_queue_unlink (&p->agent->proposals, &p->node);
+  if (p->timer != NULL)
+    pu_rpc_timer_free (p->timer);
+  g_bytes_unref (p->command);
+  g_free (p);
+  fn (data, r, e);
+}
+
+static void
+proposal_give_up (proposal_t *p)
+{
+  pu_error_t e;
+
+  if (p->unknown)
+    {
+      pu_error_set (&e, PU_ERROR_TIMEOUT,
+                    "No answer in time; the outcome is not known.");
+    }
+  else
+    {
+      pu_error_set (&e, PU_ERROR_UNAVAILABLE,
+                    "Control cannot be reached or has no quorum; the command "
+                    "was not run.");
+    }
+  proposal_end (p, NULL, &e);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  proposal_try (t->data);
+}
+
+static void
+proposal_later (proposal_t *p, guint ms)
+{
+  if (p->timer == NULL)
+    p->timer = pu_rpc_timer_new (p->agent->options.loop, p);
+  uv_timer_start (p->timer, on_timer, ms, 0);
+}
+
+/* may_repeat - whether a second copy of the command is harmless; see
+   pu_agent_propose.  */
+static bool
+may_repeat (const proposal_t *p)
+{
+  return p->type != PU_COMMAND_RESERVE;
+}
+
+/* proposal_again - the last attempt did not settle it.  */
+static void
+proposal_again (proposal_t *p)
+{
+  pu_agent_t *a = p->agent;
+  guint pause = PAUSE_MS / 2 + (guint)g_rand_int_range (a->rand, 0, PAUSE_MS);
+
+  if (uv_now (a->options.loop) + pause >= p->due
+      || (p->unknown && !may_repeat (p)))
+    {
+      proposal_give_up (p);
+    }
+  else
+    {
+      proposal_later (p, pause);
+    }
+}
+
+static void
+proposal_succeed (proposal_t *p, const pu_propose_reply *x)
+{
+  pu_reply r;
+  pu_error_t e = { .kind = PU_OK };
+
+  if (!pu_reply_decode (&r, x->reply.reply_val, x->reply.reply_len, &e))
+    {
+      /* It ran; only the answer is of no use.  */
+      p->unknown = true;
+      proposal_again (p);
+      return;
+    }
+  e.kind = PU_OK;
+  proposal_end (p, &r, &e);
+  pu_reply_clear (&r);
+}
+
+static void
+proposal_answered (proposal_t *p, const pu_propose_reply *x)
+{
+  pu_error_t e;
+
+  if (x->leader[0] != '\0')
+    pu_agent_set_leader (p->agent, x->leader);
+  switch (x->kind)
+    {
+    case PU_OK:
+      proposal_succeed (p, x);
+      return;
+    case PU_ERROR_TIMEOUT:
+      p->unknown = true;
+      proposal_again (p);
+      return;
+    case PU_ERROR_INVALID:
+    case PU_ERROR_TOO_LARGE:
+      pu_error_set (&e, (pu_error_kind_t)x->kind, "%s", x->message);
+      proposal_end (p, NULL, &e);
+      return;
+    default:
+      proposal_again (p);
+      return;
+    }
+}
+
+static void
+on_proposed (void *data, const guint8 *body, size_t n, const pu_error_t *e)
+{
+  proposal_t *p = data;
+  pu_propose_reply x;
+
+  p->under_way = false;
+  if (e->kind == PU_OK
+      && pu_codec_decode ((xdrproc_t)xdr_pu_propose_reply, &x, sizeof x, body,
+                          n, NULL))
+    {
+      proposal_answered (p, &x);
+      xdr_free ((xdrproc_t)xdr_pu_propose_reply, &x);
+      return;
+    }
+  if (e->kind == PU_ERROR_DENIED || e->kind == PU_ERROR_TOO_LARGE)
+    {
+      proposal_end (p, NULL, e);
+      return;
+    }
+  if (e->kind == PU_OK || e->kind == PU_ERROR_TIMEOUT)
+    p->unknown = true;
+  pu_agent_set_leader (p->agent, "");
+  proposal_again (p);
+}
+
+/* proposal_target - the leader when it is known, the polled voter in turn with
+   it when that did not settle it.  */
+static pu_rpc_client_t *
+proposal_target (const proposal_t *p)
+{
+  pu_agent_t *a = p->agent;
+  const char *address = a->leader;
+
+  if (address[0] == '\0' || p->attempts % 3 == 2)
+    address = pu_agent_voter (a);
+  return address == NULL ? NULL : pu_rpc_pool_get (a->pool, address);
+}
+
+/* proposals_floor - below it all proposals of this daemon are over.  */
+static uint64_t
+proposals_floor (const pu_agent_t *a)
+{
+  const GList *first = a->proposals.head;
+
+  return first == NULL ? a->next_seq : ((const proposal_t *)first->data)->seq;
+}
+
+static void
+proposal_try (proposal_t *p)
+{
+  pu_agent_t *a = p->agent;
+  pu_rpc_client_t *client = proposal_target (p);
+  uint64_t now = uv_now (a->options.loop);
+  guint left = p->due > now ? (guint)(p->due - now) : 1;
+  pu_propose x = { .proposer = a->self->name,
+                   .incarnation = a->self->incarnation,
+                   .seq = p->seq,
+                   .floor = proposals_floor (a),
+                   .timeout_ms = MIN (left, a->options.attempt_ms) };
+  gsize size;
+  GBytes *bytes;
+  gconstpointer data;
+
+  p->attempts++;
+  if (client == NULL)
+    {
+      proposal_again (p);
+      return;
+    }
+  x.command.command_val = (char *)g_bytes_get_data (p->command, &size);
+  x.command.command_len = (u_int)size;
+  bytes = pu_codec_encode ((xdrproc_t)xdr_pu_propose, &x);
+  data = g_bytes_get_data (bytes, &size);
+  p->under_way = true;
+  pu_rpc_client_call (client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                      PU_CONTROL_PROPOSE, data, size, x.timeout_ms,
+                      on_proposed, p);
+  g_bytes_unref (bytes);
+}
+
+void
+pu_agent_propose (pu_agent_t *a, const pu_command *c, guint timeout_ms,
+                  pu_agent_done_fn *fn, void *data)
+{
+  proposal_t *p = g_new0 (proposal_t, 1);
+
+  p->agent = a;
+  p->node.data = p;
+  p->seq = a->next_seq++;
+  p->type = c->type;
+  p->command = pu_command_encode (c);
+  p->due = uv_now (a->options.loop) + timeout_ms;
+  p->fn = fn;
+  p->data = data;
+  g_queue_push_tail_link (&a->proposals, &p->node);
+  if (!a->closing)
+    proposal_later (p, 0);
+}
+
+void
+pu_agent_proposals_clear (pu_agent_t *a)
+{
+  proposal_t *p;
+
+  while ((p = g_queue_peek_head (&a->proposals)) != NULL)
+    {
+      p->unknown = p->unknown || p->under_way;
+      proposal_give_up (p);
+    }
+}
--- /dev/null
+++ b/libplantainusher/control/control.c
@@ -0,0 +1,335 @@
+#include "control/control_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+#define TICK_MS 100
+#define SESSIONS_MS 1000
+#define RING_ENTRIES 4096
+#define RING_BYTES ((size_t)16 << 20)
+#define LOG_PERIOD_MS 60000
+
+void
+pu_control_options_init (pu_control_options_t *o)
+{
+  memset (o, 0, sizeof *o);
+  o->tick_ms = TICK_MS;
+  o->sessions_ms = SESSIONS_MS;
+  o->ring_entries = RING_ENTRIES;
+  o->ring_bytes = RING_BYTES;
+  pu_state_options_init (&o->state);
+  pu_membership_options_init (&o->membership);
+}
+
+uint64_t
+pu_control_now (const pu_control_t *c)
+{
+  (void)c;
+  return (uint64_t)g_get_monotonic_time () / 1000;
+}
+
+const char *
+pu_control_leader_address (const pu_control_t *c)
+{
+  const pu_log_peer *leader = pu_group_leader (c->group);
+
+  return leader == NULL ? "" : leader->address;
+}
+
+/* --- the group's callbacks --- */
+
+static void
+on_send (const pu_log_peer *to, GBytes *msg, void *data)
+{
+  pu_control_t *c = data;
+  pu_rpc_client_t *client = pu_rpc_pool_get (c->pool, to->address);
+  gsize size;
+  gconstpointer bytes = g_bytes_get_data (msg, &size);
+
+  if (client != NULL)
+    {
+      pu_rpc_client_send (client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                          PU_CONTROL_REPLICA, bytes, size);
+    }
+}
+
+static void
+on_apply (uint64_t index, const void *bytes, size_t len, void *data)
+{
+  pu_control_t *c = data;
+  pu_command command;
+  pu_reply reply;
+  pu_error_t e;
+
+  if (!pu_command_decode (&command, bytes, len, &e))
+    {
+      /* All voters skip it alike.  */
+      pu_log_warn (PU_CONTROL_PART,
+                   "Skipped the entry at %" G_GUINT64_FORMAT ": %s", index,
+                   e.message);
+      pu_state_skip (c->state, index);
+      return;
+    }
+  if (pu_state_apply (c->state, index, &command, &reply))
+    {
+      pu_control_keep_reply (c, index, &reply);
+      pu_reply_clear (&reply);
+    }
+  if (pu_command_is_public (&command))
+    {
+      pu_feed_add (c->feed, index, bytes, len);
+      pu_control_polls_wake (c);
+    }
+  pu_command_clear (&command);
+}
+
+static GBytes *
+on_take (uint64_t index, void *data)
+{
+  const pu_control_t *c = data;
+
+  (void)index;
+  return pu_state_encode (c->state, false);
+}
+
+static bool
+on_restore (uint64_t index, const void *bytes, size_t len, void *data,
+            pu_error_t *e)
+{
+  pu_control_t *c = data;
+
+  if (!pu_state_decode (c->state, bytes, len, e))
+    return false;
+  pu_state_skip (c->state, index);
+  pu_feed_reset (c->feed, index);
+  pu_control_polls_wake (c);
+  return true;
+}
+
+static void
+on_role (bool leader, uint64_t term, void *data)
+{
+  pu_control_t *c = data;
+
+  (void)term;
+  if (!leader)
+    pu_control_lead_end (c);
+}
+
+/* --- procedures and time --- */
+
+static void
+on_replica (void *data, pu_rpc_call_t *call, const guint8 *body, size_t n)
+{
+  pu_control_t *c = data;
+  pu_error_t e;
+
+  pu_rpc_call_drop (call);
+  if (!pu_group_receive (c->group, body, n, &e)
+      && pu_log_limited (&c->last_log, pu_control_now (c), LOG_PERIOD_MS))
+    {
+      pu_log_warn (PU_CONTROL_PART, "Dropped a message of a voter: %s",
+                   e.message);
+    }
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  pu_control_t *c = t->data;
+  uint64_t now = pu_control_now (c);
+
+  pu_control_polls_tick (c, now);
+  pu_control_lead_tick (c, now);
+  pu_control_send_sessions (c, now);
+}
+
+static const struct
+{
+  guint32 proc;
+  pu_rpc_handler_t *handler;
+} procs[] = {
+  { PU_CONTROL_POLL, pu_control_on_poll },
+  { PU_CONTROL_PROPOSE, pu_control_on_propose },
+  { PU_CONTROL_SESSIONS, pu_control_on_sessions },
+  { PU_CONTROL_REPLICA, on_replica },
+  { PU_CONTROL_QUERY, pu_control_on_query },
+};
+
+/* --- life --- */
+
+static void
+group_options (const pu_control_options_t *o, pu_control_t *c,
+               pu_group_options_t *g)
+{
+  pu_group_options_init (g);
+  g->loop = o->loop;
+  g->folder = o->folder;
+  g->fs = o->fs;
+  g->send = on_send;
+  g->apply = on_apply;
+  g->take = on_take;
+  g->restore = on_restore;
+  g->role = on_role;
+  g->data = c;
+  g->replica.self.name = (char *)o->name;
+  g->replica.self.address = (char *)o->address;
+  g->replica.initial = o->voters;
+  g->replica.n_initial = o->n_voters;
+  g->replica.seed = o->seed;
+  if (o->heartbeat_ms != 0)
+    g->replica.heartbeat_ms = o->heartbeat_ms;
+  if (o->election_ms != 0)
+    g->replica.election_ms = o->election_ms;
+  if (o->snapshot_entries != 0)
+    g->replica.snapshot_entries = o->snapshot_entries;
+}
+
+static pu_rpc_pool_t *
+pool_new (const pu_control_options_t *o)
+{
+  pu_rpc_pool_options_t p = { .client = { .loop = o->loop,
+                                          .key = o->key,
+                                          .counters = o->counters,
+                                          .seed = (guint32)o->seed,
+                                          .connect_ms = o->connect_ms } };
+
+  return pu_rpc_pool_new (&p);
+}
+
+static void
+control_free (pu_control_t *c)
+{
+  pu_control_lead_clear (c);
+  pu_control_proposals_clear (c);
+  pu_sessions_free (c->sessions);
+  pu_feed_free (c->feed);
+  pu_state_free (c->state);
+  pu_rpc_pool_free (c->pool);
+  g_free (c->name);
+  g_free (c->address);
+  g_free (c);
+}
+
+pu_control_t *
+pu_control_new (const pu_control_options_t *o, pu_error_t *e)
+{
+  pu_control_t *c = g_new0 (pu_control_t, 1);
+  pu_group_options_t g;
+
+  c->options = *o;
+  c->name = g_strdup (o->name);
+  c->address = g_strdup (o->address);
+  c->state = pu_state_new (&o->state);
+  c->feed = pu_feed_new (o->ring_entries, o->ring_bytes);
+  c->sessions = pu_sessions_new ();
+  c->pool = pool_new (o);
+  pu_control_proposals_init (c);
+  pu_control_lead_init (c);
+  pu_control_polls_init (c);
+  group_options (o, c, &g);
+  c->group = pu_group_new (&g, e);
+  if (c->group == NULL)
+    {
+      pu_control_polls_clear (c);
+      control_free (c);
+      return NULL;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (procs); i++)
+    {
+      pu_rpc_server_add (o->server, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                         procs[i].proc, procs[i].handler, c);
+    }
+  c->tick = pu_rpc_timer_new (o->loop, c);
+  uv_timer_start (c->tick, on_tick, o->tick_ms, o->tick_ms);
+  return c;
+}
+
+void
+pu_control_leave (pu_control_t *c)
+{
+  pu_group_leave (c->group);
+}
+
+static void
+on_group_closed (void *data)
+{
+  pu_control_t *c = data;
+  void (*closed) (void *) = c->closed;
+  void *closed_data = c->closed_data;
+
+  control_free (c);
+  if (closed != NULL)
+    closed (closed_data);
+}
+
+void
+pu_control_close (pu_control_t *c, void (*closed) (void *data), void *data)
+{
+  c->closing = true;
+  c->closed = closed;
+  c->closed_data = data;
+  for (size_t i = 0; i < G_N_ELEMENTS (procs); i++)
+    {
+      pu_rpc_server_remove (c->options.server, PU_RPC_PROGRAM_CONTROL,
+                            PU_CONTROL_VERSION, procs[i].proc);
+    }
+  pu_control_lead_end (c);
+  pu_rpc_timer_free (c->tick);
+  pu_control_polls_clear (c);
+  pu_control_drop_forwards (c);
+  pu_group_close (c->group, on_group_closed, c);
+}
+
+const pu_state_t *
+pu_control_state (const pu_control_t *c)
+{
+  return c->state;
+}
+
+pu_group_t *
+pu_control_group (const pu_control_t *c)
+{
+  return c->group;
+}
+
+bool
+pu_control_is_leader (pu_control_t *c)
+{
+  return c->leading && pu_group_holds_lease (c->group);
+}
+
+void
+pu_control_add_duty (pu_control_t *c, const pu_control_duty_t *duty)
+{
+  g_array_append_val (c->duties, *duty);
+}
+
+void
+pu_control_on_demand (pu_control_t *c, pu_control_demand_fn *fn, void *data)
+{
+  c->demand = fn;
+  c->demand_data = data;
+}
+
+json_t *
+pu_control_status (pu_control_t *c)
+{
+  json_t *o = pu_group_status (c->group);
+  const pu_doc_record *d = pu_state_document (c->state);
+
+  json_object_set_new (o, "leader_address",
+                       json_string (pu_control_leader_address (c)));
+  json_object_set_new (
+      o, "quorum", json_boolean (pu_control_leader_address (c)[0] != '\0'));
+  json_object_set_new (
+      o, "state",
+      json_pack ("{s:I, s:I, s:I}", "position",
+                 (json_int_t)pu_state_position (c->state), "view",
+                 (json_int_t)pu_state_view (c->state), "document_version",
+                 (json_int_t)(d == NULL ? 0 : d->doc_version)));
+  if (c->leading)
+    json_object_set_new (o, "sessions", pu_control_sessions_json (c));
+  return o;
+}
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -46,6 +46,8 @@
   guint32 ring_entries;      /* 4096: public entries kept for polls */
   size_t ring_bytes;         /* 16 MiB */
   const pu_journal_fs_t *fs; /* NULL: the operating system's; tests */
+  /* How the history is shown: a new array.  NULL: it is not.  */
+  json_t *(*history) (const pu_state_t *s);
   pu_state_options_t state;
   pu_membership_options_t membership;
 } pu_control_options_t;
--- /dev/null
+++ b/libplantainusher/control/lead.c
@@ -0,0 +1,342 @@
+#include "control/control_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+/* What the leader was told of a daemon.  */
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t position;
+  uint64_t heard;
+  char *voter;
+} heard_t;
+
+static void
+heard_free (gpointer p)
+{
+  heard_t *h = p;
+
+  g_free (h->voter);
+  g_free (h);
+}
+
+void
+pu_control_lead_init (pu_control_t *c)
+{
+  c->membership = pu_membership_new (&c->options.membership);
+  c->heard
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, heard_free);
+  c->duties = g_array_new (FALSE, FALSE, sizeof (pu_control_duty_t));
+}
+
+void
+pu_control_lead_clear (pu_control_t *c)
+{
+  pu_membership_free (c->membership);
+  g_hash_table_unref (c->heard);
+  g_array_unref (c->duties);
+}
+
+/* --- sessions --- */
+
+static void
+heard_take (pu_control_t *c, const pu_session *s, const char *voter,
+            uint64_t at)
+{
+  heard_t *h = g_hash_table_lookup (c->heard, s->name);
+
+  if (h == NULL)
+    {
+      h = g_new0 (heard_t, 1);
+      g_hash_table_insert (c->heard, g_strdup (s->name), h);
+    }
+  if (s->incarnation < h->incarnation || at < h->heard)
+    return;
+  h->incarnation = s->incarnation;
+  h->position = s->position;
+  h->heard = at;
+  g_free (h->voter);
+  h->voter = g_strdup (voter);
+}
+
+static uint64_t
+before (uint64_t now, uint64_t age)
+{
+  return now > age ? now - age : 0;
+}
+
+static void
+session_take (pu_control_t *c, const pu_session *s, const char *voter,
+              uint64_t now)
+{
+  heard_take (c, s, voter, before (now, s->age_ms));
+  pu_membership_heard (c->membership, PU_SUBJECT_MEMBER, s->name,
+                       s->incarnation, voter, before (now, s->age_ms));
+  for (u_int i = 0; i < s->renewals.renewals_len; i++)
+    {
+      const pu_renewal *r = &s->renewals.renewals_val[i];
+
+      pu_membership_heard (c->membership, PU_SUBJECT_BACKEND, r->backend,
+                           r->incarnation, s->name, before (now, r->age_ms));
+    }
+  for (u_int i = 0; i < s->demand.demand_len && c->demand != NULL; i++)
+    {
+      const pu_demand *d = &s->demand.demand_val[i];
+
+      c->demand (c->demand_data, d->model, d->requests, d->stream_ms);
+    }
+}
+
+static void
+sessions_take (pu_control_t *c, const pu_sessions *m, uint64_t now)
+{
+  pu_membership_route_heard (c->membership, m->voter, now);
+  for (u_int i = 0; i < m->sessions.sessions_len; i++)
+    {
+      session_take (c, &m->sessions.sessions_val[i], m->voter, now);
+    }
+}
+
+void
+pu_control_on_sessions (void *data, pu_rpc_call_t *call, const guint8 *body,
+                        size_t n)
+{
+  pu_control_t *c = data;
+  pu_sessions m;
+
+  pu_rpc_call_drop (call);
+  if (!c->leading
+      || !pu_codec_decode ((xdrproc_t)xdr_pu_sessions, &m, sizeof m, body, n,
+                           NULL))
+    return;
+  sessions_take (c, &m, pu_control_now (c));
+  xdr_free ((xdrproc_t)xdr_pu_sessions, &m);
+}
+
+static bool
+sessions_send (pu_control_t *c, const pu_sessions *m)
+{
+  pu_rpc_client_t *client
+      = pu_rpc_pool_get (c->pool, pu_control_leader_address (c));
+  GBytes *bytes;
+  gsize size;
+  gconstpointer data;
+  bool sent;
+
+  if (client == NULL)
+    return false;
+  bytes = pu_codec_encode ((xdrproc_t)xdr_pu_sessions, m);
+  data = g_bytes_get_data (bytes, &size);
+  sent
+      = pu_rpc_client_send (client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                            PU_CONTROL_SESSIONS, data, size);
+  g_bytes_unref (bytes);
+  return sent;
+}
+
+void
+pu_control_send_sessions (pu_control_t *c, uint64_t now)
+{
+  pu_sessions *m;
+  bool taken = false;
+
+  if (now - c->sessions_sent < c->options.sessions_ms)
+    return;
+  c->sessions_sent = now;
+  m = pu_sessions_message (c->sessions, c->name, now);
+  if (c->leading)
+    {
+      sessions_take (c, m, now);
+      taken = true;
+    }
+  else if (!pu_group_is_leader (c->group))
+    {
+      taken = sessions_send (c, m);
+    }
+  pu_sessions_message_free (m);
+  if (taken)
+    pu_sessions_clear (c->sessions);
+}
+
+/* --- the leader's own duty: who is down --- */
+
+typedef struct
+{
+  pu_control_t *control;
+  uint64_t now;
+} expect_t;
+
+static void
+expect_member (const pu_member_record *m, void *data)
+{
+  const expect_t *x = data;
+
+  pu_membership_expect (x->control->membership, PU_SUBJECT_MEMBER, m->name,
+                        m->incarnation, x->now);
+}
+
+static void
+expect_backend (const pu_backend_record *b, void *data)
+{
+  const expect_t *x = data;
+
+  if (!b->down)
+    {
+      pu_membership_expect (x->control->membership, PU_SUBJECT_BACKEND,
+                            b->name, b->incarnation, x->now);
+    }
+}
+
+static void
+on_buried (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  (void)data;
+  (void)r;
+  (void)e;
+}
+
+static void
+bury (pu_control_t *c, const pu_membership_verdict_t *v)
+{
+  pu_down down = { .name = (char *)v->name, .incarnation = v->incarnation };
+  pu_command command = { 0 };
+
+  if (v->kind == PU_SUBJECT_MEMBER)
+    {
+      command.type = PU_COMMAND_MEMBER_DOWN;
+      command.pu_command_u.member_down = down;
+    }
+  else
+    {
+      command.type = PU_COMMAND_BACKEND_DOWN;
+      command.pu_command_u.backend_down = down;
+    }
+  pu_log_note (PU_CONTROL_PART,
+               "%s %s was silent for %" G_GUINT64_FORMAT " ms: it is down.",
+               v->kind == PU_SUBJECT_MEMBER ? "Instance" : "Backend server",
+               v->name, v->silent_ms);
+  pu_control_propose (c, &command, on_buried, NULL);
+}
+
+static void
+membership_tick (pu_control_t *c, uint64_t now)
+{
+  GArray *verdicts
+      = g_array_new (FALSE, FALSE, sizeof (pu_membership_verdict_t));
+  expect_t x = { c, now };
+
+  pu_state_each_member (c->state, expect_member, &x);
+  pu_state_each_backend (c->state, expect_backend, &x);
+  pu_membership_tick (c->membership, now, verdicts);
+  for (guint i = 0; i < verdicts->len; i++)
+    {
+      bury (c, &g_array_index (verdicts, pu_membership_verdict_t, i));
+    }
+  g_array_unref (verdicts);
+}
+
+/* --- leading --- */
+
+static void
+lead_begin (pu_control_t *c, uint64_t now)
+{
+  c->leading = true;
+  c->term = pu_group_term (c->group);
+  pu_log_note (PU_CONTROL_PART, "Leads in term %" G_GUINT64_FORMAT ".",
+               c->term);
+  pu_membership_begin (c->membership, now);
+  g_hash_table_remove_all (c->heard);
+  g_hash_table_remove_all (c->proposers);
+  for (guint i = 0; i < c->duties->len; i++)
+    {
+      const pu_control_duty_t *d
+          = &g_array_index (c->duties, pu_control_duty_t, i);
+
+      if (d->begin != NULL)
+        d->begin (d->data, now, c->term);
+    }
+}
+
+void
+pu_control_lead_end (pu_control_t *c)
+{
+  if (!c->leading)
+    return;
+  c->leading = false;
+  pu_log_note (PU_CONTROL_PART, "Leads no more.");
+  for (guint i = 0; i < c->duties->len; i++)
+    {
+      const pu_control_duty_t *d
+          = &g_array_index (c->duties, pu_control_duty_t, i);
+
+      if (d->end != NULL)
+        d->end (d->data);
+    }
+}
+
+void
+pu_control_lead_tick (pu_control_t *c, uint64_t now)
+{
+  bool holds = pu_group_holds_lease (c->group);
+
+  if (c->leading && (!holds || pu_group_term (c->group) != c->term))
+    pu_control_lead_end (c);
+  if (!holds)
+    return;
+  if (!c->leading)
+    lead_begin (c, now);
+  membership_tick (c, now);
+  for (guint i = 0; i < c->duties->len; i++)
+    {
+      const pu_control_duty_t *d
+          = &g_array_index (c->duties, pu_control_duty_t, i);
+
+      if (d->tick != NULL && pu_group_holds_lease (c->group))
+        d->tick (d->data, now);
+    }
+}
+
+/* --- what operators see --- */
+
+json_t *
+pu_control_sessions_json (pu_control_t *c)
+{
+  json_t *list = json_array ();
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  uint64_t now = pu_control_now (c);
+
+  g_hash_table_iter_init (&iter, c->heard);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const heard_t *h = value;
+      uint64_t silent = now - h->heard;
+      uint64_t allowed = 0;
+
+      pu_membership_silent (c->membership, PU_SUBJECT_MEMBER, key, now,
+                            &silent, &allowed);
+      json_array_append_new (
+          list,
+          json_pack ("{s:s, s:I, s:I, s:I, s:I, s:s}", "name", key,
+                     "incarnation", (json_int_t)h->incarnation, "position",
+                     (json_int_t)h->position, "silent_ms", (json_int_t)silent,
+                     "allowed_ms", (json_int_t)allowed, "voter", h->voter));
+    }
+  return list;
+}
+
+uint64_t
+pu_control_backend_silent_ms (pu_control_t *c, const char *name)
+{
+  uint64_t silent;
+  uint64_t allowed;
+
+  if (!c->leading
+      || !pu_membership_silent (c->membership, PU_SUBJECT_BACKEND, name,
+                                pu_control_now (c), &silent, &allowed))
+    return G_MAXUINT64;
+  return silent;
+}
--- /dev/null
+++ b/libplantainusher/control/polls.c
@@ -0,0 +1,256 @@
+#include "control/control_private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Longest wait of a poll, whatever it asks for.  */
+#define WAIT_MAX_MS 30000
+
+/* Most bytes of entries in one answer.  */
+#define ANSWER_BYTES_MAX ((size_t)4 << 20)
+
+typedef struct
+{
+  pu_control_t *control;
+  pu_rpc_call_t *call;
+  GList node; /* in control->polls */
+  uint64_t position;
+  uint64_t voters_hash;
+  bool fresh;
+  uint64_t due;
+} poll_t;
+
+/* --- what an answer holds --- */
+
+static uint64_t
+voters_hash (const pu_log_config *config)
+{
+  XXH64_state_t *h = XXH64_createState ();
+  uint64_t hash;
+
+  XXH64_reset (h, config->cluster);
+  for (u_int i = 0; i < config->members.members_len; i++)
+    {
+      const pu_log_member *m = &config->members.members_val[i];
+
+      if (!pu_log_counts (m->role))
+        continue;
+      XXH64_update (h, m->peer.name, strlen (m->peer.name) + 1);
+      XXH64_update (h, m->peer.address, strlen (m->peer.address) + 1);
+    }
+  hash = XXH64_digest (h);
+  XXH64_freeState (h);
+  return hash;
+}
+
+/* put_voters - fills in the voters, unless the reader KNOWS them.  */
+static void
+put_voters (pu_poll_reply *r, const pu_log_config *config, uint64_t knows,
+            pu_voter *voters)
+{
+  u_int n = 0;
+
+  r->cluster = config->cluster;
+  r->voters_hash = voters_hash (config);
+  if (r->voters_hash == knows)
+    return;
+  for (u_int i = 0; i < config->members.members_len; i++)
+    {
+      const pu_log_member *m = &config->members.members_val[i];
+
+      if (!pu_log_counts (m->role) || n == PU_CONTROL_VOTERS_MAX)
+        continue;
+      voters[n].name = m->peer.name;
+      voters[n].address = m->peer.address;
+      n++;
+    }
+  r->voters.voters_val = voters;
+  r->voters.voters_len = n;
+}
+
+static GBytes *
+public_image (pu_control_t *c)
+{
+  uint64_t position = pu_state_position (c->state);
+
+  if (c->image != NULL && c->image_position == position)
+    return c->image;
+  if (c->image != NULL)
+    g_bytes_unref (c->image);
+  c->image = pu_state_encode (c->state, true);
+  c->image_position = position;
+  return c->image;
+}
+
+/* put_image - false when there is none worth having: a voter that has heard of
+   no leader, or has nothing yet, must not make a daemon ready.  */
+static bool
+put_image (pu_control_t *c, pu_poll_reply *r)
+{
+  gsize size;
+
+  if (pu_state_position (c->state) == 0
+      || pu_control_leader_address (c)[0] == '\0')
+    return false;
+  r->image.image_val = (char *)g_bytes_get_data (public_image (c), &size);
+  r->image.image_len = (u_int)size;
+  return true;
+}
+
+/* put_news - fills in what P does not have.  False when there is nothing. */
+static bool
+put_news (pu_control_t *c, const poll_t *p, pu_poll_reply *r,
+          pu_public_entry *entries)
+{
+  guint n;
+
+  r->position = pu_state_position (c->state);
+  if (p->fresh || !pu_feed_covers (c->feed, p->position))
+    return put_image (c, r);
+  n = pu_feed_read (c->feed, p->position, entries, PU_CONTROL_LIST_MAX,
+                    ANSWER_BYTES_MAX);
+  r->entries.entries_val = entries;
+  r->entries.entries_len = n;
+  /* The rest of a full answer comes with the next.  */
+  if (n > 0 && entries[n - 1].position != pu_feed_newest (c->feed))
+    r->position = entries[n - 1].position;
+  return n > 0;
+}
+
+static void
+poll_free (poll_t *p)
+{
+  g_queue_unlink (&p->control->polls, &p->node);
+  g_free (p);
+}
+
+/* poll_answer - answers P when there is news, or ANYWAY.  */
+static void
+poll_answer (poll_t *p, bool anyway)
+{
+  pu_control_t *c = p->control;
+  pu_public_entry *entries = g_new0 (pu_public_entry, PU_CONTROL_LIST_MAX);
+  pu_voter voters[PU_CONTROL_VOTERS_MAX];
+  pu_rpc_call_t *call = p->call;
+  pu_poll_reply r = { 0 };
+
+  if (put_news (c, p, &r, entries) || anyway)
+    {
+      r.leader = g_strdup (pu_control_leader_address (c));
+      put_voters (&r, pu_group_config (c->group), p->voters_hash, voters);
+      poll_free (p);
+      pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_poll_reply, &r);
+      g_free (r.leader);
+    }
+  g_free (entries);
+}
+
+/* --- those who wait --- */
+
+static void
+polls_answer (pu_control_t *c, uint64_t now)
+{
+  GList *next;
+
+  for (GList *l = c->polls.head; l != NULL; l = next)
+    {
+      poll_t *p = l->data;
+
+      next = l->next;
+      poll_answer (p, now >= p->due);
+    }
+}
+
+static void
+on_answer (uv_timer_t *t)
+{
+  pu_control_t *c = t->data;
+
+  polls_answer (c, pu_control_now (c));
+}
+
+void
+pu_control_polls_init (pu_control_t *c)
+{
+  g_queue_init (&c->polls);
+  c->answer = pu_rpc_timer_new (c->options.loop, c);
+}
+
+void
+pu_control_polls_clear (pu_control_t *c)
+{
+  poll_t *p;
+
+  while ((p = g_queue_peek_head (&c->polls)) != NULL)
+    {
+      pu_rpc_call_t *call = p->call;
+
+      poll_free (p);
+      pu_rpc_call_refuse (call);
+    }
+  pu_rpc_timer_free (c->answer);
+  c->answer = NULL;
+  if (c->image != NULL)
+    g_bytes_unref (c->image);
+  c->image = NULL;
+}
+
+void
+pu_control_polls_wake (pu_control_t *c)
+{
+  /* Entries that are applied together are answered together.  */
+  if (c->answer != NULL && c->polls.length > 0)
+    uv_timer_start (c->answer, on_answer, 0, 0);
+}
+
+void
+pu_control_polls_tick (pu_control_t *c, uint64_t now)
+{
+  GList *next;
+
+  for (GList *l = c->polls.head; l != NULL; l = next)
+    {
+      poll_t *p = l->data;
+
+      next = l->next;
+      if (now >= p->due)
+        poll_answer (p, true);
+    }
+}
+
+static void
+on_poll_closed (void *data, pu_rpc_call_t *call)
+{
+  poll_free (data);
+  pu_rpc_call_drop (call);
+}
+
+void
+pu_control_on_poll (void *data, pu_rpc_call_t *call, const guint8 *body,
+                    size_t n)
+{
+  pu_control_t *c = data;
+  uint64_t now = pu_control_now (c);
+  pu_poll args;
+  poll_t *p;
+
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_poll, &args, sizeof args, body, n,
+                        NULL))
+    {
+      pu_rpc_call_garbage (call);
+      return;
+    }
+  pu_sessions_heard (c->sessions, &args, now);
+  p = g_new0 (poll_t, 1);
+  p->control = c;
+  p->call = call;
+  p->position = args.position;
+  p->voters_hash = args.voters_hash;
+  p->fresh = args.fresh;
+  p->due = now + MIN (args.wait_ms, WAIT_MAX_MS);
+  p->node.data = p;
+  xdr_free ((xdrproc_t)xdr_pu_poll, &args);
+  g_queue_push_tail_link (&c->polls, &p->node);
+  pu_rpc_call_on_close (call, on_poll_closed, p);
+  poll_answer (p, p->due == now);
+}
--- /dev/null
+++ b/libplantainusher/control/proposals.c
@@ -0,0 +1,359 @@
+#include "control/control_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+/* Longest wait of a proposal or a query, whatever it asks for.  */
+#define TIMEOUT_MAX_MS 60000
+
+/* Replies are kept for entries this far back, until `done` asks for them.  */
+#define REPLIES_KEPT 16384
+
+/* What the leader knows of a proposer's proposals that are over.  */
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t floor;
+} proposer_t;
+
+typedef struct
+{
+  pu_control_t *control;
+  pu_rpc_call_t *call; /* of another daemon, or NULL */
+  pu_control_done_fn *fn;
+  void *data;
+} proposal_t;
+
+typedef struct
+{
+  pu_control_t *control;
+  pu_rpc_call_t *call;
+  pu_control_fail_fn *fail;
+} forward_t;
+
+/* --- answers --- */
+
+void
+pu_control_reply_xdr (pu_rpc_call_t *call, xdrproc_t proc, const void *record)
+{
+  GBytes *bytes = pu_codec_encode (proc, record);
+  gsize size;
+  gconstpointer data = g_bytes_get_data (bytes, &size);
+
+  pu_rpc_call_reply (call, data, size);
+  g_bytes_unref (bytes);
+}
+
+static void
+propose_fail (pu_control_t *c, pu_rpc_call_t *call, pu_error_kind_t kind,
+              const char *message)
+{
+  pu_propose_reply r = { .kind = kind,
+                         .message = (char *)message,
+                         .leader = (char *)pu_control_leader_address (c) };
+
+  pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_propose_reply, &r);
+}
+
+static void
+propose_answer (pu_control_t *c, pu_rpc_call_t *call, GBytes *reply)
+{
+  pu_propose_reply r
+      = { .message = "", .leader = (char *)pu_control_leader_address (c) };
+  gsize size;
+
+  r.reply.reply_val = (char *)g_bytes_get_data (reply, &size);
+  r.reply.reply_len = (u_int)size;
+  pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_propose_reply, &r);
+}
+
+/* --- calls passed on to the leader --- */
+
+static void
+on_forwarded (void *data, const guint8 *body, size_t n, const pu_error_t *e)
+{
+  forward_t *f = data;
+
+  g_hash_table_remove (f->control->forwards, f);
+  if (e->kind == PU_OK)
+    {
+      pu_rpc_call_reply (f->call, body, n);
+    }
+  else if (e->kind == PU_ERROR_TIMEOUT)
+    {
+      f->fail (f->control, f->call, PU_ERROR_TIMEOUT,
+               "The leader did not answer; the outcome is not known.");
+    }
+  else
+    {
+      f->fail (f->control, f->call, PU_ERROR_UNAVAILABLE,
+               "The leader cannot be reached.");
+    }
+  g_free (f);
+}
+
+void
+pu_control_forward (pu_control_t *c, pu_rpc_call_t *call, guint32 proc,
+                    xdrproc_t args_proc, const void *args, guint timeout_ms,
+                    pu_control_fail_fn *fail)
+{
+  pu_rpc_client_t *client
+      = pu_rpc_pool_get (c->pool, pu_control_leader_address (c));
+  GBytes *bytes;
+  forward_t *f;
+  gsize size;
+  gconstpointer data;
+
+  if (client == NULL)
+    {
+      fail (c, call, PU_ERROR_UNAVAILABLE, "No leader is known.");
+      return;
+    }
+  f = g_new0 (forward_t, 1);
+  f->control = c;
+  f->call = call;
+  f->fail = fail;
+  g_hash_table_add (c->forwards, f);
+  bytes = pu_codec_encode (args_proc, args);
+  data = g_bytes_get_data (bytes, &size);
+  pu_rpc_client_call (client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION, proc,
+                      data, size, MIN (timeout_ms, TIMEOUT_MAX_MS),
+                      on_forwarded, f);
+  g_bytes_unref (bytes);
+}
+
+void
+pu_control_drop_forwards (pu_control_t *c)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, c->forwards);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      forward_t *f = key;
+
+      pu_rpc_call_drop (f->call);
+      g_free (f);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* --- proposals in the group --- */
+
+void
+pu_control_proposals_init (pu_control_t *c)
+{
+  c->replies = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                      (GDestroyNotify)g_bytes_unref);
+  c->forwards = g_hash_table_new (NULL, NULL);
+  c->proposers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+pu_control_proposals_clear (pu_control_t *c)
+{
+  g_hash_table_unref (c->replies);
+  g_hash_table_unref (c->forwards);
+  g_hash_table_unref (c->proposers);
+}
+
+static gboolean
+is_old (gpointer key, gpointer value, gpointer data)
+{
+  (void)value;
+  return *(uint64_t *)key + REPLIES_KEPT < *(uint64_t *)data;
+}
+
+void
+pu_control_keep_reply (pu_control_t *c, uint64_t position, const pu_reply *r)
+{
+  uint64_t *key;
+
+  if (c->proposals == 0)
+    {
+      g_hash_table_remove_all (c->replies);
+      return;
+    }
+  if (g_hash_table_size (c->replies) >= 2 * REPLIES_KEPT)
+    g_hash_table_foreach_remove (c->replies, is_old, &position);
+  key = g_new (uint64_t, 1);
+  *key = position;
+  g_hash_table_insert (c->replies, key, pu_reply_encode (r));
+}
+
+static void
+local_done (proposal_t *p, GBytes *reply, const pu_error_t *e)
+{
+  pu_reply r;
+  gsize size;
+  gconstpointer data;
+
+  if (reply == NULL)
+    {
+      p->fn (p->data, NULL, e);
+      return;
+    }
+  data = g_bytes_get_data (reply, &size);
+  if (!pu_reply_decode (&r, data, size, NULL))
+    g_error ("A reply of ours does not decode.");
+  p->fn (p->data, &r, e);
+  pu_reply_clear (&r);
+}
+
+static void
+on_done (uint64_t index, pu_error_kind_t kind, void *data)
+{
+  proposal_t *p = data;
+  pu_control_t *c = p->control;
+  GBytes *reply
+      = kind == PU_OK ? g_hash_table_lookup (c->replies, &index) : NULL;
+  pu_error_t e = { .kind = kind };
+
+  c->proposals--;
+  if (kind == PU_OK && reply == NULL)
+    e.kind = PU_ERROR_TIMEOUT;
+  if (e.kind != PU_OK)
+    {
+      pu_error_set (&e, e.kind,
+                    e.kind == PU_ERROR_TIMEOUT
+                        ? "The lead was lost; the outcome is not known."
+                        : "The lead was lost; the command was not run.");
+    }
+  if (p->call == NULL)
+    {
+      local_done (p, reply, &e);
+    }
+  else if (reply != NULL)
+    {
+      propose_answer (c, p->call, reply);
+    }
+  else
+    {
+      propose_fail (c, p->call, e.kind, e.message);
+    }
+  if (reply != NULL)
+    g_hash_table_remove (c->replies, &index);
+  g_free (p);
+}
+
+/* group_propose - P is freed when this returns false.  */
+static bool
+group_propose (pu_control_t *c, proposal_t *p, const void *bytes, size_t len,
+               pu_error_t *e)
+{
+  p->control = c;
+  if (c->closing || !pu_group_holds_lease (c->group))
+    {
+      pu_error_set (e, PU_ERROR_UNAVAILABLE,
+                    "There is no quorum; the command was not run.");
+      g_free (p);
+      return false;
+    }
+  if (!pu_group_propose (c->group, bytes, len, on_done, p, e))
+    {
+      g_free (p);
+      return false;
+    }
+  c->proposals++;
+  return true;
+}
+
+void
+pu_control_propose (pu_control_t *c, const pu_command *command,
+                    pu_control_done_fn *fn, void *data)
+{
+  GBytes *bytes = pu_command_encode (command);
+  proposal_t *p = g_new0 (proposal_t, 1);
+  pu_error_t e;
+  gsize size;
+  gconstpointer content = g_bytes_get_data (bytes, &size);
+
+  p->fn = fn;
+  p->data = data;
+  if (!group_propose (c, p, content, size, &e))
+    fn (data, NULL, &e);
+  g_bytes_unref (bytes);
+}
+
+/* --- proposals of other daemons --- */
+
+/* is_late_copy - A is a copy of a proposal that its proposer has given up: it
+   came late and must not run after what was proposed since.  */
+static bool
+is_late_copy (pu_control_t *c, const pu_propose *a)
+{
+  proposer_t *p = g_hash_table_lookup (c->proposers, a->proposer);
+
+  if (p == NULL)
+    {
+      p = g_new0 (proposer_t, 1);
+      g_hash_table_insert (c->proposers, g_strdup (a->proposer), p);
+    }
+  if (a->incarnation < p->incarnation)
+    return true;
+  if (a->incarnation > p->incarnation)
+    p->floor = 0;
+  p->incarnation = a->incarnation;
+  p->floor = MAX (p->floor, a->floor);
+  return a->seq < p->floor;
+}
+
+static void
+propose_here (pu_control_t *c, pu_rpc_call_t *call, const pu_propose *a)
+{
+  proposal_t *p;
+  pu_command command;
+  pu_error_t e;
+
+  if (is_late_copy (c, a))
+    {
+      propose_fail (c, call, PU_ERROR_UNAVAILABLE, "A late copy is not run.");
+      return;
+    }
+  if (!pu_command_decode (&command, a->command.command_val,
+                          a->command.command_len, &e))
+    {
+      propose_fail (c, call, PU_ERROR_INVALID, e.message);
+      return;
+    }
+  pu_command_clear (&command);
+  p = g_new0 (proposal_t, 1);
+  p->call = call;
+  if (!group_propose (c, p, a->command.command_val, a->command.command_len,
+                      &e))
+    propose_fail (c, call, e.kind, e.message);
+}
+
+void
+pu_control_on_propose (void *data, pu_rpc_call_t *call, const guint8 *body,
+                       size_t n)
+{
+  pu_control_t *c = data;
+  pu_propose a;
+
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_propose, &a, sizeof a, body, n,
+                        NULL))
+    {
+      pu_rpc_call_garbage (call);
+      return;
+    }
+  if (pu_group_is_leader (c->group))
+    {
+      propose_here (c, call, &a);
+    }
+  else if (a.forwarded || pu_control_leader_address (c)[0] == '\0')
+    {
+      propose_fail (c, call, PU_ERROR_UNAVAILABLE, "No leader is known.");
+    }
+  else
+    {
+      a.forwarded = TRUE;
+      pu_control_forward (c, call, PU_CONTROL_PROPOSE,
+                          (xdrproc_t)xdr_pu_propose, &a, a.timeout_ms,
+                          propose_fail);
+    }
+  xdr_free ((xdrproc_t)xdr_pu_propose, &a);
+}
--- /dev/null
+++ b/libplantainusher/control/query.c
@@ -0,0 +1,112 @@
+#include "control/control_private.h"
+
+#include <string.h>
+
+static void
+query_fail (pu_control_t *c, pu_rpc_call_t *call, pu_error_kind_t kind,
+            const char *message)
+{
+  pu_query_reply r = { .kind = kind, .message = (char *)message, .json = "" };
+
+  (void)c;
+  pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_query_reply, &r);
+}
+
+/* query_answer - takes over RESULT.  */
+static void
+query_answer (pu_rpc_call_t *call, json_t *result)
+{
+  char *text = json_dumps (result, JSON_COMPACT);
+  pu_query_reply r = { .message = "", .json = text };
+
+  pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_query_reply, &r);
+  free (text);
+  json_decref (result);
+}
+
+static json_t *
+voters_json (const pu_control_t *c)
+{
+  const pu_log_config *config = pu_group_config (c->group);
+  json_t *names = json_array ();
+
+  for (u_int i = 0; i < config->members.members_len; i++)
+    {
+      const pu_log_member *m = &config->members.members_val[i];
+
+      if (pu_log_counts (m->role))
+        json_array_append_new (names, json_string (m->peer.name));
+    }
+  return json_pack ("{s:o}", "voters", names);
+}
+
+static bool
+voters_change (pu_control_t *c, const pu_query *q, pu_error_t *e)
+{
+  if (strcmp (q->action, "add") == 0)
+    return pu_group_voters_add (c->group, q->name, e);
+  if (strcmp (q->action, "remove") == 0)
+    return pu_group_voters_remove (c->group, q->name, e);
+  if (strcmp (q->action, "replace") == 0)
+    return pu_group_voters_replace (c->group, q->name, q->other, e);
+  return pu_error_set (e, PU_ERROR_INVALID, "No such action: %s.", q->action);
+}
+
+static void
+query_here (pu_control_t *c, pu_rpc_call_t *call, const pu_query *q)
+{
+  pu_error_t e;
+
+  switch (q->kind)
+    {
+    case PU_QUERY_STATUS:
+      query_answer (call, pu_control_status (c));
+      return;
+    case PU_QUERY_HISTORY:
+      query_answer (call, c->options.history != NULL
+                              ? c->options.history (c->state)
+                              : json_array ());
+      return;
+    case PU_QUERY_VOTERS:
+      if (voters_change (c, q, &e))
+        {
+          query_answer (call, voters_json (c));
+        }
+      else
+        {
+          query_fail (c, call, e.kind, e.message);
+        }
+      return;
+    }
+  pu_rpc_call_garbage (call);
+}
+
+void
+pu_control_on_query (void *data, pu_rpc_call_t *call, const guint8 *body,
+                     size_t n)
+{
+  pu_control_t *c = data;
+  bool known = pu_control_leader_address (c)[0] != '\0';
+  pu_query q;
+
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_query, &q, sizeof q, body, n, NULL))
+    {
+      pu_rpc_call_garbage (call);
+      return;
+    }
+  if (q.kind == PU_QUERY_HISTORY || pu_group_is_leader (c->group))
+    {
+      query_here (c, call, &q);
+    }
+  else if (known && !q.forwarded)
+    {
+      q.forwarded = TRUE;
+      pu_control_forward (c, call, PU_CONTROL_QUERY, (xdrproc_t)xdr_pu_query,
+                          &q, q.timeout_ms, query_fail);
+    }
+  else
+    {
+      query_fail (c, call, PU_ERROR_UNAVAILABLE, "No leader is known.");
+    }
+  xdr_free ((xdrproc_t)xdr_pu_query, &q);
+}
--- a/libplantainusher/rpc/link.h
+++ b/libplantainusher/rpc/link.h
@@ -100,10 +100,6 @@
 /* pu_rpc_proof_equal - compares in constant time.  */
 bool pu_rpc_proof_equal (const guint8 *a, const guint8 *b, size_t n);
 
-/* pu_rpc_timer_new - a timer on the heap for pu_rpc_timer_free.  */
-uv_timer_t *pu_rpc_timer_new (uv_loop_t *loop, void *data);
-void pu_rpc_timer_free (uv_timer_t *t);
-
 G_END_DECLS
 
 #endif
--- a/libplantainusher/rpc/rpc.h
+++ b/libplantainusher/rpc/rpc.h
@@ -45,6 +45,11 @@
 bool pu_rpc_address_parse (const char *address, struct sockaddr_storage *out,
                            pu_error_t *e);
 
+/* pu_rpc_timer_new - a timer with DATA; pu_rpc_timer_free stops it at once and
+   frees it on the loop's next turn.  */
+uv_timer_t *pu_rpc_timer_new (uv_loop_t *loop, void *data);
+void pu_rpc_timer_free (uv_timer_t *t);
+
 G_END_DECLS
 
 #endif
