--- a/tests/console_browser_test.py
+++ b/tests/console_browser_test.py
@@ -200,11 +200,47 @@
         self.demo.meet("lost-answer")
         self.submit()
         self.wait(lambda: self.by_id("pending").is_displayed())
-        self.browser.execute_script("window.onbeforeunload = null")
         self.by_id("pending-resend").click()
         self.message("Accepted before as version 2")
         self.assertEqual(self.demo.in_force()["version"], 2)
 
+    def test_a_sent_change_outlives_a_reload_and_meets_a_conflict(self):
+        # As the page leaves it when no answer came.
+        self.browser.execute_script("""
+            sessionStorage.setItem("plantainusher.pending", JSON.stringify({
+              request: {base_version: 1, change_id: "sent", document: arguments[0]},
+              base: arguments[1]}))""",
+            {**DOCUMENT, "version_change": {"watch_s": 61, "max_failures": 3}}, DOCUMENT)
+        other = json.loads(json.dumps(DOCUMENT))
+        other["services"]["tutor"]["importance"] = 9
+        self.demo.submit(1, other, "other")
+        self.browser.refresh()
+        self.wait(lambda: self.by_id("pending").is_displayed())
+        self.by_id("pending-resend").click()
+        self.wait(lambda: self.by_id("conflict").is_displayed())
+        self.by_id("conflict-merge").click()
+        self.submit()
+        self.message("Accepted as version 3")
+        document = self.demo.in_force()["document"]
+        self.assertEqual(document["version_change"]["watch_s"], 61)
+        self.assertEqual(document["services"]["tutor"]["importance"], 9)
+
+    def test_what_the_forms_do_not_show_is_kept(self):
+        later = json.loads(json.dumps(DOCUMENT))
+        later["models"]["small"]["quantization"] = {"bits": 8}
+        later["limits"] = [1, 2]
+        self.tab("text")
+        self.browser.execute_script("arguments[0].value = arguments[1]", self.by_id("text"),
+                                    json.dumps(later))
+        self.by_id("take-text").click()
+        self.message("The text is in the forms")
+        self.tab("models")
+        self.assertIn('{"quantization":{"bits":8}}', self.by_id("forms").text)
+        self.fill("/models/small/memory_mb", "15000")
+        self.tab("text")
+        later["models"]["small"]["memory_mb"] = 15000
+        self.assertEqual(json.loads(self.by_id("text").get_property("value")), later)
+
     def test_without_a_quorum_the_edit_stays(self):
         self.tab("models")
         self.fill("/models/small/memory_mb", "15000")
