--- a/libplantainusher/base/json_test.cc
+++ b/libplantainusher/base/json_test.cc
@@ -213,8 +213,10 @@
 
   EXPECT_EQ (v == NULL, pu_findings_count (f) > 0);
   if (v == NULL)
-    out = std::to_string (pu_findings_get (f, 0)->line) + ":"
-          + std::to_string (pu_findings_get (f, 0)->column);
+    {
+      out = std::to_string (pu_findings_get (f, 0)->line) + ":"
+            + std::to_string (pu_findings_get (f, 0)->column);
+    }
   json_decref (v);
   pu_findings_free (f);
   return out;
--- a/libplantainusher/document/document.c
+++ b/libplantainusher/document/document.c
@@ -36,7 +36,7 @@
 make_models (pu_document_t *d)
 {
   d->n_models = d->bases.n + d->adapters.n;
-  d->models = g_new0 (pu_model_t, d->n_models);
+  d->models = g_new0 (pu_model_t, d->n_models + 1);
   copy_models (d->models, &d->bases, PU_MODEL_BASE);
   copy_models (d->models + d->bases.n, &d->adapters, PU_MODEL_ADAPTER);
   if (d->n_models > 0)
--- a/libplantainusher/document/document_fuzz.cc
+++ b/libplantainusher/document/document_fuzz.cc
@@ -3,10 +3,7 @@
 #include <stdint.h>
 #include <string.h>
 
-extern "C"
-{
 #include "document/document.h"
-}
 
 static void
 check_round_trip (const pu_document_t *d)
--- a/libplantainusher/document/document_test.cc
+++ b/libplantainusher/document/document_test.cc
@@ -2,6 +2,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 #include <string>
+#include <utility>
+#include <vector>
 
 extern "C"
 {
@@ -175,9 +177,11 @@
   };
 
   for (const auto &c : cases)
-    EXPECT_EQ (c.match,
-               pu_service_not_repeatable (service ("room"), c.method, c.path))
-        << c.method << " " << c.path;
+    {
+      EXPECT_EQ (c.match, pu_service_not_repeatable (service ("room"),
+                                                     c.method, c.path))
+          << c.method << " " << c.path;
+    }
   EXPECT_FALSE (
       pu_service_not_repeatable (service ("chat"), "POST", "/rooms/assign"));
 }
@@ -241,8 +245,10 @@
   };
 
   for (const auto &c : cases)
-    EXPECT_EQ (quoted (c.finding),
-               quoted (findings_of (replaced (good, c.from, c.to))));
+    {
+      EXPECT_EQ (quoted (c.finding),
+                 quoted (findings_of (replaced (good, c.from, c.to))));
+    }
 }
 
 TEST (Document, RefusesWhatIsNoObject)
@@ -277,6 +283,30 @@
   return out;
 }
 
+std::string
+any_number (int least, int most, const char *quote)
+{
+  int n = *rc::gen::inRange (least, most);
+
+  return quote + std::to_string (n) + quote;
+}
+
+/* "KEY:{...}" with the pairs of FIELDS.  */
+std::string
+object (std::string key,
+        const std::vector<std::pair<std::string, std::string> > &fields)
+{
+  const char *before = ":{";
+
+  for (const auto &field : fields)
+    {
+      key.append (before).append (field.first).append (":");
+      key.append (field.second);
+      before = ",";
+    }
+  return key.append ("}");
+}
+
 /* A random valid document.  */
 rc::Gen<std::string>
 any_document ()
@@ -290,18 +320,24 @@
     for (int i = 0; i < n; i++)
       {
         std::string name = "m" + std::to_string (i);
-        int copies = *rc::gen::inRange (1, 9);
-
-        models += (i > 0 ? ",'" : "'") + name + "':{'version':'"
-                  + std::to_string (*rc::gen::inRange (0, 99))
-                  + "','kv_cache_mb':"
-                  + std::to_string (*rc::gen::inRange (0, 10000000))
-                  + ",'memory_mb':"
-                  + std::to_string (*rc::gen::inRange (1, 10000000))
-                  + ",'min_copies':" + std::to_string (copies) + "}";
-        adapters += (i > 0 ? ",'" : "'") + name + "-a':{'version':'1','base':'"
-                    + name + "','memory_mb':1}";
-        listed += (i > 0 ? ",'" : "'") + name + "','" + name + "-a'";
+
+        if (i > 0)
+          {
+            models += ",";
+            adapters += ",";
+            listed += ",";
+          }
+        models += object ("'" + name + "'",
+                          { { "'version'", any_number (0, 99, "'") },
+                            { "'kv_cache_mb'", any_number (0, 10000000, "") },
+                            { "'memory_mb'", any_number (1, 10000000, "") },
+                            { "'min_copies'", any_number (1, 9, "") } });
+        adapters
+            += object ("'" + name + "-a'", { { "'version'", "'1'" },
+                                             { "'base'", "'" + name + "'" },
+                                             { "'memory_mb'", "1" } });
+        listed.append ("'").append (name).append ("','");
+        listed.append (name).append ("-a'");
       }
     double weight = *rc::gen::inRange (0, 1000000) / 999999.0;
     char number[G_ASCII_DTOSTR_BUF_SIZE];
--- a/libplantainusher/document/fit.c
+++ b/libplantainusher/document/fit.c
@@ -437,7 +437,9 @@
   for (guint i = 0; good && !together && i < fit->n_needs; i++)
     good = put_adapters (fit, free_mb, &fit->needs[i], places[i]);
   for (guint i = 0; i < fit->n_needs; i++)
-    g_clear_pointer (&places[i], g_array_unref);
+    {
+      g_clear_pointer (&places[i], g_array_unref);
+    }
   g_free (places);
   g_free (free_mb);
   return good;
--- a/libplantainusher/document/fit_test.cc
+++ b/libplantainusher/document/fit_test.cc
@@ -225,8 +225,10 @@
 
   pu_document_check_fit (d, servers.data (), servers.size (), f);
   for (size_t i = 0; i < pu_findings_count (f); i++)
-    out += std::string (pu_findings_get (f, i)->path) + ": "
-           + pu_findings_get (f, i)->message + "\n";
+    {
+      out += std::string (pu_findings_get (f, i)->path) + ": "
+             + pu_findings_get (f, i)->message + "\n";
+    }
   pu_findings_free (f);
   pu_document_unref (d);
   return out;
--- a/libplantainusher/settings/settings_fuzz.cc
+++ b/libplantainusher/settings/settings_fuzz.cc
@@ -3,10 +3,7 @@
 #include <stdint.h>
 #include <string.h>
 
-extern "C"
-{
 #include "settings/settings.h"
-}
 
 static bool
 is_hidden (const json_t *shown)
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -147,8 +147,10 @@
   };
 
   for (const change &c : cases)
-    EXPECT_EQ (quoted (c.finding),
-               findings_of (replaced (c.text, c.from, c.to)));
+    {
+      EXPECT_EQ (quoted (c.finding),
+                 findings_of (replaced (c.text, c.from, c.to)));
+    }
 }
 
 TEST (Settings, TellAllFaultsTogether)
