--- a/libplantainusher/directory/directory.c
+++ b/libplantainusher/directory/directory.c
@@ -145,8 +145,10 @@
   g_array_set_size (d->members, 0);
   g_hash_table_remove_all (d->rankings);
   for (guint i = 0; i < n; i++)
-    if (!members[i].leaving && members[i].address[0])
-      add_member (d, &members[i]);
+    {
+      if (!members[i].leaving && members[i].address[0])
+        add_member (d, &members[i]);
+    }
   return true;
 }
 
@@ -280,16 +282,18 @@
   guint n = MIN (size, order->len);
 
   for (distance_t at = NEAR_ZONE; at <= FAR; at++)
-    for (guint i = 0; i < n; i++)
-      {
-        const member_t *m = member_at (d, g_array_index (order, guint, i));
-        pu_directory_entry_t entry;
-
-        if (distance (m, region, zone) != at)
-          continue;
-        entry = entry_of (m, zone ? weight_at (d, at) : 1);
-        g_array_append_val (out, entry);
-      }
+    {
+      for (guint i = 0; i < n; i++)
+        {
+          const member_t *m = member_at (d, g_array_index (order, guint, i));
+          pu_directory_entry_t entry;
+
+          if (distance (m, region, zone) != at)
+            continue;
+          entry = entry_of (m, zone ? weight_at (d, at) : 1);
+          g_array_append_val (out, entry);
+        }
+    }
   return n;
 }
 
@@ -306,9 +310,11 @@
   const GArray *order = ranking (d, key);
 
   for (guint i = 0; i < MIN (size, order->len); i++)
-    if (strcmp (member_at (d, g_array_index (order, guint, i))->name, name)
-        == 0)
-      return true;
+    {
+      if (strcmp (member_at (d, g_array_index (order, guint, i))->name, name)
+          == 0)
+        return true;
+    }
   return false;
 }
 
@@ -316,8 +322,10 @@
 avoided (const char *name, const char *const *avoid, guint n)
 {
   for (guint i = 0; i < n; i++)
-    if (strcmp (name, avoid[i]) == 0)
-      return true;
+    {
+      if (strcmp (name, avoid[i]) == 0)
+        return true;
+    }
   return false;
 }
 
@@ -325,8 +333,10 @@
 find_member (const pu_directory_t *d, const char *name)
 {
   for (guint i = 0; i < d->members->len; i++)
-    if (strcmp (member_at (d, i)->name, name) == 0)
-      return member_at (d, i);
+    {
+      if (strcmp (member_at (d, i)->name, name) == 0)
+        return member_at (d, i);
+    }
   return NULL;
 }
 
--- a/libplantainusher/routing/estimate.c
+++ b/libplantainusher/routing/estimate.c
@@ -3,7 +3,8 @@
 #include <math.h>
 
 #define WEIGHT_FIRST 1.0 /* of the prior, in samples */
-#define WEIGHT_MAX 50.0  /* samples that are remembered */
+#define DEVIATION_SHARE 0.05
+#define WEIGHT_MAX 50.0 /* samples that are remembered */
 
 void
 line_init (line_t *l, double at_zero, double slope, double ridge)
@@ -25,6 +26,7 @@
 
   if (!isfinite (x) || !isfinite (y) || y < 0)
     return;
+  l->deviation += DEVIATION_SHARE * (fabs (y - line_at (l, x)) - l->deviation);
   l->weight = MIN (l->weight + 1, WEIGHT_MAX);
   share = 1 / l->weight;
   dx = x - l->x;
--- a/libplantainusher/routing/estimate.h
+++ b/libplantainusher/routing/estimate.h
@@ -17,10 +17,11 @@
   double weight; /* sum of the samples' weights */
   double x;      /* means */
   double y;
-  double var;   /* of x */
-  double cov;   /* of x and y */
-  double prior; /* slope without samples */
-  double ridge; /* how much variance of x it takes to leave the prior */
+  double var;       /* of x */
+  double cov;       /* of x and y */
+  double deviation; /* mean distance of the samples from the line */
+  double prior;     /* slope without samples */
+  double ridge;     /* how much variance of x it takes to leave the prior */
 } line_t;
 
 /* line_init - a line through (0, AT_ZERO) with SLOPE and no samples.  RIDGE
--- /dev/null
+++ b/libplantainusher/routing/feedback.c
@@ -0,0 +1,217 @@
+#include "routing/router_int.h"
+
+#define STEP_TOKENS 8 /* tokens that make one sample of the step time */
+
+void
+pu_router_sent (pu_router_t *r, pu_ticket_t t, guint64 now)
+{
+  request_t *q = running_of (r, t);
+
+  if (q && !q->first_at)
+    q->sent_at = now;
+}
+
+static void
+learn_first (pu_router_t *r, const request_t *q, guint64 now)
+{
+  backend_t *b = backend_at (r, q->backend);
+  double ms = (double)(now - q->sent_at);
+  double net = MAX (ms - b->cost_ms, 0);
+
+  line_add (&model_at (r, q->model)->first, (double)q->work, net);
+  for (guint i = 0; i < b->copies->len; i++)
+    {
+      copy_t *c = &g_array_index (b->copies, copy_t, i);
+
+      if (c->model == q->model && c->phase == PU_ROUTER_COPY_READY)
+        line_add (&c->first, (double)q->work, net);
+    }
+}
+
+/* The prompt's blocks are cached now where it ran.  */
+static void
+claim_prefix (pu_router_t *r, const request_t *q)
+{
+  backend_t *b = backend_at (r, q->backend);
+
+  if (g_hash_table_size (b->blocks) + q->n_prefix
+      > r->options.prefix_blocks_max)
+    g_hash_table_remove_all (b->blocks);
+  for (guint i = 0; i < q->n_prefix; i++)
+    g_hash_table_add (b->blocks, GSIZE_TO_POINTER (q->prefix[i]));
+}
+
+void
+pu_router_first_token (pu_router_t *r, pu_ticket_t t, guint64 now)
+{
+  request_t *q = running_of (r, t);
+  guint target;
+
+  if (!q || q->first_at)
+    return;
+  q->first_at = MAX (now, 1);
+  q->sampled_at = now;
+  q->sampled_tokens = 1;
+  q->tokens = 1;
+  q->gave_tokens = true;
+  prefill_over (r, q);
+  learn_first (r, q, now);
+  claim_prefix (r, q);
+  target = service_at (r, q->service)->first_token_ms;
+  if (target > 0)
+    window_sample (backend_at (r, q->backend), q->sent_at, now > q->due, now);
+  if (target > 0 && q->attempt == 1)
+    service_sample (r, q->service, now - q->offered_at > target);
+  backend_dirty (r, q->backend);
+}
+
+void
+pu_router_tokens (pu_router_t *r, pu_ticket_t t, guint total, guint64 now)
+{
+  request_t *q = running_of (r, t);
+  backend_t *b;
+  double ms;
+  double load;
+
+  if (!q || !q->first_at || total <= q->tokens)
+    return;
+  q->tokens = total;
+  if (total < q->sampled_tokens + STEP_TOKENS)
+    return;
+  b = backend_at (r, q->backend);
+  ms = (double)(now - q->sampled_at) / (total - q->sampled_tokens);
+  load = backend_load (b, now);
+  line_add (&b->step, load, ms);
+  line_add (&model_at (r, q->model)->step, load, ms);
+  b->step_known = true;
+  q->sampled_at = now;
+  q->sampled_tokens = total;
+}
+
+static void
+learn_output (pu_router_t *r, const request_t *q)
+{
+  model_t *m = model_at (r, q->model);
+
+  if (m->mean_output <= 0)
+    {
+      m->mean_output = q->tokens;
+    }
+  else
+    {
+      m->mean_output += MEAN_SHARE * (q->tokens - m->mean_output);
+    }
+}
+
+void
+pu_router_finished (pu_router_t *r, pu_ticket_t t, pu_router_outcome_t outcome,
+                    guint64 now)
+{
+  request_t *q = running_of (r, t);
+
+  if (!q)
+    return;
+  if (outcome == PU_ROUTER_WHOLE && q->tokens > 0)
+    learn_output (r, q);
+  backend_worked (r, q->backend);
+  stop_and_open (r, q, now);
+  r->stats.finished++;
+  request_end (r, q);
+}
+
+void
+pu_router_cancel (pu_router_t *r, pu_ticket_t t, guint64 now)
+{
+  request_t *q = request_of (r, t);
+
+  if (!q)
+    return;
+  if (q->state == REQUEST_WAITING)
+    {
+      if (q->place)
+        queue_remove (r, q);
+    }
+  else
+    stop_and_open (r, q, now);
+  r->stats.cancelled++;
+  request_end (r, q);
+}
+
+/* Retries.  */
+
+static void
+note_failure (pu_router_t *r, request_t *q, pu_router_failure_t failure,
+              guint64 now)
+{
+  pu_router_backend_t b = q->backend;
+
+  switch (failure)
+    {
+    case PU_ROUTER_FAIL_CONNECT:
+    case PU_ROUTER_FAIL_NOT_RUN:
+      break;
+    case PU_ROUTER_FAIL_DIED:
+    case PU_ROUTER_FAIL_SILENT:
+    case PU_ROUTER_FAIL_TRUNCATED:
+      q->may_have_run = true;
+      break;
+    }
+  backend_failed (r, b, failure, now);
+  if (failure != PU_ROUTER_FAIL_NOT_RUN && q->n_tried < TRIED_MAX)
+    q->tried[q->n_tried++] = backend_at (r, b)->serial;
+}
+
+/* Why Q may not be tried again; NONE when it may.  */
+static pu_router_reason_t
+why_not_again (const pu_router_t *r, const request_t *q, guint64 now)
+{
+  const service_t *s = service_at (r, q->service);
+  bool unsafe = !q->repeatable && (q->may_have_run || q->gave_tokens);
+
+  if (unsafe && r->options.test_break != PU_ROUTER_BREAK_REPEAT)
+    return PU_ROUTER_REASON_REPEAT;
+  if (why_lost (r, q) != PU_ROUTER_REASON_NONE)
+    return why_lost (r, q);
+  if (q->attempt >= r->options.attempts_max || copy_left (r, q) == LEFT_NONE)
+    return PU_ROUTER_REASON_ATTEMPTS;
+  if (q->deadline <= now || q->give_up < now)
+    return PU_ROUTER_REASON_DEADLINE;
+  if (!budget_has (r, s->budget) || copy_left (r, q) == LEFT_SPENT)
+    return PU_ROUTER_REASON_BUDGET;
+  return PU_ROUTER_REASON_NONE;
+}
+
+void
+pu_router_retry (pu_router_t *r, pu_ticket_t t, pu_router_failure_t failure,
+                 guint64 now, pu_router_decision_t *d)
+{
+  request_t *q = running_of (r, t);
+  pu_router_reason_t reason;
+  candidate_t c;
+
+  if (!q)
+    {
+      *d = (pu_router_decision_t){ .verdict = PU_ROUTER_REFUSE,
+                                   .backend = PU_ROUTER_NONE };
+      return;
+    }
+  note_failure (r, q, failure, now);
+  stop_and_open (r, q, now);
+  set_due (r, q);
+  reason = why_not_again (r, q, now);
+  if (reason != PU_ROUTER_REASON_NONE)
+    {
+      refuse (r, q, reason, 0, d);
+      return;
+    }
+  service_at (r, q->service)->budget -= 1;
+  if (service_may_start (r, service_at (r, q->service))
+      && choose_copy (r, q, now, &c))
+    {
+      start (r, q, &c, now, d);
+    }
+  else
+    {
+      enqueue_or_refuse (r, q, now, d);
+    }
+}
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -15,7 +15,7 @@
 #define WAITING_MAX 2 /* requests an engine may have waiting */
 
 /* The adaptive share of work sent ahead to a backend server.  */
-#define AHEAD_GROW 0.02
+#define AHEAD_GROW 0.01
 #define AHEAD_SHRINK 0.7
 #define AHEAD_MIN 0.1
 
@@ -143,10 +143,14 @@
   guint load = backend_load (s, now);
 
   if (s->report.waiting > WAITING_MAX + s->report.running / 4)
-    slots_shrink (s, now);
+    {
+      slots_shrink (s, now);
+    }
   else if (s->report.waiting <= WAITING_MAX
            && load * 100 >= s->slots * SLOTS_USED_PCT)
-    s->slots = MIN (s->slots * GROW + 1, r->options.slots_max);
+    {
+      s->slots = MIN (s->slots * GROW + 1, r->options.slots_max);
+    }
 }
 
 static void
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -7,12 +7,14 @@
 /*
  * The router's tables, shared by the files of this slice and by nobody else.
  *
- * tables.c   fills them          choose.c  picks a copy for a request
- * queue.c    keeps what waits    limit.c   limits, budgets, ejection
- * router.c   offers and feedback dump.c    prints them
+ * tables.c    fills them         choose.c  picks a copy for a request
+ * queue.c     keeps what waits   limit.c   limits, budgets, ejection
+ * router.c    offers and next    dump.c    prints them
+ * feedback.c  learns, retries
  */
 
 #define TRIED_MAX 4    /* backend servers a request remembers to avoid */
+#define MEAN_SHARE 0.1 /* weight of a new sample in a mean */
 #define HISTORY_MAX 16 /* ticks of own work kept, to correct late reports */
 #define HISTORY_TICK_MS 64
 #define REPORT_STALE_MS 5000 /* an older report says nothing */
@@ -330,4 +332,34 @@
 
 request_t *request_of (const pu_router_t *r, pu_ticket_t t);
 
+/* running_of - the running request under T, or NULL.  */
+request_t *running_of (const pu_router_t *r, pu_ticket_t t);
+
+/* request_end - voids Q's ticket.  */
+void request_end (pu_router_t *r, request_t *q);
+
+/* set_due - works out by when Q's first token has to come.  */
+void set_due (pu_router_t *r, request_t *q);
+
+/* why_lost - what Q needs and is no longer there; NONE when all is.  */
+pu_router_reason_t why_lost (const pu_router_t *r, const request_t *q);
+
+/* refuse - Q's final answer, and its end.  */
+void refuse (pu_router_t *r, request_t *q, pu_router_reason_t reason,
+             double wait_ms, pu_router_decision_t *d);
+
+/* enqueue_or_refuse - Q can't start now.  */
+void enqueue_or_refuse (pu_router_t *r, request_t *q, guint64 now,
+                        pu_router_decision_t *d);
+
+/* start - an attempt of Q on C.  */
+void start (pu_router_t *r, request_t *q, const candidate_t *c, guint64 now,
+            pu_router_decision_t *d);
+
+/* prefill_over - Q's prompt weighs on its backend server no longer.  */
+void prefill_over (pu_router_t *r, request_t *q);
+
+/* stop_and_open - takes the running Q off its backend server.  */
+void stop_and_open (pu_router_t *r, request_t *q, guint64 now);
+
 #endif
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -98,9 +98,13 @@
   service_t *s;
 
   if (g_hash_table_lookup_extended (r->service_names, o->name, NULL, &p))
-    h = GPOINTER_TO_UINT (p);
+    {
+      h = GPOINTER_TO_UINT (p);
+    }
   else
-    h = service_new (r, o->name);
+    {
+      h = service_new (r, o->name);
+    }
   s = service_at (r, h);
   s->declared = true;
   s->importance = MAX (o->importance, 1);
