--- a/libplantainusher/placement/ledger.c
+++ b/libplantainusher/placement/ledger.c
@@ -91,9 +91,37 @@
   return NULL;
 }
 
+/* A copy may report less than it will take until it is ready, so the order
+   that loads it counts until then.  */
+static bool
+still_loading (const entry_t *n, const pu_ledger_order_t *o)
+{
+  const pu_ledger_held_t *h = find_held (n, o->copy);
+
+  return o->kind == PU_LEDGER_LOAD && h != NULL
+         && h->phase == PU_LEDGER_LOADING;
+}
+
+/* Whether the backend server would refuse the order O now, and has shown what
+   it did before.  */
+static bool
+fenced_off (const pu_ledger_t *l, const entry_t *n, const pu_ledger_order_t *o)
+{
+  bool own = (l->breaks & PU_LEDGER_BREAK_OWN_TOKEN) != 0;
+  bool later = o->token < n->token || (own && o->token == n->token);
+
+  return (n->fenced || own) && later && !still_loading (n, o);
+}
+
+static bool
+counts (const pu_ledger_t *l, const entry_t *n, const pu_ledger_order_t *o)
+{
+  return o->kind == PU_LEDGER_LOAD && !fenced_off (l, n, o);
+}
+
 /* What is counted for COPY: the largest of its report and its load orders.  */
 static guint32
-copy_mb (const entry_t *n, guint32 copy)
+copy_mb (const pu_ledger_t *l, const entry_t *n, guint32 copy)
 {
   const pu_ledger_held_t *h = find_held (n, copy);
   guint32 most = h != NULL ? h->memory_mb : 0;
@@ -103,7 +131,7 @@
       const pu_ledger_order_t *o
           = &g_array_index (n->orders, pu_ledger_order_t, i);
 
-      if (o->kind == PU_LEDGER_LOAD && o->copy == copy)
+      if (o->copy == copy && counts (l, n, o))
         most = MAX (most, o->memory_mb);
     }
   return most;
@@ -112,37 +140,37 @@
 /* Whether the load order at INDEX is the first for a copy that is not held,
    so that each copy is counted once.  */
 static bool
-counts_alone (const entry_t *n, guint index)
+counts_alone (const pu_ledger_t *l, const entry_t *n, guint index)
 {
   const pu_ledger_order_t *o
       = &g_array_index (n->orders, pu_ledger_order_t, index);
 
-  if (o->kind != PU_LEDGER_LOAD || find_held (n, o->copy) != NULL)
+  if (!counts (l, n, o) || find_held (n, o->copy) != NULL)
     return false;
   for (guint i = 0; i < index; i++)
     {
       const pu_ledger_order_t *p
           = &g_array_index (n->orders, pu_ledger_order_t, i);
 
-      if (p->kind == PU_LEDGER_LOAD && p->copy == o->copy)
+      if (p->copy == o->copy && counts (l, n, p))
         return false;
     }
   return true;
 }
 
 static guint64
-committed_mb (const entry_t *n)
+committed_mb (const pu_ledger_t *l, const entry_t *n)
 {
   guint64 sum = 0;
 
   for (guint i = 0; i < n->held->len; i++)
-    sum += copy_mb (n, g_array_index (n->held, pu_ledger_held_t, i).copy);
+    sum += copy_mb (l, n, g_array_index (n->held, pu_ledger_held_t, i).copy);
   for (guint i = 0; i < n->orders->len; i++)
     {
-      if (counts_alone (n, i))
+      if (counts_alone (l, n, i))
         {
           sum += copy_mb (
-              n, g_array_index (n->orders, pu_ledger_order_t, i).copy);
+              l, n, g_array_index (n->orders, pu_ledger_order_t, i).copy);
         }
     }
   return sum;
@@ -157,35 +185,21 @@
   g_array_remove_index (n->orders, index);
 }
 
-/* A copy may report less than it will take until it is ready, so the order
-   that loads it counts until then.  */
-static bool
-still_loading (const entry_t *n, const pu_ledger_order_t *o)
-{
-  const pu_ledger_held_t *h = find_held (n, o->copy);
-
-  return o->kind == PU_LEDGER_LOAD && h != NULL
-         && h->phase == PU_LEDGER_LOADING;
-}
-
-/* Closes the orders that a report with the fencing token TOKEN proves to be
-   over.  */
+/* Closes the unload orders that have been fenced off.  */
 static void
-close_fenced (pu_ledger_t *l, entry_t *n, guint64 token, GArray *closed)
+close_unloads (pu_ledger_t *l, entry_t *n, GArray *closed)
 {
-  bool own = (l->breaks & PU_LEDGER_BREAK_OWN_TOKEN) != 0;
-
   for (guint i = n->orders->len; i-- > 0;)
     {
       const pu_ledger_order_t *o
           = &g_array_index (n->orders, pu_ledger_order_t, i);
-      guint64 t = o->token;
+      guint64 token = o->token;
 
-      if (t > token || (t == token && !own) || still_loading (n, o))
+      if (o->kind == PU_LEDGER_LOAD || !fenced_off (l, n, o))
         continue;
       close_order (l, n, i);
       if (closed != NULL)
-        g_array_append_val (closed, t);
+        g_array_append_val (closed, token);
     }
 }
 
@@ -210,12 +224,17 @@
 }
 
 /* Believes only what the report adds: a copy that it leaves out stays
-   counted, but no longer as ready.  */
+   counted, but no longer as ready; one that was loading stays so.  */
 static void
 merge_held (entry_t *n, const pu_ledger_report_t *r)
 {
   for (guint i = 0; i < n->held->len; i++)
-    g_array_index (n->held, pu_ledger_held_t, i).phase = PU_LEDGER_UNLOADING;
+    {
+      pu_ledger_held_t *h = &g_array_index (n->held, pu_ledger_held_t, i);
+
+      if (h->phase != PU_LEDGER_LOADING)
+        h->phase = PU_LEDGER_UNLOADING;
+    }
   for (guint i = 0; i < r->n_held; i++)
     {
       pu_ledger_held_t *h = find_held (n, r->held[i].copy);
@@ -226,7 +245,8 @@
           continue;
         }
       h->memory_mb = MAX (h->memory_mb, r->held[i].memory_mb);
-      h->phase = r->held[i].phase;
+      if (h->phase != PU_LEDGER_LOADING)
+        h->phase = r->held[i].phase;
     }
 }
 
@@ -250,8 +270,7 @@
     }
   n->token = r->token;
   replace_held (n, r);
-  if (r->fenced || (l->breaks & PU_LEDGER_BREAK_OWN_TOKEN) != 0)
-    close_fenced (l, n, r->token, closed);
+  close_unloads (l, n, closed);
   return PU_LEDGER_ACCEPTED;
 }
 
@@ -263,8 +282,8 @@
   if (n == NULL || n->incarnation != incarnation)
     return false;
   n->down = true;
-  if ((l->breaks & PU_LEDGER_BREAK_DOWN_FREES) != 0)
-    close_fenced (l, n, G_MAXUINT64, NULL);
+  while ((l->breaks & PU_LEDGER_BREAK_DOWN_FREES) != 0 && n->orders->len > 0)
+    close_order (l, n, 0);
   return true;
 }
 
@@ -292,17 +311,18 @@
 
 /* What the memory of N would come to with a load of COPY.  */
 static guint64
-committed_with (const entry_t *n, guint32 copy, guint32 memory_mb)
+committed_with (const pu_ledger_t *l, const entry_t *n, guint32 copy,
+                guint32 memory_mb)
 {
-  guint32 now_mb = copy_mb (n, copy);
+  guint32 now_mb = copy_mb (l, n, copy);
 
-  return committed_mb (n) - now_mb + MAX (now_mb, memory_mb);
+  return committed_mb (l, n) - now_mb + MAX (now_mb, memory_mb);
 }
 
 static bool
-fits (const entry_t *n, guint32 copy, guint32 memory_mb)
+fits (const pu_ledger_t *l, const entry_t *n, guint32 copy, guint32 memory_mb)
 {
-  return committed_with (n, copy, memory_mb) <= n->memory_mb;
+  return committed_with (l, n, copy, memory_mb) <= n->memory_mb;
 }
 
 static void
@@ -340,12 +360,13 @@
       return pu_error_set (e, PU_ERROR_CONFLICT,
                            "the backend server is leaving");
     }
-  if (o->kind == PU_LEDGER_LOAD && checked && !fits (n, o->copy, o->memory_mb))
+  if (o->kind == PU_LEDGER_LOAD && checked
+      && !fits (l, n, o->copy, o->memory_mb))
     {
       return pu_error_set (
           e, PU_ERROR_CONFLICT,
           "no memory: %" G_GUINT64_FORMAT " MB of %u MB would be committed",
-          committed_with (n, o->copy, o->memory_mb), n->memory_mb);
+          committed_with (l, n, o->copy, o->memory_mb), n->memory_mb);
     }
   add_order (l, n, o);
   return true;
@@ -365,7 +386,7 @@
 
       if (o->token != token)
         continue;
-      if (still_loading (n, o))
+      if (still_loading (n, o) || (n->fenced && counts (l, n, o)))
         return false;
       close_order (l, n, i);
       return true;
@@ -420,7 +441,7 @@
 {
   const entry_t *n = find_entry (l, backend);
 
-  return n != NULL ? committed_mb (n) : 0;
+  return n != NULL ? committed_mb (l, n) : 0;
 }
 
 guint64
@@ -431,7 +452,7 @@
 
   if (n == NULL || n->down || n->leaving)
     return 0;
-  used = committed_mb (n);
+  used = committed_mb (l, n);
   return used < n->memory_mb ? n->memory_mb - used : 0;
 }
 
@@ -441,7 +462,7 @@
 {
   const entry_t *n = find_entry (l, backend);
 
-  return n != NULL && !n->down && !n->leaving && fits (n, copy, memory_mb);
+  return n != NULL && !n->down && !n->leaving && fits (l, n, copy, memory_mb);
 }
 
 const pu_ledger_order_t *
--- a/libplantainusher/placement/ledger.h
+++ b/libplantainusher/placement/ledger.h
@@ -28,26 +28,30 @@
  *                   was known of it must outlive a snapshot.
  *   RESERVE         pu_ledger_reserve with the log position as the token;
  *                   its refusal is the answer PU_OUTCOME_CONFLICT.
- *   RELEASE         pu_ledger_release.
+ *   RELEASE         pu_ledger_release; keep the record when it says false
+ *                   (PU_OUTCOME_REFUSED).
  *   image -> state  pu_ledger_restore_backend for each backend record, then
  *                   pu_ledger_restore_order for each order record.
  * Handles are the state machine's own small integers: one for each name of a
  * backend server, one for each pair of model and version.
  *
- * When a load order stops counting.  An order may take effect from its
- * reservation until one of these proofs:
- *   - a report of a backend server that checks tokens carries a LATER token:
- *     whatever the order did is in that report, and it is refused from now
- *     on.  (Its own token is no proof: a doubled order could come again.)
- *   - its life is over: the leader says so by RELEASE, counted on its
- *     monotonic clock from the last moment at which it, or a leader before
- *     it, could have sent the order (see orders.h).
- * Either way a load counts on while the copy is reported as loading, since it
- * may report less than it will take.
- * Neither an answer, a lost answer, a timeout nor a lost lease is a proof.  A
- * new incarnation clears what was loaded, but open orders stay: an order that
- * was under way may be taken by the new process.  For backend servers that
- * ignore tokens the end of life is the only proof.
+ * When a load order stops counting.  A backend server that checks tokens has
+ * fenced an order off when its process reports a LATER token: whatever the
+ * order did is in that report, and it is refused from now on.  (Its own token
+ * is no proof: a doubled order could come again.)  The order then counts no
+ * more, but stays open: a new process would know no tokens, and an order under
+ * way could still reach it.  So with a new incarnation it counts again, until
+ * that one reports a later token.
+ * RELEASE removes an order for good when its life is over: it can reach no
+ * process any more.  The leader says so, counted on its monotonic clock from
+ * the last moment at which it, or a leader before it, could have sent the
+ * order (see orders.h).  It is refused while a backend server that checks
+ * tokens has not fenced the order off, since what has reached a process may
+ * wait there for any time.  For those that ignore tokens it is the only proof.
+ * Either way a load counts while its copy is reported as loading, since it may
+ * report less than it will take.
+ * Neither an answer, a lost answer, a timeout, a lost lease nor a restart is a
+ * proof.
  * Orders and reports for the same copy are not added up: a backend server
  * holds a copy at most once, so the largest of them counts.
  */
@@ -119,7 +123,7 @@
 {
   PU_LEDGER_BREAK_NONE = 0,
   PU_LEDGER_BREAK_NO_CHECK = 1,  /* reserve without looking at the size */
-  PU_LEDGER_BREAK_OWN_TOKEN = 2, /* the order's own token closes it */
+  PU_LEDGER_BREAK_OWN_TOKEN = 2, /* an order's own token fences it off */
   PU_LEDGER_BREAK_DOWN_FREES = 4 /* a lost backend server closes its orders */
 } pu_ledger_break_t;
 
@@ -133,8 +137,8 @@
 void pu_ledger_free (pu_ledger_t *l);
 
 /* pu_ledger_backend_up - takes in the report R.  The tokens (guint64) of the
-   orders that it proves to be over are appended to CLOSED, which may be
-   NULL.  */
+   unload orders that it fences off, which are open no more, are appended to
+   CLOSED; it may be NULL.  */
 pu_ledger_verdict_t pu_ledger_backend_up (pu_ledger_t *l,
                                           const pu_ledger_report_t *r,
                                           GArray *closed);
@@ -161,8 +165,9 @@
                         pu_error_t *e);
 
 /* pu_ledger_release - the life of the order TOKEN is over (the caller's
-   word: see above).  False when no such order is open, or when its copy is
-   still loading: release it again later.  */
+   word: see above).  False when no such order is open, or when it must stay
+   open: its copy is loading, or it is not fenced off by a backend server that
+   checks tokens.  Keep its record then; it is released again later.  */
 bool pu_ledger_release (pu_ledger_t *l, guint64 token);
 
 /* pu_ledger_restore_backend, pu_ledger_restore_order - rebuild a ledger from
--- a/libplantainusher/placement/ledger_test.cc
+++ b/libplantainusher/placement/ledger_test.cc
@@ -84,19 +84,35 @@
   EXPECT_EQ (70u, Used ());
 }
 
-TEST_F (Ledger, OnlyALaterTokenClosesAnOrderOfAFencedBackend)
+TEST_F (Ledger, OnlyALaterTokenFencesAnOrderOff)
 {
   Report (1, 0, {});
   Load (5, 7, 60);
   Report (2, 5, {});
   EXPECT_EQ (60u, Used ()) << "a doubled order could still come";
+  EXPECT_FALSE (pu_ledger_release (l, 5)) << "whatever its life";
   Load (6, 8, 10);
   Report (3, 6, { { 8, 10, PU_LEDGER_READY } });
   EXPECT_EQ (10u, Used ());
+  EXPECT_TRUE (pu_ledger_release (l, 5));
   EXPECT_EQ (nullptr, pu_ledger_order (l, 5));
   EXPECT_NE (nullptr, pu_ledger_order (l, 6));
 }
 
+TEST_F (Ledger, ANewProcessKnowsNoTokens)
+{
+  Report (1, 0, {});
+  Load (5, 7, 60);
+  Report (2, 6, {});
+  EXPECT_EQ (0u, Used ());
+  Report (1, 0, {}, true, 2);
+  EXPECT_EQ (60u, Used ()) << "the order may reach the new process";
+  EXPECT_FALSE (pu_ledger_release (l, 5));
+  Report (2, 7, {}, true, 2);
+  EXPECT_EQ (0u, Used ());
+  EXPECT_TRUE (pu_ledger_release (l, 5));
+}
+
 TEST_F (Ledger, NoReportClosesAnOrderOfAnUnfencedBackend)
 {
   Report (1, 0, {}, false);
--- a/libplantainusher/placement/orders.c
+++ b/libplantainusher/placement/orders.c
@@ -29,6 +29,7 @@
 typedef struct
 {
   guint64 incarnation;
+  guint64 token;
   bool fenced;
   bool down;
 } server_t;
@@ -374,15 +375,19 @@
   server_t *v = make_server (o, report->backend);
 
   v->incarnation = report->incarnation;
+  v->token = report->token;
   v->fenced = report->fenced;
   v->down = false;
   for (guint i = 0; i < o->orders->len; i++)
     {
       pu_orders_order_t *r = order_at (o, i);
+      const pu_ledger_held_t *h;
 
       if (r->wish.backend != report->backend)
         continue;
-      r->held = find_held (report, r->wish.copy) != NULL;
+      h = find_held (report, r->wish.copy);
+      r->held = h != NULL;
+      r->loading = h != NULL && h->phase == PU_LEDGER_LOADING;
       if (r->wish.incarnation != report->incarnation)
         stop_sending (r, now);
       else
@@ -539,6 +544,24 @@
   act (actions, PU_ORDERS_DO_SEND, r);
 }
 
+static bool
+is_fenced (const pu_orders_t *o, const pu_orders_order_t *r)
+{
+  const server_t *v = find_server (o, r->wish.backend);
+
+  return v != NULL ? v->fenced : r->wish.fenced;
+}
+
+/* Whether the engine has reported a later token.  */
+static bool
+fenced_off (const pu_orders_t *o, const pu_orders_order_t *r)
+{
+  const server_t *v = find_server (o, r->wish.backend);
+
+  return v != NULL && v->fenced && !v->down && r->token != 0
+         && r->token < v->token;
+}
+
 /* Whether the order has had its time: no answer within its life, or accepted
    and not done.  */
 static bool
@@ -547,10 +570,15 @@
   guint64 limit
       = r->wish.kind == PU_LEDGER_LOAD ? o->o.load_ms : o->o.unload_ms;
 
+  if (under_way (r) && fenced_off (o, r) && !r->held)
+    return true;
   switch (r->state)
     {
     case PU_ORDERS_RESERVED:
     case PU_ORDERS_SENT:
+      /* One of the leader before shows soon, or may be fenced off.  */
+      if (r->inherited && is_fenced (o, r))
+        return now >= r->changed + o->o.report_ms;
       return now >= r->life_until;
     case PU_ORDERS_ACKED:
       return now >= r->changed + limit;
@@ -574,21 +602,13 @@
     send (o, r, now, actions);
 }
 
+/* Whether the ledger takes a RELEASE of R when its life is over.  */
 static bool
-is_fenced (const pu_orders_t *o, const pu_orders_order_t *r)
-{
-  const server_t *v = find_server (o, r->wish.backend);
-
-  return v != NULL ? v->fenced : r->wish.fenced;
-}
-
-/* Whether the end of its life closes R: see orders.h.  */
-static bool
-life_closes (const pu_orders_t *o, const pu_orders_order_t *r)
+life_ends (const pu_orders_t *o, const pu_orders_order_t *r)
 {
-  if (!r->ever_sent || !is_fenced (o, r))
-    return true;
-  return r->wish.kind == PU_LEDGER_UNLOAD && !r->held;
+  if (r->wish.kind == PU_LEDGER_UNLOAD)
+    return !r->ever_sent || !is_fenced (o, r) || !r->held;
+  return !r->loading && (!is_fenced (o, r) || fenced_off (o, r));
 }
 
 /* The deliberate faults of the tests.  */
@@ -598,14 +618,14 @@
   if (r->state != PU_ORDERS_SENT || r->inherited)
     return false;
   if (broken (o, PU_ORDERS_BREAK_TIMEOUT))
-    return now >= r->last_send + o->o.retry_ms;
+    return now >= r->proposed + o->o.retry_ms;
   return r->lost && broken (o, PU_ORDERS_BREAK_LOST);
 }
 
 static void
 release (pu_orders_t *o, pu_orders_order_t *r, guint64 now, GArray *actions)
 {
-  bool over = now >= r->life_until && life_closes (o, r);
+  bool over = now >= r->life_until && life_ends (o, r);
 
   if (r->token == 0 || r->release_at > now)
     return;
@@ -615,18 +635,20 @@
   act (actions, PU_ORDERS_DO_RELEASE, r);
 }
 
-/* Asks for a later token where an order that was given up may still arrive
-   and stands in the way: a load by its memory, an unload by its copy.  */
+/* Asks for a later token where an order that may still arrive, if doubled,
+   stands in the way: a load whose copy is not there by its memory, an unload
+   that was given up by its copy.  */
 static void
-fence (pu_orders_t *o, const pu_orders_order_t *r, guint64 now,
-       GArray *actions)
+fence (pu_orders_t *o, const pu_orders_order_t *r, GArray *actions)
 {
   const server_t *v = find_server (o, r->wish.backend);
   bool load = r->wish.kind == PU_LEDGER_LOAD;
+  bool over
+      = r->state == PU_ORDERS_FAILED || (r->state == PU_ORDERS_DONE && load);
 
-  if (r->state != PU_ORDERS_FAILED || r->token == 0 || now < r->life_until)
+  if (!over || r->token == 0 || r->held == load || fenced_off (o, r))
     return;
-  if (v == NULL || v->down || !v->fenced || r->held == load)
+  if (v == NULL || v->down || !v->fenced)
     return;
   if (r->release_at != G_MAXUINT64 && count_engine (o, r->wish.backend) == 0)
     act (actions, PU_ORDERS_DO_FENCE, r);
@@ -651,7 +673,7 @@
   for (guint i = 0; i < o->orders->len; i++)
     {
       release (o, order_at (o, i), now, actions);
-      fence (o, order_at (o, i), now, actions);
+      fence (o, order_at (o, i), actions);
     }
   for (guint i = o->orders->len; i-- > 0;)
     {
--- a/libplantainusher/placement/orders.h
+++ b/libplantainusher/placement/orders.h
@@ -20,12 +20,12 @@
  * An order in any state after PROPOSED counts in the ledger until it is
  * closed.  DONE and FAILED say nothing about memory.
  *
- * Engines that check tokens.  Only a report with a later token closes a load
- * (pu_orders_closed): no clock is trusted, an order may be late by any time.
- * Where a given-up order stands in the way, DO_FENCE asks for another order
- * for the same copy, which carries the later token.
+ * Engines that check tokens.  A load counts until the engine reports a later
+ * token: no clock is trusted, an order that has reached the engine may wait
+ * there for any time.  Where a given-up order stands in the way, DO_FENCE asks
+ * for another order for the same copy, which carries the later token.
  *
- * Engines that ignore tokens.  The end of its life closes an order, by
+ * Engines that ignore tokens.  The end of its life ends an order, by
  * RELEASE.  It may be sent, and sent again, until `send_ms` after it was
  * proposed; what is sent takes effect within `transit_ms` or never; and what
  * took effect is in the ledger within `report_ms`, or the engine's lease is
@@ -90,8 +90,9 @@
   guint64 token;         /* 0 before it is reserved */
   bool inherited;        /* from the leader before */
   bool ever_sent;
-  bool lost; /* an answer was */
-  bool held; /* the copy was in the last report */
+  bool lost;    /* an answer was */
+  bool held;    /* the copy was in the last report */
+  bool loading; /* and loading */
   guint32 tries;
   guint64 proposed; /* when, in ms; here and below */
   guint64 last_send;
--- a/libplantainusher/placement/placement.c
+++ b/libplantainusher/placement/placement.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Before the planner tries the same again.  */
+#define REFUSED_WAIT_MS 2000
+
 typedef struct
 {
   bool named;
@@ -28,6 +31,8 @@
   GArray *names;       /* of name_t, by copy */
   GHashTable *copies;  /* item and version -> copy */
   GArray *servers;     /* of server_t, by backend */
+  GPtrArray *mine;     /* scratch: the orders to one backend server */
+  GArray *next;        /* scratch, of guint: chains of orders by backend */
   GArray *wanted;      /* scratch, of pu_move_t */
   GArray *plan_copies; /* scratch, of pu_plan_copy_t */
   GString *reason;     /* scratch */
@@ -55,6 +60,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   pl->servers = g_array_new (FALSE, TRUE, sizeof (server_t));
   g_array_set_clear_func (pl->servers, clear_server);
+  pl->mine = g_ptr_array_new ();
+  pl->next = g_array_new (FALSE, FALSE, sizeof (guint));
   pl->wanted = g_array_new (FALSE, FALSE, sizeof (pu_move_t));
   pl->plan_copies = g_array_new (FALSE, FALSE, sizeof (pu_plan_copy_t));
   pl->reason = g_string_new (NULL);
@@ -71,6 +78,8 @@
   g_array_unref (pl->names);
   g_hash_table_unref (pl->copies);
   g_array_unref (pl->servers);
+  g_ptr_array_unref (pl->mine);
+  g_array_unref (pl->next);
   g_array_unref (pl->wanted);
   g_array_unref (pl->plan_copies);
   g_string_free (pl->reason, TRUE);
@@ -112,6 +121,15 @@
                        GUINT_TO_POINTER (copy + 1));
 }
 
+static bool
+find_name (const pu_placement_t *pl, guint32 copy, name_t *n)
+{
+  if (copy >= pl->names->len)
+    return false;
+  *n = g_array_index (pl->names, name_t, copy);
+  return n->named;
+}
+
 static bool
 find_copy (const pu_placement_t *pl, guint32 item, guint32 version,
            guint32 *copy)
@@ -137,26 +155,24 @@
 /* Whether an unload of COPY is under way, or was given up and may still
    arrive.  */
 static bool
-may_be_unloaded (const pu_placement_t *pl, guint32 backend, guint32 copy)
+may_be_unloaded (const pu_placement_t *pl, guint32 copy)
 {
-  for (guint i = 0; i < pu_orders_count (pl->orders); i++)
+  for (guint i = 0; i < pl->mine->len; i++)
     {
-      const pu_orders_order_t *r = pu_orders_get (pl->orders, i);
+      const pu_orders_order_t *r = g_ptr_array_index (pl->mine, i);
 
-      if (r->wish.backend == backend && r->wish.copy == copy
-          && r->wish.kind == PU_LEDGER_UNLOAD && r->state != PU_ORDERS_DONE
-          && r->release_at != G_MAXUINT64)
+      if (r->wish.copy == copy && r->wish.kind == PU_LEDGER_UNLOAD
+          && r->state != PU_ORDERS_DONE && r->release_at != G_MAXUINT64)
         return true;
     }
   return false;
 }
 
 static pu_plan_phase_t
-plan_phase (const pu_placement_t *pl, guint32 backend,
-            const pu_ledger_held_t *h)
+plan_phase (const pu_placement_t *pl, const pu_ledger_held_t *h)
 {
   if (h->phase == PU_LEDGER_DRAINING || h->phase == PU_LEDGER_UNLOADING
-      || may_be_unloaded (pl, backend, h->copy))
+      || may_be_unloaded (pl, h->copy))
     return PU_PLAN_LEAVING;
   return h->phase == PU_LEDGER_LOADING ? PU_PLAN_LOADING : PU_PLAN_READY;
 }
@@ -166,15 +182,12 @@
                pu_plan_phase_t phase)
 {
   pu_plan_copy_t c;
-  const name_t *n;
+  name_t n;
 
-  if (copy >= pl->names->len)
-    return;
-  n = &g_array_index (pl->names, name_t, copy);
-  if (!n->named)
+  if (!find_name (pl, copy, &n))
     return;
-  c.item = n->item;
-  c.version = n->version;
+  c.item = n.item;
+  c.version = n.version;
   c.memory_mb = memory_mb;
   c.phase = phase;
   g_array_append_val (pl->plan_copies, c);
@@ -191,19 +204,37 @@
   return false;
 }
 
+/* Whether an earlier order of pl->mine loads the same copy as the one at
+   INDEX: a leader change may leave several.  */
+static bool
+ordered_before (const pu_placement_t *pl, guint index)
+{
+  const pu_orders_order_t *r = g_ptr_array_index (pl->mine, index);
+
+  for (guint i = 0; i < index; i++)
+    {
+      const pu_orders_order_t *o = g_ptr_array_index (pl->mine, i);
+
+      if (o->wish.kind == PU_LEDGER_LOAD && o->state <= PU_ORDERS_ACKED
+          && o->wish.copy == r->wish.copy)
+        return true;
+    }
+  return false;
+}
+
 /* Adds the loads under way; returns the memory that the ledger does not
    count yet.  */
 static guint32
-add_ordered (pu_placement_t *pl, guint32 backend, const server_t *s)
+add_ordered (pu_placement_t *pl, const server_t *s)
 {
   guint32 unreserved = 0;
 
-  for (guint i = 0; i < pu_orders_count (pl->orders); i++)
+  for (guint i = 0; i < pl->mine->len; i++)
     {
-      const pu_orders_order_t *r = pu_orders_get (pl->orders, i);
+      const pu_orders_order_t *r = g_ptr_array_index (pl->mine, i);
 
-      if (r->wish.backend != backend || r->wish.kind != PU_LEDGER_LOAD
-          || r->state > PU_ORDERS_ACKED || holds (s, r->wish.copy))
+      if (r->wish.kind != PU_LEDGER_LOAD || r->state > PU_ORDERS_ACKED
+          || holds (s, r->wish.copy) || ordered_before (pl, i))
         continue;
       if (r->state < PU_ORDERS_RESERVED)
         unreserved += r->wish.memory_mb;
@@ -212,9 +243,9 @@
   return unreserved;
 }
 
-/* Tells the planner how BACKEND stands now.  */
+/* Tells the planner how BACKEND stands now; its orders are in pl->mine.  */
 static void
-refresh (pu_placement_t *pl, guint32 backend, guint64 now)
+tell_planner (pu_placement_t *pl, guint32 backend, guint64 now)
 {
   const server_t *s = find_server (pl, backend);
   pu_plan_engine_t e = { 0 };
@@ -227,10 +258,9 @@
       const pu_ledger_held_t *h
           = &g_array_index (s->held, pu_ledger_held_t, i);
 
-      add_plan_copy (pl, h->copy, h->memory_mb, plan_phase (pl, backend, h));
+      add_plan_copy (pl, h->copy, h->memory_mb, plan_phase (pl, h));
     }
-  e.committed_mb
-      = pl->o.committed (pl->o.data, backend) + add_ordered (pl, backend, s);
+  e.committed_mb = pl->o.committed (pl->o.data, backend) + add_ordered (pl, s);
   e.zone = s->zone;
   e.accelerators = s->report.accelerators;
   e.memory_mb = s->report.memory_mb;
@@ -242,6 +272,90 @@
   pu_planner_set_engine (pl->planner, backend, &e, now);
 }
 
+static void
+find_mine (pu_placement_t *pl, guint32 backend)
+{
+  g_ptr_array_set_size (pl->mine, 0);
+  for (guint i = 0; i < pu_orders_count (pl->orders); i++)
+    {
+      const pu_orders_order_t *r = pu_orders_get (pl->orders, i);
+
+      if (r->wish.backend == backend)
+        g_ptr_array_add (pl->mine, (gpointer)r);
+    }
+}
+
+static void
+refresh (pu_placement_t *pl, guint32 backend, guint64 now)
+{
+  find_mine (pl, backend);
+  tell_planner (pl, backend, now);
+}
+
+/* The same for all backend servers, with one pass over the orders.  */
+static void
+refresh_all (pu_placement_t *pl, guint64 now)
+{
+  guint n = pu_orders_count (pl->orders);
+  guint *next;
+
+  if (pl->servers->len == 0)
+    return;
+  /* next[n + b] is the first order to b, next[i] the one after order i.  */
+  g_array_set_size (pl->next, n + pl->servers->len);
+  next = (guint *)(void *)pl->next->data;
+  memset (next, 0xff, pl->next->len * sizeof *next);
+  for (guint i = n; i-- > 0;)
+    {
+      guint32 b = pu_orders_get (pl->orders, i)->wish.backend;
+
+      if (b >= pl->servers->len)
+        continue;
+      next[i] = next[n + b];
+      next[n + b] = i;
+    }
+  for (guint32 b = 0; b < pl->servers->len; b++)
+    {
+      g_ptr_array_set_size (pl->mine, 0);
+      for (guint i = next[n + b]; i < n; i = next[i])
+        g_ptr_array_add (pl->mine, (gpointer)pu_orders_get (pl->orders, i));
+      tell_planner (pl, b, now);
+    }
+}
+
+static bool
+holds_ready (const pu_ledger_report_t *r, guint32 copy)
+{
+  for (guint i = 0; i < r->n_held; i++)
+    {
+      if (r->held[i].copy == copy && r->held[i].phase <= PU_LEDGER_READY)
+        return true;
+    }
+  return false;
+}
+
+/* Counts as failed what the engine had ready and lost without an order, though
+   its process goes on.  */
+static void
+tell_losses (pu_placement_t *pl, const server_t *s,
+             const pu_ledger_report_t *r, guint64 now)
+{
+  if (!s->known || s->report.incarnation != r->incarnation)
+    return;
+  find_mine (pl, r->backend);
+  for (guint i = 0; i < s->held->len; i++)
+    {
+      const pu_ledger_held_t *h
+          = &g_array_index (s->held, pu_ledger_held_t, i);
+      name_t n;
+
+      if (h->phase == PU_LEDGER_READY && find_name (pl, h->copy, &n)
+          && !holds_ready (r, h->copy) && !may_be_unloaded (pl, h->copy))
+        pu_planner_load_failed (pl->planner, r->backend, n.item, n.version,
+                                now);
+    }
+}
+
 void
 pu_placement_backend (pu_placement_t *pl, const pu_ledger_report_t *r,
                       bool down, guint32 zone, double streams, guint64 now)
@@ -253,6 +367,7 @@
   s = &g_array_index (pl->servers, server_t, r->backend);
   if (s->held == NULL)
     s->held = g_array_new (FALSE, FALSE, sizeof (pu_ledger_held_t));
+  tell_losses (pl, s, r, now);
   g_array_set_size (s->held, 0);
   if (r->n_held > 0)
     g_array_append_vals (s->held, r->held, r->n_held);
@@ -305,13 +420,10 @@
 static void
 tell_failure (pu_placement_t *pl, const pu_orders_order_t *r, guint64 now)
 {
-  const name_t *n;
+  name_t n;
 
-  if (r->wish.kind != PU_LEDGER_LOAD || r->wish.copy >= pl->names->len)
-    return;
-  n = &g_array_index (pl->names, name_t, r->wish.copy);
-  if (n->named)
-    pu_planner_load_failed (pl->planner, r->wish.backend, n->item, n->version,
+  if (r->wish.kind == PU_LEDGER_LOAD && find_name (pl, r->wish.copy, &n))
+    pu_planner_load_failed (pl->planner, r->wish.backend, n.item, n.version,
                             now);
 }
 
@@ -366,6 +478,7 @@
 {
   pu_ledger_kind_t kind
       = m->kind == PU_MOVE_LOAD ? PU_LEDGER_LOAD : PU_LEDGER_UNLOAD;
+  guint64 until;
   guint32 copy;
 
   if (!find_copy (pl, m->item, m->version, &copy))
@@ -373,14 +486,18 @@
   g_string_truncate (pl->reason, 0);
   pu_planner_explain_move (pl->planner, m, pl->reason);
   g_string_truncate (pl->reason, pl->reason->len - 1);
-  want (pl, kind, m->engine, copy, m->memory_mb, pl->reason->str, now);
+  if (want (pl, kind, m->engine, copy, m->memory_mb, pl->reason->str, now)
+      || kind == PU_LEDGER_UNLOAD)
+    return;
+  pu_orders_failures (pl->orders, m->engine, copy, &until);
+  pu_planner_block (pl->planner, m->engine, m->item,
+                    MAX (until, now + REFUSED_WAIT_MS));
 }
 
 static void
 plan (pu_placement_t *pl, guint64 now)
 {
-  for (guint32 i = 0; i < pl->servers->len; i++)
-    refresh (pl, i, now);
+  refresh_all (pl, now);
   g_array_set_size (pl->wanted, 0);
   pu_planner_step (pl->planner, now, pl->wanted);
   for (guint i = 0; i < pl->wanted->len; i++)
@@ -393,22 +510,23 @@
 static bool
 may_unload (const pu_placement_t *pl, const pu_orders_order_t *r)
 {
-  const name_t *n;
+  name_t n;
 
-  if (r->wish.copy >= pl->names->len)
-    return true;
-  n = &g_array_index (pl->names, name_t, r->wish.copy);
-  return !n->named
-         || pu_planner_may_unload (pl->planner, r->wish.backend, n->item,
-                                   n->version);
+  return !find_name (pl, r->wish.copy, &n)
+         || pu_planner_may_unload (pl->planner, r->wish.backend, n.item,
+                                   n.version);
 }
 
-/* Another order for the copy of R, for its later token: an unload where the
-   copy is not needed, else a load, which changes nothing if it is there.  */
+/* Another order for the copy of R, for its later token: a load where an
+   unload was given up, which changes nothing, or where no copy of the item is
+   ready; else an unload.  */
 static void
 want_fence (pu_placement_t *pl, const pu_orders_order_t *r, guint64 now)
 {
-  bool load = r->wish.kind == PU_LEDGER_UNLOAD || !may_unload (pl, r);
+  name_t n;
+  bool load = r->wish.kind == PU_LEDGER_UNLOAD
+              || (find_name (pl, r->wish.copy, &n)
+                  && pu_planner_wants (pl->planner, n.item, n.version));
   guint32 memory_mb = r->wish.memory_mb;
   const server_t *s = find_server (pl, r->wish.backend);
 
--- a/libplantainusher/placement/planner.c
+++ b/libplantainusher/placement/planner.c
@@ -638,7 +638,7 @@
 static void
 run_round (pu_round_t *r)
 {
-  pu_planner_index (r->p);
+  pu_planner_index (r->p, r->now);
   pu_planner_spread (r->p);
   r->v.slots = g_array_new (FALSE, FALSE, sizeof (guint));
   keep_promises (r);
--- a/libplantainusher/placement/planner.h
+++ b/libplantainusher/placement/planner.h
@@ -153,10 +153,17 @@
                         double stream_ms);
 
 /* pu_planner_load_failed - a load of VERSION of ITEM on ENGINE was given up,
-   or the version failed in use.  Enough of them roll a new version back.  */
+   or a ready copy was lost while the engine went on.  ENGINE is not tried
+   again for a while; enough failures hold back the item everywhere, and roll
+   a new version back.  */
 void pu_planner_load_failed (pu_planner_t *p, guint32 engine, guint32 item,
                              guint32 version, guint64 now);
 
+/* pu_planner_block - no load of ITEM on ENGINE before UNTIL: one failed there,
+   or cannot be ordered.  */
+void pu_planner_block (pu_planner_t *p, guint32 engine, guint32 item,
+                       guint64 until);
+
 /* pu_planner_step - appends the next moves (pu_move_t) to MOVES, first things
    first.  Call it about once a second, and after a loss.  The caller shows
    by pu_planner_set_engine, before the next step, what became of each.  */
@@ -175,8 +182,28 @@
 /* pu_planner_ready - ready copies of ITEM on usable engines.  */
 guint pu_planner_ready (const pu_planner_t *p, guint32 item);
 
+/* How an item stands with its callers.  */
+typedef enum
+{
+  PU_STANDING_READY,
+  PU_STANDING_LOADING,    /* no copy is ready, a load is under way */
+  PU_STANDING_WAIT_STORE, /* next, when the store takes another load */
+  PU_STANDING_WAIT_BASE,  /* next, when its base model is ready */
+  PU_STANDING_WAIT_RETRY, /* a load failed, or found no room; tried again */
+  PU_STANDING_UNDECLARED
+} pu_standing_t;
+
+/* pu_planner_standing - as of the last step.  */
+pu_standing_t pu_planner_standing (const pu_planner_t *p, guint32 item,
+                                   guint64 now);
+const char *pu_standing_name (pu_standing_t s);
+
+/* pu_planner_wants - whether ITEM should have VERSION and no copy is ready. */
+bool pu_planner_wants (const pu_planner_t *p, guint32 item, guint32 version);
+
 /* pu_planner_may_unload - whether another copy of ITEM is ready, so that the
-   one on ENGINE may go.  Asked again whenever an unload order is sent.  */
+   one on ENGINE may go, or that one is not ready.  Asked again whenever an
+   unload order is sent.  */
 bool pu_planner_may_unload (const pu_planner_t *p, guint32 engine,
                             guint32 item, guint32 version);
 
--- a/libplantainusher/placement/planner_choose.c
+++ b/libplantainusher/placement/planner_choose.c
@@ -63,15 +63,28 @@
   return false;
 }
 
+static bool
+blocked (const pu_planned_engine_t *e, guint32 item)
+{
+  for (guint i = 0; i < e->blocks->len; i++)
+    {
+      if (g_array_index (e->blocks, pu_block_t, i).item == item)
+        return true;
+    }
+  return false;
+}
+
 bool
-pu_planner_can_hold (const pu_planner_t *p, guint32 engine,
-                     const pu_planned_item_t *t)
+pu_planner_can_hold (const pu_planner_t *p, guint32 engine, guint32 item)
 {
   const pu_planned_engine_t *e = pu_planned_engine (p, engine);
+  const pu_planned_item_t *t = pu_planned_item (p, item);
 
   if (!e->usable || e->closed || e->promised
       || e->accelerators < t->i.accelerators)
     return false;
+  if (blocked (e, item))
+    return false;
   if (p->mark[engine] == p->stamp || pu_planned_need (p, t) > e->memory_mb)
     return false;
   return t->i.base == PU_PLAN_NONE || holds_ready (e, t->i.base);
@@ -306,7 +319,7 @@
       const pu_planned_engine_t *e = pu_planned_engine (p, i);
       double s;
 
-      if (!pu_planner_can_hold (p, i, t))
+      if (!pu_planner_can_hold (p, i, item))
         continue;
       s = score (p, e);
       if (pu_planned_free (e) < need)
--- a/libplantainusher/placement/planner_explain.c
+++ b/libplantainusher/placement/planner_explain.c
@@ -32,6 +32,27 @@
   return "?";
 }
 
+const char *
+pu_standing_name (pu_standing_t s)
+{
+  switch (s)
+    {
+    case PU_STANDING_READY:
+      return "ready";
+    case PU_STANDING_LOADING:
+      return "loading";
+    case PU_STANDING_WAIT_STORE:
+      return "waits for the store";
+    case PU_STANDING_WAIT_BASE:
+      return "waits for its base model";
+    case PU_STANDING_WAIT_RETRY:
+      return "waits for another try";
+    case PU_STANDING_UNDECLARED:
+      return "not declared";
+    }
+  return "?";
+}
+
 static const char *
 phase_name (pu_plan_phase_t phase)
 {
@@ -82,19 +103,21 @@
 }
 
 static void
-explain_state (const pu_planned_item_t *t, GString *out)
+explain_state (const pu_planner_t *p, guint32 item, guint64 now, GString *out)
 {
+  const pu_planned_item_t *t = pu_planned_item (p, item);
+  pu_standing_t standing = pu_planner_standing (p, item, now);
   const pu_forecast_t *f = &t->forecast;
 
-  g_string_append_printf (out, "%s: %u ready, %u coming, %u..%u declared",
-                          t->i.name, t->ready, t->coming, t->i.min_copies,
-                          t->i.max_copies);
+  g_string_append_printf (out, "%s: %s; %u ready, %u coming, %u..%u declared",
+                          t->i.name, pu_standing_name (standing), t->ready,
+                          t->coming, t->i.min_copies, t->i.max_copies);
   g_string_append_printf (
       out, "; expects %.1f streams (now %.1f, usual %.1f%s)", f->expected,
       f->fast, f->slow, f->burst ? ", burst" : "");
   if (t->rolled_back)
-    g_string_append_printf (out, "; version %u failed %u times: rolled back",
-                            t->i.version, t->failures);
+    g_string_append_printf (out, "; version %u failed: rolled back to %u",
+                            t->i.version, t->i.previous_version);
   else if (t->failures > 0)
     g_string_append_printf (out, "; %u loads failed", t->failures);
   if (t->no_room)
@@ -111,7 +134,7 @@
       g_string_append_printf (out, "%s: not declared\n", item_name (p, item));
       return;
     }
-  explain_state (pu_planned_item (p, item), out);
+  explain_state (p, item, now, out);
   for (guint32 i = 0; i < p->engines->len; i++)
     {
       const pu_planned_engine_t *e = pu_planned_engine (p, i);
--- a/libplantainusher/placement/planner_internal.h
+++ b/libplantainusher/placement/planner_internal.h
@@ -22,6 +22,13 @@
   double share; /* streams of its item's demand that come to it */
 } pu_planned_copy_t;
 
+/* No load of ITEM on an engine before UNTIL.  */
+typedef struct
+{
+  guint32 item;
+  guint64 until;
+} pu_block_t;
+
 typedef struct
 {
   bool known;
@@ -33,6 +40,7 @@
   guint32 committed_mb;
   double streams;
   GArray *copies; /* of pu_planned_copy_t */
+  GArray *blocks; /* of pu_block_t; those that are over are dropped */
   double load;    /* streams expected on it */
   double weight;  /* the same, times importance */
   bool promised;  /* room is being made for `promise` */
@@ -76,6 +84,7 @@
   double *other;  /* scratch by place: load without the item */
   double *filled; /* scratch by place: the item's share */
   guint n_mark;
+  guint n_places; /* of other and filled */
   guint32 stamp;
   guint *zone_copies; /* scratch by zone */
   guint n_zones;
@@ -110,7 +119,7 @@
 guint32 pu_planned_version (const pu_planned_item_t *t);
 
 /* pu_planner_index - rebuilds places, counts and scratch.  */
-void pu_planner_index (pu_planner_t *p);
+void pu_planner_index (pu_planner_t *p, guint64 now);
 
 /* pu_planner_spread - spreads the expected demand of each item over its
    copies, the less used engines first.  */
@@ -154,8 +163,7 @@
 
 /* pu_planner_can_hold - whether ENGINE may take VERSION of ITEM, memory
    aside.  pu_planner_mark_item must have been called for the item.  */
-bool pu_planner_can_hold (const pu_planner_t *p, guint32 engine,
-                          const pu_planned_item_t *t);
+bool pu_planner_can_hold (const pu_planner_t *p, guint32 engine, guint32 item);
 void pu_planner_mark_item (pu_planner_t *p, guint32 item, guint32 version);
 
 /* pu_planner_bundle - fills SLOTS with what goes with the copy in SLOT of
--- a/libplantainusher/placement/planner_load.c
+++ b/libplantainusher/placement/planner_load.c
@@ -16,16 +16,25 @@
   return t->rolled_back ? t->i.previous_version : t->i.version;
 }
 
+/* Room for N places: an engine may hold two versions of an item.  */
 static void
-resize_scratch (pu_planner_t *p)
+reserve_places (pu_planner_t *p, guint n)
+{
+  if (n <= p->n_places)
+    return;
+  p->n_places = 2 * n;
+  p->other = g_renew (double, p->other, p->n_places);
+  p->filled = g_renew (double, p->filled, p->n_places);
+}
+
+static void
+resize_mark (pu_planner_t *p)
 {
   guint n = p->engines->len + 1;
 
   if (n <= p->n_mark)
     return;
   p->mark = g_renew (guint32, p->mark, n);
-  p->other = g_renew (double, p->other, n);
-  p->filled = g_renew (double, p->filled, n);
   memset (p->mark, 0, n * sizeof *p->mark);
   p->n_mark = n;
 }
@@ -74,13 +83,24 @@
     }
 }
 
+static void
+drop_blocks (pu_planned_engine_t *e, guint64 now)
+{
+  for (guint i = e->blocks->len; i-- > 0;)
+    {
+      if (now >= g_array_index (e->blocks, pu_block_t, i).until)
+        g_array_remove_index_fast (e->blocks, i);
+    }
+}
+
 void
-pu_planner_index (pu_planner_t *p)
+pu_planner_index (pu_planner_t *p, guint64 now)
 {
-  resize_scratch (p);
+  resize_mark (p);
   clear_counts (p);
   for (guint i = 0; i < p->engines->len; i++)
     {
+      drop_blocks (pu_planned_engine (p, i), now);
       if (pu_planned_engine (p, i)->usable)
         index_engine (p, i);
     }
@@ -137,6 +157,7 @@
   double capacity[t->places->len + 1];
   guint n = 0;
 
+  reserve_places (p, t->places->len + 1);
   for (guint i = 0; i < t->places->len; i++)
     {
       pu_place_t at = pu_item_place (t, i);
@@ -234,6 +255,7 @@
   double after = 0;
   guint n = 0;
 
+  reserve_places (p, n_max);
   for (guint i = 0; i <= t->places->len; i++)
     {
       guint32 engine
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -10,8 +10,10 @@
 #define DEFAULT_MAX_FAILURES 3
 #define DEFAULT_MAX_COMING 3
 #define DEFAULT_HOT 0.6
+#define MS_PER_S 1000
 #define LEAST_STREAMS 0.001
 #define FAILURE_WAIT_MS 5000
+#define FAILURE_DOUBLINGS 8
 #define FAILURE_WAIT_MAX_MS 300000
 
 void
@@ -33,7 +35,10 @@
 static void
 clear_engine (gpointer data)
 {
-  g_array_unref (((pu_planned_engine_t *)data)->copies);
+  pu_planned_engine_t *e = data;
+
+  g_array_unref (e->copies);
+  g_array_unref (e->blocks);
 }
 
 static void
@@ -56,6 +61,8 @@
   p->items = g_array_new (FALSE, TRUE, sizeof (pu_planned_item_t));
   g_array_set_clear_func (p->engines, clear_engine);
   g_array_set_clear_func (p->items, clear_item);
+  p->n_zones = 1;
+  p->zone_copies = g_new0 (guint, p->n_zones);
   return p;
 }
 
@@ -80,12 +87,13 @@
 
   q->last_advance = p->last_advance;
   q->n_zones = p->n_zones;
-  q->zone_copies = g_new0 (guint, p->n_zones);
+  q->zone_copies = g_renew (guint, q->zone_copies, p->n_zones);
   for (guint i = 0; i < p->engines->len; i++)
     {
       pu_planned_engine_t e = *pu_planned_engine (p, i);
 
       e.copies = g_array_copy (e.copies);
+      e.blocks = g_array_copy (e.blocks);
       g_array_append_val (q->engines, e);
     }
   for (guint i = 0; i < p->items->len; i++)
@@ -108,6 +116,7 @@
       pu_planned_engine_t e = { 0 };
 
       e.copies = g_array_new (FALSE, FALSE, sizeof (pu_planned_copy_t));
+      e.blocks = g_array_new (FALSE, FALSE, sizeof (pu_block_t));
       e.streams = LEAST_STREAMS;
       g_array_append_val (p->engines, e);
     }
@@ -175,6 +184,24 @@
   return copies;
 }
 
+/* A declared version that has stayed ready is no longer held to have failed.
+ */
+static void
+forgive (const pu_planner_t *p, const pu_planned_engine_t *e, guint64 now)
+{
+  guint64 watch = (guint64)(p->o.watch_s * MS_PER_S);
+
+  for (guint s = 0; s < e->copies->len; s++)
+    {
+      const pu_planned_copy_t *c = pu_planned_copy (e, s);
+      pu_planned_item_t *t = pu_planned_item (p, c->c.item);
+
+      if (c->c.version == pu_planned_version (t) && c->c.phase == PU_PLAN_READY
+          && now >= c->since + watch)
+        t->failures = 0;
+    }
+}
+
 /* A promise is kept when its copy has come, and dropped with its engine.  */
 static void
 check_promise (pu_planned_engine_t *e)
@@ -217,6 +244,7 @@
   e->committed_mb = from->committed_mb;
   e->streams = fmax (from->streams, LEAST_STREAMS);
   check_promise (e);
+  forgive (p, e, now);
 }
 
 static void
@@ -233,6 +261,15 @@
     }
 }
 
+/* The version to fall back to: as declared, else the one before in T.  */
+static guint32
+previous_of (const pu_planned_item_t *t, const pu_plan_item_t *i)
+{
+  if (i->previous_version != PU_PLAN_NONE || !t->declared)
+    return i->previous_version;
+  return t->i.version != i->version ? t->i.version : t->i.previous_version;
+}
+
 void
 pu_planner_set_item (pu_planner_t *p, guint32 item, const pu_plan_item_t *i)
 {
@@ -252,6 +289,7 @@
   else
     {
       char *name = g_strdup (i->name);
+      guint32 previous = previous_of (t, i);
 
       if (t->declared && t->i.version != i->version)
         {
@@ -262,6 +300,7 @@
       g_free ((char *)t->i.name);
       t->i = *i;
       t->i.name = name;
+      t->i.previous_version = previous;
       t->declared = true;
       t->not_before = 0;
     }
@@ -277,22 +316,48 @@
   pu_forecast_add (&pu_planned_item (p, item)->forecast, requests, stream_ms);
 }
 
-static bool
-has_other_version (const pu_planner_t *p, const pu_planned_item_t *t,
-                   guint32 *version)
+/* The version of a ready copy of ITEM that is not the declared one, or
+   PU_PLAN_NONE.  */
+static guint32
+other_version (const pu_planner_t *p, guint32 item)
 {
-  for (guint i = 0; i < t->places->len; i++)
+  guint32 declared = pu_planned_item (p, item)->i.version;
+
+  for (guint i = 0; i < p->engines->len; i++)
     {
-      pu_place_t at = pu_item_place (t, i);
-      const pu_planned_copy_t *c
-          = pu_planned_copy (pu_planned_engine (p, at.engine), at.slot);
-
-      if (c->c.version == t->i.version || c->c.phase == PU_PLAN_LEAVING)
-        continue;
-      *version = c->c.version;
-      return true;
+      const pu_planned_engine_t *e = pu_planned_engine (p, i);
+
+      for (guint s = 0; e->usable && s < e->copies->len; s++)
+        {
+          const pu_plan_copy_t *c = &pu_planned_copy (e, s)->c;
+
+          if (c->item == item && c->version != declared
+              && c->phase == PU_PLAN_READY)
+            return c->version;
+        }
     }
-  return false;
+  return PU_PLAN_NONE;
+}
+
+void
+pu_planner_block (pu_planner_t *p, guint32 engine, guint32 item, guint64 until)
+{
+  pu_block_t b = { item, until };
+  GArray *blocks;
+
+  grow_engines (p, engine);
+  blocks = pu_planned_engine (p, engine)->blocks;
+  for (guint i = 0; i < blocks->len; i++)
+    {
+      pu_block_t *o = &g_array_index (blocks, pu_block_t, i);
+
+      if (o->item == item)
+        {
+          o->until = until;
+          return;
+        }
+    }
+  g_array_append_val (blocks, b);
 }
 
 void
@@ -304,21 +369,26 @@
   guint32 older;
 
   grow_items (p, item);
-  (void)engine;
   t = pu_planned_item (p, item);
+  wait = (guint64)FAILURE_WAIT_MS << MIN (t->failures, FAILURE_DOUBLINGS);
+  wait = MIN (wait, FAILURE_WAIT_MAX_MS);
   t->failures++;
-  wait = (guint64)FAILURE_WAIT_MS << MIN (t->failures - 1, 8);
-  t->not_before = now + MIN (wait, FAILURE_WAIT_MAX_MS);
-  if (version != t->i.version || t->failures < p->o.max_failures)
+  pu_planner_block (p, engine, item, now + wait);
+  if (t->failures < p->o.max_failures)
     return;
 
-  pu_planner_index (p);
-  if (has_other_version (p, t, &older))
+  t->not_before = now + wait;
+  older = other_version (p, item);
+  if (older != PU_PLAN_NONE)
     t->i.previous_version = older;
-  t->rolled_back = t->i.previous_version != PU_PLAN_NONE
-                   && t->i.previous_version != t->i.version;
-  if (t->rolled_back)
-    t->not_before = now;
+  if (version != pu_planned_version (t)
+      || t->i.previous_version == PU_PLAN_NONE
+      || t->i.previous_version == t->i.version)
+    return;
+  /* Should the version before fail as well, the declared one has its turn
+     again.  */
+  t->rolled_back = !t->rolled_back;
+  t->failures = 0;
 }
 
 guint
@@ -340,6 +410,47 @@
   return n;
 }
 
+pu_standing_t
+pu_planner_standing (const pu_planner_t *p, guint32 item, guint64 now)
+{
+  const pu_planned_item_t *t;
+
+  if (item >= p->items->len || !pu_planned_item (p, item)->declared)
+    return PU_STANDING_UNDECLARED;
+  t = pu_planned_item (p, item);
+  if (t->ready > 0)
+    return PU_STANDING_READY;
+  if (t->coming > 0)
+    return PU_STANDING_LOADING;
+  if (t->i.base != PU_PLAN_NONE && pu_planned_item (p, t->i.base)->ready == 0)
+    return PU_STANDING_WAIT_BASE;
+  if (now < t->not_before)
+    return PU_STANDING_WAIT_RETRY;
+  return PU_STANDING_WAIT_STORE;
+}
+
+/* Whether a copy is ready there, or was when its unload was planned.  */
+static bool
+may_be_ready_on (const pu_planned_engine_t *e, guint32 item, guint32 version)
+{
+  pu_plan_copy_t wanted = { item, version, 0, PU_PLAN_READY };
+  const pu_planned_copy_t *c = find_copy (e->copies, &wanted);
+
+  return c != NULL && c->c.phase >= PU_PLAN_READY;
+}
+
+bool
+pu_planner_wants (const pu_planner_t *p, guint32 item, guint32 version)
+{
+  const pu_planned_item_t *t;
+
+  if (item >= p->items->len)
+    return false;
+  t = pu_planned_item (p, item);
+  return t->declared && pu_planned_version (t) == version
+         && pu_planner_ready (p, item) == 0;
+}
+
 bool
 pu_planner_may_unload (const pu_planner_t *p, guint32 engine, guint32 item,
                        guint32 version)
@@ -348,6 +459,9 @@
     return true;
   if ((p->o.test_breaks & PU_PLANNER_BREAK_LAST_COPY) != 0)
     return true;
+  if (engine >= p->engines->len
+      || !may_be_ready_on (pu_planned_engine (p, engine), item, version))
+    return true;
   for (guint i = 0; i < p->engines->len; i++)
     {
       const pu_planned_engine_t *e = pu_planned_engine (p, i);
