--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -253,7 +253,8 @@
   if (at->streaming)
     at->stream
         = pu_stream_new (&x->sent, resume_confirmed (x, r), on_event, x);
-  if (!at->streaming && x->ticket != 0 && r->status < STATUS_CLIENT_ERROR)
+  if (!at->streaming && !at->foreign && x->ticket != 0
+      && r->status < STATUS_CLIENT_ERROR)
     pu_router_first_token (x->en->router, x->ticket, now_of (x));
 }
 
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -170,6 +170,7 @@
   guint64 now = uv_now (t->loop);
 
   pu_servers_tick (en, now);
+  pu_strikes_tick (en, now);
   pu_once_tick (en->once, now);
   pu_claim_pump (en);
   pu_exchanges_tick (en, now);
@@ -230,6 +231,8 @@
                                          pu_reporter_free);
   en->struck
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  en->strikes = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                       pu_strike_free);
   en->rates = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   en->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   en->claims = g_hash_table_new (NULL, NULL);
@@ -288,6 +291,7 @@
   pu_document_unref (en->document);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
+  g_hash_table_destroy (en->strikes);
   g_hash_table_destroy (en->struck);
   g_hash_table_destroy (en->rates);
   g_hash_table_destroy (en->counts);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -19,6 +19,20 @@
 
 typedef struct pu_exchange pu_exchange_t;
 
+/* A strike on its way into the log: its request must not run before the log
+   has said whether it is convicted.  */
+typedef struct
+{
+  pu_entry_t *en;
+  guint64 fingerprint;
+  char *model;
+  char *backend;
+  guint64 incarnation;
+  guint64 position; /* of the log, once it is in; 0: not yet */
+  guint64 due;      /* loop time to propose it again; 0: it is proposed */
+  guint64 until;    /* loop time when it is given up */
+} pu_strike_t;
+
 /* An attempt that broke at a backend server that still listened after.  */
 typedef struct
 {
@@ -93,8 +107,8 @@
   pu_stream_t *stream;
   bool foreign;                /* another request's answer */
   bool overflow;               /* the whole answer is too large */
-  bool done;     /* the stream\'s end mark came */
-  bool broken;   /* the stream can\'t go on */
+  bool done;                   /* the stream\'s end mark came */
+  bool broken;                 /* the stream can\'t go on */
   pu_router_failure_t failure; /* why it is held */
 } pu_attempt_t;
 
@@ -131,7 +145,8 @@
   pu_ticket_t ticket;
   pu_once_handle_t claim;
   guint attempts;
-  GPtrArray *avoid; /* names of entries that failed */
+  bool offered_anew; /* to the router, after it had tried every copy */
+  GPtrArray *avoid;  /* names of entries that failed */
   pu_attempt_t at;
   pu_sent_t sent; /* what the caller has got of a stream */
   guint resumed;  /* tokens that the other entry's caller had before */
@@ -159,6 +174,7 @@
   guint64 changes;       /* of the view, as taken in */
   GHashTable *servers;   /* name -> pu_server_t */
   GHashTable *reporters; /* name -> pu_reporter_t */
+  GHashTable *strikes;   /* &fingerprint -> pu_strike_t */
   GHashTable *struck;    /* set of &fingerprint, as in the view */
   GHashTable *rates;     /* service -> double: requests a second */
   GHashTable *counts;    /* service -> guint in this second */
@@ -280,6 +296,20 @@
 /* pu_server_apart - one more (or less) suspect runs at S.  */
 void pu_server_apart (pu_entry_t *en, pu_server_t *s, bool begins);
 
+/* --- strikes.c: strikes against requests --- */
+
+/* pu_strike_begin - FINGERPRINT ran at INCARNATION of S when it died.  */
+void pu_strike_begin (pu_entry_t *en, const pu_server_t *s,
+                      guint64 incarnation, guint64 fingerprint);
+
+/* pu_strike_pending - whether the log has yet to say what a strike against
+   FINGERPRINT leads to.  */
+bool pu_strike_pending (const pu_entry_t *en, guint64 fingerprint);
+
+/* pu_strikes_tick - ends those that the view has, proposes others again.  */
+void pu_strikes_tick (pu_entry_t *en, guint64 now);
+void pu_strike_free (gpointer strike);
+
 /* --- view.c --- */
 
 void pu_view_sync (pu_entry_t *en);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -172,7 +172,7 @@
 static pu_outcome_word_t
 outcome_over_all (const pu_exchange_t *x, pu_outcome_word_t o)
 {
-  if (o == PU_NOT_RUN && x->sent.tokens > 0)
+  if (x->sent.tokens > 0)
     return PU_RAN;
   if (o == PU_NOT_RUN && x->may_have_run)
     return PU_UNKNOWN;
@@ -331,6 +331,8 @@
 {
   if (x->plain)
     return PU_SUSPECTS_RUN;
+  if (pu_strike_pending (x->en, x->fingerprint))
+    return PU_SUSPECTS_WAIT;
   return pu_suspects_judge (x->en->suspects, x->fingerprint,
                             uv_now (x->en->o.loop));
 }
@@ -360,10 +362,11 @@
     away = suspect_hop (x, &to);
   else
     away = next_hop (x, x->service, pu_service_size (x->en, x->service), &to);
-  if (away && pu_attempt_relay (x, &to))
-    return;
-  if (verdict == PU_SUSPECTS_WAIT)
+  if (verdict == PU_SUSPECTS_WAIT
+      && (!away || pu_strike_pending (x->en, x->fingerprint)))
     x->phase = PU_X_WAITING;
+  else if (away && pu_attempt_relay (x, &to))
+    return;
   else
     pu_exchange_offer (x);
 }
@@ -497,6 +500,16 @@
         pu_exchange_route (x);
       return;
     }
+  /* The same copies once more: one that was cut may go on.  */
+  if (d.verdict == PU_ROUTER_REFUSE && d.reason == PU_ROUTER_REASON_ATTEMPTS
+      && x->repeatable && !x->offered_anew
+      && failure != PU_ROUTER_FAIL_NOT_RUN)
+    {
+      x->offered_anew = true;
+      ticket_set (x, 0);
+      pu_exchange_route (x);
+      return;
+    }
   pu_exchange_decide (x, &d);
 }
 
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -52,47 +52,6 @@
 
 /* --- strikes --- */
 
-static void
-ignore_reply (void *data, const pu_reply *r, const pu_error_t *e)
-{
-  (void)data;
-  (void)r;
-  (void)e;
-}
-
-static const char *
-model_of (const pu_entry_t *en, guint64 fingerprint)
-{
-  for (GList *l = en->open.head; l != NULL; l = l->next)
-    {
-      const pu_exchange_t *x = l->data;
-
-      if (x->fingerprint == fingerprint)
-        return x->model;
-    }
-  return "";
-}
-
-static void
-strike_propose (pu_entry_t *en, const pu_server_t *s, guint64 incarnation,
-                guint64 fingerprint)
-{
-  pu_command c = { .type = PU_COMMAND_STRIKE };
-  pu_strike *strike = &c.pu_command_u.strike;
-
-  strike->fingerprint = fingerprint;
-  strike->model = (char *)model_of (en, fingerprint);
-  strike->backend = s->name;
-  strike->incarnation = incarnation;
-  strike->wall = (guint64)(g_get_real_time () / G_TIME_SPAN_MILLISECOND);
-  en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, ignore_reply,
-                       NULL);
-  pu_log_note (PU_ENTRY_PART,
-               "Request %016" G_GINT64_MODIFIER
-               "x ran at %s when it died: a strike.",
-               fingerprint, s->name);
-}
-
 /* INCARNATION of S is dead: what ran there gets a strike.  */
 static void
 incarnation_died (pu_server_t *s, guint64 incarnation)
@@ -107,7 +66,7 @@
       const pu_suspects_strike_t *one
           = &g_array_index (strikes, pu_suspects_strike_t, i);
 
-      strike_propose (en, s, one->incarnation, one->fingerprint);
+      pu_strike_begin (en, s, one->incarnation, one->fingerprint);
     }
   g_array_free (strikes, TRUE);
 }
@@ -317,6 +276,14 @@
   g_ptr_array_free (held, TRUE);
 }
 
+static void
+ignore_reply (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  (void)data;
+  (void)r;
+  (void)e;
+}
+
 static void
 down_propose (pu_server_t *s)
 {
--- /dev/null
+++ b/libplantainusher/entry/strikes.c
@@ -0,0 +1,126 @@
+#include "entry/entry_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+enum
+{
+  AGAIN_MS = 500, /* pause before a strike is proposed again */
+  GIVE_UP_MS = 30000,
+};
+
+void
+pu_strike_free (gpointer strike)
+{
+  pu_strike_t *k = strike;
+
+  g_free (k->model);
+  g_free (k->backend);
+  g_free (k);
+}
+
+bool
+pu_strike_pending (const pu_entry_t *en, guint64 fingerprint)
+{
+  return g_hash_table_contains (en->strikes, &fingerprint);
+}
+
+static const char *
+model_of (const pu_entry_t *en, guint64 fingerprint)
+{
+  for (GList *l = en->open.head; l != NULL; l = l->next)
+    {
+      const pu_exchange_t *x = l->data;
+
+      if (x->fingerprint == fingerprint)
+        return x->model;
+    }
+  return "";
+}
+
+typedef struct
+{
+  pu_entry_t *en;
+  guint64 fingerprint;
+} asked_t;
+
+static void
+on_answer (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  asked_t *asked = data;
+  pu_entry_t *en = asked->en;
+  pu_strike_t *k = g_hash_table_lookup (en->strikes, &asked->fingerprint);
+  guint64 now = uv_now (en->o.loop);
+
+  (void)e;
+  en->pending--;
+  g_free (asked);
+  if (k != NULL && r != NULL)
+    k->position = MAX (r->position, 1);
+  else if (k != NULL)
+    k->due = now + AGAIN_MS;
+  if (!en->freed)
+    pu_strikes_tick (en, now);
+  pu_entry_check (en);
+}
+
+static void
+strike_propose (pu_strike_t *k)
+{
+  pu_entry_t *en = k->en;
+  pu_command c = { .type = PU_COMMAND_STRIKE };
+  pu_strike *strike = &c.pu_command_u.strike;
+  asked_t *asked = g_new0 (asked_t, 1);
+
+  asked->en = en;
+  asked->fingerprint = k->fingerprint;
+  en->pending++;
+  k->due = 0;
+  strike->fingerprint = k->fingerprint;
+  strike->model = k->model;
+  strike->backend = k->backend;
+  strike->incarnation = k->incarnation;
+  strike->wall = (guint64)(g_get_real_time () / G_TIME_SPAN_MILLISECOND);
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, on_answer,
+                       asked);
+}
+
+void
+pu_strike_begin (pu_entry_t *en, const pu_server_t *s, guint64 incarnation,
+                 guint64 fingerprint)
+{
+  pu_strike_t *k = g_new0 (pu_strike_t, 1);
+
+  pu_log_note (PU_ENTRY_PART,
+               "Request %016" G_GINT64_MODIFIER
+               "x ran at %s when it died: a strike.",
+               fingerprint, s->name);
+  k->en = en;
+  k->fingerprint = fingerprint;
+  k->model = g_strdup (model_of (en, fingerprint));
+  k->backend = g_strdup (s->name);
+  k->incarnation = incarnation;
+  k->until = uv_now (en->o.loop) + GIVE_UP_MS;
+  g_hash_table_replace (en->strikes, &k->fingerprint, k);
+  strike_propose (k);
+}
+
+void
+pu_strikes_tick (pu_entry_t *en, guint64 now)
+{
+  guint64 position = pu_state_position (en->o.hooks.view (en->o.hooks.data));
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, en->strikes);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      pu_strike_t *k = value;
+
+      if ((k->position != 0 && k->position <= position) || k->until <= now)
+        g_hash_table_iter_remove (&it);
+      else if (k->due != 0 && k->due <= now)
+        strike_propose (k);
+    }
+}
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -144,15 +144,18 @@
   pu_document_t *d
       = pu_document_parse (record->text, strlen (record->text), f);
 
-  pu_findings_free (f);
   if (d == NULL)
     {
+      const pu_finding_t *first = pu_findings_get (f, 0);
+
       pu_log_warn (PU_ENTRY_PART,
                    "Document %" G_GUINT64_FORMAT
-                   " can't be read; the one before stays in force.",
-                   (guint64)record->doc_version);
+                   " can't be read, the one before stays in force: '%s' %s",
+                   (guint64)record->doc_version, first->path, first->message);
+      pu_findings_free (f);
       return;
     }
+  pu_findings_free (f);
   en->document = d;
   en->document_version = record->doc_version;
   if (old != NULL)
@@ -185,6 +188,7 @@
     document_sync (en, record);
   members_sync (en, view);
   suspects_sync (en, view);
+  pu_strikes_tick (en, uv_now (en->o.loop));
   pu_servers_sync (en);
   pu_router_due (en);
 }
