Router: a service at its limit holds nobody else's requests

Cause: an offer queued behind anything that waited for its model, also behind a service at its limit, while an idle copy stood by. Found by a longer fuzz run (20,000 generated histories, the 2,275th), with its nine steps kept as a test, which fails on the code before. Change: an offer queues only behind a backend server not yet looked at since its last change; what waits after that can't start there.

--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -324,9 +324,8 @@
     return false;
   if (!choose_copy (r, q, now, c))
     return false;
-  /* What waits for that copy's backend server goes first.  */
-  if (model_at (r, q->model)->waiting > 0)
-    return false;
+  /* What waits and could start there goes first; after a pu_router_next
+     nothing is left that could, whatever else waits for the model.  */
   return !backend_at (r, c->backend)->dirty
          || g_sequence_is_empty (r->expiries);
 }
--- a/libplantainusher/routing/router_fuzz_test.cc
+++ b/libplantainusher/routing/router_fuzz_test.cc
@@ -482,6 +482,23 @@
         << "seed " << seed;
 }
 
+/* Found by the fuzz: a service at its limit had a request waiting, and others
+   were queued behind it beside an idle copy.  */
+TEST (RouterFuzz, FoundServiceAtItsLimitHoldsNobodyElse)
+{
+  EXPECT_EQ (run ({ { 2464, 1, 16, 0 },
+                    { 340, 0, 100, 0 },
+                    { 0, 0, 1, 0 },
+                    { 0, 0, 575, 0 },
+                    { 0, 0, 1700, 0 },
+                    { 0, 0, 370, 1224 },
+                    { 2686, 641, 196, 0 },
+                    { 592, 2, 2704, 0 },
+                    { 0, 1, 101, 0 } },
+                  PU_ROUTER_BREAK_NONE),
+             "");
+}
+
 class RouterBreak : public testing::TestWithParam<
                         std::pair<pu_router_break_t, const char *> >
 {
