--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -221,13 +221,18 @@
 void
 pu_loads_flush (pu_entry_t *en)
 {
-  GHashTable *batches
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, batch_free);
+  GHashTable *batches;
   GHashTableIter it;
   gpointer address;
   gpointer batch;
 
-  for (guint i = 0; en->o.hooks.loads != NULL && i < en->loads->len; i++)
+  if (en->o.hooks.loads == NULL)
+    {
+      g_array_set_size (en->loads, 0);
+      return;
+    }
+  batches = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, batch_free);
+  for (guint i = 0; i < en->loads->len; i++)
     load_spread (en, &g_array_index (en->loads, pu_entry_load_t, i), batches);
   g_hash_table_iter_init (&it, batches);
   while (g_hash_table_iter_next (&it, &address, &batch))
@@ -326,10 +331,12 @@
 
   en->bad_announcements++;
   if (pu_log_limited (&en->bad_logged, now_of (en), LOG_PERIOD_MS))
-    pu_log_warn (PU_ENTRY_PART,
-                 "%" G_GUINT64_FORMAT " bad reports so far; this one: '%s' "
-                 "%s",
-                 en->bad_announcements, first->path, first->message);
+    {
+      pu_log_warn (PU_ENTRY_PART,
+                   "%" G_GUINT64_FORMAT " bad reports so far; this one: '%s' "
+                   "%s",
+                   en->bad_announcements, first->path, first->message);
+    }
   pu_answer_json (http, 400,
                   json_pack ("{s:s, s:s, s:o}", "error", "invalid", "message",
                              "The report breaks a rule.", "findings",
@@ -384,10 +391,14 @@
       return;
     }
   if (!pu_announcement_read (&a, root, base, f))
-    bad_report (en, http, f);
+    {
+      bad_report (en, http, f);
+    }
   else if (p != NULL && p->record->incarnation == incarnation
            && a.seq <= p->seq)
-    report_answer (en, http, p->seq, false);
+    {
+      report_answer (en, http, p->seq, false);
+    }
   else
     {
       report_take (en, &a);
@@ -426,13 +437,19 @@
   f = pu_findings_new ();
   root = pu_json_load_document (body, len, en->o.announcement_max, f);
   if (root == NULL || !pu_announcement_name (root, &name, &incarnation, f))
-    bad_report (en, http, f);
+    {
+      bad_report (en, http, f);
+    }
   else if (incarnation < known_incarnation (en, name))
-    pu_answer_json (http, 409,
-                    json_pack ("{s:s, s:s}", "error", "conflict", "message",
-                               "A newer incarnation is known."));
+    {
+      pu_answer_json (http, 409,
+                      json_pack ("{s:s, s:s}", "error", "conflict", "message",
+                                 "A newer incarnation is known."));
+    }
   else
-    report_read (en, http, root, name, incarnation, f);
+    {
+      report_read (en, http, root, name, incarnation, f);
+    }
   json_decref (root);
   pu_findings_free (f);
 }
--- a/libplantainusher/entry/announcement.c
+++ b/libplantainusher/entry/announcement.c
@@ -42,9 +42,13 @@
     return;
   if (!json_is_integer (v) || json_integer_value (v) < 0
       || (guint64)json_integer_value (v) > max)
-    finding (f, path, name, "is not a whole number in range.");
+    {
+      finding (f, path, name, "is not a whole number in range.");
+    }
   else
-    *value = (guint64)json_integer_value (v);
+    {
+      *value = (guint64)json_integer_value (v);
+    }
 }
 
 static void
@@ -65,9 +69,13 @@
   if (v == NULL)
     return;
   if (!json_is_boolean (v))
-    finding (f, "", name, "is not true or false.");
+    {
+      finding (f, "", name, "is not true or false.");
+    }
   else
-    *value = json_is_true (v);
+    {
+      *value = json_is_true (v);
+    }
 }
 
 static void
@@ -101,11 +109,17 @@
   if (v == NULL)
     return;
   if (g_strcmp0 (s, "engine") == 0)
-    b->kind = PU_BACKEND_ENGINE;
+    {
+      b->kind = PU_BACKEND_ENGINE;
+    }
   else if (g_strcmp0 (s, "plain") == 0)
-    b->kind = PU_BACKEND_PLAIN;
+    {
+      b->kind = PU_BACKEND_PLAIN;
+    }
   else
-    finding (f, "", "kind", "is not \"engine\" or \"plain\".");
+    {
+      finding (f, "", "kind", "is not \"engine\" or \"plain\".");
+    }
 }
 
 static void
@@ -230,8 +244,10 @@
     finding (f, "", "service", "is missing for a plain service.");
   if (b->kind == PU_BACKEND_ENGINE
       && (b->accelerators == 0 || b->memory_mb == 0))
-    finding (f, "", "accelerators",
-             "and memory_mb of an engine must be above 0.");
+    {
+      finding (f, "", "accelerators",
+               "and memory_mb of an engine must be above 0.");
+    }
 }
 
 /* --- load and cache events --- */
@@ -255,9 +271,13 @@
   read_uint (o, "/load", "kv_used_mb", &a->load.kv_used_mb, f);
   if (tokens != NULL
       && (!json_is_number (tokens) || json_number_value (tokens) < 0))
-    finding (f, "/load", "tokens_per_s", "is not a number of 0 or more.");
+    {
+      finding (f, "/load", "tokens_per_s", "is not a number of 0 or more.");
+    }
   else
-    a->load.tokens_per_s = json_number_value (tokens);
+    {
+      a->load.tokens_per_s = json_number_value (tokens);
+    }
 }
 
 static GArray *
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -78,9 +78,13 @@
   if (tokens == 0 || x->ticket == 0)
     return;
   if (total == 1)
-    pu_router_first_token (x->en->router, x->ticket, now_of (x));
+    {
+      pu_router_first_token (x->en->router, x->ticket, now_of (x));
+    }
   else
-    pu_router_tokens (x->en->router, x->ticket, total, now_of (x));
+    {
+      pu_router_tokens (x->en->router, x->ticket, total, now_of (x));
+    }
 }
 
 static void
@@ -113,14 +117,20 @@
   if (at->content_type != NULL)
     headers[n++] = (pu_http_header_t){ "content-type", at->content_type };
   if (at->outcome != NULL)
-    headers[n++] = (pu_http_header_t){ "x-outcome", at->outcome };
+    {
+      headers[n++] = (pu_http_header_t){ "x-outcome", at->outcome };
+    }
   else if (at->status >= STATUS_CLIENT_ERROR)
-    headers[n++] = (pu_http_header_t){ "x-outcome", "ran" };
+    {
+      headers[n++] = (pu_http_header_t){ "x-outcome", "ran" };
+    }
   if (at->retry_after != NULL)
     headers[n++] = (pu_http_header_t){ "retry-after", at->retry_after };
   if (x->http != NULL)
-    pu_http_respond (x->http, at->status, headers, n,
-                     (const char *)at->whole->data, at->whole->len);
+    {
+      pu_http_respond (x->http, at->status, headers, n,
+                       (const char *)at->whole->data, at->whole->len);
+    }
   x->http = NULL;
 }
 
@@ -175,9 +185,13 @@
       return;
     }
   if (x->at.streaming && x->http != NULL)
-    pu_http_respond_finish (x->http);
+    {
+      pu_http_respond_finish (x->http);
+    }
   else if (!x->at.streaming)
-    whole_send (x);
+    {
+      whole_send (x);
+    }
   x->http = NULL;
   pu_exchange_done (x);
 }
@@ -191,9 +205,13 @@
   x->at.failure = failure;
   x->may_have_run = true;
   if (x->at.server != NULL)
-    pu_server_hold (x->at.server, x);
+    {
+      pu_server_hold (x->at.server, x);
+    }
   else
-    pu_exchange_again (x, failure);
+    {
+      pu_exchange_again (x, failure);
+    }
 }
 
 static char *
@@ -251,8 +269,10 @@
                   && is_event_stream (at->content_type);
   at->whole = g_byte_array_new ();
   if (at->streaming)
-    at->stream
-        = pu_stream_new (&x->sent, resume_confirmed (x, r), on_event, x);
+    {
+      at->stream
+          = pu_stream_new (&x->sent, resume_confirmed (x, r), on_event, x);
+    }
   if (!at->streaming && !at->foreign && x->ticket != 0
       && r->status < STATUS_CLIENT_ERROR)
     pu_router_first_token (x->en->router, x->ticket, now_of (x));
@@ -264,9 +284,13 @@
   pu_attempt_t *at = &x->at;
 
   if (at->whole->len + len > x->en->o.body_max)
-    at->overflow = true;
+    {
+      at->overflow = true;
+    }
   else
-    g_byte_array_append (at->whole, (const guint8 *)bytes, (guint)len);
+    {
+      g_byte_array_append (at->whole, (const guint8 *)bytes, (guint)len);
+    }
 }
 
 static void
@@ -276,7 +300,9 @@
   pu_attempt_t *at = &x->at;
 
   if (!at->streaming && !at->foreign)
-    whole_take (x, bytes, len);
+    {
+      whole_take (x, bytes, len);
+    }
   else if (!at->foreign && !at->done)
     {
       pu_stream_result_t result = pu_stream_feed (at->stream, bytes, len);
@@ -290,8 +316,10 @@
   at->call = NULL;
   pu_http_call_cancel (call);
   if (at->foreign)
-    pu_log_note (PU_ENTRY_PART, "Dropped a foreign answer to request %s.",
-                 x->id);
+    {
+      pu_log_note (PU_ENTRY_PART, "Dropped a foreign answer to request %s.",
+                   x->id);
+    }
   attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
 }
 
@@ -315,15 +343,22 @@
 {
   const pu_attempt_t *at = &x->at;
   bool engine = at->server != NULL && !x->plain;
+  bool refused = !at->foreign && says_not_run (x);
+  bool broken = at->foreign || (at->streaming && !at->done)
+                || (engine && at->status >= STATUS_ERROR);
 
-  if (at->foreign || (at->streaming && !at->done))
-    attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
-  else if (says_not_run (x))
-    pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
-  else if (engine && at->status >= STATUS_ERROR)
-    attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
+  if (refused)
+    {
+      pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
+    }
+  else if (broken)
+    {
+      attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
+    }
   else
-    attempt_succeed (x);
+    {
+      attempt_succeed (x);
+    }
 }
 
 static void
@@ -404,8 +439,10 @@
 
   h->headers = g_array_new (FALSE, FALSE, sizeof (pu_http_header_t));
   for (guint i = 0; i + 1 < x->headers->len; i += 2)
-    header_add (h, g_ptr_array_index (x->headers, i),
-                g_ptr_array_index (x->headers, i + 1));
+    {
+      header_add (h, g_ptr_array_index (x->headers, i),
+                  g_ptr_array_index (x->headers, i + 1));
+    }
   g_snprintf (h->priority, sizeof h->priority, "%u", x->priority);
   g_snprintf (h->timeout, sizeof h->timeout, "%" G_GUINT64_FORMAT, left);
   header_add (h, "X-Request-Id", x->id);
--- a/libplantainusher/entry/claim.c
+++ b/libplantainusher/entry/claim.c
@@ -73,9 +73,13 @@
                          call_fingerprint (x), pu_once_key_wall (x->key),
                          wall_now (), now_of (en));
   if (begun != PU_ONCE_ACCEPTED)
-    begin_refuse (x, begun);
+    {
+      begin_refuse (x, begun);
+    }
   else
-    pu_claim_pump (en);
+    {
+      pu_claim_pump (en);
+    }
 }
 
 /* --- the log's answers --- */
@@ -151,9 +155,11 @@
   pu_once_result_t result = { .content_type = "" };
 
   if (what == PU_ONCE_KEPT)
-    result = (pu_once_result_t){ r->claim->status, r->claim->content_type,
-                                 r->claim->result.result_val,
-                                 r->claim->result.result_len };
+    {
+      result = (pu_once_result_t){ r->claim->status, r->claim->content_type,
+                                   r->claim->result.result_val,
+                                   r->claim->result.result_len };
+    }
   pu_once_claimed (en->once, asked->handle, what, r != NULL ? r->position : 0,
                    what == PU_ONCE_KEPT ? &result : NULL, now_of (en));
   asked_over (asked);
--- a/libplantainusher/entry/entries.c
+++ b/libplantainusher/entry/entries.c
@@ -125,12 +125,17 @@
   const char *name = service != NULL ? service : "";
 
   if (*name != 0 && !is_declared (en, name))
-    not_declared (en, http, name);
+    {
+      not_declared (en, http, name);
+    }
   else
-    pu_answer_json (http, 200,
-                    json_pack ("{s:s, s:o, s:i}", "service", name, "entries",
-                               entries_json (en, name, region, zone), "ttl_s",
-                               (int)pu_directory_ttl (en->directory)));
+    {
+      pu_answer_json (http, 200,
+                      json_pack ("{s:s, s:o, s:i}", "service", name, "entries",
+                                 entries_json (en, name, region, zone),
+                                 "ttl_s",
+                                 (int)pu_directory_ttl (en->directory)));
+    }
   g_free (service);
   g_free (region);
   g_free (zone);
@@ -169,9 +174,13 @@
   const char *status = "ok";
 
   if (!en->o.hooks.ready (en->o.hooks.data))
-    status = "starting";
+    {
+      status = "starting";
+    }
   else if (en->leaving)
-    status = "leaving";
+    {
+      status = "leaving";
+    }
   pu_answer_json (http, strcmp (status, "ok") == 0 ? 200 : 503,
                   json_pack ("{s:s}", "status", status));
 }
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -94,9 +94,13 @@
   const char *path = pu_http_request_path (http);
 
   if (strcmp (path, "/v1/chat/completions") == 0)
-    completion (en, http, true);
+    {
+      completion (en, http, true);
+    }
   else if (strcmp (path, "/v1/completions") == 0)
-    completion (en, http, false);
+    {
+      completion (en, http, false);
+    }
   else if (g_str_has_prefix (path, "/services/"))
     {
       if (is_ready (en, http, true))
@@ -118,9 +122,13 @@
         pu_path_models (en, http);
     }
   else if (strcmp (path, "/healthz") == 0)
-    pu_path_health (en, http);
+    {
+      pu_path_health (en, http);
+    }
   else
-    not_found (http);
+    {
+      not_found (http);
+    }
 }
 
 /* --- the router's clock --- */
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -120,9 +120,13 @@
   if (!x->plain && !x->relayed)
     en->o.hooks.demand (en->o.hooks.data, x->model, 1, 0);
   if (x->once)
-    pu_claim_begin (x);
+    {
+      pu_claim_begin (x);
+    }
   else
-    pu_exchange_route (x);
+    {
+      pu_exchange_route (x);
+    }
 }
 
 static bool
@@ -147,9 +151,13 @@
     return;
   x = exchange_new (en, http);
   if (pu_exchange_parse_model (x, chat))
-    exchange_admit (x);
+    {
+      exchange_admit (x);
+    }
   else
-    exchange_free (x);
+    {
+      exchange_free (x);
+    }
 }
 
 void
@@ -161,9 +169,13 @@
     return;
   x = exchange_new (en, http);
   if (pu_exchange_parse_plain (x))
-    exchange_admit (x);
+    {
+      exchange_admit (x);
+    }
   else
-    exchange_free (x);
+    {
+      exchange_free (x);
+    }
 }
 
 /* --- failures --- */
@@ -207,9 +219,13 @@
       return;
     }
   if (x->http != NULL && x->head_sent)
-    failure_stream (x, &told, message);
+    {
+      failure_stream (x, &told, message);
+    }
   else if (x->http != NULL)
-    pu_answer_error (x->http, x->id, &told, message);
+    {
+      pu_answer_error (x->http, x->id, &told, message);
+    }
   x->http = NULL;
   pu_exchange_done (x);
 }
@@ -265,9 +281,13 @@
           PU_NOT_RUN, d->retry_after_ms };
 
   if (d->ran == PU_ROUTER_UNKNOWN)
-    r.outcome = PU_UNKNOWN;
+    {
+      r.outcome = PU_UNKNOWN;
+    }
   else if (d->ran == PU_ROUTER_RAN)
-    r.outcome = PU_RAN;
+    {
+      r.outcome = PU_RAN;
+    }
   if (r.retry_after_ms == 0 && (r.status == 429 || r.status == 503))
     r.retry_after_ms = BUSY_RETRY_MS;
   /* The router forgets a ticket that it refuses.  */
@@ -357,18 +377,31 @@
   /* What may run once only is not relayed: a hop more is one more place
      where its outcome can be lost.  */
   if (x->once || !x->repeatable)
-    away = false;
+    {
+      away = false;
+    }
   else if (is_suspect (x))
-    away = suspect_hop (x, &to);
+    {
+      away = suspect_hop (x, &to);
+    }
   else
-    away = next_hop (x, x->service, pu_service_size (x->en, x->service), &to);
+    {
+      away
+          = next_hop (x, x->service, pu_service_size (x->en, x->service), &to);
+    }
   if (verdict == PU_SUSPECTS_WAIT
       && (!away || pu_strike_pending (x->en, x->fingerprint)))
-    x->phase = PU_X_WAITING;
+    {
+      x->phase = PU_X_WAITING;
+    }
   else if (away && pu_attempt_relay (x, &to))
-    return;
+    {
+      return;
+    }
   else
-    pu_exchange_offer (x);
+    {
+      pu_exchange_offer (x);
+    }
 }
 
 void
@@ -463,9 +496,13 @@
 {
   g_ptr_array_add (x->avoid, entry);
   if (x->attempts >= ATTEMPTS_MAX || (x->may_have_run && !x->repeatable))
-    fail_lost (x);
+    {
+      fail_lost (x);
+    }
   else
-    pu_exchange_route (x);
+    {
+      pu_exchange_route (x);
+    }
 }
 
 void
@@ -495,9 +532,13 @@
       ticket_set (x, d.ticket);
       ticket_cancel (x);
       if (x->attempts >= ATTEMPTS_MAX)
-        fail_lost (x);
+        {
+          fail_lost (x);
+        }
       else
-        pu_exchange_route (x);
+        {
+          pu_exchange_route (x);
+        }
       return;
     }
   /* The same copies once more: one that was cut may go on.  */
@@ -525,9 +566,13 @@
       return;
     }
   if (now >= x->deadline && x->phase != PU_X_QUEUED)
-    fail_deadline (x);
+    {
+      fail_deadline (x);
+    }
   else if (x->phase == PU_X_WAITING && judge (x) != PU_SUSPECTS_WAIT)
-    pu_exchange_route (x);
+    {
+      pu_exchange_route (x);
+    }
 }
 
 /* The numbers of the open exchanges: handling one may end others.  */
--- a/libplantainusher/entry/parse.c
+++ b/libplantainusher/entry/parse.c
@@ -118,9 +118,11 @@
   x->priority = (guint)priority;
   x->deadline = timeout == 0 ? 0 : x->arrived + timeout;
   if (key != NULL && !is_plain_text (key, PU_ONCE_NAME_MAX))
-    return refuse (x, &bad_request,
-                   "Idempotency-Key must be 1 to %d visible characters.",
-                   PU_ONCE_NAME_MAX);
+    {
+      return refuse (x, &bad_request,
+                     "Idempotency-Key must be 1 to %d visible characters.",
+                     PU_ONCE_NAME_MAX);
+    }
   x->key = g_strdup (key);
   return true;
 }
@@ -239,9 +241,11 @@
   s = name != NULL ? pu_document_find_service (d, name)
                    : pu_document_default_service (d, m);
   if (s == PU_HANDLE_NONE || !pu_document_lists (d, s, m))
-    return refuse (x, &not_found, "No service%s%s offers model '%s'.",
-                   name != NULL ? " " : "", name != NULL ? name : "",
-                   x->model);
+    {
+      return refuse (x, &not_found, "No service%s%s offers model '%s'.",
+                     name != NULL ? " " : "", name != NULL ? name : "",
+                     x->model);
+    }
   service_take (x, pu_document_service (d, s));
   return true;
 }
@@ -257,9 +261,11 @@
   if (model == NULL || *model == 0)
     return refuse (x, &bad_request, "'model' must be a string.");
   if (x->chat ? !json_is_array (messages) : !json_is_string (prompt))
-    return refuse (x, &bad_request, "'%s' must be %s.",
-                   x->chat ? "messages" : "prompt",
-                   x->chat ? "a list" : "a string");
+    {
+      return refuse (x, &bad_request, "'%s' must be %s.",
+                     x->chat ? "messages" : "prompt",
+                     x->chat ? "a list" : "a string");
+    }
   x->model = g_strdup (model);
   x->stream = json_is_true (json_object_get (root, "stream"));
   tokens_take (x, root);
@@ -308,8 +314,10 @@
   root = json_loadb (body != NULL ? body : "", len, JSON_REJECT_DUPLICATES,
                      &error);
   if (root == NULL)
-    return refuse (x, &bad_request, "Line %d, column %d: %s", error.line,
-                   error.column, error.text);
+    {
+      return refuse (x, &bad_request, "Line %d, column %d: %s", error.line,
+                     error.column, error.text);
+    }
   good = root_take (x, root) && resume_take (x, root);
   json_decref (root);
   header_keep (x, "content-type", "application/json");
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -84,8 +84,10 @@
       const pu_cut_t *cut = &g_array_index (s->cuts, pu_cut_t, i);
 
       if (now - cut->at < CUT_KEPT_MS)
-        pu_suspects_started (en->suspects, ++en->last_number, cut->fingerprint,
-                             s->number, incarnation, now);
+        {
+          pu_suspects_started (en->suspects, ++en->last_number,
+                               cut->fingerprint, s->number, incarnation, now);
+        }
     }
   g_array_set_size (s->cuts, 0);
   incarnation_died (s, incarnation);
@@ -196,9 +198,13 @@
   s->leaving = s->leaving || b->leaving;
   s->down = b->down || uv_now (en->o.loop) < s->dead_until;
   if (s->down)
-    router_remove (s);
+    {
+      router_remove (s);
+    }
   else
-    router_set (s, b);
+    {
+      router_set (s, b);
+    }
   return s;
 }
 
@@ -323,9 +329,13 @@
       return;
     }
   if (++s->refused >= REFUSED_DEAD)
-    server_dead (s);
+    {
+      server_dead (s);
+    }
   else
-    s->probe_at = uv_now (s->en->o.loop) + PROBE_AGAIN_MS;
+    {
+      s->probe_at = uv_now (s->en->o.loop) + PROBE_AGAIN_MS;
+    }
 }
 
 static void
--- a/libplantainusher/entry/strikes.c
+++ b/libplantainusher/entry/strikes.c
@@ -57,9 +57,13 @@
   en->pending--;
   g_free (asked);
   if (k != NULL && r != NULL)
-    k->position = MAX (r->position, 1);
+    {
+      k->position = MAX (r->position, 1);
+    }
   else if (k != NULL)
-    k->due = now + AGAIN_MS;
+    {
+      k->due = now + AGAIN_MS;
+    }
   if (!en->freed)
     pu_strikes_tick (en, now);
   pu_entry_check (en);
@@ -119,8 +123,12 @@
       pu_strike_t *k = value;
 
       if ((k->position != 0 && k->position <= position) || k->until <= now)
-        g_hash_table_iter_remove (&it);
+        {
+          g_hash_table_iter_remove (&it);
+        }
       else if (k->due != 0 && k->due <= now)
-        strike_propose (k);
+        {
+          strike_propose (k);
+        }
     }
 }
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -108,8 +108,10 @@
       const char *name = pu_document_model (old, i)->name;
 
       if (pu_document_find_model (en->document, name) == PU_HANDLE_NONE)
-        pu_router_remove_model (en->router,
-                                pu_router_find_model (en->router, name));
+        {
+          pu_router_remove_model (en->router,
+                                  pu_router_find_model (en->router, name));
+        }
     }
 }
 
--- a/libplantainusher/http/sse.c
+++ b/libplantainusher/http/sse.c
@@ -91,9 +91,13 @@
       s->has_data = true;
     }
   else if (field_is (line, name_len, "event"))
-    field_set (s->name, line + skip, len - skip);
+    {
+      field_set (s->name, line + skip, len - skip);
+    }
   else if (field_is (line, name_len, "id"))
-    field_set (s->id, line + skip, len - skip);
+    {
+      field_set (s->id, line + skip, len - skip);
+    }
 }
 
 /* Gives the finished event out; an event without any line is none.  */
