Suspects: the core of requests that crash what runs them

Cause: a request that crashes each backend server that runs it, resent at will, must cost two at most, and nobody else may be refused for it. Ruled out: striking all that ran on a dead backend server alike: the fuzz convicted innocents that ran beside the suspect at another entry. Filtering at the entry alone: it cannot know what other entries ran there.

--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -135,7 +135,8 @@
   unsigned int strikes;      /* backend servers lost while it ran */
   bool convicted;
   unsigned hyper wall;       /* of the last strike */
-  pu_detail lost<PU_LOST_MAX>; /* NAME@INCARNATION of each, the first few */
+  pu_detail lost<PU_LOST_MAX>; /* NAME@INCARNATION of each, the first few; with
+                                  a '!' behind it when it ran there apart */
 };
 
 enum pu_voter_action
@@ -207,6 +208,7 @@
 
 struct pu_strike
 {
+  bool apart;                /* it was known as a suspect when it was sent */
   unsigned hyper fingerprint;
   pu_name model;
   pu_name backend;
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -125,13 +125,14 @@
   }
 
   pu_outcome
-  strike (uint64_t fingerprint, const std::string &backend, uint64_t wall)
+  strike (uint64_t fingerprint, const std::string &backend, uint64_t wall,
+          bool apart = false)
   {
     Command c;
 
     c.c.type = PU_COMMAND_STRIKE;
     c.c.pu_command_u.strike
-        = { fingerprint, c.text ("m"), c.text (backend), 1, wall };
+        = { apart, fingerprint, c.text ("m"), c.text (backend), 1, wall };
     return apply (c).outcome;
   }
 
@@ -343,6 +344,22 @@
   EXPECT_TRUE (pu_state_suspect (s.s, 9)->convicted);
 }
 
+TEST (State, ASuspectThatRanApartAccountsForADeathAlone)
+{
+  State s;
+
+  s.strike (1, "b1", 10);
+  s.strike (2, "b1", 10);
+  s.strike (2, "b2", 11);
+  EXPECT_TRUE (pu_state_suspect (s.s, 2)->convicted);
+  s.strike (1, "b2", 12, true);
+  EXPECT_TRUE (pu_state_suspect (s.s, 1)->convicted);
+  EXPECT_FALSE (pu_state_suspect (s.s, 2)->convicted);
+  EXPECT_EQ (1u, pu_state_suspect (s.s, 2)->strikes);
+  EXPECT_EQ (PU_OUTCOME_SEEN, s.strike (3, "b2", 13));
+  EXPECT_EQ (nullptr, pu_state_suspect (s.s, 3));
+}
+
 TEST (State, AnOldStrikeIsForgotten)
 {
   State s;
@@ -431,7 +448,8 @@
         break;
       }
     default:
-      s.strike (pick (3), "b" + std::to_string (pick (3)), step);
+      s.strike (pick (3), "b" + std::to_string (pick (3)), step,
+                pick (2) == 0);
     }
 }
 
