--- a/bench/route_bench.cc
+++ b/bench/route_bench.cc
@@ -355,11 +355,12 @@
   std::printf ("}\n");
 }
 
+/* Whether a group whose names start with NAME has any under the prefix.  */
 bool
-wanted (const char *name)
+wanted (const std::string &name)
 {
-  return std::string (name).compare (0, settings.only.size (), settings.only)
-         == 0;
+  size_t n = std::min (name.size (), settings.only.size ());
+  return name.compare (0, n, settings.only, 0, n) == 0;
 }
 
 using Maker = std::function<std::unique_ptr<sim::Policy> (const sim::Trace &)>;
@@ -379,14 +380,14 @@
 }
 
 sim::Result
-simulate (const Maker &maker, double rate, int failing)
+simulate (const Maker &maker, double rate, int failing, double loud = 1)
 {
   sim::Result sum;
   for (int i = 0; i < settings.seeds; i++)
     {
       int seed = settings.first_seed + i;
       sim::Trace t = sim::make_trace (static_cast<unsigned> (seed),
-                                      settings.ms (), rate);
+                                      settings.ms (), rate, loud);
       auto policy = maker (t);
       sim::Result r
           = sim::Simulation (t, *policy, failing).run (settings.ms ());
@@ -394,6 +395,8 @@
       sum.attained += r.attained;
       sum.attempts += r.attempts;
       sum.tried += r.tried;
+      sum.calm_offered += r.calm_offered;
+      sum.calm_attained += r.calm_attained;
       sum.first_ms.insert (sum.first_ms.end (), r.first_ms.begin (),
                            r.first_ms.end ());
     }
@@ -480,6 +483,23 @@
          share (r) / share (lc));
 }
 
+/* What the other two services attain when the first asks five times as
+   often, over what they attain when it does not.  */
+void
+isolation ()
+{
+  auto calm = [] (const Maker &maker, double loud) {
+    sim::Result r = simulate (maker, kRate * 0.75, 0, loud);
+    return static_cast<double> (r.calm_attained)
+           / std::max (1, r.calm_offered);
+  };
+  Maker least = common (Kind::LeastConnections);
+  double ours = calm (routed, 5);
+  print ("route.isolation.least_connections", calm (least, 5), "share",
+         calm (least, 5) / calm (least, 1));
+  print ("route.isolation", ours, "share", ours / calm (routed, 1));
+}
+
 /* ---- Cost of a choice ---- */
 
 constexpr int kBigModels = 940, kBigEngines = 770, kHeld = 94, kHolders = 70;
@@ -652,6 +672,8 @@
     attainment ();
   if (wanted ("route.goodput"))
     goodput ();
+  if (wanted ("route.isolation"))
+    isolation ();
   if (wanted ("route.retry_amplification"))
     amplification ();
   return 0;
--- a/bench/route_sim.h
+++ b/bench/route_sim.h
@@ -42,9 +42,10 @@
 };
 
 /* Demand for each model switches between calm and a tenfold burst.  RATE is
-   the mean number of requests a second.  */
+   the mean number of requests a second; the first service asks LOUD times as
+   often.  */
 inline Trace
-make_trace (unsigned seed, int ms, double rate)
+make_trace (unsigned seed, int ms, double rate, double loud = 1)
 {
   std::mt19937 rand (seed);
   auto uniform = [&rand] { return rand () / 4294967296.0; };
@@ -72,7 +73,8 @@
             burst[m] = uniform () < 0.111;
             until[m] = now + 1000 + static_cast<int> (rand () % 4000);
           }
-        double p = rate / 1000 * weight[m] / sum * (burst[m] ? 10 : 1);
+        double p = rate / 1000 * weight[m] / sum * (burst[m] ? 10 : 1)
+                   * (m % kServices == 0 ? loud : 1);
         if (uniform () >= p)
           continue;
         Request q{};
@@ -136,6 +138,7 @@
 struct Result
 {
   int offered = 0, attained = 0, attempts = 0, tried = 0;
+  int calm_offered = 0, calm_attained = 0; /* all services but the first */
   std::vector<int> first_ms;
 };
 
@@ -286,8 +289,10 @@
     policy_.done (q, now);
     int mean = (now - q->first) / std::max (1, q->output - 1);
     result_.first_ms.push_back (q->first - q->arrival);
-    result_.attained
-        += q->first - q->arrival <= kFirstTargetMs && mean <= kTokenTargetMs;
+    bool in_time
+        = q->first - q->arrival <= kFirstTargetMs && mean <= kTokenTargetMs;
+    result_.attained += in_time;
+    result_.calm_attained += in_time && q->service > 0;
   }
 
   Result
@@ -296,6 +301,7 @@
     for (const Request &q : trace_.requests)
       {
         result_.offered++;
+        result_.calm_offered += q.service > 0;
         result_.attempts += q.attempts;
         result_.tried += q.attempts > 0;
       }
