Control: duties begin when all that was committed is applied; tests of silence

Two tests were flaky: they took the kept file's existence for the new document being in it; they read the version in it now, which is stricter.

New: a silent backend server and a silent daemon are taken down by the leader, a renewed one is not; a higher incarnation takes over.

--- a/libplantainusher/control/control_test.cc
+++ b/libplantainusher/control/control_test.cc
@@ -39,6 +39,7 @@
   std::vector<std::unique_ptr<Voter> > voters;
   std::vector<pu_log_peer> peers;
   pu_agent_t *agent = nullptr;
+  guint32 session_ms = 8000;
   int changes = 0;
   uint64_t position = 0; /* that the agent has shown */
   uint64_t shown = 0;    /* version that any agent has shown */
@@ -120,6 +121,12 @@
     o.tick_ms = 20;
     o.sessions_ms = 100;
     o.ring_entries = 8;
+    for (int i = 0; i < 2; i++)
+      {
+        o.membership.least_ms[i] = session_ms;
+        o.membership.most_ms[i] = 2 * session_ms;
+      }
+    o.membership.route_ms = session_ms;
     v.control = pu_control_new (&o, &e);
     ASSERT_NE (v.control, nullptr) << e.message;
     duty.data = &v;
@@ -281,6 +288,28 @@
   }
 };
 
+/* The version in the image that is kept in FOLDER; 0 when there is none.  */
+uint64_t
+kept_version (const std::string &folder)
+{
+  constexpr gsize header = 24;
+  pu_state_options_t o;
+  uint64_t found = 0;
+  char *text;
+  gsize n;
+
+  if (!g_file_get_contents ((folder + "/view").c_str (), &text, &n, nullptr))
+    return 0;
+  pu_state_options_init (&o);
+  pu_state_t *s = pu_state_new (&o);
+  EXPECT_TRUE (pu_state_decode (s, text + header, n - header, nullptr));
+  if (pu_state_document (s) != nullptr)
+    found = pu_state_document (s)->doc_version;
+  pu_state_free (s);
+  g_free (text);
+  return found;
+}
+
 TEST_F (Control, SubmitIsAcceptedAndInForceAtTheAgent)
 {
   start_all ();
@@ -359,10 +388,7 @@
   start_all ();
   start_agent (folder.c_str ());
   submit (0, "one");
-  run_until ([&] { return version () == 1; });
-  run_until ([&] {
-    return g_file_test ((folder + "/view").c_str (), G_FILE_TEST_EXISTS);
-  });
+  run_until ([&] { return kept_version (folder) == 1; });
   pu_agent_free (agent);
   for (auto &v : voters)
     stop (*v);
@@ -384,9 +410,7 @@
   start_all ();
   start_agent (folder.c_str ());
   submit (0, "one");
-  run_until ([&] {
-    return g_file_test ((folder + "/view").c_str (), G_FILE_TEST_EXISTS);
-  });
+  run_until ([&] { return kept_version (folder) == 1; });
   pu_agent_free (agent);
   agent = nullptr;
   for (auto &v : voters)
@@ -492,21 +516,58 @@
   });
 }
 
-TEST_F (Control, SilentDaemonIsDownAndComesBackAsIncarnationOnTop)
+TEST_F (Control, SilentDaemonAndItsBackendServerAreDown)
 {
+  pu_command c = {};
+  pu_backend_record &b = c.pu_command_u.backend_up;
+  char name[] = "engine", empty[] = "";
+  Answer a;
+
+  session_ms = 500;
   start_all ();
   start_agent ();
-  run_until ([&] { return pu_agent_joined (agent); });
+  c.type = PU_COMMAND_BACKEND_UP;
+  b.name = name;
+  b.incarnation = 3;
+  b.service = b.address = b.region = b.zone = empty;
+  pu_agent_propose (agent, &c, 5000, take_answer, &a);
+  run_until ([&] { return a.count > 0 && pu_agent_joined (agent); });
+  auto up = [&] (const pu_state_t *s) {
+    const pu_backend_record *x = pu_state_backend (s, "engine");
+    return x != nullptr && !x->down;
+  };
+  for (int i = 0; i < 15; i++) /* three times the least */
+    {
+      guint64 end = uv_now (&loop) + 100;
+      pu_agent_renew (agent, "engine", 3);
+      run_until ([&] { return uv_now (&loop) >= end; });
+      EXPECT_TRUE (up (pu_agent_view (agent)));
+    }
+  run_until ([&] { return !up (pu_agent_view (agent)); });
+  EXPECT_TRUE (pu_agent_joined (agent)) << "no report, yet the daemon lives";
   pu_agent_free (agent);
-  start_agent (nullptr, 1);
-  EXPECT_FALSE (pu_agent_joined (agent));
+  agent = nullptr;
+  run_until ([&] {
+    return leader () != nullptr
+           && pu_state_member (pu_control_state (leader ()->control), "entry")
+                  == nullptr;
+  });
+}
+
+TEST_F (Control, HigherIncarnationTakesOver)
+{
+  start_all ();
+  start_agent ();
   run_until ([&] { return pu_agent_joined (agent); });
-  EXPECT_EQ (pu_agent_incarnation (agent), 1U) << "the same record stands";
   pu_agent_t *first = agent;
   start_agent (nullptr, 7);
   run_until ([&] { return pu_agent_joined (agent); });
   EXPECT_EQ (pu_agent_incarnation (agent), 7U);
   pu_agent_free (first);
+  pu_agent_free (agent);
+  start_agent (nullptr, 5);
+  run_until ([&] { return pu_agent_joined (agent); });
+  EXPECT_EQ (pu_agent_incarnation (agent), 8U) << "a clock went back";
 }
 
 /* --- the feed --- */
--- a/libplantainusher/control/lead.c
+++ b/libplantainusher/control/lead.c
@@ -239,6 +239,18 @@
 
 /* --- leading --- */
 
+/* is_caught_up - everything that was committed before is applied here.  */
+static bool
+is_caught_up (const pu_control_t *c)
+{
+  json_t *status = pu_group_status (c->group);
+  json_int_t applied
+      = json_integer_value (json_object_get (status, "applied"));
+
+  json_decref (status);
+  return (uint64_t)applied >= pu_group_committed (c->group);
+}
+
 static void
 lead_begin (pu_control_t *c, uint64_t now)
 {
@@ -285,6 +297,8 @@
     pu_control_lead_end (c);
   if (!holds)
     return;
+  if (!c->leading && !is_caught_up (c))
+    return;
   if (!c->leading)
     lead_begin (c, now);
   membership_tick (c, now);
