--- a/libplantainusher/log/journal.c
+++ b/libplantainusher/log/journal.c
@@ -672,6 +672,24 @@
   return true;
 }
 
+bool
+pu_journal_held_before (const char *folder, const pu_journal_fs_t *fs)
+{
+  GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
+  bool held = false;
+
+  if (fs == NULL)
+    fs = pu_journal_fs_system ();
+  if (fs->list (fs->data, folder, names) >= 0)
+    {
+      for (guint i = 0; i < names->len; i++)
+        held
+            = held || g_str_has_prefix (g_ptr_array_index (names, i), "lost-");
+    }
+  g_ptr_array_unref (names);
+  return held;
+}
+
 void
 pu_journal_free (pu_journal_t *j)
 {
--- a/libplantainusher/log/journal.h
+++ b/libplantainusher/log/journal.h
@@ -90,6 +90,10 @@
 bool pu_journal_set_aside (const char *folder, const pu_journal_fs_t *fs,
                            pu_error_t *e);
 
+/* pu_journal_held_before - whether files were set aside in FOLDER: an earlier
+   identity lived there.  */
+bool pu_journal_held_before (const char *folder, const pu_journal_fs_t *fs);
+
 /* pu_journal_free - closes the files.  Nothing may be under way: see
    pu_journal_busy.  */
 void pu_journal_free (pu_journal_t *j);
--- a/libplantainusher/log/log_msg.x
+++ b/libplantainusher/log/log_msg.x
@@ -75,11 +75,12 @@
 struct pu_log_hello
 {
   bool fresh; /* its log is empty */
+  bool first; /* and its folder never held one: it may start one */
 };
 
 struct pu_log_welcome
 {
-  bool fresh;
+  bool first; /* as in pu_log_hello */
   pu_log_peer leader; /* id 0 when not known */
 };
 
--- a/libplantainusher/log/replica.c
+++ b/libplantainusher/log/replica.c
@@ -255,7 +255,7 @@
 
       if (g_strcmp0 (o->initial[i].name, o->self.name) == 0)
         {
-          r->initial = true;
+          r->initial = !o->rejoined;
           continue;
         }
       pu_log_peer_copy (&s.peer, &o->initial[i]);
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -47,6 +47,8 @@
                                  ids are ignored; also where to ask for a
                                  leader */
   size_t n_initial;
+  bool rejoined;             /* the folder has held a log before: never
+                                start one */
   uint64_t seed;             /* of the random election timeouts */
   uint32_t election_ms;      /* 1000: least election timeout; twice that is
                                 the most */
