--- /dev/null
+++ b/libplantainusher/daemon/build.c
@@ -0,0 +1,293 @@
+/* The parts of a daemon, made from its settings.  */
+
+#include <string.h>
+
+#include "daemon/parts.h"
+#include "operator/mount.h"
+#include "rpc/rpc.h"
+
+#define MS_PER_US 1000
+#define LOG_FOLDER "log"
+#define VIEW_FOLDER "view"
+
+/* A seed that differs between daemons and between starts.  */
+static guint32
+seed_of (const pu_settings_t *s)
+{
+  return g_str_hash (s->name) ^ g_random_int ();
+}
+
+static bool
+make_folder (const char *path, pu_error_t *e)
+{
+  if (g_mkdir_with_parents (path, 0700) == 0)
+    return true;
+  return pu_error_set (e, PU_ERROR_IO, "Folder %s cannot be made: %s.", path,
+                       g_strerror (errno));
+}
+
+static bool
+has_folder (const pu_settings_t *s)
+{
+  return s->data_folder[0] != '\0';
+}
+
+static bool
+build_peers (pu_daemon_t *d, pu_error_t *e)
+{
+  const pu_settings_t *s = d->settings;
+  pu_rpc_server_options_t o = { 0 };
+
+  o.loop = d->loop;
+  o.address = s->addresses.peers;
+  o.key = s->keys.peers;
+  o.counters = d->counters;
+  o.max_record = s->limits.max_peer_message_bytes;
+  d->peers = pu_rpc_server_new (&o, e);
+  return d->peers != NULL;
+}
+
+/* The settings' voters as the log takes them; free the array.  */
+static pu_log_peer *
+first_voters (const pu_settings_t *s)
+{
+  const pu_settings_voter_t *rows = s->voters.items;
+  pu_log_peer *peers = g_new0 (pu_log_peer, MAX (s->voters.n, 1));
+
+  for (guint i = 0; i < s->voters.n; i++)
+    {
+      peers[i].name = (char *)rows[i].name;
+      peers[i].address = (char *)rows[i].peers;
+    }
+  return peers;
+}
+
+static void
+set_membership (const pu_settings_t *s, pu_membership_options_t *m)
+{
+  guint32 *least = m->least_ms;
+
+  least[PU_SUBJECT_MEMBER] = s->timing.session_ms;
+  least[PU_SUBJECT_BACKEND] = s->timing.backend_lease_ms;
+  for (guint i = 0; i < G_N_ELEMENTS (m->least_ms); i++)
+    m->most_ms[i] = MAX (m->most_ms[i], 2 * least[i]);
+}
+
+static bool
+build_control (pu_daemon_t *d, pu_error_t *e)
+{
+  const pu_settings_t *s = d->settings;
+  char *folder = g_build_filename (s->data_folder, LOG_FOLDER, NULL);
+  pu_log_peer *voters = first_voters (s);
+  pu_control_options_t o;
+
+  pu_control_options_init (&o);
+  o.loop = d->loop;
+  o.server = d->peers;
+  o.name = s->name;
+  o.address = s->addresses.peers;
+  o.key = s->keys.peers;
+  o.folder = folder;
+  o.voters = voters;
+  o.n_voters = s->voters.n;
+  o.counters = d->counters;
+  o.seed = seed_of (s);
+  o.heartbeat_ms = s->timing.heartbeat_ms;
+  o.election_ms = s->timing.election_ms;
+  o.snapshot_entries = s->limits.snapshot_entries;
+  o.connect_ms = s->timing.connect_timeout_ms;
+  o.history = pu_operator_history_json;
+  set_membership (s, &o.membership);
+  if (make_folder (folder, e))
+    d->control = pu_control_new (&o, e);
+  g_free (folder);
+  g_free (voters);
+  return d->control != NULL;
+}
+
+/* Addresses where a voter may be asked: those to join, and the first
+   voters.  */
+static GPtrArray *
+join_addresses (const pu_settings_t *s)
+{
+  const pu_settings_voter_t *rows = s->voters.items;
+  GPtrArray *list = g_ptr_array_new ();
+
+  for (guint i = 0; i < s->join.n; i++)
+    g_ptr_array_add (list, (gpointer)s->join.items[i]);
+  for (guint i = 0; i < s->voters.n; i++)
+    g_ptr_array_add (list, (gpointer)rows[i].peers);
+  return list;
+}
+
+static void
+on_change (void *data)
+{
+  pu_daemon_t *d = data;
+
+  if (d->entry != NULL)
+    pu_entry_view_changed (d->entry);
+}
+
+static void
+on_superseded (void *data)
+{
+  pu_daemon_t *d = data;
+
+  g_log ("daemon", G_LOG_LEVEL_WARNING,
+         "A newer daemon named %s has taken this one's place.",
+         d->settings->name);
+  pu_daemon_stop (d, d->stopped, d->stopped_data);
+}
+
+static void
+fill_self (const pu_settings_t *s, pu_member_record *m)
+{
+  m->name = (char *)s->name;
+  m->incarnation = (uint64_t)(g_get_real_time () / MS_PER_US);
+  m->region = (char *)s->region;
+  m->zone = (char *)s->zone;
+  m->caller_address = (char *)(s->entry ? s->addresses.callers : "");
+  m->operator_address = (char *)s->addresses.operators;
+  m->peer_address = (char *)s->addresses.peers;
+  m->leaving = FALSE;
+}
+
+static bool
+build_agent (pu_daemon_t *d, pu_error_t *e)
+{
+  const pu_settings_t *s = d->settings;
+  GPtrArray *join = join_addresses (s);
+  char *folder = NULL;
+  pu_member_record self;
+  pu_agent_options_t o;
+
+  pu_agent_options_init (&o);
+  fill_self (s, &self);
+  if (has_folder (s))
+    folder = g_build_filename (s->data_folder, VIEW_FOLDER, NULL);
+  o.loop = d->loop;
+  o.key = s->keys.peers;
+  o.self = &self;
+  o.join = (const char *const *)join->pdata;
+  o.n_join = join->len;
+  o.folder = folder;
+  o.counters = d->counters;
+  o.seed = seed_of (s);
+  o.poll_wait_ms = s->timing.poll_wait_ms;
+  o.connect_ms = s->timing.connect_timeout_ms;
+  o.on_change = on_change;
+  o.on_superseded = on_superseded;
+  o.data = d;
+  if (folder == NULL || make_folder (folder, e))
+    d->agent = pu_agent_new (&o, e);
+  g_free (folder);
+  g_ptr_array_free (join, TRUE);
+  return d->agent != NULL;
+}
+
+static void
+set_entry_limits (const pu_settings_t *s, pu_entry_options_t *o)
+{
+  o->header_max = s->limits.max_header_bytes;
+  o->body_max = s->limits.max_body_bytes;
+  o->announcement_max = s->limits.max_announcement_bytes;
+  o->connections_max = s->limits.max_connections;
+  o->requests_max = s->limits.max_open_streams;
+  o->connect_ms = s->timing.connect_timeout_ms;
+  o->progress_ms = s->timing.progress_timeout_ms;
+  o->probe_ms = s->timing.probe_timeout_ms;
+  o->idle_ms = s->timing.idle_connection_ms;
+  o->report_ms = s->timing.report_interval_ms;
+  o->propose_ms = s->timing.rpc_timeout_ms;
+  o->ttl_s = s->timing.entries_ttl_s;
+}
+
+static bool
+build_entry (pu_daemon_t *d, pu_error_t *e)
+{
+  const pu_settings_t *s = d->settings;
+  char host[PU_SETTINGS_HOST_MAX];
+  guint16 port = 0;
+  pu_entry_options_t o;
+
+  pu_entry_options_init (&o);
+  if (!pu_settings_split_address (s->addresses.callers, host, &port))
+    return pu_error_set (e, PU_ERROR_INVALID, "Address %s cannot be read.",
+                         s->addresses.callers);
+  o.loop = d->loop;
+  o.name = s->name;
+  o.region = s->region;
+  o.zone = s->zone;
+  o.host = host;
+  o.port = port;
+  o.peer_key = s->keys.peers;
+  o.backend_keys = s->keys.backends.items;
+  o.n_backend_keys = s->keys.backends.n;
+  o.counters = d->counters;
+  o.seed = seed_of (s);
+  set_entry_limits (s, &o);
+  pu_daemon_entry_hooks (d, &o.hooks);
+  d->entry = pu_entry_new (&o, e);
+  return d->entry != NULL;
+}
+
+pu_operator_key_t *
+pu_daemon_operator_keys (const pu_settings_t *s)
+{
+  const pu_settings_operator_t *rows = s->keys.operators.items;
+  guint n = s->keys.operators.n;
+  pu_operator_key_t *keys = g_new0 (pu_operator_key_t, MAX (n, 1));
+
+  for (guint i = 0; i < n; i++)
+    {
+      keys[i].name = rows[i].name;
+      keys[i].key = rows[i].key;
+    }
+  return keys;
+}
+
+static bool
+build_operators (pu_daemon_t *d, pu_error_t *e)
+{
+  const pu_settings_t *s = d->settings;
+  char host[PU_SETTINGS_HOST_MAX];
+  guint16 port = 0;
+  pu_operator_key_t *keys;
+  pu_operator_options_t po;
+  pu_http_server_options_t o = { 0 };
+
+  if (!pu_settings_split_address (s->addresses.operators, host, &port))
+    return pu_error_set (e, PU_ERROR_INVALID, "Address %s cannot be read.",
+                         s->addresses.operators);
+  pu_operator_options_init (&po);
+  keys = pu_daemon_operator_keys (s);
+  po.keys = keys;
+  po.n_keys = s->keys.operators.n;
+  pu_daemon_operator_hooks (d, &po.hooks);
+  d->operator= pu_operator_new (&po);
+  g_free (keys);
+  o.loop = d->loop;
+  o.host = host;
+  o.port = port;
+  o.body_max = PU_OPERATOR_BODY_MAX;
+  o.handler = pu_operator_on_request;
+  o.data = d->operator;
+  d->operators = pu_http_server_new (&o, e);
+  return d->operators != NULL;
+}
+
+bool
+pu_daemon_build (pu_daemon_t *d, pu_error_t *e)
+{
+  if (!build_peers (d, e))
+    return false;
+  pu_daemon_loads_listen (d);
+  if (d->settings->control && !build_control (d, e))
+    return false;
+  if (!build_agent (d, e))
+    return false;
+  if (d->settings->entry && !build_entry (d, e))
+    return false;
+  return build_operators (d, e);
+}
--- /dev/null
+++ b/libplantainusher/daemon/daemon.c
@@ -0,0 +1,261 @@
+#include "daemon/daemon.h"
+
+#include "base/log.h"
+#include "daemon/parts.h"
+
+#define PART "daemon"
+#define STOP_TICK_MS 20
+#define LEAVE_MS 2000  /* for the log to take that it leaves */
+#define DEPART_MS 1000 /* for the log to take that it is down */
+#define HAND_MS 2000   /* for another voter to lead */
+#define MS_PER_S 1000
+
+/* --- the planned stop, phase by phase --- */
+
+static void
+enter (pu_daemon_t *d, pu_daemon_phase_t phase)
+{
+  d->phase = phase;
+  d->phase_since = uv_now (d->loop);
+}
+
+static uint64_t
+in_phase_ms (const pu_daemon_t *d)
+{
+  return uv_now (d->loop) - d->phase_since;
+}
+
+static void
+on_left (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  (void)data;
+  (void)r;
+  if (e->kind != PU_OK)
+    pu_log_warn (PART, "Leaving is not in the log: %s", e->message);
+}
+
+static void
+on_entry_stopped (void *data)
+{
+  pu_daemon_t *d = data;
+
+  enter (d, PU_DAEMON_DEPARTING);
+}
+
+static void
+on_departed (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  pu_daemon_t *d = data;
+
+  (void)r;
+  if (e->kind != PU_OK)
+    pu_log_warn (PART, "The departure is not in the log: %s", e->message);
+  if (d->control != NULL)
+    pu_control_leave (d->control);
+  enter (d, PU_DAEMON_HANDING);
+}
+
+static void
+on_control_closed (void *data)
+{
+  pu_daemon_t *d = data;
+
+  d->control = NULL;
+  d->closed_control = true;
+}
+
+static void
+on_operators_stopped (void *data)
+{
+  pu_daemon_t *d = data;
+
+  d->closed_operators = true;
+}
+
+static void
+begin_finishing (pu_daemon_t *d)
+{
+  enter (d, PU_DAEMON_FINISHING);
+  if (d->entry != NULL)
+    pu_entry_stop (d->entry, on_entry_stopped, d);
+  else
+    enter (d, PU_DAEMON_DEPARTING);
+}
+
+static void
+begin_closing (pu_daemon_t *d)
+{
+  enter (d, PU_DAEMON_CLOSING);
+  d->closed_control = d->control == NULL;
+  if (d->control != NULL)
+    pu_control_close (d->control, on_control_closed, d);
+  pu_http_server_stop (d->operators, on_operators_stopped, d);
+}
+
+/* How long callers may still come with an old answer about entries.  */
+static uint64_t
+leave_ms (const pu_daemon_t *d)
+{
+  if (d->entry == NULL || d->hurry)
+    return 0;
+  return (uint64_t)d->settings->timing.entries_ttl_s * MS_PER_S + STOP_TICK_MS;
+}
+
+static void
+step_departing (pu_daemon_t *d)
+{
+  if (in_phase_ms (d) > 0)
+    return;
+  /* The next phase begins in its answer.  */
+  pu_agent_depart (d->agent, DEPART_MS, on_departed, d);
+  d->phase_since = 0;
+}
+
+static void
+step_handing (pu_daemon_t *d)
+{
+  bool leads = d->control != NULL && pu_control_is_leader (d->control);
+
+  if (leads && in_phase_ms (d) < HAND_MS)
+    return;
+  begin_closing (d);
+}
+
+static void
+step_finishing (pu_daemon_t *d)
+{
+  uint64_t limit = (uint64_t)d->settings->limits.drain_s * MS_PER_S;
+
+  if (!d->hurry && in_phase_ms (d) < limit)
+    return;
+  pu_log_warn (PART, "Gave up %u requests at the end of the drain time.",
+               pu_entry_open (d->entry));
+  pu_entry_abort (d->entry);
+}
+
+static void
+step_closing (pu_daemon_t *d)
+{
+  if (in_phase_ms (d) > MS_PER_S)
+    pu_http_server_abort (d->operators);
+  if (!d->closed_control || !d->closed_operators)
+    return;
+  enter (d, PU_DAEMON_STOPPED);
+  uv_timer_stop (&d->timer);
+  pu_log_note (PART, "Stopped.");
+  if (d->stopped != NULL)
+    d->stopped (d->stopped_data);
+}
+
+static void
+on_stop_tick (uv_timer_t *timer)
+{
+  pu_daemon_t *d = timer->data;
+
+  switch (d->phase)
+    {
+    case PU_DAEMON_RUNNING:
+    case PU_DAEMON_STOPPED:
+      return;
+    case PU_DAEMON_LEAVING:
+      if (in_phase_ms (d) >= leave_ms (d))
+        begin_finishing (d);
+      return;
+    case PU_DAEMON_FINISHING:
+      step_finishing (d);
+      return;
+    case PU_DAEMON_DEPARTING:
+      step_departing (d);
+      return;
+    case PU_DAEMON_HANDING:
+      step_handing (d);
+      return;
+    case PU_DAEMON_CLOSING:
+      step_closing (d);
+      return;
+    }
+}
+
+void
+pu_daemon_stop (pu_daemon_t *d, void (*stopped) (void *data), void *data)
+{
+  d->stopped = stopped;
+  d->stopped_data = data;
+  if (d->phase != PU_DAEMON_RUNNING)
+    {
+      d->hurry = true;
+      return;
+    }
+  pu_log_note (PART, "Stopping: new callers are sent elsewhere.");
+  enter (d, PU_DAEMON_LEAVING);
+  if (d->entry != NULL)
+    pu_entry_leave (d->entry);
+  pu_agent_leave (d->agent, LEAVE_MS, on_left, d);
+  uv_timer_start (&d->timer, on_stop_tick, STOP_TICK_MS, STOP_TICK_MS);
+}
+
+/* --- the rest --- */
+
+void
+pu_daemon_reload (pu_daemon_t *d, pu_settings_t *s)
+{
+  char **fixed = pu_settings_reloadable_diff (d->settings, s);
+  pu_operator_key_t *keys = pu_daemon_operator_keys (s);
+
+  for (char **f = fixed; *f != NULL; f++)
+    pu_log_warn (PART, "A change of %s needs a restart.", *f);
+  pu_operator_set_keys (d->operator, keys, s->keys.operators.n);
+  pu_log_set_level (pu_settings_log_level (s));
+  pu_log_note (PART, "Read the settings again.");
+  g_free (keys);
+  g_strfreev (fixed);
+  pu_settings_free (s);
+}
+
+static void
+free_parts (pu_daemon_t *d)
+{
+  if (d->operators != NULL)
+    pu_http_server_free (d->operators);
+  pu_operator_free (d->operator);
+  if (d->entry != NULL)
+    pu_entry_free (d->entry);
+  if (d->agent != NULL)
+    pu_agent_free (d->agent);
+  if (d->peers != NULL)
+    pu_rpc_server_free (d->peers);
+  pu_counters_free (d->counters);
+}
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  pu_daemon_t *d = h->data;
+
+  g_free (d);
+}
+
+void
+pu_daemon_free (pu_daemon_t *d)
+{
+  free_parts (d);
+  pu_settings_free (d->settings);
+  uv_close ((uv_handle_t *)&d->timer, on_timer_closed);
+}
+
+pu_daemon_t *
+pu_daemon_new (uv_loop_t *loop, pu_settings_t *s, pu_error_t *e)
+{
+  pu_daemon_t *d = g_new0 (pu_daemon_t, 1);
+
+  d->loop = loop;
+  d->settings = s;
+  d->counters = pu_counters_new ();
+  uv_timer_init (loop, &d->timer);
+  d->timer.data = d;
+  uv_update_time (loop);
+  if (pu_daemon_build (d, e))
+    return d;
+  /* The process ends after a failed start: what was built is left to it.  */
+  return NULL;
+}
--- /dev/null
+++ b/libplantainusher/daemon/hooks.c
@@ -0,0 +1,182 @@
+/* What the entry and the operators' paths ask of the daemon.  */
+
+#include <string.h>
+
+#include "base/log.h"
+#include "daemon/parts.h"
+
+/* --- the entry's --- */
+
+static const pu_state_t *
+entry_view (void *data)
+{
+  const pu_daemon_t *d = data;
+
+  return pu_agent_view (d->agent);
+}
+
+static bool
+entry_ready (void *data)
+{
+  const pu_daemon_t *d = data;
+
+  return pu_agent_ready (d->agent);
+}
+
+static guint64
+entry_incarnation (void *data)
+{
+  const pu_daemon_t *d = data;
+
+  return pu_agent_incarnation (d->agent);
+}
+
+static void
+entry_propose (void *data, const pu_command *c, guint timeout_ms,
+               pu_entry_done_fn *fn, void *fn_data)
+{
+  pu_daemon_t *d = data;
+
+  pu_agent_propose (d->agent, c, timeout_ms, fn, fn_data);
+}
+
+static void
+entry_renew (void *data, const char *backend, guint64 incarnation)
+{
+  pu_daemon_t *d = data;
+
+  pu_agent_renew (d->agent, backend, incarnation);
+}
+
+static void
+entry_demand (void *data, const char *model, guint32 requests,
+              guint32 stream_ms)
+{
+  pu_daemon_t *d = data;
+
+  pu_agent_demand (d->agent, model, requests, stream_ms);
+}
+
+void
+pu_daemon_entry_hooks (pu_daemon_t *d, pu_entry_hooks_t *h)
+{
+  h->view = entry_view;
+  h->ready = entry_ready;
+  h->incarnation = entry_incarnation;
+  h->propose = entry_propose;
+  h->renew = entry_renew;
+  h->demand = entry_demand;
+  h->loads = pu_daemon_loads_out;
+  h->data = d;
+}
+
+/* --- the operators' --- */
+
+/* The two kinds of answer differ in the order of their arguments.  */
+typedef struct
+{
+  pu_operator_reply_fn *reply;
+  pu_operator_json_fn *json;
+  void *data;
+} answer_t;
+
+static void
+on_reply (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  answer_t *a = data;
+
+  a->reply (r, e, a->data);
+  g_free (a);
+}
+
+static void
+on_json (void *data, json_t *result, const pu_error_t *e)
+{
+  answer_t *a = data;
+
+  a->json (result != NULL ? json_incref (result) : NULL, e, a->data);
+  g_free (a);
+}
+
+/* The voter's own state has the history; the public copy has not.  */
+static const pu_state_t *
+operator_view (void *data)
+{
+  const pu_daemon_t *d = data;
+
+  return d->control != NULL ? pu_control_state (d->control)
+                            : pu_agent_view (d->agent);
+}
+
+static void
+operator_propose (const pu_command *c, guint32 timeout_ms,
+                  pu_operator_reply_fn *done, void *done_data, void *data)
+{
+  pu_daemon_t *d = data;
+  answer_t *a = g_new0 (answer_t, 1);
+
+  a->reply = done;
+  a->data = done_data;
+  pu_agent_propose (d->agent, c, timeout_ms, on_reply, a);
+}
+
+#define ASK_TIMEOUT_MS 3000
+
+static void
+operator_history (pu_operator_json_fn *done, void *done_data, void *data)
+{
+  pu_daemon_t *d = data;
+  answer_t *a = g_new0 (answer_t, 1);
+
+  a->json = done;
+  a->data = done_data;
+  pu_agent_history (d->agent, ASK_TIMEOUT_MS, on_json, a);
+}
+
+static void
+operator_voters (pu_operator_voters_action_t action, const char *name,
+                 const char *with, pu_operator_json_fn *done, void *done_data,
+                 void *data)
+{
+  static const char *const actions[] = {
+    [PU_OPERATOR_VOTERS_ADD] = "add",
+    [PU_OPERATOR_VOTERS_REMOVE] = "remove",
+    [PU_OPERATOR_VOTERS_REPLACE] = "replace",
+  };
+  pu_daemon_t *d = data;
+  answer_t *a = g_new0 (answer_t, 1);
+
+  a->json = done;
+  a->data = done_data;
+  pu_agent_voters (d->agent, actions[action], name, with, ASK_TIMEOUT_MS,
+                   on_json, a);
+}
+
+static bool
+operator_log_level (const char *level, void *data)
+{
+  (void)data;
+  return pu_log_set_level (level);
+}
+
+static void
+operator_metrics (GString *out, void *data)
+{
+  const pu_daemon_t *d = data;
+
+  pu_counters_print (d->counters, out);
+}
+
+void
+pu_daemon_operator_hooks (pu_daemon_t *d, pu_operator_hooks_t *h)
+{
+  h->view = operator_view;
+  h->propose = operator_propose;
+  h->status = pu_daemon_status;
+  h->history = operator_history;
+  h->dump = pu_daemon_dump;
+  h->voters = operator_voters;
+  h->set_log_level = operator_log_level;
+  h->metrics = operator_metrics;
+  h->data = d;
+}
--- /dev/null
+++ b/libplantainusher/daemon/loads.c
@@ -0,0 +1,87 @@
+/* Load reports of backend servers, from entry to entry, one way.  */
+
+#include "control/generated/control_msg.h"
+#include "daemon/parts.h"
+#include "rpc/rpc.h"
+#include "state/codec.h"
+
+void
+pu_daemon_loads_out (void *daemon, const char *address,
+                     const pu_entry_load_t *loads, guint n)
+{
+  pu_daemon_t *d = daemon;
+  pu_rpc_client_t *peer = pu_agent_peer (d->agent, address);
+  pu_load *list = g_new0 (pu_load, MAX (n, 1));
+  pu_loads m = { 0 };
+  GBytes *bytes;
+
+  for (guint i = 0; i < n; i++)
+    {
+      list[i].backend = (char *)loads[i].backend;
+      list[i].incarnation = loads[i].incarnation;
+      list[i].seq = loads[i].seq;
+      list[i].running = loads[i].running;
+      list[i].waiting = loads[i].waiting;
+      list[i].kv_used_mb = loads[i].kv_used_mb;
+      list[i].tokens_per_s = loads[i].tokens_per_s;
+    }
+  m.entry = (char *)d->settings->name;
+  m.loads.loads_len = n;
+  m.loads.loads_val = list;
+  bytes = pu_codec_encode ((xdrproc_t)xdr_pu_loads, &m);
+  if (peer != NULL)
+    {
+      pu_rpc_client_connect (peer);
+      pu_rpc_client_send (peer, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                          PU_CONTROL_LOADS, g_bytes_get_data (bytes, NULL),
+                          g_bytes_get_size (bytes));
+    }
+  g_bytes_unref (bytes);
+  g_free (list);
+}
+
+static void
+take_loads (pu_entry_t *entry, const pu_loads *m)
+{
+  guint n = m->loads.loads_len;
+  pu_entry_load_t *list = g_new0 (pu_entry_load_t, MAX (n, 1));
+
+  for (guint i = 0; i < n; i++)
+    {
+      const pu_load *l = &m->loads.loads_val[i];
+
+      list[i].backend = l->backend;
+      list[i].incarnation = l->incarnation;
+      list[i].seq = l->seq;
+      list[i].running = l->running;
+      list[i].waiting = l->waiting;
+      list[i].kv_used_mb = l->kv_used_mb;
+      list[i].tokens_per_s = l->tokens_per_s;
+    }
+  pu_entry_loads_in (entry, list, n);
+  g_free (list);
+}
+
+static void
+on_loads (void *data, pu_rpc_call_t *call, const guint8 *body, size_t n)
+{
+  pu_daemon_t *d = data;
+  pu_loads m;
+
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_loads, &m, sizeof m, body, n, NULL))
+    {
+      pu_rpc_call_garbage (call);
+      return;
+    }
+  if (d->entry != NULL)
+    take_loads (d->entry, &m);
+  xdr_free ((xdrproc_t)xdr_pu_loads, (char *)&m);
+  pu_rpc_call_drop (call);
+}
+
+void
+pu_daemon_loads_listen (pu_daemon_t *d)
+{
+  pu_rpc_server_add (d->peers, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                     PU_CONTROL_LOADS, on_loads, d);
+}
--- /dev/null
+++ b/libplantainusher/daemon/parts.h
@@ -0,0 +1,74 @@
+#ifndef PU_DAEMON_PARTS_H
+#define PU_DAEMON_PARTS_H
+
+#include "agent/agent.h"
+#include "base/counters.h"
+#include "control/control.h"
+#include "daemon/daemon.h"
+#include "entry/entry.h"
+#include "http/server.h"
+#include "operator/operator.h"
+#include "rpc/server.h"
+
+G_BEGIN_DECLS
+
+/*
+ * parts - what the files of this slice share.
+ */
+
+typedef enum
+{
+  PU_DAEMON_RUNNING,
+  PU_DAEMON_LEAVING,   /* callers are told to go elsewhere */
+  PU_DAEMON_FINISHING, /* open requests are finished */
+  PU_DAEMON_DEPARTING, /* it says that it is down */
+  PU_DAEMON_HANDING,   /* the lead goes to another voter */
+  PU_DAEMON_CLOSING,   /* the listeners and the log are closed */
+  PU_DAEMON_STOPPED
+} pu_daemon_phase_t;
+
+struct pu_daemon
+{
+  uv_loop_t *loop;
+  pu_settings_t *settings;
+  pu_counters_t *counters;
+  pu_rpc_server_t *peers;
+  pu_control_t *control; /* NULL without the role */
+  pu_agent_t *agent;
+  pu_entry_t *entry; /* NULL without the role */
+  pu_operator_t *operator;
+  pu_http_server_t *operators;
+  pu_daemon_phase_t phase;
+  uint64_t phase_since; /* ms of the loop's clock */
+  uv_timer_t timer;     /* of the stop */
+  bool hurry;           /* a second stop was asked for */
+  bool closed_control;
+  bool closed_operators;
+  void (*stopped) (void *data);
+  void *stopped_data;
+};
+
+/* hooks.c - what the entry and the operators' paths ask of the daemon.  */
+void pu_daemon_entry_hooks (pu_daemon_t *d, pu_entry_hooks_t *h);
+void pu_daemon_operator_hooks (pu_daemon_t *d, pu_operator_hooks_t *h);
+
+/* loads.c - load reports between entries.  */
+void pu_daemon_loads_listen (pu_daemon_t *d);
+void pu_daemon_loads_out (void *daemon, const char *address,
+                          const pu_entry_load_t *loads, guint n);
+
+/* status.c - what operators see.  */
+void pu_daemon_status (json_t *status, pu_operator_json_fn *done,
+                       void *done_data, void *daemon);
+json_t *pu_daemon_dump (void *daemon);
+
+/* build.c - the parts from the settings.  */
+bool pu_daemon_build (pu_daemon_t *d, pu_error_t *e);
+
+/* pu_daemon_operator_keys - the operators' keys of S as the operator slice
+   takes them; free the array with g_free.  */
+pu_operator_key_t *pu_daemon_operator_keys (const pu_settings_t *s);
+
+G_END_DECLS
+
+#endif
--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -110,7 +110,7 @@
 {
   for (uint64_t i = first; i <= last; i++)
     {
-      const pu_entry_t *n = pu_replica_entry (g->replica, i);
+      const pu_record_t *n = pu_replica_entry (g->replica, i);
 
       if (n == NULL)
         return;
@@ -283,6 +283,7 @@
   o.loop = g->o.loop;
   o.folder = g->folder;
   o.fs = g->o.fs;
+  o.sync_each = g->o.sync_each;
   o.synced = on_synced;
   o.saved = on_saved;
   o.failed = on_failed;
@@ -592,7 +593,7 @@
     return 0;
   while (after < last)
     {
-      const pu_entry_t *n = pu_replica_entry (g->replica, after + 1);
+      const pu_record_t *n = pu_replica_entry (g->replica, after + 1);
 
       if (given > 0 && given + n->len > bytes_max)
         break;
--- a/libplantainusher/log/group.h
+++ b/libplantainusher/log/group.h
@@ -68,6 +68,7 @@
   pu_group_restore_fn *restore;
   pu_group_role_fn *role;    /* may be NULL */
   pu_group_now_fn *now;      /* NULL: milliseconds of CLOCK_BOOTTIME */
+  bool sync_each;            /* one sync an entry: a benchmark's baseline */
   const pu_journal_fs_t *fs; /* NULL: the operating system's */
   void *data;                /* for the callbacks */
 } pu_group_options_t;
--- a/libplantainusher/log/group_fake.h
+++ b/libplantainusher/log/group_fake.h
@@ -23,9 +23,10 @@
   std::vector<std::string> applied;
   uint64_t restored = 0; /* entries that came by an image */
   bool cut = false;      /* neither sends nor receives */
-  bool digest = false;   /* keep a count alone, not the entries */
-  uint64_t count = 0;
-  size_t image_bytes = 0; /* with digest: size of an image */
+  /* Another state machine in place of the list.  */
+  std::function<void (uint64_t, const void *, size_t)> on_entry;
+  std::function<GBytes *()> on_image;
+  std::function<bool (const void *, size_t)> on_load;
 };
 
 struct FakePacket
@@ -112,7 +113,6 @@
     o.take = on_take;
     o.restore = on_restore;
     v.applied.clear ();
-    v.count = 0;
     v.group = pu_group_new (&o, e);
     return v.group != nullptr;
   }
@@ -205,11 +205,12 @@
       }
   }
   static void
-  on_apply (uint64_t, const void *bytes, size_t len, void *data)
+  on_apply (uint64_t index, const void *bytes, size_t len, void *data)
   {
     auto *v = (FakeVoter *)data;
-    v->count++;
-    if (!v->digest)
+    if (v->on_entry)
+      v->on_entry (index, bytes, len);
+    else
       v->applied.emplace_back ((const char *)bytes, len);
   }
   static GBytes *
@@ -217,11 +218,8 @@
   {
     auto *v = (FakeVoter *)data;
     std::string all;
-    if (v->digest)
-      {
-        all.resize (std::max (v->image_bytes, sizeof v->count));
-        memcpy (&all[0], &v->count, sizeof v->count);
-      }
+    if (v->on_image)
+      return v->on_image ();
     for (const std::string &s : v->applied)
       all += s + "\n";
     return g_bytes_new (all.data (), all.size ());
@@ -232,12 +230,9 @@
   {
     auto *v = (FakeVoter *)data;
     std::string all ((const char *)bytes, len);
+    if (v->on_load)
+      return v->on_load (bytes, len);
     v->applied.clear ();
-    if (v->digest)
-      {
-        memcpy (&v->count, bytes, sizeof v->count);
-        return true;
-      }
     for (size_t at = 0, end; (end = all.find ('\n', at)) != std::string::npos;
          at = end + 1)
       v->applied.push_back (all.substr (at, end - at));
--- a/libplantainusher/log/journal.c
+++ b/libplantainusher/log/journal.c
@@ -74,9 +74,9 @@
 {
   for (guint i = 0; i < entries->len; i++)
     {
-      const pu_entry_t *n = g_ptr_array_index (entries, i);
+      const pu_record_t *n = g_ptr_array_index (entries, i);
 
-      g_ptr_array_add (j->gathered, pu_entry_ref (n));
+      g_ptr_array_add (j->gathered, pu_record_ref (n));
       j->last_index = n->index;
     }
   j->commit = MAX (j->commit, commit);
@@ -152,7 +152,7 @@
   const void *p;
 
   for (guint i = 0; i < n; i++)
-    pu_entry_to_xdr (g_ptr_array_index (j->gathered, first + i), &x[i]);
+    pu_record_to_xdr (g_ptr_array_index (j->gathered, first + i), &x[i]);
   b.commit = j->commit;
   b.entries.entries_len = n;
   b.entries.entries_val = x;
@@ -183,7 +183,7 @@
   seg->last = MAX (seg->last, j->last_index);
   for (guint i = 0; i < j->gathered->len; i++)
     {
-      const pu_entry_t *n = g_ptr_array_index (j->gathered, i);
+      const pu_record_t *n = g_ptr_array_index (j->gathered, i);
 
       seg->last = MAX (seg->last, n->index);
     }
@@ -594,7 +594,7 @@
   j->segment_fd = -1;
   j->segments = g_array_new (FALSE, TRUE, sizeof (pu_segment_t));
   j->gathered
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_entry_unref);
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_record_unref);
   g_queue_init (&j->saves);
   rc = j->fs->mkdir (j->fs->data, j->folder);
   if (rc < 0)
--- a/libplantainusher/log/journal_load.c
+++ b/libplantainusher/log/journal_load.c
@@ -132,7 +132,7 @@
       g_ptr_array_set_size (image->entries, (gint)keep);
     }
   if (x->index > base)
-    g_ptr_array_add (image->entries, pu_entry_from_xdr (x));
+    g_ptr_array_add (image->entries, pu_record_from_xdr (x));
   return true;
 }
 
--- a/libplantainusher/log/journal_private.h
+++ b/libplantainusher/log/journal_private.h
@@ -64,7 +64,7 @@
   uint64_t snapshot_bytes;
   pu_log_meta meta; /* as last gathered */
 
-  GPtrArray *gathered; /* pu_entry_t */
+  GPtrArray *gathered; /* pu_record_t */
   bool meta_gathered;
   uint64_t ticket;
   GQueue saves; /* pu_save_job_t * */
--- a/libplantainusher/log/journal_test.cc
+++ b/libplantainusher/log/journal_test.cc
@@ -74,7 +74,7 @@
     held.terms.resize (held.snapshot);
     for (guint i = 0; i < image.entries->len; i++)
       held.terms.push_back (
-          ((pu_entry_t *)g_ptr_array_index (image.entries, i))->term);
+          ((pu_record_t *)g_ptr_array_index (image.entries, i))->term);
     held.term = image.meta.term;
     held.commit = image.commit;
   }
@@ -83,12 +83,12 @@
   write (Model &m, uint64_t ticket, uint64_t first, unsigned n, uint64_t term)
   {
     GPtrArray *a
-        = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_entry_unref);
+        = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_record_unref);
     m.terms.resize (first - 1);
     for (unsigned i = 0; i < n; i++)
       {
-        g_ptr_array_add (a, pu_entry_new (first + i, term, PU_LOG_DATA,
-                                          "some bytes of data", 18));
+        g_ptr_array_add (a, pu_record_new (first + i, term, PU_LOG_DATA,
+                                           "some bytes of data", 18));
         m.terms.push_back (term);
       }
     pu_journal_write (j, ticket, a, m.commit);
--- a/libplantainusher/log/entry.c
+++ b/libplantainusher/log/record.c
@@ -1,12 +1,12 @@
-#include "log/entry.h"
+#include "log/record.h"
 
 #include <string.h>
 
-pu_entry_t *
-pu_entry_new (uint64_t index, uint64_t term, pu_log_type type,
-              const void *data, size_t len)
+pu_record_t *
+pu_record_new (uint64_t index, uint64_t term, pu_log_type type,
+               const void *data, size_t len)
 {
-  pu_entry_t *n = g_rc_box_alloc (sizeof (pu_entry_t) + len);
+  pu_record_t *n = g_rc_box_alloc (sizeof (pu_record_t) + len);
 
   n->index = index;
   n->term = term;
@@ -17,20 +17,20 @@
   return n;
 }
 
-pu_entry_t *
-pu_entry_ref (const pu_entry_t *n)
+pu_record_t *
+pu_record_ref (const pu_record_t *n)
 {
-  return g_rc_box_acquire ((pu_entry_t *)n);
+  return g_rc_box_acquire ((pu_record_t *)n);
 }
 
 void
-pu_entry_unref (pu_entry_t *n)
+pu_record_unref (pu_record_t *n)
 {
   g_rc_box_release (n);
 }
 
 void
-pu_entry_to_xdr (const pu_entry_t *n, pu_log_entry *x)
+pu_record_to_xdr (const pu_record_t *n, pu_log_entry *x)
 {
   x->index = n->index;
   x->term = n->term;
@@ -39,11 +39,11 @@
   x->data.data_val = (char *)n->data;
 }
 
-pu_entry_t *
-pu_entry_from_xdr (const pu_log_entry *x)
+pu_record_t *
+pu_record_from_xdr (const pu_log_entry *x)
 {
-  return pu_entry_new (x->index, x->term, x->type, x->data.data_val,
-                       x->data.data_len);
+  return pu_record_new (x->index, x->term, x->type, x->data.data_val,
+                        x->data.data_len);
 }
 
 GBytes *
--- a/libplantainusher/log/entry.h
+++ b/libplantainusher/log/record.h
@@ -1,5 +1,5 @@
-#ifndef PU_LOG_ENTRY_H
-#define PU_LOG_ENTRY_H
+#ifndef PU_LOG_RECORD_H
+#define PU_LOG_RECORD_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -22,18 +22,18 @@
   pu_log_type type;
   uint32_t len;
   uint8_t data[];
-} pu_entry_t;
+} pu_record_t;
 
-pu_entry_t *pu_entry_new (uint64_t index, uint64_t term, pu_log_type type,
-                          const void *data, size_t len);
-pu_entry_t *pu_entry_ref (const pu_entry_t *n);
-void pu_entry_unref (pu_entry_t *n);
+pu_record_t *pu_record_new (uint64_t index, uint64_t term, pu_log_type type,
+                            const void *data, size_t len);
+pu_record_t *pu_record_ref (const pu_record_t *n);
+void pu_record_unref (pu_record_t *n);
 
-/* pu_entry_to_xdr - a view of N for encoding; it borrows N's bytes.  */
-void pu_entry_to_xdr (const pu_entry_t *n, pu_log_entry *x);
+/* pu_record_to_xdr - a view of N for encoding; it borrows N's bytes.  */
+void pu_record_to_xdr (const pu_record_t *n, pu_log_entry *x);
 
-/* pu_entry_from_xdr - a new entry with a copy of X.  */
-pu_entry_t *pu_entry_from_xdr (const pu_log_entry *x);
+/* pu_record_from_xdr - a new entry with a copy of X.  */
+pu_record_t *pu_record_from_xdr (const pu_log_entry *x);
 
 /* pu_xdr_encode - the bytes of the XDR value at P, or NULL when it breaks a
    bound.  */
--- a/libplantainusher/log/replica.c
+++ b/libplantainusher/log/replica.c
@@ -39,7 +39,8 @@
 pu_disk_image_init (pu_disk_image_t *d)
 {
   memset (d, 0, sizeof *d);
-  d->entries = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_entry_unref);
+  d->entries
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_record_unref);
 }
 
 void
@@ -278,7 +279,7 @@
   pu_r_push_config (r, r->base, &d->snapshot.config);
   r->written = G_MAXUINT64; /* nothing of this is to be written again */
   for (guint i = 0; i < d->entries->len; i++)
-    pu_r_append (r, pu_entry_ref (g_ptr_array_index (d->entries, i)));
+    pu_r_append (r, pu_record_ref (g_ptr_array_index (d->entries, i)));
   r->written = pu_r_last (r);
   r->durable = r->written;
   last_term = pu_r_last_term (r);
@@ -309,7 +310,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   r->floors
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  r->entries = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_entry_unref);
+  r->entries
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_record_unref);
   r->configs = g_array_new (FALSE, TRUE, sizeof (pu_config_at_t));
   r->progress = g_array_new (FALSE, TRUE, sizeof (pu_progress_t));
   g_queue_init (&r->writes);
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #include "base/error.h"
-#include "log/entry.h"
+#include "log/record.h"
 #include "log/generated/log_msg.h"
 
 G_BEGIN_DECLS
@@ -58,6 +58,8 @@
                                 place to a learner, if there is one */
   uint32_t snapshot_entries; /* 4096: entries until a snapshot */
   uint64_t snapshot_bytes;   /* 16 MiB: bytes until a snapshot */
+  bool snapshot_together;    /* all voters at the same point: a benchmark's
+                                baseline */
   uint32_t keep_entries;     /* 1024: kept behind a snapshot for others */
   uint32_t batch_bytes;      /* 1 MiB: entries in one message; one larger
                                 entry goes alone */
@@ -81,7 +83,7 @@
 {
   pu_log_meta meta;
   pu_snapshot_t snapshot;
-  GPtrArray *entries; /* pu_entry_t, after the snapshot, without gaps */
+  GPtrArray *entries; /* pu_record_t, after the snapshot, without gaps */
   uint64_t commit;    /* known to be committed; at least the snapshot */
 } pu_disk_image_t;
 
@@ -116,7 +118,7 @@
     } send;
     struct
     {
-      GPtrArray *entries; /* pu_entry_t */
+      GPtrArray *entries; /* pu_record_t */
       uint64_t commit;
     } write;
     struct
@@ -225,7 +227,7 @@
 uint64_t pu_replica_config_index (const pu_replica_t *r);
 
 /* pu_replica_entry - the entry at INDEX, or NULL when it is not held.  */
-const pu_entry_t *pu_replica_entry (const pu_replica_t *r, uint64_t index);
+const pu_record_t *pu_replica_entry (const pu_replica_t *r, uint64_t index);
 
 /* pu_replica_peer_state - on the leader: the position that ID has synced, and
    for how long it has been silent.  False for others.  */
--- a/libplantainusher/log/replica_append.c
+++ b/libplantainusher/log/replica_append.c
@@ -72,7 +72,7 @@
 {
   uint64_t index = pu_r_last (r) + 1;
 
-  pu_r_append (r, pu_entry_new (index, r->term, type, data, len));
+  pu_r_append (r, pu_record_new (index, r->term, type, data, len));
   r->pending_bytes += len;
   return index;
 }
@@ -131,12 +131,12 @@
 
   for (uint64_t i = first; i <= last && n < PU_LOG_ENTRIES_MAX; i++)
     {
-      const pu_entry_t *e = pu_replica_entry (r, i);
+      const pu_record_t *e = pu_replica_entry (r, i);
 
       bytes += e->len;
       if (n > 0 && bytes > r->o.batch_bytes)
         break;
-      pu_entry_to_xdr (e, &out[n++]);
+      pu_record_to_xdr (e, &out[n++]);
     }
   return n;
 }
@@ -534,7 +534,7 @@
             return false;
           pu_r_truncate (r, x->index);
         }
-      pu_r_append (r, pu_entry_from_xdr (x));
+      pu_r_append (r, pu_record_from_xdr (x));
     }
   return true;
 }
--- a/libplantainusher/log/replica_log.c
+++ b/libplantainusher/log/replica_log.c
@@ -26,7 +26,7 @@
   return r->base + r->entries->len;
 }
 
-const pu_entry_t *
+const pu_record_t *
 pu_replica_entry (const pu_replica_t *r, uint64_t index)
 {
   if (index <= r->base || index > pu_r_last (r))
@@ -37,7 +37,7 @@
 uint64_t
 pu_r_term_at (const pu_replica_t *r, uint64_t index, bool *known)
 {
-  const pu_entry_t *n = pu_replica_entry (r, index);
+  const pu_record_t *n = pu_replica_entry (r, index);
 
   *known = true;
   if (n != NULL)
@@ -121,7 +121,7 @@
 }
 
 static void
-note_config (pu_replica_t *r, const pu_entry_t *n)
+note_config (pu_replica_t *r, const pu_record_t *n)
 {
   pu_log_config c = { 0 };
 
@@ -133,7 +133,7 @@
 }
 
 void
-pu_r_append (pu_replica_t *r, pu_entry_t *n)
+pu_r_append (pu_replica_t *r, pu_record_t *n)
 {
   uint64_t cluster = r->cluster;
 
@@ -162,7 +162,7 @@
 
   for (uint64_t i = first; i <= pu_r_last (r); i++)
     r->bytes
-        -= MIN (r->bytes, sizeof (pu_entry_t) + pu_replica_entry (r, i)->len);
+        -= MIN (r->bytes, sizeof (pu_record_t) + pu_replica_entry (r, i)->len);
   g_ptr_array_set_size (r->entries, (gint)(keep - r->base));
   r->written = MIN (r->written, keep);
   r->durable = MIN (r->durable, keep);
@@ -185,9 +185,10 @@
   a->ticket = ++r->ticket;
   a->write.commit = r->commit;
   a->write.entries
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_entry_unref);
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_record_unref);
   for (uint64_t i = r->written + 1; i <= last; i++)
-    g_ptr_array_add (a->write.entries, pu_entry_ref (pu_replica_entry (r, i)));
+    g_ptr_array_add (a->write.entries,
+                     pu_record_ref (pu_replica_entry (r, i)));
   r->written = last;
   w = g_new (pu_write_t, 1);
   w->ticket = a->ticket;
@@ -225,7 +226,7 @@
 {
   const pu_log_config *c = pu_r_config (r);
   uint32_t members = MAX (c->members.members_len, 1);
-  uint32_t rank = own_rank (r, c);
+  uint32_t rank = r->o.snapshot_together ? 0 : own_rank (r, c);
   uint64_t period = r->o.snapshot_entries;
   uint64_t phase = period * rank / members;
   uint64_t limit = r->o.snapshot_bytes
@@ -294,7 +295,7 @@
 
   r->bytes = 0;
   for (uint64_t i = index + 1; i <= pu_r_last (r); i++)
-    r->bytes += sizeof (pu_entry_t) + pu_replica_entry (r, i)->len;
+    r->bytes += sizeof (pu_record_t) + pu_replica_entry (r, i)->len;
   if (base <= r->base)
     return;
   r->base_term = pu_r_term_at (r, base, &known);
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -161,7 +161,7 @@
 uint64_t pu_r_last (const pu_replica_t *r);
 uint64_t pu_r_term_at (const pu_replica_t *r, uint64_t index, bool *known);
 uint64_t pu_r_last_term (const pu_replica_t *r);
-void pu_r_append (pu_replica_t *r, pu_entry_t *n);
+void pu_r_append (pu_replica_t *r, pu_record_t *n);
 void pu_r_truncate (pu_replica_t *r, uint64_t first);
 void pu_r_flush_writes (pu_replica_t *r);
 void pu_r_advance_commit (pu_replica_t *r, uint64_t commit);
--- a/libplantainusher/log/replica_sim.h
+++ b/libplantainusher/log/replica_sim.h
@@ -63,7 +63,7 @@
 struct Disk
 {
   pu_log_meta meta{};
-  std::vector<pu_entry_t *> entries; // after the snapshot
+  std::vector<pu_record_t *> entries; // after the snapshot
   pu_snapshot_t snapshot{};
   uint64_t commit = 0;
   uint64_t
@@ -76,7 +76,7 @@
   {
     return entries.empty () ? snapshot.term : entries.back ()->term;
   }
-  const pu_entry_t *
+  const pu_record_t *
   at (uint64_t i) const
   {
     return i > snapshot.index && i <= last () ? entries[i - snapshot.index - 1]
@@ -87,7 +87,7 @@
   {
     while (!entries.empty () && last () >= first)
       {
-        pu_entry_unref (entries.back ());
+        pu_record_unref (entries.back ());
         entries.pop_back ();
       }
   }
@@ -347,8 +347,8 @@
     pu_disk_image_init (&d);
     d.meta = n.disk.meta;
     d.snapshot = n.disk.snapshot;
-    for (pu_entry_t *e : n.disk.entries)
-      g_ptr_array_add (d.entries, pu_entry_ref (e));
+    for (pu_record_t *e : n.disk.entries)
+      g_ptr_array_add (d.entries, pu_record_ref (e));
     d.commit = n.disk.commit;
     n.chain = n.disk.snapshot.index ? image (n.disk.snapshot.data) : 0;
     n.applied = n.disk.snapshot.index;
@@ -372,8 +372,8 @@
   bool
   superseded (const Node &n) const
   {
-    const pu_entry_t *e = n.r != nullptr ? pu_replica_entry (n.r, config_)
-                                         : n.disk.at (config_);
+    const pu_record_t *e = n.r != nullptr ? pu_replica_entry (n.r, config_)
+                                          : n.disk.at (config_);
     auto it = committed_.find (config_);
     return n.config < config_
            || (e != nullptr && it != committed_.end ()
@@ -468,11 +468,11 @@
       case PU_ACTION_WRITE:
         for (guint i = 0; i < a.write.entries->len; i++)
           {
-            auto *e = (pu_entry_t *)g_ptr_array_index (a.write.entries, i);
+            auto *e = (pu_record_t *)g_ptr_array_index (a.write.entries, i);
             n.disk.cut (e->index);
             if (e->index != n.disk.last () + 1)
               fail ("a gap in the journal");
-            n.disk.entries.push_back (pu_entry_ref (e));
+            n.disk.entries.push_back (pu_record_ref (e));
           }
         n.disk.commit = std::max (n.disk.commit, a.write.commit);
         break;
@@ -489,11 +489,11 @@
   static void
   save (Node &n, pu_snapshot_t &s, bool installed)
   {
-    std::vector<pu_entry_t *> rest;
+    std::vector<pu_record_t *> rest;
     if (!installed)
       {
         for (uint64_t i = s.index + 1; i <= n.disk.last (); i++)
-          rest.push_back (pu_entry_ref (n.disk.at (i)));
+          rest.push_back (pu_record_ref (n.disk.at (i)));
       }
     pu_log_meta meta = n.disk.meta;
     n.disk.clear ();
@@ -562,7 +562,7 @@
   {
     for (uint64_t i = first; i <= last; i++)
       {
-        const pu_entry_t *e = pu_replica_entry (n.r, i);
+        const pu_record_t *e = pu_replica_entry (n.r, i);
         uint64_t value = 0;
         if (e == nullptr || i != n.applied + 1)
           {
@@ -577,7 +577,8 @@
       }
   }
   void
-  check_commit (uint64_t i, const pu_entry_t *e, uint64_t chain, uint64_t term)
+  check_commit (uint64_t i, const pu_record_t *e, uint64_t chain,
+                uint64_t term)
   {
     auto it = committed_.find (i);
     if (it == committed_.end ())
@@ -600,7 +601,7 @@
     for (const Node &n : nodes_)
       {
         const Disk &d = n.disk;
-        const pu_entry_t *e = d.at (i);
+        const pu_record_t *e = d.at (i);
         size_t votes = 0;
         if (i <= d.snapshot.index || (e != nullptr && e->term == term)
             || std::count (n.voters.begin (), n.voters.end (), d.meta.id) == 0)
@@ -628,7 +629,7 @@
     leaders_[term] = id;
     for (auto &c : committed_)
       {
-        const pu_entry_t *e = pu_replica_entry (n.r, c.first);
+        const pu_record_t *e = pu_replica_entry (n.r, c.first);
         /* A late election of an earlier term may lack it: it commits
            nothing.  */
         if (c.first >= pu_replica_first (n.r) && committed_in_[c.first] < term
--- a/libplantainusher/operator/actions.c
+++ b/libplantainusher/operator/actions.c
@@ -24,33 +24,34 @@
 static void
 command_done (const pu_reply *r, const pu_error_t *e, void *data)
 {
-  pu_exchange_t *x = data;
+  pu_operator_exchange_t *x = data;
 
   if (r == NULL)
     {
-      pu_exchange_error (x, e);
+      pu_operator_exchange_error (x, e);
       return;
     }
   if (r->outcome != PU_OUTCOME_DONE && r->outcome != PU_OUTCOME_SEEN)
     {
-      pu_exchange_fail (x,
-                        r->outcome == PU_OUTCOME_REFUSED ? PU_ERROR_NOT_FOUND
-                                                         : PU_ERROR_CONFLICT,
-                        "The command was refused: %s",
-                        r->detail != NULL ? r->detail : "");
+      pu_operator_exchange_fail (
+          x,
+          r->outcome == PU_OUTCOME_REFUSED ? PU_ERROR_NOT_FOUND
+                                           : PU_ERROR_CONFLICT,
+          "The command was refused: %s", r->detail != NULL ? r->detail : "");
       return;
     }
   json_object_set_new (x->answer, "position",
                        json_integer ((json_int_t)r->position));
-  pu_exchange_json (x, 200, json_incref (x->answer));
+  pu_operator_exchange_json (x, 200, json_incref (x->answer));
 }
 
 static void
-propose (pu_exchange_t *x, const pu_command *c)
+propose (pu_operator_exchange_t *x, const pu_command *c)
 {
   if (x->op->hooks.propose == NULL)
     {
-      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "There is no log here.");
+      pu_operator_exchange_fail (x, PU_ERROR_UNAVAILABLE,
+                                 "There is no log here.");
     }
   else
     {
@@ -72,21 +73,22 @@
 }
 
 static void
-refuse_name (pu_exchange_t *x, const char *what, const char *name,
+refuse_name (pu_operator_exchange_t *x, const char *what, const char *name,
              const GPtrArray *names)
 {
   char *near = pu_json_nearest (name, (const char *const *)names->pdata,
                                 names->len, PU_OPERATOR_NEAR_MAX);
 
-  pu_exchange_fail (x, PU_ERROR_NOT_FOUND, "There is no %s \"%s\"%s%s.", what,
-                    name, *near != '\0' ? "; near it: " : "", near);
+  pu_operator_exchange_fail (x, PU_ERROR_NOT_FOUND,
+                             "There is no %s \"%s\"%s%s.", what, name,
+                             *near != '\0' ? "; near it: " : "", near);
   g_free (near);
 }
 
 static void
-drain_instance (pu_exchange_t *x, const char *name)
+drain_instance (pu_operator_exchange_t *x, const char *name)
 {
-  const pu_state_t *s = pu_exchange_view (x);
+  const pu_state_t *s = pu_operator_exchange_view (x);
   const pu_member_record *m = pu_state_member (s, name);
   pu_command c = { .type = PU_COMMAND_MEMBER_LEAVING };
 
@@ -106,9 +108,9 @@
 }
 
 static void
-drain_backend (pu_exchange_t *x, const char *name)
+drain_backend (pu_operator_exchange_t *x, const char *name)
 {
-  const pu_state_t *s = pu_exchange_view (x);
+  const pu_state_t *s = pu_operator_exchange_view (x);
   const pu_backend_record *b = pu_state_backend (s, name);
   pu_command c = { .type = PU_COMMAND_BACKEND_LEAVING };
 
@@ -128,9 +130,9 @@
 }
 
 void
-pu_operator_drain (pu_exchange_t *x)
+pu_operator_drain (pu_operator_exchange_t *x)
 {
-  json_t *o = pu_exchange_object (x);
+  json_t *o = pu_operator_exchange_object (x);
   bool instance;
   const char *name;
   pu_findings_t *f;
@@ -144,7 +146,7 @@
   name = name_field (o, instance ? "instance" : "backend", f);
   if (pu_findings_count (f) > 0)
     {
-      pu_exchange_findings (x, f);
+      pu_operator_exchange_findings (x, f);
     }
   else
     {
@@ -182,9 +184,9 @@
 }
 
 void
-pu_operator_voters (pu_exchange_t *x)
+pu_operator_voters (pu_operator_exchange_t *x)
 {
-  json_t *o = pu_exchange_object (x);
+  json_t *o = pu_operator_exchange_object (x);
   pu_operator_voters_action_t action = PU_OPERATOR_VOTERS_ADD;
   const char *with = "";
   const char *name;
@@ -201,19 +203,20 @@
     with = name_field (o, "with", f);
   if (pu_findings_count (f) > 0)
     {
-      pu_exchange_findings (x, f);
+      pu_operator_exchange_findings (x, f);
     }
   else
     {
       pu_findings_free (f);
       if (x->op->hooks.voters == NULL)
         {
-          pu_exchange_fail (x, PU_ERROR_UNAVAILABLE,
-                            "This daemon changes no voters.");
+          pu_operator_exchange_fail (x, PU_ERROR_UNAVAILABLE,
+                                     "This daemon changes no voters.");
         }
       else
         {
-          x->op->hooks.voters (action, name, with, pu_exchange_done_json, x,
+          x->op->hooks.voters (action, name, with,
+                               pu_operator_exchange_done_json, x,
                                x->op->hooks.data);
         }
     }
@@ -221,9 +224,9 @@
 }
 
 void
-pu_operator_log_level (pu_exchange_t *x)
+pu_operator_log_level (pu_operator_exchange_t *x)
 {
-  json_t *o = pu_exchange_object (x);
+  json_t *o = pu_operator_exchange_object (x);
   const pu_operator_hooks_t *hooks;
   const char *level;
 
@@ -233,19 +236,19 @@
   level = json_string_value (json_object_get (o, "level"));
   if (hooks->set_log_level == NULL)
     {
-      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE,
-                        "The level can't be set here.");
+      pu_operator_exchange_fail (x, PU_ERROR_UNAVAILABLE,
+                                 "The level can't be set here.");
     }
   else if (level != NULL && hooks->set_log_level (level, hooks->data))
     {
-      pu_exchange_json (x, 200, json_pack ("{s:s}", "level", level));
+      pu_operator_exchange_json (x, 200, json_pack ("{s:s}", "level", level));
     }
   else
     {
       pu_findings_t *f = pu_findings_new ();
 
       pu_findings_add (f, "/level", "It must be debug, info, note or warn.");
-      pu_exchange_findings (x, f);
+      pu_operator_exchange_findings (x, f);
     }
   json_decref (o);
 }
@@ -262,16 +265,16 @@
 }
 
 static void
-lift (pu_exchange_t *x, guint64 fingerprint, const char *text)
+lift (pu_operator_exchange_t *x, guint64 fingerprint, const char *text)
 {
   const pu_suspect_record *r
-      = pu_state_suspect (pu_exchange_view (x), fingerprint);
+      = pu_state_suspect (pu_operator_exchange_view (x), fingerprint);
   pu_command c = { .type = PU_COMMAND_LIFT };
 
   if (r == NULL)
     {
-      pu_exchange_fail (x, PU_ERROR_NOT_FOUND, "There is no conviction %s.",
-                        text);
+      pu_operator_exchange_fail (x, PU_ERROR_NOT_FOUND,
+                                 "There is no conviction %s.", text);
       return;
     }
   x->answer = json_pack ("{s:s}", "fingerprint", text);
@@ -280,9 +283,9 @@
 }
 
 void
-pu_operator_lift (pu_exchange_t *x)
+pu_operator_lift (pu_operator_exchange_t *x)
 {
-  json_t *o = pu_exchange_object (x);
+  json_t *o = pu_operator_exchange_object (x);
   guint64 fingerprint;
   const char *text;
 
@@ -299,7 +302,7 @@
 
       pu_findings_add (f, "/fingerprint",
                        "It must be 1 to 16 hexadecimal digits.");
-      pu_exchange_findings (x, f);
+      pu_operator_exchange_findings (x, f);
     }
   json_decref (o);
 }
--- a/libplantainusher/operator/documents.c
+++ b/libplantainusher/operator/documents.c
@@ -7,23 +7,24 @@
 /* Reads a document from TEXT; on a fault it answers, so that X is gone, and
    returns NULL.  */
 static pu_document_t *
-read_document (pu_exchange_t *x, const char *text, size_t len)
+read_document (pu_operator_exchange_t *x, const char *text, size_t len)
 {
   pu_findings_t *f;
   pu_document_t *d;
 
   if (len > PU_DOCUMENT_TEXT_MAX)
     {
-      pu_exchange_fail (x, PU_ERROR_TOO_LARGE,
-                        "The document is over its limit of %zu bytes.",
-                        PU_DOCUMENT_TEXT_MAX);
+      pu_operator_exchange_fail (
+          x, PU_ERROR_TOO_LARGE,
+          "The document is over its limit of %zu bytes.",
+          PU_DOCUMENT_TEXT_MAX);
       return NULL;
     }
   f = pu_findings_new ();
   d = pu_document_parse (text, len, f);
   if (d == NULL)
     {
-      pu_exchange_findings (x, f);
+      pu_operator_exchange_findings (x, f);
       return NULL;
     }
   pu_findings_free (f);
@@ -42,13 +43,13 @@
 /* What does not stop a submission: whether the models fit the engines that
    are announced just now.  Nothing is said before an engine is there.  */
 static json_t *
-warnings_of (const pu_exchange_t *x, const pu_document_t *d)
+warnings_of (const pu_operator_exchange_t *x, const pu_document_t *d)
 {
   GArray *engines = g_array_new (FALSE, FALSE, sizeof (pu_capacity_t));
   pu_findings_t *f = pu_findings_new ();
   json_t *result;
 
-  pu_state_each_backend (pu_exchange_view (x), add_capacity, engines);
+  pu_state_each_backend (pu_operator_exchange_view (x), add_capacity, engines);
   if (engines->len > 0)
     {
       pu_document_check_fit (d, (const pu_capacity_t *)engines->data,
@@ -86,7 +87,7 @@
 }
 
 void
-pu_operator_check (pu_exchange_t *x)
+pu_operator_check (pu_operator_exchange_t *x)
 {
   pu_document_t *d = read_document (x, x->body, x->body_len);
   json_t *body;
@@ -95,11 +96,11 @@
     return;
   body = json_pack ("{s:[], s:o}", "findings", "warnings", warnings_of (x, d));
   pu_document_unref (d);
-  pu_exchange_json (x, 200, body);
+  pu_operator_exchange_json (x, 200, body);
 }
 
 void
-pu_operator_diff (pu_exchange_t *x)
+pu_operator_diff (pu_operator_exchange_t *x)
 {
   pu_document_t *d = read_document (x, x->body, x->body_len);
   const pu_state_t *s;
@@ -108,18 +109,18 @@
 
   if (d == NULL)
     return;
-  s = pu_exchange_view (x);
+  s = pu_operator_exchange_view (x);
   newer = json_of_document (d);
   pu_document_unref (d);
   body = json_pack ("{s:I, s:o}", "base_version",
                     (json_int_t)version_of_view (s), "differs",
                     differs_from_view (s, newer));
   json_decref (newer);
-  pu_exchange_json (x, 200, body);
+  pu_operator_exchange_json (x, 200, body);
 }
 
 void
-pu_operator_plan (pu_exchange_t *x)
+pu_operator_plan (pu_operator_exchange_t *x)
 {
   pu_document_t *d = read_document (x, x->body, x->body_len);
 
@@ -127,11 +128,13 @@
     return;
   if (x->op->hooks.plan == NULL)
     {
-      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "This daemon does not plan.");
+      pu_operator_exchange_fail (x, PU_ERROR_UNAVAILABLE,
+                                 "This daemon does not plan.");
     }
   else
     {
-      x->op->hooks.plan (d, pu_exchange_done_json, x, x->op->hooks.data);
+      x->op->hooks.plan (d, pu_operator_exchange_done_json, x,
+                         x->op->hooks.data);
     }
   pu_document_unref (d);
 }
@@ -168,7 +171,7 @@
 }
 
 static void
-read_names (const pu_exchange_t *x, const json_t *o, submission_t *s,
+read_names (const pu_operator_exchange_t *x, const json_t *o, submission_t *s,
             pu_findings_t *f)
 {
   const json_t *author = json_object_get (o, "author");
@@ -241,7 +244,7 @@
 /* Reads the body O.  On a fault it answers, frees the text and returns
    false.  */
 static bool
-read_submission (pu_exchange_t *x, const json_t *o, submission_t *s)
+read_submission (pu_operator_exchange_t *x, const json_t *o, submission_t *s)
 {
   pu_findings_t *f = pu_findings_new ();
 
@@ -256,14 +259,14 @@
       return true;
     }
   free (s->text);
-  pu_exchange_findings (x, f);
+  pu_operator_exchange_findings (x, f);
   return false;
 }
 
 static void
-answer_conflict (pu_exchange_t *x, const pu_reply *r)
+answer_conflict (pu_operator_exchange_t *x, const pu_reply *r)
 {
-  const pu_state_t *s = pu_exchange_view (x);
+  const pu_state_t *s = pu_operator_exchange_view (x);
   char *message = g_strdup_printf (
       "Another change was first: version %" G_GUINT64_FORMAT " is in force.",
       (guint64)r->doc_version);
@@ -275,11 +278,11 @@
                    differs_from_view (s, x->document));
 
   g_free (message);
-  pu_exchange_json (x, 409, body);
+  pu_operator_exchange_json (x, 409, body);
 }
 
 static void
-answer_accepted (pu_exchange_t *x, const pu_reply *r)
+answer_accepted (pu_operator_exchange_t *x, const pu_reply *r)
 {
   bool resent = r->outcome == PU_OUTCOME_SEEN;
 
@@ -289,30 +292,30 @@
                        json_integer ((json_int_t)r->position));
   json_object_set_new (x->answer, "seen", json_boolean (resent));
   json_object_set (x->answer, "warnings", x->warnings);
-  pu_exchange_json (x, 200, json_incref (x->answer));
+  pu_operator_exchange_json (x, 200, json_incref (x->answer));
 }
 
 /* An error of the log, told with what the operator does next.  */
 static void
-answer_submit_error (pu_exchange_t *x, const pu_error_t *e)
+answer_submit_error (pu_operator_exchange_t *x, const pu_error_t *e)
 {
   if (e->kind == PU_ERROR_TIMEOUT)
     {
-      pu_exchange_fail (
+      pu_operator_exchange_fail (
           x, e->kind,
           "No answer in time: the change may be accepted or not. "
           "Send it again with the same change id.");
     }
   else
     {
-      pu_exchange_error (x, e);
+      pu_operator_exchange_error (x, e);
     }
 }
 
 static void
 submit_done (const pu_reply *r, const pu_error_t *e, void *data)
 {
-  pu_exchange_t *x = data;
+  pu_operator_exchange_t *x = data;
 
   if (r == NULL)
     {
@@ -321,9 +324,10 @@
     }
   if (x->op->closed)
     {
-      pu_exchange_fail (x, PU_ERROR_TIMEOUT,
-                        "The daemon is stopping. Send the change again to "
-                        "another with the same change id.");
+      pu_operator_exchange_fail (
+          x, PU_ERROR_TIMEOUT,
+          "The daemon is stopping. Send the change again to "
+          "another with the same change id.");
       return;
     }
   switch (r->outcome)
@@ -337,15 +341,17 @@
       return;
     case PU_OUTCOME_REFUSED:
     case PU_OUTCOME_BUSY:
-      pu_exchange_fail (x, PU_ERROR_INVALID, "The change was refused: %s",
-                        r->detail != NULL ? r->detail : "");
+      pu_operator_exchange_fail (x, PU_ERROR_INVALID,
+                                 "The change was refused: %s",
+                                 r->detail != NULL ? r->detail : "");
       return;
     }
-  pu_exchange_fail (x, PU_ERROR_CORRUPT, "The log gave an unknown answer.");
+  pu_operator_exchange_fail (x, PU_ERROR_CORRUPT,
+                             "The log gave an unknown answer.");
 }
 
 static void
-propose_document (pu_exchange_t *x, const submission_t *s,
+propose_document (pu_operator_exchange_t *x, const submission_t *s,
                   const pu_document_t *d)
 {
   pu_command c = { .type = PU_COMMAND_SUBMIT };
@@ -364,7 +370,7 @@
 }
 
 static void
-submit_parsed (pu_exchange_t *x, const submission_t *s)
+submit_parsed (pu_operator_exchange_t *x, const submission_t *s)
 {
   pu_document_t *d;
 
@@ -374,13 +380,14 @@
     return;
   if (strlen (pu_document_text (d)) > PU_DOCUMENT_MAX)
     {
-      pu_exchange_fail (x, PU_ERROR_TOO_LARGE,
-                        "The document is over its limit of %d bytes.",
-                        PU_DOCUMENT_MAX);
+      pu_operator_exchange_fail (x, PU_ERROR_TOO_LARGE,
+                                 "The document is over its limit of %d bytes.",
+                                 PU_DOCUMENT_MAX);
     }
   else if (x->op->hooks.propose == NULL)
     {
-      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "There is no log here.");
+      pu_operator_exchange_fail (x, PU_ERROR_UNAVAILABLE,
+                                 "There is no log here.");
     }
   else
     {
@@ -390,9 +397,9 @@
 }
 
 void
-pu_operator_submit (pu_exchange_t *x)
+pu_operator_submit (pu_operator_exchange_t *x)
 {
-  json_t *o = pu_exchange_object (x);
+  json_t *o = pu_operator_exchange_object (x);
   submission_t s;
 
   if (o == NULL)
--- a/libplantainusher/operator/exchange.c
+++ b/libplantainusher/operator/exchange.c
@@ -7,7 +7,7 @@
 #define RETRY_AFTER_S "2"
 
 static void
-exchange_free (pu_exchange_t *x)
+exchange_free (pu_operator_exchange_t *x)
 {
   pu_operator_unref (x->op);
   json_decref (x->document);
@@ -47,8 +47,9 @@
 }
 
 void
-pu_exchange_send (pu_exchange_t *x, int status, const char *content_type,
-                  const char *body, size_t len)
+pu_operator_exchange_send (pu_operator_exchange_t *x, int status,
+                           const char *content_type, const char *body,
+                           size_t len)
 {
   pu_operator_response_t r = { 0 };
 
@@ -62,13 +63,14 @@
 }
 
 void
-pu_exchange_json (pu_exchange_t *x, int status, json_t *body)
+pu_operator_exchange_json (pu_operator_exchange_t *x, int status, json_t *body)
 {
   char *text = json_dumps (body, JSON_COMPACT);
 
   g_assert (text != NULL);
   json_decref (body);
-  pu_exchange_send (x, status, "application/json", text, strlen (text));
+  pu_operator_exchange_send (x, status, "application/json", text,
+                             strlen (text));
   free (text);
 }
 
@@ -113,14 +115,14 @@
 }
 
 void
-pu_exchange_error (pu_exchange_t *x, const pu_error_t *e)
+pu_operator_exchange_error (pu_operator_exchange_t *x, const pu_error_t *e)
 {
-  pu_exchange_json (x, status_of (e->kind), error_json (e));
+  pu_operator_exchange_json (x, status_of (e->kind), error_json (e));
 }
 
 void
-pu_exchange_fail (pu_exchange_t *x, pu_error_kind_t kind, const char *format,
-                  ...)
+pu_operator_exchange_fail (pu_operator_exchange_t *x, pu_error_kind_t kind,
+                           const char *format, ...)
 {
   pu_error_t e = { .kind = kind };
   va_list ap;
@@ -128,20 +130,21 @@
   va_start (ap, format);
   g_vsnprintf (e.message, sizeof e.message, format, ap);
   va_end (ap);
-  pu_exchange_error (x, &e);
+  pu_operator_exchange_error (x, &e);
 }
 
 void
-pu_exchange_deny (pu_exchange_t *x, int status, const char *message)
+pu_operator_exchange_deny (pu_operator_exchange_t *x, int status,
+                           const char *message)
 {
   pu_error_t e;
 
   pu_error_set (&e, PU_ERROR_DENIED, "%s", message);
-  pu_exchange_json (x, status, error_json (&e));
+  pu_operator_exchange_json (x, status, error_json (&e));
 }
 
 void
-pu_exchange_findings (pu_exchange_t *x, pu_findings_t *f)
+pu_operator_exchange_findings (pu_operator_exchange_t *x, pu_findings_t *f)
 {
   size_t n = pu_findings_count (f);
   json_t *body = json_object ();
@@ -154,24 +157,26 @@
   json_object_set_new (body, "findings", pu_findings_to_json (f));
   g_free (message);
   pu_findings_free (f);
-  pu_exchange_json (x, 400, body);
+  pu_operator_exchange_json (x, 400, body);
 }
 
 void
-pu_exchange_done_json (json_t *result, const pu_error_t *e, void *data)
+pu_operator_exchange_done_json (json_t *result, const pu_error_t *e,
+                                void *data)
 {
   if (result != NULL)
     {
-      pu_exchange_json (data, 200, result);
+      pu_operator_exchange_json (data, 200, result);
     }
   else
     {
-      pu_exchange_error (data, e);
+      pu_operator_exchange_error (data, e);
     }
 }
 
 char *
-pu_exchange_argument (const pu_exchange_t *x, const char *name)
+pu_operator_exchange_argument (const pu_operator_exchange_t *x,
+                               const char *name)
 {
   char **pairs = g_strsplit (x->query, "&", -1);
   size_t len = strlen (name);
@@ -187,7 +192,7 @@
 }
 
 json_t *
-pu_exchange_object (pu_exchange_t *x)
+pu_operator_exchange_object (pu_operator_exchange_t *x)
 {
   pu_findings_t *f;
   json_error_t e;
@@ -207,12 +212,12 @@
       pu_findings_add (f, "", "The body must be a JSON object.");
     }
   json_decref (o);
-  pu_exchange_findings (x, f);
+  pu_operator_exchange_findings (x, f);
   return NULL;
 }
 
 const pu_state_t *
-pu_exchange_view (const pu_exchange_t *x)
+pu_operator_exchange_view (const pu_operator_exchange_t *x)
 {
   return x->op->hooks.view (x->op->hooks.data);
 }
--- a/libplantainusher/operator/internal.h
+++ b/libplantainusher/operator/internal.h
@@ -24,8 +24,8 @@
   pu_operator_hooks_t hooks;
 };
 
-/* One request until its response, which pu_exchange_* sends and with which
-   the exchange ends.  */
+/* One request until its response, which pu_operator_exchange_* sends and with
+   which the exchange ends.  */
 typedef struct
 {
   pu_operator_t *op; /* a reference */
@@ -38,35 +38,43 @@
   json_t *document; /* submitted, for the answer to a conflict */
   json_t *warnings; /* of the submitted document */
   json_t *answer;   /* prepared before a hook was asked */
-} pu_exchange_t;
+} pu_operator_exchange_t;
 
-typedef void pu_exchange_handler_fn (pu_exchange_t *x);
+typedef void pu_operator_exchange_handler_fn (pu_operator_exchange_t *x);
 
 /* Responses.  Each ends the exchange.  */
-void pu_exchange_send (pu_exchange_t *x, int status, const char *content_type,
-                       const char *body, size_t len);
+void pu_operator_exchange_send (pu_operator_exchange_t *x, int status,
+                                const char *content_type, const char *body,
+                                size_t len);
 /* Takes the reference of BODY.  */
-void pu_exchange_json (pu_exchange_t *x, int status, json_t *body);
-void pu_exchange_error (pu_exchange_t *x, const pu_error_t *e);
-void pu_exchange_fail (pu_exchange_t *x, pu_error_kind_t kind,
-                       const char *format, ...) G_GNUC_PRINTF (3, 4);
+void pu_operator_exchange_json (pu_operator_exchange_t *x, int status,
+                                json_t *body);
+void pu_operator_exchange_error (pu_operator_exchange_t *x,
+                                 const pu_error_t *e);
+void pu_operator_exchange_fail (pu_operator_exchange_t *x,
+                                pu_error_kind_t kind, const char *format, ...)
+    G_GNUC_PRINTF (3, 4);
 /* 401 without a key, 403 with a wrong one.  */
-void pu_exchange_deny (pu_exchange_t *x, int status, const char *message);
+void pu_operator_exchange_deny (pu_operator_exchange_t *x, int status,
+                                const char *message);
 /* 400 with every finding; frees F.  */
-void pu_exchange_findings (pu_exchange_t *x, pu_findings_t *f);
+void pu_operator_exchange_findings (pu_operator_exchange_t *x,
+                                    pu_findings_t *f);
 /* The answer of a JSON hook, passed on; DATA is the exchange.  */
-void pu_exchange_done_json (json_t *result, const pu_error_t *e, void *data);
+void pu_operator_exchange_done_json (json_t *result, const pu_error_t *e,
+                                     void *data);
 
-/* pu_exchange_argument - a new copy of the query's argument NAME, decoded, or
-   NULL.  */
-char *pu_exchange_argument (const pu_exchange_t *x, const char *name);
+/* pu_operator_exchange_argument - a new copy of the query's argument NAME,
+   decoded, or NULL.  */
+char *pu_operator_exchange_argument (const pu_operator_exchange_t *x,
+                                     const char *name);
 
-/* pu_exchange_object - the body as a JSON object, a new reference.  On a
-   fault it answers 400, so that X is gone, and returns NULL.  */
-json_t *pu_exchange_object (pu_exchange_t *x);
+/* pu_operator_exchange_object - the body as a JSON object, a new reference. On
+   a fault it answers 400, so that X is gone, and returns NULL.  */
+json_t *pu_operator_exchange_object (pu_operator_exchange_t *x);
 
-/* pu_exchange_view - the newest state.  */
-const pu_state_t *pu_exchange_view (const pu_exchange_t *x);
+/* pu_operator_exchange_view - the newest state.  */
+const pu_state_t *pu_operator_exchange_view (const pu_operator_exchange_t *x);
 
 /* pu_operator_unref - gives up an exchange's reference.  */
 void pu_operator_unref (pu_operator_t *op);
@@ -91,19 +99,19 @@
 json_t *pu_operator_document_json (const pu_state_t *s);
 
 /* Handlers by path.  */
-pu_exchange_handler_fn pu_operator_get_document;
-pu_exchange_handler_fn pu_operator_get_history;
-pu_exchange_handler_fn pu_operator_get_status;
-pu_exchange_handler_fn pu_operator_get_dump;
-pu_exchange_handler_fn pu_operator_get_convictions;
-pu_exchange_handler_fn pu_operator_check;
-pu_exchange_handler_fn pu_operator_submit;
-pu_exchange_handler_fn pu_operator_diff;
-pu_exchange_handler_fn pu_operator_plan;
-pu_exchange_handler_fn pu_operator_drain;
-pu_exchange_handler_fn pu_operator_voters;
-pu_exchange_handler_fn pu_operator_log_level;
-pu_exchange_handler_fn pu_operator_lift;
+pu_operator_exchange_handler_fn pu_operator_get_document;
+pu_operator_exchange_handler_fn pu_operator_get_history;
+pu_operator_exchange_handler_fn pu_operator_get_status;
+pu_operator_exchange_handler_fn pu_operator_get_dump;
+pu_operator_exchange_handler_fn pu_operator_get_convictions;
+pu_operator_exchange_handler_fn pu_operator_check;
+pu_operator_exchange_handler_fn pu_operator_submit;
+pu_operator_exchange_handler_fn pu_operator_diff;
+pu_operator_exchange_handler_fn pu_operator_plan;
+pu_operator_exchange_handler_fn pu_operator_drain;
+pu_operator_exchange_handler_fn pu_operator_voters;
+pu_operator_exchange_handler_fn pu_operator_log_level;
+pu_operator_exchange_handler_fn pu_operator_lift;
 
 /* Files of the console, in generated/console_data.c.  */
 typedef struct
--- a/libplantainusher/operator/operator.c
+++ b/libplantainusher/operator/operator.c
@@ -10,17 +10,18 @@
 {
   const char *method;
   const char *path;
-  pu_exchange_handler_fn *handle;
+  pu_operator_exchange_handler_fn *handle;
 } route_t;
 
 static void
-get_metrics (pu_exchange_t *x)
+get_metrics (pu_operator_exchange_t *x)
 {
   GString *out = g_string_new ("");
 
   if (x->op->hooks.metrics != NULL)
     x->op->hooks.metrics (out, x->op->hooks.data);
-  pu_exchange_send (x, 200, "text/plain; version=0.0.4", out->str, out->len);
+  pu_operator_exchange_send (x, 200, "text/plain; version=0.0.4", out->str,
+                             out->len);
   g_string_free (out, TRUE);
 }
 
@@ -94,11 +95,11 @@
          || strcmp (path, "/metrics") == 0;
 }
 
-static pu_exchange_t *
+static pu_operator_exchange_t *
 exchange_new (pu_operator_t *op, const pu_operator_request_t *r,
               pu_operator_respond_fn *respond, void *data)
 {
-  pu_exchange_t *x = g_new0 (pu_exchange_t, 1);
+  pu_operator_exchange_t *x = g_new0 (pu_operator_exchange_t, 1);
 
   op->refs++;
   x->op = op;
@@ -140,7 +141,7 @@
 }
 
 static void
-refuse_path (pu_exchange_t *x, const char *path)
+refuse_path (pu_operator_exchange_t *x, const char *path)
 {
   const char *names[G_N_ELEMENTS (routes)];
   char *near;
@@ -149,13 +150,14 @@
     names[i] = routes[i].path;
   near = pu_json_nearest (path, names, G_N_ELEMENTS (routes),
                           PU_OPERATOR_NEAR_MAX);
-  pu_exchange_fail (x, PU_ERROR_NOT_FOUND, "There is no path %.64s%s%s.", path,
-                    *near != '\0' ? "; near it: " : "", near);
+  pu_operator_exchange_fail (x, PU_ERROR_NOT_FOUND,
+                             "There is no path %.64s%s%s.", path,
+                             *near != '\0' ? "; near it: " : "", near);
   g_free (near);
 }
 
 static void
-refuse_method (pu_exchange_t *x, const route_t *route)
+refuse_method (pu_operator_exchange_t *x, const route_t *route)
 {
   char *message
       = g_strdup_printf ("%s takes %s only.", route->path, route->method);
@@ -163,23 +165,24 @@
                             message, "outcome", "not-run");
 
   g_free (message);
-  pu_exchange_json (x, 405, body);
+  pu_operator_exchange_json (x, 405, body);
 }
 
 static bool
-authorize (pu_exchange_t *x, const char *authorization)
+authorize (pu_operator_exchange_t *x, const char *authorization)
 {
   const char *holder;
 
   if (authorization == NULL)
     {
-      pu_exchange_deny (x, 401, "An operator's key is needed.");
+      pu_operator_exchange_deny (x, 401, "An operator's key is needed.");
       return false;
     }
   holder = pu_operator_keys_find (x->op->keys, authorization);
   if (holder == NULL)
     {
-      pu_exchange_deny (x, 403, "The operator's key is not known here.");
+      pu_operator_exchange_deny (x, 403,
+                                 "The operator's key is not known here.");
       return false;
     }
   x->author = g_strdup (holder);
@@ -190,15 +193,15 @@
 pu_operator_handle (pu_operator_t *op, const pu_operator_request_t *r,
                     pu_operator_respond_fn *respond, void *data)
 {
-  pu_exchange_t *x = exchange_new (op, r, respond, data);
+  pu_operator_exchange_t *x = exchange_new (op, r, respond, data);
   const pu_console_file_t *file = find_console (r);
   const route_t *other;
   const route_t *route;
 
   if (file != NULL)
     {
-      pu_exchange_send (x, 200, file->content_type, (const char *)file->data,
-                        file->len);
+      pu_operator_exchange_send (x, 200, file->content_type,
+                                 (const char *)file->data, file->len);
       return;
     }
   if (!authorize (x, r->authorization))
@@ -214,9 +217,9 @@
     }
   else if (r->body_len > PU_OPERATOR_BODY_MAX)
     {
-      pu_exchange_fail (x, PU_ERROR_TOO_LARGE,
-                        "The body is over its limit of %zu bytes.",
-                        (size_t)PU_OPERATOR_BODY_MAX);
+      pu_operator_exchange_fail (x, PU_ERROR_TOO_LARGE,
+                                 "The body is over its limit of %zu bytes.",
+                                 (size_t)PU_OPERATOR_BODY_MAX);
     }
   else
     {
--- a/libplantainusher/operator/views.c
+++ b/libplantainusher/operator/views.c
@@ -58,9 +58,9 @@
 
 /* Whether the query asks for the version of R, or for none.  */
 static bool
-is_asked (const pu_exchange_t *x, const pu_doc_record *r)
+is_asked (const pu_operator_exchange_t *x, const pu_doc_record *r)
 {
-  char *text = pu_exchange_argument (x, "version");
+  char *text = pu_operator_exchange_argument (x, "version");
   bool asked
       = text == NULL || g_ascii_strtoull (text, NULL, 10) == r->doc_version;
 
@@ -69,31 +69,33 @@
 }
 
 void
-pu_operator_get_document (pu_exchange_t *x)
+pu_operator_get_document (pu_operator_exchange_t *x)
 {
-  const pu_state_t *s = pu_exchange_view (x);
+  const pu_state_t *s = pu_operator_exchange_view (x);
   const pu_doc_record *r = pu_state_document (s);
   json_t *body;
 
   if (r == NULL)
     {
-      pu_exchange_fail (x, PU_ERROR_NOT_FOUND,
-                        "There is no document yet; the first is submitted "
-                        "with base version 0.");
+      pu_operator_exchange_fail (
+          x, PU_ERROR_NOT_FOUND,
+          "There is no document yet; the first is submitted "
+          "with base version 0.");
       return;
     }
   if (!is_asked (x, r))
     {
-      pu_exchange_fail (x, PU_ERROR_NOT_FOUND,
-                        "The text is kept of the version in force only, "
-                        "which is %" G_GUINT64_FORMAT ".",
-                        (guint64)r->doc_version);
+      pu_operator_exchange_fail (
+          x, PU_ERROR_NOT_FOUND,
+          "The text is kept of the version in force only, "
+          "which is %" G_GUINT64_FORMAT ".",
+          (guint64)r->doc_version);
       return;
     }
   body = record_json (r);
   set_number (body, "position", pu_state_position (s));
   json_object_set_new (body, "document", pu_operator_document_json (s));
-  pu_exchange_json (x, 200, body);
+  pu_operator_exchange_json (x, 200, body);
 }
 
 static void
@@ -112,16 +114,17 @@
 }
 
 void
-pu_operator_get_history (pu_exchange_t *x)
+pu_operator_get_history (pu_operator_exchange_t *x)
 {
   if (x->op->hooks.history != NULL)
     {
-      x->op->hooks.history (pu_exchange_done_json, x, x->op->hooks.data);
+      x->op->hooks.history (pu_operator_exchange_done_json, x,
+                            x->op->hooks.data);
     }
   else
     {
-      pu_exchange_json (x, 200,
-                        pu_operator_history_json (pu_exchange_view (x)));
+      pu_operator_exchange_json (
+          x, 200, pu_operator_history_json (pu_operator_exchange_view (x)));
     }
 }
 
@@ -298,9 +301,9 @@
 }
 
 void
-pu_operator_get_status (pu_exchange_t *x)
+pu_operator_get_status (pu_operator_exchange_t *x)
 {
-  const pu_state_t *s = pu_exchange_view (x);
+  const pu_state_t *s = pu_operator_exchange_view (x);
   json_t *status = json_object ();
   backends_t backends = { s, json_array () };
   json_t *members = json_array ();
@@ -314,25 +317,27 @@
   add_document_parts (status, s);
   if (x->op->hooks.status == NULL)
     {
-      pu_exchange_json (x, 200, status);
+      pu_operator_exchange_json (x, 200, status);
     }
   else
     {
-      x->op->hooks.status (status, pu_exchange_done_json, x,
+      x->op->hooks.status (status, pu_operator_exchange_done_json, x,
                            x->op->hooks.data);
     }
 }
 
 void
-pu_operator_get_dump (pu_exchange_t *x)
+pu_operator_get_dump (pu_operator_exchange_t *x)
 {
   if (x->op->hooks.dump == NULL)
     {
-      pu_exchange_fail (x, PU_ERROR_UNAVAILABLE, "This daemon dumps nothing.");
+      pu_operator_exchange_fail (x, PU_ERROR_UNAVAILABLE,
+                                 "This daemon dumps nothing.");
     }
   else
     {
-      pu_exchange_json (x, 200, x->op->hooks.dump (x->op->hooks.data));
+      pu_operator_exchange_json (x, 200,
+                                 x->op->hooks.dump (x->op->hooks.data));
     }
 }
 
@@ -353,10 +358,10 @@
 }
 
 void
-pu_operator_get_convictions (pu_exchange_t *x)
+pu_operator_get_convictions (pu_operator_exchange_t *x)
 {
   json_t *list = json_array ();
 
-  pu_state_each_suspect (pu_exchange_view (x), add_conviction, list);
-  pu_exchange_json (x, 200, json_pack ("{s:o}", "convictions", list));
+  pu_state_each_suspect (pu_operator_exchange_view (x), add_conviction, list);
+  pu_operator_exchange_json (x, 200, json_pack ("{s:o}", "convictions", list));
 }
