--- a/libplantainusher/document/document_test.cc
+++ b/libplantainusher/document/document_test.cc
@@ -8,8 +8,11 @@
 extern "C"
 {
 #include "document/document.h"
+#include "document/internal.h"
 }
 
+#include "base/json_reference.h"
+
 namespace
 {
 
@@ -27,7 +30,8 @@
       "  'chat': {'models': ['big', 'small', 'small-et'], 'importance': 7},"
       "  'hint': {'models': ['small'], 'targets': {'per_token_ms': 40}},"
       "  'room': {'kind': 'plain', 'targets': {'answer_ms': 90},"
-      "           'not_repeatable': ['POST /rooms/assign', '* /keys/']}},"
+      "           'not_repeatable': ['POST /rooms/assign', '* /keys/']},"
+      "  'keys': {'kind': 'plain'}},"
       "'models': {"
       "  'small': {'version': '2', 'memory_mb': 10, 'kv_cache_mb': 5},"
       "  'big': {'version': '1', 'memory_mb': 40, 'kv_cache_mb': 8,"
@@ -100,7 +104,7 @@
 
 TEST_F (Good, GivesTablesSortedByName)
 {
-  EXPECT_EQ (3u, pu_document_services (d));
+  EXPECT_EQ (4u, pu_document_services (d));
   ASSERT_EQ (3u, pu_document_models (d));
   EXPECT_STREQ ("big", pu_document_model (d, 0)->name);
   EXPECT_STREQ ("small-et", pu_document_model (d, 2)->name);
@@ -109,6 +113,8 @@
 
 TEST_F (Good, GivesDefaultsByKind)
 {
+  EXPECT_EQ (100u, service ("chat")->targets.per_token_ms);
+  EXPECT_EQ (500u, service ("keys")->targets.answer_ms);
   EXPECT_EQ (1000u, service ("hint")->targets.first_token_ms);
   EXPECT_EQ (40u, service ("hint")->targets.per_token_ms);
   EXPECT_EQ (0u, service ("hint")->targets.answer_ms);
@@ -409,4 +415,13 @@
   pu_document_unref (d);
 }
 
+TEST (Document, TheReferenceListsEachField)
+{
+  char *text = NULL;
+
+  ASSERT_TRUE (g_file_get_contents (PU_REFERENCE, &text, NULL, NULL));
+  pu_reference_check (&pu_document_schema, text);
+  g_free (text);
+}
+
 } // namespace
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -3,9 +3,12 @@
 
 extern "C"
 {
+#include "settings/schema.h"
 #include "settings/settings.h"
 }
 
+#include "base/json_reference.h"
+
 namespace
 {
 
@@ -273,4 +276,13 @@
     }
 }
 
+TEST (Settings, TheReferenceListsEachField)
+{
+  char *text = NULL;
+
+  ASSERT_TRUE (g_file_get_contents (PU_REFERENCE, &text, NULL, NULL));
+  pu_reference_check (&pu_settings_schema, text);
+  g_free (text);
+}
+
 } // namespace
