State: orders as the ledger's contract wants them

Cause: a RELEASE that the ledger refuses (a fenced engine has not reported a later token) still dropped the order's record, so that a voter restored from an image counted less than one that applied the log.

--- a/libplantainusher/state/memory.c
+++ b/libplantainusher/state/memory.c
@@ -207,10 +207,10 @@
   return pu_ledger_reserve (m->ledger, &n, e);
 }
 
-void
+bool
 pu_memory_release (pu_memory_t *m, guint64 token)
 {
-  pu_ledger_release (m->ledger, token);
+  return pu_ledger_release (m->ledger, token);
 }
 
 void
--- a/libplantainusher/state/memory.h
+++ b/libplantainusher/state/memory.h
@@ -37,8 +37,9 @@
 bool pu_memory_reserve (pu_memory_t *m, const pu_order_record *o,
                         pu_error_t *e);
 
-/* pu_memory_release - the life of the order is over.  */
-void pu_memory_release (pu_memory_t *m, guint64 token);
+/* pu_memory_release - the life of the order is over.  False when it must stay
+   open, as of pu_ledger_release.  */
+bool pu_memory_release (pu_memory_t *m, guint64 token);
 
 /* Rebuild the ledger from an image: first the backend servers.  */
 void pu_memory_restore_backend (pu_memory_t *m, const pu_backend_record *b);
