--- /dev/null
+++ b/libplantainusher/placer/placer.c
@@ -0,0 +1,344 @@
+#include "placer/placer_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+#define DEFAULT_LEASE_MS 800
+#define DEFAULT_ORDER_LIFE_MS 60000
+#define DEFAULT_CONNECT_MS 1000
+#define DEFAULT_REPORT_INTERVAL_MS 1000
+#define DEFAULT_PLAN_MS 1000
+#define DEFAULT_STREAMS 16.0
+#define LIFE_PARTS 3
+#define US_PER_MS 1000
+
+void
+pu_placer_options_init (pu_placer_options_t *o)
+{
+  memset (o, 0, sizeof *o);
+  pu_planner_options_init (&o->placement.planner);
+  pu_orders_options_init (&o->placement.orders);
+  o->streams_per_accelerator = DEFAULT_STREAMS;
+}
+
+static guint32
+or_default (guint32 value, guint32 otherwise)
+{
+  return value != 0 ? value : otherwise;
+}
+
+static void
+set_times (pu_placer_options_t *o)
+{
+  pu_orders_options_t *r = &o->placement.orders;
+
+  o->lease_ms = or_default (o->lease_ms, DEFAULT_LEASE_MS);
+  o->order_life_ms = or_default (o->order_life_ms, DEFAULT_ORDER_LIFE_MS);
+  o->connect_ms = or_default (o->connect_ms, DEFAULT_CONNECT_MS);
+  o->report_interval_ms
+      = or_default (o->report_interval_ms, DEFAULT_REPORT_INTERVAL_MS);
+  o->plan_ms = or_default (o->plan_ms, DEFAULT_PLAN_MS);
+  r->lease_ms = o->lease_ms;
+  r->send_ms = o->order_life_ms / LIFE_PARTS;
+  r->transit_ms = o->order_life_ms / LIFE_PARTS;
+  r->report_ms = o->order_life_ms - r->send_ms - r->transit_ms;
+  r->retry_ms = MIN (r->retry_ms, r->send_ms / 2);
+}
+
+/* --- the log --- */
+
+static void
+count (pu_placer_t *p, pu_counter_t counter)
+{
+  if (p->o.counters != NULL)
+    pu_counters_add (p->o.counters, counter, 1);
+}
+
+static bool
+awaits (void *data, guint32 backend, guint32 copy)
+{
+  const pu_placer_t *p = data;
+  GHashTableIter i;
+  gpointer key;
+
+  g_hash_table_iter_init (&i, p->awaited);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    {
+      const pu_placer_reserve_t *r = key;
+
+      if (r->backend == backend && r->copy == copy)
+        return true;
+    }
+  return false;
+}
+
+static void
+on_reserved (void *data, const pu_reply *reply, const pu_error_t *e)
+{
+  pu_placer_reserve_t *r = data;
+  pu_placer_t *p = r->placer;
+  bool accepted = e->kind == PU_OK && reply->outcome == PU_OUTCOME_DONE;
+  guint64 token = accepted ? reply->position : 0;
+
+  if (p->follow == NULL || r->lead != p->lead)
+    {
+      g_free (r);
+      return;
+    }
+  g_hash_table_remove (p->awaited, r);
+  if (accepted)
+    pu_follow_know (p->follow, token);
+  else
+    {
+      count (p, p->c.refused);
+      pu_log_info (PU_PLACER_PART, "No reservation for %s on %s: %s",
+                   pu_follow_model_of (p->follow, r->copy),
+                   pu_names_name (&p->follow->backends, r->backend),
+                   e->kind == PU_OK ? reply->detail : e->message);
+    }
+  pu_placement_reserved (p->follow->placement, r->id, accepted, token,
+                         pu_control_now (p->o.control));
+  g_free (r);
+}
+
+/* The record of the order R; its strings belong to others.  */
+static pu_order_record
+record_of (const pu_placer_t *p, const pu_orders_order_t *r)
+{
+  const pu_follow_t *f = p->follow;
+  pu_order_record o = { 0 };
+
+  o.token = r->token;
+  o.kind = (pu_order_kind)r->wish.kind;
+  o.backend = (char *)pu_names_name (&f->backends, r->wish.backend);
+  o.incarnation = r->wish.incarnation;
+  o.model = (char *)pu_follow_model_of (f, r->wish.copy);
+  o.model_version = (char *)pu_follow_version_of (f, r->wish.copy);
+  o.memory_mb = r->wish.memory_mb;
+  o.wall = (guint64)(g_get_real_time () / US_PER_MS);
+  o.life_ms = (u_int)pu_orders_life_ms (&p->o.placement.orders);
+  o.reason = (char *)pu_placer_reason (r->wish.reason);
+  return o;
+}
+
+static void
+reserve (pu_placer_t *p, const pu_orders_order_t *r)
+{
+  pu_command c = { 0 };
+  pu_placer_reserve_t *n = g_new0 (pu_placer_reserve_t, 1);
+
+  n->placer = p;
+  n->lead = p->lead;
+  n->id = r->id;
+  n->backend = r->wish.backend;
+  n->copy = r->wish.copy;
+  g_hash_table_add (p->awaited, n);
+  count (p, p->c.reserves);
+  c.type = PU_COMMAND_RESERVE;
+  c.pu_command_u.reserve = record_of (p, r);
+  pu_control_propose (p->o.control, &c, on_reserved, n);
+}
+
+static void
+on_released (void *data, const pu_reply *reply, const pu_error_t *e)
+{
+  (void)data;
+  if (e->kind == PU_OK && reply->outcome == PU_OUTCOME_REFUSED)
+    pu_log_debug (PU_PLACER_PART, "Not released: %s", reply->detail);
+}
+
+static void
+release (pu_placer_t *p, const pu_orders_order_t *r)
+{
+  pu_command c = { 0 };
+
+  count (p, p->c.releases);
+  c.type = PU_COMMAND_RELEASE;
+  c.pu_command_u.release.token = r->token;
+  c.pu_command_u.release.proof = (char *)"the life of the order is over";
+  pu_control_propose (p->o.control, &c, on_released, NULL);
+}
+
+/* --- the engines --- */
+
+static void
+on_answer (void *data, guint64 token, pu_orders_answer_t answer)
+{
+  pu_placer_t *p = data;
+
+  if (answer == PU_ORDERS_LOST)
+    count (p, p->c.lost);
+  if (p->follow != NULL)
+    pu_placement_answer (p->follow->placement, token, answer,
+                         pu_control_now (p->o.control));
+}
+
+static void
+send_order (pu_placer_t *p, const pu_orders_order_t *r, guint64 now)
+{
+  pu_order_record o = record_of (p, r);
+  const pu_backend_record *b
+      = pu_state_backend (pu_control_state (p->o.control), o.backend);
+
+  if (b == NULL || b->down || b->incarnation != o.incarnation)
+    return;
+  /* The clock again: the duty may have taken long.  */
+  if (!pu_control_is_leader (p->o.control)
+      || pu_control_now (p->o.control) >= r->send_until)
+    return;
+  count (p, p->c.sends);
+  if (!pu_sends_order (p->sends, b->address, &o, now))
+    pu_log_warn (PU_PLACER_PART, "Backend server %s has no address: %s",
+                 b->name, b->address);
+}
+
+static void
+tell_failure (pu_placer_t *p, const pu_orders_order_t *r)
+{
+  const pu_follow_t *f = p->follow;
+
+  count (p, p->c.failures);
+  pu_log_note (PU_PLACER_PART, "Gave up to %s %s version %s on %s.",
+               r->wish.kind == PU_LEDGER_LOAD ? "load" : "unload",
+               pu_follow_model_of (f, r->wish.copy),
+               pu_follow_version_of (f, r->wish.copy),
+               pu_names_name (&f->backends, r->wish.backend));
+}
+
+static void
+carry_out (pu_placer_t *p, const pu_orders_action_t *a, guint64 now)
+{
+  switch (a->what)
+    {
+    case PU_ORDERS_DO_RESERVE:
+      reserve (p, &a->order);
+      return;
+    case PU_ORDERS_DO_SEND:
+      send_order (p, &a->order, now);
+      return;
+    case PU_ORDERS_DO_RELEASE:
+      release (p, &a->order);
+      return;
+    case PU_ORDERS_DO_FAIL:
+      tell_failure (p, &a->order);
+      return;
+    case PU_ORDERS_DO_FENCE:
+      return;
+    }
+}
+
+/* --- the duty --- */
+
+static void
+on_begin (void *data, uint64_t now, uint64_t term)
+{
+  pu_placer_t *p = data;
+
+  (void)term;
+  p->lead++;
+  p->next_plan = now;
+  p->follow = pu_follow_new (pu_control_state (p->o.control), &p->o.placement,
+                             p->o.streams_per_accelerator, now);
+}
+
+static void
+on_end (void *data)
+{
+  pu_placer_t *p = data;
+
+  pu_sends_cancel (p->sends);
+  g_hash_table_remove_all (p->awaited);
+  g_clear_pointer (&p->follow, pu_follow_free);
+}
+
+static bool
+should_plan (pu_placer_t *p, bool urgent, guint64 now)
+{
+  if (p->follow->document == NULL || (!urgent && now < p->next_plan))
+    return false;
+  p->next_plan = now + p->o.plan_ms;
+  count (p, p->c.plans);
+  return true;
+}
+
+static void
+on_tick (void *data, uint64_t now)
+{
+  pu_placer_t *p = data;
+  bool urgent;
+
+  if (p->follow == NULL)
+    return;
+  pu_sends_expire (p->sends, now);
+  urgent = pu_follow_update (p->follow, awaits, p, now);
+  g_array_set_size (p->actions, 0);
+  pu_placement_step (p->follow->placement, should_plan (p, urgent, now), now,
+                     p->actions);
+  for (guint i = 0; i < p->actions->len && p->follow != NULL; i++)
+    carry_out (p, &g_array_index (p->actions, pu_orders_action_t, i), now);
+}
+
+static void
+on_demand (void *data, const char *model, guint32 requests, guint32 stream_ms)
+{
+  pu_placer_t *p = data;
+  guint32 item;
+
+  if (p->follow != NULL && pu_names_find (&p->follow->items, model, &item))
+    pu_planner_demand (pu_placement_planner (p->follow->placement), item,
+                       requests, stream_ms);
+}
+
+/* --- life --- */
+
+static void
+get_counters (pu_placer_t *p)
+{
+  pu_counters_t *c = p->o.counters;
+
+  if (c == NULL)
+    return;
+  p->c.plans = pu_counters_get (c, "placement_plans_total");
+  p->c.reserves = pu_counters_get (c, "placement_reservations_total");
+  p->c.refused = pu_counters_get (c, "placement_reservations_refused_total");
+  p->c.sends = pu_counters_get (c, "placement_orders_sent_total");
+  p->c.lost = pu_counters_get (c, "placement_answers_lost_total");
+  p->c.releases = pu_counters_get (c, "placement_releases_total");
+  p->c.failures = pu_counters_get (c, "placement_orders_failed_total");
+}
+
+pu_placer_t *
+pu_placer_new (const pu_placer_options_t *o)
+{
+  pu_placer_t *p = g_new0 (pu_placer_t, 1);
+  pu_control_duty_t duty = { "placement", on_begin, on_tick, on_end, p };
+  pu_sends_options_t s = { 0 };
+
+  p->o = *o;
+  set_times (&p->o);
+  s.loop = o->loop;
+  s.connect_ms = p->o.connect_ms;
+  s.transit_ms = (guint)p->o.placement.orders.transit_ms;
+  s.answer = on_answer;
+  s.data = p;
+  p->sends = pu_sends_new (&s);
+  p->awaited = g_hash_table_new (NULL, NULL);
+  p->actions = g_array_new (FALSE, FALSE, sizeof (pu_orders_action_t));
+  get_counters (p);
+  pu_control_add_duty (o->control, &duty);
+  pu_control_on_demand (o->control, on_demand, p);
+  return p;
+}
+
+void
+pu_placer_free (pu_placer_t *p)
+{
+  if (p == NULL)
+    return;
+  pu_follow_free (p->follow);
+  pu_sends_free (p->sends);
+  g_hash_table_unref (p->awaited);
+  g_array_unref (p->actions);
+  g_free (p);
+}
--- /dev/null
+++ b/libplantainusher/placer/send.c
@@ -0,0 +1,172 @@
+#include "placer/send.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "http/fetch.h"
+
+#define ORDERS_PATH "/control/orders"
+#define ANSWER_MAX 4096
+#define STATUS_OK 200
+#define STATUS_ACCEPTED 202
+#define STATUS_CONFLICT 409
+#define STATUS_NO_MEMORY 507
+
+struct pu_sends
+{
+  pu_sends_options_t o;
+  pu_http_client_t *client;
+  GHashTable *all; /* set of send_t */
+};
+
+typedef struct
+{
+  pu_sends_t *sends;
+  pu_http_fetch_t *fetch;
+  guint64 token;
+  guint64 until;
+} send_t;
+
+pu_sends_t *
+pu_sends_new (const pu_sends_options_t *o)
+{
+  pu_sends_t *s = g_new0 (pu_sends_t, 1);
+  pu_http_client_options_t c = { 0 };
+
+  s->o = *o;
+  c.loop = o->loop;
+  c.connect_timeout_ms = o->connect_ms;
+  c.first_byte_timeout_ms = o->transit_ms;
+  c.progress_timeout_ms = o->transit_ms;
+  s->client = pu_http_client_new (&c);
+  s->all = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  return s;
+}
+
+void
+pu_sends_cancel (pu_sends_t *s)
+{
+  GHashTableIter i;
+  gpointer key;
+
+  g_hash_table_iter_init (&i, s->all);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    {
+      pu_http_fetch_cancel (((send_t *)key)->fetch);
+      g_hash_table_iter_remove (&i);
+    }
+}
+
+void
+pu_sends_free (pu_sends_t *s)
+{
+  if (s == NULL)
+    return;
+  pu_sends_cancel (s);
+  pu_http_client_free (s->client);
+  g_hash_table_unref (s->all);
+  g_free (s);
+}
+
+static pu_orders_answer_t
+answer_of (const pu_http_fetched_t *f)
+{
+  if (f->result.kind != PU_HTTP_END_COMPLETE || f->response == NULL)
+    return PU_ORDERS_LOST;
+  switch (f->response->status)
+    {
+    case STATUS_OK:
+    case STATUS_ACCEPTED:
+      return PU_ORDERS_ACCEPTED;
+    case STATUS_CONFLICT:
+      return PU_ORDERS_OLD_TOKEN;
+    case STATUS_NO_MEMORY:
+      return PU_ORDERS_NO_MEMORY;
+    default:
+      return PU_ORDERS_REFUSED;
+    }
+}
+
+static void
+on_fetched (void *data, const pu_http_fetched_t *f)
+{
+  send_t *n = data;
+  pu_sends_t *s = n->sends;
+  guint64 token = n->token;
+
+  g_hash_table_remove (s->all, n);
+  s->o.answer (s->o.data, token, answer_of (f));
+}
+
+static GBytes *
+body_of (const pu_order_record *o)
+{
+  json_t *body = json_pack (
+      "{s:I, s:s, s:s, s:s, s:I}", "token", (json_int_t)o->token, "kind",
+      o->kind == PU_ORDER_LOAD ? "load" : "unload", "model", o->model,
+      "version", o->model_version, "memory_mb", (json_int_t)o->memory_mb);
+  char *text = json_dumps (body, JSON_COMPACT);
+  GBytes *bytes = g_bytes_new (text, strlen (text));
+
+  free (text);
+  json_decref (body);
+  return bytes;
+}
+
+bool
+pu_sends_order (pu_sends_t *s, const char *address, const pu_order_record *o,
+                guint64 now)
+{
+  static const pu_http_header_t type = { "Content-Type", "application/json" };
+  pu_http_call_options_t call = { 0 };
+  send_t *n = g_new0 (send_t, 1);
+
+  n->sends = s;
+  n->token = o->token;
+  n->until = now + s->o.transit_ms;
+  call.address = address;
+  call.method = "POST";
+  call.target = ORDERS_PATH;
+  call.headers = &type;
+  call.header_count = 1;
+  call.body = body_of (o);
+  call.fresh = true;
+  n->fetch = pu_http_fetch (s->client, &call, ANSWER_MAX, on_fetched, n, NULL);
+  g_bytes_unref (call.body);
+  if (n->fetch == NULL)
+    {
+      g_free (n);
+      return false;
+    }
+  g_hash_table_add (s->all, n);
+  return true;
+}
+
+void
+pu_sends_expire (pu_sends_t *s, guint64 now)
+{
+  GArray *lost = g_array_new (FALSE, FALSE, sizeof (guint64));
+  GHashTableIter i;
+  gpointer key;
+
+  g_hash_table_iter_init (&i, s->all);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    {
+      const send_t *n = key;
+
+      if (now < n->until)
+        continue;
+      g_array_append_val (lost, n->token);
+      pu_http_fetch_cancel (n->fetch);
+      g_hash_table_iter_remove (&i);
+    }
+  for (guint k = 0; k < lost->len; k++)
+    s->o.answer (s->o.data, g_array_index (lost, guint64, k), PU_ORDERS_LOST);
+  g_array_unref (lost);
+}
+
+guint
+pu_sends_count (const pu_sends_t *s)
+{
+  return g_hash_table_size (s->all);
+}
--- /dev/null
+++ b/libplantainusher/placer/show.c
@@ -0,0 +1,302 @@
+#include <string.h>
+
+#include "placer/placer_private.h"
+
+#define REASON_MARK ": "
+
+const char *
+pu_placer_reason (const char *text)
+{
+  const char *mark = strstr (text, REASON_MARK);
+
+  return mark != NULL ? mark + strlen (REASON_MARK) : text;
+}
+
+/* --- orders --- */
+
+static const char *
+kind_name (bool load)
+{
+  return load ? "load" : "unload";
+}
+
+static json_t *
+order_json (const pu_follow_t *f, const pu_orders_order_t *r)
+{
+  return json_pack (
+      "{s:s, s:s, s:s, s:s, s:I, s:s, s:I, s:I, s:b, s:s}", "kind",
+      kind_name (r->wish.kind == PU_LEDGER_LOAD), "model",
+      pu_follow_model_of (f, r->wish.copy), "version",
+      pu_follow_version_of (f, r->wish.copy), "backend",
+      pu_names_name (&f->backends, r->wish.backend), "memory_mb",
+      (json_int_t)r->wish.memory_mb, "state", pu_orders_state_name (r->state),
+      "token", (json_int_t)r->token, "tries", (json_int_t)r->tries,
+      "inherited", r->inherited, "reason", pu_placer_reason (r->wish.reason));
+}
+
+static json_t *
+orders_json (const pu_follow_t *f)
+{
+  const pu_orders_t *orders = pu_placement_orders (f->placement);
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < pu_orders_count (orders); i++)
+    json_array_append_new (list, order_json (f, pu_orders_get (orders, i)));
+  return list;
+}
+
+/* --- failures --- */
+
+static void
+add_failure (json_t *list, const pu_follow_t *f, guint32 backend, guint32 copy,
+             guint64 now)
+{
+  guint64 until;
+  guint n = pu_orders_failures (pu_placement_orders (f->placement), backend,
+                                copy, &until);
+
+  if (n == 0)
+    return;
+  json_array_append_new (
+      list, json_pack ("{s:s, s:s, s:s, s:I, s:I}", "model",
+                       pu_follow_model_of (f, copy), "version",
+                       pu_follow_version_of (f, copy), "backend",
+                       pu_names_name (&f->backends, backend), "failures",
+                       (json_int_t)n, "retry_ms",
+                       (json_int_t)(until > now ? until - now : 0)));
+}
+
+static json_t *
+failures_json (const pu_follow_t *f, guint64 now)
+{
+  json_t *list = json_array ();
+
+  for (guint32 b = 0; b < pu_names_count (&f->backends); b++)
+    {
+      for (guint32 c = 0; c < pu_names_count (&f->copies); c++)
+        add_failure (list, f, b, c, now);
+    }
+  return list;
+}
+
+/* --- models --- */
+
+/* The first line of the planner's explanation, without the name.  */
+static char *
+why (const pu_follow_t *f, guint32 item, guint64 now)
+{
+  GString *text = g_string_new (NULL);
+  char *line;
+
+  pu_planner_explain_item (pu_placement_planner (f->placement), item, now,
+                           text);
+  if (strchr (text->str, '\n') != NULL)
+    g_string_truncate (text, (gsize)(strchr (text->str, '\n') - text->str));
+  line = g_strdup (pu_placer_reason (text->str));
+  g_string_free (text, TRUE);
+  return line;
+}
+
+typedef struct
+{
+  const char *model;
+  json_t *list;
+} copies_t;
+
+static void
+add_copies (const pu_backend_record *b, void *data)
+{
+  static const char *const phases[]
+      = { "loading", "ready", "draining", "unloading" };
+  copies_t *c = data;
+
+  if (b->down || b->kind != PU_BACKEND_ENGINE)
+    return;
+  for (u_int i = 0; i < b->copies.copies_len; i++)
+    {
+      const pu_copy_record *r = &b->copies.copies_val[i];
+
+      if (strcmp (r->model, c->model) != 0)
+        continue;
+      json_array_append_new (c->list,
+                             json_pack ("{s:s, s:s, s:s, s:I}", "backend",
+                                        b->name, "version", r->model_version,
+                                        "phase", phases[r->phase], "memory_mb",
+                                        (json_int_t)r->memory_mb));
+    }
+}
+
+static json_t *
+model_json (const pu_follow_t *f, const pu_model_t *m, guint64 now)
+{
+  const pu_planner_t *p = pu_placement_planner (f->placement);
+  copies_t copies = { m->name, json_array () };
+  char *text;
+  guint32 item;
+
+  pu_names_find (&f->items, m->name, &item);
+  pu_state_each_backend (f->state, add_copies, &copies);
+  text = why (f, item, now);
+  json_t *o = json_pack (
+      "{s:s, s:s, s:I, s:s, s:b, s:s, s:o}", "model", m->name, "version",
+      m->version, "ready", (json_int_t)pu_planner_ready (p, item), "standing",
+      pu_standing_name (pu_planner_standing (p, item, now)), "rolled_back",
+      pu_planner_rolled_back (p, item), "why", text, "copies", copies.list);
+  g_free (text);
+  return o;
+}
+
+static void
+add_models (json_t *o, const pu_follow_t *f, guint64 now)
+{
+  json_t *models = json_array ();
+  json_t *missing = json_array ();
+  json_t *repairing = json_array ();
+  guint n = f->document != NULL ? pu_document_models (f->document) : 0;
+  const pu_planner_t *p = pu_placement_planner (f->placement);
+
+  for (pu_model_handle_t h = 0; h < n; h++)
+    {
+      const pu_model_t *m = pu_document_model (f->document, h);
+      guint32 item;
+
+      json_array_append_new (models, model_json (f, m, now));
+      pu_names_find (&f->items, m->name, &item);
+      if (pu_planner_ready (p, item) > 0)
+        continue;
+      json_array_append_new (missing, json_string (m->name));
+      if (pu_planner_standing (p, item, now) == PU_STANDING_LOADING)
+        json_array_append_new (repairing, json_string (m->name));
+    }
+  json_object_set_new (o, "models", models);
+  json_object_set_new (o, "missing", missing);
+  json_object_set_new (o, "repairing", repairing);
+}
+
+static void
+add_nothing (json_t *o)
+{
+  static const char *const lists[]
+      = { "orders", "models", "missing", "repairing", "failures" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (lists); i++)
+    json_object_set_new (o, lists[i], json_array ());
+}
+
+json_t *
+pu_placer_status (pu_placer_t *p)
+{
+  const pu_follow_t *f = p->follow;
+  guint64 now = pu_control_now (p->o.control);
+  json_t *o = json_pack ("{s:b, s:b}", "leads", f != NULL, "quiet", 0);
+  bool quiet;
+
+  if (f == NULL)
+    {
+      add_nothing (o);
+      return o;
+    }
+  quiet = !pu_orders_may_load (pu_placement_orders (f->placement), false, now);
+  json_object_set_new (o, "quiet", json_boolean (quiet));
+  json_object_set_new (o, "orders", orders_json (f));
+  json_object_set_new (o, "failures", failures_json (f, now));
+  add_models (o, f, now);
+  return o;
+}
+
+json_t *
+pu_placer_dump (pu_placer_t *p)
+{
+  const pu_orders_options_t *r = &p->o.placement.orders;
+  json_t *o = pu_placer_status (p);
+  json_t *numbers = json_pack (
+      "{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "take_overs", (json_int_t)p->lead,
+      "sends_open", (json_int_t)pu_sends_count (p->sends), "reservations_open",
+      (json_int_t)g_hash_table_size (p->awaited), "lease_ms",
+      (json_int_t)r->lease_ms, "send_ms", (json_int_t)r->send_ms, "transit_ms",
+      (json_int_t)r->transit_ms, "report_ms", (json_int_t)r->report_ms);
+
+  json_object_set_new (o, "numbers", numbers);
+  return o;
+}
+
+/* --- plans --- */
+
+static json_t *
+move_json (const pu_follow_t *f, const pu_move_t *m)
+{
+  char *reason = g_strdup (pu_plan_reason_name (m->reason));
+  json_t *o;
+
+  if (m->reason == PU_REASON_ROOM)
+    {
+      g_free (reason);
+      reason = g_strdup_printf ("%s (%s)", pu_plan_reason_name (m->reason),
+                                pu_names_name (&f->items, m->for_item));
+    }
+  o = json_pack ("{s:s, s:s, s:s, s:s, s:I, s:s}", "kind",
+                 kind_name (m->kind == PU_MOVE_LOAD), "model",
+                 pu_names_name (&f->items, m->item), "version",
+                 pu_names_name (&f->versions, m->version), "backend",
+                 pu_names_name (&f->backends, m->engine), "memory_mb",
+                 (json_int_t)m->memory_mb, "reason", reason);
+  g_free (reason);
+  return o;
+}
+
+static json_t *
+plan_json (pu_follow_t *f, const pu_document_t *d, guint64 now)
+{
+  GArray *items = pu_follow_items (f, d);
+  GPtrArray *wanted = g_ptr_array_new ();
+  GArray *moves = g_array_new (FALSE, FALSE, sizeof (pu_move_t));
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < items->len; i++)
+    {
+      pu_plan_item_t *t = &g_array_index (items, pu_plan_item_t, i);
+
+      g_ptr_array_add (wanted, t->name != NULL ? t : NULL);
+    }
+  pu_planner_what_if (pu_placement_planner (f->placement),
+                      (const pu_plan_item_t *const *)wanted->pdata,
+                      wanted->len, now, moves);
+  for (guint i = 0; i < moves->len; i++)
+    json_array_append_new (
+        list, move_json (f, &g_array_index (moves, pu_move_t, i)));
+  g_array_unref (moves);
+  g_array_unref (items);
+  g_ptr_array_unref (wanted);
+  return json_pack ("{s:o}", "moves", list);
+}
+
+json_t *
+pu_placer_plan_state (const pu_state_t *s, const pu_document_t *d)
+{
+  pu_placer_options_t o;
+  pu_follow_t *f;
+  json_t *plan;
+
+  pu_placer_options_init (&o);
+  /* Nobody orders anything: no wait for a leader before, no stay.  */
+  o.placement.orders.lease_ms = 0;
+  o.placement.orders.send_ms = 0;
+  o.placement.orders.transit_ms = 0;
+  o.placement.orders.report_ms = 0;
+  f = pu_follow_new (s, &o.placement, o.streams_per_accelerator, 0);
+  plan = plan_json (f, d, 0);
+  pu_follow_free (f);
+  return plan;
+}
+
+json_t *
+pu_placer_plan (pu_placer_t *p, const pu_document_t *d)
+{
+  guint64 now = pu_control_now (p->o.control);
+
+  if (p->follow == NULL
+      || !pu_orders_may_load (pu_placement_orders (p->follow->placement),
+                              false, now))
+    return pu_placer_plan_state (pu_control_state (p->o.control), d);
+  return plan_json (p->follow, d, now);
+}
