--- a/libplantainusher/log/replica_append.c
+++ b/libplantainusher/log/replica_append.c
@@ -408,7 +408,9 @@
     return;
   p->reject_seq = p->seq; /* what is on the way says the same */
   next = MAX (next, p->match + 1);
-  probe = next < p->next && next > r->base;
+  /* Go on at once where that leads further; one that needs a snapshot is told
+     its seeder once.  */
+  probe = next < p->next && (next > r->base || p->seeder == 0);
   p->next = next;
   p->probing = true;
   g_queue_clear (&p->on_way);
--- a/libplantainusher/log/replica_log.c
+++ b/libplantainusher/log/replica_log.c
@@ -308,10 +308,13 @@
 pu_replica_saved (pu_replica_t *r, uint64_t now, uint64_t index)
 {
   (void)now;
+  if (r->silent)
+    return;
   if (r->installing != 0 && r->installing == index)
     {
       r->installing = 0;
       r->durable = index;
+      pu_r_reply_append (r, true, 0);
       return;
     }
   if (index == 0 || r->taken.index != index)
