--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -34,14 +34,6 @@
     pu_log_warn (PART, "Leaving is not in the log: %s", e->message);
 }
 
-static void
-on_entry_stopped (void *data)
-{
-  pu_daemon_t *d = data;
-
-  enter (d, PU_DAEMON_DEPARTING);
-}
-
 static void
 on_departed (void *data, const pu_reply *r, const pu_error_t *e)
 {
@@ -55,6 +47,19 @@
   enter (d, PU_DAEMON_HANDING);
 }
 
+static void
+begin_departing (pu_daemon_t *d)
+{
+  enter (d, PU_DAEMON_DEPARTING);
+  pu_agent_depart (d->agent, DEPART_MS, on_departed, d);
+}
+
+static void
+on_entry_stopped (void *data)
+{
+  begin_departing (data);
+}
+
 static void
 on_control_closed (void *data)
 {
@@ -79,7 +84,7 @@
   if (d->entry != NULL)
     pu_entry_stop (d->entry, on_entry_stopped, d);
   else
-    enter (d, PU_DAEMON_DEPARTING);
+    begin_departing (d);
 }
 
 static void
@@ -101,16 +106,6 @@
   return (uint64_t)d->settings->timing.entries_ttl_s * MS_PER_S + STOP_TICK_MS;
 }
 
-static void
-step_departing (pu_daemon_t *d)
-{
-  if (in_phase_ms (d) > 0)
-    return;
-  /* The next phase begins in its answer.  */
-  pu_agent_depart (d->agent, DEPART_MS, on_departed, d);
-  d->phase_since = 0;
-}
-
 static void
 step_handing (pu_daemon_t *d)
 {
@@ -165,7 +160,7 @@
       step_finishing (d);
       return;
     case PU_DAEMON_DEPARTING:
-      step_departing (d);
+      /* The next phase begins in on_departed.  */
       return;
     case PU_DAEMON_HANDING:
       step_handing (d);
