--- a/libplantainusher/base/error.h
+++ b/libplantainusher/base/error.h
@@ -37,9 +37,9 @@
 } pu_error_t;
 
 /* pu_error_set - fills E with KIND and a printf-style message.  Always
-   returns false, so that a function can end in `return pu_error_set (...)`.  */
-bool pu_error_set (pu_error_t *e, pu_error_kind_t kind, const char *format, ...)
-    G_GNUC_PRINTF (3, 4);
+   returns false, so that a function can end in `return pu_error_set (...)`. */
+bool pu_error_set (pu_error_t *e, pu_error_kind_t kind, const char *format,
+                   ...) G_GNUC_PRINTF (3, 4);
 
 /* pu_error_kind_name - the lower-case name of KIND, such as "conflict".  */
 const char *pu_error_kind_name (pu_error_kind_t kind);
--- a/libplantainusher/base/findings.c
+++ b/libplantainusher/base/findings.c
@@ -59,8 +59,8 @@
 }
 
 void
-pu_findings_add_at (pu_findings_t *f, int line, int column,
-                    const char *format, ...)
+pu_findings_add_at (pu_findings_t *f, int line, int column, const char *format,
+                    ...)
 {
   va_list ap;
 
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -213,8 +213,10 @@
 
   pu_entry_options_init (&o);
   if (!pu_settings_split_address (s->addresses.callers, host, &port))
-    return pu_error_set (e, PU_ERROR_INVALID, "Address %s cannot be read.",
-                         s->addresses.callers);
+    {
+      return pu_error_set (e, PU_ERROR_INVALID, "Address %s cannot be read.",
+                           s->addresses.callers);
+    }
   o.loop = d->loop;
   o.name = s->name;
   o.region = s->region;
@@ -258,8 +260,10 @@
   pu_http_server_options_t o = { 0 };
 
   if (!pu_settings_split_address (s->addresses.operators, host, &port))
-    return pu_error_set (e, PU_ERROR_INVALID, "Address %s cannot be read.",
-                         s->addresses.operators);
+    {
+      return pu_error_set (e, PU_ERROR_INVALID, "Address %s cannot be read.",
+                           s->addresses.operators);
+    }
   pu_operator_options_init (&po);
   keys = pu_daemon_operator_keys (s);
   po.keys = keys;
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -82,9 +82,13 @@
 {
   enter (d, PU_DAEMON_FINISHING);
   if (d->entry != NULL)
-    pu_entry_stop (d->entry, on_entry_stopped, d);
+    {
+      pu_entry_stop (d->entry, on_entry_stopped, d);
+    }
   else
-    begin_departing (d);
+    {
+      begin_departing (d);
+    }
 }
 
 static void
--- a/libplantainusher/daemon/serve.c
+++ b/libplantainusher/daemon/serve.c
@@ -29,10 +29,14 @@
       const pu_finding_t *one = pu_findings_get (f, i);
 
       if (one->line > 0)
-        fprintf (stderr, "%s:%d:%d: %s\n", path, one->line, one->column,
-                 one->message);
+        {
+          fprintf (stderr, "%s:%d:%d: %s\n", path, one->line, one->column,
+                   one->message);
+        }
       else
-        fprintf (stderr, "%s: %s: %s\n", path, one->path, one->message);
+        {
+          fprintf (stderr, "%s: %s: %s\n", path, one->path, one->message);
+        }
     }
 }
 
@@ -78,9 +82,13 @@
 
   (void)number;
   if (s == NULL)
-    pu_log_warn (PART, "The settings have findings; the old ones stay.");
+    {
+      pu_log_warn (PART, "The settings have findings; the old ones stay.");
+    }
   else
-    pu_daemon_reload (v->daemon, s);
+    {
+      pu_daemon_reload (v->daemon, s);
+    }
 }
 
 static void
--- a/libplantainusher/once/once.c
+++ b/libplantainusher/once/once.c
@@ -4,7 +4,7 @@
 
 #define DEFAULT_KEYS_MAX 10000
 #define DEFAULT_WAITERS_MAX 64
-#define DEFAULT_WINDOW_MS (3600u * 1000u)
+#define DEFAULT_WINDOW_MS 3600000u
 #define DEFAULT_SKEW_MS 30000u
 #define DEFAULT_RETRY_MS 1000u
 
@@ -475,9 +475,13 @@
       call_t *l = value;
 
       if (l->phase == CLAIM_PAUSED && l->due <= now)
-        queue_claim (c, l);
+        {
+          queue_claim (c, l);
+        }
       else if (l->phase == RECORD_PAUSED && l->due <= now)
-        queue_record (c, l);
+        {
+          queue_record (c, l);
+        }
     }
 }
 
--- /dev/null
+++ b/libplantainusher/state/apply_backends.c
@@ -0,0 +1,170 @@
+/* Commands about backend servers and the orders to them.  */
+
+#include "state/apply.h"
+
+#include <string.h>
+
+/* The orders that a report proves to be over leave the table too.  */
+static void
+drop_closed_orders (pu_state_t *s, const GArray *closed)
+{
+  for (guint i = 0; i < closed->len; i++)
+    g_tree_remove (s->orders, &g_array_index (closed, guint64, i));
+}
+
+/* Takes N, which becomes the state's, into the memory and the table.  */
+static void
+take_backend (pu_apply_t *a, pu_backend_record *n)
+{
+  GArray *closed = g_array_new (FALSE, FALSE, sizeof (guint64));
+
+  if (pu_memory_backend_up (a->state->memory, n, closed))
+    {
+      drop_closed_orders (a->state, closed);
+      pu_tables_put_backend (a->state, n);
+      a->state->changes++;
+    }
+  else
+    {
+      pu_apply_answer (a, PU_OUTCOME_REFUSED, "An old report of %s.", n->name);
+      pu_codec_free ((xdrproc_t)xdr_pu_backend_record, n);
+    }
+  g_array_free (closed, TRUE);
+}
+
+void
+pu_apply_backend_up (pu_apply_t *a, const pu_backend_record *c)
+{
+  pu_state_t *s = a->state;
+  const pu_backend_record *old = pu_state_backend (s, c->name);
+  pu_backend_record n = *c;
+
+  n.down = FALSE;
+  if (old != NULL && old->incarnation > c->incarnation)
+    {
+      pu_apply_answer (a, PU_OUTCOME_REFUSED,
+                       "Incarnation %lu of %s is known.",
+                       (unsigned long)old->incarnation, c->name);
+      return;
+    }
+  if (old != NULL && old->incarnation == c->incarnation)
+    n.leaving = n.leaving || old->leaving;
+  if (old != NULL
+      && pu_codec_equal ((xdrproc_t)xdr_pu_backend_record, old, &n))
+    {
+      pu_apply_answer (a, PU_OUTCOME_SEEN, "The backend server is known.");
+      return;
+    }
+  take_backend (
+      a, pu_codec_clone ((xdrproc_t)xdr_pu_backend_record, &n, sizeof n));
+}
+
+static pu_backend_record *
+backend_in_force (pu_apply_t *a, const pu_down *c)
+{
+  pu_backend_record *b = g_tree_lookup (a->state->backends, c->name);
+
+  if (b != NULL && b->incarnation == c->incarnation && !b->down)
+    return b;
+  pu_apply_answer (a, PU_OUTCOME_REFUSED,
+                   "No backend server %s of incarnation %lu.", c->name,
+                   (unsigned long)c->incarnation);
+  return NULL;
+}
+
+/* How many backend servers that are down are remembered.  */
+#define DOWN_BACKENDS_MAX 1024
+
+/* Forgets a backend server that is down and whose orders are all over, when
+   too many are remembered.  */
+static void
+forget_one_down (pu_state_t *s)
+{
+  const pu_backend_record *found = NULL;
+  guint down = 0;
+
+  for (GTreeNode *n = g_tree_node_first (s->backends); n != NULL;
+       n = g_tree_node_next (n))
+    {
+      const pu_backend_record *b = g_tree_node_value (n);
+
+      if (!b->down)
+        continue;
+      down++;
+      if (found == NULL && !pu_memory_has_orders (s->memory, b->name))
+        found = b;
+    }
+  if (down <= DOWN_BACKENDS_MAX || found == NULL)
+    return;
+  pu_memory_forget (s->memory, found->name);
+  g_tree_remove (s->backends, found->name);
+}
+
+void
+pu_apply_backend_down (pu_apply_t *a, const pu_down *c)
+{
+  pu_backend_record *b = backend_in_force (a, c);
+
+  if (b == NULL)
+    return;
+  b->down = TRUE;
+  pu_memory_backend_down (a->state->memory, b);
+  forget_one_down (a->state);
+  a->state->changes++;
+}
+
+void
+pu_apply_backend_leaving (pu_apply_t *a, const pu_down *c)
+{
+  pu_backend_record *b = backend_in_force (a, c);
+
+  if (b == NULL)
+    return;
+  b->leaving = TRUE;
+  pu_memory_backend_leaving (a->state->memory, b);
+  a->state->changes++;
+}
+
+void
+pu_apply_reserve (pu_apply_t *a, const pu_order_record *c)
+{
+  pu_state_t *s = a->state;
+  pu_order_record *o;
+  pu_error_t e;
+
+  o = pu_codec_clone ((xdrproc_t)xdr_pu_order_record, c, sizeof *c);
+  o->token = a->position;
+  if (pu_memory_reserve (s->memory, o, &e))
+    {
+      pu_tables_put_order (s, o);
+      return;
+    }
+  pu_apply_answer (a,
+                   e.kind == PU_ERROR_CONFLICT ? PU_OUTCOME_CONFLICT
+                                               : PU_OUTCOME_REFUSED,
+                   "%s", e.message);
+  pu_codec_free ((xdrproc_t)xdr_pu_order_record, o);
+}
+
+void
+pu_apply_release (pu_apply_t *a, const pu_release *c)
+{
+  uint64_t token = c->token;
+
+  if (g_tree_lookup (a->state->orders, &token) == NULL)
+    {
+      pu_apply_answer (a, PU_OUTCOME_SEEN, "No reservation %lu.",
+                       (unsigned long)token);
+      return;
+    }
+  /* The record stays while the ledger counts the order, so that an image
+     gives the same ledger.  */
+  if (!pu_memory_release (a->state->memory, token))
+    {
+      pu_apply_answer (a, PU_OUTCOME_REFUSED,
+                       "Order %lu may still be carried out.",
+                       (unsigned long)token);
+      return;
+    }
+  g_tree_remove (a->state->orders, &token);
+}
--- a/libplantainusher/state/image.c
+++ b/libplantainusher/state/image.c
@@ -82,8 +82,10 @@
 take_documents (pu_state_t *s, const pu_state_image *m)
 {
   for (u_int i = m->history.history_len; i > 1; i--)
-    pu_tables_put_document (
-        s, CLONE (pu_doc_record, &m->history.history_val[i - 1]));
+    {
+      pu_tables_put_document (
+          s, CLONE (pu_doc_record, &m->history.history_val[i - 1]));
+    }
   if (m->document.doc_version > 0)
     pu_tables_put_document (s, CLONE (pu_doc_record, &m->document));
 }
@@ -95,8 +97,10 @@
   s->view = m->view;
   take_documents (s, m);
   for (u_int i = 0; i < m->members.members_len; i++)
-    pu_tables_put_member (
-        s, CLONE (pu_member_record, &m->members.members_val[i]));
+    {
+      pu_tables_put_member (
+          s, CLONE (pu_member_record, &m->members.members_val[i]));
+    }
   for (u_int i = 0; i < m->backends.backends_len; i++)
     {
       const pu_backend_record *b = &m->backends.backends_val[i];
@@ -114,8 +118,10 @@
   for (u_int i = 0; i < m->claims.claims_len; i++)
     pu_tables_put_claim (s, CLONE (pu_claim_record, &m->claims.claims_val[i]));
   for (u_int i = 0; i < m->suspects.suspects_len; i++)
-    pu_tables_put_suspect (
-        s, CLONE (pu_suspect_record, &m->suspects.suspects_val[i]));
+    {
+      pu_tables_put_suspect (
+          s, CLONE (pu_suspect_record, &m->suspects.suspects_val[i]));
+    }
 }
 
 static uint64_t
--- a/libplantainusher/state/memory.c
+++ b/libplantainusher/state/memory.c
@@ -240,9 +240,11 @@
   if (names_find (&m->backends, backend, &handle))
     {
       for (guint i = 0; i < orders->len; i++)
-        found = found
-                || g_array_index (orders, pu_ledger_order_t, i).backend
-                       == handle;
+        {
+          found = found
+                  || g_array_index (orders, pu_ledger_order_t, i).backend
+                         == handle;
+        }
     }
   g_array_unref (orders);
   return found;
--- a/libplantainusher/state/tables.c
+++ b/libplantainusher/state/tables.c
@@ -180,9 +180,13 @@
 {
   c->phase = phase;
   if (phase == PU_CLAIM_OPEN)
-    g_tree_replace (s->open_claims, &c->position, c);
+    {
+      g_tree_replace (s->open_claims, &c->position, c);
+    }
   else
-    g_tree_remove (s->open_claims, &c->position);
+    {
+      g_tree_remove (s->open_claims, &c->position);
+    }
 }
 
 pu_claim_record *
--- a/libplantainusher/suspects/suspects.c
+++ b/libplantainusher/suspects/suspects.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define DEFAULT_STRIKE_WAIT_MS (600u * 1000u)
+#define DEFAULT_STRIKE_WAIT_MS 600000u
 
 /* What is held against a fingerprint.  */
 typedef struct
