RPC: a closed peer is an error and not the end of the process

Cause: libuv writes without MSG_NOSIGNAL, so that a write to a connection that the peer has closed, before the loop has read its end, raises the signal. The kernel's option for each write is out of reach through uv_write; ignoring the signal in the daemon alone would be forgotten by every test and tool. The first connection of a process does it, unless there is a handler.

Its test ends with status 141 without the change and passes with it.

Agent: proposals are numbered from the clock, so that an earlier process under the same incarnation does not have them dropped as late copies.

--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -108,7 +108,8 @@
   a->view = pu_state_new (&o->state);
   a->pool = pool_new (o);
   a->rand = g_rand_new_with_seed (o->seed);
-  a->next_seq = 1;
+  /* Above those of an earlier process under the same incarnation.  */
+  a->next_seq = (uint64_t)g_get_real_time ();
   g_queue_init (&a->proposals);
   g_queue_init (&a->queries);
   pu_agent_voters_init (a);
--- a/libplantainusher/rpc/link.c
+++ b/libplantainusher/rpc/link.c
@@ -1,5 +1,6 @@
 #include "rpc/link.h"
 
+#include <signal.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -200,11 +201,24 @@
   g_free (buf->base);
 }
 
+/* ignore_sigpipe - a write to a connection that the peer has closed must be an
+   error, not the end of the process; libuv leaves that to its users.  A
+   handler of the process's own stays.  */
+static void
+ignore_sigpipe (void)
+{
+  struct sigaction action;
+
+  if (sigaction (SIGPIPE, NULL, &action) == 0 && action.sa_handler == SIG_DFL)
+    signal (SIGPIPE, SIG_IGN);
+}
+
 static pu_rpc_link_t *
 link_new (const pu_rpc_link_options_t *o)
 {
   pu_rpc_link_t *l = g_new0 (pu_rpc_link_t, 1);
 
+  ignore_sigpipe ();
   l->counters = o->counters;
   l->max_queue = o->max_queue;
   l->last_in = uv_now (o->loop);
--- a/libplantainusher/rpc/rpc_test.cc
+++ b/libplantainusher/rpc/rpc_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <csignal>
 #include <functional>
 #include <string>
 #include <vector>
@@ -505,6 +506,29 @@
   EXPECT_EQ (states, std::vector<bool>{ true });
 }
 
+/* Answers go to a peer that has closed: an error, not the end of the process.
+   The default disposition is put back, as a daemon that forgot it has it.  */
+TEST_F (Rpc, WritingToAClosedPeerIsNoSignal)
+{
+  Answer a[20];
+
+  signal (SIGPIPE, SIG_DFL);
+  serve ();
+  dial ();
+  for (auto &x : a)
+    start (&x, slow, "abcd", 2000);
+  run_until ([&] { return held.size () == 20; });
+  pu_rpc_client_free (client);
+  client = nullptr;
+  for (auto *call : held) /* before the loop shows the end */
+    {
+      pu_rpc_call_reply (call, "abcd", 4);
+      g_usleep (1000);
+    }
+  held.clear ();
+  run_until ([&] { return pu_rpc_server_connections (server) == 0; });
+}
+
 TEST_F (Rpc, RemovedHandlerIsNotFound)
 {
   serve ();
