Documents travel as deltas; a claim has its service's own window

Change: the leader makes a submit a delta against the document that it is based on, with the hash of the whole; each copy splices.

--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -43,6 +43,7 @@
   guint32 connect_ms;        /* to other voters */
   guint32 tick_ms;           /* 100: polls are answered and duties run */
   guint32 sessions_ms;       /* 1000: sessions go to the leader */
+  guint32 claims_max;        /* at-most-once keys kept; 0: no limit */
   guint32 ring_entries;      /* 4096: public entries kept for polls */
   size_t ring_bytes;         /* 16 MiB */
   const pu_journal_fs_t *fs; /* NULL: the operating system's; tests */
--- a/libplantainusher/control/proposals.c
+++ b/libplantainusher/control/proposals.c
@@ -301,11 +301,30 @@
   return a->seq < p->floor;
 }
 
+/* ready_for_log - the bytes of COMMAND as they go into the log: a document as
+   a delta.  NULL with E when there is no room for what it asks.  */
+static GBytes *
+ready_for_log (pu_control_t *c, pu_command *command, pu_error_t *e)
+{
+  if (command->type == PU_COMMAND_SUBMIT)
+    pu_state_shrink_submit (c->state, &command->pu_command_u.submit);
+  if (command->type == PU_COMMAND_CLAIM && c->options.claims_max > 0
+      && pu_state_claims (c->state) >= c->options.claims_max)
+    {
+      pu_error_set (e, PU_ERROR_UNAVAILABLE,
+                    "%u keys are kept, no more fit; the call was not run.",
+                    c->options.claims_max);
+      return NULL;
+    }
+  return pu_command_encode (command);
+}
+
 static void
 propose_here (pu_control_t *c, pu_rpc_call_t *call, const pu_propose *a)
 {
   proposal_t *p;
   pu_command command;
+  GBytes *bytes;
   pu_error_t e;
 
   if (is_late_copy (c, a))
@@ -319,12 +338,19 @@
       propose_fail (c, call, PU_ERROR_INVALID, e.message);
       return;
     }
+  bytes = ready_for_log (c, &command, &e);
   pu_command_clear (&command);
+  if (bytes == NULL)
+    {
+      propose_fail (c, call, e.kind, e.message);
+      return;
+    }
   p = g_new0 (proposal_t, 1);
   p->call = call;
-  if (!group_propose (c, p, a->command.command_val, a->command.command_len,
-                      &e))
+  if (!group_propose (c, p, g_bytes_get_data (bytes, NULL),
+                      g_bytes_get_size (bytes), &e))
     propose_fail (c, call, e.kind, e.message);
+  g_bytes_unref (bytes);
 }
 
 void
--- a/libplantainusher/state/apply.c
+++ b/libplantainusher/state/apply.c
@@ -1,4 +1,5 @@
 #include "state/apply.h"
+#include "state/delta.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -39,6 +40,7 @@
   const pu_doc_record *seen
       = g_hash_table_lookup (s->change_ids, c->change_id);
   pu_doc_record d = { 0 };
+  char *text;
 
   a->reply->doc_version = current;
   if (seen != NULL)
@@ -56,14 +58,21 @@
                        (unsigned long)current);
       return;
     }
+  text = pu_delta_text (s, c);
+  if (text == NULL)
+    {
+      pu_apply_answer (a, PU_OUTCOME_REFUSED, "The delta does not fit.");
+      return;
+    }
   d.doc_version = current + 1;
   d.position = a->position;
   d.wall = c->wall;
   d.change_id = c->change_id;
   d.author = c->author;
-  d.text = c->text;
+  d.text = text;
   pu_tables_put_document (
       s, pu_codec_clone ((xdrproc_t)xdr_pu_doc_record, &d, sizeof d));
+  g_free (text);
   s->changes++;
   a->reply->doc_version = d.doc_version;
 }
--- a/libplantainusher/state/apply_claims.c
+++ b/libplantainusher/state/apply_claims.c
@@ -57,7 +57,6 @@
 drop_old_claims (pu_state_t *s, uint64_t wall)
 {
   GPtrArray *old = g_ptr_array_new ();
-  uint64_t window = s->options.claim_window_ms;
   guint open = 0;
 
   s->claim_wall = MAX (s->claim_wall, wall);
@@ -66,7 +65,7 @@
     {
       pu_claim_record *c = g_tree_node_value (n);
 
-      if (c->wall + window >= s->claim_wall)
+      if (c->wall + c->window_ms >= s->claim_wall)
         break;
       if (c->phase == PU_CLAIM_OPEN)
         {
@@ -107,6 +106,8 @@
   n.attempt = c->attempt;
   n.position = a->position;
   n.wall = c->wall;
+  n.window_ms
+      = c->window_ms > 0 ? c->window_ms : a->state->options.claim_window_ms;
   n.phase = PU_CLAIM_OPEN;
   n.content_type = "";
   pu_tables_put_claim (
--- a/libplantainusher/state/state.c
+++ b/libplantainusher/state/state.c
@@ -114,6 +114,12 @@
     fn (l->data, data);
 }
 
+uint32_t
+pu_state_claims (const pu_state_t *s)
+{
+  return (uint32_t)g_tree_nnodes (s->claims);
+}
+
 const pu_member_record *
 pu_state_member (const pu_state_t *s, const char *name)
 {
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -99,6 +99,9 @@
 /* Documents come newest first; only the newest carries its text.  */
 void pu_state_each_document (const pu_state_t *s, pu_doc_fn *fn, void *data);
 
+/* pu_state_claims - how many claims are kept.  */
+uint32_t pu_state_claims (const pu_state_t *s);
+
 /* Lookups; NULL when there is none.  */
 const pu_member_record *pu_state_member (const pu_state_t *s,
                                          const char *name);
@@ -114,6 +117,11 @@
    loaded or reserved by orders that may still take effect.  */
 uint64_t pu_state_committed_mb (const pu_state_t *s, const char *backend);
 
+/* pu_state_shrink_submit - makes C a delta against the document in force when
+   C is based on it and that is shorter.  C's text is replaced (by malloc and
+   free).  Applied to the same document, the delta gives the same text.  */
+void pu_state_shrink_submit (const pu_state_t *s, pu_submit *c);
+
 /* pu_command_encode, pu_command_decode - XDR bytes of a command.  A decoded
    command is freed with pu_command_clear.  */
 GBytes *pu_command_encode (const pu_command *c);
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -121,6 +121,7 @@
   unsigned hyper attempt;    /* of the owner's, so that a resent command is known */
   unsigned hyper position;   /* log position of the claim in force */
   unsigned hyper wall;       /* when it was claimed */
+  unsigned hyper window_ms;
   pu_claim_phase phase;
   unsigned int status;       /* HTTP status of the result */
   pu_name content_type;
@@ -163,12 +164,18 @@
   PU_COMMAND_LIFT = 13
 };
 
+/* A change of the document.  As a delta, the new text is the first PREFIX bytes
+   of the text at base_version, TEXT, and its last SUFFIX bytes.  */
 struct pu_submit
 {
   unsigned hyper base_version; /* 0: there is no document yet */
   unsigned hyper wall;
   pu_name change_id;
   pu_name author;
+  bool delta;
+  unsigned int prefix;
+  unsigned int suffix;
+  unsigned hyper hash;       /* of the new text, by XXH3; deltas only */
   string text<PU_DOCUMENT_MAX>;
 };
 
@@ -193,6 +200,7 @@
   unsigned hyper owner_incarnation;
   unsigned hyper attempt;    /* unique within the owner's incarnation */
   unsigned hyper wall;
+  unsigned hyper window_ms;  /* the result is kept that long; 0: the default */
 };
 
 struct pu_claim_done
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstring>
 #include <map>
 #include <random>
 #include <string>
@@ -70,7 +71,8 @@
 
     c.c.type = PU_COMMAND_SUBMIT;
     c.c.pu_command_u.submit
-        = { base, 5, c.text (id), c.text ("ann"), c.text ("{" + id + "}") };
+        = { base, 5, c.text (id), c.text ("ann"),         FALSE,
+            0,    0, 0,           c.text ("{" + id + "}") };
     *r = apply (c);
   }
 
@@ -99,14 +101,14 @@
   pu_reply
   claim_key (const std::string &key, const std::string &owner,
              uint64_t incarnation, uint64_t attempt, uint64_t wall,
-             uint64_t fingerprint = 1)
+             uint64_t fingerprint = 1, uint64_t window = 0)
   {
     Command c;
 
     c.c.type = PU_COMMAND_CLAIM;
     c.c.pu_command_u.claim
         = { c.text ("svc"), c.text (key), fingerprint, c.text (owner),
-            incarnation,    attempt,      wall };
+            incarnation,    attempt,      wall,        window };
     return apply (c);
   }
 
@@ -374,6 +376,85 @@
   EXPECT_EQ (nullptr, pu_state_claim (s.s, "svc", "k"));
 }
 
+TEST (State, AClaimsOwnWindowCounts)
+{
+  State s;
+  pu_reply r;
+
+  s.member ("e", 1);
+  r = s.claim_key ("long", "e", 1, 1, 10, 1, 5000);
+  s.claim_done ("long", r.position, PU_CLAIM_RAN);
+  r = s.claim_key ("short", "e", 1, 2, 10, 1, 50);
+  s.claim_done ("short", r.position, PU_CLAIM_RAN);
+  s.claim_key ("x", "e", 1, 3, 1011);
+  EXPECT_EQ (nullptr, pu_state_claim (s.s, "svc", "short"));
+  EXPECT_NE (nullptr, pu_state_claim (s.s, "svc", "long"));
+}
+
+namespace
+{
+
+/* Submits TEXT at BASE as a delta against FROM's document; returns the bytes
+   that went into the log.  */
+size_t
+submit_delta (State &from, State &to, uint64_t base, const std::string &text)
+{
+  pu_command c = {};
+  pu_reply r;
+  size_t sent;
+
+  c.type = PU_COMMAND_SUBMIT;
+  c.pu_command_u.submit.base_version = base;
+  c.pu_command_u.submit.change_id
+      = strdup (std::to_string (pu_state_position (to.s)).c_str ());
+  c.pu_command_u.submit.author = strdup ("");
+  c.pu_command_u.submit.text = strdup (text.c_str ());
+  pu_state_shrink_submit (from.s, &c.pu_command_u.submit);
+  sent = strlen (c.pu_command_u.submit.text);
+  EXPECT_TRUE (pu_state_apply (to.s, pu_state_position (to.s) + 1, &c, &r));
+  pu_reply_clear (&r);
+  pu_command_clear (&c);
+  return sent;
+}
+
+} // namespace
+
+TEST (Delta, CarriesOnlyWhatDiffers)
+{
+  State s;
+
+  EXPECT_EQ (11u, submit_delta (s, s, 0, "hello world"));
+  EXPECT_EQ (1u, submit_delta (s, s, 1, "hello, world"));
+  EXPECT_STREQ ("hello, world", pu_state_document (s.s)->text);
+  EXPECT_EQ (0u, submit_delta (s, s, 2, "hello world"));
+  EXPECT_STREQ ("hello world", pu_state_document (s.s)->text);
+}
+
+TEST (Delta, AgainstAnotherTextIsRefused)
+{
+  State s;
+  State other;
+
+  submit_delta (s, s, 0, "one text");
+  submit_delta (other, other, 0, "one list");
+  submit_delta (s, other, 1, "one test");
+  EXPECT_STREQ ("one list", pu_state_document (other.s)->text);
+  EXPECT_EQ (1u, pu_state_document (other.s)->doc_version);
+}
+
+RC_GTEST_PROP (Delta, GivesTheSameText, (std::vector<std::string> texts))
+{
+  State s;
+  uint64_t version = 0;
+
+  for (std::string text : texts)
+    {
+      text = text.c_str ();
+      submit_delta (s, s, version++, text);
+      RC_ASSERT (text == pu_state_document (s.s)->text);
+    }
+}
+
 TEST (State, ASecondLostBackendConvicts)
 {
   State s;
--- a/libplantainusher/state/tables.c
+++ b/libplantainusher/state/tables.c
@@ -20,6 +20,19 @@
   return (x > y) - (x < y);
 }
 
+static gint
+compare_ends (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const pu_claim_record *x = a;
+  const pu_claim_record *y = b;
+  uint64_t x_end = x->wall + x->window_ms;
+  uint64_t y_end = y->wall + y->window_ms;
+
+  if (x_end != y_end)
+    return x_end < y_end ? -1 : 1;
+  return compare_numbers (&x->position, &y->position, data);
+}
+
 static void
 free_document (gpointer d)
 {
@@ -66,7 +79,7 @@
   s->orders = g_tree_new_full (compare_numbers, NULL, NULL, free_order);
   s->claims = g_tree_new_full (compare_names, NULL, g_free, free_claim);
   s->open_claims = g_tree_new_full (compare_numbers, NULL, NULL, NULL);
-  s->claim_ages = g_tree_new_full (compare_numbers, NULL, NULL, NULL);
+  s->claim_ages = g_tree_new_full (compare_ends, NULL, NULL, NULL);
   s->memory = pu_memory_new ();
   s->suspects = g_tree_new_full (compare_numbers, NULL, NULL, free_suspect);
 }
@@ -156,7 +169,7 @@
   char *key = claim_key (c->service, c->key);
 
   g_tree_remove (s->open_claims, &c->position);
-  g_tree_remove (s->claim_ages, &c->position);
+  g_tree_remove (s->claim_ages, c);
   g_tree_remove (s->claims, key);
   g_free (key);
 }
@@ -170,7 +183,7 @@
   if (old != NULL)
     pu_tables_remove_claim (s, old);
   g_tree_replace (s->claims, key, c);
-  g_tree_replace (s->claim_ages, &c->position, c);
+  g_tree_replace (s->claim_ages, c, c);
   if (c->phase == PU_CLAIM_OPEN)
     g_tree_replace (s->open_claims, &c->position, c);
 }
--- a/libplantainusher/state/tables.h
+++ b/libplantainusher/state/tables.h
@@ -25,7 +25,7 @@
   GTree *orders;          /* &token -> pu_order_record * */
   GTree *claims;          /* "service\nkey" -> pu_claim_record * */
   GTree *open_claims;     /* &position -> record in claims, not owned */
-  GTree *claim_ages;      /* &position -> record in claims, not owned */
+  GTree *claim_ages;      /* record -> itself, by the end of its window */
   pu_memory_t *memory;    /* what backends and orders commit */
   GTree *suspects;        /* &fingerprint -> pu_suspect_record * */
 };
