Settings: no field without an effect

Cause: lease_ms and max_backend_connections were read, checked and used by nothing: the log derives the lease from election_ms and its clock margin, and connections to a backend server are bounded by the requests in progress.

--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -56,23 +56,22 @@
 
 typedef struct
 {
-  guint32 max_header_bytes;        /* of a caller's request */
-  guint32 max_body_bytes;          /* of a caller's request */
-  guint32 max_announcement_bytes;  /* of a backend server's report */
-  guint32 max_connections;         /* open at once from callers */
-  guint32 max_open_streams;        /* requests in progress at once */
-  guint32 max_peer_message_bytes;  /* one record between daemons */
-  guint32 max_backend_connections; /* open at once to one backend server */
-  guint32 max_claims;              /* at-most-once keys kept by a voter */
-  guint32 snapshot_entries;        /* log entries between two snapshots */
+  guint32 max_header_bytes;       /* of a caller's request */
+  guint32 max_body_bytes;         /* of a caller's request */
+  guint32 max_announcement_bytes; /* of a backend server's report */
+  guint32 max_connections;        /* open at once from callers */
+  guint32 max_open_streams;       /* requests in progress at once */
+  guint32 max_peer_message_bytes; /* one record between daemons */
+  guint32 max_claims;             /* at-most-once keys kept by a voter */
+  guint32 snapshot_entries;       /* log entries between two snapshots */
   guint32 drain_s; /* a planned stop waits this long for its requests */
 } pu_settings_limits_t;
 
 typedef struct
 {
   guint32 heartbeat_ms;        /* leader to voters */
-  guint32 lease_ms;            /* leader's lease; less than election_ms */
-  guint32 election_ms;         /* least silence before an election */
+  guint32 election_ms;         /* least silence before an election;
+                                  the leader's lease follows from it */
   guint32 poll_wait_ms;        /* an empty poll is answered after this */
   guint32 session_ms;          /* a silent daemon is down after this */
   guint32 backend_lease_ms;    /* a silent backend server is down after */
