--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -159,11 +159,23 @@
   return pu_log_set_level (level);
 }
 
+static void
+set_counter (const pu_daemon_t *d, const char *name, guint64 value)
+{
+  pu_counters_set (d->counters, pu_counters_get (d->counters, name),
+                   (gint64)value);
+}
+
 static void
 operator_metrics (GString *out, void *data)
 {
   const pu_daemon_t *d = data;
+  const pu_state_t *view = pu_agent_view (d->agent);
+  const pu_doc_record *document = pu_state_document (view);
 
+  set_counter (d, "position_in_force", pu_state_position (view));
+  set_counter (d, "document_version",
+               document == NULL ? 0 : document->doc_version);
   pu_counters_print (d->counters, out);
 }
 
