--- a/libplantainusher/placement/forecast.c
+++ b/libplantainusher/placement/forecast.c
@@ -3,17 +3,19 @@
 #include <math.h>
 
 #define DEFAULT_FAST_S 15.0
-#define DEFAULT_SLOW_S 600.0
+#define DEFAULT_MID_S 45.0
+#define DEFAULT_SLOW_S 300.0
 #define DEFAULT_HELD_S 900.0
 #define DEFAULT_LEAD_S 10.0
 #define DEFAULT_SIGMAS 4.0
-#define MOST_GROWTH 2.0 /* of the trend, over the fast average */
+#define MOST_GROWTH 1.5 /* of the trend, over the fast average */
 #define MS_PER_S 1000.0
 
 void
 pu_forecast_options_init (pu_forecast_options_t *o)
 {
   o->fast_s = DEFAULT_FAST_S;
+  o->mid_s = DEFAULT_MID_S;
   o->slow_s = DEFAULT_SLOW_S;
   o->held_s = DEFAULT_HELD_S;
   o->lead_s = DEFAULT_LEAD_S;
@@ -40,6 +42,7 @@
 
   p.period_s = period_s;
   p.fast = weight (period_s, o->fast_s);
+  p.mid = weight (period_s, o->mid_s);
   p.slow = weight (period_s, o->slow_s);
   p.held = weight (period_s, o->held_s);
   return p;
@@ -50,6 +53,7 @@
 {
   f->started = true;
   f->fast = sample;
+  f->mid = sample;
   f->slow = sample;
   f->held = sample;
 }
@@ -67,7 +71,6 @@
                      const pu_forecast_period_t *p)
 {
   double sample = f->stream_s / p->period_s;
-  double before = f->fast;
   double slope;
 
   if (f->requests > 0)
@@ -85,10 +88,11 @@
     return;
 
   f->fast += p->fast * (sample - f->fast);
+  f->mid += p->mid * (sample - f->mid);
   f->slow += p->slow * (sample - f->slow);
-  slope = (f->fast - before) / p->period_s;
+  slope = (f->fast - f->mid) / (o->mid_s - o->fast_s);
   f->burst = f->fast > f->slow + o->sigmas * deviation (f, o);
-  f->expected = f->slow;
+  f->expected = MAX (f->slow, f->fast - deviation (f, o));
   if (f->burst)
     {
       double ahead = f->fast + MAX (0.0, slope) * o->lead_s;
--- a/libplantainusher/placement/forecast.h
+++ b/libplantainusher/placement/forecast.h
@@ -10,16 +10,17 @@
  * forecast - the demand for one model in the near future, in streams.
  *
  * A stream is one request running at the speed of an engine that is not
- * crowded; the demand is the number of them that would run at once.  Two
- * moving averages are kept, one fast and one slow.  When the fast one leaves
- * the slow one by more than chance explains, the demand is in a burst and is
- * followed, with its trend; else the slow one holds.  `held` falls slowly, so
- * that capacity is not given up at the first quiet minute.
+ * crowded; the demand is the number of them that would run at once.  Moving
+ * averages are kept, a fast, a middle and a slow one.  When the fast one
+ * leaves the slow one by more than chance explains, the demand is in a burst
+ * and is followed, with its trend; else the slow one holds.  `held` falls
+ * slowly, so that capacity is not given up at the first quiet minute.
  */
 
 typedef struct
 {
   double fast_s; /* time constants */
+  double mid_s;  /* against which the trend is taken */
   double slow_s;
   double held_s;
   double lead_s; /* the trend is followed this far ahead: a load's time */
@@ -29,6 +30,7 @@
 typedef struct
 {
   double fast; /* streams */
+  double mid;
   double slow;
   double held;      /* upper envelope */
   double request_s; /* mean seconds of stream for each request */
@@ -44,6 +46,7 @@
 {
   double period_s;
   double fast;
+  double mid;
   double slow;
   double held;
 } pu_forecast_period_t;
--- a/libplantainusher/placement/planner.c
+++ b/libplantainusher/placement/planner.c
@@ -5,14 +5,19 @@
 #define MS_PER_S 1000
 #define PROMISE_MS 60000
 #define NO_ROOM_WAIT_MS 2000
+#define SPARE_WAIT_MS 10000
 #define ADVANCE_MS 1000
 #define HOT_ENGINES 4
-#define DEMAND_MOVES 2       /* of a step */
+/* Copies of one item that may be on their way for its demand.  */
+#define GROW_AT_ONCE 4
+#define DEMAND_MOVES 4       /* of a step */
 #define DEMAND_MOVES_FULL 64 /* of a round of the full plan */
 #define SPARE_TRIES 4        /* items tried in a step */
 #define FULL_ROUNDS 100
 /* How much dearer a move is when moves weigh all.  */
 #define WEIGHT_PRICE 9.0
+/* Moves that a copy which has not stayed long counts as, more than one.  */
+#define YOUNG_PRICE 2.0
 /* Copies beyond two that spare memory is given to, for a demand of one
    engine's streams.  */
 #define SPARE_COPIES 3.0
@@ -59,22 +64,28 @@
   pu_planner_spread_item (r->p, c->c.item);
 }
 
+/* Puts the copy C on ENGINE's list.  */
 static void
-emit_load (pu_round_t *r, guint32 engine, const pu_planned_copy_t *c)
+place (pu_round_t *r, guint32 engine, const pu_planned_copy_t *c)
 {
   pu_planned_engine_t *e = pu_planned_engine (r->p, engine);
   pu_planned_item_t *t = pu_planned_item (r->p, c->c.item);
   pu_place_t at = { engine, e->copies->len };
 
-  emit (r, PU_MOVE_LOAD, engine, c, c->reason, PU_PLAN_NONE);
   g_array_append_val (e->copies, *c);
   g_array_append_val (t->places, at);
-  e->committed_mb += c->c.memory_mb;
   t->coming++;
-  r->p->coming++;
   pu_planner_spread_item (r->p, c->c.item);
 }
 
+static void
+emit_load (pu_round_t *r, guint32 engine, const pu_planned_copy_t *c)
+{
+  emit (r, PU_MOVE_LOAD, engine, c, c->reason, PU_PLAN_NONE);
+  pu_planned_engine (r->p, engine)->committed_mb += c->c.memory_mb;
+  r->p->coming++;
+}
+
 /* Loads ITEM on ENGINE: at once when it fits, else after the copies in r->v
    have made room.  */
 static void
@@ -97,6 +108,7 @@
   if (r->v.slots->len == 0)
     {
       emit_load (r, engine, &c);
+      place (r, engine, &c);
       return;
     }
   for (guint i = 0; i < r->v.slots->len; i++)
@@ -104,11 +116,12 @@
       emit_unload (r, engine, g_array_index (r->v.slots, guint, i),
                    PU_REASON_ROOM, item);
     }
+  c.promised = true;
   e->promised = true;
   e->promise = c;
   e->promise_until = r->now + PROMISE_MS;
-  t->coming++;
   r->p->promised++;
+  place (r, engine, &c);
 }
 
 static bool
@@ -123,12 +136,41 @@
   return r->full || r->p->coming + r->p->promised < r->p->o.max_coming;
 }
 
+/* The promised copy of E, which index_engine listed last; a load may have
+   been listed after it since.  */
+static guint
+promise_slot (const pu_planned_engine_t *e)
+{
+  guint s = e->copies->len - 1;
+
+  while (!pu_planned_copy (e, s)->promised)
+    s--;
+  return s;
+}
+
 static void
 drop_promise (pu_round_t *r, pu_planned_engine_t *e)
 {
+  pu_planned_copy_t *c = pu_planned_copy (e, promise_slot (e));
+
+  e->promised = false;
+  r->p->promised--;
+  pu_planned_item (r->p, c->c.item)->coming--;
+  c->c.phase = PU_PLAN_LEAVING;
+  pu_planner_spread_item (r->p, c->c.item);
+}
+
+/* The promise of E comes true: its copy is ordered.  */
+static void
+keep_promise (pu_round_t *r, guint32 engine)
+{
+  pu_planned_engine_t *e = pu_planned_engine (r->p, engine);
+  pu_planned_copy_t *c = pu_planned_copy (e, promise_slot (e));
+
   e->promised = false;
+  c->promised = false;
   r->p->promised--;
-  pu_planned_item (r->p, e->promise.c.item)->coming--;
+  emit_load (r, engine, c);
 }
 
 /* Loads what was promised where the room has become free.  */
@@ -154,8 +196,7 @@
       if (pu_planned_free (e) < e->promise.c.memory_mb
           || !store_takes_urgent (r))
         continue;
-      drop_promise (r, e);
-      emit_load (r, i, &e->promise);
+      keep_promise (r, i);
     }
 }
 
@@ -324,7 +365,7 @@
 {
   GArray *slots = g_array_new (FALSE, FALSE, sizeof (guint));
   bool may = pu_planner_bundle (r->p, place.engine, place.slot, PU_PLAN_NONE,
-                                PU_ROOM_MINIMUM, r->now, slots);
+                                PU_ROOM_MINIMUM, slots);
 
   for (guint i = 0; may && i < slots->len; i++)
     emit_unload (r, place.engine, g_array_index (slots, guint, i), reason,
@@ -486,15 +527,16 @@
   if (o.engine == PU_PLAN_NONE)
     return o;
   o.gain = r->p->o.payback_s * pu_planner_gain (r->p, item, o.engine);
-  o.price = r->p->o.payback_s * r->v.loss
-            + move_price (r->p) * (1 + r->v.slots->len);
+  o.price
+      = r->p->o.payback_s * r->v.loss
+        + move_price (r->p) * (1 + r->v.slots->len + YOUNG_PRICE * r->v.young);
   return o;
 }
 
 static bool
 may_grow (const pu_round_t *r, const pu_planned_item_t *t)
 {
-  return may_try (r, t) && t->coming == 0 && t->ready > 0
+  return may_try (r, t) && t->coming < GROW_AT_ONCE && t->ready > 0
          && copies (t) < t->i.max_copies && t->copies_before == 0
          && base_is_ready (r, t);
 }
@@ -589,7 +631,8 @@
       const pu_planned_item_t *t = pu_planned_item (r->p, i);
       double exposed;
 
-      if (!may_grow (r, t) || copies (t) >= spare_copies (r->p, t, streams))
+      if (!may_grow (r, t) || r->now < t->spare_after || t->coming > 0
+          || copies (t) >= spare_copies (r->p, t, streams))
         continue;
       exposed = (1 + t->forecast.held) * t->i.importance
                 / (copies (t) * copies (t));
@@ -611,10 +654,17 @@
   for (guint i = 0; i < tries && store_takes (r); i++)
     {
       guint32 item = most_exposed (r, streams);
+      guint32 engine;
 
       if (item == PU_PLAN_NONE)
         return;
-      try_load (r, item, PU_ROOM_NONE, PU_REASON_SPARE);
+      engine = pu_planner_choose (
+          r->p, item, pu_planned_version (pu_planned_item (r->p, item)),
+          PU_ROOM_NONE, r->now, &r->v);
+      if (engine != PU_PLAN_NONE)
+        load (r, engine, item, PU_REASON_SPARE, 0, 0);
+      else
+        pu_planned_item (r->p, item)->spare_after = r->now + SPARE_WAIT_MS;
     }
 }
 
@@ -674,6 +724,8 @@
         {
           pu_planned_copy_t *c = pu_planned_copy (e, s);
 
+          if (c->promised)
+            continue;
           if (c->c.phase != PU_PLAN_LEAVING)
             {
               c->c.phase = PU_PLAN_READY;
--- a/libplantainusher/placement/planner_choose.c
+++ b/libplantainusher/placement/planner_choose.c
@@ -93,14 +93,13 @@
 /* Whether the copy in SLOT may go, so far as its own item is concerned.  */
 static bool
 removable (const pu_planner_t *p, const pu_planned_engine_t *e, guint slot,
-           guint32 item, pu_room_t room, guint64 now)
+           guint32 item, pu_room_t room)
 {
   const pu_planned_copy_t *c = pu_planned_copy (e, slot);
   const pu_planned_item_t *t = pu_planned_item (p, c->c.item);
   const pu_planned_item_t *wants
       = item != PU_PLAN_NONE ? pu_planned_item (p, item) : NULL;
   guint keep = room == PU_ROOM_MINIMUM ? 1 : MAX (1, t->i.min_copies);
-  guint64 stay = (guint64)(p->o.min_stay_s * MS_PER_S);
 
   if (c->c.phase != PU_PLAN_READY)
     return false;
@@ -112,20 +111,24 @@
     return false;
   if ((p->o.test_breaks & PU_PLANNER_BREAK_LAST_COPY) != 0)
     keep = 0;
-  if (t->ready <= keep)
-    return false;
-  return room == PU_ROOM_MINIMUM || now >= c->since + stay;
+  return t->ready > keep;
+}
+
+static bool
+is_young (const pu_planner_t *p, const pu_planned_copy_t *c, guint64 now)
+{
+  return now < c->since + (guint64)(p->o.min_stay_s * MS_PER_S);
 }
 
 bool
 pu_planner_bundle (const pu_planner_t *p, guint32 engine, guint slot,
-                   guint32 item, pu_room_t room, guint64 now, GArray *slots)
+                   guint32 item, pu_room_t room, GArray *slots)
 {
   const pu_planned_engine_t *e = pu_planned_engine (p, engine);
   guint32 base = pu_planned_copy (e, slot)->c.item;
 
   g_array_set_size (slots, 0);
-  if (!removable (p, e, slot, item, room, now))
+  if (!removable (p, e, slot, item, room))
     return false;
   for (guint s = 0; s < e->copies->len; s++)
     {
@@ -134,7 +137,7 @@
       if (pu_planned_item (p, c->c.item)->i.base != base
           || c->c.phase == PU_PLAN_LEAVING)
         continue;
-      if (!removable (p, e, s, item, room, now))
+      if (!removable (p, e, s, item, room))
         return false;
       g_array_append_val (slots, s);
     }
@@ -156,7 +159,7 @@
 /* Adds the copies in SLOTS to V; returns the memory that they give back.  */
 static guint32
 take (const pu_planner_t *p, const pu_planned_engine_t *e, const GArray *slots,
-      pu_victims_t *v)
+      guint64 now, pu_victims_t *v)
 {
   guint32 memory_mb = 0;
 
@@ -168,6 +171,7 @@
       if (taken (v->slots, s))
         continue;
       g_array_append_val (v->slots, s);
+      v->young += is_young (p, c, now);
       memory_mb += c->c.memory_mb;
       pu_planned_item (p, c->c.item)->ready--;
     }
@@ -189,7 +193,7 @@
 
       *mb += c->c.memory_mb;
       if (pu_planned_item (p, c->c.item)->declared)
-        loss += pu_planner_loss (p, c->c.item, at);
+        loss += pu_planner_loss (p, c->c.item, at, i + 1 < slots->len);
     }
   return loss;
 }
@@ -197,7 +201,7 @@
 /* The cheapest bundle that is not in V yet, in BEST; its loss, or -1.  */
 static double
 cheapest (pu_planner_t *p, guint32 engine, guint32 item, pu_room_t room,
-          guint64 now, const pu_victims_t *v, GArray *best)
+          const pu_victims_t *v, GArray *best)
 {
   const pu_planned_engine_t *e = pu_planned_engine (p, engine);
   GArray *slots = g_array_new (FALSE, FALSE, sizeof (guint));
@@ -210,7 +214,7 @@
       double loss;
 
       if (taken (v->slots, s)
-          || !pu_planner_bundle (p, engine, s, item, room, now, slots))
+          || !pu_planner_bundle (p, engine, s, item, room, slots))
         continue;
       loss = loss_of (p, engine, slots, &mb);
       if (best_rate >= 0 && (loss + 1e-6) / mb >= best_rate)
@@ -234,6 +238,7 @@
   GArray *best;
 
   v->loss = 0;
+  v->young = 0;
   g_array_set_size (v->slots, 0);
   if (have >= need || room == PU_ROOM_NONE)
     return have >= need;
@@ -241,12 +246,12 @@
   best = g_array_new (FALSE, FALSE, sizeof (guint));
   while (have < need)
     {
-      double loss = cheapest (p, engine, item, room, now, v, best);
+      double loss = cheapest (p, engine, item, room, v, best);
 
       if (loss < 0)
         break;
       v->loss += loss;
-      have += take (p, e, best, v);
+      have += take (p, e, best, now, v);
     }
   for (guint i = 0; i < v->slots->len; i++)
     {
@@ -313,6 +318,7 @@
 
   pu_planner_mark_item (p, item, version);
   v->loss = 0;
+  v->young = 0;
   g_array_set_size (v->slots, 0);
   for (guint i = 0; i < p->engines->len; i++)
     {
--- a/libplantainusher/placement/planner_internal.h
+++ b/libplantainusher/placement/planner_internal.h
@@ -19,7 +19,8 @@
   guint64 since; /* when it came to its phase */
   double gain;   /* of the move that brought it */
   double price;
-  double share; /* streams of its item's demand that come to it */
+  double share;  /* streams of its item's demand that come to it */
+  bool promised; /* not ordered yet: waits for room */
 } pu_planned_copy_t;
 
 /* No load of ITEM on an engine before UNTIL.  */
@@ -62,6 +63,7 @@
   guint failures;
   guint64 first_ready; /* of the declared version beside an older one; 0 */
   guint64 not_before;  /* no load before, after a failure or a try in vain */
+  guint64 spare_after; /* no spare copy before, after a try in vain */
   bool no_room;        /* the last try found no engine */
   pu_forecast_t forecast;
   GArray *places;   /* of pu_place_t: copies on usable engines */
@@ -132,23 +134,26 @@
    save, its adapters' demand going with it.  */
 double pu_planner_gain (pu_planner_t *p, guint32 item, guint32 engine);
 
-/* pu_planner_loss - late streams that ITEM without its copy in PLACE would
-   cost, for the demand held in memory.  */
-double pu_planner_loss (pu_planner_t *p, guint32 item, pu_place_t place);
+/* pu_planner_loss - late streams that ITEM without its copy in PLACE, and
+   without the adapters beside it, would cost, for the demand held in memory.
+   LED: an adapter that goes with its base, which counts its demand.  */
+double pu_planner_loss (pu_planner_t *p, guint32 item, pu_place_t place,
+                        bool led);
 
 /* Who makes room on an engine.  */
 typedef struct
 {
   GArray *slots; /* of guint */
   double loss;   /* late streams */
+  guint young;   /* of them, have not stayed long */
 } pu_victims_t;
 
 /* How far a load may push others.  */
 typedef enum
 {
   PU_ROOM_NONE,   /* only free memory */
-  PU_ROOM_SPARE,  /* copies above the minimum, after their stay */
-  PU_ROOM_MINIMUM /* also young copies, and down to one ready copy */
+  PU_ROOM_SPARE,  /* copies above the minimum */
+  PU_ROOM_MINIMUM /* down to one ready copy */
 } pu_room_t;
 
 /* pu_planner_choose - the engine for a copy of VERSION of ITEM, or
@@ -170,8 +175,7 @@
    ENGINE: its adapters there, then itself.  False when one of them may not
    go to make room for ITEM (PU_PLAN_NONE: for none).  */
 bool pu_planner_bundle (const pu_planner_t *p, guint32 engine, guint slot,
-                        guint32 item, pu_room_t room, guint64 now,
-                        GArray *slots);
+                        guint32 item, pu_room_t room, GArray *slots);
 
 /* MB that a copy of T should find free: a base's adapters go with it.  */
 guint32 pu_planned_need (const pu_planner_t *p, const pu_planned_item_t *t);
--- a/libplantainusher/placement/planner_load.c
+++ b/libplantainusher/placement/planner_load.c
@@ -4,7 +4,7 @@
 
 /* Use of an engine above which requests begin to be late, and the width over
    which they all become late.  */
-#define LATE_FROM 0.6
+#define LATE_FROM 0.7
 #define LATE_WIDTH 0.5
 #define MEAN_IMPORTANCE 5.0
 /* What being left with one ready copy costs, beside the demand itself.  */
@@ -54,11 +54,26 @@
     }
 }
 
+/* A promised copy stands last in its engine's list, so that demand is spread
+   over it too.  */
+static void
+list_promise (pu_planned_engine_t *e)
+{
+  for (guint s = e->copies->len; s-- > 0;)
+    {
+      if (pu_planned_copy (e, s)->promised)
+        g_array_remove_index (e->copies, s);
+    }
+  if (e->promised)
+    g_array_append_val (e->copies, e->promise);
+}
+
 static void
 index_engine (pu_planner_t *p, guint32 engine)
 {
   pu_planned_engine_t *e = pu_planned_engine (p, engine);
 
+  list_promise (e);
   e->load = 0;
   e->weight = 0;
   for (guint s = 0; s < e->copies->len; s++)
@@ -70,16 +85,11 @@
       c->share = 0;
       g_array_append_val (t->places, place);
       t->ready += c->c.phase == PU_PLAN_READY;
-      if (c->c.phase <= PU_PLAN_LOADING)
-        {
-          t->coming++;
-          p->coming++;
-        }
-    }
-  if (e->promised)
-    {
-      pu_planned_item (p, e->promise.c.item)->coming++;
-      p->promised++;
+      if (c->c.phase > PU_PLAN_LOADING)
+        continue;
+      t->coming++;
+      p->coming += !c->promised;
+      p->promised += c->promised;
     }
 }
 
@@ -209,18 +219,29 @@
   return weight / MEAN_IMPORTANCE * s * s;
 }
 
-/* Share of ITEM and of its adapters on the engine E.  */
+/* Whether the adapter T is wherever its base is, so that it needs another copy
+   of the base to spread further.  */
+static bool
+fills_base (const pu_planner_t *p, const pu_planned_item_t *t)
+{
+  return t->places->len >= pu_planned_item (p, t->i.base)->places->len;
+}
+
+/* Share of ITEM on the engine E, and of its adapters: ALL of them, or those
+   that fill their base.  */
 static double
 bundle_share (const pu_planner_t *p, const pu_planned_engine_t *e,
-              guint32 item)
+              guint32 item, bool all)
 {
   double sum = 0;
 
   for (guint s = 0; s < e->copies->len; s++)
     {
       const pu_planned_copy_t *c = pu_planned_copy (e, s);
+      const pu_planned_item_t *t = pu_planned_item (p, c->c.item);
 
-      if (c->c.item == item || pu_planned_item (p, c->c.item)->i.base == item)
+      if (c->c.item == item
+          || (t->i.base == item && (all || fills_base (p, t))))
         sum += c->share;
     }
   return sum;
@@ -266,7 +287,7 @@
       if (engine == PU_PLAN_NONE || seen_before (t, i, engine))
         continue;
       e = pu_planned_engine (p, engine);
-      mine = bundle_share (p, e, item);
+      mine = bundle_share (p, e, item, skip != PU_PLAN_NONE);
       demand += mine * scale;
       before += late (e->load + mine * (scale - 1),
                       e->weight + mine * (scale - 1) * t->i.importance,
@@ -306,12 +327,15 @@
 }
 
 double
-pu_planner_loss (pu_planner_t *p, guint32 item, pu_place_t place)
+pu_planner_loss (pu_planner_t *p, guint32 item, pu_place_t place, bool led)
 {
   pu_planned_item_t *t = pu_planned_item (p, item);
   const pu_forecast_t *f = &t->forecast;
   double scale = f->expected > 0 ? MAX (1.0, f->held / f->expected) : 1.0;
-  double loss = MAX (0.0, change (p, item, place.engine, PU_PLAN_NONE, scale));
+  double loss = 0;
+
+  if (!led)
+    loss = MAX (0.0, change (p, item, place.engine, PU_PLAN_NONE, scale));
 
   if (t->ready <= 2)
     loss += LAST_COPY_LOSS * (1 + f->held) * t->i.importance / MEAN_IMPORTANCE;
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -4,12 +4,12 @@
 
 #define DEFAULT_MOVES_WEIGHT 0.5
 #define DEFAULT_PAYBACK_S 120.0
-#define DEFAULT_MOVE_PRICE 5.0
+#define DEFAULT_MOVE_PRICE 10.0
 #define DEFAULT_MIN_STAY_S 120.0
 #define DEFAULT_WATCH_S 60.0
 #define DEFAULT_MAX_FAILURES 3
 #define DEFAULT_MAX_COMING 3
-#define DEFAULT_HOT 0.6
+#define DEFAULT_HOT 0.7
 #define MS_PER_S 1000
 #define LEAST_STREAMS 0.001
 #define FAILURE_WAIT_MS 5000
@@ -176,6 +176,7 @@
       n.since = now;
       if (old != NULL)
         n = *old;
+      n.promised = false;
       if (old == NULL || old->c.phase != c->phase)
         n.since = now;
       n.c = *c;
