--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -202,6 +202,12 @@
 static void
 attempt_broke (pu_exchange_t *x, pu_router_failure_t failure)
 {
+  if (x->at.streaming && x->http != NULL && x->head_sent
+      && pu_entry_breaks (x->en, PU_ENTRY_BREAK_WHOLE))
+    {
+      attempt_succeed (x);
+      return;
+    }
   x->at.failure = failure;
   x->may_have_run = true;
   if (x->at.server != NULL)
@@ -270,8 +276,11 @@
   at->whole = g_byte_array_new ();
   if (at->streaming)
     {
-      at->stream
-          = pu_stream_new (&x->sent, resume_confirmed (x, r), on_event, x);
+      at->stream = pu_stream_new (
+          &x->sent,
+          resume_confirmed (x, r)
+              || pu_entry_breaks (x->en, PU_ENTRY_BREAK_REPLAY),
+          on_event, x);
     }
   if (!at->streaming && !at->foreign && x->ticket != 0
       && r->status < STATUS_CLIENT_ERROR)
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -214,6 +214,7 @@
   pu_once_options_init (&once);
   if (en->o.claim_window_ms != 0)
     once.window_ms = en->o.claim_window_ms;
+  once.retry_ms = MIN (once.retry_ms, en->o.propose_ms);
   en->once = pu_once_new (&once);
   pu_suspects_options_init (&suspects);
   en->suspects = pu_suspects_new (&suspects);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -64,6 +64,15 @@
   void *data;
 } pu_entry_hooks_t;
 
+/* Deliberate faults for the tests that show the checks can fail.  */
+typedef enum
+{
+  PU_ENTRY_BREAK_REPLAY = 1,  /* pass a replay on from its start */
+  PU_ENTRY_BREAK_REPEAT = 2,  /* try again what may run once */
+  PU_ENTRY_BREAK_OUTCOME = 4, /* tell every failure as not run */
+  PU_ENTRY_BREAK_WHOLE = 8    /* end a truncated stream as if whole */
+} pu_entry_break_t;
+
 typedef struct
 {
   uv_loop_t *loop;
@@ -92,6 +101,7 @@
   guint propose_ms;        /* 2000: a claim that takes longer is refused */
   guint ttl_s;             /* 10: how long callers keep an answer */
   guint64 claim_window_ms; /* as the state's; 0: one hour */
+  guint test_breaks;       /* pu_entry_break_t; 0 outside tests */
   pu_entry_hooks_t hooks;
 } pu_entry_options_t;
 
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -314,6 +314,13 @@
 
 void pu_view_sync (pu_entry_t *en);
 
+/* pu_entry_breaks - whether RULE is broken on purpose; tests only.  */
+static inline bool
+pu_entry_breaks (const pu_entry_t *en, pu_entry_break_t rule)
+{
+  return (en->o.test_breaks & rule) != 0;
+}
+
 /* --- parse.c: from HTTP to an exchange --- */
 
 /* pu_exchange_parse_model, pu_exchange_parse_plain - fill X; on false the
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -209,6 +209,8 @@
   pu_refusal_t told = *r;
 
   told.outcome = outcome_over_all (x, r->outcome);
+  if (pu_entry_breaks (x->en, PU_ENTRY_BREAK_OUTCOME))
+    told.outcome = PU_NOT_RUN;
   pu_log_debug (PU_ENTRY_PART, "Request %s failed: %s (%s).", x->id, message,
                 pu_outcome_word (told.outcome));
   if (x->claim != 0)
@@ -418,7 +420,8 @@
     .max_tokens = x->max_tokens,
     .prefix = x->prefix,
     .n_prefix = x->n_prefix,
-    .repeatable = x->repeatable,
+    .repeatable
+    = x->repeatable || pu_entry_breaks (x->en, PU_ENTRY_BREAK_REPEAT),
   };
   pu_router_decision_t d;
 
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -100,6 +100,7 @@
       return;
     }
   b.ran.push_back (id);
+  b.keys[header_or (r, "idempotency-key", "")]++;
   b.bodies.push_back (body);
   b.targets.emplace_back (pu_http_request_target (r));
   if (!b.crash_on.empty () && body.find (b.crash_on) != std::string::npos)
@@ -239,6 +240,9 @@
           n.entry, [] (void *d) { *static_cast<bool *> (d) = true; },
           &n.stopped);
       pu_entry_abort (n.entry);
+    }
+  for (auto &n : nodes)
+    {
       until ([&n] { return n.stopped; });
       pu_entry_free (n.entry);
     }
@@ -303,7 +307,9 @@
   o.n_backend_keys = 1;
   o.progress_ms = 300;
   o.probe_ms = 300;
+  o.propose_ms = 100;
   o.seed = 1;
+  o.test_breaks = breaks;
   o.hooks = hooks_of (n);
   n.entry = pu_entry_new (&o, nullptr);
   EXPECT_NE (nullptr, n.entry);
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -36,6 +36,7 @@
   std::vector<std::string> bodies;
   std::vector<std::string> targets;
   std::vector<pu_http_request_t *> open;
+  std::map<std::string, int> keys; /* at-most-once key -> times that it ran */
   guint tokens = 4;
   guint cut_after = G_MAXUINT; /* tokens, once */
   bool silent = false;
@@ -93,6 +94,7 @@
   guint64 position = 0;
   bool quorum = true;
   bool lose_answers = false;
+  guint breaks = 0; /* pu_entry_break_t of nodes to be added */
   std::deque<proposal> proposals;
   std::list<node> nodes;
   std::list<backend> backends;
--- a/libplantainusher/entry/stream.c
+++ b/libplantainusher/entry/stream.c
@@ -5,7 +5,7 @@
 #include "http/sse.h"
 
 /* Bytes of one event; a token and what describes it.  */
-#define EVENT_MAX (256 * 1024)
+#define EVENT_MAX ((gsize)256 * 1024)
 
 struct pu_stream
 {
