--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -163,11 +163,14 @@
     def alive(self):
         return self._p is not None and self._p.poll() is None
 
-    def kill(self):
-        """SIGKILL, and waits for the end."""
+    def kill_begin(self):
         if self.alive():
             self._expected = True
             self._p.send_signal(signal.SIGKILL)
+
+    def kill(self):
+        """SIGKILL, and waits for the end."""
+        self.kill_begin()
         if self._p is not None:
             self._p.wait()
 
@@ -322,6 +325,14 @@
                 "GET", "/operator/status", timeout_s=5).status == 200)
         return chosen
 
+    @staticmethod
+    def kill(*processes):
+        """SIGKILL of all of these at once."""
+        for p in processes:
+            p.kill_begin()
+        for p in processes:
+            p.kill()
+
     def leader(self):
         """The daemon that leads, by its own word and with its lease."""
         for d in self.daemons.values():
@@ -448,6 +459,28 @@
         self.assertEqual(surprises, [])
 
 
+class Later(threading.Thread):
+    """Calls FN () once, beside the test; `result` gives what it returned or
+    raises what it raised."""
+
+    def __init__(self, fn):
+        super().__init__(daemon=True)
+        self._fn, self._value, self._error = fn, None, None
+        self.start()
+
+    def run(self):
+        try:
+            self._value = self._fn()
+        except BaseException as e:  # handed to the test by result
+            self._error = e
+
+    def result(self):
+        self.join()
+        if self._error is not None:
+            raise self._error
+        return self._value
+
+
 class Background(threading.Thread):
     """Calls FN () again and again until `finish`, which raises what it
     raised."""
--- /dev/null
+++ b/tests/config_process_test.py
@@ -0,0 +1,169 @@
+#!/usr/bin/env python3
+"""The configuration with real daemons: in force everywhere, never reverted,
+served without a quorum; and who counts as an entry."""
+import random
+import time
+
+import changes
+import cluster
+from cluster import wait_until
+
+CHAOS_CHANGES = 40
+
+
+class ConfigTest(changes.ElevenTest):
+    def test_nothing_reverts_while_daemons_are_killed(self):
+        """Invariant: under changes and kills of random daemons, leaders
+        included, no daemon ever shows an older version than before, its
+        restarts included; all have the newest in the end."""
+        c = self.start(limits={"snapshot_entries": 32})
+        dice = random.Random(7)
+        watch = changes.Watch(self.all)
+        for n in range(CHAOS_CHANGES):
+            victim = dice.choice(self.all) if n % 4 == 0 else None
+            if n % 12 == 0:
+                victim = c.wait_leader()
+            if victim:
+                victim.kill()
+            alive = [d for d in self.all if d.alive()]
+            self.accepted.submit(dice.choice(alive), f"chaos-{n}")
+            if victim:
+                c.start(victim)
+        self.in_force()
+        watch.finish(self)
+        for d in self.all:
+            self.accepted.check(self, d)
+
+    def test_kept_view_never_goes_backwards(self):
+        """Invariant: an entry killed right after it showed a version shows
+        none older when it restarts while no voter answers."""
+        c = self.start()
+        entries = self.all[3:]
+        for n in range(3):
+            version = self.accepted.version + 1
+            killers = [cluster.Later(lambda d=d: self.kill_at(d, version))
+                       for d in entries]
+            self.accepted.submit(self.all[0], f"kept-{n}")
+            for k in killers:
+                k.result()
+            for v in self.all[:3]:
+                v.stop()
+            c.start(*entries)
+            for d in entries:
+                wait_until(f"{d.name} to serve", lambda: d.dump()["agent"][
+                    "ready"])
+                self.assertGreaterEqual((d.document() or {}).get("version", 0),
+                                        version, d.name)
+            for v in self.all[:3]:
+                v.cont()
+        self.in_force()
+
+    @staticmethod
+    def kill_at(daemon, version):
+        wait_until(f"version {version}", lambda: (
+            daemon.document() or {}).get("version") == version)
+        daemon.kill()
+
+    def test_without_quorum_serving_goes_on(self):
+        """Invariant: with two of three voters gone, entries go on serving the
+        last state; a submit is refused, and one that is answered "not-run"
+        did not run."""
+        c = self.start()
+        c.service("rooms-1", "rooms")
+        entries = self.all[3:]
+        for d in entries:
+            wait_until("the service", lambda: self.serves(d))
+        lost = [c.daemons[n] for n in changes.VOTERS[:2]]
+        c.kill(*lost)
+        refused = [cluster.Later(lambda n=n, d=d: d.submit(
+            self.accepted.version, f"refused-{n}", changes.document("no")))
+            for n, d in enumerate(entries)]
+        while any(r.is_alive() for r in refused):
+            for d in entries:
+                self.assertTrue(self.serves(d), d.name)
+                self.assertEqual(d.document()["version"], 1)
+        unknown = set()
+        for n, r in enumerate(refused):
+            a = r.result()
+            self.assertIn((a.status, a.json["outcome"]),
+                          [(503, "not-run"), (504, "unknown")], a)
+            if a.status == 504:
+                unknown.add(f"refused-{n}")
+        c.start(*lost)
+        ran = {h["change_id"] for h in self.settled_history(c)}
+        self.assertLessEqual(ran, {"first", "again"} | unknown)
+
+    def settled_history(self, c):
+        """The history once a change was accepted after all before it."""
+        d = self.all[3]
+        c.wait_leader()
+        wait_until("a change", lambda: d.submit(
+            d.document()["version"], "again", changes.document("again")
+        ).status == 200)
+        return d.history()
+
+    @staticmethod
+    def serves(daemon):
+        a = cluster.request(daemon.callers, "GET", "/services/rooms/state")
+        return a.status == 200
+
+
+class MembershipTest(changes.ElevenTest):
+    def members(self, daemon):
+        return {m["name"]: m for m in daemon.status()["members"]}
+
+    def test_slow_entry_stays_and_dead_entry_goes(self):
+        """Invariant: an entry that is silent for less than its session is
+        not taken for dead; a killed one leaves /v1/entries, a planned stop
+        does so before the process has ended."""
+        c = self.start()
+        c.service("rooms-1", "rooms")
+        asked = self.all[3]
+        wait_until("11 members", lambda: len(self.members(asked)) == 11)
+        slow, killed, leaving = self.listed(asked, 3)
+        incarnation = self.members(asked)[slow.name]["incarnation"]
+        for _ in range(3):
+            self.pause(c, slow)
+            now = self.members(asked)
+            self.assertEqual(now[slow.name]["incarnation"], incarnation)
+        self.assertNotIn("was silent", "".join(
+            d.log.read_text() for d in self.all[:3]))
+        killed.kill()
+        wait_until("the killed entry to go",
+                   lambda: killed.name not in self.members(asked))
+        self.not_told(asked, killed)
+        leaving.term()
+        wait_until("the leaving entry to be known as such",
+                   lambda: self.members(asked)[leaving.name]["leaving"])
+        self.assertTrue(leaving.alive())
+        self.not_told(asked, leaving)
+        self.assertEqual(leaving.wait(), 0)
+        wait_until("the stopped entry to go",
+                   lambda: leaving.name not in self.members(asked))
+
+    def listed(self, asked, n):
+        """N entries without the role control, other than ASKED."""
+        some = [d for d in self.all[4:] if d is not asked]
+        return some[:n]
+
+    def not_told(self, asked, gone):
+        others = [d for d in self.all if d.alive() and d is not gone]
+        for d in others:
+            wait_until(f"{d.name} to tell of others", lambda: gone.callers
+                       not in d.entries("rooms"))
+            self.assertTrue(d.entries("rooms"))
+
+    @staticmethod
+    def pause(c, daemon):
+        """SIGSTOP for half a session.  A pause that the machine made longer
+        proves nothing, so it must not reach the session's length."""
+        daemon.stop()
+        begin = time.monotonic()
+        time.sleep(c.timing["session_ms"] / 2000)
+        daemon.cont()
+        if time.monotonic() - begin > c.timing["session_ms"] / 1000:
+            raise AssertionError("The machine is too slow for this test.")
+        wait_until("an answer", lambda: daemon.status())
+
+if __name__ == "__main__":
+    cluster.main()
