--- a/libplantainusher/placer/follow.c
+++ b/libplantainusher/placer/follow.c
@@ -129,6 +129,15 @@
   g_array_unref (items);
 }
 
+static void
+tell_unread (const pu_doc_record *r, const pu_findings_t *findings)
+{
+  const pu_finding_t *first = pu_findings_get (findings, 0);
+
+  pu_log_warn (PART, "Can't read document %" G_GUINT64_FORMAT ": %s: %s",
+               (guint64)r->doc_version, first->path, first->message);
+}
+
 /* The document in force, parsed; NULL before the first.  */
 static pu_document_t *
 parse_document (const pu_state_t *s)
@@ -141,10 +150,9 @@
     return NULL;
   findings = pu_findings_new ();
   d = pu_document_parse (r->text, strlen (r->text), findings);
-  pu_findings_free (findings);
   if (d == NULL)
-    pu_log_warn (PART, "Can't read document %" G_GUINT64_FORMAT ".",
-                 (guint64)r->doc_version);
+    tell_unread (r, findings);
+  pu_findings_free (findings);
   return d;
 }
 
