--- a/libplantainusher/once/once_test.cc
+++ b/libplantainusher/once/once_test.cc
@@ -1,12 +1,17 @@
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "base/fuzz_report.h"
+
 extern "C"
 {
 #include "once/once.h"
@@ -223,6 +228,7 @@
     const int fate = pick (3);
     const std::string key = a.key;
 
+    pu_fuzz_report::get ().faults += fate == 2 ? 1 : 0;
     if (fate != 0)
       runs[key]++;
     finished.push_back ({ entry, a.handle, fate, now + pick (5) });
@@ -242,7 +248,10 @@
           if (pick (5) > 0)
             said = claim (entry, a.key, a.attempt);
           if (pick (4) == 0)
-            said = PU_ONCE_TIMEOUT;
+            {
+              said = PU_ONCE_TIMEOUT;
+              pu_fuzz_report::get ().faults++;
+            }
           pu_once_claimed (c, a.handle, said, 1, &kResult, now);
           break;
         }
@@ -252,6 +261,8 @@
       case PU_ONCE_RECORD:
         {
           const bool reached = pick (3) > 0;
+
+          pu_fuzz_report::get ().faults += reached ? 0 : 1;
           Claim &k = log[a.key];
 
           if (reached && k.open && k.owner == entry && k.attempt == a.attempt)
@@ -337,6 +348,7 @@
                                     : "k" + std::to_string (caller / 20);
 
         callers_of[key]++;
+        pu_fuzz_report::get ().steps++;
         entries[entry]->begin (caller, key.c_str ());
         drain (entry);
         finish_due ();
@@ -385,7 +397,10 @@
 
 } // namespace
 
-TEST (OnceFuzz, RunsAtMostOnceAndTellsTheTruth) { EXPECT_FALSE (caught (0)); }
+RC_GTEST_PROP (OnceFuzz, RunsAtMostOnceAndTellsTheTruth, (unsigned seed))
+{
+  RC_ASSERT (World (seed, 0).play (300));
+}
 
 TEST (OnceFuzz, BrokenRulesAreCaught)
 {
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "base/fuzz_report.h"
+
 extern "C"
 {
 #include "state/state.h"
@@ -520,6 +522,7 @@
       = "k" + std::to_string (step / 40) + "/" + std::to_string (pick (2));
   pu_reply r;
 
+  pu_fuzz_report::get ().steps++;
   switch (pick (8))
     {
     case 0:
--- a/libplantainusher/suspects/suspects_test.cc
+++ b/libplantainusher/suspects/suspects_test.cc
@@ -1,4 +1,6 @@
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 #include <map>
 #include <memory>
@@ -6,6 +8,8 @@
 #include <set>
 #include <vector>
 
+#include "base/fuzz_report.h"
+
 extern "C"
 {
 #include "suspects/suspects.h"
@@ -175,6 +179,7 @@
     std::set<guint64> apart;
 
     lost++;
+    pu_fuzz_report::get ().faults++;
     for (const auto &e : entries)
       pu_suspects_died (e->s, backend, incarnation[backend], a, 0);
     for (guint i = 0; i < a->len; i++)
@@ -239,6 +244,7 @@
   {
     for (int step = 0; step < 200; step++)
       {
+        pu_fuzz_report::get ().steps++;
         /* Once it is known, many resend it at the same time.  */
         const bool resend = doomed.empty () || strikes[kPoison] > 0;
 
@@ -294,9 +300,10 @@
 
 } // namespace
 
-TEST (SuspectsFuzz, APoisonTakesTwoBackendServersAndNoInnocent)
+RC_GTEST_PROP (SuspectsFuzz, APoisonTakesTwoBackendServersAndNoInnocent,
+               (unsigned seed))
 {
-  EXPECT_FALSE (caught (0));
+  RC_ASSERT (World (seed, 0).play ());
 }
 
 TEST (SuspectsFuzz, BrokenRulesAreCaught)
