--- a/libplantainusher/placement/orders.c
+++ b/libplantainusher/placement/orders.c
@@ -115,6 +115,13 @@
   g_free (o);
 }
 
+void
+pu_orders_set_store (pu_orders_t *o, double loads_per_s, guint loads_at_once)
+{
+  o->o.loads_per_s = loads_per_s;
+  o->o.loads_at_once = loads_at_once;
+}
+
 static guint64
 backoff_key (guint32 backend, guint32 copy)
 {
@@ -562,6 +569,18 @@
          && r->token < v->token;
 }
 
+/* Whether a load was accepted and ended without its copy: the report that
+   tells of the order's token does not show it.  */
+static bool
+came_to_nothing (const pu_orders_t *o, const pu_orders_order_t *r)
+{
+  const server_t *v = find_server (o, r->wish.backend);
+
+  return r->wish.kind == PU_LEDGER_LOAD && r->state == PU_ORDERS_ACKED
+         && !r->held && v != NULL && !v->down
+         && v->incarnation == r->wish.incarnation && v->token >= r->token;
+}
+
 /* Whether the order has had its time: no answer within its life, or accepted
    and not done.  */
 static bool
@@ -572,6 +591,8 @@
 
   if (under_way (r) && fenced_off (o, r) && !r->held)
     return true;
+  if (came_to_nothing (o, r))
+    return true;
   switch (r->state)
     {
     case PU_ORDERS_RESERVED:
--- a/libplantainusher/placement/orders.h
+++ b/libplantainusher/placement/orders.h
@@ -154,6 +154,10 @@
 pu_orders_t *pu_orders_new (const pu_orders_options_t *o, guint64 now);
 void pu_orders_free (pu_orders_t *o);
 
+/* pu_orders_set_store - the store's limits from now on.  */
+void pu_orders_set_store (pu_orders_t *o, double loads_per_s,
+                          guint loads_at_once);
+
 /* pu_orders_adopt - takes over an order that is open in the state.  */
 void pu_orders_adopt (pu_orders_t *o, const pu_ledger_order_t *open,
                       bool fenced, guint64 now);
--- a/libplantainusher/placement/planner.h
+++ b/libplantainusher/placement/planner.h
@@ -135,6 +135,10 @@
 pu_planner_t *pu_planner_new (const pu_planner_options_t *o);
 void pu_planner_free (pu_planner_t *p);
 
+/* pu_planner_set_options - replaces the options, when the settings of the
+   document change; what is under way goes on.  */
+void pu_planner_set_options (pu_planner_t *p, const pu_planner_options_t *o);
+
 /* pu_planner_clone - a copy to try things on.  */
 pu_planner_t *pu_planner_clone (const pu_planner_t *p);
 
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -66,6 +66,12 @@
   return p;
 }
 
+void
+pu_planner_set_options (pu_planner_t *p, const pu_planner_options_t *o)
+{
+  p->o = *o;
+}
+
 void
 pu_planner_free (pu_planner_t *p)
 {
--- /dev/null
+++ b/libplantainusher/placement/planner_test.cc
@@ -0,0 +1,338 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "placement/orders.h"
+#include "placement/planner.h"
+}
+
+namespace
+{
+
+/* Engines of 100 MB and 10 streams in two zones; moves are carried out by the
+   test.  */
+struct Planner : ::testing::Test
+{
+  pu_planner_options_t o;
+  pu_planner_t *p = nullptr;
+  GArray *moves = g_array_new (FALSE, FALSE, sizeof (pu_move_t));
+  std::vector<std::vector<pu_plan_copy_t> > held;
+  guint64 now = 1000;
+
+  Planner ()
+  {
+    pu_planner_options_init (&o);
+    o.moves_weight = 0;
+    o.watch_s = 5;
+  }
+
+  ~Planner () override
+  {
+    pu_planner_free (p);
+    g_array_unref (moves);
+  }
+
+  void
+  Engines (unsigned n)
+  {
+    p = pu_planner_new (&o);
+    held.resize (n);
+    for (unsigned i = 0; i < n; i++)
+      Tell (i);
+  }
+
+  void
+  Tell (guint32 engine, bool usable = true)
+  {
+    pu_plan_engine_t e = {};
+
+    e.zone = engine % 2;
+    e.accelerators = 1;
+    e.memory_mb = 100;
+    e.streams = 10;
+    e.usable = usable;
+    e.copies = held[engine].data ();
+    e.n_copies = held[engine].size ();
+    for (auto &c : held[engine])
+      e.committed_mb += c.memory_mb;
+    pu_planner_set_engine (p, engine, &e, now);
+  }
+
+  void
+  Item (guint32 item, guint32 memory_mb, guint32 version = 1,
+        guint32 base = PU_PLAN_NONE)
+  {
+    pu_plan_item_t i = {};
+    std::string name = "item" + std::to_string (item);
+
+    i.name = name.c_str ();
+    i.base = base;
+    i.version = version;
+    i.previous_version = PU_PLAN_NONE;
+    i.memory_mb = memory_mb;
+    i.min_copies = 1;
+    i.max_copies = 8;
+    i.importance = 5;
+    pu_planner_set_item (p, item, &i);
+  }
+
+  /* One step; its moves as text, such as "load 2.1@0 " (item 2, version 1,
+     engine 0), carried out at once when DO_IT.  */
+  std::string
+  Step (bool do_it = true)
+  {
+    std::string text;
+
+    now += 1000;
+    g_array_set_size (moves, 0);
+    pu_planner_step (p, now, moves);
+    for (guint i = 0; i < moves->len; i++)
+      {
+        const pu_move_t &m = g_array_index (moves, pu_move_t, i);
+        bool load = m.kind == PU_MOVE_LOAD;
+
+        text += (load ? "load " : "unload ") + std::to_string (m.item) + "."
+                + std::to_string (m.version) + "@" + std::to_string (m.engine)
+                + " ";
+        if (do_it)
+          Carry (m);
+      }
+    return text;
+  }
+
+  void
+  Carry (const pu_move_t &m)
+  {
+    auto &h = held[m.engine];
+
+    if (m.kind == PU_MOVE_LOAD)
+      h.push_back ({ m.item, m.version, m.memory_mb, PU_PLAN_READY });
+    for (size_t i = h.size (); m.kind == PU_MOVE_UNLOAD && i-- > 0;)
+      if (h[i].item == m.item && h[i].version == m.version)
+        h.erase (h.begin () + i);
+    Tell (m.engine);
+  }
+};
+
+TEST_F (Planner, LoadsWhatIsUnreachableFirstAndWithinTheStore)
+{
+  o.max_coming = 2;
+  Engines (2);
+  Item (0, 30);
+  Item (1, 40);
+  Item (2, 20);
+  EXPECT_EQ ("load 1.1@0 load 0.1@1 ", Step (false)) << "the largest first";
+  EXPECT_EQ (PU_STANDING_WAIT_STORE, pu_planner_standing (p, 2, now));
+}
+
+TEST_F (Planner, SpareCopiesGoToAnotherZone)
+{
+  Engines (4);
+  Item (0, 60);
+  EXPECT_EQ ("load 0.1@0 ", Step ());
+  EXPECT_EQ ("load 0.1@1 ", Step ());
+  EXPECT_EQ ("", Step ());
+}
+
+TEST_F (Planner, MakesRoomByACopyThatIsNotTheLast)
+{
+  Engines (2);
+  Item (0, 60);
+  Step ();
+  Step ();
+  Item (1, 70);
+  EXPECT_EQ ("unload 0.1@0 ", Step ());
+  EXPECT_EQ ("load 1.1@0 ", Step ());
+  Item (2, 50);
+  EXPECT_EQ ("", Step ()) << "both hold a last copy";
+  EXPECT_EQ (PU_STANDING_WAIT_RETRY, pu_planner_standing (p, 2, now));
+  EXPECT_FALSE (pu_planner_may_unload (p, 1, 0, 1));
+}
+
+TEST_F (Planner, AdaptersGoWhereTheirBaseIsReady)
+{
+  Engines (2);
+  Item (0, 60);
+  Item (1, 5, 1, 0);
+  EXPECT_EQ ("load 0.1@0 ", Step ());
+  EXPECT_EQ ("load 1.1@0 ", Step ().substr (0, 11));
+}
+
+TEST_F (Planner, ANewVersionIsLoadedBesideWatchedAndTakesOver)
+{
+  Engines (1);
+  Item (0, 40);
+  Step ();
+  Item (0, 40, 2);
+  EXPECT_EQ ("load 0.2@0 ", Step ());
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ ("", Step ()) << "watched";
+  EXPECT_EQ ("unload 0.1@0 ", Step ());
+}
+
+TEST_F (Planner, AVersionThatFailsIsRolledBack)
+{
+  Engines (2);
+  Item (0, 40);
+  Step ();
+  Item (0, 40, 2);
+  for (guint i = 0; i < o.max_failures; i++)
+    pu_planner_load_failed (p, 1, 0, 2, now);
+  EXPECT_TRUE (pu_planner_rolled_back (p, 0));
+  EXPECT_EQ (std::string::npos, Step ().find ("0.2"));
+  Item (0, 40, 3);
+  EXPECT_FALSE (pu_planner_rolled_back (p, 0));
+}
+
+TEST_F (Planner, ABurstGetsACopyOnlyWhenItPays)
+{
+  o.zone_spread = false;
+  o.moves_weight = 1;
+  Engines (3);
+  Item (0, 60);
+  while (!Step ().empty ())
+    ;
+  for (int i = 0; i < 30; i++)
+    {
+      pu_planner_demand (p, 0, 2, 4000);
+      EXPECT_EQ ("", Step ());
+    }
+  std::string grown;
+  for (int i = 0; i < 30; i++)
+    {
+      pu_planner_demand (p, 0, 30, 60000);
+      grown += Step ();
+    }
+  EXPECT_EQ ("load 0.1@2 ", grown);
+  GString *why = g_string_new (nullptr);
+  pu_planner_explain_item (p, 0, now, why);
+  EXPECT_NE (nullptr, strstr (why->str, "forecast demand (gain")) << why->str;
+  g_string_free (why, TRUE);
+}
+
+TEST_F (Planner, WhatIfTellsTheMovesAndChangesNothing)
+{
+  Engines (2);
+  Item (0, 40);
+  while (!Step ().empty ())
+    ;
+  pu_plan_item_t n = {};
+  n.name = "new";
+  n.base = PU_PLAN_NONE;
+  n.previous_version = PU_PLAN_NONE;
+  n.version = 1;
+  n.memory_mb = 50;
+  n.min_copies = n.max_copies = 1;
+  n.importance = 5;
+  const pu_plan_item_t *items[] = { nullptr, &n };
+  g_array_set_size (moves, 0);
+  pu_planner_what_if (p, items, 2, now, moves);
+  ASSERT_EQ (3u, moves->len);
+  GString *text = g_string_new (nullptr);
+  pu_planner_explain_move (p, &g_array_index (moves, pu_move_t, 0), text);
+  EXPECT_STREQ ("load ? version 1 on engine 0: no copy was ready\n",
+                text->str);
+  g_string_free (text, TRUE);
+  EXPECT_EQ ("", Step ());
+}
+
+/* ---- Orders ---- */
+
+struct Orders : ::testing::Test
+{
+  pu_orders_options_t o;
+  pu_orders_t *s = nullptr;
+  GArray *todo = g_array_new (FALSE, FALSE, sizeof (pu_orders_action_t));
+
+  Orders () { pu_orders_options_init (&o); }
+
+  ~Orders () override
+  {
+    pu_orders_free (s);
+    g_array_unref (todo);
+  }
+
+  guint32
+  Want (guint32 backend, guint32 copy, bool fenced, guint64 now)
+  {
+    pu_orders_wish_t w
+        = { PU_LEDGER_LOAD, backend, 1, fenced, copy, 10, "test" };
+
+    return pu_orders_want (s, &w, now);
+  }
+
+  /* What is to be done at NOW, such as "reserve send ".  */
+  std::string
+  Step (guint64 now)
+  {
+    const char *const names[]
+        = { "reserve ", "send ", "release ", "fence ", "fail " };
+    std::string text;
+
+    g_array_set_size (todo, 0);
+    pu_orders_step (s, now, todo);
+    for (guint i = 0; i < todo->len; i++)
+      text += names[g_array_index (todo, pu_orders_action_t, i).what];
+    return text;
+  }
+};
+
+TEST_F (Orders, KeepToTheStoreAndToOneOrderForACopy)
+{
+  o.loads_per_s = 2;
+  o.loads_at_once = 3;
+  o.per_engine = 2;
+  s = pu_orders_new (&o, 0);
+  for (guint32 i = 0; i < 5; i++)
+    EXPECT_NE (0u, Want (i, 7, true, 0));
+  EXPECT_EQ (0u, Want (0, 7, true, 0));
+  EXPECT_EQ ("reserve ", Step (0));
+  EXPECT_EQ ("", Step (400));
+  EXPECT_EQ ("reserve ", Step (500));
+  EXPECT_EQ ("reserve ", Step (1000));
+  EXPECT_EQ ("", Step (1500)) << "three at once";
+}
+
+TEST_F (Orders, AreSentAgainUntilTheirTimeIsOverAndReleasedByTheirLife)
+{
+  s = pu_orders_new (&o, 0);
+  guint64 t = o.lease_ms + pu_orders_life_ms (&o);
+  EXPECT_EQ (0u, Want (0, 7, false, t - 1)) << "a new leader waits";
+  guint32 id = Want (0, 7, false, t);
+  EXPECT_EQ ("reserve ", Step (t));
+  pu_orders_reserved (s, id, true, 5, t);
+  EXPECT_EQ ("send ", Step (t));
+  EXPECT_EQ ("", Step (t + o.retry_ms - 1));
+  EXPECT_EQ ("send ", Step (t + o.retry_ms));
+  pu_orders_answer (s, 5, PU_ORDERS_LOST, t + o.retry_ms);
+  EXPECT_EQ ("", Step (t + o.send_ms));
+  EXPECT_EQ ("", Step (t + pu_orders_life_ms (&o) - 1));
+  EXPECT_EQ ("fail release ", Step (t + pu_orders_life_ms (&o)));
+  EXPECT_EQ (1u, pu_orders_failures (s, 0, 7, nullptr));
+  EXPECT_EQ (0u, Want (0, 7, false, t + pu_orders_life_ms (&o)));
+}
+
+TEST_F (Orders, AFencedOneIsFencedOffRatherThanReleased)
+{
+  s = pu_orders_new (&o, 0);
+  guint32 id = Want (0, 7, true, 0);
+  pu_ledger_report_t r = {};
+
+  r.incarnation = 1;
+  r.fenced = true;
+  pu_orders_report (s, &r, 0);
+  EXPECT_EQ ("reserve ", Step (0));
+  pu_orders_reserved (s, id, true, 5, 0);
+  EXPECT_EQ ("send ", Step (0));
+  EXPECT_EQ ("fail fence ", Step (pu_orders_life_ms (&o)));
+  r.token = 6;
+  pu_orders_report (s, &r, pu_orders_life_ms (&o));
+  EXPECT_EQ ("release ", Step (pu_orders_life_ms (&o)));
+  pu_orders_closed (s, 5);
+  EXPECT_EQ (0u, pu_orders_count (s));
+}
+
+} // namespace
