--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -245,6 +245,7 @@
     {
       until ([&n] { return n.stopped; });
       pu_entry_free (n.entry);
+      n.entry = nullptr;
     }
   until ([this] { return proposals.empty (); });
   uv_close (reinterpret_cast<uv_handle_t *> (&log), nullptr);
