--- a/libplantainusher/log/replica_vote.c
+++ b/libplantainusher/log/replica_vote.c
@@ -33,7 +33,8 @@
 void
 pu_r_raise_floor (pu_replica_t *r, uint64_t id, uint64_t index)
 {
-  if (index > pu_r_floor (r, id))
+  if (pu_log_config_find (pu_r_config (r), id) != NULL
+      && index > pu_r_floor (r, id))
     {
       g_hash_table_insert (r->floors, g_memdup2 (&id, sizeof id),
                            g_memdup2 (&index, sizeof index));
