--- a/libplantainusher/placer/follow.h
+++ b/libplantainusher/placer/follow.h
@@ -17,6 +17,7 @@
 {
   const pu_state_t *state;
   pu_placement_t *placement;
+  pu_placement_options_t options;
   double streams; /* of one accelerator */
   pu_names_t backends;
   pu_names_t zones; /* "region/zone" */
@@ -77,6 +78,9 @@
 const char *pu_follow_model_of (const pu_follow_t *f, guint32 copy);
 const char *pu_follow_version_of (const pu_follow_t *f, guint32 copy);
 
+/* pu_follow_options - replaces in O what D says of the placement.  */
+void pu_follow_options (const pu_document_t *d, pu_placement_options_t *o);
+
 /* pu_follow_items - what D declares: a new array of pu_plan_item_t, by item;
    one whose name is NULL is not declared.  The names belong to F.  */
 GArray *pu_follow_items (pu_follow_t *f, const pu_document_t *d);
--- a/libplantainusher/placer/rig_test.h
+++ b/libplantainusher/placer/rig_test.h
@@ -75,6 +75,7 @@
   Engine &engine (const std::string &name, bool fenced = true);
   void run_until (const std::function<bool ()> &done);
   void run_ms (unsigned ms);
+  std::string told () const;
   void propose (const pu_command &c);
   void submit (const std::string &text);
   bool ready (const std::string &copy) const;
