Daemon: the leader loads the declared models

Cause: the demo's engines started with their models; nothing ordered loads. Change: the placer runs as a duty of the leader; its status is in the leader's status and in the dump; plan answers on every daemon.

--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -329,7 +329,13 @@
                  (json_int_t)pu_state_position (c->state), "view",
                  (json_int_t)pu_state_view (c->state), "document_version",
                  (json_int_t)(d == NULL ? 0 : d->doc_version)));
-  if (c->leading)
-    json_object_set_new (o, "sessions", pu_control_sessions_json (c));
+  if (!c->leading)
+    return o;
+  json_object_set_new (o, "sessions", pu_control_sessions_json (c));
+  if (c->options.placement != NULL)
+    {
+      json_object_set_new (o, "placement",
+                           c->options.placement (c->options.placement_data));
+    }
   return o;
 }
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -49,6 +49,9 @@
   const pu_journal_fs_t *fs; /* NULL: the operating system's; tests */
   /* How the history is shown: a new array.  NULL: it is not.  */
   json_t *(*history) (const pu_state_t *s);
+  /* What the leader's status says of placement: a new object.  May be NULL. */
+  json_t *(*placement) (void *data);
+  void *placement_data;
   pu_state_options_t state;
   pu_membership_options_t membership;
 } pu_control_options_t;
@@ -123,6 +126,7 @@
 
 /* pu_control_status - a new object: pu_group_status with "leader_address",
    "quorum", "state":{"position","view","document_version"} and, on the leader,
+   "placement" (options) and
    "sessions":[{"name","incarnation","position","silent_ms","allowed_ms",
    "voter"}].  */
 json_t *pu_control_status (pu_control_t *c);
--- a/libplantainusher/control/query.c
+++ b/libplantainusher/control/query.c
@@ -94,7 +94,9 @@
       pu_rpc_call_garbage (call);
       return;
     }
-  if (q.kind == PU_QUERY_HISTORY || pu_group_is_leader (c->group))
+  /* The leader's history has all that was answered as accepted; without a
+     leader a voter tells what it knows.  */
+  if (pu_group_is_leader (c->group) || (q.kind == PU_QUERY_HISTORY && !known))
     {
       query_here (c, call, &q);
     }
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -47,18 +47,55 @@
   return d->peers != NULL;
 }
 
-/* The settings' voters as the log takes them; free the array.  */
-static pu_log_peer *
-first_voters (const pu_settings_t *s)
+/* Addresses where a voter may be asked: those to join, and the first
+   voters.  */
+static GPtrArray *
+join_addresses (const pu_settings_t *s)
+{
+  const pu_settings_voter_t *rows = s->voters.items;
+  GPtrArray *list = g_ptr_array_new ();
+
+  for (guint i = 0; i < s->join.n; i++)
+    g_ptr_array_add (list, (gpointer)s->join.items[i]);
+  for (guint i = 0; i < s->voters.n; i++)
+    g_ptr_array_add (list, (gpointer)rows[i].peers);
+  return list;
+}
+
+static bool
+is_first_voter (const pu_settings_t *s)
 {
   const pu_settings_voter_t *rows = s->voters.items;
-  pu_log_peer *peers = g_new0 (pu_log_peer, MAX (s->voters.n, 1));
 
   for (guint i = 0; i < s->voters.n; i++)
     {
-      peers[i].name = (char *)rows[i].name;
-      peers[i].address = (char *)rows[i].peers;
+      if (strcmp (rows[i].name, s->name) == 0)
+        return true;
     }
+  return false;
+}
+
+/* Whom the log greets while it is fresh: the settings' voters, who start it
+   together, or for an instance that joins later whoever stands at the
+   addresses to join, by no name.  Free the array; its strings are S's.  */
+static GArray *
+first_peers (const pu_settings_t *s)
+{
+  const pu_settings_voter_t *rows = s->voters.items;
+  GArray *peers = g_array_new (FALSE, TRUE, sizeof (pu_log_peer));
+  GPtrArray *join = join_addresses (s);
+  bool first = is_first_voter (s);
+
+  for (guint i = 0; i < (first ? s->voters.n : join->len); i++)
+    {
+      const char *name = first ? rows[i].name : "";
+      const char *address = first ? rows[i].peers : join->pdata[i];
+      pu_log_peer p = { .name = (char *)name, .address = (char *)address };
+
+      if (first || strcmp (address, s->addresses.peers) != 0)
+        g_array_append_val (peers, p);
+    }
+  g_ptr_array_free (join, TRUE);
   return peers;
 }
 
@@ -73,12 +110,31 @@
     m->most_ms[i] = MAX (m->most_ms[i], 2 * least[i]);
 }
 
+static void
+build_placer (pu_daemon_t *d)
+{
+  const pu_settings_t *s = d->settings;
+  pu_placer_options_t o;
+
+  pu_placer_options_init (&o);
+  o.loop = d->loop;
+  o.control = d->control;
+  o.counters = d->counters;
+  /* The lease of a leader is shorter than the least silence before another is
+     elected.  */
+  o.lease_ms = s->timing.election_ms;
+  o.order_life_ms = s->timing.order_life_ms;
+  o.connect_ms = s->timing.connect_timeout_ms;
+  o.report_interval_ms = s->timing.report_interval_ms;
+  d->placer = pu_placer_new (&o);
+}
+
 static bool
 build_control (pu_daemon_t *d, pu_error_t *e)
 {
   const pu_settings_t *s = d->settings;
   char *folder = g_build_filename (s->data_folder, LOG_FOLDER, NULL);
-  pu_log_peer *voters = first_voters (s);
+  GArray *peers = first_peers (s);
   pu_control_options_t o;
 
   pu_control_options_init (&o);
@@ -88,8 +144,8 @@
   o.address = s->addresses.peers;
   o.key = s->keys.peers;
   o.folder = folder;
-  o.voters = voters;
-  o.n_voters = s->voters.n;
+  o.voters = (const pu_log_peer *)(const void *)peers->data;
+  o.n_voters = peers->len;
   o.counters = d->counters;
   o.seed = seed_of (s);
   o.heartbeat_ms = s->timing.heartbeat_ms;
@@ -98,27 +154,17 @@
   o.snapshot_entries = s->limits.snapshot_entries;
   o.connect_ms = s->timing.connect_timeout_ms;
   o.history = pu_operator_history_json;
+  o.placement = pu_daemon_placement;
+  o.placement_data = d;
   set_membership (s, &o.membership);
   if (make_folder (folder, e))
     d->control = pu_control_new (&o, e);
   g_free (folder);
-  g_free (voters);
-  return d->control != NULL;
-}
-
-/* Addresses where a voter may be asked: those to join, and the first
-   voters.  */
-static GPtrArray *
-join_addresses (const pu_settings_t *s)
-{
-  const pu_settings_voter_t *rows = s->voters.items;
-  GPtrArray *list = g_ptr_array_new ();
-
-  for (guint i = 0; i < s->join.n; i++)
-    g_ptr_array_add (list, (gpointer)s->join.items[i]);
-  for (guint i = 0; i < s->voters.n; i++)
-    g_ptr_array_add (list, (gpointer)rows[i].peers);
-  return list;
+  g_array_unref (peers);
+  if (d->control == NULL)
+    return false;
+  build_placer (d);
+  return true;
 }
 
 static void
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -66,6 +66,8 @@
   pu_daemon_t *d = data;
 
   d->control = NULL;
+  pu_placer_free (d->placer);
+  d->placer = NULL;
   d->closed_control = true;
 }
 
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -152,6 +152,20 @@
                    on_json, a);
 }
 
+static void
+operator_plan (const pu_document_t *doc, pu_operator_json_fn *done,
+               void *done_data, void *data)
+{
+  pu_daemon_t *d = data;
+  json_t *moves;
+
+  if (d->placer != NULL)
+    moves = pu_placer_plan (d->placer, doc);
+  else
+    moves = pu_placer_plan_state (pu_agent_view (d->agent), doc);
+  done (moves, NULL, done_data);
+}
+
 static bool
 operator_log_level (const char *level, void *data)
 {
@@ -188,6 +202,7 @@
   h->history = operator_history;
   h->dump = pu_daemon_dump;
   h->voters = operator_voters;
+  h->plan = operator_plan;
   h->set_log_level = operator_log_level;
   h->metrics = operator_metrics;
   h->data = d;
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -8,6 +8,7 @@
 #include "entry/entry.h"
 #include "http/server.h"
 #include "operator/operator.h"
+#include "placer/placer.h"
 #include "rpc/server.h"
 
 G_BEGIN_DECLS
@@ -34,6 +35,7 @@
   pu_counters_t *counters;
   pu_rpc_server_t *peers;
   pu_control_t *control; /* NULL without the role */
+  pu_placer_t *placer;   /* goes with control */
   pu_agent_t *agent;
   pu_entry_t *entry; /* NULL without the role */
   pu_operator_t *operator;
@@ -61,6 +63,7 @@
 void pu_daemon_status (json_t *status, pu_operator_json_fn *done,
                        void *done_data, void *daemon);
 json_t *pu_daemon_dump (void *daemon);
+json_t *pu_daemon_placement (void *daemon);
 
 /* build.c - the parts from the settings.  */
 bool pu_daemon_build (pu_daemon_t *d, pu_error_t *e);
--- a/libplantainusher/daemon/status.c
+++ b/libplantainusher/daemon/status.c
@@ -84,6 +84,8 @@
       json_object_set (a->status, "leader",
                        json_object_get (control, "leader"));
       add_voters (a->status, control);
+      json_object_set (a->status, "placement",
+                       json_object_get (control, "placement"));
       add_positions (a->status, json_object_get (control, "sessions"));
     }
   a->done (a->status, NULL, a->data);
@@ -105,6 +107,15 @@
   pu_agent_status (d->agent, ASK_TIMEOUT_MS, on_status, a);
 }
 
+/* Called before the placer is there, too.  */
+json_t *
+pu_daemon_placement (void *daemon)
+{
+  pu_daemon_t *d = daemon;
+
+  return d->placer == NULL ? json_object () : pu_placer_status (d->placer);
+}
+
 static const char *const phase_names[] = {
   [PU_DAEMON_RUNNING] = "running",      [PU_DAEMON_LEAVING] = "leaving",
   [PU_DAEMON_FINISHING] = "finishing",  [PU_DAEMON_DEPARTING] = "departing",
@@ -125,6 +136,8 @@
   json_object_set_new (o, "agent", pu_agent_dump (d->agent));
   if (d->control != NULL)
     json_object_set_new (o, "control", pu_control_status (d->control));
+  if (d->placer != NULL)
+    json_object_set_new (o, "placer", pu_placer_dump (d->placer));
   if (d->entry != NULL)
     json_object_set_new (o, "entry", pu_entry_dump (d->entry));
   return o;
