Entry: a strike says whether its request ran apart

Cause: the suspects core tells who ran apart when a backend server died and the log counts such a death against it alone, but the flag was lost between them, so that each proposed strike read as one of many that ran there together. Change: pu_strike_t carries apart, and the proposed command has it.

--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -28,6 +28,7 @@
   char *model;
   char *backend;
   guint64 incarnation;
+  bool apart;       /* it ran there as a suspect */
   guint64 position; /* of the log, once it is in; 0: not yet */
   guint64 due;      /* loop time to propose it again; 0: it is proposed */
   guint64 until;    /* loop time when it is given up */
@@ -298,9 +299,9 @@
 
 /* --- strikes.c: strikes against requests --- */
 
-/* pu_strike_begin - FINGERPRINT ran at INCARNATION of S when it died.  */
+/* pu_strike_begin - proposes ONE, a strike for the death of S.  */
 void pu_strike_begin (pu_entry_t *en, const pu_server_t *s,
-                      guint64 incarnation, guint64 fingerprint);
+                      const pu_suspects_strike_t *one);
 
 /* pu_strike_pending - whether the log has yet to say what a strike against
    FINGERPRINT leads to.  */
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -66,7 +66,7 @@
       const pu_suspects_strike_t *one
           = &g_array_index (strikes, pu_suspects_strike_t, i);
 
-      pu_strike_begin (en, s, one->incarnation, one->fingerprint);
+      pu_strike_begin (en, s, one);
     }
   g_array_free (strikes, TRUE);
 }
--- a/libplantainusher/entry/strikes.c
+++ b/libplantainusher/entry/strikes.c
@@ -81,6 +81,7 @@
   asked->fingerprint = k->fingerprint;
   en->pending++;
   k->due = 0;
+  strike->apart = k->apart;
   strike->fingerprint = k->fingerprint;
   strike->model = k->model;
   strike->backend = k->backend;
@@ -91,20 +92,21 @@
 }
 
 void
-pu_strike_begin (pu_entry_t *en, const pu_server_t *s, guint64 incarnation,
-                 guint64 fingerprint)
+pu_strike_begin (pu_entry_t *en, const pu_server_t *s,
+                 const pu_suspects_strike_t *one)
 {
   pu_strike_t *k = g_new0 (pu_strike_t, 1);
 
   pu_log_note (PU_ENTRY_PART,
                "Request %016" G_GINT64_MODIFIER
                "x ran at %s when it died: a strike.",
-               fingerprint, s->name);
+               one->fingerprint, s->name);
   k->en = en;
-  k->fingerprint = fingerprint;
-  k->model = g_strdup (model_of (en, fingerprint));
+  k->fingerprint = one->fingerprint;
+  k->model = g_strdup (model_of (en, one->fingerprint));
   k->backend = g_strdup (s->name);
-  k->incarnation = incarnation;
+  k->incarnation = one->incarnation;
+  k->apart = one->apart;
   k->until = uv_now (en->o.loop) + GIVE_UP_MS;
   g_hash_table_replace (en->strikes, &k->fingerprint, k);
   strike_propose (k);
