Agent: a new document is kept before it is in force

Cause: a daemon showed a new document at once and kept it on its disk after that. Killed in between and started again while no voter answers, it served the version before: a revert. Seen with 8 entries whose fsync takes 300 ms longer (tests/slow_sync.c): version 1 shown after 2. Ruled out: a blocking write on the loop, which stops streams for as long as the disk takes; keeping the raw answer beside the image, which does not fit an image older than the answer's base. Change: the answer of a poll that brings a document is held back until the image that it leads to is durable; no poll is under way meanwhile. A disk that refuses holds nothing back.

--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -137,6 +137,7 @@
   pu_rpc_timer_free (a->keep_timer);
   pu_rpc_pool_free (a->pool);
   pu_agent_voters_clear (a);
+  pu_agent_hold_clear (a);
   pu_keep_free (a->keep);
   pu_state_free (a->view);
   pu_codec_free ((xdrproc_t)xdr_pu_member_record, a->self);
--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -18,7 +18,8 @@
  * agent - a daemon's client of control: it polls one voter, keeps the public
  * copy of the state, announces the daemon as a member and proposes commands.
  *
- * The copy only moves forwards.  It is ready once it holds an image that a
+ * The copy only moves forwards.  With a data folder a new document is durable
+ * before the copy shows it.  It is ready once it holds an image that a
  * voter gave or has brought up to date; one that was kept in the data folder
  * is served unconfirmed only when no voter answers for `trust_ms`.  Without a
  * quorum the copy stays as it was.
@@ -43,7 +44,7 @@
   guint32 attempt_ms;   /* 2000: one attempt of a proposal */
   guint32 home_ms;      /* 30000: back to the preferred voter */
   guint32 keep_ms;      /* 5000: the image is written this long after
-                           a change; at once after a document's */
+                           a change; a document before it is shown */
   guint32 trust_ms;     /* 3000: without a voter, the kept image is
                            served after this */
   pu_state_options_t state;
--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -61,6 +61,9 @@
   uv_timer_t *keep_timer; /* runs while a change is not kept */
   uint64_t kept_version;  /* of the document in the newest kept image */
   uv_timer_t *trust_timer;
+
+  /* hold.c */
+  GBytes *held; /* the answer that waits for its image to be kept, or NULL */
 };
 
 /* voters.c */
@@ -75,9 +78,20 @@
 /* poll.c */
 void pu_agent_poll_init (pu_agent_t *a);
 void pu_agent_poll_clear (pu_agent_t *a);
+void pu_agent_poll_answered (pu_agent_t *a, const pu_poll_reply *r);
+
+/* hold.c */
+
+/* pu_agent_hold - when R, decoded from the N bytes of BODY, brings a new
+   document: keeps what the view will be, and calls pu_agent_poll_answered with
+   R later.  Else false: R can be taken now.  */
+bool pu_agent_hold (pu_agent_t *a, const pu_poll_reply *r, const guint8 *body,
+                    size_t n);
+void pu_agent_hold_clear (pu_agent_t *a);
 
 /* view.c */
 bool pu_agent_take (pu_agent_t *a, const pu_poll_reply *r);
+void pu_agent_apply_entries (pu_state_t *s, const pu_poll_reply *r);
 void pu_agent_announce (pu_agent_t *a);
 void pu_agent_tell (pu_agent_t *a);
 
@@ -104,8 +118,12 @@
 bool pu_keep_load (pu_keep_t *k, pu_kept_t *out, pu_error_t *e);
 
 /* pu_keep_save - writes aside, syncs and renames, on the thread pool; takes
-   IMAGE over.  While a write is under way the newest waits.  */
-void pu_keep_save (pu_keep_t *k, uint64_t cluster, GBytes *image);
+   IMAGE over.  While a write is under way the newest waits.  DONE (may be
+   NULL) is called on the loop when it is durable or was refused; not when a
+   newer one came first or the keeper is gone.  */
+typedef void pu_keep_done_fn (void *data);
+void pu_keep_save (pu_keep_t *k, uint64_t cluster, GBytes *image,
+                   pu_keep_done_fn *done, void *data);
 
 G_END_DECLS
 
--- a/libplantainusher/agent/keep.c
+++ b/libplantainusher/agent/keep.c
@@ -28,6 +28,8 @@
   struct work *work; /* under way, or NULL */
   GBytes *next;      /* to be written after it, or NULL */
   uint64_t next_cluster;
+  pu_keep_done_fn *next_done;
+  void *next_data;
 };
 
 /* One write; it goes on without its keeper.  */
@@ -40,6 +42,8 @@
   uint64_t cluster;
   GBytes *image;
   int error; /* errno, or 0 */
+  pu_keep_done_fn *done;
+  void *data;
 } work_t;
 
 pu_keep_t *
@@ -200,6 +204,8 @@
 {
   work_t *w = req->data;
   pu_keep_t *k = w->keep;
+  pu_keep_done_fn *done = w->done;
+  void *data = w->data;
   GBytes *next;
 
   (void)status;
@@ -210,11 +216,14 @@
   next = k->next;
   k->next = NULL;
   if (next != NULL)
-    pu_keep_save (k, k->next_cluster, next);
+    pu_keep_save (k, k->next_cluster, next, k->next_done, k->next_data);
+  if (done != NULL)
+    done (data);
 }
 
 void
-pu_keep_save (pu_keep_t *k, uint64_t cluster, GBytes *image)
+pu_keep_save (pu_keep_t *k, uint64_t cluster, GBytes *image,
+              pu_keep_done_fn *done, void *data)
 {
   if (k->work != NULL)
     {
@@ -222,8 +231,12 @@
         g_bytes_unref (k->next);
       k->next = image;
       k->next_cluster = cluster;
+      k->next_done = done;
+      k->next_data = data;
       return;
     }
   k->work = work_new (k, cluster, image);
+  k->work->done = done;
+  k->work->data = data;
   uv_queue_work (k->loop, &k->work->req, on_work, on_worked);
 }
--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -152,8 +152,8 @@
       a, (guint)g_rand_int_range (a->rand, (gint)most / 2, (gint)most + 1));
 }
 
-static void
-poll_answered (pu_agent_t *a, const pu_poll_reply *r)
+void
+pu_agent_poll_answered (pu_agent_t *a, const pu_poll_reply *r)
 {
   a->failures = 0;
   pu_agent_voters_learn (a, r);
@@ -191,7 +191,8 @@
       poll_failed (a, "its answer does not decode.");
       return;
     }
-  poll_answered (a, &r);
+  if (!pu_agent_hold (a, &r, body, n))
+    pu_agent_poll_answered (a, &r);
   xdr_free ((xdrproc_t)xdr_pu_poll_reply, &r);
 }
 
--- a/libplantainusher/agent/view.c
+++ b/libplantainusher/agent/view.c
@@ -9,8 +9,8 @@
 
 /* --- the public copy --- */
 
-static void
-take_entries (pu_agent_t *a, const pu_poll_reply *r)
+void
+pu_agent_apply_entries (pu_state_t *s, const pu_poll_reply *r)
 {
   for (u_int i = 0; i < r->entries.entries_len; i++)
     {
@@ -24,7 +24,7 @@
           pu_log_warn (PU_AGENT_PART, "Skipped an entry: %s", e.message);
           continue;
         }
-      pu_state_apply (a->view, x->position, &c, NULL);
+      pu_state_apply (s, x->position, &c, NULL);
       pu_command_clear (&c);
     }
 }
@@ -65,7 +65,7 @@
     }
   else if (a->ready)
     {
-      take_entries (a, r);
+      pu_agent_apply_entries (a->view, r);
     }
   if (a->ready)
     {
@@ -90,14 +90,16 @@
   pu_agent_t *a = t->data;
 
   a->kept_version = document_version (a);
-  pu_keep_save (a->keep, a->cluster, pu_state_encode (a->view, true));
+  pu_keep_save (a->keep, a->cluster, pu_state_encode (a->view, true), NULL,
+                NULL);
 }
 
-/* keep_later - a new document is kept at once, the rest now and then.  */
+/* keep_later - a document that was not kept is kept at once, the rest now and
+   then; nothing older over what is held back (hold.c).  */
 static void
 keep_later (pu_agent_t *a)
 {
-  if (a->keep == NULL)
+  if (a->keep == NULL || a->held != NULL)
     return;
   if (document_version (a) != a->kept_version)
     {
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -145,6 +145,7 @@
     def __init__(self, cluster, name, command):
         self.cluster, self.name, self.command = cluster, name, command
         self.log = cluster.folder / f"{name}.log"
+        self.environment = {}
         self._p = None
         self._expected = True
 
@@ -156,7 +157,8 @@
         with open(self.log, "ab") as out:
             self._p = subprocess.Popen(
                 [str(c) for c in self.command], stdin=subprocess.DEVNULL,
-                stdout=out, stderr=out, preexec_fn=_die_with_parent)
+                stdout=out, stderr=out, preexec_fn=_die_with_parent,
+                env={**os.environ, **self.environment})
         self._expected = False
         return self
 
@@ -181,6 +183,12 @@
     def cont(self):
         self._p.send_signal(signal.SIGCONT)
 
+    def slow_disk(self, sync_ms):
+        """From its next start on, each fsync takes SYNC_MS longer."""
+        self.environment = {
+            "LD_PRELOAD": str(self.cluster.build / "tests/libslow_sync.so"),
+            "SLOW_SYNC_MS": str(sync_ms)}
+
     def term(self):
         """SIGTERM: the planned stop begins."""
         self._expected = True
--- a/tests/config_process_test.py
+++ b/tests/config_process_test.py
@@ -9,6 +9,7 @@
 from cluster import wait_until
 
 CHAOS_CHANGES = 40
+SLOW_SYNC_MS = 300
 
 
 class ConfigTest(changes.ElevenTest):
@@ -35,18 +36,23 @@
             self.accepted.check(self, d)
 
     def test_kept_view_never_goes_backwards(self):
-        """Invariant: an entry killed right after it showed a version shows
-        none older when it restarts while no voter answers."""
+        """Invariant: an entry with a slow disk, killed right after it showed
+        a version, shows none older when it restarts while no voter
+        answers."""
         c = self.start()
-        entries = self.all[3:]
-        for n in range(3):
+        voters, entries = self.all[:3], self.all[3:]
+        c.kill(*entries)
+        for d in entries:
+            d.slow_disk(SLOW_SYNC_MS)
+        c.start(*entries)
+        for n in range(2):
             version = self.accepted.version + 1
             killers = [cluster.Later(lambda d=d: self.kill_at(d, version))
                        for d in entries]
-            self.accepted.submit(self.all[0], f"kept-{n}")
+            self.accepted.submit(voters[0], f"kept-{n}")
             for k in killers:
                 k.result()
-            for v in self.all[:3]:
+            for v in voters:
                 v.stop()
             c.start(*entries)
             for d in entries:
@@ -54,7 +60,7 @@
                     "ready"])
                 self.assertGreaterEqual((d.document() or {}).get("version", 0),
                                         version, d.name)
-            for v in self.all[:3]:
+            for v in voters:
                 v.cont()
         self.in_force()
 
