Orders: an accepted load that never shows has failed

Cause: an engine that answered 202 and forgot the order was waited for until the end of its load time (180 s); found by a process test. Change: a copy that is not in the reports `report_ms` after the acceptance came to nothing, by the same contract as the life of an order. Memory stays counted as before. placement_test: 29 pass, also with 600 histories a property.

--- a/libplantainusher/placement/orders.c
+++ b/libplantainusher/placement/orders.c
@@ -569,16 +569,19 @@
          && r->token < v->token;
 }
 
-/* Whether a load was accepted and ended without its copy: the report that
-   tells of the order's token does not show it.  */
+/* Whether a load was accepted and its copy is not there, though the engine has
+   reported the order's token, or has had the time to report the copy.  */
 static bool
-came_to_nothing (const pu_orders_t *o, const pu_orders_order_t *r)
+came_to_nothing (const pu_orders_t *o, const pu_orders_order_t *r,
+                 guint64 now)
 {
   const server_t *v = find_server (o, r->wish.backend);
 
-  return r->wish.kind == PU_LEDGER_LOAD && r->state == PU_ORDERS_ACKED
-         && !r->held && v != NULL && !v->down
-         && v->incarnation == r->wish.incarnation && v->token >= r->token;
+  if (r->wish.kind != PU_LEDGER_LOAD || r->state != PU_ORDERS_ACKED || r->held)
+    return false;
+  if (v == NULL || v->down || v->incarnation != r->wish.incarnation)
+    return false;
+  return v->token >= r->token || now >= r->changed + o->o.report_ms;
 }
 
 /* Whether the order has had its time: no answer within its life, or accepted
@@ -591,7 +594,7 @@
 
   if (under_way (r) && fenced_off (o, r) && !r->held)
     return true;
-  if (came_to_nothing (o, r))
+  if (came_to_nothing (o, r, now))
     return true;
   switch (r->state)
     {
