--- a/libplantainusher/placement/forecast.c
+++ b/libplantainusher/placement/forecast.c
@@ -4,8 +4,8 @@
 
 #define DEFAULT_FAST_S 15.0
 #define DEFAULT_MID_S 45.0
-#define DEFAULT_SLOW_S 300.0
-#define DEFAULT_HELD_S 900.0
+#define DEFAULT_SLOW_S 60.0
+#define DEFAULT_HELD_S 200.0
 #define DEFAULT_LEAD_S 10.0
 #define DEFAULT_SIGMAS 4.0
 #define MOST_GROWTH 1.5 /* of the trend, over the fast average */
--- a/libplantainusher/placement/placement.c
+++ b/libplantainusher/placement/placement.c
@@ -351,8 +351,10 @@
 
       if (h->phase == PU_LEDGER_READY && find_name (pl, h->copy, &n)
           && !holds_ready (r, h->copy) && !may_be_unloaded (pl, h->copy))
-        pu_planner_load_failed (pl->planner, r->backend, n.item, n.version,
-                                now);
+        {
+          pu_planner_load_failed (pl->planner, r->backend, n.item, n.version,
+                                  now);
+        }
     }
 }
 
@@ -378,9 +380,13 @@
   s->zone = zone;
   s->streams = streams;
   if (down)
-    pu_orders_down (pl->orders, r->backend, now);
+    {
+      pu_orders_down (pl->orders, r->backend, now);
+    }
   else
-    pu_orders_report (pl->orders, &s->report, now);
+    {
+      pu_orders_report (pl->orders, &s->report, now);
+    }
   refresh (pl, r->backend, now);
 }
 
@@ -423,8 +429,10 @@
   name_t n;
 
   if (r->wish.kind == PU_LEDGER_LOAD && find_name (pl, r->wish.copy, &n))
-    pu_planner_load_failed (pl->planner, r->wish.backend, n.item, n.version,
-                            now);
+    {
+      pu_planner_load_failed (pl->planner, r->wish.backend, n.item, n.version,
+                              now);
+    }
 }
 
 void
@@ -582,8 +590,12 @@
       pu_orders_action_t a = g_array_index (actions, pu_orders_action_t, i);
 
       if (filter (pl, &a, now))
-        i++;
+        {
+          i++;
+        }
       else
-        g_array_remove_index (actions, i);
+        {
+          g_array_remove_index (actions, i);
+        }
     }
 }
--- a/libplantainusher/placement/planner_explain.c
+++ b/libplantainusher/placement/planner_explain.c
@@ -116,10 +116,14 @@
       out, "; expects %.1f streams (now %.1f, usual %.1f%s)", f->expected,
       f->fast, f->slow, f->burst ? ", burst" : "");
   if (t->rolled_back)
-    g_string_append_printf (out, "; version %u failed: rolled back to %u",
-                            t->i.version, t->i.previous_version);
+    {
+      g_string_append_printf (out, "; version %u failed: rolled back to %u",
+                              t->i.version, t->i.previous_version);
+    }
   else if (t->failures > 0)
-    g_string_append_printf (out, "; %u loads failed", t->failures);
+    {
+      g_string_append_printf (out, "; %u loads failed", t->failures);
+    }
   if (t->no_room)
     g_string_append (out, "; no engine has room for one more");
   g_string_append_c (out, '\n');
--- /dev/null
+++ b/libplantainusher/placement/planner_grow.c
@@ -0,0 +1,245 @@
+#include "placement/planner_round.h"
+
+#include <math.h>
+
+#define SPARE_WAIT_MS 10000
+#define HOT_ENGINES 4
+/* Copies of one item that may be on their way for its demand.  */
+#define GROW_AT_ONCE 4
+#define DEMAND_MOVES 4       /* of a step */
+#define DEMAND_MOVES_FULL 64 /* of a round of the full plan */
+#define SPARE_TRIES 4        /* items tried in a step */
+/* How much dearer a move is when moves weigh all.  */
+#define WEIGHT_PRICE 9.0
+/* Moves that a copy which has not stayed long counts as, more than one.  */
+#define YOUNG_PRICE 2.0
+/* Copies beyond two that spare memory is given to, for a demand of one
+   engine's streams.  */
+#define SPARE_COPIES 3.0
+
+static guint
+copies (const pu_planned_item_t *t)
+{
+  return t->ready + t->coming;
+}
+
+static double
+move_price (const pu_planner_t *p)
+{
+  return p->o.move_price * (1 + WEIGHT_PRICE * p->o.moves_weight);
+}
+
+/* The engines most in use above `hot`, at most HOT_ENGINES of them.  */
+static guint
+find_hot (const pu_planner_t *p, guint32 *engines)
+{
+  guint n = 0;
+
+  for (guint32 i = 0; i < p->engines->len; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (p, i);
+      double use = e->load / e->streams;
+      guint k;
+
+      if (!e->usable || use <= p->o.hot)
+        continue;
+      k = n < HOT_ENGINES ? n++ : HOT_ENGINES;
+      for (; k > 0; k--)
+        {
+          const pu_planned_engine_t *o = pu_planned_engine (p, engines[k - 1]);
+
+          if (o->load / o->streams >= use)
+            break;
+          if (k < HOT_ENGINES)
+            engines[k] = engines[k - 1];
+        }
+      if (k < HOT_ENGINES)
+        engines[k] = i;
+    }
+  return n;
+}
+
+typedef struct
+{
+  guint32 item;
+  guint32 engine;
+  double gain;
+  double price;
+} pu_offer_t;
+
+/* What one more copy of ITEM would bring; an engine of PU_PLAN_NONE when
+   there is none to be had.  */
+static pu_offer_t
+make_offer (pu_round_t *r, guint32 item)
+{
+  const pu_planned_item_t *t = pu_planned_item (r->p, item);
+  pu_offer_t o = { item, PU_PLAN_NONE, 0, 0 };
+
+  o.engine = pu_planner_choose (r->p, item, pu_planned_version (t),
+                                PU_ROOM_SPARE, r->now, &r->v);
+  if (o.engine == PU_PLAN_NONE)
+    return o;
+  o.gain = r->p->o.payback_s * pu_planner_gain (r->p, item, o.engine);
+  o.price
+      = r->p->o.payback_s * r->v.loss
+        + move_price (r->p) * (1 + r->v.slots->len + YOUNG_PRICE * r->v.young);
+  return o;
+}
+
+static bool
+may_grow (const pu_round_t *r, const pu_planned_item_t *t)
+{
+  return pu_round_may_try (r, t) && t->coming < GROW_AT_ONCE && t->ready > 0
+         && copies (t) < t->i.max_copies && t->copies_before == 0
+         && pu_round_base_is_ready (r, t);
+}
+
+/* The best offer for the items on hot engines.  */
+static pu_offer_t
+best_offer (pu_round_t *r)
+{
+  guint32 hot[HOT_ENGINES];
+  guint n_hot = find_hot (r->p, hot);
+  pu_offer_t best = { 0, PU_PLAN_NONE, 0, 0 };
+
+  for (guint i = 0; i < n_hot; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (r->p, hot[i]);
+
+      for (guint s = 0; s < e->copies->len; s++)
+        {
+          const pu_planned_copy_t *c = pu_planned_copy (e, s);
+          pu_offer_t o;
+
+          if (c->share <= 0
+              || !may_grow (r, pu_planned_item (r->p, c->c.item)))
+            continue;
+          o = make_offer (r, c->c.item);
+          if (o.engine == PU_PLAN_NONE || o.gain <= o.price)
+            continue;
+          if (best.engine == PU_PLAN_NONE
+              || o.gain - o.price > best.gain - best.price)
+            best = o;
+        }
+    }
+  return best;
+}
+
+/* Phase 5.  */
+void
+pu_round_follow_demand (pu_round_t *r)
+{
+  guint max = r->full ? DEMAND_MOVES_FULL : DEMAND_MOVES;
+
+  for (guint i = 0; i < max && pu_round_store_takes (r); i++)
+    {
+      pu_offer_t o = best_offer (r);
+
+      if (o.engine == PU_PLAN_NONE)
+        return;
+      /* The victims of the best offer, which later offers wrote over.  */
+      o.engine = pu_planner_choose (
+          r->p, o.item, pu_planned_version (pu_planned_item (r->p, o.item)),
+          PU_ROOM_SPARE, r->now, &r->v);
+      pu_round_load (r, o.engine, o.item, PU_REASON_DEMAND, o.gain, o.price);
+    }
+}
+
+/* Copies of T that spare memory may be given to.  */
+static guint
+spare_copies (const pu_planner_t *p, const pu_planned_item_t *t,
+              double streams)
+{
+  double more = (1 - p->o.moves_weight) * SPARE_COPIES * t->forecast.held
+                / MAX (1.0, streams);
+
+  return MIN (t->i.max_copies, 2 + (guint)ceil (more));
+}
+
+static double
+mean_streams (const pu_planner_t *p)
+{
+  double sum = 0;
+  guint n = 0;
+
+  for (guint i = 0; i < p->engines->len; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (p, i);
+
+      sum += e->usable ? e->streams : 0;
+      n += e->usable;
+    }
+  return n > 0 ? sum / n : 1;
+}
+
+/* The most memory that any engine has free.  */
+static guint32
+most_free (const pu_planner_t *p)
+{
+  guint32 most = 0;
+
+  for (guint i = 0; i < p->engines->len; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (p, i);
+
+      if (e->usable && !e->closed && !e->promised)
+        most = MAX (most, pu_planned_free (e));
+    }
+  return most;
+}
+
+/* The item that has the fewest copies for its demand of those that need no
+   more than FREE_MB, or PU_PLAN_NONE.  */
+static guint32
+most_exposed (const pu_round_t *r, double streams, guint32 free_mb)
+{
+  guint32 best = PU_PLAN_NONE;
+  double most = 0;
+
+  for (guint32 i = 0; i < r->p->items->len; i++)
+    {
+      const pu_planned_item_t *t = pu_planned_item (r->p, i);
+      double exposed;
+
+      if (!may_grow (r, t) || r->now < t->spare_after || t->coming > 0
+          || t->i.memory_mb > free_mb
+          || copies (t) >= spare_copies (r->p, t, streams))
+        continue;
+      exposed = (1 + t->forecast.held) * t->i.importance
+                / (copies (t) * copies (t));
+      if (best != PU_PLAN_NONE && exposed <= most)
+        continue;
+      best = i;
+      most = exposed;
+    }
+  return best;
+}
+
+/* Phase 6.  */
+void
+pu_round_use_spare (pu_round_t *r)
+{
+  double streams = mean_streams (r->p);
+  guint tries = r->full ? r->p->items->len : SPARE_TRIES;
+  guint32 free_mb = most_free (r->p);
+
+  for (guint i = 0; i < tries && pu_round_store_takes (r); i++)
+    {
+      guint32 item = most_exposed (r, streams, free_mb);
+      guint32 engine;
+
+      if (item == PU_PLAN_NONE)
+        return;
+      engine = pu_planner_choose (
+          r->p, item, pu_planned_version (pu_planned_item (r->p, item)),
+          PU_ROOM_NONE, r->now, &r->v);
+      if (engine != PU_PLAN_NONE)
+        {
+          pu_round_load (r, engine, item, PU_REASON_SPARE, 0, 0);
+        }
+      else
+        {
+          pu_planned_item (r->p, item)->spare_after = r->now + SPARE_WAIT_MS;
+        }
+    }
+}
--- a/libplantainusher/placement/planner_internal.h
+++ b/libplantainusher/placement/planner_internal.h
@@ -9,6 +9,7 @@
  *   planner_load.c    index of copies, spread of demand, cost of a crowd
  *   planner_choose.c  which engine, and who makes room
  *   planner.c         the phases of a step, the full plan
+ *   planner_grow.c    copies for demand and in spare memory
  *   planner_explain.c texts
  */
 
