Daemon: operators see what is in force, on a voter too

Cause: a voter's operators' paths told the voter's own state. Change: they tell the daemon's public copy, which is durable before it is shown; the history comes from the leader already, and nothing else in these paths reads what the public copy leaves out.

--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -98,14 +98,15 @@
   g_free (a);
 }
 
-/* The voter's own state has the history; the public copy has not.  */
+/* The copy that is in force here, on a voter too: the state of a voter that
+   was started again ends where it knows of commits, which may be before what
+   was in force.  */
 static const pu_state_t *
 operator_view (void *data)
 {
   const pu_daemon_t *d = data;
 
-  return d->control != NULL ? pu_control_state (d->control)
-                            : pu_agent_view (d->agent);
+  return pu_agent_view (d->agent);
 }
 
 static void
@@ -160,9 +161,13 @@
   json_t *moves;
 
   if (d->placer != NULL)
-    moves = pu_placer_plan (d->placer, doc);
+    {
+      moves = pu_placer_plan (d->placer, doc);
+    }
   else
-    moves = pu_placer_plan_state (pu_agent_view (d->agent), doc);
+    {
+      moves = pu_placer_plan_state (pu_agent_view (d->agent), doc);
+    }
   done (moves, NULL, done_data);
 }
 
