Placer, HTTP: an order can't arrive after its transit time

Cause: a connection closed at the end of the transit time could still deliver what the kernel held; and after a pause of the process the connect event comes before its timeout, so that an order would be written at any later time.

--- a/libplantainusher/http/client.c
+++ b/libplantainusher/http/client.c
@@ -337,6 +337,7 @@
     conn = pu_conn_new (c, o->address, &sockaddr);
   request_set (conn, head, o->body);
   conn->call = call;
+  conn->reset = o->reset;
   call->conn = conn;
   if (conn->reused)
     {
--- a/libplantainusher/http/client.h
+++ b/libplantainusher/http/client.h
@@ -81,6 +81,8 @@
   GBytes *body;                /* NULL: none.  The call takes a reference.  */
   bool has_body;               /* send Content-Length: 0 for an absent body */
   bool fresh;                  /* never on a connection that was used before */
+  bool reset;                  /* an early end resets the connection, so that
+                                  nothing of the request arrives later */
   guint first_byte_timeout_ms; /* 0: as the client */
   guint progress_timeout_ms;   /* 0: as the client */
   pu_http_call_events_t events;
--- a/libplantainusher/http/client_private.h
+++ b/libplantainusher/http/client_private.h
@@ -37,6 +37,7 @@
   bool writing;
   bool received; /* a byte of the answer */
   bool failed;   /* connecting failed at once: reported by the timer */
+  bool reset;    /* as the call wants it */
   bool paused;
 } pu_conn_t;
 
--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -24,9 +24,18 @@
   pu_client_closed (c);
 }
 
+static void
+tcp_close (pu_conn_t *conn, bool reset)
+{
+  if (!reset || uv_tcp_close_reset (&conn->tcp, handle_closed) != 0)
+    uv_close ((uv_handle_t *)&conn->tcp, handle_closed);
+}
+
 void
 pu_conn_close (pu_conn_t *conn)
 {
+  bool reset = conn->reset && conn->call != NULL;
+
   if (conn->phase == CONN_CLOSING)
     return;
   if (conn->phase == CONN_IDLE)
@@ -35,7 +44,7 @@
   conn->call = NULL;
   g_hash_table_remove (conn->client->all, conn);
   conn->client->closing_count++;
-  uv_close ((uv_handle_t *)&conn->tcp, handle_closed);
+  tcp_close (conn, reset);
   uv_close ((uv_handle_t *)&conn->timer, handle_closed);
 }
 
@@ -262,6 +271,13 @@
       pu_call_end (conn->call, PU_HTTP_END_CONNECT_FAILED);
       return;
     }
+  /* After a pause of the process this comes before the timer: the request
+     must not be sent so late.  */
+  if (uv_now (conn->tcp.loop) - conn->last_ms > conn->limit_ms)
+    {
+      pu_call_end (conn->call, PU_HTTP_END_CONNECT_TIMEOUT);
+      return;
+    }
   pu_http_tcp_tune (&conn->tcp);
   pu_conn_send (conn);
 }
--- a/libplantainusher/placer/placer.c
+++ b/libplantainusher/placer/placer.c
@@ -88,7 +88,9 @@
     }
   g_hash_table_remove (p->awaited, r);
   if (accepted)
-    pu_follow_know (p->follow, token);
+    {
+      pu_follow_know (p->follow, token);
+    }
   else
     {
       count (p, p->c.refused);
@@ -145,7 +147,9 @@
 {
   (void)data;
   if (e->kind == PU_OK && reply->outcome == PU_OUTCOME_REFUSED)
-    pu_log_debug (PU_PLACER_PART, "Not released: %s", reply->detail);
+    {
+      pu_log_debug (PU_PLACER_PART, "Not released: %s", reply->detail);
+    }
 }
 
 static void
@@ -170,8 +174,10 @@
   if (answer == PU_ORDERS_LOST)
     count (p, p->c.lost);
   if (p->follow != NULL)
-    pu_placement_answer (p->follow->placement, token, answer,
-                         pu_control_now (p->o.control));
+    {
+      pu_placement_answer (p->follow->placement, token, answer,
+                           pu_control_now (p->o.control));
+    }
 }
 
 static void
@@ -189,8 +195,10 @@
     return;
   count (p, p->c.sends);
   if (!pu_sends_order (p->sends, b->address, &o, now))
-    pu_log_warn (PU_PLACER_PART, "Backend server %s has no address: %s",
-                 b->name, b->address);
+    {
+      pu_log_warn (PU_PLACER_PART, "Backend server %s has no address: %s",
+                   b->name, b->address);
+    }
 }
 
 static void
@@ -285,9 +293,10 @@
   pu_placer_t *p = data;
   guint32 item;
 
-  if (p->follow != NULL && pu_names_find (&p->follow->items, model, &item))
-    pu_planner_demand (pu_placement_planner (p->follow->placement), item,
-                       requests, stream_ms);
+  if (p->follow == NULL || !pu_names_find (&p->follow->items, model, &item))
+    return;
+  pu_planner_demand (pu_placement_planner (p->follow->placement), item,
+                     requests, stream_ms);
 }
 
 /* --- life --- */
--- a/libplantainusher/placer/placer_test.cc
+++ b/libplantainusher/placer/placer_test.cc
@@ -1,5 +1,10 @@
 #include "placer/rig_test.h"
 
+#include <arpa/inet.h>
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace
 {
 const std::string one = model ("m", "1", 40);
@@ -218,3 +223,43 @@
     return told;
   });
 }
+
+TEST_F (Rig, AnOrderWithoutAnAnswerInTimeIsResetAndLost)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0), got;
+  struct sockaddr_in a = {};
+  socklen_t n = sizeof a;
+  std::vector<pu_orders_answer_t> answers;
+  pu_sends_options_t o = {};
+  pu_order_record order = {};
+  char name[] = "m", buffer[1024];
+
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ASSERT_EQ (bind (fd, reinterpret_cast<sockaddr *> (&a), n), 0);
+  ASSERT_EQ (listen (fd, 1), 0);
+  getsockname (fd, reinterpret_cast<sockaddr *> (&a), &n);
+  o.loop = &loop;
+  o.transit_ms = 600000;
+  o.data = &answers;
+  o.answer = [] (void *d, guint64, pu_orders_answer_t answer) {
+    static_cast<std::vector<pu_orders_answer_t> *> (d)->push_back (answer);
+  };
+  pu_sends_t *s = pu_sends_new (&o);
+  std::string to = "127.0.0.1:" + std::to_string (ntohs (a.sin_port));
+  order.model = order.model_version = name;
+  ASSERT_TRUE (pu_sends_order (s, to.c_str (), &order, 0));
+  run_ms (50);
+  got = accept (fd, nullptr, nullptr);
+  pu_sends_expire (s, o.transit_ms - 1);
+  EXPECT_TRUE (answers.empty ());
+  pu_sends_expire (s, o.transit_ms);
+  EXPECT_EQ (answers, std::vector<pu_orders_answer_t>{ PU_ORDERS_LOST });
+  run_ms (50);
+  while (recv (got, buffer, sizeof buffer, 0) > 0)
+    ;
+  EXPECT_EQ (errno, ECONNRESET);
+  pu_sends_free (s);
+  ::close (got);
+  ::close (fd);
+}
--- a/libplantainusher/placer/rig_test.cc
+++ b/libplantainusher/placer/rig_test.cc
@@ -323,8 +323,10 @@
       if (e->alive && pu_control_is_leader (control))
         e->report ();
       for (const auto &c : e->copies)
-        found |= e->ready (c.first)
-                 && c.first.substr (0, c.first.find ('/')) == always_ready;
+        {
+          found |= e->ready (c.first)
+                   && c.first.substr (0, c.first.find ('/')) == always_ready;
+        }
     }
   was_lost |= was_ready && !found;
   was_ready |= found;
--- a/libplantainusher/placer/send.c
+++ b/libplantainusher/placer/send.c
@@ -131,6 +131,7 @@
   call.header_count = 1;
   call.body = body_of (o);
   call.fresh = true;
+  call.reset = true;
   n->fetch = pu_http_fetch (s->client, &call, ANSWER_MAX, on_fetched, n, NULL);
   g_bytes_unref (call.body);
   if (n->fetch == NULL)
--- a/libplantainusher/placer/send.h
+++ b/libplantainusher/placer/send.h
@@ -12,7 +12,7 @@
 /*
  * send - orders on their way to engines by HTTP.
  *
- * Each goes on a connection of its own, which is closed at the end of the
+ * Each goes on a connection of its own, which is reset at the end of the
  * transit time or by pu_sends_cancel.  The loop's clock may stand still while
  * the process does, so the caller looks after the time by pu_sends_expire.
  */
--- a/libplantainusher/placer/show.c
+++ b/libplantainusher/placer/show.c
@@ -276,8 +276,11 @@
     }
   find_moves (f, d, wanted, now, moves);
   for (guint i = 0; i < moves->len; i++)
-    json_array_append_new (
-        list, move_json (f, &g_array_index (moves, pu_move_t, i)));
+    {
+      const pu_move_t *m = &g_array_index (moves, pu_move_t, i);
+
+      json_array_append_new (list, move_json (f, m));
+    }
   g_array_unref (moves);
   g_array_unref (items);
   g_ptr_array_unref (wanted);
