Once: a key is kept for its service's window

Cause: claim_window_s of a service had no effect on how long a key counts; all had one hour. Change: the window goes with the call, into the claim and into the check of a key's own age; the margin for clocks is at most half of it.

--- a/libplantainusher/entry/claim.c
+++ b/libplantainusher/entry/claim.c
@@ -71,7 +71,7 @@
   x->phase = PU_X_CLAIMING;
   begun = pu_once_begin (en->once, x->number, x->service, x->key,
                          call_fingerprint (x), pu_once_key_wall (x->key),
-                         wall_now (), now_of (en));
+                         wall_now (), x->window_ms, now_of (en));
   if (begun != PU_ONCE_ACCEPTED)
     {
       begin_refuse (x, begun);
@@ -196,6 +196,7 @@
   claim->owner_incarnation = en->o.hooks.incarnation (en->o.hooks.data);
   claim->attempt = a->attempt;
   claim->wall = wall_now ();
+  claim->window_ms = a->window_ms;
   en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, on_claimed,
                        asked_new (en, a));
 }
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -212,8 +212,6 @@
   directory.ttl_s = en->o.ttl_s;
   en->directory = pu_directory_new (&directory);
   pu_once_options_init (&once);
-  if (en->o.claim_window_ms != 0)
-    once.window_ms = en->o.claim_window_ms;
   once.retry_ms = MIN (once.retry_ms, en->o.propose_ms);
   en->once = pu_once_new (&once);
   pu_suspects_options_init (&suspects);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -88,20 +88,19 @@
   guint n_backend_keys;
   pu_counters_t *counters; /* may be NULL */
   guint32 seed;
-  gsize header_max;        /* bytes; 0 here and below: the default */
-  gsize body_max;          /* 8 MiB; also the longest whole answer */
-  gsize announcement_max;  /* 1 MiB */
-  guint connections_max;   /* 4096 */
-  guint requests_max;      /* 4096: in progress at once */
-  guint connect_ms;        /* 1000 */
-  guint progress_ms;       /* 10000: a stream without a byte is silent */
-  guint probe_ms;          /* 1000: second opinion on a new connection */
-  guint idle_ms;           /* 4000: life of an idle pooled connection */
-  guint report_ms;         /* 1000: asked of backend servers */
-  guint propose_ms;        /* 2000: a claim that takes longer is refused */
-  guint ttl_s;             /* 10: how long callers keep an answer */
-  guint64 claim_window_ms; /* as the state's; 0: one hour */
-  guint test_breaks;       /* pu_entry_break_t; 0 outside tests */
+  gsize header_max;       /* bytes; 0 here and below: the default */
+  gsize body_max;         /* 8 MiB; also the longest whole answer */
+  gsize announcement_max; /* 1 MiB */
+  guint connections_max;  /* 4096 */
+  guint requests_max;     /* 4096: in progress at once */
+  guint connect_ms;       /* 1000 */
+  guint progress_ms;      /* 10000: a stream without a byte is silent */
+  guint probe_ms;         /* 1000: second opinion on a new connection */
+  guint idle_ms;          /* 4000: life of an idle pooled connection */
+  guint report_ms;        /* 1000: asked of backend servers */
+  guint propose_ms;       /* 2000: a claim that takes longer is refused */
+  guint ttl_s;            /* 10: how long callers keep an answer */
+  guint test_breaks;      /* pu_entry_break_t; 0 outside tests */
   pu_entry_hooks_t hooks;
 } pu_entry_options_t;
 
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -126,6 +126,7 @@
   char *service;
   char *model;        /* "" for a plain service */
   char *key;          /* of an at-most-once call */
+  guint64 window_ms;  /* how long its service keeps the result */
   GPtrArray *headers; /* names and values to pass on, in turn */
   GBytes *body;
   bool plain;
--- a/libplantainusher/entry/parse.c
+++ b/libplantainusher/entry/parse.c
@@ -138,6 +138,7 @@
 service_take (pu_exchange_t *x, const pu_service_t *s)
 {
   x->service = g_strdup (s->name);
+  x->window_ms = s->claim_window_s * (guint64)1000;
   if (x->deadline == 0)
     x->deadline = x->arrived + s->timeout_ms;
 }
--- a/libplantainusher/once/once.c
+++ b/libplantainusher/once/once.c
@@ -4,7 +4,6 @@
 
 #define DEFAULT_KEYS_MAX 10000
 #define DEFAULT_WAITERS_MAX 64
-#define DEFAULT_WINDOW_MS 3600000u
 #define DEFAULT_SKEW_MS 30000u
 #define DEFAULT_RETRY_MS 1000u
 
@@ -34,6 +33,7 @@
   char *key;
   guint64 fingerprint;
   guint64 attempt;
+  guint64 window_ms;
   guint64 position;
   phase_t phase;
   guint64 due; /* when the pause is over */
@@ -146,6 +146,7 @@
   q->action.key = q->key;
   q->action.fingerprint = l->fingerprint;
   q->action.attempt = l->attempt;
+  q->action.window_ms = l->window_ms;
   q->action.position = l->position;
   g_queue_push_tail (c->actions, q);
   return q;
@@ -269,11 +270,13 @@
 }
 
 static bool
-too_old (const pu_once_t *c, guint64 key_wall, guint64 wall)
+too_old (const pu_once_t *c, guint64 key_wall, guint64 wall, guint64 window)
 {
+  guint64 skew = MIN (c->options.skew_ms, window / 2);
+
   if (key_wall == 0)
     return false;
-  return key_wall + c->options.window_ms < wall + c->options.skew_ms;
+  return key_wall + window < wall + skew;
 }
 
 /* The answer for a caller who comes when the run is over.  */
@@ -313,14 +316,14 @@
 pu_once_begin_t
 pu_once_begin (pu_once_t *c, guint64 caller, const char *service,
                const char *key, guint64 fingerprint, guint64 key_wall,
-               guint64 wall, guint64 now)
+               guint64 wall, guint64 window_ms, guint64 now)
 {
   call_t *l;
 
   (void)now;
   if (!name_fits (key) || !name_fits (service))
     return PU_ONCE_BAD_KEY;
-  if (too_old (c, key_wall, wall))
+  if (too_old (c, key_wall, wall, window_ms))
     return PU_ONCE_TOO_OLD;
   l = find_name (c, service, key);
   if (l != NULL)
@@ -328,6 +331,7 @@
   if (g_hash_table_size (c->by_handle) >= c->options.keys_max)
     return PU_ONCE_FULL;
   l = call_new (c, service, key, fingerprint);
+  l->window_ms = window_ms;
   add_waiter (c, l, caller);
   queue_claim (c, l);
   return PU_ONCE_ACCEPTED;
@@ -533,7 +537,6 @@
 {
   o->keys_max = DEFAULT_KEYS_MAX;
   o->waiters_max = DEFAULT_WAITERS_MAX;
-  o->window_ms = DEFAULT_WINDOW_MS;
   o->skew_ms = DEFAULT_SKEW_MS;
   o->retry_ms = DEFAULT_RETRY_MS;
   o->test_breaks = 0;
--- a/libplantainusher/once/once.h
+++ b/libplantainusher/once/once.h
@@ -35,7 +35,8 @@
   guint keys_max;    /* keys at work at the same time */
   guint waiters_max; /* callers that wait for the same key */
   guint64 window_ms; /* as the log keeps results */
-  guint64 skew_ms;   /* clocks differ by no more than this */
+  guint64 skew_ms;   /* clocks differ by no more than this; half a
+                           window at most */
   guint64 retry_ms;  /* pause before a claim or record is sent again */
   guint test_breaks; /* pu_once_break_t; 0 outside tests */
 } pu_once_options_t;
@@ -48,8 +49,8 @@
   PU_ONCE_BREAK_RAN_AS_NOT_RUN = 4 /* record an unknown outcome as not run */
 } pu_once_break_t;
 
-/* pu_once_options_init - 10,000 keys, 64 waiters, one hour, 30 s of skew, one
-   second between tries.  */
+/* pu_once_options_init - 10,000 keys, 64 waiters, 30 s of skew, one second
+   between tries.  */
 void pu_once_options_init (pu_once_options_t *o);
 
 /* What the shell does next.  */
@@ -96,6 +97,7 @@
   const char *key;
   guint64 fingerprint;
   guint64 attempt;           /* CLAIM */
+  guint64 window_ms;         /* CLAIM: the log keeps the result that long */
   guint64 position;          /* RECORD */
   pu_once_outcome_t outcome; /* RECORD */
   guint64 caller;            /* ANSWER */
@@ -133,12 +135,13 @@
 
 /* pu_once_begin - CALLER, a number of the shell's, asks for KEY of SERVICE.
    FINGERPRINT is the hash of method, path and body.  KEY_WALL is the time in
-   the key (pu_once_key_wall) or 0; WALL is now, both in ms since 1970; NOW is
-   monotonic.  On PU_ONCE_ACCEPTED actions follow, and later one ANSWER.  */
+   the key (pu_once_key_wall) or 0; WALL is now, both in ms since 1970;
+   WINDOW_MS is how long the service keeps results; NOW is monotonic.  On
+   PU_ONCE_ACCEPTED actions follow, and later one ANSWER.  */
 pu_once_begin_t pu_once_begin (pu_once_t *c, guint64 caller,
                                const char *service, const char *key,
                                guint64 fingerprint, guint64 key_wall,
-                               guint64 wall, guint64 now);
+                               guint64 wall, guint64 window_ms, guint64 now);
 
 /* pu_once_claimed - the log's answer to the claim of HANDLE.  POSITION is the
    claim's in the log; RESULT goes with PU_ONCE_KEPT.  */
--- a/libplantainusher/once/once_test.cc
+++ b/libplantainusher/once/once_test.cc
@@ -40,7 +40,8 @@
   pu_once_begin_t
   begin (guint64 caller, const char *key = "k", guint64 fingerprint = 1)
   {
-    return pu_once_begin (c, caller, "svc", key, fingerprint, 0, 0, 0);
+    return pu_once_begin (c, caller, "svc", key, fingerprint, 0, 0, 3600000,
+                          0);
   }
 
   pu_once_action_t
@@ -170,10 +171,11 @@
 
   EXPECT_EQ (0x018f00000000u, made);
   EXPECT_EQ (0u, pu_once_key_wall ("018f0000-0000-4000-8000-000000000000"));
-  EXPECT_EQ (PU_ONCE_TOO_OLD,
-             pu_once_begin (o.c, 1, "s", key, 1, made, made + 3600000, 0));
-  EXPECT_EQ (PU_ONCE_ACCEPTED,
-             pu_once_begin (o.c, 1, "s", key, 1, made, made + 3500000, 0));
+  EXPECT_EQ (PU_ONCE_TOO_OLD, pu_once_begin (o.c, 1, "s", key, 1, made,
+                                             made + 600000, 600000, 0));
+  EXPECT_EQ (PU_ONCE_ACCEPTED, pu_once_begin (o.c, 1, "s", key, 1, made,
+                                              made + 500000, 600000, 0));
+  EXPECT_EQ (600000u, o.next (PU_ONCE_CLAIM).window_ms);
 }
 
 namespace
