Control bench: costs of entry, voter and leader over sizes

A fleet of N daemons with 940 models and 2,820 adapters in force, 770 engines for 360 daemons as stand-ins that report once a second; at rest and for one change.

--- a/bench/bench_common.py
+++ b/bench/bench_common.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import re
+import signal
 import statistics
 import subprocess
 import sys
@@ -17,6 +18,7 @@
 import cluster  # noqa: E402  (tests/cluster.py)
 
 NET = 88  # the clusters' addresses are 127.NET.x.y
+LIMIT_S = 900  # of one script: what hangs is ended
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") / 1024
 
@@ -32,6 +34,12 @@
         p.add_argument("--json", action="store_true")
         self.options = p.parse_args()
         self.build, self.quick = self.options.build, self.options.quick
+        signal.signal(signal.SIGALRM, self._too_long)
+        signal.alarm(LIMIT_S)
+
+    @staticmethod
+    def _too_long(number, frame):
+        raise SystemExit(f"The benchmark took longer than {LIMIT_S} s.")
 
     def wanted(self, *names):
         """Whether any of NAMES (or names that begin so) is asked for."""
--- a/bench/bench_fleet.py
+++ b/bench/bench_fleet.py
@@ -1,45 +1,77 @@
 """A fleet of daemons for the benchmarks of control: voters, entries, and a
 document of any size."""
+import json
+import subprocess
+import sys
 import time
 
-from bench_common import metrics
-from cluster import wait_until
+from bench_common import ROOT, metrics
+from cluster import BACKEND_KEY, wait_until
 
 ADAPTERS = 3  # of each model, as the users have them today
+SERVICES = 30
 MODELS_TODAY = 34
 MODELS_LETTER = 940
 CHANGES_A_DAY = 3400
 CHANGES_S = CHANGES_A_DAY / 86400
 LETTER_DAEMONS = 360
+LETTER_ENGINES = 770
 LETTER_VOTERS = 7
 
 
+def model_names(models):
+    return [f"model-{i:04}" for i in range(models)]
+
+
+def adapter_names(model):
+    return [f"{model}-adapter-{k}" for k in range(ADAPTERS)]
+
+
 def make_document(models, number):
-    """A document of MODELS models and their adapters, in ten services; NUMBER
-    makes it differ from others in one place."""
-    names = [f"model-{i:04}" for i in range(models)]
-    adapters = {f"{name}-adapter-{k}": {"base": name, "version": "1",
-                                        "memory_mb": 200}
-                for name in names for k in range(ADAPTERS)}
-    every = names + list(adapters)
-    services = {f"service-{k}": {"kind": "model", "models": every[k::10],
-                                 "importance": 5,
-                                 "targets": {"first_token_ms": 390,
-                                             "per_token_ms": 56}}
-                for k in range(10)}
+    """A document of MODELS models with their adapters, a run of models for
+    each service; NUMBER makes it differ from others in one place."""
+    names = model_names(models)
+    services = {}
+    for k in range(SERVICES):
+        own = names[k * models // SERVICES:(k + 1) * models // SERVICES]
+        services[f"service-{k}"] = {
+            "kind": "model", "importance": 5,
+            "models": own + [a for m in own for a in adapter_names(m)],
+            "targets": {"first_token_ms": 390, "per_token_ms": 56}}
     services["service-0"]["importance"] = number % 10 + 1
-    return {"services": services, "adapters": adapters,
-            "models": {name: {"version": "1", "memory_mb": 14000,
-                              "kv_cache_mb": 4000} for name in names}}
+    return {"services": services,
+            "adapters": {a: {"base": m, "version": "1", "memory_mb": 200}
+                         for m in names for a in adapter_names(m)},
+            "models": {m: {"version": "1", "memory_mb": 14000,
+                           "kv_cache_mb": 4000} for m in names}}
+
+
+def engine_report(number, engines, models):
+    """The whole announcement of engine NUMBER of ENGINES, which hold MODELS
+    models among them, each once and beside its adapters."""
+    own = model_names(models)[number * models // engines:
+                              (number + 1) * models // engines]
+    sizes = {m: 18000 for m in own}
+    sizes.update({a: 200 for m in own for a in adapter_names(m)})
+    return {"name": f"engine-{number:04}", "incarnation": 1, "kind": "engine",
+            "service": "", "address": "127.0.0.1:9", "region": "local",
+            "zone": "abc"[number % 3], "accelerators": 8,
+            "memory_mb": 1000000, "fenced": True, "leaving": False,
+            "token": 0, "load": {"running": 3, "waiting": 0, "kv_used_mb": 900,
+                                 "tokens_per_s": 1800},
+            "copies": [{"model": name, "version": "1", "memory_mb": mb,
+                        "phase": "ready"} for name, mb in sizes.items()]}
 
 
 class Fleet:
     """SIZE daemons, VOTERS of them voters and no entries; the rest entries.
-    All have a document of MODELS models in force."""
+    All have a document of MODELS models in force, and ENGINES stand-ins of
+    engines report to the entries."""
 
-    def __init__(self, bench, size, models=MODELS_TODAY, voters=3):
+    def __init__(self, bench, size, models=MODELS_TODAY, voters=3, engines=0):
         self.c = bench.cluster()
         self.models = models
+        self.announcers = None
         try:
             self.voters = self.c.add_voters(
                 [f"control-{i}" for i in range(voters)], ["control"])
@@ -54,10 +86,29 @@
             wait_until("the first document", lambda: self.submit())
             wait_until("all daemons to join", self._joined)
             self.wait_in_force()
+            if engines > 0:
+                self._announce(engines)
         except BaseException:
-            self.c.close()
+            self.close()
             raise
 
+    def _announce(self, n):
+        p = subprocess.Popen([sys.executable, ROOT / "bench/announcers.py"],
+                             stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+                             text=True)
+        self.announcers = p
+        entries = self.entries
+        order = {"key": BACKEND_KEY, "engines": [
+            {"entry": entries[i % len(entries)].callers,
+             "report": engine_report(i, n, self.models)} for i in range(n)]}
+        p.stdin.write(json.dumps(order) + "\n")
+        p.stdin.flush()
+        line = p.stdout.readline()
+        if line != "ready\n":
+            raise SystemExit(f"The stand-ins of engines failed: {line}")
+        wait_until("the engines", lambda: len(
+            self.leader.status()["backends"]) == n)
+
     def _joined(self):
         return len(self.leader.status()["members"]) >= len(self.entries)
 
@@ -88,4 +139,8 @@
         return seen
 
     def close(self):
+        if self.announcers is not None:
+            self.announcers.stdin.close()
+            self.announcers.stdout.close()
+            self.announcers.wait()
         self.c.close()
