Agent: a submitted document goes to the leader as a delta

The agent shrinks the text against its own copy; a change that is seen, or based on another version, is answered before the delta is looked at, and the delta's hash covers the rest.

--- a/libplantainusher/agent/propose.c
+++ b/libplantainusher/agent/propose.c
@@ -222,6 +222,28 @@
   g_bytes_unref (bytes);
 }
 
+/* command_bytes - C as it is sent: a document based on the one in force here
+   goes as a delta, whichever daemon the operator came to.  */
+static GBytes *
+command_bytes (const pu_agent_t *a, const pu_command *c)
+{
+  GBytes *whole = pu_command_encode (c);
+  GBytes *bytes;
+  pu_command copy;
+  pu_error_t e;
+  gsize size;
+  gconstpointer data = g_bytes_get_data (whole, &size);
+
+  if (c->type != PU_COMMAND_SUBMIT
+      || !pu_command_decode (&copy, data, size, &e))
+    return whole;
+  pu_state_shrink_submit (a->view, &copy.pu_command_u.submit);
+  bytes = pu_command_encode (&copy);
+  pu_command_clear (&copy);
+  g_bytes_unref (whole);
+  return bytes;
+}
+
 void
 pu_agent_propose (pu_agent_t *a, const pu_command *c, guint timeout_ms,
                   pu_agent_done_fn *fn, void *data)
@@ -232,7 +254,7 @@
   p->node.data = p;
   p->seq = a->next_seq++;
   p->type = c->type;
-  p->command = pu_command_encode (c);
+  p->command = command_bytes (a, c);
   p->due = uv_now (a->options.loop) + timeout_ms;
   p->fn = fn;
   p->data = data;
