--- a/bench/bench_common.py
+++ b/bench/bench_common.py
@@ -140,8 +140,8 @@
 # --- load ---
 
 def load(build, processes, **options):
-    """Runs PROCESSES load drivers side by side, each with OPTIONS; a callable
-    option is called with the process's number.  Returns their figures."""
+    """Runs PROCESSES load drivers side by side, each with OPTIONS (None: a
+    bare flag; a callable is called with the process's number).  Returns their figures."""
     running = []
     for i in range(processes):
         command = [str(build / "bench" / "load"), "--json", f"--seed={i + 1}"]
@@ -149,7 +149,8 @@
             value = value(i) if callable(value) else value
             key = key.replace("_", "-")
             for one in value if isinstance(value, list) else [value]:
-                command.append(f"--{key}={one}")
+                command.append(f"--{key}" if one is None
+                               else f"--{key}={one}")
         running.append(subprocess.Popen(command, stdout=subprocess.PIPE,
                                         text=True))
     return [json.loads(p.communicate()[0]) for p in running]
