State: reports carry their number, an older one changes nothing

Cause: when a backend server moves from one entry to another, both may have a report on its way to the log; the ledger trusted whoever brought it later. Change: BACKEND_UP carries the report's number; an older one is refused, the number alone is no change.

--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -118,6 +118,7 @@
   en->pending++;
   p->proposed = record_copy (p->record);
   c.pu_command_u.backend_up = *p->proposed;
+  c.pu_command_u.backend_up.seq = p->seq;
   en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, on_proposed,
                        asked);
 }
--- a/libplantainusher/state/apply_backends.c
+++ b/libplantainusher/state/apply_backends.c
@@ -40,6 +40,9 @@
   pu_backend_record n = *c;
 
   n.down = FALSE;
+  /* The number of the report alone is no change.  */
+  if (old != NULL && old->incarnation == c->incarnation && old->seq <= c->seq)
+    n.seq = old->seq;
   if (old != NULL && old->incarnation > c->incarnation)
     {
       pu_apply_answer (a, PU_OUTCOME_REFUSED,
@@ -55,6 +58,7 @@
       pu_apply_answer (a, PU_OUTCOME_SEEN, "The backend server is known.");
       return;
     }
+  n.seq = c->seq;
   take_backend (
       a, pu_codec_clone ((xdrproc_t)xdr_pu_backend_record, &n, sizeof n));
 }
--- a/libplantainusher/state/memory.c
+++ b/libplantainusher/state/memory.c
@@ -106,6 +106,7 @@
     }
   r.backend = names_handle (&m->backends, b->name);
   r.incarnation = b->incarnation;
+  r.seq = b->seq;
   r.token = b->token;
   r.accelerators = b->accelerators;
   r.memory_mb = b->memory_mb;
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -77,6 +77,7 @@
   bool fenced;               /* refuses an order with an old token */
   bool leaving;
   bool down;                 /* its lease is over; kept for its memory */
+  unsigned hyper seq;        /* of the report; rises within an incarnation */
   unsigned hyper token;      /* highest fencing token that it reported */
   pu_copy_record copies<PU_LIST_MAX>;
 };
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -142,7 +142,8 @@
 
   pu_outcome
   backend (const std::string &name, uint64_t incarnation, unsigned copies,
-           bool leaving = false, bool fenced = false, uint64_t token = 0)
+           bool leaving = false, bool fenced = false, uint64_t token = 0,
+           uint64_t seq = 0)
   {
     Command c;
     std::vector<pu_copy_record> list;
@@ -162,6 +163,7 @@
     b.accelerators = 1;
     b.memory_mb = 1000;
     b.leaving = leaving;
+    b.seq = seq;
     b.fenced = fenced;
     b.token = token;
     b.copies.copies_len = copies;
@@ -317,6 +319,18 @@
   EXPECT_EQ (PU_OUTCOME_SEEN, s.release (token));
 }
 
+TEST (State, AnOlderReportChangesNothing)
+{
+  State s;
+
+  EXPECT_EQ (PU_OUTCOME_DONE, s.backend ("b", 1, 2, false, false, 0, 7));
+  EXPECT_EQ (PU_OUTCOME_REFUSED, s.backend ("b", 1, 1, false, false, 0, 6));
+  EXPECT_EQ (2u, pu_state_backend (s.s, "b")->copies.copies_len);
+  EXPECT_EQ (PU_OUTCOME_SEEN, s.backend ("b", 1, 2, false, false, 0, 8));
+  EXPECT_EQ (PU_OUTCOME_DONE, s.backend ("b", 1, 1, false, false, 0, 9));
+  EXPECT_EQ (PU_OUTCOME_DONE, s.backend ("b", 2, 0, false, false, 0, 1));
+}
+
 TEST (State, ABackendThatIsDownKeepsItsReservations)
 {
   State s;
