Daemon: the loop is closed after a planned stop

Cause: under the sanitizers a planned stop ended with exit code 1: 320 bytes of the loop leaked (the membership test). Change: the loop is closed, and what would still be open is told.

--- a/libplantainusher/daemon/serve.c
+++ b/libplantainusher/daemon/serve.c
@@ -112,6 +112,8 @@
       if (uv_run (&v->loop, UV_RUN_NOWAIT) == 0)
         break;
     }
+  if (uv_loop_close (&v->loop) != 0)
+    pu_log_warn (PART, "Something was still open at the end.");
 }
 
 int
--- a/tests/control_process_test.py
+++ b/tests/control_process_test.py
@@ -153,6 +153,24 @@
         for d in self.all:
             self.accepted.check(self, d)
 
+    def test_planned_stops_lose_nothing(self):
+        """Invariant: a leader and then all at once end by a planned stop with
+        exit code 0; what was accepted is there after the restart."""
+        c = self.start()
+        leader = c.wait_leader()
+        leader.term()
+        self.assertEqual(leader.wait(), 0)
+        self.accepted.submit(self.all[5], "after-a-planned-stop")
+        c.start(leader)
+        self.in_force()
+        for d in self.all:
+            d.term()
+        for d in self.all:
+            self.assertEqual(d.wait(), 0, d.name)
+        c.start()
+        for d in self.all:
+            self.accepted.check(self, d)
+
     def test_silent_leader_gets_nothing_accepted(self):
         """Invariant: a leader that was silent while another led never gets a
         change accepted on its old state, never holds its lease again for its
