Tests: placement's oracle waits for engines that start

Cause: an engine that was just started refused the oracle's look, which failed the test; found by a trial that also restarts engines.

--- a/tests/placement_process_test.py
+++ b/tests/placement_process_test.py
@@ -33,12 +33,10 @@
 
 
 def state(engine):
-    """What a live engine really holds; None when it is dead or dies."""
+    """What an engine really holds; None while it dies or starts."""
     try:
         return request(engine.address, "GET", "/fake/state", timeout_s=5).json
     except (OSError, http.client.HTTPException):
-        if engine.alive():
-            raise
         return None
 
 
@@ -87,6 +85,8 @@
 
     def finish(self):
         self.watch.finish()
+        wait_until("all answers", lambda: all(
+            state(e) for e in self.engines if e.alive()))
         self.check_memory()
 
 
@@ -131,7 +131,7 @@
         c.engines = [c.engine(f"g{i + 1}", zone="abc"[i % 3], fenced=f,
                               no_fenced=not f, **options)
                      for i, f in enumerate(fenced)]
-        wait_until("the engines", lambda: copies(c.engines) == [])
+        wait_until("the engines", lambda: all(map(state, c.engines)))
         c.oracle = Oracle(self, c.engines)
         self.addCleanup(c.oracle.watch._end.set)
         return c
