Fuzz: log, placement, routing, membership and entry count their steps

Cause: tests/fuzz-all printed 'not counted' for five stateful fuzzes. Only counting is added; checks, seeds and the order of random numbers stay. The log counts delivered messages, and as faults the losses, delays, doubles and the events that break something (ends of faults are no longer counted).

--- a/libplantainusher/entry/faults_test.cc
+++ b/libplantainusher/entry/faults_test.cc
@@ -8,6 +8,7 @@
 
 #include <set>
 
+#include "base/fuzz_report.h"
 #include "entry/rig_test.h"
 
 namespace
@@ -85,6 +86,7 @@
   {
     backend &b = *all[below (static_cast<int> (all.size ()))];
 
+    pu_fuzz_report::get ().faults++;
     switch (below (7))
       {
       case 0:
@@ -129,6 +131,7 @@
     const node &n = *nodes[below (2)];
     rig::headers h;
 
+    pu_fuzz_report::get ().steps++;
     a.id = "q" + std::to_string (++last);
     h.emplace_back ("X-Request-Id", a.id);
     h.emplace_back ("X-Timeout-Ms", "1000");
--- a/libplantainusher/log/replica_sim.h
+++ b/libplantainusher/log/replica_sim.h
@@ -64,6 +64,7 @@
 public:
   std::string broken; // the first violation
   unsigned faults = 0;
+  uint64_t steps = 0; // delivered messages
   uint64_t commits = 0;
 
   Sim (unsigned n, unsigned seed, unsigned breaks, unsigned spares = 0)
@@ -106,7 +107,7 @@
     unsigned a = pick (ev.a), b = ev.b % nodes_.size ();
     Node &n = nodes_[a];
 
-    faults += ev.kind != RUN && ev.kind != PROPOSE;
+    faults += is_fault (ev.kind);
     switch (ev.kind)
       {
       case PROPOSE:
@@ -460,6 +461,25 @@
     s = pu_snapshot_t{};
   }
 
+  static bool
+  is_fault (int kind)
+  {
+    switch (kind)
+      {
+      case CRASH:
+      case CRASH_ALL:
+      case PAUSE:
+      case ISOLATE:
+      case BLOCK:
+      case CUT_NEXT:
+      case STALL_DISK:
+      case WIPE:
+        return true;
+      default:
+        return false;
+      }
+  }
+
   /* The leader half of the time: faults matter most there.  */
   unsigned
   pick (unsigned a)
@@ -506,9 +526,11 @@
         = lossy_ ? (rand_ () % 10 < 2 ? 0 : 1 + (rand_ () % 10 < 2)) : 1;
     if (to >= nodes_.size () || blocked_[i][to])
       return;
+    faults += copies != 1; // lost or doubled
     for (; copies > 0; copies--)
       {
         uint64_t late = lossy_ && rand_ () % 20 == 0 ? rand_ () % 4000 : 0;
+        faults += late > 0;
         bag_.push_back (
             { now_ + rand_ () % 15 + late, i, to, g_bytes_ref (a.send.msg) });
       }
@@ -698,6 +720,7 @@
         if (n.r != nullptr && pu_log_msg_decode (&m, bytes, len, nullptr))
           {
             pu_replica_receive (n.r, clock (n), &m);
+            steps++;
             xdr_free ((xdrproc_t)xdr_pu_log_msg, (char *)&m);
             drain (p.to);
           }
--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include "base/fuzz_report.h"
 #include "log/replica_sim.h"
 
 using sim::Event;
@@ -37,14 +38,12 @@
 {
   Sim s (n, seed, breaks, spares);
   s.run (4000);
-  for (const Event &e : events)
-    {
-      s.play (e);
-      if (!s.broken.empty ())
-        return s.broken;
-    }
-  if (!s.heals () && s.broken.empty ())
-    return "no proposal is committed after the faults";
+  for (size_t i = 0; i < events.size () && s.broken.empty (); i++)
+    s.play (events[i]);
+  if (s.broken.empty () && !s.heals () && s.broken.empty ())
+    s.broken = "no proposal is committed after the faults";
+  pu_fuzz_report::get ().steps += s.steps;
+  pu_fuzz_report::get ().faults += s.faults;
   return s.broken;
 }
 
--- a/libplantainusher/membership/membership_test.cc
+++ b/libplantainusher/membership/membership_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "base/fuzz_report.h"
+
 extern "C"
 {
 #include "membership/membership.h"
@@ -235,6 +237,8 @@
   for (int step : steps)
     {
       auto down = t.pass (1000);
+      pu_fuzz_report::get ().steps++;
+      pu_fuzz_report::get ().faults += step >= 3; /* a beat is lost */
       for (auto &[name, incarnation] : t.members)
         heard.emplace (name, t.now - 900);
       for (auto &name : down)
--- a/libplantainusher/placement/fuzz_test.cc
+++ b/libplantainusher/placement/fuzz_test.cc
@@ -4,6 +4,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include "base/fuzz_report.h"
+
 namespace
 {
 
@@ -14,13 +16,12 @@
 {
   World w (seed, b);
 
-  for (unsigned op : ops)
-    {
-      w.Op (op);
-      if (!w.fault.empty ())
-        return w.fault;
-    }
-  w.Calm ();
+  for (size_t i = 0; i < ops.size () && w.fault.empty (); i++)
+    w.Op (ops[i]);
+  if (w.fault.empty ())
+    w.Calm ();
+  pu_fuzz_report::get ().steps += w.steps;
+  pu_fuzz_report::get ().faults += w.faults;
   return w.fault;
 }
 
--- a/libplantainusher/placement/world_test.cc
+++ b/libplantainusher/placement/world_test.cc
@@ -201,11 +201,15 @@
                   && known.incarnation == r.incarnation && known.token > 0;
       if (same && Chance (3)) /* contradicts what it said before */
         {
+          faults++;
           r.token = known.token - 1;
           held = { { Random (kModels) * kVersions, 5, PU_LEDGER_READY } };
         }
       if (Chance (20))
-        continue;
+        {
+          faults++;
+          continue;
+        }
       guint64 made = now;
       Later (calm ? 0 : Random (kReportLag - kReportEvery),
              [=] { ApplyReport (i, r, held, made); });
@@ -307,7 +311,10 @@
         pu_orders_answer_t a = gone ? PU_ORDERS_LOST : Arrive (o);
 
         if (Chance (20))
-          a = PU_ORDERS_LOST;
+          {
+            faults++;
+            a = PU_ORDERS_LOST;
+          }
         if (!*heard)
           pu_placement_answer (who.get (), o.token, a, now);
         *heard = true;
@@ -367,6 +374,7 @@
       std::function<void ()> run = std::move (events[i].run);
       events[i].run = nullptr;
       run ();
+      steps++;
       CheckMemory ();
     }
   events.erase (std::remove_if (events.begin (), events.end (),
@@ -396,6 +404,7 @@
   guint32 item = op / 16 % kItems;
   guint32 engine = op / 16 % kEngines;
 
+  steps++;
   switch (op % 16)
     {
     case 0:
--- a/libplantainusher/placement/world_test.h
+++ b/libplantainusher/placement/world_test.h
@@ -65,6 +65,7 @@
   std::string fault;
   bool verbose = false; /* print what happens, to look into a found seed */
   unsigned loads = 0, unloads = 0, faults = 0;
+  unsigned steps = 0; /* operations, reports, orders and answers */
 
 private:
   using Leader = std::shared_ptr<pu_placement_t>;
--- a/libplantainusher/routing/router_fuzz_test.cc
+++ b/libplantainusher/routing/router_fuzz_test.cc
@@ -7,6 +7,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include "base/fuzz_report.h"
+
 #include <map>
 #include <random>
 #include <set>
@@ -73,6 +75,7 @@
   void
   step (const Op &op)
   {
+    pu_fuzz_report::get ().steps++;
     switch (op.kind % 12)
       {
       case 0:
@@ -292,6 +295,7 @@
   lose (Backend &b)
   {
     bool was_alive = b.alive;
+    pu_fuzz_report::get ().faults += was_alive;
     pu_router_backend_t handle = b.handle;
     guint64 incarnation = b.incarnation;
     b.alive = false;
@@ -407,6 +411,7 @@
     pu_ticket_t t = pick_running (op.a);
     if (!t)
       return;
+    pu_fuzz_report::get ().faults++;
     failed (t, static_cast<pu_router_failure_t> (op.b % 5));
     next ();
   }
