State, control: a count that cannot be in the message takes no memory

Cause: XDR makes room for the declared count before it reads an element. An image of 76 bytes with 1048576 claims took bytes; a history took 50 MB, strings and opaque fields up to their bounds. Ruled out: lower bounds in the .x files (a voter may keep a million claims).

Change: rpcgen's decoders of state and control are compiled with functions that look whether the count fits what is left of the message (an element takes 4 bytes at least).

--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -7,6 +7,10 @@
 
 %#include "state/generated/state_msg.h"
 
+#ifdef RPC_XDR
+%#include "state/bounded.h"
+#endif
+
 const PU_CONTROL_VERSION = 1;
 
 /* Procedures.  The replica message is a pu_log_msg as it is, one way.  */
--- /dev/null
+++ b/libplantainusher/control/control_msg_fuzz.cc
@@ -0,0 +1,79 @@
+/* libFuzzer target: the first byte picks a message between daemons, the rest
+   is decoded; what decodes is encoded and decoded again.  */
+
+#include <glib.h>
+
+extern "C"
+{
+#include "control/generated/control_msg.h"
+#include "state/codec.h"
+}
+
+extern "C" int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+namespace
+{
+
+template <typename T> struct message
+{
+  static void
+  check (bool_t (*proc) (XDR *, T *), const uint8_t *data, size_t size)
+  {
+    const auto p = reinterpret_cast<xdrproc_t> (proc);
+    T one;
+    T again;
+    pu_error_t e;
+
+    if (!pu_codec_decode (p, &one, sizeof one, data, size, &e))
+      return;
+    GBytes *wire = pu_codec_encode (p, &one);
+    gsize len;
+    const void *bytes = g_bytes_get_data (wire, &len);
+    /* Shorter only where a string holds a zero byte.  */
+    g_assert (len <= size);
+    g_assert (pu_codec_decode (p, &again, sizeof again, bytes, len, &e));
+    g_assert (pu_codec_equal (p, &one, &again));
+    xdr_free (p, &again);
+    xdr_free (p, &one);
+    g_bytes_unref (wire);
+  }
+};
+
+} // namespace
+
+#define CHECK(type) message<type>::check (xdr_##type, data + 1, size - 1)
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  if (size == 0)
+    return 0;
+  switch (data[0] % 8)
+    {
+    case 0:
+      CHECK (pu_poll);
+      break;
+    case 1:
+      CHECK (pu_poll_reply);
+      break;
+    case 2:
+      CHECK (pu_propose);
+      break;
+    case 3:
+      CHECK (pu_propose_reply);
+      break;
+    case 4:
+      CHECK (pu_sessions);
+      break;
+    case 5:
+      CHECK (pu_loads);
+      break;
+    case 6:
+      CHECK (pu_query);
+      break;
+    default:
+      CHECK (pu_query_reply);
+      break;
+    }
+  return 0;
+}
--- /dev/null
+++ b/libplantainusher/state/codec_fuzz.cc
@@ -0,0 +1,103 @@
+/* libFuzzer target: the first byte picks a record of the log, the rest is
+   decoded; what decodes is encoded and decoded again.  A command goes through
+   an empty state, an image becomes a state.  */
+
+#include <glib.h>
+
+extern "C"
+{
+#include "state/codec.h"
+#include "state/generated/state_msg.h"
+#include "state/state.h"
+}
+
+extern "C" int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+template <typename T>
+static bool
+check_again (bool_t (*proc) (XDR *, T *), const uint8_t *data, size_t size,
+             T *record)
+{
+  const auto p = reinterpret_cast<xdrproc_t> (proc);
+  T again;
+  pu_error_t e;
+
+  if (!pu_codec_decode (p, record, sizeof *record, data, size, &e))
+    return false;
+  GBytes *wire = pu_codec_encode (p, record);
+  gsize len;
+  const void *bytes = g_bytes_get_data (wire, &len);
+  /* Shorter only where a string holds a zero byte.  */
+  g_assert (len <= size);
+  g_assert (pu_codec_decode (p, &again, sizeof again, bytes, len, &e));
+  g_assert (pu_codec_equal (p, record, &again));
+  xdr_free (p, &again);
+  g_bytes_unref (wire);
+  return true;
+}
+
+static void
+fuzz_command (const uint8_t *data, size_t size)
+{
+  pu_state_options_t o;
+  pu_command c;
+  pu_reply r;
+
+  if (!check_again (xdr_pu_command, data, size, &c))
+    return;
+  pu_state_options_init (&o);
+  pu_state_t *s = pu_state_new (&o);
+  for (uint64_t position = 1; position <= 2; position++)
+    {
+      pu_state_apply (s, position, &c, &r);
+      pu_reply_clear (&r);
+    }
+  pu_state_free (s);
+  pu_command_clear (&c);
+}
+
+static void
+fuzz_image (const uint8_t *data, size_t size)
+{
+  pu_state_options_t o;
+  pu_state_image m;
+  pu_error_t e;
+
+  if (!check_again (xdr_pu_state_image, data, size, &m))
+    return;
+  pu_state_options_init (&o);
+  pu_state_t *s = pu_state_new (&o);
+  g_assert (pu_state_decode (s, data, size, &e));
+  g_bytes_unref (pu_state_encode (s, false));
+  pu_state_free (s);
+  xdr_free (reinterpret_cast<xdrproc_t> (xdr_pu_state_image), &m);
+}
+
+static void
+fuzz_reply (const uint8_t *data, size_t size)
+{
+  pu_reply r;
+
+  if (check_again (xdr_pu_reply, data, size, &r))
+    pu_reply_clear (&r);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  if (size == 0)
+    return 0;
+  switch (data[0] % 3)
+    {
+    case 0:
+      fuzz_command (data + 1, size - 1);
+      break;
+    case 1:
+      fuzz_image (data + 1, size - 1);
+      break;
+    default:
+      fuzz_reply (data + 1, size - 1);
+      break;
+    }
+  return 0;
+}
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -4,6 +4,10 @@
  * Names are UTF-8, times are milliseconds: `wall` since 1970, others as said.
  */
 
+#ifdef RPC_XDR
+%#include "state/bounded.h"
+#endif
+
 const PU_NAME_MAX = 128;
 const PU_DETAIL_MAX = 1024;
 const PU_DOCUMENT_MAX = 4194304;
