Membership: a silent backend server is down before its orders are over

Cause: the proof that an order to an engine without fencing is over rests on reports no older than a third of order_life_ms, or the engine being down; the adaptive limit allowed 20 s of silence, the third being 20 s too.

--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -99,15 +99,18 @@
   return peers;
 }
 
+/* How much of an order's life a backend server may be silent: less than the
+   third after which the placer trusts that its reports are in the log.  */
+#define SILENT_SHARE 4
+
 static void
 set_membership (const pu_settings_t *s, pu_membership_options_t *m)
 {
-  guint32 *least = m->least_ms;
-
-  least[PU_SUBJECT_MEMBER] = s->timing.session_ms;
-  least[PU_SUBJECT_BACKEND] = s->timing.backend_lease_ms;
-  for (guint i = 0; i < G_N_ELEMENTS (m->least_ms); i++)
-    m->most_ms[i] = MAX (m->most_ms[i], 2 * least[i]);
+  m->least_ms[PU_SUBJECT_MEMBER] = s->timing.session_ms;
+  m->most_ms[PU_SUBJECT_MEMBER]
+      = MAX (m->most_ms[PU_SUBJECT_MEMBER], 2 * s->timing.session_ms);
+  m->least_ms[PU_SUBJECT_BACKEND] = s->timing.backend_lease_ms;
+  m->most_ms[PU_SUBJECT_BACKEND] = s->timing.order_life_ms / SILENT_SHARE;
 }
 
 static void
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -135,6 +135,12 @@
     { control, "'name': 'c1'", "'timing': {'election_ms': 300}, 'name': 'c1'",
       "/timing/election_ms: is 300; it must be at least 4 times heartbeat_ms "
       "(100), else two lost heartbeats would cost the leader its lease\n" },
+    { control, "'name': 'c1'",
+      "'timing': {'order_life_ms': 9000}, 'name': 'c1'",
+      "/timing/order_life_ms: is 9000; it must be at least 8 times "
+      "backend_lease_ms (5000), else a silent backend server could be taken "
+      "to "
+      "have reported\n" },
     { control, "'name': 'c1'",
       "'timing': {'poll_wait_ms': 5000}, 'name': 'c1'",
       "/timing/session_ms: is 8000; it must be at least 2 times poll_wait_ms "
