--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -9,6 +9,9 @@
 #define HOME_MS 30000
 #define KEEP_MS 5000
 #define TRUST_MS 3000
+/* Load reports are worth nothing after 5 s, and nobody waits for an answer: a
+   silent connection may be found later than one to a voter.  */
+#define PEER_PING_MS 5000
 
 void
 pu_agent_options_init (pu_agent_options_t *o)
@@ -82,10 +85,12 @@
   g_bytes_unref (kept.image);
 }
 
+/* PING_MS: see pu_rpc_client_options_t; 0 is the default.  */
 static pu_rpc_pool_t *
-pool_new (const pu_agent_options_t *o)
+pool_new (const pu_agent_options_t *o, guint ping_ms)
 {
   pu_rpc_pool_options_t p = { .client = { .loop = o->loop,
+                                          .ping_ms = ping_ms,
                                           .key = o->key,
                                           .counters = o->counters,
                                           .seed = o->seed,
@@ -106,7 +111,8 @@
   a->self = pu_codec_clone ((xdrproc_t)xdr_pu_member_record, o->self,
                             sizeof *o->self);
   a->view = pu_state_new (&o->state);
-  a->pool = pool_new (o);
+  a->pool = pool_new (o, 0);
+  a->peers = pool_new (o, PEER_PING_MS);
   a->rand = g_rand_new_with_seed (o->seed);
   /* Above those of an earlier process under the same incarnation.  */
   a->next_seq = (uint64_t)g_get_real_time ();
@@ -136,6 +142,7 @@
   pu_rpc_timer_free (a->trust_timer);
   pu_rpc_timer_free (a->keep_timer);
   pu_rpc_pool_free (a->pool);
+  pu_rpc_pool_free (a->peers);
   pu_agent_voters_clear (a);
   pu_agent_hold_clear (a);
   pu_keep_free (a->keep);
@@ -178,7 +185,7 @@
 pu_rpc_client_t *
 pu_agent_peer (pu_agent_t *a, const char *address)
 {
-  return pu_rpc_pool_get (a->pool, address);
+  return pu_rpc_pool_get (a->peers, address);
 }
 
 json_t *
@@ -198,5 +205,5 @@
       a->leader, "voter", voter == NULL ? "" : voter, "voters", voters,
       "failures", (json_int_t)a->failures, "proposals",
       (json_int_t)a->proposals.length, "peers",
-      (json_int_t)pu_rpc_pool_size (a->pool));
+      (json_int_t)pu_rpc_pool_size (a->peers));
 }
--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -19,7 +19,8 @@
   pu_agent_options_t options;
   pu_member_record *self;
   pu_state_t *view;
-  pu_rpc_pool_t *pool;
+  pu_rpc_pool_t *pool;  /* to voters */
+  pu_rpc_pool_t *peers; /* to other daemons: messages one way */
   GRand *rand;
   uint64_t cluster; /* of the log that the view comes from; 0: none yet */
   bool ready;       /* holds an image */
