Control: an answer to a call passed on may come after the call was dropped

Cause: a voter that closes dropped the calls it had passed on to the leader and freed them, while the leader's answer was still to come: use after free in on_forwarded, a crash (SIGSEGV) in 1 of 5 runs of the test of planned stops, and 1 of 16 under the sanitizers, which showed the place. Change: a dropped call stays until its answer or the end of the control.

--- a/libplantainusher/control/proposals.c
+++ b/libplantainusher/control/proposals.c
@@ -28,7 +28,7 @@
 typedef struct
 {
   pu_control_t *control;
-  pu_rpc_call_t *call;
+  pu_rpc_call_t *call; /* NULL once it was dropped */
   pu_control_fail_fn *fail;
 } forward_t;
 
@@ -75,8 +75,12 @@
 {
   forward_t *f = data;
 
-  g_hash_table_remove (f->control->forwards, f);
-  if (e->kind == PU_OK)
+  g_hash_table_steal (f->control->forwards, f);
+  if (f->call == NULL)
+    {
+      /* Dropped: nobody waits for the answer.  */
+    }
+  else if (e->kind == PU_OK)
     {
       pu_rpc_call_reply (f->call, body, n);
     }
@@ -134,9 +138,11 @@
     {
       forward_t *f = key;
 
-      pu_rpc_call_drop (f->call);
-      g_free (f);
-      g_hash_table_iter_remove (&iter);
+      /* The leader may answer yet: on_forwarded frees it, or the end of the
+         control.  */
+      if (f->call != NULL)
+        pu_rpc_call_drop (f->call);
+      f->call = NULL;
     }
 }
 
@@ -147,7 +153,7 @@
 {
   c->replies = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                       (GDestroyNotify)g_bytes_unref);
-  c->forwards = g_hash_table_new (NULL, NULL);
+  c->forwards = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   c->proposers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
