Daemon: HUP takes over backend keys and limits too

Cause: docs/DOCUMENT.md says that limits, keys and log_level change when the settings are read again; only the operators' keys and the log level did, and the dump went on showing the old file.

--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -282,6 +282,12 @@
   pu_group_close (c->group, on_group_closed, c);
 }
 
+void
+pu_control_set_claims_max (pu_control_t *c, guint32 claims_max)
+{
+  c->options.claims_max = claims_max;
+}
+
 const pu_state_t *
 pu_control_state (const pu_control_t *c)
 {
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -72,6 +72,10 @@
 void pu_control_close (pu_control_t *c, void (*closed) (void *data),
                        void *data);
 
+/* pu_control_set_claims_max - as claims_max of the options; claims that are
+   there stay.  */
+void pu_control_set_claims_max (pu_control_t *c, guint32 claims_max);
+
 /* pu_control_state - the full state as applied on this voter.  */
 const pu_state_t *pu_control_state (const pu_control_t *c);
 
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -236,14 +236,21 @@
   return d->agent != NULL;
 }
 
-static void
-set_entry_limits (const pu_settings_t *s, pu_entry_options_t *o)
+void
+pu_daemon_entry_reloadable (const pu_settings_t *s, pu_entry_options_t *o)
 {
+  o->backend_keys = s->keys.backends.items;
+  o->n_backend_keys = s->keys.backends.n;
   o->header_max = s->limits.max_header_bytes;
   o->body_max = s->limits.max_body_bytes;
   o->announcement_max = s->limits.max_announcement_bytes;
   o->connections_max = s->limits.max_connections;
   o->requests_max = s->limits.max_open_streams;
+}
+
+static void
+set_entry_times (const pu_settings_t *s, pu_entry_options_t *o)
+{
   o->connect_ms = s->timing.connect_timeout_ms;
   o->progress_ms = s->timing.progress_timeout_ms;
   o->probe_ms = s->timing.probe_timeout_ms;
@@ -274,11 +281,10 @@
   o.host = host;
   o.port = port;
   o.peer_key = s->keys.peers;
-  o.backend_keys = s->keys.backends.items;
-  o.n_backend_keys = s->keys.backends.n;
   o.counters = d->counters;
   o.seed = seed_of (s);
-  set_entry_limits (s, &o);
+  pu_daemon_entry_reloadable (s, &o);
+  set_entry_times (s, &o);
   pu_daemon_entry_hooks (d, &o.hooks);
   d->entry = pu_entry_new (&o, e);
   return d->entry != NULL;
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -197,20 +197,54 @@
 
 /* --- the rest --- */
 
-void
-pu_daemon_reload (pu_daemon_t *d, pu_settings_t *s)
+static void
+warn_of_fixed (const pu_daemon_t *d, const pu_settings_t *s)
 {
-  char **fixed = pu_settings_reloadable_diff (d->settings, s);
-  pu_operator_key_t *keys = pu_daemon_operator_keys (s);
+  char **fixed = pu_settings_reloadable_diff (d->started, s);
 
   for (char **f = fixed; *f != NULL; f++)
     pu_log_warn (PART, "A change of %s needs a restart.", *f);
+  g_strfreev (fixed);
+}
+
+static void
+apply_settings (pu_daemon_t *d)
+{
+  const pu_settings_t *s = d->settings;
+  pu_operator_key_t *keys = pu_daemon_operator_keys (s);
+  pu_entry_options_t o;
+
   pu_operator_set_keys (d->operator, keys, s->keys.operators.n);
+  g_free (keys);
+  if (d->entry != NULL)
+    {
+      pu_entry_options_init (&o);
+      pu_daemon_entry_reloadable (s, &o);
+      pu_entry_reload (d->entry, &o);
+    }
+  if (d->control != NULL)
+    pu_control_set_claims_max (d->control, s->limits.max_claims);
   pu_log_set_level (pu_settings_log_level (s));
+}
+
+/* The parts hold strings of the settings that they were made from.  */
+static void
+free_settings (pu_daemon_t *d)
+{
+  if (d->settings != d->started)
+    pu_settings_free (d->settings);
+  d->settings = NULL;
+}
+
+void
+pu_daemon_reload (pu_daemon_t *d, pu_settings_t *s)
+{
+  warn_of_fixed (d, s);
+  pu_settings_keep_fixed (s, d->started);
+  free_settings (d);
+  d->settings = s;
+  apply_settings (d);
   pu_log_note (PART, "Read the settings again.");
-  g_free (keys);
-  g_strfreev (fixed);
-  pu_settings_free (s);
 }
 
 static void
@@ -240,7 +274,8 @@
 pu_daemon_free (pu_daemon_t *d)
 {
   free_parts (d);
-  pu_settings_free (d->settings);
+  free_settings (d);
+  pu_settings_free (d->started);
   uv_close ((uv_handle_t *)&d->timer, on_timer_closed);
 }
 
@@ -250,6 +285,7 @@
   pu_daemon_t *d = g_new0 (pu_daemon_t, 1);
 
   d->loop = loop;
+  d->started = s;
   d->settings = s;
   d->counters = pu_counters_new ();
   uv_timer_init (loop, &d->timer);
--- a/libplantainusher/daemon/daemon.h
+++ b/libplantainusher/daemon/daemon.h
@@ -29,8 +29,8 @@
    called once.  A second call gives up what is still open.  */
 void pu_daemon_stop (pu_daemon_t *d, void (*stopped) (void *data), void *data);
 
-/* pu_daemon_reload - takes over what may change at run time of S, which it
-   frees, and logs the fields that need a restart.  */
+/* pu_daemon_reload - takes S over: what may change at run time is in force at
+   once, the fields that need a restart keep their value and are logged.  */
 void pu_daemon_reload (pu_daemon_t *d, pu_settings_t *s);
 
 /* pu_daemon_free - after STOPPED.  The loop must run until its handles are
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -31,7 +31,8 @@
 struct pu_daemon
 {
   uv_loop_t *loop;
-  pu_settings_t *settings;
+  pu_settings_t *started;  /* what the parts were made from */
+  pu_settings_t *settings; /* in force; the same until they are read again */
   pu_counters_t *counters;
   pu_rpc_server_t *peers;
   pu_control_t *control; /* NULL without the role */
@@ -68,6 +69,10 @@
 /* build.c - the parts from the settings.  */
 bool pu_daemon_build (pu_daemon_t *d, pu_error_t *e);
 
+/* pu_daemon_entry_reloadable - sets in O what may change at run time.  */
+void pu_daemon_entry_reloadable (const pu_settings_t *s,
+                                 pu_entry_options_t *o);
+
 /* pu_daemon_operator_keys - the operators' keys of S as the operator slice
    takes them; free the array with g_free.  */
 pu_operator_key_t *pu_daemon_operator_keys (const pu_settings_t *s);
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -347,6 +347,20 @@
   return en;
 }
 
+void
+pu_entry_reload (pu_entry_t *en, const pu_entry_options_t *o)
+{
+  g_strfreev (en->backend_keys);
+  en->backend_keys = keys_copy (o);
+  en->o.header_max = o->header_max;
+  en->o.body_max = o->body_max;
+  en->o.announcement_max = o->announcement_max;
+  en->o.connections_max = o->connections_max;
+  en->o.requests_max = o->requests_max;
+  pu_http_server_set_limits (en->server, o->header_max, o->body_max,
+                             o->connections_max);
+}
+
 void
 pu_entry_view_changed (pu_entry_t *en)
 {
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -111,6 +111,11 @@
    pu_http_server_new.  */
 pu_entry_t *pu_entry_new (const pu_entry_options_t *o, pu_error_t *e);
 
+/* pu_entry_reload - takes the backend keys and the limits (the fields that end
+   in _max) of O over; all else of O is ignored.  Strings are copied.  What is
+   in progress goes on.  */
+void pu_entry_reload (pu_entry_t *en, const pu_entry_options_t *o);
+
 /* pu_entry_view_changed - call after each change of the view, and once when
    it is first ready.  */
 void pu_entry_view_changed (pu_entry_t *en);
--- a/libplantainusher/http/server.c
+++ b/libplantainusher/http/server.c
@@ -197,13 +197,23 @@
   return value != 0 ? value : otherwise;
 }
 
+void
+pu_http_server_set_limits (pu_http_server_t *s, gsize header_max,
+                           gsize body_max, guint connections_max)
+{
+  s->o.header_max = header_max != 0 ? header_max : HEADER_MAX;
+  s->o.body_max = body_max != 0 ? body_max : BODY_MAX;
+  s->o.connections_max = or_default (connections_max, CONNECTIONS_MAX);
+  /* h2o looks at it with each request.  */
+  s->conf.max_request_entity_size = s->o.body_max;
+}
+
 static void
 options_take (pu_http_server_t *s, const pu_http_server_options_t *o)
 {
   s->o = *o;
-  s->o.header_max = o->header_max != 0 ? o->header_max : HEADER_MAX;
-  s->o.body_max = o->body_max != 0 ? o->body_max : BODY_MAX;
-  s->o.connections_max = or_default (o->connections_max, CONNECTIONS_MAX);
+  pu_http_server_set_limits (s, o->header_max, o->body_max,
+                             o->connections_max);
   s->o.idle_ms = or_default (o->idle_ms, IDLE_MS);
   s->o.write_timeout_ms = or_default (o->write_timeout_ms, WRITE_TIMEOUT_MS);
   s->o.linger_ms = or_default (o->linger_ms, LINGER_MS);
--- a/libplantainusher/http/server.h
+++ b/libplantainusher/http/server.h
@@ -67,6 +67,11 @@
    its handles are closed.  */
 void pu_http_server_free (pu_http_server_t *s);
 
+/* pu_http_server_set_limits - for what comes from now on; 0 as in the
+   options.  Connections over a lower CONNECTIONS_MAX stay.  */
+void pu_http_server_set_limits (pu_http_server_t *s, gsize header_max,
+                                gsize body_max, guint connections_max);
+
 int pu_http_server_port (const pu_http_server_t *s);
 guint pu_http_server_connections (const pu_http_server_t *s);
 guint pu_http_server_requests (const pu_http_server_t *s); /* open now */
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -202,6 +202,9 @@
     { "'name'", "'log_level': 'debug', 'name'", "" },
     { "'name'", "'limits': {'drain_s': 1}, 'name'", "" },
     { "0123456789abcdef", "0123456789ABCDEF", "" },
+    { "fedcba9876543210", "FEDCBA9876543210", "/keys/peers" },
+    { "'name'", "'limits': {'snapshot_entries': 77}, 'name'",
+      "/limits/snapshot_entries" },
     { "'zone': 'a'", "'zone': 'b'", "/zone" },
     { "'name'", "'timing': {'election_ms': 700}, 'name'",
       "/timing/election_ms" },
@@ -223,6 +226,25 @@
   pu_settings_free (older);
 }
 
+/* With what needs a restart kept, nothing is left that needs one.  */
+TEST (Settings, KeepWhatNeedsARestart)
+{
+  pu_settings_t *older = parse (entry);
+  pu_settings_t *newer = parse (
+      replaced (replaced (entry, "'zone': 'a'", "'zone': 'b'"), "'name'",
+                "'limits': {'snapshot_entries': 77, 'drain_s': 1}, 'name'"));
+  char **paths;
+
+  pu_settings_keep_fixed (newer, older);
+  paths = pu_settings_reloadable_diff (older, newer);
+  EXPECT_EQ (nullptr, paths[0]);
+  EXPECT_STREQ ("a", newer->zone);
+  EXPECT_EQ (1u, newer->limits.drain_s);
+  g_strfreev (paths);
+  pu_settings_free (newer);
+  pu_settings_free (older);
+}
+
 TEST (Settings, SplitAddresses)
 {
   const struct
