--- a/bench/bench_common.py
+++ b/bench/bench_common.py
@@ -60,6 +60,13 @@
         return c
 
 
+def show_logs(c):
+    """The last lines of each process of cluster C that has ended."""
+    for p in c.processes():
+        if p.surprise():
+            note(f"{p.surprise()}\n{p.tail()}")
+
+
 def round_to(value, digits=5):
     """VALUE with so many significant digits."""
     if value == 0 or not math.isfinite(value):
--- a/bench/bench_fleet.py
+++ b/bench/bench_fleet.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-from bench_common import ROOT, metrics
+from bench_common import ROOT, metrics, show_logs
 from cluster import BACKEND_KEY, wait_until
 
 ADAPTERS = 3  # of each model, as the users have them today
@@ -89,6 +89,7 @@
             if engines > 0:
                 self._announce(engines)
         except BaseException:
+            show_logs(self.c)
             self.close()
             raise
 
