--- a/cli/cli_test.cc
+++ b/cli/cli_test.cc
@@ -1,9 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
 #include "command.h"
+#include "print.h"
 
 namespace
 {
@@ -138,6 +140,53 @@
   g_free (file);
 }
 
+TEST (Placement, SaysWhatIsUnderWay)
+{
+  const struct
+  {
+    const char *json; /* with ' for " */
+    const char *text;
+  } rows[] = {
+    { "{}", "" },
+    { "{'leads':false,'orders':[]}", "" },
+    { "{'orders':[],'models':[],'missing':[],'repairing':[],'failures':[]}",
+      "\nPlacement: 0 orders under way, 0 models without a ready copy, "
+      "0 failing loads.\n" },
+    { "{'orders':[{'kind':'load','model':'m','version':'1','backend':'g1',"
+      "'memory_mb':5,'state':'sent','tries':1,'reason':'demand'}],"
+      "'models':[],'missing':[],'repairing':[],'failures':[]}",
+      "\nPlacement: 1 orders under way, 0 models without a ready copy, "
+      "0 failing loads.\n\nOrders under way\n"
+      "ORDER  MODEL  VERSION  BACKEND  MB  STATE  TRIES  REASON\n"
+      "load   m      1        g1       5   sent   1      demand\n" },
+    { "{'orders':[],'models':[{'model':'m','version':'1','standing':'wait',"
+      "'why':'no room'}],'missing':['m','n'],'repairing':['m'],"
+      "'failures':[{'model':'m','version':'1','backend':'g1','failures':2,"
+      "'retry_ms':900}]}",
+      "\nPlacement: 0 orders under way, 2 models without a ready copy, "
+      "1 failing loads.\n\nModels without a ready copy\n"
+      "MODEL  VERSION  REPAIRING  STANDING  WHY\n"
+      "m      1        yes        wait      no room\n"
+      "n      -        no         -         -\n"
+      "\nFailing loads\n"
+      "MODEL  VERSION  BACKEND  FAILURES  RETRY MS\n"
+      "m      1        g1       2         900\n" },
+  };
+
+  for (const auto &row : rows)
+    {
+      std::string json = row.json;
+      std::replace (json.begin (), json.end (), '\'', '"');
+      json_t *j = json_loads (json.c_str (), 0, nullptr);
+      GString *out = g_string_new ("");
+
+      pu_cli_print_placement (out, j);
+      EXPECT_STREQ (out->str, row.text);
+      g_string_free (out, TRUE);
+      json_decref (j);
+    }
+}
+
 /* The exit codes of whole command lines that reach no daemon.  Port 9 of
    loopback is closed.  */
 TEST (WithoutDaemon, ExitsByItsTable)
--- a/cli/control.c
+++ b/cli/control.c
@@ -124,6 +124,7 @@
       g_string_append_printf (out, "\n%s\n", sections[i].title);
       pu_cli_print_table (out, list, sections[i].columns, sections[i].n);
     }
+  pu_cli_print_placement (out, json_object_get (status, "placement"));
   pu_cli_print (out);
 }
 
--- a/cli/print.h
+++ b/cli/print.h
@@ -31,6 +31,12 @@
 /* pu_cli_print_differs - a line for each difference of LIST.  */
 void pu_cli_print_differs (GString *out, const json_t *list);
 
+/* pu_cli_print_placement - the leader's word on placement, as in the status:
+   a line of sums, the models without a ready copy, the orders under way and
+   the loads that fail.  Nothing when PLACEMENT is NULL or says nothing, as
+   where it has not begun.  */
+void pu_cli_print_placement (GString *out, const json_t *placement);
+
 /* pu_cli_print_json - J, indented.  */
 void pu_cli_print_json (const json_t *j);
 
