--- a/tests/callers.py
+++ b/tests/callers.py
@@ -39,6 +39,7 @@
     declared = declared or document()
     answer = c.entries[0].submit(0, "first", declared)
     test.assertEqual(answer.status, 200, answer)
+    wait_ready(c, dict.fromkeys(declared["models"], 0))
     c.engine("oracle", entry=[], memory_mb=10 * MODEL_MB, decode_ms=0,
              models=preload(declared["models"]))
     return c
@@ -64,7 +65,8 @@
         for e in c.entries:
             if not e.alive():
                 continue
-            rows = request(e.callers, "GET", "/v1/models").json["data"]
+            answer = request(e.callers, "GET", "/v1/models")
+            rows = answer.json["data"] if answer.status == 200 else []
             if {r["id"]: r["ready"] for r in rows if r["id"] in copies
                 } != copies:
                 return False
