State: copies of earlier attempts, and a change id for another document

And a change id sent again with another text was answered as accepted though that text is not in force. Ruled out: ordering attempts by number (they reach the log out of order) or by time (two clocks). Change: a claim remembers the last 16 attempts that did not run; a document's record keeps the hash of its text, and the same id with another one is a conflict.

--- a/libplantainusher/state/apply.c
+++ b/libplantainusher/state/apply.c
@@ -47,7 +47,16 @@
     {
       a->reply->doc_version = seen->doc_version;
       a->reply->position = seen->position;
-      pu_apply_answer (a, PU_OUTCOME_SEEN, "The change was accepted before.");
+      if (seen->hash == pu_delta_hash (c))
+        {
+          pu_apply_answer (a, PU_OUTCOME_SEEN,
+                           "The change was accepted before.");
+        }
+      else
+        {
+          pu_apply_answer (a, PU_OUTCOME_CONFLICT,
+                           "The change id was used for another document.");
+        }
       return;
     }
   if (c->base_version != current
@@ -67,6 +76,7 @@
   d.doc_version = current + 1;
   d.position = a->position;
   d.wall = c->wall;
+  d.hash = pu_delta_hash (c);
   d.change_id = c->change_id;
   d.author = c->author;
   d.text = text;
--- a/libplantainusher/state/apply_claims.c
+++ b/libplantainusher/state/apply_claims.c
@@ -93,9 +93,47 @@
   g_free (copy);
 }
 
+/* An attempt, as a claim's list of closed ones names it; free it.  */
+static char *
+attempt_name (const char *owner, uint64_t incarnation, uint64_t attempt)
+{
+  return g_strdup_printf ("%s@%lu/%lu", owner, (unsigned long)incarnation,
+                          (unsigned long)attempt);
+}
+
+/* Fills LIST, of PU_CLOSED_MAX, with the attempts that a claim over OLD must
+   remember: OLD's own and the newest of OLD's list.  Returns how many; the
+   first is to be freed.  */
+static u_int
+closed_attempts (const pu_claim_record *old, pu_detail *list)
+{
+  u_int n = 0;
+
+  if (old == NULL)
+    return 0;
+  list[n++] = attempt_name (old->owner, old->owner_incarnation, old->attempt);
+  for (u_int i = 0; i < old->closed.closed_len && n < PU_CLOSED_MAX; i++)
+    list[n++] = old->closed.closed_val[i];
+  return n;
+}
+
+static bool
+is_closed_attempt (const pu_claim_record *old, const pu_claim_request *c)
+{
+  char *name = attempt_name (c->owner, c->owner_incarnation, c->attempt);
+  bool found = false;
+
+  for (u_int i = 0; i < old->closed.closed_len; i++)
+    found = found || strcmp (old->closed.closed_val[i], name) == 0;
+  g_free (name);
+  return found;
+}
+
 static void
-open_claim (pu_apply_t *a, const pu_claim_request *c)
+open_claim (pu_apply_t *a, const pu_claim_request *c,
+            const pu_claim_record *old)
 {
+  pu_detail closed[PU_CLOSED_MAX];
   pu_claim_record n = { 0 };
 
   n.service = c->service;
@@ -110,8 +148,12 @@
       = c->window_ms > 0 ? c->window_ms : a->state->options.claim_window_ms;
   n.phase = PU_CLAIM_OPEN;
   n.content_type = "";
+  n.closed.closed_len = closed_attempts (old, closed);
+  n.closed.closed_val = closed;
   pu_tables_put_claim (
       a->state, pu_codec_clone ((xdrproc_t)xdr_pu_claim_record, &n, sizeof n));
+  if (n.closed.closed_len > 0)
+    g_free (closed[0]);
 }
 
 static bool
@@ -141,6 +183,25 @@
          && pu_apply_broken (s, PU_STATE_BREAK_REGRANT_UNKNOWN);
 }
 
+/* Whether C is a copy of an attempt that OLD knows; it is answered then.  */
+static bool
+came_before (pu_apply_t *a, const pu_claim_record *old,
+             const pu_claim_request *c)
+{
+  bool same = same_attempt (old, c);
+
+  if (pu_apply_broken (a->state, PU_STATE_BREAK_LATE_COPY))
+    return false;
+  if (!same && !is_closed_attempt (old, c))
+    return false;
+  show_claim (a, old);
+  pu_apply_answer (a,
+                   same && old->phase == PU_CLAIM_OPEN ? PU_OUTCOME_DONE
+                                                       : PU_OUTCOME_SEEN,
+                   "The same attempt came before.");
+  return true;
+}
+
 void
 pu_apply_claim (pu_apply_t *a, const pu_claim_request *c)
 {
@@ -148,15 +209,8 @@
 
   drop_old_claims (a->state, c->wall);
   old = pu_tables_find_claim (a->state, c->service, c->key);
-  if (old != NULL && same_attempt (old, c)
-      && !pu_apply_broken (a->state, PU_STATE_BREAK_LATE_COPY))
-    {
-      show_claim (a, old);
-      pu_apply_answer (
-          a, old->phase == PU_CLAIM_OPEN ? PU_OUTCOME_DONE : PU_OUTCOME_SEEN,
-          "The same attempt came before.");
-      return;
-    }
+  if (old != NULL && came_before (a, old, c))
+    return;
   if (!owner_in_force (a->state, c))
     {
       pu_apply_answer (a, PU_OUTCOME_REFUSED, "Entry %s is no member.",
@@ -165,7 +219,7 @@
     }
   if (may_open (a->state, old))
     {
-      open_claim (a, c);
+      open_claim (a, c, old);
       return;
     }
   show_claim (a, old);
--- a/libplantainusher/state/delta.c
+++ b/libplantainusher/state/delta.c
@@ -27,6 +27,12 @@
   return NULL;
 }
 
+uint64_t
+pu_delta_hash (const pu_submit *c)
+{
+  return c->delta ? c->hash : XXH3_64bits (c->text, strlen (c->text));
+}
+
 static size_t
 common_prefix (const char *a, const char *b, size_t most)
 {
--- a/libplantainusher/state/delta.h
+++ b/libplantainusher/state/delta.h
@@ -18,6 +18,9 @@
    document in force in S; NULL when C is a delta that does not fit it.  */
 char *pu_delta_text (const pu_state_t *s, const pu_submit *c);
 
+/* pu_delta_hash - the hash of the whole text that C submits.  */
+uint64_t pu_delta_hash (const pu_submit *c);
+
 G_END_DECLS
 
 #endif
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -14,6 +14,7 @@
 const PU_RESULT_MAX = 65536;
 const PU_LIST_MAX = 4096;
 const PU_LOST_MAX = 16;
+const PU_CLOSED_MAX = 16;
 const PU_TABLE_MAX = 1048576;
 
 typedef string pu_name<PU_NAME_MAX>;
@@ -25,6 +26,7 @@
   unsigned hyper doc_version; /* 1 is the first */
   unsigned hyper position;   /* log position that accepted it */
   unsigned hyper wall;
+  unsigned hyper hash;       /* of the text, by XXH3 */
   pu_name change_id;
   pu_name author;
   string text<PU_DOCUMENT_MAX>; /* empty in the history, whole for the newest */
@@ -131,6 +133,7 @@
   unsigned int status;       /* HTTP status of the result */
   pu_name content_type;
   opaque result<PU_RESULT_MAX>;
+  pu_detail closed<PU_CLOSED_MAX>; /* earlier attempts that did not run */
 };
 
 /* A request that was running on a backend server when it died.  */
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -242,6 +242,22 @@
   EXPECT_EQ (2u, pu_state_document (s.s)->doc_version);
 }
 
+TEST (State, AChangeIdForAnotherDocumentIsAConflict)
+{
+  State s;
+  pu_reply r;
+  Command c;
+
+  s.submit (0, "a", &r);
+  c.c.type = PU_COMMAND_SUBMIT;
+  c.c.pu_command_u.submit.base_version = 1;
+  c.c.pu_command_u.submit.change_id = c.text ("a");
+  c.c.pu_command_u.submit.author = c.text ("ann");
+  c.c.pu_command_u.submit.text = c.text ("{other}");
+  EXPECT_EQ (PU_OUTCOME_CONFLICT, s.apply (c).outcome);
+  EXPECT_EQ (1u, pu_state_document (s.s)->doc_version);
+}
+
 TEST (State, NeverAppliesAPositionTwice)
 {
   State s;
@@ -369,6 +385,22 @@
   EXPECT_EQ (PU_OUTCOME_DONE, s.claim_key ("k", "e", 1, 2, 11).outcome);
 }
 
+/* Found by the fuzz: seed 1, case 64.  */
+TEST (State, ACopyOfAnEarlierAttemptDoesNotOpenItEither)
+{
+  State s;
+  pu_reply r;
+
+  s.member ("e1", 1);
+  s.member ("e2", 1);
+  r = s.claim_key ("k", "e1", 1, 1, 10);
+  s.claim_done ("k", r.position, PU_CLAIM_NOT_RUN);
+  r = s.claim_key ("k", "e2", 1, 1, 11);
+  s.claim_done ("k", r.position, PU_CLAIM_NOT_RUN);
+  EXPECT_EQ (PU_OUTCOME_SEEN, s.claim_key ("k", "e1", 1, 1, 10).outcome);
+  EXPECT_EQ (PU_OUTCOME_DONE, s.claim_key ("k", "e1", 1, 2, 12).outcome);
+}
+
 TEST (State, AKeyForAnotherRequestIsAConflict)
 {
   State s;
