--- a/bench/control_bench.py
+++ b/bench/control_bench.py
@@ -18,7 +18,8 @@
 from bench_common import Bench, Meter, note, slope
 from bench_fleet import (CHANGES_S, LETTER_DAEMONS, LETTER_ENGINES,
                          LETTER_VOTERS,
-                         MODELS_LETTER, Fleet, make_document)
+                         MODELS_LETTER, Fleet, engine_report, make_document)
+from cluster import BACKEND_KEY, request
 
 SIZES = (11, 50, 100, 200)
 QUICK_SIZES = (11, 50)
@@ -130,6 +131,37 @@
                      line(kind, lambda c: c.at("bytes_s"), at), "B/s")
 
 
+def copy_changes(bench):
+    """control.copy_change_bytes: what an entry hears when a copy on an engine
+    of letter 1 (6 models and adapters) that reports elsewhere changes."""
+    changes = 50
+    fleet = Fleet(bench, 5, MODELS_LETTER)
+    try:
+        report = engine_report(0, LETTER_ENGINES, MODELS_LETTER)
+        home, other = fleet.entries
+
+        def announce(seq):
+            report["copies"][-1]["phase"] = ("ready", "draining")[seq % 2]
+            a = request(home.callers, "POST", "/v1/backends/announce",
+                        {**report, "seq": seq},
+                        {"Authorization": f"Bearer {BACKEND_KEY}"})
+            if a.status != 200:
+                raise SystemExit(a)
+            time.sleep(0.1)
+        announce(1)
+        meter = Meter(other)
+        time.sleep(5)
+        rest = meter.read()["bytes_s"]
+        meter.begin()
+        for seq in range(2, changes + 2):
+            announce(seq)
+        got = meter.read()
+        bench.report("control.copy_change_bytes",
+                     (got["bytes_s"] - rest) * got["seconds"] / changes, "B")
+    finally:
+        fleet.close()
+
+
 def report_full(bench, costs):
     """The entry that has the most, with all engines of letter 1."""
     entry = costs["entry"]
@@ -149,6 +181,7 @@
     full = QUICK_FULL_SIZE if bench.quick else FULL_SIZE
     note(f"the document has {len(json.dumps(make_document(MODELS_LETTER, 0)))}"
          " bytes")
+    copy_changes(bench)
     by_size = {}
     for size in sizes:
         engines = size * LETTER_ENGINES // LETTER_DAEMONS
--- a/bench/relay_bench.py
+++ b/bench/relay_bench.py
@@ -116,7 +116,7 @@
                  "us/request")
 
 
-def cost_of_a_token(bench, rig, seconds):
+def cost_of_a_token(bench, rig, seconds, tail=""):
     """relay.cpu_us_token: from answers of two lengths."""
     def cost(tokens):
         before = cpu_s(rig.entry.pid)
@@ -125,8 +125,9 @@
     short, long = 1, 209  # 209: letter 1's tokens for each request
     a, b = cost(short), cost(long)
     each = (b - a) / (long - short)
-    bench.report("relay.cpu_us_token", each, "us/token")
-    bench.report("relay.cpu_us_request", a - each * short, "us/request")
+    bench.report(f"relay.cpu_us_token{tail}", each, "us/token")
+    bench.report(f"relay.cpu_us_request{tail}", a - each * short,
+                 "us/request")
 
 
 def first_token(bench, rig, rounds, seconds):
@@ -191,11 +192,12 @@
                 cost_of_a_token(bench, rig, seconds)
         finally:
             rig.close()
-    if bench.wanted("relay.first_token.c64"):
+    if bench.wanted("relay.first_token.c64", "relay.cpu_us_token.paced"):
         rig = Rig(bench, REAL_MS)
         try:
             rig.warm()
             first_token(bench, rig, rounds, seconds)
+            cost_of_a_token(bench, rig, seconds, ".paced")
         finally:
             rig.close()
     if bench.wanted("relay.stream_kb"):
