Entry: a refusal after a stream's head, and a probe that is taken and closed

Cause 1: a cut stream asked another entry for its rest; that entry's refusal, no stream, was answered after the stream's head and h2o's assertion ended the daemon. It now counts as refused by that entry; where nobody has the rest, the caller is told within the stream. pu_http_respond after a started answer aborts. Cause 2: a probe whose connection a dying process took and closed counted as alive; a request could crash several backend servers before one was found dead. Alive is now who answers or keeps the connection.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -220,6 +220,22 @@
     }
 }
 
+/* An answer that is no stream, such as another entry's refusal, can't follow
+   the beginning of one.  */
+static void
+rest_refused (pu_exchange_t *x)
+{
+  if (x->at.server == NULL
+      && g_strcmp0 (x->at.outcome, pu_outcome_word (PU_NOT_RUN)) == 0)
+    {
+      pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
+    }
+  else
+    {
+      attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
+    }
+}
+
 static char *
 header_copy (const pu_http_response_t *r, const char *name)
 {
@@ -352,6 +368,7 @@
 {
   const pu_attempt_t *at = &x->at;
   bool engine = at->server != NULL && !x->plain;
+  bool stray = x->head_sent && !at->streaming;
   bool refused = !at->foreign && says_not_run (x);
   bool broken = at->foreign || (at->streaming && !at->done)
                 || (engine && at->status >= STATUS_ERROR);
@@ -360,6 +377,10 @@
     {
       pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
     }
+  else if (stray && !at->foreign)
+    {
+      rest_refused (x);
+    }
   else if (broken)
     {
       attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
@@ -556,7 +577,7 @@
   bool good;
 
   head_fill (&h, x);
-  header_add (&h, "X-Relay-Hop", "1");
+  header_add (&h, "X-Relay-Hop", x->hops == 0 ? "1" : "2");
   header_add (&h, "X-Relay-Key", x->en->peer_key);
   if (!x->plain)
     header_add (&h, "X-Service", x->service);
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -313,6 +313,23 @@
   EXPECT_GE (convicted, 6);
 }
 
+/* A dying process takes the probe's connection and closes it.  */
+TEST (Entry, ProbeThatIsTakenAndClosedIsNoSignOfLife)
+{
+  rig r;
+  node &n = r.add_node ("n1");
+  backend &a = r.add_backend ("e1", "", n);
+  caller c;
+
+  a.closes = true;
+  a.cut_after = 0;
+  r.chat (c, n, "hi", true);
+  r.finish (c);
+  EXPECT_EQ (503, c.status);
+  r.until ([&] { return !r.knows (a); });
+  EXPECT_EQ (1u, a.ran.size ());
+}
+
 TEST (Entry, LeavingBackendServerGetsNothingNew)
 {
   rig r;
@@ -579,6 +596,21 @@
   EXPECT_EQ (text_of (4), c.text ());
 }
 
+TEST_F (Several, RestRefusedByAnotherEntryIsToldWithinTheStream)
+{
+  caller c;
+  node &out = outside ();
+
+  engine->silent = true;
+  r.chat (c, out, "hi", true);
+  r.until ([&c] { return c.text () == text_of (4); });
+  r.kill (*engine);
+  r.finish (c);
+  EXPECT_FALSE (c.whole ());
+  EXPECT_TRUE (has (c.body, "event: error")) << c.body;
+  EXPECT_TRUE (has (c.body, "\"outcome\":\"ran\"")) << c.body;
+}
+
 TEST_F (Several, OnlyThePeersKeyMakesAHop)
 {
   caller c;
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -321,11 +321,11 @@
 /* --- where it goes --- */
 
 static bool
-next_hop (pu_exchange_t *x, const char *key, guint size,
+next_hop (pu_exchange_t *x, const char *key, guint size, guint hops_max,
           pu_directory_entry_t *to)
 {
   return pu_directory_next_hop (
-      x->en->directory, key, size, x->relayed ? 1 : 0,
+      x->en->directory, key, size, x->hops < hops_max ? 0 : 1,
       (const char *const *)x->avoid->pdata, x->avoid->len, to);
 }
 
@@ -334,7 +334,7 @@
 suspect_hop (pu_exchange_t *x, pu_directory_entry_t *to)
 {
   char *key = g_strconcat ("suspects/", x->model, NULL);
-  bool away = next_hop (x, key, 1, to);
+  bool away = next_hop (x, key, 1, PU_RELAY_HOPS_MAX, to);
 
   g_free (key);
   return away;
@@ -388,8 +388,8 @@
     }
   else
     {
-      away
-          = next_hop (x, x->service, pu_service_size (x->en, x->service), &to);
+      away = next_hop (x, x->service, pu_service_size (x->en, x->service), 1,
+                       &to);
     }
   if (verdict == PU_SUSPECTS_WAIT
       && (!away || pu_strike_pending (x->en, x->fingerprint)))
@@ -508,6 +508,19 @@
     }
 }
 
+/* Whether X, a suspect, must wait, be refused, or go to another entry.  */
+static bool
+goes_apart (pu_exchange_t *x)
+{
+  pu_directory_entry_t to;
+
+  if (!is_suspect (x))
+    return false;
+  if (judge (x) != PU_SUSPECTS_APART)
+    return true;
+  return !x->once && x->repeatable && suspect_hop (x, &to);
+}
+
 void
 pu_exchange_again (pu_exchange_t *x, pu_router_failure_t failure)
 {
@@ -529,8 +542,9 @@
     }
   pu_router_retry (x->en->router, x->ticket, failure, uv_now (x->en->o.loop),
                    &d);
-  /* One that is a suspect by now goes the suspects' way.  */
-  if (d.verdict != PU_ROUTER_REFUSE && is_suspect (x))
+  /* One that became a suspect goes the suspects' way.  One that may run here
+     keeps its ticket, which knows the copies that were tried.  */
+  if (d.verdict != PU_ROUTER_REFUSE && goes_apart (x))
     {
       ticket_set (x, d.ticket);
       ticket_cancel (x);
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -87,6 +87,11 @@
   const std::string body (bytes, len);
   std::string id = header_or (r, "x-request-id", "");
 
+  if (strcmp (pu_http_request_path (r), "/health") == 0 && b.closes)
+    {
+      pu_http_server_abort (b.server);
+      return;
+    }
   if (strcmp (pu_http_request_path (r), "/health") == 0)
     {
       pu_http_respond (r, 200, nullptr, 0, "", 0);
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -43,6 +43,7 @@
   bool foreign = false;
   bool resumes = false; /* honours and confirms X-Resume-Tokens */
   bool refuses = false; /* 503, not run */
+  bool closes = false;  /* takes probes and closes their connections */
   std::string crash_on; /* dies when a body holds this */
   std::function<void ()> crash;
 };
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -316,6 +316,13 @@
   held_release (s, false);
 }
 
+static bool
+was_closed (pu_http_end_t kind)
+{
+  return kind == PU_HTTP_END_CONNECT_FAILED || kind == PU_HTTP_END_CLOSED
+         || kind == PU_HTTP_END_STALE;
+}
+
 static void
 probe_end (void *data, pu_http_call_t *call, const pu_http_result_t *result)
 {
@@ -323,7 +330,9 @@
 
   (void)call;
   s->probe = NULL;
-  if (result->kind != PU_HTTP_END_CONNECT_FAILED)
+  /* A dying process may still take a connection and close it: alive is who
+     answers, or at least keeps the connection.  */
+  if (result->head || !was_closed (result->kind))
     {
       held_release (s, true);
       return;
--- a/libplantainusher/http/request.c
+++ b/libplantainusher/http/request.c
@@ -282,6 +282,11 @@
                  const pu_http_header_t *headers, gsize n, const char *body,
                  gsize len)
 {
+  if (r->started)
+    {
+      pu_http_respond_abort (r);
+      return;
+    }
   head_set (r, status, headers, n);
   r->req->res.content_length = len;
   head_start (r);
--- a/libplantainusher/http/server.h
+++ b/libplantainusher/http/server.h
@@ -112,7 +112,8 @@
                             const pu_http_request_events_t *events,
                             void *data);
 
-/* pu_http_respond - answers whole.  R must not be used any more.  */
+/* pu_http_respond - answers whole; after pu_http_respond_start it can only
+   abort.  R must not be used any more.  */
 void pu_http_respond (pu_http_request_t *r, int status,
                       const pu_http_header_t *headers, gsize n,
                       const char *body, gsize len);
