Planner: repair does not wait for what it need not wait for

Cause: the copies of a dead engine counted as failed loads of their models (three held a model back for 20 s); growth took store and room from models without a copy; room was made only once the store took the load, and where streams had to end first; the room of adapters was given away while their base was loading; a model that found only last copies waited for chance. Change: losses count as failures only while the engine is up; growth waits while something is unreachable, a minute at most; places are promised ahead; a drain counts in the choice of room, after 3 s a second room is made; room is held for adapters; last copies are loaded elsewhere first where that makes room (planner_room.c). A promise that waits only for the store is shown as such. planner.c is split: planner_repair.c.

--- a/libplantainusher/placement/placement.c
+++ b/libplantainusher/placement/placement.c
@@ -369,7 +369,8 @@
   s = &g_array_index (pl->servers, server_t, r->backend);
   if (s->held == NULL)
     s->held = g_array_new (FALSE, FALSE, sizeof (pu_ledger_held_t));
-  tell_losses (pl, s, r, now);
+  if (!down)
+    tell_losses (pl, s, r, now);
   g_array_set_size (s->held, 0);
   if (r->n_held > 0)
     g_array_append_vals (s->held, r->held, r->n_held);
--- a/libplantainusher/placement/planner.c
+++ b/libplantainusher/placement/planner.c
@@ -50,19 +50,18 @@
   g_array_append_val (e->copies, *c);
   g_array_append_val (t->places, at);
   t->coming++;
+  pu_planner_hold (r->p, engine, c->c.item);
   pu_planner_spread_item (r->p, c->c.item);
 }
 
-static void
-emit_load (pu_round_t *r, guint32 engine, const pu_planned_copy_t *c)
+void
+pu_round_emit_load (pu_round_t *r, guint32 engine, const pu_planned_copy_t *c)
 {
-  emit (r, PU_MOVE_LOAD, engine, c, c->reason, PU_PLAN_NONE);
+  emit (r, PU_MOVE_LOAD, engine, c, c->reason, c->for_item);
   pu_planned_engine (r->p, engine)->committed_mb += c->c.memory_mb;
   r->p->coming++;
 }
 
-/* Loads ITEM on ENGINE: at once when it fits, else after the copies in r->v
-   have made room.  */
 void
 pu_round_load (pu_round_t *r, guint32 engine, guint32 item,
                pu_plan_reason_t reason, double gain, double price)
@@ -76,13 +75,15 @@
   c.c.memory_mb = t->i.memory_mb;
   c.c.phase = PU_PLAN_ORDERED;
   c.reason = reason;
+  c.for_item = r->for_item;
   c.since = r->now;
   c.gain = gain;
   c.price = price;
   t->no_room = false;
-  if (r->v.slots->len == 0)
+  t->opens_until = 0;
+  if (r->v.slots->len == 0 && pu_round_store_takes_urgent (r))
     {
-      emit_load (r, engine, &c);
+      pu_round_emit_load (r, engine, &c);
       place (r, engine, &c);
       return;
     }
@@ -99,8 +100,8 @@
   place (r, engine, &c);
 }
 
-static bool
-store_takes_urgent (const pu_round_t *r)
+bool
+pu_round_store_takes_urgent (const pu_round_t *r)
 {
   return r->full || r->p->coming < r->p->o.max_coming;
 }
@@ -111,70 +112,6 @@
   return r->full || r->p->coming + r->p->promised < r->p->o.max_coming;
 }
 
-/* The promised copy of E, which index_engine listed last; a load may have
-   been listed after it since.  */
-static guint
-promise_slot (const pu_planned_engine_t *e)
-{
-  guint s = e->copies->len - 1;
-
-  while (!pu_planned_copy (e, s)->promised)
-    s--;
-  return s;
-}
-
-static void
-drop_promise (pu_round_t *r, pu_planned_engine_t *e)
-{
-  pu_planned_copy_t *c = pu_planned_copy (e, promise_slot (e));
-
-  e->promised = false;
-  r->p->promised--;
-  pu_planned_item (r->p, c->c.item)->coming--;
-  c->c.phase = PU_PLAN_LEAVING;
-  pu_planner_spread_item (r->p, c->c.item);
-}
-
-/* The promise of E comes true: its copy is ordered.  */
-static void
-keep_promise (pu_round_t *r, guint32 engine)
-{
-  pu_planned_engine_t *e = pu_planned_engine (r->p, engine);
-  pu_planned_copy_t *c = pu_planned_copy (e, promise_slot (e));
-
-  e->promised = false;
-  c->promised = false;
-  r->p->promised--;
-  emit_load (r, engine, c);
-}
-
-/* Loads what was promised where the room has become free.  */
-static void
-keep_promises (pu_round_t *r)
-{
-  for (guint32 i = 0; i < r->p->engines->len; i++)
-    {
-      pu_planned_engine_t *e = pu_planned_engine (r->p, i);
-      const pu_planned_item_t *t;
-      bool valid;
-
-      if (!e->promised || !e->usable)
-        continue;
-      t = pu_planned_item (r->p, e->promise.c.item);
-      valid = t->declared && pu_planned_version (t) == e->promise.c.version
-              && r->now < e->promise_until;
-      if (!valid)
-        {
-          drop_promise (r, e);
-          continue;
-        }
-      if (pu_planned_free (e) < e->promise.c.memory_mb
-          || !store_takes_urgent (r))
-        continue;
-      keep_promise (r, i);
-    }
-}
-
 bool
 pu_round_may_try (const pu_round_t *r, const pu_planned_item_t *t)
 {
@@ -190,9 +127,9 @@
          || pu_planned_item (r->p, t->i.base)->ready > 0;
 }
 
-/* Finds an engine and loads; without room waits a little.  */
-static bool
-try_load (pu_round_t *r, guint32 item, pu_room_t room, pu_plan_reason_t reason)
+bool
+pu_round_try_load (pu_round_t *r, guint32 item, pu_room_t room,
+                   pu_plan_reason_t reason)
 {
   pu_planned_item_t *t = pu_planned_item (r->p, item);
   guint32 version = pu_planned_version (t);
@@ -215,69 +152,6 @@
   return true;
 }
 
-typedef struct
-{
-  guint32 item;
-  bool lost; /* no copy is ready or coming */
-  const pu_planned_item_t *t;
-} pu_needy_t;
-
-static gint
-compare_needy (gconstpointer a, gconstpointer b)
-{
-  const pu_needy_t *x = a;
-  const pu_needy_t *y = b;
-
-  if (x->lost != y->lost)
-    return x->lost ? -1 : 1;
-  if (x->t->i.importance != y->t->i.importance)
-    return x->t->i.importance > y->t->i.importance ? -1 : 1;
-  if (x->t->i.memory_mb != y->t->i.memory_mb)
-    return x->t->i.memory_mb > y->t->i.memory_mb ? -1 : 1;
-  return x->item < y->item ? -1 : x->item > y->item;
-}
-
-static GArray *
-find_needy (const pu_round_t *r)
-{
-  GArray *needy = g_array_new (FALSE, FALSE, sizeof (pu_needy_t));
-
-  for (guint32 i = 0; i < r->p->items->len; i++)
-    {
-      const pu_planned_item_t *t = pu_planned_item (r->p, i);
-      pu_needy_t n = { i, t->ready + t->coming == 0, t };
-
-      if (!pu_round_may_try (r, t) || !pu_round_base_is_ready (r, t))
-        continue;
-      if (t->ready + t->coming < MAX (1, t->i.min_copies))
-        g_array_append_val (needy, n);
-    }
-  g_array_sort (needy, compare_needy);
-  return needy;
-}
-
-/* Phases 1 and 2: what is unreachable, then what is below its minimum.  */
-static void
-repair (pu_round_t *r)
-{
-  GArray *needy = find_needy (r);
-
-  for (guint i = 0; i < needy->len && store_takes_urgent (r); i++)
-    {
-      const pu_needy_t *n = &g_array_index (needy, pu_needy_t, i);
-
-      if (n->lost)
-        {
-          try_load (r, n->item, PU_ROOM_MINIMUM, PU_REASON_UNREACHABLE);
-        }
-      else
-        {
-          try_load (r, n->item, PU_ROOM_SPARE, PU_REASON_MINIMUM);
-        }
-    }
-  g_array_unref (needy);
-}
-
 /* Copies of an item by version and phase.  */
 typedef struct
 {
@@ -333,7 +207,7 @@
       if (t->i.base != base || t->ready > 1 || t->coming > 0)
         continue;
       if (pu_round_may_try (r, t) && pu_round_store_takes (r))
-        try_load (r, item, PU_ROOM_MINIMUM, PU_REASON_VERSION);
+        pu_round_try_load (r, item, PU_ROOM_MINIMUM, PU_REASON_VERSION);
       e = pu_planned_engine (r->p, place.engine);
     }
 }
@@ -398,7 +272,7 @@
     {
       pu_room_t room = n.new_any == 0 ? PU_ROOM_MINIMUM : PU_ROOM_SPARE;
 
-      try_load (r, item, room, reason);
+      pu_round_try_load (r, item, room, reason);
     }
   unload_old (r, t, &n, reason);
 }
@@ -474,12 +348,15 @@
   pu_planner_index (r->p, r->now);
   pu_planner_spread (r->p);
   r->v.slots = g_array_new (FALSE, FALSE, sizeof (guint));
-  keep_promises (r);
-  repair (r);
+  pu_round_keep_promises (r);
+  pu_round_repair (r);
   change_versions (r);
   unload_undeclared (r);
-  pu_round_follow_demand (r);
-  pu_round_use_spare (r);
+  if (r->full || !r->repairing)
+    {
+      pu_round_follow_demand (r);
+      pu_round_use_spare (r);
+    }
   g_array_unref (r->v.slots);
 }
 
@@ -489,6 +366,7 @@
   pu_round_t r = { 0 };
 
   r.p = p;
+  r.for_item = PU_PLAN_NONE;
   r.now = now;
   r.moves = moves;
   advance (p, now);
@@ -533,6 +411,7 @@
   pu_round_t r = { 0 };
 
   r.p = p;
+  r.for_item = PU_PLAN_NONE;
   r.now = now;
   r.moves = moves;
   r.full = true;
--- a/libplantainusher/placement/planner_choose.c
+++ b/libplantainusher/placement/planner_choose.c
@@ -8,6 +8,9 @@
 /* Engines tried for making room, the least used first.  */
 #define ROOM_TRIES 8
 #define CROWDED 0.5
+/* What a stream that has to end before its copy is unloaded counts where an
+   unreachable item waits for the room, in late streams.  */
+#define DRAIN_LOSS 2.0
 #define MS_PER_S 1000
 
 guint32
@@ -16,6 +19,17 @@
   return e->committed_mb < e->memory_mb ? e->memory_mb - e->committed_mb : 0;
 }
 
+guint32
+pu_planned_room (const pu_planned_engine_t *e, const pu_planned_item_t *t)
+{
+  guint32 free = pu_planned_free (e);
+  bool waits = t->i.base != PU_PLAN_NONE && t->ready == 0;
+
+  if (waits)
+    return free;
+  return free - MIN (free, e->held_mb);
+}
+
 guint32
 pu_planned_need (const pu_planner_t *p, const pu_planned_item_t *t)
 {
@@ -178,9 +192,10 @@
   return memory_mb;
 }
 
-/* Loss for each MB of letting SLOTS go; MB is set to their memory.  */
+/* Loss of letting SLOTS go; MB is set to their memory.  */
 static double
-loss_of (pu_planner_t *p, guint32 engine, const GArray *slots, double *mb)
+loss_of (pu_planner_t *p, guint32 engine, const GArray *slots, pu_room_t room,
+         double *mb)
 {
   const pu_planned_engine_t *e = pu_planned_engine (p, engine);
   double loss = 0;
@@ -192,6 +207,8 @@
       const pu_planned_copy_t *c = pu_planned_copy (e, at.slot);
 
       *mb += c->c.memory_mb;
+      if (room == PU_ROOM_MINIMUM)
+        loss += DRAIN_LOSS * c->share;
       if (pu_planned_item (p, c->c.item)->declared)
         loss += pu_planner_loss (p, c->c.item, at, i + 1 < slots->len);
     }
@@ -216,7 +233,7 @@
       if (taken (v->slots, s)
           || !pu_planner_bundle (p, engine, s, item, room, slots))
         continue;
-      loss = loss_of (p, engine, slots, &mb);
+      loss = loss_of (p, engine, slots, room, &mb);
       if (best_rate >= 0 && (loss + 1e-6) / mb >= best_rate)
         continue;
       best_rate = (loss + 1e-6) / MAX (1.0, mb);
@@ -234,7 +251,7 @@
 {
   const pu_planned_engine_t *e = pu_planned_engine (p, engine);
   guint32 need = pu_planned_need (p, pu_planned_item (p, item));
-  guint32 have = pu_planned_free (e);
+  guint32 have = pu_planned_room (e, pu_planned_item (p, item));
   GArray *best;
 
   v->loss = 0;
@@ -316,12 +333,13 @@
 find_free (const pu_planner_t *p, guint32 item, guint32 need,
            double *best_score, ranked_t *full)
 {
+  const pu_planned_item_t *t = pu_planned_item (p, item);
   guint32 best = PU_PLAN_NONE;
 
   for (guint i = 0; i < p->engines->len; i++)
     {
       const pu_planned_engine_t *e = pu_planned_engine (p, i);
-      bool free = pu_planned_free (e) >= need;
+      bool free = pu_planned_room (e, t) >= need;
       double s;
 
       if ((!free && full->max == 0) || !pu_planner_can_hold (p, i, item))
@@ -358,7 +376,7 @@
   v->young = 0;
   g_array_set_size (v->slots, 0);
   best = find_free (p, item, need, &least, &full);
-  if (best != PU_PLAN_NONE && !crowded (p, best))
+  if (best != PU_PLAN_NONE && (room == PU_ROOM_MINIMUM || !crowded (p, best)))
     return best;
 
   for (guint i = 0; i < full.n; i++)
--- a/libplantainusher/placement/planner_internal.h
+++ b/libplantainusher/placement/planner_internal.h
@@ -9,6 +9,8 @@
  *   planner_load.c    index of copies, spread of demand, cost of a crowd
  *   planner_choose.c  which engine, and who makes room
  *   planner.c         the phases of a step, the full plan
+ *   planner_repair.c  unreachable items first, kept promises
+ *   planner_room.c    moves a last copy away, for an unreachable item
  *   planner_grow.c    copies for demand and in spare memory
  *   planner_explain.c texts
  */
@@ -17,8 +19,9 @@
 {
   pu_plan_copy_t c;
   pu_plan_reason_t reason;
-  guint64 since; /* when it came to its phase */
-  double gain;   /* of the move that brought it */
+  guint64 since;    /* when it came to its phase */
+  guint32 for_item; /* PU_REASON_ROOM: whom it makes room for */
+  double gain;      /* of the move that brought it */
   double price;
   double share;  /* streams of its item's demand that come to it */
   bool promised; /* not ordered yet: waits for room */
@@ -40,6 +43,7 @@
   guint32 accelerators;
   guint32 memory_mb;
   guint32 committed_mb;
+  guint32 held_mb; /* free, but for adapters of bases that are on it */
   double streams;
   GArray *copies; /* of pu_planned_copy_t */
   GArray *blocks; /* of pu_block_t; those that are over are dropped */
@@ -62,15 +66,19 @@
   pu_plan_item_t i; /* its name is owned */
   bool rolled_back;
   guint failures;
-  guint64 first_ready; /* of the declared version beside an older one; 0 */
-  guint64 not_before;  /* no load before, after a failure or a try in vain */
-  guint64 spare_after; /* no spare copy before, after a try in vain */
-  bool no_room;        /* the last try found no engine */
+  guint64 first_ready;  /* of the declared version beside an older one; 0 */
+  guint64 lost_since;   /* when its last ready copy was missed; 0: has one */
+  guint64 not_before;   /* no load before, after a failure or a try in vain */
+  guint64 spare_after;  /* no spare copy before, after a try in vain */
+  guint32 opens_engine; /* where room is being opened for it, */
+  guint64 opens_until;  /* and until when; 0: nowhere */
+  bool no_room;         /* the last try found no engine */
   pu_forecast_t forecast;
   GArray *places;   /* of pu_place_t: copies on usable engines */
   GArray *adapters; /* of guint32: items whose base this is */
   guint ready;
   guint coming;        /* ordered, loading or promised */
+  guint slow;          /* of them, promised long ago, while ready is 0 */
   guint copies_before; /* ready when a version change began; 0: none */
 } pu_planned_item_t;
 
@@ -124,6 +132,10 @@
 /* pu_planner_index - rebuilds places, counts and scratch.  */
 void pu_planner_index (pu_planner_t *p, guint64 now);
 
+/* pu_planner_hold - holds memory on ENGINE, where the base ITEM is to be, for
+   its adapters that have no copy.  */
+void pu_planner_hold (pu_planner_t *p, guint32 engine, guint32 item);
+
 /* pu_planner_spread - spreads the expected demand of each item over its
    copies, the less used engines first.  */
 void pu_planner_spread (pu_planner_t *p);
@@ -181,7 +193,11 @@
 /* MB that a copy of T should find free: a base's adapters go with it.  */
 guint32 pu_planned_need (const pu_planner_t *p, const pu_planned_item_t *t);
 
-/* MB that a new copy may take on E now.  */
+/* MB that are free on E now.  */
 guint32 pu_planned_free (const pu_planned_engine_t *e);
 
+/* MB that a new copy of T may take on E now.  */
+guint32 pu_planned_room (const pu_planned_engine_t *e,
+                         const pu_planned_item_t *t);
+
 #endif
--- a/libplantainusher/placement/planner_load.c
+++ b/libplantainusher/placement/planner_load.c
@@ -51,6 +51,7 @@
       g_array_set_size (t->places, 0);
       t->ready = 0;
       t->coming = 0;
+      t->slow = 0;
     }
 }
 
@@ -74,6 +75,7 @@
   pu_planned_engine_t *e = pu_planned_engine (p, engine);
 
   list_promise (e);
+  e->held_mb = 0;
   e->load = 0;
   e->weight = 0;
   for (guint s = 0; s < e->copies->len; s++)
@@ -103,6 +105,35 @@
     }
 }
 
+void
+pu_planner_hold (pu_planner_t *p, guint32 engine, guint32 item)
+{
+  const pu_planned_item_t *t = pu_planned_item (p, item);
+
+  for (guint i = 0; i < t->adapters->len; i++)
+    {
+      const pu_planned_item_t *a
+          = pu_planned_item (p, g_array_index (t->adapters, guint32, i));
+
+      if (a->ready + a->coming == 0)
+        pu_planned_engine (p, engine)->held_mb += a->i.memory_mb;
+    }
+}
+
+static void
+hold_for_adapters (pu_planner_t *p)
+{
+  for (guint32 i = 0; i < p->items->len; i++)
+    {
+      const pu_planned_item_t *t = pu_planned_item (p, i);
+
+      if (t->adapters->len == 0)
+        continue;
+      for (guint k = 0; k < t->places->len; k++)
+        pu_planner_hold (p, pu_item_place (t, k).engine, i);
+    }
+}
+
 void
 pu_planner_index (pu_planner_t *p, guint64 now)
 {
@@ -114,6 +145,7 @@
       if (pu_planned_engine (p, i)->usable)
         index_engine (p, i);
     }
+  hold_for_adapters (p);
 }
 
 /* Fills p->filled for DEMAND over N places with the loads p->other and
--- a/libplantainusher/placement/planner_round.h
+++ b/libplantainusher/placement/planner_round.h
@@ -5,7 +5,8 @@
 
 /*
  * planner_round - one pass over the phases of a step, shared by planner.c,
- * which repairs, and planner_grow.c, which adds copies where they pay.
+ * planner_repair.c, which mends what is missing, planner_room.c, which opens
+ * room for it, and planner_grow.c, which adds copies where they pay.
  */
 
 typedef struct
@@ -14,14 +15,28 @@
   guint64 now;
   GArray *moves;
   pu_victims_t v;
-  bool full; /* the store has no limits */
+  guint32 for_item; /* whom loads make room for; PU_PLAN_NONE */
+  bool full;        /* the store has no limits */
+  bool repairing;   /* an item is unreachable: growth waits */
 } pu_round_t;
 
-/* pu_round_load - loads ITEM on ENGINE: at once when it fits, else after the
-   copies in r->v have made room.  */
+/* pu_round_load - loads ITEM on ENGINE: at once when it fits and the store
+   takes it, else after the copies in r->v have made room.  */
 void pu_round_load (pu_round_t *r, guint32 engine, guint32 item,
                     pu_plan_reason_t reason, double gain, double price);
 
+/* pu_round_emit_load - orders C, which is on ENGINE's list.  */
+void pu_round_emit_load (pu_round_t *r, guint32 engine,
+                         const pu_planned_copy_t *c);
+
+/* pu_round_try_load - finds an engine and loads; false without room, and the
+   item waits a little.  */
+bool pu_round_try_load (pu_round_t *r, guint32 item, pu_room_t room,
+                        pu_plan_reason_t reason);
+
+/* pu_round_store_takes_urgent - whether the store takes one more load.  */
+bool pu_round_store_takes_urgent (const pu_round_t *r);
+
 /* pu_round_store_takes - whether the store takes one more load that is not
    urgent.  */
 bool pu_round_store_takes (const pu_round_t *r);
@@ -33,6 +48,18 @@
    that a try makes sense.  */
 bool pu_round_base_is_ready (const pu_round_t *r, const pu_planned_item_t *t);
 
+/* pu_round_keep_promises - loads what was promised where the room has become
+   free, the unreachable first.  */
+void pu_round_keep_promises (pu_round_t *r);
+
+/* pu_round_open_room - begins or goes on to move a last copy elsewhere, so
+   that ITEM, which found no room, may have its place.  */
+void pu_round_open_room (pu_round_t *r, guint32 item);
+
+/* pu_round_repair - phases 1 and 2: what is unreachable, then what is below
+   its minimum.  */
+void pu_round_repair (pu_round_t *r);
+
 /* pu_round_follow_demand - phase 5: copies whose gain exceeds their price.  */
 void pu_round_follow_demand (pu_round_t *r);
 
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -417,6 +417,23 @@
   return n;
 }
 
+/* Whether the one copy of ITEM that comes has its room, but no load order.  */
+static bool
+waits_for_store (const pu_planner_t *p, guint32 item)
+{
+  for (guint i = 0; i < p->engines->len; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (p, i);
+
+      if (e->promised && e->usable && e->promise.c.item == item)
+        {
+          return pu_planned_item (p, item)->coming == 1
+                 && pu_planned_free (e) >= e->promise.c.memory_mb;
+        }
+    }
+  return false;
+}
+
 pu_standing_t
 pu_planner_standing (const pu_planner_t *p, guint32 item, guint64 now)
 {
@@ -428,7 +445,10 @@
   if (t->ready > 0)
     return PU_STANDING_READY;
   if (t->coming > 0)
-    return PU_STANDING_LOADING;
+    {
+      return waits_for_store (p, item) ? PU_STANDING_WAIT_STORE
+                                       : PU_STANDING_LOADING;
+    }
   if (t->i.base != PU_PLAN_NONE && pu_planned_item (p, t->i.base)->ready == 0)
     return PU_STANDING_WAIT_BASE;
   if (now < t->not_before)
--- a/libplantainusher/placement/planner_test.cc
+++ b/libplantainusher/placement/planner_test.cc
@@ -5,8 +5,7 @@
 
 extern "C"
 {
-#include "placement/orders.h"
-#include "placement/planner.h"
+#include "placement/placement.h"
 }
 
 namespace
@@ -161,6 +160,99 @@
   EXPECT_EQ ("load 1.1@0 ", Step ().substr (0, 11));
 }
 
+TEST_F (Planner, ALastCopyMovesAwayWhenThatMakesRoom)
+{
+  Engines (2);
+  Item (0, 30);
+  Item (1, 30);
+  EXPECT_EQ ("load 0.1@0 load 1.1@1 ", Step ());
+  Item (2, 80);
+  EXPECT_EQ ("load 0.1@1 ", Step ()) << "beside, before it leaves";
+  EXPECT_EQ ("unload 0.1@0 ", Step ());
+  EXPECT_EQ ("load 2.1@0 ", Step ());
+}
+
+TEST_F (Planner, GrowthWaitsWhileAnItemIsUnreachable)
+{
+  Engines (3);
+  Item (0, 60);
+  Step ();
+  Item (1, 60);
+  EXPECT_EQ ("load 1.1@1 ", Step (false));
+  held[1].push_back ({ 1, 1, 60, PU_PLAN_LOADING });
+  Tell (1);
+  EXPECT_EQ ("", Step (false));
+  held[1][0].phase = PU_PLAN_READY;
+  Tell (1);
+  EXPECT_NE ("", Step (false));
+}
+
+TEST_F (Planner, RoomIsHeldForTheAdaptersOfABaseThatComes)
+{
+  Engines (1);
+  Item (0, 60);
+  Item (1, 20, 1, 0);
+  EXPECT_EQ ("load 0.1@0 ", Step (false));
+  held[0].push_back ({ 0, 1, 60, PU_PLAN_LOADING });
+  Tell (0);
+  Item (2, 30);
+  EXPECT_EQ ("", Step (false));
+  held[0][0].phase = PU_PLAN_READY;
+  Tell (0);
+  EXPECT_EQ ("load 1.1@0 ", Step ());
+}
+
+/* What PL wants to reserve after a step that plans.  */
+unsigned
+Reserves (pu_placement_t *pl, guint64 now)
+{
+  GArray *todo = g_array_new (FALSE, FALSE, sizeof (pu_orders_action_t));
+  unsigned n = 0;
+
+  pu_placement_step (pl, true, now, todo);
+  for (guint i = 0; i < todo->len; i++)
+    n += g_array_index (todo, pu_orders_action_t, i).what
+         == PU_ORDERS_DO_RESERVE;
+  g_array_unref (todo);
+  return n;
+}
+
+TEST (Placement, TheLossOfItsEnginesIsNoFailureOfAModel)
+{
+  pu_placement_options_t o = {};
+  pu_ledger_held_t held = { 0, 50, PU_LEDGER_READY };
+  pu_ledger_report_t r = {};
+  pu_plan_item_t i = {};
+
+  pu_planner_options_init (&o.planner);
+  pu_orders_options_init (&o.orders);
+  o.committed = [] (void *, guint32) -> guint64 { return 0; };
+  pu_placement_t *pl = pu_placement_new (&o, 0);
+  i.name = "model";
+  i.base = i.previous_version = PU_PLAN_NONE;
+  i.memory_mb = 50;
+  i.min_copies = 1;
+  i.max_copies = o.planner.max_failures;
+  i.importance = 5;
+  pu_placement_name_copy (pl, 0, 0, 0);
+  pu_planner_set_item (pu_placement_planner (pl), 0, &i);
+  r.incarnation = 1;
+  r.accelerators = 1;
+  r.memory_mb = 100;
+  r.fenced = true;
+  pu_placement_backend (pl, &r, false, 0, 4.0, 1000);
+  r.held = &held;
+  r.n_held = 1;
+  for (r.backend = 1; r.backend <= o.planner.max_failures; r.backend++)
+    pu_placement_backend (pl, &r, false, 0, 4.0, 1000);
+  EXPECT_EQ (0u, Reserves (pl, 2000));
+  r.n_held = 0;
+  for (r.backend = 1; r.backend <= o.planner.max_failures; r.backend++)
+    pu_placement_backend (pl, &r, true, 0, 4.0, 2000);
+  EXPECT_EQ (1u, Reserves (pl, 3000)) << "at once, not after a wait";
+  pu_placement_free (pl);
+}
+
 TEST_F (Planner, ANewVersionIsLoadedBesideWatchedAndTakesOver)
 {
   Engines (1);
