--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -95,6 +95,7 @@
   guint requests_max;     /* 4096: in progress at once */
   guint connect_ms;       /* 1000 */
   guint progress_ms;      /* 10000: a stream without a byte is silent */
+  guint settle_ms;        /* 1000: a strike is known everywhere after this */
   guint probe_ms;         /* 1000: second opinion on a new connection */
   guint idle_ms;          /* 4000: life of an idle pooled connection */
   guint report_ms;        /* 1000: asked of backend servers */
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -17,6 +17,10 @@
 
 #define PU_ENTRY_PART "entry"
 
+/* A request is relayed once to an entry of its service, and once more when it
+   became a suspect there: suspects of a model run at one entry alone.  */
+#define PU_RELAY_HOPS_MAX 2
+
 typedef struct pu_exchange pu_exchange_t;
 
 /* A strike on its way into the log: its request must not run before the log
@@ -32,6 +36,8 @@
   guint64 position; /* of the log, once it is in; 0: not yet */
   guint64 due;      /* loop time to propose it again; 0: it is proposed */
   guint64 until;    /* loop time when it is given up */
+  guint64 settled;  /* loop time when all entries have it; 0: not yet in */
+  guint64 spread;   /* loop time when every entry has it */
 } pu_strike_t;
 
 /* An attempt that broke at a backend server that still listened after.  */
@@ -135,6 +141,7 @@
   bool repeatable;
   bool once;    /* its key is claimed before it is sent */
   bool relayed; /* by another entry */
+  guint hops;   /* times that it was relayed */
   guint priority;
   guint64 arrived; /* loop time */
   guint64 deadline;
--- a/libplantainusher/entry/parse.c
+++ b/libplantainusher/entry/parse.c
@@ -111,6 +111,8 @@
       = hop != NULL
         && pu_http_key_equal (pu_http_request_header (x->http, "x-relay-key"),
                               x->en->peer_key);
+  if (x->relayed)
+    x->hops = g_strcmp0 (hop, "1") == 0 ? 1 : PU_RELAY_HOPS_MAX;
   if (!number_header (x, "x-priority", 0, PU_ROUTER_PRIORITY_MAX,
                       DEFAULT_PRIORITY, &priority)
       || !number_header (x, "x-timeout-ms", 1, TIMEOUT_MAX_MS, 0, &timeout))
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -313,6 +313,7 @@
   o.n_backend_keys = 1;
   o.progress_ms = 300;
   o.probe_ms = 300;
+  o.settle_ms = 100;
   o.propose_ms = 100;
   o.seed = 1;
   o.test_breaks = breaks;
--- a/libplantainusher/entry/strikes.c
+++ b/libplantainusher/entry/strikes.c
@@ -8,6 +8,10 @@
 {
   AGAIN_MS = 500, /* pause before a strike is proposed again */
   GIVE_UP_MS = 30000,
+  /* Until every entry has it: several heartbeats between voters.  The caller
+     of a convicted request is told no sooner, so that its next attempt is
+     refused wherever it comes.  */
+  SPREAD_MS = 500,
 };
 
 void
@@ -108,14 +112,34 @@
   k->incarnation = one->incarnation;
   k->apart = one->apart;
   k->until = uv_now (en->o.loop) + GIVE_UP_MS;
+  k->spread = one->apart ? uv_now (en->o.loop) + SPREAD_MS : 0;
   g_hash_table_replace (en->strikes, &k->fingerprint, k);
   strike_propose (k);
 }
 
+/* Whether K is over: the request may be judged by the view alone.  One that
+   is convicted may at once.  Any other waits until all entries know that it is
+   a suspect: else its caller, once it is lost again, could have it run through
+   an entry that does not know of either strike.  */
+static bool
+strike_is_over (pu_strike_t *k, const pu_state_t *view, guint64 now)
+{
+  const pu_suspect_record *s;
+
+  if (k->until <= now)
+    return true;
+  if (k->position == 0 || k->position > pu_state_position (view))
+    return false;
+  if (k->settled == 0)
+    k->settled = now + k->en->o.settle_ms;
+  s = pu_state_suspect (view, k->fingerprint);
+  return k->settled <= now || (s != NULL && s->convicted);
+}
+
 void
 pu_strikes_tick (pu_entry_t *en, guint64 now)
 {
-  guint64 position = pu_state_position (en->o.hooks.view (en->o.hooks.data));
+  const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
   GHashTableIter it;
   gpointer value;
 
@@ -124,7 +148,7 @@
     {
       pu_strike_t *k = value;
 
-      if ((k->position != 0 && k->position <= position) || k->until <= now)
+      if (strike_is_over (k, view, now))
         {
           g_hash_table_iter_remove (&it);
         }
