Planner: the full plan looks at spare items once

Cause: each spare copy of the full plan looked at all items again (2.1 million checks at 770 engines and 940 models), and each look at an engine summed the item's adapters. Change: the items that spare memory may be given to are listed once a round; the need of an item is computed once a choice. The moves are the same.

--- a/libplantainusher/placement/planner_choose.c
+++ b/libplantainusher/placement/planner_choose.c
@@ -88,22 +88,29 @@
   return false;
 }
 
-bool
-pu_planner_can_hold (const pu_planner_t *p, guint32 engine, guint32 item)
+/* The same as pu_planner_can_hold for T, which needs NEED MB.  */
+static inline bool
+can_hold (const pu_planner_t *p, guint32 engine, guint32 item,
+          const pu_planned_item_t *t, guint32 need)
 {
   const pu_planned_engine_t *e = pu_planned_engine (p, engine);
-  const pu_planned_item_t *t = pu_planned_item (p, item);
 
-  if (!e->usable || e->closed || e->promised
-      || e->accelerators < t->i.accelerators)
+  if (!e->usable || e->closed || e->promised || need > e->memory_mb
+      || e->accelerators < t->i.accelerators || p->mark[engine] == p->stamp)
     return false;
-  if (blocked (e, item))
-    return false;
-  if (p->mark[engine] == p->stamp || pu_planned_need (p, t) > e->memory_mb)
+  if (e->blocks->len > 0 && blocked (e, item))
     return false;
   return t->i.base == PU_PLAN_NONE || holds_ready (e, t->i.base);
 }
 
+bool
+pu_planner_can_hold (const pu_planner_t *p, guint32 engine, guint32 item)
+{
+  const pu_planned_item_t *t = pu_planned_item (p, item);
+
+  return can_hold (p, engine, item, t, pu_planned_need (p, t));
+}
+
 /* Whether the copy in SLOT may go, so far as its own item is concerned.  */
 static bool
 removable (const pu_planner_t *p, const pu_planned_engine_t *e, guint slot,
@@ -342,7 +349,7 @@
       bool free = pu_planned_room (e, t) >= need;
       double s;
 
-      if ((!free && full->max == 0) || !pu_planner_can_hold (p, i, item))
+      if ((!free && full->max == 0) || !can_hold (p, i, item, t, need))
         continue;
       s = score (p, e);
       if (!free)
--- a/libplantainusher/placement/planner_grow.c
+++ b/libplantainusher/placement/planner_grow.c
@@ -188,51 +188,73 @@
   return most;
 }
 
-/* The item that has the fewest copies for its demand of those that need no
-   more than FREE_MB, or PU_PLAN_NONE.  */
-static guint32
-most_exposed (const pu_round_t *r, double streams, guint32 free_mb)
+/* An item that spare memory may be given to.  */
+typedef struct
+{
+  guint32 item;
+  double exposed; /* its demand for the copies that it has */
+} pu_exposed_t;
+
+/* The items that need no more than FREE_MB.  */
+static GArray *
+find_exposed (const pu_round_t *r, double streams, guint32 free_mb)
 {
-  guint32 best = PU_PLAN_NONE;
-  double most = 0;
+  GArray *exposed = g_array_new (FALSE, FALSE, sizeof (pu_exposed_t));
 
   for (guint32 i = 0; i < r->p->items->len; i++)
     {
       const pu_planned_item_t *t = pu_planned_item (r->p, i);
-      double exposed;
+      double n = copies (t);
+      pu_exposed_t x = { i, 0 };
 
-      if (!may_grow (r, t) || r->now < t->spare_after || t->coming > 0
-          || t->i.memory_mb > free_mb
-          || copies (t) >= spare_copies (r->p, t, streams))
+      if (t->coming > 0 || t->i.memory_mb > free_mb || r->now < t->spare_after
+          || !may_grow (r, t) || n >= spare_copies (r->p, t, streams))
         continue;
-      exposed = (1 + t->forecast.held) * t->i.importance
-                / (copies (t) * copies (t));
-      if (best != PU_PLAN_NONE && exposed <= most)
-        continue;
-      best = i;
-      most = exposed;
+      x.exposed = (1 + t->forecast.held) * t->i.importance / (n * n);
+      g_array_append_val (exposed, x);
     }
-  return best;
+  return exposed;
+}
+
+/* Removes and returns the most exposed item, the first of equals.  */
+static guint32
+take_most (GArray *exposed)
+{
+  const pu_exposed_t *all = (const pu_exposed_t *)(void *)exposed->data;
+  guint best = 0;
+  guint32 item;
+
+  for (guint i = 1; i < exposed->len; i++)
+    {
+      if (all[i].exposed > all[best].exposed
+          || (all[i].exposed == all[best].exposed
+              && all[i].item < all[best].item))
+        best = i;
+    }
+  item = all[best].item;
+  g_array_remove_index_fast (exposed, best);
+  return item;
 }
 
-/* Phase 6.  */
+/* Phase 6.  A load makes its own item coming, and takes no room from those
+   that have a copy: the list is made once.  */
 void
 pu_round_use_spare (pu_round_t *r)
 {
-  double streams = mean_streams (r->p);
   guint tries = r->full ? r->p->items->len : SPARE_TRIES;
-  guint32 free_mb = most_free (r->p);
+  GArray *exposed;
 
-  for (guint i = 0; i < tries && pu_round_store_takes (r); i++)
+  if (!pu_round_store_takes (r))
+    return;
+  exposed = find_exposed (r, mean_streams (r->p), most_free (r->p));
+  for (guint i = 0; i < tries && exposed->len > 0 && pu_round_store_takes (r);
+       i++)
     {
-      guint32 item = most_exposed (r, streams, free_mb);
-      guint32 engine;
-
-      if (item == PU_PLAN_NONE)
-        return;
-      engine = pu_planner_choose (
+      guint32 item = take_most (exposed);
+      guint32 engine = pu_planner_choose (
           r->p, item, pu_planned_version (pu_planned_item (r->p, item)),
           PU_ROOM_NONE, r->now, &r->v);
+
       if (engine != PU_PLAN_NONE)
         {
           pu_round_load (r, engine, item, PU_REASON_SPARE, 0, 0);
@@ -242,4 +264,5 @@
           pu_planned_item (r->p, item)->spare_after = r->now + SPARE_WAIT_MS;
         }
     }
+  g_array_unref (exposed);
 }
