Planner: an item on several hot engines is offered once

Cause: a step that follows demand made the same offer again for each hot engine that an item is on, each with a choice among all engines. Change: the offer of the hottest stands. The moves are the same.

--- a/libplantainusher/placement/planner_grow.c
+++ b/libplantainusher/placement/planner_grow.c
@@ -94,6 +94,27 @@
          && pu_round_base_is_ready (r, t);
 }
 
+/* Whether ITEM was met on a hotter engine than the one at INDEX: its offer is
+   the same.  */
+static bool
+met_before (const pu_planner_t *p, const guint32 *hot, guint index,
+            guint32 item)
+{
+  for (guint i = 0; i < index; i++)
+    {
+      const pu_planned_engine_t *e = pu_planned_engine (p, hot[i]);
+
+      for (guint s = 0; s < e->copies->len; s++)
+        {
+          const pu_planned_copy_t *c = pu_planned_copy (e, s);
+
+          if (c->c.item == item && c->share > 0)
+            return true;
+        }
+    }
+  return false;
+}
+
 /* The best offer for the items on hot engines.  */
 static pu_offer_t
 best_offer (pu_round_t *r)
@@ -111,7 +132,7 @@
           const pu_planned_copy_t *c = pu_planned_copy (e, s);
           pu_offer_t o;
 
-          if (c->share <= 0
+          if (c->share <= 0 || met_before (r->p, hot, i, c->c.item)
               || !may_grow (r, pu_planned_item (r->p, c->c.item)))
             continue;
           o = make_offer (r, c->c.item);
