Planner: two places are found ahead for each load of the store

Cause: the rooms of a zone's models were made a store's worth at a time, so drains were waited for while the store was idle. Change: twice as many places are promised ahead.

--- a/libplantainusher/placement/planner_repair.c
+++ b/libplantainusher/placement/planner_repair.c
@@ -6,6 +6,8 @@
    and on how many engines room is made for it at once.  */
 #define SLOW_ROOM_MS 3000
 #define ROOMS_AT_ONCE 2
+/* Places that are found ahead, for each load that the store takes at once.  */
+#define PLACES_AHEAD 2
 
 /* The promised copy of E, which index_engine listed last; a load may have
    been listed after it since.  */
@@ -178,12 +180,12 @@
 }
 
 /* Whether a lost item may be promised a place: room is made while the store
-   is busy, for as many loads as the store takes.  */
+   is busy.  */
 static bool
 may_promise (const pu_round_t *r)
 {
   return pu_round_store_takes_urgent (r)
-         || r->p->promised < r->p->o.max_coming;
+         || r->p->promised < PLACES_AHEAD * r->p->o.max_coming;
 }
 
 static void
