--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -37,7 +37,6 @@
   guint64 due;      /* loop time to propose it again; 0: it is proposed */
   guint64 until;    /* loop time when it is given up */
   guint64 settled;  /* loop time when all entries have it; 0: not yet in */
-  guint64 spread;   /* loop time when every entry has it */
 } pu_strike_t;
 
 /* An attempt that broke at a backend server that still listened after.  */
--- a/libplantainusher/entry/strikes.c
+++ b/libplantainusher/entry/strikes.c
@@ -8,10 +8,6 @@
 {
   AGAIN_MS = 500, /* pause before a strike is proposed again */
   GIVE_UP_MS = 30000,
-  /* Until every entry has it: several heartbeats between voters.  The caller
-     of a convicted request is told no sooner, so that its next attempt is
-     refused wherever it comes.  */
-  SPREAD_MS = 500,
 };
 
 void
@@ -112,7 +108,6 @@
   k->incarnation = one->incarnation;
   k->apart = one->apart;
   k->until = uv_now (en->o.loop) + GIVE_UP_MS;
-  k->spread = one->apart ? uv_now (en->o.loop) + SPREAD_MS : 0;
   g_hash_table_replace (en->strikes, &k->fingerprint, k);
   strike_propose (k);
 }
