Entry: a fuzz target for announcements

Cause: of the decoders only that of announcements had no libFuzzer target. Change: announcement_fuzz: any JSON gives a report or findings, alone and over the report before it, and what is given can be encoded for the log.

--- /dev/null
+++ b/libplantainusher/entry/announcement_fuzz.cc
@@ -0,0 +1,38 @@
+/* Any text that is JSON gives a report or findings, alone and over the report
+   before it; what is given can be put into the log.  */
+#include <stdint.h>
+
+#include "entry/entry_private.h"
+#include "state/codec.h"
+
+static void
+check_report (const json_t *root, const pu_backend_record *base)
+{
+  pu_findings_t *f = pu_findings_new ();
+  pu_announcement_t a = {};
+  const bool read = pu_announcement_read (&a, root, base, f);
+
+  if (read != (pu_findings_count (f) == 0))
+    __builtin_trap ();
+  if (read)
+    {
+      if (base == nullptr)
+        check_report (root, a.record);
+      g_bytes_unref (
+          pu_codec_encode ((xdrproc_t)xdr_pu_backend_record, a.record));
+    }
+  pu_announcement_clear (&a);
+  pu_findings_free (f);
+}
+
+extern "C" int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  json_t *root
+      = json_loadb ((const char *)data, size, JSON_REJECT_DUPLICATES, nullptr);
+
+  if (root != nullptr)
+    check_report (root, nullptr);
+  json_decref (root);
+  return 0;
+}
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -15,6 +15,8 @@
  * entry_private - the entry's tables and one request, shared by its files.
  */
 
+G_BEGIN_DECLS
+
 #define PU_ENTRY_PART "entry"
 
 /* A request is relayed once to an entry of its service, and once more when it
@@ -398,4 +400,6 @@
                         const pu_once_result_t *result);
 void pu_claim_pump (pu_entry_t *en);
 
+G_END_DECLS
+
 #endif
