--- a/bench/relay_bench.py
+++ b/bench/relay_bench.py
@@ -130,10 +130,12 @@
                  "us/request")
 
 
-def first_token(bench, rig, rounds, seconds):
-    """relay.first_token.c64: medians over the rounds of p50 and p99."""
+def first_token(bench, rig, connections, rounds, seconds):
+    """relay.first_token.cN: medians over the rounds of p50 and p99."""
+    name = f"relay.first_token.c{connections}"
+
     def quantiles(relayed, out):
-        figures = rig.run(relayed, 64, seconds)
+        figures = rig.run(relayed, connections, seconds)
         for q in out:
             out[q].append(statistics.mean(
                 f[f"first_token_{q}_ms"] for f in figures))
@@ -142,13 +144,13 @@
     for _ in range(rounds):
         quantiles(False, direct)
         quantiles(True, relayed)
-    note(f"p99 direct {direct['p99']}, relayed {relayed['p99']}")
+    note(f"{name}: p99 direct {direct['p99']}, relayed {relayed['p99']}")
     added = {q: statistics.median(relayed[q]) - statistics.median(direct[q])
              for q in direct}
-    bench.report("relay.first_token.c64", added["p99"], "ms",
+    bench.report(name, added["p99"], "ms",
                  statistics.median(relayed["p99"])
                  / statistics.median(direct["p99"]))
-    bench.report("relay.first_token.c64.p50", added["p50"], "ms",
+    bench.report(f"{name}.p50", added["p50"], "ms",
                  statistics.median(relayed["p50"])
                  / statistics.median(direct["p50"]))
 
@@ -193,11 +195,14 @@
                 cost_of_a_token(bench, rig, seconds)
         finally:
             rig.close()
-    if bench.wanted("relay.first_token.c64", "relay.cpu_us_token.paced"):
+    if bench.wanted("relay.first_token.", "relay.cpu_us_token.paced"):
         rig = Rig(bench, REAL_MS)
         try:
             rig.warm()
-            first_token(bench, rig, 5, 1.2 if bench.quick else 3)
+            for connections in (1, 64, OPEN_STREAMS):
+                if bench.wanted(f"relay.first_token.c{connections}"):
+                    first_token(bench, rig, connections, 5,
+                                1.2 if bench.quick else 3)
             cost_of_a_token(bench, rig, seconds, ".paced")
         finally:
             rig.close()
