State: look for a backend server to forget only when there are too many

Cause: each loss of a backend server listed all open orders once for every one that was down, and threw the answer away below 1,025 of them. Change: counting and searching are two functions; the search runs only when one is to be forgotten. Behaviour stays.

--- a/libplantainusher/state/apply_backends.c
+++ b/libplantainusher/state/apply_backends.c
@@ -79,12 +79,9 @@
 /* How many backend servers that are down are remembered.  */
 #define DOWN_BACKENDS_MAX 1024
 
-/* Forgets a backend server that is down and whose orders are all over, when
-   too many are remembered.  */
-static void
-forget_one_down (pu_state_t *s)
+static guint
+count_down (const pu_state_t *s)
 {
-  const pu_backend_record *found = NULL;
   guint down = 0;
 
   for (GTreeNode *n = g_tree_node_first (s->backends); n != NULL;
@@ -92,13 +89,37 @@
     {
       const pu_backend_record *b = g_tree_node_value (n);
 
-      if (!b->down)
-        continue;
-      down++;
-      if (found == NULL && !pu_memory_has_orders (s->memory, b->name))
-        found = b;
+      down += b->down ? 1 : 0;
     }
-  if (down <= DOWN_BACKENDS_MAX || found == NULL)
+  return down;
+}
+
+/* The first backend server that is down and whose orders are all over, or
+   NULL.  */
+static const pu_backend_record *
+find_forgettable (const pu_state_t *s)
+{
+  for (GTreeNode *n = g_tree_node_first (s->backends); n != NULL;
+       n = g_tree_node_next (n))
+    {
+      const pu_backend_record *b = g_tree_node_value (n);
+
+      if (b->down && !pu_memory_has_orders (s->memory, b->name))
+        return b;
+    }
+  return NULL;
+}
+
+/* Forgets one that is down, when too many are remembered.  */
+static void
+forget_one_down (pu_state_t *s)
+{
+  const pu_backend_record *found;
+
+  if (count_down (s) <= DOWN_BACKENDS_MAX)
+    return;
+  found = find_forgettable (s);
+  if (found == NULL)
     return;
   pu_memory_forget (s->memory, found->name);
   g_tree_remove (s->backends, found->name);
