Settings: a backend server's lease outlasts the way of its reports

The leader's log has each of the four engines taken for dead every second or two, silent for 1001 to 1098 ms: the test's backend_lease_ms was 1000, while a report needs up to report_interval_ms (200), the next poll (500) and the voter's next message to the leader (1000) to renew it. Each false death sends the planner's reservations back ('the backend server is down'). The settings' check asked for twice report_interval_ms only, so such settings were taken without a word.

Ruled out: a fault of the woken leader. It gave up its lease as soon as it woke; the new leader's log shows it planning and refused by the flapping membership alone.

Change: backend_lease_ms must be at least 2 report_interval_ms + poll_wait_ms + the 1000 ms between voters (one report lost); the settings slice holds that period now, and the daemon gives it to control. The test has a lease of 2500 ms and an order's life of 10 s (four leases, as before).

The settings test fails without the new check.

Conclusion: default settings (5000 = 2 x 1000 + 2000 + 1000) stay valid.

--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -153,6 +153,7 @@
   o.seed = seed_of (s);
   o.heartbeat_ms = s->timing.heartbeat_ms;
   o.election_ms = s->timing.election_ms;
+  o.sessions_ms = PU_SETTINGS_SESSIONS_MS;
   o.claims_max = s->limits.max_claims;
   o.snapshot_entries = s->limits.snapshot_entries;
   o.connect_ms = s->timing.connect_timeout_ms;
--- a/libplantainusher/settings/checks.c
+++ b/libplantainusher/settings/checks.c
@@ -23,8 +23,6 @@
   RULE (election_ms, 4, heartbeat_ms,
         "two lost heartbeats would cost the leader its lease"),
   RULE (session_ms, 2, poll_wait_ms, "one lost poll would end the session"),
-  RULE (backend_lease_ms, 2, report_interval_ms,
-        "one lost report would end the lease"),
   RULE (order_life_ms, 4, backend_lease_ms,
         "a silent backend server could be taken to have reported"),
 };
@@ -55,6 +53,25 @@
     }
 }
 
+/* A backend server's report reaches the leader with its entry's next poll and
+   that voter's next message.  One report may be lost on the way.  */
+static void
+check_backend_lease (const pu_settings_timing_t *t, pu_findings_t *f)
+{
+  guint64 least = 2 * (guint64)t->report_interval_ms + t->poll_wait_ms
+                  + PU_SETTINGS_SESSIONS_MS;
+
+  if (t->backend_lease_ms >= least)
+    return;
+  pu_findings_add (f, "/timing/backend_lease_ms",
+                   "is %u; it must be at least %" G_GUINT64_FORMAT
+                   ": 2 times report_interval_ms (%u), poll_wait_ms (%u) and "
+                   "%u ms between voters, else a live backend server is "
+                   "taken for dead",
+                   t->backend_lease_ms, least, t->report_interval_ms,
+                   t->poll_wait_ms, PU_SETTINGS_SESSIONS_MS);
+}
+
 /* Adds VALUE at the printf-style path; a finding when it was there before.
    The value itself is not told: it may be a key.  */
 static void G_GNUC_PRINTF (4, 5)
@@ -211,4 +228,5 @@
   check_keys (s, f);
   check_voters (s, f);
   check_times (&s->timing, f);
+  check_backend_lease (&s->timing, f);
 }
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -27,6 +27,9 @@
 /* Most voters of the replicated log.  */
 #define PU_SETTINGS_VOTERS_MAX 7
 
+/* A voter tells the leader of its daemons and backend servers this often.  */
+#define PU_SETTINGS_SESSIONS_MS 1000u
+
 typedef struct
 {
   const char *callers;   /* entries only; else "" */
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -144,7 +144,15 @@
     { control, "'name': 'c1'",
       "'timing': {'poll_wait_ms': 5000}, 'name': 'c1'",
       "/timing/session_ms: is 8000; it must be at least 2 times poll_wait_ms "
-      "(5000), else one lost poll would end the session\n" },
+      "(5000), else one lost poll would end the session\n"
+      "/timing/backend_lease_ms: is 5000; it must be at least 8000: 2 times "
+      "report_interval_ms (1000), poll_wait_ms (5000) and 1000 ms between "
+      "voters, else a live backend server is taken for dead\n" },
+    { control, "'name': 'c1'",
+      "'timing': {'backend_lease_ms': 4999}, 'name': 'c1'",
+      "/timing/backend_lease_ms: is 4999; it must be at least 5000: 2 times "
+      "report_interval_ms (1000), poll_wait_ms (2000) and 1000 ms between "
+      "voters, else a live backend server is taken for dead\n" },
     { entry, "'callers': '127.0.0.1:4',", "",
       "/addresses/callers: is required for role entry\n" },
     { entry, "'join': ['127.0.0.1:3']", "'log_level': 'info'",
--- a/tests/placement_process_test.py
+++ b/tests/placement_process_test.py
@@ -10,10 +10,10 @@
 
 from cluster import Background, ClusterTest, main, request, wait_until
 
-LIFE_MS = 4000
+LIFE_MS = 10000
 TRANSIT_MS = LIFE_MS // 3
-TIMING = {"order_life_ms": LIFE_MS, "backend_lease_ms": 1000,
-          "connect_timeout_ms": 500}
+TIMING = {"order_life_ms": LIFE_MS, "backend_lease_ms": LIFE_MS // 4,
+          "poll_wait_ms": 200, "connect_timeout_ms": 500}
 ENGINE_MB = 1000
 MODEL_MB = 150
 CACHE_MB = 50
