Operators: a daemon without a state says so

`status` told of version 0 at position 0.

Ruled out: 503 for `status` (it is what an operator looks at first; it says "ready": false instead); waiting for a voter's confirmation as callers' paths do (a voter that is alone would not show what was in force there, which config_process_test asks for).

Change: routes say whether they need the view; without one they answer 503 with Retry-After and a reason. `status` has "ready", and the command prints "no state yet" in place of version and position.

--- a/cli/cli_server_test.cc
+++ b/cli/cli_server_test.cc
@@ -196,6 +196,20 @@
              PU_CLI_UNAVAILABLE);
 }
 
+TEST_F (CommandLine, ADaemonWithoutAStateIsTold)
+{
+  std::string out;
+
+  server.daemon.ready = false;
+  EXPECT_EQ (at_server ({ "show", "--json" }, &out), PU_CLI_UNAVAILABLE);
+  EXPECT_NE (out.find ("no state yet"), std::string::npos) << out;
+  EXPECT_EQ (at_server ({ "submit", file, "--latest" }), PU_CLI_UNAVAILABLE);
+  EXPECT_EQ (server.daemon.position, 0u);
+  EXPECT_EQ (at_server ({ "status" }, &out), PU_CLI_OK);
+  EXPECT_NE (out.find ("no state yet"), std::string::npos) << out;
+  EXPECT_EQ (out.find ("version 0"), std::string::npos) << out;
+}
+
 TEST_F (CommandLine, ALostAnswerIsSentAgain)
 {
   std::string out;
--- a/cli/control.c
+++ b/cli/control.c
@@ -101,19 +101,35 @@
   return json_is_true (quorum) ? "yes" : "no";
 }
 
+/* The first line; without a state, version and position would tell of one.  */
+static void
+print_instance (GString *out, const json_t *status)
+{
+  g_string_append_printf (out,
+                          "Instance %s: ", string_of (status, "instance"));
+  if (json_is_false (json_object_get (status, "ready")))
+    {
+      g_string_append (out, "no state yet, it waits for a voter");
+    }
+  else
+    {
+      g_string_append_printf (
+          out,
+          "document version %" JSON_INTEGER_FORMAT
+          ", position %" JSON_INTEGER_FORMAT,
+          json_integer_value (json_object_get (status, "version")),
+          json_integer_value (json_object_get (status, "position")));
+    }
+  g_string_append_printf (out, ", leader %s, quorum %s.\n",
+                          string_of (status, "leader"), quorum_of (status));
+}
+
 static void
 print_status (const json_t *status)
 {
   GString *out = g_string_new ("");
 
-  g_string_append_printf (
-      out,
-      "Instance %s: document version %" JSON_INTEGER_FORMAT
-      ", position %" JSON_INTEGER_FORMAT ", leader %s, quorum %s.\n",
-      string_of (status, "instance"),
-      json_integer_value (json_object_get (status, "version")),
-      json_integer_value (json_object_get (status, "position")),
-      string_of (status, "leader"), quorum_of (status));
+  print_instance (out, status);
   count_copies (json_object_get (status, "backends"));
   for (size_t i = 0; i < G_N_ELEMENTS (sections); i++)
     {
--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -158,6 +158,12 @@
   return a->view;
 }
 
+bool
+pu_agent_has_view (const pu_agent_t *a)
+{
+  return a->ready;
+}
+
 bool
 pu_agent_ready (const pu_agent_t *a)
 {
--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -70,6 +70,10 @@
 /* pu_agent_view - the public copy; never NULL, empty until ready.  */
 const pu_state_t *pu_agent_view (const pu_agent_t *a);
 
+/* pu_agent_has_view - whether the copy holds an image, be it the kept one that
+   nobody has confirmed yet; without one it is empty and tells nothing.  */
+bool pu_agent_has_view (const pu_agent_t *a);
+
 /* pu_agent_ready - whether the copy holds an image, so that the daemon may
    serve.  */
 bool pu_agent_ready (const pu_agent_t *a);
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -109,6 +109,15 @@
   return pu_agent_view (d->agent);
 }
 
+/* The kept copy is shown before a voter confirms it: it was in force here.  */
+static bool
+operator_ready (void *data)
+{
+  const pu_daemon_t *d = data;
+
+  return pu_agent_has_view (d->agent);
+}
+
 static void
 operator_propose (const pu_command *c, guint32 timeout_ms,
                   pu_operator_reply_fn *done, void *done_data, void *data)
@@ -202,6 +211,7 @@
 pu_daemon_operator_hooks (pu_daemon_t *d, pu_operator_hooks_t *h)
 {
   h->view = operator_view;
+  h->ready = operator_ready;
   h->propose = operator_propose;
   h->status = pu_daemon_status;
   h->history = operator_history;
--- a/libplantainusher/operator/fake_daemon.cc
+++ b/libplantainusher/operator/fake_daemon.cc
@@ -92,6 +92,7 @@
   h.view = [] (void *data) -> const pu_state_t * {
     return static_cast<Daemon *> (data)->state;
   };
+  h.ready = [] (void *data) { return static_cast<Daemon *> (data)->ready; };
   h.propose = propose;
   h.status = status;
   h.dump = [] (void *) { return json_pack ("{s:s}", "fake", "dump"); };
--- a/libplantainusher/operator/fake_daemon.h
+++ b/libplantainusher/operator/fake_daemon.h
@@ -27,6 +27,7 @@
   pu_state_t *state;
   uint64_t position = 0;
   Log log = Log::WORKS;
+  bool ready = true;
   pu_operator_reply_fn *held = nullptr;
   void *held_data = nullptr;
   std::string voters;
--- a/libplantainusher/operator/internal.h
+++ b/libplantainusher/operator/internal.h
@@ -76,6 +76,9 @@
 /* pu_operator_exchange_view - the newest state.  */
 const pu_state_t *pu_operator_exchange_view (const pu_operator_exchange_t *x);
 
+/* pu_operator_is_ready - whether the newest state may be shown.  */
+bool pu_operator_is_ready (const pu_operator_t *op);
+
 /* pu_operator_unref - gives up an exchange's reference.  */
 void pu_operator_unref (pu_operator_t *op);
 
--- a/libplantainusher/operator/operator.h
+++ b/libplantainusher/operator/operator.h
@@ -52,9 +52,14 @@
  */
 typedef struct
 {
-  /* The newest state that this process has; never NULL.  */
+  /* The newest state that this process has; never NULL, empty before
+     ready.  */
   const pu_state_t *(*view) (void *data);
 
+  /* Whether the view may be shown.  Until then each path that needs it
+     answers "unavailable" (503).  NULL: always.  */
+  bool (*ready) (void *data);
+
   /* Proposes C to the log and answers within TIMEOUT_MS.  C is the caller's
      and is gone when the hook returns.  */
   void (*propose) (const pu_command *c, guint32 timeout_ms,
--- a/libplantainusher/operator/operator_test.cc
+++ b/libplantainusher/operator/operator_test.cc
@@ -450,6 +450,38 @@
   EXPECT_EQ (ask ("GET", "/metrics")->text, "plantainusher_x 1\n");
 }
 
+/* An empty view is not shown as the state, nor taken for a first document.  */
+TEST_F (Operator, WithoutAStateNothingIsToldOfIt)
+{
+  daemon.ready = false;
+  for (const char *path : { "/operator/document", "/operator/convictions" })
+    {
+      auto a = ask ("GET", path);
+
+      EXPECT_EQ (a->status, 503) << path;
+      EXPECT_EQ (a->retry_after, "2");
+      EXPECT_EQ (a->str ("error"), "unavailable");
+      EXPECT_EQ (a->str ("outcome"), "not-run");
+      EXPECT_NE (a->str ("message").find ("no state yet"), std::string::npos);
+    }
+  for (const char *path :
+       { "/operator/diff", "/operator/plan", "/operator/drain",
+         "/operator/submit", "/operator/convictions/lift" })
+    EXPECT_EQ (ask ("POST", path, GOOD)->status, 503) << path;
+  EXPECT_EQ (submit (0, "c1")->status, 503);
+  EXPECT_EQ (daemon.position, 0u);
+  EXPECT_EQ (ask ("GET", "/operator/document", "", nullptr)->status, 401);
+  EXPECT_EQ (ask ("POST", "/operator/check", BAD)->status, 400);
+  EXPECT_EQ (ask ("GET", "/operator/dump")->status, 200);
+  auto status = ask ("GET", "/operator/status");
+  EXPECT_EQ (status->status, 200);
+  EXPECT_TRUE (json_is_false (json_object_get (status->body, "ready")));
+
+  daemon.ready = true;
+  EXPECT_EQ (ask ("GET", "/operator/document")->status, 404);
+  EXPECT_EQ (submit (0, "c1")->status, 200);
+}
+
 /* An answer that says "not-run" was not applied.  */
 bool
 truthful (const Answer &a, const fake::Daemon &daemon)
--- a/libplantainusher/operator/views.c
+++ b/libplantainusher/operator/views.c
@@ -308,6 +308,8 @@
   backends_t backends = { s, json_array () };
   json_t *members = json_array ();
 
+  json_object_set_new (status, "ready",
+                       json_boolean (pu_operator_is_ready (x->op)));
   set_number (status, "position", pu_state_position (s));
   set_number (status, "view", pu_state_view (s));
   pu_state_each_member (s, add_member, members);
--- a/tests/config_process_test.py
+++ b/tests/config_process_test.py
@@ -66,6 +66,24 @@
                 v.cont()
         self.in_force()
 
+    def test_without_a_state_it_says_so(self):
+        """A daemon that no voter has answered yet, and that kept nothing,
+        does not tell of an empty state; once it has one, it does tell."""
+        c = self.cluster()
+        voter, = c.add_voters(["v1"], ["control"])
+        entry = c.add("e1", ["entry"])
+        c.start(entry)
+        a = entry.ask("GET", "/operator/document")
+        self.assertEqual((a.status, a.headers["retry-after"], a.json["error"]),
+                         (503, "2", "unavailable"))
+        self.assertIs(entry.status()["ready"], False)
+        self.assertEqual(entry.submit(0, "early", {"services": {}}).status,
+                         503)
+        c.start(voter)
+        c.wait_leader()
+        wait_until("a state", lambda: entry.status()["ready"])
+        self.assertEqual(entry.ask("GET", "/operator/document").status, 404)
+
     def test_voter_alone_shows_nothing_older(self):
         """Invariant: a voter that starts again without the others, and so
         cannot know what was committed last, shows what was in force there."""
