Entry: a name that is no UTF-8 in a request ended the process

Cause: a refusal repeats what the caller named. GET /v1/entries?service=%ff, a path /services/<ff>/ and a header X-Service with such a byte gave a message that jansson does not pack; the text was NULL and strlen read it. One request of any caller ended an entry and all that ran there.

Ruled out: refusing such requests before they are read (three places to keep right, and the next message would be the fourth).

Change: the text of an error is made valid UTF-8 in the one place that builds it, as the operators' paths do.

Before: entry_test ended by SIGSEGV with the three new rows of BadRequestsAreRefusedAsNotRun; after: 404, not-run, and it passes.

--- a/libplantainusher/entry/answer.c
+++ b/libplantainusher/entry/answer.c
@@ -31,9 +31,14 @@
 char *
 pu_error_text (const pu_refusal_t *r, const char *message)
 {
-  return json_text (json_pack ("{s:{s:s, s:s, s:s}}", "error", "message",
-                               message, "type", r->type, "outcome",
-                               pu_outcome_word (r->outcome)));
+  /* It may repeat what the caller sent, which JSON need not be able to say. */
+  char *valid = g_utf8_make_valid (message, -1);
+  char *text = json_text (json_pack ("{s:{s:s, s:s, s:s}}", "error", "message",
+                                     valid, "type", r->type, "outcome",
+                                     pu_outcome_word (r->outcome)));
+
+  g_free (valid);
+  return text;
 }
 
 void
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -72,6 +72,14 @@
     { "GET", "/services/none/x", "", {}, 404 },
     { "GET", "/v1/entries?service=none", "", {}, 404 },
     { "POST", "/v1/backends/announce", "{}", {}, 401 },
+    /* What is no UTF-8 is told in the answer, which is.  */
+    { "GET", "/v1/entries?service=%ff", "", {}, 404 },
+    { "GET", "/services/\xff/x", "", {}, 404 },
+    { "POST",
+      "/v1/completions",
+      "{\"model\":\"m\",\"prompt\":\"\"}",
+      { { "X-Service", "\xff" } },
+      404 },
   };
 
   for (const auto &row : table)
