--- a/cli/cli_server_test.cc
+++ b/cli/cli_server_test.cc
@@ -185,6 +185,7 @@
   EXPECT_EQ (at_server ({ "check", file }), PU_CLI_INVALID);
   EXPECT_EQ (run ({ "check", file }), PU_CLI_INVALID);
   EXPECT_EQ (at_server ({ "drain", "--backend", "none" }), PU_CLI_NOT_FOUND);
+  EXPECT_EQ (at_server ({ "drain", "--backend", "\xff" }), PU_CLI_USAGE);
   g_setenv ("PLANTAINUSHER_KEY", "wrong", TRUE);
   EXPECT_EQ (at_server ({ "status" }), PU_CLI_DENIED);
 }
--- a/cli/command.c
+++ b/cli/command.c
@@ -287,10 +287,17 @@
 pu_cli_post (const pu_cli_options_t *o, const char *target, json_t *body,
              bool repeatable, pu_operator_answer_t *a)
 {
-  char *text = json_dumps (body, JSON_COMPACT);
-  pu_operator_call_t q = { "POST", target, text, strlen (text), repeatable };
-  int code = pu_cli_call (o, &q, a);
+  pu_operator_call_t q = { "POST", target, NULL, 0, repeatable };
+  char *text;
+  int code;
 
+  memset (a, 0, sizeof *a);
+  if (body == NULL)
+    return pu_cli_fail (o, PU_CLI_USAGE, "An argument is not UTF-8 text.");
+  text = json_dumps (body, JSON_COMPACT);
+  q.body = text;
+  q.body_len = strlen (text);
+  code = pu_cli_call (o, &q, a);
   json_decref (body);
   free (text);
   return code;
--- a/cli/command.h
+++ b/cli/command.h
@@ -88,7 +88,8 @@
 int pu_cli_get (const pu_cli_options_t *o, const char *target,
                 pu_operator_answer_t *a);
 
-/* pu_cli_post - POST of BODY, whose reference it takes.  */
+/* pu_cli_post - POST of BODY, whose reference it takes; NULL, from an argument
+   that JSON can't say, is reported.  */
 int pu_cli_post (const pu_cli_options_t *o, const char *target, json_t *body,
                  bool repeatable, pu_operator_answer_t *a);
 
--- a/libplantainusher/http/request.c
+++ b/libplantainusher/http/request.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http/query.h"
+
 enum
 {
   STATUS_CLIENT_CLOSED = 499,
@@ -96,20 +98,7 @@
 char *
 pu_http_request_query_value (const pu_http_request_t *r, const char *key)
 {
-  char **pairs = g_strsplit (pu_http_request_query (r), "&", -1);
-  gsize len = strlen (key);
-  char *value = NULL;
-
-  for (char **p = pairs; *p != NULL && value == NULL; p++)
-    {
-      if (strncmp (*p, key, len) == 0 && (*p)[len] == '=')
-        {
-          g_strdelimit (*p, "+", ' ');
-          value = g_uri_unescape_string (*p + len + 1, NULL);
-        }
-    }
-  g_strfreev (pairs);
-  return value;
+  return pu_http_query_value (pu_http_request_query (r), key);
 }
 
 void
