Breaks: rules of the daemon that a test build breaks on purpose

Cause: the invariants of configuration, planned stops, draining and silent connections had process tests that count, and nothing that showed that these can fail; the cores' deliberate breaks reached no daemon.

Ruled out: a setting or an option of the command line, which would ship; bits of each core by number in the environment, which no reader can follow.

Change: the build option PU_BREAKS; base/breaks.h names each rule, looked at in one place, chosen by the variable PU_BREAK. In any other build the check is false at compile time.

--- a/libplantainusher/agent/keep.c
+++ b/libplantainusher/agent/keep.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 #define MAGIC "puview1\n"
@@ -196,6 +197,9 @@
 {
   work_t *w = req->data;
 
+  if (pu_break_active (PU_BREAK_VIEW_KEPT_ONCE)
+      && g_file_test (w->path, G_FILE_TEST_EXISTS))
+    return;
   w->error = save (w) ? 0 : errno;
 }
 
--- a/libplantainusher/agent/view.c
+++ b/libplantainusher/agent/view.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 /* How long an announcement may take before it is made again.  */
@@ -9,6 +10,13 @@
 
 /* --- the public copy --- */
 
+static bool
+is_ignored (const pu_state_t *s, const pu_command *c)
+{
+  return pu_break_active (PU_BREAK_DOCUMENT_IGNORED)
+         && c->type == PU_COMMAND_SUBMIT && pu_state_document (s) != NULL;
+}
+
 void
 pu_agent_apply_entries (pu_state_t *s, const pu_poll_reply *r)
 {
@@ -24,7 +32,8 @@
           pu_log_warn (PU_AGENT_PART, "Skipped an entry: %s", e.message);
           continue;
         }
-      pu_state_apply (s, x->position, &c, NULL);
+      if (!is_ignored (s, &c))
+        pu_state_apply (s, x->position, &c, NULL);
       pu_command_clear (&c);
     }
 }
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "daemon/parts.h"
 #include "operator/mount.h"
 #include "rpc/rpc.h"
@@ -261,6 +262,19 @@
   o->ttl_s = s->timing.entries_ttl_s;
 }
 
+/* For tests alone: nothing in a usual build.  */
+static void
+set_entry_breaks (pu_entry_options_t *o)
+{
+  o->test_breaks
+      = pu_break_bit (PU_BREAK_NOT_RUN_TOLD, PU_ENTRY_BREAK_OUTCOME)
+        | pu_break_bit (PU_BREAK_ONCE_REPEATED, PU_ENTRY_BREAK_REPEAT)
+        | pu_break_bit (PU_BREAK_REPLAY_PASSED, PU_ENTRY_BREAK_REPLAY)
+        | pu_break_bit (PU_BREAK_TRUNCATED_WHOLE, PU_ENTRY_BREAK_WHOLE);
+  if (pu_break_active (PU_BREAK_SILENCE_IGNORED))
+    o->progress_ms = G_MAXINT;
+}
+
 static bool
 build_entry (pu_daemon_t *d, pu_error_t *e)
 {
@@ -286,6 +300,7 @@
   o.seed = seed_of (s);
   pu_daemon_entry_reloadable (s, &o);
   set_entry_times (s, &o);
+  set_entry_breaks (&o);
   pu_daemon_entry_hooks (d, &o.hooks);
   d->entry = pu_entry_new (&o, e);
   return d->entry != NULL;
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "base/breaks.h"
 #include "base/log.h"
 #include "daemon/parts.h"
 
@@ -127,7 +128,8 @@
 {
   uint64_t limit = (uint64_t)d->settings->limits.drain_s * MS_PER_S;
 
-  if (!d->hurry && in_phase_ms (d) < limit)
+  if (!d->hurry && in_phase_ms (d) < limit
+      && !pu_break_active (PU_BREAK_STOP_CUTS))
     return;
   pu_log_warn (PART, "Gave up %u requests at the end of the drain time.",
                pu_entry_open (d->entry));
--- a/libplantainusher/entry/claim.c
+++ b/libplantainusher/entry/claim.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/breaks.h"
+
 /* What a proposal's answer belongs to.  */
 typedef struct
 {
@@ -130,6 +132,8 @@
 {
   if (r == NULL)
     return e->kind == PU_ERROR_TIMEOUT ? PU_ONCE_TIMEOUT : PU_ONCE_REFUSED;
+  if (pu_break_active (PU_BREAK_CLAIM_AGAIN))
+    return PU_ONCE_GRANTED;
   switch (r->outcome)
     {
     case PU_OUTCOME_DONE:
@@ -346,6 +350,11 @@
         {
         case PU_ONCE_CLAIM:
           claim_propose (en, &a);
+          if (pu_break_active (PU_BREAK_CLAIM_EARLY))
+            {
+              pu_once_claimed (en->once, a.handle, PU_ONCE_GRANTED, 0, NULL,
+                               now_of (en));
+            }
           break;
         case PU_ONCE_DISPATCH:
           claim_dispatch (en, &a);
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 enum
@@ -208,6 +209,8 @@
   router.region = en->region;
   router.zone = en->zone;
   router.block_tokens = BLOCK_TOKENS;
+  if (pu_break_active (PU_BREAK_DRAINING_USED))
+    router.test_break = PU_ROUTER_BREAK_DRAINING;
   en->router = pu_router_new (&router);
   pu_directory_options_init (&directory);
   directory.self = en->name;
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -1,5 +1,6 @@
 #include "entry/entry_private.h"
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 #include <string.h>
@@ -25,6 +26,8 @@
           .zone = m->zone,
           .leaving = m->leaving || (self && members->en->leaving) };
 
+  if (pu_break_active (PU_BREAK_LEAVING_NAMED))
+    one.leaving = false;
   g_array_append_val (members->found, one);
 }
 
--- a/libplantainusher/http/client.c
+++ b/libplantainusher/http/client.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/breaks.h"
+
 enum
 {
   CONNECT_TIMEOUT_MS = 2000,
@@ -355,7 +357,15 @@
 {
   if (call == NULL || call->ended)
     return;
-  pu_conn_close (call->conn);
+  if (pu_break_active (PU_BREAK_CONNECTION_REUSED) && !call->conn->writing
+      && call->written)
+    {
+      pu_client_keep (call->conn);
+    }
+  else
+    {
+      pu_conn_close (call->conn);
+    }
   call_free (call);
 }
 
--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -4,6 +4,7 @@
 #include <sys/random.h>
 #include <time.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 enum
@@ -610,6 +611,8 @@
 bool
 pu_group_holds_lease (pu_group_t *g)
 {
+  if (pu_break_active (PU_BREAK_LEASE_IGNORED))
+    return pu_group_is_leader (g);
   return !g->closing && pu_replica_holds_lease (g->replica, now (g));
 }
 
--- a/libplantainusher/placer/placer.c
+++ b/libplantainusher/placer/placer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 #define DEFAULT_LEASE_MS 800
@@ -46,6 +47,17 @@
   r->retry_ms = MIN (r->retry_ms, r->send_ms / 2);
 }
 
+/* For tests alone: nothing in a usual build.  */
+static void
+set_breaks (pu_placer_options_t *o)
+{
+  o->placement.orders.test_breaks
+      |= pu_break_bit (PU_BREAK_TIMEOUT_FREES, PU_ORDERS_BREAK_TIMEOUT)
+         | pu_break_bit (PU_BREAK_ORDERS_FORGOTTEN, PU_ORDERS_BREAK_NO_WAIT);
+  o->placement.planner.test_breaks |= pu_break_bit (
+      PU_BREAK_LAST_COPY_UNLOADED, PU_PLANNER_BREAK_LAST_COPY);
+}
+
 /* --- the log --- */
 
 static void
@@ -342,6 +354,7 @@
 
   p->o = *o;
   set_times (&p->o);
+  set_breaks (&p->o);
   s.loop = o->loop;
   s.connect_ms = p->o.connect_ms;
   s.transit_ms = (guint)p->o.placement.orders.transit_ms;
--- a/libplantainusher/rpc/client.c
+++ b/libplantainusher/rpc/client.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 #include "rpc/dial.h"
 
@@ -462,7 +463,7 @@
   guint64 now = client_now (c);
   guint64 last;
 
-  if (c->link == NULL)
+  if (c->link == NULL || pu_break_active (PU_BREAK_PEER_SILENCE_IGNORED))
     return;
   last = pu_rpc_link_last_in (c->link);
   if (c->ping_at != 0 && last >= c->ping_at)
--- a/libplantainusher/state/apply.c
+++ b/libplantainusher/state/apply.c
@@ -43,7 +43,7 @@
   char *text;
 
   a->reply->doc_version = current;
-  if (seen != NULL)
+  if (seen != NULL && !pu_apply_broken (s, PU_STATE_BREAK_CHANGE_TWICE))
     {
       a->reply->doc_version = seen->doc_version;
       a->reply->position = seen->position;
--- a/libplantainusher/state/state.c
+++ b/libplantainusher/state/state.c
@@ -1,5 +1,6 @@
 #include "state/state.h"
 
+#include "base/breaks.h"
 #include "state/tables.h"
 
 #define DEFAULT_HISTORY_MAX 10000
@@ -14,7 +15,9 @@
   o->claim_window_ms = DEFAULT_CLAIM_WINDOW_MS;
   o->suspect_window_ms = DEFAULT_SUSPECT_WINDOW_MS;
   o->convict_strikes = DEFAULT_CONVICT_STRIKES;
-  o->test_breaks = 0;
+  o->test_breaks
+      = pu_break_bit (PU_BREAK_BASE_IGNORED, PU_STATE_BREAK_BASE_VERSION)
+        | pu_break_bit (PU_BREAK_CHANGE_TWICE, PU_STATE_BREAK_CHANGE_TWICE);
 }
 
 pu_state_t *
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -26,7 +26,8 @@
 {
   PU_STATE_BREAK_REGRANT_UNKNOWN = 1, /* claim again what a dead owner left */
   PU_STATE_BREAK_LATE_COPY = 2,       /* a late copy opens a closed claim */
-  PU_STATE_BREAK_BASE_VERSION = 4     /* accept any base version */
+  PU_STATE_BREAK_BASE_VERSION = 4,    /* accept any base version */
+  PU_STATE_BREAK_CHANGE_TWICE = 8     /* accept a change id again */
 } pu_state_break_t;
 
 typedef struct
