Control: a voter without a leader no longer skips an entry past what it lacks

Cause: a poll from behind what the voter's feed holds is answered with the public image, but not by a voter that hears of no leader yet. That answer still carried the voter's position, with no entries, and the daemon skipped to it: it showed its old document until it was restarted, and deltas on top of the missed one did not fit. Seen as test_restart_of_all_keeps_what_was_accepted failing once: i-04, kept at 617, never had version 307.

Ruled out: load of the machine (300 changes had taken 5 s, then 20 s brought nothing); the kept view (it was whole).

Change: such an answer carries the poll's own position.

Before: test_entry_behind_a_voter_without_a_leader fails, 40 s in vain for version 66. After: passes in 6 s.

Conclusion: 'in force everywhere' was not true after a restart of all; it was hidden where a leader was elected before the first poll's wait was over.

--- a/libplantainusher/control/polls.c
+++ b/libplantainusher/control/polls.c
@@ -97,7 +97,8 @@
   return true;
 }
 
-/* put_news - fills in what P does not have.  False when there is nothing. */
+/* put_news - fills in what P does not have.  False when there is nothing.  The
+   position says up to where the daemon has everything with this answer. */
 static bool
 put_news (pu_control_t *c, const poll_t *p, pu_poll_reply *r,
           pu_public_entry *entries)
@@ -106,7 +107,12 @@
 
   r->position = pu_state_position (c->state);
   if (p->fresh || !pu_feed_covers (c->feed, p->position))
-    return put_image (c, r);
+    {
+      if (put_image (c, r))
+        return true;
+      r->position = p->position;
+      return false;
+    }
   n = pu_feed_read (c->feed, p->position, entries, PU_CONTROL_LIST_MAX,
                     ANSWER_BYTES_MAX);
   r->entries.entries_val = entries;
--- a/tests/config_process_test.py
+++ b/tests/config_process_test.py
@@ -10,6 +10,7 @@
 
 CHAOS_CHANGES = 40
 SLOW_SYNC_MS = 300
+SNAPSHOT_ENTRIES = 32
 
 
 class ConfigTest(changes.ElevenTest):
@@ -100,6 +101,26 @@
         c.start(*voters)
         self.in_force()
 
+    def test_entry_behind_a_voter_without_a_leader(self):
+        """Invariant: an entry that starts from an old view and is answered by
+        a voter that knows more, but hears of no leader yet, gets what it
+        missed once there is a leader."""
+        c = self.start(limits={"snapshot_entries": SNAPSHOT_ENTRIES})
+        behind = self.all[5]
+        behind.kill()
+        for n in range(2 * SNAPSHOT_ENTRIES):
+            self.accepted.submit(self.all[7], f"missed-{n}")
+        c.kill(*self.all)
+        voters = self.all[:3]
+        c.start(voters[0], behind)
+        wait_until("an answer of the voter alone", lambda: behind.dump()[
+            "agent"]["ready"])
+        c.start(*voters[1:])
+        c.wait_leader()
+        self.accepted.submit(voters[0], "after")
+        self.in_force([behind, *voters])
+        self.accepted.check(self, behind)
+
     @staticmethod
     def kill_at(daemon, version):
         wait_until(f"version {version}", lambda: (
