--- a/tests/control_process_test.py
+++ b/tests/control_process_test.py
@@ -110,6 +110,7 @@
         wait_until("the change", lambda: self.all[9].document()["change_id"]
                    == "resent")
         first = self.all[9].submit(1, "resent", changes.document("resent"))
+        self.assertEqual(first.status, 200, first)
         first = first.json
         self.accepted.add(first, "resent", "ada", changes.document("resent"))
         self.same_answer(first, self.all[8])
--- a/tests/drain_process_test.py
+++ b/tests/drain_process_test.py
@@ -13,6 +13,7 @@
 
 GRACE_MS = 2000
 TOKENS = 100
+LONG_TOKENS = 10000  # never ends by itself while a test waits
 SLOW = {"decode_ms": 20}
 
 
@@ -128,16 +129,34 @@
             self.assertEqual(len(runs(some, r)), 1, r)
 
     def test_stopping_entry_is_named_to_nobody(self):
+        """An open stream keeps it alive until all others know: it is its
+        leaving that they know, not its end."""
         c = fleet(self)
-        engines(c, 1)
+        engines(c, 1, **SLOW)
         told = c.entries[1].entries("chat")
         entry = next(e for e in c.entries if e.callers == told[0])
+        begun, known = threading.Event(), threading.Event()
+        self.addCleanup(known.set)
+        replies = []
+
+        def on_token(_, n):
+            begun.set()
+            if known.is_set():
+                raise ConnectionError
+        caller = threading.Thread(target=lambda: replies.append(ask(
+            entry.callers, "open", LONG_TOKENS, on_token=on_token)))
+        caller.start()
+        self.assertTrue(begun.wait(LIMIT_S))
         entry.term()
         since = time.monotonic()
         others = [e for e in c.entries if e is not entry]
         wait_until("the others to know", lambda: not any(
             entry.callers in e.entries("chat") for e in others))
         self.assertLess(time.monotonic() - since, GRACE_MS / 1000)
+        self.assertTrue(entry.alive(), "it is leaving, not gone")
+        self.assertTrue(caller.is_alive(), "its stream is open")
+        known.set()
+        caller.join()
         self.assertEqual(entry.wait(), 0)
 
     def test_rolling_restart_of_all_daemons(self):
--- a/tests/once_process_test.py
+++ b/tests/once_process_test.py
@@ -204,22 +204,32 @@
         self._under_calls(hurt)
 
     def _service_dies(self, kind, ran):
+        """One of two dies: the other, which would too, is not tried."""
         c = fleet(self)
-        s = service(c)
-        set_fault(s, kind, count=1)
+        some = [service(c, name) for name in ("s1", "s2")]
+        wait_until("both to be known", lambda: {"s1", "s2"} <= {
+            b["name"] for b in c.entries[0].dump()["entry"]["router"][
+                "backends"]})
+        for s in some:
+            set_fault(s, kind, count=1)
         first = assign(c.entries[0].callers, "died")
         self.assertNotEqual(first.status, 200)
         self.assertNotEqual(first.outcome, "not-run")
-        s.wait()
-        s.start()
+        wait_until("the death", lambda: not all(s.alive() for s in some))
+        dead, other = sorted(some, key=lambda s: s.alive())
+        self.assertTrue(other.alive(), "it was tried on both")
+        dead.start()
         again = Resender(c, "died", threading.Event())
         self._settled([again])
         self.assertEqual((again.last.status, again.last.outcome),
                          (502, "unknown"))
+        self.assertTrue(other.alive(), "a resend was tried on the other")
+        set_fault(other, "clear")
         fresh = Resender(c, "after", threading.Event())
         self._settled([fresh])
         self.assertEqual(fresh.last.status, 200)
-        self.assertEqual(dict(runs_of(s)), {"after": 1, **ran})
+        self.assertEqual(dict(runs_of(dead) + runs_of(other)),
+                         {"after": 1, **ran})
 
     def test_service_dies_before_it_runs(self):
         self._service_dies("die_before", {})
--- a/tests/request_process_test.py
+++ b/tests/request_process_test.py
@@ -11,6 +11,7 @@
     wait_until
 
 TOKENS = 40
+LONG_TOKENS = 200  # still running while a test looks for its relay
 SLOW = {"decode_ms": 20}
 
 
@@ -22,6 +23,12 @@
     return home, away
 
 
+def relay_of(c, away):
+    """The entry to which AWAY relays the one request that is open."""
+    return next(e for e in c.entries if e is not away
+                and e.dump()["entry"]["requests"] > 0)
+
+
 def at_token(n, act):
     """An on_token that calls ACT (reply) once, after the Nth event."""
     def on_token(reply, tokens):
@@ -47,11 +54,11 @@
             first.start()
             wait_ready(c, {"m": 2})
 
-    def _with_fault(self, times, kind, **fields):
-        """All engines have the fault; the answer is whole all the same, after
-        TIMES runs."""
+    def _with_fault(self, times, kind, options=None, **fields):
+        """All engines have the fault and OPTIONS; the answer is whole all the
+        same, after TIMES runs."""
         c = fleet(self)
-        some = engines(c, 2)
+        some = engines(c, 2, **(options or {}))
         for g in some:
             set_fault(g, kind, **fields)
         home, away = home_and_away(c)
@@ -63,6 +70,11 @@
     def test_answers_truncated(self):
         self._with_fault(4, "truncate", n=7, count=1)
 
+    def test_answers_truncated_by_engines_that_replay(self):
+        """They number no event and begin again, whatever the caller has."""
+        self._with_fault(4, "truncate", {"event_ids": False, "replay": True},
+                         n=7, count=1)
+
     def test_answers_foreign(self):
         self._with_fault(4, "foreign", count=1)
 
@@ -101,13 +113,17 @@
     def test_engine_and_relaying_entry_lost_together(self):
         c = fleet(self)
         some = engines(c, 2, **SLOW)
-        home, away = home_and_away(c)
+        _, away = home_and_away(c)
+        lost = []
 
         def lose(reply):
+            lost.append(relay_of(c, away))
             runs(some, reply)[0].kill()
-            home.kill()
-        r = ask(away.callers, "both lost", TOKENS, on_token=at_token(5, lose))
-        check_whole(self, c, r, TOKENS)
+            lost[0].kill()
+        r = ask(away.callers, "both lost", LONG_TOKENS,
+                on_token=at_token(5, lose))
+        self.assertEqual(len(lost), 1)
+        check_whole(self, c, r, LONG_TOKENS)
 
     def test_refused_by_another_entry_after_the_stream_began(self):
         """The only engine is lost: the rest can't be had, wherever the entry
@@ -139,10 +155,16 @@
     def test_entry_frozen_under_a_relay(self):
         c = fleet(self)
         engines(c, 2, **SLOW)
-        home, away = home_and_away(c)
-        r = ask(away.callers, "frozen", TOKENS,
-                on_token=at_token(5, lambda r: home.stop()))
-        check_whole(self, c, r, TOKENS)
+        _, away = home_and_away(c)
+        frozen = []
+
+        def freeze(_):
+            frozen.append(relay_of(c, away))
+            frozen[0].stop()
+        r = ask(away.callers, "frozen", LONG_TOKENS,
+                on_token=at_token(5, freeze))
+        self.assertEqual(len(frozen), 1)
+        check_whole(self, c, r, LONG_TOKENS)
 
     def test_callers_silent(self):
         """Callers that send half a request or take nothing of an answer do
