Tests: the first document waits for an entry with a state

Cause: since an entry without a state answers a submit with 503 (not run, come back), fleet() of the process tests, which submits as soon as the entries listen, failed at times: 503 in the first try of a new test. Ruled out: a lost submit (the answer says not-run, and nothing is in force). Change: fleet() asks again on 503, as the answer says; any other answer but 200 fails as before.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -39,7 +39,8 @@
     c.start()
     c.wait_leader()
     declared = declared or document()
-    answer = c.entries[0].submit(0, "first", declared)
+    answer = wait_until("an entry with a state", lambda: (
+        (a := c.entries[0].submit(0, "first", declared)).status != 503 and a))
     test.assertEqual(answer.status, 200, answer)
     wait_ready(c, dict.fromkeys(declared["models"], 0))
     c.engine("oracle", entry=[], memory_mb=10 * MODEL_MB, decode_ms=0,
