--- a/tests/changes.py
+++ b/tests/changes.py
@@ -18,9 +18,11 @@
 
 
 class Accepted:
-    """The changes that were answered as accepted: what must be found again."""
+    """The changes that were answered as accepted: what must be found again.
+    DOCUMENT (change id) is what is submitted."""
 
-    def __init__(self):
+    def __init__(self, document=document):
+        self._document = document
         self.rows = []  # (version, change id, author), rising
         self.last = None
 
@@ -35,7 +37,7 @@
     def submit(self, daemon, change_id, author="ada"):
         """Submits on top of the newest accepted change until that is settled:
         an answer that was lost is asked for again with the same id."""
-        text = document(change_id)
+        text = self._document(change_id)
 
         def settled():
             a = daemon.submit(self.version, change_id, text, author, ASK_S)
