Routing: copies of one request choose the same backend server

Cause: what nothing is known of yet spreads.

Ruled out, see docs/design/routing.md: one entry for each fingerprint (half of the requests within a set of two relayed once more), asking such an entry before each dispatch (a round trip and 37 messages a second and daemon), only two backend servers for each fingerprint (waits beside idle copies, loses cached prefixes).

Change: among copies within 5% of the first-token target of the best, and with no longer cached prefix, the fingerprint chooses by rendezvous hashing.

--- a/bench/route_bench.cc
+++ b/bench/route_bench.cc
@@ -138,6 +138,7 @@
     in.max_tokens = 180;
     in.prefix = prefix;
     in.n_prefix = G_N_ELEMENTS (prefix);
+    in.fingerprint = static_cast<guint64> (q->id) + 1;
     in.repeatable = true;
     pu_router_decision_t d;
     pu_router_offer (routers_[q->entry], &in, time (now), &d);
@@ -578,6 +579,7 @@
       q.max_tokens = 200;
       q.prefix = prefix;
       q.n_prefix = 64;
+      q.fingerprint = prompt + 1;
       pu_router_decision_t d;
       if (!whole)
         state.ResumeTiming ();
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -1,6 +1,7 @@
 #include "routing/router_int.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define OUTPUT_UNKNOWN                                                        \
   64                     /* tokens taken for a model without any answer yet   \
@@ -213,11 +214,73 @@
   return evaluate (r, q, b, copy, ejected, now, c);
 }
 
+/* Notes B as one of R's found when it can take Q.  */
+static void
+consider (pu_router_t *r, const request_t *q, const ready_t *e,
+          bool ignore_ejection, guint64 now)
+{
+  candidate_t c;
+
+  if (evaluate (r, q, e->backend, e->copy, ignore_ejection, now, &c))
+    g_array_append_val (r->found, c);
+}
+
+/* How much FINGERPRINT prefers B: the same number at each entry.  */
+static guint64
+preference (guint64 fingerprint, const backend_t *b)
+{
+  return XXH64 (&fingerprint, sizeof fingerprint, b->name_hash);
+}
+
+static const candidate_t *
+least_score (const GArray *found)
+{
+  const candidate_t *best = &g_array_index (found, candidate_t, 0);
+
+  for (guint i = 1; i < found->len; i++)
+    {
+      const candidate_t *c = &g_array_index (found, candidate_t, i);
+
+      if (c->score < best->score)
+        best = c;
+    }
+  return best;
+}
+
+/* Of those found that are nearly as good as the best, the one that Q's
+   fingerprint prefers.  Rendezvous hashing: requests that are the same choose
+   the same, though they come through entries that know nothing of each
+   other.  */
 static bool
-keep_best (candidate_t *best, bool found, const candidate_t *c)
+best_found (const pu_router_t *r, const request_t *q, candidate_t *best)
 {
-  if (!found || c->score < best->score)
-    *best = *c;
+  const GArray *found = r->found;
+  const candidate_t *least;
+  guint64 most = 0;
+  double limit;
+
+  if (found->len == 0)
+    return false;
+  least = least_score (found);
+  *best = *least;
+  if (q->fingerprint == 0 || found->len == 1)
+    return true;
+  limit = least->score
+          + service_at (r, q->service)->first_token_ms
+                * (double)r->options.alike_pct / 100;
+  for (guint i = 0; i < found->len; i++)
+    {
+      const candidate_t *c = &g_array_index (found, candidate_t, i);
+      guint64 p;
+
+      if (c->score > limit || c->cached < least->cached)
+        continue;
+      p = preference (q->fingerprint, backend_at (r, c->backend));
+      if (p < most)
+        continue;
+      most = p;
+      *best = *c;
+    }
   return true;
 }
 
@@ -227,18 +290,37 @@
 {
   const GArray *ready = model_at (r, q->model)->ready;
   guint start = ready->len > 1 ? g_rand_int (r->rand) % ready->len : 0;
-  bool found = false;
-  candidate_t c;
 
+  g_array_set_size (r->found, 0);
   for (guint i = 0; i < ready->len; i++)
     {
-      const ready_t *e
-          = &g_array_index (ready, ready_t, (start + i) % ready->len);
+      consider (r, q,
+                &g_array_index (ready, ready_t, (start + i) % ready->len),
+                ignore_ejection, now);
+    }
+  return best_found (r, q, best);
+}
 
-      if (evaluate (r, q, e->backend, e->copy, ignore_ejection, now, &c))
-        found = keep_best (best, found, &c);
+/* The copy that Q's fingerprint prefers to all others.  */
+static const ready_t *
+home_of (const pu_router_t *r, const request_t *q)
+{
+  const GArray *ready = model_at (r, q->model)->ready;
+  const ready_t *home = NULL;
+  guint64 most = 0;
+
+  for (guint i = 0; i < ready->len; i++)
+    {
+      const ready_t *e = &g_array_index (ready, ready_t, i);
+      const backend_t *b = backend_at (r, e->backend);
+      guint64 p = preference (q->fingerprint, b);
+
+      if (p < most || was_tried (q, b))
+        continue;
+      most = p;
+      home = e;
     }
-  return found;
+  return home;
 }
 
 /* With many copies a few are sampled, and a few more when none of them may
@@ -248,21 +330,23 @@
                     candidate_t *best)
 {
   const GArray *ready = model_at (r, q->model)->ready;
-  bool found = false;
-  candidate_t c;
+  const ready_t *home = q->fingerprint != 0 ? home_of (r, q) : NULL;
 
-  for (guint round = 0; round < SAMPLE_ROUNDS && !found; round++)
+  g_array_set_size (r->found, 0);
+  if (home != NULL)
+    consider (r, q, home, false, now);
+  for (guint round = 0; round < SAMPLE_ROUNDS; round++)
     {
       for (guint i = 0; i < r->options.candidates; i++)
         {
           guint at = g_rand_int (r->rand) % ready->len;
-          const ready_t *e = &g_array_index (ready, ready_t, at);
 
-          if (evaluate (r, q, e->backend, e->copy, false, now, &c))
-            found = keep_best (best, found, &c);
+          consider (r, q, &g_array_index (ready, ready_t, at), false, now);
         }
+      if (r->found->len > 0)
+        break;
     }
-  return found;
+  return best_found (r, q, best);
 }
 
 bool
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -27,6 +27,7 @@
     .limit_initial = 128,
     .limit_min = 8,
     .window_pct = 50,
+    .alike_pct = 5,
     .retry_pct = 10,
     .retry_burst = 5,
     .attempts_max = 3,
@@ -157,6 +158,7 @@
   q->max_tokens = in->max_tokens;
   q->n_prefix = MIN (in->n_prefix, PU_ROUTER_PREFIX_MAX);
   q->prefix = g_memdup2 (in->prefix, q->n_prefix * sizeof *in->prefix);
+  q->fingerprint = in->fingerprint;
   q->repeatable = in->repeatable;
   q->wants_preferred = (guint)g_rand_int_range (r->rand, 0, 1000) < m->share;
   set_due (r, q);
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -71,6 +71,9 @@
   guint limit_min;         /* the adaptive limit stays at or above */
   guint window_pct;        /* share of the first-token target that work sent
                               ahead to a backend server may fill */
+  guint alike_pct;         /* share of the first-token target within which
+                              copies are as good as the best: a fingerprint
+                              then chooses among them */
   guint retry_pct;         /* retries for 100 first attempts */
   guint retry_burst;       /* retries allowed before any attempt */
   guint attempts_max;      /* of one request, the first included */
@@ -237,7 +240,10 @@
   guint max_tokens;      /* estimate of what will be generated */
   const guint64 *prefix; /* chained block hashes of the prompt; copied */
   guint n_prefix;
-  bool repeatable; /* may run twice without harm */
+  guint64 fingerprint; /* of model and input: requests that have the same go
+                          to the same copy where it is as good as any, through
+                          whatever entry; 0: none */
+  bool repeatable;     /* may run twice without harm */
 } pu_router_request_t;
 
 typedef enum
--- a/libplantainusher/routing/router_fuzz_test.cc
+++ b/libplantainusher/routing/router_fuzz_test.cc
@@ -237,6 +237,7 @@
     in.max_tokens = op.b % 100;
     in.prefix = prefix;
     in.n_prefix = 2;
+    in.fingerprint = op.c % 16;
     in.repeatable = op.a % 2 == 0;
     pu_router_decision_t d;
     offered_[in.service]++;
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -85,6 +85,7 @@
 typedef struct
 {
   char *name;
+  guint64 name_hash;
   guint64 incarnation;
   guint64 serial; /* never used twice, as the handle is */
   pu_router_kind_t kind;
@@ -148,6 +149,7 @@
   guint max_tokens;
   guint64 *prefix;
   guint n_prefix;
+  guint64 fingerprint;
   bool repeatable;
   bool wants_preferred;
   guint attempt;
@@ -185,6 +187,7 @@
   GSequence *expiries; /* of request_t, by give_up */
   GArray *dirty;       /* of pu_router_backend_t */
   GArray *held;        /* backend servers blocked or ejected until later */
+  GArray *found;       /* of candidate_t: those of the choice in progress */
   GArray *displaced;   /* of pu_ticket_t: refused by the next next */
   guint in_flight;
   guint64 serial; /* last one given to a backend server */
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -113,6 +114,58 @@
   guint64 now_ = 100000;
 };
 
+namespace
+{
+
+/* Where copies of a request go that come through entries which know nothing
+   of each other.  */
+class Copies : public Router
+{
+protected:
+  /* The name of the backend server that FINGERPRINT goes to, of N that the
+     entry with SEED learns of from the FIRST on.  */
+  std::string
+  through (guint64 seed, int n, int first, guint64 fingerprint)
+  {
+    o_.seed = seed;
+    make ();
+    for (int i = 0; i < n; i++)
+      backend (("b" + std::to_string ((first + i) % n)).c_str ());
+    pu_router_request_t q = request ();
+    q.fingerprint = fingerprint;
+    return pu_router_backend_name (r_, offer (q).backend);
+  }
+};
+
+} // namespace
+
+TEST_F (Copies, OfOneRequestGoToOneBackendServer)
+{
+  for (int n : { 4, 30 })
+    {
+      std::set<std::string> all;
+
+      for (guint64 f = 1; f <= 40; f++)
+        {
+          std::string one = through (1, n, 0, f);
+          EXPECT_EQ (one, through (2, n, 1, f));
+          EXPECT_EQ (one, through (3, n, 3, f));
+          all.insert (one);
+        }
+      /* Others spread.  */
+      EXPECT_GE (all.size (), 4u);
+    }
+}
+
+TEST_F (Copies, ThatAreLateGoElsewhere)
+{
+  backend ("a", 1);
+  backend ("b", 1);
+  pu_router_request_t q = request ();
+  q.fingerprint = 7;
+  EXPECT_NE (offer (q).backend, offer (q).backend);
+}
+
 TEST_F (Router, RefusesWhatIsNotDeclaredOrNotReady)
 {
   pu_router_request_t q = request ();
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -1,6 +1,7 @@
 #include "routing/router_int.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define TOKEN_RIDGE 10000.0 /* tokens squared */
 #define LOAD_RIDGE 1.0      /* requests squared */
@@ -285,6 +286,7 @@
 
   *s = (backend_t){
     .name = g_strdup (o->name),
+    .name_hash = XXH64 (o->name, strlen (o->name), 0),
     .incarnation = o->incarnation,
     .serial = ++r->serial,
     .used = true,
@@ -613,6 +615,7 @@
   r->expiries = g_sequence_new (NULL);
   r->dirty = g_array_new (FALSE, FALSE, sizeof (pu_router_backend_t));
   r->held = g_array_new (FALSE, FALSE, sizeof (pu_router_backend_t));
+  r->found = g_array_new (FALSE, FALSE, sizeof (candidate_t));
   r->displaced = g_array_new (FALSE, FALSE, sizeof (pu_ticket_t));
   return r;
 }
@@ -633,6 +636,7 @@
   g_array_free (r->free_requests, TRUE);
   g_array_free (r->dirty, TRUE);
   g_array_free (r->held, TRUE);
+  g_array_free (r->found, TRUE);
   g_array_free (r->displaced, TRUE);
   g_rand_free (r->rand);
   g_free (r->region);
