Suspects: copies stay together; what was cut is judged as it ran

Cause: within an entry, copies of a request that nothing is known of spread over all backend servers, and during the 100 ms and more in which a broken attempt is looked at, more copies went elsewhere. `cuts_strike` entered a cut request anew at the death and so judged "apart" by what is known then: an innocent that was cut and became a suspect by another death was convicted alone, and the guilty one that killed the backend server went free. A caller that went while its broken attempt was looked at took the strike along. After a suspect was cut, its like ran on at another backend server while the first was dying of it; the fuzz then found another suspect that was sent to the dying one and convicted in its place.

Ruled out: holding all copies at one entry until the first has a head (a request in a burst of the same prompts would wait for nothing); holding answers back.

Change: while a copy runs without an answer, others that the router would send elsewhere wait for it, 200 ms at most; while a broken one is looked at they wait for that. Cut requests are kept by the core with how they ran: apart only if they were suspects then and nothing was sent there since. After a suspect was cut, its like and all else keep away from there for a second.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -23,23 +23,44 @@
   return uv_now (x->en->o.loop);
 }
 
+/* The suspects' table is told that the attempt of X is over.  One that was
+   cancelled, or broke while its backend server listened on, may be killing
+   that.  */
+static void
+suspects_forget (const pu_exchange_t *x)
+{
+  pu_suspects_t *suspects = x->en->suspects;
+  const pu_attempt_t *at = &x->at;
+  bool cut = at->call != NULL || x->phase == PU_X_HELD;
+
+  if (at->noted && cut)
+    {
+      pu_suspects_cut (suspects, x->number, now_of (x));
+    }
+  else if (at->noted)
+    {
+      pu_suspects_finished (suspects, x->number);
+    }
+  if (at->apart && cut)
+    {
+      pu_server_apart_cut (at->server);
+    }
+  else if (at->apart)
+    {
+      pu_server_apart (x->en, at->server, false);
+    }
+}
+
 void
 pu_attempt_clear (pu_exchange_t *x)
 {
   pu_attempt_t *at = &x->at;
 
+  suspects_forget (x);
   if (x->phase == PU_X_HELD)
     pu_server_unhold (x);
   if (at->call != NULL)
-    {
-      if (at->server != NULL)
-        pu_server_cut (at->server, x);
-      pu_http_call_cancel (at->call);
-    }
-  if (at->noted)
-    pu_suspects_finished (x->en->suspects, x->number);
-  if (at->apart)
-    pu_server_apart (x->en, at->server, false);
+    pu_http_call_cancel (at->call);
   g_free (at->entry);
   g_free (at->content_type);
   g_free (at->outcome);
@@ -75,6 +96,8 @@
 {
   guint total = pu_stream_tokens (x->at.stream);
 
+  if (tokens > 0 && x->at.noted)
+    pu_suspects_answered (x->en->suspects, x->number);
   if (tokens == 0 || x->ticket == 0)
     return;
   if (total == 1)
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -41,13 +41,6 @@
   guint64 settled;  /* loop time when all entries have it; 0: not yet in */
 } pu_strike_t;
 
-/* An attempt that broke at a backend server that still listened after.  */
-typedef struct
-{
-  guint64 fingerprint;
-  guint64 at; /* loop time */
-} pu_cut_t;
-
 /* A backend server, as the view or its own reports tell.  */
 typedef struct
 {
@@ -60,13 +53,14 @@
   bool plain;
   bool down;       /* by the view, or found dead here */
   guint suspects;  /* that run there from here: nothing else is sent */
+  guint cut_apart; /* of these, cut: they may be killing it */
   GPtrArray *held; /* of pu_exchange_t: wait for the probe's answer */
-  GArray *cuts;    /* of pu_cut_t: the last ones that it survived */
   pu_entry_t *en;
   pu_http_call_t *probe;
-  guint refused;      /* probes in a row that nobody listened to */
-  guint64 probe_at;   /* loop time of the next one; 0: none */
-  guint64 dead_until; /* loop time: found dead here, whatever the view says */
+  guint refused;       /* probes in a row that nobody listened to */
+  guint64 probe_at;    /* loop time of the next one; 0: none */
+  guint64 apart_until; /* loop time: those that were cut count until then */
+  guint64 dead_until;  /* loop time: found dead here, whatever the view says */
 } pu_server_t;
 
 /* A backend server that reports to this entry.  */
@@ -89,7 +83,7 @@
 
 typedef enum
 {
-  PU_X_WAITING,  /* a suspect: its like runs */
+  PU_X_WAITING,  /* for its like at a backend server */
   PU_X_CLAIMING, /* its key is with the log */
   PU_X_QUEUED,   /* in the router */
   PU_X_RUNNING,  /* at a backend server or another entry */
@@ -152,6 +146,8 @@
   guint n_prefix;
   guint64 fingerprint; /* of model and prompt */
   pu_x_phase_t phase;
+  guint64 held_since; /* loop time: waits for its like's answer; 0: not yet */
+  guint held_from;    /* number of the backend server */
   pu_ticket_t ticket;
   pu_once_handle_t claim;
   guint attempts;
@@ -294,10 +290,6 @@
 /* pu_server_hold - X waits until S is known to be alive or dead.  */
 void pu_server_hold (pu_server_t *s, pu_exchange_t *x);
 
-/* pu_server_cut - the attempt of X at S broke or was cancelled while S
-   listened on.  */
-void pu_server_cut (pu_server_t *s, const pu_exchange_t *x);
-
 /* pu_server_doubt - nobody listened at S: looks again.  */
 void pu_server_doubt (pu_server_t *s);
 void pu_servers_tick (pu_entry_t *en, guint64 now);
@@ -306,6 +298,10 @@
 /* pu_server_apart - one more (or less) suspect runs at S.  */
 void pu_server_apart (pu_entry_t *en, pu_server_t *s, bool begins);
 
+/* pu_server_apart_cut - one that runs at S was cut: it counts a little
+   longer.  */
+void pu_server_apart_cut (pu_server_t *s);
+
 /* --- strikes.c: strikes against requests --- */
 
 /* pu_strike_begin - proposes ONE, a strike for the death of S.  */
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -321,6 +321,33 @@
   EXPECT_GE (convicted, 6);
 }
 
+TEST (Entry, FirstCopiesSentTogetherTakeTwoBackendServersAtMost)
+{
+  rig r;
+  std::vector<node *> nodes;
+  std::vector<backend *> all;
+  std::list<caller> copies;
+  int dead = 0;
+
+  for (int i = 0; i < 3; i++)
+    nodes.push_back (&r.add_node ("n" + std::to_string (i)));
+  for (int i = 0; i < 6; i++)
+    {
+      all.push_back (&r.add_backend ("e" + std::to_string (i), "", *nodes[0]));
+      all.back ()->crash_on = "poison";
+    }
+  for (int i = 0; i < 12; i++)
+    r.chat (copies.emplace_back (), *nodes[i % 3], "poison", true);
+  for (caller &c : copies)
+    {
+      r.finish (c);
+      EXPECT_FALSE (c.whole () && c.status == 200);
+    }
+  for (const auto *b : all)
+    dead += b->server == nullptr ? 1 : 0;
+  EXPECT_LE (dead, 2);
+}
+
 /* A dying process takes the probe's connection and closes it.  */
 TEST (Entry, ProbeThatIsTakenAndClosedIsNoSignOfLife)
 {
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -420,6 +420,7 @@
     .max_tokens = x->max_tokens,
     .prefix = x->prefix,
     .n_prefix = x->n_prefix,
+    .fingerprint = x->plain ? 0 : x->fingerprint,
     .repeatable
     = x->repeatable || pu_entry_breaks (x->en, PU_ENTRY_BREAK_REPEAT),
   };
@@ -430,6 +431,28 @@
   pu_exchange_decide (x, &d);
 }
 
+/* Whether X has to stay away from the backend server of that number because
+   its like runs elsewhere without an answer.  */
+static bool
+stays_away (const pu_exchange_t *x, guint server)
+{
+  return !x->plain
+         && pu_suspects_stays (x->en->suspects, x->fingerprint, server,
+                               x->held_since, uv_now (x->en->o.loop));
+}
+
+/* The same for S, which the router chose; from now on X waits.  */
+static bool
+hold_back (pu_exchange_t *x, const pu_server_t *s)
+{
+  if (!stays_away (x, s->number))
+    return false;
+  if (x->held_since == 0)
+    x->held_since = uv_now (x->en->o.loop);
+  x->held_from = s->number;
+  return true;
+}
+
 /* Whether X may be sent to S now, by what is held against either.  */
 static bool
 may_send (pu_exchange_t *x, const pu_server_t *s)
@@ -442,7 +465,8 @@
       fail_convicted (x);
       return false;
     }
-  if (verdict != PU_SUSPECTS_WAIT && (!is_suspect (x) || s->suspects == 0))
+  if (verdict != PU_SUSPECTS_WAIT && (!is_suspect (x) || s->suspects == 0)
+      && !hold_back (x, s))
     return true;
   ticket_cancel (x);
   x->phase = PU_X_WAITING;
@@ -586,7 +610,8 @@
     {
       fail_deadline (x);
     }
-  else if (x->phase == PU_X_WAITING && judge (x) != PU_SUSPECTS_WAIT)
+  else if (x->phase == PU_X_WAITING && judge (x) != PU_SUSPECTS_WAIT
+           && (x->held_since == 0 || !stays_away (x, x->held_from)))
     {
       pu_exchange_route (x);
     }
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -8,9 +8,7 @@
 {
   REFUSED_DEAD = 2,     /* probes that nobody listened to */
   PROBE_AGAIN_MS = 100, /* between them */
-  CUT_KEPT_MS = 5000,   /* a death within this may be of a cut request */
-  CUTS_MAX = 64,
-  DEAD_KEPT_MS = 5000, /* until the view must have it */
+  DEAD_KEPT_MS = 5000,  /* until the view must have it */
 };
 
 pu_server_t *
@@ -26,7 +24,6 @@
 
   pu_http_call_cancel (s->probe);
   g_ptr_array_free (s->held, TRUE);
-  g_array_free (s->cuts, TRUE);
   g_free (s->name);
   g_free (s->address);
   g_free (s);
@@ -45,14 +42,14 @@
   s->handle = PU_ROUTER_NONE;
   s->number = ++en->last_server;
   s->held = g_ptr_array_new ();
-  s->cuts = g_array_new (FALSE, FALSE, sizeof (pu_cut_t));
   g_hash_table_insert (en->servers, s->name, s);
   return s;
 }
 
 /* --- strikes --- */
 
-/* INCARNATION of S is dead: what ran there gets a strike.  */
+/* INCARNATION of S is dead: what ran there, or was cut there shortly before,
+   gets a strike.  */
 static void
 incarnation_died (pu_server_t *s, guint64 incarnation)
 {
@@ -71,40 +68,6 @@
   g_array_free (strikes, TRUE);
 }
 
-/* INCARNATION of S is dead.  It may have died of an attempt that broke or was
-   cancelled shortly before, though it listened still or again.  */
-static void
-cuts_strike (pu_server_t *s, guint64 incarnation)
-{
-  pu_entry_t *en = s->en;
-  guint64 now = uv_now (en->o.loop);
-
-  for (guint i = 0; i < s->cuts->len; i++)
-    {
-      const pu_cut_t *cut = &g_array_index (s->cuts, pu_cut_t, i);
-
-      if (now - cut->at < CUT_KEPT_MS)
-        {
-          pu_suspects_started (en->suspects, ++en->last_number,
-                               cut->fingerprint, s->number, incarnation, now);
-        }
-    }
-  g_array_set_size (s->cuts, 0);
-  incarnation_died (s, incarnation);
-}
-
-void
-pu_server_cut (pu_server_t *s, const pu_exchange_t *x)
-{
-  pu_cut_t cut = { x->fingerprint, uv_now (s->en->o.loop) };
-
-  if (x->plain)
-    return;
-  if (s->cuts->len == CUTS_MAX)
-    g_array_remove_index (s->cuts, 0);
-  g_array_append_val (s->cuts, cut);
-}
-
 /* --- the router's table --- */
 
 static pu_router_phase_t
@@ -176,7 +139,7 @@
 incarnation_take (pu_server_t *s, const pu_backend_record *b)
 {
   if (s->incarnation != 0)
-    cuts_strike (s, s->incarnation);
+    incarnation_died (s, s->incarnation);
   s->incarnation = b->incarnation;
   s->leaving = false;
   s->dead_until = 0;
@@ -261,10 +224,17 @@
   pu_router_due (en);
 }
 
+void
+pu_server_apart_cut (pu_server_t *s)
+{
+  s->cut_apart++;
+  s->apart_until = uv_now (s->en->o.loop) + s->en->o.settle_ms;
+}
+
 /* --- probes --- */
 
 static void
-held_release (pu_server_t *s, bool alive)
+held_release (pu_server_t *s)
 {
   GPtrArray *held = s->held;
 
@@ -275,8 +245,6 @@
     {
       pu_exchange_t *x = g_ptr_array_index (held, i);
 
-      if (alive)
-        pu_server_cut (s, x);
       pu_exchange_again (x, x->at.failure);
     }
   g_ptr_array_free (held, TRUE);
@@ -307,13 +275,13 @@
 {
   pu_log_note (PU_ENTRY_PART, "Backend server %s is dead: nobody listens.",
                s->name);
-  cuts_strike (s, s->incarnation);
+  incarnation_died (s, s->incarnation);
   router_remove (s);
   s->down = true;
   s->dead_until = uv_now (s->en->o.loop) + DEAD_KEPT_MS;
   pu_http_client_close_idle (s->en->client, s->address);
   down_propose (s);
-  held_release (s, false);
+  held_release (s);
 }
 
 static bool
@@ -334,7 +302,7 @@
      answers, or at least keeps the connection.  */
   if (result->head || !was_closed (result->kind))
     {
-      held_release (s, true);
+      held_release (s);
       return;
     }
   if (++s->refused >= REFUSED_DEAD)
@@ -362,7 +330,7 @@
   s->probe_at = 0;
   s->probe = pu_http_client_start (s->en->client, &o, NULL);
   if (s->probe == NULL)
-    held_release (s, true);
+    held_release (s);
 }
 
 void
@@ -376,6 +344,8 @@
 pu_server_hold (pu_server_t *s, pu_exchange_t *x)
 {
   x->phase = PU_X_HELD;
+  if (x->at.noted)
+    pu_suspects_broke (s->en->suspects, x->number);
   g_ptr_array_add (s->held, x);
   if (s->probe == NULL && s->probe_at == 0)
     probe_start (s);
@@ -401,5 +371,7 @@
 
       if (s->probe_at != 0 && s->probe_at <= now)
         probe_start (s);
+      for (; s->cut_apart > 0 && s->apart_until <= now; s->cut_apart--)
+        pu_server_apart (en, s, false);
     }
 }
--- a/tests/poison_process_test.py
+++ b/tests/poison_process_test.py
@@ -124,6 +124,18 @@
         self._restart(c, some)
         self._end(c, some, replies, told)
 
+    def test_first_copies_sent_at_the_same_time(self):
+        """Nothing is known of it when a copy comes through each entry."""
+        c, some = self._fleet()
+        innocents = Innocents(c)
+        replies = []
+        for _ in range(RESENDS // len(c.entries)):
+            replies += together(lambda e: ask(e.callers, POISON, TOKENS),
+                                c.entries)
+        told = innocents.finish()
+        self._restart(c, some)
+        self._end(c, some, replies, told)
+
 
 if __name__ == "__main__":
     main()
