--- a/libplantainusher/operator/console.js
+++ b/libplantainusher/operator/console.js
@@ -111,6 +111,10 @@
     if (loaded === null)
       return;
     takeInForce(loaded);
+    if (loaded.version === 0) {
+      say("There is no document yet: add services and models, then submit the first.");
+      return;
+    }
     say("The document in force is loaded.", "good");
     check();
   }
@@ -125,6 +129,7 @@
 
   function edited() {
     state.changeId = "";
+    say("");
     showChanges();
     clearTimeout(state.timer);
     state.timer = setTimeout(check, CHECK_DELAY_MS);
@@ -220,7 +225,9 @@
 
   // --- forms ---
 
-  function render() {
+  // What has the focus keeps it, by its id; RENAMED gives an id's new one.
+  function render(renamed = (id) => id) {
+    const focused = document.activeElement.id;
     renderTabs();
     const section = D.SECTIONS.find((s) => s.key === state.tab);
     const forms = $("forms");
@@ -231,6 +238,8 @@
       forms.replaceChildren(rowTools(section), ...rowForms(section));
     else
       forms.replaceChildren(singleForm(section));
+    if (focused !== "" && document.activeElement.id !== focused)
+      $(renamed(focused))?.focus();
     showChanges();
     markFindings();
   }
@@ -359,9 +368,13 @@
     }
     D.rename(rows, from, to);
     const n = section.key === "services" ? 0 : D.renameReferences(state.doc, from, to);
-    say(`${from} is now ${to}` + (n > 0 ? `, also where it is named (${n}).` : "."));
     edited();
-    render();
+    say(`${from} is now ${to}` + (n > 0 ? `, also where it is named (${n}).` : "."));
+    // Once the focus is where it goes to after this input.
+    const was = "f" + D.pointer([section.key, from]);
+    const is = "f" + D.pointer([section.key, to]);
+    setTimeout(() => render((id) =>
+      (id === was || id.startsWith(was + "/") ? is + id.slice(was.length) : id)), 0);
   }
 
   // One input for the value at PARTS of the document.
@@ -416,7 +429,8 @@
   }
 
   const makeLine = (f, value) =>
-    make("input", { value: asText(value), placeholder: f.needed ? "needed" : "default", spellcheck: false });
+    make("input", { value: asText(value), placeholder: f.needed ? "needed" : f.absent ?? "default",
+      spellcheck: false });
 
   const EDITORS = {
     text: {
--- a/libplantainusher/operator/document.js
+++ b/libplantainusher/operator/document.js
@@ -4,6 +4,7 @@
 
 const PuDocument = (() => {
   // A field of a row: its place below the row, its label and how it is edited.
+  // `needed`: it has no default; `absent`: what its absence means, if no default.
   // kinds: text, number, list, choice (of values), models (a name of one).
   const field = (path, label, kind, more) => ({ path, label, kind, ...more });
   const WORDS = [{ value: true, text: "yes" }, { value: false, text: "no" }];
@@ -28,7 +29,8 @@
         field(["max_queue"], "Waiting at most", "number"),
         field(["claim_window_s"], "Key kept for (s)", "number"),
         field(["models"], "Models and adapters, one a line", "list", { only: "model", wide: true }),
-        field(["not_repeatable"], "Not repeatable: METHOD /path, one a line", "list", { wide: true }),
+        field(["not_repeatable"], "Not repeatable: METHOD /path, one a line", "list",
+          { only: "plain", wide: true }),
       ],
     },
     {
@@ -36,7 +38,7 @@
       fresh: () => ({ version: "1", memory_mb: 1, kv_cache_mb: 0 }),
       fields: [
         field(["version"], "Version", "text", { needed: true }),
-        field(["previous_version"], "Version to go back to", "text"),
+        field(["previous_version"], "Version to go back to", "text", { absent: "none" }),
         field(["memory_mb"], "Memory (MB)", "number", { needed: true }),
         field(["kv_cache_mb"], "KV cache (MB)", "number", { needed: true }),
         field(["accelerators"], "Accelerators", "number"),
@@ -49,7 +51,7 @@
       fields: [
         field(["base"], "Base model", "models"),
         field(["version"], "Version", "text", { needed: true }),
-        field(["previous_version"], "Version to go back to", "text"),
+        field(["previous_version"], "Version to go back to", "text", { absent: "none" }),
         field(["memory_mb"], "Memory (MB)", "number", { needed: true }),
         ...COPIES,
       ],
@@ -59,7 +61,7 @@
       fields: [
         field(["moves_weight"], "Weight of moves (0 to 1)", "number"),
         field(["store_loads_per_s"], "Loads started a second", "number"),
-        field(["store_full_speed"], "Loads at full speed at once", "number"),
+        field(["store_full_speed"], "Loads at full speed", "number"),
         field(["min_stay_s"], "Stay at least (s)", "number"),
         field(["payback_s"], "Pay back within (s)", "number"),
         field(["zone_spread"], "Spread over zones", "choice", { values: WORDS }),
