--- a/libplantainusher/document/document_test.cc
+++ b/libplantainusher/document/document_test.cc
@@ -264,16 +264,20 @@
   EXPECT_EQ ("", findings_of ("{'services': {}}"));
 }
 
-TEST (Document, TheExampleIsClean)
+TEST (Document, TheExamplesAreClean)
 {
-  char *text = NULL;
-  std::string findings;
-
-  ASSERT_TRUE (
-      g_file_get_contents (PU_EXAMPLES "/document.json", &text, NULL, NULL));
-  pu_document_unref (parse (text, &findings));
-  EXPECT_EQ ("", findings);
-  g_free (text);
+  for (const char *name :
+       { "document.json", "local/document.json", "demo/document.json" })
+    {
+      const std::string path = std::string (PU_EXAMPLES) + "/" + name;
+      char *text = NULL;
+      std::string findings;
+
+      ASSERT_TRUE (g_file_get_contents (path.c_str (), &text, NULL, NULL));
+      pu_document_unref (parse (text, &findings));
+      EXPECT_EQ ("", findings) << name;
+      g_free (text);
+    }
 }
 
 /* What tells two documents apart: every field, defaults included.  */
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -299,7 +299,8 @@
 
 TEST (Settings, TheExamplesAreClean)
 {
-  for (const char *name : { "settings-entry.json", "settings-control.json" })
+  for (const char *name : { "settings-entry.json", "settings-control.json",
+                            "local/entry.json", "local/control.json" })
     {
       std::string path = std::string (PU_EXAMPLES) + "/" + name;
       pu_findings_t *f = pu_findings_new ();
