Loads: an entry hears of a backend server the less often the more it hears of

Cause: a member of a service's set heard each engine of the service each second, 110 bytes each; the entry in most sets had 14.7 KB/s against 3.

Ruled out: sending on a change of load alone (no bound in a burst, and slots grow by the reports that find them used); sets for each model (callers would ask by model, or most requests take a hop more); homes inside the set (what is not received is sent on instead).

Change: ids of 64 bits in place of names, no fields that no choice uses, and an interval of 72 ms for each backend server that the listener hears of, 1 s at least. Loads that wait go together, the newest of each, with their age. A load holds for three intervals, told in the message. Slots grow by a step for each second since the last report, so that seldom reports do not slow them.

--- a/bench/route_bench.cc
+++ b/bench/route_bench.cc
@@ -103,11 +103,21 @@
   std::mt19937 rand_{ 7 };
 };
 
-/* One router an entry, driven as the shell drives it.  */
+/* How an entry hears of engines that report to another.  */
+struct Hearing
+{
+  int every_ms = sim::kReportMs; /* their load is passed on */
+  bool events = true;            /* and their cache events */
+};
+
+/* One router an entry, driven as the shell drives it.  Each engine reports to
+   one of the entries (or, with NO_HOME, to neither of them).  */
 class Routed : public sim::Policy
 {
 public:
-  explicit Routed (const sim::Trace &t)
+  explicit Routed (const sim::Trace &t, const Hearing &hearing = {},
+                   bool no_home = false)
+      : hearing_ (hearing), no_home_ (no_home)
   {
     for (int i = 0; i < sim::kEntries; i++)
       routers_.push_back (make (t, i));
@@ -189,16 +199,13 @@
   void
   report (int engine, const sim::Engine &e, int now) override
   {
-    for (pu_router_t *r : routers_)
+    for (int i = 0; i < sim::kEntries; i++)
       {
-        pu_router_report_t report = {};
-        report.seq = static_cast<guint64> (now);
-        report.running
-            = static_cast<guint> (e.prefill.size () + e.decode.size ());
-        report.waiting = static_cast<guint> (e.waiting.size ());
-        report.age_ms = sim::kLagMs;
-        pu_router_report (r, static_cast<guint> (engine), &report, time (now));
-        events (r, engine, e);
+        bool home = !no_home_ && engine % sim::kEntries == i;
+        if (home || now - told_[{ i, engine }] >= hearing_.every_ms)
+          load (i, engine, e, now);
+        if (home || hearing_.events)
+          events (routers_[i], engine, e);
       }
     numbers_[engine]++;
   }
@@ -231,6 +238,21 @@
     return 1000000 + static_cast<guint64> (now);
   }
 
+  void
+  load (int entry, int engine, const sim::Engine &e, int now)
+  {
+    pu_router_report_t report = {};
+    report.seq = static_cast<guint64> (now);
+    report.running = static_cast<guint> (e.prefill.size () + e.decode.size ());
+    report.waiting = static_cast<guint> (e.waiting.size ());
+    report.age_ms = sim::kLagMs;
+    report.life_ms
+        = static_cast<guint> (std::max (5000, 3 * hearing_.every_ms));
+    pu_router_report (routers_[entry], static_cast<guint> (engine), &report,
+                      time (now));
+    told_[{ entry, engine }] = now;
+  }
+
   /* One batch a report; one in fifty is lost.  */
   void
   events (pu_router_t *r, int engine, const sim::Engine &e)
@@ -318,6 +340,9 @@
   std::vector<pu_router_t *> routers_;
   std::vector<std::map<pu_ticket_t, Request *> > running_;
   std::map<int, guint64> numbers_;
+  std::map<std::pair<int, int>, int> told_; /* entry, engine -> when */
+  Hearing hearing_;
+  bool no_home_;
   GArray *out_;
 };
 
@@ -431,6 +456,35 @@
   return share (r);
 }
 
+/* Entries that hear less of engines that report elsewhere: the ratio is to
+   each hearing all of all each second.  */
+void
+hearing (double all)
+{
+  struct
+  {
+    const char *name;
+    Hearing hearing;
+    bool no_home;
+  } cases[] = {
+    { "loads_2s", { 2000, true }, true },
+    { "loads_4s", { 4000, true }, true },
+    { "loads_8s", { 8000, true }, true },
+    { "loads_4s.home_events", { 4000, false }, false },
+    { "loads_4s.no_events", { 4000, false }, true },
+    { "loads_1s.no_events", { 1000, false }, true },
+  };
+  for (const auto &c : cases)
+    {
+      auto make = [&c] (const sim::Trace &t) {
+        return std::make_unique<Routed> (t, c.hearing, c.no_home);
+      };
+      double ours = share (simulate (make, kRate, 0));
+      print (std::string ("route.attainment.hear.") + c.name, ours, "share",
+             ours / all);
+    }
+}
+
 void
 attainment ()
 {
@@ -447,6 +501,7 @@
                    simulate (common (Kind::LeastConnections), kRate, 0)));
   sim::Result ours = simulate (routed, kRate, 0);
   print ("route.attainment.burst", share (ours), "share", share (ours) / best);
+  hearing (share (ours));
   print ("route.first_ms.p50", percentile (ours, 0.5), "ms");
   print ("route.first_ms.p99", percentile (ours, 0.99), "ms");
 }
--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -18,8 +18,9 @@
 const PU_CONTROL_PROPOSE = 2;  /* pu_propose -> pu_propose_reply */
 const PU_CONTROL_SESSIONS = 3; /* pu_sessions, one way */
 const PU_CONTROL_REPLICA = 4;  /* one way */
-const PU_CONTROL_LOADS = 5;    /* pu_loads, one way, entry to entry */
 const PU_CONTROL_QUERY = 6;    /* pu_query -> pu_query_reply */
+const PU_CONTROL_LOADS = 7;    /* pu_loads, one way, entry to entry; 5 was
+                                  that with names */
 
 const PU_CONTROL_LIST_MAX = 4096;
 const PU_CONTROL_VOTERS_MAX = 16;
@@ -119,18 +120,16 @@
 /* A load report of a backend server, passed on by its home entry.  */
 struct pu_load
 {
-  pu_name backend;
-  unsigned hyper incarnation;
+  unsigned hyper id;          /* pu_entry_load_id */
   unsigned hyper seq;
   unsigned int running;
   unsigned int waiting;
-  unsigned int kv_used_mb;
-  unsigned int tokens_per_s;
+  unsigned int age_ms;        /* of the report when it was sent on */
 };
 
 struct pu_loads
 {
-  pu_name entry;
+  unsigned int life_ms;       /* they hold until the next, for that at most */
   pu_load loads<PU_CONTROL_LIST_MAX>;
 };
 
--- a/libplantainusher/daemon/loads.c
+++ b/libplantainusher/daemon/loads.c
@@ -7,7 +7,7 @@
 
 void
 pu_daemon_loads_out (void *daemon, const char *address,
-                     const pu_entry_load_t *loads, guint n)
+                     const pu_entry_load_t *loads, guint n, guint life_ms)
 {
   pu_daemon_t *d = daemon;
   pu_rpc_client_t *peer = pu_agent_peer (d->agent, address);
@@ -17,15 +17,13 @@
 
   for (guint i = 0; i < n; i++)
     {
-      list[i].backend = (char *)loads[i].backend;
-      list[i].incarnation = loads[i].incarnation;
+      list[i].id = loads[i].id;
       list[i].seq = loads[i].seq;
       list[i].running = loads[i].running;
       list[i].waiting = loads[i].waiting;
-      list[i].kv_used_mb = loads[i].kv_used_mb;
-      list[i].tokens_per_s = loads[i].tokens_per_s;
+      list[i].age_ms = loads[i].age_ms;
     }
-  m.entry = (char *)d->settings->name;
+  m.life_ms = life_ms;
   m.loads.loads_len = n;
   m.loads.loads_val = list;
   bytes = pu_codec_encode ((xdrproc_t)xdr_pu_loads, &m);
@@ -50,15 +48,13 @@
     {
       const pu_load *l = &m->loads.loads_val[i];
 
-      list[i].backend = l->backend;
-      list[i].incarnation = l->incarnation;
+      list[i].id = l->id;
       list[i].seq = l->seq;
       list[i].running = l->running;
       list[i].waiting = l->waiting;
-      list[i].kv_used_mb = l->kv_used_mb;
-      list[i].tokens_per_s = l->tokens_per_s;
+      list[i].age_ms = l->age_ms;
     }
-  pu_entry_loads_in (entry, list, n);
+  pu_entry_loads_in (entry, list, n, m->life_ms);
   g_free (list);
 }
 
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -58,7 +58,8 @@
 /* loads.c - load reports between entries.  */
 void pu_daemon_loads_listen (pu_daemon_t *d);
 void pu_daemon_loads_out (void *daemon, const char *address,
-                          const pu_entry_load_t *loads, guint n);
+                          const pu_entry_load_t *loads, guint n,
+                          guint life_ms);
 
 /* status.c - what operators see.  */
 void pu_daemon_status (json_t *status, pu_operator_json_fn *done,
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -189,7 +189,7 @@
   if (now - en->flushed >= LOADS_MS)
     {
       en->flushed = now;
-      pu_loads_flush (en);
+      pu_spread_tick (en, now);
     }
   pu_entry_check (en);
 }
@@ -250,8 +250,9 @@
   en->claims = g_hash_table_new (NULL, NULL);
   en->tickets = g_hash_table_new (g_int64_hash, g_int64_equal);
   en->numbers = g_hash_table_new (g_int64_hash, g_int64_equal);
-  en->loads = g_array_new (FALSE, FALSE, sizeof (pu_entry_load_t));
-  g_array_set_clear_func (en->loads, pu_load_clear);
+  en->listeners = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         pu_listener_free);
+  en->load_ids = g_hash_table_new (g_int64_hash, g_int64_equal);
 }
 
 static pu_http_server_t *
@@ -301,6 +302,8 @@
   pu_once_free (en->once);
   pu_suspects_free (en->suspects);
   pu_document_unref (en->document);
+  g_hash_table_destroy (en->listeners);
+  g_hash_table_destroy (en->load_ids);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
   g_hash_table_destroy (en->strikes);
@@ -310,7 +313,6 @@
   g_hash_table_destroy (en->claims);
   g_hash_table_destroy (en->tickets);
   g_hash_table_destroy (en->numbers);
-  g_array_free (en->loads, TRUE);
   g_rand_free (en->random);
   g_strfreev (en->backend_keys);
   g_free (en->peer_key);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -28,15 +28,19 @@
 /* A load report that goes from entry to entry.  */
 typedef struct
 {
-  const char *backend;
-  guint64 incarnation;
+  guint64 id; /* of the backend server, see pu_entry_load_id */
   guint64 seq;
   guint running;
   guint waiting;
-  guint kv_used_mb;
-  guint tokens_per_s;
+  guint age_ms; /* since the backend server's report came */
+  guint64 at;   /* loop time of that; of no meaning to another entry */
 } pu_entry_load_t;
 
+/* pu_entry_load_id - what stands for an incarnation of a backend server in
+   load reports between entries.  Two that have the same id (one of 2^64) would
+   take each other's loads, which are hints.  */
+guint64 pu_entry_load_id (const char *backend, guint64 incarnation);
+
 /* pu_entry_done_fn - the same as pu_agent_done_fn.  */
 typedef void pu_entry_done_fn (void *data, const pu_reply *r,
                                const pu_error_t *e);
@@ -57,10 +61,10 @@
   void (*renew) (void *data, const char *backend, guint64 incarnation);
   void (*demand) (void *data, const char *model, guint32 requests,
                   guint32 stream_ms);
-  /* Sends N loads to the daemon whose peers' address is ADDRESS.  May be
-     NULL.  */
+  /* Sends N loads to the daemon whose peers' address is ADDRESS; they hold
+     until the next, for LIFE_MS at most.  May be NULL.  */
   void (*loads) (void *data, const char *address, const pu_entry_load_t *loads,
-                 guint n);
+                 guint n, guint life_ms);
   void *data;
 } pu_entry_hooks_t;
 
@@ -121,8 +125,9 @@
    it is first ready.  */
 void pu_entry_view_changed (pu_entry_t *en);
 
-/* pu_entry_loads_in - loads that another entry sent.  */
-void pu_entry_loads_in (pu_entry_t *en, const pu_entry_load_t *loads, guint n);
+/* pu_entry_loads_in - N loads that another entry sent, good for LIFE_MS.  */
+void pu_entry_loads_in (pu_entry_t *en, const pu_entry_load_t *loads, guint n,
+                        guint life_ms);
 
 /* pu_entry_leave - from now on /healthz and /v1/entries no longer name this
    entry.  Requests are still served.  */
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -47,6 +47,7 @@
   char *name;
   char *address;
   guint64 incarnation;
+  guint64 load_id;            /* of the incarnation */
   pu_router_backend_t handle; /* PU_ROUTER_NONE when down */
   guint number;               /* of the suspects' table; never used again */
   bool leaving;
@@ -188,15 +189,17 @@
   GHashTable *tickets;   /* &ticket -> pu_exchange_t */
   GHashTable *numbers;   /* &number -> pu_exchange_t */
   GQueue open;           /* of pu_exchange_t */
-  GArray *loads;         /* of pu_entry_load_t, names owned */
+  GHashTable *listeners; /* peers' address -> listener_t of spread.c */
+  GHashTable *load_ids;  /* &load_id -> pu_server_t */
   uv_timer_t tick;
   uv_timer_t wake; /* the router's next decision */
   guint handles;   /* open */
   guint pending;   /* proposals that will call back */
   guint64 last_number;
   guint last_server;
-  guint64 second;  /* loop time of the last rates */
-  guint64 flushed; /* loop time when loads were sent on */
+  guint64 second;    /* loop time of the last rates */
+  guint64 flushed;   /* loop time when loads were sent on */
+  guint64 recounted; /* loop time when the listeners' loads were counted */
   guint64 bad_announcements;
   guint64 bad_logged;
   GRand *random;
@@ -271,11 +274,25 @@
 void pu_rates_count (pu_entry_t *en, const char *service);
 void pu_rates_tick (pu_entry_t *en, guint64 now);
 
-/* pu_loads_flush - sends on what backend servers reported.  */
-void pu_loads_flush (pu_entry_t *en);
-void pu_load_clear (gpointer load);
 void pu_reporter_free (gpointer reporter);
 
+/* --- spread.c: loads that go on to other entries --- */
+
+/* pu_spread_interval_ms - how often an entry that hears of HEARD backend
+   servers is told of each: it grows with them, so that the bytes do not.  */
+guint pu_spread_interval_ms (guint heard);
+
+/* pu_spread_life_ms - how long a load holds that is told every INTERVAL_MS. */
+guint pu_spread_life_ms (guint interval_ms);
+
+/* pu_spread_add - queues the load of A for the other entries that route to its
+   backend server; a newer one takes the place of an older.  */
+void pu_spread_add (pu_entry_t *en, const pu_announcement_t *a);
+
+/* pu_spread_tick - sends what is queued to those whose time has come.  */
+void pu_spread_tick (pu_entry_t *en, guint64 now);
+void pu_listener_free (gpointer listener);
+
 /* --- servers.c: backend servers in the router, probes, deaths --- */
 
 pu_server_t *pu_server_find (const pu_entry_t *en, const char *name);
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -164,6 +164,20 @@
       { pu_command_encode (c), fn, fn_data });
 }
 
+void
+tell_loads (void *data, const char *address, const pu_entry_load_t *loads,
+            guint n, guint life_ms)
+{
+  rig &r = *static_cast<node *> (data)->r;
+
+  r.loads_told += n;
+  for (node &to : r.nodes)
+    {
+      if (to.address == address)
+        pu_entry_loads_in (to.entry, loads, n, life_ms);
+    }
+}
+
 pu_entry_hooks_t
 hooks_of (node &n)
 {
@@ -177,6 +191,7 @@
   h.propose = propose;
   h.renew = [] (void *, const char *, guint64) {};
   h.demand = [] (void *, const char *, guint32, guint32) {};
+  h.loads = tell_loads;
   h.data = &n;
   return h;
 }
@@ -329,7 +344,7 @@
   m.zone = const_cast<char *> ("a");
   m.caller_address = const_cast<char *> (n.address.c_str ());
   m.operator_address = const_cast<char *> ("");
-  m.peer_address = const_cast<char *> ("");
+  m.peer_address = m.caller_address;
   apply (c);
   return n;
 }
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -97,6 +97,7 @@
   bool lose_answers = false;
   guint breaks = 0; /* pu_entry_break_t of nodes to be added */
   std::deque<proposal> proposals;
+  guint loads_told = 0; /* load reports that went from node to node */
   std::list<node> nodes;
   std::list<backend> backends;
 
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -140,7 +140,10 @@
 {
   if (s->incarnation != 0)
     incarnation_died (s, s->incarnation);
+  g_hash_table_remove (s->en->load_ids, &s->load_id);
   s->incarnation = b->incarnation;
+  s->load_id = pu_entry_load_id (s->name, s->incarnation);
+  g_hash_table_insert (s->en->load_ids, &s->load_id, s);
   s->leaving = false;
   s->dead_until = 0;
   s->refused = 0;
--- /dev/null
+++ b/libplantainusher/entry/spread.c
@@ -0,0 +1,268 @@
+/* Loads that go on to the other entries of a backend server's services.  */
+
+#include "entry/entry_private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  RECOUNT_MS = 5000,
+  INTERVAL_MIN_MS = 1000,
+  /* An entry that hears N backend servers is told of each every N times this.
+     A load alone in a message is 80 bytes: at most 1.1 KB/s in all.  */
+  INTERVAL_EACH_MS = 72,
+  LIFE_MIN_MS = 5000,
+  LIFE_INTERVALS = 3, /* two messages in a row may be lost */
+};
+
+/* Another entry that is told of loads.  */
+typedef struct
+{
+  guint heard;        /* backend servers that it hears of from all entries */
+  guint64 next_at;    /* loop time of its next message */
+  GHashTable *queued; /* name -> pu_entry_load_t, not yet sent */
+} listener_t;
+
+guint
+pu_spread_interval_ms (guint heard)
+{
+  return MAX (heard * INTERVAL_EACH_MS, INTERVAL_MIN_MS);
+}
+
+guint
+pu_spread_life_ms (guint interval_ms)
+{
+  return MAX (interval_ms * LIFE_INTERVALS, LIFE_MIN_MS);
+}
+
+guint64
+pu_entry_load_id (const char *backend, guint64 incarnation)
+{
+  return XXH3_64bits_withSeed (backend, strlen (backend), incarnation);
+}
+
+void
+pu_listener_free (gpointer listener)
+{
+  listener_t *l = listener;
+
+  g_hash_table_destroy (l->queued);
+  g_free (l);
+}
+
+static listener_t *
+listener_get (pu_entry_t *en, const char *address)
+{
+  listener_t *l = g_hash_table_lookup (en->listeners, address);
+
+  if (l != NULL)
+    return l;
+  l = g_new0 (listener_t, 1);
+  l->queued = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_hash_table_insert (en->listeners, g_strdup (address), l);
+  return l;
+}
+
+/* --- who hears of a backend server --- */
+
+static void
+add_once (GPtrArray *list, const char *s)
+{
+  if (!g_ptr_array_find_with_equal_func (list, s, g_str_equal, NULL))
+    g_ptr_array_add (list, (char *)s);
+}
+
+/* The services whose requests can come to B.  */
+static GPtrArray *
+services_of (const pu_entry_t *en, const pu_backend_record *b)
+{
+  const pu_document_t *d = en->document;
+  GPtrArray *services = g_ptr_array_new ();
+
+  if (b->kind == PU_BACKEND_PLAIN)
+    add_once (services, b->service);
+  for (guint i = 0; i < b->copies.copies_len; i++)
+    {
+      pu_model_handle_t m
+          = pu_document_find_model (d, b->copies.copies_val[i].model);
+      pu_service_handle_t s = m != PU_HANDLE_NONE
+                                  ? pu_document_default_service (d, m)
+                                  : PU_HANDLE_NONE;
+
+      if (s != PU_HANDLE_NONE)
+        add_once (services, pu_document_service (d, s)->name);
+    }
+  return services;
+}
+
+/* Adds the peers' addresses of the other entries that serve SERVICE.  */
+static void
+add_entries (pu_entry_t *en, const char *service, GPtrArray *addresses)
+{
+  const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
+
+  pu_directory_entries (en->directory, service, pu_service_size (en, service),
+                        NULL, NULL, found);
+  for (guint i = 0; i < found->len; i++)
+    {
+      const char *name = g_array_index (found, pu_directory_entry_t, i).name;
+      const pu_member_record *m = pu_state_member (view, name);
+
+      if (m != NULL && strcmp (name, en->name) != 0)
+        add_once (addresses, m->peer_address);
+    }
+  g_array_free (found, TRUE);
+}
+
+/* The other entries that are told of B, by their peers' addresses, which are
+   the view's.  */
+static GPtrArray *
+listeners_of (pu_entry_t *en, const pu_backend_record *b)
+{
+  GPtrArray *services = services_of (en, b);
+  GPtrArray *addresses = g_ptr_array_new ();
+
+  for (guint i = 0; i < services->len; i++)
+    add_entries (en, g_ptr_array_index (services, i), addresses);
+  g_ptr_array_free (services, TRUE);
+  return addresses;
+}
+
+/* --- how many backend servers each hears of --- */
+
+static void
+heard_clear (gpointer address, gpointer listener, gpointer data)
+{
+  (void)address;
+  (void)data;
+  ((listener_t *)listener)->heard = 0;
+}
+
+static void
+heard_count (const pu_backend_record *b, void *data)
+{
+  pu_entry_t *en = data;
+  GPtrArray *addresses;
+
+  if (b->down)
+    return;
+  addresses = listeners_of (en, b);
+  for (guint i = 0; i < addresses->len; i++)
+    listener_get (en, g_ptr_array_index (addresses, i))->heard++;
+  g_ptr_array_free (addresses, TRUE);
+}
+
+static gboolean
+is_deaf (gpointer address, gpointer listener, gpointer data)
+{
+  (void)address;
+  (void)data;
+  return ((listener_t *)listener)->heard == 0;
+}
+
+static void
+recount (pu_entry_t *en)
+{
+  g_hash_table_foreach (en->listeners, heard_clear, NULL);
+  pu_state_each_backend (en->o.hooks.view (en->o.hooks.data), heard_count, en);
+  g_hash_table_foreach_remove (en->listeners, is_deaf, NULL);
+}
+
+/* --- to them --- */
+
+void
+pu_spread_add (pu_entry_t *en, const pu_announcement_t *a)
+{
+  const pu_backend_record *b = pu_state_backend (
+      en->o.hooks.view (en->o.hooks.data), a->record->name);
+  pu_entry_load_t load
+      = { .id = pu_entry_load_id (a->record->name, a->record->incarnation),
+          .seq = a->seq,
+          .running = a->load.running,
+          .waiting = a->load.waiting,
+          .at = uv_now (en->o.loop) };
+  GPtrArray *addresses;
+
+  if (b == NULL || en->document == NULL || en->o.hooks.loads == NULL)
+    return;
+  addresses = listeners_of (en, b);
+  for (guint i = 0; i < addresses->len; i++)
+    {
+      listener_t *l = listener_get (en, g_ptr_array_index (addresses, i));
+
+      g_hash_table_replace (l->queued, g_strdup (b->name),
+                            g_memdup2 (&load, sizeof load));
+    }
+  g_ptr_array_free (addresses, TRUE);
+}
+
+static void
+listener_tell (pu_entry_t *en, const char *address, listener_t *l, guint64 now)
+{
+  guint interval = pu_spread_interval_ms (l->heard);
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (pu_entry_load_t));
+  GHashTableIter it;
+  gpointer load;
+
+  g_hash_table_iter_init (&it, l->queued);
+  while (g_hash_table_iter_next (&it, NULL, &load))
+    {
+      ((pu_entry_load_t *)load)->age_ms
+          = (guint)(now - ((pu_entry_load_t *)load)->at);
+      g_array_append_vals (loads, load, 1);
+    }
+  en->o.hooks.loads (en->o.hooks.data, address,
+                     (const pu_entry_load_t *)(void *)loads->data, loads->len,
+                     pu_spread_life_ms (interval));
+  g_array_free (loads, TRUE);
+  g_hash_table_remove_all (l->queued);
+  l->next_at = now + interval;
+}
+
+void
+pu_spread_tick (pu_entry_t *en, guint64 now)
+{
+  GHashTableIter it;
+  gpointer address;
+  gpointer listener;
+
+  if (en->document == NULL || en->o.hooks.loads == NULL)
+    return;
+  if (now - en->recounted >= RECOUNT_MS)
+    {
+      en->recounted = now;
+      recount (en);
+    }
+  g_hash_table_iter_init (&it, en->listeners);
+  while (g_hash_table_iter_next (&it, &address, &listener))
+    {
+      listener_t *l = listener;
+
+      if (g_hash_table_size (l->queued) > 0 && now >= l->next_at)
+        listener_tell (en, address, l, now);
+    }
+}
+
+/* --- from them --- */
+
+void
+pu_entry_loads_in (pu_entry_t *en, const pu_entry_load_t *loads, guint n,
+                   guint life_ms)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      const pu_entry_load_t *one = &loads[i];
+      const pu_server_t *s = g_hash_table_lookup (en->load_ids, &one->id);
+      pu_router_report_t report = { .seq = one->seq,
+                                    .running = one->running,
+                                    .waiting = one->waiting,
+                                    .age_ms = one->age_ms,
+                                    .life_ms = life_ms };
+
+      if (s != NULL && s->handle != PU_ROUTER_NONE)
+        pu_router_report (en->router, s->handle, &report, uv_now (en->o.loop));
+    }
+  pu_router_due (en);
+}
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -12,6 +12,8 @@
 /* The adaptive slots of a backend server.  */
 #define SLOTS_MIN 4
 #define SLOTS_USED_PCT 80
+#define GROW_PERIOD_MS 1000
+#define GROW_STEPS_MAX 8
 #define WAITING_MAX 2 /* requests an engine may have waiting */
 
 /* The adaptive share of work sent ahead to a backend server.  */
@@ -137,8 +139,19 @@
   s->slots = MAX (MIN (s->slots, load) * SHRINK, SLOTS_MIN);
 }
 
+/* Reports that come seldom grow the slots no slower: a step for each second
+   since the last, up to GROW_STEPS_MAX.  */
+static void
+slots_grow (const pu_router_t *r, backend_t *s, guint64 since)
+{
+  guint64 steps = CLAMP (since / GROW_PERIOD_MS, 1, GROW_STEPS_MAX);
+
+  for (guint64 i = 0; i < steps; i++)
+    s->slots = MIN (s->slots * GROW + 1, r->options.slots_max);
+}
+
 void
-slots_report (const pu_router_t *r, backend_t *s, guint64 now)
+slots_report (const pu_router_t *r, backend_t *s, guint64 since, guint64 now)
 {
   guint load = backend_load (s, now);
 
@@ -149,7 +162,7 @@
   else if (s->report.waiting <= WAITING_MAX
            && load * 100 >= s->slots * SLOTS_USED_PCT)
     {
-      s->slots = MIN (s->slots * GROW + 1, r->options.slots_max);
+      slots_grow (r, s, since);
     }
 }
 
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -205,7 +205,8 @@
   guint waiting;
   guint kv_used_mb;
   double tokens_per_s;
-  guint age_ms; /* how old the numbers are on arrival; 0: not known */
+  guint age_ms;  /* how old the numbers are on arrival; 0: not known */
+  guint life_ms; /* they hold until the next, at most for that long; 0: 5 s */
 } pu_router_report_t;
 
 /* pu_router_report - takes a load report of B.  Returns false when old.  */
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -17,7 +17,7 @@
 #define MEAN_SHARE 0.1 /* weight of a new sample in a mean */
 #define HISTORY_MAX 16 /* ticks of own work kept, to correct late reports */
 #define HISTORY_TICK_MS 64
-#define REPORT_STALE_MS 5000 /* an older report says nothing */
+#define REPORT_LIFE_MS 5000 /* an older report says nothing */
 
 typedef struct
 {
@@ -317,7 +317,11 @@
 
 /* slots_of - requests that B may have at once.  */
 guint slots_of (const backend_t *b);
-void slots_report (const pu_router_t *r, backend_t *b, guint64 now);
+
+/* slots_report - takes the report of B, which came SINCE milliseconds after
+   the one before.  */
+void slots_report (const pu_router_t *r, backend_t *b, guint64 since,
+                   guint64 now);
 void slots_refused (backend_t *b, guint64 now);
 
 void backend_failed (pu_router_t *r, pu_router_backend_t b,
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -186,23 +186,59 @@
   pu_router_backend_t a = backend ("a");
   pu_router_backend_t b = backend ("b");
   pu_router_request_t q = request ();
-  pu_router_report_t busy = { 1, 3, 0, 0, 0, 0 };
+  pu_router_report_t busy = { 1, 3, 0, 0, 0, 0, 0 };
   pu_router_report (r_, b, &busy, now_);
   q.prompt_tokens = 0;
   EXPECT_EQ (offer (q).backend, a);
   EXPECT_EQ (offer (q).backend, a);
   /* The report of `a` shows what this entry sent there: not counted twice. */
   now_ += 100;
-  pu_router_report_t own = { 1, 2, 0, 0, 0, 0 };
+  pu_router_report_t own = { 1, 2, 0, 0, 0, 0, 0 };
   pu_router_report (r_, a, &own, now_);
   EXPECT_EQ (offer (q).backend, a);
   EXPECT_EQ (offer (q).backend, b);
 }
 
+TEST_F (Router, ReportHoldsForItsLife)
+{
+  pu_router_backend_t a = backend ("a", 1);
+  pu_router_report_t busy = { 1, 1, 0, 0, 0, 0, 8000 };
+  pu_router_report (r_, a, &busy, now_);
+  now_ += 7999;
+  pu_router_decision_t early = offer (request ());
+  EXPECT_EQ (early.verdict, PU_ROUTER_QUEUED);
+  pu_router_cancel (r_, early.ticket, now_);
+  now_ += 1;
+  EXPECT_EQ (offer (request ()).backend, a);
+}
+
+TEST_F (Router, SeldomReportsGrowTheSlotsAsOftenOnesDo)
+{
+  guint slots[2];
+
+  for (guint every : { 1u, 3u })
+    {
+      make ();
+      pu_router_backend_t a = backend ("a");
+      for (guint64 at = 0; at <= 12; at += every)
+        {
+          pu_router_report_t full = { at + 1, 1000, 0, 0, 0, 0, 0 };
+          pu_router_report (r_, a, &full, now_ + at * 1000);
+        }
+      json_t *dump = pu_router_dump (r_);
+      slots[every / 2]
+          = static_cast<guint> (json_integer_value (json_object_get (
+              json_array_get (json_object_get (dump, "backends"), 0),
+              "slots")));
+      json_decref (dump);
+    }
+  EXPECT_EQ (slots[0], slots[1]);
+}
+
 TEST_F (Router, IgnoresOldReportsAndOldIncarnations)
 {
   pu_router_backend_t a = backend ("a");
-  pu_router_report_t late = { 7, 3, 0, 0, 0, 0 };
+  pu_router_report_t late = { 7, 3, 0, 0, 0, 0, 0 };
   EXPECT_TRUE (pu_router_report (r_, a, &late, now_));
   EXPECT_FALSE (pu_router_report (r_, a, &late, now_));
   pu_router_backend_t fresh
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -480,6 +480,7 @@
                   const pu_router_report_t *report, guint64 now)
 {
   backend_t *s = backend_at (r, b);
+  guint64 since;
   guint own;
   guint total;
 
@@ -487,12 +488,13 @@
     return false;
   own = own_before (s, report->age_ms, now);
   total = report->running + report->waiting;
+  since = s->reported_at ? now - s->reported_at : 0;
   s->seq = report->seq;
   s->reported_at = now;
   s->report = *report;
   s->others_running = total > own ? total - own : 0;
   s->others_waiting = MIN (report->waiting, s->others_running);
-  slots_report (r, s, now);
+  slots_report (r, s, since, now);
   backend_dirty (r, b);
   return true;
 }
@@ -500,7 +502,9 @@
 static bool
 report_is_fresh (const backend_t *s, guint64 now)
 {
-  return s->reported_at && now < s->reported_at + REPORT_STALE_MS;
+  guint life = s->report.life_ms != 0 ? s->report.life_ms : REPORT_LIFE_MS;
+
+  return s->reported_at && now < s->reported_at + life;
 }
 
 guint
