Moves: daemons hear what changed in a record of a backend server

Cause: each change of a copy put the engine's whole record to every daemon: 509 bytes with its poll for an engine of 6 copies.

Ruled out: deltas in the log (a voter of an older version would skip them and be another state from then on); telling only the sets of the services (every entry must find any model).

Change: the log keeps whole reports. To daemons that poll with POLL_DELTAS the voters send which copies changed, went or came, by number, with the hash of the record before. A delta that does not fit changes nothing; the next poll asks for the image. Reports that change nothing are not sent.

--- a/bench/control_bench.py
+++ b/bench/control_bench.py
@@ -182,6 +182,8 @@
     note(f"the document has {len(json.dumps(make_document(MODELS_LETTER, 0)))}"
          " bytes")
     copy_changes(bench)
+    if bench.options.only.startswith("control.copy"):
+        return
     by_size = {}
     for size in sizes:
         engines = size * LETTER_ENGINES // LETTER_DAEMONS
--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -24,6 +24,7 @@
   GRand *rand;
   uint64_t cluster; /* of the log that the view comes from; 0: none yet */
   bool ready;       /* holds an image */
+  bool gap;         /* a delta did not fit: an image is needed */
   bool confirmed;   /* by a voter, or by the lack of one */
   bool joined;
   bool departed;
@@ -92,7 +93,7 @@
 
 /* view.c */
 bool pu_agent_take (pu_agent_t *a, const pu_poll_reply *r);
-void pu_agent_apply_entries (pu_state_t *s, const pu_poll_reply *r);
+bool pu_agent_apply_entries (pu_state_t *s, const pu_poll_reply *r);
 void pu_agent_announce (pu_agent_t *a);
 void pu_agent_tell (pu_agent_t *a);
 
--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -21,6 +21,7 @@
 const PU_CONTROL_QUERY = 6;    /* pu_query -> pu_query_reply */
 const PU_CONTROL_LOADS = 7;    /* pu_loads, one way, entry to entry; 5 was
                                   that with names */
+const PU_CONTROL_POLL_DELTAS = 8; /* as POLL; entries may be BACKEND_DELTA */
 
 const PU_CONTROL_LIST_MAX = 4096;
 const PU_CONTROL_VOTERS_MAX = 16;
--- a/libplantainusher/control/feed.c
+++ b/libplantainusher/control/feed.c
@@ -4,6 +4,7 @@
 {
   uint64_t position;
   GBytes *bytes;
+  GBytes *delta; /* or NULL */
 } item_t;
 
 struct pu_feed
@@ -27,14 +28,24 @@
   return f;
 }
 
+static size_t
+item_size (const item_t *i)
+{
+  size_t size = g_bytes_get_size (i->bytes);
+
+  return i->delta == NULL ? size : size + g_bytes_get_size (i->delta);
+}
+
 static void
 drop_oldest (pu_feed_t *f)
 {
   item_t *i = g_queue_pop_head (&f->items);
 
   f->from = i->position;
-  f->bytes -= g_bytes_get_size (i->bytes);
+  f->bytes -= item_size (i);
   g_bytes_unref (i->bytes);
+  if (i->delta != NULL)
+    g_bytes_unref (i->delta);
   g_free (i);
 }
 
@@ -59,14 +70,16 @@
 }
 
 void
-pu_feed_add (pu_feed_t *f, uint64_t position, const void *bytes, size_t len)
+pu_feed_add (pu_feed_t *f, uint64_t position, const void *bytes, size_t len,
+             GBytes *delta)
 {
   item_t *i = g_new0 (item_t, 1);
 
   i->position = position;
   i->bytes = g_bytes_new (bytes, len);
+  i->delta = delta;
   g_queue_push_tail (&f->items, i);
-  f->bytes += len;
+  f->bytes += item_size (i);
   f->newest = position;
   while (f->items.length > f->entries_max || f->bytes > f->bytes_max)
     {
@@ -103,7 +116,7 @@
 
 guint
 pu_feed_read (const pu_feed_t *f, uint64_t position, pu_public_entry *entries,
-              guint max, size_t bytes_max)
+              guint max, size_t bytes_max, bool deltas)
 {
   size_t total = 0;
   guint n = 0;
@@ -113,7 +126,8 @@
     {
       const item_t *i = l->data;
       gsize size;
-      gconstpointer bytes = g_bytes_get_data (i->bytes, &size);
+      gconstpointer bytes = g_bytes_get_data (
+          deltas && i->delta != NULL ? i->delta : i->bytes, &size);
 
       if (n > 0 && total + size > bytes_max)
         break;
--- a/libplantainusher/control/feed.h
+++ b/libplantainusher/control/feed.h
@@ -24,9 +24,11 @@
 /* pu_feed_reset - forgets all: the state is an image as of POSITION.  */
 void pu_feed_reset (pu_feed_t *f, uint64_t position);
 
-/* pu_feed_add - the public entry at POSITION, above all earlier ones.  */
+/* pu_feed_add - the public entry at POSITION, above all earlier ones.  DELTA,
+   which is taken, says the same in less to a reader that takes deltas; it may
+   be NULL.  */
 void pu_feed_add (pu_feed_t *f, uint64_t position, const void *bytes,
-                  size_t len);
+                  size_t len, GBytes *delta);
 
 /* pu_feed_covers - whether a reader at POSITION can go on without an image. */
 bool pu_feed_covers (const pu_feed_t *f, uint64_t position);
@@ -35,10 +37,12 @@
 uint64_t pu_feed_newest (const pu_feed_t *f);
 
 /* pu_feed_read - fills ENTRIES, of room for MAX, with those after POSITION, up
-   to BYTES_MAX (one at least).  The bytes stay the feed's, until the next
+   to BYTES_MAX (one at least), as DELTAS where there are and those are wanted.
+    The bytes stay the feed's, until the next
    change.  Returns how many.  */
 guint pu_feed_read (const pu_feed_t *f, uint64_t position,
-                    pu_public_entry *entries, guint max, size_t bytes_max);
+                    pu_public_entry *entries, guint max, size_t bytes_max,
+                    bool deltas);
 
 G_END_DECLS
 
--- a/libplantainusher/control/proposals.c
+++ b/libplantainusher/control/proposals.c
@@ -312,6 +312,11 @@
 static GBytes *
 ready_for_log (pu_control_t *c, pu_command *command, pu_error_t *e)
 {
+  if (command->type == PU_COMMAND_BACKEND_DELTA)
+    {
+      pu_error_set (e, PU_ERROR_INVALID, "A delta does not go into the log.");
+      return NULL;
+    }
   if (command->type == PU_COMMAND_SUBMIT)
     pu_state_shrink_submit (c->state, &command->pu_command_u.submit);
   if (command->type == PU_COMMAND_CLAIM && c->options.claims_max > 0
--- a/libplantainusher/state/apply.c
+++ b/libplantainusher/state/apply.c
@@ -133,6 +133,9 @@
     case PU_COMMAND_LIFT:
       pu_apply_lift (a, c->pu_command_u.lift);
       return;
+    case PU_COMMAND_BACKEND_DELTA:
+      pu_apply_backend_delta (a, &c->pu_command_u.backend_delta);
+      return;
     }
 }
 
--- a/libplantainusher/state/apply.h
+++ b/libplantainusher/state/apply.h
@@ -39,6 +39,7 @@
 void pu_apply_member_down (pu_apply_t *a, const pu_down *c);
 void pu_apply_member_leaving (pu_apply_t *a, const pu_down *c);
 void pu_apply_backend_up (pu_apply_t *a, const pu_backend_record *c);
+void pu_apply_backend_delta (pu_apply_t *a, const pu_backend_delta *c);
 void pu_apply_backend_down (pu_apply_t *a, const pu_down *c);
 void pu_apply_backend_leaving (pu_apply_t *a, const pu_down *c);
 void pu_apply_reserve (pu_apply_t *a, const pu_order_record *c);
--- a/libplantainusher/state/apply_backends.c
+++ b/libplantainusher/state/apply_backends.c
@@ -1,6 +1,7 @@
 /* Commands about backend servers and the orders to them.  */
 
 #include "state/apply.h"
+#include "state/backend_delta.h"
 
 #include <string.h>
 
@@ -63,6 +64,48 @@
       a, pu_codec_clone ((xdrproc_t)xdr_pu_backend_record, &n, sizeof n));
 }
 
+void
+pu_apply_backend_delta (pu_apply_t *a, const pu_backend_delta *c)
+{
+  pu_state_t *s = a->state;
+  const pu_backend_record *old = pu_state_backend (s, c->name);
+  pu_backend_record *n = NULL;
+
+  if (old != NULL
+      && (pu_backend_delta_fits (c, old)
+          || pu_apply_broken (s, PU_STATE_BREAK_DELTA_BASE)))
+    n = pu_backend_delta_apply (c, old);
+  if (n == NULL)
+    {
+      pu_apply_answer (a, PU_OUTCOME_REFUSED,
+                       "The delta of %s does not fit its record.", c->name);
+      return;
+    }
+  pu_memory_restore_backend (s->memory, n);
+  pu_tables_put_backend (s, n);
+  s->changes++;
+}
+
+bool
+pu_state_apply_delta (pu_state_t *s, uint64_t position, const pu_command *c,
+                      pu_reply *r, GBytes **delta, bool *changed)
+{
+  const char *name = c->pu_command_u.backend_up.name;
+  const pu_backend_record *old = pu_state_backend (s, name);
+  pu_backend_record *before
+      = old == NULL ? NULL
+                    : pu_codec_clone ((xdrproc_t)xdr_pu_backend_record, old,
+                                      sizeof *old);
+  bool applied = pu_state_apply (s, position, c, r);
+
+  *delta = NULL;
+  *changed = applied && r->outcome == PU_OUTCOME_DONE;
+  if (*changed && before != NULL)
+    *delta = pu_backend_delta_make (before, pu_state_backend (s, name));
+  pu_codec_free ((xdrproc_t)xdr_pu_backend_record, before);
+  return applied;
+}
+
 static pu_backend_record *
 backend_in_force (pu_apply_t *a, const pu_down *c)
 {
--- a/libplantainusher/state/codec_fuzz.cc
+++ b/libplantainusher/state/codec_fuzz.cc
@@ -1,11 +1,12 @@
 /* libFuzzer target: the first byte picks a record of the log, the rest is
    decoded; what decodes is encoded and decoded again.  A command goes through
-   an empty state, an image becomes a state.  */
+   an empty state, a delta to a record too, an image becomes a state.  */
 
 #include <glib.h>
 
 extern "C"
 {
+#include "state/backend_delta.h"
 #include "state/codec.h"
 #include "state/generated/state_msg.h"
 #include "state/state.h"
@@ -36,6 +37,22 @@
   return true;
 }
 
+/* A delta that decodes, to a record of two copies that it was not made for. */
+static void
+fuzz_delta (const pu_backend_delta *d)
+{
+  char empty[] = "";
+  pu_copy_record copies[] = { { empty, empty, 1, PU_COPY_READY },
+                              { empty, empty, 2, PU_COPY_LOADING } };
+  pu_backend_record old = {};
+
+  old.name = old.service = old.address = old.region = old.zone = empty;
+  old.copies.copies_len = 2;
+  old.copies.copies_val = copies;
+  pu_codec_free (reinterpret_cast<xdrproc_t> (xdr_pu_backend_record),
+                 pu_backend_delta_apply (d, &old));
+}
+
 static void
 fuzz_command (const uint8_t *data, size_t size)
 {
@@ -45,6 +62,8 @@
 
   if (!check_again (xdr_pu_command, data, size, &c))
     return;
+  if (c.type == PU_COMMAND_BACKEND_DELTA)
+    fuzz_delta (&c.pu_command_u.backend_delta);
   pu_state_options_init (&o);
   pu_state_t *s = pu_state_new (&o);
   for (uint64_t position = 1; position <= 2; position++)
--- a/libplantainusher/state/image.c
+++ b/libplantainusher/state/image.c
@@ -192,6 +192,7 @@
   [PU_COMMAND_CLAIM_DONE] = { "claim-done", false },
   [PU_COMMAND_STRIKE] = { "strike", true },
   [PU_COMMAND_LIFT] = { "lift", true },
+  [PU_COMMAND_BACKEND_DELTA] = { "backend-delta", true },
 };
 
 bool
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -27,7 +27,8 @@
   PU_STATE_BREAK_REGRANT_UNKNOWN = 1, /* claim again what a dead owner left */
   PU_STATE_BREAK_LATE_COPY = 2,       /* a late copy opens a closed claim */
   PU_STATE_BREAK_BASE_VERSION = 4,    /* accept any base version */
-  PU_STATE_BREAK_CHANGE_TWICE = 8     /* accept a change id again */
+  PU_STATE_BREAK_CHANGE_TWICE = 8,    /* accept a change id again */
+  PU_STATE_BREAK_DELTA_BASE = 16      /* take a delta to any base */
 } pu_state_break_t;
 
 typedef struct
@@ -123,6 +124,14 @@
    free).  Applied to the same document, the delta gives the same text.  */
 void pu_state_shrink_submit (const pu_state_t *s, pu_submit *c);
 
+/* pu_state_apply_delta - as pu_state_apply, for a report (BACKEND_UP); *DELTA
+   becomes the same change as a BACKEND_DELTA for public copies, or NULL when
+   there is none or it would be longer.  *CHANGED says whether the report
+   changed the state: else public copies need not see it.  */
+bool pu_state_apply_delta (pu_state_t *s, uint64_t position,
+                           const pu_command *c, pu_reply *r, GBytes **delta,
+                           bool *changed);
+
 /* pu_command_encode, pu_command_decode - XDR bytes of a command.  A decoded
    command is freed with pu_command_clear.  */
 GBytes *pu_command_encode (const pu_command *c);
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -169,7 +169,9 @@
   PU_COMMAND_CLAIM = 10,
   PU_COMMAND_CLAIM_DONE = 11,
   PU_COMMAND_STRIKE = 12,
-  PU_COMMAND_LIFT = 13
+  PU_COMMAND_LIFT = 13,
+  PU_COMMAND_BACKEND_DELTA = 14  /* from voters to public copies; never in
+                                    the log */
 };
 
 /* A change of the document.  As a delta, the new text is the first PREFIX bytes
@@ -187,6 +189,26 @@
   string text<PU_DOCUMENT_MAX>;
 };
 
+/* A copy of the record before that changed.  */
+struct pu_copy_change
+{
+  unsigned int number;       /* in the list before */
+  unsigned int memory_mb;
+  pu_copy_phase phase;
+};
+
+/* What a report changed in the record of a backend server.  */
+struct pu_backend_delta
+{
+  pu_name name;
+  unsigned hyper base;       /* hash of the record before, by XXH3 */
+  unsigned hyper seq;
+  unsigned hyper token;
+  pu_copy_change changed<PU_LIST_MAX>;
+  unsigned int gone<PU_LIST_MAX>; /* numbers in the list before, rising */
+  pu_copy_record added<PU_LIST_MAX>; /* behind those that stay */
+};
+
 struct pu_down
 {
   pu_name name;
@@ -262,6 +284,8 @@
   pu_strike strike;
 case PU_COMMAND_LIFT:
   unsigned hyper lift;       /* fingerprint */
+case PU_COMMAND_BACKEND_DELTA:
+  pu_backend_delta backend_delta;
 };
 
 /* What applying a command answered; the same on every voter.  */
