Placement: a new leader waits only for engines with an open order in the log

Cause: after each change of leader no engine that ignores fencing tokens got a load for lease_ms and order_life_ms (a minute by default), whether or not anything could be under way to it; a model left without a copy in that minute stayed so beside free engines.

Checked: each order, load and unload alike, is proposed, reserved in the log and only then sent (orders.c: QUEUED, PROPOSED, RESERVED, SENT; a send needs the token that the reservation gave), and for engines that ignore tokens only RELEASE, at the end of its life, takes the record away. So an engine without an open order in the log has nothing under way, and while there is a record it counts. A reservation that comes into the log after the take-over is adopted like those before, and closes its engine too.

Ruled out: a shorter life (bounded by transit and report times, and not needed for the engines without an order), release with the old leader's connection (what was written may be read later).

A plan that is asked for between a change of the state and the leader's next look at it is made from the state: that was hidden by the wait, and Rig.APlanTellsTheMovesAndOrdersNothing found it.

--- a/libplantainusher/placement/fuzz_test.cc
+++ b/libplantainusher/placement/fuzz_test.cc
@@ -82,6 +82,8 @@
         Case{ "ReleaseOnTimeout", { 0, 0, PU_ORDERS_BREAK_TIMEOUT }, kOver },
         Case{
             "NewLeaderDoesNotWait", { 0, 0, PU_ORDERS_BREAK_NO_WAIT }, kOver },
+        Case{
+            "SentBeforeReserved", { 0, 0, PU_ORDERS_BREAK_UNLOGGED }, kOver },
         Case{ "UnloadLastCopy",
               { 0, PU_PLANNER_BREAK_LAST_COPY, 0 },
               "last ready copy" }),
--- a/libplantainusher/placement/placement.c
+++ b/libplantainusher/placement/placement.c
@@ -266,7 +266,7 @@
   e.memory_mb = s->report.memory_mb;
   e.streams = s->streams;
   e.usable = !s->down && !s->report.leaving;
-  e.closed = !pu_orders_may_load (pl->orders, s->report.fenced, now);
+  e.closed = !pu_orders_may_load (pl->orders, backend, s->report.fenced, now);
   e.copies = (const pu_plan_copy_t *)(void *)pl->plan_copies->data;
   e.n_copies = pl->plan_copies->len;
   pu_planner_set_engine (pl->planner, backend, &e, now);
--- a/libplantainusher/placer/follow.h
+++ b/libplantainusher/placer/follow.h
@@ -74,6 +74,10 @@
 bool pu_follow_update (pu_follow_t *f, pu_follow_awaits_fn *awaits, void *data,
                        guint64 now);
 
+/* pu_follow_is_current - whether the state has not changed since the last
+   update.  */
+bool pu_follow_is_current (const pu_follow_t *f);
+
 /* pu_follow_know - the order TOKEN is one's own; it is not adopted.  */
 void pu_follow_know (pu_follow_t *f, guint64 token);
 
