Routing: a service's limit is not cut where it is hardly in use

Cause: the limit of a service shrank by a tenth for each window with more than a fifth of its first tokens late, whatever the reason. Long prompts on copies without their prefix are late with one request at a time; the limit fell from 128 to 8 and stayed, and requests were refused beside idle engines.

Change: the cut needs half of the limit to have been in use in the window. The new test fails without it (49 instead of 128).

--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -5,6 +5,7 @@
 #define LATE_HIGH_PCT 20 /* more late ones shrink the limit */
 #define LATE_LOW_PCT 5   /* fewer let it grow, when it was used */
 #define USED_PCT 90      /* of the limit, to count as used */
+#define PARTLY_PCT 50    /* of the limit; below, lateness has other causes */
 #define SHRINK 0.9
 #define GROW 1.1
 #define GROW_FIRST 2.0 /* until a window was late */
@@ -82,9 +83,10 @@
 {
   guint late_pct = s->late * 100 / s->samples;
   bool used = s->peak * 100.0 >= s->limit * USED_PCT;
+  bool partly = s->peak * 100.0 >= s->limit * PARTLY_PCT;
   double floor = MAX (r->options.limit_min, fair_share (r, s));
 
-  if (late_pct > LATE_HIGH_PCT && s->limit > floor)
+  if (late_pct > LATE_HIGH_PCT && partly && s->limit > floor)
     {
       s->limit = MAX (s->limit * SHRINK, floor);
       s->was_late = true;
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -444,6 +444,22 @@
     }
 }
 
+/* One request at a time is not late because of too many at once.  */
+TEST_F (Router, LimitStaysWhenLateAndHardlyUsed)
+{
+  backend ("a", 1000);
+  guint before = pu_router_service_limit (r_, chat_);
+  for (int i = 0; i < 400; i++)
+    {
+      pu_router_decision_t d = offer (request ());
+      ASSERT_EQ (d.verdict, PU_ROUTER_DISPATCH);
+      now_ += 1000;
+      pu_router_first_token (r_, d.ticket, now_);
+      finish (d.ticket);
+    }
+  EXPECT_EQ (pu_router_service_limit (r_, chat_), before);
+}
+
 class Fairness : public Router
 {
 protected:
