--- a/libplantainusher/suspects/suspects.c
+++ b/libplantainusher/suspects/suspects.c
@@ -196,8 +196,10 @@
   const like_t *like = like_of (s, fingerprint);
 
   if (!pu_suspects_is_suspect (s, fingerprint, now))
-    return like != NULL && like->broken > 0 ? PU_SUSPECTS_WAIT
-                                            : PU_SUSPECTS_RUN;
+    {
+      return like != NULL && like->broken > 0 ? PU_SUSPECTS_WAIT
+                                              : PU_SUSPECTS_RUN;
+    }
   if (r->convicted && !broken (s, PU_SUSPECTS_BREAK_NO_CONVICTION))
     return PU_SUSPECTS_REFUSE;
   if ((like != NULL || runs_apart (s, fingerprint)
