Tests: a watch takes a restarted daemon for another; stale changes in the mixed test

Cause: a run of mixed_process_test ended with 'e5: position 1558 after 1568'. 1558 is the kept view that e5's new process started from, 1568 the old one's last. The watch compared process ids, and a new process can answer before Popen has returned its id to the test (20 threads on a machine at load 31), so the new one's answer was taken for the old one's.

Ruled out: a daemon that goes back. Its view is decoded from an image only when that is newer, skips only forwards, and the number is the kept one's.

Change: each start of a process is counted before it begins, and the watch compares counts. As strict: no process answers before its start is counted. The mixed test has a second operator now, whose changes on top of version 0 must never be taken.

Not caught by it: a truncated stream ended as whole, replayed tokens passed on (its engines never leave an answer truncated, nor replay); request_process_test has these.

--- a/tests/changes.py
+++ b/tests/changes.py
@@ -77,10 +77,10 @@
                          for d in daemons]
 
     def _asker(self, daemon):
-        seen = {"version": 0, "position": 0, "pid": None}
+        seen = {"version": 0, "position": 0, "starts": 0}
 
         def ask():
-            pid = daemon.pid
+            starts = daemon.starts
             try:
                 a = daemon.ask("GET", "/operator/document", timeout_s=ASK_S)
             except (OSError, http.client.HTTPException):
@@ -89,11 +89,11 @@
                 return  # it says that it has no state yet
             found = a.json if a.status == 200 else {"version": 0,
                                                     "position": 0}
-            # A restarted process may still have been the old one's turn.
-            same = pid == daemon.pid == seen["pid"]
+            # No process answers before its start is counted.
+            same = starts == daemon.starts == seen["starts"]
             self._compare(daemon, seen, found, same)
             seen.update(version=max(found["version"], seen["version"]),
-                        position=found["position"], pid=pid)
+                        position=found["position"], starts=starts)
         return ask
 
     def _compare(self, daemon, seen, found, same):
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -153,12 +153,14 @@
         self._lost = cluster.folder / f"{name}.lost"
         self._p = None
         self._expected = True
+        self.starts = 0  # how often it was started
 
     @property
     def pid(self):
         return self._p.pid
 
     def start(self):
+        self.starts += 1
         with open(self.log, "ab") as out:
             self._p = subprocess.Popen(
                 [str(c) for c in self.command], stdin=subprocess.DEVNULL,
--- a/tests/mixed_process_test.py
+++ b/tests/mixed_process_test.py
@@ -5,6 +5,7 @@
 
 MIXED_SEED and MIXED_STEPS choose another history than that of ./check;
 tests/fuzz-processes tries one after the other."""
+import http.client
 import os
 import random
 import shutil
@@ -53,7 +54,8 @@
         self._operator = Background(self._submit, pause_s=0.2)
         self._callers = [
             *(Background(self._stream) for _ in range(CALLERS)),
-            *(Background(self._assign) for _ in range(KEYED_CALLERS))]
+            *(Background(self._assign) for _ in range(KEYED_CALLERS)),
+            Background(self._submit_stale, pause_s=0.5)]
 
     def _number(self):
         with self._lock:
@@ -82,6 +84,16 @@
     def _submit(self):
         self.accepted.submit(self._entry(), f"change-{self._number()}")
 
+    def _submit_stale(self):
+        """A change on top of what is no longer in force is never taken."""
+        change_id = f"stale-{self._number()}"
+        try:
+            a = self._entry().submit(0, change_id, declared(change_id), "bea",
+                                     timeout_s=4)
+        except (OSError, http.client.HTTPException):
+            return
+        assert a.status in (409, 503, 504), a
+
     def finish(self):
         """The last of each is answered, now that all is healed."""
         for one in (self._operator, *self._callers):
