--- a/libplantainusher/log/journal_load.c
+++ b/libplantainusher/log/journal_load.c
@@ -184,7 +184,7 @@
 
   if (rc >= 0 && t->valid < n)
     rc = j->fs->truncate (j->fs->data, fd, (int64_t)t->valid);
-  if (rc >= 0)
+  if (rc >= 0 && t->valid > t->last)
     {
       rc = pu_journal_write_all (j->fs, fd, p + t->last, t->valid - t->last,
                                  (int64_t)t->last);
