Entry: suspects leave a lost backend server without others' retry budget

Copies of one request meet on one backend server now, so its death breaks them all at once; each drew on the retry budget for a dispatch that was cancelled at once, for it had become a suspect. Nothing was left for an innocent whose connection was refused there.

Change: what has become a suspect and may be repeated goes the suspects' way by pu_router_failed, which counts the failure and needs no budget. How often it is tried stays bounded by ATTEMPTS_MAX.

--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -545,6 +545,34 @@
   return !x->once && x->repeatable && suspect_hop (x, &to);
 }
 
+/* Where X goes as a suspect now.  */
+static void
+route_apart (pu_exchange_t *x)
+{
+  if (x->attempts >= ATTEMPTS_MAX)
+    {
+      fail_lost (x);
+    }
+  else
+    {
+      pu_exchange_route (x);
+    }
+}
+
+/* The attempt of X failed, and X may be repeated: it goes the suspects' way.
+   What ran at a lost backend server would use up the budget that others need
+   to leave it.  */
+static void
+leave_apart (pu_exchange_t *x, pu_router_failure_t failure)
+{
+  pu_ticket_t ticket = x->ticket;
+
+  ticket_set (x, 0);
+  pu_router_failed (x->en->router, ticket, failure, uv_now (x->en->o.loop));
+  pu_router_due (x->en);
+  route_apart (x);
+}
+
 void
 pu_exchange_again (pu_exchange_t *x, pu_router_failure_t failure)
 {
@@ -564,6 +592,11 @@
       fail_deadline (x);
       return;
     }
+  if (!x->once && x->repeatable && goes_apart (x))
+    {
+      leave_apart (x, failure);
+      return;
+    }
   pu_router_retry (x->en->router, x->ticket, failure, uv_now (x->en->o.loop),
                    &d);
   /* One that became a suspect goes the suspects' way.  One that may run here
@@ -572,14 +605,7 @@
     {
       ticket_set (x, d.ticket);
       ticket_cancel (x);
-      if (x->attempts >= ATTEMPTS_MAX)
-        {
-          fail_lost (x);
-        }
-      else
-        {
-          pu_exchange_route (x);
-        }
+      route_apart (x);
       return;
     }
   /* The same copies once more: one that was cut may go on.  */
--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -215,3 +215,17 @@
       enqueue_or_refuse (r, q, now, d);
     }
 }
+
+void
+pu_router_failed (pu_router_t *r, pu_ticket_t t, pu_router_failure_t failure,
+                  guint64 now)
+{
+  request_t *q = running_of (r, t);
+
+  if (!q)
+    return;
+  note_failure (r, q, failure, now);
+  stop_and_open (r, q, now);
+  r->stats.cancelled++;
+  request_end (r, q);
+}
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -348,6 +348,12 @@
                       pu_router_failure_t failure, guint64 now,
                       pu_router_decision_t *d);
 
+/* pu_router_failed - the attempt under T failed and the shell sends the
+   request elsewhere itself, such as to another entry: counts it against the
+   backend server and voids T, without a retry's budget.  */
+void pu_router_failed (pu_router_t *r, pu_ticket_t t,
+                       pu_router_failure_t failure, guint64 now);
+
 /* Looking in.  */
 
 typedef struct
--- a/libplantainusher/suspects/suspects.c
+++ b/libplantainusher/suspects/suspects.c
@@ -25,8 +25,10 @@
 typedef struct
 {
   guint64 fingerprint;
-  GQueue runs;  /* of run_t */
-  guint broken; /* of these */
+  GQueue runs;     /* of run_t */
+  guint broken;    /* of these */
+  guint32 backend; /* where one of them runs at least */
+  guint elsewhere; /* runs at others */
 } like_t;
 
 /* A request that runs, or that was cut.  */
@@ -197,8 +199,9 @@
 
   if (!pu_suspects_is_suspect (s, fingerprint, now))
     {
-      return like != NULL && like->broken > 0 ? PU_SUSPECTS_WAIT
-                                              : PU_SUSPECTS_RUN;
+      bool doubted = like != NULL && like->broken > 0;
+
+      return doubted ? PU_SUSPECTS_WAIT : PU_SUSPECTS_RUN;
     }
   if (r->convicted && !broken (s, PU_SUSPECTS_BREAK_NO_CONVICTION))
     return PU_SUSPECTS_REFUSE;
@@ -218,13 +221,29 @@
     {
       like = g_new0 (like_t, 1);
       like->fingerprint = r->fingerprint;
+      like->backend = r->backend;
       g_hash_table_insert (s->likes, &like->fingerprint, like);
     }
   r->link.data = r;
   r->like = like;
+  like->elsewhere += r->backend != like->backend;
   g_queue_push_tail_link (&like->runs, &r->link);
 }
 
+/* None of LIKE's runs is at its backend server any more.  */
+static void
+like_move (like_t *like)
+{
+  like->backend = ((const run_t *)like->runs.head->data)->backend;
+  like->elsewhere = 0;
+  for (const GList *l = like->runs.head; l != NULL; l = l->next)
+    {
+      const run_t *r = l->data;
+
+      like->elsewhere += r->backend != like->backend;
+    }
+}
+
 static void
 like_remove (pu_suspects_t *s, run_t *r)
 {
@@ -235,8 +254,15 @@
   r->like = NULL;
   g_queue_unlink (&like->runs, &r->link);
   like->broken -= r->broken;
+  like->elsewhere -= r->backend != like->backend;
   if (g_queue_is_empty (&like->runs))
-    g_hash_table_remove (s->likes, &like->fingerprint);
+    {
+      g_hash_table_remove (s->likes, &like->fingerprint);
+    }
+  else if (like->elsewhere == like->runs.length)
+    {
+      like_move (like);
+    }
 }
 
 /* R runs no longer; the caller frees it.  */
@@ -338,14 +364,7 @@
   if (like == NULL || broken (s, PU_SUSPECTS_BREAK_TOGETHER)
       || (since != 0 && now - since >= s->options.like_wait_ms))
     return false;
-  for (const GList *l = like->runs.head; l != NULL; l = l->next)
-    {
-      const run_t *r = l->data;
-
-      if (r->backend != backend)
-        return true;
-    }
-  return false;
+  return like->backend != backend || like->elsewhere > 0;
 }
 
 static bool
--- a/libplantainusher/suspects/suspects_test.cc
+++ b/libplantainusher/suspects/suspects_test.cc
@@ -146,8 +146,13 @@
   EXPECT_FALSE (pu_suspects_stays (t.s, 8, 4, 0, 10));
   EXPECT_TRUE (pu_suspects_stays (t.s, 7, 4, 10, 209));
   EXPECT_FALSE (pu_suspects_stays (t.s, 7, 4, 10, 210));
+  pu_suspects_started (t.s, 2, 7, 4, 1, 0);
+  EXPECT_TRUE (pu_suspects_stays (t.s, 7, 3, 0, 10));
   pu_suspects_answered (t.s, 1);
+  EXPECT_TRUE (pu_suspects_stays (t.s, 7, 3, 0, 10));
   EXPECT_FALSE (pu_suspects_stays (t.s, 7, 4, 0, 10));
+  pu_suspects_finished (t.s, 2);
+  EXPECT_FALSE (pu_suspects_stays (t.s, 7, 3, 0, 10));
 }
 
 TEST (Suspects, CopiesWaitWhileItIsNotKnownWhetherOneKilled)
