Entry: another entry's "not-run" does not speak for an earlier attempt

Cause: a copy of a crashing request ran at an entry of the set, which sent it on to the suspects' entry after the death; that refused it 422 `not-run`, truly of itself, and the first entry passed the answer on as it was, though the request had run. The fault is older: the tests so far sent one copy first, which was alone on that way.

Change: a relayed refusal that says `not-run` is told as `unknown` when the request may have run before; status, type, message and Retry-After stay.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -8,6 +8,7 @@
 {
   CALLER_BUFFER_MAX = 256 * 1024, /* unsent to the caller: reading pauses */
   PREDICTED_FACTOR = 4, /* the head may take so many times the estimate */
+  RETRY_AFTER_MAX_S = 3600,
   STATUS_OK = 200,
   STATUS_CLIENT_ERROR = 400,
   STATUS_NOT_FOUND = 404,
@@ -371,6 +372,40 @@
   attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
 }
 
+/* Whether another entry says that it did not run X, which may have run
+   before, here or on its way.  */
+static bool
+denies_earlier_run (const pu_exchange_t *x)
+{
+  return x->at.server == NULL && x->may_have_run
+         && g_strcmp0 (x->at.outcome, pu_outcome_word (PU_NOT_RUN)) == 0;
+}
+
+/* The other entry's refusal of X goes to the caller with the outcome over all
+   attempts.  */
+static void
+refusal_pass (pu_exchange_t *x)
+{
+  const pu_attempt_t *at = &x->at;
+  json_t *root
+      = json_loadb ((const char *)at->whole->data, at->whole->len, 0, NULL);
+  const char *type = "refused";
+  const char *message = "Another entry refused it.";
+  pu_refusal_t r = { .status = at->status, .outcome = PU_UNKNOWN };
+
+  json_unpack (root, "{s:{s:s, s:s}}", "error", "type", &type, "message",
+               &message);
+  r.type = type;
+  if (at->retry_after != NULL)
+    {
+      guint64 seconds = g_ascii_strtoull (at->retry_after, NULL, 10);
+
+      r.retry_after_ms = (guint)MIN (seconds, RETRY_AFTER_MAX_S) * 1000;
+    }
+  pu_exchange_fail (x, &r, message);
+  json_decref (root);
+}
+
 /* The backend server says that the request did not run.  */
 static bool
 says_not_run (const pu_exchange_t *x)
@@ -408,6 +443,10 @@
     {
       attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
     }
+  else if (denies_earlier_run (x))
+    {
+      refusal_pass (x);
+    }
   else
     {
       attempt_succeed (x);
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -344,7 +344,17 @@
       EXPECT_FALSE (c.whole () && c.status == 200);
     }
   for (const auto *b : all)
-    dead += b->server == nullptr ? 1 : 0;
+    {
+      dead += b->server == nullptr ? 1 : 0;
+      for (caller &c : copies)
+        {
+          if (c.headers["x-outcome"] != "not-run")
+            continue;
+          EXPECT_EQ (0, std::count (b->ran.begin (), b->ran.end (),
+                                    c.headers["x-request-id"]))
+              << c.body;
+        }
+    }
   EXPECT_LE (dead, 2);
 }
 
