Entry: what meets suspects at the last copies waits for one

Cause: while a suspect runs, its backend server gets nothing else from that entry, as if it were leaving. With one copy any suspect refused all others while it ran.

Ruled out: the router's queue, by a pause in place of leaving: it is bounded by the first-token target, so most would be refused as late.

Change: a request that has no copy only because suspects run there waits, in order of arrival, until one is free or its deadline comes.

Entry.WhatMeetsASuspectAtTheLastCopyWaits fails without the change (503).

--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -84,7 +84,7 @@
 
 typedef enum
 {
-  PU_X_WAITING,  /* for its like at a backend server */
+  PU_X_WAITING,  /* for its like, or for a suspect to leave a copy */
   PU_X_CLAIMING, /* its key is with the log */
   PU_X_QUEUED,   /* in the router */
   PU_X_RUNNING,  /* at a backend server or another entry */
@@ -149,6 +149,7 @@
   pu_x_phase_t phase;
   guint64 held_since; /* loop time: waits for its like's answer; 0: not yet */
   guint held_from;    /* number of the backend server */
+  bool no_copy;       /* waits for a suspect to leave one */
   pu_ticket_t ticket;
   pu_once_handle_t claim;
   guint attempts;
@@ -315,6 +316,10 @@
 /* pu_server_apart - one more (or less) suspect runs at S.  */
 void pu_server_apart (pu_entry_t *en, pu_server_t *s, bool begins);
 
+/* pu_servers_apart - whether a backend server with a copy of MODEL gets
+   nothing just because a suspect runs there from here.  */
+bool pu_servers_apart (const pu_entry_t *en, const char *model);
+
 /* pu_server_apart_cut - one that runs at S was cut: it counts a little
    longer.  */
 void pu_server_apart_cut (pu_server_t *s);
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -358,6 +358,31 @@
   EXPECT_LE (dead, 2);
 }
 
+/* It is not refused: the only copy serves it after the suspect.  */
+TEST (Entry, WhatMeetsASuspectAtTheLastCopyWaits)
+{
+  rig r;
+  node &n = r.add_node ("n1");
+  backend &a = r.add_backend ("e1", "", n);
+  caller suspect;
+  caller c;
+
+  a.silent = true;
+  r.chat (suspect, n, "slow", true);
+  r.until ([&] { return !suspect.body.empty (); });
+  backend &b = r.add_backend ("e2", "", n);
+  b.silent = true;
+  r.kill (a);
+  r.until ([&] { return b.ran.size () == 1; });
+  b.silent = false;
+  r.chat (c, n, "hi", true);
+  r.finish (c);
+  EXPECT_EQ (200, c.status) << c.body;
+  EXPECT_TRUE (c.whole ());
+  r.finish (suspect);
+  EXPECT_TRUE (suspect.whole ()) << suspect.body;
+}
+
 /* A dying process takes the probe's connection and closes it.  */
 TEST (Entry, ProbeThatIsTakenAndClosedIsNoSignOfLife)
 {
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -486,6 +486,19 @@
     pu_exchange_again (x, PU_ROUTER_FAIL_CONNECT);
 }
 
+/* Whether X has no copy just because suspects run at all of them.  */
+static bool
+waits_for_copy (const pu_exchange_t *x)
+{
+  pu_router_t *router = x->en->router;
+
+  return !x->plain
+         && pu_router_ready_copies (router,
+                                    pu_router_find_model (router, x->model))
+                == 0
+         && pu_servers_apart (x->en, x->model);
+}
+
 void
 pu_exchange_decide (pu_exchange_t *x, const pu_router_decision_t *d)
 {
@@ -501,7 +514,14 @@
       x->phase = PU_X_QUEUED;
       break;
     case PU_ROUTER_REFUSE:
-      pu_exchange_refused (x, d);
+      x->no_copy = d->reason == PU_ROUTER_REASON_COPY && waits_for_copy (x);
+      if (!x->no_copy)
+        {
+          pu_exchange_refused (x, d);
+          break;
+        }
+      ticket_set (x, 0);
+      x->phase = PU_X_WAITING;
       break;
     }
 }
@@ -623,6 +643,15 @@
 
 /* --- time --- */
 
+/* Whether what X waited for is over.  */
+static bool
+may_go_on (const pu_exchange_t *x)
+{
+  if (judge (x) == PU_SUSPECTS_WAIT || (x->no_copy && waits_for_copy (x)))
+    return false;
+  return x->held_since == 0 || !stays_away (x, x->held_from);
+}
+
 static void
 exchange_tick (pu_exchange_t *x, guint64 now)
 {
@@ -636,8 +665,7 @@
     {
       fail_deadline (x);
     }
-  else if (x->phase == PU_X_WAITING && judge (x) != PU_SUSPECTS_WAIT
-           && (x->held_since == 0 || !stays_away (x, x->held_from)))
+  else if (x->phase == PU_X_WAITING && may_go_on (x))
     {
       pu_exchange_route (x);
     }
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -234,6 +234,39 @@
   s->apart_until = uv_now (s->en->o.loop) + s->en->o.settle_ms;
 }
 
+static bool
+has_copy (const pu_backend_record *b, const char *model)
+{
+  for (guint i = 0; i < b->copies.copies_len; i++)
+    {
+      if (strcmp (b->copies.copies_val[i].model, model) == 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+pu_servers_apart (const pu_entry_t *en, const char *model)
+{
+  const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, en->servers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const pu_server_t *s = value;
+      const pu_backend_record *b;
+
+      if (s->suspects == 0 || s->down)
+        continue;
+      b = pu_state_backend (view, s->name);
+      if (b != NULL && has_copy (b, model))
+        return true;
+    }
+  return false;
+}
+
 /* --- probes --- */
 
 static void
