Settings: a daemon may listen for peers elsewhere than it tells them

Cause: a partition between real processes needs something on the wire that knows who sends to whom and can go silent by direction. A daemon listened only where it told others to connect, and its connections came from any number, so nothing could stand between. The same holds for a forwarder or address translation in front of a daemon, and for a firewall's rules.

Ruled out: a switch in the daemon that drops messages (a fault path in the product, with whole connections below); packet filters (rights that a build machine need not give).

Change: `listen/peers`, by default `addresses/peers`; checked against the other addresses; the RPC client connects from the host where the daemon listens, unless that is unspecified or of another family.

--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -90,6 +90,7 @@
 pool_new (const pu_agent_options_t *o, guint ping_ms)
 {
   pu_rpc_pool_options_t p = { .client = { .loop = o->loop,
+                                          .source = o->source,
                                           .ping_ms = ping_ms,
                                           .key = o->key,
                                           .counters = o->counters,
--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -30,6 +30,7 @@
 typedef struct
 {
   uv_loop_t *loop;
+  const char *source;           /* of connections, as for pu_rpc_client_new */
   const char *key;              /* the peer key */
   const pu_member_record *self; /* copied; the incarnation is a lower bound:
                                    the agent takes a higher one when the
--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -209,6 +209,7 @@
 pool_new (const pu_control_options_t *o)
 {
   pu_rpc_pool_options_t p = { .client = { .loop = o->loop,
+                                          .source = o->source,
                                           .key = o->key,
                                           .counters = o->counters,
                                           .seed = (guint32)o->seed,
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -31,6 +31,7 @@
                                 adds its procedures.  Outlives the control */
   const char *name;          /* of the instance */
   const char *address;       /* its peers' address */
+  const char *source;        /* of connections, as for pu_rpc_client_new */
   const char *key;           /* the peer key */
   const char *folder;        /* of the log, in the data folder */
   const pu_log_peer *voters; /* the first set; ids are ignored */
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -40,7 +40,7 @@
   pu_rpc_server_options_t o = { 0 };
 
   o.loop = d->loop;
-  o.address = s->addresses.peers;
+  o.address = pu_settings_peers_listen (s);
   o.key = s->keys.peers;
   o.counters = d->counters;
   o.max_record = s->limits.max_peer_message_bytes;
@@ -146,6 +146,7 @@
   o.server = d->peers;
   o.name = s->name;
   o.address = s->addresses.peers;
+  o.source = pu_settings_peers_listen (s);
   o.key = s->keys.peers;
   o.folder = folder;
   o.voters = (const pu_log_peer *)(const void *)peers->data;
@@ -219,6 +220,7 @@
   if (has_folder (s))
     folder = g_build_filename (s->data_folder, VIEW_FOLDER, NULL);
   o.loop = d->loop;
+  o.source = pu_settings_peers_listen (s);
   o.key = s->keys.peers;
   o.self = &self;
   o.join = (const char *const *)join->pdata;
--- a/libplantainusher/rpc/client.c
+++ b/libplantainusher/rpc/client.c
@@ -28,6 +28,7 @@
   char *address;
   char *key;
   struct sockaddr_storage to;
+  struct sockaddr_storage from;
   pu_rpc_counters_t counters;
   GRand *rand;
   pu_rpc_link_t *link;  /* NULL while there is no connection */
@@ -427,6 +428,7 @@
                                         .max_record = c->options.max_record,
                                         .max_queue = c->options.max_queue },
                               .to = c->to,
+                              .from = c->from,
                               .key = c->key,
                               .timeout_ms = c->options.connect_ms,
                               .on_done = on_done,
@@ -504,6 +506,7 @@
 pu_rpc_client_new (const pu_rpc_client_options_t *o, pu_error_t *e)
 {
   struct sockaddr_storage to;
+  struct sockaddr_storage from = { 0 };
   pu_rpc_client_t *c;
   guint pulse;
 
@@ -514,14 +517,18 @@
     }
   if (!pu_rpc_address_parse (o->address, &to, e))
     return NULL;
+  if (o->source != NULL && !pu_rpc_address_parse (o->source, &from, e))
+    return NULL;
   c = g_new0 (pu_rpc_client_t, 1);
   c->options = *o;
   options_fill (&c->options);
   c->address = g_strdup (o->address);
   c->key = g_strdup (o->key);
   c->options.address = c->address;
+  c->options.source = NULL;
   c->options.key = c->key;
   c->to = to;
+  c->from = from;
   pu_rpc_counters_init (&c->counters, o->counters);
   c->rand = g_rand_new_with_seed (o->seed);
   c->calls = g_hash_table_new_full (NULL, NULL, NULL, pending_free);
--- a/libplantainusher/rpc/client.h
+++ b/libplantainusher/rpc/client.h
@@ -23,6 +23,9 @@
 {
   uv_loop_t *loop;
   const char *address;     /* "host:port" of the peer, numeric */
+  const char *source;      /* connects from the host of this "host:port"; NULL,
+                              an unspecified host or one of another family:
+                              the system's choice */
   const char *key;         /* peer key; not empty */
   pu_counters_t *counters; /* may be NULL */
   guint32 seed;            /* of the back-off's jitter */
--- a/libplantainusher/rpc/dial.c
+++ b/libplantainusher/rpc/dial.c
@@ -144,8 +144,8 @@
   d->timer = pu_rpc_timer_new (o->link.loop, d);
   if (pu_rpc_nonce (d->nonces.client))
     {
-      d->link
-          = pu_rpc_link_connect (&o->link, &o->to, dial_on_connected, &events);
+      d->link = pu_rpc_link_connect (&o->link, &o->to, &o->from,
+                                     dial_on_connected, &events);
     }
   uv_timer_start (d->timer, dial_on_timeout,
                   d->link != NULL ? o->timeout_ms : 1, 0);
--- a/libplantainusher/rpc/dial.h
+++ b/libplantainusher/rpc/dial.h
@@ -15,7 +15,8 @@
 {
   pu_rpc_link_options_t link;
   struct sockaddr_storage to;
-  const char *key; /* must outlive the dial */
+  struct sockaddr_storage from; /* its host is the source; zeroed: any */
+  const char *key;              /* must outlive the dial */
   guint timeout_ms;
   /* The end: LINK after a good handshake (its events are the caller's to set
      now), or NULL with why.  The dial is freed after it.  */
--- a/libplantainusher/rpc/link.c
+++ b/libplantainusher/rpc/link.c
@@ -1,5 +1,6 @@
 #include "rpc/link.h"
 
+#include <netinet/in.h>
 #include <signal.h>
 #include <string.h>
 
@@ -266,9 +267,36 @@
   l->on_connected (l->events.data);
 }
 
+/* link_bind - makes the host of FROM the source of L's connection to TO.  */
+static int
+link_bind (pu_rpc_link_t *l, const struct sockaddr_storage *to,
+           const struct sockaddr_storage *from)
+{
+  struct sockaddr_storage at = *from;
+  struct sockaddr_in *v4 = (struct sockaddr_in *)&at;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)&at;
+
+  if (from->ss_family != to->ss_family)
+    return 0;
+  if (at.ss_family == AF_INET6)
+    {
+      if (IN6_IS_ADDR_UNSPECIFIED (&v6->sin6_addr))
+        return 0;
+      v6->sin6_port = 0;
+    }
+  else
+    {
+      if (v4->sin_addr.s_addr == INADDR_ANY)
+        return 0;
+      v4->sin_port = 0;
+    }
+  return uv_tcp_bind (&l->tcp, (const struct sockaddr *)&at, 0);
+}
+
 pu_rpc_link_t *
 pu_rpc_link_connect (const pu_rpc_link_options_t *o,
                      const struct sockaddr_storage *to,
+                     const struct sockaddr_storage *from,
                      void (*on_connected) (void *data),
                      const pu_rpc_link_events_t *events)
 {
@@ -278,8 +306,10 @@
   l->events = *events;
   l->on_connected = on_connected;
   l->connect.data = l;
-  status = uv_tcp_connect (&l->connect, &l->tcp, (const struct sockaddr *)to,
-                           on_connect);
+  status = link_bind (l, to, from);
+  if (status == 0)
+    status = uv_tcp_connect (&l->connect, &l->tcp, (const struct sockaddr *)to,
+                             on_connect);
   if (status != 0)
     {
       pu_rpc_link_close (l);
--- a/libplantainusher/rpc/link.h
+++ b/libplantainusher/rpc/link.h
@@ -55,10 +55,12 @@
 pu_rpc_link_t *pu_rpc_link_accept (const pu_rpc_link_options_t *o,
                                    uv_stream_t *listener);
 
-/* pu_rpc_link_connect - connects to TO; ON_CONNECTED gets the status, with an
-   error instead of on_closed.  */
+/* pu_rpc_link_connect - connects to TO, from the host of FROM if that is one
+   of TO's family and not the unspecified one; ON_CONNECTED gets the status,
+   with an error instead of on_closed.  */
 pu_rpc_link_t *pu_rpc_link_connect (const pu_rpc_link_options_t *o,
                                     const struct sockaddr_storage *to,
+                                    const struct sockaddr_storage *from,
                                     void (*on_connected) (void *data),
                                     const pu_rpc_link_events_t *events);
 
--- a/libplantainusher/rpc/rpc_test.cc
+++ b/libplantainusher/rpc/rpc_test.cc
@@ -81,13 +81,14 @@
   }
 
   void
-  dial (const char *key = "secret")
+  dial (const char *key = "secret", const char *source = nullptr)
   {
     std::string at = address ();
     pu_rpc_client_options_t o = {};
 
     o.loop = &loop;
     o.address = at.c_str ();
+    o.source = source;
     o.key = key;
     o.counters = counters;
     o.max_record = 200000;
@@ -277,6 +278,7 @@
   for (const auto &row : rows)
     {
       Peer peer;
+      struct sockaddr_storage any = {};
       struct sockaddr_storage at;
       pu_rpc_link_options_t o = { &loop, &own, 4096, 65536 };
       pu_rpc_link_events_t events = {};
@@ -292,7 +294,7 @@
       };
       pu_rpc_address_parse (address ().c_str (), &at, nullptr);
       peer.link = pu_rpc_link_connect (
-          &o, &at,
+          &o, &at, &any,
           [] (void *d) {
             auto *p = static_cast<Peer *> (d);
             for (const auto &m : p->to_send)
@@ -364,6 +366,7 @@
   uv_tcp_t listener;
   std::vector<Pair *> pairs;
   std::string to;
+  std::string source; /* host of the last connection */
   bool mute_new = false;
   guint16 port = 0;
 
@@ -394,6 +397,18 @@
         pass);
   }
 
+  static std::string
+  peer_of (const uv_tcp_t *t)
+  {
+    struct sockaddr_in at = {};
+    int size = sizeof at;
+    char host[INET_ADDRSTRLEN] = "";
+
+    uv_tcp_getpeername (t, reinterpret_cast<struct sockaddr *> (&at), &size);
+    uv_ip4_name (&at, host, sizeof host);
+    return host;
+  }
+
   static void
   accept (uv_stream_t *l, int)
   {
@@ -408,6 +423,7 @@
         side.data = p;
       }
     uv_accept (l, reinterpret_cast<uv_stream_t *> (&p->side[0]));
+    r->source = peer_of (&p->side[0]);
     pu_rpc_address_parse (r->to.c_str (), &at, nullptr);
     uv_tcp_connect (&p->req, &p->side[1],
                     reinterpret_cast<struct sockaddr *> (&at),
@@ -450,6 +466,47 @@
   }
 };
 
+TEST_F (Rpc, ConnectsFromItsSource)
+{
+  const struct
+  {
+    const char *source;
+    const char *seen;
+  } cases[] = {
+    { nullptr, "127.0.0.1" },     { "127.0.0.77:9", "127.0.0.77" },
+    { "0.0.0.0:9", "127.0.0.1" }, { "[::]:9", "127.0.0.1" },
+    { "[::1]:9", "127.0.0.1" },
+  };
+
+  serve ();
+  for (const auto &c : cases)
+    {
+      Relay relay (&loop, address ());
+      guint16 served = port;
+
+      port = relay.port;
+      dial ("secret", c.source);
+      EXPECT_EQ (call (echo).kind, PU_OK) << c.seen;
+      EXPECT_EQ (relay.source, c.seen);
+      pu_rpc_client_free (client);
+      client = nullptr;
+      port = served;
+    }
+}
+
+TEST_F (Rpc, SourceThatCannotBeReadIsInvalid)
+{
+  pu_rpc_client_options_t o = {};
+  pu_error_t e;
+
+  o.loop = &loop;
+  o.address = "127.0.0.1:1";
+  o.key = "secret";
+  o.source = "here:1";
+  EXPECT_EQ (pu_rpc_client_new (&o, &e), nullptr);
+  EXPECT_EQ (e.kind, PU_ERROR_INVALID);
+}
+
 TEST_F (Rpc, SilentConnectionIsReplacedByAFreshOne)
 {
   Answer a;
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -86,6 +86,16 @@
 static const pu_schema_t address_schema
     = SCHEMA (address_fields, pu_settings_addresses_t);
 
+static const pu_field_t listen_fields[] = {
+  { .name = "peers",
+    .type = PU_FIELD_STRING,
+    .offset = offsetof (pu_settings_listen_t, peers),
+    .max = TEXT_MAX,
+    .check = check_address },
+};
+static const pu_schema_t listen_schema
+    = SCHEMA (listen_fields, pu_settings_listen_t);
+
 static const pu_field_t operator_fields[] = {
   { .name = "name",
     .type = PU_FIELD_STRING,
@@ -214,6 +224,10 @@
     .flags = PU_FIELD_REQUIRED,
     .offset = offsetof (pu_settings_t, addresses),
     .schema = &address_schema },
+  { .name = "listen",
+    .type = PU_FIELD_OBJECT,
+    .offset = offsetof (pu_settings_t, listen),
+    .schema = &listen_schema },
   { .name = "data_folder",
     .type = PU_FIELD_STRING,
     .offset = offsetof (pu_settings_t, data_folder),
--- a/libplantainusher/settings/settings.c
+++ b/libplantainusher/settings/settings.c
@@ -146,6 +146,12 @@
   g_free (s);
 }
 
+const char *
+pu_settings_peers_listen (const pu_settings_t *s)
+{
+  return *s->listen.peers != '\0' ? s->listen.peers : s->addresses.peers;
+}
+
 json_t *
 pu_settings_to_json (const pu_settings_t *s)
 {
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -37,6 +37,12 @@
   const char *peers;     /* of every daemon */
 } pu_settings_addresses_t;
 
+/* Where the daemon listens when that is not what it tells others.  */
+typedef struct
+{
+  const char *peers; /* "": at addresses.peers */
+} pu_settings_listen_t;
+
 /* The key of one operator; the name goes into the history.  */
 typedef struct
 {
@@ -96,7 +102,8 @@
   bool entry;       /* role: meets callers and backend servers */
   bool control;     /* role: votes in the replicated log */
   pu_json_strings_t roles;
-  pu_settings_addresses_t addresses;
+  pu_settings_addresses_t addresses; /* as told to others */
+  pu_settings_listen_t listen;
   const char *data_folder; /* control only; else may be "" */
   pu_settings_keys_t keys;
   pu_json_strings_t join; /* peers' addresses of control daemons */
@@ -123,6 +130,10 @@
    keys hidden; for the dump.  The caller owns it.  */
 json_t *pu_settings_to_json (const pu_settings_t *s);
 
+/* pu_settings_peers_listen - the address to listen on for peers; the source
+   of connections to them too.  */
+const char *pu_settings_peers_listen (const pu_settings_t *s);
+
 /* pu_settings_log_level - "warn", "note", "info" or "debug".  */
 const char *pu_settings_log_level (const pu_settings_t *s);
 
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -94,6 +94,19 @@
   pu_settings_free (s);
 }
 
+TEST (Settings, ListenWhereTheyAreTold)
+{
+  pu_settings_t *s = parse (control);
+
+  EXPECT_STREQ ("127.0.0.1:3", pu_settings_peers_listen (s));
+  pu_settings_free (s);
+  s = parse (replaced (control, "'data_folder'",
+                       "'listen': {'peers': '127.0.0.9:3'}, 'data_folder'"));
+  EXPECT_STREQ ("127.0.0.9:3", pu_settings_peers_listen (s));
+  EXPECT_STREQ ("127.0.0.1:3", s->addresses.peers);
+  pu_settings_free (s);
+}
+
 struct change
 {
   const char *text;
@@ -121,6 +134,12 @@
       "port, such as 127.0.0.1:8080\n" },
     { control, "127.0.0.1:2", "127.0.0.1:3",
       "/addresses/peers: is the same as /addresses/operators\n" },
+    { control, "'data_folder'",
+      "'listen': {'peers': '127.0.0.1:2'}, 'data_folder'",
+      "/listen/peers: is the same as /addresses/operators\n" },
+    { control, "'data_folder'", "'listen': {'peers': '[::1]'}, 'data_folder'",
+      "/listen/peers: '[::1]' is not an IP number and a port, such as "
+      "127.0.0.1:8080\n" },
     { control, "0123456789abcdef", "short",
       "/keys/operators/0/key: has 5 bytes; at least 16 are needed\n" },
     { control, "0123456789abcdef", "0123456789 abcdef",
