Tests: partitions between daemons over a network that can be cut

Cause: one-way and two-way silent partitions were tried in the core's fuzz and by SIGSTOP alone, never between processes that run on and believe what they believe, and never with bytes that come late.

Change: tests/relay.py stands on the addresses that daemons tell each other (`listen/peers` is where they are), tells them apart by source, and by ordered pair loses bytes or holds them back; nothing is closed meanwhile.

--- a/tests/changes.py
+++ b/tests/changes.py
@@ -25,6 +25,7 @@
         self._document = document
         self.rows = []  # (version, change id, author), rising
         self.last = None
+        self._offered = {}  # change id -> what `offer` waits for
 
     def add(self, answer, change_id, author, text):
         self.rows.append((answer["version"], change_id, author))
@@ -34,6 +35,31 @@
     def version(self):
         return self.rows[-1][0] if self.rows else 0
 
+    def offer(self, daemon, change_id):
+        """Submits on top of the newest accepted change through a daemon that
+        may be cut off, beside the test: it may be accepted or not.  Settle it
+        by `check_offered`."""
+        version, text = self.version, document(change_id)
+        self._offered[change_id] = cluster.Later(
+            lambda: daemon.submit(version, change_id, text))
+
+    def _adopt(self, daemon):
+        """Takes up an offered change that is in force."""
+        d = daemon.document()
+        if d["version"] == self.version + 1 and d["change_id"] in self._offered:
+            self.add(d, d["change_id"], d["author"], document(d["change_id"]))
+
+    def check_offered(self, test):
+        """What was answered to offered changes is true."""
+        for change_id, later in self._offered.items():
+            a = later.result()
+            found = [r[0] for r in self.rows if r[1] == change_id]
+            if a.status == 200:
+                test.assertEqual(found, [a.json["version"]], change_id)
+            elif a.status == 409 or a.json["outcome"] == "not-run":
+                test.assertEqual(found, [], (change_id, a))
+        self._offered = {}
+
     def submit(self, daemon, change_id, author="ada"):
         """Submits on top of the newest accepted change until that is settled:
         an answer that was lost is asked for again with the same id."""
@@ -43,6 +69,9 @@
             a = daemon.submit(self.version, change_id, text, author, ASK_S)
             if a.status in (503, 504):
                 return None
+            if a.status == 409 and self._offered:
+                self._adopt(daemon)
+                return None
             assert a.status == 200, a
             return a.json
         answer = cluster.wait_until(f"{change_id} to be accepted", settled)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -243,6 +243,8 @@
         self.operators = f"{host}:{OPERATORS_PORT}"
         self.peers = f"{host}:{PEERS_PORT}"
         self.data_folder = cluster.folder / name
+        if cluster.relay is not None:
+            self.peers = f"{cluster.host()}:{PEERS_PORT}"
         addresses = {"operators": self.operators, "peers": self.peers}
         if "entry" in roles:
             addresses["callers"] = self.callers
@@ -254,6 +256,10 @@
                      "backends": [BACKEND_KEY], "peers": PEERS_KEY},
             "timing": dict(cluster.timing), "limits": dict(cluster.limits),
             "log_level": "info"}
+        if cluster.relay is not None:
+            listens = f"{host}:{PEERS_PORT}"
+            self.settings["listen"] = {"peers": listens}
+            cluster.relay.add(name, host, self.peers, listens)
 
     def start(self):
         self.settings_path.write_text(json.dumps(self.settings, indent=1))
@@ -295,11 +301,12 @@
     """Daemons and fakes on addresses 127.NET.SLOT.1 and up, SLOT the first
     that no other cluster holds."""
 
-    def __init__(self, build, net, timing=None, limits=None):
+    def __init__(self, build, net, timing=None, limits=None, relay=None):
         self.build = pathlib.Path(build).resolve()
         self.binary = self.build / "cli" / "plantainusher"
         self.timing = {**TIMING, **(timing or {})}
         self.limits = dict(limits or {})
+        self.relay = relay  # of relay.py: between the daemons
         self._guard, self._range = self._take_range(int(net))
         self._hosts = 0
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="pu-process-"))
@@ -441,6 +448,8 @@
         """Ends all that was started; KEEP_LOGS: a folder for the logs."""
         for p in self.processes():
             p.kill()
+        if self.relay is not None:
+            self.relay.close()
         self._guard.close()
         if keep_logs is not None:
             shutil.rmtree(keep_logs, ignore_errors=True)
--- a/tests/placement_process_test.py
+++ b/tests/placement_process_test.py
@@ -119,12 +119,14 @@
             self.oracle.finish()
 
 
-class Placement(ClusterTest):
+class PlacementTest(ClusterTest):
+    """What the tests of placement have in common."""
 
-    def begin(self, fenced=(True, True, False, False), **engine):
+    def begin(self, fenced=(True, True, False, False), timing=TIMING,
+              relay=None, **engine):
         """Three voters that are entries too, and an engine for each of
         FENCED, in the zones a, b, c in turn."""
-        c = self.cluster(timing=TIMING)
+        c = self.cluster(timing=timing, relay=relay)
         c.add_voters(["v1", "v2", "v3"])
         c.start()
         c.wait_leader()
@@ -153,6 +155,9 @@
         wait_until("all reachable", lambda: {
             m for m, _ in ready(c.engines)} >= set(models))
 
+
+class Placement(PlacementTest):
+
     def test_leader_killed_in_the_middle_of_a_move(self):
         c = self.begin()
         self.submit(c, 0, document("1"))
