At-most-once: a refused try settles nothing once an earlier one timed out

Found by calls through both sides of a partition: after the network healed, keys answered "running" for as long as their entry lived. The entry's first try to claim had timed out and was granted; the second ended without reaching a voter, so was surely not run, and the core took that for the claim's end: it forgot the key, and nobody closed the claim in the log.

Ruled out: claims of a daemon taken for dead (the log refuses them and closes what is open); the state's table (claims_at_work was 0 on all entries while the claims stood open).

Change: after a try that timed out, a refusal only pauses; the entry claims again until the log says what became of the attempt, then records it as not run. The core's fuzz now demands that entries that live leave no claim open; its deliberate break is the old rule.

--- a/libplantainusher/once/once.c
+++ b/libplantainusher/once/once.c
@@ -36,6 +36,7 @@
   guint64 window_ms;
   guint64 position;
   phase_t phase;
+  bool unsure; /* a claim timed out: it may be recorded yet */
   guint64 due; /* when the pause is over */
   pu_once_outcome_t outcome;
   kept_t *result;  /* of the run; NULL when it did not run */
@@ -370,6 +371,19 @@
   l->due = now + c->options.retry_ms;
 }
 
+/* A refusal speaks for its own try alone: what an earlier one that timed out
+   has recorded, or will, is not known by it.  */
+static void
+refused (pu_once_t *c, call_t *l, guint64 now)
+{
+  if (l->unsure)
+    {
+      claim_later (c, l, now);
+      return;
+    }
+  answer_and_drop (c, l, PU_ONCE_ANSWER_NOT_RUN, NULL);
+}
+
 void
 pu_once_claimed (pu_once_t *c, pu_once_handle_t handle, pu_once_claimed_t what,
                  guint64 position, const pu_once_result_t *result, guint64 now)
@@ -399,10 +413,13 @@
       answer_and_drop (c, l, PU_ONCE_ANSWER_UNKNOWN, NULL);
       return;
     case PU_ONCE_CLOSED:
-    case PU_ONCE_REFUSED:
       answer_and_drop (c, l, PU_ONCE_ANSWER_NOT_RUN, NULL);
       return;
+    case PU_ONCE_REFUSED:
+      refused (c, l, now);
+      return;
     case PU_ONCE_TIMEOUT:
+      l->unsure = !broken (c, PU_ONCE_BREAK_FORGET_TIMEOUT);
       claim_later (c, l, now);
       return;
     }
--- a/libplantainusher/once/once.h
+++ b/libplantainusher/once/once.h
@@ -44,9 +44,10 @@
 /* Deliberate faults for the tests that show the checks can fail.  */
 typedef enum
 {
-  PU_ONCE_BREAK_DISPATCH_LATE = 1, /* dispatch when a late claim is granted */
-  PU_ONCE_BREAK_ONE_ATTEMPT = 2,   /* callers claim under one attempt */
-  PU_ONCE_BREAK_RAN_AS_NOT_RUN = 4 /* record an unknown outcome as not run */
+  PU_ONCE_BREAK_DISPATCH_LATE = 1,  /* dispatch when a late claim is granted */
+  PU_ONCE_BREAK_ONE_ATTEMPT = 2,    /* callers claim under one attempt */
+  PU_ONCE_BREAK_RAN_AS_NOT_RUN = 4, /* record an unknown outcome as not run */
+  PU_ONCE_BREAK_FORGET_TIMEOUT = 8  /* let a refused try settle a claim */
 } pu_once_break_t;
 
 /* pu_once_options_init - 10,000 keys, 64 waiters, 30 s of skew, one second
--- a/libplantainusher/once/once_test.cc
+++ b/libplantainusher/once/once_test.cc
@@ -144,6 +144,25 @@
   EXPECT_EQ (PU_ONCE_NOT_RUN, o.next (PU_ONCE_RECORD).outcome);
 }
 
+TEST (Once, ARefusalAfterATimeoutSettlesNothing)
+{
+  Once o;
+  pu_once_handle_t h;
+
+  o.begin (1);
+  h = o.next (PU_ONCE_CLAIM).handle;
+  pu_once_claimed (o.c, h, PU_ONCE_TIMEOUT, 0, NULL, 10);
+  EXPECT_EQ (PU_ONCE_ANSWER_NOT_RUN, o.next (PU_ONCE_ANSWER).answer);
+  pu_once_tick (o.c, 13);
+  o.next (PU_ONCE_CLAIM);
+  pu_once_claimed (o.c, h, PU_ONCE_REFUSED, 0, NULL, 20);
+  EXPECT_EQ (1u, pu_once_busy (o.c)) << "the first may have been recorded";
+  pu_once_tick (o.c, 23);
+  o.next (PU_ONCE_CLAIM);
+  pu_once_claimed (o.c, h, PU_ONCE_GRANTED, 7, NULL, 30);
+  EXPECT_EQ (PU_ONCE_NOT_RUN, o.next (PU_ONCE_RECORD).outcome);
+}
+
 TEST (Once, ARecordIsSentUntilItIsTaken)
 {
   Once o;
@@ -364,7 +383,40 @@
         if (!holds ())
           return false;
       }
-    return true;
+    return settles ();
+  }
+
+  bool
+  busy () const
+  {
+    for (const auto &e : entries)
+      {
+        if (pu_once_busy (e->c) > 0)
+          return true;
+      }
+    return false;
+  }
+
+  /* Entries that live come to rest and leave no claim open: its key would be
+     blocked for as long as they live.  */
+  bool
+  settles ()
+  {
+    for (int n = 0; n < 1000 && busy (); n++, now++)
+      {
+        finish_due ();
+        for (int e = 0; e < 3; e++)
+          {
+            pu_once_tick (entries[e]->c, now);
+            drain (e);
+          }
+      }
+    for (const auto &k : log)
+      {
+        if (k.second.open)
+          return false;
+      }
+    return holds () && !busy ();
   }
 
   struct Finished
@@ -409,4 +461,5 @@
   EXPECT_TRUE (caught (PU_ONCE_BREAK_DISPATCH_LATE));
   EXPECT_TRUE (caught (PU_ONCE_BREAK_ONE_ATTEMPT));
   EXPECT_TRUE (caught (PU_ONCE_BREAK_RAN_AS_NOT_RUN));
+  EXPECT_TRUE (caught (PU_ONCE_BREAK_FORGET_TIMEOUT));
 }
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -26,11 +26,13 @@
                        "min_copies": min_copies} for m in models}}
 
 
-def fleet(test, declared=None, limits=None, entries=ENTRIES, prepare=None):
+def fleet(test, declared=None, entries=ENTRIES, prepare=None, timing=None,
+          **options):
     """11 daemons: voters v1..v3 and entries e1..e8, with DECLARED in force,
-    PREPARE (daemon) called for each before it starts; and the engine `oracle`, which no entry knows, for what an answer must
+    PREPARE (daemon) called for each before it starts; and the engine
+    `oracle`, which no entry knows, for what an answer must
     be."""
-    c = test.cluster(timing=TIMING, limits=limits)
+    c = test.cluster(timing={**TIMING, **(timing or {})}, **options)
     c.add_voters(["v1", "v2", "v3"], roles=("control",))
     c.entries = [c.add(f"e{i + 1}", ["entry"], "abc"[i % 3])
                  for i in range(entries)]
--- a/tests/once_process_test.py
+++ b/tests/once_process_test.py
@@ -49,8 +49,8 @@
         return self.replies[-1]
 
 
-class AtMostOnce(ClusterTest):
-    """A request marked as not repeatable runs at most once."""
+class OnceTest(ClusterTest):
+    """What the tests of calls that may run once have in common."""
 
     def _settled(self, senders):
         """Waits until each caller was told something final."""
@@ -84,6 +84,31 @@
             return r if r.status in FINAL else None
         return wait_until("the final answer", final)
 
+    def _under_calls(self, hurt, heal=lambda c: None, work_ms=20, **options):
+        """Callers with KEYS keys while HURT () happens in their midst."""
+        c = fleet(self, **options)
+        s = service(c, work_ms=work_ms)
+        end = threading.Event()
+        self.addCleanup(end.set)
+        senders = []
+        for n in range(KEYS):
+            senders.append(Resender(c, f"key-{n}", end))
+            if n == KEYS // 2:
+                self._settled(senders[:3])
+                recorded = senders[:3]
+                for one in recorded:
+                    self.assertEqual(self._resend(c, one.key).text,
+                                     one.last.text)
+                hurt(c)
+        heal(c)
+        self._settled(senders)
+        self._check(c, s, senders, recorded)
+        return c, s, senders
+
+
+class AtMostOnce(OnceTest):
+    """A request marked as not repeatable runs at most once."""
+
     def test_same_key_through_all_entries_at_once(self):
         c = fleet(self)
         s = service(c, work_ms=300)
@@ -132,27 +157,6 @@
         self.assertEqual(runs_of(s)["slept"], 1)
         self._check(c, s, [again])
 
-    def _under_calls(self, hurt, heal=lambda c: None):
-        """Callers with KEYS keys while HURT () happens in their midst."""
-        c = fleet(self)
-        s = service(c, work_ms=20)
-        end = threading.Event()
-        self.addCleanup(end.set)
-        senders = []
-        for n in range(KEYS):
-            senders.append(Resender(c, f"key-{n}", end))
-            if n == KEYS // 2:
-                self._settled(senders[:3])
-                recorded = senders[:3]
-                for one in recorded:
-                    self.assertEqual(self._resend(c, one.key).text,
-                                     one.last.text)
-                hurt(c)
-        heal(c)
-        self._settled(senders)
-        self._check(c, s, senders, recorded)
-        return c, s, senders
-
     def test_leader_killed_among_claims(self):
         self._under_calls(lambda c: c.wait_leader().kill())
 
