Settings: how long a lost voter is waited for, and a spare's own step

Cause: a spare took the place of a voter lost for good after a fixed minute, which nobody could set and no process test tried.

Change: `timing/replace_after_ms`, 60000 as before, at least four times `election_ms` (else a change of the leader could cost a living voter its place). The minute stays the default: it outlasts most restarts of an instance, and a spare is taken whatever zone it stands in.

--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -40,6 +40,7 @@
   uint64_t seed;
   guint32 heartbeat_ms; /* of the log; 0 here and below: the default */
   guint32 election_ms;
+  guint32 replace_after_ms;
   guint32 snapshot_entries;
   guint32 connect_ms;        /* to other voters */
   guint32 tick_ms;           /* 100: polls are answered and duties run */
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -156,6 +156,7 @@
   o.heartbeat_ms = s->timing.heartbeat_ms;
   o.election_ms = s->timing.election_ms;
   o.sessions_ms = PU_SETTINGS_SESSIONS_MS;
+  o.replace_after_ms = s->timing.replace_after_ms;
   o.claims_max = s->limits.max_claims;
   o.snapshot_entries = s->limits.snapshot_entries;
   o.connect_ms = s->timing.connect_timeout_ms;
--- a/libplantainusher/settings/checks.c
+++ b/libplantainusher/settings/checks.c
@@ -22,6 +22,8 @@
 static const time_rule_t time_rules[] = {
   RULE (election_ms, 4, heartbeat_ms,
         "two lost heartbeats would cost the leader its lease"),
+  RULE (replace_after_ms, 4, election_ms,
+        "a change of the leader could cost a living voter its place"),
   RULE (session_ms, 2, poll_wait_ms, "one lost poll would end the session"),
   RULE (order_life_ms, 4, backend_lease_ms,
         "a silent backend server could be taken to have reported"),
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -14,6 +14,7 @@
 #define MB (1024.0 * KB)
 #define MINUTE_MS 60000.0
 #define HOUR_MS (60.0 * MINUTE_MS)
+#define DAY_MS (24.0 * HOUR_MS)
 
 #define SCHEMA(table, row)                                                    \
   {                                                                           \
@@ -178,6 +179,7 @@
 static const pu_field_t timing_fields[] = {
   TIME (heartbeat_ms, 10, MINUTE_MS, 100, "ms"),
   TIME (election_ms, 50, MINUTE_MS, 1000, "ms"),
+  TIME (replace_after_ms, 1000, DAY_MS, 60000, "ms"),
   TIME (poll_wait_ms, 100, MINUTE_MS, 2000, "ms"),
   TIME (session_ms, 500, HOUR_MS, 8000, "ms"),
   TIME (backend_lease_ms, 500, HOUR_MS, 5000, "ms"),
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -81,6 +81,8 @@
   guint32 heartbeat_ms;        /* leader to voters */
   guint32 election_ms;         /* least silence before an election;
                                   the leader's lease follows from it */
+  guint32 replace_after_ms;    /* a voter silent for longer gives its place
+                                  to a spare, if there is one */
   guint32 poll_wait_ms;        /* an empty poll is answered after this */
   guint32 session_ms;          /* a silent daemon is down after this */
   guint32 backend_lease_ms;    /* a silent backend server is down after */
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -160,6 +160,11 @@
       "backend_lease_ms (5000), else a silent backend server could be taken "
       "to "
       "have reported\n" },
+    { control, "'name': 'c1'",
+      "'timing': {'replace_after_ms': 3999}, 'name': 'c1'",
+      "/timing/replace_after_ms: is 3999; it must be at least 4 times "
+      "election_ms (1000), else a change of the leader could cost a living "
+      "voter its place\n" },
     { control, "'name': 'c1'",
       "'timing': {'poll_wait_ms': 5000}, 'name': 'c1'",
       "/timing/session_ms: is 8000; it must be at least 2 times poll_wait_ms "
--- a/tests/voters_process_test.py
+++ b/tests/voters_process_test.py
@@ -10,15 +10,16 @@
 from cluster import wait_until
 
 NO_LEADER_S = 4  # several election times
+REPLACE_MS = 4000  # the least that is allowed
 TORN = b"\x17torn batch" * 20
 CLI_NOT_FOUND = 6
 CLI_UNAVAILABLE = 7
 
 
 class VotersTest(cluster.ClusterTest):
-    def start(self, names=("v-1", "v-2", "v-3"), spares=()):
+    def start(self, names=("v-1", "v-2", "v-3"), spares=(), **timing):
         """Voters, control instances that do not vote yet, two entries."""
-        c = self.cluster()
+        c = self.cluster(timing=timing)
         c.add_voters(names)
         for name in spares:
             c.add(name, ["control", "entry"])
@@ -95,6 +96,54 @@
         self.accepted.submit(c.daemons["e-2"], "after-second-loss")
         self.check_all(c)
 
+    def replaced_by_itself(self, lost_of):
+        """The voter that LOST_OF (leader, followers) names is lost for good;
+        once the spare has its place, another of the first three is."""
+        c = self.start(spares=["v-4"], replace_after_ms=REPLACE_MS)
+        watch = changes.Watch(c.daemons.values())
+        leader = c.wait_leader()
+        voters = [c.daemons[n] for n in ("v-1", "v-2", "v-3")]
+        lost = lost_of(leader, [v for v in voters if v is not leader])
+        self.wait_learner(c, "v-4")
+        lost.kill()
+        shutil.rmtree(lost.data_folder)
+        self.accepted.submit(c.daemons["e-1"], "after-the-loss")
+        rest = [v for v in voters if v is not lost]
+        self.wait_voters(c, {"v-4", *(v.name for v in rest)})
+        rest[0].kill()
+        shutil.rmtree(rest[0].data_folder)
+        for n in range(5):
+            self.accepted.submit(c.daemons["e-2"], f"after-second-loss-{n}")
+        self.check_all(c)
+        c.kill(*(d for d in c.daemons.values() if d.alive()))
+        c.start(*(d for d in c.daemons.values()
+                  if d not in (lost, rest[0])))
+        self.accepted.submit(c.daemons["e-1"], "after-a-restart")
+        self.check_all(c)
+        watch.finish(self)
+
+    def test_spare_replaces_a_lost_voter_by_itself(self):
+        """Invariant: a spare takes the place of a voter that was lost for
+        good, nobody asks for it; then a second one may be lost as well."""
+        self.replaced_by_itself(lambda leader, others: others[0])
+
+    def test_spare_replaces_a_lost_leader_by_itself(self):
+        """Invariant: the same when the lost one led."""
+        self.replaced_by_itself(lambda leader, others: leader)
+
+    def test_voter_that_restarts_keeps_its_place(self):
+        """Invariant: a spare takes no place before the wait is over."""
+        c = self.start(spares=["v-4"])
+        before = self.wait_voters(c, ("v-1", "v-2", "v-3"))
+        self.wait_learner(c, "v-4")
+        victim = self.follower(c)
+        victim.kill()
+        self.accepted.submit(c.daemons["e-1"], "without-one")
+        c.start(victim)
+        self.accepted.submit(c.daemons["e-1"], "with-all")
+        self.assertEqual(self.wait_voters(c, before), before)
+        self.check_all(c)
+
     # --- disks ---
 
     def test_lost_disk_does_not_vote_as_before(self):
