--- a/libplantainusher/rpc/link.c
+++ b/libplantainusher/rpc/link.c
@@ -308,8 +308,10 @@
   l->connect.data = l;
   status = link_bind (l, to, from);
   if (status == 0)
-    status = uv_tcp_connect (&l->connect, &l->tcp, (const struct sockaddr *)to,
-                             on_connect);
+    {
+      status = uv_tcp_connect (&l->connect, &l->tcp,
+                               (const struct sockaddr *)to, on_connect);
+    }
   if (status != 0)
     {
       pu_rpc_link_close (l);
