Process tests: tests that count attempts don't take a slow engine for a silent one

Cause, by reading (no failing run): the fleet of the process tests takes an engine without a byte for 1 s as silent and gives a connection 0.5 s. Tests of truncated, foreign, doubled and reordered answers, of the planned stop with open streams and of refusals count the runs of each request or expect "not-run"; a machine that holds an engine up for a second adds a run. And the rejected requests had 2 s: a deadline that falls into an attempt is "unknown".

Tests of silence keep the short times.

Looked at and left: drain_process_test asserts that nothing new comes 2 s after a leave and that others know of a stopping entry within 2 s.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -13,6 +13,8 @@
 # Smaller than the defaults, so that silence is found while a test waits.
 TIMING = {"progress_timeout_ms": 1000, "probe_timeout_ms": 500,
           "connect_timeout_ms": 500}
+# A slow machine is not taken for a silent one: for tests that count attempts.
+PATIENT = {"progress_timeout_ms": 30000, "connect_timeout_ms": 30000}
 
 
 def document(models=("m",), services=None, min_copies=1):
