--- a/tests/connections_process_test.py
+++ b/tests/connections_process_test.py
@@ -34,7 +34,7 @@
             return a if a.status not in (503, 504) else None
         a = wait_until("a change to be accepted", accepted)
         self.assertEqual(a.status, 200, a)
-        for d in c.daemons.values():
+        for d in filter(Daemon.alive, c.daemons.values()):
             wait_until(f"version 2 on {d.name}", lambda: (
                 d.document() or {}).get("version") == 2)
         for e in c.entries:
@@ -67,6 +67,16 @@
         c.wait_leader().lose_connections()
         self._works_again(c, "leader-lost")
 
+    def test_leader_killed_while_all_connections_are_lost(self):
+        """Invariant: both at once: the two voters left must find each other
+        anew."""
+        c = self._begin()
+        leader = c.wait_leader()
+        for d in c.daemons.values():
+            d.lose_connections()
+        leader.kill()
+        self._works_again(c, "both")
+
 
 class LeftConnections(ClusterTest):
     """An answer that comes after its caller has gone is nobody's."""
