Relay: more tokens than the engine's usage tells are not called a whole answer

Cause: an engine that sends events twice and gives them no ids had its answer passed on and called whole.

Ruled out as signs: choices' index, id and created (the same in all events), repeated text, usage beside a token's text, and asking for usage unasked (docs/design/relay.md has why).

Change: a closing event without text whose usage counts fewer tokens than were passed on ends the request as not whole, "ran", not to be tried again. The event itself is passed on before, so that a relaying entry finds the same. Not after a resume (usage may count the rest), and fewer events than tokens say nothing. The fake engine gives the number of tokens at the end of a stream.

Proof: stream_test (doubled, resumed, numbered, joined tokens) and test_tokens_duplicated_without_ids at an entry of the set and one that relays.

--- a/fakes/answer.c
+++ b/fakes/answer.c
@@ -130,7 +130,13 @@
       g_string_append_printf (out, "\"text\":\"%s\"",
                               text == NULL ? "" : text);
     }
-  g_string_append_printf (out, ",\"finish_reason\":%s}]}\n\n", finish);
+  g_string_append_printf (out, ",\"finish_reason\":%s}]", finish);
+  if (text == NULL)
+    {
+      g_string_append_printf (out, ",\"usage\":{\"completion_tokens\":%u}",
+                              q->tokens);
+    }
+  g_string_append (out, "}\n\n");
 }
 
 void
--- a/fakes/answer.h
+++ b/fakes/answer.h
@@ -51,8 +51,8 @@
 void fake_answer_next (GString *out, const fake_question_t *q, const char *id,
                        guint index, bool with_id);
 
-/* fake_answer_end - appends the event with the finish reason and the end
-   mark.  */
+/* fake_answer_end - appends the event with the finish reason and the number
+   of tokens, and the end mark.  */
 void fake_answer_end (GString *out, const fake_question_t *q, const char *id);
 
 /* fake_answer_whole - the body of an answer that is not streamed.  */
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -342,11 +342,24 @@
     }
 }
 
+static void
+fail_doubled (pu_exchange_t *x)
+{
+  static const pu_refusal_t doubled
+      = { STATUS_BAD_GATEWAY, "doubled", PU_RAN, 0 };
+
+  pu_log_note (PU_ENTRY_PART, "The answer to request %s had tokens twice.",
+               x->id);
+  pu_exchange_fail (x, &doubled,
+                    "The backend server sent more tokens than it counts.");
+}
+
 static void
 on_body (void *data, pu_http_call_t *call, const char *bytes, gsize len)
 {
   pu_exchange_t *x = data;
   pu_attempt_t *at = &x->at;
+  bool doubled = false;
 
   if (!at->streaming && !at->foreign)
     {
@@ -359,11 +372,17 @@
       at->done = result == PU_STREAM_DONE;
       at->broken = result == PU_STREAM_BROKEN;
       at->foreign = result == PU_STREAM_FOREIGN;
+      doubled = result == PU_STREAM_DOUBLED;
     }
-  if (!at->foreign && !at->broken && !at->overflow)
+  if (!at->foreign && !at->broken && !at->overflow && !doubled)
     return;
   at->call = NULL;
   pu_http_call_cancel (call);
+  if (doubled)
+    {
+      fail_doubled (x);
+      return;
+    }
   if (at->foreign)
     {
       pu_log_note (PU_ENTRY_PART, "Dropped a foreign answer to request %s.",
--- a/libplantainusher/entry/piece.c
+++ b/libplantainusher/entry/piece.c
@@ -155,11 +155,15 @@
 piece_fill (const json_t *root, pu_piece_t *p)
 {
   const json_t *choice = json_array_get (json_object_get (root, "choices"), 0);
+  const json_t *tokens
+      = json_object_get (json_object_get (root, "usage"), "completion_tokens");
 
   p->text = text_of (choice);
   p->id = json_string_value (json_object_get (root, "id"));
   p->finish = json_is_string (json_object_get (choice, "finish_reason"));
   p->is_error = json_object_get (root, "error") != NULL;
+  p->completion_tokens
+      = json_is_integer (tokens) ? json_integer_value (tokens) : -1;
 }
 
 static bool
@@ -186,7 +190,8 @@
   r->proved = good && strcmp (piece->text, r->text->str) == 0
               && g_strcmp0 (piece->id, learnt_id) == 0
               && piece->finish == r->frame.finish
-              && piece->is_error == r->frame.is_error;
+              && piece->is_error == r->frame.is_error
+              && piece->completion_tokens == r->frame.completion_tokens;
   r->learnt = r->proved;
   /* The frame's id belonged to the event before.  */
   if (good)
--- a/libplantainusher/entry/piece.h
+++ b/libplantainusher/entry/piece.h
@@ -21,6 +21,7 @@
   const char *id;   /* of the answer; NULL when the event has none */
   bool finish;      /* it has a finish reason */
   bool is_error;
+  gint64 completion_tokens; /* of the answer, by its usage; -1: not told */
 } pu_piece_t;
 
 typedef struct pu_piece_reader pu_piece_reader_t;
--- a/libplantainusher/entry/stream.c
+++ b/libplantainusher/entry/stream.c
@@ -103,6 +103,15 @@
   return strcmp (s->id, id) == 0;
 }
 
+/* Whether the usage at the end tells of fewer tokens than were passed on, each
+   in an event of its own.  After a resume it may count the rest alone.  */
+static bool
+is_doubled (const pu_stream_t *s, const pu_piece_t *p)
+{
+  return s->first && p->completion_tokens > 0
+         && s->sent->tokens > p->completion_tokens;
+}
+
 static pu_stream_result_t
 piece_take (pu_stream_t *s, const pu_sse_event_t *ev, const pu_piece_t *p)
 {
@@ -115,7 +124,7 @@
   /* An event without text: the role at the start, or the end.  */
   if (p->finish ? !s->sent->finished : s->first)
     pass (s, ev, p);
-  return PU_STREAM_MORE;
+  return is_doubled (s, p) ? PU_STREAM_DOUBLED : PU_STREAM_MORE;
 }
 
 static pu_stream_result_t
--- a/libplantainusher/entry/stream.h
+++ b/libplantainusher/entry/stream.h
@@ -39,6 +39,8 @@
   PU_STREAM_FOREIGN, /* an event of another answer, or a replay that
                         differs */
   PU_STREAM_BROKEN,  /* a gap, no event, or an event over the limit */
+  PU_STREAM_DOUBLED, /* the caller has got more tokens than the usage at the
+                        end tells: the answer can't be mended */
 } pu_stream_result_t;
 
 typedef struct pu_stream pu_stream_t;
--- a/libplantainusher/entry/stream_test.cc
+++ b/libplantainusher/entry/stream_test.cc
@@ -23,6 +23,14 @@
 const std::string FINISH = "data: {\"id\":\"r\",\"choices\":[{\"delta\":{},"
                            "\"finish_reason\":\"stop\"}]}\n\n";
 
+std::string
+usage (int tokens)
+{
+  return "data: {\"id\":\"r\",\"choices\":[],\"usage\":"
+         "{\"completion_tokens\":"
+         + std::to_string (tokens) + "}}\n\n";
+}
+
 /* What a caller gets over several attempts.  */
 struct caller
 {
@@ -123,6 +131,32 @@
   EXPECT_EQ ("aab", c.text ());
 }
 
+TEST (Stream, MoreTokensThanTheUsageTellsAreDoubled)
+{
+  caller one;
+  caller two;
+  caller resumed;
+  EXPECT_EQ (one.attempt (token ("a") + token ("b") + usage (2) + DONE),
+             PU_STREAM_DONE);
+  EXPECT_EQ (
+      two.attempt (token ("a") + token ("a") + token ("b") + usage (2) + DONE),
+      PU_STREAM_DOUBLED);
+  EXPECT_EQ (resumed.attempt (token ("a") + token ("b")), PU_STREAM_MORE);
+  EXPECT_EQ (resumed.attempt (token ("c") + usage (1) + DONE, true),
+             PU_STREAM_DONE);
+}
+
+TEST (Stream, NumberedDoublesAndTokensInOneEventAreNotDoubled)
+{
+  caller numbered;
+  caller joined;
+  EXPECT_EQ (numbered.attempt (token ("a", "0") + token ("a", "0")
+                               + token ("b", "1") + usage (2) + DONE),
+             PU_STREAM_DONE);
+  EXPECT_EQ (joined.attempt (token ("a b") + usage (2) + DONE),
+             PU_STREAM_DONE);
+}
+
 TEST (Stream, AnotherAnswersEventIsForeign)
 {
   caller c;
--- a/tests/request_process_test.py
+++ b/tests/request_process_test.py
@@ -82,6 +82,21 @@
     def test_tokens_duplicated(self):
         self._with_fault(2, "duplicate_tokens")
 
+    def test_tokens_duplicated_without_ids(self):
+        """Only the number of tokens at the end tells; then it is too late to
+        mend, and the answer is not called whole."""
+        c = fleet(self, timing=PATIENT)
+        some = engines(c, 2, event_ids=False)
+        for entry in home_and_away(c):
+            for g in some:
+                set_fault(g, "duplicate_tokens", count=1)
+            r = ask(entry.callers, f"twice at {entry.name}", TOKENS)
+            self.assertFalse(r.whole, r)
+            self.assertEqual((r.outcome, r.error["type"]), ("ran", "doubled"))
+            for g in some:
+                set_fault(g, "clear")
+            check_whole(self, c, ask(entry.callers, "once", TOKENS), TOKENS)
+
     def test_tokens_out_of_order(self):
         self._with_fault(4, "reorder_tokens", count=1)
 
