Request tests: late answers are passed on to nobody

Cause: of the answers that an entry must not pass on (late, out of order, doubled, foreign), late ones had no induced failure with real processes.

Change: an engine is stopped in the midst of a stream, another finishes it, the first goes on; the answer and 8 more at the same entry are whole and right, at an entry of the set and one that relays.

--- a/tests/request_process_test.py
+++ b/tests/request_process_test.py
@@ -168,6 +168,27 @@
                                                     for g in some]))
             check_whole(self, c, r, TOKENS)
 
+    def test_late_answers_are_passed_on_to_nobody(self):
+        """An engine that was silent goes on with an answer that another has
+        finished by then."""
+        c = fleet(self)
+        some = engines(c, 2, **SLOW)
+        for entry in home_and_away(c):
+            frozen = []
+
+            def freeze(reply):
+                frozen.extend(runs(some, reply)[:1])
+                frozen[0].stop()
+            r = ask(entry.callers, f"late at {entry.name}", TOKENS,
+                    on_token=at_token(5, freeze))
+            frozen[0].cont()
+            after = together(lambda i: ask(entry.callers, f"after {i}", 8),
+                             range(8))
+            check_whole(self, c, r, TOKENS)
+            for one in after:
+                check_whole(self, c, one, 8)
+            wait_ready(c, {"m": 2})
+
     def test_entry_frozen_under_a_relay(self):
         c = fleet(self)
         engines(c, 2, **SLOW)
