Entry: the suspects' table hears of a first token once

Cause: each event of a stream looked its request up in the suspects' table to say that it had been answered.

Change: only the first does.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -97,8 +97,11 @@
 {
   guint total = pu_stream_tokens (x->at.stream);
 
-  if (tokens > 0 && x->at.noted)
-    pu_suspects_answered (x->en->suspects, x->number);
+  if (tokens > 0 && x->at.noted && !x->at.begun)
+    {
+      x->at.begun = true;
+      pu_suspects_answered (x->en->suspects, x->number);
+    }
   if (tokens == 0 || x->ticket == 0)
     return;
   if (total == 1)
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -101,6 +101,7 @@
   int status;
   bool streaming; /* the answer is a stream of events */
   bool answered;  /* the head came */
+  bool begun;     /* a token came: the suspects' table knows */
   bool noted;     /* with the suspects' table */
   bool apart;     /* as a suspect */
   char *content_type;
