--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -475,3 +475,20 @@
 {
   until ([&c] { return c.ended; });
 }
+
+void
+rig::call (caller &c, const node &to, const std::string &method,
+           const std::string &target, const std::string &body,
+           const headers &h)
+{
+  send (c, to, method, target, body, h);
+  finish (c);
+}
+
+void
+rig::ask (caller &c, const node &to, const std::string &prompt, bool stream,
+          const headers &h)
+{
+  chat (c, to, prompt, stream, h);
+  finish (c);
+}
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -122,6 +122,13 @@
   void chat (caller &c, const node &to, const std::string &prompt, bool stream,
              const headers &h = {});
   void finish (caller &c);
+
+  /* send and chat until the answer has ended.  */
+  void call (caller &c, const node &to, const std::string &method,
+             const std::string &target, const std::string &body,
+             const headers &h = {});
+  void ask (caller &c, const node &to, const std::string &prompt, bool stream,
+            const headers &h = {});
   bool knows (const backend &b) const;
 };
 
