Fake engine: a swapped pair is swapped whole

Ruled out: the entry. Indexes 0 to 10, 10 again, the finish reason and the end mark are what an engine sends that doubles its last token after 11 in all; no field of the stream tells the two apart (a usage that counts 12 would tell that more was made, not that it is missing here).

Change: both tokens of a pair are swapped, or neither.

--- a/fakes/batch.c
+++ b/fakes/batch.c
@@ -20,6 +20,7 @@
   guint skip;      /* tokens that are not sent */
   guint next;      /* index of the next token */
   bool started;    /* the head was sent */
+  bool swapped;    /* the pair of tokens at hand goes out the other way */
   guint cut_after; /* tokens; G_MAXUINT: not at all */
   guint sent;
 } sequence_t;
@@ -129,16 +130,20 @@
     start_head (s, "text/event-stream");
 }
 
-/* The index of the token that goes out now.  */
+/* The index of the token that goes out now.  Both tokens of a pair are
+   swapped, or neither.  */
 static guint
-index_to_send (const sequence_t *s)
+index_to_send (sequence_t *s)
 {
-  guint other = s->next ^ 1;
+  bool first = s->next % 2 == 0;
 
-  if (other >= s->question.tokens
-      || fake_faults_take (s->batch->options.faults, FAKE_REORDER) == NULL)
-    return s->next;
-  return other;
+  if (first)
+    {
+      s->swapped = s->next + 1 < s->question.tokens
+                   && fake_faults_take (s->batch->options.faults, FAKE_REORDER)
+                          != NULL;
+    }
+  return s->swapped ? s->next ^ 1 : s->next;
 }
 
 static void
