Placer: a test that a new leader loads where no order may be under way

One engine that ignores tokens holds an open order that never arrives; after the change of leader another one without an order takes a load while the first still waits.

--- a/libplantainusher/placer/placer_test.cc
+++ b/libplantainusher/placer/placer_test.cc
@@ -93,6 +93,25 @@
   EXPECT_EQ (loads (), 1U);
 }
 
+TEST_F (Rig, ANewLeaderLoadsWhereNoOrderMayBeUnderWay)
+{
+  Engine &a = engine ("a", false);
+
+  order_life_ms = 600000; /* the wait for A never ends here */
+  a.takes = Takes::nothing;
+  submit (document (one));
+  run_until ([&] { return open_orders () == 1; });
+  close ();
+  open ();
+  Engine &b = engine ("b", false);
+  submit (document (one + ", " + other));
+  run_until ([&] { return b.ready ("n/1"); });
+  json_t *s = pu_placer_status (placer);
+  EXPECT_TRUE (json_is_true (json_object_get (s, "quiet")));
+  json_decref (s);
+  EXPECT_EQ (a.loads, 0U);
+}
+
 TEST_F (Rig, AVersionIsLoadedBesideThenTheOldOneUnloaded)
 {
   for (bool fenced : { true, false })
