--- a/tests/partition_calls_process_test.py
+++ b/tests/partition_calls_process_test.py
@@ -38,6 +38,8 @@
 
             def heal(c):
                 time.sleep(CUT_MS / 1000)
+                for one in self.at_work:  # copies on the other side
+                    once.assign(c.entries[-1].callers, one.key)
                 net.heal()
             c, s, _ = self._under_calls(
                 hurt, heal, WORK_MS, relay=net,
