Entry: demand is told with the time that its requests run

Cause: copies never followed demand in real daemons. A process test of demand that moves (48 callers of one model, then of another) waited 40 s in vain for a third copy; status said 'expects 0.0 streams (now 0.0, usual 0.0)' beside 150 requests. The forecast counts streams: requests times the time that each keeps a stream busy.

Ruled out: the way to the leader (polls, sessions and the placer pass both numbers on), the planner (place.attainment feeds its core true times), too little room (four engines, five places each), a full batch (the same with 8 in place of 64 at once).

Change: entry/demand.c. A request is told when it is first offered to the router of the entry that serves it (not where it is passed on), with the mean time of the requests of its model that ended whole there at the first attempt; 1 s before any has.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -205,6 +205,8 @@
 {
   bool good = x->at.status < STATUS_CLIENT_ERROR;
 
+  if (good)
+    pu_demand_ran (x);
   router_finished (x, good ? PU_ROUTER_WHOLE : PU_ROUTER_REJECTED);
   if (x->claim != 0)
     {
@@ -611,6 +613,7 @@
   g_bytes_unref (body);
   if (x->at.call == NULL)
     return false;
+  x->at.sent_at = now_of (x);
   x->phase = PU_X_RUNNING;
   x->attempts++;
   return true;
--- /dev/null
+++ b/libplantainusher/entry/demand.c
@@ -0,0 +1,49 @@
+#include "entry/entry_private.h"
+
+/*
+ * What the leader hears of demand: each request for a model, and how long it
+ * will keep a stream of an engine busy.  That is taken from those of the same
+ * model that ended here; an engine that is crowded makes them longer, so the
+ * demand is then told too high rather than too low.
+ */
+
+/* Before the first request of a model has ended here.  */
+#define FIRST_MS 1000.0
+
+/* How much the newest request counts in the mean.  */
+#define NEWEST 0.05
+
+void
+pu_demand_arrived (pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+  const double *mean;
+  double ms;
+
+  if (x->plain || x->demand_told)
+    return;
+  x->demand_told = true;
+  mean = g_hash_table_lookup (en->run_ms, x->model);
+  ms = mean == NULL ? FIRST_MS : *mean;
+  en->o.hooks.demand (en->o.hooks.data, x->model, 1, (guint32)(ms + 0.5));
+}
+
+void
+pu_demand_ran (pu_exchange_t *x)
+{
+  double ms = (double)(uv_now (x->en->o.loop) - x->at.sent_at);
+  double *mean;
+
+  /* Neither what ran elsewhere nor the rest of a stream tells how long.  */
+  if (x->plain || x->at.server == NULL || x->attempts > 1)
+    return;
+  mean = g_hash_table_lookup (x->en->run_ms, x->model);
+  if (mean != NULL)
+    {
+      *mean += NEWEST * (ms - *mean);
+      return;
+    }
+  mean = g_new (double, 1);
+  *mean = ms;
+  g_hash_table_insert (x->en->run_ms, g_strdup (x->model), mean);
+}
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -246,6 +246,7 @@
   en->strikes = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        pu_strike_free);
   en->rates = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  en->run_ms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   en->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   en->claims = g_hash_table_new (NULL, NULL);
   en->tickets = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -309,6 +310,7 @@
   g_hash_table_destroy (en->strikes);
   g_hash_table_destroy (en->struck);
   g_hash_table_destroy (en->rates);
+  g_hash_table_destroy (en->run_ms);
   g_hash_table_destroy (en->counts);
   g_hash_table_destroy (en->claims);
   g_hash_table_destroy (en->tickets);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -97,6 +97,7 @@
   pu_http_call_t *call;
   pu_server_t *server; /* NULL: another entry */
   guint64 incarnation; /* of the backend server */
+  guint64 sent_at;     /* loop time */
   char *entry;         /* name of the other entry */
   int status;
   bool streaming; /* the answer is a stream of events */
@@ -161,6 +162,7 @@
   guint resumed;  /* tokens that the other entry's caller had before */
   bool head_sent;
   bool may_have_run;
+  bool demand_told;
   guint predicted_ms; /* time to the first token, by the router */
 };
 
@@ -187,6 +189,7 @@
   GHashTable *struck;    /* set of &fingerprint, as in the view */
   GHashTable *rates;     /* service -> double: requests a second */
   GHashTable *counts;    /* service -> guint in this second */
+  GHashTable *run_ms;    /* model -> double: mean time of a request */
   GHashTable *claims;    /* once handle -> pu_exchange_t */
   GHashTable *tickets;   /* &ticket -> pu_exchange_t */
   GHashTable *numbers;   /* &number -> pu_exchange_t */
@@ -278,6 +281,14 @@
 
 void pu_reporter_free (gpointer reporter);
 
+/* --- demand.c: what the leader hears of demand --- */
+
+/* pu_demand_arrived - X is offered to the router here: tells of it once.  */
+void pu_demand_arrived (pu_exchange_t *x);
+
+/* pu_demand_ran - the answer to X is whole: learns how long one takes.  */
+void pu_demand_ran (pu_exchange_t *x);
+
 /* --- spread.c: loads that go on to other entries --- */
 
 /* pu_spread_interval_ms - how often an entry that hears of HEARD backend
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -420,6 +420,27 @@
   EXPECT_EQ (409, r.announce (b, n));
 }
 
+/* The leader places copies by this: never by requests alone.  */
+TEST_F (Entry, DemandIsToldWithTheTimeThatARequestRuns)
+{
+  backend &b = r.add_backend ("e1", "", n);
+
+  r.ask (c, n, "hi", true);
+  EXPECT_EQ (std::vector<guint32>{ 1000 }, n.demand_ms) << "none has run yet";
+  for (int i = 0; i < 2; i++)
+    {
+      caller again;
+
+      r.ask (again, n, "hi", false);
+    }
+  ASSERT_EQ (3u, n.demand_ms.size ());
+  EXPECT_NE (1000u, n.demand_ms[2]) << "two have run";
+  r.kill (b);
+  caller refused;
+  r.ask (refused, n, "hi", true);
+  EXPECT_EQ (4u, n.demand_ms.size ()) << "refused for want of a copy";
+}
+
 /* --- plain services and at-most-once calls --- */
 
 TEST_F (Entry, PlainServiceGetsThePathBelowItsName)
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -117,8 +117,6 @@
   g_queue_push_tail_link (&en->open, &x->link);
   g_hash_table_insert (en->numbers, &x->number, x);
   pu_rates_count (en, x->service);
-  if (!x->plain && !x->relayed)
-    en->o.hooks.demand (en->o.hooks.data, x->model, 1, 0);
   if (x->once)
     {
       pu_claim_begin (x);
@@ -427,6 +425,7 @@
   pu_router_decision_t d;
 
   g_free (plain);
+  pu_demand_arrived (x);
   pu_router_offer (router, &q, uv_now (x->en->o.loop), &d);
   pu_exchange_decide (x, &d);
 }
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -190,7 +190,11 @@
   h.incarnation = [] (void *) { return guint64{ 1 }; };
   h.propose = propose;
   h.renew = [] (void *, const char *, guint64) {};
-  h.demand = [] (void *, const char *, guint32, guint32) {};
+  h.demand = [] (void *d, const char *model, guint32 requests, guint32 ms) {
+    EXPECT_STREQ ("m", model);
+    EXPECT_EQ (1u, requests);
+    static_cast<node *> (d)->demand_ms.push_back (ms);
+  };
   h.loads = tell_loads;
   h.data = &n;
   return h;
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -77,6 +77,7 @@
   std::string name;
   std::string address;
   bool stopped = false;
+  std::vector<guint32> demand_ms; /* of each request that was told */
 };
 
 struct proposal
