--- a/bench/route_bench.cc
+++ b/bench/route_bench.cc
@@ -6,6 +6,7 @@
 
 #include "routing/router.h"
 
+#include "route_choice.h"
 #include "route_sim.h"
 
 #include <benchmark/benchmark.h>
@@ -616,118 +617,6 @@
 
 /* ---- Cost of a choice ---- */
 
-constexpr int kBigModels = 940, kBigEngines = 770, kHeld = 94, kHolders = 70;
-
-/* Engines 0..HOLDERS-1 hold the first models, the others the rest: six models
-   each.  Only the first OTHERS of the other engines are there.  */
-pu_router_t *
-big_router (int others)
-{
-  pu_router_options_t o;
-  pu_router_options_init (&o);
-  o.limit_initial = 100000;
-  pu_router_t *r = pu_router_new (&o);
-  pu_router_service_options_t s = { "s", 1, 390, 56, 5000, 0, 1000 };
-  pu_router_set_service (r, &s);
-  for (int m = 0; m < kBigModels; m++)
-    pu_router_set_model (r, ("m" + std::to_string (m)).c_str (), "1", 1000);
-  for (int e = 0; e < kHolders + others; e++)
-    {
-      bool holder = e < kHolders;
-      std::vector<std::string> names;
-      for (int i = 0; i < 6; i++)
-        names.push_back (
-            "m"
-            + std::to_string (
-                holder ? (e * 6 + i) % kHeld
-                       : kHeld + (e * 6 + i) % (kBigModels - kHeld)));
-      std::vector<pu_router_copy_t> copies;
-      for (const std::string &name : names)
-        copies.push_back ({ name.c_str (), "1", PU_ROUTER_COPY_READY });
-      std::string name = "e" + std::to_string (e);
-      pu_router_backend_options_t b = {};
-      b.name = name.c_str ();
-      b.incarnation = 1;
-      b.region = "";
-      b.zone = e % 2 ? "a" : "b";
-      b.copies = copies.data ();
-      b.n_copies = 6;
-      pu_router_backend_t h = pu_router_set_backend (r, &b);
-      std::vector<guint64> blocks;
-      for (guint64 i = 0; i < 2000; i++)
-        blocks.push_back (i * 770 + static_cast<guint64> (e));
-      pu_router_kv_events_t events
-          = { 1, 1, blocks.data (), 2000, nullptr, 0 };
-      pu_router_kv_events (r, h, &events);
-    }
-  return r;
-}
-
-/* Offers and finishes, with about 2,000 requests in flight.  */
-void
-choice (benchmark::State &state, int others, int models, bool whole)
-{
-  pu_router_t *r = big_router (others);
-  GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
-  std::mt19937 rand (1);
-  std::vector<pu_ticket_t> ring (2000);
-  guint64 prefix[64];
-  guint64 now = 1000000;
-  size_t at = 0;
-  for (auto _ : state)
-    {
-      if (!whole)
-        state.PauseTiming ();
-      pu_router_first_token (r, ring[(at + 1990) % 2000], now);
-      pu_router_finished (r, ring[at], PU_ROUTER_WHOLE, now);
-      g_array_set_size (out, 0);
-      pu_router_next (r, now, out);
-      /* Half of the prompts were seen before.  */
-      guint64 prompt = rand () % 2 ? rand () % 5000 : rand ();
-      for (guint64 i = 0; i < 64; i++)
-        prefix[i] = prompt * 64 + i;
-      pu_router_request_t q = {};
-      q.model = static_cast<guint> (rand ()) % static_cast<guint> (models);
-      q.prompt_tokens = 1000;
-      q.max_tokens = 200;
-      q.prefix = prefix;
-      q.n_prefix = 64;
-      q.fingerprint = prompt + 1;
-      pu_router_decision_t d;
-      if (!whole)
-        state.ResumeTiming ();
-      pu_router_offer (r, &q, now, &d);
-      ring[at] = d.ticket;
-      at = (at + 1) % 2000;
-      now += at % 4 == 0;
-    }
-  pu_router_stats_t stats = pu_router_stats (r);
-  if (stats.dispatched * 10 < stats.offered * 9)
-    state.SkipWithError ("less than nine in ten were dispatched");
-  pu_router_free (r);
-  g_array_free (out, TRUE);
-}
-
-class Keeper : public benchmark::BenchmarkReporter
-{
-public:
-  std::map<std::string, double> us; /* by name */
-
-  bool
-  ReportContext (const Context &) override
-  {
-    return true;
-  }
-
-  void
-  ReportRuns (const std::vector<Run> &runs) override
-  {
-    for (const Run &run : runs)
-      if (run.aggregate_name == "median")
-        us[run.run_name.function_name] = run.GetAdjustedRealTime ();
-  }
-};
-
 void
 choices ()
 {
@@ -737,15 +626,18 @@
     int others, models;
     bool whole;
   } cases[] = {
-    { "all", kBigEngines - kHolders, kBigModels, false },
-    { "held", kBigEngines - kHolders, kHeld, false },
-    { "held_tenth", (kBigEngines - kHolders) / 10, kHeld, false },
-    { "request", kBigEngines - kHolders, kBigModels, true },
+    { "all", choice::kEngines - choice::kHolders, choice::kModels, false },
+    { "held", choice::kEngines - choice::kHolders, choice::kHeld, false },
+    { "held_tenth", (choice::kEngines - choice::kHolders) / 10, choice::kHeld,
+      false },
+    { "request", choice::kEngines - choice::kHolders, choice::kModels, true },
   };
   for (const auto &c : cases)
-    benchmark::RegisterBenchmark (
-        c.name,
-        [c] (benchmark::State &s) { choice (s, c.others, c.models, c.whole); })
+    benchmark::RegisterBenchmark (c.name,
+                                  [c] (benchmark::State &s) {
+                                    choice::run (s, c.others, c.models,
+                                                 c.whole);
+                                  })
         ->Unit (benchmark::kMicrosecond)
         ->Iterations (settings.quick ? 50000 : 100000)
         ->Repetitions (9);
@@ -756,7 +648,7 @@
   char *flags[] = { program, mixed, nullptr };
   int n_flags = 2;
   benchmark::Initialize (&n_flags, flags);
-  Keeper keeper;
+  choice::Keeper keeper;
   benchmark::RunSpecifiedBenchmarks (&keeper);
   print ("route.choice_us", keeper.us["all"], "us",
          keeper.us["held"] / keeper.us["held_tenth"]);
