--- /dev/null
+++ b/deploy/settings.json.tpl
@@ -0,0 +1,44 @@
+// Settings of one instance of the platform; docs/DOCUMENT.md lists every field.
+// The keys guard the operators' and the peers' ports, which callers can't
+// reach: put your own in their place.
+{
+  "name": "{{node}}",
+  "region": "{{region}}",
+  "zone": "{{zone}}",
+  "roles": ["entry"{{#data_dir}}, "control"{{/data_dir}}],
+  "addresses": {
+    "callers": "{{listen.front}}",
+    "operators": "{{ip}}:{{port_range.1}}",
+    "peers": "{{ip}}:{{port_range.0}}",
+  },
+{{#data_dir}}
+  "data_folder": "{{data_dir}}",
+{{/data_dir}}
+  "keys": {
+    "operators": [{"name": "platform", "key": "change-me-operators-key"}],
+    "peers": "change-me-peers-key-of-all",
+  },
+  "seeds": [{{#seeds}}"{{.}}"{{,}}{{/seeds}}],
+  "found": {{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}},
+  "log_level": "note",
+  "platform": {
+    "ready": "{{listen.ready}}",
+    "control": "{{listen.control}}",
+    "directory": "{{listen.directory}}",
+    "memory_mb": {{limits.memory_mb}},
+    "descriptors": {{limits.max_fds}},
+    "report_ms": {{heartbeat_ms}},
+    "drain_ms": {{bounds.drain_ms}},
+    "in_force_ms": {{bounds.config_apply_ms}},
+    "grace_s": {{bounds.grace_s}},
+    "reuse_s": {{bounds.reuse_after_s}},
+    "lease_ms": {{bounds.lease_ms}},
+    "ttl_s": {{bounds.ttl_max_s}},
+    "fenced": {{#bounds.fence_checked}}true{{/bounds.fence_checked}}{{^bounds.fence_checked}}false{{/bounds.fence_checked}},
+    "retry_ratio": {{bounds.retry_budget_ratio}},
+    "retry_slack": {{bounds.budget_slack}},
+    "retry_window_s": {{bounds.budget_window_s}},
+    "store_overage": {{bounds.ceiling_overage}},
+    "store_window_s": {{bounds.ceiling_window_s}},
+  },
+}
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -8,6 +8,7 @@
 #include "entry/entry.h"
 #include "http/server.h"
 #include "operator/operator.h"
+#include "platform/platform.h"
 #include "placer/placer.h"
 #include "rpc/server.h"
 
@@ -38,7 +39,8 @@
   pu_control_t *control; /* NULL without the role */
   pu_placer_t *placer;   /* goes with control */
   pu_agent_t *agent;
-  pu_entry_t *entry; /* NULL without the role */
+  pu_platform_t *platform; /* NULL but for an instance of the platform */
+  pu_entry_t *entry;       /* NULL without the role */
   pu_operator_t *operator;
   pu_http_server_t *operators;
   pu_daemon_phase_t phase;
@@ -47,6 +49,7 @@
   bool hurry;           /* a second stop was asked for */
   bool closed_control;
   bool closed_operators;
+  bool closed_platform;
   void (*stopped) (void *data);
   void *stopped_data;
 };
--- a/libplantainusher/document/check.c
+++ b/libplantainusher/document/check.c
@@ -203,6 +203,53 @@
     }
 }
 
+static void
+check_parts (checker_t *c, const pu_route_t *r)
+{
+  const pu_route_part_t *parts = r->parts.items;
+
+  for (guint i = 0; i < r->parts.n; i++)
+    {
+      char rest[32];
+
+      if (parts[i].service != PU_HANDLE_NONE)
+        continue;
+      g_snprintf (rest, sizeof rest, "/to/%u/service", i);
+      find (c, place ("routes", r->name, rest),
+            "the service \"%s\" is not declared", parts[i].service_name);
+    }
+  if (r->parts.n > 0 && r->weights == 0)
+    find (c, place ("routes", r->name, "/to"), "has weights that add up to 0");
+}
+
+static void
+check_route (checker_t *c, const pu_route_t *r, GHashTable *places)
+{
+  char *key = g_strconcat (r->host, r->path_prefix, NULL);
+  const char *first = g_hash_table_lookup (places, key);
+
+  check_parts (c, r);
+  if (first != NULL)
+    {
+      find (c, place ("routes", r->name, ""),
+            "has the same host and path_prefix as \"%s\"", first);
+      g_free (key);
+      return;
+    }
+  g_hash_table_insert (places, key, (gpointer)r->name);
+}
+
+static void
+check_routes (checker_t *c)
+{
+  GHashTable *places
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  for (guint h = 0; h < pu_document_routes (c->d); h++)
+    check_route (c, pu_document_route (c->d, h), places);
+  g_hash_table_destroy (places);
+}
+
 void
 pu_document_check (const pu_document_t *d, pu_findings_t *f)
 {
@@ -213,6 +260,7 @@
     check_service (&c, &services[i]);
   for (pu_model_handle_t h = 0; h < d->n_models; h++)
     check_model (&c, h);
+  check_routes (&c);
 }
 
 static char *
--- a/libplantainusher/document/document.c
+++ b/libplantainusher/document/document.c
@@ -142,6 +142,7 @@
     resolve_service (d, s);
   resolve_bases (d);
   group_adapters (d);
+  pu_routes_make (d);
 }
 
 static void
@@ -178,7 +179,8 @@
 static bool
 tables_are_objects (const json_t *value)
 {
-  static const char *const tables[] = { "services", "models", "adapters" };
+  static const char *const tables[]
+      = { "services", "models", "adapters", "routes" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (tables); i++)
     {
@@ -241,6 +243,7 @@
 {
   if (d == NULL || --d->refs > 0)
     return;
+  pu_routes_clear (d);
   g_hash_table_destroy (d->service_names);
   g_hash_table_destroy (d->model_names);
   g_free (d->models);
--- a/libplantainusher/document/document.h
+++ b/libplantainusher/document/document.h
@@ -32,6 +32,11 @@
  *     "adapters": {
  *       "small-en": {"base": "small", "version": "1", "memory_mb": 200}
  *     },
+ *     "routes": {
+ *       "rooms": {"host": "rooms.example", "path_prefix": "/state/",
+ *                 "to": [{"service": "board", "weight": 1}],
+ *                 "timeout_ms": 800, "target_ms": 100}
+ *     },
  *     "placement": {"moves_weight": 0.5, "store_loads_per_s": 2,
  *                   "store_full_speed": 3},
  *     "version_change": {"watch_s": 60, "max_failures": 3}
@@ -77,6 +82,18 @@
   guint32 answer_ms;      /* plain services: the whole answer; else 0 */
 } pu_targets_t;
 
+/* The engines of a service, where they are all alike.  */
+typedef struct
+{
+  guint32 slots;          /* requests that one batches; 0: not told */
+  guint32 kv_tokens;      /* that its KV cache holds; 0: not told */
+  guint32 adapter_places; /* adapters in its memory at once; 0: no limit */
+  guint32 memory_mb;      /* for weights and adapters; 0: as announced */
+  guint32 host_mb;        /* for copies of weights in host memory */
+  guint32 disk_mb;        /* for copies of weights on its own disk */
+  guint32 event_tokens;   /* tokens in one event of a stream */
+} pu_engine_class_t;
+
 typedef struct
 {
   const char *name;
@@ -87,6 +104,9 @@
   guint32 max_concurrency;       /* requests running at once, whole system */
   guint32 max_queue;             /* requests waiting at once at one entry */
   guint32 claim_window_s;        /* how long an at-most-once key is kept */
+  guint32 connections; /* that one backend server takes; 0: no limit */
+  const char *health_path; /* of its liveness check; "": none */
+  pu_engine_class_t engine;
   pu_json_strings_t model_names; /* as listed */
   pu_json_strings_t not_repeatable; /* "METHOD /path-prefix" */
   const pu_model_handle_t *models;  /* model_names.n of them, as listed */
@@ -105,8 +125,58 @@
   guint32 accelerators; /* tensor-parallel width; adapters: the base's */
   guint32 min_copies;   /* >= 1 */
   guint32 max_copies;   /* >= min_copies */
+  guint32 load_ms;      /* from the weights store; 0 here and below: not told */
+  guint32 disk_load_ms; /* from the engine's own disk */
+  guint32 host_load_ms; /* from its host's memory */
+  bool on_demand;       /* adapters: loaded when asked for, where their base is
+                           ready; no copy is kept otherwise */
 } pu_model_t;
 
+/* How the answers of a route look.  */
+typedef enum
+{
+  PU_ROUTE_WHOLE,
+  PU_ROUTE_STREAM /* numbered server-sent events */
+} pu_route_answer_t;
+
+/* A part of a route's requests.  */
+typedef struct
+{
+  const char *service_name;
+  guint32 weight;
+  pu_service_handle_t service;
+} pu_route_part_t;
+
+/* Requests that are told by host and path, and not by an interface of ours. */
+typedef struct
+{
+  const char *name;
+  const char *host;
+  const char *path_prefix; /* begins and ends with a slash */
+  guint32 answer;          /* pu_route_answer_t */
+  bool repeatable;         /* a request may run more than once */
+  bool resumable;          /* a cut stream may go on elsewhere */
+  guint32 attempts;        /* backend servers that a request may be sent to */
+  guint32 timeout_ms;      /* a caller is not kept waiting longer */
+  guint32 target_ms;       /* to the first event, or to the whole answer */
+  guint32 gap_ms;          /* most between two events; 0: no target */
+  guint32 priority;        /* 0..9, 9 first */
+  pu_json_rows_t parts;    /* pu_route_part_t */
+  guint32 weights;         /* sum of the parts' */
+} pu_route_t;
+
+/* What a caller may send, and how slowly, where the daemon's own settings do
+   not say less.  0: as the settings have it.  */
+typedef struct
+{
+  guint32 max_header_bytes;
+  guint32 max_body_bytes;
+  guint32 header_timeout_ms;
+  guint32 idle_timeout_ms;
+} pu_caller_limits_t;
+
+typedef guint32 pu_route_handle_t;
+
 typedef struct
 {
   double moves_weight;      /* 0: attainment only, 1: fewest moves */
@@ -153,6 +223,29 @@
 const pu_model_t *pu_document_model (const pu_document_t *d,
                                      pu_model_handle_t h);
 const pu_placement_settings_t *pu_document_placement (const pu_document_t *d);
+const pu_caller_limits_t *pu_document_callers (const pu_document_t *d);
+
+/* pu_document_source - the text that whoever submitted D made it of, kept as
+   it was for who reads it back; "" when there is none.  */
+const char *pu_document_source (const pu_document_t *d);
+
+guint pu_document_routes (const pu_document_t *d); /* number of rows */
+const pu_route_t *pu_document_route (const pu_document_t *d,
+                                     pu_route_handle_t h);
+
+/* pu_document_route_named - whether D has a route called NAME.  */
+bool pu_document_route_named (const pu_document_t *d, const char *name);
+
+/* pu_document_find_route - the route of a request for HOST (without regard to
+   case and port) and PATH (without a query): of those of the host, the one
+   with the longest prefix that begins the path.  PU_HANDLE_NONE: none.  */
+pu_route_handle_t pu_document_find_route (const pu_document_t *d,
+                                          const char *host, const char *path);
+
+/* pu_route_choose - the service of a request: a part by its weight.  DRAW is
+   a random number.  */
+pu_service_handle_t pu_route_choose (const pu_route_t *r, guint32 draw);
+
 const pu_version_change_t *pu_document_version_change (const pu_document_t *d);
 
 /* pu_document_find_service, pu_document_find_model - the handle of NAME (a
--- a/libplantainusher/document/internal.h
+++ b/libplantainusher/document/internal.h
@@ -12,6 +12,9 @@
   pu_json_rows_t services; /* pu_service_t, by name */
   pu_json_rows_t bases;    /* pu_model_t, by name */
   pu_json_rows_t adapters; /* pu_model_t, by name */
+  pu_json_rows_t routes;   /* pu_route_t, by name */
+  pu_caller_limits_t callers;
+  const char *source;
   pu_placement_settings_t placement;
   pu_version_change_t version_change;
 
@@ -25,6 +28,8 @@
   pu_service_handle_t *default_service; /* by model handle */
   pu_model_handle_t *by_base;           /* adapters, grouped by their base */
   guint *first_adapter; /* by model handle, one more: index into by_base */
+  GHashTable *hosts;    /* lower case -> GArray of route handles, those with
+                           the longest prefix first */
 };
 
 /* Cross checks add at most this many findings.  */
@@ -40,6 +45,14 @@
    Names are resolved already.  */
 void pu_document_check (const pu_document_t *d, pu_findings_t *f);
 
+/* pu_routes_make - the tables of D's routes, once services have handles.  */
+void pu_routes_make (pu_document_t *d);
+void pu_routes_clear (pu_document_t *d);
+
+/* pu_document_check_prefix, pu_document_check_host - pu_string_check_t.  */
+const char *pu_document_check_prefix (const char *s);
+const char *pu_document_check_host (const char *s);
+
 /* Faults that the tests put in, to show that they would see them.  */
 typedef enum
 {
--- a/libplantainusher/document/schema.c
+++ b/libplantainusher/document/schema.c
@@ -8,6 +8,12 @@
 #define ACCELERATORS_MAX 64
 #define MEMORY_MB_MAX 10000000
 #define NOT_REPEATABLE_MAX 256
+#define ROUTES_MAX 16384
+#define PARTS_MAX 256
+#define PATH_MAX_BYTES 4096
+#define HOST_MAX_BYTES 255
+#define PRIORITY_MAX 9
+#define PRIORITY_START 5
 
 #define MINUTE_MS 60000.0
 #define HOUR_MS (60.0 * MINUTE_MS)
@@ -49,6 +55,26 @@
 static const char *const service_kinds[]
     = { [PU_SERVICE_MODEL] = "model", [PU_SERVICE_PLAIN] = "plain", NULL };
 
+#define BOOL(row, field)                                                      \
+  {                                                                           \
+    .name = #field, .type = PU_FIELD_BOOL, .offset = offsetof (row, field)    \
+  }
+
+#define ENGINE(field, most, of)                                               \
+  INT (pu_engine_class_t, field, 0, most, 0, of)
+
+static const pu_field_t engine_fields[] = {
+  ENGINE (slots, 100000, "requests"),
+  ENGINE (kv_tokens, 4000000000.0, "tokens"),
+  ENGINE (adapter_places, 100000, "adapters"),
+  ENGINE (memory_mb, MEMORY_MB_MAX, "MB"),
+  ENGINE (host_mb, MEMORY_MB_MAX, "MB"),
+  ENGINE (disk_mb, MEMORY_MB_MAX, "MB"),
+  ENGINE (event_tokens, 100000, "tokens"),
+};
+static const pu_schema_t engine_schema
+    = SCHEMA (engine_fields, pu_engine_class_t, 0, NULL);
+
 /* A target left out is 0 here; its default depends on the kind.  */
 static const pu_field_t target_fields[] = {
   INT (pu_targets_t, first_token_ms, 1, HOUR_MS, 0, "ms"),
@@ -83,6 +109,15 @@
     .max = NOT_REPEATABLE_MAX,
     .check = pu_document_check_not_repeatable },
   INT (pu_service_t, claim_window_s, 1, DAY_S, 600, "s"),
+  INT (pu_service_t, connections, 0, 1000000, 0, "connections"),
+  { .name = "health_path",
+    .type = PU_FIELD_STRING,
+    .offset = offsetof (pu_service_t, health_path),
+    .max = PATH_MAX_BYTES },
+  { .name = "engine",
+    .type = PU_FIELD_OBJECT,
+    .offset = offsetof (pu_service_t, engine),
+    .schema = &engine_schema },
 };
 static const pu_schema_t service_schema
     = SCHEMA (service_fields, pu_service_t, offsetof (pu_service_t, name),
@@ -96,6 +131,9 @@
   INT (pu_model_t, accelerators, 1, ACCELERATORS_MAX, 1, "accelerators"),
   INT (pu_model_t, min_copies, 1, COPIES_MAX, 1, "copies"),
   INT (pu_model_t, max_copies, 1, COPIES_MAX, COPIES_MAX, "copies"),
+  INT (pu_model_t, load_ms, 0, HOUR_MS, 0, "ms"),
+  INT (pu_model_t, disk_load_ms, 0, HOUR_MS, 0, "ms"),
+  INT (pu_model_t, host_load_ms, 0, HOUR_MS, 0, "ms"),
 };
 static const pu_schema_t model_schema = SCHEMA (
     model_fields, pu_model_t, offsetof (pu_model_t, name), pu_json_check_name);
@@ -107,11 +145,67 @@
   NEEDED_INT (pu_model_t, memory_mb, 1, MEMORY_MB_MAX, "MB"),
   INT (pu_model_t, min_copies, 1, COPIES_MAX, 1, "copies"),
   INT (pu_model_t, max_copies, 1, COPIES_MAX, COPIES_MAX, "copies"),
+  BOOL (pu_model_t, on_demand),
 };
 static const pu_schema_t adapter_schema
     = SCHEMA (adapter_fields, pu_model_t, offsetof (pu_model_t, name),
               pu_json_check_name);
 
+static const char *const route_answers[]
+    = { [PU_ROUTE_WHOLE] = "whole", [PU_ROUTE_STREAM] = "stream", NULL };
+
+static const pu_field_t part_fields[] = {
+  NAME (pu_route_part_t, "service", service_name, PU_FIELD_REQUIRED),
+  INT (pu_route_part_t, weight, 0, 1000000, 1, NULL),
+};
+static const pu_schema_t part_schema
+    = SCHEMA (part_fields, pu_route_part_t, 0, NULL);
+
+static const pu_field_t route_fields[] = {
+  { .name = "host",
+    .type = PU_FIELD_STRING,
+    .flags = PU_FIELD_REQUIRED,
+    .offset = offsetof (pu_route_t, host),
+    .max = HOST_MAX_BYTES,
+    .check = pu_document_check_host },
+  { .name = "path_prefix",
+    .type = PU_FIELD_STRING,
+    .flags = PU_FIELD_REQUIRED,
+    .offset = offsetof (pu_route_t, path_prefix),
+    .max = PATH_MAX_BYTES,
+    .check = pu_document_check_prefix },
+  { .name = "answer",
+    .type = PU_FIELD_WORD,
+    .offset = offsetof (pu_route_t, answer),
+    .fallback = PU_ROUTE_WHOLE,
+    .words = route_answers },
+  BOOL (pu_route_t, repeatable),
+  BOOL (pu_route_t, resumable),
+  INT (pu_route_t, attempts, 1, 100, 1, "backend servers"),
+  NEEDED_INT (pu_route_t, timeout_ms, 1, DAY_S * 1000, "ms"),
+  INT (pu_route_t, target_ms, 0, DAY_S * 1000, 0, "ms"),
+  INT (pu_route_t, gap_ms, 0, DAY_S * 1000, 0, "ms"),
+  INT (pu_route_t, priority, 0, PRIORITY_MAX, PRIORITY_START, NULL),
+  { .name = "to",
+    .type = PU_FIELD_LIST,
+    .flags = PU_FIELD_REQUIRED,
+    .offset = offsetof (pu_route_t, parts),
+    .min = 1,
+    .max = PARTS_MAX,
+    .schema = &part_schema },
+};
+static const pu_schema_t route_schema = SCHEMA (
+    route_fields, pu_route_t, offsetof (pu_route_t, name), pu_json_check_name);
+
+static const pu_field_t caller_fields[] = {
+  INT (pu_caller_limits_t, max_header_bytes, 0, 1e9, 0, "bytes"),
+  INT (pu_caller_limits_t, max_body_bytes, 0, 1e9, 0, "bytes"),
+  INT (pu_caller_limits_t, header_timeout_ms, 0, HOUR_MS, 0, "ms"),
+  INT (pu_caller_limits_t, idle_timeout_ms, 0, HOUR_MS, 0, "ms"),
+};
+static const pu_schema_t caller_schema
+    = SCHEMA (caller_fields, pu_caller_limits_t, 0, NULL);
+
 static const pu_field_t placement_fields[] = {
   NUMBER (pu_placement_settings_t, moves_weight, 0, 1, 0.5, NULL),
   NUMBER (pu_placement_settings_t, store_loads_per_s, 0.01, 1000, 2,
@@ -151,6 +245,19 @@
     .offset = offsetof (pu_document_t, adapters),
     .max = ADAPTERS_MAX,
     .schema = &adapter_schema },
+  { .name = "routes",
+    .type = PU_FIELD_MAP,
+    .offset = offsetof (pu_document_t, routes),
+    .max = ROUTES_MAX,
+    .schema = &route_schema },
+  { .name = "callers",
+    .type = PU_FIELD_OBJECT,
+    .offset = offsetof (pu_document_t, callers),
+    .schema = &caller_schema },
+  { .name = "source",
+    .type = PU_FIELD_STRING,
+    .offset = offsetof (pu_document_t, source),
+    .max = PU_DOCUMENT_TEXT_MAX },
   { .name = "placement",
     .type = PU_FIELD_OBJECT,
     .offset = offsetof (pu_document_t, placement),
--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -184,6 +184,47 @@
     pu_spread_add (en, a);
 }
 
+bool
+pu_entry_report (pu_entry_t *en, const pu_backend_record *record, guint64 seq)
+{
+  const pu_reporter_t *p = g_hash_table_lookup (en->reporters, record->name);
+  pu_announcement_t a = { .seq = seq };
+
+  if (p != NULL && p->record->incarnation == record->incarnation
+      && seq <= p->seq)
+    return false;
+  a.record = record_copy (record);
+  report_take (en, &a);
+  pu_announcement_clear (&a);
+  return true;
+}
+
+static void
+ignore_reply (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  (void)data;
+  (void)r;
+  (void)e;
+}
+
+void
+pu_entry_report_end (pu_entry_t *en, const char *name)
+{
+  const pu_backend_record *b = view_record (en, name);
+  pu_command c = { .type = PU_COMMAND_BACKEND_LEAVING };
+  pu_backend_record leaving;
+
+  if (b == NULL)
+    return;
+  leaving = *b;
+  leaving.leaving = TRUE;
+  leaving_take (en, &leaving);
+  c.pu_command_u.backend_leaving.name = (char *)name;
+  c.pu_command_u.backend_leaving.incarnation = b->incarnation;
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.propose_ms, ignore_reply,
+                       NULL);
+}
+
 /* --- the path --- */
 
 static void
--- a/libplantainusher/entry/claim.c
+++ b/libplantainusher/entry/claim.c
@@ -29,10 +29,10 @@
 call_fingerprint (const pu_exchange_t *x)
 {
   gsize len = 0;
-  const void *body = g_bytes_get_data (x->body, &len);
-  guint64 hash = XXH64 (x->method, strlen (x->method), 0);
+  const void *body = g_bytes_get_data (x->q.body, &len);
+  guint64 hash = XXH64 (x->q.method, strlen (x->q.method), 0);
 
-  hash = XXH64 (x->target, strlen (x->target), hash);
+  hash = XXH64 (x->q.target, strlen (x->q.target), hash);
   return XXH64 (len > 0 ? body : "", len, hash);
 }
 
@@ -71,7 +71,7 @@
   pu_once_begin_t begun;
 
   x->phase = PU_X_CLAIMING;
-  begun = pu_once_begin (en->once, x->number, x->service, x->key,
+  begun = pu_once_begin (en->once, x->number, x->q.service, x->key,
                          call_fingerprint (x), pu_once_key_wall (x->key),
                          wall_now (), x->window_ms, now_of (en));
   if (begun != PU_ONCE_ACCEPTED)
@@ -252,7 +252,7 @@
 
       if (x->once && x->phase == PU_X_CLAIMING && x->claim == 0
           && strcmp (x->key, a->key) == 0
-          && strcmp (x->service, a->service) == 0)
+          && strcmp (x->q.service, a->service) == 0)
         return x;
     }
   return NULL;
@@ -278,7 +278,7 @@
 static void
 result_answer (pu_exchange_t *x, const pu_once_result_t *result)
 {
-  pu_http_header_t headers[] = { { "x-request-id", x->id },
+  pu_http_header_t headers[] = { { "x-request-id", x->q.id },
                                  { "x-outcome", "ran" },
                                  { "content-type", result->content_type } };
   gsize n = G_N_ELEMENTS (headers);
@@ -303,19 +303,19 @@
       result_answer (x, &a->result);
       break;
     case PU_ONCE_ANSWER_RUNNING:
-      pu_answer_error (x->http, x->id, &running,
+      pu_answer_error (x->http, x->q.id, &running,
                        "The request with this key is running.");
       break;
     case PU_ONCE_ANSWER_CONFLICT:
-      pu_answer_error (x->http, x->id, &other,
+      pu_answer_error (x->http, x->q.id, &other,
                        "The Idempotency-Key was used for another request.");
       break;
     case PU_ONCE_ANSWER_UNKNOWN:
-      pu_answer_error (x->http, x->id, &unknown,
+      pu_answer_error (x->http, x->q.id, &unknown,
                        "It may have run; it will not run again.");
       break;
     case PU_ONCE_ANSWER_NOT_RUN:
-      pu_answer_error (x->http, x->id, &not_run,
+      pu_answer_error (x->http, x->q.id, &not_run,
                        "It did not run; send it again with the same key.");
       break;
     }
--- /dev/null
+++ b/libplantainusher/entry/deliver.c
@@ -0,0 +1,215 @@
+/* An attempt's answer on its way to the caller.  */
+
+#include "entry/entry_private.h"
+
+#include <string.h>
+
+enum
+{
+  CALLER_BUFFER_MAX = 256 * 1024, /* unsent to the caller: reading pauses */
+  STATUS_OK = 200,
+  STATUS_CLIENT_ERROR = 400,
+  STATUS_BAD_GATEWAY = 502,
+};
+
+static guint64
+now_of (const pu_exchange_t *x)
+{
+  return uv_now (x->en->o.loop);
+}
+
+/* --- heads --- */
+
+/* Names and values in turn, as headers of an answer.  */
+static GArray *
+headers_of (const GPtrArray *passed)
+{
+  GArray *headers = g_array_new (FALSE, FALSE, sizeof (pu_http_header_t));
+
+  for (guint i = 0; i + 1 < passed->len; i += 2)
+    {
+      pu_http_header_t one = { passed->pdata[i], passed->pdata[i + 1] };
+
+      g_array_append_val (headers, one);
+    }
+  return headers;
+}
+
+static void
+passed_head (pu_exchange_t *x)
+{
+  GArray *headers = headers_of (x->at.passed);
+
+  x->head_sent = true;
+  pu_http_respond_start (x->http, x->at.status,
+                         (const pu_http_header_t *)(void *)headers->data,
+                         headers->len);
+  g_array_free (headers, TRUE);
+}
+
+static void
+tokens_head (pu_exchange_t *x)
+{
+  char tokens[16];
+  pu_http_header_t headers[4] = { { "content-type", "text/event-stream" },
+                                  { "cache-control", "no-cache" },
+                                  { "x-request-id", x->q.id } };
+  gsize n = 3;
+
+  if (x->resumed > 0)
+    {
+      g_snprintf (tokens, sizeof tokens, "%u", x->resumed);
+      headers[n++] = (pu_http_header_t){ "x-resume-tokens", tokens };
+    }
+  x->head_sent = true;
+  pu_http_respond_start (x->http, STATUS_OK, headers, n);
+}
+
+static void
+stream_head (pu_exchange_t *x)
+{
+  if (x->head_sent)
+    return;
+  if (x->at.passed != NULL)
+    {
+      passed_head (x);
+    }
+  else
+    {
+      tokens_head (x);
+    }
+}
+
+/* --- events --- */
+
+static void
+stream_write (pu_exchange_t *x, const char *bytes, gsize len)
+{
+  if (x->http == NULL)
+    return;
+  stream_head (x);
+  if (pu_http_respond_write (x->http, bytes, len) > CALLER_BUFFER_MAX)
+    pu_http_call_pause (x->at.call);
+}
+
+/* TOTAL tokens or events have come in this attempt.  */
+static void
+progress_report (pu_exchange_t *x, guint total)
+{
+  if (x->at.noted && !x->at.begun)
+    {
+      x->at.begun = true;
+      pu_suspects_answered (x->en->suspects, x->number);
+    }
+  if (x->ticket == 0)
+    return;
+  if (!x->at.counted)
+    {
+      x->at.counted = true;
+      pu_router_first_token (x->en->router, x->ticket, now_of (x));
+    }
+  pu_router_tokens (x->en->router, x->ticket, total, now_of (x));
+}
+
+void
+pu_deliver_tokens (void *data, const char *bytes, gsize len, guint tokens)
+{
+  pu_exchange_t *x = data;
+
+  if (tokens > 0)
+    progress_report (x, pu_stream_tokens (x->at.stream));
+  if (x->once)
+    {
+      g_byte_array_append (x->at.whole, (const guint8 *)bytes, (guint)len);
+      return;
+    }
+  stream_write (x, bytes, len);
+}
+
+void
+pu_deliver_events (void *data, const char *bytes, gsize len, guint n)
+{
+  pu_exchange_t *x = data;
+
+  x->last_event = pu_events_last (x->at.events);
+  x->events += n;
+  if (n > 0)
+    progress_report (x, pu_events_count (x->at.events));
+  stream_write (x, bytes, len);
+}
+
+void
+pu_deliver_stream_end (pu_exchange_t *x)
+{
+  if (x->http == NULL)
+    return;
+  stream_head (x);
+  pu_http_respond_finish (x->http);
+  x->http = NULL;
+}
+
+/* --- whole answers --- */
+
+/* The headers of a whole answer of the completions interface.  */
+static GArray *
+own_headers (const pu_exchange_t *x)
+{
+  const pu_attempt_t *at = &x->at;
+  GArray *headers = g_array_new (FALSE, FALSE, sizeof (pu_http_header_t));
+  pu_http_header_t id = { "x-request-id", x->q.id };
+  pu_http_header_t type = { "content-type", at->content_type };
+  pu_http_header_t outcome
+      = { "x-outcome", at->outcome != NULL ? at->outcome : "ran" };
+  pu_http_header_t retry = { "retry-after", at->retry_after };
+
+  g_array_append_val (headers, id);
+  if (at->content_type != NULL)
+    g_array_append_val (headers, type);
+  if (at->outcome != NULL || at->status >= STATUS_CLIENT_ERROR)
+    g_array_append_val (headers, outcome);
+  if (at->retry_after != NULL)
+    g_array_append_val (headers, retry);
+  return headers;
+}
+
+void
+pu_deliver_whole (pu_exchange_t *x)
+{
+  const pu_attempt_t *at = &x->at;
+  GArray *headers;
+
+  if (x->http == NULL)
+    return;
+  headers = at->passed != NULL ? headers_of (at->passed) : own_headers (x);
+  pu_http_respond (x->http, at->status,
+                   (const pu_http_header_t *)(void *)headers->data,
+                   headers->len, (const char *)at->whole->data,
+                   at->whole->len);
+  g_array_free (headers, TRUE);
+  x->http = NULL;
+}
+
+void
+pu_deliver_claimed (pu_exchange_t *x)
+{
+  const pu_attempt_t *at = &x->at;
+  pu_once_result_t result = { .status = (guint)at->status,
+                              .content_type = at->content_type,
+                              .body = at->whole->data,
+                              .len = at->whole->len };
+  static const pu_refusal_t large
+      = { STATUS_BAD_GATEWAY, "too_large", PU_RAN, 0 };
+  char *text = NULL;
+
+  if (result.content_type == NULL)
+    result.content_type = "";
+  if (at->whole->len > PU_RESULT_MAX)
+    {
+      text
+          = pu_error_text (&large, "It ran; its answer is too large to keep.");
+      result = (pu_once_result_t){ STATUS_BAD_GATEWAY, "application/json",
+                                   text, strlen (text) };
+    }
+  pu_claim_finished (x, PU_ONCE_RAN, &result);
+  g_free (text);
+}
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -91,9 +91,8 @@
 }
 
 static void
-on_request (void *data, pu_http_request_t *http)
+on_own_request (pu_entry_t *en, pu_http_request_t *http)
 {
-  pu_entry_t *en = data;
   const char *path = pu_http_request_path (http);
 
   if (strcmp (path, "/v1/chat/completions") == 0)
@@ -134,6 +133,21 @@
     }
 }
 
+static void
+on_request (void *data, pu_http_request_t *http)
+{
+  pu_entry_t *en = data;
+
+  if (pu_entry_has_own_front (en))
+    {
+      on_own_request (en, http);
+    }
+  else
+    {
+      pu_exchange_begin_front (en, http);
+    }
+}
+
 /* --- the router's clock --- */
 
 static void
@@ -334,6 +348,14 @@
                                       .idle_ms = o->idle_ms };
 
   en->o = *o;
+  if (o->front != NULL)
+    {
+      en->front = *o->front;
+    }
+  else
+    {
+      pu_entry_own_front (&en->front);
+    }
   en->name = g_strdup (o->name);
   en->region = g_strdup (o->region);
   en->zone = g_strdup (o->zone);
@@ -376,6 +398,18 @@
   pu_view_sync (en);
 }
 
+const pu_document_t *
+pu_entry_document (const pu_entry_t *en)
+{
+  return en->document;
+}
+
+bool
+pu_entry_leaving (const pu_entry_t *en)
+{
+  return en->leaving;
+}
+
 void
 pu_entry_leave (pu_entry_t *en)
 {
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -9,6 +9,7 @@
 
 #include "base/counters.h"
 #include "base/error.h"
+#include "entry/front.h"
 #include "state/state.h"
 
 G_BEGIN_DECLS
@@ -106,6 +107,7 @@
   guint propose_ms;       /* 2000: a claim that takes longer is refused */
   guint ttl_s;            /* 10: how long callers keep an answer */
   guint test_breaks;      /* pu_entry_break_t; 0 outside tests */
+  const pu_front_t *front; /* copied; NULL: the entry's own */
   pu_entry_hooks_t hooks;
 } pu_entry_options_t;
 
@@ -129,6 +131,22 @@
 void pu_entry_loads_in (pu_entry_t *en, const pu_entry_load_t *loads, guint n,
                         guint life_ms);
 
+/* pu_entry_report - a front has read what a backend server says of itself:
+   RECORD (copied) with the number SEQ, which rises within its incarnation.
+   False: it is no newer than what is known, and changes nothing.  */
+bool pu_entry_report (pu_entry_t *en, const pu_backend_record *record,
+                      guint64 seq);
+
+/* pu_entry_report_end - backend server NAME says that it ends: it gets nothing
+   new from here on.  */
+void pu_entry_report_end (pu_entry_t *en, const char *name);
+
+/* pu_entry_document - the document in force here, or NULL.  */
+const pu_document_t *pu_entry_document (const pu_entry_t *en);
+
+/* pu_entry_leaving - whether a planned stop has begun.  */
+bool pu_entry_leaving (const pu_entry_t *en);
+
 /* pu_entry_leave - from now on /healthz and /v1/entries no longer name this
    entry.  Requests are still served.  */
 void pu_entry_leave (pu_entry_t *en);
--- /dev/null
+++ b/libplantainusher/entry/own_front.c
@@ -0,0 +1,142 @@
+/* The entry's own front: the completions interface, and plain services under
+   their names.  Requests are read by parse.c.  */
+
+#include "entry/entry_private.h"
+
+#include <string.h>
+
+enum
+{
+  STATUS_OK = 200,
+  STATUS_NOT_FOUND = 404,
+  STATUS_TOO_MANY = 429,
+  STATUS_ERROR = 500,
+  STATUS_UNAVAILABLE = 503,
+};
+
+/* --- heads --- */
+
+void
+pu_head_init (pu_head_t *h)
+{
+  h->headers = g_array_new (FALSE, FALSE, sizeof (pu_http_header_t));
+  h->owned = g_ptr_array_new_with_free_func (g_free);
+}
+
+void
+pu_head_clear (pu_head_t *h)
+{
+  g_array_free (h->headers, TRUE);
+  g_ptr_array_free (h->owned, TRUE);
+}
+
+void
+pu_head_add (pu_head_t *h, const char *name, const char *value)
+{
+  pu_http_header_t one = { name, value };
+
+  g_array_append_val (h->headers, one);
+}
+
+void
+pu_head_add_number (pu_head_t *h, const char *name, guint64 value)
+{
+  char *text = g_strdup_printf ("%" G_GUINT64_FORMAT, value);
+
+  g_ptr_array_add (h->owned, text);
+  pu_head_add (h, name, text);
+}
+
+void
+pu_own_head (const pu_exchange_t *x, pu_head_t *h)
+{
+  guint64 now = uv_now (x->en->o.loop);
+  guint64 left = x->q.deadline > now ? x->q.deadline - now : 1;
+
+  pu_head_add (h, "X-Request-Id", x->q.id);
+  if (x->q.plain)
+    return;
+  pu_head_add_number (h, "X-Priority", x->q.priority);
+  pu_head_add_number (h, "X-Timeout-Ms", left);
+  if (x->key != NULL)
+    pu_head_add (h, "Idempotency-Key", x->key);
+  if (x->sent.tokens > 0)
+    pu_head_add_number (h, "X-Resume-Tokens", x->sent.tokens);
+}
+
+/* --- answers --- */
+
+/* Whether the answer is to X.  An engine names the request that it
+   answers.  */
+static bool
+is_answer_to (const pu_exchange_t *x, const pu_http_response_t *r)
+{
+  const char *id = pu_http_response_header (r, "x-request-id");
+
+  if (id == NULL)
+    return x->q.plain || x->at.server == NULL || r->status != STATUS_OK;
+  return strcmp (id, x->q.id) == 0;
+}
+
+static bool
+is_event_stream (const char *content_type)
+{
+  static const char type[] = "text/event-stream";
+
+  return content_type != NULL
+         && g_ascii_strncasecmp (content_type, type, sizeof type - 1) == 0;
+}
+
+/* The backend server says that the request did not run.  */
+static bool
+says_not_run (const pu_exchange_t *x)
+{
+  const pu_attempt_t *at = &x->at;
+  bool refused
+      = at->status == STATUS_TOO_MANY || at->status == STATUS_UNAVAILABLE;
+
+  if (at->server == NULL)
+    return false;
+  if (g_strcmp0 (at->outcome, "not-run") == 0)
+    return refused || at->status == STATUS_NOT_FOUND;
+  return refused && !x->q.plain && at->outcome == NULL;
+}
+
+static char *
+header_copy (const pu_http_response_t *r, const char *name)
+{
+  return g_strdup (pu_http_response_header (r, name));
+}
+
+void
+pu_own_answer (pu_exchange_t *x, const pu_http_response_t *r)
+{
+  pu_attempt_t *at = &x->at;
+
+  at->content_type = header_copy (r, "content-type");
+  at->outcome = header_copy (r, "x-outcome");
+  at->retry_after = header_copy (r, "retry-after");
+  at->answer = (pu_answer_t){
+    .foreign = !is_answer_to (x, r),
+    .not_run = says_not_run (x),
+    .stream = !x->q.plain && r->status == STATUS_OK
+              && is_event_stream (at->content_type),
+    .failed = at->server != NULL && !x->q.plain && r->status >= STATUS_ERROR,
+  };
+}
+
+static void
+own_refuse (void *data, pu_http_request_t *http, const char *id,
+            const pu_refusal_t *r, const char *message)
+{
+  (void)data;
+  if (id == NULL)
+    id = pu_http_request_header (http, "x-request-id");
+  pu_answer_error (http, id, r, message);
+}
+
+void
+pu_entry_own_front (pu_front_t *f)
+{
+  *f = (pu_front_t){ .refuse = own_refuse };
+}
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -376,6 +376,19 @@
     probe_start (s);
 }
 
+void
+pu_server_replaced (pu_server_t *s)
+{
+  if (s->down)
+    return;
+  pu_log_note (PU_ENTRY_PART,
+               "Backend server %s is gone: another has its address.", s->name);
+  router_remove (s);
+  s->down = true;
+  s->dead_until = uv_now (s->en->o.loop) + DEAD_KEPT_MS;
+  down_propose (s);
+}
+
 void
 pu_server_hold (pu_server_t *s, pu_exchange_t *x)
 {
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -8,6 +8,10 @@
 /* All requests go to the version in force where it is ready.  */
 #define SHARE_ALL 1000
 
+/* Requests of one route that wait at an entry at most: what waits is bounded
+   by its deadline, this bounds the memory.  */
+#define ROUTE_QUEUE 2000
+
 typedef struct
 {
   const pu_entry_t *en;
@@ -118,6 +122,45 @@
     }
 }
 
+/* A route is a row of its own among the router's services.  */
+static char *
+route_row (const pu_route_t *r)
+{
+  return g_strconcat ("route:", r->name, NULL);
+}
+
+static void
+routes_remove (pu_entry_t *en, const pu_document_t *old)
+{
+  for (guint i = 0; i < pu_document_routes (old); i++)
+    {
+      const pu_route_t *r = pu_document_route (old, i);
+      char *name;
+
+      if (pu_document_route_named (en->document, r->name))
+        continue;
+      name = route_row (r);
+      pu_router_remove_service (en->router,
+                                pu_router_find_service (en->router, name));
+      g_free (name);
+    }
+}
+
+static void
+route_set (pu_entry_t *en, const pu_route_t *r)
+{
+  char *name = route_row (r);
+  pu_router_service_options_t o = { .name = name,
+                                    .importance = r->priority + 1,
+                                    .first_token_ms = r->target_ms,
+                                    .per_token_ms = r->gap_ms,
+                                    .timeout_ms = r->timeout_ms,
+                                    .max_queue = ROUTE_QUEUE };
+
+  pu_router_set_service (en->router, &o);
+  g_free (name);
+}
+
 static void
 service_set (pu_entry_t *en, const pu_service_t *s)
 {
@@ -167,9 +210,12 @@
     {
       services_remove (en, old);
       models_remove (en, old);
+      routes_remove (en, old);
     }
   for (guint i = 0; i < pu_document_services (d); i++)
     service_set (en, pu_document_service (d, i));
+  for (guint i = 0; i < pu_document_routes (d); i++)
+    route_set (en, pu_document_route (d, i));
   for (guint i = 0; i < pu_document_models (d); i++)
     {
       const pu_model_t *m = pu_document_model (d, i);
--- a/libplantainusher/http/client.c
+++ b/libplantainusher/http/client.c
@@ -248,6 +248,17 @@
   return strpbrk (s, "\r\n") == NULL;
 }
 
+static bool
+has_host (const pu_http_call_options_t *o)
+{
+  for (gsize i = 0; i < o->header_count; i++)
+    {
+      if (g_ascii_strcasecmp (o->headers[i].name, "host") == 0)
+        return true;
+    }
+  return false;
+}
+
 static GString *
 head_build (const pu_http_call_options_t *o, pu_error_t *e)
 {
@@ -259,8 +270,9 @@
       g_string_free (head, TRUE);
       return NULL;
     }
-  g_string_printf (head, "%s %s HTTP/1.1\r\nHost: %s\r\n", o->method,
-                   o->target, o->address);
+  g_string_printf (head, "%s %s HTTP/1.1\r\n", o->method, o->target);
+  if (!has_host (o))
+    g_string_append_printf (head, "Host: %s\r\n", o->address);
   for (gsize i = 0; i < o->header_count; i++)
     {
       const pu_http_header_t *h = &o->headers[i];
--- a/libplantainusher/http/client.h
+++ b/libplantainusher/http/client.h
@@ -76,7 +76,7 @@
   const char *address; /* IP:port, or [IPv6]:port */
   const char *method;
   const char *target; /* path and query */
-  const pu_http_header_t *headers;
+  const pu_http_header_t *headers; /* "Host" is the address without one */
   gsize header_count;
   GBytes *body;                /* NULL: none.  The call takes a reference.  */
   bool has_body;               /* send Content-Length: 0 for an absent body */
--- a/libplantainusher/http/message.h
+++ b/libplantainusher/http/message.h
@@ -19,6 +19,14 @@
   const char *value;
 } pu_http_header_t;
 
+/* pu_http_header_is_passed - whether a relay passes the header NAME on: false
+   for those that concern one connection, or the framing of one message.  */
+bool pu_http_header_is_passed (const char *name);
+
+/* pu_http_header_is_ours - whether our server sets the header NAME of an
+   answer by itself.  */
+bool pu_http_header_is_ours (const char *name);
+
 G_END_DECLS
 
 #endif
--- a/libplantainusher/http/request.c
+++ b/libplantainusher/http/request.c
@@ -44,6 +44,12 @@
   return mark != NULL ? mark + 1 : "";
 }
 
+const char *
+pu_http_request_host (const pu_http_request_t *r)
+{
+  return pool_string (r->req, r->req->input.authority);
+}
+
 const char *
 pu_http_request_remote (const pu_http_request_t *r)
 {
--- a/libplantainusher/http/server.h
+++ b/libplantainusher/http/server.h
@@ -84,6 +84,8 @@
 const char *pu_http_request_target (const pu_http_request_t *r);
 /* what follows '?', as sent; "" when there is none */
 const char *pu_http_request_query (const pu_http_request_t *r);
+/* the authority that it is for, as sent: host, maybe with a port */
+const char *pu_http_request_host (const pu_http_request_t *r);
 const char *pu_http_request_remote (const pu_http_request_t *r); /* IP */
 /* number of its connection in this process; a later one's is greater */
 guint64 pu_http_request_connection (const pu_http_request_t *r);
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -54,6 +54,8 @@
           high = mid - 1;
         }
     }
+  if (q->prefix_tokens != NULL)
+    return MIN (q->prefix_tokens[low - 1], q->prompt_tokens);
   return MIN (low * r->options.block_tokens, q->prompt_tokens);
 }
 
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -215,7 +215,12 @@
       hold (r, b);
       return;
     }
-  s->failures++;
+  if (failure == PU_ROUTER_FAIL_ABSENT)
+    return;
+  /* A failure that it answers itself says less than a broken connection: some
+     requests fail wherever they run.  */
+  if (failure != PU_ROUTER_FAIL_ERROR)
+    s->failures++;
   s->failure_share += FAILURE_SHARE * (1 - s->failure_share);
   if (now < s->ejected_until)
     return;
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -119,6 +119,7 @@
   guint32 generation = q->generation + 1;
 
   g_free (q->prefix);
+  g_free (q->prefix_tokens);
   *q = (request_t){ .index = index, .generation = generation };
   g_array_append_val (r->free_requests, index);
 }
@@ -158,6 +159,13 @@
   q->max_tokens = in->max_tokens;
   q->n_prefix = MIN (in->n_prefix, PU_ROUTER_PREFIX_MAX);
   q->prefix = g_memdup2 (in->prefix, q->n_prefix * sizeof *in->prefix);
+  if (in->prefix_tokens != NULL)
+    {
+      q->prefix_tokens = g_memdup2 (in->prefix_tokens,
+                                    q->n_prefix * sizeof *in->prefix_tokens);
+    }
+  q->attempts_max
+      = in->attempts_max > 0 ? in->attempts_max : r->options.attempts_max;
   q->fingerprint = in->fingerprint;
   q->repeatable = in->repeatable;
   q->wants_preferred = (guint)g_rand_int_range (r->rand, 0, 1000) < m->share;
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -240,11 +240,14 @@
   guint prompt_tokens;   /* estimate */
   guint max_tokens;      /* estimate of what will be generated */
   const guint64 *prefix; /* chained block hashes of the prompt; copied */
+  const guint *prefix_tokens; /* tokens of the prompt up to the end of each
+                                 block; NULL: block_tokens each */
   guint n_prefix;
   guint64 fingerprint; /* of model and input: requests that have the same go
                           to the same copy where it is as good as any, through
                           whatever entry; 0: none */
   bool repeatable;     /* may run twice without harm */
+  guint attempts_max;  /* of this request; 0: as the options have it */
 } pu_router_request_t;
 
 typedef enum
@@ -337,6 +340,8 @@
   PU_ROUTER_FAIL_DIED,      /* the connection broke after sending */
   PU_ROUTER_FAIL_SILENT,    /* no progress and the probe failed */
   PU_ROUTER_FAIL_TRUNCATED, /* the stream ended without its end mark */
+  PU_ROUTER_FAIL_ERROR,     /* it ran the request and answered a failure */
+  PU_ROUTER_FAIL_ABSENT,    /* not run: it has not got the copy */
 } pu_router_failure_t;
 
 /* pu_router_retry - the attempt under T failed.  Counts it against the
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -150,7 +150,9 @@
   guint prompt_tokens;
   guint max_tokens;
   guint64 *prefix;
+  guint *prefix_tokens; /* NULL: block_tokens each */
   guint n_prefix;
+  guint attempts_max;
   guint64 fingerprint;
   bool repeatable;
   bool wants_preferred;
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -169,6 +169,7 @@
   LIMIT (max_claims, 16, 1000000, 200000, "keys"),
   LIMIT (snapshot_entries, 16, 10000000, 10000, "entries"),
   LIMIT (drain_s, 0, 3600, 60, "s"),
+  LIMIT (voters, 0, PU_SETTINGS_VOTERS_MAX, 0, "voters"),
 };
 static const pu_schema_t limit_schema
     = SCHEMA (limit_fields, pu_settings_limits_t);
@@ -195,6 +196,47 @@
 static const pu_schema_t timing_schema
     = SCHEMA (timing_fields, pu_settings_timing_t);
 
+#define PLATFORM_ADDRESS(field)                                               \
+  {                                                                           \
+    .name = #field, .type = PU_FIELD_STRING,                                  \
+    .offset = offsetof (pu_settings_platform_t, field), .max = TEXT_MAX,      \
+    .check = check_address                                                    \
+  }
+#define PLATFORM_INT(field, least, most, start, of)                           \
+  INT (pu_settings_platform_t, field, least, most, start, of)
+#define PLATFORM_NUMBER(field, least, most, start, of)                        \
+  {                                                                           \
+    .name = #field, .type = PU_FIELD_NUMBER,                                  \
+    .offset = offsetof (pu_settings_platform_t, field), .min = (least),       \
+    .max = (most), .fallback = (start), .unit = (of)                          \
+  }
+
+static const pu_field_t platform_fields[] = {
+  PLATFORM_ADDRESS (ready),
+  PLATFORM_ADDRESS (control),
+  PLATFORM_ADDRESS (directory),
+  PLATFORM_INT (memory_mb, 16, 1000000, 256, "MB"),
+  PLATFORM_INT (descriptors, 64, 1000000, 4096, "descriptors"),
+  PLATFORM_INT (report_ms, 50, MINUTE_MS, 1000, "ms"),
+  PLATFORM_INT (drain_ms, 50, MINUTE_MS, 2000, "ms"),
+  PLATFORM_INT (in_force_ms, 50, MINUTE_MS, 2000, "ms"),
+  PLATFORM_INT (grace_s, 1, 3600, 8, "s"),
+  PLATFORM_INT (reuse_s, 0, 3600, 2, "s"),
+  PLATFORM_INT (lease_ms, 50, MINUTE_MS, 3000, "ms"),
+  PLATFORM_INT (ttl_s, 1, 3600, 5, "s"),
+  { .name = "fenced",
+    .type = PU_FIELD_BOOL,
+    .offset = offsetof (pu_settings_platform_t, fenced),
+    .fallback = 0 },
+  PLATFORM_NUMBER (retry_ratio, 0, 10, 0.1, "retries a request"),
+  PLATFORM_INT (retry_slack, 0, 1000000, 10, "retries"),
+  PLATFORM_INT (retry_window_s, 1, 3600, 10, "s"),
+  PLATFORM_NUMBER (store_overage, 0.1, 10, 1, NULL),
+  PLATFORM_INT (store_window_s, 1, 3600, 5, "s"),
+};
+static const pu_schema_t platform_schema
+    = SCHEMA (platform_fields, pu_settings_platform_t);
+
 static const pu_field_t fields[] = {
   { .name = "name",
     .type = PU_FIELD_STRING,
@@ -250,6 +292,19 @@
     .offset = offsetof (pu_settings_t, voters),
     .max = PU_SETTINGS_VOTERS_MAX,
     .schema = &voter_schema },
+  { .name = "seeds",
+    .type = PU_FIELD_STRINGS,
+    .offset = offsetof (pu_settings_t, seeds),
+    .max = LIST_MAX,
+    .check = check_address },
+  { .name = "found",
+    .type = PU_FIELD_BOOL,
+    .offset = offsetof (pu_settings_t, found),
+    .fallback = 0 },
+  { .name = "platform",
+    .type = PU_FIELD_OBJECT,
+    .offset = offsetof (pu_settings_t, platform),
+    .schema = &platform_schema },
   { .name = "limits",
     .type = PU_FIELD_OBJECT,
     .offset = offsetof (pu_settings_t, limits),
--- a/libplantainusher/settings/settings.c
+++ b/libplantainusher/settings/settings.c
@@ -152,6 +152,39 @@
   return *s->listen.peers != '\0' ? s->listen.peers : s->addresses.peers;
 }
 
+bool
+pu_settings_on_platform (const pu_settings_t *s)
+{
+  return *s->platform.ready != '\0';
+}
+
+char **
+pu_settings_seeds (const pu_settings_t *s)
+{
+  const char *port = strrchr (s->addresses.peers, ':');
+  char **list = g_new0 (char *, s->seeds.n + 1);
+
+  for (guint i = 0; i < s->seeds.n; i++)
+    {
+      const char *seed = s->seeds.items[i];
+      const char *colon = strrchr (seed, ':');
+
+      list[i] = g_strdup_printf ("%.*s%s", (int)(colon - seed), seed, port);
+    }
+  return list;
+}
+
+bool
+pu_settings_founds (const pu_settings_t *s)
+{
+  char **seeds = pu_settings_seeds (s);
+  bool is_seed
+      = g_strv_contains ((const char *const *)seeds, s->addresses.peers);
+
+  g_strfreev (seeds);
+  return s->found && s->control && is_seed;
+}
+
 json_t *
 pu_settings_to_json (const pu_settings_t *s)
 {
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -74,6 +74,8 @@
   guint32 max_claims;             /* at-most-once keys kept by a voter */
   guint32 snapshot_entries;       /* log entries between two snapshots */
   guint32 drain_s; /* a planned stop waits this long for its requests */
+  guint32 voters;  /* control takes in spare instances until it has so many
+                      voters; 0: only operators add them */
 } pu_settings_limits_t;
 
 typedef struct
@@ -96,6 +98,31 @@
   guint32 entries_ttl_s;       /* how long callers keep an answer */
 } pu_settings_timing_t;
 
+/* What the platform of the users says of this instance, when it runs there.
+   platform/settings.c derives times and limits from it.  */
+typedef struct
+{
+  const char *ready;     /* where it asks whether this instance is ready; "":
+                            this is no instance of the platform */
+  const char *control;   /* where backend servers and operators call */
+  const char *directory; /* where callers ask for addresses */
+  guint32 memory_mb;     /* of this process, at most */
+  guint32 descriptors;   /* of this process, at most */
+  guint32 report_ms;     /* a backend server reports so often */
+  guint32 drain_ms;      /* a leaving backend server may get work so long */
+  guint32 in_force_ms;   /* an accepted document is in force everywhere */
+  guint32 grace_s;       /* from the signal to stop until the kill */
+  guint32 reuse_s;       /* an address may be given to another after this */
+  guint32 lease_ms;      /* of a sender of orders */
+  guint32 ttl_s;         /* callers keep an answer about addresses so long */
+  bool fenced;           /* engines refuse an order with an old token */
+  double retry_ratio;    /* retries for each first attempt, all instances */
+  guint32 retry_slack;   /* retries beyond that in one window */
+  guint32 retry_window_s;
+  double store_overage;  /* loads in a window, against the store's rate */
+  guint32 store_window_s;
+} pu_settings_platform_t;
+
 typedef struct
 {
   const char *name; /* of the instance, one in the whole system */
@@ -111,6 +138,11 @@
   pu_json_strings_t join; /* peers' addresses of control daemons */
   pu_json_rows_t voters;  /* pu_settings_voter_t: the first set, used only
                              while the data folder is fresh */
+  pu_json_strings_t seeds; /* addresses of control instances of which only the
+                              host counts: their peers' port is our own */
+  bool found;              /* the seeds are the first voters, while the data
+                              folder is fresh */
+  pu_settings_platform_t platform;
   pu_settings_limits_t limits;
   pu_settings_timing_t timing;
   guint32 log_level;      /* index; see pu_settings_log_level */
@@ -136,6 +168,18 @@
    of connections to them too.  */
 const char *pu_settings_peers_listen (const pu_settings_t *s);
 
+/* pu_settings_on_platform - whether the settings are of an instance of the
+   users' platform.  */
+bool pu_settings_on_platform (const pu_settings_t *s);
+
+/* pu_settings_seeds - the peers' addresses of the seeds, as a new list that
+   ends in NULL; free it with g_strfreev.  */
+char **pu_settings_seeds (const pu_settings_t *s);
+
+/* pu_settings_founds - whether this instance is one of the first voters by
+   its seeds: `found` is set and it is a seed with the role control.  */
+bool pu_settings_founds (const pu_settings_t *s);
+
 /* pu_settings_log_level - "warn", "note", "info" or "debug".  */
 const char *pu_settings_log_level (const pu_settings_t *s);
 
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -28,7 +28,8 @@
   PU_STATE_BREAK_LATE_COPY = 2,       /* a late copy opens a closed claim */
   PU_STATE_BREAK_BASE_VERSION = 4,    /* accept any base version */
   PU_STATE_BREAK_CHANGE_TWICE = 8,    /* accept a change id again */
-  PU_STATE_BREAK_DELTA_BASE = 16      /* take a delta to any base */
+  PU_STATE_BREAK_DELTA_BASE = 16,     /* take a delta to any base */
+  PU_STATE_BREAK_RANK = 32            /* a lower rank takes force too */
 } pu_state_break_t;
 
 typedef struct
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -29,6 +29,7 @@
   unsigned hyper hash;       /* of the text, by XXH3 */
   pu_name change_id;
   pu_name author;
+  unsigned hyper rank;       /* as submitted; 0: by base version */
   string text<PU_DOCUMENT_MAX>; /* empty in the history, whole for the newest */
 };
 
@@ -174,7 +175,9 @@
                                     the log */
 };
 
-/* A change of the document.  As a delta, the new text is the first PREFIX bytes
+/* A change of the document.  With a rank, the highest rank wins whatever the
+   base version was; else the base version has to be the one in force.  As a
+   delta, the new text is the first PREFIX bytes
    of the text at base_version, TEXT, and its last SUFFIX bytes.  */
 struct pu_submit
 {
@@ -182,6 +185,7 @@
   unsigned hyper wall;
   pu_name change_id;
   pu_name author;
+  unsigned hyper rank;       /* chosen by the submitter; 0: none */
   bool delta;
   unsigned int prefix;
   unsigned int suffix;
