--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -139,6 +139,11 @@
 void pu_agent_history (pu_agent_t *a, guint timeout_ms, pu_agent_json_fn *fn,
                        void *data);
 
+/* pu_agent_want - asked of the leader: where MODEL, that there is no copy of
+   here, is ready: {"backend"}.  The answer may take as long as a load.  */
+void pu_agent_want (pu_agent_t *a, const char *model, guint timeout_ms,
+                    pu_agent_json_fn *fn, void *data);
+
 /* pu_agent_voters - ACTION "add", "remove" or "replace" (by OTHER, else "").
    The answer is {"voters":[NAME...]}.  */
 void pu_agent_voters (pu_agent_t *a, const char *action, const char *name,
--- a/libplantainusher/agent/query.c
+++ b/libplantainusher/agent/query.c
@@ -121,6 +121,18 @@
   query_send (a, &x, timeout_ms, fn, data);
 }
 
+void
+pu_agent_want (pu_agent_t *a, const char *model, guint timeout_ms,
+               pu_agent_json_fn *fn, void *data)
+{
+  pu_query x = { .kind = PU_QUERY_WANT,
+                 .action = "",
+                 .name = (char *)model,
+                 .other = "" };
+
+  query_send (a, &x, timeout_ms, fn, data);
+}
+
 void
 pu_agent_voters (pu_agent_t *a, const char *action, const char *name,
                  const char *other, guint timeout_ms, pu_agent_json_fn *fn,
--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -334,6 +334,13 @@
   g_array_append_val (c->duties, *duty);
 }
 
+void
+pu_control_on_want (pu_control_t *c, pu_control_want_fn *fn, void *data)
+{
+  c->want = fn;
+  c->want_data = data;
+}
+
 void
 pu_control_on_demand (pu_control_t *c, pu_control_demand_fn *fn, void *data)
 {
--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -138,7 +138,8 @@
 {
   PU_QUERY_STATUS = 0,        /* of the leader: sessions, voters */
   PU_QUERY_HISTORY = 1,       /* of any voter */
-  PU_QUERY_VOTERS = 2         /* of the leader: changes the voters */
+  PU_QUERY_VOTERS = 2,        /* of the leader: changes the voters */
+  PU_QUERY_WANT = 3           /* of the leader: where NAME is, or is loaded */
 };
 
 struct pu_query
--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -30,6 +30,8 @@
   GArray *duties;    /* pu_control_duty_t */
   pu_control_demand_fn *demand;
   void *demand_data;
+  pu_control_want_fn *want;
+  void *want_data;
 
   /* polls.c */
   GQueue polls;       /* poll_t that wait */
--- a/libplantainusher/control/query.c
+++ b/libplantainusher/control/query.c
@@ -52,6 +52,44 @@
   return pu_error_set (e, PU_ERROR_INVALID, "No such action: %s.", q->action);
 }
 
+struct pu_control_want
+{
+  pu_control_t *control;
+  pu_rpc_call_t *call;
+};
+
+void
+pu_control_want_answer (pu_control_want_t *want, json_t *place)
+{
+  if (place != NULL)
+    {
+      query_answer (want->call, place);
+    }
+  else
+    {
+      query_fail (want->control, want->call, PU_ERROR_NOT_FOUND,
+                  "No engine can hold it now.");
+    }
+  g_free (want);
+}
+
+static void
+want_here (pu_control_t *c, pu_rpc_call_t *call, const pu_query *q)
+{
+  pu_control_want_t *want = g_new0 (pu_control_want_t, 1);
+
+  want->control = c;
+  want->call = call;
+  if (c->want != NULL)
+    {
+      c->want (c->want_data, q->name, want);
+    }
+  else
+    {
+      pu_control_want_answer (want, NULL);
+    }
+}
+
 static void
 query_here (pu_control_t *c, pu_rpc_call_t *call, const pu_query *q)
 {
@@ -77,6 +115,9 @@
           query_fail (c, call, e.kind, e.message);
         }
       return;
+    case PU_QUERY_WANT:
+      want_here (c, call, q);
+      return;
     }
   pu_rpc_call_garbage (call);
 }
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -161,6 +161,21 @@
   d->placer = pu_placer_new (&o);
 }
 
+/* The platform's engines count their orders.  */
+static void
+build_sequenced (pu_daemon_t *d)
+{
+  pu_sequenced_options_t o;
+
+  pu_sequenced_options_init (&o);
+  o.loop = d->loop;
+  o.control = d->control;
+  o.name = d->settings->name;
+  o.counters = d->counters;
+  o.wire = pu_platform_order_wire ();
+  d->sequenced = pu_sequenced_new (&o);
+}
+
 static bool
 build_control (pu_daemon_t *d, pu_error_t *e)
 {
@@ -198,7 +213,14 @@
   g_array_unref (peers);
   if (d->control == NULL)
     return false;
-  build_placer (d);
+  if (pu_settings_on_platform (s))
+    {
+      build_sequenced (d);
+    }
+  else
+    {
+      build_placer (d);
+    }
   return true;
 }
 
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -70,6 +70,8 @@
   d->control = NULL;
   pu_placer_free (d->placer);
   d->placer = NULL;
+  pu_sequenced_free (d->sequenced);
+  d->sequenced = NULL;
   d->closed_control = true;
 }
 
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -57,6 +57,15 @@
   pu_agent_demand (d->agent, model, requests, stream_ms);
 }
 
+static void
+entry_want (void *data, const char *model, guint timeout_ms,
+            pu_entry_json_fn *fn, void *fn_data)
+{
+  pu_daemon_t *d = data;
+
+  pu_agent_want (d->agent, model, timeout_ms, fn, fn_data);
+}
+
 void
 pu_daemon_entry_hooks (pu_daemon_t *d, pu_entry_hooks_t *h)
 {
@@ -66,6 +75,7 @@
   h->propose = entry_propose;
   h->renew = entry_renew;
   h->demand = entry_demand;
+  h->want = entry_want;
   h->loads = pu_daemon_loads_out;
   h->data = d;
 }
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -10,6 +10,7 @@
 #include "operator/operator.h"
 #include "platform/platform.h"
 #include "placer/placer.h"
+#include "placer/sequenced.h"
 #include "rpc/server.h"
 
 G_BEGIN_DECLS
@@ -37,7 +38,8 @@
   pu_counters_t *counters;
   pu_rpc_server_t *peers;
   pu_control_t *control; /* NULL without the role */
-  pu_placer_t *placer;   /* goes with control */
+  pu_placer_t *placer;   /* goes with control, but on the platform */
+  pu_sequenced_t *sequenced; /* the same on the platform */
   pu_agent_t *agent;
   pu_platform_t *platform; /* NULL but for an instance of the platform */
   pu_entry_t *entry;       /* NULL without the role */
--- a/libplantainusher/daemon/status.c
+++ b/libplantainusher/daemon/status.c
@@ -113,6 +113,8 @@
 {
   pu_daemon_t *d = daemon;
 
+  if (d->sequenced != NULL)
+    return pu_sequenced_status (d->sequenced);
   return d->placer == NULL ? json_object () : pu_placer_status (d->placer);
 }
 
@@ -138,6 +140,8 @@
     json_object_set_new (o, "control", pu_control_status (d->control));
   if (d->placer != NULL)
     json_object_set_new (o, "placer", pu_placer_dump (d->placer));
+  if (d->sequenced != NULL)
+    json_object_set_new (o, "placer", pu_sequenced_status (d->sequenced));
   if (d->entry != NULL)
     json_object_set_new (o, "entry", pu_entry_dump (d->entry));
   return o;
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -452,10 +452,14 @@
       pu_server_replaced (x->at.server);
       pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
     }
+  else if (a->absent)
+    {
+      pu_server_lacks (x->at.server, x->q.model);
+      pu_exchange_again (x, PU_ROUTER_FAIL_ABSENT);
+    }
   else if (a->not_run)
     {
-      pu_exchange_again (x, a->absent ? PU_ROUTER_FAIL_ABSENT
-                                      : PU_ROUTER_FAIL_NOT_RUN);
+      pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
     }
   else if (a->failed && x->q.repeatable)
     {
--- a/libplantainusher/entry/demand.c
+++ b/libplantainusher/entry/demand.c
@@ -13,18 +13,34 @@
 /* How much the newest request counts in the mean.  */
 #define NEWEST 0.05
 
+/* How long X keeps a stream of an engine busy; or, where its tokens are told,
+   the engine itself.  */
+static double
+time_of (const pu_exchange_t *x)
+{
+  const pu_entry_t *en = x->en;
+  const double *mean;
+
+  if (x->q.sized)
+    {
+      return pu_router_cost_ms (
+          en->router, pu_router_find_model (en->router, x->q.model),
+          x->q.prompt_tokens, x->q.max_tokens);
+    }
+  mean = g_hash_table_lookup (en->run_ms, x->q.model);
+  return mean == NULL ? FIRST_MS : *mean;
+}
+
 void
 pu_demand_arrived (pu_exchange_t *x)
 {
   pu_entry_t *en = x->en;
-  const double *mean;
   double ms;
 
   if (x->q.plain || x->demand_told)
     return;
   x->demand_told = true;
-  mean = g_hash_table_lookup (en->run_ms, x->q.model);
-  ms = mean == NULL ? FIRST_MS : *mean;
+  ms = time_of (x);
   en->o.hooks.demand (en->o.hooks.data, x->q.model, 1, (guint32)(ms + 0.5));
 }
 
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -268,6 +268,8 @@
   en->listeners = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_listener_free);
   en->load_ids = g_hash_table_new (g_int64_hash, g_int64_equal);
+  en->wants
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pu_want_free);
 }
 
 static pu_http_server_t *
@@ -319,6 +321,7 @@
   pu_document_unref (en->document);
   g_hash_table_destroy (en->listeners);
   g_hash_table_destroy (en->load_ids);
+  g_hash_table_destroy (en->wants);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
   g_hash_table_destroy (en->strikes);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -46,6 +46,10 @@
 typedef void pu_entry_done_fn (void *data, const pu_reply *r,
                                const pu_error_t *e);
 
+/* pu_entry_json_fn - the same as pu_agent_json_fn.  */
+typedef void pu_entry_json_fn (void *data, json_t *result,
+                               const pu_error_t *e);
+
 /* What the daemon does for the entry.  Each gets DATA first.  */
 typedef struct
 {
@@ -62,6 +66,9 @@
   void (*renew) (void *data, const char *backend, guint64 incarnation);
   void (*demand) (void *data, const char *model, guint32 requests,
                   guint32 stream_ms);
+  /* As pu_agent_want; may be NULL.  */
+  void (*want) (void *data, const char *model, guint timeout_ms,
+                pu_entry_json_fn *fn, void *fn_data);
   /* Sends N loads to the daemon whose peers' address is ADDRESS; they hold
      until the next, for LIFE_MS at most.  May be NULL.  */
   void (*loads) (void *data, const char *address, const pu_entry_load_t *loads,
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -64,6 +64,8 @@
   guint64 probe_at;    /* loop time of the next one; 0: none */
   guint64 apart_until; /* loop time: those that were cut count until then */
   guint64 dead_until;  /* loop time: found dead here, whatever the view says */
+  GHashTable *extras;  /* model -> extra_t: copies that were told of, or found
+                          missing, since its last report */
 } pu_server_t;
 
 /* A backend server that reports to this entry.  */
@@ -133,6 +135,7 @@
   guint64 held_since; /* loop time: waits for its like's answer; 0: not yet */
   guint held_from;    /* number of the backend server */
   bool no_copy;       /* waits for a suspect to leave one */
+  bool wants;         /* waits for its model to be loaded */
   pu_ticket_t ticket;
   pu_once_handle_t claim;
   guint attempts;
@@ -180,6 +183,7 @@
   GQueue open;           /* of pu_exchange_t */
   GHashTable *listeners; /* peers' address -> listener_t of spread.c */
   GHashTable *load_ids;  /* &load_id -> pu_server_t */
+  GHashTable *wants;     /* model -> want_t of wants.c */
   uv_timer_t tick;
   uv_timer_t wake; /* the router's next decision */
   guint handles;   /* open */
@@ -257,6 +261,20 @@
 
 void pu_reporter_free (gpointer reporter);
 
+/* --- wants.c: requests for a model that no backend server has --- */
+
+void pu_want_free (gpointer want);
+
+/* pu_want_may - whether the model of X can be asked for.  */
+bool pu_want_may (const pu_exchange_t *x);
+
+/* pu_want_begin - X waits while its model is asked for.  */
+void pu_want_begin (pu_exchange_t *x);
+
+/* pu_want_tick - X waits: goes on with it when there is a copy, asks again
+   when it is time.  */
+void pu_want_tick (pu_exchange_t *x, guint64 now);
+
 /* --- demand.c: what the leader hears of demand --- */
 
 /* pu_demand_arrived - X is offered to the router here: tells of it once.  */
@@ -299,6 +317,13 @@
 /* pu_server_doubt - nobody listened at S: looks again.  */
 void pu_server_doubt (pu_server_t *s);
 
+/* pu_server_extra - S has MODEL, whatever its reports say, until loop time
+   UNTIL.  */
+void pu_server_extra (pu_server_t *s, const char *model, guint64 until);
+
+/* pu_server_lacks - S has not got MODEL, whatever its reports say.  */
+void pu_server_lacks (pu_server_t *s, const char *model);
+
 /* pu_server_replaced - another process has the address of S now.  */
 void pu_server_replaced (pu_server_t *s);
 void pu_servers_tick (pu_entry_t *en, guint64 now);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -558,6 +558,13 @@
       x->phase = PU_X_QUEUED;
       break;
     case PU_ROUTER_REFUSE:
+      if (d->reason == PU_ROUTER_REASON_COPY && pu_want_may (x)
+          && !x->may_have_run)
+        {
+          ticket_set (x, 0);
+          pu_want_begin (x);
+          break;
+        }
       x->no_copy = d->reason == PU_ROUTER_REASON_COPY && waits_for_copy (x);
       if (!x->no_copy)
         {
@@ -709,6 +716,10 @@
     {
       fail_deadline (x);
     }
+  else if (x->phase == PU_X_WAITING && x->wants)
+    {
+      pu_want_tick (x, now);
+    }
   else if (x->phase == PU_X_WAITING && may_go_on (x))
     {
       pu_exchange_route (x);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -9,8 +9,26 @@
   REFUSED_DEAD = 2,     /* probes that nobody listened to */
   PROBE_AGAIN_MS = 100, /* between them */
   DEAD_KEPT_MS = 5000,  /* until the view must have it */
+  LACKS_MS = 1500,      /* until a report must say so */
 };
 
+/* A copy that S has, or lacks, against its last report.  */
+typedef struct
+{
+  char *version;
+  bool has;
+  guint64 until; /* loop time: a report knows by then */
+} extra_t;
+
+static void
+extra_free (gpointer extra)
+{
+  extra_t *x = extra;
+
+  g_free (x->version);
+  g_free (x);
+}
+
 pu_server_t *
 pu_server_find (const pu_entry_t *en, const char *name)
 {
@@ -24,6 +42,7 @@
 
   pu_http_call_cancel (s->probe);
   g_ptr_array_free (s->held, TRUE);
+  g_hash_table_destroy (s->extras);
   g_free (s->name);
   g_free (s->address);
   g_free (s);
@@ -42,6 +61,8 @@
   s->handle = PU_ROUTER_NONE;
   s->number = ++en->last_server;
   s->held = g_ptr_array_new ();
+  s->extras
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, extra_free);
   g_hash_table_insert (en->servers, s->name, s);
   return s;
 }
@@ -86,8 +107,47 @@
   return PU_ROUTER_COPY_DRAINING;
 }
 
+/* Whether S is known to lack MODEL.  */
+static bool
+is_lacking (const pu_server_t *s, const char *model)
+{
+  const extra_t *x = g_hash_table_lookup (s->extras, model);
+
+  return x != NULL && !x->has;
+}
+
+static bool
+is_reported (const pu_backend_record *b, const char *model)
+{
+  for (guint i = 0; i < b->copies.copies_len; i++)
+    {
+      if (strcmp (b->copies.copies_val[i].model, model) == 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+extras_add (const pu_server_t *s, const pu_backend_record *b, GArray *copies)
+{
+  GHashTableIter it;
+  gpointer model;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, s->extras);
+  while (g_hash_table_iter_next (&it, &model, &value))
+    {
+      const extra_t *x = value;
+      pu_router_copy_t one = { model, x->version, PU_ROUTER_COPY_READY };
+
+      if (x->has && !is_reported (b, model))
+        g_array_append_val (copies, one);
+    }
+}
+
 static void
-copies_add (const pu_backend_record *b, const char *plain, GArray *copies)
+copies_add (const pu_server_t *s, const pu_backend_record *b,
+            const char *plain, GArray *copies)
 {
   for (guint i = 0; i < b->copies.copies_len; i++)
     {
@@ -95,8 +155,10 @@
       pu_router_copy_t one
           = { c->model, c->model_version, phase_of (c->phase) };
 
-      g_array_append_val (copies, one);
+      if (!is_lacking (s, c->model))
+        g_array_append_val (copies, one);
     }
+  extras_add (s, b, copies);
   if (b->kind == PU_BACKEND_PLAIN)
     {
       pu_router_copy_t one = { plain, "", PU_ROUTER_COPY_READY };
@@ -119,7 +181,7 @@
     .leaving = s->leaving || s->suspects > 0,
   };
 
-  copies_add (b, plain, copies);
+  copies_add (s, b, plain, copies);
   o.copies = (const pu_router_copy_t *)(void *)copies->data;
   o.n_copies = copies->len;
   s->handle = pu_router_set_backend (s->en->router, &o);
@@ -267,6 +329,59 @@
   return false;
 }
 
+/* --- copies against the reports --- */
+
+static void
+extra_put (pu_server_t *s, const char *model, bool has, guint64 until)
+{
+  pu_entry_t *en = s->en;
+  pu_model_handle_t m = pu_document_find_model (en->document, model);
+  const pu_backend_record *b
+      = pu_state_backend (en->o.hooks.view (en->o.hooks.data), s->name);
+  extra_t *x;
+
+  if (m == PU_HANDLE_NONE || b == NULL || s->handle == PU_ROUTER_NONE)
+    return;
+  x = g_new0 (extra_t, 1);
+  x->version = g_strdup (pu_document_model (en->document, m)->version);
+  x->has = has;
+  x->until = until;
+  g_hash_table_replace (s->extras, g_strdup (model), x);
+  router_set (s, b);
+}
+
+void
+pu_server_extra (pu_server_t *s, const char *model, guint64 until)
+{
+  extra_put (s, model, true, until);
+}
+
+void
+pu_server_lacks (pu_server_t *s, const char *model)
+{
+  extra_put (s, model, false, uv_now (s->en->o.loop) + LACKS_MS);
+}
+
+static gboolean
+is_over (gpointer model, gpointer extra, gpointer now)
+{
+  (void)model;
+  return ((extra_t *)extra)->until <= *(guint64 *)now;
+}
+
+static void
+extras_tick (pu_server_t *s, guint64 now)
+{
+  const pu_backend_record *b;
+
+  if (g_hash_table_foreach_remove (s->extras, is_over, &now) == 0
+      || s->handle == PU_ROUTER_NONE)
+    return;
+  b = pu_state_backend (s->en->o.hooks.view (s->en->o.hooks.data), s->name);
+  if (b != NULL)
+    router_set (s, b);
+}
+
 /* --- probes --- */
 
 static void
@@ -418,6 +533,7 @@
     {
       pu_server_t *s = value;
 
+      extras_tick (s, now);
       if (s->probe_at != 0 && s->probe_at <= now)
         probe_start (s);
       for (; s->cut_apart > 0 && s->apart_until <= now; s->cut_apart--)
--- /dev/null
+++ b/libplantainusher/placement/adapters.c
@@ -0,0 +1,266 @@
+#include "placement/adapters.h"
+
+/* One that was asked for so lately may be in use, or have a request on its
+   way: unloading it would wait, or cost that request.  */
+#define KEEP_MS 2500
+
+/* One that was asked for so lately is likely to be asked for again soon.  */
+#define ACTIVE_MS 8000
+
+typedef struct
+{
+  bool is_adapter;
+  guint32 base;
+  guint64 used; /* when it was last asked for, ms */
+} adapter_t;
+
+typedef struct
+{
+  guint places;
+  guint load;
+  bool usable;
+} engine_t;
+
+struct pu_adapters
+{
+  pu_desk_t *desk;
+  GArray *adapters; /* of adapter_t, by item */
+  GArray *engines;  /* of engine_t */
+};
+
+pu_adapters_t *
+pu_adapters_new (pu_desk_t *desk)
+{
+  pu_adapters_t *a = g_new0 (pu_adapters_t, 1);
+
+  a->desk = desk;
+  a->adapters = g_array_new (FALSE, TRUE, sizeof (adapter_t));
+  a->engines = g_array_new (FALSE, TRUE, sizeof (engine_t));
+  return a;
+}
+
+void
+pu_adapters_free (pu_adapters_t *a)
+{
+  if (a == NULL)
+    return;
+  g_array_unref (a->adapters);
+  g_array_unref (a->engines);
+  g_free (a);
+}
+
+static adapter_t *
+adapter_at (const pu_adapters_t *a, guint32 item)
+{
+  return item < a->adapters->len
+             ? &g_array_index (a->adapters, adapter_t, item)
+             : NULL;
+}
+
+void
+pu_adapters_set (pu_adapters_t *a, guint32 item, guint32 base)
+{
+  adapter_t *t;
+
+  if (a->adapters->len <= item)
+    g_array_set_size (a->adapters, item + 1);
+  t = adapter_at (a, item);
+  t->is_adapter = true;
+  t->base = base;
+}
+
+bool
+pu_adapters_is (const pu_adapters_t *a, guint32 item)
+{
+  const adapter_t *t = adapter_at (a, item);
+
+  return t != NULL && t->is_adapter;
+}
+
+guint32
+pu_adapters_base (const pu_adapters_t *a, guint32 item)
+{
+  return adapter_at (a, item)->base;
+}
+
+void
+pu_adapters_engine (pu_adapters_t *a, guint32 engine, guint places, guint load,
+                    bool usable)
+{
+  engine_t e = { places, load, usable };
+
+  if (a->engines->len <= engine)
+    g_array_set_size (a->engines, engine + 1);
+  g_array_index (a->engines, engine_t, engine) = e;
+}
+
+void
+pu_adapters_used (pu_adapters_t *a, guint32 item, guint64 now)
+{
+  adapter_t *t = adapter_at (a, item);
+
+  if (t != NULL)
+    t->used = now;
+}
+
+bool
+pu_adapters_fit (const pu_adapters_t *a, guint32 engine)
+{
+  const engine_t *e = &g_array_index (a->engines, engine_t, engine);
+  guint n;
+  const pu_desk_item_t *items = pu_desk_items (a->desk, engine, &n);
+  guint taken = 0;
+
+  for (guint i = 0; i < n; i++)
+    {
+      taken += pu_adapters_is (a, items[i].item)
+               && items[i].phase != PU_DESK_QUEUED;
+    }
+  return e->places == 0 || taken < e->places;
+}
+
+guint
+pu_adapters_active (const pu_adapters_t *a, guint32 base, guint64 now)
+{
+  guint active = 0;
+
+  for (guint i = 0; i < a->adapters->len; i++)
+    {
+      const adapter_t *t = adapter_at (a, i);
+
+      active += t->is_adapter && t->base == base && t->used != 0
+                && now < t->used + ACTIVE_MS;
+    }
+  return active;
+}
+
+/* What an engine offers to one adapter.  */
+typedef struct
+{
+  guint32 engine;
+  guint taken;       /* places */
+  guint32 victim;    /* item to be unloaded; PU_ADAPTERS_NONE: none */
+  guint64 idle_since; /* of the victim */
+} offer_t;
+
+/* Looks at the adapters on ENGINE.  False: it has no place to give.  */
+static bool
+offer_make (const pu_adapters_t *a, guint32 engine, guint64 now, offer_t *o)
+{
+  const engine_t *e = &g_array_index (a->engines, engine_t, engine);
+  guint n;
+  const pu_desk_item_t *items = pu_desk_items (a->desk, engine, &n);
+  guint leaving = 0;
+
+  *o = (offer_t){ engine, 0, PU_ADAPTERS_NONE, G_MAXUINT64 };
+  for (guint i = 0; i < n; i++)
+    {
+      const adapter_t *t = adapter_at (a, items[i].item);
+
+      if (t == NULL || !t->is_adapter)
+        continue;
+      o->taken++;
+      leaving += items[i].phase == PU_DESK_LEAVING;
+      if (items[i].phase != PU_DESK_READY || now < t->used + KEEP_MS
+          || t->used >= o->idle_since)
+        continue;
+      o->victim = items[i].item;
+      o->idle_since = t->used;
+    }
+  if (e->places == 0 || o->taken < e->places)
+    {
+      o->victim = PU_ADAPTERS_NONE;
+      return true;
+    }
+  /* A place that is being given up is given to whoever asked for that.  */
+  return o->victim != PU_ADAPTERS_NONE && leaving == 0;
+}
+
+/* Free places first, then the victim that was idle for the longest time; of
+   equals the engine with less to do.  */
+static bool
+is_better (const pu_adapters_t *a, const offer_t *x, const offer_t *y)
+{
+  bool x_free = x->victim == PU_ADAPTERS_NONE;
+  bool y_free = y->victim == PU_ADAPTERS_NONE;
+
+  if (x_free != y_free)
+    return x_free;
+  if (!x_free && x->idle_since != y->idle_since)
+    return x->idle_since < y->idle_since;
+  if (x->taken != y->taken)
+    return x->taken < y->taken;
+  return g_array_index (a->engines, engine_t, x->engine).load
+         < g_array_index (a->engines, engine_t, y->engine).load;
+}
+
+static bool
+order (pu_adapters_t *a, const offer_t *o, guint32 item, guint64 now)
+{
+  pu_desk_order_t load = { PU_DESK_LOAD, item, true };
+  pu_desk_order_t unload = { PU_DESK_UNLOAD, o->victim, true };
+
+  if (o->victim != PU_ADAPTERS_NONE
+      && !pu_desk_want (a->desk, o->engine, &unload, now))
+    return false;
+  return pu_desk_want (a->desk, o->engine, &load, now);
+}
+
+/* Whether ENGINE may serve ITEM: its base is ready there.  */
+static bool
+has_base (const pu_adapters_t *a, guint32 engine, guint32 item)
+{
+  const engine_t *e = &g_array_index (a->engines, engine_t, engine);
+
+  return e->usable && pu_desk_known (a->desk, engine)
+         && pu_desk_phase (a->desk, engine, pu_adapters_base (a, item))
+                == PU_DESK_READY;
+}
+
+/* The engine that has ITEM or is getting it, the least loaded one.  */
+static guint32
+find_holder (const pu_adapters_t *a, guint32 item)
+{
+  guint32 best = PU_ADAPTERS_NONE;
+
+  for (guint32 i = 0; i < a->engines->len; i++)
+    {
+      pu_desk_phase_t phase = pu_desk_phase (a->desk, i, item);
+      bool has = phase == PU_DESK_READY || phase == PU_DESK_LOADING
+                 || phase == PU_DESK_QUEUED;
+
+      if (!has || !has_base (a, i, item))
+        continue;
+      if (best == PU_ADAPTERS_NONE
+          || g_array_index (a->engines, engine_t, i).load
+                 < g_array_index (a->engines, engine_t, best).load)
+        best = i;
+    }
+  return best;
+}
+
+guint32
+pu_adapters_want (pu_adapters_t *a, guint32 item, guint64 now)
+{
+  guint32 holder;
+  offer_t best = { PU_ADAPTERS_NONE, 0, 0, 0 };
+
+  if (!pu_adapters_is (a, item))
+    return PU_ADAPTERS_NONE;
+  pu_adapters_used (a, item, now);
+  holder = find_holder (a, item);
+  if (holder != PU_ADAPTERS_NONE)
+    return holder;
+  for (guint32 i = 0; i < a->engines->len; i++)
+    {
+      offer_t o;
+
+      if (!has_base (a, i, item) || !offer_make (a, i, now, &o))
+        continue;
+      if (best.engine == PU_ADAPTERS_NONE || is_better (a, &o, &best))
+        best = o;
+    }
+  if (best.engine == PU_ADAPTERS_NONE || !order (a, &best, item, now))
+    return PU_ADAPTERS_NONE;
+  return best.engine;
+}
--- /dev/null
+++ b/libplantainusher/placement/desk.c
@@ -0,0 +1,640 @@
+#include "placement/desk.h"
+
+#define LAG_MS 500
+#define ANSWER_MS 300
+#define GIVE_UP_MS 4000
+#define REFUSED_MS 200
+#define POLL_MS 1000
+#define WATCH_MS 200
+/* Adapters of 12 and 66 MB take 5 and 14 ms from the store.  */
+#define ADAPTER_MS 18
+
+typedef struct
+{
+  pu_desk_order_t o;
+  guint64 wanted; /* ms */
+} order_t;
+
+typedef struct
+{
+  bool used;
+  bool known;        /* a report has come */
+  bool fenced_out;   /* it has orders of a later leader */
+  guint64 accepted;  /* orders, as far as we know */
+  guint64 changed;   /* when that last changed, ms */
+  bool busy;
+  GArray *items;     /* of pu_desk_item_t */
+  GQueue queue;      /* of order_t *, the first may be sent */
+  bool sent;         /* the first order of the queue was */
+  const order_t *first; /* whose first_sent is */
+  guint64 first_sent;   /* ms */
+  guint64 last_sent;  /* ms */
+  bool answered;      /* what was sent last: it is not waited for */
+  bool doubt;         /* a sending of the first order had no answer: it may
+                         be carried out yet */
+  guint64 expected;   /* of what was sent */
+  guint64 not_before; /* nothing is sent before, ms */
+  bool fetching;
+  guint64 fetch_at; /* the next report is due, ms */
+} engine_t;
+
+struct pu_desk
+{
+  pu_desk_options_t o;
+  GArray *engines; /* of engine_t, by handle */
+  GArray *ends;    /* of pu_desk_action_t: DONE and FAILED to be told */
+};
+
+void
+pu_desk_options_init (pu_desk_options_t *o)
+{
+  *o = (pu_desk_options_t){ .lag_ms = LAG_MS,
+                            .answer_ms = ANSWER_MS,
+                            .give_up_ms = GIVE_UP_MS,
+                            .refused_ms = REFUSED_MS,
+                            .poll_ms = POLL_MS,
+                            .watch_ms = WATCH_MS,
+                            .adapter_ms = ADAPTER_MS };
+}
+
+static void
+engine_clear (gpointer data)
+{
+  engine_t *e = data;
+
+  if (e->items != NULL)
+    g_array_unref (e->items);
+  g_queue_clear_full (&e->queue, g_free);
+  *e = (engine_t){ 0 };
+}
+
+pu_desk_t *
+pu_desk_new (const pu_desk_options_t *o)
+{
+  pu_desk_t *d = g_new0 (pu_desk_t, 1);
+
+  d->o = *o;
+  d->engines = g_array_new (FALSE, TRUE, sizeof (engine_t));
+  g_array_set_clear_func (d->engines, engine_clear);
+  d->ends = g_array_new (FALSE, FALSE, sizeof (pu_desk_action_t));
+  return d;
+}
+
+void
+pu_desk_free (pu_desk_t *d)
+{
+  if (d == NULL)
+    return;
+  g_array_unref (d->engines);
+  g_array_unref (d->ends);
+  g_free (d);
+}
+
+static engine_t *
+engine_at (const pu_desk_t *d, guint32 engine)
+{
+  engine_t *e;
+
+  if (engine >= d->engines->len)
+    return NULL;
+  e = &g_array_index (d->engines, engine_t, engine);
+  return e->used ? e : NULL;
+}
+
+/* --- items --- */
+
+static pu_desk_item_t *
+item_find (const engine_t *e, guint32 item)
+{
+  for (guint i = 0; i < e->items->len; i++)
+    {
+      pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
+
+      if (t->item == item)
+        return t;
+    }
+  return NULL;
+}
+
+static pu_desk_item_t *
+item_set (engine_t *e, guint32 item, pu_desk_phase_t phase)
+{
+  pu_desk_item_t *t = item_find (e, item);
+  pu_desk_item_t fresh = { .item = item, .phase = phase };
+
+  if (t == NULL)
+    {
+      g_array_append_val (e->items, fresh);
+      return item_find (e, item);
+    }
+  t->phase = phase;
+  return t;
+}
+
+static void
+item_remove (engine_t *e, guint32 item)
+{
+  for (guint i = 0; i < e->items->len; i++)
+    {
+      if (g_array_index (e->items, pu_desk_item_t, i).item != item)
+        continue;
+      g_array_remove_index_fast (e->items, i);
+      return;
+    }
+}
+
+/* --- orders --- */
+
+static order_t *
+order_first (const engine_t *e)
+{
+  return g_queue_peek_head ((GQueue *)&e->queue);
+}
+
+static order_t *
+order_for (const engine_t *e, guint32 item)
+{
+  for (GList *l = e->queue.head; l != NULL; l = l->next)
+    {
+      order_t *o = l->data;
+
+      if (o->o.item == item)
+        return o;
+    }
+  return NULL;
+}
+
+static void
+end_tell (pu_desk_t *d, guint32 engine, const order_t *o, pu_desk_do_t what)
+{
+  pu_desk_action_t a = { .what = what, .engine = engine, .order = o->o };
+
+  g_array_append_val (d->ends, a);
+}
+
+/* The first order leaves the queue.  */
+static void
+order_end (pu_desk_t *d, guint32 engine, pu_desk_do_t what)
+{
+  engine_t *e = engine_at (d, engine);
+  order_t *o = g_queue_pop_head (&e->queue);
+
+  e->first = NULL;
+  e->sent = false;
+  e->doubt = false;
+  end_tell (d, engine, o, what);
+  g_free (o);
+}
+
+/* What an order that will not be carried out leaves of its item.  */
+static void
+order_undo (engine_t *e, const pu_desk_order_t *o)
+{
+  if (o->op == PU_DESK_UNLOAD)
+    {
+      item_set (e, o->item, PU_DESK_READY);
+    }
+  else
+    {
+      item_remove (e, o->item);
+    }
+}
+
+static void
+order_fail (pu_desk_t *d, guint32 engine)
+{
+  engine_t *e = engine_at (d, engine);
+
+  order_undo (e, &order_first (e)->o);
+  order_end (d, engine, PU_DESK_DO_FAILED);
+}
+
+/* The first order is being carried out.  */
+static void
+order_accepted (pu_desk_t *d, guint32 engine, guint64 now)
+{
+  engine_t *e = engine_at (d, engine);
+  pu_desk_order_t o = order_first (e)->o;
+
+  e->changed = now;
+  if (o.op == PU_DESK_LOAD)
+    item_set (e, o.item, PU_DESK_LOADING)->since = now;
+  /* An unload waits for the requests that use what goes: an adapter's, too,
+     unless it goes at once.  */
+  e->busy = e->busy || !o.adapter || o.op == PU_DESK_UNLOAD;
+  e->fetch_at = MIN (e->fetch_at, now + d->o.watch_ms);
+  order_end (d, engine, PU_DESK_DO_DONE);
+}
+
+/* What the first order asks for is so already, or without delay.  */
+static void
+order_holds (pu_desk_t *d, guint32 engine, guint64 now)
+{
+  engine_t *e = engine_at (d, engine);
+  pu_desk_order_t o = order_first (e)->o;
+
+  /* An adapter that nothing uses goes at once, which counts; what was so
+     before does not.  */
+  if (o.op == PU_DESK_UNLOAD && o.adapter)
+    {
+      e->accepted++;
+      e->changed = now;
+    }
+  if (o.op == PU_DESK_LOAD)
+    {
+      item_set (e, o.item, PU_DESK_READY);
+    }
+  else
+    {
+      item_remove (e, o.item);
+    }
+  order_end (d, engine, PU_DESK_DO_DONE);
+}
+
+/* --- engines --- */
+
+void
+pu_desk_add (pu_desk_t *d, guint32 engine, guint64 now)
+{
+  engine_t *e;
+
+  if (d->engines->len <= engine)
+    g_array_set_size (d->engines, engine + 1);
+  e = &g_array_index (d->engines, engine_t, engine);
+  if (e->used)
+    return;
+  *e = (engine_t){ .used = true, .fetch_at = now };
+  e->items = g_array_new (FALSE, FALSE, sizeof (pu_desk_item_t));
+  g_queue_init (&e->queue);
+}
+
+void
+pu_desk_remove (pu_desk_t *d, guint32 engine)
+{
+  engine_t *e = engine_at (d, engine);
+
+  if (e == NULL)
+    return;
+  while (order_first (e) != NULL)
+    order_end (d, engine, PU_DESK_DO_FAILED);
+  engine_clear (e);
+}
+
+/* The first order behind those for adapters that is not sent yet: adapters are
+   quick, and a request waits for each.  NULL: none.  */
+static GList *
+adapters_end (const engine_t *e)
+{
+  GList *l = e->queue.head;
+
+  if (l != NULL && (e->sent || e->doubt))
+    l = l->next;
+  while (l != NULL && ((const order_t *)l->data)->o.adapter)
+    l = l->next;
+  return l;
+}
+
+bool
+pu_desk_want (pu_desk_t *d, guint32 engine, const pu_desk_order_t *o,
+              guint64 now)
+{
+  engine_t *e = engine_at (d, engine);
+  order_t *mine;
+
+  if (e == NULL || !e->known || e->fenced_out
+      || order_for (e, o->item) != NULL)
+    return false;
+  mine = g_new0 (order_t, 1);
+  mine->o = *o;
+  mine->wanted = now;
+  g_queue_insert_before (&e->queue, o->adapter ? adapters_end (e) : NULL,
+                         mine);
+  item_set (e, o->item,
+            o->op == PU_DESK_LOAD ? PU_DESK_QUEUED : PU_DESK_LEAVING)
+      ->adapter
+      = o->adapter;
+  return true;
+}
+
+void
+pu_desk_drop (pu_desk_t *d, guint32 engine, guint32 item)
+{
+  engine_t *e = engine_at (d, engine);
+  order_t *o = e != NULL ? order_for (e, item) : NULL;
+
+  if (o == NULL || (e->sent && o == order_first (e)))
+    return;
+  g_queue_remove (&e->queue, o);
+  order_undo (e, &o->o);
+  g_free (o);
+}
+
+/* The engine carries another order out, or has accepted more or fewer than we
+   know of.  */
+static void
+order_conflict (pu_desk_t *d, guint32 engine, guint64 now)
+{
+  engine_t *e = engine_at (d, engine);
+
+  e->not_before = now + d->o.refused_ms;
+  e->fetch_at = MIN (e->fetch_at, now + d->o.refused_ms);
+  if (now >= e->first_sent + d->o.give_up_ms)
+    {
+      order_fail (d, engine);
+    }
+  else if (!e->doubt)
+    {
+      e->sent = false;
+    }
+}
+
+void
+pu_desk_answer (pu_desk_t *d, guint32 engine, pu_desk_answer_t a, guint64 now)
+{
+  engine_t *e = engine_at (d, engine);
+
+  if (e == NULL || !e->sent || e->answered)
+    return;
+  e->answered = true;
+  switch (a)
+    {
+    case PU_DESK_ACCEPTED:
+      e->accepted++;
+      order_accepted (d, engine, now);
+      return;
+    case PU_DESK_HOLDS:
+      order_holds (d, engine, now);
+      return;
+    case PU_DESK_CONFLICT:
+      order_conflict (d, engine, now);
+      return;
+    case PU_DESK_FENCED:
+      e->fenced_out = true;
+      order_fail (d, engine);
+      return;
+    case PU_DESK_REFUSED:
+    case PU_DESK_GONE:
+      order_fail (d, engine);
+      e->fetch_at = now;
+      return;
+    case PU_DESK_LOST:
+      e->doubt = true;
+      e->not_before = now + d->o.refused_ms;
+      e->fetch_at = MIN (e->fetch_at, now);
+      return;
+    }
+}
+
+/* --- reports --- */
+
+static bool
+lists (const guint32 *list, guint n, guint32 item)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      if (list[i] == item)
+        return true;
+    }
+  return false;
+}
+
+static bool
+shows (const pu_desk_report_t *r, guint32 item)
+{
+  return lists (r->held, r->n_held, item)
+         || lists (r->coming, r->n_coming, item);
+}
+
+/* Whether R, which has one order more, shows that the order O was it.  */
+static bool
+shows_order (const pu_desk_report_t *r, const pu_desk_order_t *o)
+{
+  if (o->op == PU_DESK_UNLOAD)
+    return !lists (r->held, r->n_held, o->item) || r->busy;
+  return shows (r, o->item) || (r->busy && !o->adapter);
+}
+
+/* Phases of items that R says nothing of: gone, unless on the way, or come
+   since.  */
+static void
+absent_sweep (engine_t *e, const pu_desk_report_t *r)
+{
+  for (guint i = e->items->len; i-- > 0;)
+    {
+      pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
+      bool queued = order_for (e, t->item) != NULL;
+      bool loading = t->phase == PU_DESK_LOADING && r->busy;
+
+      if (shows (r, t->item) || queued || loading)
+        continue;
+      g_array_remove_index_fast (e->items, i);
+    }
+}
+
+static void
+items_take (engine_t *e, const pu_desk_report_t *r)
+{
+  absent_sweep (e, r);
+  for (guint i = 0; i < r->n_coming; i++)
+    {
+      if (item_find (e, r->coming[i]) == NULL)
+        item_set (e, r->coming[i], PU_DESK_LOADING);
+    }
+  for (guint i = 0; i < r->n_held; i++)
+    {
+      const pu_desk_item_t *t = item_find (e, r->held[i]);
+      bool leaving = t != NULL && t->phase == PU_DESK_LEAVING
+                     && (r->busy || order_for (e, t->item) != NULL);
+
+      if (!leaving)
+        item_set (e, r->held[i], PU_DESK_READY);
+    }
+}
+
+/* The engine has accepted orders that we did not know of: our own, whose
+   answer was lost, or another's.  */
+static void
+others_take (pu_desk_t *d, guint32 engine, const pu_desk_report_t *r,
+             guint64 now)
+{
+  engine_t *e = engine_at (d, engine);
+  bool own = e->sent && r->accepted == e->expected + 1
+             && shows_order (r, &order_first (e)->o);
+
+  e->accepted = r->accepted;
+  e->changed = now;
+  if (own)
+    {
+      order_accepted (d, engine, now);
+    }
+  else
+    {
+      /* What was sent expects a number that is spent: send it anew.  */
+      e->sent = false;
+      e->doubt = false;
+    }
+}
+
+void
+pu_desk_report (pu_desk_t *d, guint32 engine, const pu_desk_report_t *r,
+                guint64 asked, guint64 now)
+{
+  engine_t *e = engine_at (d, engine);
+  bool fresh;
+
+  if (e == NULL)
+    return;
+  e->fetching = false;
+  e->fetch_at = now + d->o.poll_ms;
+  if (r == NULL)
+    {
+      e->fetch_at = now + d->o.watch_ms;
+      return;
+    }
+  fresh = !e->known || asked >= e->changed + d->o.lag_ms;
+  /* An older one may speak of the time before the last change.  */
+  if (!fresh && r->accepted <= e->accepted)
+    return;
+  if (r->accepted < e->accepted && e->doubt)
+    return;
+  if (!e->known || r->accepted < e->accepted)
+    {
+      e->accepted = r->accepted;
+      e->changed = now;
+    }
+  else if (r->accepted > e->accepted)
+    {
+      others_take (d, engine, r, now);
+    }
+  e->known = true;
+  e->busy = r->busy;
+  items_take (e, r);
+  if (e->busy)
+    e->fetch_at = now + d->o.watch_ms;
+}
+
+void
+pu_desk_seen (pu_desk_t *d, guint32 engine, guint32 item, guint64 now)
+{
+  engine_t *e = engine_at (d, engine);
+  pu_desk_item_t *t = e != NULL ? item_find (e, item) : NULL;
+
+  if (t == NULL || t->phase != PU_DESK_LOADING)
+    return;
+  t->phase = PU_DESK_READY;
+  e->changed = now;
+  e->busy = false;
+  e->fetch_at = MIN (e->fetch_at, now + d->o.lag_ms);
+}
+
+/* --- steps --- */
+
+static void
+send_first (pu_desk_t *d, guint32 engine, pu_desk_may_fn *may, void *data,
+            guint64 now, GArray *actions)
+{
+  engine_t *e = engine_at (d, engine);
+  const order_t *o = order_first (e);
+  pu_desk_action_t a = { .what = PU_DESK_DO_SEND, .engine = engine };
+
+  if (o == NULL || !e->known || e->fenced_out || now < e->not_before)
+    return;
+  if (e->busy)
+    return;
+  if (e->sent && !e->answered && now < e->last_sent + d->o.answer_ms)
+    return;
+  if (!e->sent && may != NULL && !may (data, engine, &o->o))
+    return;
+  if (!e->sent)
+    {
+      e->expected = e->accepted;
+      if (e->first != o)
+        e->first_sent = now;
+      e->first = o;
+    }
+  e->sent = true;
+  e->answered = false;
+  e->last_sent = now;
+  a.order = o->o;
+  a.expected = e->expected;
+  g_array_append_val (actions, a);
+}
+
+static void
+fetch (pu_desk_t *d, guint32 engine, guint64 now, GArray *actions)
+{
+  engine_t *e = engine_at (d, engine);
+  pu_desk_action_t a = { .what = PU_DESK_DO_FETCH, .engine = engine };
+
+  if (e->fetching || now < e->fetch_at)
+    return;
+  e->fetching = true;
+  g_array_append_val (actions, a);
+}
+
+/* Adapters that were accepted are there after a moment.  */
+static void
+adapters_ready (const pu_desk_t *d, engine_t *e, guint64 now)
+{
+  for (guint i = 0; i < e->items->len; i++)
+    {
+      pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
+
+      if (t->adapter && t->phase == PU_DESK_LOADING
+          && now >= t->since + d->o.adapter_ms)
+        t->phase = PU_DESK_READY;
+    }
+}
+
+void
+pu_desk_step (pu_desk_t *d, pu_desk_may_fn *may, void *data, guint64 now,
+              GArray *actions)
+{
+  for (guint32 i = 0; i < d->engines->len; i++)
+    {
+      if (engine_at (d, i) == NULL)
+        continue;
+      adapters_ready (d, engine_at (d, i), now);
+      send_first (d, i, may, data, now, actions);
+      fetch (d, i, now, actions);
+    }
+  if (d->ends->len > 0)
+    g_array_append_vals (actions, d->ends->data, d->ends->len);
+  g_array_set_size (d->ends, 0);
+}
+
+/* --- looking in --- */
+
+const pu_desk_item_t *
+pu_desk_items (const pu_desk_t *d, guint32 engine, guint *n)
+{
+  const engine_t *e = engine_at (d, engine);
+
+  *n = e != NULL ? e->items->len : 0;
+  return e != NULL ? (const pu_desk_item_t *)(void *)e->items->data : NULL;
+}
+
+pu_desk_phase_t
+pu_desk_phase (const pu_desk_t *d, guint32 engine, guint32 item)
+{
+  const engine_t *e = engine_at (d, engine);
+  const pu_desk_item_t *t = e != NULL ? item_find (e, item) : NULL;
+
+  return t != NULL ? t->phase : PU_DESK_ABSENT;
+}
+
+bool
+pu_desk_known (const pu_desk_t *d, guint32 engine)
+{
+  const engine_t *e = engine_at (d, engine);
+
+  return e != NULL && e->known && !e->fenced_out;
+}
+
+bool
+pu_desk_busy (const pu_desk_t *d, guint32 engine)
+{
+  const engine_t *e = engine_at (d, engine);
+
+  return e != NULL && e->busy;
+}
--- /dev/null
+++ b/libplantainusher/placement/desk.h
@@ -0,0 +1,167 @@
+#ifndef PU_PLACEMENT_DESK_H
+#define PU_PLACEMENT_DESK_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/*
+ * desk - orders to engines that count the orders they accept, and refuse one
+ * that expects another count: compare-and-set on what an engine holds.
+ *
+ * Pure: no I/O, no clock.  `now` is monotonic milliseconds.
+ *
+ * An engine's report says what it holds and how many orders it had accepted
+ * when it held that.  An order that expects this number is carried out only if
+ * no other was accepted since.  So whoever knows one report can't order more
+ * than fits, whatever became of orders that were lost, doubled or late, and
+ * whoever sent them; no order has to be kept in the log.  An order without an
+ * answer is sent again with the same number: one of the two is carried out at
+ * most.  Orders to one engine go one at a time.
+ *
+ * Items are models and adapters, by small handles of the caller's; so are
+ * engines.  An engine handle stands for one start of an engine.
+ */
+
+typedef struct pu_desk pu_desk_t;
+
+typedef struct
+{
+  guint64 lag_ms;    /* a report may be as old as this when it comes */
+  guint64 answer_ms; /* an order without an answer is sent again */
+  guint64 give_up_ms; /* and given up this long after the first time */
+  guint64 refused_ms; /* after a refusal, before the next order */
+  guint64 poll_ms;    /* between two reports */
+  guint64 watch_ms;   /* the same while something is under way */
+  guint64 adapter_ms; /* an adapter that was accepted is ready after this */
+} pu_desk_options_t;
+
+void pu_desk_options_init (pu_desk_options_t *o);
+
+pu_desk_t *pu_desk_new (const pu_desk_options_t *o);
+void pu_desk_free (pu_desk_t *d);
+
+typedef enum
+{
+  PU_DESK_LOAD,
+  PU_DESK_UNLOAD
+} pu_desk_op_t;
+
+typedef struct
+{
+  pu_desk_op_t op;
+  guint32 item;
+  bool adapter; /* loads and unloads beside other orders */
+} pu_desk_order_t;
+
+/* pu_desk_add - ENGINE is there; nothing is known of it yet.  */
+void pu_desk_add (pu_desk_t *d, guint32 engine, guint64 now);
+
+/* pu_desk_remove - ENGINE is gone; its orders end.  */
+void pu_desk_remove (pu_desk_t *d, guint32 engine);
+
+/* pu_desk_want - queues O for ENGINE.  False when an order for the same item
+   is under way there, or ENGINE is not known or refuses us.  */
+bool pu_desk_want (pu_desk_t *d, guint32 engine, const pu_desk_order_t *o,
+                   guint64 now);
+
+/* pu_desk_drop - takes a queued order for ITEM back that was not sent yet.  */
+void pu_desk_drop (pu_desk_t *d, guint32 engine, guint32 item);
+
+typedef enum
+{
+  PU_DESK_ACCEPTED, /* it is being carried out */
+  PU_DESK_HOLDS,    /* what it asks for is so already */
+  PU_DESK_CONFLICT, /* another count, or another order is under way */
+  PU_DESK_FENCED,   /* a later leader has given orders */
+  PU_DESK_REFUSED,  /* it can't be carried out */
+  PU_DESK_GONE,     /* another engine answers */
+  PU_DESK_LOST      /* no answer: nothing is known */
+} pu_desk_answer_t;
+
+/* pu_desk_answer - how the order that ENGINE was sent was answered.  */
+void pu_desk_answer (pu_desk_t *d, guint32 engine, pu_desk_answer_t a,
+                     guint64 now);
+
+/* What an engine says of itself; the lists are borrowed.  */
+typedef struct
+{
+  guint64 accepted; /* orders */
+  bool busy;        /* it carries one out */
+  const guint32 *held;
+  guint n_held;
+  const guint32 *coming; /* adapters on their way to it */
+  guint n_coming;
+} pu_desk_report_t;
+
+/* pu_desk_report - the answer to a FETCH that was asked at ASKED; R NULL: it
+   failed.  */
+void pu_desk_report (pu_desk_t *d, guint32 engine, const pu_desk_report_t *r,
+                     guint64 asked, guint64 now);
+
+/* pu_desk_seen - ENGINE was heard to hold ITEM, by another way than a report
+   that was fetched.  */
+void pu_desk_seen (pu_desk_t *d, guint32 engine, guint32 item, guint64 now);
+
+typedef enum
+{
+  PU_DESK_DO_SEND,  /* send the order to the engine; answer by
+                       pu_desk_answer */
+  PU_DESK_DO_FETCH, /* fetch the engine's report; answer by pu_desk_report */
+  PU_DESK_DO_DONE,  /* the order was carried out, or is being */
+  PU_DESK_DO_FAILED /* it never will be */
+} pu_desk_do_t;
+
+typedef struct
+{
+  pu_desk_do_t what;
+  guint32 engine;
+  pu_desk_order_t order; /* not of a FETCH */
+  guint64 expected;      /* of a SEND */
+} pu_desk_action_t;
+
+/* pu_desk_may_fn - whether the load O may begin now.  */
+typedef bool pu_desk_may_fn (void *data, guint32 engine,
+                             const pu_desk_order_t *o);
+
+/* pu_desk_step - appends what is to be done now (pu_desk_action_t).  MAY is
+   asked before an order is sent for the first time; NULL: all may.  */
+void pu_desk_step (pu_desk_t *d, pu_desk_may_fn *may, void *data, guint64 now,
+                   GArray *actions);
+
+typedef enum
+{
+  PU_DESK_ABSENT,
+  PU_DESK_QUEUED,  /* a load is queued or sent */
+  PU_DESK_LOADING, /* a load was accepted */
+  PU_DESK_READY,
+  PU_DESK_LEAVING /* an unload is queued, sent or accepted */
+} pu_desk_phase_t;
+
+/* One item at an engine.  */
+typedef struct
+{
+  guint32 item;
+  pu_desk_phase_t phase;
+  bool adapter;
+  guint64 since; /* it is in that phase, ms */
+} pu_desk_item_t;
+
+/* pu_desk_items - what ENGINE holds, or may come to hold: borrowed until the
+   next call; N is set.  */
+const pu_desk_item_t *pu_desk_items (const pu_desk_t *d, guint32 engine,
+                                     guint *n);
+pu_desk_phase_t pu_desk_phase (const pu_desk_t *d, guint32 engine,
+                               guint32 item);
+
+/* pu_desk_known - whether a report of ENGINE has come and it takes our
+   orders.  */
+bool pu_desk_known (const pu_desk_t *d, guint32 engine);
+
+/* pu_desk_busy - whether ENGINE is carrying a model's order out.  */
+bool pu_desk_busy (const pu_desk_t *d, guint32 engine);
+
+G_END_DECLS
+
+#endif
--- a/libplantainusher/placement/planner.h
+++ b/libplantainusher/placement/planner.h
@@ -151,6 +151,10 @@
 void pu_planner_set_item (pu_planner_t *p, guint32 item,
                           const pu_plan_item_t *i);
 
+/* pu_planner_set_least - ITEM is to have at least LEAST copies from now on,
+   until it is declared anew.  */
+void pu_planner_set_least (pu_planner_t *p, guint32 item, guint32 least);
+
 /* pu_planner_demand - REQUESTS for ITEM arrived since the last call, which
    need STREAM_MS in all on engines that are not crowded.  */
 void pu_planner_demand (pu_planner_t *p, guint32 item, guint32 requests,
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -277,6 +277,16 @@
   return t->i.version != i->version ? t->i.version : t->i.previous_version;
 }
 
+void
+pu_planner_set_least (pu_planner_t *p, guint32 item, guint32 least)
+{
+  pu_planned_item_t *t;
+
+  grow_items (p, item);
+  t = pu_planned_item (p, item);
+  t->i.min_copies = MIN (least, t->i.max_copies);
+}
+
 void
 pu_planner_set_item (pu_planner_t *p, guint32 item, const pu_plan_item_t *i)
 {
--- /dev/null
+++ b/libplantainusher/placer/sequenced.c
@@ -0,0 +1,1079 @@
+#include "placer/sequenced.h"
+
+#include <string.h>
+
+#include "base/log.h"
+#include "document/document.h"
+#include "http/fetch.h"
+#include "placement/adapters.h"
+#include "placement/planner.h"
+#include "placer/names.h"
+
+#define PART "placer"
+
+enum
+{
+  CONNECT_MS = 300,
+  ANSWER_MS = 300,
+  PLAN_MS = 250,
+  REPORT_MAX = 262144, /* bytes */
+  STATUS_OK = 200,
+  FETCH_MS = 600, /* a report that takes longer is of no use */
+  WANT_MS = 800,  /* a copy that takes longer is asked for anew */
+  WATCH_MS = 5,   /* between two looks at the copies that are waited for */
+};
+
+/* Demand is told in milliseconds of one engine; an engine is hot, by the
+   planner's measure, above 70 in 100 of its time.  */
+#define ENGINE_STREAMS 1.0
+
+/* Time constants of the demand: busy models change within five seconds, and a
+   copy costs a second or two to load where the engine had it before.  */
+#define FORECAST_FAST_S 3.0
+#define FORECAST_MID_S 6.0
+#define FORECAST_SLOW_S 10.0
+#define FORECAST_HELD_S 15.0
+#define FORECAST_LEAD_S 2.0
+
+#define STORE_BURST 3.0
+
+/* One engine, by handle.  */
+typedef struct
+{
+  char *name;
+  char *address;
+  char *zone;
+  char *service;
+  bool usable;
+  guint load;          /* requests, by its last report */
+  GHashTable *cached;  /* set of items whose weights it has at hand */
+  bool seen;           /* scratch of a look at the state */
+} engine_t;
+
+/* What is known while this voter leads.  */
+typedef struct
+{
+  pu_planner_t *planner;
+  pu_desk_t *desk;
+  pu_adapters_t *adapters;
+  pu_names_t items;
+  pu_names_t engine_names;
+  pu_names_t zones;
+  GArray *engines; /* of engine_t */
+  GArray *memory;  /* of guint32, MB by item */
+  pu_document_t *document;
+  guint64 document_version;
+  guint64 changes; /* of the state, as taken in */
+  guint64 term;
+  double store;       /* loads that the store lets begin now */
+  double store_rate;  /* a second */
+  guint64 store_at;   /* when that was counted, ms */
+  guint64 next_plan;  /* ms */
+} lead_t;
+
+struct pu_sequenced
+{
+  pu_sequenced_options_t o;
+  pu_http_client_t *client;
+  lead_t *lead;       /* NULL while another voter leads */
+  guint64 leads;      /* counts the take-overs */
+  GArray *actions;    /* scratch, of pu_desk_action_t */
+  GArray *moves;      /* scratch, of pu_move_t */
+  GArray *copies;     /* scratch, of pu_plan_copy_t */
+  GHashTable *asked;  /* set of asked_t under way */
+  GQueue wants;       /* of want_t */
+  uv_timer_t watch;   /* looks after them */
+  pu_counter_t sent;
+  pu_counter_t fetched;
+  pu_counter_t lost;
+};
+
+/* An order or a fetch under way.  */
+typedef struct
+{
+  pu_sequenced_t *s;
+  guint64 leads;
+  guint32 engine;
+  guint64 at; /* ms */
+  pu_http_fetch_t *fetch;
+} asked_t;
+
+/* A daemon waits for a copy.  */
+typedef struct
+{
+  pu_sequenced_t *s;
+  GList link;
+  pu_control_want_t *want;
+  guint32 engine;
+  guint32 item;
+  guint64 until; /* ms */
+} want_t;
+
+void
+pu_sequenced_options_init (pu_sequenced_options_t *o)
+{
+  *o = (pu_sequenced_options_t){ .connect_ms = CONNECT_MS,
+                                 .answer_ms = ANSWER_MS,
+                                 .plan_ms = PLAN_MS,
+                                 .store_burst = STORE_BURST };
+}
+
+static guint64
+now_of (const pu_sequenced_t *s)
+{
+  return pu_control_now (s->o.control);
+}
+
+static void
+count (const pu_sequenced_t *s, pu_counter_t c)
+{
+  if (s->o.counters != NULL)
+    pu_counters_add (s->o.counters, c, 1);
+}
+
+static engine_t *
+engine_at (const lead_t *l, guint32 engine)
+{
+  return &g_array_index (l->engines, engine_t, engine);
+}
+
+/* --- the document --- */
+
+static guint32
+memory_of (const lead_t *l, guint32 item)
+{
+  return item < l->memory->len ? g_array_index (l->memory, guint32, item) : 0;
+}
+
+static void
+memory_set (lead_t *l, guint32 item, guint32 mb)
+{
+  if (l->memory->len <= item)
+    g_array_set_size (l->memory, item + 1);
+  g_array_index (l->memory, guint32, item) = mb;
+}
+
+static void
+item_declare (lead_t *l, const pu_model_t *m)
+{
+  guint32 item = pu_names_get (&l->items, m->name);
+  pu_plan_item_t t = { .name = pu_names_name (&l->items, item),
+                       .base = PU_PLAN_NONE,
+                       .previous_version = PU_PLAN_NONE,
+                       .memory_mb = pu_model_load_mb (m),
+                       .accelerators = m->accelerators,
+                       .min_copies = m->min_copies,
+                       .max_copies = m->max_copies,
+                       .importance = 5 };
+
+  memory_set (l, item, t.memory_mb);
+  if (m->kind == PU_MODEL_ADAPTER)
+    {
+      pu_adapters_set (l->adapters, item,
+                       pu_names_get (&l->items, m->base_name));
+    }
+  else
+    {
+      pu_planner_set_item (l->planner, item, &t);
+    }
+}
+
+static void
+options_set (lead_t *l)
+{
+  const pu_placement_settings_t *p = pu_document_placement (l->document);
+  pu_planner_options_t o;
+
+  pu_planner_options_init (&o);
+  o.moves_weight = p->moves_weight;
+  o.payback_s = p->payback_s;
+  o.min_stay_s = p->min_stay_s;
+  o.zone_spread = p->zone_spread;
+  o.max_coming = p->store_full_speed;
+  o.move_price = 1;
+  o.forecast.fast_s = FORECAST_FAST_S;
+  o.forecast.mid_s = FORECAST_MID_S;
+  o.forecast.slow_s = FORECAST_SLOW_S;
+  o.forecast.held_s = FORECAST_HELD_S;
+  o.forecast.lead_s = FORECAST_LEAD_S;
+  pu_planner_set_options (l->planner, &o);
+  l->store_rate = p->store_loads_per_s;
+}
+
+static void
+document_take (pu_sequenced_t *s)
+{
+  lead_t *l = s->lead;
+  const pu_doc_record *r
+      = pu_state_document (pu_control_state (s->o.control));
+  pu_findings_t *f;
+  pu_document_t *d;
+
+  if (r == NULL || r->doc_version == l->document_version)
+    return;
+  l->document_version = r->doc_version;
+  f = pu_findings_new ();
+  d = pu_document_parse (r->text, strlen (r->text), f);
+  if (d == NULL)
+    {
+      pu_log_warn (PART, "Can't read document %" G_GUINT64_FORMAT ": %s",
+                   (guint64)r->doc_version, pu_findings_get (f, 0)->message);
+    }
+  pu_findings_free (f);
+  if (d == NULL)
+    return;
+  pu_document_unref (l->document);
+  l->document = d;
+  for (guint32 i = 0; i < pu_names_count (&l->items); i++)
+    pu_planner_set_item (l->planner, i, NULL);
+  for (pu_model_handle_t h = 0; h < pu_document_models (d); h++)
+    item_declare (l, pu_document_model (d, h));
+  options_set (l);
+}
+
+/* --- backend servers --- */
+
+static void
+engine_clear (gpointer data)
+{
+  engine_t *e = data;
+
+  g_free (e->name);
+  g_free (e->address);
+  g_free (e->zone);
+  g_free (e->service);
+  if (e->cached != NULL)
+    g_hash_table_destroy (e->cached);
+}
+
+static void
+engine_new (pu_sequenced_t *s, guint32 handle, const pu_backend_record *b)
+{
+  lead_t *l = s->lead;
+  engine_t *e;
+
+  if (l->engines->len <= handle)
+    g_array_set_size (l->engines, handle + 1);
+  e = engine_at (l, handle);
+  if (e->name != NULL)
+    return;
+  e->name = g_strdup (b->name);
+  e->zone = g_strdup (b->zone);
+  e->service = g_strdup (b->service);
+  e->cached = g_hash_table_new (NULL, NULL);
+}
+
+/* What a check-in says of models is as good a sign of a load's end as a
+   report.  */
+static void
+copies_seen (pu_sequenced_t *s, guint32 handle, const pu_backend_record *b)
+{
+  lead_t *l = s->lead;
+
+  for (u_int i = 0; i < b->copies.copies_len; i++)
+    {
+      guint32 item
+          = pu_names_get (&l->items, b->copies.copies_val[i].model);
+
+      pu_desk_seen (l->desk, handle, item, now_of (s));
+    }
+}
+
+static void
+backend_take (const pu_backend_record *b, void *data)
+{
+  pu_sequenced_t *s = data;
+  lead_t *l = s->lead;
+  guint32 handle;
+  engine_t *e;
+
+  if (b->kind != PU_BACKEND_ENGINE)
+    return;
+  handle = pu_names_get (&l->engine_names, b->name);
+  engine_new (s, handle, b);
+  e = engine_at (l, handle);
+  g_free (e->address);
+  e->address = g_strdup (b->address);
+  e->usable = !b->down && !b->leaving;
+  e->seen = true;
+  if (b->down)
+    {
+      pu_desk_remove (l->desk, handle);
+      return;
+    }
+  pu_desk_add (l->desk, handle, now_of (s));
+  copies_seen (s, handle, b);
+}
+
+static void
+state_take (pu_sequenced_t *s)
+{
+  const pu_state_t *state = pu_control_state (s->o.control);
+  lead_t *l = s->lead;
+
+  if (pu_state_changes (state) == l->changes)
+    return;
+  l->changes = pu_state_changes (state);
+  document_take (s);
+  for (guint i = 0; i < l->engines->len; i++)
+    engine_at (l, i)->seen = false;
+  pu_state_each_backend (state, backend_take, s);
+  for (guint i = 0; i < l->engines->len; i++)
+    {
+      if (!engine_at (l, i)->seen)
+        {
+          engine_at (l, i)->usable = false;
+          pu_desk_remove (l->desk, i);
+        }
+    }
+}
+
+/* --- planning --- */
+
+static const pu_engine_class_t *
+class_of (const lead_t *l, const engine_t *e)
+{
+  pu_service_handle_t h
+      = l->document != NULL && e->service != NULL
+            ? pu_document_find_service (l->document, e->service)
+            : PU_HANDLE_NONE;
+
+  return h != PU_HANDLE_NONE ? &pu_document_service (l->document, h)->engine
+                             : NULL;
+}
+
+static pu_plan_phase_t
+plan_phase (pu_desk_phase_t phase)
+{
+  switch (phase)
+    {
+    case PU_DESK_QUEUED:
+      return PU_PLAN_ORDERED;
+    case PU_DESK_LOADING:
+      return PU_PLAN_LOADING;
+    case PU_DESK_READY:
+      return PU_PLAN_READY;
+    case PU_DESK_LEAVING:
+    case PU_DESK_ABSENT:
+      break;
+    }
+  return PU_PLAN_LEAVING;
+}
+
+/* Memory that adapters may come to take on an engine of class C: as many of
+   the largest as there are places.  */
+static guint32
+adapter_room (const lead_t *l, const pu_engine_class_t *c)
+{
+  guint32 largest = 0;
+
+  for (guint32 i = 0; i < l->memory->len; i++)
+    {
+      if (pu_adapters_is (l->adapters, i))
+        largest = MAX (largest, memory_of (l, i));
+    }
+  return c->adapter_places * largest;
+}
+
+/* Tells the planner how ENGINE stands.  */
+static void
+engine_plan (pu_sequenced_t *s, guint32 handle)
+{
+  lead_t *l = s->lead;
+  const engine_t *e = engine_at (l, handle);
+  const pu_engine_class_t *c = class_of (l, e);
+  guint n;
+  const pu_desk_item_t *items = pu_desk_items (l->desk, handle, &n);
+  pu_plan_engine_t p = { .accelerators = 1, .streams = ENGINE_STREAMS };
+
+  if (c == NULL || e->name == NULL)
+    return;
+  g_array_set_size (s->copies, 0);
+  for (guint i = 0; i < n; i++)
+    {
+      pu_plan_copy_t copy = { .item = items[i].item,
+                              .memory_mb = memory_of (l, items[i].item),
+                              .phase = plan_phase (items[i].phase) };
+
+      if (pu_adapters_is (l->adapters, items[i].item))
+        continue;
+      p.committed_mb += copy.memory_mb;
+      g_array_append_val (s->copies, copy);
+    }
+  p.zone = pu_names_get (&l->zones, e->zone);
+  p.memory_mb = c->memory_mb - MIN (c->memory_mb, adapter_room (l, c));
+  p.usable = e->usable && pu_desk_known (l->desk, handle);
+  p.closed = !p.usable;
+  p.copies = (const pu_plan_copy_t *)(void *)s->copies->data;
+  p.n_copies = s->copies->len;
+  pu_planner_set_engine (l->planner, handle, &p, now_of (s));
+  pu_adapters_engine (l->adapters, handle, c->adapter_places, e->load,
+                      p.usable);
+}
+
+static void
+move_want (pu_sequenced_t *s, const pu_move_t *m)
+{
+  lead_t *l = s->lead;
+  bool load = m->kind == PU_MOVE_LOAD;
+  pu_desk_order_t o
+      = { load ? PU_DESK_LOAD : PU_DESK_UNLOAD, m->item, false };
+  GString *why = g_string_new (NULL);
+
+  pu_planner_explain_move (l->planner, m, why);
+  if (pu_desk_want (l->desk, m->engine, &o, now_of (s)))
+    {
+      pu_log_info (PART, "Wanted: %.*s.", (int)why->len - 1, why->str);
+    }
+  else if (load)
+    {
+      pu_planner_block (l->planner, m->engine, m->item,
+                        now_of (s) + s->o.plan_ms);
+    }
+  g_string_free (why, TRUE);
+}
+
+/* A model needs as many copies as hold the adapters in use.  */
+static void
+copies_demand (pu_sequenced_t *s, guint64 now)
+{
+  const lead_t *l = s->lead;
+  const pu_document_t *d = l->document;
+
+  for (pu_model_handle_t h = 0; h < pu_document_models (d); h++)
+    {
+      const pu_model_t *m = pu_document_model (d, h);
+      pu_service_handle_t v = pu_document_default_service (d, h);
+      guint places = pu_document_service (d, v)->engine.adapter_places;
+      guint32 item;
+      guint n;
+
+      if (m->kind == PU_MODEL_ADAPTER || places == 0
+          || !pu_names_find (&l->items, m->name, &item))
+        continue;
+      n = pu_adapters_active (l->adapters, item, now);
+      pu_planner_set_least (l->planner, item,
+                            MAX (m->min_copies, (n + places - 1) / places));
+    }
+}
+
+static void
+plan (pu_sequenced_t *s, guint64 now)
+{
+  lead_t *l = s->lead;
+
+  if (l->document == NULL || now < l->next_plan)
+    return;
+  l->next_plan = now + s->o.plan_ms;
+  for (guint32 i = 0; i < l->engines->len; i++)
+    engine_plan (s, i);
+  copies_demand (s, now);
+  g_array_set_size (s->moves, 0);
+  pu_planner_step (l->planner, now, s->moves);
+  for (guint i = 0; i < s->moves->len; i++)
+    move_want (s, &g_array_index (s->moves, pu_move_t, i));
+}
+
+/* --- the engines --- */
+
+static asked_t *
+asked_new (pu_sequenced_t *s, guint32 engine)
+{
+  asked_t *a = g_new0 (asked_t, 1);
+
+  a->s = s;
+  a->leads = s->leads;
+  a->engine = engine;
+  a->at = now_of (s);
+  g_hash_table_add (s->asked, a);
+  return a;
+}
+
+/* The answer for A has come.  False: the lead that asked is over.  */
+static bool
+asked_end (asked_t *a)
+{
+  pu_sequenced_t *s = a->s;
+  bool current = s->lead != NULL && a->leads == s->leads;
+
+  g_hash_table_remove (s->asked, a);
+  return current;
+}
+
+static void actions_run (pu_sequenced_t *s);
+static void on_watch (uv_timer_t *t);
+static void want_answer (want_t *w, bool ready);
+static void wants_check (pu_sequenced_t *s);
+
+static void
+on_ordered (void *data, const pu_http_fetched_t *f)
+{
+  asked_t a = *(asked_t *)data;
+  bool whole = f->result.kind == PU_HTTP_END_COMPLETE && f->response != NULL;
+  pu_desk_answer_t answer
+      = whole ? a.s->o.wire->order_answer (f->response->status) : PU_DESK_LOST;
+
+  if (!asked_end (data))
+    return;
+  if (answer == PU_DESK_LOST)
+    count (a.s, a.s->lost);
+  if (answer != PU_DESK_ACCEPTED && answer != PU_DESK_HOLDS)
+    {
+      pu_log_info (PART, "Engine %s answered an order: %d (%s).",
+                   engine_at (a.s->lead, a.engine)->name,
+                   whole ? f->response->status : 0,
+                   pu_http_end_name (f->result.kind));
+    }
+  pu_desk_answer (a.s->lead->desk, a.engine, answer, now_of (a.s));
+  actions_run (a.s);
+}
+
+static bool
+call_start (pu_sequenced_t *s, guint32 engine,
+            const pu_http_call_options_t *shared, pu_http_fetch_cb cb)
+{
+  const engine_t *e = engine_at (s->lead, engine);
+  const pu_http_header_t headers[]
+      = { { "Content-Type", "application/json" },
+          { s->o.wire->engine_header, e->name } };
+  pu_http_call_options_t o = *shared;
+  asked_t *a = asked_new (s, engine);
+
+  o.address = e->address;
+  o.headers = headers;
+  o.header_count = G_N_ELEMENTS (headers);
+  a->fetch = pu_http_fetch (s->client, &o, REPORT_MAX, cb, a, NULL);
+  if (a->fetch != NULL)
+    return true;
+  asked_end (a);
+  return false;
+}
+
+static void
+order_send (pu_sequenced_t *s, const pu_desk_action_t *a)
+{
+  lead_t *l = s->lead;
+  pu_wire_order_t o
+      = { .op = a->order.op,
+          .model = pu_names_name (&l->items, a->order.item),
+          .engine = engine_at (l, a->engine)->name,
+          .holder = s->o.name,
+          .fence = l->term,
+          .expected = a->expected };
+  char *body = s->o.wire->order_body (&o);
+  pu_http_call_options_t call
+      = { .method = "POST",
+          .target = s->o.wire->order_target,
+          .body = g_bytes_new_take (body, strlen (body)),
+          .fresh = true,
+          .reset = true,
+          .first_byte_timeout_ms = s->o.answer_ms,
+          .progress_timeout_ms = s->o.answer_ms };
+
+  count (s, s->sent);
+  if (!pu_control_is_leader (s->o.control)
+      || !call_start (s, a->engine, &call, on_ordered))
+    pu_desk_answer (l->desk, a->engine, PU_DESK_LOST, now_of (s));
+  g_bytes_unref (call.body);
+}
+
+static void
+on_fetched (void *data, const pu_http_fetched_t *f);
+
+static void
+report_fetch (pu_sequenced_t *s, const pu_desk_action_t *a)
+{
+  pu_http_call_options_t call = { .method = "GET",
+                                  .target = s->o.wire->report_target,
+                                  .first_byte_timeout_ms = FETCH_MS,
+                                  .progress_timeout_ms = FETCH_MS };
+
+  count (s, s->fetched);
+  if (!call_start (s, a->engine, &call, on_fetched))
+    pu_desk_report (s->lead->desk, a->engine, NULL, now_of (s), now_of (s));
+}
+
+static GArray *
+items_of (lead_t *l, const GPtrArray *names)
+{
+  GArray *items = g_array_new (FALSE, FALSE, sizeof (guint32));
+
+  for (guint i = 0; i < names->len; i++)
+    {
+      guint32 item = pu_names_get (&l->items, names->pdata[i]);
+
+      g_array_append_val (items, item);
+    }
+  return items;
+}
+
+static void
+cached_take (lead_t *l, engine_t *e, const GPtrArray *names)
+{
+  for (guint i = 0; i < names->len; i++)
+    {
+      g_hash_table_add (e->cached, GUINT_TO_POINTER (pu_names_get (
+                                       &l->items, names->pdata[i])));
+    }
+}
+
+static void
+report_take (pu_sequenced_t *s, const asked_t *a, const pu_wire_report_t *r)
+{
+  lead_t *l = s->lead;
+  engine_t *e = engine_at (l, a->engine);
+  GArray *held = items_of (l, r->held);
+  GArray *coming = items_of (l, r->coming);
+  pu_desk_report_t report = { .accepted = r->accepted,
+                              .busy = r->busy,
+                              .held = (const guint32 *)(void *)held->data,
+                              .n_held = held->len,
+                              .coming = (const guint32 *)(void *)coming->data,
+                              .n_coming = coming->len };
+
+  g_hash_table_remove_all (e->cached);
+  cached_take (l, e, r->in_memory);
+  cached_take (l, e, r->on_disk);
+  e->load = r->running + r->waiting;
+  pu_desk_report (l->desk, a->engine, &report, a->at, now_of (s));
+  if (s->o.load != NULL)
+    s->o.load (s->o.data, e->name, r);
+  g_array_unref (held);
+  g_array_unref (coming);
+}
+
+static void
+wire_report_init (pu_wire_report_t *r)
+{
+  *r = (pu_wire_report_t){
+    .held = g_ptr_array_new_with_free_func (g_free),
+    .coming = g_ptr_array_new_with_free_func (g_free),
+    .in_memory = g_ptr_array_new_with_free_func (g_free),
+    .on_disk = g_ptr_array_new_with_free_func (g_free),
+  };
+}
+
+static void
+wire_report_clear (pu_wire_report_t *r)
+{
+  g_ptr_array_free (r->held, TRUE);
+  g_ptr_array_free (r->coming, TRUE);
+  g_ptr_array_free (r->in_memory, TRUE);
+  g_ptr_array_free (r->on_disk, TRUE);
+}
+
+static void
+on_fetched (void *data, const pu_http_fetched_t *f)
+{
+  asked_t a = *(asked_t *)data;
+  pu_sequenced_t *s = a.s;
+  bool whole = f->result.kind == PU_HTTP_END_COMPLETE && f->response != NULL
+               && f->response->status == STATUS_OK;
+  pu_findings_t *findings;
+  pu_wire_report_t r;
+
+  if (!asked_end (data))
+    return;
+  findings = pu_findings_new ();
+  wire_report_init (&r);
+  if (whole && s->o.wire->report_read (f->body, f->body_len, &r, findings))
+    {
+      report_take (s, &a, &r);
+    }
+  else
+    {
+      pu_desk_report (s->lead->desk, a.engine, NULL, a.at, now_of (s));
+    }
+  wire_report_clear (&r);
+  pu_findings_free (findings);
+  actions_run (s);
+}
+
+/* --- the store --- */
+
+static void
+store_refill (pu_sequenced_t *s, guint64 now)
+{
+  lead_t *l = s->lead;
+  double ms = (double)(now - l->store_at);
+
+  l->store = MIN (s->o.store_burst, l->store + ms / 1000 * l->store_rate);
+  l->store_at = now;
+}
+
+/* Whether a load may begin: one from the store takes one of its turns.  */
+static bool
+load_may (void *data, guint32 engine, const pu_desk_order_t *o)
+{
+  pu_sequenced_t *s = data;
+  lead_t *l = s->lead;
+  const engine_t *e = engine_at (l, engine);
+
+  if (o->adapter && o->op == PU_DESK_LOAD)
+    return pu_adapters_fit (l->adapters, engine);
+  if (o->op != PU_DESK_LOAD
+      || g_hash_table_contains (e->cached, GUINT_TO_POINTER (o->item)))
+    return true;
+  if (l->store < 1)
+    return false;
+  l->store -= 1;
+  return true;
+}
+
+/* --- steps --- */
+
+static void
+done_tell (pu_sequenced_t *s, const pu_desk_action_t *a)
+{
+  lead_t *l = s->lead;
+  bool failed = a->what == PU_DESK_DO_FAILED;
+
+  pu_log_info (PART, "%s to %s %s on %s.", failed ? "Failed" : "Began",
+               a->order.op == PU_DESK_LOAD ? "load" : "unload",
+               pu_names_name (&l->items, a->order.item),
+               engine_at (l, a->engine)->name);
+  if (failed && !a->order.adapter && a->order.op == PU_DESK_LOAD)
+    {
+      pu_planner_block (l->planner, a->engine, a->order.item,
+                        now_of (s) + s->o.plan_ms);
+    }
+}
+
+static void
+actions_run (pu_sequenced_t *s)
+{
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (pu_desk_action_t));
+
+  store_refill (s, now_of (s));
+  pu_desk_step (s->lead->desk, load_may, s, now_of (s), actions);
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const pu_desk_action_t *a
+          = &g_array_index (actions, pu_desk_action_t, i);
+
+      switch (a->what)
+        {
+        case PU_DESK_DO_SEND:
+          order_send (s, a);
+          break;
+        case PU_DESK_DO_FETCH:
+          report_fetch (s, a);
+          break;
+        case PU_DESK_DO_DONE:
+        case PU_DESK_DO_FAILED:
+          done_tell (s, a);
+          break;
+        }
+    }
+  g_array_unref (actions);
+}
+
+/* --- the duty --- */
+
+static void
+lead_free (lead_t *l)
+{
+  if (l == NULL)
+    return;
+  pu_adapters_free (l->adapters);
+  pu_desk_free (l->desk);
+  pu_planner_free (l->planner);
+  pu_names_clear (&l->items);
+  pu_names_clear (&l->engine_names);
+  pu_names_clear (&l->zones);
+  g_array_unref (l->engines);
+  g_array_unref (l->memory);
+  pu_document_unref (l->document);
+  g_free (l);
+}
+
+static lead_t *
+lead_new (guint64 term, guint64 now)
+{
+  lead_t *l = g_new0 (lead_t, 1);
+  pu_planner_options_t planner;
+  pu_desk_options_t desk;
+
+  pu_planner_options_init (&planner);
+  pu_desk_options_init (&desk);
+  l->planner = pu_planner_new (&planner);
+  l->desk = pu_desk_new (&desk);
+  l->adapters = pu_adapters_new (l->desk);
+  pu_names_init (&l->items);
+  pu_names_init (&l->engine_names);
+  pu_names_init (&l->zones);
+  l->engines = g_array_new (FALSE, TRUE, sizeof (engine_t));
+  g_array_set_clear_func (l->engines, engine_clear);
+  l->memory = g_array_new (FALSE, TRUE, sizeof (guint32));
+  l->changes = G_MAXUINT64;
+  l->term = term;
+  /* The leader before may have used the store up just now.  */
+  l->store = 0;
+  l->store_at = now;
+  return l;
+}
+
+static void
+on_begin (void *data, uint64_t now, uint64_t term)
+{
+  pu_sequenced_t *s = data;
+
+  s->leads++;
+  s->lead = lead_new (term, now);
+}
+
+static void
+wants_refuse (pu_sequenced_t *s)
+{
+  want_t *w;
+
+  while ((w = g_queue_peek_head (&s->wants)) != NULL)
+    want_answer (w, false);
+}
+
+static void
+asked_cancel (pu_sequenced_t *s)
+{
+  GHashTableIter it;
+  gpointer key;
+
+  g_hash_table_iter_init (&it, s->asked);
+  while (g_hash_table_iter_next (&it, &key, NULL))
+    {
+      pu_http_fetch_cancel (((asked_t *)key)->fetch);
+      g_hash_table_iter_remove (&it);
+    }
+}
+
+static void
+on_end (void *data)
+{
+  pu_sequenced_t *s = data;
+
+  asked_cancel (s);
+  wants_refuse (s);
+  g_clear_pointer (&s->lead, lead_free);
+}
+
+static void
+on_tick (void *data, uint64_t now)
+{
+  pu_sequenced_t *s = data;
+
+  if (s->lead == NULL)
+    return;
+  state_take (s);
+  plan (s, now);
+  actions_run (s);
+  wants_check (s);
+}
+
+static void
+on_demand (void *data, const char *model, guint32 requests, guint32 stream_ms)
+{
+  pu_sequenced_t *s = data;
+  lead_t *l = s->lead;
+  guint32 item;
+
+  if (l == NULL || !pu_names_find (&l->items, model, &item))
+    return;
+  if (pu_adapters_is (l->adapters, item))
+    {
+      pu_adapters_used (l->adapters, item, now_of (s));
+      item = pu_adapters_base (l->adapters, item);
+    }
+  pu_planner_demand (l->planner, item, requests, stream_ms);
+}
+
+/* --- what daemons want --- */
+
+static void
+want_answer (want_t *w, bool ready)
+{
+  pu_sequenced_t *s = w->s;
+  json_t *place = NULL;
+
+  if (ready)
+    {
+      place = json_pack ("{s:s}", "backend",
+                         engine_at (s->lead, w->engine)->name);
+    }
+  g_queue_unlink (&s->wants, &w->link);
+  pu_control_want_answer (w->want, place);
+  g_free (w);
+}
+
+static void
+wants_check (pu_sequenced_t *s)
+{
+  GList *next;
+
+  for (GList *l = s->wants.head; l != NULL; l = next)
+    {
+      want_t *w = l->data;
+      pu_desk_phase_t phase
+          = pu_desk_phase (s->lead->desk, w->engine, w->item);
+
+      next = l->next;
+      if (phase == PU_DESK_READY)
+        {
+          want_answer (w, true);
+        }
+      else if (phase == PU_DESK_ABSENT || phase == PU_DESK_LEAVING
+               || now_of (s) >= w->until)
+        {
+          want_answer (w, false);
+        }
+    }
+  if (s->wants.head != NULL && !uv_is_active ((uv_handle_t *)&s->watch))
+    uv_timer_start (&s->watch, on_watch, WATCH_MS, 0);
+}
+
+static void
+on_watch (uv_timer_t *t)
+{
+  pu_sequenced_t *s = t->data;
+
+  if (s->lead == NULL)
+    return;
+  actions_run (s);
+  wants_check (s);
+}
+
+static void
+on_want (void *data, const char *model, pu_control_want_t *want)
+{
+  pu_sequenced_t *s = data;
+  lead_t *l = s->lead;
+  want_t *w;
+  guint32 item;
+  guint32 engine = PU_ADAPTERS_NONE;
+
+  if (l != NULL && pu_names_find (&l->items, model, &item))
+    {
+      for (guint32 i = 0; i < l->engines->len; i++)
+        engine_plan (s, i);
+      engine = pu_adapters_want (l->adapters, item, now_of (s));
+    }
+  if (engine == PU_ADAPTERS_NONE)
+    {
+      pu_control_want_answer (want, NULL);
+      return;
+    }
+  w = g_new0 (want_t, 1);
+  w->s = s;
+  w->link.data = w;
+  w->want = want;
+  w->engine = engine;
+  w->item = item;
+  w->until = now_of (s) + WANT_MS;
+  g_queue_push_tail_link (&s->wants, &w->link);
+  actions_run (s);
+  wants_check (s);
+}
+
+/* --- life --- */
+
+pu_sequenced_t *
+pu_sequenced_new (const pu_sequenced_options_t *o)
+{
+  pu_sequenced_t *s = g_new0 (pu_sequenced_t, 1);
+  pu_control_duty_t duty = { "placement", on_begin, on_tick, on_end, s };
+  pu_http_client_options_t c = { .loop = o->loop,
+                                 .connect_timeout_ms = o->connect_ms };
+
+  s->o = *o;
+  s->client = pu_http_client_new (&c);
+  s->actions = g_array_new (FALSE, FALSE, sizeof (pu_desk_action_t));
+  s->moves = g_array_new (FALSE, FALSE, sizeof (pu_move_t));
+  s->copies = g_array_new (FALSE, FALSE, sizeof (pu_plan_copy_t));
+  s->asked = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  g_queue_init (&s->wants);
+  uv_timer_init (o->loop, &s->watch);
+  s->watch.data = s;
+  if (o->counters != NULL)
+    {
+      s->sent = pu_counters_get (o->counters, "placement_orders_sent_total");
+      s->fetched
+          = pu_counters_get (o->counters, "placement_reports_fetched_total");
+      s->lost
+          = pu_counters_get (o->counters, "placement_answers_lost_total");
+    }
+  pu_control_add_duty (o->control, &duty);
+  pu_control_on_demand (o->control, on_demand, s);
+  pu_control_on_want (o->control, on_want, s);
+  return s;
+}
+
+static void
+on_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+void
+pu_sequenced_free (pu_sequenced_t *s)
+{
+  if (s == NULL)
+    return;
+  asked_cancel (s);
+  wants_refuse (s);
+  lead_free (s->lead);
+  s->lead = NULL;
+  pu_http_client_free (s->client);
+  g_array_unref (s->actions);
+  g_array_unref (s->moves);
+  g_array_unref (s->copies);
+  g_hash_table_destroy (s->asked);
+  uv_close ((uv_handle_t *)&s->watch, on_closed);
+}
+
+static const char *
+phase_name (pu_desk_phase_t phase)
+{
+  static const char *const names[] = {
+    [PU_DESK_ABSENT] = "absent",   [PU_DESK_QUEUED] = "queued",
+    [PU_DESK_LOADING] = "loading", [PU_DESK_READY] = "ready",
+    [PU_DESK_LEAVING] = "leaving",
+  };
+
+  return names[phase];
+}
+
+static json_t *
+items_json (const lead_t *l, guint32 engine)
+{
+  guint n;
+  const pu_desk_item_t *items = pu_desk_items (l->desk, engine, &n);
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < n; i++)
+    {
+      json_array_append_new (
+          list, json_pack ("{s:s, s:s}", "model",
+                           pu_names_name (&l->items, items[i].item), "phase",
+                           phase_name (items[i].phase)));
+    }
+  return list;
+}
+
+json_t *
+pu_sequenced_status (pu_sequenced_t *s)
+{
+  const lead_t *l = s->lead;
+  json_t *engines = json_array ();
+
+  for (guint32 i = 0; l != NULL && i < l->engines->len; i++)
+    {
+      const engine_t *e = engine_at (l, i);
+
+      if (e->name == NULL || !e->seen)
+        continue;
+      json_array_append_new (
+          engines,
+          json_pack ("{s:s, s:b, s:b, s:o}", "engine", e->name, "known",
+                     pu_desk_known (l->desk, i), "busy",
+                     pu_desk_busy (l->desk, i), "items", items_json (l, i)));
+    }
+  return json_pack ("{s:b, s:o}", "leads", l != NULL, "engines", engines);
+}
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -25,6 +25,21 @@
   return line_at (&model_at (r, q->model)->first, q->prompt_tokens);
 }
 
+/* What a token costs an engine whose batch is full: a step of 6 ms for 64 of
+   them.  */
+#define TOKEN_MS 0.1
+
+double
+pu_router_cost_ms (const pu_router_t *r, pu_router_model_t m, guint prompt,
+                   guint output)
+{
+  const model_t *t = model_at (r, m);
+
+  if (t == NULL)
+    return 0;
+  return line_slope (&t->first) * prompt * t->mean_own + output * TOKEN_MS;
+}
+
 static bool
 has_block (const backend_t *s, guint64 block)
 {
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -243,6 +243,11 @@
   s->peak = MAX (s->peak, s->in_flight);
   m->in_flight++;
   m->mean_prompt += MEAN_SHARE * (q->prompt_tokens - m->mean_prompt);
+  if (q->prompt_tokens > 0)
+    {
+      m->mean_own += MEAN_SHARE
+                     * ((double)q->own_tokens / q->prompt_tokens - m->mean_own);
+    }
   r->in_flight++;
   r->stats.dispatched++;
   r->stats.prompt_tokens += q->prompt_tokens;
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -68,6 +68,7 @@
   line_t step;        /* requests at once -> ms for each token */
   double mean_prompt; /* tokens */
   double mean_output; /* tokens; 0: not known */
+  double mean_own;    /* share of a prompt that was not cached */
   guint64 busy_since; /* since when requests wait without a break */
   double drain_rate;  /* starts for each ms while busy; 0: not known */
   guint drained;      /* starts since busy_since */
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -164,6 +164,7 @@
   m->name = g_strdup (name);
   m->ready = g_array_new (FALSE, FALSE, sizeof (ready_t));
   m->flows = g_array_new (FALSE, FALSE, sizeof (flow_t));
+  m->mean_own = 1;
   g_array_set_clear_func (m->flows, flow_clear);
   line_init (&m->first, r->options.decode_ms, r->options.prefill_ms,
              TOKEN_RIDGE);
