HTTP: a strict server for callers, and answers that end between chunks

Cause: a stream that broke off ended with h2o's malformed chunk, which is no HTTP; h2o reads a request with two lengths by the chunked one and takes what follows for another request (both seen in http_test before the change).

Ruled out: looking at h2o's input buffer for the raw head: the chunks' own lines are gone by then, and odd ones stay unseen.

Change: http/h1_reader reads strictly, http/h1_server answers; the h2o server stays for the completions interface and shuts the connection before its chunk.

--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -285,6 +285,7 @@
           .header_max = o->header_max,
           .body_max = o->body_max,
           .connections_max = o->connections_max,
+          .strict = o->front != NULL,
           .refusal_header = "x-outcome",
           .refusal_value = "not-run",
           .refusal_body
@@ -391,8 +392,27 @@
   en->o.announcement_max = o->announcement_max;
   en->o.connections_max = o->connections_max;
   en->o.requests_max = o->requests_max;
-  pu_http_server_set_limits (en->server, o->header_max, o->body_max,
-                             o->connections_max);
+  pu_entry_limits_set (en);
+}
+
+static gsize
+lesser (gsize own, guint32 declared)
+{
+  return declared == 0 ? own : MIN (own, declared);
+}
+
+void
+pu_entry_limits_set (pu_entry_t *en)
+{
+  static const pu_caller_limits_t none = { 0, 0, 0, 0 };
+  const pu_caller_limits_t *l
+      = en->document != NULL ? pu_document_callers (en->document) : &none;
+
+  pu_http_server_set_limits (
+      en->server, lesser (en->o.header_max, l->max_header_bytes),
+      lesser (en->o.body_max, l->max_body_bytes), en->o.connections_max);
+  pu_http_server_set_times (en->server, l->header_timeout_ms,
+                            l->idle_timeout_ms);
 }
 
 void
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -421,6 +421,10 @@
 void pu_exchanges_tick (pu_entry_t *en, guint64 now);
 void pu_exchanges_abort (pu_entry_t *en);
 
+/* pu_entry_limits_set - what a caller may send: the least of what the options
+   and the document in force allow.  */
+void pu_entry_limits_set (pu_entry_t *en);
+
 /* pu_entry_check - after a request has ended or a callback has come: whether
    a stop or the freeing of the entry is complete.  */
 void pu_entry_check (pu_entry_t *en);
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -223,6 +223,7 @@
       pu_router_set_model (en->router, m->name, m->version, SHARE_ALL);
     }
   pu_document_unref (old);
+  pu_entry_limits_set (en);
 }
 
 void
--- a/libplantainusher/http/http_test.cc
+++ b/libplantainusher/http/http_test.cc
@@ -50,7 +50,8 @@
   }
 };
 
-class Http : public testing::Test
+/* Both kinds of server: h2o's, and the strict one.  */
+class Http : public testing::TestWithParam<bool>
 {
 protected:
   uv_loop_t loop{};
@@ -77,6 +78,8 @@
     so.loop = &loop;
     so.host = "127.0.0.1";
     so.body_max = 4 << 20;
+    so.strict = GetParam ();
+    so.header_ms = 300;
     so.write_timeout_ms = 300;
     so.linger_ms = 1;
     so.refusal_header = "X-Outcome";
@@ -167,7 +170,7 @@
   }
 };
 
-TEST_F (Http, LargeBodiesBothWaysOnOneConnection)
+TEST_P (Http, LargeBodiesBothWaysOnOneConnection)
 {
   std::string body (3 << 20, 'x');
 
@@ -184,7 +187,7 @@
   EXPECT_EQ (1u, pu_http_client_open (client));
 }
 
-TEST_F (Http, RequestSaysWhatWasSent)
+TEST_P (Http, RequestSaysWhatWasSent)
 {
   call c;
 
@@ -211,7 +214,7 @@
   EXPECT_EQ (204, c.status);
 }
 
-TEST_F (Http, BodyOverTheLimitIsRefusedWithTheOutcome)
+TEST_P (Http, BodyOverTheLimitIsRefusedWithTheOutcome)
 {
   call c;
 
@@ -221,7 +224,7 @@
   EXPECT_EQ ("{\"refused\":true}", c.body);
 }
 
-TEST_F (Http, HeadersOverTheLimitAreRefused)
+TEST_P (Http, HeadersOverTheLimitAreRefused)
 {
   call c;
   std::string big (40000, 'x');
@@ -235,7 +238,7 @@
   EXPECT_EQ (431, c.status);
 }
 
-TEST_F (Http, StreamedAnswerIsWhole)
+TEST_P (Http, StreamedAnswerIsWhole)
 {
   call c;
 
@@ -251,7 +254,7 @@
   EXPECT_EQ (10000u, c.body.size ());
 }
 
-TEST_F (Http, AbortedAnswerIsSeenAsTruncated)
+TEST_P (Http, AbortedAnswerIsSeenAsTruncated)
 {
   for (bool some : { true, false })
     {
@@ -271,6 +274,124 @@
     }
 }
 
+/* What the strict server alone promises.  */
+class StrictHttp : public Http
+{
+};
+
+/* A peer that writes bytes as they are and keeps what comes back.  */
+struct raw
+{
+  uv_tcp_t tcp{};
+  uv_connect_t connect{};
+  uv_write_t write{};
+  std::string sent;
+  std::string got;
+  bool closed = false;
+
+  raw (uv_loop_t *loop, int port, const std::string &bytes) : sent (bytes)
+  {
+    struct sockaddr_in at;
+
+    uv_ip4_addr ("127.0.0.1", port, &at);
+    uv_tcp_init (loop, &tcp);
+    tcp.data = this;
+    uv_tcp_connect (
+        &connect, &tcp, reinterpret_cast<struct sockaddr *> (&at),
+        [] (uv_connect_t *c, int) {
+          auto *self = static_cast<raw *> (c->handle->data);
+          uv_buf_t buf = uv_buf_init (&self->sent[0], self->sent.size ());
+
+          uv_write (&self->write, c->handle, &buf, 1, nullptr);
+          uv_read_start (c->handle, alloc, read);
+        });
+  }
+  static void
+  alloc (uv_handle_t *, size_t, uv_buf_t *buf)
+  {
+    static char block[65536];
+
+    *buf = uv_buf_init (block, sizeof block);
+  }
+  static void
+  read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+  {
+    auto *self = static_cast<raw *> (s->data);
+
+    if (n > 0)
+      self->got.append (buf->base, static_cast<size_t> (n));
+    if (n < 0)
+      uv_close (reinterpret_cast<uv_handle_t *> (s), [] (uv_handle_t *h) {
+        static_cast<raw *> (h->data)->closed = true;
+      });
+  }
+};
+
+/* What is unfinished ends with the connection: no byte that is no HTTP tells
+   of it, and no end that would make it look whole.  */
+TEST_P (Http, AbortedAnswerEndsBetweenChunks)
+{
+  handler = [] (pu_http_request_t *r) {
+    pu_http_respond_start (r, 200, nullptr, 0);
+    pu_http_respond_write (r, "abc", 3);
+    pu_http_respond_abort (r);
+  };
+  raw peer (&loop, pu_http_server_port (server),
+            "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+
+  until ([&] { return peer.closed; });
+  const std::string tail = "\r\n3\r\nabc\r\n";
+  ASSERT_LE (tail.size (), peer.got.size ()) << peer.got;
+  EXPECT_EQ (tail, peer.got.substr (peer.got.size () - tail.size ()));
+}
+
+/* A request with two ways to tell its length is one request to one peer and
+   two to another: it is refused, and nothing behind it is read.  */
+TEST_P (StrictHttp, AmbiguousLengthIsRefused)
+{
+  static const char inner[] = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string cases[] = {
+    std::string ("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+        + inner,
+    std::string ("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+                 "\r\nContent-Length: 40\r\n\r\n0\r\n\r\n")
+        + inner,
+    std::string ("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+                 "Content-Length: 40\r\n\r\n")
+        + inner,
+    std::string ("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+                 "\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n")
+        + inner,
+    std::string ("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked"
+                 "\r\n\r\n0\r\n\r\n")
+        + inner,
+    std::string ("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +0\r\n\r\n")
+        + inner,
+    std::string ("POST / HTTP/1.1\r\nHost: h\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n")
+        + inner,
+    std::string ("POST / HTTP/1.1\r\nHost: h\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n")
+        + inner,
+  };
+
+  for (const std::string &one : cases)
+    {
+      std::vector<std::string> seen;
+
+      handler = [&] (pu_http_request_t *r) {
+        seen.push_back (pu_http_request_path (r));
+        pu_http_respond (r, 200, nullptr, 0, "", 0);
+      };
+      raw peer (&loop, pu_http_server_port (server), one);
+
+      until ([&] { return peer.closed; });
+      EXPECT_TRUE (seen.empty ()) << one << " reached the handler";
+      EXPECT_EQ (std::string::npos, peer.got.find ("200")) << one;
+    }
+}
+
 /* A handler that writes 64 KiB each time that the former are taken.  */
 struct flood
 {
@@ -294,7 +415,7 @@
   }
 };
 
-TEST_F (Http, SlowReaderHoldsTheWriterBack)
+TEST_P (Http, SlowReaderHoldsTheWriterBack)
 {
   static const pu_http_request_events_t events = { nullptr, flood::more };
   flood f;
@@ -330,7 +451,7 @@
   EXPECT_EQ (f.limit, c.body.size ());
 }
 
-TEST_F (Http, CallerThatTakesNothingHasGone)
+TEST_P (Http, CallerThatTakesNothingHasGone)
 {
   call c;
 
@@ -347,7 +468,7 @@
   pu_http_call_cancel (c.handle);
 }
 
-TEST_F (Http, CancelClosesTheConnectionAndTheServerSeesIt)
+TEST_P (Http, CancelClosesTheConnectionAndTheServerSeesIt)
 {
   for (bool streaming : { false, true })
     {
@@ -373,7 +494,7 @@
     }
 }
 
-TEST_F (Http, SilentServerTripsTheTimeouts)
+TEST_P (Http, SilentServerTripsTheTimeouts)
 {
   call first;
   call progress;
@@ -397,7 +518,7 @@
   EXPECT_EQ ("abc", progress.body);
 }
 
-TEST_F (Http, RefusedConnectionWroteNothing)
+TEST_P (Http, RefusedConnectionWroteNothing)
 {
   call c;
 
@@ -409,7 +530,7 @@
   EXPECT_FALSE (c.result.written);
 }
 
-TEST_F (Http, BadAddressIsAnError)
+TEST_P (Http, BadAddressIsAnError)
 {
   for (const char *bad : { "host:1", "127.0.0.1", "127.0.0.1:0", ":1",
                            "127.0.0.1:70000", "[::1:1" })
@@ -422,7 +543,7 @@
     }
 }
 
-TEST_F (Http, GracefulStopFinishesTheOpenStream)
+TEST_P (Http, GracefulStopFinishesTheOpenStream)
 {
   call c;
   call late;
@@ -448,7 +569,7 @@
   until ([this] { return stopped; });
 }
 
-TEST_F (Http, StopClosesIdleConnections)
+TEST_P (Http, StopClosesIdleConnections)
 {
   call c;
 
@@ -459,7 +580,7 @@
   until ([this] { return stopped && pu_http_client_open (client) == 0; });
 }
 
-TEST_F (Http, FetchBoundsTheBody)
+TEST_P (Http, FetchBoundsTheBody)
 {
   struct got
   {
@@ -489,4 +610,7 @@
     }
 }
 
+INSTANTIATE_TEST_SUITE_P (Servers, Http, testing::Values (false, true));
+INSTANTIATE_TEST_SUITE_P (Servers, StrictHttp, testing::Values (true));
+
 } // namespace
--- a/libplantainusher/http/picohttp.h
+++ b/libplantainusher/http/picohttp.h
@@ -9,7 +9,7 @@
 /*
  * picohttp - the parser that libh2o carries and exports.
  *
- * Debian's libh2o-dev ships no header for it, so its three functions are
+ * Debian's libh2o-dev ships no header for it, so its functions are
  * declared here; response_test.cc would fail at a change of their layout.
  */
 
@@ -35,6 +35,11 @@
                         struct phr_header *headers, size_t *num_headers,
                         size_t last_len);
 
+int phr_parse_request (const char *buf, size_t len, const char **method,
+                       size_t *method_len, const char **path, size_t *path_len,
+                       int *minor_version, struct phr_header *headers,
+                       size_t *num_headers, size_t last_len);
+
 /* Decodes in place and sets *SIZE to the bytes decoded.  The number of bytes
    after the end, -1 when malformed, -2 when unfinished.  */
 ssize_t phr_decode_chunked (struct phr_chunked_decoder *decoder, char *buf,
--- a/libplantainusher/http/request.c
+++ b/libplantainusher/http/request.c
@@ -4,12 +4,14 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http/h1_server.h"
 #include "http/query.h"
 
 enum
 {
   STATUS_CLIENT_CLOSED = 499,
   STATUS_HEADERS_TOO_LARGE = 431,
+  HTTP2 = 0x200,
 };
 
 static const char *
@@ -21,12 +23,34 @@
 const char *
 pu_http_request_method (const pu_http_request_t *r)
 {
+  if (r->h1 != NULL)
+    return pu_h1_reader_method (pu_h1_reader_of (r));
   return pool_string (r->req, r->req->method);
 }
 
+/* Decoded; NUL bytes end it.  */
+static char *
+path_decode (const char *target)
+{
+  char *raw = g_strndup (target, strcspn (target, "?"));
+  char *path = g_uri_unescape_string (raw, NULL);
+
+  if (path == NULL)
+    return raw;
+  g_free (raw);
+  return path;
+}
+
 const char *
 pu_http_request_path (const pu_http_request_t *r)
 {
+  pu_http_request_t *mine = (pu_http_request_t *)r;
+
+  if (r->h1 != NULL && r->decoded == NULL)
+    {
+      mine->decoded = path_decode (r->target);
+      mine->path = mine->decoded;
+    }
   return r->path;
 }
 
@@ -47,24 +71,30 @@
 const char *
 pu_http_request_host (const pu_http_request_t *r)
 {
+  if (r->h1 != NULL)
+    return pu_h1_reader_host (pu_h1_reader_of (r));
   return pool_string (r->req, r->req->input.authority);
 }
 
 const char *
 pu_http_request_remote (const pu_http_request_t *r)
 {
+  if (r->h1 != NULL && r->remote[0] == '\0')
+    pu_h1_remote ((pu_http_request_t *)r);
   return r->remote;
 }
 
 guint64
 pu_http_request_connection (const pu_http_request_t *r)
 {
-  return r->req->conn->id;
+  return r->h1 != NULL ? pu_h1_number (r) : r->req->conn->id;
 }
 
 const char *
 pu_http_request_body (const pu_http_request_t *r, gsize *len)
 {
+  if (r->h1 != NULL)
+    return pu_h1_reader_body (pu_h1_reader_of (r), len);
   *len = r->req->entity.len;
   return r->req->entity.base != NULL ? r->req->entity.base : "";
 }
@@ -72,17 +102,40 @@
 gsize
 pu_http_request_header_count (const pu_http_request_t *r)
 {
+  if (r->h1 != NULL)
+    return pu_h1_reader_headers (pu_h1_reader_of (r))->len;
   return r->req->headers.size;
 }
 
 pu_http_header_t
 pu_http_request_header_at (const pu_http_request_t *r, gsize i)
 {
-  const h2o_header_t *h = &r->req->headers.entries[i];
-  pu_http_header_t one
-      = { pool_string (r->req, *h->name), pool_string (r->req, h->value) };
+  const h2o_header_t *h;
 
-  return one;
+  if (r->h1 != NULL)
+    {
+      return g_array_index (pu_h1_reader_headers (pu_h1_reader_of (r)),
+                            pu_http_header_t, i);
+    }
+  h = &r->req->headers.entries[i];
+  return (pu_http_header_t){ pool_string (r->req, *h->name),
+                             pool_string (r->req, h->value) };
+}
+
+static const char *
+h1_header (const pu_http_request_t *r, const char *name)
+{
+  const GArray *headers = pu_h1_reader_headers (pu_h1_reader_of (r));
+
+  for (guint i = 0; i < headers->len; i++)
+    {
+      const pu_http_header_t *h
+          = &g_array_index (headers, pu_http_header_t, i);
+
+      if (g_ascii_strcasecmp (h->name, name) == 0)
+        return h->value;
+    }
+  return NULL;
 }
 
 const char *
@@ -90,6 +143,8 @@
 {
   gsize len = strlen (name);
 
+  if (r->h1 != NULL)
+    return h1_header (r, name);
   for (gsize i = 0; i < r->req->headers.size; i++)
     {
       const h2o_header_t *h = &r->req->headers.entries[i];
@@ -179,6 +234,35 @@
             last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
 
+static int
+request_fd (const pu_http_request_t *r)
+{
+  uv_os_fd_t fd = -1;
+
+  if (uv_fileno ((const uv_handle_t *)r->conn->tcp, &fd) != 0)
+    return -1;
+  return fd;
+}
+
+static void
+connection_cut (pu_http_request_t *r)
+{
+  int fd = request_fd (r);
+
+  if (fd >= 0)
+    shutdown (fd, SHUT_RDWR);
+}
+
+/* Ends the answer as unfinished.  h2o would mark that by a chunk whose size
+   can't be read, which is no HTTP: the connection is shut before it can.  */
+static void
+answer_break (pu_http_request_t *r)
+{
+  if (r->req->version < HTTP2)
+    connection_cut (r);
+  end_send (r, H2O_SEND_STATE_ERROR);
+}
+
 /* Goes on with what is to be sent.  R may be freed on return.  */
 static void
 request_pump (pu_http_request_t *r)
@@ -191,7 +275,7 @@
     }
   else if (r->aborting)
     {
-      end_send (r, H2O_SEND_STATE_ERROR);
+      answer_break (r);
     }
   else if (r->finishing)
     {
@@ -217,25 +301,6 @@
     }
 }
 
-static int
-request_fd (const pu_http_request_t *r)
-{
-  uv_os_fd_t fd = -1;
-
-  if (uv_fileno ((const uv_handle_t *)r->conn->tcp, &fd) != 0)
-    return -1;
-  return fd;
-}
-
-static void
-connection_cut (pu_http_request_t *r)
-{
-  int fd = request_fd (r);
-
-  if (fd >= 0)
-    shutdown (fd, SHUT_RDWR);
-}
-
 static void
 head_set (pu_http_request_t *r, int status, const pu_http_header_t *headers,
           gsize n)
@@ -268,6 +333,11 @@
 pu_http_respond_start (pu_http_request_t *r, int status,
                        const pu_http_header_t *headers, gsize n)
 {
+  if (r->h1 != NULL)
+    {
+      pu_h1_respond_start (r, status, headers, n);
+      return;
+    }
   head_set (r, status, headers, n);
   head_start (r);
 }
@@ -277,6 +347,11 @@
                  const pu_http_header_t *headers, gsize n, const char *body,
                  gsize len)
 {
+  if (r->h1 != NULL)
+    {
+      pu_h1_respond (r, status, headers, n, body, len);
+      return;
+    }
   if (r->started)
     {
       pu_http_respond_abort (r);
@@ -292,6 +367,8 @@
 gsize
 pu_http_respond_write (pu_http_request_t *r, const char *bytes, gsize len)
 {
+  if (r->h1 != NULL)
+    return pu_h1_respond_write (r, bytes, len);
   g_byte_array_append (r->pending, (const guint8 *)bytes, (guint)len);
   if (!r->sending && !r->ended && len > 0)
     pending_send (r);
@@ -301,6 +378,11 @@
 void
 pu_http_respond_finish (pu_http_request_t *r)
 {
+  if (r->h1 != NULL)
+    {
+      pu_h1_respond_finish (r);
+      return;
+    }
   r->released = true;
   r->finishing = true;
   request_pump (r);
@@ -309,6 +391,11 @@
 void
 pu_http_respond_abort (pu_http_request_t *r)
 {
+  if (r->h1 != NULL)
+    {
+      pu_h1_respond_abort (r);
+      return;
+    }
   r->released = true;
   r->aborting = true;
   request_pump (r);
@@ -338,7 +425,7 @@
 static bool
 needs_poll (const pu_http_request_t *r)
 {
-  return r->req->version < 0x200 && !r->released;
+  return r->req->version < HTTP2 && !r->released;
 }
 
 static void
--- a/libplantainusher/http/server.c
+++ b/libplantainusher/http/server.c
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "http/client.h"
+#include "http/h1_server.h"
 #include "http/tcp.h"
 
 enum
@@ -17,6 +18,7 @@
   BODY_MAX = 8 * 1024 * 1024,
   CONNECTIONS_MAX = 4096,
   IDLE_MS = 30000,
+  HEADER_MS = 10000,
   WRITE_TIMEOUT_MS = 30000,
   LINGER_MS = 1500,
   SWEEP_MS = 200,
@@ -65,6 +67,11 @@
 
   if (status != 0)
     return;
+  if (s->o.strict)
+    {
+      pu_h1_accept (s, listener);
+      return;
+    }
   tcp = g_new0 (uv_tcp_t, 1);
   uv_tcp_init (listener->loop, tcp);
   if (uv_accept (listener, (uv_stream_t *)tcp) != 0
@@ -81,6 +88,14 @@
 static void
 conns_shutdown (pu_http_server_t *s, bool idle_only, int how)
 {
+  if (s->o.strict)
+    {
+      if (idle_only)
+        pu_h1_stop_idle (s);
+      else
+        pu_h1_abort (s);
+      return;
+    }
   for (GList *l = s->conns.head; l != NULL; l = l->next)
     {
       const pu_server_conn_t *conn = l->data;
@@ -114,7 +129,14 @@
 {
   pu_http_server_t *s = t->data;
 
-  pu_request_sweep (s);
+  if (s->o.strict)
+    {
+      pu_h1_sweep (s);
+    }
+  else
+    {
+      pu_request_sweep (s);
+    }
   stop_check (s);
 }
 
@@ -127,6 +149,7 @@
     SSL_CTX_free (s->accept.ssl_ctx);
   g_array_free (s->polls, TRUE);
   g_ptr_array_free (s->polled, TRUE);
+  g_free (s->buffer);
   g_free (s->refusal_header);
   g_free (s->refusal_value);
   g_free (s->refusal_body);
@@ -149,7 +172,8 @@
   s->stop_cb = cb;
   s->stop_data = data;
   uv_close ((uv_handle_t *)&s->listener, on_handle_closed);
-  h2o_context_request_shutdown (&s->ctx);
+  if (!s->o.strict)
+    h2o_context_request_shutdown (&s->ctx);
 }
 
 void
@@ -166,6 +190,8 @@
   /* Handles are reported closed last in, first out: the first to be closed
      here may free the memory of those of h2o.  */
   uv_close ((uv_handle_t *)&s->sweep, on_handle_closed);
+  if (s->o.strict)
+    return;
   /* The second GOAWAY may still be due; there is no one left to get it.  */
   if (h2o_timeout_is_linked (&s->ctx.http2._graceful_shutdown_timeout))
     h2o_timeout_unlink (&s->ctx.http2._graceful_shutdown_timeout);
@@ -204,17 +230,25 @@
   s->o.header_max = header_max != 0 ? header_max : HEADER_MAX;
   s->o.body_max = body_max != 0 ? body_max : BODY_MAX;
   s->o.connections_max = or_default (connections_max, CONNECTIONS_MAX);
-  /* h2o looks at it with each request.  */
+  /* h2o looks at it with each request.  A strict connection keeps those of its
+     beginning.  */
   s->conf.max_request_entity_size = s->o.body_max;
 }
 
+void
+pu_http_server_set_times (pu_http_server_t *s, guint header_ms, guint idle_ms)
+{
+  s->o.header_ms = or_default (header_ms, HEADER_MS);
+  s->o.idle_ms = or_default (idle_ms, IDLE_MS);
+}
+
 static void
 options_take (pu_http_server_t *s, const pu_http_server_options_t *o)
 {
   s->o = *o;
   pu_http_server_set_limits (s, o->header_max, o->body_max,
                              o->connections_max);
-  s->o.idle_ms = or_default (o->idle_ms, IDLE_MS);
+  pu_http_server_set_times (s, o->header_ms, o->idle_ms);
   s->o.write_timeout_ms = or_default (o->write_timeout_ms, WRITE_TIMEOUT_MS);
   s->o.linger_ms = or_default (o->linger_ms, LINGER_MS);
   if (o->refusal_header != NULL && o->refusal_body != NULL)
@@ -336,7 +370,14 @@
   uv_tcp_init (o->loop, &s->listener);
   s->listener.data = s;
   s->open_handles = 2;
-  h2o_setup (s);
+  if (s->o.strict)
+    {
+      s->buffer = g_malloc (PU_SERVER_BUFFER);
+    }
+  else
+    {
+      h2o_setup (s);
+    }
   if (tls_init (s, e) && listen_start (s, e))
     {
       uv_timer_start (&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
--- a/libplantainusher/http/server.h
+++ b/libplantainusher/http/server.h
@@ -35,6 +35,11 @@
   gsize header_max;       /* bytes of all headers; 0: 32768; over it 431 */
   gsize body_max;         /* bytes; 0: 8 MiB; over it 413 */
   guint connections_max;  /* 0: 4096; one more is closed at once */
+  bool strict;            /* HTTP/1 only, without TLS, read by h1_reader.h:
+                             for callers that must not hide one request in
+                             another */
+  guint header_ms;        /* strict: from the first byte of a head to its end;
+                             0: 10000 */
   guint idle_ms;          /* 0: 30000; rounded up to whole seconds */
   guint write_timeout_ms; /* 0: 30000 */
   guint linger_ms;        /* graceful stop: idle connections are closed after
@@ -67,6 +72,11 @@
    its handles are closed.  */
 void pu_http_server_free (pu_http_server_t *s);
 
+/* pu_http_server_set_times - header_ms and idle_ms of a strict server, from
+   now on; 0 as in the options.  */
+void pu_http_server_set_times (pu_http_server_t *s, guint header_ms,
+                               guint idle_ms);
+
 /* pu_http_server_set_limits - for what comes from now on; 0 as in the
    options.  Connections over a lower CONNECTIONS_MAX stay.  */
 void pu_http_server_set_limits (pu_http_server_t *s, gsize header_max,
--- a/libplantainusher/http/server_private.h
+++ b/libplantainusher/http/server_private.h
@@ -10,6 +10,12 @@
  * connections, stop), request.c (one exchange) and refusal.c.
  */
 
+/* Bytes that a strict connection reads at once.  */
+#define PU_SERVER_BUFFER 65536
+
+/* A strict connection of a caller: h1_server.c.  */
+typedef struct pu_h1_conn pu_h1_conn_t;
+
 /* A connection of a caller; lives until h2o closes its socket.  */
 typedef struct
 {
@@ -27,11 +33,12 @@
   h2o_accept_ctx_t accept;
   uv_tcp_t listener;
   uv_timer_t sweep;
-  GQueue conns;  /* of pu_server_conn_t */
+  GQueue conns;  /* of pu_server_conn_t, or of pu_h1_conn_t */
   GQueue open;   /* of pu_http_request_t */
   GArray *polls; /* of struct pollfd, for the sweep */
   GPtrArray *polled;
-  char *certificate;
+  char *buffer;      /* strict: what is read into */
+  guint64 last_conn; /* strict: number of the newest connection */
   char *refusal_header;
   char *refusal_value;
   char *refusal_body;
@@ -48,7 +55,8 @@
 {
   h2o_generator_t generator; /* first: h2o hands it back */
   pu_http_server_t *server;
-  pu_server_conn_t *conn;
+  pu_h1_conn_t *h1;       /* strict: its connection; NULL: h2o's */
+  pu_server_conn_t *conn; /* h2o's; here and below, but for the strings */
   h2o_req_t *req;
   GList link; /* in the server's open */
   pu_http_request_events_t events;
@@ -64,6 +72,7 @@
   bool ended;     /* h2o has got the end */
   const char *path;
   const char *target;
+  char *decoded; /* strict: owns the path */
   char remote[INET6_ADDRSTRLEN + 1];
 };
 
