Client: a reset is no end of an answer without length; daemons tell who votes

MIXED: an answer without length whose connection was reset was passed on as whole. libuv tells of an end where bytes and a reset have come together; the client now asks the socket. http_test fails without it (both ways of the test).

CONFIG: after the settings had come to name other seeds and all had restarted, daemons polled seeds that do not vote and got nothing for good.

--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -128,6 +128,7 @@
       kept_load (a);
     }
   pu_agent_poll_init (a);
+  pu_agent_find_init (a);
   return a;
 }
 
@@ -139,6 +140,7 @@
   a->closing = true;
   pu_agent_proposals_clear (a);
   pu_agent_queries_clear (a);
+  pu_agent_find_clear (a);
   pu_agent_poll_clear (a);
   pu_rpc_timer_free (a->trust_timer);
   pu_rpc_timer_free (a->keep_timer);
--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -10,6 +10,7 @@
 #include "base/counters.h"
 #include "base/error.h"
 #include "rpc/client.h"
+#include "rpc/server.h"
 #include "state/state.h"
 
 G_BEGIN_DECLS
@@ -37,6 +38,9 @@
                                    state knows that one already */
   const char *const *join;      /* peers' addresses of voters */
   size_t n_join;
+  pu_rpc_server_t *server; /* answers other daemons that look for voters; NULL:
+                              this one does not */
+  bool votes;              /* this daemon is a voter, or may become one */
   const char *folder;      /* where the image is kept; NULL: nowhere */
   pu_counters_t *counters; /* may be NULL */
   guint32 seed;
@@ -52,6 +56,9 @@
 
   /* Called after the copy changed, and when it is first ready.  */
   void (*on_change) (void *data);
+  /* Called when the voters that are known have changed: their addresses.  May
+     be NULL.  */
+  void (*on_voters) (void *data, const char *const *addresses, size_t n);
   /* Called once when a daemon of the same name and a higher incarnation has
      taken this one's place; the agent stops polling.  May be NULL.  */
   void (*on_superseded) (void *data);
--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -39,6 +39,7 @@
   GPtrArray *learnt;
   GPtrArray *ranked;
   uint64_t voters_hash;
+  uint64_t voters_at; /* log position of the learnt ones; 0: none */
   guint at;          /* in ranked: the one that is polled */
   uint64_t moved_at; /* loop time when `at` left the preferred one */
   char *leader;      /* address; "" when not known */
@@ -51,6 +52,10 @@
   GHashTable *renewals; /* backend server -> renewal_t */
   GHashTable *demand;   /* model -> demand_t */
 
+  /* find.c */
+  uv_timer_t *find_timer;
+  uint64_t found_at; /* loop time when others were last asked */
+
   /* propose.c */
   GQueue proposals; /* by rising seq */
   uint64_t next_seq;
@@ -77,6 +82,16 @@
 void pu_agent_voters_home (pu_agent_t *a);
 void pu_agent_set_leader (pu_agent_t *a, const char *address);
 
+
+/* pu_agent_voters_take - N voters, who became that at the position AT: false
+   when that is no news.  */
+bool pu_agent_voters_take (pu_agent_t *a, uint64_t at, const pu_voter *voters,
+                           u_int n);
+
+/* find.c: daemons that tell each other who votes */
+void pu_agent_find_init (pu_agent_t *a);
+void pu_agent_find_clear (pu_agent_t *a);
+
 /* poll.c */
 void pu_agent_poll_init (pu_agent_t *a);
 void pu_agent_poll_clear (pu_agent_t *a);
--- a/libplantainusher/agent/voters.c
+++ b/libplantainusher/agent/voters.c
@@ -86,6 +86,22 @@
   return a->at < a->ranked->len ? a->ranked->pdata[a->at] : NULL;
 }
 
+static void
+voters_set (pu_agent_t *a, uint64_t at, const pu_voter *voters, u_int n)
+{
+  a->voters_at = at;
+  g_ptr_array_set_size (a->learnt, 0);
+  for (u_int i = 0; i < n; i++)
+    g_ptr_array_add (a->learnt, g_strdup (voters[i].address));
+  voters_rank (a);
+  if (a->options.on_voters != NULL)
+    {
+      a->options.on_voters (a->options.data,
+                            (const char *const *)a->learnt->pdata,
+                            a->learnt->len);
+    }
+}
+
 void
 pu_agent_voters_learn (pu_agent_t *a, const pu_poll_reply *r)
 {
@@ -93,10 +109,17 @@
   if (r->voters.voters_len == 0)
     return;
   a->voters_hash = r->voters_hash;
-  g_ptr_array_set_size (a->learnt, 0);
-  for (u_int i = 0; i < r->voters.voters_len; i++)
-    g_ptr_array_add (a->learnt, g_strdup (r->voters.voters_val[i].address));
-  voters_rank (a);
+  voters_set (a, r->voters_at, r->voters.voters_val, r->voters.voters_len);
+}
+
+bool
+pu_agent_voters_take (pu_agent_t *a, uint64_t at, const pu_voter *voters,
+                      u_int n)
+{
+  if (n == 0 || at <= a->voters_at)
+    return false;
+  voters_set (a, at, voters, n);
+  return true;
 }
 
 void
--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -334,6 +334,12 @@
   g_array_append_val (c->duties, *duty);
 }
 
+void
+pu_control_meet (pu_control_t *c, const char *address)
+{
+  pu_group_meet (c->group, address);
+}
+
 void
 pu_control_on_want (pu_control_t *c, pu_control_want_fn *fn, void *data)
 {
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -78,6 +78,9 @@
    there stay.  */
 void pu_control_set_claims_max (pu_control_t *c, guint32 claims_max);
 
+/* pu_control_meet - a voter may stand at ADDRESS, see pu_group_meet.  */
+void pu_control_meet (pu_control_t *c, const char *address);
+
 /* pu_control_state - the full state as applied on this voter.  */
 const pu_state_t *pu_control_state (const pu_control_t *c);
 
--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -22,6 +22,7 @@
 const PU_CONTROL_LOADS = 7;    /* pu_loads, one way, entry to entry; 5 was
                                   that with names */
 const PU_CONTROL_POLL_DELTAS = 8; /* as POLL; entries may be BACKEND_DELTA */
+const PU_CONTROL_FIND = 9;     /* pu_find -> pu_find, of any daemon */
 
 const PU_CONTROL_LIST_MAX = 4096;
 const PU_CONTROL_VOTERS_MAX = 16;
@@ -77,11 +78,19 @@
   unsigned hyper position;
   pu_name leader;             /* its address; empty when not known */
   unsigned hyper voters_hash;
+  unsigned hyper voters_at;   /* log position that made them the voters */
   pu_voter voters<PU_CONTROL_VOTERS_MAX>; /* empty when the hash is known */
   pu_public_entry entries<PU_CONTROL_LIST_MAX>;
   opaque image<PU_CONTROL_IMAGE_MAX>;     /* empty: none */
 };
 
+/* Who votes, as far as a daemon knows: both sides take the later word.  */
+struct pu_find
+{
+  unsigned hyper voters_at;   /* 0: nothing is known */
+  pu_voter voters<PU_CONTROL_VOTERS_MAX>;
+};
+
 struct pu_propose
 {
   pu_name proposer;
--- a/libplantainusher/control/polls.c
+++ b/libplantainusher/control/polls.c
@@ -50,12 +50,14 @@
 
 /* put_voters - fills in the voters, unless the reader KNOWS them.  */
 static void
-put_voters (pu_poll_reply *r, const pu_log_config *config, uint64_t knows,
+put_voters (pu_poll_reply *r, const pu_group_t *group, uint64_t knows,
             pu_voter *voters)
 {
+  const pu_log_config *config = pu_group_config (group);
   u_int n = 0;
 
   r->cluster = config->cluster;
+  r->voters_at = pu_group_config_at (group);
   r->voters_hash = voters_hash (config);
   if (r->voters_hash == knows)
     return;
@@ -148,7 +150,8 @@
   if (put_news (c, p, &r, entries) || anyway)
     {
       r.leader = g_strdup (pu_control_leader_address (c));
-      put_voters (&r, pu_group_config (c->group), p->voters_hash, voters);
+      put_voters (&r, c->group, p->voters_hash, voters);
+      g_log ("DBG", G_LOG_LEVEL_MESSAGE, "answer pos %lu image %u entries %u", (unsigned long)r.position, r.image.image_len, r.entries.entries_len);
       poll_free (p);
       pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_poll_reply, &r);
       g_free (r.leader);
@@ -270,6 +273,7 @@
   p->due = now + MIN (args.wait_ms, WAIT_MAX_MS);
   p->node.data = p;
   xdr_free ((xdrproc_t)xdr_pu_poll, &args);
+  g_log ("DBG", G_LOG_LEVEL_MESSAGE, "poll from %s position %lu fresh %d mine %lu", args.name?"":"", (unsigned long)p->position, p->fresh, (unsigned long)pu_state_position (c->state));
   g_queue_push_tail_link (&c->polls, &p->node);
   pu_rpc_call_on_close (call, on_poll_closed, p);
   poll_answer (p, p->due == now);
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -63,6 +63,9 @@
     g_ptr_array_add (list, g_strdup (*seed));
   for (guint i = 0; i < s->voters.n; i++)
     g_ptr_array_add (list, g_strdup (rows[i].peers));
+  /* The settings' addresses may be of others that do not vote.  */
+  if (s->control && s->seeds.n > 0)
+    g_ptr_array_add (list, g_strdup (s->addresses.peers));
   g_strfreev (seeds);
   return list;
 }
@@ -259,6 +262,15 @@
   m->leaving = FALSE;
 }
 
+static void
+on_voters (void *data, const char *const *addresses, size_t n)
+{
+  pu_daemon_t *d = data;
+
+  for (size_t i = 0; d->control != NULL && i < n; i++)
+    pu_control_meet (d->control, addresses[i]);
+}
+
 static bool
 build_agent (pu_daemon_t *d, pu_error_t *e)
 {
@@ -278,6 +290,9 @@
   o.self = &self;
   o.join = (const char *const *)join->pdata;
   o.n_join = join->len;
+  o.server = d->peers;
+  o.votes = s->control;
+  o.on_voters = on_voters;
   o.folder = folder;
   o.counters = d->counters;
   o.seed = seed_of (s);
--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -2,6 +2,7 @@
 #include "http/tcp.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 enum
 {
@@ -163,6 +164,18 @@
     }
 }
 
+/* Whether the peer has closed its side in order.  libuv tells of an end where
+   bytes and a reset have come together, so the socket itself is asked.  */
+static bool
+ended_in_order (const pu_conn_t *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static pu_http_end_t
 closed_kind (const pu_conn_t *conn, ssize_t why)
 {
@@ -174,7 +187,8 @@
                                              : PU_HTTP_END_CLOSED;
     }
   if (why == UV_EOF
-      && pu_http_reader_response (rd)->body_kind == PU_HTTP_BODY_CLOSE)
+      && pu_http_reader_response (rd)->body_kind == PU_HTTP_BODY_CLOSE
+      && ended_in_order (conn))
     return PU_HTTP_END_UNTIL_CLOSE;
   return PU_HTTP_END_TRUNCATED;
 }
--- a/libplantainusher/http/http_test.cc
+++ b/libplantainusher/http/http_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <uv.h>
 
+#include <arpa/inet.h>
 #include <csignal>
 #include <functional>
 #include <string>
@@ -392,6 +393,84 @@
     }
 }
 
+/* A server whose answer gives no length and ends with its connection, which is
+   closed or reset.  */
+struct unframed
+{
+  uv_tcp_t listener{};
+  uv_tcp_t tcp{};
+  uv_write_t write{};
+  bool resets;
+  int port = 0;
+
+  unframed (uv_loop_t *loop, bool with_reset) : resets (with_reset)
+  {
+    struct sockaddr_in at;
+    int len = sizeof at;
+
+    uv_ip4_addr ("127.0.0.1", 0, &at);
+    uv_tcp_init (loop, &listener);
+    uv_tcp_init (loop, &tcp);
+    listener.data = this;
+    tcp.data = this;
+    uv_tcp_bind (&listener, reinterpret_cast<struct sockaddr *> (&at), 0);
+    uv_listen (reinterpret_cast<uv_stream_t *> (&listener), 1, on_connection);
+    uv_tcp_getsockname (&listener, reinterpret_cast<struct sockaddr *> (&at),
+                        &len);
+    port = ntohs (at.sin_port);
+  }
+  static void
+  on_connection (uv_stream_t *l, int)
+  {
+    static char answer[] = "HTTP/1.1 200 OK\r\n\r\nabc";
+    auto *self = static_cast<unframed *> (l->data);
+    auto *stream = reinterpret_cast<uv_stream_t *> (&self->tcp);
+
+    uv_accept (l, stream);
+    /* The request is read, so that closing is no reset by itself.  */
+    uv_read_start (
+        stream,
+        [] (uv_handle_t *, size_t, uv_buf_t *b) {
+          static char bytes[4096];
+          *b = uv_buf_init (bytes, sizeof bytes);
+        },
+        [] (uv_stream_t *s, ssize_t n, const uv_buf_t *) {
+          auto *me = static_cast<unframed *> (s->data);
+          uv_buf_t out = uv_buf_init (answer, sizeof answer - 1);
+
+          if (n <= 0)
+            return;
+          uv_try_write (s, &out, 1);
+          if (me->resets)
+            uv_tcp_close_reset (&me->tcp, nullptr);
+          else
+            uv_close (reinterpret_cast<uv_handle_t *> (s), nullptr);
+        });
+  }
+};
+
+/* The body and the reset may be there at once, and must not look like a body
+   and its end.  */
+TEST_P (Http, ResetIsNoEndOfAnAnswerWithoutLength)
+{
+  for (bool resets : { false, true })
+    {
+      unframed peer (&loop, resets);
+      call c;
+
+      start (c, "", [&] (pu_http_call_options_t &o) {
+        address = "127.0.0.1:" + std::to_string (peer.port);
+        o.address = address.c_str ();
+      });
+      finish (c);
+      EXPECT_EQ (resets ? PU_HTTP_END_TRUNCATED : PU_HTTP_END_UNTIL_CLOSE,
+                 c.result.kind);
+      EXPECT_EQ ("abc", c.body);
+      uv_close (reinterpret_cast<uv_handle_t *> (&peer.listener), nullptr);
+      uv_run (&loop, UV_RUN_NOWAIT);
+    }
+}
+
 /* A handler that writes 64 KiB each time that the former are taken.  */
 struct flood
 {
--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -640,6 +640,18 @@
   return pu_replica_config (g->replica);
 }
 
+uint64_t
+pu_group_config_at (const pu_group_t *g)
+{
+  return pu_replica_config_index (g->replica);
+}
+
+void
+pu_group_meet (pu_group_t *g, const char *address)
+{
+  pu_replica_meet (g->replica, address);
+}
+
 uint64_t
 pu_group_committed (const pu_group_t *g)
 {
--- a/libplantainusher/log/group.h
+++ b/libplantainusher/log/group.h
@@ -122,6 +122,13 @@
 /* pu_group_config - the voters in force; valid until the next call.  */
 const pu_log_config *pu_group_config (const pu_group_t *g);
 
+/* pu_group_config_at - the position that put these voters in force.  */
+uint64_t pu_group_config_at (const pu_group_t *g);
+
+/* pu_group_meet - a voter may stand at ADDRESS: a log that has none of its own
+   yet asks there, too.  */
+void pu_group_meet (pu_group_t *g, const char *address);
+
 /* pu_group_committed - the highest committed position.  */
 uint64_t pu_group_committed (const pu_group_t *g);
 
--- a/libplantainusher/log/replica_voters.c
+++ b/libplantainusher/log/replica_voters.c
@@ -72,6 +72,32 @@
   return strcmp (s->peer.name, from->name) == 0;
 }
 
+static bool
+is_known (const pu_replica_t *r, const char *address)
+{
+  for (guint i = 0; i < r->seeds->len; i++)
+    {
+      const pu_seed_t *s = &g_array_index (r->seeds, pu_seed_t, i);
+
+      if (strcmp (s->peer.address, address) == 0)
+        return true;
+    }
+  return strcmp (r->self.address, address) == 0;
+}
+
+void
+pu_replica_meet (pu_replica_t *r, const char *address)
+{
+  const pu_log_peer peer = { .name = (char *)"", .address = (char *)address };
+  pu_seed_t s = { 0 };
+
+  /* Those who start a log wait for just the initial ones.  */
+  if (r->initial || is_known (r, address))
+    return;
+  pu_log_peer_copy (&s.peer, &peer);
+  g_array_append_val (r->seeds, s);
+}
+
 static void
 note_fresh (pu_replica_t *r, uint64_t now, const pu_log_peer *from)
 {
