Desk: a load that no longer fits is dropped before it is sent

A leader that takes over while an engine carries out a load that the leader before ordered doesn't see that load in the report, and queued another. Ruled out: the count (compare and set held), late orders.

The desk knows each item's memory and each engine's room, and fails a load that doesn't fit at the moment it is sent; an engine busy with an order that we don't know is closed to planning; an order for what is there already is no order. A fuzz of leaders against a model engine, with late, lost and doubled orders, failed first.

--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -139,7 +139,6 @@
 static void
 poll_failed (pu_agent_t *a, const char *why)
 {
-  g_log ("DBG", G_LOG_LEVEL_MESSAGE, "poll failed %s", why);
   guint doublings = MIN (a->failures, PAUSE_DOUBLINGS);
   guint most = MIN (PAUSE_MIN_MS << doublings, PAUSE_MAX_MS);
 
@@ -214,7 +213,6 @@
       poll_failed (a, "no address.");
       return;
     }
-  g_log ("DBG", G_LOG_LEVEL_MESSAGE, "poll start to %s", pu_agent_voter (a));
   bytes = poll_encode (a);
   data = g_bytes_get_data (bytes, &size);
   /* What is lost with a poll is a hint or comes again with a report.  */
--- a/libplantainusher/control/polls.c
+++ b/libplantainusher/control/polls.c
@@ -151,7 +151,6 @@
     {
       r.leader = g_strdup (pu_control_leader_address (c));
       put_voters (&r, c->group, p->voters_hash, voters);
-      g_log ("DBG", G_LOG_LEVEL_MESSAGE, "answer pos %lu image %u entries %u", (unsigned long)r.position, r.image.image_len, r.entries.entries_len);
       poll_free (p);
       pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_poll_reply, &r);
       g_free (r.leader);
@@ -273,7 +272,6 @@
   p->due = now + MIN (args.wait_ms, WAIT_MAX_MS);
   p->node.data = p;
   xdr_free ((xdrproc_t)xdr_pu_poll, &args);
-  g_log ("DBG", G_LOG_LEVEL_MESSAGE, "poll from %s position %lu fresh %d mine %lu", args.name?"":"", (unsigned long)p->position, p->fresh, (unsigned long)pu_state_position (c->state));
   g_queue_push_tail_link (&c->polls, &p->node);
   pu_rpc_call_on_close (call, on_poll_closed, p);
   poll_answer (p, p->due == now);
--- a/libplantainusher/placement/desk.c
+++ b/libplantainusher/placement/desk.c
@@ -23,6 +23,7 @@
   guint64 accepted;  /* orders, as far as we know */
   guint64 changed;   /* when that last changed, ms */
   bool busy;
+  guint32 room_mb;   /* 0: no limit */
   GArray *items;     /* of pu_desk_item_t */
   GQueue queue;      /* of order_t *, the first may be sent */
   bool sent;         /* the first order of the queue was */
@@ -42,6 +43,7 @@
 {
   pu_desk_options_t o;
   GArray *engines; /* of engine_t, by handle */
+  GArray *memory;  /* of guint32, MB by item */
   GArray *ends;    /* of pu_desk_action_t: DONE and FAILED to be told */
 };
 
@@ -76,6 +78,7 @@
   d->o = *o;
   d->engines = g_array_new (FALSE, TRUE, sizeof (engine_t));
   g_array_set_clear_func (d->engines, engine_clear);
+  d->memory = g_array_new (FALSE, TRUE, sizeof (guint32));
   d->ends = g_array_new (FALSE, FALSE, sizeof (pu_desk_action_t));
   return d;
 }
@@ -86,6 +89,7 @@
   if (d == NULL)
     return;
   g_array_unref (d->engines);
+  g_array_unref (d->memory);
   g_array_unref (d->ends);
   g_free (d);
 }
@@ -143,6 +147,49 @@
     }
 }
 
+/* --- memory --- */
+
+void
+pu_desk_set_item (pu_desk_t *d, guint32 item, guint32 memory_mb)
+{
+  if (d->memory->len <= item)
+    g_array_set_size (d->memory, item + 1);
+  g_array_index (d->memory, guint32, item) = memory_mb;
+}
+
+void
+pu_desk_set_room (pu_desk_t *d, guint32 engine, guint32 room_mb)
+{
+  engine_t *e = engine_at (d, engine);
+
+  if (e != NULL)
+    e->room_mb = room_mb;
+}
+
+static guint32
+memory_of (const pu_desk_t *d, guint32 item)
+{
+  return item < d->memory->len ? g_array_index (d->memory, guint32, item) : 0;
+}
+
+/* Whether ITEM fits into E beside all that may be there.  */
+static bool
+memory_fits (const pu_desk_t *d, const engine_t *e, guint32 item)
+{
+  guint64 taken = memory_of (d, item);
+
+  if (e->room_mb == 0)
+    return true;
+  for (guint i = 0; i < e->items->len; i++)
+    {
+      const pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
+
+      if (t->item != item && t->phase != PU_DESK_QUEUED)
+        taken += memory_of (d, t->item);
+    }
+  return taken <= e->room_mb;
+}
+
 /* --- orders --- */
 
 static order_t *
@@ -294,6 +341,13 @@
   return l;
 }
 
+/* Whether O would change what E holds.  */
+static bool
+order_is_due (const engine_t *e, const pu_desk_order_t *o)
+{
+  return (item_find (e, o->item) == NULL) == (o->op == PU_DESK_LOAD);
+}
+
 bool
 pu_desk_want (pu_desk_t *d, guint32 engine, const pu_desk_order_t *o,
               guint64 now)
@@ -302,7 +356,7 @@
   order_t *mine;
 
   if (e == NULL || !e->known || e->fenced_out
-      || order_for (e, o->item) != NULL)
+      || order_for (e, o->item) != NULL || !order_is_due (e, o))
     return false;
   mine = g_new0 (order_t, 1);
   mine->o = *o;
@@ -543,6 +597,11 @@
     return;
   if (e->sent && !e->answered && now < e->last_sent + d->o.answer_ms)
     return;
+  if (!e->sent && o->o.op == PU_DESK_LOAD && !memory_fits (d, e, o->o.item))
+    {
+      order_fail (d, engine);
+      return;
+    }
   if (!e->sent && may != NULL && !may (data, engine, &o->o))
     return;
   if (!e->sent)
@@ -638,3 +697,21 @@
 
   return e != NULL && e->busy;
 }
+
+bool
+pu_desk_secret (const pu_desk_t *d, guint32 engine)
+{
+  const engine_t *e = engine_at (d, engine);
+
+  if (e == NULL || !e->busy)
+    return false;
+  for (guint i = 0; i < e->items->len; i++)
+    {
+      const pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
+
+      if (t->phase == PU_DESK_LEAVING
+          || (t->phase == PU_DESK_LOADING && !t->adapter))
+        return false;
+    }
+  return true;
+}
--- a/libplantainusher/placement/desk.h
+++ b/libplantainusher/placement/desk.h
@@ -61,8 +61,16 @@
 /* pu_desk_remove - ENGINE is gone; its orders end.  */
 void pu_desk_remove (pu_desk_t *d, guint32 engine);
 
+/* pu_desk_set_item - ITEM takes MEMORY_MB of an engine's memory: 0 where that
+   is not known, or not counted.  */
+void pu_desk_set_item (pu_desk_t *d, guint32 item, guint32 memory_mb);
+
+/* pu_desk_set_room - ENGINE has ROOM_MB of memory for items; 0: no limit.  */
+void pu_desk_set_room (pu_desk_t *d, guint32 engine, guint32 room_mb);
+
 /* pu_desk_want - queues O for ENGINE.  False when an order for the same item
-   is under way there, or ENGINE is not known or refuses us.  */
+   is under way there, or it is there (or not) already, or ENGINE is not known
+   or refuses us.  */
 bool pu_desk_want (pu_desk_t *d, guint32 engine, const pu_desk_order_t *o,
                    guint64 now);
 
@@ -126,7 +134,10 @@
                              const pu_desk_order_t *o);
 
 /* pu_desk_step - appends what is to be done now (pu_desk_action_t).  MAY is
-   asked before an order is sent for the first time; NULL: all may.  */
+   asked before an order is sent for the first time; NULL: all may.  A load
+   that doesn't fit into the memory beside what the engine holds, or may hold
+   yet, fails then: what an engine holds may have come since it was wanted, by
+   an order of the leader before.  */
 void pu_desk_step (pu_desk_t *d, pu_desk_may_fn *may, void *data, guint64 now,
                    GArray *actions);
 
@@ -162,6 +173,10 @@
 /* pu_desk_busy - whether ENGINE is carrying a model's order out.  */
 bool pu_desk_busy (const pu_desk_t *d, guint32 engine);
 
+/* pu_desk_secret - whether ENGINE is carrying an order out that we don't know:
+   it may come to hold anything.  */
+bool pu_desk_secret (const pu_desk_t *d, guint32 engine);
+
 G_END_DECLS
 
 #endif
--- /dev/null
+++ b/libplantainusher/placement/desk_test.cc
@@ -0,0 +1,510 @@
+#include "placement/desk.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "base/fuzz_report.h"
+
+namespace
+{
+
+constexpr guint32 kEngine = 0;
+constexpr guint32 kRoom = 100;
+
+/* An engine that counts the orders it accepts, as its protocol says.  */
+struct Engine
+{
+  guint64 accepted = 0;
+  guint64 fence = 0;
+  std::map<guint32, guint32> held; /* item: MB */
+  guint32 on_way = 0;
+  guint32 on_way_mb = 0;
+  guint64 done_at = 0;
+  bool loads = false;
+  bool unloads = false;
+  bool overfull = false;
+
+  bool
+  Busy () const
+  {
+    return loads || unloads;
+  }
+
+  guint32
+  Taken () const
+  {
+    guint32 mb = loads ? on_way_mb : 0;
+
+    for (auto const &[item, size] : held)
+      mb += size;
+    return mb;
+  }
+
+  void
+  Pass (guint64 now)
+  {
+    if (!Busy () || now < done_at)
+      return;
+    if (loads)
+      held[on_way] = on_way_mb;
+    else
+      held.erase (on_way);
+    loads = unloads = false;
+  }
+
+  pu_desk_answer_t
+  Order (const pu_desk_order_t &o, guint64 expected, guint64 term, guint32 mb,
+         guint64 now)
+  {
+    if (term < fence)
+      return PU_DESK_FENCED;
+    fence = term;
+    if (expected != accepted || Busy ())
+      return PU_DESK_CONFLICT;
+    if ((o.op == PU_DESK_LOAD) == (held.count (o.item) != 0))
+      return PU_DESK_HOLDS;
+    accepted++;
+    loads = o.op == PU_DESK_LOAD;
+    unloads = !loads;
+    on_way = o.item;
+    on_way_mb = mb;
+    done_at = now + 700;
+    overfull = overfull || Taken () > kRoom;
+    return PU_DESK_ACCEPTED;
+  }
+};
+
+struct Report
+{
+  guint64 accepted;
+  bool busy;
+  std::vector<guint32> held;
+};
+
+Report
+Look (const Engine &e)
+{
+  Report r = { e.accepted, e.Busy (), {} };
+
+  for (auto const &[item, mb] : e.held)
+    r.held.push_back (item);
+  return r;
+}
+
+/* One leader's desk, with the messages on their way.  */
+class Desk
+{
+public:
+  explicit Desk (guint64 of_term) : term (of_term)
+  {
+    pu_desk_options_t o;
+
+    pu_desk_options_init (&o);
+    d = pu_desk_new (&o);
+    for (guint32 i = 0; i < 8; i++)
+      pu_desk_set_item (d, i, Size (i));
+  }
+  Desk (const Desk &) = delete;
+  Desk &operator= (const Desk &) = delete;
+  ~Desk () { pu_desk_free (d); }
+
+  static guint32
+  Size (guint32 item)
+  {
+    return 25 + item * 5;
+  }
+
+  void
+  Add (guint64 now)
+  {
+    pu_desk_add (d, kEngine, now);
+    pu_desk_set_room (d, kEngine, kRoom);
+  }
+
+  bool
+  Want (pu_desk_op_t op, guint32 item, guint64 now)
+  {
+    pu_desk_order_t o = { op, item, false };
+
+    return pu_desk_want (d, kEngine, &o, now);
+  }
+
+  std::vector<pu_desk_action_t>
+  Step (guint64 now)
+  {
+    GArray *a = g_array_new (FALSE, FALSE, sizeof (pu_desk_action_t));
+    std::vector<pu_desk_action_t> v;
+
+    pu_desk_step (d, NULL, NULL, now, a);
+    for (guint i = 0; i < a->len; i++)
+      v.push_back (g_array_index (a, pu_desk_action_t, i));
+    g_array_unref (a);
+    return v;
+  }
+
+  void
+  Tell (const Report &r, guint64 asked, guint64 now)
+  {
+    pu_desk_report_t c
+        = { r.accepted, r.busy, r.held.data (), (guint)r.held.size (),
+            nullptr,    0 };
+
+    pu_desk_report (d, kEngine, &c, asked, now);
+  }
+
+  pu_desk_t *d;
+  guint64 term;
+};
+
+TEST (Desk, SendsAnOrderThatExpectsTheCountOfTheReport)
+{
+  Desk k (1);
+
+  k.Add (0);
+  k.Tell ({ 7, false, {} }, 0, 10);
+  ASSERT_TRUE (k.Want (PU_DESK_LOAD, 1, 20));
+  auto a = k.Step (20);
+  ASSERT_EQ (a.size (), 1U);
+  EXPECT_EQ (a[0].what, PU_DESK_DO_SEND);
+  EXPECT_EQ (a[0].expected, 7U);
+}
+
+TEST (Desk, TakesNoOrderBeforeAReport)
+{
+  Desk k (1);
+
+  k.Add (0);
+  EXPECT_FALSE (k.Want (PU_DESK_LOAD, 1, 0));
+}
+
+TEST (Desk, SendsAgainWithTheSameCountWhenNoAnswerComes)
+{
+  Desk k (1);
+
+  k.Add (0);
+  k.Tell ({ 7, false, {} }, 0, 10);
+  k.Want (PU_DESK_LOAD, 1, 20);
+  k.Step (20);
+  pu_desk_answer (k.d, kEngine, PU_DESK_LOST, 320);
+  auto a = k.Step (600);
+  ASSERT_FALSE (a.empty ());
+  EXPECT_EQ (a[0].what, PU_DESK_DO_SEND);
+  EXPECT_EQ (a[0].expected, 7U);
+}
+
+/* The leader before had ordered what nobody told us of, and its load shows
+   itself together with its end.  */
+TEST (Desk, DropsALoadThatNoLongerFits)
+{
+  Desk k (2);
+
+  k.Add (0);
+  k.Tell ({ 4, true, {} }, 0, 10);
+  ASSERT_TRUE (k.Want (PU_DESK_LOAD, 7, 20));
+  EXPECT_TRUE (k.Step (20).empty ());
+  k.Tell ({ 4, false, { 6 } }, 600, 610);
+  auto a = k.Step (610);
+  ASSERT_EQ (a.size (), 1U);
+  EXPECT_EQ (a[0].what, PU_DESK_DO_FAILED);
+  EXPECT_EQ (pu_desk_phase (k.d, kEngine, 7), PU_DESK_ABSENT);
+}
+
+TEST (Desk, SaysWhenAnEngineDoesWhatWeDontKnow)
+{
+  Desk k (2);
+
+  k.Add (0);
+  k.Tell ({ 4, true, {} }, 0, 10);
+  EXPECT_TRUE (pu_desk_secret (k.d, kEngine));
+  k.Tell ({ 4, false, { 6 } }, 600, 610);
+  EXPECT_FALSE (pu_desk_secret (k.d, kEngine));
+  k.Want (PU_DESK_LOAD, 1, 620);
+  k.Step (620);
+  pu_desk_answer (k.d, kEngine, PU_DESK_ACCEPTED, 630);
+  EXPECT_FALSE (pu_desk_secret (k.d, kEngine));
+}
+
+TEST (Desk, AReportOfBeforeTheAnswerTakesNothingBack)
+{
+  Desk k (1);
+
+  k.Add (0);
+  k.Tell ({ 7, false, {} }, 0, 10);
+  k.Want (PU_DESK_LOAD, 1, 1000);
+  k.Step (1000);
+  pu_desk_answer (k.d, kEngine, PU_DESK_ACCEPTED, 1010);
+  k.Tell ({ 7, false, {} }, 1005, 1020);
+  EXPECT_EQ (pu_desk_phase (k.d, kEngine, 1), PU_DESK_LOADING);
+  EXPECT_TRUE (pu_desk_busy (k.d, kEngine));
+}
+
+TEST (Desk, ALaterLeaderEndsOurOrders)
+{
+  Desk k (1);
+
+  k.Add (0);
+  k.Tell ({ 7, false, {} }, 0, 10);
+  k.Want (PU_DESK_LOAD, 1, 20);
+  k.Step (20);
+  pu_desk_answer (k.d, kEngine, PU_DESK_FENCED, 30);
+  EXPECT_FALSE (pu_desk_known (k.d, kEngine));
+  EXPECT_FALSE (k.Want (PU_DESK_LOAD, 2, 40));
+}
+
+/* A world of one engine and leaders that follow one another, who may both
+   believe they lead; orders, answers and reports are lost, late, doubled.  */
+struct World
+{
+  struct Sent
+  {
+    pu_desk_action_t a;
+    guint64 term;
+    guint64 at;
+    bool answered;
+  };
+  struct Fetched
+  {
+    guint64 term;
+    guint64 asked;
+    guint64 look_at;
+    bool looked;
+    Report r;
+    guint64 at;
+  };
+
+  explicit World (unsigned seed) : rng (seed) { Lead (); }
+
+  void
+  Lead ()
+  {
+    if (desks.size () == 2)
+      desks.erase (desks.begin ());
+    desks.push_back (std::make_unique<Desk> (++term));
+    desks.back ()->Add (now);
+  }
+
+  guint64
+  Delay ()
+  {
+    if (!faults)
+      return 3;
+    return rng () % 6 == 0 ? rng () % 450 : rng () % 30;
+  }
+
+  bool
+  Lost ()
+  {
+    return faults && rng () % 7 == 0;
+  }
+
+  Desk *
+  Find (guint64 of_term)
+  {
+    for (auto const &k : desks)
+      {
+        if (k->term == of_term)
+          return k.get ();
+      }
+    return nullptr;
+  }
+
+  void
+  Act (const Desk &k, const pu_desk_action_t &a)
+  {
+    pu_fuzz_report::get ().steps++;
+    if (a.what == PU_DESK_DO_SEND)
+      {
+        if (!Lost ())
+          sent.push_back ({ a, k.term, now + Delay (), true });
+        if (faults && rng () % 9 == 0)
+          sent.push_back ({ a, k.term, now + 40 * Delay (), false });
+        timeouts.push_back ({ a, k.term, now + 300, true });
+      }
+    else if (a.what == PU_DESK_DO_FETCH)
+      {
+        guint64 look = now + Delay ();
+
+        fetched.push_back ({ k.term, now, look, false, {}, look + Delay () });
+      }
+  }
+
+  void
+  Deliver ()
+  {
+    for (size_t i = 0; i < sent.size ();)
+      {
+        Sent s = sent[i];
+
+        if (now < s.at)
+          {
+            i++;
+            continue;
+          }
+        sent.erase (sent.begin () + (long)i);
+        auto answer
+            = engine.Order (s.a.order, s.a.expected, s.term,
+                            Desk::Size (s.a.order.item), now);
+        Desk *k = Find (s.term);
+        if (k == nullptr || !s.answered || Lost ())
+          continue;
+        timeouts.clear ();
+        pu_desk_answer (k->d, kEngine, answer, now);
+      }
+    for (size_t i = 0; i < timeouts.size ();)
+      {
+        Sent s = timeouts[i];
+
+        if (now < s.at)
+          {
+            i++;
+            continue;
+          }
+        timeouts.erase (timeouts.begin () + (long)i);
+        if (Find (s.term) != nullptr)
+          pu_desk_answer (Find (s.term)->d, kEngine, PU_DESK_LOST, now);
+      }
+    for (size_t i = 0; i < fetched.size ();)
+      {
+        Fetched &f = fetched[i];
+
+        if (!f.looked && now >= f.look_at)
+          {
+            f.r = Look (engine);
+            f.looked = true;
+          }
+        if (now < f.at)
+          {
+            i++;
+            continue;
+          }
+        Desk *k = Find (f.term);
+        if (k != nullptr && Lost ())
+          pu_desk_report (k->d, kEngine, nullptr, f.asked, now);
+        else if (k != nullptr)
+          k->Tell (f.r, f.asked, now);
+        fetched.erase (fetched.begin () + (long)i);
+      }
+  }
+
+  void
+  Pass (guint64 ms)
+  {
+    for (guint64 end = now + ms; now < end; now += 3)
+      {
+        engine.Pass (now);
+        Deliver ();
+        for (auto const &k : desks)
+          {
+            for (auto const &a : k->Step (now))
+              Act (*k, a);
+          }
+      }
+  }
+
+  void
+  Op (unsigned op)
+  {
+    Desk &k = *desks[op % desks.size ()];
+
+    switch (op / 2 % 8)
+      {
+      case 0:
+        Lead ();
+        pu_fuzz_report::get ().faults++;
+        break;
+      case 1:
+      case 2:
+        k.Want (PU_DESK_UNLOAD, op / 16 % 8, now);
+        break;
+      case 3:
+      case 4:
+      case 5:
+        k.Want (PU_DESK_LOAD, op / 16 % 8, now);
+        break;
+      default:
+        Pass (op / 16 % 900);
+        break;
+      }
+  }
+
+  /* Without faults, the last leader's desk comes to show what is so.  */
+  std::string
+  Calm ()
+  {
+    faults = false;
+    Pass (8000);
+    guint n;
+    const pu_desk_item_t *items
+        = pu_desk_items (desks.back ()->d, kEngine, &n);
+    std::set<guint32> shown;
+    std::set<guint32> held;
+
+    for (guint i = 0; i < n; i++)
+      {
+        if (items[i].phase != PU_DESK_READY)
+          return "an order never ends";
+        shown.insert (items[i].item);
+      }
+    for (auto const &[item, mb] : engine.held)
+      held.insert (item);
+    if (!pu_desk_known (desks.back ()->d, kEngine))
+      return "the last leader is fenced";
+    return shown == held ? "" : "shows what is not so";
+  }
+
+  std::mt19937 rng;
+  bool faults = true;
+  guint64 now = 1000;
+  guint64 term = 0;
+  Engine engine;
+  std::vector<std::unique_ptr<Desk> > desks;
+  std::vector<Sent> sent;
+  std::vector<Sent> timeouts;
+  std::vector<Fetched> fetched;
+};
+
+std::string
+FaultOf (unsigned seed, const std::vector<unsigned> &ops)
+{
+  World w (seed);
+
+  for (unsigned op : ops)
+    {
+      w.Op (op);
+      if (w.engine.overfull)
+        return "an engine holds more than its memory";
+    }
+  return w.Calm ();
+}
+
+RC_GTEST_PROP (DeskFuzz, NeverHoldsTooMuchAndComesToKnow, ())
+{
+  auto seed = *rc::gen::resize (100, rc::gen::arbitrary<unsigned> ());
+  auto ops = *rc::gen::resize (
+      100, rc::gen::container<std::vector<unsigned> > (
+               80, rc::gen::arbitrary<unsigned> ()));
+
+  RC_ASSERT (FaultOf (seed, ops) == "");
+}
+
+TEST (DeskFuzz, HoldsOverARowOfSeeds)
+{
+  for (unsigned seed = 1; seed <= 60; seed++)
+    {
+      std::mt19937 rng (seed);
+      std::vector<unsigned> ops;
+
+      for (int i = 0; i < 100; i++)
+        ops.push_back (rng ());
+      ASSERT_EQ (FaultOf (seed, ops), "") << "seed " << seed;
+    }
+}
+
+}
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -169,11 +169,14 @@
   memory_set (l, item, t.memory_mb);
   if (m->kind == PU_MODEL_ADAPTER)
     {
+      /* The places for adapters have their memory apart.  */
+      pu_desk_set_item (l->desk, item, 0);
       pu_adapters_set (l->adapters, item,
                        pu_names_get (&l->items, m->base_name));
     }
   else
     {
+      pu_desk_set_item (l->desk, item, t.memory_mb);
       pu_planner_set_item (l->planner, item, &t);
     }
 }
@@ -403,7 +406,8 @@
   p.zone = pu_names_get (&l->zones, e->zone);
   p.memory_mb = c->memory_mb - MIN (c->memory_mb, adapter_room (l, c));
   p.usable = e->usable && pu_desk_known (l->desk, handle);
-  p.closed = !p.usable;
+  p.closed = !p.usable || pu_desk_secret (l->desk, handle);
+  pu_desk_set_room (l->desk, handle, p.memory_mb);
   p.copies = (const pu_plan_copy_t *)(void *)s->copies->data;
   p.n_copies = s->copies->len;
   pu_planner_set_engine (l->planner, handle, &p, now_of (s));
