--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -135,12 +135,15 @@
    third after which the placer trusts that its reports are in the log.  */
 #define SILENT_SHARE 4
 
+/* How many times as long an instance may be silent while the voter that it
+   polls is silent itself: it needs that long to find another.  */
+#define ROUTE_SHARE 2
+
 static void
 set_membership (const pu_settings_t *s, pu_membership_options_t *m)
 {
   m->least_ms[PU_SUBJECT_MEMBER] = s->timing.session_ms;
-  m->most_ms[PU_SUBJECT_MEMBER]
-      = MAX (m->most_ms[PU_SUBJECT_MEMBER], 2 * s->timing.session_ms);
+  m->most_ms[PU_SUBJECT_MEMBER] = ROUTE_SHARE * s->timing.session_ms;
   m->least_ms[PU_SUBJECT_BACKEND] = s->timing.backend_lease_ms;
   m->most_ms[PU_SUBJECT_BACKEND] = s->timing.order_life_ms / SILENT_SHARE;
 }
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -27,13 +27,18 @@
   return uv_now (d->loop) - d->phase_since;
 }
 
+/* Another voter leads while this one serves what is left, so that no vote is
+   needed when it is killed before its end.  */
 static void
 on_left (void *data, const pu_reply *r, const pu_error_t *e)
 {
-  (void)data;
+  pu_daemon_t *d = data;
+
   (void)r;
   if (e->kind != PU_OK)
     pu_log_warn (PART, "Leaving is not in the log: %s", e->message);
+  if (d->control != NULL)
+    pu_control_leave (d->control);
 }
 
 static void
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -126,7 +126,17 @@
 {
   static const pu_refusal_t full
       = { 503, "overloaded", PU_NOT_RUN, BUSY_RETRY_MS };
+  static const pu_refusal_t stopping
+      = { 503, "stopping", PU_NOT_RUN, BUSY_RETRY_MS };
 
+  /* It came on a connection that an earlier answer kept open, and might not
+     end in the time that is left.  */
+  if (en->stopping)
+    {
+      en->front.refuse (en->front.data, http, NULL, &stopping,
+                        "This entry is stopping.");
+      return false;
+    }
   if (en->open.length < en->o.requests_max)
     return true;
   en->front.refuse (en->front.data, http, NULL, &full,
