--- a/bench/route_bench.cc
+++ b/bench/route_bench.cc
@@ -319,7 +319,9 @@
                                            sim::kTokenTargetMs,
                                            sim::kTimeoutMs,
                                            0,
-                                           200 };
+                                           200,
+                                           false,
+                                           0 };
         pu_router_set_service (r, &so);
       }
     for (int m = 0; m < sim::kModels; m++)
--- a/libplantainusher/document/document.h
+++ b/libplantainusher/document/document.h
@@ -160,6 +160,9 @@
   guint32 timeout_ms;      /* a caller is not kept waiting longer */
   guint32 target_ms;       /* to the first event, or to the whole answer */
   guint32 gap_ms;          /* most between two events; 0: no target */
+  guint32 patience_ms; /* callers leave without a first event by then; 0: at
+                          the timeout */
+  bool serve_late;     /* an answer past the target is worth having */
   guint32 priority;        /* 0..9, 9 first */
   pu_json_rows_t parts;    /* pu_route_part_t */
   guint32 weights;         /* sum of the parts' */
--- a/libplantainusher/document/schema.c
+++ b/libplantainusher/document/schema.c
@@ -185,6 +185,8 @@
   NEEDED_INT (pu_route_t, timeout_ms, 1, DAY_S * 1000, "ms"),
   INT (pu_route_t, target_ms, 0, DAY_S * 1000, 0, "ms"),
   INT (pu_route_t, gap_ms, 0, DAY_S * 1000, 0, "ms"),
+  INT (pu_route_t, patience_ms, 0, DAY_S * 1000, 0, "ms"),
+  BOOL (pu_route_t, serve_late),
   INT (pu_route_t, priority, 0, PRIORITY_MAX, PRIORITY_START, NULL),
   { .name = "to",
     .type = PU_FIELD_LIST,
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -155,7 +155,9 @@
                                     .first_token_ms = r->target_ms,
                                     .per_token_ms = r->gap_ms,
                                     .timeout_ms = r->timeout_ms,
-                                    .max_queue = ROUTE_QUEUE };
+                                    .max_queue = ROUTE_QUEUE,
+                                    .serve_late = r->serve_late,
+                                    .patience_ms = r->patience_ms };
 
   pu_router_set_service (en->router, &o);
   g_free (name);
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -179,6 +179,10 @@
   /* Of equal errors up and down, half would be late without the margin.
      An idle one takes what would otherwise wait for nothing better.  */
   margin = DEVIATIONS * c->first.deviation;
+  /* Where a late answer is worth having, waiting for more certainty makes late
+     what might have been on target.  */
+  if (service_at (r, q->service)->serve_late)
+    margin = 0;
   return load == 0 || (double)now + out->first_ms + margin <= (double)q->due;
 }
 
--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -60,7 +60,7 @@
   target = service_at (r, q->service)->first_token_ms;
   if (target > 0)
     window_sample (backend_at (r, q->backend), q->sent_at, now > q->due, now);
-  if (target > 0 && q->attempt == 1)
+  if (target > 0 && q->attempt == 1 && !q->late)
     service_sample (r, q->service, now - q->offered_at > target);
   backend_dirty (r, q->backend);
 }
@@ -183,6 +183,16 @@
   return PU_ROUTER_REASON_NONE;
 }
 
+/* Whether Q, to be tried again, is past its target.  */
+static bool
+is_late (const pu_router_t *r, const request_t *q, guint64 now)
+{
+  const service_t *s = service_at (r, q->service);
+
+  return s->serve_late && s->first_token_ms > 0
+         && now > q->offered_at + s->first_token_ms;
+}
+
 void
 pu_router_retry (pu_router_t *r, pu_ticket_t t, pu_router_failure_t failure,
                  guint64 now, pu_router_decision_t *d)
@@ -199,6 +209,7 @@
     }
   note_failure (r, q, failure, now);
   stop_and_open (r, q, now);
+  q->late = is_late (r, q, now);
   set_due (r, q);
   reason = why_not_again (r, q, now);
   if (reason != PU_ROUTER_REASON_NONE)
--- a/libplantainusher/routing/queue.c
+++ b/libplantainusher/routing/queue.c
@@ -4,7 +4,7 @@
 #define DRAINED_MIN 4   /* and after this many starts */
 #define LOOK_MAX 4      /* requests of one flow looked at for one slot */
 
-/* Higher priority first, then the earlier due time, then the older.  */
+/* What may be on target first, higher priority, then the earlier due time, then the older.  */
 static gint
 compare_place (gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -12,6 +12,8 @@
   const request_t *y = b;
 
   (void)data;
+  if (x->late != y->late)
+    return x->late ? 1 : -1;
   if (x->priority != y->priority)
     return x->priority > y->priority ? -1 : 1;
   if (x->due != y->due)
@@ -28,8 +30,8 @@
   const request_t *y = b;
 
   (void)data;
-  if (x->give_up != y->give_up)
-    return x->give_up < y->give_up ? -1 : 1;
+  if (acts_at (x) != acts_at (y))
+    return acts_at (x) < acts_at (y) ? -1 : 1;
   return x->index < y->index ? -1 : x->index > y->index;
 }
 
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -124,8 +124,16 @@
   g_array_append_val (r->free_requests, index);
 }
 
+/* AT less what an idle copy needs; 0 where there is no such time.  */
+static guint64
+start_by (double at, double unloaded)
+{
+  return at > unloaded ? (guint64)(at - unloaded) : 0;
+}
+
 /* When the first token has to come: on target, yet an idle copy always has
-   the time it needs; and before what is left to do meets the deadline.  */
+   the time it needs; and before what is left to do meets the deadline, or the
+   caller leaves.  */
 void
 set_due (pu_router_t *r, request_t *q)
 {
@@ -135,14 +143,27 @@
   double decode = output_tokens (r, q) * line_at (&m->step, 1);
   double latest = (double)q->deadline - decode;
   double target = MAX (s->first_token_ms, UNLOADED_FACTOR * unloaded);
-
-  if (s->first_token_ms > 0 && q->attempt == 0)
-    latest = MIN (latest, (double)q->offered_at + target);
-  q->due = latest > 0 ? (guint64)latest : 0;
-  q->give_up = latest > unloaded ? (guint64)(latest - unloaded) : 0;
+  double due;
+
+  if (s->patience_ms > 0)
+    latest = MIN (latest, (double)q->offered_at + s->patience_ms);
+  due = latest;
+  if (s->first_token_ms > 0 && q->attempt == 0 && !q->late)
+    due = MIN (due, (double)q->offered_at + target);
+  q->due = due > 0 ? (guint64)due : 0;
+  q->turns = start_by (due, unloaded);
+  q->give_up = start_by (s->serve_late ? latest : due, unloaded);
   q->give_up = MIN (q->give_up, q->deadline);
 }
 
+/* Q can't be on target any more.  */
+static void
+turn_late (pu_router_t *r, request_t *q)
+{
+  q->late = true;
+  set_due (r, q);
+}
+
 static void
 request_fill (pu_router_t *r, request_t *q, const pu_router_request_t *in,
               guint64 now)
@@ -446,6 +467,19 @@
   g_array_set_size (r->displaced, 0);
 }
 
+/* Q goes behind what may be on target, and may start where that may not.  */
+static void
+wait_late (pu_router_t *r, request_t *q, guint64 now)
+{
+  const model_t *m = model_at (r, q->model);
+
+  queue_remove (r, q);
+  turn_late (r, q);
+  queue_add (r, q, now);
+  for (guint i = 0; i < m->ready->len; i++)
+    backend_dirty (r, g_array_index (m->ready, ready_t, i).backend);
+}
+
 static void
 expire (pu_router_t *r, guint64 now, GArray *out)
 {
@@ -455,8 +489,14 @@
     {
       request_t *q = g_sequence_get (at);
 
-      if (q->give_up >= now)
+      if (acts_at (q) >= now)
         return;
+      if (!q->late && q->give_up >= now)
+        {
+          wait_late (r, q, now);
+          at = g_sequence_get_begin_iter (r->expiries);
+          continue;
+        }
       refuse_waiting (r, q, PU_ROUTER_REASON_DEADLINE, out);
       if (r->options.test_break == PU_ROUTER_BREAK_EXPIRY)
         {
@@ -584,7 +624,7 @@
     return G_MAXUINT64;
   if (r->sweep)
     return 0;
-  at = ((const request_t *)g_sequence_get (first))->give_up + 1;
+  at = acts_at (g_sequence_get (first)) + 1;
   for (guint i = 0; i < r->held->len; i++)
     {
       pu_router_backend_t h = g_array_index (r->held, pu_router_backend_t, i);
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -105,6 +105,11 @@
   guint timeout_ms;      /* deadline of a request that brings none */
   guint max_concurrency; /* 0: the adaptive limit alone */
   guint max_queue;       /* requests that wait at most */
+  bool serve_late;       /* a late answer is worth having: what can't be on
+                            target waits behind what can, until its
+                            deadline */
+  guint patience_ms;     /* callers leave that have no first token by then;
+                            0: at their deadline */
 } pu_router_service_options_t;
 
 /* pu_router_set_service - declares a service or changes it.  */
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -29,6 +29,8 @@
   guint timeout_ms;
   guint max_concurrency;
   guint max_queue;
+  bool serve_late;
+  guint patience_ms;
   guint in_flight;
   guint waiting;
   double limit;  /* adaptive */
@@ -147,7 +149,10 @@
   guint64 offered_at;
   guint64 deadline;
   guint64 due;     /* the first token is to come by then */
-  guint64 give_up; /* waiting longer makes it late */
+  guint64 turns;   /* waiting longer makes it late, where late ones are served
+                      too */
+  guint64 give_up; /* waiting longer makes it useless */
+  bool late;       /* it waits behind what may still be on target */
   guint prompt_tokens;
   guint max_tokens;
   guint64 *prefix;
@@ -189,7 +194,7 @@
   GHashTable *backend_names;
   GPtrArray *requests; /* of request_t, by index */
   GArray *free_requests;
-  GSequence *expiries; /* of request_t, by give_up */
+  GSequence *expiries; /* of request_t, by acts_at */
   GArray *dirty;       /* of pu_router_backend_t */
   GArray *held;        /* backend servers blocked or ejected until later */
   GArray *found;       /* of candidate_t: those of the choice in progress */
@@ -237,6 +242,13 @@
 
 /* tables.c */
 
+/* acts_at - when waiting changes what becomes of Q.  */
+static inline guint64
+acts_at (const request_t *q)
+{
+  return q->late ? q->give_up : MIN (q->turns, q->give_up);
+}
+
 /* backend_dirty - B may take more than when it was last looked at.  */
 void backend_dirty (pu_router_t *r, pu_router_backend_t b);
 
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -41,7 +41,7 @@
            guint queue = 10)
   {
     pu_router_service_options_t s
-        = { name, importance, 400, 60, 5000, concurrency, queue };
+        = { name, importance, 400, 60, 5000, concurrency, queue, false, 0 };
     return pu_router_set_service (r_, &s);
   }
 
@@ -349,6 +349,75 @@
   EXPECT_TRUE (next ().empty ());
 }
 
+/* One backend server with one slot, which is taken.  */
+class Late : public Router
+{
+protected:
+  void
+  begin (bool serve_late, guint patience_ms = 0)
+  {
+    pu_router_service_options_t s = { "chat", 1, 400, 60, 5000, 0, 10, false, 0 };
+
+    s.serve_late = serve_late;
+    s.patience_ms = patience_ms;
+    pu_router_set_service (r_, &s);
+    backend ("b", 1);
+    running_ = offer (request ()).ticket;
+  }
+
+  pu_ticket_t running_ = 0;
+};
+
+TEST_F (Late, IsRefusedWhereItIsWorthNothing)
+{
+  begin (false);
+  EXPECT_EQ (PU_ROUTER_QUEUED, offer (request ()).verdict);
+  now_ += 500;
+  auto list = next ();
+  ASSERT_EQ (1U, list.size ());
+  EXPECT_EQ (PU_ROUTER_REASON_DEADLINE, list[0].reason);
+}
+
+TEST_F (Late, WaitsOnWhereItIsWorthSomething)
+{
+  begin (true);
+  auto d = offer (request ());
+  now_ += 500;
+  EXPECT_TRUE (next ().empty ());
+  finish (running_);
+  auto list = next ();
+  ASSERT_EQ (1U, list.size ());
+  EXPECT_EQ (PU_ROUTER_DISPATCH, list[0].verdict);
+  EXPECT_EQ (d.ticket, list[0].ticket);
+}
+
+TEST_F (Late, GoesBehindWhatMayBeOnTarget)
+{
+  begin (true);
+  auto urgent = request ();
+  urgent.priority = 9;
+  offer (urgent);
+  now_ += 500;
+  next ();
+  auto fresh = offer (request ());
+  finish (running_);
+  auto list = next ();
+  ASSERT_EQ (1U, list.size ());
+  EXPECT_EQ (fresh.ticket, list[0].ticket);
+}
+
+TEST_F (Late, IsRefusedWhenItsCallerHasLeft)
+{
+  begin (true, 2000);
+  offer (request ());
+  now_ += 500;
+  EXPECT_TRUE (next ().empty ());
+  now_ += 1600;
+  auto list = next ();
+  ASSERT_EQ (1U, list.size ());
+  EXPECT_EQ (PU_ROUTER_REASON_DEADLINE, list[0].reason);
+}
+
 TEST_F (Router, FullQueueGivesWayToHigherPriority)
 {
   service ("chat", 1, 0, 1);
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -114,6 +114,8 @@
   s->timeout_ms = o->timeout_ms;
   s->max_concurrency = o->max_concurrency;
   s->max_queue = o->max_queue;
+  s->serve_late = o->serve_late;
+  s->patience_ms = o->patience_ms;
   return h;
 }
 
