Planner: copies also for demand far above what they can do; spare ones wait

The loss of an engine was taken to be whole from 1.2 times its capacity on, so that one copy more saved nothing; and the store went to second copies of models nobody asked for. Ruled out: memory (victims were there), the store, the price of young copies.

--- a/libplantainusher/placement/planner_grow.c
+++ b/libplantainusher/placement/planner_grow.c
@@ -263,9 +263,11 @@
 pu_round_use_spare (pu_round_t *r)
 {
   guint tries = r->full ? r->p->items->len : SPARE_TRIES;
+  guint32 hot[HOT_ENGINES];
   GArray *exposed;
 
-  if (!pu_round_store_takes (r))
+  /* While an engine is hot, orders and the store are for what it holds.  */
+  if (!pu_round_store_takes (r) || find_hot (r->p, hot) > 0)
     return;
   exposed = find_exposed (r, mean_streams (r->p), most_free (r->p));
   for (guint i = 0; i < tries && exposed->len > 0 && pu_round_store_takes (r);
--- a/libplantainusher/placement/planner_load.c
+++ b/libplantainusher/placement/planner_load.c
@@ -2,10 +2,8 @@
 
 #include <string.h>
 
-/* Use of an engine above which requests begin to be late, and the width over
-   which they all become late.  */
+/* Use of an engine above which requests are late, or refused.  */
 #define LATE_FROM 0.7
-#define LATE_WIDTH 0.5
 #define MEAN_IMPORTANCE 5.0
 /* What being left with one ready copy costs, beside the demand itself.  */
 #define LAST_COPY_LOSS 0.05
@@ -241,14 +239,17 @@
 }
 
 /* Streams that are late on an engine with LOAD of CAPACITY, weighted by
-   importance.  */
+   importance.  What an engine answers on target stays the same however much
+   more is asked of it, as the rest is refused: so one copy more is a gain also
+   where ten would be needed.  */
 static double
 late (double load, double weight, double capacity)
 {
-  double use = load / capacity;
-  double s = CLAMP ((use - LATE_FROM) / LATE_WIDTH, 0.0, 1.0);
+  double on_target = LATE_FROM * capacity;
 
-  return weight / MEAN_IMPORTANCE * s * s;
+  if (load <= on_target)
+    return 0;
+  return weight / MEAN_IMPORTANCE * (1 - on_target / load);
 }
 
 /* Whether the adapter T is wherever its base is, so that it needs another copy
--- a/libplantainusher/placement/planner_test.cc
+++ b/libplantainusher/placement/planner_test.cc
@@ -305,6 +305,33 @@
   g_string_free (why, TRUE);
 }
 
+/* A model whose callers ask for ten times what its copies can do.  */
+TEST_F (Planner, FarTooMuchDemandGetsCopiesToo)
+{
+  Engines (6);
+  Item (0, 60);
+  Item (1, 60);
+  while (Step () != "")
+    continue;
+  for (int i = 0; i < 30; i++)
+    {
+      pu_planner_demand (p, 0, 400, 200 * 1000.0);
+      Step ();
+    }
+  EXPECT_EQ (5U, pu_planner_ready (p, 0)) << "all but the other's last";
+}
+
+/* A second copy of what nobody asks for can wait; what is asked for can't.  */
+TEST_F (Planner, SpareCopiesWaitWhileAnEngineIsHot)
+{
+  Engines (4);
+  Item (0, 90);
+  Item (1, 90);
+  Step ();
+  pu_planner_demand (p, 0, 400, 200 * 1000.0);
+  EXPECT_EQ ("load 0.1@3 load 0.1@2 ", Step ());
+}
+
 TEST_F (Planner, WhatIfTellsTheMovesAndChangesNothing)
 {
   Engines (2);
