Demand: a request's cost is what it takes undisturbed

The prefill time of a token, as learnt from first tokens beside other entries' work, was three to ten times too long, and told as demand. It is now near the least of the samples.

--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -34,10 +34,19 @@
                    guint output)
 {
   const model_t *t = model_at (r, m);
+  double token_ms = r->options.prefill_ms;
 
   if (t == NULL)
     return 0;
-  return line_slope (&t->first) * prompt * t->mean_own + output * TOKEN_MS;
+  if (t->token_ms > 0)
+    {
+      token_ms = t->token_ms;
+    }
+  else if (r->token_ms > 0)
+    {
+      token_ms = r->token_ms;
+    }
+  return token_ms * prompt * t->mean_own + output * TOKEN_MS;
 }
 
 static bool
--- a/libplantainusher/routing/estimate.c
+++ b/libplantainusher/routing/estimate.c
@@ -6,6 +6,11 @@
 #define DEVIATION_SHARE 0.05
 #define WEIGHT_MAX 50.0 /* samples that are remembered */
 
+/* Weight of a sample below what is known, and growth with one above: where one
+   sample in ten is undisturbed it settles a half above these.  */
+#define LEAST_DOWN 0.3
+#define LEAST_UP 1.01
+
 void
 line_init (line_t *l, double at_zero, double slope, double ridge)
 {
@@ -37,6 +42,23 @@
   l->cov = (1 - share) * (l->cov + share * dx * dy);
 }
 
+void
+least_add (double *least, double y)
+{
+  if (!isfinite (y) || y <= 0)
+    return;
+  if (*least <= 0)
+    *least = y;
+  if (y < *least)
+    {
+      *least += LEAST_DOWN * (y - *least);
+    }
+  else
+    {
+      *least = MIN (y, *least * LEAST_UP);
+    }
+}
+
 double
 line_slope (const line_t *l)
 {
--- a/libplantainusher/routing/estimate.h
+++ b/libplantainusher/routing/estimate.h
@@ -37,6 +37,14 @@
 /* line_at - the expected y at X, never negative.  */
 double line_at (const line_t *l, double x);
 
+/*
+ * least - what samples come down to when nothing disturbs them: near the least
+ * of them, yet it rises again when all become larger.
+ */
+
+/* least_add - moves *LEAST (0: no sample yet) towards Y.  */
+void least_add (double *least, double y);
+
 G_END_DECLS
 
 #endif
--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -1,6 +1,7 @@
 #include "routing/router_int.h"
 
 #define STEP_TOKENS 8 /* tokens that make one sample of the step time */
+#define TOKENS_MIN 256 /* a prompt that tells what a token takes */
 
 void
 pu_router_sent (pu_router_t *r, pu_ticket_t t, guint64 now)
@@ -11,6 +12,20 @@
     q->sent_at = now;
 }
 
+/* What a prompt token takes where nothing else goes on: other entries' work
+   and full batches make the mean far longer.  */
+static void
+learn_token (pu_router_t *r, const request_t *q, double net)
+{
+  double ms;
+
+  if (q->work < TOKENS_MIN)
+    return;
+  ms = net / (double)q->work;
+  least_add (&model_at (r, q->model)->token_ms, ms);
+  least_add (&r->token_ms, ms);
+}
+
 static void
 learn_first (pu_router_t *r, const request_t *q, guint64 now)
 {
@@ -18,6 +33,7 @@
   double ms = (double)(now - q->sent_at);
   double net = MAX (ms - b->cost_ms, 0);
 
+  learn_token (r, q, net);
   line_add (&model_at (r, q->model)->first, (double)q->work, net);
   for (guint i = 0; i < b->copies->len; i++)
     {
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -418,6 +418,26 @@
   EXPECT_EQ (PU_ROUTER_REASON_DEADLINE, list[0].reason);
 }
 
+/* Nine of ten first tokens wait for others' work of which nothing is known
+   here; what a request costs its engine stays what it costs alone.  */
+TEST_F (Router, CostIsWhatARequestTakesAlone)
+{
+  backend ("b");
+  for (int i = 0; i < 200; i++)
+    {
+      auto q = request ();
+      q.prompt_tokens = 1000;
+      q.deadline = now_ + 100000;
+      auto d = offer (q);
+      ASSERT_EQ (PU_ROUTER_DISPATCH, d.verdict);
+      now_ += i % 10 == 0 ? 25 : 300;
+      pu_router_first_token (r_, d.ticket, now_);
+      finish (d.ticket);
+    }
+  EXPECT_LT (pu_router_cost_ms (r_, m_, 1000, 0), 60);
+  EXPECT_GT (pu_router_cost_ms (r_, m_, 1000, 0), 20);
+}
+
 TEST_F (Router, FullQueueGivesWayToHigherPriority)
 {
   service ("chat", 1, 0, 1);
