--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -204,7 +204,7 @@
   o.seed = seed_of (s);
   o.heartbeat_ms = s->timing.heartbeat_ms;
   o.election_ms = s->timing.election_ms;
-  o.sessions_ms = PU_SETTINGS_SESSIONS_MS;
+  o.sessions_ms = s->timing.sessions_ms;
   o.replace_after_ms = s->timing.replace_after_ms;
   o.claims_max = s->limits.max_claims;
   o.snapshot_entries = s->limits.snapshot_entries;
--- a/libplantainusher/placement/planner.c
+++ b/libplantainusher/placement/planner.c
@@ -3,7 +3,6 @@
 #define MS_PER_S 1000
 #define PROMISE_MS 60000
 #define NO_ROOM_WAIT_MS 2000
-#define ADVANCE_MS 1000
 #define FULL_ROUNDS 100
 
 static void
@@ -329,10 +328,10 @@
   guint64 ms = now - p->last_advance;
   pu_forecast_period_t period;
 
-  if (p->last_advance != 0 && ms < ADVANCE_MS)
+  if (p->last_advance != 0 && ms < p->o.advance_ms)
     return;
   if (p->last_advance == 0)
-    ms = ADVANCE_MS;
+    ms = p->o.advance_ms;
   period = pu_forecast_period (&p->o.forecast, ms / (double)MS_PER_S);
   for (guint i = 0; i < p->items->len; i++)
     {
@@ -352,11 +351,10 @@
   pu_round_repair (r);
   change_versions (r);
   unload_undeclared (r);
+  if (r->full || !r->lacking)
+    pu_round_follow_demand (r);
   if (r->full || !r->repairing)
-    {
-      pu_round_follow_demand (r);
-      pu_round_use_spare (r);
-    }
+    pu_round_use_spare (r);
   g_array_unref (r->v.slots);
 }
 
--- a/libplantainusher/placement/planner.h
+++ b/libplantainusher/placement/planner.h
@@ -123,6 +123,7 @@
   double min_stay_s;
   double watch_s;     /* version change: ready until the old one goes */
   guint max_failures; /* of loading a new version, until the roll-back */
+  guint advance_ms;   /* the forecast takes the demand in so often */
   guint max_coming;   /* loads under way at once: the store's full speed */
   double hot;         /* engines above this use are looked at */
   bool zone_spread;
--- a/libplantainusher/placement/planner_repair.c
+++ b/libplantainusher/placement/planner_repair.c
@@ -137,6 +137,22 @@
   g_array_unref (kept);
 }
 
+/* Whether a load of T is under way, not only promised.  */
+static bool
+is_coming (const pu_planner_t *p, const pu_planned_item_t *t)
+{
+  for (guint i = 0; i < t->places->len; i++)
+    {
+      pu_place_t at = pu_item_place (t, i);
+      const pu_planned_copy_t *c
+          = pu_planned_copy (pu_planned_engine (p, at.engine), at.slot);
+
+      if (c->c.phase <= PU_PLAN_LOADING && !c->promised)
+        return true;
+    }
+  return false;
+}
+
 /* Notes since when T has had no ready copy.  */
 static void
 note_lost (pu_round_t *r, pu_planned_item_t *t)
@@ -148,8 +164,10 @@
     }
   if (t->lost_since == 0)
     t->lost_since = r->now;
-  if (t->failures == 0 && r->now < t->lost_since + HOLD_GROWTH_MS)
-    r->repairing = true;
+  if (t->failures > 0 || r->now >= t->lost_since + HOLD_GROWTH_MS)
+    return;
+  r->repairing = true;
+  r->lacking = r->lacking || !is_coming (r->p, t);
 }
 
 /* Whether T has no copy, and none coming but for rooms that take long.  */
--- a/libplantainusher/placement/planner_round.h
+++ b/libplantainusher/placement/planner_round.h
@@ -17,7 +17,8 @@
   pu_victims_t v;
   guint32 for_item; /* whom loads make room for; PU_PLAN_NONE */
   bool full;        /* the store has no limits */
-  bool repairing;   /* an item is unreachable: growth waits */
+  bool repairing;   /* an item is unreachable: spare copies wait */
+  bool lacking;     /* nothing is under way for one: growth waits */
 } pu_round_t;
 
 /* pu_round_load - loads ITEM on ENGINE: at once when it fits and the store
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -9,6 +9,7 @@
 #define DEFAULT_WATCH_S 60.0
 #define DEFAULT_MAX_FAILURES 3
 #define DEFAULT_MAX_COMING 3
+#define DEFAULT_ADVANCE_MS 1000
 #define DEFAULT_HOT 0.7
 #define MS_PER_S 1000
 #define LEAST_STREAMS 0.001
@@ -26,6 +27,7 @@
   o->watch_s = DEFAULT_WATCH_S;
   o->max_failures = DEFAULT_MAX_FAILURES;
   o->max_coming = DEFAULT_MAX_COMING;
+  o->advance_ms = DEFAULT_ADVANCE_MS;
   o->hot = DEFAULT_HOT;
   o->zone_spread = true;
   pu_forecast_options_init (&o->forecast);
--- a/libplantainusher/placement/planner_test.cc
+++ b/libplantainusher/placement/planner_test.cc
@@ -187,6 +187,21 @@
   EXPECT_NE ("", Step (false));
 }
 
+/* The load that an unreachable item needs is on its way: others needn't wait
+   for its end.  */
+TEST_F (Planner, DemandIsFollowedWhileARepairIsUnderWay)
+{
+  Engines (4);
+  Item (0, 60);
+  Step ();
+  Item (1, 60);
+  Step (false);
+  held[1].push_back ({ 1, 1, 60, PU_PLAN_LOADING });
+  Tell (1);
+  pu_planner_demand (p, 0, 400, 200 * 1000.0);
+  EXPECT_NE ("", Step (false));
+}
+
 TEST_F (Planner, RoomIsHeldForTheAdaptersOfABaseThatComes)
 {
   Engines (1);
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -182,7 +182,7 @@
 }
 
 static void
-options_set (lead_t *l)
+options_set (const pu_sequenced_t *s, lead_t *l)
 {
   const pu_placement_settings_t *p = pu_document_placement (l->document);
   pu_planner_options_t o;
@@ -193,6 +193,7 @@
   o.min_stay_s = p->min_stay_s;
   o.zone_spread = p->zone_spread;
   o.max_coming = p->store_full_speed;
+  o.advance_ms = s->o.plan_ms;
   o.move_price = 1;
   o.forecast.fast_s = FORECAST_FAST_S;
   o.forecast.mid_s = FORECAST_MID_S;
@@ -231,7 +232,7 @@
     pu_planner_set_item (l->planner, i, NULL);
   for (pu_model_handle_t h = 0; h < pu_document_models (d); h++)
     item_declare (l, pu_document_model (d, h));
-  options_set (l);
+  options_set (s, l);
 }
 
 /* --- backend servers --- */
--- a/libplantainusher/settings/checks.c
+++ b/libplantainusher/settings/checks.c
@@ -61,7 +61,7 @@
 check_backend_lease (const pu_settings_timing_t *t, pu_findings_t *f)
 {
   guint64 least = 2 * (guint64)t->report_interval_ms + t->poll_wait_ms
-                  + PU_SETTINGS_SESSIONS_MS;
+                  + t->sessions_ms;
 
   if (t->backend_lease_ms >= least)
     return;
@@ -71,7 +71,7 @@
                    "%u ms between voters, else a live backend server is "
                    "taken for dead",
                    t->backend_lease_ms, least, t->report_interval_ms,
-                   t->poll_wait_ms, PU_SETTINGS_SESSIONS_MS);
+                   t->poll_wait_ms, t->sessions_ms);
 }
 
 /* Adds VALUE at the printf-style path; a finding when it was there before.
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -27,9 +27,6 @@
 /* Most voters of the replicated log.  */
 #define PU_SETTINGS_VOTERS_MAX 7
 
-/* A voter tells the leader of its daemons and backend servers this often.  */
-#define PU_SETTINGS_SESSIONS_MS 1000u
-
 typedef struct
 {
   const char *callers;   /* entries only; else "" */
@@ -86,6 +83,8 @@
   guint32 replace_after_ms;    /* a voter silent for longer gives its place
                                   to a spare, if there is one */
   guint32 poll_wait_ms;        /* an empty poll is answered after this */
+  guint32 sessions_ms;         /* a voter tells the leader of its daemons,
+                                  backend servers and demand this often */
   guint32 session_ms;          /* a silent daemon is down after this */
   guint32 backend_lease_ms;    /* a silent backend server is down after */
   guint32 report_interval_ms;  /* asked of backend servers */
