--- a/deploy/settings.json.tpl
+++ b/deploy/settings.json.tpl
@@ -20,7 +20,7 @@
   },
   "seeds": [{{#seeds}}"{{.}}"{{,}}{{/seeds}}],
   "found": {{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}},
-  "log_level": "note",
+  "log_level": "info",
   "platform": {
     "ready": "{{listen.ready}}",
     "control": "{{listen.control}}",
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -474,6 +474,7 @@
     .n_prefix = x->q.n_prefix,
     .attempts_max = x->q.attempts_max,
     .fingerprint = affinity_of (&x->q),
+    .shared_tokens = x->q.shared_tokens,
     .repeatable
     = x->q.repeatable || pu_entry_breaks (x->en, PU_ENTRY_BREAK_REPEAT),
   };
--- a/libplantainusher/entry/request.h
+++ b/libplantainusher/entry/request.h
@@ -56,6 +56,7 @@
   guint n_prefix;
   bool sized;          /* prefix_tokens is set */
   guint64 fingerprint; /* of what makes two requests the same */
+  guint shared_tokens; /* that the prompts of one affinity begin with */
   guint64 affinity;    /* of what it shares with others: such requests go to
                           the same copy where it is as good as any; 0: the
                           fingerprint */
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -161,6 +161,52 @@
   return preferred == q->wants_preferred ? 0 : r->options.version_cost_ms;
 }
 
+/* How much FINGERPRINT prefers B: the same number at each entry.  */
+static guint64
+preference (guint64 fingerprint, const backend_t *b)
+{
+  return XXH64 (&fingerprint, sizeof fingerprint, b->name_hash);
+}
+
+/* The copy that Q's fingerprint prefers to all others.  */
+static const ready_t *
+home_of (const pu_router_t *r, const request_t *q)
+{
+  const GArray *ready = model_at (r, q->model)->ready;
+  const ready_t *home = NULL;
+  guint64 most = 0;
+
+  for (guint i = 0; i < ready->len; i++)
+    {
+      const ready_t *e = &g_array_index (ready, ready_t, i);
+      const backend_t *b = backend_at (r, e->backend);
+      guint64 p = preference (q->fingerprint, b);
+
+      if (p < most || was_tried (q, b))
+        continue;
+      most = p;
+      home = e;
+    }
+  return home;
+}
+
+/* The tokens of Q's prompt that S need not read.  All entries send what begins
+   alike to the copy that its fingerprint prefers, so that one has read the
+   shared part, whichever entry sent it there.  */
+static guint
+tokens_saved (const pu_router_t *r, const request_t *q, const backend_t *s)
+{
+  guint known = cached_tokens (r, q, s);
+  const ready_t *home;
+
+  if (q->fingerprint == 0 || q->shared_tokens <= known)
+    return known;
+  home = home_of (r, q);
+  if (home == NULL || backend_at (r, home->backend) != s)
+    return known;
+  return q->shared_tokens;
+}
+
 static bool
 evaluate (pu_router_t *r, const request_t *q, pu_router_backend_t b,
           guint copy, bool ignore_ejection, guint64 now, candidate_t *out)
@@ -180,7 +226,7 @@
     return false;
   out->backend = b;
   out->copy = copy;
-  out->cached = cached_tokens (r, q, s);
+  out->cached = tokens_saved (r, q, s);
   out->work = pending + q->prompt_tokens - out->cached;
   out->first_ms = line_at (&c->first, (double)out->work) + s->cost_ms;
   out->score = out->first_ms + version_cost (r, q, c) + load * LOAD_TIE_MS
@@ -255,13 +301,6 @@
     g_array_append_val (r->found, c);
 }
 
-/* How much FINGERPRINT prefers B: the same number at each entry.  */
-static guint64
-preference (guint64 fingerprint, const backend_t *b)
-{
-  return XXH64 (&fingerprint, sizeof fingerprint, b->name_hash);
-}
-
 static const candidate_t *
 least_score (const GArray *found)
 {
@@ -331,28 +370,6 @@
   return best_found (r, q, best);
 }
 
-/* The copy that Q's fingerprint prefers to all others.  */
-static const ready_t *
-home_of (const pu_router_t *r, const request_t *q)
-{
-  const GArray *ready = model_at (r, q->model)->ready;
-  const ready_t *home = NULL;
-  guint64 most = 0;
-
-  for (guint i = 0; i < ready->len; i++)
-    {
-      const ready_t *e = &g_array_index (ready, ready_t, i);
-      const backend_t *b = backend_at (r, e->backend);
-      guint64 p = preference (q->fingerprint, b);
-
-      if (p < most || was_tried (q, b))
-        continue;
-      most = p;
-      home = e;
-    }
-  return home;
-}
-
 /* With many copies a few are sampled, and a few more when none of them may
    take the request.  */
 static bool
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -188,6 +188,7 @@
   q->attempts_max
       = in->attempts_max > 0 ? in->attempts_max : r->options.attempts_max;
   q->fingerprint = in->fingerprint;
+  q->shared_tokens = MIN (in->shared_tokens, in->prompt_tokens);
   q->repeatable = in->repeatable;
   q->wants_preferred = (guint)g_rand_int_range (r->rand, 0, 1000) < m->share;
   set_due (r, q);
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -251,6 +251,7 @@
   guint64 fingerprint; /* of model and input: requests that have the same go
                           to the same copy where it is as good as any, through
                           whatever entry; 0: none */
+  guint shared_tokens; /* that the prompts of one fingerprint begin with */
   bool repeatable;     /* may run twice without harm */
   guint attempts_max;  /* of this request; 0: as the options have it */
 } pu_router_request_t;
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -161,6 +161,7 @@
   guint n_prefix;
   guint attempts_max;
   guint64 fingerprint;
+  guint shared_tokens;
   bool repeatable;
   bool wants_preferred;
   guint attempt;
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -157,6 +157,33 @@
     }
 }
 
+/* Entries that know nothing of each other send what begins alike to one
+   copy, and count on the part that it has read before.  */
+TEST_F (Copies, OfOnePrefixGoToOneBackendServerThoughItHasMoreToDo)
+{
+  std::set<pu_router_backend_t> used;
+
+  for (int i = 0; i < 8; i++)
+    {
+      make ();
+      backend ("a", 20);
+      backend ("b", 20);
+      backend ("c", 20);
+      auto other = request ();
+      other.prompt_tokens = 300;
+      for (int j = 0; j < i % 3; j++)
+        offer (other);
+      auto q = request ();
+      q.prompt_tokens = 1000;
+      q.fingerprint = 77;
+      q.shared_tokens = 900;
+      auto d = offer (q);
+      used.insert (d.backend);
+      EXPECT_EQ (900U, d.cached_tokens);
+    }
+  EXPECT_EQ (1U, used.size ());
+}
+
 TEST_F (Copies, ThatAreLateGoElsewhere)
 {
   backend ("a", 1);
