--- a/libplantainusher/placement/desk.c
+++ b/libplantainusher/placement/desk.c
@@ -6,6 +6,9 @@
 #define REFUSED_MS 200
 #define POLL_MS 1000
 #define WATCH_MS 200
+/* An unload of what nothing runs on ends at once; a report says so half a
+   second later.  */
+#define TRY_MS 60
 /* Adapters of 12 and 66 MB take 5 and 14 ms from the store.  */
 #define ADAPTER_MS 18
 
@@ -13,6 +16,7 @@
 {
   pu_desk_order_t o;
   guint64 wanted; /* ms */
+  bool granted;   /* it may begin */
 } order_t;
 
 typedef struct
@@ -23,6 +27,8 @@
   guint64 accepted;  /* orders, as far as we know */
   guint64 changed;   /* when that last changed, ms */
   bool busy;
+  bool unloads;      /* with an unload of ours */
+  guint64 try_at;    /* whether it has ended is tried by the next order, ms */
   guint32 room_mb;   /* 0: no limit */
   GArray *items;     /* of pu_desk_item_t */
   GQueue queue;      /* of order_t *, the first may be sent */
@@ -56,7 +62,8 @@
                             .refused_ms = REFUSED_MS,
                             .poll_ms = POLL_MS,
                             .watch_ms = WATCH_MS,
-                            .adapter_ms = ADAPTER_MS };
+                            .adapter_ms = ADAPTER_MS,
+                            .try_ms = TRY_MS };
 }
 
 static void
@@ -147,6 +154,27 @@
     }
 }
 
+/* --- the queue --- */
+
+static order_t *
+order_first (const engine_t *e)
+{
+  return g_queue_peek_head ((GQueue *)&e->queue);
+}
+
+static order_t *
+order_for (const engine_t *e, guint32 item)
+{
+  for (GList *l = e->queue.head; l != NULL; l = l->next)
+    {
+      order_t *o = l->data;
+
+      if (o->o.item == item)
+        return o;
+    }
+  return NULL;
+}
+
 /* --- memory --- */
 
 void
@@ -184,32 +212,17 @@
     {
       const pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
 
-      if (t->item != item && t->phase != PU_DESK_QUEUED)
+      /* One whose unload was accepted is gone when the engine takes another
+         order: it refuses one while it still waits for the runs to end.  */
+      bool goes = t->phase == PU_DESK_LEAVING && order_for (e, t->item) == NULL;
+
+      if (t->item != item && t->phase != PU_DESK_QUEUED && !goes)
         taken += memory_of (d, t->item);
     }
   return taken <= e->room_mb;
 }
 
-/* --- orders --- */
-
-static order_t *
-order_first (const engine_t *e)
-{
-  return g_queue_peek_head ((GQueue *)&e->queue);
-}
-
-static order_t *
-order_for (const engine_t *e, guint32 item)
-{
-  for (GList *l = e->queue.head; l != NULL; l = l->next)
-    {
-      order_t *o = l->data;
-
-      if (o->o.item == item)
-        return o;
-    }
-  return NULL;
-}
+/* --- what becomes of orders --- */
 
 static void
 end_tell (pu_desk_t *d, guint32 engine, const order_t *o, pu_desk_do_t what)
@@ -255,6 +268,21 @@
   order_end (d, engine, PU_DESK_DO_FAILED);
 }
 
+/* The engine takes another order, so the unloads that it had accepted are
+   over.  */
+static void
+unloads_over (engine_t *e)
+{
+  e->unloads = false;
+  for (guint i = e->items->len; i-- > 0;)
+    {
+      const pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
+
+      if (t->phase == PU_DESK_LEAVING && order_for (e, t->item) == NULL)
+        g_array_remove_index_fast (e->items, i);
+    }
+}
+
 /* The first order is being carried out.  */
 static void
 order_accepted (pu_desk_t *d, guint32 engine, guint64 now)
@@ -268,6 +296,15 @@
   /* An unload waits for the requests that use what goes: an adapter's, too,
      unless it goes at once.  */
   e->busy = e->busy || !o.adapter || o.op == PU_DESK_UNLOAD;
+  if (o.op == PU_DESK_UNLOAD)
+    {
+      e->unloads = true;
+      e->try_at = now + d->o.try_ms;
+    }
+  else if (!o.adapter && e->unloads)
+    {
+      unloads_over (e);
+    }
   e->fetch_at = MIN (e->fetch_at, now + d->o.watch_ms);
   order_end (d, engine, PU_DESK_DO_DONE);
 }
@@ -389,6 +426,14 @@
 {
   engine_t *e = engine_at (d, engine);
 
+  if (e->busy)
+    {
+      /* It still waits for runs to end: no failure of this order.  */
+      e->try_at = now + d->o.try_ms;
+      e->first = NULL;
+      e->sent = e->doubt;
+      return;
+    }
   e->not_before = now + d->o.refused_ms;
   e->fetch_at = MIN (e->fetch_at, now + d->o.refused_ms);
   if (now >= e->first_sent + d->o.give_up_ms)
@@ -587,12 +632,12 @@
             guint64 now, GArray *actions)
 {
   engine_t *e = engine_at (d, engine);
-  const order_t *o = order_first (e);
+  order_t *o = order_first (e);
   pu_desk_action_t a = { .what = PU_DESK_DO_SEND, .engine = engine };
 
   if (o == NULL || !e->known || e->fenced_out || now < e->not_before)
     return;
-  if (e->busy)
+  if (e->busy && (!e->unloads || now < e->try_at))
     return;
   if (e->sent && !e->answered && now < e->last_sent + d->o.answer_ms)
     return;
@@ -601,8 +646,9 @@
       order_fail (d, engine);
       return;
     }
-  if (!e->sent && may != NULL && !may (data, engine, &o->o))
+  if (!e->sent && !o->granted && may != NULL && !may (data, engine, &o->o))
     return;
+  o->granted = true;
   if (!e->sent)
     {
       e->expected = e->accepted;
--- a/libplantainusher/placement/desk.h
+++ b/libplantainusher/placement/desk.h
@@ -35,6 +35,8 @@
   guint64 poll_ms;    /* between two reports */
   guint64 watch_ms;   /* the same while something is under way */
   guint64 adapter_ms; /* an adapter that was accepted is ready after this */
+  guint64 try_ms;     /* after an unload was accepted, and again, the next
+                         order is tried */
 } pu_desk_options_t;
 
 void pu_desk_options_init (pu_desk_options_t *o);
--- a/libplantainusher/placement/planner_choose.c
+++ b/libplantainusher/placement/planner_choose.c
@@ -8,6 +8,8 @@
 /* Engines tried for making room, the least used first.  */
 #define ROOM_TRIES 8
 #define CROWDED 0.5
+/* Use of its ready copies above which an item needs those that come.  */
+#define NEEDED 0.3
 /* What a stream that has to end before its copy is unloaded counts where an
    unreachable item waits for the room, in late streams.  */
 #define DRAIN_LOSS 2.0
@@ -111,6 +113,25 @@
   return can_hold (p, engine, item, t, pu_planned_need (p, t));
 }
 
+/* Whether T needs more than the copies that are ready: room for it would have
+   to be made elsewhere.  Loads that came too late, as demand had moved on, keep
+   none of its copies.  */
+static bool
+grows (const pu_planner_t *p, const pu_planned_item_t *t)
+{
+  double capacity = 0;
+
+  for (guint i = 0; i < t->places->len; i++)
+    {
+      pu_place_t at = pu_item_place (t, i);
+      const pu_planned_engine_t *e = pu_planned_engine (p, at.engine);
+
+      if (pu_planned_copy (e, at.slot)->c.phase == PU_PLAN_READY)
+        capacity += e->streams;
+    }
+  return t->ready <= 1 || t->forecast.expected > NEEDED * capacity;
+}
+
 /* Whether the copy in SLOT may go, so far as its own item is concerned.  */
 static bool
 removable (const pu_planner_t *p, const pu_planned_engine_t *e, guint slot,
@@ -128,8 +149,7 @@
     return false;
   if (!t->declared)
     return true;
-  /* It grows: room would be made for it elsewhere.  */
-  if (room == PU_ROOM_SPARE && t->coming > 0)
+  if (room == PU_ROOM_SPARE && t->coming > 0 && grows (p, t))
     return false;
   if (c->c.item == item && c->c.version == pu_planned_version (t))
     return false;
