--- a/deploy/settings.json.tpl
+++ b/deploy/settings.json.tpl
@@ -20,7 +20,7 @@
   },
   "seeds": [{{#seeds}}"{{.}}"{{,}}{{/seeds}}],
   "found": {{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}},
-  "log_level": "info",
+  "log_level": "note",
   "platform": {
     "ready": "{{listen.ready}}",
     "control": "{{listen.control}}",
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -29,10 +29,10 @@
 
 /* Time constants of the demand: busy models change within five seconds, and a
    copy costs a second or two to load where the engine had it before.  */
-#define FORECAST_FAST_S 1.5
-#define FORECAST_MID_S 3.0
-#define FORECAST_SLOW_S 4.0
-#define FORECAST_HELD_S 6.0
+#define FORECAST_FAST_S 1.0
+#define FORECAST_MID_S 2.0
+#define FORECAST_SLOW_S 2.0
+#define FORECAST_HELD_S 3.0
 #define FORECAST_LEAD_S 1.0
 
 #define STORE_BURST 3.0
