--- a/libplantainusher/placement/adapters.c
+++ b/libplantainusher/placement/adapters.c
@@ -7,6 +7,15 @@
 /* One that was asked for so lately is likely to be asked for again soon.  */
 #define ACTIVE_MS 8000
 
+/* Requests that an engine must have fewer than all that hold an adapter, to be
+   given it too: what a second's requests for one adapter add and take.  */
+#define SPREAD_GAP 8
+/* What an adapter that is given to an engine adds to its requests, until its
+   next report.  */
+#define SPREAD_LOAD 2
+/* Adapters given in one call: a leader's order takes a round trip.  */
+#define SPREAD_MAX 6
+
 typedef struct
 {
   bool is_adapter;
@@ -83,6 +92,12 @@
   return adapter_at (a, item)->base;
 }
 
+static engine_t *
+engine_of (const pu_adapters_t *a, guint32 engine)
+{
+  return &g_array_index (a->engines, engine_t, engine);
+}
+
 void
 pu_adapters_engine (pu_adapters_t *a, guint32 engine, guint places, guint load,
                     bool usable)
@@ -106,7 +121,7 @@
 bool
 pu_adapters_fit (const pu_adapters_t *a, guint32 engine)
 {
-  const engine_t *e = &g_array_index (a->engines, engine_t, engine);
+  const engine_t *e = engine_of (a, engine);
   guint n;
   const pu_desk_item_t *items = pu_desk_items (a->desk, engine, &n);
   guint taken = 0;
@@ -147,7 +162,7 @@
 static bool
 offer_make (const pu_adapters_t *a, guint32 engine, guint64 now, offer_t *o)
 {
-  const engine_t *e = &g_array_index (a->engines, engine_t, engine);
+  const engine_t *e = engine_of (a, engine);
   guint n;
   const pu_desk_item_t *items = pu_desk_items (a->desk, engine, &n);
   guint leaving = 0;
@@ -190,8 +205,7 @@
     return x->idle_since < y->idle_since;
   if (x->taken != y->taken)
     return x->taken < y->taken;
-  return g_array_index (a->engines, engine_t, x->engine).load
-         < g_array_index (a->engines, engine_t, y->engine).load;
+  return engine_of (a, x->engine)->load < engine_of (a, y->engine)->load;
 }
 
 static bool
@@ -210,7 +224,7 @@
 static bool
 has_base (const pu_adapters_t *a, guint32 engine, guint32 item)
 {
-  const engine_t *e = &g_array_index (a->engines, engine_t, engine);
+  const engine_t *e = engine_of (a, engine);
 
   return e->usable && pu_desk_known (a->desk, engine)
          && pu_desk_phase (a->desk, engine, pu_adapters_base (a, item))
@@ -232,8 +246,7 @@
       if (!has || !has_base (a, i, item))
         continue;
       if (best == PU_ADAPTERS_NONE
-          || g_array_index (a->engines, engine_t, i).load
-                 < g_array_index (a->engines, engine_t, best).load)
+          || engine_of (a, i)->load < engine_of (a, best)->load)
         best = i;
     }
   return best;
@@ -264,3 +277,63 @@
     return PU_ADAPTERS_NONE;
   return best.engine;
 }
+
+/* --- spreading --- */
+
+/* Whether ENGINE can be given ITEM without taking a place from one in use.  */
+static bool
+has_place (const pu_adapters_t *a, guint32 engine, guint32 item, guint64 now,
+           offer_t *o)
+{
+  return has_base (a, engine, item)
+         && pu_desk_phase (a->desk, engine, item) == PU_DESK_ABSENT
+         && offer_make (a, engine, now, o)
+         && (o->victim == PU_ADAPTERS_NONE
+             || now >= o->idle_since + ACTIVE_MS);
+}
+
+/* The engine with the fewest requests that can be given ITEM, in BEST; false
+   when none has so few that it pays.  */
+static bool
+find_relief (const pu_adapters_t *a, guint32 item, guint32 holder, guint64 now,
+             offer_t *best)
+{
+  guint most = engine_of (a, holder)->load;
+  bool found = false;
+
+  for (guint32 i = 0; i < a->engines->len; i++)
+    {
+      guint load = engine_of (a, i)->load;
+      offer_t o;
+
+      if (load + SPREAD_GAP > most || !has_place (a, i, item, now, &o))
+        continue;
+      *best = o;
+      most = load;
+      found = true;
+    }
+  return found;
+}
+
+void
+pu_adapters_spread (pu_adapters_t *a, guint64 now)
+{
+  guint given = 0;
+
+  for (guint32 i = 0; i < a->adapters->len && given < SPREAD_MAX; i++)
+    {
+      const adapter_t *t = adapter_at (a, i);
+      guint32 holder;
+      offer_t best;
+
+      if (!t->is_adapter || t->used == 0 || now >= t->used + ACTIVE_MS)
+        continue;
+      holder = find_holder (a, i);
+      if (holder == PU_ADAPTERS_NONE
+          || !find_relief (a, i, holder, now, &best)
+          || !order (a, &best, i, now))
+        continue;
+      engine_of (a, best.engine)->load += SPREAD_LOAD;
+      given++;
+    }
+}
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -477,6 +477,7 @@
   pu_planner_step (l->planner, now, s->moves);
   for (guint i = 0; i < s->moves->len; i++)
     move_want (s, &g_array_index (s->moves, pu_move_t, i));
+  pu_adapters_spread (l->adapters, now);
 }
 
 /* --- the engines --- */
