--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -167,6 +167,16 @@
   d->placer = pu_placer_new (&o);
 }
 
+/* What the leader has read of an engine's load goes to all entries.  */
+static void
+on_load (void *data, const char *engine, const pu_router_report_t *load)
+{
+  pu_daemon_t *d = data;
+
+  if (d->entry != NULL)
+    pu_entry_load (d->entry, engine, load);
+}
+
 /* The platform's engines count their orders.  */
 static void
 build_sequenced (pu_daemon_t *d)
@@ -179,6 +189,8 @@
   o.name = d->settings->name;
   o.counters = d->counters;
   o.wire = pu_platform_order_wire ();
+  o.load = on_load;
+  o.data = d;
   d->sequenced = pu_sequenced_new (&o);
 }
 
@@ -333,6 +345,8 @@
   o->report_ms = s->timing.report_interval_ms;
   o->propose_ms = s->timing.rpc_timeout_ms;
   o->ttl_s = s->timing.entries_ttl_s;
+  o->loads_ms = s->timing.loads_ms;
+  o->loads_to_all = pu_settings_on_platform (s);
 }
 
 /* For tests alone: nothing in a usual build.  */
--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -181,7 +181,7 @@
     record_propose (p);
   router_tell (en, a);
   if (a->has_load)
-    pu_spread_add (en, a);
+    pu_spread_add (en, a->record->name, a->record->incarnation, &a->load);
 }
 
 bool
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -42,6 +42,7 @@
     .idle_ms = IDLE_MS,
     .report_ms = REPORT_MS,
     .propose_ms = PROPOSE_MS,
+    .loads_ms = PU_ENTRY_LOADS_MS,
     .ttl_s = TTL_S,
   };
 }
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -112,6 +112,9 @@
   guint idle_ms;          /* 4000: life of an idle pooled connection */
   guint report_ms;        /* 1000: asked of backend servers */
   guint propose_ms;       /* 2000: a claim that takes longer is refused */
+  guint loads_ms;         /* 1000: least time between two messages of loads to
+                             another entry */
+  bool loads_to_all;      /* not only to entries of the same services */
   guint ttl_s;            /* 10: how long callers keep an answer */
   guint test_breaks;      /* pu_entry_break_t; 0 outside tests */
   const pu_front_t *front; /* copied; NULL: the entry's own */
@@ -134,6 +137,11 @@
    it is first ready.  */
 void pu_entry_view_changed (pu_entry_t *en);
 
+/* pu_entry_load - the backend server NAME, as it is known here, has LOAD, of
+   which SEQ rises: the other entries are told.  */
+void pu_entry_load (pu_entry_t *en, const char *name,
+                    const pu_router_report_t *load);
+
 /* pu_entry_loads_in - N loads that another entry sent, good for LIFE_MS.  */
 void pu_entry_loads_in (pu_entry_t *en, const pu_entry_load_t *loads, guint n,
                         guint life_ms);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -292,9 +292,14 @@
 /* pu_spread_life_ms - how long a load holds that is told every INTERVAL_MS. */
 guint pu_spread_life_ms (guint interval_ms);
 
-/* pu_spread_add - queues the load of A for the other entries that route to its
-   backend server; a newer one takes the place of an older.  */
-void pu_spread_add (pu_entry_t *en, const pu_announcement_t *a);
+/* The unit of loads_ms: what pu_spread_interval_ms gives at least.  */
+#define PU_ENTRY_LOADS_MS 1000
+
+/* pu_spread_add - queues the load R of INCARNATION of the backend server NAME
+   for the other entries that route to it; a newer one takes the place of an
+   older.  */
+void pu_spread_add (pu_entry_t *en, const char *name, guint64 incarnation,
+                    const pu_router_report_t *r);
 
 /* pu_spread_tick - sends what is queued to those whose time has come.  */
 void pu_spread_tick (pu_entry_t *en, guint64 now);
--- a/libplantainusher/entry/spread.c
+++ b/libplantainusher/entry/spread.c
@@ -8,7 +8,7 @@
 enum
 {
   RECOUNT_MS = 5000,
-  INTERVAL_MIN_MS = 1000,
+  INTERVAL_MIN_MS = PU_ENTRY_LOADS_MS,
   /* An entry that hears N backend servers is told of each every N times this.
      A load alone in a message is 80 bytes: at most 1.1 KB/s in all.  */
   INTERVAL_EACH_MS = 72,
@@ -116,14 +116,42 @@
   g_array_free (found, TRUE);
 }
 
+static void
+add_member (const pu_member_record *m, void *data)
+{
+  if (*m->caller_address != '\0')
+    add_once (data, m->peer_address);
+}
+
+/* All other entries.  */
+static GPtrArray *
+all_entries (pu_entry_t *en)
+{
+  const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
+  const pu_member_record *self = pu_state_member (view, en->name);
+  GPtrArray *addresses = g_ptr_array_new ();
+  guint at;
+
+  pu_state_each_member (view, add_member, addresses);
+  if (self != NULL
+      && g_ptr_array_find_with_equal_func (addresses, self->peer_address,
+                                           g_str_equal, &at))
+    g_ptr_array_remove_index_fast (addresses, at);
+  return addresses;
+}
+
 /* The other entries that are told of B, by their peers' addresses, which are
    the view's.  */
 static GPtrArray *
 listeners_of (pu_entry_t *en, const pu_backend_record *b)
 {
-  GPtrArray *services = services_of (en, b);
-  GPtrArray *addresses = g_ptr_array_new ();
+  GPtrArray *services;
+  GPtrArray *addresses;
 
+  if (en->o.loads_to_all)
+    return all_entries (en);
+  services = services_of (en, b);
+  addresses = g_ptr_array_new ();
   for (guint i = 0; i < services->len; i++)
     add_entries (en, g_ptr_array_index (services, i), addresses);
   g_ptr_array_free (services, TRUE);
@@ -173,16 +201,17 @@
 /* --- to them --- */
 
 void
-pu_spread_add (pu_entry_t *en, const pu_announcement_t *a)
+pu_spread_add (pu_entry_t *en, const char *name, guint64 incarnation,
+               const pu_router_report_t *r)
 {
-  const pu_backend_record *b = pu_state_backend (
-      en->o.hooks.view (en->o.hooks.data), a->record->name);
-  pu_entry_load_t load
-      = { .id = pu_entry_load_id (a->record->name, a->record->incarnation),
-          .seq = a->seq,
-          .running = a->load.running,
-          .waiting = a->load.waiting,
-          .at = uv_now (en->o.loop) };
+  const pu_backend_record *b
+      = pu_state_backend (en->o.hooks.view (en->o.hooks.data), name);
+  guint64 now = uv_now (en->o.loop);
+  pu_entry_load_t load = { .id = pu_entry_load_id (name, incarnation),
+                           .seq = r->seq,
+                           .running = r->running,
+                           .waiting = r->waiting,
+                           .at = now - MIN (now, r->age_ms) };
   GPtrArray *addresses;
 
   if (b == NULL || en->document == NULL || en->o.hooks.loads == NULL)
@@ -201,7 +230,8 @@
 static void
 listener_tell (pu_entry_t *en, const char *address, listener_t *l, guint64 now)
 {
-  guint interval = pu_spread_interval_ms (l->heard);
+  guint interval = pu_spread_interval_ms (l->heard) * en->o.loads_ms
+                   / INTERVAL_MIN_MS;
   GArray *loads = g_array_new (FALSE, FALSE, sizeof (pu_entry_load_t));
   GHashTableIter it;
   gpointer load;
@@ -245,6 +275,19 @@
     }
 }
 
+void
+pu_entry_load (pu_entry_t *en, const char *name,
+               const pu_router_report_t *load)
+{
+  const pu_server_t *s = pu_server_find (en, name);
+
+  if (s == NULL || s->handle == PU_ROUTER_NONE)
+    return;
+  pu_router_report (en->router, s->handle, load, uv_now (en->o.loop));
+  pu_router_due (en);
+  pu_spread_add (en, name, s->incarnation, load);
+}
+
 /* --- from them --- */
 
 void
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -21,6 +21,10 @@
   FETCH_MS = 600, /* a report that takes longer is of no use */
   WANT_MS = 800,  /* a copy that takes longer is asked for anew */
   WATCH_MS = 5,   /* between two looks at the copies that are waited for */
+  /* Entries learn of each other's requests by these reports alone.  */
+  POLL_MS = 400,
+  REPORT_AGE_MS = 300, /* what a report says was so that long ago */
+  TERM_SHIFT = 40,     /* reports of one leader, as a power of two */
 };
 
 /* Demand is told in milliseconds of one engine; an engine is hot, by the
@@ -65,6 +69,7 @@
   guint64 document_version;
   guint64 changes; /* of the state, as taken in */
   guint64 term;
+  guint64 loads;      /* reports told of */
   double store;       /* loads that the store lets begin now */
   double store_rate;  /* a second */
   guint64 store_at;   /* when that was counted, ms */
@@ -623,6 +628,23 @@
     }
 }
 
+/* Tells of the load of E in its report R, numbered so that a later leader's
+   numbers are higher.  */
+static void
+load_tell (pu_sequenced_t *s, const engine_t *e, const asked_t *a,
+           const pu_wire_report_t *r)
+{
+  lead_t *l = s->lead;
+  pu_router_report_t load
+      = { .seq = (l->term << TERM_SHIFT) + ++l->loads,
+          .running = r->running,
+          .waiting = r->waiting,
+          .age_ms = (guint)(now_of (s) - a->at) + REPORT_AGE_MS };
+
+  if (s->o.load != NULL)
+    s->o.load (s->o.data, e->name, &load);
+}
+
 static void
 report_take (pu_sequenced_t *s, const asked_t *a, const pu_wire_report_t *r)
 {
@@ -642,8 +664,7 @@
   cached_take (l, e, r->on_disk);
   e->load = r->running + r->waiting;
   pu_desk_report (l->desk, a->engine, &report, a->at, now_of (s));
-  if (s->o.load != NULL)
-    s->o.load (s->o.data, e->name, r);
+  load_tell (s, e, a, r);
   g_array_unref (held);
   g_array_unref (coming);
 }
@@ -802,6 +823,7 @@
 
   pu_planner_options_init (&planner);
   pu_desk_options_init (&desk);
+  desk.poll_ms = POLL_MS;
   l->planner = pu_planner_new (&planner);
   l->desk = pu_desk_new (&desk);
   l->adapters = pu_adapters_new (l->desk);
--- a/libplantainusher/placer/sequenced.h
+++ b/libplantainusher/placer/sequenced.h
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "control/control.h"
 #include "placer/wire.h"
+#include "routing/router.h"
 
 G_BEGIN_DECLS
 
@@ -35,7 +36,7 @@
   guint32 plan_ms;   /* between two plans */
   double store_burst; /* loads from the store that may begin at once */
   /* The load of an engine, as it reports it; may be NULL.  */
-  void (*load) (void *data, const char *engine, const pu_wire_report_t *r);
+  void (*load) (void *data, const char *engine, const pu_router_report_t *r);
   void *data;
 } pu_sequenced_options_t;
 
