--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -19,10 +19,23 @@
   return MIN (q->max_tokens, (guint)mean);
 }
 
+/* Of a prompt token on an engine with nothing else to do; 0: not known.  */
+static double
+token_ms (const pu_router_t *r, const model_t *m)
+{
+  return m->token_ms > 0 ? m->token_ms : r->token_ms;
+}
+
+/* The line was learnt in whatever crowd there was, and would call a request
+   hopeless that an idle copy answers at once.  */
 double
 unloaded_ms (const pu_router_t *r, const request_t *q)
 {
-  return line_at (&model_at (r, q->model)->first, q->prompt_tokens);
+  const model_t *m = model_at (r, q->model);
+  double crowded = line_at (&m->first, q->prompt_tokens);
+  double alone = token_ms (r, m) * q->prompt_tokens + line_at (&m->step, 1);
+
+  return token_ms (r, m) > 0 ? MIN (crowded, alone) : crowded;
 }
 
 /* What a token costs an engine whose batch is full: a step of 6 ms for 64 of
@@ -34,19 +47,12 @@
                    guint output)
 {
   const model_t *t = model_at (r, m);
-  double token_ms = r->options.prefill_ms;
+  double each;
 
   if (t == NULL)
     return 0;
-  if (t->token_ms > 0)
-    {
-      token_ms = t->token_ms;
-    }
-  else if (r->token_ms > 0)
-    {
-      token_ms = r->token_ms;
-    }
-  return token_ms * prompt * t->mean_own + output * TOKEN_MS;
+  each = token_ms (r, t) > 0 ? token_ms (r, t) : r->options.prefill_ms;
+  return each * prompt * t->mean_own + output * TOKEN_MS;
 }
 
 static bool
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -465,6 +465,27 @@
   EXPECT_GT (pu_router_cost_ms (r_, m_, 1000, 0), 20);
 }
 
+/* First tokens were late in a crowd; an idle copy is no less able for that.  */
+TEST_F (Router, ACrowdOfThePastMakesNothingHopeless)
+{
+  backend ("b");
+  for (int i = 0; i < 60; i++)
+    {
+      auto q = request ();
+      q.prompt_tokens = 1000;
+      q.deadline = now_ + 100000;
+      auto d = offer (q);
+      ASSERT_EQ (PU_ROUTER_DISPATCH, d.verdict);
+      now_ += i % 5 == 0 ? 25 : 4000;
+      pu_router_first_token (r_, d.ticket, now_);
+      finish (d.ticket);
+    }
+  auto q = request ();
+  q.prompt_tokens = 1000;
+  q.deadline = now_ + 2000;
+  EXPECT_EQ (PU_ROUTER_DISPATCH, offer (q).verdict);
+}
+
 TEST_F (Router, FullQueueGivesWayToHigherPriority)
 {
   service ("chat", 1, 0, 1);
