--- a/libplantainusher/placement/desk_test.cc
+++ b/libplantainusher/placement/desk_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <random>
@@ -452,6 +453,10 @@
   Calm ()
   {
     faults = false;
+    /* Doubles that are still on their way come to nothing.  */
+    sent.erase (std::remove_if (sent.begin (), sent.end (),
+                                [] (const Sent &s) { return !s.answered; }),
+                sent.end ());
     Pass (8000);
     guint n;
     const pu_desk_item_t *items
