--- a/libplantainusher/placement/planner.h
+++ b/libplantainusher/placement/planner.h
@@ -148,9 +148,9 @@
 void pu_planner_set_engine (pu_planner_t *p, guint32 engine,
                             const pu_plan_engine_t *e, guint64 now);
 
-/* pu_planner_set_quick - a copy of ITEM on ENGINE, which is known, would not
-   come from the weights store (QUICK): its disk or its host's memory has it.
-   Stands until the engine is gone.  */
+/* pu_planner_set_quick - a copy of ITEM on ENGINE would not come from the
+   weights store (QUICK): its disk or its host's memory has it.  Said of an
+   engine before pu_planner_set_engine too; stands until it is said anew.  */
 void pu_planner_set_quick (pu_planner_t *p, guint32 engine, guint32 item,
                            bool quick);
 
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -383,8 +383,10 @@
 pu_planner_set_quick (pu_planner_t *p, guint32 engine, guint32 item,
                       bool quick)
 {
-  pu_planned_engine_t *e = pu_planned_engine (p, engine);
+  pu_planned_engine_t *e;
 
+  grow_engines (p, engine);
+  e = pu_planned_engine (p, engine);
   if (e->quick == NULL && !quick)
     return;
   if (e->quick == NULL)
--- a/libplantainusher/placement/planner_test.cc
+++ b/libplantainusher/placement/planner_test.cc
@@ -355,6 +355,17 @@
   EXPECT_EQ ("load 0.1@2 ", Step ());
 }
 
+/* An engine's report may come before it is planned for.  */
+TEST_F (Planner, WhatIsAtHandMayBeKnownBeforeTheEngine)
+{
+  Engines (1);
+  pu_planner_set_quick (p, 40, 0, true);
+  held.resize (41);
+  Tell (40);
+  Item (0, 60);
+  EXPECT_EQ ("load 0.1@40 ", Step ());
+}
+
 /* What an engine has on its disk takes no turn of the store.  */
 TEST_F (Planner, TheStoreHoldsBackOnlyWhatComesFromIt)
 {
