--- a/libplantainusher/log/replica.c
+++ b/libplantainusher/log/replica.c
@@ -388,7 +388,13 @@
   if (!pu_r_may_campaign (r))
     return;
   if (now >= r->timeout_at || pu_log_config_voters (pu_r_config (r)) == 1)
-    pu_r_campaign (r, now, true, false);
+    {
+      pu_r_campaign (r, now, true, false);
+    }
+  else
+    {
+      pu_r_ask_again (r, now);
+    }
 }
 
 static void
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -101,6 +101,8 @@
   pu_log_peer leader; /* id 0: not known */
   uint64_t heard_at;  /* from a leader, or the start */
   uint64_t timeout_at;
+  uint64_t ask_at;     /* a candidate asks again for votes */
+  bool asks_transfer;  /* by the wish of the leader before */
   uint64_t hello_at;
   GHashTable *granted; /* identities, in this round */
   GHashTable *floors;  /* identity -> uint64_t * */
@@ -178,6 +180,8 @@
 /* replica_vote.c */
 bool pu_r_may_campaign (const pu_replica_t *r);
 void pu_r_campaign (pu_replica_t *r, uint64_t now, bool pre, bool transfer);
+/* pu_r_ask_again - a candidate asks for votes anew, as they may be lost.  */
+void pu_r_ask_again (pu_replica_t *r, uint64_t now);
 void pu_r_on_vote (pu_replica_t *r, uint64_t now, const pu_log_msg *m);
 void pu_r_on_vote_reply (pu_replica_t *r, uint64_t now, const pu_log_msg *m);
 void pu_r_count_votes (pu_replica_t *r, uint64_t now);
--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -84,6 +84,32 @@
     }
 }
 
+/* After a power cut connections come up one after the other, later than the
+   first election: the votes asked for until then are lost.  */
+TEST (Replica, VotesThatWereLostAreAskedForAgain)
+{
+  const uint64_t election_ms = 1000;
+  unsigned led = 0;
+
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Sim s (3, seed, 0);
+      s.run (4000);
+      for (unsigned i = 0; i < 3; i++)
+        s.stop (i);
+      for (unsigned i = 0; i < 3; i++)
+        s.start (i);
+      for (unsigned i = 0; i < 3; i++)
+        s.play ({ sim::ISOLATE, i, 0 });
+      s.run (2 * election_ms);
+      s.play ({ sim::HEAL, 0, 0 });
+      s.run (election_ms / 3);
+      led += s.leader () != nullptr;
+      EXPECT_EQ (s.broken, "");
+    }
+  EXPECT_GE (led, 18U);
+}
+
 /* Seeds 1 to LAST of one generator; the first that is caught, or 0.  */
 static unsigned
 first_caught (unsigned last, unsigned breaks, std::string *broken)
--- a/libplantainusher/log/replica_vote.c
+++ b/libplantainusher/log/replica_vote.c
@@ -18,6 +18,10 @@
 {
   CLOCK_GRAIN_MS = 2, /* two times rounded down to a millisecond */
   PERMILLE = 1000,
+  /* Within one election timeout.  After a power cut the first requests find
+     nobody, as connections to peers that start later have to be tried again;
+     and a voter that has just started grants nothing at first.  */
+  ASKS = 6,
 };
 
 uint64_t
@@ -74,6 +78,13 @@
     }
 }
 
+static void
+ask (pu_replica_t *r, uint64_t now)
+{
+  r->ask_at = now + MAX (1, r->o.election_ms / ASKS);
+  ask_for_votes (r, r->role == PU_ROLE_PRECANDIDATE, r->asks_transfer);
+}
+
 static void
 add_vote (pu_replica_t *r, uint64_t id)
 {
@@ -97,10 +108,21 @@
       r->vote = r->self.id;
       pu_r_save_meta (r);
     }
-  ask_for_votes (r, pre, transfer);
+  r->asks_transfer = transfer;
+  ask (r, now);
   pu_r_count_votes (r, now);
 }
 
+void
+pu_r_ask_again (pu_replica_t *r, uint64_t now)
+{
+  bool asks
+      = r->role == PU_ROLE_PRECANDIDATE || r->role == PU_ROLE_CANDIDATE;
+
+  if (asks && now >= r->ask_at)
+    ask (r, now);
+}
+
 static bool
 own_vote_durable (const pu_replica_t *r)
 {
