Router: where late answers are worth having, requests are offered at once

Engines queue by rank across all entries, and say when they are full. Such requests now go to the best copy that has a free slot.

--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -221,6 +221,7 @@
   const copy_t *c = &g_array_index (s->copies, copy_t, copy);
   const model_t *m = model_at (r, q->model);
   guint load;
+  bool eager = service_at (r, q->service)->serve_late;
   guint64 pending;
   double margin;
 
@@ -228,7 +229,7 @@
     return false;
   load = backend_load (s, now);
   pending = pending_tokens (s, m, now);
-  if (!step_allows (r, q, s, load) || !window_allows (r, q, s, c, pending))
+  if (!eager && (!step_allows (r, q, s, load) || !window_allows (r, q, s, c, pending)))
     return false;
   out->backend = b;
   out->copy = copy;
@@ -239,11 +240,9 @@
                + backend_step_ms (r, s, m, load + 1);
   /* Of equal errors up and down, half would be late without the margin.
      An idle one takes what would otherwise wait for nothing better.  */
+  if (eager)
+    return true;
   margin = DEVIATIONS * c->first.deviation;
-  /* Where a late answer is worth having, waiting for more certainty makes late
-     what might have been on target.  */
-  if (service_at (r, q->service)->serve_late)
-    margin = 0;
   return load == 0 || (double)now + out->first_ms + margin <= (double)q->due;
 }
 
