Planner: what is lost and not asked for takes turns at the store with demand

Lost models that callers ask for still go first; the others get every other turn while an engine is hot.

--- a/libplantainusher/placement/planner.c
+++ b/libplantainusher/placement/planner.c
@@ -353,15 +353,22 @@
 static void
 run_round (pu_round_t *r)
 {
+  bool idle_first;
+
   pu_planner_index (r->p, r->now);
   pu_planner_spread (r->p);
   r->v.slots = g_array_new (FALSE, FALSE, sizeof (guint));
-  pu_round_keep_promises (r);
-  pu_round_repair (r);
+  pu_round_keep_promises (r, false);
+  pu_round_repair_asked (r);
+  idle_first = r->full || r->p->grew || !pu_round_is_hot (r);
+  if (idle_first)
+    pu_round_repair_idle (r);
   change_versions (r);
   unload_undeclared (r);
   if (r->full || !r->lacking)
     pu_round_follow_demand (r);
+  if (!idle_first)
+    pu_round_repair_idle (r);
   if (r->full || !r->repairing)
     pu_round_use_spare (r);
   g_array_unref (r->v.slots);
--- a/libplantainusher/placement/planner_grow.c
+++ b/libplantainusher/placement/planner_grow.c
@@ -146,6 +146,24 @@
   return best;
 }
 
+bool
+pu_round_is_hot (const pu_round_t *r)
+{
+  guint32 hot[HOT_ENGINES];
+
+  return find_hot (r->p, hot) > 0;
+}
+
+/* While an item is lost that nobody asks for, it gets every other turn: what
+   is asked for ten times over can't wait for all of those.  */
+static bool
+store_takes_growth (const pu_round_t *r)
+{
+  if (r->full || !r->idle_lacking)
+    return pu_round_store_takes (r);
+  return !r->p->grew && pu_round_store_takes_urgent (r);
+}
+
 /* Phase 5.  */
 void
 pu_round_follow_demand (pu_round_t *r)
@@ -156,7 +174,7 @@
     {
       pu_offer_t o;
 
-      r->p->quick_only = !pu_round_store_takes (r);
+      r->p->quick_only = !store_takes_growth (r);
       if (r->p->quick_only && !r->p->any_quick)
         break;
       o = best_offer (r);
@@ -167,6 +185,7 @@
           r->p, o.item, pu_planned_version (pu_planned_item (r->p, o.item)),
           PU_ROOM_SPARE, r->now, &r->v);
       pu_round_load (r, o.engine, o.item, PU_REASON_DEMAND, o.gain, o.price);
+      r->p->grew = r->p->grew || !r->p->quick_only;
     }
   r->p->quick_only = false;
 }
@@ -268,8 +287,7 @@
 pu_round_use_spare (pu_round_t *r)
 {
   guint tries = r->full ? r->p->items->len : SPARE_TRIES;
-  guint32 hot[HOT_ENGINES];
-  bool any_hot = find_hot (r->p, hot) > 0;
+  bool any_hot = pu_round_is_hot (r);
   GArray *exposed;
 
   if (!r->p->any_quick && (any_hot || !pu_round_store_takes (r)))
--- a/libplantainusher/placement/planner_internal.h
+++ b/libplantainusher/placement/planner_internal.h
@@ -92,6 +92,7 @@
   guint64 last_advance;
   guint coming;   /* loads under way from the store, all items */
   guint store;    /* loads that it lets begin now */
+  bool grew;       /* the last turn of the store went to demand */
   bool any_quick;  /* an engine has something that needs no store */
   bool quick_only; /* it takes no more: only what it need not give */
   guint promised; /* loads that wait for room, all items */
--- a/libplantainusher/placement/planner_repair.c
+++ b/libplantainusher/placement/planner_repair.c
@@ -8,6 +8,16 @@
 #define ROOMS_AT_ONCE 2
 /* Places that are found ahead, for each load that the store takes at once.  */
 #define PLACES_AHEAD 2
+/* Streams expected of an item that is asked for: less than one request in some
+   seconds.  */
+#define ASKED_STREAMS 0.01
+
+/* Whether callers ask for T now.  */
+static bool
+is_asked (const pu_planned_item_t *t)
+{
+  return t->forecast.expected > ASKED_STREAMS;
+}
 
 /* The promised copy of E, which index_engine listed last; a load may have
    been listed after it since.  */
@@ -95,7 +105,7 @@
 }
 
 void
-pu_round_keep_promises (pu_round_t *r)
+pu_round_keep_promises (pu_round_t *r, bool idle)
 {
   GArray *kept;
 
@@ -116,6 +126,8 @@
         }
       n.t = pu_planned_item (r->p, n.item);
       n.lost = n.t->ready == 0;
+      if (idle != (n.lost && !is_asked (n.t)))
+        continue;
       if (pu_planned_free (e) >= e->promise.c.memory_mb)
         {
           g_array_append_val (kept, n);
@@ -167,7 +179,10 @@
   if (t->failures > 0 || r->now >= t->lost_since + HOLD_GROWTH_MS)
     return;
   r->repairing = true;
-  r->lacking = r->lacking || !is_coming (r->p, t);
+  if (is_coming (r->p, t))
+    return;
+  r->lacking = r->lacking || is_asked (t);
+  r->idle_lacking = true;
 }
 
 /* Whether T has no copy, and none coming but for rooms that take long.  */
@@ -224,8 +239,22 @@
     drop_others (r, n->item);
 }
 
-void
-pu_round_repair (pu_round_t *r)
+static void
+repair (pu_round_t *r, const pu_needy_t *n)
+{
+  if (n->lost)
+    {
+      repair_lost (r, n);
+    }
+  else
+    {
+      pu_round_try_load (r, n->item, PU_ROOM_SPARE, PU_REASON_MINIMUM);
+    }
+}
+
+/* Those of the needy that are ASKED for, or the others.  */
+static void
+repair_some (pu_round_t *r, bool asked)
 {
   GArray *needy = find_needy (r);
 
@@ -233,18 +262,29 @@
     {
       const pu_needy_t *n = &g_array_index (needy, pu_needy_t, i);
 
+      if (is_asked (n->t) != asked)
+        continue;
       r->p->quick_only = !may_begin (r, n);
       if (r->p->quick_only && !r->p->any_quick)
         break;
-      if (n->lost)
-        {
-          repair_lost (r, n);
-        }
-      else
-        {
-          pu_round_try_load (r, n->item, PU_ROOM_SPARE, PU_REASON_MINIMUM);
-        }
+      repair (r, n);
     }
   r->p->quick_only = false;
   g_array_unref (needy);
 }
+
+void
+pu_round_repair_asked (pu_round_t *r)
+{
+  repair_some (r, true);
+}
+
+void
+pu_round_repair_idle (pu_round_t *r)
+{
+  /* Their turn is over also when there was no room for any of them.  */
+  if (pu_round_store_takes_urgent (r))
+    r->p->grew = false;
+  pu_round_keep_promises (r, true);
+  repair_some (r, false);
+}
--- a/libplantainusher/placement/planner_round.h
+++ b/libplantainusher/placement/planner_round.h
@@ -19,7 +19,9 @@
   bool full;        /* the store has no limits */
   bool repairing;   /* an item is unreachable: spare copies wait */
   guint loads;      /* ordered in this round */
-  bool lacking;     /* nothing is under way for one: growth waits */
+  bool lacking;     /* nothing is under way for one that is asked for: growth
+                       waits */
+  bool idle_lacking; /* or for any: growth takes every other turn */
 } pu_round_t;
 
 /* pu_round_load - loads ITEM on ENGINE: at once when it fits and the store
@@ -52,15 +54,20 @@
 
 /* pu_round_keep_promises - loads what was promised where the room has become
    free, the unreachable first.  */
-void pu_round_keep_promises (pu_round_t *r);
+void pu_round_keep_promises (pu_round_t *r, bool idle);
+
+/* pu_round_is_hot - whether an engine has more to do than it can do in time.  */
+bool pu_round_is_hot (const pu_round_t *r);
 
 /* pu_round_open_room - begins or goes on to move a last copy elsewhere, so
    that ITEM, which found no room, may have its place.  */
 void pu_round_open_room (pu_round_t *r, guint32 item);
 
-/* pu_round_repair - phases 1 and 2: what is unreachable, then what is below
-   its minimum.  */
-void pu_round_repair (pu_round_t *r);
+/* pu_round_repair_asked, pu_round_repair_idle - phases 1 and 2: what is
+   unreachable, then what is below its minimum; of what callers ask for, and of
+   the rest.  */
+void pu_round_repair_asked (pu_round_t *r);
+void pu_round_repair_idle (pu_round_t *r);
 
 /* pu_round_follow_demand - phase 5: copies whose gain exceeds their price.  */
 void pu_round_follow_demand (pu_round_t *r);
--- a/libplantainusher/placement/planner_test.cc
+++ b/libplantainusher/placement/planner_test.cc
@@ -202,6 +202,26 @@
   EXPECT_NE ("", Step (false));
 }
 
+/* Models that nobody asks for are lost with an engine; one that everybody asks
+   for needs copies.  The store gives one a turn, then the other.  */
+TEST_F (Planner, DemandAndWhatIsLostTakeTurnsAtTheStore)
+{
+  std::string order;
+
+  Engines (8);
+  Item (0, 90);
+  Step ();
+  for (guint32 i = 1; i <= 3; i++)
+    Item (i, 90);
+  for (int i = 0; i < 6; i++)
+    {
+      pu_planner_set_store (p, 1);
+      pu_planner_demand (p, 0, 400, 200 * 1000.0);
+      order += Step (true).substr (0, 6) + ";";
+    }
+  EXPECT_EQ ("load 0;load 1;load 0;load 2;load 0;load 3;", order);
+}
+
 TEST_F (Planner, RoomIsHeldForTheAdaptersOfABaseThatComes)
 {
   Engines (1);
