--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -127,9 +127,13 @@
 static uint64_t
 leave_ms (const pu_daemon_t *d)
 {
+  const pu_settings_timing_t *t = &d->settings->timing;
+
   if (d->entry == NULL || d->hurry)
     return 0;
-  return (uint64_t)d->settings->timing.entries_ttl_s * MS_PER_S + STOP_TICK_MS;
+  if (t->leave_ms > 0)
+    return t->leave_ms;
+  return (uint64_t)t->entries_ttl_s * MS_PER_S + STOP_TICK_MS;
 }
 
 static void
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -184,6 +184,7 @@
   TIME (poll_wait_ms, 100, MINUTE_MS, 2000, "ms"),
   TIME (sessions_ms, 50, MINUTE_MS, 1000, "ms"),
   TIME (loads_ms, 50, MINUTE_MS, 1000, "ms"),
+  TIME (leave_ms, 0, HOUR_MS, 0, "ms"),
   TIME (session_ms, 500, HOUR_MS, 8000, "ms"),
   TIME (backend_lease_ms, 500, HOUR_MS, 5000, "ms"),
   TIME (report_interval_ms, 50, MINUTE_MS, 1000, "ms"),
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -83,6 +83,8 @@
   guint32 replace_after_ms;    /* a voter silent for longer gives its place
                                   to a spare, if there is one */
   guint32 poll_wait_ms;        /* an empty poll is answered after this */
+  guint32 leave_ms;            /* a leaving entry takes callers for so long; 0:
+                                  entries_ttl_s */
   guint32 loads_ms;            /* an entry tells another of loads this often,
                                   at most */
   guint32 sessions_ms;         /* a voter tells the leader of its daemons,
