--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -201,6 +201,7 @@
     g->replica.heartbeat_ms = o->heartbeat_ms;
   if (o->election_ms != 0)
     g->replica.election_ms = o->election_ms;
+  g->replica.voters_wanted = o->voters_wanted;
   if (o->replace_after_ms != 0)
     g->replica.replace_after_ms = o->replace_after_ms;
   if (o->snapshot_entries != 0)
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -41,6 +41,7 @@
   guint32 heartbeat_ms; /* of the log; 0 here and below: the default */
   guint32 election_ms;
   guint32 replace_after_ms;
+  guint32 voters_wanted; /* 0: operators alone add voters */
   guint32 snapshot_entries;
   guint32 connect_ms;        /* to other voters */
   guint32 tick_ms;           /* 100: polls are answered and duties run */
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -218,6 +218,7 @@
   o.election_ms = s->timing.election_ms;
   o.sessions_ms = s->timing.sessions_ms;
   o.replace_after_ms = s->timing.replace_after_ms;
+  o.voters_wanted = s->limits.voters;
   o.claims_max = s->limits.max_claims;
   o.snapshot_entries = s->limits.snapshot_entries;
   o.connect_ms = s->timing.connect_timeout_ms;
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -57,6 +57,9 @@
   uint32_t drift_permille;   /* 10: each clock's rate is this near to true */
   uint32_t replace_after_ms; /* 60000: a voter silent that long gives its
                                 place to a learner, if there is one */
+  uint32_t voters_wanted;    /* 0: learners become voters so far as operators
+                                want more of them, else until there are so
+                                many, an odd number at a time */
   uint32_t snapshot_entries; /* 4096: entries until a snapshot */
   uint64_t snapshot_bytes;   /* 16 MiB: bytes until a snapshot */
   bool snapshot_together;    /* all voters at the same point: a benchmark's
--- a/libplantainusher/log/replica_sim.h
+++ b/libplantainusher/log/replica_sim.h
@@ -67,8 +67,10 @@
   uint64_t steps = 0; // delivered messages
   uint64_t commits = 0;
 
-  Sim (unsigned n, unsigned seed, unsigned breaks, unsigned spares = 0)
-      : rand_ (seed), breaks_ (breaks), initial_ (n), nodes_ (n + spares),
+  Sim (unsigned n, unsigned seed, unsigned breaks, unsigned spares = 0,
+       unsigned wanted = 0)
+      : rand_ (seed), breaks_ (breaks), initial_ (n), wanted_ (wanted),
+        nodes_ (n + spares),
         blocked_ (nodes_.size (), std::vector<bool> (nodes_.size (), false))
   {
     for (unsigned i = 0; i < nodes_.size (); i++)
@@ -284,6 +286,7 @@
     o.breaks = breaks_ & 0xffff;
     o.rejoined = n.rejoined;
     o.replace_after_ms = 5000;
+    o.voters_wanted = wanted_;
     o.snapshot_entries = 40;
     o.keep_entries = 10;
     o.batch_bytes = 1;
@@ -357,6 +360,7 @@
   std::mt19937 rand_;
   unsigned breaks_;
   unsigned initial_;
+  unsigned wanted_;
   std::vector<Node> nodes_;
   std::vector<std::vector<bool> > blocked_;
   std::vector<Packet> bag_;
--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -2,6 +2,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
+
 #include "base/fuzz_report.h"
 #include "log/replica_sim.h"
 
@@ -34,9 +36,9 @@
 
 static std::string
 violation (unsigned n, unsigned spares, unsigned seed, unsigned breaks,
-           const std::vector<Event> &events)
+           const std::vector<Event> &events, unsigned wanted = 0)
 {
-  Sim s (n, seed, breaks, spares);
+  Sim s (n, seed, breaks, spares, wanted);
   s.run (4000);
   for (size_t i = 0; i < events.size () && s.broken.empty (); i++)
     s.play (events[i]);
@@ -59,6 +61,58 @@
     RC_FAIL (broken);
 }
 
+/* The same where spares become voters by themselves.  */
+RC_GTEST_PROP (ReplicaFuzz, KeepsItsPromisesAsItGrows, ())
+{
+  const auto seed = *rc::gen::arbitrary<unsigned> ();
+  const auto spares = *rc::gen::inRange (1U, 5U);
+  const auto events
+      = *rc::gen::resize (200, rc::gen::arbitrary<std::vector<Event> > ());
+  const std::string broken = violation (3, spares, seed, 0, events, 7);
+  if (!broken.empty ())
+    RC_FAIL (broken);
+}
+
+/* Voters of the configuration that the leader has.  */
+static unsigned
+voters (Sim &s)
+{
+  return pu_log_config_voters (pu_replica_config (s.leader ()->r));
+}
+
+/* With five disks the loss of two has to be borne.  */
+TEST (Replica, SparesVoteUntilAsManyAsAreWanted)
+{
+  for (auto [spares, wanted, expected] :
+       { std::array<unsigned, 3>{ 2, 0, 3 }, { 2, 7, 5 }, { 1, 7, 3 },
+         { 3, 7, 5 }, { 4, 7, 7 }, { 4, 5, 5 } })
+    {
+      Sim s (3, 9, 0, spares, wanted);
+
+      s.run (12000);
+      ASSERT_NE (nullptr, s.leader ());
+      EXPECT_EQ (expected, voters (s)) << spares << " spares";
+      EXPECT_EQ (s.broken, "");
+    }
+}
+
+TEST (Replica, TheLossOfTwoOfTheFirstThreeVotersIsBornWithTwoSpares)
+{
+  Sim s (3, 9, 0, 2, 7);
+
+  s.run (12000);
+  s.propose ();
+  s.run (500);
+  for (unsigned i : { 0U, 1U })
+    {
+      s.stop (i);
+      s.wipe (i);
+      s.stop (i);
+    }
+  s.run (3000);
+  EXPECT_TRUE (s.heals ()) << s.broken;
+}
+
 /* A disk that lost what it had acknowledged is refused, by the leader that saw
    the acknowledgement and by the next one alike.  */
 TEST (Replica, RolledBackDiskComesBackAsANewVoter)
--- a/libplantainusher/log/replica_voters.c
+++ b/libplantainusher/log/replica_voters.c
@@ -278,6 +278,19 @@
   pu_r_sync_progress (r, now);
 }
 
+/* Appends a copy of the configuration that wants STEP voters more.  */
+static void
+change_target (pu_replica_t *r, uint64_t now, int step)
+{
+  pu_log_config c;
+
+  pu_log_config_copy (&c, pu_r_config (r));
+  c.target += (u_int)step;
+  append_config (r, &c);
+  pu_log_config_clear (&c);
+  pu_r_sync_progress (r, now);
+}
+
 /* A newer voter with the name of member I.  */
 static bool
 has_successor (const pu_log_config *c, guint i)
@@ -450,6 +463,36 @@
   return true;
 }
 
+/* Learners that could vote now.  */
+static uint32_t
+spares (const pu_replica_t *r, const pu_log_config *c, uint64_t now)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < c->members.members_len; i++)
+    {
+      const pu_log_member *m = &c->members.members_val[i];
+
+      n += !pu_log_counts (m->role) && caught_up (r, m, now);
+    }
+  return n;
+}
+
+/* Wants more voters where learners are ready: as many as keep their number
+   odd, since one more than that bears no loss more.  */
+static bool
+want_more (pu_replica_t *r, uint64_t now)
+{
+  const pu_log_config *c = pu_r_config (r);
+  uint32_t step = c->target % 2 == 0 ? 1 : 2;
+
+  if (c->target + step > r->o.voters_wanted
+      || pu_log_config_voters (c) < c->target || spares (r, c, now) < step)
+    return false;
+  change_target (r, now, (int)step);
+  return true;
+}
+
 static bool
 drop_lost_learner (pu_replica_t *r, uint64_t now)
 {
@@ -483,6 +526,8 @@
     return;
   if (promote (r, now))
     return;
+  if (want_more (r, now))
+    return;
   drop_lost_learner (r, now);
 }
 
