--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -40,9 +40,9 @@
   GPtrArray *ranked;
   uint64_t voters_hash;
   uint64_t voters_at; /* log position of the learnt ones; 0: none */
-  guint at;          /* in ranked: the one that is polled */
-  uint64_t moved_at; /* loop time when `at` left the preferred one */
-  char *leader;      /* address; "" when not known */
+  guint at;           /* in ranked: the one that is polled */
+  uint64_t moved_at;  /* loop time when `at` left the preferred one */
+  char *leader;       /* address; "" when not known */
 
   /* poll.c */
   uv_timer_t *poll_timer;
@@ -82,7 +82,6 @@
 void pu_agent_voters_home (pu_agent_t *a);
 void pu_agent_set_leader (pu_agent_t *a, const char *address);
 
-
 /* pu_agent_voters_take - N voters, who became that at the position AT: false
    when that is no news.  */
 bool pu_agent_voters_take (pu_agent_t *a, uint64_t at, const pu_voter *voters,
--- a/libplantainusher/agent/find.c
+++ b/libplantainusher/agent/find.c
@@ -14,10 +14,10 @@
 
 enum
 {
-  TICK_MS = 250,      /* between two looks */
-  TELL_MS = 2000,     /* between two times that a voter tells */
-  ASK_MS = 500,       /* a daemon that answers does so in a few ms */
-  MEMBERS_ASKED = 3,  /* of the view, beside the settings' addresses */
+  TICK_MS = 250,     /* between two looks */
+  TELL_MS = 2000,    /* between two times that a voter tells */
+  ASK_MS = 500,      /* a daemon that answers does so in a few ms */
+  MEMBERS_ASKED = 3, /* of the view, beside the settings' addresses */
 };
 
 static void
--- a/libplantainusher/agent/query.c
+++ b/libplantainusher/agent/query.c
@@ -125,10 +125,9 @@
 pu_agent_want (pu_agent_t *a, const char *model, guint timeout_ms,
                pu_agent_json_fn *fn, void *data)
 {
-  pu_query x = { .kind = PU_QUERY_WANT,
-                 .action = "",
-                 .name = (char *)model,
-                 .other = "" };
+  pu_query x = {
+    .kind = PU_QUERY_WANT, .action = "", .name = (char *)model, .other = ""
+  };
 
   query_send (a, &x, timeout_ms, fn, data);
 }
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -37,8 +37,8 @@
   pu_settings_t *settings; /* in force; the same until they are read again */
   pu_counters_t *counters;
   pu_rpc_server_t *peers;
-  pu_control_t *control; /* NULL without the role */
-  pu_placer_t *placer;   /* goes with control, but on the platform */
+  pu_control_t *control;     /* NULL without the role */
+  pu_placer_t *placer;       /* goes with control, but on the platform */
   pu_sequenced_t *sequenced; /* the same on the platform */
   pu_agent_t *agent;
   pu_platform_t *platform; /* NULL but for an instance of the platform */
--- a/libplantainusher/document/document.h
+++ b/libplantainusher/document/document.h
@@ -100,14 +100,14 @@
   guint32 kind;       /* pu_service_kind_t */
   guint32 importance; /* 1..10, 10 first */
   pu_targets_t targets;
-  guint32 timeout_ms;            /* when the caller gives none */
-  guint32 max_concurrency;       /* requests running at once, whole system */
-  guint32 max_queue;             /* requests waiting at once at one entry */
-  guint32 claim_window_s;        /* how long an at-most-once key is kept */
-  guint32 connections; /* that one backend server takes; 0: no limit */
+  guint32 timeout_ms;      /* when the caller gives none */
+  guint32 max_concurrency; /* requests running at once, whole system */
+  guint32 max_queue;       /* requests waiting at once at one entry */
+  guint32 claim_window_s;  /* how long an at-most-once key is kept */
+  guint32 connections;     /* that one backend server takes; 0: no limit */
   const char *health_path; /* of its liveness check; "": none */
   pu_engine_class_t engine;
-  pu_json_strings_t model_names; /* as listed */
+  pu_json_strings_t model_names;    /* as listed */
   pu_json_strings_t not_repeatable; /* "METHOD /path-prefix" */
   const pu_model_handle_t *models;  /* model_names.n of them, as listed */
 } pu_service_t;
@@ -125,7 +125,7 @@
   guint32 accelerators; /* tensor-parallel width; adapters: the base's */
   guint32 min_copies;   /* >= 1 */
   guint32 max_copies;   /* >= min_copies */
-  guint32 load_ms;      /* from the weights store; 0 here and below: not told */
+  guint32 load_ms; /* from the weights store; 0 here and below: not told */
   guint32 disk_load_ms; /* from the engine's own disk */
   guint32 host_load_ms; /* from its host's memory */
   bool on_demand;       /* adapters: loaded when asked for, where their base is
@@ -160,12 +160,12 @@
   guint32 timeout_ms;      /* a caller is not kept waiting longer */
   guint32 target_ms;       /* to the first event, or to the whole answer */
   guint32 gap_ms;          /* most between two events; 0: no target */
-  guint32 patience_ms; /* callers leave without a first event by then; 0: at
-                          the timeout */
-  bool serve_late;     /* an answer past the target is worth having */
-  guint32 priority;        /* 0..9, 9 first */
-  pu_json_rows_t parts;    /* pu_route_part_t */
-  guint32 weights;         /* sum of the parts' */
+  guint32 patience_ms;  /* callers leave without a first event by then; 0: at
+                           the timeout */
+  bool serve_late;      /* an answer past the target is worth having */
+  guint32 priority;     /* 0..9, 9 first */
+  pu_json_rows_t parts; /* pu_route_part_t */
+  guint32 weights;      /* sum of the parts' */
 } pu_route_t;
 
 /* What a caller may send, and how slowly, where the daemon's own settings do
--- a/libplantainusher/document/schema.c
+++ b/libplantainusher/document/schema.c
@@ -60,8 +60,7 @@
     .name = #field, .type = PU_FIELD_BOOL, .offset = offsetof (row, field)    \
   }
 
-#define ENGINE(field, most, of)                                               \
-  INT (pu_engine_class_t, field, 0, most, 0, of)
+#define ENGINE(field, most, of) INT (pu_engine_class_t, field, 0, most, 0, of)
 
 static const pu_field_t engine_fields[] = {
   ENGINE (slots, 100000, "requests"),
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -7,7 +7,7 @@
 enum
 {
   EVENT_MAX = 1024 * 1024, /* bytes of one numbered event */
-  PREDICTED_FACTOR = 4, /* the head may take so many times the estimate */
+  PREDICTED_FACTOR = 4,    /* the head may take so many times the estimate */
   RETRY_AFTER_MAX_S = 3600,
   STATUS_CLIENT_ERROR = 400,
   STATUS_REQUEST_TIMEOUT = 408,
@@ -220,7 +220,8 @@
       const pu_http_header_t *h
           = &g_array_index (r->headers, pu_http_header_t, i);
 
-      if (!pu_http_header_is_passed (h->name) || pu_http_header_is_ours (h->name))
+      if (!pu_http_header_is_passed (h->name)
+          || pu_http_header_is_ours (h->name))
         continue;
       g_ptr_array_add (passed, g_strdup (h->name));
       g_ptr_array_add (passed, g_strdup (h->value));
@@ -438,45 +439,67 @@
     pu_events_flush (x->at.events);
 }
 
-static void
-front_complete (pu_exchange_t *x)
+/* What the whole answer of a backend server means for its request.  */
+typedef enum
+{
+  END_BROKEN,    /* not this request's, or not to be joined to what was sent */
+  END_ELSEWHERE, /* another backend server is at that address */
+  END_ABSENT,    /* the model is not there */
+  END_NOT_RUN,
+  END_ERROR, /* and it may be tried again */
+  END_FAILED,
+  END_GOOD
+} end_t;
+
+static end_t
+front_end (const pu_exchange_t *x)
 {
   const pu_answer_t *a = &x->at.answer;
 
   if (a->foreign)
+    return END_BROKEN;
+  if (a->elsewhere)
+    return END_ELSEWHERE;
+  if (a->absent)
+    return END_ABSENT;
+  if (a->not_run)
+    return END_NOT_RUN;
+  if (a->failed && x->q.repeatable)
+    return END_ERROR;
+  if (x->head_sent && !x->at.streaming)
+    return END_BROKEN;
+  return a->failed ? END_FAILED : END_GOOD;
+}
+
+static void
+front_complete (pu_exchange_t *x)
+{
+  switch (front_end (x))
     {
+    case END_BROKEN:
       attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
-    }
-  else if (a->elsewhere)
-    {
+      return;
+    case END_ELSEWHERE:
       pu_server_replaced (x->at.server);
       pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
-    }
-  else if (a->absent)
-    {
+      return;
+    case END_ABSENT:
       pu_server_lacks (x->at.server, x->q.model);
       pu_exchange_again (x, PU_ROUTER_FAIL_ABSENT);
-    }
-  else if (a->not_run)
-    {
+      return;
+    case END_NOT_RUN:
       pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
-    }
-  else if (a->failed && x->q.repeatable)
-    {
+      return;
+    case END_ERROR:
       pu_exchange_again (x, PU_ROUTER_FAIL_ERROR);
-    }
-  else if (x->head_sent && !x->at.streaming)
-    {
-      attempt_broke (x, PU_ROUTER_FAIL_TRUNCATED);
-    }
-  else if (a->failed)
-    {
+      return;
+    case END_FAILED:
       failure_pass (x);
-    }
-  else
-    {
+      return;
+    case END_GOOD:
       rest_pass (x);
       attempt_succeed (x);
+      return;
     }
 }
 
@@ -672,9 +695,9 @@
 bool
 pu_attempt_relay (pu_exchange_t *x, const pu_directory_entry_t *to)
 {
-  char *target = x->q.plain
-                     ? g_strconcat ("/services/", x->q.service, x->q.target, NULL)
-                     : g_strdup (x->q.target);
+  char *target = x->q.plain ? g_strconcat ("/services/", x->q.service,
+                                           x->q.target, NULL)
+                            : g_strdup (x->q.target);
   pu_head_t h;
   bool good;
 
--- a/libplantainusher/entry/deliver.c
+++ b/libplantainusher/entry/deliver.c
@@ -181,10 +181,9 @@
   if (x->http == NULL)
     return;
   headers = at->passed != NULL ? headers_of (at->passed) : own_headers (x);
-  pu_http_respond (x->http, at->status,
-                   (const pu_http_header_t *)(void *)headers->data,
-                   headers->len, (const char *)at->whole->data,
-                   at->whole->len);
+  pu_http_respond (
+      x->http, at->status, (const pu_http_header_t *)(void *)headers->data,
+      headers->len, (const char *)at->whole->data, at->whole->len);
   g_array_free (headers, TRUE);
   x->http = NULL;
 }
--- a/libplantainusher/entry/demand.c
+++ b/libplantainusher/entry/demand.c
@@ -23,9 +23,9 @@
 
   if (x->q.sized)
     {
-      return pu_router_cost_ms (
-          en->router, pu_router_find_model (en->router, x->q.model),
-          x->q.prompt_tokens, x->q.max_tokens);
+      return pu_router_cost_ms (en->router,
+                                pu_router_find_model (en->router, x->q.model),
+                                x->q.prompt_tokens, x->q.max_tokens);
     }
   mean = g_hash_table_lookup (en->run_ms, x->q.model);
   return mean == NULL ? FIRST_MS : *mean;
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -100,23 +100,23 @@
   guint n_backend_keys;
   pu_counters_t *counters; /* may be NULL */
   guint32 seed;
-  gsize header_max;       /* bytes; 0 here and below: the default */
-  gsize body_max;         /* 8 MiB; also the longest whole answer */
-  gsize announcement_max; /* 1 MiB */
-  guint connections_max;  /* 4096 */
-  guint requests_max;     /* 4096: in progress at once */
-  guint connect_ms;       /* 1000 */
-  guint progress_ms;      /* 10000: a stream without a byte is silent */
-  guint settle_ms;        /* 1000: a strike is known everywhere after this */
-  guint probe_ms;         /* 1000: second opinion on a new connection */
-  guint idle_ms;          /* 4000: life of an idle pooled connection */
-  guint report_ms;        /* 1000: asked of backend servers */
-  guint propose_ms;       /* 2000: a claim that takes longer is refused */
-  guint loads_ms;         /* 1000: least time between two messages of loads to
-                             another entry */
-  bool loads_to_all;      /* not only to entries of the same services */
-  guint ttl_s;            /* 10: how long callers keep an answer */
-  guint test_breaks;      /* pu_entry_break_t; 0 outside tests */
+  gsize header_max;        /* bytes; 0 here and below: the default */
+  gsize body_max;          /* 8 MiB; also the longest whole answer */
+  gsize announcement_max;  /* 1 MiB */
+  guint connections_max;   /* 4096 */
+  guint requests_max;      /* 4096: in progress at once */
+  guint connect_ms;        /* 1000 */
+  guint progress_ms;       /* 10000: a stream without a byte is silent */
+  guint settle_ms;         /* 1000: a strike is known everywhere after this */
+  guint probe_ms;          /* 1000: second opinion on a new connection */
+  guint idle_ms;           /* 4000: life of an idle pooled connection */
+  guint report_ms;         /* 1000: asked of backend servers */
+  guint propose_ms;        /* 2000: a claim that takes longer is refused */
+  guint loads_ms;          /* 1000: least time between two messages of loads to
+                              another entry */
+  bool loads_to_all;       /* not only to entries of the same services */
+  guint ttl_s;             /* 10: how long callers keep an answer */
+  guint test_breaks;       /* pu_entry_break_t; 0 outside tests */
   const pu_front_t *front; /* copied; NULL: the entry's own */
   pu_entry_hooks_t hooks;
 } pu_entry_options_t;
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -100,17 +100,17 @@
   GPtrArray *passed; /* names and values of its headers that are passed on;
                         NULL: none are */
   bool streaming;    /* the answer is a stream of events */
-  bool answered;  /* the head came */
-  bool begun;     /* a token came: the suspects' table knows */
-  bool counted;   /* the router knows of the first token */
-  bool noted;     /* with the suspects' table */
-  bool apart;     /* as a suspect */
+  bool answered;     /* the head came */
+  bool begun;        /* a token came: the suspects' table knows */
+  bool counted;      /* the router knows of the first token */
+  bool noted;        /* with the suspects' table */
+  bool apart;        /* as a suspect */
   char *content_type;
-  char *outcome;     /* X-Outcome of another entry's answer */
-  char *retry_after; /* of the same */
-  GByteArray *whole; /* body of an answer that is not a stream */
-  pu_stream_t *stream; /* PU_ANSWER_TOKENS */
-  pu_events_t *events; /* PU_ANSWER_EVENTS */
+  char *outcome;               /* X-Outcome of another entry's answer */
+  char *retry_after;           /* of the same */
+  GByteArray *whole;           /* body of an answer that is not a stream */
+  pu_stream_t *stream;         /* PU_ANSWER_TOKENS */
+  pu_events_t *events;         /* PU_ANSWER_EVENTS */
   bool overflow;               /* the whole answer is too large */
   bool done;                   /* the stream\'s end mark came */
   bool broken;                 /* the stream can\'t go on */
@@ -142,10 +142,10 @@
   bool offered_anew; /* to the router, after it had tried every copy */
   GPtrArray *avoid;  /* names of entries that failed */
   pu_attempt_t at;
-  pu_sent_t sent; /* what the caller has got of a stream of tokens */
+  pu_sent_t sent;     /* what the caller has got of a stream of tokens */
   guint64 last_event; /* number of the last event that the caller has got */
   guint events;       /* that the caller has got from here */
-  guint resumed;  /* tokens that the other entry's caller had before */
+  guint resumed;      /* tokens that the other entry's caller had before */
   bool head_sent;
   bool may_have_run;
   bool demand_told;
--- a/libplantainusher/entry/events.c
+++ b/libplantainusher/entry/events.c
@@ -9,11 +9,11 @@
   gsize max;
   guint64 last;
   guint count;
-  GString *held;     /* the beginning of an event */
-  gsize line;        /* where the current line of it begins */
-  GString *out;      /* whole events of the feed in progress */
+  GString *held; /* the beginning of an event */
+  gsize line;    /* where the current line of it begins */
+  GString *out;  /* whole events of the feed in progress */
   guint out_events;
-  guint64 number;    /* of the event in progress */
+  guint64 number; /* of the event in progress */
   bool has_number;
 };
 
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -430,8 +430,8 @@
     }
   else
     {
-      away = next_hop (x, x->q.service, pu_service_size (x->en, x->q.service), 1,
-                       &to);
+      away = next_hop (x, x->q.service, pu_service_size (x->en, x->q.service),
+                       1, &to);
     }
   if (verdict == PU_SUSPECTS_WAIT
       && (!away || pu_strike_pending (x->en, x->q.fingerprint)))
@@ -719,7 +719,8 @@
 {
   if (x->phase == PU_X_CLAIMING)
     {
-      if (now >= x->q.deadline && pu_once_give_up (x->en->once, x->number, now))
+      if (now >= x->q.deadline
+          && pu_once_give_up (x->en->once, x->number, now))
         pu_claim_pump (x->en);
       return;
     }
--- a/libplantainusher/entry/front.h
+++ b/libplantainusher/entry/front.h
@@ -37,15 +37,15 @@
 typedef struct
 {
   const pu_request_t *request;
-  const char *server;  /* name of the backend server that is meant */
-  guint64 left_ms;     /* until the deadline */
-  guint64 after;       /* number of the last event that the caller has */
+  const char *server; /* name of the backend server that is meant */
+  guint64 left_ms;    /* until the deadline */
+  guint64 after;      /* number of the last event that the caller has */
 } pu_attempt_facts_t;
 
 /* The head of a message in the making.  */
 typedef struct
 {
-  GArray *headers; /* of pu_http_header_t */
+  GArray *headers;  /* of pu_http_header_t */
   GPtrArray *owned; /* strings that live as long as the head */
 } pu_head_t;
 
--- a/libplantainusher/entry/parse.c
+++ b/libplantainusher/entry/parse.c
@@ -83,7 +83,7 @@
   const char *id = pu_http_request_header (x->http, "x-request-id");
 
   x->q.id = id != NULL && is_plain_text (id, ID_MAX) ? g_strdup (id)
-                                                   : id_make (x->en);
+                                                     : id_make (x->en);
 }
 
 static bool
@@ -208,8 +208,8 @@
   if (n == NULL)
     n = json_object_get (root, "max_tokens");
   x->q.max_tokens = json_is_integer (n) && json_integer_value (n) > 0
-                      ? (guint)MIN (json_integer_value (n), G_MAXINT32)
-                      : DEFAULT_TOKENS;
+                        ? (guint)MIN (json_integer_value (n), G_MAXINT32)
+                        : DEFAULT_TOKENS;
 }
 
 static bool
--- a/libplantainusher/entry/request.h
+++ b/libplantainusher/entry/request.h
@@ -37,19 +37,19 @@
   GPtrArray *headers; /* names and values to pass on, in turn */
   GBytes *body;
   pu_answer_kind_t answer;
-  bool plain;      /* to a plain service */
-  bool stream;     /* the caller wants a stream */
-  bool repeatable; /* may run more than once */
-  bool resumable;  /* a cut stream may go on at another backend server */
-  bool here;       /* any entry serves it: it is never relayed */
-  guint priority;  /* 0..9, 9 first */
+  bool plain;         /* to a plain service */
+  bool stream;        /* the caller wants a stream */
+  bool repeatable;    /* may run more than once */
+  bool resumable;     /* a cut stream may go on at another backend server */
+  bool here;          /* any entry serves it: it is never relayed */
+  guint priority;     /* 0..9, 9 first */
   guint attempts_max; /* backend servers that it may be sent to; 0: as the
                          router has it */
   guint64 arrived;    /* loop time, ms */
   guint64 deadline;   /* loop time, ms: an answer after it is of no use */
   guint prompt_tokens;
   guint max_tokens;
-  guint64 prefix[PU_ROUTER_PREFIX_MAX]; /* chained hashes of the prompt */
+  guint64 prefix[PU_ROUTER_PREFIX_MAX];      /* chained hashes of the prompt */
   guint prefix_tokens[PU_ROUTER_PREFIX_MAX]; /* of the prompt up to the end of
                                                 each; unset where all blocks
                                                 are of one size */
--- a/libplantainusher/entry/spread.c
+++ b/libplantainusher/entry/spread.c
@@ -230,8 +230,8 @@
 static void
 listener_tell (pu_entry_t *en, const char *address, listener_t *l, guint64 now)
 {
-  guint interval = pu_spread_interval_ms (l->heard) * en->o.loads_ms
-                   / INTERVAL_MIN_MS;
+  guint interval
+      = pu_spread_interval_ms (l->heard) * en->o.loads_ms / INTERVAL_MIN_MS;
   GArray *loads = g_array_new (FALSE, FALSE, sizeof (pu_entry_load_t));
   GHashTableIter it;
   gpointer load;
--- a/libplantainusher/entry/wants.c
+++ b/libplantainusher/entry/wants.c
@@ -7,8 +7,8 @@
 
 enum
 {
-  WANT_MS = 900,  /* an answer that takes longer is asked for anew */
-  AGAIN_MS = 100, /* after a refusal */
+  WANT_MS = 900,   /* an answer that takes longer is asked for anew */
+  AGAIN_MS = 100,  /* after a refusal */
   EXTRA_MS = 4000, /* a copy that was told of shows in a report by then */
 };
 
@@ -71,8 +71,7 @@
 {
   want_t *w = data;
   pu_entry_t *en = w->en;
-  const char *name
-      = json_string_value (json_object_get (place, "backend"));
+  const char *name = json_string_value (json_object_get (place, "backend"));
   pu_server_t *s = name != NULL ? pu_server_find (en, name) : NULL;
 
   (void)e;
--- a/libplantainusher/http/client.h
+++ b/libplantainusher/http/client.h
@@ -75,7 +75,7 @@
 {
   const char *address; /* IP:port, or [IPv6]:port */
   const char *method;
-  const char *target; /* path and query */
+  const char *target;              /* path and query */
   const pu_http_header_t *headers; /* "Host" is the address without one */
   gsize header_count;
   GBytes *body;                /* NULL: none.  The call takes a reference.  */
--- a/libplantainusher/http/h1_server.c
+++ b/libplantainusher/http/h1_server.c
@@ -25,7 +25,7 @@
   pu_http_request_t *request; /* in progress; NULL: none */
   GString *out;               /* of the answer, not yet written */
   gsize unsent;               /* bytes that the connection has not taken */
-  guint64 since;   /* loop time of the last progress */
+  guint64 since;              /* loop time of the last progress */
   guint64 begun;   /* loop time of the first byte of the request that is being
                       read */
   guint64 sent_ms; /* loop time of the last byte that was taken */
@@ -217,9 +217,8 @@
   if (length >= 0 && status != STATUS_NO_CONTENT
       && status >= STATUS_NO_BODY_END)
     {
-      g_string_append_printf (c->out,
-                              "Content-Length: %" G_GSSIZE_FORMAT "\r\n",
-                              length);
+      g_string_append_printf (
+          c->out, "Content-Length: %" G_GSSIZE_FORMAT "\r\n", length);
     }
   if (c->chunked)
     g_string_append (c->out, "Transfer-Encoding: chunked\r\n");
@@ -433,7 +432,8 @@
     {
       read_result (c, read);
     }
-  else if (pu_h1_reader_held (c->reader) > PIPELINE_MAX + c->server->o.body_max)
+  else if (pu_h1_reader_held (c->reader)
+           > PIPELINE_MAX + c->server->o.body_max)
     {
       uv_read_stop (stream);
     }
@@ -486,29 +486,28 @@
   return now - c->since > o->idle_ms;
 }
 
-static void
-conn_sweep (pu_h1_conn_t *c, guint64 now)
+/* Whether nothing more is to be expected of C.  */
+static bool
+is_over (const pu_h1_conn_t *c, guint64 now)
 {
   const pu_http_server_options_t *o = &c->server->o;
   guint64 quiet = now - c->since;
 
   if (c->unsent > 0 && now - c->sent_ms > o->write_timeout_ms)
+    return true;
+  if (c->lingers)
+    return quiet > LINGER_MS && c->unsent == 0;
+  return c->request == NULL && is_idle (c) && quiet > o->idle_ms;
+}
+
+static void
+conn_sweep (pu_h1_conn_t *c, guint64 now)
+{
+  if (is_over (c, now))
     {
       conn_close (c);
     }
-  else if (c->lingers && quiet > LINGER_MS && c->unsent == 0)
-    {
-      conn_close (c);
-    }
-  else if (c->request != NULL || c->lingers)
-    {
-      return;
-    }
-  else if (is_idle (c) && quiet > o->idle_ms)
-    {
-      conn_close (c);
-    }
-  else if (is_slow (c, now))
+  else if (c->request == NULL && !c->lingers && is_slow (c, now))
     {
       refuse (c, STATUS_TIMEOUT);
     }
--- a/libplantainusher/http/http_test.cc
+++ b/libplantainusher/http/http_test.cc
@@ -297,15 +297,15 @@
     uv_ip4_addr ("127.0.0.1", port, &at);
     uv_tcp_init (loop, &tcp);
     tcp.data = this;
-    uv_tcp_connect (
-        &connect, &tcp, reinterpret_cast<struct sockaddr *> (&at),
-        [] (uv_connect_t *c, int) {
-          auto *self = static_cast<raw *> (c->handle->data);
-          uv_buf_t buf = uv_buf_init (&self->sent[0], self->sent.size ());
-
-          uv_write (&self->write, c->handle, &buf, 1, nullptr);
-          uv_read_start (c->handle, alloc, read);
-        });
+    uv_tcp_connect (&connect, &tcp, reinterpret_cast<struct sockaddr *> (&at),
+                    [] (uv_connect_t *c, int) {
+                      auto *self = static_cast<raw *> (c->handle->data);
+                      uv_buf_t buf
+                          = uv_buf_init (&self->sent[0], self->sent.size ());
+
+                      uv_write (&self->write, c->handle, &buf, 1, nullptr);
+                      uv_read_start (c->handle, alloc, read);
+                    });
   }
   static void
   alloc (uv_handle_t *, size_t, uv_buf_t *buf)
--- a/libplantainusher/http/message.c
+++ b/libplantainusher/http/message.c
@@ -15,10 +15,9 @@
 pu_http_header_is_passed (const char *name)
 {
   static const char *const kept_back[]
-      = { "connection", "keep-alive",       "te",
-          "upgrade",    "transfer-encoding", "trailer",
-          "expect",     "proxy-connection",  "proxy-authorization",
-          "content-length" };
+      = { "connection",          "keep-alive",    "te",     "upgrade",
+          "transfer-encoding",   "trailer",       "expect", "proxy-connection",
+          "proxy-authorization", "content-length" };
 
   return !is_one_of (name, kept_back, G_N_ELEMENTS (kept_back));
 }
--- a/libplantainusher/http/server.c
+++ b/libplantainusher/http/server.c
@@ -91,9 +91,13 @@
   if (s->o.strict)
     {
       if (idle_only)
-        pu_h1_stop_idle (s);
+        {
+          pu_h1_stop_idle (s);
+        }
       else
-        pu_h1_abort (s);
+        {
+          pu_h1_abort (s);
+        }
       return;
     }
   for (GList *l = s->conns.head; l != NULL; l = l->next)
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -215,8 +215,8 @@
                                pu_voters_change_t change, const char *name,
                                const char *with, pu_error_t *e);
 
-/* pu_replica_meet - a voter may stand at ADDRESS.  A replica that did not start
-   the log greets it, like the initial ones, while it has no log.  */
+/* pu_replica_meet - a voter may stand at ADDRESS.  A replica that did not
+   start the log greets it, like the initial ones, while it has no log.  */
 void pu_replica_meet (pu_replica_t *r, const char *address);
 
 bool pu_replica_is_leader (const pu_replica_t *r);
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -101,8 +101,8 @@
   pu_log_peer leader; /* id 0: not known */
   uint64_t heard_at;  /* from a leader, or the start */
   uint64_t timeout_at;
-  uint64_t ask_at;     /* a candidate asks again for votes */
-  bool asks_transfer;  /* by the wish of the leader before */
+  uint64_t ask_at;    /* a candidate asks again for votes */
+  bool asks_transfer; /* by the wish of the leader before */
   uint64_t hello_at;
   GHashTable *granted; /* identities, in this round */
   GHashTable *floors;  /* identity -> uint64_t * */
--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -83,9 +83,12 @@
 /* With five disks the loss of two has to be borne.  */
 TEST (Replica, SparesVoteUntilAsManyAsAreWanted)
 {
-  for (auto [spares, wanted, expected] :
-       { std::array<unsigned, 3>{ 2, 0, 3 }, { 2, 7, 5 }, { 1, 7, 3 },
-         { 3, 7, 5 }, { 4, 7, 7 }, { 4, 5, 5 } })
+  for (auto [spares, wanted, expected] : { std::array<unsigned, 3>{ 2, 0, 3 },
+                                           { 2, 7, 5 },
+                                           { 1, 7, 3 },
+                                           { 3, 7, 5 },
+                                           { 4, 7, 7 },
+                                           { 4, 5, 5 } })
     {
       Sim s (3, 9, 0, spares, wanted);
 
--- a/libplantainusher/log/replica_vote.c
+++ b/libplantainusher/log/replica_vote.c
@@ -116,8 +116,7 @@
 void
 pu_r_ask_again (pu_replica_t *r, uint64_t now)
 {
-  bool asks
-      = r->role == PU_ROLE_PRECANDIDATE || r->role == PU_ROLE_CANDIDATE;
+  bool asks = r->role == PU_ROLE_PRECANDIDATE || r->role == PU_ROLE_CANDIDATE;
 
   if (asks && now >= r->ask_at)
     ask (r, now);
--- a/libplantainusher/placement/adapters.c
+++ b/libplantainusher/placement/adapters.c
@@ -153,8 +153,8 @@
 typedef struct
 {
   guint32 engine;
-  guint taken;       /* places */
-  guint32 victim;    /* item to be unloaded; PU_ADAPTERS_NONE: none */
+  guint taken;        /* places */
+  guint32 victim;     /* item to be unloaded; PU_ADAPTERS_NONE: none */
   guint64 idle_since; /* of the victim */
 } offer_t;
 
@@ -329,8 +329,7 @@
       if (!t->is_adapter || t->used == 0 || now >= t->used + ACTIVE_MS)
         continue;
       holder = find_holder (a, i);
-      if (holder == PU_ADAPTERS_NONE
-          || !find_relief (a, i, holder, now, &best)
+      if (holder == PU_ADAPTERS_NONE || !find_relief (a, i, holder, now, &best)
           || !order (a, &best, i, now))
         continue;
       engine_of (a, best.engine)->load += SPREAD_LOAD;
--- a/libplantainusher/placement/adapters.h
+++ b/libplantainusher/placement/adapters.h
@@ -41,8 +41,8 @@
 /* pu_adapters_active - adapters of BASE that were asked for lately.  */
 guint pu_adapters_active (const pu_adapters_t *a, guint32 base, guint64 now);
 
-/* pu_adapters_spread - queues second copies of adapters in use, on engines that
-   have much less to do than all that hold them.  Loading one takes a few
+/* pu_adapters_spread - queues second copies of adapters in use, on engines
+   that have much less to do than all that hold them.  Loading one takes a few
    milliseconds; a request that queues behind fifty takes a second.  */
 void pu_adapters_spread (pu_adapters_t *a, guint64 now);
 
--- a/libplantainusher/placement/desk.c
+++ b/libplantainusher/placement/desk.c
@@ -22,25 +22,25 @@
 typedef struct
 {
   bool used;
-  bool known;        /* a report has come */
-  bool fenced_out;   /* it has orders of a later leader */
-  guint64 accepted;  /* orders, as far as we know */
-  guint64 changed;   /* when that last changed, ms */
+  bool known;       /* a report has come */
+  bool fenced_out;  /* it has orders of a later leader */
+  guint64 accepted; /* orders, as far as we know */
+  guint64 changed;  /* when that last changed, ms */
   bool busy;
-  bool unloads;      /* with an unload of ours, as it said itself */
-  guint64 try_at;    /* whether it has ended is tried by the next order, ms */
-  guint32 room_mb;   /* 0: no limit */
-  GArray *items;     /* of pu_desk_item_t */
-  GQueue queue;      /* of order_t *, the first may be sent */
-  bool sent;         /* the first order of the queue was */
+  bool unloads;    /* with an unload of ours, as it said itself */
+  guint64 try_at;  /* whether it has ended is tried by the next order, ms */
+  guint32 room_mb; /* 0: no limit */
+  GArray *items;   /* of pu_desk_item_t */
+  GQueue queue;    /* of order_t *, the first may be sent */
+  bool sent;       /* the first order of the queue was */
   const order_t *first; /* whose first_sent is */
   guint64 first_sent;   /* ms */
-  guint64 last_sent;  /* ms */
-  bool answered;      /* what was sent last: it is not waited for */
-  bool doubt;         /* a sending of the first order had no answer: it may
-                         be carried out yet */
-  guint64 expected;   /* of what was sent */
-  guint64 not_before; /* nothing is sent before, ms */
+  guint64 last_sent;    /* ms */
+  bool answered;        /* what was sent last: it is not waited for */
+  bool doubt;           /* a sending of the first order had no answer: it may
+                           be carried out yet */
+  guint64 expected;     /* of what was sent */
+  guint64 not_before;   /* nothing is sent before, ms */
   bool fetching;
   guint64 fetch_at; /* the next report is due, ms */
 } engine_t;
@@ -393,8 +393,8 @@
   engine_t *e = engine_at (d, engine);
   order_t *mine;
 
-  if (e == NULL || !e->known || e->fenced_out
-      || order_for (e, o->item) != NULL || !order_is_due (e, o))
+  if (e == NULL || !e->known || e->fenced_out || order_for (e, o->item) != NULL
+      || !order_is_due (e, o))
     return false;
   mine = g_new0 (order_t, 1);
   mine->o = *o;
--- a/libplantainusher/placement/desk.h
+++ b/libplantainusher/placement/desk.h
@@ -28,8 +28,8 @@
 
 typedef struct
 {
-  guint64 lag_ms;    /* a report may be as old as this when it comes */
-  guint64 answer_ms; /* an order without an answer is sent again */
+  guint64 lag_ms;     /* a report may be as old as this when it comes */
+  guint64 answer_ms;  /* an order without an answer is sent again */
   guint64 give_up_ms; /* and given up this long after the first time */
   guint64 refused_ms; /* after a refusal, before the next order */
   guint64 poll_ms;    /* between two reports */
--- a/libplantainusher/placement/desk_test.cc
+++ b/libplantainusher/placement/desk_test.cc
@@ -362,9 +362,8 @@
             continue;
           }
         sent.erase (sent.begin () + (long)i);
-        auto answer
-            = engine.Order (s.a.order, s.a.expected, s.term,
-                            Desk::Size (s.a.order.item), now);
+        auto answer = engine.Order (s.a.order, s.a.expected, s.term,
+                                    Desk::Size (s.a.order.item), now);
         Desk *k = Find (s.term);
         if (k == nullptr || !s.answered || Lost ())
           continue;
@@ -505,9 +504,9 @@
 RC_GTEST_PROP (DeskFuzz, NeverHoldsTooMuchAndComesToKnow, ())
 {
   auto seed = *rc::gen::resize (100, rc::gen::arbitrary<unsigned> ());
-  auto ops = *rc::gen::resize (
-      100, rc::gen::container<std::vector<unsigned> > (
-               80, rc::gen::arbitrary<unsigned> ()));
+  auto ops
+      = *rc::gen::resize (100, rc::gen::container<std::vector<unsigned> > (
+                                   80, rc::gen::arbitrary<unsigned> ()));
 
   RC_ASSERT (FaultOf (seed, ops) == "");
 }
@@ -530,7 +529,7 @@
   EXPECT_EQ (FaultOf (76237, OpsOf (76237, 47)), "");
 }
 
-/* An order of another leader's was taken for the unload that had no answer.  */
+/* An order of another leader's was taken for the unload that had no answer. */
 TEST (DeskFuzz, HoldsWhereAnothersLoadLookedLikeOurUnload)
 {
   EXPECT_EQ (FaultOf (32472, OpsOf (32472, 22)), "");
--- a/libplantainusher/placement/planner_choose.c
+++ b/libplantainusher/placement/planner_choose.c
@@ -118,8 +118,8 @@
 }
 
 /* Whether T needs more than the copies that are ready: room for it would have
-   to be made elsewhere.  Loads that came too late, as demand had moved on, keep
-   none of its copies.  */
+   to be made elsewhere.  Loads that came too late, as demand had moved on,
+   keep none of its copies.  */
 static bool
 grows (const pu_planner_t *p, const pu_planned_item_t *t)
 {
--- a/libplantainusher/placement/planner_internal.h
+++ b/libplantainusher/placement/planner_internal.h
@@ -45,13 +45,13 @@
   guint32 committed_mb;
   guint32 held_mb; /* free, but for adapters of bases that are on it */
   double streams;
-  GArray *copies; /* of pu_planned_copy_t */
-  GArray *blocks; /* of pu_block_t; those that are over are dropped */
+  GArray *copies;    /* of pu_planned_copy_t */
+  GArray *blocks;    /* of pu_block_t; those that are over are dropped */
   GHashTable *quick; /* set of items that it need not get from the store; NULL:
                         none */
-  double load;    /* streams expected on it */
-  double weight;  /* the same, times importance */
-  bool promised;  /* room is being made for `promise` */
+  double load;       /* streams expected on it */
+  double weight;     /* the same, times importance */
+  bool promised;     /* room is being made for `promise` */
   pu_planned_copy_t promise;
   guint64 promise_until;
 } pu_planned_engine_t;
@@ -90,16 +90,16 @@
   GArray *engines; /* of pu_planned_engine_t */
   GArray *items;   /* of pu_planned_item_t */
   guint64 last_advance;
-  guint coming;   /* loads under way from the store, all items */
-  guint store;    /* loads that it lets begin now */
+  guint coming;    /* loads under way from the store, all items */
+  guint store;     /* loads that it lets begin now */
   bool grew;       /* the last turn of the store went to demand */
   bool any_quick;  /* an engine has something that needs no store */
   bool quick_only; /* it takes no more: only what it need not give */
-  guint promised; /* loads that wait for room, all items */
-  bool lean;      /* a base needs no room for its adapters beside it */
-  guint32 *mark;  /* by engine: stamp of the item that it holds */
-  double *other;  /* scratch by place: load without the item */
-  double *filled; /* scratch by place: the item's share */
+  guint promised;  /* loads that wait for room, all items */
+  bool lean;       /* a base needs no room for its adapters beside it */
+  guint32 *mark;   /* by engine: stamp of the item that it holds */
+  double *other;   /* scratch by place: load without the item */
+  double *filled;  /* scratch by place: the item's share */
   guint n_mark;
   guint n_places; /* of other and filled */
   guint32 stamp;
--- a/libplantainusher/placement/planner_round.h
+++ b/libplantainusher/placement/planner_round.h
@@ -15,12 +15,12 @@
   guint64 now;
   GArray *moves;
   pu_victims_t v;
-  guint32 for_item; /* whom loads make room for; PU_PLAN_NONE */
-  bool full;        /* the store has no limits */
-  bool repairing;   /* an item is unreachable: spare copies wait */
-  guint loads;      /* ordered in this round */
-  bool lacking;     /* nothing is under way for one that is asked for: growth
-                       waits */
+  guint32 for_item;  /* whom loads make room for; PU_PLAN_NONE */
+  bool full;         /* the store has no limits */
+  bool repairing;    /* an item is unreachable: spare copies wait */
+  guint loads;       /* ordered in this round */
+  bool lacking;      /* nothing is under way for one that is asked for: growth
+                        waits */
   bool idle_lacking; /* or for any: growth takes every other turn */
 } pu_round_t;
 
@@ -56,7 +56,8 @@
    free, the unreachable first.  */
 void pu_round_keep_promises (pu_round_t *r, bool idle);
 
-/* pu_round_is_hot - whether an engine has more to do than it can do in time.  */
+/* pu_round_is_hot - whether an engine has more to do than it can do in time.
+ */
 bool pu_round_is_hot (const pu_round_t *r);
 
 /* pu_round_open_room - begins or goes on to move a last copy elsewhere, so
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -49,9 +49,9 @@
   char *zone;
   char *service;
   bool usable;
-  guint load;          /* requests, by its last report */
-  GHashTable *cached;  /* set of items whose weights it has at hand */
-  bool seen;           /* scratch of a look at the state */
+  guint load;         /* requests, by its last report */
+  GHashTable *cached; /* set of items whose weights it has at hand */
+  bool seen;          /* scratch of a look at the state */
 } engine_t;
 
 /* What is known while this voter leads.  */
@@ -69,25 +69,25 @@
   guint64 document_version;
   guint64 changes; /* of the state, as taken in */
   guint64 term;
-  guint64 loads;      /* reports told of */
-  double store;       /* loads that the store lets begin now */
-  double store_rate;  /* a second */
-  guint64 store_at;   /* when that was counted, ms */
-  guint64 next_plan;  /* ms */
+  guint64 loads;     /* reports told of */
+  double store;      /* loads that the store lets begin now */
+  double store_rate; /* a second */
+  guint64 store_at;  /* when that was counted, ms */
+  guint64 next_plan; /* ms */
 } lead_t;
 
 struct pu_sequenced
 {
   pu_sequenced_options_t o;
   pu_http_client_t *client;
-  lead_t *lead;       /* NULL while another voter leads */
-  guint64 leads;      /* counts the take-overs */
-  GArray *actions;    /* scratch, of pu_desk_action_t */
-  GArray *moves;      /* scratch, of pu_move_t */
-  GArray *copies;     /* scratch, of pu_plan_copy_t */
-  GHashTable *asked;  /* set of asked_t under way */
-  GQueue wants;       /* of want_t */
-  uv_timer_t watch;   /* looks after them */
+  lead_t *lead;      /* NULL while another voter leads */
+  guint64 leads;     /* counts the take-overs */
+  GArray *actions;   /* scratch, of pu_desk_action_t */
+  GArray *moves;     /* scratch, of pu_move_t */
+  GArray *copies;    /* scratch, of pu_plan_copy_t */
+  GHashTable *asked; /* set of asked_t under way */
+  GQueue wants;      /* of want_t */
+  uv_timer_t watch;  /* looks after them */
   pu_counter_t sent;
   pu_counter_t fetched;
   pu_counter_t lost;
@@ -213,8 +213,7 @@
 document_take (pu_sequenced_t *s)
 {
   lead_t *l = s->lead;
-  const pu_doc_record *r
-      = pu_state_document (pu_control_state (s->o.control));
+  const pu_doc_record *r = pu_state_document (pu_control_state (s->o.control));
   pu_findings_t *f;
   pu_document_t *d;
 
@@ -281,8 +280,7 @@
 
   for (u_int i = 0; i < b->copies.copies_len; i++)
     {
-      guint32 item
-          = pu_names_get (&l->items, b->copies.copies_val[i].model);
+      guint32 item = pu_names_get (&l->items, b->copies.copies_val[i].model);
 
       pu_desk_seen (l->desk, handle, item, now_of (s));
     }
@@ -438,8 +436,7 @@
 {
   lead_t *l = s->lead;
   bool load = m->kind == PU_MOVE_LOAD;
-  pu_desk_order_t o
-      = { load ? PU_DESK_LOAD : PU_DESK_UNLOAD, m->item, false };
+  pu_desk_order_t o = { load ? PU_DESK_LOAD : PU_DESK_UNLOAD, m->item, false };
   GString *why = g_string_new (NULL);
 
   pu_planner_explain_move (l->planner, m, why);
@@ -492,11 +489,11 @@
 
       for (guint k = 0; k < n; k++)
         {
-          waiting += items[k].phase == PU_DESK_QUEUED
-                     && !pu_adapters_is (l->adapters, items[k].item)
-                     && !g_hash_table_contains (
-                         engine_at (l, i)->cached,
-                         GUINT_TO_POINTER (items[k].item));
+          waiting
+              += items[k].phase == PU_DESK_QUEUED
+                 && !pu_adapters_is (l->adapters, items[k].item)
+                 && !g_hash_table_contains (engine_at (l, i)->cached,
+                                            GUINT_TO_POINTER (items[k].item));
         }
     }
   return waiting;
@@ -593,9 +590,8 @@
             const pu_http_call_options_t *shared, pu_http_fetch_cb cb)
 {
   const engine_t *e = engine_at (s->lead, engine);
-  const pu_http_header_t headers[]
-      = { { "Content-Type", "application/json" },
-          { s->o.wire->engine_header, e->name } };
+  const pu_http_header_t headers[] = { { "Content-Type", "application/json" },
+                                       { s->o.wire->engine_header, e->name } };
   pu_http_call_options_t o = *shared;
   asked_t *a = asked_new (s, engine);
 
@@ -613,13 +609,12 @@
 order_send (pu_sequenced_t *s, const pu_desk_action_t *a)
 {
   lead_t *l = s->lead;
-  pu_wire_order_t o
-      = { .op = a->order.op,
-          .model = pu_names_name (&l->items, a->order.item),
-          .engine = engine_at (l, a->engine)->name,
-          .holder = s->o.name,
-          .fence = l->term,
-          .expected = a->expected };
+  pu_wire_order_t o = { .op = a->order.op,
+                        .model = pu_names_name (&l->items, a->order.item),
+                        .engine = engine_at (l, a->engine)->name,
+                        .holder = s->o.name,
+                        .fence = l->term,
+                        .expected = a->expected };
   char *body = s->o.wire->order_body (&o);
   pu_http_call_options_t call
       = { .method = "POST",
@@ -637,8 +632,7 @@
   g_bytes_unref (call.body);
 }
 
-static void
-on_fetched (void *data, const pu_http_fetched_t *f);
+static void on_fetched (void *data, const pu_http_fetched_t *f);
 
 static void
 report_fetch (pu_sequenced_t *s, const pu_desk_action_t *a)
@@ -1062,8 +1056,8 @@
 {
   pu_sequenced_t *s = g_new0 (pu_sequenced_t, 1);
   pu_control_duty_t duty = { "placement", on_begin, on_tick, on_end, s };
-  pu_http_client_options_t c = { .loop = o->loop,
-                                 .connect_timeout_ms = o->connect_ms };
+  pu_http_client_options_t c
+      = { .loop = o->loop, .connect_timeout_ms = o->connect_ms };
 
   s->o = *o;
   s->client = pu_http_client_new (&c);
@@ -1079,8 +1073,7 @@
       s->sent = pu_counters_get (o->counters, "placement_orders_sent_total");
       s->fetched
           = pu_counters_get (o->counters, "placement_reports_fetched_total");
-      s->lost
-          = pu_counters_get (o->counters, "placement_answers_lost_total");
+      s->lost = pu_counters_get (o->counters, "placement_answers_lost_total");
     }
   pu_control_add_duty (o->control, &duty);
   pu_control_on_demand (o->control, on_demand, s);
--- a/libplantainusher/placer/sequenced.h
+++ b/libplantainusher/placer/sequenced.h
@@ -28,12 +28,12 @@
 {
   uv_loop_t *loop;
   pu_control_t *control;
-  const char *name; /* of this instance: the holder of its orders */
+  const char *name;        /* of this instance: the holder of its orders */
   pu_counters_t *counters; /* may be NULL */
   const pu_order_wire_t *wire;
   guint32 connect_ms;
-  guint32 answer_ms; /* an engine answers orders and reports within this */
-  guint32 plan_ms;   /* between two plans */
+  guint32 answer_ms;  /* an engine answers orders and reports within this */
+  guint32 plan_ms;    /* between two plans */
   double store_burst; /* loads from the store that may begin at once */
   /* The load of an engine, as it reports it; may be NULL.  */
   void (*load) (void *data, const char *engine, const pu_router_report_t *r);
--- a/libplantainusher/placer/wire.h
+++ b/libplantainusher/placer/wire.h
@@ -16,11 +16,11 @@
 typedef struct
 {
   pu_desk_op_t op;
-  const char *model;   /* the document's name of a model or adapter */
-  const char *engine;  /* name of the backend server that is meant */
-  const char *holder;  /* who gives it */
-  guint64 fence;       /* rises with each leader */
-  guint64 expected;    /* orders that the engine has accepted before */
+  const char *model;  /* the document's name of a model or adapter */
+  const char *engine; /* name of the backend server that is meant */
+  const char *holder; /* who gives it */
+  guint64 fence;      /* rises with each leader */
+  guint64 expected;   /* orders that the engine has accepted before */
 } pu_wire_order_t;
 
 /* A report as it is read.  */
@@ -28,9 +28,9 @@
 {
   guint64 accepted; /* orders */
   bool busy;
-  guint running;        /* requests */
+  guint running; /* requests */
   guint waiting;
-  guint64 kv_used;      /* tokens that can't yield */
+  guint64 kv_used; /* tokens that can't yield */
   guint64 kv_total;
   GPtrArray *held;      /* names of models and adapters, owned; here and
                            below */
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -229,7 +229,9 @@
     return false;
   load = backend_load (s, now);
   pending = pending_tokens (s, m, now);
-  if (!eager && (!step_allows (r, q, s, load) || !window_allows (r, q, s, c, pending)))
+  if (!eager
+      && (!step_allows (r, q, s, load)
+          || !window_allows (r, q, s, c, pending)))
     return false;
   out->backend = b;
   out->copy = copy;
--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -1,6 +1,6 @@
 #include "routing/router_int.h"
 
-#define STEP_TOKENS 8 /* tokens that make one sample of the step time */
+#define STEP_TOKENS 8  /* tokens that make one sample of the step time */
 #define TOKENS_MIN 256 /* a prompt that tells what a token takes */
 
 void
--- a/libplantainusher/routing/queue.c
+++ b/libplantainusher/routing/queue.c
@@ -4,7 +4,8 @@
 #define DRAINED_MIN 4   /* and after this many starts */
 #define LOOK_MAX 4      /* requests of one flow looked at for one slot */
 
-/* What may be on target first, higher priority, then the earlier due time, then the older.  */
+/* What may be on target first, higher priority, then the earlier due time,
+ * then the older.  */
 static gint
 compare_place (gconstpointer a, gconstpointer b, gpointer data)
 {
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -267,8 +267,9 @@
   m->mean_prompt += MEAN_SHARE * (q->prompt_tokens - m->mean_prompt);
   if (q->prompt_tokens > 0)
     {
-      m->mean_own += MEAN_SHARE
-                     * ((double)q->own_tokens / q->prompt_tokens - m->mean_own);
+      m->mean_own
+          += MEAN_SHARE
+             * ((double)q->own_tokens / q->prompt_tokens - m->mean_own);
     }
   r->in_flight++;
   r->stats.dispatched++;
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -240,11 +240,11 @@
 {
   pu_router_service_t service;
   pu_router_model_t model;
-  guint priority;        /* 0..9, 9 first */
-  guint64 deadline;      /* absolute; 0: now + the service's timeout */
-  guint prompt_tokens;   /* estimate */
-  guint max_tokens;      /* estimate of what will be generated */
-  const guint64 *prefix; /* chained block hashes of the prompt; copied */
+  guint priority;             /* 0..9, 9 first */
+  guint64 deadline;           /* absolute; 0: now + the service's timeout */
+  guint prompt_tokens;        /* estimate */
+  guint max_tokens;           /* estimate of what will be generated */
+  const guint64 *prefix;      /* chained block hashes of the prompt; copied */
   const guint *prefix_tokens; /* tokens of the prompt up to the end of each
                                  block; NULL: block_tokens each */
   guint n_prefix;
--- a/libplantainusher/routing/router_fuzz_test.cc
+++ b/libplantainusher/routing/router_fuzz_test.cc
@@ -61,9 +61,10 @@
     for (unsigned i = 0; i < kServices; i++)
       {
         std::string name = "s" + std::to_string (i);
-        pu_router_service_options_t s
-            = { name.c_str (), i + 1, 200, 50, 2000, i == 0 ? 3u : 0u, 4,
-                i == 1,          i == 2 ? 900u : 0u };
+        pu_router_service_options_t s = {
+          name.c_str (),     i + 1, 200, 50, 2000, i == 0 ? 3u : 0u, 4, i == 1,
+          i == 2 ? 900u : 0u
+        };
         pu_router_set_service (r_, &s);
       }
     for (unsigned i = 0; i < kModels; i++)
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -383,7 +383,8 @@
   void
   begin (bool serve_late, guint patience_ms = 0)
   {
-    pu_router_service_options_t s = { "chat", 1, 400, 60, 5000, 0, 10, false, 0 };
+    pu_router_service_options_t s
+        = { "chat", 1, 400, 60, 5000, 0, 10, false, 0 };
 
     s.serve_late = serve_late;
     s.patience_ms = patience_ms;
@@ -465,7 +466,7 @@
   EXPECT_GT (pu_router_cost_ms (r_, m_, 1000, 0), 20);
 }
 
-/* First tokens were late in a crowd; an idle copy is no less able for that.  */
+/* First tokens were late in a crowd; an idle copy is no less able for that. */
 TEST_F (Router, ACrowdOfThePastMakesNothingHopeless)
 {
   backend ("b");
--- a/libplantainusher/settings/checks.c
+++ b/libplantainusher/settings/checks.c
@@ -60,8 +60,8 @@
 static void
 check_backend_lease (const pu_settings_timing_t *t, pu_findings_t *f)
 {
-  guint64 least = 2 * (guint64)t->report_interval_ms + t->poll_wait_ms
-                  + t->sessions_ms;
+  guint64 least
+      = 2 * (guint64)t->report_interval_ms + t->poll_wait_ms + t->sessions_ms;
 
   if (t->backend_lease_ms >= least)
     return;
--- a/libplantainusher/settings/settings.c
+++ b/libplantainusher/settings/settings.c
@@ -177,12 +177,15 @@
 bool
 pu_settings_founds (const pu_settings_t *s)
 {
-  char **seeds = pu_settings_seeds (s);
-  bool is_seed
-      = g_strv_contains ((const char *const *)seeds, s->addresses.peers);
+  char **seeds;
+  bool is_seed;
 
+  if (!s->found || !s->control)
+    return false;
+  seeds = pu_settings_seeds (s);
+  is_seed = g_strv_contains ((const char *const *)seeds, s->addresses.peers);
   g_strfreev (seeds);
-  return s->found && s->control && is_seed;
+  return is_seed;
 }
 
 json_t *
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -122,7 +122,7 @@
   double retry_ratio;    /* retries for each first attempt, all instances */
   guint32 retry_slack;   /* retries beyond that in one window */
   guint32 retry_window_s;
-  double store_overage;  /* loads in a window, against the store's rate */
+  double store_overage; /* loads in a window, against the store's rate */
   guint32 store_window_s;
 } pu_settings_platform_t;
 
@@ -138,9 +138,9 @@
   pu_settings_listen_t listen;
   const char *data_folder; /* control only; else may be "" */
   pu_settings_keys_t keys;
-  pu_json_strings_t join; /* peers' addresses of control daemons */
-  pu_json_rows_t voters;  /* pu_settings_voter_t: the first set, used only
-                             while the data folder is fresh */
+  pu_json_strings_t join;  /* peers' addresses of control daemons */
+  pu_json_rows_t voters;   /* pu_settings_voter_t: the first set, used only
+                              while the data folder is fresh */
   pu_json_strings_t seeds; /* addresses of control instances of which only the
                               host counts: their peers' port is our own */
   bool found;              /* the seeds are the first voters, while the data
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -73,8 +73,8 @@
 
     c.c.type = PU_COMMAND_SUBMIT;
     c.c.pu_command_u.submit
-        = { base,  5, c.text (id), c.text ("ann"), 0,
-            FALSE, 0, 0,           0,              c.text ("{" + id + "}") };
+        = { base, 5, c.text (id), c.text ("ann"),         0, FALSE,
+            0,    0, 0,           c.text ("{" + id + "}") };
     *r = apply (c);
   }
 
@@ -86,8 +86,8 @@
 
     c.c.type = PU_COMMAND_SUBMIT;
     c.c.pu_command_u.submit
-        = { 0,     5, c.text (id), c.text ("ann"), rank,
-            FALSE, 0, 0,           0,              c.text ("{" + id + "}") };
+        = { 0, 5, c.text (id), c.text ("ann"),         rank, FALSE,
+            0, 0, 0,           c.text ("{" + id + "}") };
     *r = apply (c);
   }
 
