Settings: whether an instance is a seed is found without a list

Change: the seeds' hosts are compared with the instance's own, nothing is allocated. Ruled out: silencing the analyzer. settings tests pass; lint is clean for the file, and was clean for all others in the same run.

--- a/libplantainusher/settings/settings.c
+++ b/libplantainusher/settings/settings.c
@@ -174,18 +174,38 @@
   return list;
 }
 
+/* Bytes of the host in ADDRESS.  */
+static gsize
+host_len (const char *address)
+{
+  const char *colon = strrchr (address, ':');
+
+  return colon != NULL ? (gsize)(colon - address) : strlen (address);
+}
+
+/* Whether the seed at INDEX stands at this instance: ports differ, as a seed
+   is known by the address of another listener.  */
+static bool
+is_own_seed (const pu_settings_t *s, guint index)
+{
+  const char *seed = s->seeds.items[index];
+  gsize len = host_len (seed);
+
+  return len == host_len (s->addresses.peers)
+         && strncmp (seed, s->addresses.peers, len) == 0;
+}
+
 bool
 pu_settings_founds (const pu_settings_t *s)
 {
-  char **seeds;
-  bool is_seed;
-
   if (!s->found || !s->control)
     return false;
-  seeds = pu_settings_seeds (s);
-  is_seed = g_strv_contains ((const char *const *)seeds, s->addresses.peers);
-  g_strfreev (seeds);
-  return is_seed;
+  for (guint i = 0; i < s->seeds.n; i++)
+    {
+      if (is_own_seed (s, i))
+        return true;
+    }
+  return false;
 }
 
 json_t *
