Entry: a backend server's own failure reaches the caller after the last try

Cause: a repeatable request whose every attempt was answered with a failure ended as a 502 of our own, without the backend server's seal and body.

Ruled out: that we changed the request (heads and targets compared), that another backend server would have served it (all three failed it).

Change: the failure that was answered is kept while the request is tried elsewhere, and passed on when no attempt does better. A refusal that tells that nothing ran still tells that.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -51,6 +51,16 @@
     }
 }
 
+void
+pu_kept_clear (pu_kept_t *k)
+{
+  if (k->whole != NULL)
+    g_byte_array_free (k->whole, TRUE);
+  if (k->passed != NULL)
+    g_ptr_array_free (k->passed, TRUE);
+  *k = (pu_kept_t){ 0 };
+}
+
 void
 pu_attempt_clear (pu_exchange_t *x)
 {
@@ -430,6 +440,19 @@
   pu_exchange_fail (x, &failed, "The backend server failed.");
 }
 
+/* Keeps the failure that was answered, for the caller in case that no other
+   attempt does better.  */
+static void
+failure_keep (pu_exchange_t *x)
+{
+  if (promises_not_run (x->at.status) || x->at.whole == NULL)
+    return;
+  pu_kept_clear (&x->kept);
+  x->kept.status = x->at.status;
+  x->kept.passed = g_steal_pointer (&x->at.passed);
+  x->kept.whole = g_steal_pointer (&x->at.whole);
+}
+
 /* What a stream left behind its last whole event goes along: the answer is
    whole by its length.  */
 static void
@@ -491,6 +514,7 @@
       pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
       return;
     case END_ERROR:
+      failure_keep (x);
       pu_exchange_again (x, PU_ROUTER_FAIL_ERROR);
       return;
     case END_FAILED:
--- a/libplantainusher/entry/deliver.c
+++ b/libplantainusher/entry/deliver.c
@@ -188,6 +188,18 @@
   x->http = NULL;
 }
 
+void
+pu_deliver_kept (pu_exchange_t *x)
+{
+  GArray *headers = headers_of (x->kept.passed);
+
+  pu_http_respond (
+      x->http, x->kept.status, (const pu_http_header_t *)(void *)headers->data,
+      headers->len, (const char *)x->kept.whole->data, x->kept.whole->len);
+  g_array_free (headers, TRUE);
+  x->http = NULL;
+}
+
 void
 pu_deliver_claimed (pu_exchange_t *x)
 {
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -117,6 +117,15 @@
   pu_router_failure_t failure; /* why it is held */
 } pu_attempt_t;
 
+/* A failure that a backend server answered, while the request was tried
+   elsewhere: its caller gets it unless another attempt does better.  */
+typedef struct
+{
+  int status; /* 0: none is kept */
+  GPtrArray *passed;
+  GByteArray *whole;
+} pu_kept_t;
+
 /* One request of a caller.  */
 struct pu_exchange
 {
@@ -142,6 +151,7 @@
   bool offered_anew; /* to the router, after it had tried every copy */
   GPtrArray *avoid;  /* names of entries that failed */
   pu_attempt_t at;
+  pu_kept_t kept;
   pu_sent_t sent;     /* what the caller has got of a stream of tokens */
   guint64 last_event; /* number of the last event that the caller has got */
   guint events;       /* that the caller has got from here */
@@ -454,6 +464,9 @@
 bool pu_attempt_start (pu_exchange_t *x, pu_server_t *s);
 bool pu_attempt_relay (pu_exchange_t *x, const pu_directory_entry_t *to);
 
+/* pu_kept_clear - nothing is kept from here on.  */
+void pu_kept_clear (pu_kept_t *k);
+
 /* pu_attempt_clear - ends the attempt of X: cancels what runs.  */
 void pu_attempt_clear (pu_exchange_t *x);
 
@@ -471,6 +484,9 @@
 /* pu_deliver_whole - the answer that is held whole goes to the caller.  */
 void pu_deliver_whole (pu_exchange_t *x);
 
+/* pu_deliver_kept - passes the kept failure of a backend server on.  */
+void pu_deliver_kept (pu_exchange_t *x);
+
 /* pu_deliver_claimed - the same for an at-most-once call; frees X.  */
 void pu_deliver_claimed (pu_exchange_t *x);
 
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -17,6 +17,7 @@
 exchange_free (pu_exchange_t *x)
 {
   pu_request_clear (&x->q);
+  pu_kept_clear (&x->kept);
   g_free (x->key);
   g_ptr_array_free (x->avoid, TRUE);
   pu_sent_clear (&x->sent);
@@ -258,6 +259,11 @@
     {
       pu_http_respond_abort (x->http);
     }
+  else if (x->http != NULL && x->kept.status != 0
+           && told.outcome != PU_NOT_RUN)
+    {
+      pu_deliver_kept (x);
+    }
   else if (x->http != NULL)
     {
       x->en->front.refuse (x->en->front.data, x->http, x->q.id, &told,
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -303,8 +303,12 @@
   pu_command c{};
   static char nobody[] = "test";
 
+  const pu_doc_record *held = pu_state_document (state);
+  const std::string id = std::to_string (position);
+
   c.type = PU_COMMAND_SUBMIT;
-  c.pu_command_u.submit.change_id = nobody;
+  c.pu_command_u.submit.base_version = held != nullptr ? held->doc_version : 0;
+  c.pu_command_u.submit.change_id = const_cast<char *> (id.c_str ());
   c.pu_command_u.submit.author = nobody;
   c.pu_command_u.submit.text = const_cast<char *> (document);
   apply (c);
@@ -336,6 +340,7 @@
   o.propose_ms = 100;
   o.seed = 1;
   o.test_breaks = breaks;
+  o.front = front;
   o.hooks = hooks_of (n);
   n.entry = pu_entry_new (&o, nullptr);
   EXPECT_NE (nullptr, n.entry);
@@ -447,7 +452,10 @@
             {
               const auto &hd = g_array_index (r->headers, pu_http_header_t, i);
 
-              one.headers[hd.name] = hd.value;
+              char *name = g_ascii_strdown (hd.name, -1);
+
+              one.headers[name] = hd.value;
+              g_free (name);
             }
         };
   o.events.on_body = [] (void *d, pu_http_call_t *, const char *b, gsize n) {
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -97,6 +97,7 @@
   bool quorum = true;
   bool lose_answers = false;
   guint breaks = 0; /* pu_entry_break_t of nodes to be added */
+  const pu_front_t *front = nullptr; /* of nodes to be added; own if null */
   std::deque<proposal> proposals;
   guint loads_told = 0; /* load reports that went from node to node */
   std::list<node> nodes;
