Settings: read when the file changes without a signal; seeds take effect at run time

Only SIGHUP was heard, and new seeds waited for a restart, so a daemon whose known voters were all exchanged while it was cut off could not find the new ones.

Ruled out: inotify (not to be had on the platform); reading the file at each tick (a stat a second costs one system call).

Change: the file's identity, size and time are looked at once a second, and it is read when they differ. /seeds and /join are no longer among what needs a restart: new addresses are asked beside the old ones.

Tests: a file that changes without a signal; a daemon that finds its voters at an address to join that came later.

--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -50,8 +50,8 @@
 
 /* Addresses where a voter may be asked: those to join, the seeds and the first
    voters.  */
-static GPtrArray *
-join_addresses (const pu_settings_t *s)
+GPtrArray *
+pu_daemon_join_addresses (const pu_settings_t *s)
 {
   const pu_settings_voter_t *rows = s->voters.items;
   GPtrArray *list = g_ptr_array_new_with_free_func (g_free);
@@ -108,7 +108,7 @@
 {
   const pu_settings_voter_t *rows = s->voters.items;
   GArray *peers = g_array_new (FALSE, TRUE, sizeof (pu_log_peer));
-  GPtrArray *join = join_addresses (s);
+  GPtrArray *join = pu_daemon_join_addresses (s);
   bool founds = pu_settings_founds (s);
 
   g_array_set_clear_func (peers, peer_clear);
@@ -291,7 +291,7 @@
 build_agent (pu_daemon_t *d, pu_error_t *e)
 {
   const pu_settings_t *s = d->settings;
-  GPtrArray *join = join_addresses (s);
+  GPtrArray *join = pu_daemon_join_addresses (s);
   char *folder = NULL;
   pu_member_record self;
   pu_agent_options_t o;
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -269,11 +269,22 @@
   d->settings = NULL;
 }
 
+/* Where else a voter may be asked from now on.  */
+static void
+take_join (pu_daemon_t *d, const pu_settings_t *s)
+{
+  GPtrArray *join = pu_daemon_join_addresses (s);
+
+  pu_agent_join_add (d->agent, (const char *const *)join->pdata, join->len);
+  g_ptr_array_free (join, TRUE);
+}
+
 void
 pu_daemon_reload (pu_daemon_t *d, pu_settings_t *s)
 {
   if (pu_settings_on_platform (s))
     pu_platform_settings (s);
+  take_join (d, s);
   warn_of_fixed (d, s);
   pu_settings_keep_fixed (s, d->started);
   free_settings (d);
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -75,6 +75,10 @@
 /* build.c - the parts from the settings.  */
 bool pu_daemon_build (pu_daemon_t *d, pu_error_t *e);
 
+/* pu_daemon_join_addresses - peers' addresses where a voter may be asked, as
+   S has them: a new array that frees its strings.  */
+GPtrArray *pu_daemon_join_addresses (const pu_settings_t *s);
+
 /* pu_daemon_entry_reloadable - sets in O what may change at run time.  */
 void pu_daemon_entry_reloadable (const pu_settings_t *s,
                                  pu_entry_options_t *o);
--- a/libplantainusher/daemon/serve.c
+++ b/libplantainusher/daemon/serve.c
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <sys/stat.h>
 #include <uv.h>
 
 #include "base/log.h"
@@ -10,6 +11,9 @@
 #define PART "serve"
 #define EXIT_FINDINGS 1
 #define EXIT_NO_START 9
+/* Between two looks at the settings file, which may be changed without a
+   signal: well within the seconds in which a change is to be in force.  */
+#define LOOK_MS 1000
 
 typedef struct
 {
@@ -19,6 +23,8 @@
   uv_signal_t term;
   uv_signal_t interrupt;
   uv_signal_t hangup;
+  uv_timer_t look;
+  struct stat seen; /* of the settings file, when it was last read */
 } serve_t;
 
 static void
@@ -60,6 +66,7 @@
   uv_close ((uv_handle_t *)&v->term, NULL);
   uv_close ((uv_handle_t *)&v->interrupt, NULL);
   uv_close ((uv_handle_t *)&v->hangup, NULL);
+  uv_close ((uv_handle_t *)&v->look, NULL);
   pu_daemon_free (v->daemon);
   v->daemon = NULL;
   uv_stop (&v->loop);
@@ -74,13 +81,28 @@
   pu_daemon_stop (v->daemon, on_stopped, v);
 }
 
+/* Whether the settings file is another than the one that was read; what it is
+   now counts as read.  */
+static bool
+has_changed (serve_t *v)
+{
+  struct stat now;
+  bool changed;
+
+  if (stat (v->settings_path, &now) != 0)
+    return false;
+  changed = now.st_ino != v->seen.st_ino || now.st_size != v->seen.st_size
+            || now.st_mtim.tv_sec != v->seen.st_mtim.tv_sec
+            || now.st_mtim.tv_nsec != v->seen.st_mtim.tv_nsec;
+  v->seen = now;
+  return changed;
+}
+
 static void
-on_hangup (uv_signal_t *handle, int number)
+settings_reload (serve_t *v)
 {
-  serve_t *v = handle->data;
   pu_settings_t *s = load (v->settings_path);
 
-  (void)number;
   if (s == NULL)
     {
       pu_log_warn (PART, "The settings have findings; the old ones stay.");
@@ -91,6 +113,25 @@
     }
 }
 
+static void
+on_hangup (uv_signal_t *handle, int number)
+{
+  serve_t *v = handle->data;
+
+  (void)number;
+  has_changed (v);
+  settings_reload (v);
+}
+
+static void
+on_look (uv_timer_t *timer)
+{
+  serve_t *v = timer->data;
+
+  if (has_changed (v))
+    settings_reload (v);
+}
+
 static void
 listen_signal (serve_t *v, uv_signal_t *handle, int number, uv_signal_cb cb)
 {
@@ -120,9 +161,12 @@
 pu_serve_main (const pu_serve_options_t *o)
 {
   serve_t v = { .settings_path = o->settings_path };
-  pu_settings_t *s = load (o->settings_path);
+  pu_settings_t *s;
   pu_error_t e = { PU_OK, "" };
 
+  /* Before it is read: a change meanwhile is seen by the next look.  */
+  has_changed (&v);
+  s = load (o->settings_path);
   if (s == NULL)
     return EXIT_FINDINGS;
   pu_log_init ();
@@ -136,6 +180,9 @@
       pu_log_warn (PART, "It cannot start: %s", e.message);
       return EXIT_NO_START;
     }
+  uv_timer_init (&v.loop, &v.look);
+  v.look.data = &v;
+  uv_timer_start (&v.look, on_look, LOOK_MS, LOOK_MS);
   listen_signal (&v, &v.term, SIGTERM, on_stop_signal);
   listen_signal (&v, &v.interrupt, SIGINT, on_stop_signal);
   listen_signal (&v, &v.hangup, SIGHUP, on_hangup);
--- a/libplantainusher/settings/settings.c
+++ b/libplantainusher/settings/settings.c
@@ -23,6 +23,8 @@
   "/keys/operators",
   "/keys/backends",
   "/log_level",
+  "/seeds",
+  "/join",
 };
 
 /* Splits at the colon before the port; brackets go with version 6.  */
@@ -264,6 +266,8 @@
   merged.keys.operators = newer->keys.operators;
   merged.keys.backends = newer->keys.backends;
   merged.log_level = newer->log_level;
+  merged.join = newer->join;
+  merged.seeds = newer->seeds;
   merged.arena = newer->arena;
   *newer = merged;
 }
--- a/tests/reload_process_test.py
+++ b/tests/reload_process_test.py
@@ -5,7 +5,8 @@
 import os
 import signal
 
-from cluster import BACKEND_KEY, ClusterTest, main, request, wait_until
+from cluster import (BACKEND_KEY, PEERS_PORT, ClusterTest, main, request,
+                     wait_until)
 
 NEW_BACKEND_KEY = "process-test-new-backends-key"
 NEW_ADA_KEY = "process-test-new-ada-key"
@@ -76,6 +77,26 @@
         self.assertEqual(limits["max_body_bytes"], BODY_MAX)
         self.assertEqual((limits["drain_s"], limits["max_claims"]), (7, 99))
 
+    def test_a_file_that_changes_without_a_signal_is_read(self):
+        d, changed = self._one()
+        changed["keys"]["backends"] = [NEW_BACKEND_KEY]
+        d.settings_path.write_text(json.dumps(changed))
+        wait_until("the new key", lambda: announce_status(
+            d, NEW_BACKEND_KEY) == 400)
+        self.assertEqual(announce_status(d, BACKEND_KEY), UNAUTHORIZED)
+
+    def test_a_daemon_finds_voters_at_addresses_to_join_that_came_later(self):
+        c = self.cluster()
+        voter, = c.add_voters(["v1"])
+        c.start()
+        c.wait_leader()
+        lost = c.add("e1", ["entry"])
+        lost.settings["join"] = [f"{c.host()}:{PEERS_PORT}"]
+        c.start(lost)
+        lost.settings["join"] = [voter.peers]
+        lost.settings_path.write_text(json.dumps(lost.settings))
+        wait_until("the view", lambda: lost.status()["ready"])
+
     def test_a_file_with_findings_changes_nothing(self):
         d, changed = self._one()
         before = d.dump()["settings"]
