Platform: daemons as processes against stand-ins for operator, callers, engines

Change: tests/platform_fakes.py renders the deploy template, and has backend servers that speak the platform's wire and keep a ledger; 16 process tests: configs (highest wins, invalid refused, killed leader, wiped disk, all killed), requests (seals, at most once, leaving, bad check-ins), models (ordered with holder, fence and count; one holder, rising fences; a cut stream goes on), stops (SIGTERM, SIGHUP under load, settings with findings). One failed at first for a fault of the stand-in: a stream without length that is closed between two events is whole.

--- /dev/null
+++ b/tests/platform_fakes.py
@@ -0,0 +1,334 @@
+"""Instances of the users' platform and what speaks to them, on loopback: the
+settings are rendered from deploy/settings.json.tpl, backend servers are
+threads of the test that speak the platform's wire and keep a ledger of what
+they ran.
+
+Only what the tests need of the platform is here; no word of it is decided by
+the daemons' own code."""
+import http.client
+import http.server
+import json
+import pathlib
+import re
+import threading
+import time
+
+from cluster import Process, request, wait_until
+
+TEMPLATE = pathlib.Path(__file__).parent.parent / "deploy/settings.json.tpl"
+FRONT_PORT, READY_PORT, CONTROL_PORT = 17401, 17402, 17403
+DIRECTORY_PORT, OPERATOR_PORT, PEERS_PORT = 17404, 17405, 17406
+BACKEND_PORT = 17407
+HEARTBEAT_MS = 300
+HOST = "shop.example"
+
+
+# --- the template ---
+
+def _value(values, name):
+    for part in name.split("."):
+        if isinstance(values, list):
+            values = values[int(part)] if part.isdigit() else None
+        elif isinstance(values, dict):
+            values = values.get(part)
+        else:
+            return None
+    return values
+
+
+def render(text, values):
+    """TEXT with {{name}}, {{#section}}, {{^section}} and, within the section
+    of a list, {{.}} and {{,}} (a comma but after the last)."""
+    def section(m):
+        kind, name, body = m.group(1), m.group(2), m.group(3)
+        v = _value(values, name)
+        if kind == "^":
+            return "" if v else render(body, values)
+        if isinstance(v, list):
+            last = len(v) - 1
+            return "".join(
+                body.replace("{{.}}", str(one)).replace(
+                    "{{,}}", "" if i == last else ",")
+                for i, one in enumerate(v))
+        return render(body, values) if v else ""
+
+    text = re.sub(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", section, text,
+                  flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda m: str(_value(values,
+                                                            m.group(1))), text)
+
+
+# --- instances ---
+
+class Instance(Process):
+    """One daemon on the platform."""
+
+    def __init__(self, cluster, name, zone, disk, seeds=()):
+        self.settings_path = cluster.folder / f"{name}.json"
+        super().__init__(cluster, name, [cluster.binary, "serve", "--settings",
+                                         self.settings_path])
+        self.host, self.zone = cluster.host(), zone
+        self.front = f"{self.host}:{FRONT_PORT}"
+        self.ready = f"{self.host}:{READY_PORT}"
+        self.control = f"{self.host}:{CONTROL_PORT}"
+        self.directory = f"{self.host}:{DIRECTORY_PORT}"
+        self.data_folder = cluster.folder / f"{name}-disk"
+        self.values = {
+            "node": name, "ip": self.host, "zone": zone, "region": "r",
+            "listen": {"front": self.front, "ready": self.ready,
+                       "control": self.control, "directory": self.directory},
+            "port_range": [PEERS_PORT, OPERATOR_PORT],
+            "seeds": list(seeds), "bootstrap": True,
+            "heartbeat_ms": HEARTBEAT_MS,
+            "limits": {"memory_mb": 260, "max_fds": 4100},
+            "bounds": {"drain_ms": 2000, "config_apply_ms": 2000, "grace_s": 8,
+                       "reuse_after_s": 2, "lease_ms": 3000, "ttl_max_s": 5,
+                       "fence_checked": True, "retry_budget_ratio": 0.2,
+                       "budget_slack": 62, "budget_window_s": 10,
+                       "ceiling_overage": 1.1, "ceiling_window_s": 5}}
+        if disk:
+            self.values["data_dir"] = str(self.data_folder)
+        cluster.daemons[name] = self
+
+    def write_settings(self):
+        self.settings_path.write_text(render(TEMPLATE.read_text(),
+                                             self.values))
+
+    def start(self):
+        self.write_settings()
+        return super().start()
+
+    def is_ready(self):
+        return request(self.ready, "GET", "/api/ready", timeout_s=1
+                       ).status == 200
+
+    def resolve(self, zone="a"):
+        """The addresses that callers are told; [] when there are none."""
+        a = request(self.directory, "GET",
+                    f"/api/resolve?name={HOST}&region=r&zone={zone}",
+                    timeout_s=1)
+        return a.json["addresses"] if a.status == 200 else []
+
+    def put_config(self, config):
+        return request(self.control, "PUT", "/api/config", config,
+                       timeout_s=2).status
+
+    def get_config(self):
+        """(status, config) as read back."""
+        a = request(self.control, "GET", "/api/config", timeout_s=2)
+        return a.status, a.json if a.status == 200 else None
+
+    def ask(self, method, path, headers=None, rid="r1", timeout_s=5):
+        return request(self.front, method, path, None,
+                       {"Host": HOST, "Request-Id": rid, **(headers or {})},
+                       timeout_s)
+
+
+def instances(cluster, disks=3, plain=1):
+    """DISKS instances with a disk, which are the seeds, and PLAIN without."""
+    some = [Instance(cluster, f"core-{i}", "abc"[i % 3], True)
+            for i in range(disks)]
+    some += [Instance(cluster, f"front-{i}", "abc"[i % 3], False)
+             for i in range(plain)]
+    for one in some:
+        one.values["seeds"] = [c.control for c in some[:disks]][:3]
+        one.start()
+    return some
+
+
+# --- the operator ---
+
+def route(name, prefix, kind, service="app", **more):
+    return {"name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
+            "timeout_ms": 4000, "latency_goal_ms": 1000, "priority": 1,
+            "max_attempts": 2, "service": service, **more}
+
+
+def config(version, routes=None, models=()):
+    """A config with a plain service and an engine pool."""
+    return {
+        "version": version,
+        "routes": routes if routes is not None else [
+            route("s", "/safe/", "safe"), route("u", "/unsafe/", "unsafe"),
+            route("t", "/talk/", "stream", "llm", resumable=True, sticky=True,
+                  gap_target_ms=400)],
+        "services": [
+            {"name": "app", "health_path": "/health", "max_conns": 100},
+            {"name": "llm", "health_path": "/health", "max_conns": 100,
+             "engine": {"slots": 8, "kv_capacity": 100000, "stride": 1,
+                        "weights_mb": 1000.0, "adapter_slots": 2,
+                        "loads_per_s": 5.0, "host_mb": 2000.0,
+                        "disk_mb": 4000.0,
+                        "models": [{"name": m, "weights_mb": 400.0,
+                                    "load_s": 0.2, "adapters": 0,
+                                    "adapter_mb": 1.0, "warm_s": 0.1,
+                                    "disk_load_s": 0.1} for m in models]}}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+
+
+def submit(some, wanted):
+    """Sends WANTED to one after the other of SOME until it is taken."""
+    def taken():
+        return any(i.put_config(wanted) == 200 for i in some if i.alive())
+    wait_until(f"config {wanted['version']} to be taken", taken)
+
+
+# --- backend servers ---
+
+class Backend:
+    """A backend server in this process: `ran` lists the ids of the requests
+    that it ran, `orders` the bodies of the orders that it accepted."""
+
+    def __init__(self, cluster, name, service, zone="a", models=None):
+        self.name, self.service, self.zone = name, service, zone
+        self.models = models  # names that it holds; None: a plain service
+        self.ran, self.heads, self.orders = [], [], []
+        self.state = "ready"
+        self.cut = False       # breaks off in its next answers
+        self.hold_s = 0.0      # before it answers
+        self.events = 3
+        self.accepted = 0
+        self.busy_until = 0.0
+        self._seq = 0
+        self._lock = threading.Lock()
+        self._end = threading.Event()
+        self._cluster = cluster
+        handler = type("Handler", (_Handler,), {"backend": self})
+        self._server = http.server.ThreadingHTTPServer(
+            (cluster.host(), BACKEND_PORT), handler)
+        self._server.daemon_threads = True
+        self.address = f"{self._server.server_address[0]}:{BACKEND_PORT}"
+        for run in self._server.serve_forever, self._beat:
+            threading.Thread(target=run, daemon=True).start()
+
+    def check_in(self, instance):
+        """The status of one check-in there."""
+        self._seq += 1
+        body = {"service": self.service, "address": self.address,
+                "zone": self.zone, "version": "v1", "slots": 8,
+                "state": self.state, "cold_left_ms": 0, "seq": self._seq}
+        if self.models is not None:
+            body["models"] = self.held()
+        return request(instance.control, "PUT", f"/api/instances/{self.name}",
+                       body, timeout_s=1).status
+
+    def held(self):
+        return [{"name": m, "version": 1, "adapters": []}
+                for m in self.models]
+
+    def _beat(self):
+        while not self._end.wait(HEARTBEAT_MS / 1000):
+            for one in list(self._cluster.daemons.values()):
+                try:
+                    if one.alive() and self.check_in(one) == 200:
+                        break
+                except (OSError, http.client.HTTPException):
+                    continue  # the next daemon is called, as engines do
+
+    def order(self, body, told):
+        """The status of the order BODY for the engine TOLD."""
+        with self._lock:
+            if told != self.name:
+                return 421
+            if body.get("expected") != self.accepted \
+                    or time.monotonic() < self.busy_until:
+                return 409
+            self.accepted += 1
+            self.orders.append(body)
+            if body["op"] == "load":
+                self.models.append(body["model"])
+                self.busy_until = time.monotonic() + 0.2
+            else:
+                self.models.remove(body["model"])
+            return 202
+
+    def report(self):
+        with self._lock:
+            return {"models": self.held(), "seq": self.accepted,
+                    "busy": time.monotonic() < self.busy_until,
+                    "waiting": 0, "running": 0, "kv_used": 0,
+                    "kv_total": 100000, "handles": 0}
+
+    def close(self):
+        self._end.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    backend = None
+
+    def log_message(self, *_):
+        """The ledger is enough."""
+
+    def _send(self, status, body, **headers):
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def _break_off(self):
+        self.close_connection = True
+        self.connection.shutdown(2)
+
+    def _stream(self, rid):
+        b = self.backend
+        after = int(self.headers.get("Last-Event-Id", "0"))
+        self.send_response(200)
+        self.send_header("Request-Id", rid)
+        self.send_header("Server-Seal", "seal." + b.name)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Connection", "close")
+        self.end_headers()
+        for i in range(after + 1, b.events + 1):
+            if b.cut and i > 1:
+                # An answer without length ends with its connection: what
+                # tells this one from a whole one is the event in two.
+                self.wfile.write(b"id: ")
+                self._break_off()
+                return
+            self.wfile.write(f"id: {i}\ndata: e{i}\n\n".encode())
+            self.wfile.flush()
+            time.sleep(b.hold_s)
+        self.close_connection = True
+
+    def _answer(self):
+        b = self.backend
+        length = int(self.headers.get("Content-Length", "0"))
+        body = self.rfile.read(length)
+        rid = self.headers.get("Request-Id", "")
+        if self.path == "/health":
+            self._send(200, b"", Instance_Id=b.name)
+        elif self.path == "/api/report":
+            self._send(200, json.dumps(b.report()).encode())
+        elif self.path == "/api/order":
+            self._send(b.order(json.loads(body),
+                               self.headers.get("Expect-Instance")), b"{}")
+        elif self.headers.get("Expect-Instance") != b.name:
+            self._send(421, b"", Request_Id=rid, Not_Run="1",
+                       Instance_Id=b.name)
+        elif b.models is not None \
+                and self.headers.get("Model") not in b.models:
+            self._send(421, b"", Request_Id=rid, Not_Run="1",
+                       Instance_Id=b.name)
+        else:
+            b.ran.append(rid)
+            b.heads.append(dict(self.headers))
+            self._run(rid)
+
+    def _run(self, rid):
+        b = self.backend
+        if b.models is not None:
+            self._stream(rid)
+        elif b.cut:
+            self._break_off()
+        else:
+            time.sleep(b.hold_s)
+            self._send(200, f"of {b.name}".encode(), Request_Id=rid,
+                       Server_Seal="seal." + b.name)
+
+    do_GET = do_POST = do_PUT = _answer
--- /dev/null
+++ b/tests/platform_process_test.py
@@ -0,0 +1,304 @@
+#!/usr/bin/env python3
+"""Daemons on the users' platform: settings from the deploy template, with
+small stand-ins for the operator, callers and backend servers.
+tests/cluster.py says how to run this file."""
+import itertools
+import json
+import os
+import shutil
+import signal
+import subprocess
+import threading
+
+from cluster import ClusterTest, Later, main, request, wait_until
+from platform_fakes import Backend, config, instances, route, submit
+
+EXIT_FINDINGS = 1
+IN_FORCE_S = 2
+GRACE_S = 8
+
+
+class PlatformTest(ClusterTest):
+    """A platform with four instances, three of them with disks."""
+
+    def setUp(self):
+        self.c = self.cluster()
+        self.some = instances(self.c)
+        self.backends = []
+
+    def tearDown(self):
+        for b in self.backends:
+            b.close()
+
+    def backend(self, name, service, **more):
+        self.backends.append(Backend(self.c, name, service, **more))
+        return self.backends[-1]
+
+    def serving(self, wanted=None, plain=2):
+        """WANTED is in force at all, PLAIN backend servers are known."""
+        submit(self.some, wanted or config(1))
+        for i in range(plain):
+            self.backend(f"i-{i}", "app")
+        for one in self.some:
+            wait_until(f"{one.name} to be ready", one.is_ready)
+            self.wait_served(one)
+
+    def wait_served(self, one, path="/safe/x"):
+        wait_until(f"{one.name} to serve {path}",
+                   lambda: one.ask("GET", path).status == 200)
+
+    def leader(self):
+        """Whoever the instances' own status names as the leader."""
+        def found():
+            for one in self.some:
+                if not one.alive():
+                    continue
+                a = request(f"{one.host}:17405", "GET", "/operator/dump", None,
+                            {"Authorization":
+                             "Bearer change-me-operators-key"}, 1)
+                if a.json.get("control", {}).get("role") == "leader":
+                    return one
+            return None
+        return wait_until("a leader", found)
+
+
+class Config(PlatformTest):
+    def test_nothing_is_denied_before_the_first_config(self):
+        one = self.some[0]
+        wait_until("the front", lambda: one.ask("GET", "/safe/x").status)
+        self.assertEqual(one.ask("GET", "/safe/x").status, 503)
+        self.assertEqual(one.get_config()[0], 503)
+        self.assertFalse(one.is_ready())
+
+    def test_highest_version_is_in_force_and_read_back_everywhere(self):
+        self.serving()
+        newer = config(9, [route("n", "/new/", "safe")])
+        submit(self.some, newer)
+        for one in self.some:
+            wait_until("the new route", lambda one=one: one.ask(
+                "GET", "/new/x").status == 200, IN_FORCE_S)
+            self.assertEqual(one.ask("GET", "/safe/x").status, 404)
+            wait_until("the config", lambda one=one: one.get_config()
+                       == (200, newer))
+        # An older one, the same again, other content under the same version:
+        # all are acknowledged and change nothing.
+        other = config(9, [route("o", "/other/", "safe")])
+        for same in config(3), newer, other:
+            submit(self.some, same)
+        for one in self.some:
+            self.assertEqual(one.get_config(), (200, newer))
+            self.assertEqual(one.ask("GET", "/other/x").status, 404)
+
+    def test_invalid_configs_are_refused_and_nothing_of_them_is_in_force(self):
+        self.serving()
+        bad = [config(5, [route("a", "/x/", "safe", "nobody")]),
+               config(5, [route("a", "/x/", "safe"),
+                          route("b", "/x/", "safe")]),
+               config(5, [{**route("a", "/x/", "safe"), "timeout_ms": 0}])]
+        for one in bad:
+            self.assertEqual(self.some[0].put_config(one), 400)
+        cut = json.dumps(config(5))[:-20]
+        self.assertEqual(request(self.some[0].control, "PUT", "/api/config",
+                                 cut).status, 400)
+        self.assertEqual(self.some[1].get_config()[1]["version"], 1)
+
+    def test_killed_leader_loses_nothing_acknowledged(self):
+        self.serving()
+        submit(self.some, config(4))
+        self.leader().kill()
+        others = [i for i in self.some if i.alive()]
+        submit(others, config(6))
+        for one in others:
+            wait_until("the newest config", lambda one=one: one.get_config()
+                       == (200, config(6)))
+            self.wait_served(one)
+
+    def test_wiped_disk_takes_nothing_back(self):
+        self.serving()
+        submit(self.some, config(4))
+        one = self.some[1]
+        one.kill()
+        shutil.rmtree(one.data_folder)
+        one.values["bootstrap"] = False
+        one.start()
+        for i in self.some:
+            wait_until("the config", lambda i=i: i.get_config()
+                       == (200, config(4)))
+            self.wait_served(i)
+
+    def test_all_killed_at_once_come_back(self):
+        self.serving()
+        submit(self.some, config(4))
+        self.c.kill(*self.some)
+        for one in self.some:
+            one.values["bootstrap"] = False
+            one.start()
+        for one in self.some:
+            wait_until("the config", lambda one=one: one.get_config()
+                       == (200, config(4)))
+            self.wait_served(one)
+
+
+class Requests(PlatformTest):
+    def test_answers_are_the_backend_servers_own(self):
+        self.serving()
+        for one in self.some:
+            a = one.ask("GET", "/safe/x?q=1", {"Hold": "h", "Mine": "m"})
+            self.assertEqual(a.status, 200)
+            name = a.body.decode().split()[1]
+            self.assertEqual(a.headers["server-seal"], "seal." + name)
+            self.assertEqual(a.headers["request-id"], "r1")
+        heads = [h for b in self.backends for h in b.heads]
+        self.assertTrue(any(h.get("Mine") == "m" for h in heads))
+        self.assertFalse(any("Hold" in h for h in heads))
+
+    def test_unsafe_request_that_broke_off_runs_once(self):
+        self.serving()
+        for b in self.backends:
+            b.cut = True
+        before = sum(len(b.ran) for b in self.backends)
+        a = self.some[0].ask("POST", "/unsafe/x")
+        self.assertIn(a.status, (502, 504))
+        self.assertNotIn("retry-after", a.headers)
+        self.assertEqual(sum(len(b.ran) for b in self.backends), before + 1)
+
+    def test_leaving_backend_server_gets_nothing_new(self):
+        self.serving()
+        gone, stays = self.backends
+        gone.state = "draining"
+        wait_until("the leave to be taken",
+                   lambda: gone.check_in(self.some[0]) == 200)
+
+        def settled():
+            before = len(gone.ran)
+            for one in self.some:
+                for _ in range(4):
+                    self.assertEqual(one.ask("GET", "/safe/x").status, 200)
+            return len(gone.ran) == before
+        wait_until("no new work", settled, IN_FORCE_S)
+        self.assertTrue(stays.ran)
+
+    def test_bad_check_ins_are_refused_and_end_nothing(self):
+        self.serving()
+        for body in b"", b"{", b"[]", b'{"seq": -1}', b"\xff\xfe", b"x" * 4096:
+            a = request(self.some[0].control, "PUT", "/api/instances/i-9",
+                        body)
+            self.assertEqual(a.status, 400, body)
+        self.wait_served(self.some[0])
+
+
+class Models(PlatformTest):
+    HEADERS = {"Model": "m2", "Token-Counts": "100,10",
+               "Prompt-Prefix": "a1:60,b2:40"}
+
+    def test_model_that_nobody_holds_is_ordered_and_served(self):
+        engine = self.backend("g-0", "llm", models=["m1"])
+        submit(self.some, config(1, models=["m1", "m2"]))
+
+        def served():
+            a = self.some[3].ask("POST", "/talk/x", self.HEADERS)
+            return a if a.status == 200 else None
+        a = wait_until("the model", served)
+        self.assertEqual(a.body.count(b"data: "), engine.events)
+        self.assertEqual(a.headers["server-seal"], "seal.g-0")
+        load = next(o for o in engine.orders if o["model"] == "m2")
+        self.assertEqual(load["op"], "load")
+        self.assertGreater(load["fence"], 0)
+        self.assertTrue(load["holder"])
+        self.assertEqual([o["expected"] for o in engine.orders],
+                         list(range(len(engine.orders))))
+
+    def test_only_one_gives_orders_and_a_later_one_has_a_higher_fence(self):
+        engine = self.backend("g-0", "llm", models=["m1"])
+        submit(self.some, config(1, models=["m1", "m2"]))
+        wait_until("an order", lambda: engine.orders)
+        first = engine.orders[0]
+        self.assertEqual({o["holder"] for o in engine.orders},
+                         {first["holder"]})
+        next(i for i in self.some if i.name == first["holder"]).kill()
+        others = [i for i in self.some if i.alive()]
+        submit(others, config(2, models=["m1", "m2", "m3", "m4"]))
+        second = self.backend("g-1", "llm", models=[])
+        later = wait_until("an order of another", lambda: [
+            o for o in second.orders if o["holder"] != first["holder"]])
+        self.assertGreater(later[0]["fence"], first["fence"])
+
+    def _talk(self, one, i):
+        """Requests that share nothing go to engines in turn."""
+        return one.ask("POST", "/talk/x", {
+            **self.HEADERS, "Prompt-Prefix": f"{i:x}:60,{i + 1:x}:40"},
+            f"t{i}")
+
+    def test_cut_stream_goes_on_at_another_engine(self):
+        cut = self.backend("g-0", "llm", models=["m2"])
+        whole = self.backend("g-1", "llm", models=["m2"])
+        submit(self.some, config(1, models=["m2"]))
+        one = self.some[0]
+        numbers = itertools.count(1000, 10)
+        wait_until("both engines", lambda: self._talk(
+            one, next(numbers)) and cut.ran and whole.ran)
+        cut.cut, before = True, len(cut.ran)
+
+        def was_cut():
+            a = self._talk(one, next(numbers))
+            self.assertEqual(a.body, b"".join(
+                b"id: %d\ndata: e%d\n\n" % (k, k) for k in (1, 2, 3)))
+            return len(cut.ran) > before
+        wait_until("a stream to be cut", was_cut)
+        self.assertEqual(whole.heads[-1].get("Last-Event-Id"), "1")
+
+
+class Stops(PlatformTest):
+    def test_sigterm_ends_open_requests_and_tells_callers_first(self):
+        self.serving()
+        one = self.some[3]
+        for b in self.backends:
+            b.hold_s = 1.0
+        open_one = Later(lambda: one.ask("GET", "/safe/x"))
+        wait_until("the request to run", lambda: any(
+            "r1" in b.ran for b in self.backends))
+        one.term()
+        wait_until("it to be unready", lambda: not one.is_ready(), 2)
+        wait_until("it to be left out", lambda: one.front
+                   not in self.some[0].resolve("c") + self.some[0].resolve(),
+                   2)
+        self.assertEqual(open_one.result().status, 200)
+        self.assertEqual(one.wait(GRACE_S), 0)
+
+    def test_sighup_under_load_fails_no_request(self):
+        self.serving()
+        end, bad = threading.Event(), []
+
+        def ask():
+            while not end.is_set():
+                a = self.some[0].ask("GET", "/safe/x")
+                if a.status != 200:
+                    bad.append(a)
+        callers = [threading.Thread(target=ask) for _ in range(4)]
+        for t in callers:
+            t.start()
+        for level in "info", "note", "info":
+            self.some[0].values["seeds"] = self.some[0].values["seeds"][::-1]
+            self.some[0].write_settings()
+            os.kill(self.some[0].pid, signal.SIGHUP)
+        end.wait(1.0)
+        end.set()
+        for t in callers:
+            t.join()
+        self.assertEqual(bad, [])
+
+    def test_settings_with_findings_end_with_all_of_them(self):
+        one = self.some[0]
+        one.values["listen"]["ready"] = "nowhere"
+        one.values["limits"]["memory_mb"] = -1
+        one.write_settings()
+        p = subprocess.run([str(self.c.binary), "serve", "--settings",
+                            str(one.settings_path)], capture_output=True,
+                           text=True, timeout=10)
+        self.assertEqual(p.returncode, EXIT_FINDINGS)
+        self.assertIn("/platform/ready", p.stderr)
+        self.assertIn("/platform/memory_mb", p.stderr)
+
+
+if __name__ == "__main__":
+    main()
