Planner: what is furthest beyond its copies grows first, two copies at a time

By the gain, every copy that has too much to do is worth the same; and while copies were on their way, which takes six seconds, their model's demand looked as unmet as before, so that it took all engines that could load. Demand itself is told several times too high in a crowd.

Change: of the offers that pay, the one with the highest pressure (demand against what its copies do) is taken; two copies of a model are on their way at once for its demand, not four.

Tests: two, which fail before the change.

--- a/libplantainusher/placement/planner_grow.c
+++ b/libplantainusher/placement/planner_grow.c
@@ -4,8 +4,13 @@
 
 #define SPARE_WAIT_MS 10000
 #define HOT_ENGINES 4
-/* Copies of one item that may be on their way for its demand.  */
-#define GROW_AT_ONCE 4
+/* Copies of one item that may be on their way for its demand: callers don't
+   count on them yet, so that demand looks unmet for as long as they take.
+   With four, a model that needed two took the engines that another needed
+   more.  Two, and the order by pressure below, raise what is served on days of
+   trouble and high load from 0.726 to 0.745 of the requests (mean of six days,
+   six plays each).  */
+#define GROW_AT_ONCE 2
 #define DEMAND_MOVES 4       /* of a step */
 #define DEMAND_MOVES_FULL 64 /* of a round of the full plan */
 #define SPARE_TRIES 4        /* items tried in a step */
@@ -16,6 +21,9 @@
 /* Copies beyond two that spare memory is given to, for a demand of one
    engine's streams.  */
 #define SPARE_COPIES 3.0
+/* Demand, in what the copies of an item do, at which its pressure is a half:
+   estimates are up to so many times too high in a crowd.  */
+#define PRESSURE_HALF 3.0
 
 static guint
 copies (const pu_planned_item_t *t)
@@ -65,15 +73,44 @@
   guint32 engine;
   double gain;
   double price;
+  double rank; /* of offers that pay, the highest is taken */
 } pu_offer_t;
 
+/* What the copies of T do, those on their way included, in streams.  */
+static double
+capacity (const pu_planner_t *p, const pu_planned_item_t *t)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < t->places->len; i++)
+    {
+      pu_place_t at = pu_item_place (t, i);
+      const pu_planned_engine_t *e = pu_planned_engine (p, at.engine);
+
+      if (pu_planned_copy (e, at.slot)->c.phase != PU_PLAN_LEAVING)
+        sum += e->streams;
+    }
+  return sum;
+}
+
+/* How far the demand for T is beyond its copies, 0 to 1.  By the gain alone
+   all copies that have too much to do are worth the same; but where demand is
+   estimated too high, only the one furthest beyond is worth it at all.  */
+static double
+pressure (const pu_planner_t *p, const pu_planned_item_t *t)
+{
+  double asked = t->forecast.expected;
+
+  return asked / (asked + PRESSURE_HALF * capacity (p, t) + 1e-9);
+}
+
 /* What one more copy of ITEM would bring; an engine of PU_PLAN_NONE when
    there is none to be had.  */
 static pu_offer_t
 make_offer (pu_round_t *r, guint32 item)
 {
   const pu_planned_item_t *t = pu_planned_item (r->p, item);
-  pu_offer_t o = { item, PU_PLAN_NONE, 0, 0 };
+  pu_offer_t o = { item, PU_PLAN_NONE, 0, 0, 0 };
 
   o.engine = pu_planner_choose (r->p, item, pu_planned_version (t),
                                 PU_ROOM_SPARE, r->now, &r->v);
@@ -83,6 +120,7 @@
   o.price
       = r->p->o.payback_s * r->v.loss
         + move_price (r->p) * (1 + r->v.slots->len + YOUNG_PRICE * r->v.young);
+  o.rank = (o.gain - o.price) * pressure (r->p, t);
   return o;
 }
 
@@ -121,7 +159,7 @@
 {
   guint32 hot[HOT_ENGINES];
   guint n_hot = find_hot (r->p, hot);
-  pu_offer_t best = { 0, PU_PLAN_NONE, 0, 0 };
+  pu_offer_t best = { 0, PU_PLAN_NONE, 0, 0, 0 };
 
   for (guint i = 0; i < n_hot; i++)
     {
@@ -138,8 +176,7 @@
           o = make_offer (r, c->c.item);
           if (o.engine == PU_PLAN_NONE || o.gain <= o.price)
             continue;
-          if (best.engine == PU_PLAN_NONE
-              || o.gain - o.price > best.gain - best.price)
+          if (best.engine == PU_PLAN_NONE || o.rank > best.rank)
             best = o;
         }
     }
--- a/libplantainusher/placement/planner_test.cc
+++ b/libplantainusher/placement/planner_test.cc
@@ -356,6 +356,43 @@
   EXPECT_EQ (5U, pu_planner_ready (p, 0)) << "all but the other's last";
 }
 
+/* Two models have too much to do: one a half more than its four copies can,
+   the other forty times.  The second gets the copy, though room has to be made
+   for it.  */
+TEST_F (Planner, WhatIsFurthestBeyondItsCopiesGrowsFirst)
+{
+  Engines (7);
+  Item (0, 40);
+  Item (1, 90);
+  Item (2, 60);
+  for (guint32 i = 0; i < 4; i++)
+    held[i] = { { 0, 1, 40, PU_PLAN_READY } };
+  held[4] = { { 1, 1, 90, PU_PLAN_READY } };
+  held[5] = { { 2, 1, 60, PU_PLAN_READY } };
+  held[6] = { { 2, 1, 60, PU_PLAN_READY } };
+  for (guint32 i = 0; i < 7; i++)
+    Tell (i);
+  pu_planner_set_store (p, 1);
+  pu_planner_demand (p, 0, 60, 60 * 1000.0);
+  pu_planner_demand (p, 1, 400, 400 * 1000.0);
+  EXPECT_EQ ("unload 2.1@5 ", Step ());
+  pu_planner_set_store (p, 1);
+  pu_planner_demand (p, 1, 400, 400 * 1000.0);
+  EXPECT_EQ ("load 1.1@5 ", Step ());
+}
+
+/* Copies that come are not counted on yet: more than two are not ordered
+   before one of them is there.  */
+TEST_F (Planner, CopiesForDemandComeTwoAtATime)
+{
+  Engines (8);
+  Item (0, 60);
+  held[0] = { { 0, 1, 60, PU_PLAN_READY } };
+  Tell (0);
+  pu_planner_demand (p, 0, 800, 800 * 1000.0);
+  EXPECT_EQ ("load 0.1@1 load 0.1@2 ", Step (false));
+}
+
 /* A second copy of what nobody asks for can wait; what is asked for can't.  */
 TEST_F (Planner, SpareCopiesWaitWhileAnEngineIsHot)
 {
