Log: JSON lines on standard output, one for each decision on a request; metrics address

Cause: the users ask that a failure be explained from logs and metrics alone. The log was text on standard error, blocked on a full pipe, and said nothing of requests at its usual level; latencies were not counted; the counters needed an operator's key and could not be gathered on the platform.

Change: base/log writes JSON objects (jansson) on standard output; a pipe that is full never holds the daemon up (poll, then at most PIPE_BUF bytes), 256 KB are kept, more and what comes beyond 1,000 lines a second is dropped, counted and told. entry/trace.c has a line for each decision on a request with its id, what decided and how old that was; documents in force, backend servers' standing and voters that answer again have one. Histograms of answers, first events and failures; addresses/metrics serves all without a key. On the platform the level is info, and the deploy file names the metrics.

--- a/deploy/settings.json.tpl
+++ b/deploy/settings.json.tpl
@@ -10,6 +10,7 @@
     "callers": "{{listen.front}}",
     "operators": "{{ip}}:{{port_range.1}}",
     "peers": "{{ip}}:{{port_range.0}}",
+    "metrics": "{{ip}}:9464",
   },
 {{#data_dir}}
   "data_folder": "{{data_dir}}",
@@ -20,7 +21,7 @@
   },
   "seeds": [{{#seeds}}"{{.}}"{{,}}{{/seeds}}],
   "found": {{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}},
-  "log_level": "note",
+  "log_level": "info",
   "platform": {
     "ready": "{{listen.ready}}",
     "control": "{{listen.control}}",
--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -86,8 +86,8 @@
    serve.  */
 bool pu_agent_ready (const pu_agent_t *a);
 
-/* pu_agent_join_add - N more peers' addresses where a voter may be asked; those
-   known before stay, as either may be out of date.  */
+/* pu_agent_join_add - N more peers' addresses where a voter may be asked;
+   those known before stay, as either may be out of date.  */
 void pu_agent_join_add (pu_agent_t *a, const char *const *addresses, size_t n);
 
 /* pu_agent_incarnation - of this daemon; final once pu_agent_joined.  */
--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -155,6 +155,11 @@
 void
 pu_agent_poll_answered (pu_agent_t *a, const pu_poll_reply *r)
 {
+  if (a->failures > 0)
+    {
+      pu_log_info (PU_AGENT_PART, "Voter %s answers, after %u that did not.",
+                   pu_agent_voter (a), a->failures);
+    }
   a->failures = 0;
   pu_agent_voters_learn (a, r);
   a->leaderless = r->leader[0] == '\0' ? a->leaderless + 1 : 0;
--- a/libplantainusher/base/counters.c
+++ b/libplantainusher/base/counters.c
@@ -2,16 +2,29 @@
 
 #include <string.h>
 
+/* Upper bounds of the buckets, ms: around the targets of first tokens and of
+   whole answers, which are some tens to some thousands.  */
+static const guint bounds[]
+    = { 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000 };
+
 typedef struct
 {
   char *name;
   gint64 value;
 } counter_t;
 
+typedef struct
+{
+  char *name;
+  guint64 counts[G_N_ELEMENTS (bounds) + 1]; /* the last one: beyond all */
+  guint64 sum;                               /* ms */
+} latency_t;
+
 struct pu_counters
 {
   GArray *table;      /* of counter_t, by handle */
   GHashTable *byname; /* name -> handle + 1 */
+  GArray *latencies;  /* of latency_t, by handle */
 };
 
 static void
@@ -20,6 +33,12 @@
   g_free (((counter_t *)data)->name);
 }
 
+static void
+latency_clear (gpointer data)
+{
+  g_free (((latency_t *)data)->name);
+}
+
 pu_counters_t *
 pu_counters_new (void)
 {
@@ -28,6 +47,8 @@
   c->table = g_array_new (FALSE, TRUE, sizeof (counter_t));
   g_array_set_clear_func (c->table, counter_clear);
   c->byname = g_hash_table_new (g_str_hash, g_str_equal);
+  c->latencies = g_array_new (FALSE, TRUE, sizeof (latency_t));
+  g_array_set_clear_func (c->latencies, latency_clear);
   return c;
 }
 
@@ -38,6 +59,7 @@
     return;
   g_hash_table_destroy (c->byname);
   g_array_free (c->table, TRUE);
+  g_array_free (c->latencies, TRUE);
   g_free (c);
 }
 
@@ -73,6 +95,54 @@
   return g_array_index (c->table, counter_t, h).value;
 }
 
+pu_latency_t
+pu_counters_latency (pu_counters_t *c, const char *name)
+{
+  latency_t one = { 0 };
+
+  for (guint i = 0; i < c->latencies->len; i++)
+    {
+      if (strcmp (g_array_index (c->latencies, latency_t, i).name, name) == 0)
+        return i;
+    }
+  one.name = g_strdup (name);
+  g_array_append_val (c->latencies, one);
+  return c->latencies->len - 1;
+}
+
+void
+pu_counters_observe (pu_counters_t *c, pu_latency_t h, guint64 ms)
+{
+  latency_t *l = &g_array_index (c->latencies, latency_t, h);
+  guint i = 0;
+
+  while (i < G_N_ELEMENTS (bounds) && ms > bounds[i])
+    i++;
+  l->counts[i]++;
+  l->sum += ms;
+}
+
+static void
+latency_print (const latency_t *l, GString *out)
+{
+  guint64 below = 0;
+
+  for (guint i = 0; i < G_N_ELEMENTS (bounds); i++)
+    {
+      below += l->counts[i];
+      g_string_append_printf (
+          out, "plantainusher_%s_bucket{le=\"%u\"} %" G_GUINT64_FORMAT "\n",
+          l->name, bounds[i], below);
+    }
+  below += l->counts[G_N_ELEMENTS (bounds)];
+  g_string_append_printf (
+      out,
+      "plantainusher_%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
+      "\nplantainusher_%s_sum %" G_GUINT64_FORMAT
+      "\nplantainusher_%s_count %" G_GUINT64_FORMAT "\n",
+      l->name, below, l->name, l->sum, l->name, below);
+}
+
 static gint
 by_name (gconstpointer a, gconstpointer b)
 {
@@ -98,4 +168,6 @@
                               one->name, one->value);
     }
   g_ptr_array_free (sorted, TRUE);
+  for (guint i = 0; i < c->latencies->len; i++)
+    latency_print (&g_array_index (c->latencies, latency_t, i), out);
 }
--- a/libplantainusher/base/counters.h
+++ b/libplantainusher/base/counters.h
@@ -26,7 +26,17 @@
 void pu_counters_set (pu_counters_t *c, pu_counter_t h, gint64 value);
 gint64 pu_counters_value (const pu_counters_t *c, pu_counter_t h);
 
-/* pu_counters_print - appends one line for each counter to OUT, by name.  */
+/* A histogram of durations; its buckets are the same for all.  */
+typedef guint pu_latency_t;
+
+/* pu_counters_latency - the handle of the histogram NAME, made when new.  */
+pu_latency_t pu_counters_latency (pu_counters_t *c, const char *name);
+
+/* pu_counters_observe - one more duration, in milliseconds.  */
+void pu_counters_observe (pu_counters_t *c, pu_latency_t h, guint64 ms);
+
+/* pu_counters_print - appends one line for each counter to OUT, by name, then
+   the histograms: cumulative buckets, sum and count of each.  */
 void pu_counters_print (const pu_counters_t *c, GString *out);
 
 G_END_DECLS
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -3,10 +3,12 @@
 #include <string.h>
 
 #include "base/breaks.h"
+#include "base/log.h"
 #include "daemon/parts.h"
 #include "operator/mount.h"
 #include "rpc/rpc.h"
 
+#define PART "daemon"
 #define MS_PER_US 1000
 #define LOG_FOLDER "log"
 #define VIEW_FOLDER "view"
@@ -448,6 +450,20 @@
   return d->operators != NULL;
 }
 
+/* Nothing that callers need hangs on it: without it, the daemon serves.  */
+static void
+build_metrics (pu_daemon_t *d)
+{
+  const char *address = d->settings->addresses.metrics;
+  pu_error_t e = { PU_OK, "" };
+
+  if (*address == '\0')
+    return;
+  d->metrics = pu_metrics_new (d->loop, address, pu_daemon_metrics, d, &e);
+  if (d->metrics == NULL)
+    pu_log_warn (PART, "No metrics at %s: %s", address, e.message);
+}
+
 bool
 pu_daemon_build (pu_daemon_t *d, pu_error_t *e)
 {
@@ -460,5 +476,6 @@
     return false;
   if (d->settings->entry && !build_entry (d, e))
     return false;
+  build_metrics (d);
   return build_operators (d, e);
 }
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -118,6 +118,8 @@
   if (d->control != NULL)
     pu_control_close (d->control, on_control_closed, d);
   pu_http_server_stop (d->operators, on_operators_stopped, d);
+  pu_metrics_free (d->metrics);
+  d->metrics = NULL;
   d->closed_platform = d->platform == NULL;
   if (d->platform != NULL)
     pu_platform_stop (d->platform, on_platform_stopped, d);
@@ -296,6 +298,7 @@
 static void
 free_parts (pu_daemon_t *d)
 {
+  pu_metrics_free (d->metrics);
   if (d->operators != NULL)
     pu_http_server_free (d->operators);
   pu_operator_free (d->operator);
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -204,8 +204,8 @@
                    (gint64)value);
 }
 
-static void
-operator_metrics (GString *out, void *data)
+void
+pu_daemon_metrics (GString *out, void *data)
 {
   const pu_daemon_t *d = data;
   const pu_state_t *view = pu_agent_view (d->agent);
@@ -214,6 +214,7 @@
   set_counter (d, "position_in_force", pu_state_position (view));
   set_counter (d, "document_version",
                document == NULL ? 0 : document->doc_version);
+  set_counter (d, "log_lines_dropped_total", pu_log_dropped ());
   pu_counters_print (d->counters, out);
 }
 
@@ -229,6 +230,6 @@
   h->voters = operator_voters;
   h->plan = operator_plan;
   h->set_log_level = operator_log_level;
-  h->metrics = operator_metrics;
+  h->metrics = pu_daemon_metrics;
   h->data = d;
 }
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -5,6 +5,7 @@
 #include "base/counters.h"
 #include "control/control.h"
 #include "daemon/daemon.h"
+#include "daemon/metrics.h"
 #include "entry/entry.h"
 #include "http/server.h"
 #include "operator/operator.h"
@@ -41,6 +42,7 @@
   pu_placer_t *placer;       /* goes with control, but on the platform */
   pu_sequenced_t *sequenced; /* the same on the platform */
   pu_agent_t *agent;
+  pu_metrics_t *metrics;   /* NULL without an address for it */
   pu_platform_t *platform; /* NULL but for an instance of the platform */
   pu_entry_t *entry;       /* NULL without the role */
   pu_operator_t *operator;
@@ -59,6 +61,7 @@
 /* hooks.c - what the entry and the operators' paths ask of the daemon.  */
 void pu_daemon_entry_hooks (pu_daemon_t *d, pu_entry_hooks_t *h);
 void pu_daemon_operator_hooks (pu_daemon_t *d, pu_operator_hooks_t *h);
+void pu_daemon_metrics (GString *out, void *daemon);
 
 /* loads.c - load reports between entries.  */
 void pu_daemon_loads_listen (pu_daemon_t *d);
--- a/libplantainusher/daemon/serve.c
+++ b/libplantainusher/daemon/serve.c
@@ -14,6 +14,8 @@
 /* Between two looks at the settings file, which may be changed without a
    signal: well within the seconds in which a change is to be in force.  */
 #define LOOK_MS 1000
+/* Lines of the log that are no news of their own wait so long for others. */
+#define FLUSH_MS 100
 
 typedef struct
 {
@@ -24,6 +26,7 @@
   uv_signal_t interrupt;
   uv_signal_t hangup;
   uv_timer_t look;
+  uv_timer_t flush;
   struct stat seen; /* of the settings file, when it was last read */
 } serve_t;
 
@@ -67,6 +70,7 @@
   uv_close ((uv_handle_t *)&v->interrupt, NULL);
   uv_close ((uv_handle_t *)&v->hangup, NULL);
   uv_close ((uv_handle_t *)&v->look, NULL);
+  uv_close ((uv_handle_t *)&v->flush, NULL);
   pu_daemon_free (v->daemon);
   v->daemon = NULL;
   uv_stop (&v->loop);
@@ -132,6 +136,13 @@
     settings_reload (v);
 }
 
+static void
+on_flush (uv_timer_t *timer)
+{
+  (void)timer;
+  pu_log_flush ();
+}
+
 static void
 listen_signal (serve_t *v, uv_signal_t *handle, int number, uv_signal_cb cb)
 {
@@ -183,6 +194,8 @@
   uv_timer_init (&v.loop, &v.look);
   v.look.data = &v;
   uv_timer_start (&v.look, on_look, LOOK_MS, LOOK_MS);
+  uv_timer_init (&v.loop, &v.flush);
+  uv_timer_start (&v.flush, on_flush, FLUSH_MS, FLUSH_MS);
   listen_signal (&v, &v.term, SIGTERM, on_stop_signal);
   listen_signal (&v, &v.interrupt, SIGINT, on_stop_signal);
   listen_signal (&v, &v.hangup, SIGHUP, on_hangup);
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -1,4 +1,5 @@
 #include "entry/entry_private.h"
+#include "entry/trace.h"
 
 #include <string.h>
 
@@ -117,6 +118,7 @@
 {
   bool good = x->at.status < STATUS_CLIENT_ERROR;
 
+  pu_trace_answered (x);
   if (good)
     pu_demand_ran (x);
   if (x->at.answer.failed && !pu_entry_has_own_front (x->en))
@@ -712,6 +714,7 @@
   if (!good)
     return false;
   suspects_note (x, s);
+  pu_trace_sent (x, s);
   pu_router_sent (x->en->router, x->ticket, now_of (x));
   return true;
 }
@@ -731,6 +734,7 @@
   if (!x->q.plain)
     pu_head_add (&h, "X-Service", x->q.service);
   x->at.entry = g_strdup (to->name);
+  pu_trace_relayed (x, to->name);
   good = call_start (x, to->address, target, &h);
   pu_head_clear (&h);
   g_free (target);
--- a/libplantainusher/entry/deliver.c
+++ b/libplantainusher/entry/deliver.c
@@ -1,6 +1,7 @@
 /* An attempt's answer on its way to the caller.  */
 
 #include "entry/entry_private.h"
+#include "entry/trace.h"
 
 #include <string.h>
 
@@ -132,6 +133,8 @@
   pu_exchange_t *x = data;
 
   x->last_event = pu_events_last (x->at.events);
+  if (x->events == 0 && n > 0)
+    pu_trace_first_event (x);
   x->events += n;
   if (n > 0)
     progress_report (x, pu_events_count (x->at.events));
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "entry/trace.h"
 
 enum
 {
@@ -71,6 +72,7 @@
   pu_exchange_t *x = data;
 
   x->http = NULL;
+  pu_trace_left (x);
   if (x->claim != 0)
     return;
   if (x->once && x->phase == PU_X_CLAIMING)
@@ -242,8 +244,7 @@
   told.outcome = outcome_over_all (x, r->outcome);
   if (pu_entry_breaks (x->en, PU_ENTRY_BREAK_OUTCOME))
     told.outcome = PU_NOT_RUN;
-  pu_log_debug (PU_ENTRY_PART, "Request %s failed: %s (%s).", x->q.id, message,
-                pu_outcome_word (told.outcome));
+  pu_trace_failed (x, &told, message);
   if (x->claim != 0)
     {
       pu_claim_finished (
@@ -573,6 +574,7 @@
     case PU_ROUTER_QUEUED:
       ticket_set (x, d->ticket);
       x->phase = PU_X_QUEUED;
+      pu_trace_queued (x);
       break;
     case PU_ROUTER_REFUSE:
       if (d->reason == PU_ROUTER_REASON_COPY && pu_want_may (x)
@@ -669,6 +671,7 @@
 
   if (failure != PU_ROUTER_FAIL_CONNECT && failure != PU_ROUTER_FAIL_NOT_RUN)
     x->may_have_run = true;
+  pu_trace_broke (x, failure);
   pu_attempt_clear (x);
   if (entry != NULL)
     {
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -211,10 +211,35 @@
   s->refused = 0;
 }
 
+/* How S stands with this entry, in a word.  */
+static const char *
+standing (const pu_server_t *s)
+{
+  if (s->incarnation == 0)
+    return "unknown";
+  if (s->down)
+    return "down";
+  return s->leaving ? "leaving" : "ready";
+}
+
+static void
+standing_tell (const pu_server_t *s, const char *before)
+{
+  if (strcmp (before, standing (s)) == 0)
+    return;
+  pu_log_event (
+      PU_ENTRY_PART, "A backend server's standing has changed.",
+      PU_LOG_TEXT ("server", s->name), PU_LOG_TEXT ("address", s->address),
+      PU_LOG_TEXT ("before", before), PU_LOG_TEXT ("now", standing (s)),
+      PU_LOG_NUMBER ("incarnation", s->incarnation),
+      PU_LOG_NUMBER ("changes", s->en->changes));
+}
+
 pu_server_t *
 pu_server_apply (pu_entry_t *en, const pu_backend_record *b)
 {
   pu_server_t *s = server_get (en, b->name);
+  const char *before = standing (s);
 
   if (b->incarnation < s->incarnation)
     return s;
@@ -233,6 +258,7 @@
     {
       router_set (s, b);
     }
+  standing_tell (s, before);
   return s;
 }
 
@@ -254,10 +280,13 @@
     {
       pu_server_t *s = value;
 
+      const char *before = standing (s);
+
       if (pu_state_backend (view, s->name) != NULL)
         continue;
       router_remove (s);
       s->down = true;
+      standing_tell (s, before);
     }
 }
 
--- /dev/null
+++ b/libplantainusher/entry/trace.c
@@ -0,0 +1,191 @@
+#include "entry/trace.h"
+
+#include "base/counters.h"
+#include "base/log.h"
+
+static void
+count (const pu_exchange_t *x, const char *name)
+{
+  pu_counters_t *c = x->en->o.counters;
+
+  if (c != NULL)
+    pu_counters_add (c, pu_counters_get (c, name), 1);
+}
+
+static void
+count_labelled (const pu_exchange_t *x, const char *name, const char *label,
+                const char *value)
+{
+  char *full = g_strdup_printf ("%s{%s=\"%s\"}", name, label, value);
+
+  count (x, full);
+  g_free (full);
+}
+
+static void
+observe (const pu_exchange_t *x, const char *name, guint64 ms)
+{
+  pu_counters_t *c = x->en->o.counters;
+
+  if (c != NULL)
+    pu_counters_observe (c, pu_counters_latency (c, name), ms);
+}
+
+static guint64
+since (const pu_exchange_t *x, guint64 then)
+{
+  return uv_now (x->en->o.loop) - then;
+}
+
+/* Who is at work on X, "" for nobody.  */
+static const char *
+worker (const pu_exchange_t *x)
+{
+  if (x->at.server != NULL)
+    return x->at.server->name;
+  return x->at.entry != NULL ? x->at.entry : "";
+}
+
+static guint
+ready_copies (const pu_exchange_t *x)
+{
+  char *plain = g_strconcat ("service:", x->q.service, NULL);
+  pu_router_model_t m
+      = pu_router_find_model (x->en->router, x->q.plain ? plain : x->q.model);
+
+  g_free (plain);
+  return m != PU_ROUTER_NONE ? pu_router_ready_copies (x->en->router, m) : 0;
+}
+
+static guint64
+time_left (const pu_exchange_t *x)
+{
+  guint64 now = uv_now (x->en->o.loop);
+
+  return x->q.deadline > now ? x->q.deadline - now : 0;
+}
+
+void
+pu_trace_queued (const pu_exchange_t *x)
+{
+  count (x, "requests_queued_total");
+  pu_log_event (PU_ENTRY_PART, "Queued.", PU_LOG_TEXT ("request", x->q.id),
+                PU_LOG_TEXT ("route", x->q.route),
+                PU_LOG_TEXT ("service", x->q.service),
+                PU_LOG_TEXT ("model", x->q.model),
+                PU_LOG_NUMBER ("ready_copies", ready_copies (x)),
+                PU_LOG_NUMBER ("age_ms", since (x, x->q.arrived)),
+                PU_LOG_NUMBER ("left_ms", time_left (x)),
+                PU_LOG_NUMBER ("document", x->en->document_version));
+}
+
+void
+pu_trace_wants (const pu_exchange_t *x)
+{
+  count (x, "requests_without_a_copy_total");
+  pu_log_event (PU_ENTRY_PART, "Waits for its model to be loaded.",
+                PU_LOG_TEXT ("request", x->q.id),
+                PU_LOG_TEXT ("model", x->q.model),
+                PU_LOG_NUMBER ("age_ms", since (x, x->q.arrived)),
+                PU_LOG_NUMBER ("left_ms", time_left (x)),
+                PU_LOG_NUMBER ("document", x->en->document_version));
+}
+
+void
+pu_trace_sent (const pu_exchange_t *x, const pu_server_t *s)
+{
+  pu_router_backend_t b = pu_router_find_backend (x->en->router, s->name);
+  pu_router_load_t load = { 0 };
+
+  count (x, "attempts_total");
+  pu_router_backend_load (x->en->router, b, uv_now (x->en->o.loop), &load);
+  pu_log_event (PU_ENTRY_PART, "Sent.", PU_LOG_TEXT ("request", x->q.id),
+                PU_LOG_TEXT ("route", x->q.route),
+                PU_LOG_TEXT ("service", x->q.service),
+                PU_LOG_TEXT ("model", x->q.model), PU_LOG_TEXT ("to", s->name),
+                PU_LOG_NUMBER ("attempt", x->attempts),
+                PU_LOG_NUMBER ("predicted_ms", x->predicted_ms),
+                PU_LOG_NUMBER ("own_running", load.own),
+                PU_LOG_NUMBER ("running", load.running),
+                PU_LOG_NUMBER ("waiting", load.waiting),
+                PU_LOG_NUMBER ("report_age_ms", load.age_ms),
+                PU_LOG_NUMBER ("age_ms", since (x, x->q.arrived)),
+                PU_LOG_NUMBER ("left_ms", time_left (x)),
+                PU_LOG_NUMBER ("document", x->en->document_version));
+}
+
+void
+pu_trace_relayed (const pu_exchange_t *x, const char *to)
+{
+  pu_log_event (PU_ENTRY_PART, "Relayed.", PU_LOG_TEXT ("request", x->q.id),
+                PU_LOG_TEXT ("service", x->q.service),
+                PU_LOG_TEXT ("model", x->q.model), PU_LOG_TEXT ("to", to),
+                PU_LOG_NUMBER ("hops", x->hops),
+                PU_LOG_NUMBER ("left_ms", time_left (x)));
+}
+
+void
+pu_trace_broke (const pu_exchange_t *x, pu_router_failure_t failure)
+{
+  count_labelled (x, "attempts_failed_total", "why",
+                  pu_router_failure_name (failure));
+  pu_log_event (PU_ENTRY_PART, "Attempt failed.",
+                PU_LOG_TEXT ("request", x->q.id),
+                PU_LOG_TEXT ("at", worker (x)),
+                PU_LOG_TEXT ("why", pu_router_failure_name (failure)),
+                PU_LOG_NUMBER ("status", x->at.status),
+                PU_LOG_NUMBER ("attempt", x->attempts),
+                PU_LOG_NUMBER ("after_ms", since (x, x->at.sent_at)),
+                PU_LOG_NUMBER ("events", x->events),
+                PU_LOG_NUMBER ("left_ms", time_left (x)));
+}
+
+void
+pu_trace_failed (const pu_exchange_t *x, const pu_refusal_t *r,
+                 const char *message)
+{
+  count_labelled (x, "requests_failed_total", "reason", r->type);
+  observe (x, "request_failed_ms", since (x, x->q.arrived));
+  pu_log_event (
+      PU_ENTRY_PART, "Refused or failed.", PU_LOG_TEXT ("request", x->q.id),
+      PU_LOG_TEXT ("route", x->q.route), PU_LOG_TEXT ("service", x->q.service),
+      PU_LOG_TEXT ("model", x->q.model), PU_LOG_TEXT ("reason", r->type),
+      PU_LOG_TEXT ("why", message),
+      PU_LOG_TEXT ("outcome", pu_outcome_word (r->outcome)),
+      PU_LOG_NUMBER ("attempts", x->attempts),
+      PU_LOG_NUMBER ("ready_copies", ready_copies (x)),
+      PU_LOG_NUMBER ("age_ms", since (x, x->q.arrived)),
+      PU_LOG_NUMBER ("left_ms", time_left (x)),
+      PU_LOG_NUMBER ("retry_after_ms", r->retry_after_ms),
+      PU_LOG_NUMBER ("document", x->en->document_version));
+}
+
+void
+pu_trace_answered (const pu_exchange_t *x)
+{
+  count (x, "requests_answered_total");
+  observe (x, "request_answered_ms", since (x, x->q.arrived));
+  pu_log_event (PU_ENTRY_PART, "Answered.", PU_LOG_TEXT ("request", x->q.id),
+                PU_LOG_TEXT ("by", worker (x)),
+                PU_LOG_NUMBER ("status", x->at.status),
+                PU_LOG_NUMBER ("attempts", x->attempts),
+                PU_LOG_NUMBER ("events", x->events),
+                PU_LOG_NUMBER ("age_ms", since (x, x->q.arrived)));
+}
+
+void
+pu_trace_left (const pu_exchange_t *x)
+{
+  count (x, "requests_left_total");
+  pu_log_event (PU_ENTRY_PART, "The caller has left.",
+                PU_LOG_TEXT ("request", x->q.id),
+                PU_LOG_TEXT ("at", worker (x)),
+                PU_LOG_NUMBER ("age_ms", since (x, x->q.arrived)),
+                PU_LOG_NUMBER ("events", x->events));
+}
+
+void
+pu_trace_first_event (const pu_exchange_t *x)
+{
+  observe (x, "request_first_event_ms", since (x, x->q.arrived));
+}
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -226,6 +226,12 @@
     }
   pu_document_unref (old);
   pu_entry_limits_set (en);
+  pu_log_event (PU_ENTRY_PART, "A document is in force.",
+                PU_LOG_NUMBER ("document", en->document_version),
+                PU_LOG_NUMBER ("routes", pu_document_routes (d)),
+                PU_LOG_NUMBER ("services", pu_document_services (d)),
+                PU_LOG_NUMBER ("models", pu_document_models (d)),
+                PU_LOG_TEXT ("author", record->author));
 }
 
 void
--- a/libplantainusher/entry/wants.c
+++ b/libplantainusher/entry/wants.c
@@ -2,6 +2,7 @@
    is asked to have it loaded.  */
 
 #include "entry/entry_private.h"
+#include "entry/trace.h"
 
 #include <string.h>
 
@@ -104,6 +105,7 @@
 
   x->phase = PU_X_WAITING;
   x->wants = true;
+  pu_trace_wants (x);
   if (w == NULL)
     {
       w = g_new0 (want_t, 1);
--- a/libplantainusher/routing/dump.c
+++ b/libplantainusher/routing/dump.c
@@ -121,3 +121,36 @@
                     (int)r->in_flight, "services", services, "models", models,
                     "backends", backends, "totals", stats_dump (&r->stats));
 }
+
+void
+pu_router_backend_load (const pu_router_t *r, pu_router_backend_t b,
+                        guint64 now, pu_router_load_t *load)
+{
+  const backend_t *s = backend_at (r, b);
+
+  *load = (pu_router_load_t){ .age_ms = G_MAXUINT32 };
+  if (s == NULL)
+    return;
+  load->own = s->in_flight;
+  if (s->reported_at == 0)
+    return;
+  load->running = s->report.running;
+  load->waiting = s->report.waiting;
+  load->age_ms = now - s->reported_at + s->report.age_ms;
+}
+
+const char *
+pu_router_failure_name (pu_router_failure_t failure)
+{
+  static const char *const names[] = {
+    [PU_ROUTER_FAIL_CONNECT] = "connect",
+    [PU_ROUTER_FAIL_NOT_RUN] = "not-run",
+    [PU_ROUTER_FAIL_DIED] = "died",
+    [PU_ROUTER_FAIL_SILENT] = "silent",
+    [PU_ROUTER_FAIL_TRUNCATED] = "truncated",
+    [PU_ROUTER_FAIL_ERROR] = "error",
+    [PU_ROUTER_FAIL_ABSENT] = "absent",
+  };
+
+  return names[failure];
+}
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -201,6 +201,19 @@
 guint64 pu_router_backend_incarnation (const pu_router_t *r,
                                        pu_router_backend_t b);
 
+/* What is known of the work at a backend server.  */
+typedef struct
+{
+  guint own; /* requests of this router there */
+  guint running;
+  guint waiting;
+  guint64 age_ms; /* of the report that said so; G_MAXUINT32: none came */
+} pu_router_load_t;
+
+/* pu_router_backend_load - fills LOAD; of a void handle, with nothing.  */
+void pu_router_backend_load (const pu_router_t *r, pu_router_backend_t b,
+                             guint64 now, pu_router_load_t *load);
+
 /* What backend servers tell.  */
 
 typedef struct
@@ -356,6 +369,9 @@
   PU_ROUTER_FAIL_ABSENT,    /* not run: it has not got the copy */
 } pu_router_failure_t;
 
+/* pu_router_failure_name - a word for logs and counters.  */
+const char *pu_router_failure_name (pu_router_failure_t failure);
+
 /* pu_router_retry - the attempt under T failed.  Counts it against the
    backend server and decides: another backend server at once, a place in the
    queue, or a final refusal.  Never a second attempt for what may have run
--- a/libplantainusher/settings/checks.c
+++ b/libplantainusher/settings/checks.c
@@ -113,6 +113,7 @@
   check_unique (seen, a->callers, f, "/addresses/callers");
   check_unique (seen, a->operators, f, "/addresses/operators");
   check_unique (seen, a->peers, f, "/addresses/peers");
+  check_unique (seen, a->metrics, f, "/addresses/metrics");
   check_unique (seen, s->listen.peers, f, "/listen/peers");
   g_hash_table_destroy (seen);
   if (s->entry && *a->callers == '\0')
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -83,6 +83,11 @@
     .offset = offsetof (pu_settings_addresses_t, peers),
     .max = TEXT_MAX,
     .check = check_address },
+  { .name = "metrics",
+    .type = PU_FIELD_STRING,
+    .offset = offsetof (pu_settings_addresses_t, metrics),
+    .max = TEXT_MAX,
+    .check = check_address },
 };
 static const pu_schema_t address_schema
     = SCHEMA (address_fields, pu_settings_addresses_t);
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -31,6 +31,7 @@
 {
   const char *callers;   /* entries only; else "" */
   const char *operators; /* of every daemon */
+  const char *metrics;   /* "": counters are on the operators' address alone */
   const char *peers;     /* of every daemon */
 } pu_settings_addresses_t;
 
