Soak of the platform: random faults from outside, promises checked from outside

Cause: the users ask for a randomized soak of the real programs; the one there was (mixed_process_test) knows the product's own interface only.

Change: tests/platform_soak.py: five daemons as processes, six backend servers, four callers that keep their connections, an operator; kills, stops, freezes, wiped and slow disks, reloads, one-way and two-way cuts and holds between daemons by the relay, all killed at once; backend servers that break off, turn slow, leave or crash; in series and overlapping.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -73,6 +73,11 @@
         self.control = f"{self.host}:{CONTROL_PORT}"
         self.directory = f"{self.host}:{DIRECTORY_PORT}"
         self.data_folder = cluster.folder / f"{name}-disk"
+        # With a relay between the daemons, others are told its address.
+        self.told = self.host if cluster.relay is None else cluster.host()
+        if cluster.relay is not None:
+            cluster.relay.add(name, self.host, f"{self.told}:{PEERS_PORT}",
+                              f"{self.host}:{PEERS_PORT}")
         self.values = {
             "node": name, "ip": self.host, "zone": zone, "region": "r",
             "listen": {"front": self.front, "ready": self.ready,
@@ -91,8 +96,13 @@
         cluster.daemons[name] = self
 
     def write_settings(self):
-        self.settings_path.write_text(render(TEMPLATE.read_text(),
-                                             self.values))
+        text = render(TEMPLATE.read_text(), self.values)
+        if self.told != self.host:
+            own, told = f"{self.host}:{PEERS_PORT}", f"{self.told}:{PEERS_PORT}"
+            text = text.replace(f'"peers": "{own}"', f'"peers": "{told}"')
+            text = text.replace('"addresses":', '"listen": {"peers": "'
+                                + own + '"},\n  "addresses":', 1)
+        self.settings_path.write_text(text)
 
     def start(self):
         self.write_settings()
@@ -124,7 +134,7 @@
                        timeout_s)
 
 
-def instances(cluster, disks=3, plain=1):
+def instances(cluster, disks=3, plain=1, heartbeat_ms=HEARTBEAT_MS):
     """DISKS instances with a disk, which are the seeds, and PLAIN without."""
     some = [Instance(cluster, f"core-{i}", "abc"[i % 3], True)
             for i in range(disks)]
@@ -132,6 +142,7 @@
              for i in range(plain)]
     for one in some:
         one.values["seeds"] = [c.control for c in some[:disks]][:3]
+        one.values["heartbeat_ms"] = heartbeat_ms
         one.start()
     return some
 
@@ -188,6 +199,10 @@
         self.cut = False       # breaks off in its next answers
         self.hold_s = 0.0      # before it answers
         self.events = 3
+        self.beat_s = HEARTBEAT_MS / 1000
+        self.connections = set()
+        self.room = None       # models that fit; None: any number
+        self.over = False      # more were ordered
         self.accepted = 0
         self.busy_until = 0.0
         self._seq = 0
@@ -218,7 +233,7 @@
                 for m in self.models]
 
     def _beat(self):
-        while not self._end.wait(HEARTBEAT_MS / 1000):
+        while not self._end.wait(self.beat_s):
             for one in list(self._cluster.daemons.values()):
                 try:
                     if one.alive() and self.check_in(one) == 200:
@@ -238,6 +253,8 @@
             self.orders.append(body)
             if body["op"] == "load":
                 self.models.append(body["model"])
+                self.over |= self.room is not None \
+                    and len(self.models) > self.room
                 self.busy_until = time.monotonic() + 0.2
             else:
                 self.models.remove(body["model"])
@@ -250,16 +267,42 @@
                     "waiting": 0, "running": 0, "kv_used": 0,
                     "kv_total": 100000, "handles": 0}
 
+    def wrongs(self):
+        """What was wrong with the orders that it accepted."""
+        fences = [o["fence"] for o in self.orders]
+        holders = {}
+        for o in self.orders:
+            holders.setdefault(o["fence"], set()).add(o["holder"])
+        found = [f"{self.name} was ordered more than fits"] if self.over else []
+        if fences != sorted(fences):
+            found.append(f"{self.name} got fences {fences}")
+        return found + [f"{self.name} got fence {f} of {sorted(h)}"
+                        for f, h in holders.items() if len(h) > 1]
+
     def close(self):
+        """Ends it as a crash does: its open connections break."""
         self._end.set()
         self._server.shutdown()
         self._server.server_close()
+        for one in list(self.connections):
+            try:
+                one.shutdown(2)
+            except OSError:
+                pass  # its caller was quicker
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     backend = None
 
+    def setup(self):
+        super().setup()
+        self.backend.connections.add(self.connection)
+
+    def finish(self):
+        self.backend.connections.discard(self.connection)
+        super().finish()
+
     def log_message(self, *_):
         """The ledger is enough."""
 
--- a/tests/platform_process_test.py
+++ b/tests/platform_process_test.py
@@ -20,10 +20,11 @@
 
 class PlatformTest(ClusterTest):
     """A platform with four instances, three of them with disks."""
+    options = {}  # of instances
 
     def setUp(self):
         self.c = self.cluster()
-        self.some = instances(self.c)
+        self.some = instances(self.c, **self.options)
         self.backends = []
 
     def tearDown(self):
--- /dev/null
+++ b/tests/platform_soak.py
@@ -0,0 +1,360 @@
+"""A soak of daemons on the users' platform: random faults from outside, in
+series and overlapping, while callers, an operator and backend servers go on;
+the promises are checked from what these see.
+
+A seed fixes the faults and their order; threads and processes take their turns
+as they like, so a seed does not fix the whole history."""
+import http.client
+import random
+import shutil
+import signal
+import threading
+import time
+
+from cluster import wait_until
+from platform_fakes import HOST, Backend, Instance, config, submit
+from relay import BOTH, FROM, HOLD, SWALLOW, TO, Relay, ways
+
+NOT_RUN = (408, 421, 429, 503)  # statuses that promise that nothing ran
+MODELS = ["m1", "m2", "m3", "m4"]
+ENGINE_MODELS = 2     # as many fit into an engine's memory
+CALLERS = 4
+DEADLINE_MS = 2000
+RECOVER_S = 20
+STEP_S = (0.3, 1.5)   # between two faults
+FAULT_S = (0.5, 2.5)  # how long one lasts
+EVENTS = 3
+
+
+class Caller(threading.Thread):
+    """Sends requests on connections that it keeps, as long as they last."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak, self.random = soak, random.Random(soak.seed * 100 + number)
+        self.number, self.sent = number, 0
+        self.kept = {}  # instance -> its open connection
+        self.results = []  # (rid, kind, status, body or None, seal)
+
+    def run(self):
+        while not self.soak.over.is_set():
+            self.one(self.random.choice(self.soak.some))
+            time.sleep(0.01)
+        for c in self.kept.values():
+            c.close()
+
+    def one(self, at):
+        kind = self.random.choice(["safe", "unsafe", "talk"])
+        rid = f"s{self.number}x{self.sent}"
+        self.sent += 1
+        headers = {"Host": HOST, "Request-Id": rid,
+                   "Deadline-Ms": str(DEADLINE_MS)}
+        if kind == "talk":
+            headers |= {"Model": self.random.choice(MODELS),
+                        "Token-Counts": "100,10",
+                        "Prompt-Prefix": f"a1:60,{self.sent:x}:40"}
+        c = self.kept.pop(at, None) or http.client.HTTPConnection(
+            at.front, timeout=3)
+        try:
+            c.request("GET" if kind == "safe" else "POST", f"/{kind}/x",
+                      headers=headers)
+            r = c.getresponse()
+            body = r.read()
+            self.results.append((rid, kind, r.status, body,
+                                 r.getheader("Server-Seal")))
+            if not r.will_close:
+                self.kept[at] = c
+        except (OSError, http.client.HTTPException):
+            # Nothing is promised by a connection that breaks.
+            self.results.append((rid, kind, 0, None, None))
+            c.close()
+
+
+class Operator(threading.Thread):
+    """Sends configs with rising versions, and reads them back."""
+
+    def __init__(self, soak):
+        super().__init__(daemon=True)
+        self.soak, self.random = soak, random.Random(soak.seed * 100 + 99)
+        self.version, self.acked = 1, 1
+        self.findings = []
+
+    def run(self):
+        while not self.soak.over.is_set():
+            self.step()
+            time.sleep(0.2)
+
+    def step(self):
+        at = self.random.choice(self.soak.some)
+        before = self.acked
+        try:
+            if self.random.random() < 0.3:
+                self.version += self.random.randint(1, 3)
+                if at.put_config(config(self.version, models=MODELS)) == 200:
+                    self.acked = self.version
+                return
+            status, read = at.get_config()
+        except (OSError, http.client.HTTPException):
+            return  # no clear answer
+        if status == 200 and read["version"] < before:
+            self.findings.append(f"{at.name} read version {read['version']} "
+                                 f"after {before} was acknowledged")
+
+
+class Soak:
+    """One history."""
+
+    def __init__(self, cluster, seed, seconds):
+        self.c, self.seed, self.seconds = cluster, seed, seconds
+        self.random = random.Random(seed)
+        self.over = threading.Event()
+        self.relay = cluster.relay
+        self.backends, self.number = [], 0
+        self.busy, self.pending, self.log = set(), [], []
+        self.some = [Instance(cluster, f"core-{i}", "abc"[i], True)
+                     for i in range(3)]
+        self.some += [Instance(cluster, f"front-{i}", "ab"[i], False)
+                      for i in range(2)]
+        seeds = [f"{i.told}:1" for i in self.some[:3]]
+        for one in self.some:
+            one.values["seeds"] = seeds
+            one.start()
+        for _ in range(3):
+            self.add_backend("app")
+            self.add_backend("llm")
+
+    def add_backend(self, service):
+        models = None
+        if service == "llm":
+            models = self.random.sample(MODELS, ENGINE_MODELS)
+        self.number += 1
+        b = Backend(self.c, f"i-{self.number}", service, models=models)
+        b.room = ENGINE_MODELS
+        b.gone = False
+        self.backends.append(b)
+
+    def live(self, service=None):
+        return [b for b in self.backends if not b.gone
+                and service in (None, b.service)]
+
+    # faults; each takes the one that it harms and undoes itself
+
+    def _later(self, fn):
+        self.pending.append((time.monotonic() + self.random.uniform(*FAULT_S),
+                             fn))
+
+    def _run_pending(self):
+        """By this thread: a process dies with the thread that started it."""
+        now = time.monotonic()
+        due = [fn for at, fn in self.pending if at <= now]
+        self.pending = [p for p in self.pending if p[0] > now]
+        for fn in due:
+            fn()
+
+    def _wait(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self._run_pending()
+            time.sleep(0.02)
+
+    def _restart(self, one):
+        def again():
+            one.values["bootstrap"] = False
+            one.start()
+            self.busy.discard(one)
+        self._later(again)
+
+    def kill(self, one):
+        one.kill()
+        self._restart(one)
+
+    def wipe(self, one):
+        one.kill()
+        shutil.rmtree(one.data_folder, ignore_errors=True)
+        self._restart(one)
+
+    def term(self, one):
+        one.term()
+
+        def again():
+            if one.alive():
+                one.kill()
+            one.values["bootstrap"] = False
+            one.start()
+            self.busy.discard(one)
+        self._later(again)
+
+    def freeze(self, one):
+        one.stop()
+
+        def thaw():
+            one.cont()
+            self.busy.discard(one)
+        self._later(thaw)
+
+    def slow_disk(self, one):
+        one.kill()
+        one.slow_disk(self.random.choice([20, 200]))
+
+        def normal():
+            one.environment = {}
+            self.kill(one)
+        one.start()
+        self._later(normal)
+
+    def reload(self, one):
+        one.write_settings()
+        one._p.send_signal(signal.SIGHUP)
+        self.busy.discard(one)
+
+    def cut(self, one):
+        others = [o for o in self.some if o is not one]
+        cut = ways(self.random.choice([TO, FROM, BOTH]), [one], others)
+        self.relay.set(self.random.choice([SWALLOW, HOLD]), cut)
+
+        def heal():
+            self.relay.set("pass", cut)
+            self.busy.discard(one)
+        self._later(heal)
+
+    def harm_backend(self):
+        b = self.random.choice(self.live())
+        how = self.random.choice(["cut", "slow", "leave", "crash"])
+        self.log.append(f"{how} {b.name}")
+        if how == "cut":
+            b.cut = True
+            self._later(lambda: setattr(b, "cut", False))
+        elif how == "slow":
+            b.hold_s = 0.5
+            self._later(lambda: setattr(b, "hold_s", 0.0))
+        elif len(self.live(b.service)) > 2:
+            b.gone = True
+            b.state = "draining"
+            self.add_backend(b.service)
+            if how == "crash":
+                b.close()
+            else:
+                self._later(b.close)
+
+    def kill_all(self):
+        free = [o for o in self.some if o not in self.busy]
+        if len(free) < len(self.some):
+            return
+        self.log.append("kill all")
+        self.c.kill(*free)
+        for one in free:
+            self.busy.add(one)
+            self._restart(one)
+
+    def step(self):
+        disks = [i for i in self.some if "data_dir" in i.values]
+        free = [o for o in self.some if o not in self.busy
+                and (o not in disks or not self.busy & set(disks))]
+        kind = self.random.random()
+        if kind < 0.35:
+            self.harm_backend()
+        elif kind < 0.4:
+            self.kill_all()
+        elif free:
+            one = self.random.choice(free)
+            acts = [self.kill, self.term, self.freeze, self.reload, self.cut]
+            if one in disks:
+                acts += [self.wipe, self.slow_disk]
+            act = self.random.choice(acts)
+            self.log.append(f"{act.__name__} {one.name}")
+            self.busy.add(one)
+            act(one)
+
+    # a whole history
+
+    def run(self):
+        submit(self.some, config(1, models=MODELS))
+        for one in self.some:
+            wait_until(f"{one.name} to be ready", one.is_ready)
+        callers = [Caller(self, i) for i in range(CALLERS)]
+        operator = Operator(self)
+        for t in [*callers, operator]:
+            t.start()
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            self.step()
+            self._wait(self.random.uniform(*STEP_S))
+        while self.pending:
+            self._wait(0.1)
+        self.relay.heal()
+        for one in self.some:
+            wait_until(f"{one.name} to serve again", lambda one=one: one.ask(
+                "GET", "/safe/x", rid="after").status == 200, RECOVER_S)
+        self.over.set()
+        for t in [*callers, operator]:
+            t.join()
+        found = operator.findings + self.check_config(operator)
+        return found + self.check([r for c in callers for r in c.results])
+
+    def check_config(self, operator):
+        """What every instance reads back at last."""
+        def read(one):
+            status, held = one.get_config()
+            return held if status == 200 else None
+        held = [wait_until(f"{i.name} to read the config",
+                           lambda i=i: read(i), RECOVER_S) for i in self.some]
+        last = held[0]["version"]
+        found = [f"the config read at the end is of version {h['version']}, "
+                 f"{operator.acked} was acknowledged"
+                 for h in held if h["version"] < operator.acked]
+        if any(h != config(last, models=MODELS) for h in held):
+            found.append("the config read at the end is not what was sent")
+        return found
+
+    def check(self, results):
+        runs = {}
+        for b in self.backends:
+            for rid in b.ran:
+                runs.setdefault(rid, []).append(b.name)
+        found = [w for b in self.backends for w in b.wrongs()]
+        for rid, kind, status, body, seal in results:
+            names = runs.get(rid, [])
+            if kind == "unsafe" and len(names) > 1:
+                found.append(f"{rid} ran at {names}, once at most")
+            if status in NOT_RUN and names:
+                found.append(f"{rid} ({kind}) was answered {status} and ran "
+                             f"at {names}")
+            if status == 200:
+                found += self.check_answer(rid, kind, body, seal, names)
+        served = sum(r[2] == 200 for r in results)
+        print(f"seed {self.seed}: {len(self.log)} faults, {len(results)} "
+              f"requests, {served} served, {len(found)} findings", flush=True)
+        if served < len(results) / 4:
+            found.append(f"only {served} of {len(results)} were served")
+        return found
+
+    @staticmethod
+    def check_answer(rid, kind, body, seal, names):
+        if seal is None or seal.split(".", 1)[1] not in names:
+            return [f"{rid} has the seal {seal} and ran at {names}"]
+        if kind == "talk":
+            whole = b"".join(b"id: %d\ndata: e%d\n\n" % (k, k)
+                             for k in range(1, EVENTS + 1))
+        else:
+            whole = f"of {seal.split('.', 1)[1]}".encode()
+        return [] if body == whole else [f"{rid} ({kind}) got {body!r}"]
+
+    def close(self):
+        self.over.set()
+        for b in self.backends:
+            if not b.gone:
+                b.close()
+
+
+def play(cluster, seed, seconds):
+    """The findings of one history, and its faults."""
+    soak = Soak(cluster, seed, seconds)
+    try:
+        return soak.run(), soak.log
+    finally:
+        soak.close()
+
+
+def network():
+    """A relay between the daemons of a soak."""
+    return Relay()
