Entry: a copy that is on its way out is left for the others

Cause (an incident, from the logs alone): 137 requests were refused by one engine in five seconds while 1 to 4 ran there. It was unloading their model: it waits for what runs, refuses what is new, and lists the model until the end. Entries went on offering; each refusal held the whole engine back, cut its slots and used an attempt and the retry budget.

Ruled out: that it was full (its reports), that it shed at random (all the refusals are of the model that the leader had ordered to be unloaded).

Change: a refusal by an engine that is not full, for a model with another ready copy, leaves that copy alone for 1.5 s; the engine's other models go on.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -9,6 +9,7 @@
 {
   EVENT_MAX = 1024 * 1024, /* bytes of one numbered event */
   PREDICTED_FACTOR = 4,    /* the head may take so many times the estimate */
+  LOAD_LIFE_MS = 2000,     /* an older report says nothing of places */
   RETRY_AFTER_MAX_S = 3600,
   STATUS_CLIENT_ERROR = 400,
   STATUS_REQUEST_TIMEOUT = 408,
@@ -496,6 +497,38 @@
   return a->failed ? END_FAILED : END_GOOD;
 }
 
+/* Whether S has no place for another request, as far as its report says.  */
+static bool
+is_full (const pu_exchange_t *x, const pu_server_t *s)
+{
+  pu_service_handle_t h
+      = pu_document_find_service (x->en->document, x->q.service);
+  pu_router_load_t load;
+  guint slots;
+
+  if (h == PU_HANDLE_NONE)
+    return true;
+  slots = pu_document_service (x->en->document, h)->engine.slots;
+  pu_router_backend_load (x->en->router, s->handle, now_of (x), &load);
+  return slots == 0 || load.own >= slots
+         || (load.age_ms < LOAD_LIFE_MS
+             && load.running + load.waiting >= slots);
+}
+
+/* Whether a refusal means that the model is on its way out there: an engine
+   that unloads it waits for what runs, and refuses it until then, for seconds
+   in which its check-ins list it.  Where no other copy is ready, it is tried
+   on as before.  */
+static bool
+is_closing_copy (const pu_exchange_t *x)
+{
+  pu_router_model_t m = pu_router_find_model (x->en->router, x->q.model);
+
+  return !x->q.plain && m != PU_ROUTER_NONE
+         && pu_router_ready_copies (x->en->router, m) > 1
+         && !is_full (x, x->at.server);
+}
+
 static void
 front_complete (pu_exchange_t *x)
 {
@@ -513,7 +546,13 @@
       pu_exchange_again (x, PU_ROUTER_FAIL_ABSENT);
       return;
     case END_NOT_RUN:
-      pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
+      if (!is_closing_copy (x))
+        {
+          pu_exchange_again (x, PU_ROUTER_FAIL_NOT_RUN);
+          return;
+        }
+      pu_server_lacks (x->at.server, x->q.model);
+      pu_exchange_again (x, PU_ROUTER_FAIL_ABSENT);
       return;
     case END_ERROR:
       failure_keep (x);
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -201,6 +201,8 @@
         self.events = 3
         self.beat_s = HEARTBEAT_MS / 1000
         self.connections = set()
+        self.closing = False   # refuses requests, as while a model goes
+        self.refused = []      # ids of these
         self.room = None       # models that fit; None: any number
         self.over = False      # more were ordered
         self.accepted = 0
@@ -354,6 +356,10 @@
         elif self.headers.get("Expect-Instance") != b.name:
             self._send(421, b"", Request_Id=rid, Not_Run="1",
                        Instance_Id=b.name)
+        elif b.closing:
+            b.refused.append(rid)
+            self._send(503, b"", Request_Id=rid, Not_Run="1",
+                       Instance_Id=b.name)
         elif b.models is not None \
                 and self.headers.get("Model") not in b.models:
             self._send(421, b"", Request_Id=rid, Not_Run="1",
--- a/tests/platform_process_test.py
+++ b/tests/platform_process_test.py
@@ -9,6 +9,7 @@
 import signal
 import subprocess
 import threading
+import time
 
 from cluster import ClusterTest, Later, main, request, wait_until
 from platform_fakes import Backend, config, instances, route, submit
@@ -230,6 +231,22 @@
             **self.HEADERS, "Prompt-Prefix": f"{i:x}:60,{i + 1:x}:40"},
             f"t{i}")
 
+    def test_copy_that_is_on_its_way_out_is_left_for_the_others(self):
+        """It refuses what is new for as long as its last runs take."""
+        closing = self.backend("g-0", "llm", models=["m2"])
+        other = self.backend("g-1", "llm", models=["m2"])
+        submit(self.some, config(1, models=["m2"]))
+        one = self.some[0]
+        numbers = itertools.count(1000, 10)
+        wait_until("both engines", lambda: self._talk(
+            one, next(numbers)) and closing.ran and other.ran)
+        closing.closing = True
+        for _ in range(20):
+            self.assertEqual(self._talk(one, next(numbers)).status, 200)
+            time.sleep(0.05)
+        # One request a second and a half finds out again.
+        self.assertLessEqual(len(closing.refused), 2)
+
     def test_cut_stream_goes_on_at_another_engine(self):
         cut = self.backend("g-0", "llm", models=["m2"])
         whole = self.backend("g-1", "llm", models=["m2"])
