--- a/libplantainusher/entry/request_fuzz.cc
+++ b/libplantainusher/entry/request_fuzz.cc
@@ -148,7 +148,7 @@
 
   x->en = en;
   x->http = http;
-  x->headers = g_ptr_array_new_with_free_func (g_free);
+  pu_request_init (&x->q);
   pu_sent_init (&x->sent);
   return x;
 }
@@ -156,14 +156,8 @@
 static void
 exchange_drop (pu_exchange_t *x)
 {
-  g_free (x->id);
-  g_free (x->method);
-  g_free (x->target);
-  g_free (x->service);
-  g_free (x->model);
+  pu_request_clear (&x->q);
   g_free (x->key);
-  g_ptr_array_free (x->headers, TRUE);
-  g_clear_pointer (&x->body, g_bytes_unref);
   pu_sent_clear (&x->sent);
   g_free (x);
 }
@@ -181,16 +175,16 @@
 check_taken (const pu_exchange_t *x, const pu_http_request_t &http)
 {
   require (http.answers == 0 && x->http == &http);
-  require (x->deadline > x->arrived && x->window_ms > 0);
-  require (x->priority <= PU_ROUTER_PRIORITY_MAX);
-  require (x->n_prefix <= PU_ROUTER_PREFIX_MAX);
-  require (strlen (x->id) <= 128 && *x->id != 0);
-  require (x->target[0] == '/' || x->target[0] == '?');
+  require (x->q.deadline > x->q.arrived && x->window_ms > 0);
+  require (x->q.priority <= PU_ROUTER_PRIORITY_MAX);
+  require (x->q.n_prefix <= PU_ROUTER_PREFIX_MAX);
+  require (strlen (x->q.id) <= 128 && *x->q.id != 0);
+  require (x->q.target[0] == '/' || x->q.target[0] == '?');
   require (x->hops <= PU_RELAY_HOPS_MAX && (x->hops == 0 || x->relayed));
   require (!x->once || x->key != nullptr);
-  require (pu_document_find_service (x->en->document, x->service)
+  require (pu_document_find_service (x->en->document, x->q.service)
            != PU_HANDLE_NONE);
-  require (x->headers->len % 2 == 0);
+  require (x->q.headers->len % 2 == 0);
 }
 
 static void
@@ -204,21 +198,21 @@
   GBytes *body = pu_exchange_resume_body (x);
   const void *bytes = g_bytes_get_data (body, &len);
   http.method = "POST";
-  http.target = x->target;
+  http.target = x->q.target;
   http.body.assign (static_cast<const char *> (bytes), len);
   http.headers = { { "x-relay-hop", "1" },
                    { "x-relay-key", x->en->peer_key },
                    { "x-resume-tokens", "3" },
-                   { "x-service", x->service } };
+                   { "x-service", x->q.service } };
   g_bytes_unref (body);
   y = exchange_make (x->en, &http);
   require (pu_exchange_parse_model (y, x->chat));
   check_taken (y, http);
-  require (strcmp (x->model, y->model) == 0);
-  require (strcmp (x->service, y->service) == 0);
-  require (x->fingerprint == y->fingerprint);
-  require (x->prompt_tokens == y->prompt_tokens);
-  require (x->max_tokens == y->max_tokens && x->stream == y->stream);
+  require (strcmp (x->q.model, y->q.model) == 0);
+  require (strcmp (x->q.service, y->q.service) == 0);
+  require (x->q.fingerprint == y->q.fingerprint);
+  require (x->q.prompt_tokens == y->q.prompt_tokens);
+  require (x->q.max_tokens == y->q.max_tokens && x->q.stream == y->q.stream);
   require (y->relayed && y->resumed == 3 && y->sent.tokens == 3);
   require (strcmp (x->sent.text->str, y->sent.text->str) == 0);
   exchange_drop (y);
