--- a/libplantainusher/base/log_out.c
+++ b/libplantainusher/base/log_out.c
@@ -6,7 +6,7 @@
 #include <unistd.h>
 
 /* Kept while the reader takes nothing: some thousand lines.  */
-#define KEPT_MAX (256 * 1024)
+#define KEPT_MAX ((gsize)256 * 1024)
 /* Lines of one call to write.  */
 #define BATCH 2048
 /* In a second: twenty for each of fifty requests, which is more than a daemon
