Desk: an adapter's place is looked at before each sending, as memory is

Ruled out: a report that hides adapters on their way (they are listed and counted), two leaders at once (the fence and the count refused rightly).

Change: the desk counts places beside memory before each sending anew; an adapter waits only for a place that an accepted unload frees, and fails otherwise, since at the head of the queue it held up all behind it. pu_adapters_fit is gone.

Test: Places.* (two of the three fail with the leave given once).

--- a/libplantainusher/placement/adapters.c
+++ b/libplantainusher/placement/adapters.c
@@ -118,22 +118,6 @@
     t->used = now;
 }
 
-bool
-pu_adapters_fit (const pu_adapters_t *a, guint32 engine)
-{
-  const engine_t *e = engine_of (a, engine);
-  guint n;
-  const pu_desk_item_t *items = pu_desk_items (a->desk, engine, &n);
-  guint taken = 0;
-
-  for (guint i = 0; i < n; i++)
-    {
-      taken += pu_adapters_is (a, items[i].item)
-               && items[i].phase != PU_DESK_QUEUED;
-    }
-  return e->places == 0 || taken < e->places;
-}
-
 guint
 pu_adapters_active (const pu_adapters_t *a, guint32 base, guint64 now)
 {
--- a/libplantainusher/placement/adapters.h
+++ b/libplantainusher/placement/adapters.h
@@ -34,10 +34,6 @@
 /* pu_adapters_used - ITEM was asked for.  */
 void pu_adapters_used (pu_adapters_t *a, guint32 item, guint64 now);
 
-/* pu_adapters_fit - whether ENGINE has a place for one adapter more: none is
-   taken by what may still leave or come.  */
-bool pu_adapters_fit (const pu_adapters_t *a, guint32 engine);
-
 /* pu_adapters_active - adapters of BASE that were asked for lately.  */
 guint pu_adapters_active (const pu_adapters_t *a, guint32 base, guint64 now);
 
--- a/libplantainusher/placement/desk.c
+++ b/libplantainusher/placement/desk.c
@@ -30,6 +30,7 @@
   bool unloads;    /* with an unload of ours, as it said itself */
   guint64 try_at;  /* whether it has ended is tried by the next order, ms */
   guint32 room_mb; /* 0: no limit */
+  guint places;    /* for adapters; 0: no limit */
   GArray *items;   /* of pu_desk_item_t */
   GQueue queue;    /* of order_t *, the first may be sent */
   bool sent;       /* the first order of the queue was */
@@ -45,11 +46,17 @@
   guint64 fetch_at; /* the next report is due, ms */
 } engine_t;
 
+typedef struct
+{
+  guint32 memory_mb;
+  bool adapter;
+} item_kind_t;
+
 struct pu_desk
 {
   pu_desk_options_t o;
   GArray *engines; /* of engine_t, by handle */
-  GArray *memory;  /* of guint32, MB by item */
+  GArray *kinds;   /* of item_kind_t, by item */
   GArray *ends;    /* of pu_desk_action_t: DONE and FAILED to be told */
 };
 
@@ -85,7 +92,7 @@
   d->o = *o;
   d->engines = g_array_new (FALSE, TRUE, sizeof (engine_t));
   g_array_set_clear_func (d->engines, engine_clear);
-  d->memory = g_array_new (FALSE, TRUE, sizeof (guint32));
+  d->kinds = g_array_new (FALSE, TRUE, sizeof (item_kind_t));
   d->ends = g_array_new (FALSE, FALSE, sizeof (pu_desk_action_t));
   return d;
 }
@@ -96,7 +103,7 @@
   if (d == NULL)
     return;
   g_array_unref (d->engines);
-  g_array_unref (d->memory);
+  g_array_unref (d->kinds);
   g_array_unref (d->ends);
   g_free (d);
 }
@@ -175,14 +182,26 @@
   return NULL;
 }
 
-/* --- memory --- */
+/* --- memory and places --- */
+
+static item_kind_t *
+kind_of (pu_desk_t *d, guint32 item)
+{
+  if (d->kinds->len <= item)
+    g_array_set_size (d->kinds, item + 1);
+  return &g_array_index (d->kinds, item_kind_t, item);
+}
 
 void
 pu_desk_set_item (pu_desk_t *d, guint32 item, guint32 memory_mb)
 {
-  if (d->memory->len <= item)
-    g_array_set_size (d->memory, item + 1);
-  g_array_index (d->memory, guint32, item) = memory_mb;
+  kind_of (d, item)->memory_mb = memory_mb;
+}
+
+void
+pu_desk_set_adapter (pu_desk_t *d, guint32 item)
+{
+  *kind_of (d, item) = (item_kind_t){ .adapter = true };
 }
 
 void
@@ -194,20 +213,31 @@
     e->room_mb = room_mb;
 }
 
-static guint32
-memory_of (const pu_desk_t *d, guint32 item)
+void
+pu_desk_set_places (pu_desk_t *d, guint32 engine, guint places)
 {
-  return item < d->memory->len ? g_array_index (d->memory, guint32, item) : 0;
+  engine_t *e = engine_at (d, engine);
+
+  if (e != NULL)
+    e->places = places;
 }
 
-/* Whether ITEM fits into E beside all that may be there.  */
-static bool
-memory_fits (const pu_desk_t *d, const engine_t *e, guint32 item)
+/* Whether a load may be sent.  */
+typedef enum
+{
+  FIT_NOW,
+  FIT_SOON, /* when an unload that was accepted has ended */
+  FIT_NEVER
+} fit_t;
+
+/* Whether the model ITEM fits into E beside all that may be there.  */
+static fit_t
+memory_fit (pu_desk_t *d, const engine_t *e, guint32 item)
 {
-  guint64 taken = memory_of (d, item);
+  guint64 taken = kind_of (d, item)->memory_mb;
 
   if (e->room_mb == 0)
-    return true;
+    return FIT_NOW;
   for (guint i = 0; i < e->items->len; i++)
     {
       const pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
@@ -218,9 +248,43 @@
                   && order_for (e, t->item) == NULL;
 
       if (t->item != item && t->phase != PU_DESK_QUEUED && !goes)
-        taken += memory_of (d, t->item);
+        taken += kind_of (d, t->item)->memory_mb;
     }
-  return taken <= e->room_mb;
+  return taken <= e->room_mb ? FIT_NOW : FIT_NEVER;
+}
+
+/* Whether E has a place for the adapter ITEM.  One that no unload under way
+   will free is not waited for: all orders behind would wait, too.  */
+static fit_t
+place_fit (pu_desk_t *d, const engine_t *e, guint32 item)
+{
+  guint taken = 0;
+  bool comes = false;
+
+  for (guint i = 0; i < e->items->len; i++)
+    {
+      const pu_desk_item_t *t = &g_array_index (e->items, pu_desk_item_t, i);
+
+      if (!kind_of (d, t->item)->adapter || t->item == item
+          || t->phase == PU_DESK_QUEUED)
+        continue;
+      taken++;
+      comes
+          = comes
+            || (t->phase == PU_DESK_LEAVING && order_for (e, t->item) == NULL);
+    }
+  if (e->places == 0 || taken < e->places)
+    return FIT_NOW;
+  return comes ? FIT_SOON : FIT_NEVER;
+}
+
+static fit_t
+order_fit (pu_desk_t *d, const engine_t *e, const pu_desk_order_t *o)
+{
+  if (o->op != PU_DESK_LOAD)
+    return FIT_NOW;
+  return kind_of (d, o->item)->adapter ? place_fit (d, e, o->item)
+                                       : memory_fit (d, e, o->item);
 }
 
 /* --- what becomes of orders --- */
@@ -637,6 +701,7 @@
   engine_t *e = engine_at (d, engine);
   order_t *o = order_first (e);
   pu_desk_action_t a = { .what = PU_DESK_DO_SEND, .engine = engine };
+  fit_t fit;
 
   if (o == NULL || !e->known || e->fenced_out || now < e->not_before)
     return;
@@ -644,11 +709,11 @@
     return;
   if (e->sent && !e->answered && now < e->last_sent + d->o.answer_ms)
     return;
-  if (!e->sent && o->o.op == PU_DESK_LOAD && !memory_fits (d, e, o->o.item))
-    {
-      order_fail (d, engine);
-      return;
-    }
+  fit = e->sent ? FIT_NOW : order_fit (d, e, &o->o);
+  if (fit == FIT_NEVER)
+    order_fail (d, engine);
+  if (fit != FIT_NOW)
+    return;
   if (!e->sent && !o->granted && may != NULL && !may (data, engine, &o->o))
     return;
   o->granted = true;
--- a/libplantainusher/placement/desk.h
+++ b/libplantainusher/placement/desk.h
@@ -67,9 +67,16 @@
    is not known, or not counted.  */
 void pu_desk_set_item (pu_desk_t *d, guint32 item, guint32 memory_mb);
 
+/* pu_desk_set_adapter - ITEM is an adapter: it takes one of an engine's places
+   for adapters, and has its memory there.  */
+void pu_desk_set_adapter (pu_desk_t *d, guint32 item);
+
 /* pu_desk_set_room - ENGINE has ROOM_MB of memory for items; 0: no limit.  */
 void pu_desk_set_room (pu_desk_t *d, guint32 engine, guint32 room_mb);
 
+/* pu_desk_set_places - ENGINE has PLACES for adapters; 0: no limit.  */
+void pu_desk_set_places (pu_desk_t *d, guint32 engine, guint places);
+
 /* pu_desk_want - queues O for ENGINE.  False when an order for the same item
    is under way there, or it is there (or not) already, or ENGINE is not known
    or refuses us.  */
@@ -137,9 +144,10 @@
 
 /* pu_desk_step - appends what is to be done now (pu_desk_action_t).  MAY is
    asked before an order is sent for the first time; NULL: all may.  A load
-   that doesn't fit into the memory beside what the engine holds, or may hold
-   yet, fails then: what an engine holds may have come since it was wanted, by
-   an order of the leader before.  */
+   that doesn't fit beside what the engine holds, or may hold yet, into the
+   memory or the places, fails then, at each sending anew: what an engine holds
+   may have come since it was wanted, by an order of the leader before.  An
+   adapter whose place is being given up waits for it.  */
 void pu_desk_step (pu_desk_t *d, pu_desk_may_fn *may, void *data, guint64 now,
                    GArray *actions);
 
--- a/libplantainusher/placement/desk_test.cc
+++ b/libplantainusher/placement/desk_test.cc
@@ -217,6 +217,78 @@
   EXPECT_EQ (pu_desk_phase (k.d, kEngine, 7), PU_DESK_ABSENT);
 }
 
+/* An engine with two places, and a leader who wants to load the third adapter
+   into one of them.  */
+class Places : public ::testing::Test
+{
+protected:
+  Places () : k (2)
+  {
+    k.Add (0);
+    pu_desk_set_places (k.d, kEngine, 2);
+    for (guint32 i = 1; i <= 3; i++)
+      pu_desk_set_adapter (k.d, i);
+  }
+
+  bool
+  Want (pu_desk_op_t op, guint32 item, guint64 now)
+  {
+    pu_desk_order_t o = { op, item, true };
+
+    return pu_desk_want (k.d, kEngine, &o, now);
+  }
+
+  Desk k;
+};
+
+/* The first sending is refused, since the leader before had given orders that
+   the report, fetched earlier, doesn't show yet.  */
+TEST_F (Places, AnAdapterWhosePlaceAnotherTookFailsAfterARefusal)
+{
+  k.Tell ({ 4, false, { 1 } }, 0, 10);
+  ASSERT_TRUE (Want (PU_DESK_LOAD, 3, 20));
+  ASSERT_EQ (k.Step (20)[0].what, PU_DESK_DO_SEND);
+  pu_desk_answer (k.d, kEngine, PU_DESK_CONFLICT, 30);
+  k.Tell ({ 5, false, { 1, 2 } }, 600, 610);
+  auto a = k.Step (1000);
+  ASSERT_EQ (a.size (), 1U);
+  EXPECT_EQ (a[0].what, PU_DESK_DO_FAILED);
+}
+
+TEST_F (Places, AnAdapterWaitsForAPlaceThatIsBeingGivenUp)
+{
+  k.Tell ({ 4, false, { 1, 2 } }, 0, 10);
+  ASSERT_TRUE (Want (PU_DESK_UNLOAD, 1, 20));
+  ASSERT_TRUE (Want (PU_DESK_LOAD, 3, 20));
+  ASSERT_EQ (k.Step (20)[0].order.op, PU_DESK_UNLOAD);
+  pu_desk_answer (k.d, kEngine, PU_DESK_ACCEPTED, 30);
+  for (auto const &a : k.Step (200))
+    {
+      EXPECT_NE (a.what, PU_DESK_DO_SEND);
+      EXPECT_NE (a.what, PU_DESK_DO_FAILED);
+    }
+  k.Tell ({ 5, false, { 2 } }, 600, 610);
+  auto a = k.Step (610);
+  ASSERT_FALSE (a.empty ());
+  EXPECT_EQ (a[0].what, PU_DESK_DO_SEND);
+  EXPECT_EQ (a[0].order.item, 3U);
+}
+
+/* What has no place would hold up all orders behind it.  */
+TEST_F (Places, AnAdapterWithoutAPlaceIsNotWaitedFor)
+{
+  k.Tell ({ 4, true, { 1 } }, 0, 10);
+  ASSERT_TRUE (Want (PU_DESK_LOAD, 3, 20));
+  ASSERT_TRUE (Want (PU_DESK_UNLOAD, 1, 20));
+  k.Tell ({ 4, false, { 1, 2 } }, 600, 610);
+  auto a = k.Step (610);
+  ASSERT_FALSE (a.empty ());
+  EXPECT_EQ (a.back ().what, PU_DESK_DO_FAILED);
+  a = k.Step (620);
+  ASSERT_FALSE (a.empty ());
+  EXPECT_EQ (a[0].order.op, PU_DESK_UNLOAD);
+}
+
 /* Another leader loaded what we wanted to load, and it fills the engine.  */
 TEST (Desk, ALoadThatFailsLeavesWhatAReportShowed)
 {
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -174,8 +174,7 @@
   memory_set (l, item, t.memory_mb);
   if (m->kind == PU_MODEL_ADAPTER)
     {
-      /* The places for adapters have their memory apart.  */
-      pu_desk_set_item (l->desk, item, 0);
+      pu_desk_set_adapter (l->desk, item);
       pu_adapters_set (l->adapters, item,
                        pu_names_get (&l->items, m->base_name));
     }
@@ -424,6 +423,7 @@
   p.usable = e->usable && pu_desk_known (l->desk, handle);
   p.closed = !p.usable || pu_desk_secret (l->desk, handle);
   pu_desk_set_room (l->desk, handle, p.memory_mb);
+  pu_desk_set_places (l->desk, handle, c->adapter_places);
   p.copies = (const pu_plan_copy_t *)(void *)s->copies->data;
   p.n_copies = s->copies->len;
   pu_planner_set_engine (l->planner, handle, &p, now_of (s));
@@ -785,9 +785,7 @@
   lead_t *l = s->lead;
   const engine_t *e = engine_at (l, engine);
 
-  if (o->adapter && o->op == PU_DESK_LOAD)
-    return pu_adapters_fit (l->adapters, engine);
-  if (o->op != PU_DESK_LOAD
+  if (o->op != PU_DESK_LOAD || o->adapter
       || g_hash_table_contains (e->cached, GUINT_TO_POINTER (o->item)))
     return true;
   if (l->store < 1)
