Placer: the largest adapter is looked for once a document; unused scratch goes

Cause: adapter_room went over all items for each engine at each plan and at each request for an adapter that is nowhere, though the answer changes with the document alone. A scratch array of actions was made and freed, never used. Ruled out: a running maximum, which would not follow an adapter that a later document makes smaller. Change: the same loop runs in document_take and its answer is kept.

--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -63,8 +63,9 @@
   pu_names_t items;
   pu_names_t engine_names;
   pu_names_t zones;
-  GArray *engines; /* of engine_t */
-  GArray *memory;  /* of guint32, MB by item */
+  GArray *engines;    /* of engine_t */
+  GArray *memory;     /* of guint32, MB by item */
+  guint32 adapter_mb; /* of the largest adapter */
   pu_document_t *document;
   guint64 document_version;
   guint64 changes; /* of the state, as taken in */
@@ -82,7 +83,6 @@
   pu_http_client_t *client;
   lead_t *lead;      /* NULL while another voter leads */
   guint64 leads;     /* counts the take-overs */
-  GArray *actions;   /* scratch, of pu_desk_action_t */
   GArray *moves;     /* scratch, of pu_move_t */
   GArray *copies;    /* scratch, of pu_plan_copy_t */
   GHashTable *asked; /* set of asked_t under way */
@@ -208,6 +208,21 @@
   l->store_rate = p->store_loads_per_s;
 }
 
+/* Every adapter that was declared counts: an engine may hold one yet that is
+   declared no more.  */
+static guint32
+largest_adapter (const lead_t *l)
+{
+  guint32 largest = 0;
+
+  for (guint32 i = 0; i < l->memory->len; i++)
+    {
+      if (pu_adapters_is (l->adapters, i))
+        largest = MAX (largest, memory_of (l, i));
+    }
+  return largest;
+}
+
 static void
 document_take (pu_sequenced_t *s)
 {
@@ -235,6 +250,7 @@
     pu_planner_set_item (l->planner, i, NULL);
   for (pu_model_handle_t h = 0; h < pu_document_models (d); h++)
     item_declare (l, pu_document_model (d, h));
+  l->adapter_mb = largest_adapter (l);
   options_set (s, l);
 }
 
@@ -383,14 +399,7 @@
 static guint32
 adapter_room (const lead_t *l, const pu_engine_class_t *c)
 {
-  guint32 largest = 0;
-
-  for (guint32 i = 0; i < l->memory->len; i++)
-    {
-      if (pu_adapters_is (l->adapters, i))
-        largest = MAX (largest, memory_of (l, i));
-    }
-  return c->adapter_places * largest;
+  return c->adapter_places * l->adapter_mb;
 }
 
 /* Tells the planner how ENGINE stands.  */
@@ -1059,7 +1068,6 @@
 
   s->o = *o;
   s->client = pu_http_client_new (&c);
-  s->actions = g_array_new (FALSE, FALSE, sizeof (pu_desk_action_t));
   s->moves = g_array_new (FALSE, FALSE, sizeof (pu_move_t));
   s->copies = g_array_new (FALSE, FALSE, sizeof (pu_plan_copy_t));
   s->asked = g_hash_table_new_full (NULL, NULL, g_free, NULL);
@@ -1095,7 +1103,6 @@
   lead_free (s->lead);
   s->lead = NULL;
   pu_http_client_free (s->client);
-  g_array_unref (s->actions);
   g_array_unref (s->moves);
   g_array_unref (s->copies);
   g_hash_table_destroy (s->asked);
