--- a/libplantainusher/base/json.c
+++ b/libplantainusher/base/json.c
@@ -256,6 +256,17 @@
   return text;
 }
 
+char *
+pu_json_line (json_t *value)
+{
+  char *dumped = json_dumps (value, JSON_COMPACT);
+  char *line = g_strdup (dumped);
+
+  free (dumped);
+  json_decref (value);
+  return line;
+}
+
 void
 pu_json_path_append (GString *path, const char *key)
 {
--- a/libplantainusher/base/json.h
+++ b/libplantainusher/base/json.h
@@ -37,6 +37,10 @@
    newline; numbers with 15 significant digits.  The caller frees it.  */
 char *pu_json_text (const json_t *value);
 
+/* pu_json_line - VALUE, which is consumed, as compact text without a line
+   end.  */
+char *pu_json_line (json_t *value);
+
 /* The memory of what pu_json_read fills in; freed as a whole.  */
 typedef struct pu_json_arena pu_json_arena_t;
 
--- a/libplantainusher/entry/answer.c
+++ b/libplantainusher/entry/answer.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/json.h"
+
 #define MS_PER_S 1000
 
 static const char *const outcome_words[] = {
@@ -17,25 +19,14 @@
   return outcome_words[o];
 }
 
-static char *
-json_text (json_t *v)
-{
-  char *text = json_dumps (v, JSON_COMPACT);
-  char *copy = g_strdup (text);
-
-  free (text);
-  json_decref (v);
-  return copy;
-}
-
 char *
 pu_error_text (const pu_refusal_t *r, const char *message)
 {
   /* It may repeat what the caller sent, which JSON need not be able to say. */
   char *valid = g_utf8_make_valid (message, -1);
-  char *text = json_text (json_pack ("{s:{s:s, s:s, s:s}}", "error", "message",
-                                     valid, "type", r->type, "outcome",
-                                     pu_outcome_word (r->outcome)));
+  char *text = pu_json_line (
+      json_pack ("{s:{s:s, s:s, s:s}}", "error", "message", valid, "type",
+                 r->type, "outcome", pu_outcome_word (r->outcome)));
 
   g_free (valid);
   return text;
@@ -47,7 +38,7 @@
   static const pu_http_header_t headers[]
       = { { "content-type", "application/json" },
           { "cache-control", "no-store" } };
-  char *text = json_text (v);
+  char *text = pu_json_line (v);
 
   pu_http_respond (http, status, headers, G_N_ELEMENTS (headers), text,
                    strlen (text));
--- a/libplantainusher/http/h1_reader.c
+++ b/libplantainusher/http/h1_reader.c
@@ -47,15 +47,6 @@
   bool expects;
 };
 
-static void
-header_clear (gpointer data)
-{
-  pu_http_header_t *h = data;
-
-  g_free ((char *)h->name);
-  g_free ((char *)h->value);
-}
-
 pu_h1_reader_t *
 pu_h1_reader_new (gsize head_max, gsize body_max)
 {
@@ -65,8 +56,7 @@
   r->body_max = body_max;
   r->in = g_byte_array_new ();
   r->body = g_byte_array_new ();
-  r->headers = g_array_new (FALSE, FALSE, sizeof (pu_http_header_t));
-  g_array_set_clear_func (r->headers, header_clear);
+  r->headers = pu_http_headers_new ();
   return r;
 }
 
@@ -192,18 +182,6 @@
   return true;
 }
 
-static bool
-list_has (const char *value, const char *word)
-{
-  char **words = g_strsplit (value != NULL ? value : "", ",", -1);
-  bool found = false;
-
-  for (char **w = words; *w != NULL && !found; w++)
-    found = g_ascii_strcasecmp (g_strstrip (*w), word) == 0;
-  g_strfreev (words);
-  return found;
-}
-
 static bool
 host_read (pu_h1_reader_t *r)
 {
@@ -241,10 +219,11 @@
   if (!framing_read (r))
     return refuse (r, BAD_REQUEST);
   connection = header_one (r, "connection", &count);
-  r->keep_alive = r->minor == 1 ? !list_has (connection, "close")
-                                : list_has (connection, "keep-alive");
-  r->expects = r->step != STEP_DONE
-               && list_has (header_one (r, "expect", &count), "100-continue");
+  r->keep_alive = r->minor == 1 ? !pu_http_list_has (connection, "close")
+                                : pu_http_list_has (connection, "keep-alive");
+  r->expects
+      = r->step != STEP_DONE
+        && pu_http_list_has (header_one (r, "expect", &count), "100-continue");
   return r->left > r->body_max ? refuse (r, TOO_LARGE) : PU_H1_MORE;
 }
 
--- a/libplantainusher/http/message.c
+++ b/libplantainusher/http/message.c
@@ -1,5 +1,35 @@
 #include "http/message.h"
 
+static void
+header_clear (gpointer data)
+{
+  pu_http_header_t *h = data;
+
+  g_free ((char *)h->name);
+  g_free ((char *)h->value);
+}
+
+GArray *
+pu_http_headers_new (void)
+{
+  GArray *headers = g_array_new (FALSE, FALSE, sizeof (pu_http_header_t));
+
+  g_array_set_clear_func (headers, header_clear);
+  return headers;
+}
+
+bool
+pu_http_list_has (const char *value, const char *word)
+{
+  char **words = g_strsplit (value != NULL ? value : "", ",", -1);
+  bool found = false;
+
+  for (char **w = words; *w != NULL && !found; w++)
+    found = g_ascii_strcasecmp (g_strstrip (*w), word) == 0;
+  g_strfreev (words);
+  return found;
+}
+
 static bool
 is_one_of (const char *name, const char *const *names, gsize n)
 {
--- a/libplantainusher/http/message.h
+++ b/libplantainusher/http/message.h
@@ -19,6 +19,14 @@
   const char *value;
 } pu_http_header_t;
 
+/* pu_http_headers_new - an array of pu_http_header_t that owns their strings,
+   which are GLib's.  */
+GArray *pu_http_headers_new (void);
+
+/* pu_http_list_has - whether VALUE, a list separated by commas, has WORD, in
+   letters of either case; a VALUE of NULL has none.  */
+bool pu_http_list_has (const char *value, const char *word);
+
 /* pu_http_header_is_passed - whether a relay passes the header NAME on: false
    for those that concern one connection, or the framing of one message.  */
 bool pu_http_header_is_passed (const char *name);
--- a/libplantainusher/http/response.c
+++ b/libplantainusher/http/response.c
@@ -24,15 +24,6 @@
   struct phr_chunked_decoder chunked;
 };
 
-static void
-header_clear (gpointer data)
-{
-  pu_http_header_t *h = data;
-
-  g_free ((char *)h->name);
-  g_free ((char *)h->value);
-}
-
 pu_http_reader_t *
 pu_http_reader_new (gsize head_max, bool no_body)
 {
@@ -41,8 +32,7 @@
   rd->head_max = head_max;
   rd->no_body = no_body;
   rd->head = g_byte_array_new ();
-  rd->response.headers = g_array_new (FALSE, FALSE, sizeof (pu_http_header_t));
-  g_array_set_clear_func (rd->response.headers, header_clear);
+  rd->response.headers = pu_http_headers_new ();
   rd->chunked.consume_trailer = 1;
   return rd;
 }
@@ -89,19 +79,6 @@
   return &rd->response;
 }
 
-/* Whether the list VALUE, separated by commas, has the word TOKEN.  */
-static bool
-list_has (const char *value, const char *token)
-{
-  char **words = g_strsplit (value, ",", -1);
-  bool found = false;
-
-  for (char **w = words; *w != NULL && !found; w++)
-    found = g_ascii_strcasecmp (g_strstrip (*w), token) == 0;
-  g_strfreev (words);
-  return found;
-}
-
 static bool
 length_parse (const char *value, guint64 *length)
 {
@@ -154,9 +131,9 @@
   if (!lengths_read (r, &has_length, &chunked))
     return false;
   rd->keep_alive = minor >= 1;
-  if (connection != NULL && list_has (connection, "close"))
+  if (pu_http_list_has (connection, "close"))
     rd->keep_alive = false;
-  if (connection != NULL && list_has (connection, "keep-alive"))
+  if (pu_http_list_has (connection, "keep-alive"))
     rd->keep_alive = true;
   if (rd->no_body || status_has_no_body (r->status))
     {
--- a/libplantainusher/placer/send.c
+++ b/libplantainusher/placer/send.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "http/fetch.h"
 
 #define ORDERS_PATH "/control/orders"
@@ -105,12 +106,9 @@
       "{s:I, s:s, s:s, s:s, s:I}", "token", (json_int_t)o->token, "kind",
       o->kind == PU_ORDER_LOAD ? "load" : "unload", "model", o->model,
       "version", o->model_version, "memory_mb", (json_int_t)o->memory_mb);
-  char *text = json_dumps (body, JSON_COMPACT);
-  GBytes *bytes = g_bytes_new (text, strlen (text));
+  char *text = pu_json_line (body);
 
-  free (text);
-  json_decref (body);
-  return bytes;
+  return g_bytes_new_take (text, strlen (text));
 }
 
 bool
