Log: a full disk is written once it has room; a voter that is behind says for how long

Change: such a write is made again from its start (failed syncs stay final); the replica tells how long committed entries have not come.

--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -652,6 +652,12 @@
   pu_replica_meet (g->replica, address);
 }
 
+uint64_t
+pu_group_behind_ms (const pu_group_t *g)
+{
+  return pu_replica_behind_ms (g->replica, now (g));
+}
+
 uint64_t
 pu_group_committed (const pu_group_t *g)
 {
--- a/libplantainusher/log/group.h
+++ b/libplantainusher/log/group.h
@@ -129,6 +129,10 @@
    yet asks there, too.  */
 void pu_group_meet (pu_group_t *g, const char *address);
 
+/* pu_group_behind_ms - for how long the leader has had committed entries that
+   have not come here, as after a restart or with a disk that is full.  */
+uint64_t pu_group_behind_ms (const pu_group_t *g);
+
 /* pu_group_committed - the highest committed position.  */
 uint64_t pu_group_committed (const pu_group_t *g);
 
--- a/libplantainusher/log/journal.h
+++ b/libplantainusher/log/journal.h
@@ -22,7 +22,9 @@
  *
  * Writes are gathered and go out as one batch with one sync; while that runs,
  * on libuv's thread pool, the next batch gathers.  A failed write or sync
- * fails the journal for good: no later success is ever reported.
+ * fails the journal for good: no later success is ever reported.  A write that
+ * finds the disk full is the exception: nothing of it was reported, and it is
+ * made again, from its start, until there is room.
  */
 
 /* The file system calls, all blocking; run on the loop's thread at start-up
@@ -111,7 +113,8 @@
 void pu_journal_start (pu_journal_t *j);
 
 /* pu_journal_flush - the same, blocking, with the callbacks called before it
-   returns.  For start-up, tests and benchmarks.  */
+   returns.  For start-up, tests and benchmarks.  Where the disk is full it
+   fails, and the next flush goes on.  */
 bool pu_journal_flush (pu_journal_t *j, pu_error_t *e);
 
 /* pu_journal_stop - starts nothing more; what runs is finished.  */
--- a/libplantainusher/log/journal_frame.c
+++ b/libplantainusher/log/journal_frame.c
@@ -132,6 +132,18 @@
   return 0;
 }
 
+bool
+pu_journal_is_full (int rc)
+{
+  return rc == -ENOSPC || rc == -EDQUOT;
+}
+
+int
+pu_journal_sync_result (int rc)
+{
+  return pu_journal_is_full (rc) ? -EIO : rc;
+}
+
 int
 pu_journal_write_meta (const pu_journal_fs_t *fs, int fd, GBytes *frame)
 {
@@ -144,7 +156,7 @@
       int rc = pu_journal_write_all (fs, fd, p, n, at);
 
       if (rc == 0)
-        rc = fs->sync (fs->data, fd);
+        rc = pu_journal_sync_result (fs->sync (fs->data, fd));
       if (rc < 0)
         return rc;
     }
--- a/libplantainusher/log/replica.c
+++ b/libplantainusher/log/replica.c
@@ -575,6 +575,14 @@
   return r->commit;
 }
 
+uint64_t
+pu_replica_behind_ms (const pu_replica_t *r, uint64_t now)
+{
+  if (r->behind_since == 0 || r->commit >= r->heard_commit)
+    return 0;
+  return now - MIN (now, r->behind_since);
+}
+
 uint64_t
 pu_replica_durable (const pu_replica_t *r)
 {
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -225,6 +225,9 @@
 uint64_t pu_replica_first (const pu_replica_t *r); /* first entry held */
 uint64_t pu_replica_last (const pu_replica_t *r);  /* last entry held */
 uint64_t pu_replica_commit (const pu_replica_t *r);
+/* pu_replica_behind_ms - for how long what a leader has committed has been
+   beyond what is known here to be committed.  */
+uint64_t pu_replica_behind_ms (const pu_replica_t *r, uint64_t now);
 uint64_t pu_replica_durable (const pu_replica_t *r);
 uint64_t pu_replica_snapshot_index (const pu_replica_t *r);
 const pu_log_peer *pu_replica_self (const pu_replica_t *r);
--- a/libplantainusher/log/replica_append.c
+++ b/libplantainusher/log/replica_append.c
@@ -585,25 +585,29 @@
   return pu_r_term_at (r, a->prev_index, &known) == a->prev_term;
 }
 
-void
-pu_r_on_append (pu_replica_t *r, uint64_t now, const pu_log_msg *m)
+/* A follower whose disk is full or slow acknowledges nothing, so its leader's
+   window to it fills and later entries are not sent: it still hears of them by
+   the commit position of heartbeats.  */
+static void
+note_behind (pu_replica_t *r, uint64_t now, uint64_t leader_commit)
 {
-  const pu_log_append *a = &m->body.pu_log_body_u.append;
-  guint n = a->entries.entries_len;
-
-  if (m->term < r->term)
+  r->heard_commit = MAX (r->heard_commit, leader_commit);
+  if (r->commit >= r->heard_commit)
     {
-      pu_log_peer old = r->leader;
-
-      /* Only the term in the answer matters: the old leader steps down.  */
-      r->leader = m->from;
-      pu_r_reply_append (r, false, 0);
-      r->leader = old;
-      return;
+      r->behind_since = 0;
     }
-  if (r->role == PU_ROLE_LEADER || !well_formed (a))
-    return;
-  note_leader (r, now, m);
+  else if (r->behind_since == 0)
+    {
+      r->behind_since = MAX (now, 1);
+    }
+}
+
+/* Takes A's entries and commit position over, and answers.  */
+static void
+follow_append (pu_replica_t *r, uint64_t now, const pu_log_append *a)
+{
+  guint n = a->entries.entries_len;
+
   if (r->installing != 0)
     {
       pu_r_reply_append (r, true, 0);
@@ -631,6 +635,28 @@
     pu_r_reply_append (r, true, 0);
 }
 
+void
+pu_r_on_append (pu_replica_t *r, uint64_t now, const pu_log_msg *m)
+{
+  const pu_log_append *a = &m->body.pu_log_body_u.append;
+
+  if (m->term < r->term)
+    {
+      pu_log_peer old = r->leader;
+
+      /* Only the term in the answer matters: the old leader steps down.  */
+      r->leader = m->from;
+      pu_r_reply_append (r, false, 0);
+      r->leader = old;
+      return;
+    }
+  if (r->role == PU_ROLE_LEADER || !well_formed (a))
+    return;
+  note_leader (r, now, m);
+  follow_append (r, now, a);
+  note_behind (r, now, a->commit);
+}
+
 bool
 pu_replica_peer_state (const pu_replica_t *r, uint64_t id, uint64_t now,
                        uint64_t *match, uint64_t *silent_ms)
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -121,8 +121,10 @@
   uint64_t installing; /* index of the snapshot being installed, or 0 */
 
   uint64_t commit;
-  uint64_t applied; /* handed out */
-  uint64_t written; /* handed out */
+  uint64_t heard_commit; /* the highest that a leader told of */
+  uint64_t behind_since; /* its commit is beyond this one's; 0: it is not */
+  uint64_t applied;      /* handed out */
+  uint64_t written;      /* handed out */
   uint64_t durable;
   GQueue writes; /* pu_write_t * */
   uint64_t ticket;
