State: documents' deltas carry hunks; what changed recently is listed

Cause: a changed route stands twice in the document, and the 36 to 40 KB between went to each daemon with each change. Change: the middle of a delta goes as hunks where these are shorter.

--- a/libplantainusher/state/apply_backends.c
+++ b/libplantainusher/state/apply_backends.c
@@ -165,7 +165,7 @@
   if (found == NULL)
     return;
   pu_memory_forget (s->memory, found->name);
-  g_tree_remove (s->backends, found->name);
+  pu_tables_remove_backend (s, found->name);
 }
 
 void
@@ -176,6 +176,7 @@
   if (b == NULL)
     return;
   b->down = TRUE;
+  pu_tables_note_backend (a->state, b->name);
   pu_memory_backend_down (a->state->memory, b);
   forget_one_down (a->state);
   a->state->changes++;
@@ -189,6 +190,7 @@
   if (b == NULL)
     return;
   b->leaving = TRUE;
+  pu_tables_note_backend (a->state, b->name);
   pu_memory_backend_leaving (a->state->memory, b);
   a->state->changes++;
 }
--- a/libplantainusher/state/codec_fuzz.cc
+++ b/libplantainusher/state/codec_fuzz.cc
@@ -7,6 +7,7 @@
 extern "C"
 {
 #include "state/backend_delta.h"
+#include "state/hunks.h"
 #include "state/codec.h"
 #include "state/generated/state_msg.h"
 #include "state/state.h"
@@ -53,6 +54,19 @@
                  pu_backend_delta_apply (d, &old));
 }
 
+/* What a submit brings as hunks of a text that it was not made for.  */
+static void
+fuzz_hunks (const pu_submit *c)
+{
+  static const char old[] = "a text of some length";
+  const gsize most = 4096;
+  GString *out = g_string_new (nullptr);
+
+  if (pu_hunks_apply (c->text, old, sizeof old - 1, most, out))
+    g_assert (out->len <= most);
+  g_string_free (out, TRUE);
+}
+
 static void
 fuzz_command (const uint8_t *data, size_t size)
 {
@@ -64,6 +78,8 @@
     return;
   if (c.type == PU_COMMAND_BACKEND_DELTA)
     fuzz_delta (&c.pu_command_u.backend_delta);
+  if (c.type == PU_COMMAND_SUBMIT)
+    fuzz_hunks (&c.pu_command_u.submit);
   pu_state_options_init (&o);
   pu_state_t *s = pu_state_new (&o);
   for (uint64_t position = 1; position <= 2; position++)
--- a/libplantainusher/state/image.c
+++ b/libplantainusher/state/image.c
@@ -147,6 +147,7 @@
   take_image (s, &m);
   s->claim_wall = latest_claim (&m);
   s->changes++;
+  s->whole = s->changes;
   xdr_free ((xdrproc_t)xdr_pu_state_image, (char *)&m);
   return true;
 }
--- a/libplantainusher/state/state.c
+++ b/libplantainusher/state/state.c
@@ -86,6 +86,33 @@
     fn (g_tree_node_value (n), data);
 }
 
+typedef struct
+{
+  const pu_state_t *state;
+  pu_backend_fn *fn;
+  void *data;
+} changed_t;
+
+static void
+changed_call (const char *name, void *data)
+{
+  const changed_t *c = data;
+
+  c->fn (g_tree_lookup (c->state->backends, name), c->data);
+}
+
+bool
+pu_state_each_changed_backend (const pu_state_t *s, uint64_t since,
+                               pu_backend_fn *fn, void *data)
+{
+  changed_t c = { s, fn, data };
+
+  if (since < s->whole)
+    return false;
+  pu_recent_each (s->recent, since, changed_call, &c);
+  return true;
+}
+
 void
 pu_state_each_order (const pu_state_t *s, pu_order_fn *fn, void *data)
 {
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -94,6 +94,12 @@
 void pu_state_each_member (const pu_state_t *s, pu_member_fn *fn, void *data);
 void pu_state_each_backend (const pu_state_t *s, pu_backend_fn *fn,
                             void *data);
+/* pu_state_each_changed_backend - calls FN for those that changed after
+   pu_state_changes was SINCE, in no order that matters.  Returns false, and
+   calls nothing, where this copy can't tell: all may have changed, or some be
+   gone.  */
+bool pu_state_each_changed_backend (const pu_state_t *s, uint64_t since,
+                                    pu_backend_fn *fn, void *data);
 /* Orders come by token, the oldest first.  */
 void pu_state_each_order (const pu_state_t *s, pu_order_fn *fn, void *data);
 void pu_state_each_claim (const pu_state_t *s, pu_claim_fn *fn, void *data);
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -188,7 +188,7 @@
   unsigned hyper rank;       /* chosen by the submitter; 0: none */
   bool delta;
   unsigned int prefix;
-  unsigned int suffix;
+  unsigned int suffix;       /* highest bit: TEXT is hunks, see delta.h */
   unsigned hyper hash;       /* of the new text, by XXH3; deltas only */
   string text<PU_DOCUMENT_MAX>;
 };
--- a/libplantainusher/state/tables.c
+++ b/libplantainusher/state/tables.c
@@ -76,6 +76,7 @@
   s->change_ids = g_hash_table_new (g_str_hash, g_str_equal);
   s->members = g_tree_new_full (compare_names, NULL, NULL, free_member);
   s->backends = g_tree_new_full (compare_names, NULL, NULL, free_backend);
+  s->recent = pu_recent_new ();
   s->orders = g_tree_new_full (compare_numbers, NULL, NULL, free_order);
   s->claims = g_tree_new_full (compare_names, NULL, g_free, free_claim);
   s->open_claims = g_tree_new_full (compare_numbers, NULL, NULL, NULL);
@@ -92,6 +93,7 @@
   g_queue_free_full (s->documents, free_document);
   g_tree_destroy (s->members);
   g_tree_destroy (s->backends);
+  pu_recent_free (s->recent);
   g_tree_destroy (s->orders);
   g_tree_destroy (s->open_claims);
   g_tree_destroy (s->claim_ages);
@@ -139,9 +141,24 @@
   g_tree_replace (s->members, m->name, m);
 }
 
+void
+pu_tables_note_backend (pu_state_t *s, const char *name)
+{
+  pu_recent_note (s->recent, name, s->changes + 1);
+}
+
+void
+pu_tables_remove_backend (pu_state_t *s, const char *name)
+{
+  s->whole = s->changes + 1;
+  pu_recent_drop (s->recent, name);
+  g_tree_remove (s->backends, name);
+}
+
 void
 pu_tables_put_backend (pu_state_t *s, pu_backend_record *b)
 {
+  pu_tables_note_backend (s, b->name);
   g_tree_replace (s->backends, b->name, b);
 }
 
--- a/libplantainusher/state/tables.h
+++ b/libplantainusher/state/tables.h
@@ -3,6 +3,7 @@
 
 #include "state/codec.h"
 #include "state/memory.h"
+#include "state/recent.h"
 #include "state/state.h"
 
 G_BEGIN_DECLS
@@ -17,11 +18,14 @@
   uint64_t position;
   uint64_t view;
   uint64_t changes;
+  uint64_t whole;         /* number of the last change that pu_recent can't
+                             tell: an image, or a record that went */
   uint64_t claim_wall;    /* latest wall time that a claim carried */
   GQueue *documents;      /* of pu_doc_record *, newest first */
   GHashTable *change_ids; /* change id -> pu_doc_record * in documents */
   GTree *members;         /* name -> pu_member_record * */
   GTree *backends;        /* name -> pu_backend_record * */
+  pu_recent_t *recent;    /* backend servers by their last change */
   GTree *orders;          /* &token -> pu_order_record * */
   GTree *claims;          /* "service\nkey" -> pu_claim_record * */
   GTree *open_claims;     /* &position -> record in claims, not owned */
@@ -37,6 +41,13 @@
 /* pu_tables_put_document - makes D, which the tables take over, the newest. */
 void pu_tables_put_document (pu_state_t *s, pu_doc_record *d);
 
+/* pu_tables_note_backend - the record of NAME changes with the next count of
+   changes.  */
+void pu_tables_note_backend (pu_state_t *s, const char *name);
+
+/* pu_tables_remove_backend - forgets NAME, with the next count of changes.  */
+void pu_tables_remove_backend (pu_state_t *s, const char *name);
+
 /* The others take the record over and replace one of the same key.  */
 void pu_tables_put_member (pu_state_t *s, pu_member_record *m);
 void pu_tables_put_backend (pu_state_t *s, pu_backend_record *b);
