Control: polls are refused by a voter that lacks committed entries; news go at a pace

A voter that has heard of commits beyond its own for half a second refuses polls, images at once, so that daemons go to the next one.

--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -185,6 +185,14 @@
   return a->joined;
 }
 
+uint64_t
+pu_agent_silent_ms (const pu_agent_t *a)
+{
+  if (a->answered_at == 0)
+    return G_MAXUINT64;
+  return uv_now (a->options.loop) - a->answered_at;
+}
+
 bool
 pu_agent_connected (const pu_agent_t *a)
 {
--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -49,6 +49,7 @@
   uint32_t poll_handle; /* 0: none under way */
   guint failures;       /* polls in a row */
   guint leaderless;     /* answers in a row */
+  uint64_t answered_at; /* by a voter that knows a leader; 0: never */
   GHashTable *renewals; /* backend server -> renewal_t */
   GHashTable *demand;   /* model -> demand_t */
 
--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -163,6 +163,8 @@
   a->failures = 0;
   pu_agent_voters_learn (a, r);
   a->leaderless = r->leader[0] == '\0' ? a->leaderless + 1 : 0;
+  if (a->leaderless == 0)
+    a->answered_at = MAX (uv_now (a->options.loop), 1);
   if (a->leaderless >= LEADERLESS_MAX)
     {
       a->leaderless = 0;
--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -7,6 +7,7 @@
 #define TICK_MS 100
 #define SESSIONS_MS 1000
 #define RING_ENTRIES 4096
+#define GATHER_MS 250
 #define RING_BYTES ((size_t)16 << 20)
 #define LOG_PERIOD_MS 60000
 
@@ -16,6 +17,7 @@
   memset (o, 0, sizeof *o);
   o->tick_ms = TICK_MS;
   o->sessions_ms = SESSIONS_MS;
+  o->gather_ms = GATHER_MS;
   o->ring_entries = RING_ENTRIES;
   o->ring_bytes = RING_BYTES;
   pu_state_options_init (&o->state);
@@ -70,6 +72,14 @@
   return pu_state_apply (c->state, index, command, reply);
 }
 
+static pu_news_t
+news_of (const pu_command *command, const GBytes *delta)
+{
+  if (delta != NULL)
+    return PU_NEWS_GATHERED;
+  return command->type == PU_COMMAND_SUBMIT ? PU_NEWS_AT_ONCE : PU_NEWS_SOON;
+}
+
 static void
 on_apply (uint64_t index, const void *bytes, size_t len, void *data)
 {
@@ -97,7 +107,7 @@
   if (feeds)
     {
       pu_feed_add (c->feed, index, bytes, len, delta);
-      pu_control_polls_wake (c, delta == NULL);
+      pu_control_polls_wake (c, news_of (&command, delta));
     }
   pu_command_clear (&command);
 }
@@ -121,7 +131,7 @@
     return false;
   pu_state_skip (c->state, index);
   pu_feed_reset (c->feed, index);
-  pu_control_polls_wake (c, true);
+  pu_control_polls_wake (c, PU_NEWS_AT_ONCE);
   return true;
 }
 
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -45,6 +45,7 @@
   guint32 snapshot_entries;
   guint32 connect_ms;        /* to other voters */
   guint32 tick_ms;           /* 100: polls are answered and duties run */
+  guint32 gather_ms;         /* 250: changes of copies wait for others */
   guint32 sessions_ms;       /* 1000: sessions go to the leader */
   guint32 claims_max;        /* at-most-once keys kept; 0: no limit */
   guint32 ring_entries;      /* 4096: public entries kept for polls */
@@ -133,8 +134,9 @@
 typedef void pu_control_want_fn (void *data, const char *model,
                                  pu_control_want_t *want);
 
-/* pu_control_want_answer - where the copy is ready: {"backend":NAME}, taken
-   over; NULL when there will be none.  WANT is gone then.  */
+/* pu_control_want_answer - where the copy is ready, {"backend":NAME}, or in
+   how many milliseconds it can be at the soonest, {"due_ms":N}; taken over.
+   NULL when there will be none.  WANT is gone then.  */
 void pu_control_want_answer (pu_control_want_t *want, json_t *place);
 void pu_control_on_want (pu_control_t *c, pu_control_want_fn *fn, void *data);
 
--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -4,6 +4,7 @@
 #include "control/control.h"
 #include "control/feed.h"
 #include "control/generated/control_msg.h"
+#include "control/pace.h"
 #include "control/sessions.h"
 #include "rpc/pool.h"
 #include "state/codec.h"
@@ -34,9 +35,11 @@
   void *want_data;
 
   /* polls.c */
-  GQueue polls;       /* poll_t that wait */
-  uv_timer_t *answer; /* runs when polls are to be looked at */
-  GBytes *image;      /* the public image as of image_position, or NULL */
+  GQueue polls; /* poll_t that wait */
+  pu_pace_t pace;
+  pu_public_entry *news; /* scratch of one answer */
+  uv_timer_t *answer;    /* runs when polls are to be looked at */
+  GBytes *image;         /* the public image as of image_position, or NULL */
   uint64_t image_position;
 
   /* proposals.c */
@@ -85,9 +88,8 @@
 /* polls.c */
 void pu_control_polls_init (pu_control_t *c);
 void pu_control_polls_clear (pu_control_t *c);
-/* pu_control_polls_wake - there may be something new for those who wait: they
-   are answered at once, or without HURRY together with what comes soon.  */
-void pu_control_polls_wake (pu_control_t *c, bool hurry);
+/* pu_control_polls_wake - there is something NEW for those who wait.  */
+void pu_control_polls_wake (pu_control_t *c, pu_news_t news);
 void pu_control_polls_tick (pu_control_t *c, uint64_t now);
 void pu_control_on_poll (void *data, pu_rpc_call_t *call, const guint8 *body,
                          size_t n);
--- a/libplantainusher/control/control_test.cc
+++ b/libplantainusher/control/control_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,8 +29,20 @@
   pu_control_t *control = nullptr;
   int begun = 0, ended = 0, ticks = 0;
   bool acted_without_lease = false;
+  bool full = false; /* its disk */
+  pu_journal_fs_t fs = *pu_journal_fs_system ();
 };
 
+int64_t
+write_unless_full (void *data, int fd, const void *p, size_t n, int64_t at)
+{
+  const pu_journal_fs_t *system = pu_journal_fs_system ();
+
+  return static_cast<Voter *> (data)->full
+             ? -ENOSPC
+             : system->write (system->data, fd, p, n, at);
+}
+
 /* Three voters with journals on disk, and agents, on one loop.  */
 class Control : public ::testing::Test
 {
@@ -113,6 +126,9 @@
     o.address = v.address.c_str ();
     o.key = key;
     o.folder = v.folder.c_str ();
+    v.fs.write = write_unless_full;
+    v.fs.data = &v;
+    o.fs = &v.fs;
     o.voters = peers.data ();
     o.n_voters = peers.size ();
     o.seed = static_cast<uint64_t> (v.name[1]);
@@ -280,6 +296,23 @@
     return a;
   }
 
+  /* The voter that the agent polls.  */
+  Voter &
+  polled ()
+  {
+    json_t *dump = pu_agent_dump (agent);
+    std::string at = json_string_value (json_object_get (dump, "voter"));
+
+    json_decref (dump);
+    for (auto &v : voters)
+      {
+        if (v->address == at)
+          return *v;
+      }
+    ADD_FAILURE () << "polls " << at;
+    return *voters[0];
+  }
+
   uint64_t
   version ()
   {
@@ -536,11 +569,19 @@
     const pu_backend_record *x = pu_state_backend (s, "engine");
     return x != nullptr && !x->down;
   };
+  auto renew = [&] {
+    guint64 end = uv_now (&loop) + 100;
+    pu_agent_renew (agent, "engine", 3);
+    run_until ([&] { return uv_now (&loop) >= end; });
+  };
+  /* News of it is let go to the agent 100 ms apart, later where the leader
+     was elected just before.  */
+  for (int i = 0; i < 50 && !up (pu_agent_view (agent)); i++)
+    renew ();
+  ASSERT_TRUE (up (pu_agent_view (agent)));
   for (int i = 0; i < 15; i++) /* three times the least */
     {
-      guint64 end = uv_now (&loop) + 100;
-      pu_agent_renew (agent, "engine", 3);
-      run_until ([&] { return uv_now (&loop) >= end; });
+      renew ();
       EXPECT_TRUE (up (pu_agent_view (agent)));
     }
   run_until ([&] { return !up (pu_agent_view (agent)); });
@@ -602,6 +643,75 @@
   EXPECT_EQ (shown ().memory_mb, 100U);
 }
 
+/* Backend servers check in one after the other: an answer and a poll for each
+   of them, at each daemon, is what a fleet's start would cost.  */
+TEST_F (Control, RushOfCheckInsIsToldInFewAnswers)
+{
+  constexpr int many = 200;
+  char empty[] = "";
+  int known = 0;
+
+  start_all ();
+  start_agent ();
+  run_until ([&] { return pu_agent_joined (agent); });
+  guint64 begin = uv_now (&loop);
+  int before = changes;
+  for (int i = 0; i < many; i++)
+    {
+      std::string name = "g" + std::to_string (i);
+      pu_command c = {};
+      pu_backend_record &b = c.pu_command_u.backend_up;
+      Answer a;
+
+      c.type = PU_COMMAND_BACKEND_UP;
+      b.name = name.data ();
+      b.incarnation = 1;
+      b.service = b.address = b.region = b.zone = empty;
+      pu_agent_propose (agent, &c, 5000, take_answer, &a);
+      run_until ([&] { return a.count > 0; });
+    }
+  run_until ([&] {
+    std::string name = "g" + std::to_string (known);
+
+    known
+        += pu_state_backend (pu_agent_view (agent), name.c_str ()) != nullptr;
+    return known == many;
+  });
+  /* A telling in 100 ms, an empty poll in 200, and a few more for a start.  */
+  guint64 took = uv_now (&loop) - begin;
+  EXPECT_LE (changes - before, static_cast<int> (took / 100 + took / 200) + 4);
+}
+
+/* What it can't write it doesn't acknowledge, so the leader sends it no more
+   than a few messages.  */
+TEST_F (Control, VoterThatCannotWriteKeepsNoNewsFromTheAgent)
+{
+  constexpr int more_than_a_window = 20;
+
+  start_all ();
+  start_agent ();
+  EXPECT_EQ (submit (0, "first").doc_version, 1U);
+  run_until ([&] { return version () == 1; });
+  while (leader () == nullptr || leader () == &polled ())
+    {
+      Voter &v = polled ();
+      stop (v);
+      run_until ([&] { return leader () != nullptr; });
+      start (v);
+      run_until (
+          [&] { return leader () != nullptr && pu_agent_ready (agent); });
+    }
+  polled ().full = true;
+  for (int i = 1; i <= more_than_a_window; i++)
+    {
+      EXPECT_EQ (submit (i, "change " + std::to_string (i)).kind, PU_OK);
+    }
+  run_until ([&] { return version () == 1 + more_than_a_window; });
+  EXPECT_FALSE (polled ().full);
+  for (auto &v : voters)
+    v->full = false;
+}
+
 TEST_F (Control, HigherIncarnationTakesOver)
 {
   start_all ();
--- a/libplantainusher/control/polls.c
+++ b/libplantainusher/control/polls.c
@@ -6,9 +6,10 @@
 /* Longest wait of a poll, whatever it asks for.  */
 #define WAIT_MAX_MS 30000
 
-/* Changes of copies are gathered for so long: an answer and the poll after it
-   cost more than twice as many bytes as a change.  */
-#define GATHER_MS 250
+/* A voter that has not got committed entries for so long, as one whose disk is
+   full, has no news for those who poll it: another voter has.  Entries are in
+   force within two seconds on the platform; a slow sync is over earlier.  */
+#define BEHIND_MAX_MS 500
 
 /* Most bytes of entries in one answer.  */
 #define ANSWER_BYTES_MAX ((size_t)4 << 20)
@@ -104,32 +105,46 @@
   return true;
 }
 
+/* needs_image - whether entries alone don't bring P up to date.  */
+static bool
+needs_image (const pu_control_t *c, const poll_t *p)
+{
+  return p->fresh || !pu_feed_covers (c->feed, p->position);
+}
+
 /* put_news - fills in what P does not have.  False when there is nothing.  The
    position says up to where the daemon has everything with this answer. */
 static bool
-put_news (pu_control_t *c, const poll_t *p, pu_poll_reply *r,
-          pu_public_entry *entries)
+put_news (pu_control_t *c, const poll_t *p, pu_poll_reply *r)
 {
   guint n;
 
   r->position = pu_state_position (c->state);
-  if (p->fresh || !pu_feed_covers (c->feed, p->position))
+  if (needs_image (c, p))
     {
       if (put_image (c, r))
         return true;
       r->position = p->position;
       return false;
     }
-  n = pu_feed_read (c->feed, p->position, entries, PU_CONTROL_LIST_MAX,
+  n = pu_feed_read (c->feed, p->position, c->news, PU_CONTROL_LIST_MAX,
                     ANSWER_BYTES_MAX, p->deltas);
-  r->entries.entries_val = entries;
+  r->entries.entries_val = c->news;
   r->entries.entries_len = n;
   /* The rest of a full answer comes with the next.  */
-  if (n > 0 && entries[n - 1].position != pu_feed_newest (c->feed))
-    r->position = entries[n - 1].position;
+  if (n > 0 && c->news[n - 1].position != pu_feed_newest (c->feed))
+    r->position = c->news[n - 1].position;
   return n > 0;
 }
 
+/* is_served - whether P is answered now: it lacks what others were told, or
+   needs an image.  */
+static bool
+is_served (const pu_control_t *c, const poll_t *p)
+{
+  return needs_image (c, p) || pu_pace_is_late (&c->pace, p->position);
+}
+
 static void
 poll_free (poll_t *p)
 {
@@ -137,17 +152,41 @@
   g_free (p);
 }
 
+/* poll_refuse - the daemon polls the next voter at once.  */
+static void
+poll_refuse (poll_t *p)
+{
+  pu_rpc_call_t *call = p->call;
+
+  poll_free (p);
+  pu_rpc_call_refuse (call);
+}
+
+/* is_behind - whether others know more than this voter.  An image of an old
+   state would make a daemon ready with it: there a moment is too long.  */
+static bool
+is_behind (const pu_control_t *c, const poll_t *p)
+{
+  uint64_t ms = pu_group_behind_ms (c->group);
+
+  return needs_image (c, p) ? ms > 0 : ms > BEHIND_MAX_MS;
+}
+
 /* poll_answer - answers P when there is news, or ANYWAY.  */
 static void
 poll_answer (poll_t *p, bool anyway)
 {
   pu_control_t *c = p->control;
-  pu_public_entry *entries = g_new0 (pu_public_entry, PU_CONTROL_LIST_MAX);
   pu_voter voters[PU_CONTROL_VOTERS_MAX];
   pu_rpc_call_t *call = p->call;
   pu_poll_reply r = { 0 };
 
-  if (put_news (c, p, &r, entries) || anyway)
+  if (is_behind (c, p))
+    {
+      poll_refuse (p);
+      return;
+    }
+  if (put_news (c, p, &r) || anyway)
     {
       r.leader = g_strdup (pu_control_leader_address (c));
       put_voters (&r, c->group, p->voters_hash, voters);
@@ -155,7 +194,6 @@
       pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_poll_reply, &r);
       g_free (r.leader);
     }
-  g_free (entries);
 }
 
 /* --- those who wait --- */
@@ -178,14 +216,18 @@
 on_answer (uv_timer_t *t)
 {
   pu_control_t *c = t->data;
+  uint64_t now = pu_control_now (c);
 
-  polls_answer (c, pu_control_now (c));
+  pu_pace_tell (&c->pace, pu_feed_newest (c->feed), now);
+  polls_answer (c, now);
 }
 
 void
 pu_control_polls_init (pu_control_t *c)
 {
   g_queue_init (&c->polls);
+  c->news = g_new0 (pu_public_entry, PU_CONTROL_LIST_MAX);
+  c->pace.gather_ms = c->options.gather_ms;
   c->answer = pu_rpc_timer_new (c->options.loop, c);
 }
 
@@ -195,33 +237,25 @@
   poll_t *p;
 
   while ((p = g_queue_peek_head (&c->polls)) != NULL)
-    {
-      pu_rpc_call_t *call = p->call;
-
-      poll_free (p);
-      pu_rpc_call_refuse (call);
-    }
+    poll_refuse (p);
   pu_rpc_timer_free (c->answer);
   c->answer = NULL;
   if (c->image != NULL)
     g_bytes_unref (c->image);
   c->image = NULL;
+  g_clear_pointer (&c->news, g_free);
 }
 
 void
-pu_control_polls_wake (pu_control_t *c, bool hurry)
+pu_control_polls_wake (pu_control_t *c, pu_news_t news)
 {
-  /* Entries that are applied together are answered together.  */
-  if (c->answer == NULL || c->polls.length == 0)
+  uint64_t wait_ms;
+
+  if (c->answer == NULL)
     return;
-  if (hurry)
-    {
-      uv_timer_start (c->answer, on_answer, 0, 0);
-    }
-  else if (!uv_is_active ((uv_handle_t *)c->answer))
-    {
-      uv_timer_start (c->answer, on_answer, GATHER_MS, 0);
-    }
+  wait_ms = pu_pace_news (&c->pace, news, pu_control_now (c));
+  /* Entries that are applied together are answered together.  */
+  uv_timer_start (c->answer, on_answer, wait_ms, 0);
 }
 
 void
@@ -274,7 +308,8 @@
   xdr_free ((xdrproc_t)xdr_pu_poll, &args);
   g_queue_push_tail_link (&c->polls, &p->node);
   pu_rpc_call_on_close (call, on_poll_closed, p);
-  poll_answer (p, p->due == now);
+  if (p->due == now || is_behind (c, p) || is_served (c, p))
+    poll_answer (p, p->due == now);
 }
 
 void
