--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -148,7 +148,7 @@
                const copy_t *c, guint64 pending)
 {
   guint target = service_at (r, q->service)->first_token_ms;
-  double ahead_ms = line_slope (&c->first) * (double)pending;
+  double ahead_ms = line_slope (copy_first (r, c)) * (double)pending;
 
   if (target == 0 || pending == 0)
     return true;
@@ -220,6 +220,7 @@
   const backend_t *s = backend_at (r, b);
   const copy_t *c = &g_array_index (s->copies, copy_t, copy);
   const model_t *m = model_at (r, q->model);
+  const line_t *first = copy_first (r, c);
   guint load;
   bool eager = service_at (r, q->service)->serve_late;
   guint64 pending;
@@ -237,14 +238,14 @@
   out->copy = copy;
   out->cached = tokens_saved (r, q, s);
   out->work = pending + q->prompt_tokens - out->cached;
-  out->first_ms = line_at (&c->first, (double)out->work) + s->cost_ms;
+  out->first_ms = line_at (first, (double)out->work) + s->cost_ms;
   out->score = out->first_ms + version_cost (r, q, c) + load * LOAD_TIE_MS
                + backend_step_ms (r, s, m, load + 1);
   /* Of equal errors up and down, half would be late without the margin.
      An idle one takes what would otherwise wait for nothing better.  */
   if (eager)
     return true;
-  margin = DEVIATIONS * c->first.deviation;
+  margin = DEVIATIONS * first->deviation;
   return load == 0 || (double)now + out->first_ms + margin <= (double)q->due;
 }
 
--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -34,14 +34,14 @@
   double net = MAX (ms - b->cost_ms, 0);
 
   learn_token (r, q, net);
-  line_add (&model_at (r, q->model)->first, (double)q->work, net);
   for (guint i = 0; i < b->copies->len; i++)
     {
       copy_t *c = &g_array_index (b->copies, copy_t, i);
 
       if (c->model == q->model && c->phase == PU_ROUTER_COPY_READY)
-        line_add (&c->first, (double)q->work, net);
+        copy_learn (r, c, (double)q->work, net);
     }
+  line_add (&model_at (r, q->model)->first, (double)q->work, net);
 }
 
 /* The prompt's blocks are cached now where it ran.  */
@@ -155,25 +155,32 @@
 
 /* Retries.  */
 
-static void
-note_failure (pu_router_t *r, request_t *q, pu_router_failure_t failure,
-              guint64 now)
+bool
+pu_router_failure_may_have_run (pu_router_failure_t failure)
 {
-  pu_router_backend_t b = q->backend;
-
   switch (failure)
     {
     case PU_ROUTER_FAIL_CONNECT:
     case PU_ROUTER_FAIL_NOT_RUN:
     case PU_ROUTER_FAIL_ABSENT:
-      break;
+      return false;
     case PU_ROUTER_FAIL_DIED:
     case PU_ROUTER_FAIL_ERROR:
     case PU_ROUTER_FAIL_SILENT:
     case PU_ROUTER_FAIL_TRUNCATED:
-      q->may_have_run = true;
-      break;
+      return true;
     }
+  return true;
+}
+
+static void
+note_failure (pu_router_t *r, request_t *q, pu_router_failure_t failure,
+              guint64 now)
+{
+  pu_router_backend_t b = q->backend;
+
+  if (pu_router_failure_may_have_run (failure))
+    q->may_have_run = true;
   backend_failed (r, b, failure, now);
   if (failure != PU_ROUTER_FAIL_NOT_RUN && q->n_tried < TRIED_MAX)
     q->tried[q->n_tried++] = backend_at (r, b)->serial;
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -369,6 +369,10 @@
   PU_ROUTER_FAIL_ABSENT,    /* not run: it has not got the copy */
 } pu_router_failure_t;
 
+/* pu_router_failure_may_have_run - whether a request may have run, at least
+   in part, where its attempt ended with FAILURE.  */
+bool pu_router_failure_may_have_run (pu_router_failure_t failure);
+
 /* pu_router_failure_name - a word for logs and counters.  */
 const char *pu_router_failure_name (pu_router_failure_t failure);
 
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -83,7 +83,8 @@
   pu_router_model_t model;
   char *version;
   pu_router_phase_t phase;
-  line_t first;
+  line_t first; /* as its model's, but of this copy alone */
+  bool tried;   /* `first` holds a sample */
 } copy_t;
 
 typedef struct
@@ -268,6 +269,14 @@
 double backend_step_ms (const pu_router_t *r, const backend_t *b,
                         const model_t *m, guint load);
 
+/* copy_first - the time to the first token on C.  Of a copy that nothing was
+   sent to yet it is its model's as it is now: one kept from when the copy came
+   would stand for ever where the others have become faster since.  */
+const line_t *copy_first (const pu_router_t *r, const copy_t *c);
+
+/* copy_learn - a sample for C: MS to the first token of WORK.  */
+void copy_learn (const pu_router_t *r, copy_t *c, double work, double ms);
+
 /* backend_count - notes that own work on B changed.  */
 void backend_count (backend_t *b, guint64 now);
 
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -226,6 +226,32 @@
   EXPECT_EQ (offer (q).backend, b);
 }
 
+TEST_F (Router, UntriedCopyIsTriedOnceTheOthersAreFast)
+{
+  /* One request at a time, of TAKES ms each; how many of N go to B.  */
+  auto serve = [this] (int n, guint64 takes, pu_router_backend_t b) {
+    int there = 0;
+    for (int i = 0; i < n; i++)
+      {
+        pu_router_decision_t d = offer (request ());
+        EXPECT_EQ (d.verdict, PU_ROUTER_DISPATCH);
+        there += d.backend == b;
+        pu_router_sent (r_, d.ticket, now_);
+        now_ += takes;
+        pu_router_first_token (r_, d.ticket, now_);
+        finish (d.ticket);
+      }
+    return there;
+  };
+  backend ("first");
+  serve (20, 60, PU_ROUTER_NONE);
+  /* It comes while the first one is slow, which then is slow no more.  */
+  backend ("late", 0, "1", PU_ROUTER_COPY_LOADING);
+  serve (30, 5, PU_ROUTER_NONE);
+  pu_router_backend_t late = backend ("late");
+  EXPECT_GT (serve (50, 5, late), 10);
+}
+
 TEST_F (Router, ReportHoldsForItsLife)
 {
   pu_router_backend_t a = backend ("a", 1);
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -248,11 +248,13 @@
         .model = m,
         .version = g_strdup (copies[i].version),
         .phase = copies[i].phase,
-        .first = old ? old->first : model_at (r, m)->first,
       };
 
-      if (!old)
-        c.first.weight = MIN (c.first.weight, 1);
+      if (old)
+        {
+          c.first = old->first;
+          c.tried = old->tried;
+        }
       g_array_append_val (list, c);
     }
   g_array_free (s->copies, TRUE);
@@ -530,6 +532,24 @@
   return line_at (s->step_known ? &s->step : &m->step, load);
 }
 
+const line_t *
+copy_first (const pu_router_t *r, const copy_t *c)
+{
+  return c->tried ? &c->first : &model_at (r, c->model)->first;
+}
+
+void
+copy_learn (const pu_router_t *r, copy_t *c, double work, double ms)
+{
+  if (!c->tried)
+    {
+      c->first = model_at (r, c->model)->first;
+      c->first.weight = MIN (c->first.weight, 1);
+      c->tried = true;
+    }
+  line_add (&c->first, work, ms);
+}
+
 bool
 pu_router_kv_events (pu_router_t *r, pu_router_backend_t b,
                      const pu_router_kv_events_t *e)
