Entry: requests before the document wait for it; check-ins that renew nothing are refused

Causes: after a restart of all, every instance answered 503 for a second; cut-off instances acknowledged check-ins that renewed nothing, and 12 of 21 backend servers were taken for down.

--- a/fakes/batch.c
+++ b/fakes/batch.c
@@ -63,7 +63,9 @@
   (void)data;
   if (x->priority != y->priority)
     return x->priority > y->priority ? -1 : 1;
-  return x->arrival < y->arrival ? -1 : 1;
+  if (x->arrival != y->arrival)
+    return x->arrival < y->arrival ? -1 : 1;
+  return 0; /* itself: else no look-up finds it */
 }
 
 static void
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -218,6 +218,7 @@
   o.seed = seed_of (s);
   o.heartbeat_ms = s->timing.heartbeat_ms;
   o.election_ms = s->timing.election_ms;
+  o.gather_ms = s->timing.gather_ms;
   o.sessions_ms = s->timing.sessions_ms;
   o.replace_after_ms = s->timing.replace_after_ms;
   o.voters_wanted = s->limits.voters;
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -152,12 +152,16 @@
 step_finishing (pu_daemon_t *d)
 {
   uint64_t limit = (uint64_t)d->settings->limits.drain_s * MS_PER_S;
+  guint open = pu_entry_open (d->entry);
 
   if (!d->hurry && in_phase_ms (d) < limit
       && !pu_break_active (PU_BREAK_STOP_CUTS))
     return;
-  pu_log_warn (PART, "Gave up %u requests at the end of the drain time.",
-               pu_entry_open (d->entry));
+  if (open > 0)
+    {
+      pu_log_warn (PART, "Gave up %u requests at the end of the drain time.",
+                   open);
+    }
   pu_entry_abort (d->entry);
 }
 
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -23,6 +23,21 @@
   return pu_agent_ready (d->agent);
 }
 
+/* Two polls, and what an election or a late answer may take besides.  */
+#define CUT_OFF_POLLS 2
+#define CUT_OFF_SLACK_MS 200
+
+static bool
+entry_in_touch (void *data)
+{
+  const pu_daemon_t *d = data;
+  guint64 cut_off_ms
+      = CUT_OFF_POLLS * (guint64)d->settings->timing.poll_wait_ms
+        + CUT_OFF_SLACK_MS;
+
+  return pu_agent_silent_ms (d->agent) < cut_off_ms;
+}
+
 static guint64
 entry_incarnation (void *data)
 {
@@ -71,6 +86,7 @@
 {
   h->view = entry_view;
   h->ready = entry_ready;
+  h->in_touch = entry_in_touch;
   h->incarnation = entry_incarnation;
   h->propose = entry_propose;
   h->renew = entry_renew;
--- a/libplantainusher/document/schema.c
+++ b/libplantainusher/document/schema.c
@@ -9,6 +9,8 @@
 #define MEMORY_MB_MAX 10000000
 #define NOT_REPEATABLE_MAX 256
 #define ROUTES_MAX 16384
+/* Loads, or loads a second: thousands of engines share some stores.  */
+#define STORE_MAX 100000
 #define PARTS_MAX 256
 #define PATH_MAX_BYTES 4096
 #define HOST_MAX_BYTES 255
@@ -209,9 +211,9 @@
 
 static const pu_field_t placement_fields[] = {
   NUMBER (pu_placement_settings_t, moves_weight, 0, 1, 0.5, NULL),
-  NUMBER (pu_placement_settings_t, store_loads_per_s, 0.01, 1000, 2,
+  NUMBER (pu_placement_settings_t, store_loads_per_s, 0.01, STORE_MAX, 2,
           "loads a second"),
-  INT (pu_placement_settings_t, store_full_speed, 1, 1000, 3, "loads"),
+  INT (pu_placement_settings_t, store_full_speed, 1, STORE_MAX, 3, "loads"),
   INT (pu_placement_settings_t, min_stay_s, 0, DAY_S, 120, "s"),
   INT (pu_placement_settings_t, payback_s, 1, DAY_S, 300, "s"),
   { .name = "zone_spread",
--- /dev/null
+++ b/libplantainusher/entry/admit.c
@@ -0,0 +1,170 @@
+/* From a request to its exchange: whether it is taken at all.  */
+
+#include "entry/entry_private.h"
+#include "entry/trace.h"
+
+const pu_refusal_t pu_refusal_stopping
+    = { 503, "stopping", PU_NOT_RUN, PU_BUSY_RETRY_MS };
+
+/* The caller has gone.  A claimed call that was sent runs on, so that its
+   outcome can be recorded; all else is cancelled.  */
+static void
+on_gone (void *data)
+{
+  pu_exchange_t *x = data;
+
+  x->http = NULL;
+  pu_trace_left (x);
+  if (x->claim != 0)
+    return;
+  if (x->once && x->phase == PU_X_CLAIMING)
+    pu_once_give_up (x->en->once, x->number, uv_now (x->en->o.loop));
+  pu_exchange_done (x);
+}
+
+static void
+on_drain (void *data)
+{
+  pu_exchange_t *x = data;
+
+  if (x->at.call != NULL)
+    pu_http_call_resume (x->at.call);
+}
+
+static pu_exchange_t *
+exchange_new (pu_entry_t *en, pu_http_request_t *http)
+{
+  pu_exchange_t *x = g_new0 (pu_exchange_t, 1);
+
+  x->en = en;
+  x->http = http;
+  x->link.data = x;
+  x->number = ++en->last_number;
+  pu_request_init (&x->q);
+  x->avoid = g_ptr_array_new_with_free_func (g_free);
+  pu_sent_init (&x->sent);
+  return x;
+}
+
+static void
+exchange_admit (pu_exchange_t *x)
+{
+  static const pu_http_request_events_t events = { on_gone, on_drain };
+  pu_entry_t *en = x->en;
+
+  pu_http_request_watch (x->http, &events, x);
+  g_queue_push_tail_link (&en->open, &x->link);
+  g_hash_table_insert (en->numbers, &x->number, x);
+  pu_rates_count (en, x->q.service);
+  if (x->once)
+    {
+      pu_claim_begin (x);
+    }
+  else
+    {
+      pu_exchange_route (x);
+    }
+}
+
+/* X goes on when its request could be read; else it was answered so.  */
+static void
+exchange_begin (pu_exchange_t *x, bool read)
+{
+  if (read)
+    {
+      exchange_admit (x);
+    }
+  else
+    {
+      pu_exchange_free (x);
+    }
+}
+
+static void
+turn_away (pu_entry_t *en, pu_http_request_t *http, const pu_refusal_t *r,
+           const char *message)
+{
+  const char *id = en->front.id (en->front.data, http);
+
+  pu_trace_turned_away (en, id, r, message);
+  en->front.refuse (en->front.data, http, id, r, message);
+}
+
+static bool
+has_room (pu_entry_t *en, pu_http_request_t *http)
+{
+  static const pu_refusal_t full
+      = { 503, "overloaded", PU_NOT_RUN, PU_BUSY_RETRY_MS };
+
+  /* It came on a connection that an earlier answer kept open, and might not
+     end in the time that is left.  */
+  if (en->stopping)
+    {
+      turn_away (en, http, &pu_refusal_stopping, "This entry is stopping.");
+      return false;
+    }
+  if (en->open.length < en->o.requests_max)
+    return true;
+  turn_away (en, http, &full, "Too many requests are in progress here.");
+  return false;
+}
+
+void
+pu_exchange_begin_model (pu_entry_t *en, pu_http_request_t *http, bool chat)
+{
+  pu_exchange_t *x;
+
+  if (!has_room (en, http))
+    return;
+  x = exchange_new (en, http);
+  exchange_begin (x, pu_exchange_parse_model (x, chat));
+}
+
+void
+pu_exchange_begin_plain (pu_entry_t *en, pu_http_request_t *http)
+{
+  pu_exchange_t *x;
+
+  if (!has_room (en, http))
+    return;
+  x = exchange_new (en, http);
+  exchange_begin (x, pu_exchange_parse_plain (x));
+}
+
+void
+pu_exchange_begin_front (pu_entry_t *en, pu_http_request_t *http)
+{
+  if (en->document != NULL)
+    {
+      pu_exchange_begin_held (en, http, uv_now (en->o.loop));
+    }
+  else if (!pu_early_hold (en, http))
+    {
+      pu_exchange_refuse_early (en, http);
+    }
+}
+
+void
+pu_exchange_refuse_early (pu_entry_t *en, pu_http_request_t *http)
+{
+  static const pu_refusal_t starting
+      = { 503, "starting", PU_NOT_RUN, PU_BUSY_RETRY_MS };
+
+  turn_away (en, http, &starting, "This entry has no document yet.");
+}
+
+void
+pu_exchange_begin_held (pu_entry_t *en, pu_http_request_t *http,
+                        guint64 arrived)
+{
+  pu_exchange_t *x;
+  bool read;
+
+  if (!has_room (en, http))
+    return;
+  x = exchange_new (en, http);
+  x->q.arrived = arrived;
+  read = en->front.read (en->front.data, en->document, http, &x->q);
+  x->last_event = x->q.after;
+  exchange_begin (x, read);
+}
--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -184,6 +184,12 @@
     pu_spread_add (en, a->record->name, a->record->incarnation, &a->load);
 }
 
+bool
+pu_entry_takes_reports (const pu_entry_t *en)
+{
+  return en->o.hooks.in_touch (en->o.hooks.data);
+}
+
 bool
 pu_entry_report (pu_entry_t *en, const pu_backend_record *record, guint64 seq)
 {
@@ -272,9 +278,17 @@
 report_answer (const pu_entry_t *en, pu_http_request_t *http, guint64 seq,
                bool whole)
 {
-  json_t *v = json_pack ("{s:I, s:i}", "seq", (json_int_t)seq, "interval_ms",
-                         (int)en->o.report_ms);
+  static const pu_refusal_t cut_off = { 503, "cut-off", PU_NOT_RUN, 0 };
+  json_t *v;
 
+  if (!pu_entry_takes_reports (en))
+    {
+      pu_answer_error (http, NULL, &cut_off,
+                       "This instance reaches no voter; report to another.");
+      return;
+    }
+  v = json_pack ("{s:I, s:i}", "seq", (json_int_t)seq, "interval_ms",
+                 (int)en->o.report_ms);
   if (whole)
     json_object_set_new (v, "whole", json_true ());
   pu_answer_json (http, 200, v);
--- a/libplantainusher/entry/deliver.c
+++ b/libplantainusher/entry/deliver.c
@@ -127,17 +127,36 @@
   stream_write (x, bytes, len);
 }
 
+/* Notes how the caller of X has to wait for its events.  */
+static void
+note_pace (pu_exchange_t *x)
+{
+  guint64 now = now_of (x);
+
+  if (x->events > 0)
+    {
+      x->pause_ms = MAX (x->pause_ms, (guint)(now - x->event_at));
+    }
+  else
+    {
+      x->first_ms = (guint)(now - x->q.arrived);
+      pu_trace_first_event (x);
+    }
+  x->event_at = now;
+}
+
 void
 pu_deliver_events (void *data, const char *bytes, gsize len, guint n)
 {
   pu_exchange_t *x = data;
 
   x->last_event = pu_events_last (x->at.events);
-  if (x->events == 0 && n > 0)
-    pu_trace_first_event (x);
-  x->events += n;
   if (n > 0)
-    progress_report (x, pu_events_count (x->at.events));
+    {
+      note_pace (x);
+      x->events += n;
+      progress_report (x, pu_events_count (x->at.events));
+    }
   stream_write (x, bytes, len);
 }
 
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -200,6 +200,7 @@
   pu_once_tick (en->once, now);
   pu_claim_pump (en);
   pu_exchanges_tick (en, now);
+  pu_early_tick (en, now);
   pu_rates_tick (en, now);
   if (now - en->flushed >= LOADS_MS)
     {
@@ -254,6 +255,9 @@
 {
   en->servers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pu_server_free);
+  en->waiting = g_hash_table_new (NULL, NULL);
+  en->others = g_ptr_array_new_with_free_func (g_free);
+  en->others_view = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
   en->struck
@@ -324,6 +328,8 @@
   g_hash_table_destroy (en->listeners);
   g_hash_table_destroy (en->load_ids);
   g_hash_table_destroy (en->wants);
+  g_hash_table_destroy (en->waiting);
+  g_ptr_array_free (en->others, TRUE);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
   g_hash_table_destroy (en->strikes);
@@ -472,6 +478,7 @@
   en->leaving = true;
   en->stop_cb = cb;
   en->stop_data = data;
+  pu_early_tick (en, uv_now (en->o.loop));
   pu_http_server_stop (en->server, on_server_stopped, en);
 }
 
@@ -497,6 +504,8 @@
   if (en == NULL)
     return;
   pu_exchanges_abort (en);
+  en->stopping = true;
+  pu_early_tick (en, uv_now (en->o.loop));
   en->freed = true;
   pu_http_client_free (en->client);
   pu_http_server_free (en->server);
@@ -542,8 +551,9 @@
 pu_entry_dump (const pu_entry_t *en)
 {
   return json_pack (
-      "{s:b, s:i, s:i, s:i, s:i, s:i, s:i, s:I, s:I, s:o, s:o}", "leaving",
-      en->leaving, "requests", (int)en->open.length, "caller_connections",
+      "{s:b, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:I, s:I, s:o, s:o}",
+      "leaving", en->leaving, "requests", (int)en->open.length,
+      "before_document", (int)en->early.length, "caller_connections",
       (int)pu_http_server_connections (en->server), "backend_connections",
       (int)pu_http_client_open (en->client), "idle_connections",
       (int)pu_http_client_idle (en->client), "claims_at_work",
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -57,6 +57,8 @@
   const pu_state_t *(*view) (void *data);
   /* Whether the view may be served from.  */
   bool (*ready) (void *data);
+  /* Whether what is renewed here reaches the leader.  */
+  bool (*in_touch) (void *data);
   /* The incarnation of this daemon, owner of its claims.  */
   guint64 (*incarnation) (void *data);
   /* As pu_agent_propose: FN exactly once, never from within.  */
@@ -146,6 +148,13 @@
 void pu_entry_loads_in (pu_entry_t *en, const pu_entry_load_t *loads, guint n,
                         guint life_ms);
 
+/* pu_entry_takes_reports - whether a report that comes now may be
+   acknowledged. One that is acknowledged by an instance that is cut off from
+   the voters renews no lease: in five seconds the backend server is down
+   everywhere else, though it runs and would have reported to another instance.
+ */
+bool pu_entry_takes_reports (const pu_entry_t *en);
+
 /* pu_entry_report - a front has read what a backend server says of itself:
    RECORD (copied) with the number SEQ, which rises within its incarnation.
    False: it is no newer than what is known, and changes nothing.  */
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -63,7 +63,8 @@
   guint refused;       /* probes in a row that nobody listened to */
   guint64 probe_at;    /* loop time of the next one; 0: none */
   guint64 apart_until; /* loop time: those that were cut count until then */
-  guint64 dead_until;  /* loop time: found dead here, whatever the view says */
+  guint64 dead_until;  /* loop time: found dead here, whatever the view says;
+                          0: not */
   GHashTable *extras;  /* model -> extra_t: copies that were told of, or found
                           missing, since its last report */
 } pu_server_t;
@@ -155,6 +156,9 @@
   pu_sent_t sent;     /* what the caller has got of a stream of tokens */
   guint64 last_event; /* number of the last event that the caller has got */
   guint events;       /* that the caller has got from here */
+  guint64 event_at;   /* when the last of them came, loop time */
+  guint first_ms;     /* from the arrival to the first of them */
+  guint pause_ms;     /* the longest between two of them */
   guint resumed;      /* tokens that the other entry's caller had before */
   bool head_sent;
   bool may_have_run;
@@ -180,7 +184,11 @@
   pu_document_t *document;
   guint64 document_version;
   guint64 changes;       /* of the view, as taken in */
+  GPtrArray *others;     /* peers' addresses of all other entries */
+  guint64 others_view;   /* of the view's members, as they are in there */
   GHashTable *servers;   /* name -> pu_server_t */
+  GHashTable *waiting;   /* set of pu_server_t of which something ends with
+                            time */
   GHashTable *reporters; /* name -> pu_reporter_t */
   GHashTable *strikes;   /* &fingerprint -> pu_strike_t */
   GHashTable *struck;    /* set of &fingerprint, as in the view */
@@ -191,6 +199,8 @@
   GHashTable *tickets;   /* &ticket -> pu_exchange_t */
   GHashTable *numbers;   /* &number -> pu_exchange_t */
   GQueue open;           /* of pu_exchange_t */
+  GQueue early;          /* of early_t of early.c */
+  gsize early_bytes;     /* of their bodies */
   GHashTable *listeners; /* peers' address -> listener_t of spread.c */
   GHashTable *load_ids;  /* &load_id -> pu_server_t */
   GHashTable *wants;     /* model -> want_t of wants.c */
@@ -271,6 +281,20 @@
 
 void pu_reporter_free (gpointer reporter);
 
+/* --- early.c: requests that come before there is a document --- */
+
+/* pu_early_hold - HTTP waits for the document; false: it does not, as too much
+   waits.  After all instances were killed at once each of them has no document
+   for a second, and a caller that is refused then has often no more tries: a
+   twentieth of a minute's requests.  */
+bool pu_early_hold (pu_entry_t *en, pu_http_request_t *http);
+
+/* pu_early_admit - what waits goes on, once there is a document.  */
+void pu_early_admit (pu_entry_t *en);
+
+/* pu_early_tick - what has waited too long is refused; all, when EN stops.  */
+void pu_early_tick (pu_entry_t *en, guint64 now);
+
 /* --- wants.c: requests for a model that no backend server has --- */
 
 void pu_want_free (gpointer want);
@@ -320,8 +344,9 @@
 pu_server_t *pu_server_find (const pu_entry_t *en, const char *name);
 void pu_server_free (gpointer server);
 
-/* pu_servers_sync - takes the view's backend servers in.  */
-void pu_servers_sync (pu_entry_t *en);
+/* pu_servers_sync - takes in the backend servers that changed after the view's
+   count of changes was SINCE; 0: all.  */
+void pu_servers_sync (pu_entry_t *en, guint64 since);
 
 /* pu_server_apply - puts B into the router.  */
 pu_server_t *pu_server_apply (pu_entry_t *en, const pu_backend_record *b);
@@ -398,8 +423,17 @@
    the member "resume_text".  */
 GBytes *pu_exchange_resume_body (const pu_exchange_t *x);
 
-/* --- exchange.c: one request from admission to its end --- */
+/* --- admit.c: from a request to its exchange --- */
+
+/* When a caller comes back that is refused for what lasts a moment, ms: by
+   then it has asked which entries to use again.  */
+#define PU_BUSY_RETRY_MS 1000
 
+/* The instance stops: what is new, and what can't end in time, is told so.  */
+extern const pu_refusal_t pu_refusal_stopping;
+
+/* pu_exchange_begin_model, _plain - take HTTP for a model or a plain service,
+   or answer it.  */
 void pu_exchange_begin_model (pu_entry_t *en, pu_http_request_t *http,
                               bool chat);
 void pu_exchange_begin_plain (pu_entry_t *en, pu_http_request_t *http);
@@ -408,6 +442,19 @@
    reads.  */
 void pu_exchange_begin_front (pu_entry_t *en, pu_http_request_t *http);
 
+/* pu_exchange_begin_held - the same, with a document, for one that ARRIVED
+   then.  */
+void pu_exchange_begin_held (pu_entry_t *en, pu_http_request_t *http,
+                             guint64 arrived);
+
+/* pu_exchange_refuse_early - HTTP is answered that there is no document.  */
+void pu_exchange_refuse_early (pu_entry_t *en, pu_http_request_t *http);
+
+/* --- exchange.c: one request from its admission to its end --- */
+
+/* pu_exchange_free - frees X, which holds nothing of a router or a caller.  */
+void pu_exchange_free (pu_exchange_t *x);
+
 /* pu_exchange_route - decides where X goes now: another entry, the router's
    queue, a backend server, or a refusal.  */
 void pu_exchange_route (pu_exchange_t *x);
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -358,6 +358,19 @@
   EXPECT_EQ (1u, a.ran.size ());
 }
 
+TEST_F (Entry, ReportsAreNotAcknowledgedWithoutAVoter)
+{
+  backend &a = r.add_backend ("e1", "", n);
+
+  n.in_touch = false;
+  EXPECT_EQ (503, r.announce (a, n, ",\"leaving\":true"));
+  caller c;
+  r.ask (c, n, "hi", true);
+  EXPECT_EQ (503, c.status) << "what it said holds here";
+  n.in_touch = true;
+  EXPECT_EQ (200, r.announce (a, n));
+}
+
 TEST_F (Entry, LeavingBackendServerGetsNothingNew)
 {
   backend &a = r.add_backend ("e1", "", n);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -1,21 +1,17 @@
 #include "entry/entry_private.h"
 
-#include <string.h>
-
-#include "base/log.h"
 #include "entry/trace.h"
 
 enum
 {
   ATTEMPTS_MAX = 6,
-  BUSY_RETRY_MS = 1000,
   STATUS_CONVICTED = 422,
 };
 
 /* --- life --- */
 
-static void
-exchange_free (pu_exchange_t *x)
+void
+pu_exchange_free (pu_exchange_t *x)
 {
   pu_request_clear (&x->q);
   pu_kept_clear (&x->kept);
@@ -60,157 +56,10 @@
     g_hash_table_remove (en->claims, GUINT_TO_POINTER (x->claim));
   g_hash_table_remove (en->numbers, &x->number);
   g_queue_unlink (&en->open, &x->link);
-  exchange_free (x);
+  pu_exchange_free (x);
   pu_entry_check (en);
 }
 
-/* The caller has gone.  A claimed call that was sent runs on, so that its
-   outcome can be recorded; all else is cancelled.  */
-static void
-on_gone (void *data)
-{
-  pu_exchange_t *x = data;
-
-  x->http = NULL;
-  pu_trace_left (x);
-  if (x->claim != 0)
-    return;
-  if (x->once && x->phase == PU_X_CLAIMING)
-    pu_once_give_up (x->en->once, x->number, uv_now (x->en->o.loop));
-  pu_exchange_done (x);
-}
-
-static void
-on_drain (void *data)
-{
-  pu_exchange_t *x = data;
-
-  if (x->at.call != NULL)
-    pu_http_call_resume (x->at.call);
-}
-
-static pu_exchange_t *
-exchange_new (pu_entry_t *en, pu_http_request_t *http)
-{
-  pu_exchange_t *x = g_new0 (pu_exchange_t, 1);
-
-  x->en = en;
-  x->http = http;
-  x->link.data = x;
-  x->number = ++en->last_number;
-  pu_request_init (&x->q);
-  x->avoid = g_ptr_array_new_with_free_func (g_free);
-  pu_sent_init (&x->sent);
-  return x;
-}
-
-static void
-exchange_admit (pu_exchange_t *x)
-{
-  static const pu_http_request_events_t events = { on_gone, on_drain };
-  pu_entry_t *en = x->en;
-
-  pu_http_request_watch (x->http, &events, x);
-  g_queue_push_tail_link (&en->open, &x->link);
-  g_hash_table_insert (en->numbers, &x->number, x);
-  pu_rates_count (en, x->q.service);
-  if (x->once)
-    {
-      pu_claim_begin (x);
-    }
-  else
-    {
-      pu_exchange_route (x);
-    }
-}
-
-static bool
-has_room (pu_entry_t *en, pu_http_request_t *http)
-{
-  static const pu_refusal_t full
-      = { 503, "overloaded", PU_NOT_RUN, BUSY_RETRY_MS };
-  static const pu_refusal_t stopping
-      = { 503, "stopping", PU_NOT_RUN, BUSY_RETRY_MS };
-
-  /* It came on a connection that an earlier answer kept open, and might not
-     end in the time that is left.  */
-  if (en->stopping)
-    {
-      en->front.refuse (en->front.data, http, NULL, &stopping,
-                        "This entry is stopping.");
-      return false;
-    }
-  if (en->open.length < en->o.requests_max)
-    return true;
-  en->front.refuse (en->front.data, http, NULL, &full,
-                    "Too many requests are in progress here.");
-  return false;
-}
-
-void
-pu_exchange_begin_model (pu_entry_t *en, pu_http_request_t *http, bool chat)
-{
-  pu_exchange_t *x;
-
-  if (!has_room (en, http))
-    return;
-  x = exchange_new (en, http);
-  if (pu_exchange_parse_model (x, chat))
-    {
-      exchange_admit (x);
-    }
-  else
-    {
-      exchange_free (x);
-    }
-}
-
-void
-pu_exchange_begin_plain (pu_entry_t *en, pu_http_request_t *http)
-{
-  pu_exchange_t *x;
-
-  if (!has_room (en, http))
-    return;
-  x = exchange_new (en, http);
-  if (pu_exchange_parse_plain (x))
-    {
-      exchange_admit (x);
-    }
-  else
-    {
-      exchange_free (x);
-    }
-}
-
-void
-pu_exchange_begin_front (pu_entry_t *en, pu_http_request_t *http)
-{
-  static const pu_refusal_t starting
-      = { 503, "starting", PU_NOT_RUN, BUSY_RETRY_MS };
-  pu_exchange_t *x;
-
-  if (en->document == NULL)
-    {
-      en->front.refuse (en->front.data, http, NULL, &starting,
-                        "This entry has no document yet.");
-      return;
-    }
-  if (!has_room (en, http))
-    return;
-  x = exchange_new (en, http);
-  x->q.arrived = uv_now (en->o.loop);
-  if (en->front.read (en->front.data, en->document, http, &x->q))
-    {
-      x->last_event = x->q.after;
-      exchange_admit (x);
-    }
-  else
-    {
-      exchange_free (x);
-    }
-}
-
 /* --- failures --- */
 
 /* What the caller is told must hold over all attempts.  */
@@ -333,7 +182,7 @@
       r.outcome = PU_RAN;
     }
   if (r.retry_after_ms == 0 && (r.status == 429 || r.status == 503))
-    r.retry_after_ms = BUSY_RETRY_MS;
+    r.retry_after_ms = PU_BUSY_RETRY_MS;
   /* The router forgets a ticket that it refuses.  */
   ticket_set (x, 0);
   pu_exchange_fail (x, &r, refused_message (d->reason));
@@ -602,7 +451,7 @@
 fail_lost (pu_exchange_t *x)
 {
   static const pu_refusal_t lost
-      = { 502, "attempts", PU_NOT_RUN, BUSY_RETRY_MS };
+      = { 502, "attempts", PU_NOT_RUN, PU_BUSY_RETRY_MS };
 
   pu_exchange_fail (x, &lost, "It failed wherever it was tried.");
 }
@@ -669,7 +518,7 @@
   char *entry = g_strdup (x->at.entry);
   pu_router_decision_t d;
 
-  if (failure != PU_ROUTER_FAIL_CONNECT && failure != PU_ROUTER_FAIL_NOT_RUN)
+  if (pu_router_failure_may_have_run (failure))
     x->may_have_run = true;
   pu_trace_broke (x, failure);
   pu_attempt_clear (x);
@@ -777,8 +626,6 @@
 void
 pu_exchanges_abort (pu_entry_t *en)
 {
-  static const pu_refusal_t stopping
-      = { 503, "stopping", PU_NOT_RUN, BUSY_RETRY_MS };
   GArray *numbers = open_numbers (en);
 
   for (guint i = 0; i < numbers->len; i++)
@@ -790,7 +637,7 @@
         continue;
       if (x->phase == PU_X_RUNNING || x->phase == PU_X_HELD)
         x->may_have_run = true;
-      pu_exchange_fail (x, &stopping, "This entry is stopping.");
+      pu_exchange_fail (x, &pu_refusal_stopping, "This entry is stopping.");
     }
   g_array_free (numbers, TRUE);
 }
--- a/libplantainusher/entry/front.h
+++ b/libplantainusher/entry/front.h
@@ -72,6 +72,8 @@
   /* Reads HTTP into Q, which is empty; false: HTTP is answered.  */
   bool (*read) (void *data, const pu_document_t *d, pu_http_request_t *http,
                 pu_request_t *q);
+  /* The id that HTTP brings, or NULL.  */
+  const char *(*id) (void *data, pu_http_request_t *http);
   /* Answers HTTP, of the request ID (may be NULL), with a refusal.  */
   void (*refuse) (void *data, pu_http_request_t *http, const char *id,
                   const pu_refusal_t *r, const char *message);
--- a/libplantainusher/entry/own_front.c
+++ b/libplantainusher/entry/own_front.c
@@ -125,18 +125,24 @@
   };
 }
 
+static const char *
+own_id (void *data, pu_http_request_t *http)
+{
+  (void)data;
+  return pu_http_request_header (http, "x-request-id");
+}
+
 static void
 own_refuse (void *data, pu_http_request_t *http, const char *id,
             const pu_refusal_t *r, const char *message)
 {
-  (void)data;
   if (id == NULL)
-    id = pu_http_request_header (http, "x-request-id");
+    id = own_id (data, http);
   pu_answer_error (http, id, r, message);
 }
 
 void
 pu_entry_own_front (pu_front_t *f)
 {
-  *f = (pu_front_t){ .refuse = own_refuse };
+  *f = (pu_front_t){ .id = own_id, .refuse = own_refuse };
 }
--- a/libplantainusher/entry/request.h
+++ b/libplantainusher/entry/request.h
@@ -47,6 +47,8 @@
                          router has it */
   guint64 arrived;    /* loop time, ms */
   guint64 deadline;   /* loop time, ms: an answer after it is of no use */
+  guint64 leaves;     /* loop time, ms: the caller goes then if it has had no
+                         first event; 0: at the deadline */
   guint prompt_tokens;
   guint max_tokens;
   guint64 prefix[PU_ROUTER_PREFIX_MAX];      /* chained hashes of the prompt */
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -126,12 +126,31 @@
     whole_answer (b, r, id);
 }
 
+void
+answer_wants (rig &r)
+{
+  std::deque<wanted> now;
+
+  now.swap (r.wants);
+  for (auto &w : now)
+    {
+      json_t *place
+          = r.due_ms > 0 ? json_pack ("{s:i}", "due_ms", r.due_ms) : nullptr;
+      pu_error_t e{};
+
+      e.kind = place != nullptr ? PU_OK : PU_ERROR_NOT_FOUND;
+      w.fn (w.data, place, &e);
+      json_decref (place);
+    }
+}
+
 void
 on_log (uv_timer_t *t)
 {
   rig &r = *static_cast<rig *> (t->data);
   std::deque<proposal> now;
 
+  answer_wants (r);
   now.swap (r.proposals);
   for (auto &p : now)
     {
@@ -186,16 +205,22 @@
   h.view = [] (void *d) {
     return const_cast<const pu_state_t *> (static_cast<node *> (d)->r->state);
   };
-  h.ready = [] (void *) { return true; };
+  h.ready = [] (void *d) { return static_cast<node *> (d)->ready; };
+  h.in_touch = [] (void *d) { return static_cast<node *> (d)->in_touch; };
   h.incarnation = [] (void *) { return guint64{ 1 }; };
   h.propose = propose;
   h.renew = [] (void *, const char *, guint64) {};
   h.demand = [] (void *d, const char *model, guint32 requests, guint32 ms) {
-    EXPECT_STREQ ("m", model);
+    EXPECT_EQ ('m', *model);
     EXPECT_EQ (1u, requests);
     static_cast<node *> (d)->demand_ms.push_back (ms);
   };
   h.loads = tell_loads;
+  if (n.r->loads_on_demand)
+    h.want = [] (void *d, const char *, guint, pu_entry_json_fn *fn,
+                 void *fn_data) {
+      static_cast<node *> (d)->r->wants.push_back ({ fn, fn_data });
+    };
   h.data = &n;
   return h;
 }
@@ -315,7 +340,7 @@
 }
 
 node &
-rig::add_node (const std::string &name)
+rig::add_node (const std::string &name, bool ready)
 {
   static const char *const keys[] = { "backend-key-0123456789" };
   pu_entry_options_t o;
@@ -325,6 +350,7 @@
   node &n = nodes.back ();
   n.r = this;
   n.name = name;
+  n.ready = ready;
   pu_entry_options_init (&o);
   o.loop = &loop;
   o.name = n.name.c_str ();
@@ -340,6 +366,7 @@
   o.propose_ms = 100;
   o.seed = 1;
   o.test_breaks = breaks;
+  o.loads_to_all = loads_to_all;
   o.front = front;
   o.hooks = hooks_of (n);
   n.entry = pu_entry_new (&o, nullptr);
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -77,6 +77,8 @@
   std::string name;
   std::string address;
   bool stopped = false;
+  bool in_touch = true;           /* with a voter */
+  bool ready = true;              /* its view may be served from */
   std::vector<guint32> demand_ms; /* of each request that was told */
 };
 
@@ -87,6 +89,12 @@
   void *data;
 };
 
+struct wanted
+{
+  pu_entry_json_fn *fn;
+  void *data;
+};
+
 struct rig
 {
   uv_loop_t loop{};
@@ -99,6 +107,10 @@
   guint breaks = 0; /* pu_entry_break_t of nodes to be added */
   const pu_front_t *front = nullptr; /* of nodes to be added; own if null */
   std::deque<proposal> proposals;
+  std::deque<wanted> wants;     /* copies that entries wait for */
+  bool loads_to_all = false;    /* of nodes to be added */
+  bool loads_on_demand = false; /* of nodes to be added: they ask for copies */
+  int due_ms = 0; /* what they are told until a copy is ready; 0: nothing */
   guint loads_told = 0; /* load reports that went from node to node */
   std::list<node> nodes;
   std::list<backend> backends;
@@ -109,7 +121,7 @@
   void until (const std::function<bool ()> &done);
   void apply (const pu_command &c, pu_reply *r = nullptr);
   void submit (const char *document);
-  node &add_node (const std::string &name);
+  node &add_node (const std::string &name, bool ready = true);
   backend &add_backend (const std::string &name, const std::string &service,
                         const node &to);
   void kill (backend &b);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -67,6 +67,21 @@
   return s;
 }
 
+/* server_wait - something of S ends with time: the tick looks at it.  Of some
+   thousand backend servers nearly all wait for nothing.  */
+static void
+server_wait (pu_server_t *s)
+{
+  g_hash_table_add (s->en->waiting, s);
+}
+
+static bool
+is_waiting (const pu_server_t *s)
+{
+  return s->probe_at != 0 || s->cut_apart > 0 || s->dead_until != 0
+         || g_hash_table_size (s->extras) > 0;
+}
+
 /* --- strikes --- */
 
 /* INCARNATION of S is dead: what ran there, or was cut there shortly before,
@@ -291,10 +306,12 @@
 }
 
 void
-pu_servers_sync (pu_entry_t *en)
+pu_servers_sync (pu_entry_t *en, guint64 since)
 {
   const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
 
+  if (pu_state_each_changed_backend (view, since, backend_take, en))
+    return;
   pu_state_each_backend (view, backend_take, en);
   forgotten_remove (en, view);
 }
@@ -321,6 +338,7 @@
 void
 pu_server_apart_cut (pu_server_t *s)
 {
+  server_wait (s);
   s->cut_apart++;
   s->apart_until = uv_now (s->en->o.loop) + s->en->o.settle_ms;
 }
@@ -375,6 +393,7 @@
   x->version = g_strdup (pu_document_model (en->document, m)->version);
   x->has = has;
   x->until = until;
+  server_wait (s);
   g_hash_table_replace (s->extras, g_strdup (model), x);
   router_set (s, b);
 }
@@ -458,6 +477,7 @@
   incarnation_died (s, s->incarnation);
   router_remove (s);
   s->down = true;
+  server_wait (s);
   s->dead_until = uv_now (s->en->o.loop) + DEAD_KEPT_MS;
   pu_http_client_close_idle (s->en->client, s->address);
   down_propose (s);
@@ -491,6 +511,7 @@
     }
   else
     {
+      server_wait (s);
       s->probe_at = uv_now (s->en->o.loop) + PROBE_AGAIN_MS;
     }
 }
@@ -529,6 +550,7 @@
                "Backend server %s is gone: another has its address.", s->name);
   router_remove (s);
   s->down = true;
+  server_wait (s);
   s->dead_until = uv_now (s->en->o.loop) + DEAD_KEPT_MS;
   down_propose (s);
 }
@@ -551,21 +573,43 @@
     g_ptr_array_remove (x->at.server->held, x);
 }
 
+/* What was found dead here is what the view says again.  */
+static void
+dead_tick (pu_server_t *s, guint64 now)
+{
+  const pu_backend_record *b;
+
+  if (s->dead_until == 0 || now < s->dead_until)
+    return;
+  s->dead_until = 0;
+  b = pu_state_backend (s->en->o.hooks.view (s->en->o.hooks.data), s->name);
+  if (b != NULL)
+    pu_server_apply (s->en, b);
+}
+
+static void
+server_tick (pu_server_t *s, guint64 now)
+{
+  extras_tick (s, now);
+  dead_tick (s, now);
+  if (s->probe_at != 0 && s->probe_at <= now)
+    probe_start (s);
+  for (; s->cut_apart > 0 && s->apart_until <= now; s->cut_apart--)
+    pu_server_apart (s->en, s, false);
+}
+
 void
 pu_servers_tick (pu_entry_t *en, guint64 now)
 {
-  GHashTableIter it;
-  gpointer value;
+  GList *all = g_hash_table_get_keys (en->waiting);
 
-  g_hash_table_iter_init (&it, en->servers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  for (const GList *l = all; l != NULL; l = l->next)
     {
-      pu_server_t *s = value;
+      pu_server_t *s = l->data;
 
-      extras_tick (s, now);
-      if (s->probe_at != 0 && s->probe_at <= now)
-        probe_start (s);
-      for (; s->cut_apart > 0 && s->apart_until <= now; s->cut_apart--)
-        pu_server_apart (en, s, false);
+      server_tick (s, now);
+      if (!is_waiting (s))
+        g_hash_table_remove (en->waiting, s);
     }
+  g_list_free (all);
 }
--- a/libplantainusher/entry/spread.c
+++ b/libplantainusher/entry/spread.c
@@ -116,42 +116,49 @@
   g_array_free (found, TRUE);
 }
 
+typedef struct
+{
+  const pu_entry_t *en;
+  GHashTable *seen; /* set of addresses */
+} others_t;
+
 static void
-add_member (const pu_member_record *m, void *data)
+add_other (const pu_member_record *m, void *data)
 {
-  if (*m->caller_address != '\0')
-    add_once (data, m->peer_address);
+  const others_t *o = data;
+
+  if (*m->caller_address != '\0' && strcmp (m->name, o->en->name) != 0
+      && g_hash_table_add (o->seen, m->peer_address))
+    g_ptr_array_add (o->en->others, g_strdup (m->peer_address));
 }
 
-/* All other entries.  */
-static GPtrArray *
-all_entries (pu_entry_t *en)
+/* All other entries, by their peers' addresses.  With hundreds of entries and
+   thousands of backend servers they are counted when one comes or goes, not
+   for each load.  */
+static const GPtrArray *
+other_entries (pu_entry_t *en)
 {
   const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
-  const pu_member_record *self = pu_state_member (view, en->name);
-  GPtrArray *addresses = g_ptr_array_new ();
-  guint at;
-
-  pu_state_each_member (view, add_member, addresses);
-  if (self != NULL
-      && g_ptr_array_find_with_equal_func (addresses, self->peer_address,
-                                           g_str_equal, &at))
-    g_ptr_array_remove_index_fast (addresses, at);
-  return addresses;
+  others_t o = { .en = en };
+
+  if (en->others_view == pu_state_view (view))
+    return en->others;
+  o.seen = g_hash_table_new (g_str_hash, g_str_equal);
+  g_ptr_array_set_size (en->others, 0);
+  pu_state_each_member (view, add_other, &o);
+  g_hash_table_destroy (o.seen);
+  en->others_view = pu_state_view (view);
+  return en->others;
 }
 
 /* The other entries that are told of B, by their peers' addresses, which are
-   the view's.  */
+   the view's or this entry's.  */
 static GPtrArray *
 listeners_of (pu_entry_t *en, const pu_backend_record *b)
 {
-  GPtrArray *services;
-  GPtrArray *addresses;
+  GPtrArray *services = services_of (en, b);
+  GPtrArray *addresses = g_ptr_array_new ();
 
-  if (en->o.loads_to_all)
-    return all_entries (en);
-  services = services_of (en, b);
-  addresses = g_ptr_array_new ();
   for (guint i = 0; i < services->len; i++)
     add_entries (en, g_ptr_array_index (services, i), addresses);
   g_ptr_array_free (services, TRUE);
@@ -182,6 +189,24 @@
   g_ptr_array_free (addresses, TRUE);
 }
 
+static void
+up_count (const pu_backend_record *b, void *data)
+{
+  *(guint *)data += b->down ? 0 : 1;
+}
+
+/* Where all entries are told of all, each hears of as many.  */
+static void
+heard_count_all (pu_entry_t *en)
+{
+  const GPtrArray *others = other_entries (en);
+  guint up = 0;
+
+  pu_state_each_backend (en->o.hooks.view (en->o.hooks.data), up_count, &up);
+  for (guint i = 0; i < others->len; i++)
+    listener_get (en, g_ptr_array_index (others, i))->heard = up;
+}
+
 static gboolean
 is_deaf (gpointer address, gpointer listener, gpointer data)
 {
@@ -194,12 +219,33 @@
 recount (pu_entry_t *en)
 {
   g_hash_table_foreach (en->listeners, heard_clear, NULL);
-  pu_state_each_backend (en->o.hooks.view (en->o.hooks.data), heard_count, en);
+  if (en->o.loads_to_all)
+    {
+      heard_count_all (en);
+    }
+  else
+    {
+      pu_state_each_backend (en->o.hooks.view (en->o.hooks.data), heard_count,
+                             en);
+    }
   g_hash_table_foreach_remove (en->listeners, is_deaf, NULL);
 }
 
 /* --- to them --- */
 
+static void
+load_queue (pu_entry_t *en, const GPtrArray *addresses, const char *name,
+            const pu_entry_load_t *load)
+{
+  for (guint i = 0; i < addresses->len; i++)
+    {
+      listener_t *l = listener_get (en, g_ptr_array_index (addresses, i));
+
+      g_hash_table_replace (l->queued, g_strdup (name),
+                            g_memdup2 (load, sizeof *load));
+    }
+}
+
 void
 pu_spread_add (pu_entry_t *en, const char *name, guint64 incarnation,
                const pu_router_report_t *r)
@@ -216,14 +262,13 @@
 
   if (b == NULL || en->document == NULL || en->o.hooks.loads == NULL)
     return;
-  addresses = listeners_of (en, b);
-  for (guint i = 0; i < addresses->len; i++)
+  if (en->o.loads_to_all)
     {
-      listener_t *l = listener_get (en, g_ptr_array_index (addresses, i));
-
-      g_hash_table_replace (l->queued, g_strdup (b->name),
-                            g_memdup2 (&load, sizeof load));
+      load_queue (en, other_entries (en), b->name, &load);
+      return;
     }
+  addresses = listeners_of (en, b);
+  load_queue (en, addresses, b->name, &load);
   g_ptr_array_free (addresses, TRUE);
 }
 
--- a/libplantainusher/entry/spread_test.cc
+++ b/libplantainusher/entry/spread_test.cc
@@ -99,6 +99,37 @@
   EXPECT_LE (r.loads_told, 3 * first);
 }
 
+/* All other entries hear, also one that came after the first load, and none
+   is told of what it reported itself.  */
+TEST (ToldToAll, EveryOtherEntryHearsAlsoALaterOne)
+{
+  const std::string load = ",\"load\":{\"running\":3,\"waiting\":0,"
+                           "\"kv_used_mb\":0,\"tokens_per_s\":0}";
+  rig r;
+  std::vector<node *> nodes;
+  const auto all_know = [&nodes] (const backend &b) {
+    for (size_t i = 1; i < nodes.size (); i++)
+      if (heard_seq (*nodes[i]) != static_cast<json_int_t> (b.seq))
+        return false;
+    return true;
+  };
+
+  r.loads_to_all = true;
+  for (int i = 0; i < 4; i++)
+    nodes.push_back (&r.add_node ("n" + std::to_string (i)));
+  backend &engine = r.add_backend ("e1", "", *nodes[0]);
+  for (node *n : nodes)
+    pu_entry_view_changed (n->entry);
+  r.announce (engine, *nodes[0], load);
+  r.until ([&] { return all_know (engine); });
+  nodes.push_back (&r.add_node ("n4"));
+  for (node *n : nodes)
+    pu_entry_view_changed (n->entry);
+  r.announce (engine, *nodes[0], load);
+  r.until ([&] { return all_know (engine); });
+  EXPECT_EQ (7u, r.loads_told) << "three, then four";
+}
+
 TEST_F (Told, LoadOfAnOldIncarnationSaysNothing)
 {
   const pu_entry_load_t old = { pu_entry_load_id ("e1", 2), 900, 3, 0, 0, 0 };
--- a/libplantainusher/entry/trace.c
+++ b/libplantainusher/entry/trace.c
@@ -4,14 +4,20 @@
 #include "base/log.h"
 
 static void
-count (const pu_exchange_t *x, const char *name)
+count_here (const pu_entry_t *en, const char *name)
 {
-  pu_counters_t *c = x->en->o.counters;
+  pu_counters_t *c = en->o.counters;
 
   if (c != NULL)
     pu_counters_add (c, pu_counters_get (c, name), 1);
 }
 
+static void
+count (const pu_exchange_t *x, const char *name)
+{
+  count_here (x->en, name);
+}
+
 static void
 count_labelled (const pu_exchange_t *x, const char *name, const char *label,
                 const char *value)
@@ -160,6 +166,18 @@
       PU_LOG_NUMBER ("document", x->en->document_version));
 }
 
+void
+pu_trace_turned_away (const pu_entry_t *en, const char *id,
+                      const pu_refusal_t *r, const char *message)
+{
+  count_here (en, "requests_turned_away_total");
+  pu_log_event (PU_ENTRY_PART, "Turned away.", PU_LOG_TEXT ("request", id),
+                PU_LOG_TEXT ("reason", r->type), PU_LOG_TEXT ("why", message),
+                PU_LOG_NUMBER ("open", en->open.length),
+                PU_LOG_NUMBER ("retry_after_ms", r->retry_after_ms),
+                PU_LOG_NUMBER ("document", en->document_version));
+}
+
 void
 pu_trace_answered (const pu_exchange_t *x)
 {
@@ -170,6 +188,8 @@
                 PU_LOG_NUMBER ("status", x->at.status),
                 PU_LOG_NUMBER ("attempts", x->attempts),
                 PU_LOG_NUMBER ("events", x->events),
+                PU_LOG_NUMBER ("first_ms", x->first_ms),
+                PU_LOG_NUMBER ("pause_ms", x->pause_ms),
                 PU_LOG_NUMBER ("age_ms", since (x, x->q.arrived)));
 }
 
--- a/libplantainusher/entry/trace.h
+++ b/libplantainusher/entry/trace.h
@@ -29,6 +29,11 @@
 void pu_trace_failed (const pu_exchange_t *x, const pu_refusal_t *r,
                       const char *message);
 
+/* pu_trace_turned_away - the request ID (may be NULL) is answered with R
+   before anything of it was read.  */
+void pu_trace_turned_away (const pu_entry_t *en, const char *id,
+                           const pu_refusal_t *r, const char *message);
+
 /* pu_trace_answered - X has its backend server's whole answer.  */
 void pu_trace_answered (const pu_exchange_t *x);
 
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -239,16 +239,21 @@
 {
   const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
   const pu_doc_record *record = pu_state_document (view);
+  guint64 since = en->changes;
 
   if (!en->o.hooks.ready (en->o.hooks.data)
       || (en->changes == pu_state_changes (view) && en->changes != 0))
     return;
   en->changes = pu_state_changes (view);
   if (record != NULL && record->doc_version != en->document_version)
-    document_sync (en, record);
+    {
+      document_sync (en, record);
+      since = 0;
+    }
   members_sync (en, view);
   suspects_sync (en, view);
   pu_strikes_tick (en, uv_now (en->o.loop));
-  pu_servers_sync (en);
+  pu_servers_sync (en, since);
   pu_router_due (en);
+  pu_early_admit (en);
 }
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -187,6 +187,7 @@
   TIME (election_ms, 50, MINUTE_MS, 1000, "ms"),
   TIME (replace_after_ms, 1000, DAY_MS, 60000, "ms"),
   TIME (poll_wait_ms, 100, MINUTE_MS, 2000, "ms"),
+  TIME (gather_ms, 1, MINUTE_MS, 250, "ms"),
   TIME (sessions_ms, 50, MINUTE_MS, 1000, "ms"),
   TIME (loads_ms, 50, MINUTE_MS, 1000, "ms"),
   TIME (leave_ms, 0, HOUR_MS, 0, "ms"),
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -88,6 +88,8 @@
                                   entries_ttl_s */
   guint32 loads_ms;            /* an entry tells another of loads this often,
                                   at most */
+  guint32 gather_ms;           /* a change of copies waits for others for so
+                                  long before daemons are told */
   guint32 sessions_ms;         /* a voter tells the leader of its daemons,
                                   backend servers and demand this often */
   guint32 session_ms;          /* a silent daemon is down after this */
