--- a/tests/explain_process_test.py
+++ b/tests/explain_process_test.py
@@ -77,6 +77,20 @@
                          ("deadline", "unknown"))
         self.assertGreaterEqual(last["age_ms"], 250)
 
+    def test_stream_that_an_engine_paused(self):
+        engine = self.backend("g-0", "llm", models=["m2"])
+        submit(self.some, config(1, models=["m2"]))
+        one, head = self.some[0], {"Model": "m2", "Token-Counts": "100,3",
+                                   "Prompt-Prefix": "a1:60,a2:40"}
+        wait_until("the engine", lambda: one.ask(
+            "POST", "/talk/x", head).status == 200)
+        engine.hold_s = 0.3
+        self.assertEqual(
+            one.ask("POST", "/talk/x", head, "slow1").status, 200)
+        line = self.story("slow1", "Answered")
+        self.assertGreaterEqual(line["pause_ms"], 250)
+        self.assertEqual(line["events"], engine.events)
+
     def test_counters_and_histograms_need_no_key(self):
         self.serving()
         one = self.some[0]
--- a/tests/partition_calls_process_test.py
+++ b/tests/partition_calls_process_test.py
@@ -41,10 +41,11 @@
                 for one in self.at_work:  # copies on the other side
                     once.assign(c.entries[-1].callers, one.key)
                 net.heal()
+                # A check reads the whole ledger twice: none may come between.
+                self._settled(self.at_work)
             c, s, _ = self._under_calls(
                 hurt, heal, WORK_MS, relay=net,
                 timing={"session_ms": session_ms})
-            self._settled(self.at_work)
             self._check(c, s, self.at_work)
 
     def test_calls_through_a_side_that_hears_nothing(self):
--- a/tests/platform_process_test.py
+++ b/tests/platform_process_test.py
@@ -43,8 +43,18 @@
             self.backend(f"i-{i}", "app")
         for one in self.some:
             wait_until(f"{one.name} to be ready", one.is_ready)
+            for b in self.backends:
+                wait_until(f"{one.name} to know {b.name}",
+                           lambda one=one, b=b: self.knows(one, b))
             self.wait_served(one)
 
+    @staticmethod
+    def knows(one, backend):
+        """Whether ONE has logged that BACKEND is ready."""
+        text = one.log.read_text(errors="replace") if one.log.exists() else ""
+        return any(f'"server":"{backend.name}"' in line
+                   and '"now":"ready"' in line for line in text.splitlines())
+
     def wait_served(self, one, path="/safe/x"):
         wait_until(f"{one.name} to serve {path}",
                    lambda: one.ask("GET", path).status == 200)
--- a/tests/request_process_test.py
+++ b/tests/request_process_test.py
@@ -266,6 +266,26 @@
         self.assertEqual({r.status for r in replies if r.prompt == "no copy"},
                          {503})
 
+    def test_callers_leave_while_a_backend_server_makes_a_step(self):
+        """What waits there for the step's end leaves its queue, and nothing
+        else does."""
+        c = fleet(self, timing=PATIENT)
+        some = engines(c, 1, decode_ms=1000)
+        home, _ = home_and_away(c)
+        held = Later(lambda: ask(home.callers, "held", 3,
+                                 X_Timeout_Ms=FAR_MS))
+        wait_until("a step", lambda: len(ledger(some[0], "run")) == 1)
+        for i in range(3):
+            with self.assertRaises(TimeoutError):
+                request(some[0].address, "POST", "/v1/chat/completions",
+                        {"model": "m", "max_tokens": TOKENS, "messages":
+                         [{"role": "user", "content": f"late {i}"}]},
+                        timeout_s=0.1)
+        wait_until("all to be gone", lambda: request(
+            some[0].address, "GET", "/fake/state").json["cancelled"] == 3)
+        check_whole(self, c, held.result(), 3)
+        check_whole(self, c, ask(home.callers, "after", 2), 2)
+
     def test_full_queue_is_told_at_once(self):
         """Refused while everything that was taken still runs or waits."""
         small = document()
