--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -182,23 +182,6 @@
     }
 }
 
-/* Requests that B runs at once, as its service declares; 0: not told.  With
-   half of that as the first guess, requests for a model with one copy waited
-   here for one to two seconds while its engine had places free: 0.525 against
-   0.503 of worth on five loaded days with 18 engines.  */
-static guint
-declared_batch (const pu_entry_t *en, const pu_backend_record *b)
-{
-  pu_service_handle_t h
-      = en->document != NULL
-            ? pu_document_find_service (en->document, b->service)
-            : PU_HANDLE_NONE;
-
-  return h != PU_HANDLE_NONE
-             ? pu_document_service (en->document, h)->engine.slots
-             : 0;
-}
-
 static void
 router_set (pu_server_t *s, const pu_backend_record *b)
 {
@@ -211,7 +194,6 @@
     .region = b->region,
     .zone = b->zone,
     .leaving = s->leaving || s->suspects > 0,
-    .batch = declared_batch (s->en, b),
   };
 
   copies_add (s, b, plain, copies);
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -169,8 +169,6 @@
   const char *zone;
   bool leaving; /* gets nothing new */
   guint slots;  /* fixed number of requests at once; 0: adaptive */
-  guint batch;  /* requests that it is declared to run at once, where its
-                   adaptive slots begin; 0: not told, slots_initial */
   const pu_router_copy_t *copies;
   guint n_copies;
 } pu_router_backend_options_t;
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -315,46 +315,6 @@
   EXPECT_LT (pu_router_backend_slots (r_, a), before);
 }
 
-/* A burst on the only copy of a model, on an engine that is declared to run 64
-   at once: none of it waits here for a report that says so.  */
-TEST_F (Router, DeclaredBatchIsUsedFromTheStart)
-{
-  const guint batch = 64;
-  pu_router_service_options_t s
-      = { "late", 1, 400, 60, 5000, 0, 100, true, 0 };
-  pu_router_copy_t copy = { "m", "1", PU_ROUTER_COPY_READY };
-  pu_router_backend_options_t b = {};
-  pu_router_request_t q = request ();
-
-  q.service = pu_router_set_service (r_, &s);
-  b.name = "engine";
-  b.incarnation = 1;
-  b.region = b.zone = "";
-  b.batch = batch;
-  b.copies = &copy;
-  b.n_copies = 1;
-  pu_router_set_backend (r_, &b);
-  for (guint i = 0; i < batch; i++)
-    EXPECT_EQ (offer (q).verdict, PU_ROUTER_DISPATCH) << i;
-  EXPECT_EQ (offer (q).verdict, PU_ROUTER_QUEUED);
-}
-
-/* The same declared of far too many: reports are to bound it all the same.  */
-TEST_F (Router, DeclaredBatchIsNoMoreThanAnyEngineMayHave)
-{
-  pu_router_copy_t copy = { "m", "1", PU_ROUTER_COPY_READY };
-  pu_router_backend_options_t b = {};
-
-  b.name = "engine";
-  b.incarnation = 1;
-  b.region = b.zone = "";
-  b.batch = 100000;
-  b.copies = &copy;
-  b.n_copies = 1;
-  EXPECT_EQ (pu_router_backend_slots (r_, pu_router_set_backend (r_, &b)),
-             o_.slots_max);
-}
-
 TEST_F (Router, SlotsGrowFasterUntilAQueueWasSeen)
 {
   pu_router_backend_t fresh = backend ("a");
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -295,8 +295,7 @@
     .incarnation = o->incarnation,
     .serial = ++r->serial,
     .used = true,
-    .slots = o->batch != 0 ? MIN (o->batch, r->options.slots_max)
-                           : r->options.slots_initial,
+    .slots = r->options.slots_initial,
     .window = 1,
     .copies = copies_new (),
     .budget = r->options.retry_burst,
