Settings: bounds of the platform may have fractions, and some may not be told

Change: the platform's numbers take a fraction, rounded down, so that ours ends sooner or allows less; the template leaves out what is not told, which then has its default.

--- a/libplantainusher/base/json.h
+++ b/libplantainusher/base/json.h
@@ -82,7 +82,8 @@
 typedef enum
 {
   PU_FIELD_REQUIRED = 1,
-  PU_FIELD_SECRET = 2 /* written as PU_JSON_HIDDEN */
+  PU_FIELD_SECRET = 2,    /* written as PU_JSON_HIDDEN */
+  PU_FIELD_ROUND_DOWN = 4 /* PU_FIELD_INT: takes a fraction, rounded down */
 } pu_field_flags_t;
 
 #define PU_JSON_HIDDEN "(hidden)"
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -94,6 +94,31 @@
   pu_settings_free (s);
 }
 
+/* An instance that refused such bounds did not start at all.  */
+TEST (Settings, TakeFractionsOfThePlatformsBoundsRoundedDown)
+{
+  const std::string platform
+      = "'platform': {'ready': '127.0.0.1:7', 'control': '127.0.0.1:8',"
+        "'directory': '127.0.0.1:9', 'grace_s': 7.9, 'report_ms': 1200.5,"
+        "'retry_slack': 60.5, 'ttl_s': 0.5, 'memory_mb': 260.0}, 'join'";
+  pu_settings_t *s = parse (replaced (entry, "'join'", platform));
+
+  ASSERT_NE (nullptr, s);
+  EXPECT_EQ (7u, s->platform.grace_s);
+  EXPECT_EQ (1200u, s->platform.report_ms);
+  EXPECT_EQ (60u, s->platform.retry_slack);
+  EXPECT_EQ (0u, s->platform.ttl_s);
+  EXPECT_EQ (260u, s->platform.memory_mb);
+  EXPECT_EQ (2000u, s->platform.drain_ms) << "not told";
+  pu_settings_free (s);
+  const std::string bad
+      = replaced (replaced (platform, "7.9", "'7'"), "'join'",
+                  "'limits': {'drain_s': 1.5}, 'join'");
+  EXPECT_EQ ("/platform/grace_s: must be a number, not a string\n"
+             "/limits/drain_s: must be a whole number, not a number\n",
+             findings_of (replaced (entry, "'join'", bad)));
+}
+
 TEST (Settings, ListenWhereTheyAreTold)
 {
   pu_settings_t *s = parse (control);
--- a/tests/platform_process_test.py
+++ b/tests/platform_process_test.py
@@ -74,6 +74,16 @@
         return wait_until("a leader", found)
 
 
+class Bounds(PlatformTest):
+    """A platform whose bounds have fractions; of some it tells nothing."""
+    options = {"heartbeat_ms": 300.5,
+               "bounds": {"grace_s": 7.5, "budget_slack": 60.5,
+                          "ttl_max_s": 0.5, "drain_ms": 1999.5}}
+
+    def test_fractions_and_bounds_that_are_not_told(self):
+        self.serving()
+
+
 class Config(PlatformTest):
     def test_nothing_is_denied_before_the_first_config(self):
         one = self.some[0]
