--- a/tests/platform_process_test.py
+++ b/tests/platform_process_test.py
@@ -303,6 +303,20 @@
         self.assertEqual(open_one.result().status, 200)
         self.assertEqual(one.wait(GRACE_S), 0)
 
+    def test_request_that_outlasts_the_leave_time_is_answered(self):
+        """Callers have gone elsewhere when it ends, before the grace does."""
+        self.serving(config(1, [route("s", "/safe/", "safe",
+                                      timeout_ms=9000)]))
+        one = self.some[3]
+        for b in self.backends:
+            b.hold_s = 4.5
+        open_one = Later(lambda: one.ask("GET", "/safe/x", timeout_s=9))
+        wait_until("the request to run", lambda: any(
+            "r1" in b.ran for b in self.backends))
+        one.term()
+        self.assertEqual(open_one.result().status, 200)
+        self.assertEqual(one.wait(GRACE_S), 0)
+
     def test_sighup_under_load_fails_no_request(self):
         self.serving()
         end, bad = threading.Event(), []
