--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -313,6 +313,7 @@
     pu_agent_free (d->agent);
   if (d->peers != NULL)
     pu_rpc_server_free (d->peers);
+  pu_lag_free (d->lag);
   pu_counters_free (d->counters);
 }
 
@@ -344,6 +345,7 @@
   d->started = s;
   d->settings = s;
   d->counters = pu_counters_new ();
+  d->lag = pu_lag_new (loop, d->counters);
   uv_timer_init (loop, &d->timer);
   d->timer.data = d;
   uv_update_time (loop);
