--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -196,6 +196,12 @@
             "LD_PRELOAD": str(self.cluster.build / "tests/libslow_sync.so"),
             "SLOW_SYNC_MS": str(sync_ms)}
 
+    def slow_json(self, load_ms):
+        """From its next start on, loading 64 KB or more takes LOAD_MS longer."""
+        self.environment = {
+            "LD_PRELOAD": str(self.cluster.build / "tests/libslow_json.so"),
+            "SLOW_JSON_MS": str(load_ms)}
+
     def may_lose_connections(self):
         """From its next start on, lose_connections works, once."""
         self._lost.unlink(missing_ok=True)
