--- a/libplantainusher/state/apply.c
+++ b/libplantainusher/state/apply.c
@@ -37,7 +37,7 @@
 is_seen (pu_apply_t *a, const pu_submit *c)
 {
   const pu_doc_record *seen
-      = g_hash_table_lookup (a->state->change_ids, c->change_id);
+      = pu_state_document_of_change (a->state, c->change_id);
 
   if (seen == NULL || pu_apply_broken (a->state, PU_STATE_BREAK_CHANGE_TWICE))
     return false;
--- a/libplantainusher/state/state.c
+++ b/libplantainusher/state/state.c
@@ -70,6 +70,12 @@
   return g_queue_peek_head (s->documents);
 }
 
+const pu_doc_record *
+pu_state_document_of_change (const pu_state_t *s, const char *change_id)
+{
+  return g_hash_table_lookup (s->change_ids, change_id);
+}
+
 void
 pu_state_each_member (const pu_state_t *s, pu_member_fn *fn, void *data)
 {
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -86,6 +86,11 @@
 /* pu_state_document - the document in force, or NULL before the first.  */
 const pu_doc_record *pu_state_document (const pu_state_t *s);
 
+/* pu_state_document_of_change - the document that CHANGE_ID made, or NULL when
+   the history has none.  */
+const pu_doc_record *pu_state_document_of_change (const pu_state_t *s,
+                                                  const char *change_id);
+
 /* Iteration: call FN for each record, in the order of names.  Backend servers
    that are down come too: look at their flag.  */
 typedef void pu_member_fn (const pu_member_record *m, void *data);
