--- a/libplantainusher/agent/propose.c
+++ b/libplantainusher/agent/propose.c
@@ -255,6 +255,9 @@
   p->seq = a->next_seq++;
   p->type = c->type;
   p->command = command_bytes (a, c);
+  /* The caller, and encoding the command, may have taken long since the loop
+     read its clock.  */
+  uv_update_time (a->options.loop);
   p->due = uv_now (a->options.loop) + timeout_ms;
   p->fn = fn;
   p->data = data;
