--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -434,6 +434,12 @@
   return en->document;
 }
 
+guint64
+pu_entry_document_version (const pu_entry_t *en)
+{
+  return en->document_version;
+}
+
 bool
 pu_entry_leaving (const pu_entry_t *en)
 {
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -182,6 +182,10 @@
 /* pu_entry_document - the document in force here, or NULL.  */
 const pu_document_t *pu_entry_document (const pu_entry_t *en);
 
+/* pu_entry_document_version - the version of that document; 0: there is
+   none.  */
+guint64 pu_entry_document_version (const pu_entry_t *en);
+
 /* pu_entry_leaving - whether a planned stop has begun.  */
 bool pu_entry_leaving (const pu_entry_t *en);
 
