Entry: a long document is read beside the event loop

Cause: each instance parses and checks the whole document on its event loop when it comes into force, 0.1 s of a whole core for 2.5 MB.

Ruled out: the engines and the network: front-tartu-a-5 had the request 744 ms before it read it, with 591 ms believed to be left.

Shorter ones are read at once, as before. Only one is read at a time; when it ends the newest is looked at anew. A document that can't be read is not tried again at each change of the view.

--- a/libplantainusher/document/document.h
+++ b/libplantainusher/document/document.h
@@ -62,6 +62,11 @@
 /* Longest document, in bytes; the same as PU_DOCUMENT_MAX of the log.  */
 #define PU_DOCUMENT_TEXT_MAX ((size_t)4194304)
 
+/* A text of so many bytes or more takes tens of milliseconds to read, a second
+   where the share of a processor is small: not to be done on an event loop.
+   Reading touches nothing but its arguments.  */
+#define PU_DOCUMENT_LONG ((size_t)65536)
+
 typedef enum
 {
   PU_SERVICE_MODEL, /* requests to model engines */
--- /dev/null
+++ b/libplantainusher/entry/document.c
@@ -0,0 +1,278 @@
+/*
+ * A new document comes into force: it is read beside the event loop, as one of
+ * thousands of routes takes an instance with a small share of a processor a
+ * second, and then taken over in one step.
+ */
+
+#include "entry/entry_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+/* All requests go to the version in force where it is ready.  */
+#define SHARE_ALL 1000
+
+/* Requests of one route that wait at an entry at most: what waits is bounded
+   by its deadline, this bounds the memory.  */
+#define ROUTE_QUEUE 2000
+
+struct pu_reading
+{
+  uv_work_t work;
+  pu_entry_t *en;
+  guint64 version;
+  char *author;
+  char *text;
+  pu_document_t *document; /* NULL: FINDINGS say why */
+  pu_findings_t *findings;
+};
+
+/* --- taking over --- */
+
+static void
+services_remove (pu_entry_t *en, const pu_document_t *old)
+{
+  for (guint i = 0; i < pu_document_services (old); i++)
+    {
+      const pu_service_t *s = pu_document_service (old, i);
+      char *name;
+
+      if (pu_document_find_service (en->document, s->name) != PU_HANDLE_NONE)
+        continue;
+      pu_router_remove_service (en->router,
+                                pu_router_find_service (en->router, s->name));
+      if (s->kind != PU_SERVICE_PLAIN)
+        continue;
+      name = g_strconcat ("service:", s->name, NULL);
+      pu_router_remove_model (en->router,
+                              pu_router_find_model (en->router, name));
+      g_free (name);
+    }
+}
+
+static void
+models_remove (pu_entry_t *en, const pu_document_t *old)
+{
+  for (guint i = 0; i < pu_document_models (old); i++)
+    {
+      const char *name = pu_document_model (old, i)->name;
+
+      if (pu_document_find_model (en->document, name) == PU_HANDLE_NONE)
+        {
+          pu_router_remove_model (en->router,
+                                  pu_router_find_model (en->router, name));
+        }
+    }
+}
+
+/* A route is a row of its own among the router's services.  */
+static char *
+route_row (const pu_route_t *r)
+{
+  return g_strconcat ("route:", r->name, NULL);
+}
+
+static void
+routes_remove (pu_entry_t *en, const pu_document_t *old)
+{
+  for (guint i = 0; i < pu_document_routes (old); i++)
+    {
+      const pu_route_t *r = pu_document_route (old, i);
+      char *name;
+
+      if (pu_document_route_named (en->document, r->name))
+        continue;
+      name = route_row (r);
+      pu_router_remove_service (en->router,
+                                pu_router_find_service (en->router, name));
+      g_free (name);
+    }
+}
+
+static void
+route_set (pu_entry_t *en, const pu_route_t *r)
+{
+  char *name = route_row (r);
+  pu_router_service_options_t o = { .name = name,
+                                    .importance = r->priority + 1,
+                                    .first_token_ms = r->target_ms,
+                                    .per_token_ms = r->gap_ms,
+                                    .timeout_ms = r->timeout_ms,
+                                    .max_queue = ROUTE_QUEUE,
+                                    .serve_late = r->serve_late,
+                                    .patience_ms = r->patience_ms };
+
+  pu_router_set_service (en->router, &o);
+  g_free (name);
+}
+
+static void
+service_set (pu_entry_t *en, const pu_service_t *s)
+{
+  bool plain = s->kind == PU_SERVICE_PLAIN;
+  pu_router_service_options_t o
+      = { .name = s->name,
+          .importance = s->importance,
+          .first_token_ms
+          = plain ? s->targets.answer_ms : s->targets.first_token_ms,
+          .per_token_ms = s->targets.per_token_ms,
+          .timeout_ms = s->timeout_ms,
+          .max_concurrency = s->max_concurrency,
+          .max_queue = s->max_queue };
+  char *name;
+
+  pu_router_set_service (en->router, &o);
+  if (!plain)
+    return;
+  name = g_strconcat ("service:", s->name, NULL);
+  pu_router_set_model (en->router, name, NULL, SHARE_ALL);
+  g_free (name);
+}
+
+static void
+rows_set (pu_entry_t *en, const pu_document_t *d)
+{
+  for (guint i = 0; i < pu_document_services (d); i++)
+    service_set (en, pu_document_service (d, i));
+  for (guint i = 0; i < pu_document_routes (d); i++)
+    route_set (en, pu_document_route (d, i));
+  for (guint i = 0; i < pu_document_models (d); i++)
+    {
+      const pu_model_t *m = pu_document_model (d, i);
+
+      pu_router_set_model (en->router, m->name, m->version, SHARE_ALL);
+    }
+}
+
+/* The document that R read, which is consumed, is in force from here on.  */
+static void
+document_take (pu_entry_t *en, pu_reading_t *r)
+{
+  pu_document_t *old = en->document;
+  pu_document_t *d = g_steal_pointer (&r->document);
+
+  en->document = d;
+  en->document_version = r->version;
+  if (old != NULL)
+    {
+      services_remove (en, old);
+      models_remove (en, old);
+      routes_remove (en, old);
+    }
+  rows_set (en, d);
+  pu_document_unref (old);
+  pu_entry_limits_set (en);
+  pu_log_event (PU_ENTRY_PART, "A document is in force.",
+                PU_LOG_NUMBER ("document", en->document_version),
+                PU_LOG_NUMBER ("routes", pu_document_routes (d)),
+                PU_LOG_NUMBER ("services", pu_document_services (d)),
+                PU_LOG_NUMBER ("models", pu_document_models (d)),
+                PU_LOG_TEXT ("author", r->author));
+}
+
+static void
+document_refuse (pu_entry_t *en, const pu_reading_t *r)
+{
+  const pu_finding_t *first = pu_findings_get (r->findings, 0);
+
+  en->refused_version = r->version;
+  pu_log_warn (PU_ENTRY_PART,
+               "Document %" G_GUINT64_FORMAT
+               " can't be read, the one before stays in force: '%s' %s",
+               r->version, first->path, first->message);
+}
+
+/* --- reading --- */
+
+static pu_reading_t *
+reading_new (pu_entry_t *en, const pu_doc_record *record)
+{
+  pu_reading_t *r = g_new0 (pu_reading_t, 1);
+
+  r->work.data = r;
+  r->en = en;
+  r->version = record->doc_version;
+  r->author = g_strdup (record->author);
+  r->text = g_strdup (record->text);
+  r->findings = pu_findings_new ();
+  return r;
+}
+
+static void
+reading_free (pu_reading_t *r)
+{
+  pu_document_unref (r->document);
+  pu_findings_free (r->findings);
+  g_free (r->author);
+  g_free (r->text);
+  g_free (r);
+}
+
+/* Runs beside the loop: touches nothing but R.  */
+static void
+on_work (uv_work_t *work)
+{
+  pu_reading_t *r = work->data;
+
+  r->document = pu_document_load (r->text, strlen (r->text), r->findings);
+}
+
+/* Takes over what R read, and frees it.  False: nothing changed.  */
+static bool
+reading_end (pu_entry_t *en, pu_reading_t *r)
+{
+  bool good = r->document != NULL;
+
+  if (good)
+    {
+      document_take (en, r);
+    }
+  else
+    {
+      document_refuse (en, r);
+    }
+  reading_free (r);
+  return good;
+}
+
+static void
+on_read (uv_work_t *work, int status)
+{
+  pu_reading_t *r = work->data;
+  pu_entry_t *en = r->en;
+
+  (void)status;
+  en->reading = NULL;
+  en->pending--;
+  if (en->freed)
+    {
+      reading_free (r);
+      pu_entry_check (en);
+      return;
+    }
+  reading_end (en, r);
+  /* All that follows from a document, and the next if one has come.  */
+  en->changes = 0;
+  pu_view_sync (en);
+}
+
+bool
+pu_document_sync (pu_entry_t *en, const pu_doc_record *record)
+{
+  pu_reading_t *r;
+
+  if (en->reading != NULL || record->doc_version == en->document_version
+      || record->doc_version == en->refused_version)
+    return false;
+  r = reading_new (en, record);
+  if (strlen (r->text) >= PU_DOCUMENT_LONG
+      && uv_queue_work (en->o.loop, &r->work, on_work, on_read) == 0)
+    {
+      en->reading = r;
+      en->pending++;
+      return false;
+    }
+  on_work (&r->work);
+  return reading_end (en, r);
+}
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -26,6 +26,7 @@
 #define PU_RELAY_HOPS_MAX 2
 
 typedef struct pu_exchange pu_exchange_t;
+typedef struct pu_reading pu_reading_t;
 
 /* A strike on its way into the log: its request must not run before the log
    has said whether it is convicted.  */
@@ -183,31 +184,33 @@
   pu_suspects_t *suspects;
   pu_document_t *document;
   guint64 document_version;
-  guint64 changes;       /* of the view, as taken in */
-  GPtrArray *others;     /* peers' addresses of all other entries */
-  guint64 others_view;   /* of the view's members, as they are in there */
-  GHashTable *servers;   /* name -> pu_server_t */
-  GHashTable *waiting;   /* set of pu_server_t of which something ends with
-                            time */
-  GHashTable *reporters; /* name -> pu_reporter_t */
-  GHashTable *strikes;   /* &fingerprint -> pu_strike_t */
-  GHashTable *struck;    /* set of &fingerprint, as in the view */
-  GHashTable *rates;     /* service -> double: requests a second */
-  GHashTable *counts;    /* service -> guint in this second */
-  GHashTable *run_ms;    /* model -> double: mean time of a request */
-  GHashTable *claims;    /* once handle -> pu_exchange_t */
-  GHashTable *tickets;   /* &ticket -> pu_exchange_t */
-  GHashTable *numbers;   /* &number -> pu_exchange_t */
-  GQueue open;           /* of pu_exchange_t */
-  GQueue startup;        /* of held_t of startup.c */
-  gsize startup_bytes;   /* of their bodies */
-  GHashTable *listeners; /* peers' address -> listener_t of spread.c */
-  GHashTable *load_ids;  /* &load_id -> pu_server_t */
-  GHashTable *wants;     /* model -> want_t of wants.c */
+  guint64 refused_version; /* of the document that could not be read */
+  pu_reading_t *reading;   /* of the next document; NULL: none is read */
+  guint64 changes;         /* of the view, as taken in */
+  GPtrArray *others;       /* peers' addresses of all other entries */
+  guint64 others_view;     /* of the view's members, as they are in there */
+  GHashTable *servers;     /* name -> pu_server_t */
+  GHashTable *waiting;     /* set of pu_server_t of which something ends with
+                              time */
+  GHashTable *reporters;   /* name -> pu_reporter_t */
+  GHashTable *strikes;     /* &fingerprint -> pu_strike_t */
+  GHashTable *struck;      /* set of &fingerprint, as in the view */
+  GHashTable *rates;       /* service -> double: requests a second */
+  GHashTable *counts;      /* service -> guint in this second */
+  GHashTable *run_ms;      /* model -> double: mean time of a request */
+  GHashTable *claims;      /* once handle -> pu_exchange_t */
+  GHashTable *tickets;     /* &ticket -> pu_exchange_t */
+  GHashTable *numbers;     /* &number -> pu_exchange_t */
+  GQueue open;             /* of pu_exchange_t */
+  GQueue startup;          /* of held_t of startup.c */
+  gsize startup_bytes;     /* of their bodies */
+  GHashTable *listeners;   /* peers' address -> listener_t of spread.c */
+  GHashTable *load_ids;    /* &load_id -> pu_server_t */
+  GHashTable *wants;       /* model -> want_t of wants.c */
   uv_timer_t tick;
   uv_timer_t wake; /* the router's next decision */
   guint handles;   /* open */
-  guint pending;   /* proposals that will call back */
+  guint pending;   /* proposals and readings that will call back */
   guint64 last_number;
   guint last_server;
   guint64 second;    /* loop time of the last rates */
@@ -405,6 +408,13 @@
 void pu_strikes_tick (pu_entry_t *en, guint64 now);
 void pu_strike_free (gpointer strike);
 
+/* --- document.c: a new document comes into force --- */
+
+/* pu_document_sync - reads the document in RECORD when that is another than
+   the one in force: a short one now, then true; a long one beside the loop,
+   with a pu_view_sync at its end.  */
+bool pu_document_sync (pu_entry_t *en, const pu_doc_record *record);
+
 /* --- view.c --- */
 
 void pu_view_sync (pu_entry_t *en);
--- a/tests/large_config_process_test.py
+++ b/tests/large_config_process_test.py
@@ -9,6 +9,10 @@
 LOAD_MS = 1500
 # An operator moves on when a second has passed without an answer.
 OPERATOR_S = 1
+LAST = f"/r-{ROUTES - 1}/x"
+NOT_FOUND = 404
+# No request takes more than a few milliseconds.
+CALLER_S = 1
 # Far more than the instance needs to read a config.
 READING_S = 20
 
@@ -37,8 +41,24 @@
         """Submits WANTED to the others."""
         self.serving()
         submit(self.some[:-1], wanted)
-        last = wanted["routes"][-1]["path_prefix"]
-        self.wait_served(self.slow, last + "x")
+        self.wait_served(self.slow, LAST)
+
+    def served_until(self, done):
+        """Asks the slow instance, one request after the other, each of which
+        must be answered at once, until DONE ()."""
+        while not done():
+            try:
+                a = self.slow.ask("GET", "/safe/x", timeout_s=CALLER_S)
+            except OSError as e:
+                self.fail(f"a request was not answered: {e}")
+            self.assertEqual(a.status, 200)
+
+    def test_requests_are_served_while_a_document_is_read(self):
+        self.serving()
+        submit(self.some[:-1], large(5))
+        self.served_until(
+            lambda: self.slow.ask("GET", LAST, timeout_s=CALLER_S).status
+            != NOT_FOUND)
 
     def test_config_in_force_is_acknowledged_again_at_once(self):
         self.in_force_at_the_slow_one(large(5))
