--- a/tests/large_config_process_test.py
+++ b/tests/large_config_process_test.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Configs of many routes at an instance that takes seconds to read one.
 tests/cluster.py says how to run this file."""
-from cluster import main, request, wait_until
+from cluster import Later, main, request, wait_until
 from platform_fakes import config, route, submit
 from platform_process_test import PlatformTest
 
@@ -60,6 +60,12 @@
             lambda: self.slow.ask("GET", LAST, timeout_s=CALLER_S).status
             != NOT_FOUND)
 
+    def test_requests_are_served_while_a_config_is_read(self):
+        self.serving()
+        later = Later(lambda: self.put(large(5), READING_S))
+        self.served_until(lambda: not later.is_alive())
+        self.assertEqual(later.result(), 200)
+
     def test_config_in_force_is_acknowledged_again_at_once(self):
         self.in_force_at_the_slow_one(large(5))
         self.assertEqual(self.put(large(5), OPERATOR_S), 200)
