RPC: an answer that came while the event loop was held is no timeout

Cause: timers run before what has arrived is read, so a loop that was held ends calls whose answers are in its socket. A process that was frozen for a moment does the same.

Change: a call whose deadline passed 10 ms ago or more when the timer runs is given one more turn of the loop, in which sockets are read; once for each call.

--- a/libplantainusher/rpc/client.c
+++ b/libplantainusher/rpc/client.c
@@ -11,11 +11,16 @@
 /* Below this the handshake's own xids lie.  */
 #define XID_FIRST 16
 
+/* A timer that fires so late says that the loop was held: what has arrived
+   meanwhile is read before anyone is taken for silent.  */
+#define LATE_MS 10
+
 typedef struct
 {
   guint32 xid;
   guint64 due;          /* loop time, ms */
   bool sent;            /* on the present connection */
+  bool late;            /* its deadline passed while the loop was held */
   pu_error_kind_t kind; /* not PU_OK: ends with it when due */
   GByteArray *record;   /* until it is sent */
   pu_rpc_answer_t *fn;
@@ -169,6 +174,28 @@
   call_end (c, call, NULL, 0, &e);
 }
 
+/* call_due_at - moves the deadline of CALL.  */
+static void
+call_due_at (pu_rpc_client_t *c, pending_t *call, guint64 due)
+{
+  g_tree_remove (c->by_due, call);
+  call->due = due;
+  g_tree_insert (c->by_due, call, call);
+}
+
+/* is_held_up - CALL is given one more turn of the loop, once.  */
+static bool
+is_held_up (pu_rpc_client_t *c, pending_t *call)
+{
+  guint64 now = client_now (c);
+
+  if (call->late || call->kind != PU_OK || now - call->due < LATE_MS)
+    return false;
+  call->late = true;
+  call_due_at (c, call, now + 1);
+  return true;
+}
+
 /* on_deadline - ends the calls that are due.  Those made meanwhile wait for
    the next turn of the loop.  */
 static void
@@ -186,6 +213,8 @@
 
       if (call->due > client_now (c) || call->xid >= limit)
         break;
+      if (is_held_up (c, call))
+        continue;
       if (kind == PU_OK)
         kind = call->sent ? PU_ERROR_TIMEOUT : PU_ERROR_UNAVAILABLE;
       call_fail (c, call, kind);
@@ -263,10 +292,8 @@
 static void
 call_expire_now (pu_rpc_client_t *c, pending_t *call, pu_error_kind_t kind)
 {
-  g_tree_remove (c->by_due, call);
   call->kind = kind;
-  call->due = client_now (c);
-  g_tree_insert (c->by_due, call, call);
+  call_due_at (c, call, client_now (c));
 }
 
 static void
--- a/libplantainusher/rpc/rpc_test.cc
+++ b/libplantainusher/rpc/rpc_test.cc
@@ -199,6 +199,34 @@
   EXPECT_EQ (counter ("rpc_bytes_out_total"), counter ("rpc_bytes_in_total"));
 }
 
+/* The loop is held behind the answer until the deadline is over: the answer is
+   in the client's socket then.  */
+TEST_F (Rpc, AnswerThatArrivedWhileTheLoopWasHeldIsNoTimeout)
+{
+  constexpr guint32 holds = 6;
+  constexpr guint held_us = 200000, timeout = 50;
+  Answer a;
+
+  serve ();
+  pu_rpc_server_add (
+      server, program, 1, holds,
+      [] (void *, pu_rpc_call_t *c, const guint8 *b, size_t n) {
+        pu_rpc_call_reply (c, b, n);
+        g_usleep (held_us);
+      },
+      this);
+  dial ();
+  EXPECT_EQ (call (echo).kind, PU_OK);
+  start (&a, holds, "late", timeout);
+  /* Timers run once a turn, before the loop waits, as in a daemon; with
+     UV_RUN_ONCE they run behind it too.  */
+  for (guint64 end = uv_now (&loop) + wait_ms;
+       a.count == 0 && uv_now (&loop) < end;)
+    uv_run (&loop, UV_RUN_NOWAIT);
+  EXPECT_EQ (a.kind, PU_OK);
+  EXPECT_EQ (a.body, "late");
+}
+
 TEST_F (Rpc, PipelinesAndAnswersInAnyOrder)
 {
   Answer a[3];
