HTTP client: an answer that came while the event loop was held is no timeout

Cause: as of the RPC client: the timer of a connection runs before what has arrived is read, so after a hold or a freeze longer than a timeout the answers that are in the sockets were thrown away, their backend servers taken for silent and the requests failed or sent again. Ready answers are to be delivered, also late.

Change: a timer that runs 10 ms late or more gives its connection one more turn of the loop.

--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -7,6 +7,9 @@
 enum
 {
   READ_BUFFER_SIZE = 65536,
+  /* A timer that fires so late says that the loop was held: what has arrived
+     meanwhile is read before the server is taken for silent.  */
+  LATE_MS = 10,
 };
 
 static void
@@ -78,6 +81,11 @@
     {
       uv_timer_start (t, on_timer, conn->limit_ms - passed, 0);
     }
+  else if (!conn->late && !conn->failed && passed - conn->limit_ms >= LATE_MS)
+    {
+      conn->late = true;
+      uv_timer_start (t, on_timer, 1, 0);
+    }
   else if (conn->call != NULL)
     {
       pu_call_end (conn->call, timeout_kind (conn));
@@ -93,6 +101,7 @@
 {
   conn->last_ms = uv_now (conn->timer.loop);
   conn->limit_ms = limit_ms;
+  conn->late = false;
   uv_timer_start (&conn->timer, on_timer, limit_ms, 0);
 }
 
--- a/libplantainusher/http/http_test.cc
+++ b/libplantainusher/http/http_test.cc
@@ -597,6 +597,29 @@
   EXPECT_EQ ("abc", progress.body);
 }
 
+/* The loop is held behind the answer until the call's time is over: the answer
+   is in the client's socket then.  Timers run once a turn, before the loop
+   waits, as in a daemon.  */
+TEST_P (Http, AnswerThatArrivedWhileTheLoopWasHeldIsNoTimeout)
+{
+  constexpr gulong held_us = 200000;
+  const guint64 end = uv_now (&loop) + SAFETY_MS;
+  call c;
+
+  handler = [] (pu_http_request_t *r) {
+    pu_http_respond (r, 200, nullptr, 0, "late", 4);
+    g_usleep (held_us);
+  };
+  start (c, "", [] (pu_http_call_options_t &o) {
+    o.first_byte_timeout_ms = 50;
+    o.progress_timeout_ms = 50;
+  });
+  while (!c.ended && uv_now (&loop) < end)
+    uv_run (&loop, UV_RUN_NOWAIT);
+  EXPECT_EQ (PU_HTTP_END_COMPLETE, c.result.kind);
+  EXPECT_EQ ("late", c.body);
+}
+
 TEST_P (Http, RefusedConnectionWroteNothing)
 {
   call c;
