Soak: configs of hundreds of routes, and instances that are slow to read them

Every third version has 500 routes more now, an instance may be restarted with a slow JSON library as it may be with a slow disk, and at the end every instance must acknowledge the config in force when it is sent again. All checks stay.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -12,7 +12,7 @@
 import time
 
 from cluster import wait_until
-from platform_fakes import HOST, Backend, Instance, config, submit
+from platform_fakes import HOST, Backend, Instance, config, route, submit
 from relay import BOTH, FROM, HOLD, SWALLOW, TO, Relay, ways
 
 NOT_RUN = (408, 421, 429, 503)  # statuses that promise that nothing ran
@@ -27,6 +27,17 @@
 # once than may be.
 CATCH_UP_S = 4.0
 EVENTS = 3
+# Every third config has routes enough to be read beside the event loop.
+MANY_ROUTES = 500
+LARGE_EVERY = 3
+
+
+def wanted(version):
+    """The config of VERSION, whoever sends it."""
+    small = config(version, models=MODELS)
+    many = MANY_ROUTES if version % LARGE_EVERY == 0 else 0
+    return {**small, "routes": small["routes"]
+            + [route(f"r-{i}", f"/r-{i}/", "safe") for i in range(many)]}
 
 
 class Caller(threading.Thread):
@@ -93,7 +104,7 @@
         try:
             if self.random.random() < 0.3:
                 self.version += self.random.randint(1, 3)
-                if at.put_config(config(self.version, models=MODELS)) == 200:
+                if at.put_config(wanted(self.version)) == 200:
                     self.acked = self.version
                 return
             status, read = at.get_config()
@@ -209,6 +220,16 @@
         one.start()
         self._later(normal)
 
+    def slow_reader(self, one):
+        one.kill()
+        one.slow_json(self.random.choice([100, 400]))
+
+        def normal():
+            one.environment = {}
+            self.kill(one)
+        one.start()
+        self._later(normal)
+
     def reload(self, one):
         one.write_settings()
         one._p.send_signal(signal.SIGHUP)
@@ -264,7 +285,8 @@
             self.kill_all()
         elif free:
             one = self.random.choice(free)
-            acts = [self.kill, self.term, self.freeze, self.reload, self.cut]
+            acts = [self.kill, self.term, self.freeze, self.reload, self.cut,
+                    self.slow_reader]
             if one in disks:
                 acts += [self.wipe, self.slow_disk]
             act = self.random.choice(acts)
@@ -275,7 +297,7 @@
     # a whole history
 
     def run(self):
-        submit(self.some, config(1, models=MODELS))
+        submit(self.some, wanted(1))
         for one in self.some:
             wait_until(f"{one.name} to be ready", one.is_ready)
         callers = [Caller(self, i) for i in range(CALLERS)]
@@ -309,8 +331,10 @@
         found = [f"the config read at the end is of version {h['version']}, "
                  f"{operator.acked} was acknowledged"
                  for h in held if h["version"] < operator.acked]
-        if any(h != config(last, models=MODELS) for h in held):
+        if any(h != wanted(last) for h in held):
             found.append("the config read at the end is not what was sent")
+        found += [f"{i.name} does not acknowledge the config in force again"
+                  for i in self.some if i.put_config(wanted(last)) != 200]
         return found
 
     def check(self, results):
