--- a/libplantainusher/daemon/lag.c
+++ b/libplantainusher/daemon/lag.c
@@ -16,7 +16,7 @@
   guint64 logged_at;
   pu_counters_t *counters;
   pu_counter_t turns;
-  pu_counter_t held_ms;
+  pu_counter_t blocked_ms;
   guint handles; /* not yet closed */
 };
 
@@ -41,10 +41,10 @@
   if (lag->since == 0 || now - lag->since < PU_LAG_TOLD_MS)
     return;
   pu_counters_add (lag->counters, lag->turns, 1);
-  pu_counters_add (lag->counters, lag->held_ms, (gint64)(now - lag->since));
+  pu_counters_add (lag->counters, lag->blocked_ms, (gint64)(now - lag->since));
   if (pu_log_limited (&lag->logged_at, now, LOG_PERIOD_MS))
     {
-      pu_log_event (PART, "The event loop was held.",
+      pu_log_event (PART, "The event loop was blocked.",
                     PU_LOG_NUMBER ("ms", now - lag->since));
     }
 }
@@ -56,8 +56,8 @@
 
   lag->loop = loop;
   lag->counters = counters;
-  lag->turns = pu_counters_get (counters, "event_loop_held_total");
-  lag->held_ms = pu_counters_get (counters, "event_loop_held_ms_total");
+  lag->turns = pu_counters_get (counters, "event_loop_blocked_total");
+  lag->blocked_ms = pu_counters_get (counters, "event_loop_blocked_ms_total");
   uv_check_init (loop, &lag->check);
   uv_prepare_init (loop, &lag->prepare);
   lag->check.data = lag;
--- a/libplantainusher/daemon/lag.h
+++ b/libplantainusher/daemon/lag.h
@@ -8,11 +8,11 @@
 G_BEGIN_DECLS
 
 /*
- * lag - how long the event loop is held by its own work.
+ * lag - how long the event loop is blocked by its own work.
  *
  * While a callback runs, nothing else is read, sent or timed.  A turn of the
  * loop that takes PU_LAG_TOLD_MS or more is counted and logged, at most once a
- * second: `event_loop_held_total`, `event_loop_held_ms_total`.
+ * second: `event_loop_blocked_total`, `event_loop_blocked_ms_total`.
  */
 
 #define PU_LAG_TOLD_MS 200
--- a/libplantainusher/entry/document.c
+++ b/libplantainusher/entry/document.c
@@ -1,5 +1,5 @@
 /*
- * A new document comes into force: it is read beside the event loop, as one of
+ * A new document comes into force: it is read in the thread pool, as one of
  * thousands of routes takes an instance with a small share of a processor a
  * second, and then taken over in one step.
  */
@@ -209,7 +209,7 @@
   g_free (r);
 }
 
-/* Runs beside the loop: touches nothing but R.  */
+/* Runs in the thread pool: touches nothing but R.  */
 static void
 on_work (uv_work_t *work)
 {
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -411,7 +411,7 @@
 /* --- document.c: a new document comes into force --- */
 
 /* pu_document_sync - reads the document in RECORD when that is another than
-   the one in force: a short one now, then true; a long one beside the loop,
+   the one in force: a short one now, then true; a long one in the thread pool,
    with a pu_view_sync at its end.  */
 bool pu_document_sync (pu_entry_t *en, const pu_doc_record *record);
 
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -1,7 +1,6 @@
 #include "entry/entry_private.h"
 
 #include "base/breaks.h"
-#include "base/log.h"
 
 #include <string.h>
 
--- a/libplantainusher/http/client_private.h
+++ b/libplantainusher/http/client_private.h
@@ -39,7 +39,7 @@
   bool failed;   /* connecting failed at once: reported by the timer */
   bool reset;    /* as the call wants it */
   bool paused;
-  bool late; /* the limit passed while the loop was held */
+  bool late; /* the limit passed while the loop was blocked */
 } pu_conn_t;
 
 struct pu_http_client
--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -7,8 +7,8 @@
 enum
 {
   READ_BUFFER_SIZE = 65536,
-  /* A timer that fires so late says that the loop was held: what has arrived
-     meanwhile is read before the server is taken for silent.  */
+  /* A timer that fires so late says that the loop was blocked: what has
+     arrived meanwhile is read before the server is taken for silent.  */
   LATE_MS = 10,
 };
 
--- a/libplantainusher/http/http_test.cc
+++ b/libplantainusher/http/http_test.cc
@@ -597,10 +597,10 @@
   EXPECT_EQ ("abc", progress.body);
 }
 
-/* The loop is held behind the answer until the call's time is over: the answer
-   is in the client's socket then.  Timers run once a turn, before the loop
-   waits, as in a daemon.  */
-TEST_P (Http, AnswerThatArrivedWhileTheLoopWasHeldIsNoTimeout)
+/* The loop is blocked behind the answer until the call's time is over: the
+   answer is in the client's socket then.  Timers run once a turn, before the
+   loop waits, as in a daemon.  */
+TEST_P (Http, AnswerThatArrivedWhileTheLoopWasBlockedIsNoTimeout)
 {
   constexpr gulong held_us = 200000;
   const guint64 end = uv_now (&loop) + SAFETY_MS;
--- a/libplantainusher/rpc/client.c
+++ b/libplantainusher/rpc/client.c
@@ -11,7 +11,7 @@
 /* Below this the handshake's own xids lie.  */
 #define XID_FIRST 16
 
-/* A timer that fires so late says that the loop was held: what has arrived
+/* A timer that fires so late says that the loop was blocked: what has arrived
    meanwhile is read before anyone is taken for silent.  */
 #define LATE_MS 10
 
@@ -20,7 +20,7 @@
   guint32 xid;
   guint64 due;          /* loop time, ms */
   bool sent;            /* on the present connection */
-  bool late;            /* its deadline passed while the loop was held */
+  bool late;            /* its deadline passed while the loop was blocked */
   pu_error_kind_t kind; /* not PU_OK: ends with it when due */
   GByteArray *record;   /* until it is sent */
   pu_rpc_answer_t *fn;
@@ -183,9 +183,10 @@
   g_tree_insert (c->by_due, call, call);
 }
 
-/* is_held_up - CALL is given one more turn of the loop, once.  */
+/* call_extend - gives CALL one more turn of the loop, once, when its deadline
+   passed while the loop was blocked.  */
 static bool
-is_held_up (pu_rpc_client_t *c, pending_t *call)
+call_extend (pu_rpc_client_t *c, pending_t *call)
 {
   guint64 now = client_now (c);
 
@@ -213,7 +214,7 @@
 
       if (call->due > client_now (c) || call->xid >= limit)
         break;
-      if (is_held_up (c, call))
+      if (call_extend (c, call))
         continue;
       if (kind == PU_OK)
         kind = call->sent ? PU_ERROR_TIMEOUT : PU_ERROR_UNAVAILABLE;
--- a/libplantainusher/rpc/rpc_test.cc
+++ b/libplantainusher/rpc/rpc_test.cc
@@ -199,9 +199,9 @@
   EXPECT_EQ (counter ("rpc_bytes_out_total"), counter ("rpc_bytes_in_total"));
 }
 
-/* The loop is held behind the answer until the deadline is over: the answer is
-   in the client's socket then.  */
-TEST_F (Rpc, AnswerThatArrivedWhileTheLoopWasHeldIsNoTimeout)
+/* The loop is blocked behind the answer until the deadline is over: the answer
+   is in the client's socket then.  */
+TEST_F (Rpc, AnswerThatArrivedWhileTheLoopWasBlockedIsNoTimeout)
 {
   constexpr guint32 holds = 6;
   constexpr guint held_us = 200000, timeout = 50;
