--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -143,6 +143,32 @@
     }
 }
 
+/* A voter that stops hands leadership on, and serves for seconds after that.
+   Leadership must not come back to it meanwhile.  */
+TEST (Replica, LeadershipDoesNotReturnToAStoppingVoter)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Sim s (3, seed, 0);
+      std::set<std::string> stopping;
+
+      s.run (4000);
+      for (int i = 0; i < 2; i++)
+        {
+          sim::Node *l = s.leader ();
+
+          ASSERT_NE (nullptr, l) << "seed " << seed;
+          stopping.insert (l->name);
+          pu_replica_transfer_leadership (l->r, s.clock (*l));
+          s.propose ();
+          s.run (500);
+        }
+      ASSERT_NE (nullptr, s.leader ()) << "seed " << seed;
+      EXPECT_EQ (0U, stopping.count (s.leader ()->name)) << "seed " << seed;
+      EXPECT_EQ (s.violation, "") << "seed " << seed;
+    }
+}
+
 /* After a power failure, connections come up one by one, after the first
    election has started, so vote requests sent before a connection is up are
    lost.  */
