--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -176,14 +176,15 @@
 }
 
 static void
-on_role_change (pu_group_t *g, bool leader, uint64_t term)
+on_role_change (pu_group_t *g, const pu_action_t *a)
 {
-  pu_log_note ("log", "%s %s in term %" G_GUINT64_FORMAT ".", g->self.name,
-               leader ? "leads" : "leads no more", term);
-  if (!leader)
+  pu_log_note ("log", "%s %s in term %" G_GUINT64_FORMAT " (%s).",
+               g->self.name, a->role.leader ? "leads" : "leads no more",
+               a->role.term, pu_role_cause_name (a->role.cause));
+  if (!a->role.leader)
     complete_all_proposals (g, PU_ERROR_TIMEOUT);
   if (g->o.role != NULL)
-    g->o.role (leader, term, g->o.data);
+    g->o.role (a->role.leader, a->role.term, g->o.data);
 }
 
 static void
@@ -211,7 +212,7 @@
       apply_entries (g, a->apply.first, a->apply.last);
       break;
     case PU_ACTION_ROLE_CHANGED:
-      on_role_change (g, a->role.leader, a->role.term);
+      on_role_change (g, a);
       break;
     case PU_ACTION_REJOIN:
       g->rejoin_pending = true;
--- a/libplantainusher/log/replica.c
+++ b/libplantainusher/log/replica.c
@@ -186,28 +186,41 @@
   r->election_deadline = now + r->o.election_ms + extra;
 }
 
-static void
-push_role_action (pu_replica_t *r, bool leader)
+const char *
+pu_role_cause_name (pu_role_cause_t cause)
+{
+  static const char *const names[] = {
+    [PU_ROLE_ELECTED] = "election",
+    [PU_ROLE_TRANSFERRED] = "leadership transfer",
+    [PU_ROLE_QUORUM_LOST] = "no replies from a quorum",
+    [PU_ROLE_LATER_TERM] = "a later term",
+    [PU_ROLE_FAILED] = "failed or retired",
+  };
+
+  return names[cause];
+}
+
+void
+pu_r_push_role_action (pu_replica_t *r, bool leader, pu_role_cause_t cause)
 {
   pu_action_t *a = pu_r_push_action (r, PU_ACTION_ROLE_CHANGED);
 
   a->role.leader = leader;
   a->role.term = r->term;
+  a->role.cause = cause;
 }
 
 void
 pu_r_become_follower (pu_replica_t *r, uint64_t now, uint64_t term,
                       const pu_log_peer *leader)
 {
-  bool led = r->role == PU_ROLE_LEADER;
-
+  if (r->role == PU_ROLE_LEADER)
+    pu_r_push_role_action (r, false, PU_ROLE_LATER_TERM);
   r->role = PU_ROLE_FOLLOWER;
   pu_log_peer_clear (&r->leader);
   if (leader != NULL)
     pu_log_peer_copy (&r->leader, leader);
   r->transfer_deadline = 0;
-  if (led)
-    push_role_action (r, false);
   if (term > r->term)
     {
       r->term = term;
@@ -220,11 +233,19 @@
   pu_r_reset_timeout (r, now);
 }
 
+void
+pu_r_step_down (pu_replica_t *r, uint64_t now, pu_role_cause_t cause)
+{
+  pu_r_push_role_action (r, false, cause);
+  r->role = PU_ROLE_FOLLOWER;
+  pu_r_become_follower (r, now, r->term, NULL);
+}
+
 static void
 stop_participating (pu_replica_t *r)
 {
   if (r->role == PU_ROLE_LEADER)
-    push_role_action (r, false);
+    pu_r_push_role_action (r, false, PU_ROLE_FAILED);
   r->role = PU_ROLE_FOLLOWER;
   pu_log_peer_clear (&r->leader);
   pu_r_drop_deferred_sends (r);
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -133,6 +133,19 @@
                        replica with a new identity */
 } pu_action_kind_t;
 
+/* Why leadership began or ended.  */
+typedef enum
+{
+  PU_ROLE_ELECTED,     /* no message from a leader had arrived in time */
+  PU_ROLE_TRANSFERRED, /* a leader transferred leadership */
+  PU_ROLE_QUORUM_LOST, /* the leader received no replies from a quorum */
+  PU_ROLE_LATER_TERM,  /* another voter started a later term */
+  PU_ROLE_FAILED,      /* the disk failed, or the identity is retired */
+} pu_role_cause_t;
+
+/* pu_role_cause_name - returns a name for log messages.  */
+const char *pu_role_cause_name (pu_role_cause_t cause);
+
 typedef struct
 {
   pu_action_kind_t kind;
@@ -172,6 +185,7 @@
     {
       bool leader;
       uint64_t term;
+      pu_role_cause_t cause;
     } role;
   };
 } pu_action_t;
--- a/libplantainusher/log/replica_append.c
+++ b/libplantainusher/log/replica_append.c
@@ -88,8 +88,6 @@
 void
 pu_r_become_leader (pu_replica_t *r, uint64_t now)
 {
-  pu_action_t *a;
-
   r->role = PU_ROLE_LEADER;
   pu_r_fetch_stop (r);
   pu_log_peer_clear (&r->leader);
@@ -106,9 +104,9 @@
   g_array_set_size (r->progress, 0);
   pu_r_reconcile_progress (r, now);
   r->term_first_index = pu_r_append_as_leader (r, PU_LOG_NOOP, "", 0);
-  a = pu_r_push_action (r, PU_ACTION_ROLE_CHANGED);
-  a->role.leader = true;
-  a->role.term = r->term;
+  pu_r_push_role_action (r, true,
+                         r->transfer_campaign ? PU_ROLE_TRANSFERRED
+                                              : PU_ROLE_ELECTED);
   pu_r_leader_tick (r, now);
 }
 
@@ -275,7 +273,7 @@
   pu_log_peer_copy (&peer, &to->peer);
   /* Step down before the target is asked to start an election, so that the
      lease ends before the target can be elected.  */
-  pu_r_become_follower (r, now, r->term, NULL);
+  pu_r_step_down (r, now, PU_ROLE_TRANSFERRED);
   pu_r_send (r, &peer, &b);
   pu_log_peer_clear (&peer);
 }
@@ -335,7 +333,7 @@
 
   if (now > sent + QUORUM_LOSS_ELECTIONS * (uint64_t)r->o.election_ms)
     {
-      pu_r_become_follower (r, now, r->term, NULL);
+      pu_r_step_down (r, now, PU_ROLE_QUORUM_LOST);
       return;
     }
   pu_r_reconcile_progress (r, now);
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -191,9 +191,13 @@
 pu_action_t *pu_r_push_action (pu_replica_t *r, pu_action_kind_t kind);
 void pu_r_send (pu_replica_t *r, const pu_log_peer *to, pu_log_body *body);
 void pu_r_save_meta (pu_replica_t *r);
+void pu_r_push_role_action (pu_replica_t *r, bool leader,
+                            pu_role_cause_t cause);
 void pu_r_reset_timeout (pu_replica_t *r, uint64_t now);
 void pu_r_become_follower (pu_replica_t *r, uint64_t now, uint64_t term,
                            const pu_log_peer *leader);
+/* pu_r_step_down - ends leadership in the current term.  */
+void pu_r_step_down (pu_replica_t *r, uint64_t now, pu_role_cause_t cause);
 void pu_r_retire_identity (pu_replica_t *r);
 bool pu_r_drop_deferred_sends (pu_replica_t *r);
 
