log: leadership is not handed to a voter that is about to stop

Each change is also a new plan, without the demand that the last leader had learnt.

Cause: a leader that stops transfers leadership to the voter with the highest match index. A voter that stops serves for some 4 to 6 s more, answers heartbeats until it ends and may have the highest index, so the next leader that was stopped handed leadership back to it.

Ruled out: two leaders at once (tokens rise, terms don't overlap in the logs); an election (the logs show 10 to 15 ms between "leads no more" and "leads", and now say "leadership transfer").

Change: a voter that is about to stop says so to the other members with each heartbeat until it ends (message PU_LOG_STOPPING; an older build drops it and behaves as before). Such a voter is not chosen while another can lead, waits two election timeouts longer before it stands for election, and gives up leadership when it gets it all the same. The last step of a stop still hands over to any voter, so that no election is needed.

The fuzz has stops as events.

--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -293,6 +293,12 @@
   return c;
 }
 
+void
+pu_control_begin_stop (pu_control_t *c)
+{
+  pu_group_begin_stop (c->group);
+}
+
 void
 pu_control_step_down (pu_control_t *c)
 {
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -84,6 +84,11 @@
    calls.  Returns NULL with the error of pu_group_new.  */
 pu_control_t *pu_control_new (const pu_control_options_t *o, pu_error_t *e);
 
+/* pu_control_begin_stop - announces to the other voters that this process is
+   about to stop, and transfers leadership, now and later, to a voter that is
+   not stopping.  */
+void pu_control_begin_stop (pu_control_t *c);
+
 /* pu_control_step_down - starts a graceful stop: a leader transfers the
    leadership to another voter.  Wait until pu_control_is_leader is false, for
    two seconds at most, then call pu_control_close.  */
--- a/libplantainusher/daemon/daemon.c
+++ b/libplantainusher/daemon/daemon.c
@@ -38,7 +38,7 @@
   if (e->kind != PU_OK)
     pu_log_warn (PART, "Leaving is not in the log: %s", e->message);
   if (d->control != NULL)
-    pu_control_step_down (d->control);
+    pu_control_begin_stop (d->control);
 }
 
 static void
--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -556,6 +556,13 @@
   return true;
 }
 
+void
+pu_group_begin_stop (pu_group_t *g)
+{
+  pu_replica_begin_stop (g->replica, now_ms (g));
+  schedule_actions (g);
+}
+
 void
 pu_group_transfer_leadership (pu_group_t *g)
 {
--- a/libplantainusher/log/group.h
+++ b/libplantainusher/log/group.h
@@ -149,7 +149,11 @@
 /* pu_group_commit_index - returns the commit index.  */
 uint64_t pu_group_commit_index (const pu_group_t *g);
 
-/* pu_group_transfer_leadership - prepares a graceful stop: a leader waits
+/* pu_group_begin_stop - announces that this process is about to stop; see
+   pu_replica_begin_stop.  */
+void pu_group_begin_stop (pu_group_t *g);
+
+/* pu_group_transfer_leadership - prepares pu_group_close: a leader waits
    until another voter has the whole log and transfers leadership to that
    voter.  Proposals are refused during the transfer.  Wait until
    pu_group_is_leader is false, for two seconds at most, before calling
--- a/libplantainusher/log/log_msg.x
+++ b/libplantainusher/log/log_msg.x
@@ -72,7 +72,8 @@
   PU_LOG_FETCH = 6,
   PU_LOG_CHUNK = 7,
   PU_LOG_TIMEOUT_NOW = 8,
-  PU_LOG_REJOIN = 9
+  PU_LOG_REJOIN = 9,
+  PU_LOG_STOPPING = 10 /* the sender is about to stop */
 };
 
 /* Sent by an identity that receives no messages from a leader: asks for the
@@ -182,6 +183,8 @@
   void;
 case PU_LOG_REJOIN:
   void;
+case PU_LOG_STOPPING:
+  void;
 };
 
 struct pu_log_msg
--- a/libplantainusher/log/replica.c
+++ b/libplantainusher/log/replica.c
@@ -4,6 +4,9 @@
 
 enum
 {
+  /* A voter that is about to stop waits this many election timeouts longer
+     before it stands for election.  */
+  STOPPING_DELAY_ELECTIONS = 2,
   ELECTION_MS = 1000,
   HEARTBEAT_MS = 250,
   DRIFT_PERMILLE = 10,
@@ -184,6 +187,11 @@
       = (uint32_t)g_rand_int_range (r->rand, 0, (gint32)r->o.election_ms);
 
   r->election_deadline = now + r->o.election_ms + extra;
+  if (r->stopping)
+    {
+      r->election_deadline
+          += STOPPING_DELAY_ELECTIONS * (uint64_t)r->o.election_ms;
+    }
 }
 
 const char *
@@ -343,6 +351,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   r->floors
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  r->stopping_members
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   r->entries
       = g_ptr_array_new_with_free_func ((GDestroyNotify)pu_record_unref);
   r->configs = g_array_new (FALSE, TRUE, sizeof (pu_config_entry_t));
@@ -389,6 +399,7 @@
   g_queue_clear_full (&r->deferred_sends, (GDestroyNotify)free_deferred_send);
   g_hash_table_unref (r->votes_granted);
   g_hash_table_unref (r->floors);
+  g_hash_table_unref (r->stopping_members);
   g_rand_free (r->rand);
   pu_snapshot_clear (&r->snapshot);
   pu_snapshot_clear (&r->unsaved_snapshot);
@@ -404,6 +415,7 @@
 {
   if (r->stopped)
     return;
+  pu_r_announce_stop (r, now);
   if (r->role == PU_ROLE_LEADER)
     {
       pu_r_leader_tick (r, now);
@@ -514,6 +526,9 @@
     case PU_LOG_REJOIN:
       on_rejoin (r, m);
       break;
+    case PU_LOG_STOPPING:
+      pu_r_on_stopping (r, now, m);
+      break;
     }
 }
 
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -248,9 +248,17 @@
    other voter can be elected; see pu_group_holds_lease.  */
 bool pu_replica_holds_lease (const pu_replica_t *r, uint64_t now);
 
+/* pu_replica_begin_stop - announces that this process is about to stop.  From
+   now on this voter transfers leadership to a voter that is not stopping, also
+   if it is elected again, and the other members neither transfer leadership to
+   it nor promote it nor fetch snapshots from it.  It still votes and
+   replicates.  Lasts until the process ends.  */
+void pu_replica_begin_stop (pu_replica_t *r, uint64_t now);
+
 /* pu_replica_transfer_leadership - transfers leadership to the reachable
    voter with the highest match index as soon as that voter has the whole log.
-   Proposals are refused during the transfer.  */
+   Voters that are about to stop come last.  Proposals are refused during the
+   transfer.  */
 void pu_replica_transfer_leadership (pu_replica_t *r, uint64_t now);
 
 typedef enum
--- a/libplantainusher/log/replica_append.c
+++ b/libplantainusher/log/replica_append.c
@@ -16,9 +16,6 @@
   /* A leader steps down after this many election timeouts without replies
      from a quorum.  */
   QUORUM_LOSS_ELECTIONS = 2,
-  /* The target of a leadership transfer must have replied within this many
-     heartbeat intervals.  */
-  TRANSFER_SILENCE_HEARTBEATS = 3,
 };
 
 pu_progress_t *
@@ -96,6 +93,7 @@
   r->uncommitted_bytes = 0;
   r->committed_config_index = 0;
   r->transfer_deadline = 0;
+  r->transfer_retry_at = 0;
   for (guint i = 0; i < r->progress->len; i++)
     {
       g_queue_clear (
@@ -104,9 +102,8 @@
   g_array_set_size (r->progress, 0);
   pu_r_reconcile_progress (r, now);
   r->term_first_index = pu_r_append_as_leader (r, PU_LOG_NOOP, "", 0);
-  pu_r_push_role_action (r, true,
-                         r->transfer_campaign ? PU_ROLE_TRANSFERRED
-                                              : PU_ROLE_ELECTED);
+  pu_r_push_role_action (
+      r, true, r->transfer_campaign ? PU_ROLE_TRANSFERRED : PU_ROLE_ELECTED);
   pu_r_leader_tick (r, now);
 }
 
@@ -252,60 +249,6 @@
     }
 }
 
-/* Cancels the leadership transfer at its deadline or if its target was
-   removed; completes it once the target holds the whole log.  */
-static void
-advance_transfer (pu_replica_t *r, uint64_t now)
-{
-  const pu_log_member *to
-      = pu_log_config_find_member (pu_r_config (r), r->transfer_target);
-  const pu_progress_t *p = pu_r_find_progress (r, r->transfer_target);
-  pu_log_body b = { .kind = PU_LOG_TIMEOUT_NOW };
-  pu_log_peer peer;
-
-  if (now >= r->transfer_deadline || to == NULL || p == NULL)
-    {
-      r->transfer_deadline = 0;
-      return;
-    }
-  if (p->match < pu_r_last_index (r))
-    return;
-  pu_log_peer_copy (&peer, &to->peer);
-  /* Step down before the target is asked to start an election, so that the
-     lease ends before the target can be elected.  */
-  pu_r_step_down (r, now, PU_ROLE_TRANSFERRED);
-  pu_r_send (r, &peer, &b);
-  pu_log_peer_clear (&peer);
-}
-
-void
-pu_replica_transfer_leadership (pu_replica_t *r, uint64_t now)
-{
-  const pu_log_config *c = pu_r_config (r);
-  const pu_progress_t *best = NULL;
-
-  if (r->role != PU_ROLE_LEADER || r->transfer_deadline != 0)
-    return;
-  for (guint i = 0; i < c->members.members_len; i++)
-    {
-      const pu_log_member *m = &c->members.members_val[i];
-      const pu_progress_t *p = pu_r_find_progress (r, m->peer.id);
-
-      if (m->role != PU_LOG_VOTER || p == NULL || p->lost_entries
-          || now > p->last_reply_at
-                       + TRANSFER_SILENCE_HEARTBEATS
-                             * (uint64_t)r->o.heartbeat_ms)
-        continue;
-      if (best == NULL || p->match > best->match)
-        best = p;
-    }
-  if (best == NULL)
-    return;
-  r->transfer_target = best->id;
-  r->transfer_deadline = now + r->o.election_ms;
-  advance_transfer (r, now);
-}
-
 /* Sends a heartbeat if one is due.  A member that has lost synced entries is
    told to rejoin instead.  */
 static void
@@ -340,8 +283,7 @@
   for (guint i = 0; i < r->progress->len; i++)
     send_heartbeat (r, &g_array_index (r->progress, pu_progress_t, i), now);
   pu_r_update_commit (r);
-  if (r->transfer_deadline != 0)
-    advance_transfer (r, now);
+  pu_r_transfer_tick (r, now);
   if (r->role == PU_ROLE_LEADER)
     pu_r_adjust_voters (r, now);
 }
@@ -498,8 +440,8 @@
     p->probing = false;
   advance_match (p, a->match);
   pu_r_update_commit (r);
-  if (r->transfer_deadline != 0 && p->id == r->transfer_target)
-    advance_transfer (r, now);
+  if (p->id == r->transfer_target)
+    pu_r_transfer_tick (r, now);
 }
 
 /* Handling of append messages, on a follower.  */
--- a/libplantainusher/log/replica_fetch.c
+++ b/libplantainusher/log/replica_fetch.c
@@ -27,7 +27,7 @@
           const pu_progress_t *target, uint64_t now)
 {
   return p != target && !p->lost_entries && p->snapshot >= r->base
-         && p->snapshot > 0
+         && p->snapshot > 0 && !pu_r_is_stopping (r, p->id, now)
          && now <= p->last_reply_at
                        + STALL_HEARTBEATS * (uint64_t)r->o.heartbeat_ms;
 }
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -12,6 +12,7 @@
  *   replica_log.c     entries in memory, writes, configurations, snapshots
  *   replica_vote.c    elections, lease
  *   replica_append.c  replication, commit
+ *   replica_transfer.c  leadership transfer, planned stop
  *   replica_voters.c  bootstrap, joining, membership changes
  *   replica_fetch.c   snapshot transfer
  */
@@ -126,6 +127,10 @@
   bool transfer_campaign; /* the old leader requested this campaign (leadership
                              transfer) */
   uint64_t next_hello_at; /* time of the next hello messages */
+  bool stopping;          /* this process is about to stop */
+  uint64_t next_stopping_at;    /* time of the next messages that say so */
+  GHashTable *stopping_members; /* identity -> uint64_t *: when the member
+                                   last said that it is about to stop */
   GHashTable *votes_granted; /* set of the identities that voted for this voter
                                 in the current campaign */
   /* identity -> uint64_t *: highest committed index that the member with this
@@ -184,6 +189,8 @@
   uint64_t config_committed_at;    /* time when this leader noticed that this
                                       configuration was committed */
   uint64_t transfer_deadline; /* deadline of a leadership transfer; 0: none */
+  uint64_t transfer_retry_at; /* no earlier than this, a leader that stops
+                                 begins another transfer */
   uint64_t transfer_target;   /* identity that is to become the leader */
 };
 
@@ -245,6 +252,16 @@
 uint64_t pu_r_append_as_leader (pu_replica_t *r, pu_log_type type,
                                 const void *data, size_t len);
 
+/* replica_transfer.c */
+/* pu_r_is_stopping - whether the member ID has said lately that it is about
+   to stop.  */
+bool pu_r_is_stopping (const pu_replica_t *r, uint64_t id, uint64_t now);
+/* pu_r_transfer_tick - advances a leadership transfer, or begins one if this
+   leader is about to stop.  */
+void pu_r_transfer_tick (pu_replica_t *r, uint64_t now);
+void pu_r_announce_stop (pu_replica_t *r, uint64_t now);
+void pu_r_on_stopping (pu_replica_t *r, uint64_t now, const pu_log_msg *m);
+
 /* replica_voters.c */
 void pu_r_send_hellos (pu_replica_t *r, uint64_t now);
 void pu_r_on_hello (pu_replica_t *r, uint64_t now, const pu_log_msg *m);
--- a/libplantainusher/log/replica_sim.h
+++ b/libplantainusher/log/replica_sim.h
@@ -39,6 +39,7 @@
   TRANSFER,
   REMOVE,
   REPLACE,
+  BEGIN_STOP,
   EVENT_KINDS
 };
 
@@ -180,6 +181,10 @@
                                       nodes_[b].name.c_str (), nullptr);
           }
         break;
+      case BEGIN_STOP:
+        if (n.r != nullptr)
+          pu_replica_begin_stop (n.r, clock (n));
+        break;
       default:
         break;
       }
--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -159,7 +159,7 @@
 
           ASSERT_NE (nullptr, l) << "seed " << seed;
           stopping.insert (l->name);
-          pu_replica_transfer_leadership (l->r, s.clock (*l));
+          pu_replica_begin_stop (l->r, s.clock (*l));
           s.propose ();
           s.run (500);
         }
@@ -169,6 +169,43 @@
     }
 }
 
+TEST (Replica, LogIsWrittenToWhileAllVotersAreStopping)
+{
+  Sim s (3, 5, 0);
+
+  s.run (4000);
+  for (unsigned i = 0; i < 3; i++)
+    pu_replica_begin_stop (s.node (i).r, s.clock (s.node (i)));
+  s.run (500);
+  ASSERT_NE (nullptr, s.leader ());
+  s.stop ((unsigned)(s.leader ()->name[0] - 'a'));
+  s.run (6000);
+  ASSERT_NE (nullptr, s.leader ());
+  uint64_t index = s.propose ();
+  s.run (500);
+  EXPECT_NE (0U, index);
+  EXPECT_LE (index, pu_replica_commit_index (s.leader ()->r));
+}
+
+/* The leader that stops has nobody to hand over to until one of the others
+   has restarted.  */
+TEST (Replica, StoppingLeaderHandsOverToAVoterThatHasRestarted)
+{
+  Sim s (3, 5, 0);
+
+  s.run (4000);
+  for (unsigned i = 0; i < 3; i++)
+    pu_replica_begin_stop (s.node (i).r, s.clock (s.node (i)));
+  s.run (500);
+  std::string old = s.leader ()->name;
+  unsigned other = old == "a" ? 1 : 0;
+  s.stop (other);
+  s.start (other);
+  s.run (3000);
+  ASSERT_NE (nullptr, s.leader ());
+  EXPECT_EQ (s.node (other).name, s.leader ()->name);
+}
+
 /* After a power failure, connections come up one by one, after the first
    election has started, so vote requests sent before a connection is up are
    lost.  */
--- a/libplantainusher/log/replica_voters.c
+++ b/libplantainusher/log/replica_voters.c
@@ -464,7 +464,8 @@
   const pu_log_member *m = &c->members.members_val[i];
   uint32_t voters = pu_log_config_count_voters (c);
 
-  if (pu_log_role_is_voting (m->role) || !is_caught_up (r, m, now))
+  if (pu_log_role_is_voting (m->role) || !is_caught_up (r, m, now)
+      || pu_r_is_stopping (r, m->peer.id, now))
     return 0;
   if (voters >= c->target && !has_role (c, PU_LOG_LEAVING))
     return 0;
