Test that fails: a leader that leads again orders engines at once

Three voters, engines that don't check fencing tokens, an engine that is ordered all the time. The leader freezes and thaws, or is killed and restarts; its successor stops and hands leadership back to it. The stand-in of an engine holds adapters now.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -159,8 +159,9 @@
             "max_attempts": 2, "service": service, **more}
 
 
-def config(version, routes=None, models=()):
-    """A config with a plain service and an engine pool."""
+def config(version, routes=None, models=(), adapters=0):
+    """A config with a plain service and an engine pool, each of MODELS with
+    ADAPTERS adapters."""
     return {
         "version": version,
         "routes": routes if routes is not None else [
@@ -175,7 +176,7 @@
                         "loads_per_s": 5.0, "host_mb": 2000.0,
                         "disk_mb": 4000.0,
                         "models": [{"name": m, "weights_mb": 400.0,
-                                    "load_s": 0.2, "adapters": 0,
+                                    "load_s": 0.2, "adapters": adapters,
                                     "adapter_mb": 1.0, "warm_s": 0.1,
                                     "disk_load_s": 0.1} for m in models]}}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
@@ -198,7 +199,9 @@
     def __init__(self, cluster, name, service, zone="a", models=None):
         self.name, self.service, self.zone = name, service, zone
         self.models = models  # names that it holds; None: a plain service
+        self.adapters = []     # MODEL/ADAPTER that it holds
         self.ran, self.heads, self.orders = [], [], []
+        self.ordered_at = []   # when it accepted the orders
         self.state = "ready"
         self.cut = False       # breaks off in its next answers
         self.hold_s = 0.0      # before it answers
@@ -235,8 +238,12 @@
                        body, timeout_s=1).status
 
     def held(self):
-        return [{"name": m, "version": 1, "adapters": []}
-                for m in self.models]
+        return [{"name": m, "version": 1, "adapters": [
+            a.split("/")[1] for a in self.adapters
+            if a.split("/")[0] == m]} for m in self.models]
+
+    def holds(self, model):
+        return model in self.models or model in self.adapters
 
     def _beat(self):
         while not self._end.wait(self.beat_s):
@@ -257,6 +264,14 @@
                 return 409
             self.accepted += 1
             self.orders.append(body)
+            self.ordered_at.append(time.monotonic())
+            if "adapter" in body:
+                name = f"{body['model']}/{body['adapter']}"
+                if body["op"] == "load":
+                    self.adapters.append(name)
+                else:
+                    self.adapters.remove(name)
+                return 200
             if body["op"] == "load":
                 self.models.append(body["model"])
                 self.over |= self.room is not None \
@@ -285,6 +300,23 @@
         return found + [f"{self.name} got fence {f} of {sorted(h)}"
                         for f, h in holders.items() if len(h) > 1]
 
+    def returns(self, lease_s):
+        """Orders of a holder within LEASE_S of an earlier order of the same
+        holder with another holder's order in between."""
+        found, last, since = [], {}, 0
+        for i, (o, at) in enumerate(zip(self.orders, self.ordered_at)):
+            holder = o["holder"]
+            if i > 0 and self.orders[i - 1]["holder"] != holder:
+                since = i
+            if last.get(holder, i) < since \
+                    and at - self.ordered_at[last[holder]] < lease_s:
+                found.append(f"{holder} ordered {self.name} again after "
+                             f"{at - self.ordered_at[last[holder]]:.2f} s")
+            if i + 1 < len(self.orders) \
+                    and self.orders[i + 1]["holder"] != holder:
+                last[holder] = i
+        return found
+
     def close(self):
         """Ends it as a crash does: its open connections break."""
         self._end.set()
@@ -365,7 +397,7 @@
             self._send(503, b"", Request_Id=rid, Not_Run="1",
                        Instance_Id=b.name)
         elif b.models is not None \
-                and self.headers.get("Model") not in b.models:
+                and not b.holds(self.headers.get("Model")):
             self._send(421, b"", Request_Id=rid, Not_Run="1",
                        Instance_Id=b.name)
         else:
