placer: a leader that leads again waits until its own orders are old

Cause: a new leader orders engines as soon as it has their reports, and keeps nothing of its earlier leaderships. Where engines don't check fencing tokens they can't tell the later of two leaders either. The setting lease_ms was read and used by nothing of this task (the other order table does wait).

Change: placement/order_turns keeps the time of the last order to each engine over leaderships. If another term came in between, an engine gets the next order a lease after that (and the drift of two clocks). A restarted process doesn't know its orders and waits for a lease after its start, where engines don't check tokens. Meanwhile no load is planned there, and adapters go to other engines or the request is refused at once; what is loaded serves on.

What callers lose: a leader that returns orders the engines that it ordered lately up to 3 s later; after a restart of all instances the first order comes 3 s after the start where tokens aren't checked. Not yet measured at size.

--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -201,6 +201,8 @@
   o.name = d->settings->name;
   o.counters = d->counters;
   o.wire = pu_platform_get_order_protocol ();
+  o.lease_ms = d->settings->platform.lease_ms;
+  o.checks_tokens = d->settings->platform.fenced;
   o.on_load_report = on_load;
   o.on_unload = on_unload;
   o.data = d;
--- a/libplantainusher/placement/adapters.c
+++ b/libplantainusher/placement/adapters.c
@@ -34,6 +34,7 @@
   guint slots; /* number of adapter slots; 0: no limit */
   guint load;  /* number of requests */
   bool usable;
+  bool may_load;
 } engine_t;
 
 struct pu_adapters
@@ -106,9 +107,9 @@
 
 void
 pu_adapters_set_engine (pu_adapters_t *a, guint32 engine, guint slots,
-                        guint load, bool usable)
+                        guint load, bool usable, bool may_load)
 {
-  engine_t e = { slots, load, usable };
+  engine_t e = { slots, load, usable, may_load };
 
   if (a->engines->len <= engine)
     g_array_set_size (a->engines, engine + 1);
@@ -149,8 +150,8 @@
 } candidate_t;
 
 /* Fills O with ENGINE and the adapter that it would evict: the least recently
-   used one, or none when a slot is free.  Returns false when ENGINE has
-   neither a free slot nor an adapter that may be evicted.  */
+   used one, or none when a slot is free.  Returns false when ENGINE may not
+   load, or has neither a free slot nor an adapter that may be evicted.  */
 static bool
 find_candidate (const pu_adapters_t *a, guint32 engine, guint64 now,
                 candidate_t *o)
@@ -162,6 +163,8 @@
   guint leaving = 0;
 
   *o = (candidate_t){ engine, 0, PU_ADAPTERS_NONE, G_MAXUINT64 };
+  if (!e->may_load)
+    return false;
   for (guint i = 0; i < n; i++)
     {
       const adapter_t *t = adapter_at (a, items[i].item);
--- a/libplantainusher/placement/adapters.h
+++ b/libplantainusher/placement/adapters.h
@@ -36,9 +36,10 @@
 
 /* pu_adapters_set_engine - replaces the state of ENGINE: it has SLOTS adapter
    slots (0: no limit); LOAD is the number of requests on the engine; USABLE:
-   the engine accepts orders and new requests.  */
+   the engine accepts orders and new requests; MAY_LOAD: no load has to wait
+   for orders of an earlier leadership (placement/order_turns.h).  */
 void pu_adapters_set_engine (pu_adapters_t *a, guint32 engine, guint slots,
-                             guint load, bool usable);
+                             guint load, bool usable, bool may_load);
 
 /* pu_adapters_mark_used - records that ITEM was requested at NOW.  */
 void pu_adapters_mark_used (pu_adapters_t *a, guint32 item, guint64 now);
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -11,6 +11,7 @@
   CONNECT_TIMEOUT_MS = 300,
   ORDER_TIMEOUT_MS = 300,
   PLAN_INTERVAL_MS = 250,
+  LEASE_MS = 3000,
   /* Interval between two fetches of the report of an engine.  Entry instances
      learn of the requests of each other only from these reports.  */
   REPORT_INTERVAL_MS = 400,
@@ -39,6 +40,7 @@
   *o = (pu_sequenced_options_t){ .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                  .order_timeout_ms = ORDER_TIMEOUT_MS,
                                  .plan_interval_ms = PLAN_INTERVAL_MS,
+                                 .lease_ms = LEASE_MS,
                                  .store_burst = STORE_BURST };
 }
 
@@ -308,6 +310,14 @@
   return c->adapter_places * l->max_adapter_mb;
 }
 
+bool
+pu_sequenced_may_order (const pu_sequenced_t *s, guint32 engine)
+{
+  return pu_order_turns_allows (
+      s->turns, pu_sequenced_get_engine (s->leader, engine)->name,
+      pu_sequenced_now (s));
+}
+
 void
 pu_sequenced_refresh_engine (pu_sequenced_t *s, guint32 handle)
 {
@@ -337,14 +347,16 @@
   p.memory_mb = c->memory_mb - MIN (c->memory_mb, adapter_reserve_mb (l, c));
   p.usable = e->usable && pu_dispatcher_accepts_orders (l->dispatcher, handle);
   p.loads_suspended
-      = !p.usable || pu_dispatcher_has_unknown_order (l->dispatcher, handle);
+      = !p.usable || !pu_sequenced_may_order (s, handle)
+        || pu_dispatcher_has_unknown_order (l->dispatcher, handle);
   pu_dispatcher_set_capacity (l->dispatcher, handle, p.memory_mb);
   pu_dispatcher_set_adapter_slots (l->dispatcher, handle, c->adapter_places);
   p.copies = (const pu_plan_copy_t *)(void *)s->copies->data;
   p.n_copies = s->copies->len;
   pu_planner_set_engine (l->planner, handle, &p, pu_sequenced_now (s));
   pu_adapters_set_engine (l->adapters, handle, c->adapter_places,
-                          e->reported_requests, p.usable);
+                          e->reported_requests, p.usable,
+                          pu_sequenced_may_order (s, handle));
 }
 
 static void
@@ -455,8 +467,9 @@
 
 /* --- orders --- */
 
-/* A pu_dispatcher_admit_fn.  A load from the weights store takes a token of
-   the rate limit of the store; all other orders are admitted.  */
+/* A pu_dispatcher_admit_fn.  An engine that this instance ordered in an
+   earlier leadership gets no order yet; a load from the weights store takes a
+   token of the rate limit of the store; all other orders are admitted.  */
 static bool
 admit_order (void *data, guint32 engine, const pu_dispatcher_order_t *o)
 {
@@ -464,6 +477,8 @@
   leader_state_t *l = s->leader;
   const engine_t *e = pu_sequenced_get_engine (l, engine);
 
+  if (!pu_sequenced_may_order (s, engine))
+    return false;
   if (o->op != PU_DISPATCHER_LOAD || o->adapter
       || g_hash_table_contains (e->cached_items, GUINT_TO_POINTER (o->item)))
     return true;
@@ -594,6 +609,7 @@
   pu_sequenced_t *s = data;
 
   s->leader_epoch++;
+  pu_order_turns_begin (s->turns, term, now);
   s->leader = leader_state_new (term, now);
 }
 
@@ -648,7 +664,12 @@
   pu_http_client_options_t c
       = { .loop = o->loop, .connect_timeout_ms = o->connect_timeout_ms };
 
+  pu_order_turns_options_t turns = { .lease_ms = o->lease_ms,
+                                     .started_at = pu_control_now (o->control),
+                                     .wait_after_start = !o->checks_tokens };
+
   s->options = *o;
+  s->turns = pu_order_turns_new (&turns);
   s->client = pu_http_client_new (&c);
   s->moves = g_array_new (FALSE, FALSE, sizeof (pu_move_t));
   s->copies = g_array_new (FALSE, FALSE, sizeof (pu_plan_copy_t));
@@ -687,6 +708,7 @@
   leader_state_free (s->leader);
   s->leader = NULL;
   pu_http_client_free (s->client);
+  pu_order_turns_free (s->turns);
   g_array_unref (s->moves);
   g_array_unref (s->copies);
   g_hash_table_destroy (s->calls);
--- a/libplantainusher/placer/sequenced.h
+++ b/libplantainusher/placer/sequenced.h
@@ -34,6 +34,9 @@
   guint32 connect_timeout_ms;
   guint32 order_timeout_ms; /* time-out for an engine's answer to an order */
   guint32 plan_interval_ms;
+  guint32 lease_ms;   /* an instance that leads again does not order an engine
+                         until its own orders are older than this */
+  bool checks_tokens; /* engines refuse orders with an old fencing token */
   double store_burst; /* most loads from the weights store that the rate limit
                          admits in a burst */
   /* Receives the load of ENGINE from each report of ENGINE; may be NULL.  */
--- a/libplantainusher/placer/sequenced_calls.c
+++ b/libplantainusher/placer/sequenced_calls.c
@@ -27,6 +27,7 @@
   pu_sequenced_t *owner;
   guint64 leader_epoch; /* leader_epoch of the owner when the call started */
   guint32 engine;
+  bool order; /* an order, else a fetch */
   guint64 started_ms;
   pu_http_fetch_t *fetch;
 } call_t;
@@ -39,18 +40,33 @@
 }
 
 static call_t *
-call_new (pu_sequenced_t *s, guint32 engine)
+call_new (pu_sequenced_t *s, guint32 engine, bool order)
 {
   call_t *a = g_new0 (call_t, 1);
 
   a->owner = s;
   a->leader_epoch = s->leader_epoch;
   a->engine = engine;
+  a->order = order;
   a->started_ms = pu_sequenced_now (s);
   g_hash_table_add (s->calls, a);
   return a;
 }
 
+/* Records that the order of A, if A is one, is no longer on its way.  */
+static void
+record_order (const call_t *a)
+{
+  pu_sequenced_t *s = a->owner;
+
+  if (a->order)
+    {
+      pu_order_turns_record (
+          s->turns, pu_sequenced_get_engine (s->leader, a->engine)->name,
+          pu_sequenced_now (s));
+    }
+}
+
 /* Frees the call A, which has ended.  Returns false when its result is void
    because the leadership in which it was started has ended.  */
 static bool
@@ -59,6 +75,8 @@
   pu_sequenced_t *s = a->owner;
   bool current = s->leader != NULL && a->leader_epoch == s->leader_epoch;
 
+  if (current)
+    record_order (a);
   g_hash_table_remove (s->calls, a);
   return current;
 }
@@ -98,7 +116,7 @@
       = { { "Content-Type", "application/json" },
           { s->options.wire->engine_header, e->name } };
   pu_http_call_options_t o = *shared;
-  call_t *a = call_new (s, engine);
+  call_t *a = call_new (s, engine, cb == on_order_answer);
 
   o.address = e->address;
   o.headers = headers;
@@ -330,6 +348,7 @@
   g_hash_table_iter_init (&it, s->calls);
   while (g_hash_table_iter_next (&it, &key, NULL))
     {
+      record_order (key);
       pu_http_fetch_cancel (((call_t *)key)->fetch);
       g_hash_table_iter_remove (&it);
     }
--- a/libplantainusher/placer/sequenced_private.h
+++ b/libplantainusher/placer/sequenced_private.h
@@ -4,6 +4,7 @@
 #include "document/document.h"
 #include "http/client.h"
 #include "placement/adapters.h"
+#include "placement/order_turns.h"
 #include "placement/planner.h"
 #include "placer/names.h"
 #include "placer/sequenced.h"
@@ -57,12 +58,13 @@
 {
   pu_sequenced_options_t options;
   pu_http_client_t *client;
-  leader_state_t *leader; /* NULL while another voter leads */
-  guint64 leader_epoch;   /* number of leaderships begun by this voter */
-  GArray *moves;          /* of pu_move_t; reused buffer */
-  GArray *copies;         /* of pu_plan_copy_t; reused buffer */
-  GHashTable *calls;      /* set of call_t in flight (sequenced_calls.c) */
-  GQueue copy_requests;   /* of copy_request_t (sequenced_copy_requests.c) */
+  leader_state_t *leader;  /* NULL while another voter leads */
+  guint64 leader_epoch;    /* number of leaderships begun by this voter */
+  pu_order_turns_t *turns; /* orders of all leaderships of this process */
+  GArray *moves;           /* of pu_move_t; reused buffer */
+  GArray *copies;          /* of pu_plan_copy_t; reused buffer */
+  GHashTable *calls;       /* set of call_t in flight (sequenced_calls.c) */
+  GQueue copy_requests;    /* of copy_request_t (sequenced_copy_requests.c) */
   uv_timer_t copy_request_timer;
   pu_counter_t orders_sent;
   pu_counter_t reports_fetched;
@@ -91,6 +93,10 @@
 /* pu_sequenced_step_engine - as pu_sequenced_step for ENGINE alone.  */
 void pu_sequenced_step_engine (pu_sequenced_t *s, guint32 engine);
 
+/* pu_sequenced_may_order - whether ENGINE may be ordered now, as far as the
+   orders of this instance's earlier leaderships are concerned.  */
+bool pu_sequenced_may_order (const pu_sequenced_t *s, guint32 engine);
+
 /* pu_sequenced_refresh_engine - passes the state and limits of ENGINE to the
    planner, the dispatcher and the adapters.  */
 void pu_sequenced_refresh_engine (pu_sequenced_t *s, guint32 engine);
