--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -210,6 +210,9 @@
         self.connections = set()
         self.closing = False   # refuses requests, as while a model goes
         self.refused = []      # ids of these
+        self.rest_s = None     # refuses and asks for no requests for so long
+        self.refused_at = []   # when it did
+        self.arrived_at = []   # when requests came
         self.room = None       # models that fit; None: any number
         self.over = False      # more were ordered
         self.accepted = 0
@@ -392,6 +395,11 @@
         elif self.headers.get("Expect-Instance") != b.name:
             self._send(421, b"", Request_Id=rid, Not_Run="1",
                        Instance_Id=b.name)
+        elif b.rest_s is not None:
+            b.arrived_at.append(time.monotonic())
+            b.refused_at.append(time.monotonic())
+            self._send(503, b"", Request_Id=rid, Not_Run="1",
+                       Instance_Id=b.name, Retry_After=f"{b.rest_s:g}")
         elif b.closing:
             b.refused.append(rid)
             self._send(503, b"", Request_Id=rid, Not_Run="1",
@@ -401,6 +409,7 @@
             self._send(421, b"", Request_Id=rid, Not_Run="1",
                        Instance_Id=b.name)
         else:
+            b.arrived_at.append(time.monotonic())
             b.ran.append(rid)
             b.heads.append(dict(self.headers))
             self._run(rid)
--- a/tests/platform_process_test.py
+++ b/tests/platform_process_test.py
@@ -17,6 +17,7 @@
 EXIT_FINDINGS = 1
 IN_FORCE_S = 2
 GRACE_S = 8
+ON_THEIR_WAY_S = 0.1  # requests that were sent before an answer came
 
 
 class PlatformTest(ClusterTest):
@@ -200,6 +201,59 @@
         wait_until("no new work", settled, IN_FORCE_S)
         self.assertTrue(stays.ran)
 
+    def ask_for(self, seconds):
+        """Asks one instance for SECONDS, four requests at a time; the
+        statuses."""
+        end, statuses = time.monotonic() + seconds, set()
+
+        def ask():
+            while time.monotonic() < end:
+                statuses.add(self.some[0].ask("GET", "/safe/x").status)
+        callers = [threading.Thread(target=ask) for _ in range(4)]
+        for one in callers:
+            one.start()
+        for one in callers:
+            one.join()
+        return statuses
+
+    def test_server_that_asks_for_rest_is_left_alone_by_that_instance(self):
+        self.serving()
+        resting, other = self.backends
+        other.hold_s = 0.02
+        resting.rest_s = 1.5
+        # The other server has room for all.
+        self.assertEqual(self.ask_for(4.5), {200})
+        gaps = [b - a for a, b in zip(resting.refused_at,
+                                      resting.refused_at[1:])
+                if b - a > ON_THEIR_WAY_S]
+        self.assertGreater(len(gaps), 0)  # asked again when the time is over
+        self.assertGreaterEqual(min(gaps), resting.rest_s)
+
+    def test_request_waits_for_the_end_of_a_short_rest(self):
+        self.serving(plain=1)
+        only = self.backends[0]
+        only.rest_s = 0.5
+        before = len(only.arrived_at)
+        refused = Later(lambda: self.some[0].ask("GET", "/safe/x"))
+        wait_until("the refusal", lambda: only.refused_at)
+        only.rest_s = None
+        self.assertEqual(refused.result().status, 200)
+        first, second = only.arrived_at[before:]
+        self.assertGreaterEqual(second - first, 0.5)
+
+    def test_request_that_cannot_outlast_the_rest_is_refused_at_once(self):
+        self.serving(plain=1)
+        only = self.backends[0]
+        only.rest_s = 3.0
+        began = time.monotonic()
+        for _ in range(3):
+            a = self.some[0].ask("GET", "/safe/x", {"Deadline-Ms": "2000"})
+            self.assertEqual(a.status, 503)
+            left = only.rest_s - (time.monotonic() - only.refused_at[0])
+            self.assertGreaterEqual(float(a.headers["retry-after"]), left)
+        self.assertLess(time.monotonic() - began, 1.0)
+        self.assertEqual(len(only.refused_at), 1)
+
     def test_bad_check_ins_are_refused_and_end_nothing(self):
         self.serving()
         for body in b"", b"{", b"[]", b'{"seq": -1}', b"\xff\xfe", b"x" * 4096:
