--- a/libplantainusher/entry/builtin_frontend.c
+++ b/libplantainusher/entry/builtin_frontend.c
@@ -2,6 +2,7 @@
    their names.  Requests are read by parse.c.  */
 
 #include "entry/entry_private.h"
+#include "http/retry_after.h"
 
 #include <string.h>
 
@@ -88,14 +89,19 @@
          && g_ascii_strncasecmp (content_type, type, sizeof type - 1) == 0;
 }
 
+static bool
+is_refusal_status (int status)
+{
+  return status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
 /* Whether the response of a backend server says that the request did not
    run.  */
 static bool
 says_not_run (const pu_exchange_t *x)
 {
   const pu_attempt_t *at = &x->at;
-  bool refused
-      = at->status == STATUS_TOO_MANY || at->status == STATUS_UNAVAILABLE;
+  bool refused = is_refusal_status (at->status);
 
   if (at->server == NULL)
     return false;
@@ -125,6 +131,8 @@
               && is_event_stream (at->content_type),
     .failed = at->server != NULL && !x->q.plain && r->status >= STATUS_ERROR,
   };
+  if (at->server != NULL && is_refusal_status (at->status))
+    at->answer.retry_after_ms = pu_http_retry_after_ms (at->retry_after);
 }
 
 static const char *
--- a/libplantainusher/entry/front.h
+++ b/libplantainusher/entry/front.h
@@ -72,6 +72,8 @@
   bool stream;   /* the body is a stream of events */
   bool failed;   /* the server failed to serve the request, which may have
                     run unless not_run is set */
+  guint retry_after_ms; /* with a refusal: the server wants no request of this
+                           entry for so long; 0: not stated */
 } pu_response_class_t;
 
 typedef struct
--- a/libplantainusher/entry/trace.c
+++ b/libplantainusher/entry/trace.c
@@ -136,15 +136,16 @@
 {
   count_labelled (x, "attempts_failed_total", "why",
                   pu_router_failure_name (failure));
-  pu_log_event (PU_ENTRY_LOG_SLICE, "Attempt failed.",
-                PU_LOG_TEXT ("request", x->q.id),
-                PU_LOG_TEXT ("at", target_name (x)),
-                PU_LOG_TEXT ("why", pu_router_failure_name (failure)),
-                PU_LOG_NUMBER ("status", x->at.status),
-                PU_LOG_NUMBER ("attempt", x->attempts),
-                PU_LOG_NUMBER ("after_ms", elapsed_ms (x, x->at.sent_at)),
-                PU_LOG_NUMBER ("events", x->events),
-                PU_LOG_NUMBER ("left_ms", time_left_ms (x)));
+  pu_log_event (
+      PU_ENTRY_LOG_SLICE, "Attempt failed.", PU_LOG_TEXT ("request", x->q.id),
+      PU_LOG_TEXT ("at", target_name (x)),
+      PU_LOG_TEXT ("why", pu_router_failure_name (failure)),
+      PU_LOG_NUMBER ("status", x->at.status),
+      PU_LOG_NUMBER ("attempt", x->attempts),
+      PU_LOG_NUMBER ("after_ms", elapsed_ms (x, x->at.sent_at)),
+      PU_LOG_NUMBER ("events", x->events),
+      PU_LOG_NUMBER ("server_retry_after_ms", x->at.answer.retry_after_ms),
+      PU_LOG_NUMBER ("left_ms", time_left_ms (x)));
 }
 
 void
