log: a voter without all committed entries is no target of a transfer

Change: only a voter with all committed entries can take over; the last step ends a try that waits and may go to a voter that stops, also when it is tried again.

--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -206,6 +206,72 @@
   EXPECT_EQ (s.node (other).name, s.leader ()->name);
 }
 
+/* The only voter that stays holds old entries: the last step of a stop hands
+   over to the voter that has them all, although that one is stopping too.  */
+TEST (Replica, LastStepOfAStopHandsOverThoughTheVoterThatStaysLags)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Sim s (3, seed, 0);
+
+      s.run (4000);
+      sim::Node *l = s.leader ();
+      ASSERT_NE (nullptr, l) << "seed " << seed;
+      unsigned a = (unsigned)(l->name[0] - 'a');
+      unsigned lagging = (a + 1) % 3;
+      unsigned stopping = (a + 2) % 3;
+      s.node (lagging).stalled = true;
+      pu_replica_begin_stop (s.node (stopping).r, s.clock (s.node (stopping)));
+      for (int i = 0; i < 10; i++)
+        {
+          s.propose ();
+          s.run (100);
+        }
+      pu_replica_begin_stop (l->r, s.clock (*l));
+      for (int i = 0; i < 40; i++)
+        {
+          s.propose ();
+          s.run (100);
+        }
+      pu_replica_transfer_leadership (l->r, s.clock (*l));
+      s.run (2000);
+      EXPECT_FALSE (pu_replica_is_leader (l->r)) << "seed " << seed;
+      EXPECT_EQ (s.violation, "") << "seed " << seed;
+    }
+}
+
+/* As above, for what is written meanwhile.  */
+TEST (Replica, LeaderThatStopsTakesProposalsWhileTheVoterThatStaysLags)
+{
+  unsigned refused = 0;
+
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Sim s (3, seed, 0);
+
+      s.run (4000);
+      sim::Node *l = s.leader ();
+      ASSERT_NE (nullptr, l) << "seed " << seed;
+      unsigned a = (unsigned)(l->name[0] - 'a');
+      unsigned lagging = (a + 1) % 3;
+      unsigned stopping = (a + 2) % 3;
+      s.node (lagging).stalled = true;
+      pu_replica_begin_stop (s.node (stopping).r, s.clock (s.node (stopping)));
+      for (int i = 0; i < 10; i++)
+        {
+          s.propose ();
+          s.run (100);
+        }
+      pu_replica_begin_stop (l->r, s.clock (*l));
+      for (int i = 0; i < 60; i++)
+        {
+          refused += s.propose () == 0;
+          s.run (100);
+        }
+    }
+  EXPECT_EQ (0U, refused) << "of 1200";
+}
+
 /* After a power failure, connections come up one by one, after the first
    election has started, so vote requests sent before a connection is up are
    lost.  */
--- a/libplantainusher/log/replica_transfer.c
+++ b/libplantainusher/log/replica_transfer.c
@@ -38,15 +38,16 @@
                const pu_progress_t *p, uint64_t now)
 {
   return m->role == PU_LOG_VOTER && p != NULL && !p->lost_entries
-         && p->acked_send_time != 0
+         && p->acked_send_time != 0 && p->match >= r->commit
          && now <= p->last_reply_at
                        + TRANSFER_SILENCE_HEARTBEATS
                              * (uint64_t)r->o.heartbeat_ms;
 }
 
 /* Returns the voter that is to lead next, or NULL: of those that can take
-   over, the one with the highest match index among the voters that stay, or
-   else, if ANY, among those that are stopping.  */
+   over, which a voter without all committed entries can't soon enough, the one
+   with the highest match index among the voters that stay, or else, if ANY,
+   among those that are stopping.  */
 static const pu_progress_t *
 choose_target (const pu_replica_t *r, uint64_t now, bool any)
 {
@@ -105,6 +106,7 @@
 
   if (r->role != PU_ROLE_LEADER || r->transfer_deadline != 0)
     return;
+  r->transfer_any = any;
   to = choose_target (r, now, any);
   if (to == NULL)
     return;
@@ -124,7 +126,7 @@
     }
   else if (r->stopping && now >= r->transfer_retry_at)
     {
-      begin_transfer (r, now, false);
+      begin_transfer (r, now, r->transfer_any);
     }
 }
 
@@ -171,5 +173,7 @@
 void
 pu_replica_transfer_leadership (pu_replica_t *r, uint64_t now)
 {
+  /* Ends a transfer that waits for its target.  */
+  r->transfer_deadline = 0;
   begin_transfer (r, now, true);
 }
