--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -272,6 +272,27 @@
   EXPECT_EQ (0U, refused) << "of 1200";
 }
 
+TEST (Replica, VoterIsNotRemovedForALearnerThatIsStopping)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Sim s (3, seed, 0, 1, 3);
+
+      s.run (8000);
+      ASSERT_NE (nullptr, s.leader ()) << "seed " << seed;
+      pu_replica_begin_stop (s.node (3).r, s.clock (s.node (3)));
+      unsigned a = (unsigned)(s.leader ()->name[0] - 'a');
+      s.stop ((a + 1) % 3);
+      s.run (30000);
+      ASSERT_NE (nullptr, s.leader ()) << "seed " << seed;
+      const pu_log_config *c = pu_replica_config (s.leader ()->r);
+      unsigned voters = 0;
+      for (unsigned i = 0; i < c->members.members_len; i++)
+        voters += c->members.members_val[i].role == PU_LOG_VOTER;
+      EXPECT_EQ (3U, voters) << "seed " << seed;
+    }
+}
+
 /* After a power failure, connections come up one by one, after the first
    election has started, so vote requests sent before a connection is up are
    lost.  */
--- a/libplantainusher/log/replica_voters.c
+++ b/libplantainusher/log/replica_voters.c
@@ -249,12 +249,15 @@
                        + CONFIRM_HEARTBEATS * (uint64_t)r->o.heartbeat_ms;
 }
 
+/* Returns whether the learner M may become a voter: its log is up to date, and
+   it is not about to stop.  */
 static bool
 is_caught_up (const pu_replica_t *r, const pu_log_member *m, uint64_t now)
 {
   const pu_progress_t *p = pu_r_find_progress (r, m->peer.id);
 
   return p != NULL && is_confirmed (r, m, now)
+         && !pu_r_is_stopping (r, m->peer.id, now)
          && p->match + CAUGHT_UP_LAG_ENTRIES >= pu_r_last_index (r)
          && p->match >= r->term_first_index;
 }
@@ -464,8 +467,7 @@
   const pu_log_member *m = &c->members.members_val[i];
   uint32_t voters = pu_log_config_count_voters (c);
 
-  if (pu_log_role_is_voting (m->role) || !is_caught_up (r, m, now)
-      || pu_r_is_stopping (r, m->peer.id, now))
+  if (pu_log_role_is_voting (m->role) || !is_caught_up (r, m, now))
     return 0;
   if (voters >= c->target && !has_role (c, PU_LOG_LEAVING))
     return 0;
