placer: orders that may still be on their way delay the next leader's

An order without an answer counted as arrived when it was given up, and one of a process that was killed as arrived at the restart; both may arrive later. And a new leader ordered an engine while the last order of the leader before could still arrive after its own, which engines that don't check fencing tokens can't tell.

--- a/libplantainusher/placement/order_turns.c
+++ b/libplantainusher/placement/order_turns.c
@@ -8,12 +8,14 @@
 
 struct pu_order_turns
 {
-  guint64 wait_ms;      /* a lease by the fastest clock */
-  guint64 start_until;  /* no order before this; ms */
-  guint64 term;         /* 0: has not led */
-  guint64 next_drop_at; /* ms */
-  /* engine -> guint64 *: the latest order of the present turn, and of earlier
-     turns, in ms */
+  guint64 wait_ms; /* a lease by the fastest clock */
+  guint64 transit_ms;
+  bool checks_tokens;
+  guint64 no_order_before; /* ms; of any engine */
+  guint64 term;            /* 0: has not led */
+  guint64 next_drop_at;    /* ms */
+  /* engine -> guint64 *: until when the latest order of the present turn, and
+     of earlier turns, may arrive, in ms */
   GHashTable *present;
   GHashTable *earlier;
 };
@@ -24,8 +26,10 @@
   pu_order_turns_t *t = g_new0 (pu_order_turns_t, 1);
 
   t->wait_ms = o->lease_ms + o->lease_ms * 2 * DRIFT_PERMILLE / PERMILLE;
-  if (o->wait_after_start)
-    t->start_until = o->started_at + t->wait_ms;
+  t->transit_ms = o->transit_ms;
+  t->checks_tokens = o->checks_tokens;
+  if (!t->checks_tokens)
+    t->no_order_before = o->started_at + t->wait_ms + t->transit_ms;
   t->present = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   t->earlier = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return t;
@@ -80,13 +84,18 @@
 pu_order_turns_begin (pu_order_turns_t *t, guint64 term, guint64 now)
 {
   if (term > t->term + 1)
-    end_turn (t);
+    {
+      end_turn (t);
+      if (!t->checks_tokens)
+        t->no_order_before = MAX (t->no_order_before, now + t->transit_ms);
+    }
   t->term = term;
   drop_old (t, now);
 }
 
 void
-pu_order_turns_record (pu_order_turns_t *t, const char *engine, guint64 now)
+pu_order_turns_record (pu_order_turns_t *t, const char *engine, bool answered,
+                       guint64 now)
 {
   guint64 *at = g_hash_table_lookup (t->present, engine);
 
@@ -95,7 +104,7 @@
       at = g_new (guint64, 1);
       g_hash_table_insert (t->present, g_strdup (engine), at);
     }
-  *at = now;
+  *at = answered ? now : now + t->transit_ms;
   drop_old (t, now);
 }
 
@@ -105,5 +114,5 @@
 {
   const guint64 *at = g_hash_table_lookup (t->earlier, engine);
 
-  return now >= t->start_until && (at == NULL || now >= *at + t->wait_ms);
+  return now >= t->no_order_before && (at == NULL || now >= *at + t->wait_ms);
 }
--- a/libplantainusher/placement/order_turns.h
+++ b/libplantainusher/placement/order_turns.h
@@ -15,7 +15,8 @@
  * can't tell which of two leaders is the later one.  An instance that led
  * before therefore sends no order to an engine until its own earlier orders to
  * that engine are older than a lease.  An instance that has restarted does not
- * know its earlier orders; it waits for a lease after its start.
+ * know its earlier orders; it waits for a lease after its start.  A new leader
+ * waits until the last orders of the leader before have arrived.
  *
  * Does no I/O and reads no clock.  `now` is monotonic milliseconds.
  */
@@ -25,8 +26,11 @@
 typedef struct
 {
   guint64 lease_ms;
-  guint64 started_at;    /* ms; when this process started */
-  bool wait_after_start; /* engines don't check fencing tokens */
+  guint64 transit_ms; /* longest time until an order without an answer has
+                         arrived */
+  guint64 started_at; /* ms; when this process started */
+  bool checks_tokens; /* engines refuse orders with an old fencing token: no
+                         wait after a start or for the leader before */
 } pu_order_turns_options_t;
 
 pu_order_turns_t *pu_order_turns_new (const pu_order_turns_options_t *o);
@@ -36,10 +40,10 @@
    the term before stay its own turn: nobody led in between.  */
 void pu_order_turns_begin (pu_order_turns_t *t, guint64 term, guint64 now);
 
-/* pu_order_turns_record - records that an order of this instance may have
-   reached ENGINE until NOW.  */
+/* pu_order_turns_record - records that the call with an order of this instance
+   to ENGINE has ended now.  ANSWERED: ENGINE had received the order.  */
 void pu_order_turns_record (pu_order_turns_t *t, const char *engine,
-                            guint64 now);
+                            bool answered, guint64 now);
 
 /* pu_order_turns_allows - whether this instance, which leads, may order ENGINE
    now.  */
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -665,8 +665,9 @@
       = { .loop = o->loop, .connect_timeout_ms = o->connect_timeout_ms };
 
   pu_order_turns_options_t turns = { .lease_ms = o->lease_ms,
+                                     .transit_ms = o->order_timeout_ms,
                                      .started_at = pu_control_now (o->control),
-                                     .wait_after_start = !o->checks_tokens };
+                                     .checks_tokens = o->checks_tokens };
 
   s->options = *o;
   s->turns = pu_order_turns_new (&turns);
--- a/libplantainusher/placer/sequenced_calls.c
+++ b/libplantainusher/placer/sequenced_calls.c
@@ -53,9 +53,9 @@
   return a;
 }
 
-/* Records that the order of A, if A is one, is no longer on its way.  */
+/* Records that A, if it is an order, has ended.  */
 static void
-record_order (const call_t *a)
+record_order (const call_t *a, bool answered)
 {
   pu_sequenced_t *s = a->owner;
 
@@ -63,20 +63,20 @@
     {
       pu_order_turns_record (
           s->turns, pu_sequenced_get_engine (s->leader, a->engine)->name,
-          pu_sequenced_now (s));
+          answered, pu_sequenced_now (s));
     }
 }
 
 /* Frees the call A, which has ended.  Returns false when its result is void
    because the leadership in which it was started has ended.  */
 static bool
-call_end (call_t *a)
+call_end (call_t *a, bool answered)
 {
   pu_sequenced_t *s = a->owner;
   bool current = s->leader != NULL && a->leader_epoch == s->leader_epoch;
 
   if (current)
-    record_order (a);
+    record_order (a, answered);
   g_hash_table_remove (s->calls, a);
   return current;
 }
@@ -91,7 +91,7 @@
       = complete ? a.owner->options.wire->order_answer (f->response->status)
                  : PU_DISPATCHER_NO_ANSWER;
 
-  if (!call_end (data))
+  if (!call_end (data, complete))
     return;
   if (answer == PU_DISPATCHER_NO_ANSWER)
     count (a.owner, a.owner->answers_lost);
@@ -124,7 +124,7 @@
   a->fetch = pu_http_fetch (s->client, &o, BODY_MAX_BYTES, cb, a, NULL);
   if (a->fetch != NULL)
     return true;
-  call_end (a);
+  call_end (a, true);
   return false;
 }
 
@@ -309,7 +309,7 @@
   pu_wire_report_t r;
   bool busy;
 
-  if (!call_end (data))
+  if (!call_end (data, complete))
     return;
   busy = pu_dispatcher_is_busy (s->leader->dispatcher, a.engine);
   findings = pu_findings_new ();
@@ -348,7 +348,7 @@
   g_hash_table_iter_init (&it, s->calls);
   while (g_hash_table_iter_next (&it, &key, NULL))
     {
-      record_order (key);
+      record_order (key, false);
       pu_http_fetch_cancel (((call_t *)key)->fetch);
       g_hash_table_iter_remove (&it);
     }
