placer: the time until a copy is ready counts the wait for earlier orders

Change: placement/due takes the wait of each engine; an adapter that has to wait is due when the first engine with its base model may be ordered.

Figures: Due.LoadCountsFromWhenItsEngineMayBeOrdered (6,500 and 3,000 ms with waits of 2,000 and 500; 6,000 and 1,000 without the change, by the code as it was); order_turns_process_test: no finding.

--- a/libplantainusher/placement/due.c
+++ b/libplantainusher/placement/due.c
@@ -17,7 +17,8 @@
 }
 
 /* Returns the remaining milliseconds of the load of X, which takes LOAD_MS in
-   all.  A load that the engine has not accepted yet still takes LOAD_MS.  */
+   all.  A load that the engine has not accepted yet still takes LOAD_MS, the
+   wait until its engine may be ordered included.  */
 static guint32
 remaining_ms (const pu_dispatcher_item_t *x, guint32 load_ms, guint64 now)
 {
@@ -32,7 +33,7 @@
            guint32 item, const pu_due_times_t *t, guint64 now)
 {
   guint32 ordered_load_ms = G_MAXUINT32;
-  guint32 new_load_ms = t->store_ms;
+  guint32 new_load_ms = n > 0 ? G_MAXUINT32 : t->store_ms;
 
   if (t->store_ms == 0)
     return 0;
@@ -45,13 +46,14 @@
 
       if (!pu_dispatcher_accepts_orders (d, e->engine))
         return 0;
-      new_load_ms = MIN (new_load_ms, load_ms);
+      new_load_ms = MIN (new_load_ms, e->wait_ms + load_ms);
       if (x == NULL || x->phase == PU_DISPATCHER_ABSENT
           || x->phase == PU_DISPATCHER_UNLOADING)
         continue;
       if (x->phase == PU_DISPATCHER_READY)
         return 0;
-      ordered_load_ms = MIN (ordered_load_ms, remaining_ms (x, load_ms, now));
+      ordered_load_ms
+          = MIN (ordered_load_ms, remaining_ms (x, e->wait_ms + load_ms, now));
     }
   return ordered_load_ms != G_MAXUINT32 ? ordered_load_ms : new_load_ms;
 }
--- a/libplantainusher/placement/due.h
+++ b/libplantainusher/placement/due.h
@@ -26,13 +26,15 @@
 typedef struct
 {
   guint32 engine;
-  bool cached; /* the engine's disk or its host's memory has the item's
-                  weights */
+  bool cached;     /* the engine's disk or its host's memory has the item's
+                      weights */
+  guint32 wait_ms; /* time until the engine may be ordered */
 } pu_due_engine_t;
 
 /* pu_due_ms - returns the milliseconds from NOW until ITEM can be ready on one
    of the N ENGINES: by the load under way that ends first or, when no load is
-   under way, by the fastest load that could start now.  Returns 0 when a copy
+   under way, by the fastest load, counted from when its engine may be
+   ordered.  Returns 0 when a copy
    is ready, when the time of a load from the store is unknown, or when one of
    ENGINES has not reported yet and so may hold a copy.  */
 guint32 pu_due_ms (const pu_dispatcher_t *d, const pu_due_engine_t *engines,
--- a/libplantainusher/placement/due_test.cc
+++ b/libplantainusher/placement/due_test.cc
@@ -18,7 +18,7 @@
 {
   pu_dispatcher_t *d = nullptr;
   guint64 now = 1000;
-  std::vector<pu_due_engine_t> engines = { { 0, false }, { 1, false } };
+  std::vector<pu_due_engine_t> engines = { { 0, false, 0 }, { 1, false, 0 } };
 
   Due ()
   {
@@ -76,6 +76,15 @@
   EXPECT_EQ (1000u, DueMs ()) << "engine 1 has it on its disk";
 }
 
+TEST_F (Due, LoadCountsFromWhenItsEngineMayBeOrdered)
+{
+  engines[0].wait_ms = 2000;
+  engines[1].wait_ms = 500;
+  EXPECT_EQ (6500u, DueMs ());
+  engines[0].cached = true;
+  EXPECT_EQ (3000u, DueMs ());
+}
+
 TEST_F (Due, RemainingTimeOfALoadUnderWay)
 {
   StartLoad (0);
@@ -95,7 +104,7 @@
 TEST_F (Due, ZeroUntilEveryEngineHasReported)
 {
   pu_dispatcher_add_engine (d, 2, now);
-  engines.push_back ({ 2, false });
+  engines.push_back ({ 2, false, 0 });
   EXPECT_EQ (0u, DueMs ());
 }
 
--- a/libplantainusher/placement/order_turns.c
+++ b/libplantainusher/placement/order_turns.c
@@ -108,11 +108,21 @@
   drop_old (t, now);
 }
 
+guint64
+pu_order_turns_wait_ms (const pu_order_turns_t *t, const char *engine,
+                        guint64 now)
+{
+  const guint64 *at = g_hash_table_lookup (t->earlier, engine);
+  guint64 from = t->no_order_before;
+
+  if (at != NULL)
+    from = MAX (from, *at + t->wait_ms);
+  return from - MIN (from, now);
+}
+
 bool
 pu_order_turns_allows (const pu_order_turns_t *t, const char *engine,
                        guint64 now)
 {
-  const guint64 *at = g_hash_table_lookup (t->earlier, engine);
-
-  return now >= t->no_order_before && (at == NULL || now >= *at + t->wait_ms);
+  return pu_order_turns_wait_ms (t, engine, now) == 0;
 }
--- a/libplantainusher/placement/order_turns.h
+++ b/libplantainusher/placement/order_turns.h
@@ -45,6 +45,11 @@
 void pu_order_turns_record (pu_order_turns_t *t, const char *engine,
                             bool answered, guint64 now);
 
+/* pu_order_turns_wait_ms - returns the milliseconds until this instance, which
+   leads, may order ENGINE; 0: now.  */
+guint64 pu_order_turns_wait_ms (const pu_order_turns_t *t, const char *engine,
+                                guint64 now);
+
 /* pu_order_turns_allows - whether this instance, which leads, may order ENGINE
    now.  */
 bool pu_order_turns_allows (const pu_order_turns_t *t, const char *engine,
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -310,14 +310,20 @@
   return c->adapter_places * l->max_adapter_mb;
 }
 
-bool
-pu_sequenced_may_order (const pu_sequenced_t *s, guint32 engine)
+guint32
+pu_sequenced_order_wait_ms (const pu_sequenced_t *s, guint32 engine)
 {
-  return pu_order_turns_allows (
+  return (guint32)pu_order_turns_wait_ms (
       s->turns, pu_sequenced_get_engine (s->leader, engine)->name,
       pu_sequenced_now (s));
 }
 
+bool
+pu_sequenced_may_order (const pu_sequenced_t *s, guint32 engine)
+{
+  return pu_sequenced_order_wait_ms (s, engine) == 0;
+}
+
 void
 pu_sequenced_refresh_engine (pu_sequenced_t *s, guint32 handle)
 {
--- a/libplantainusher/placer/sequenced_copy_requests.c
+++ b/libplantainusher/placer/sequenced_copy_requests.c
@@ -31,6 +31,27 @@
   return a > 0 && b > 0 ? MIN (a, b) : MAX (a, b);
 }
 
+/* Returns the milliseconds until the adapter ITEM may be loaded on one of the
+   engines that hold its base model; 0: now, or no engine holds it.  */
+static guint32
+adapter_wait_ms (const pu_sequenced_t *s, guint32 item)
+{
+  const leader_state_t *l = s->leader;
+  guint32 base = pu_adapters_base (l->adapters, item);
+  guint32 wait_ms = G_MAXUINT32;
+
+  for (guint32 i = 0; i < l->engines->len; i++)
+    {
+      const engine_t *e = pu_sequenced_get_engine (l, i);
+
+      if (e->name != NULL && e->usable
+          && pu_dispatcher_phase (l->dispatcher, i, base)
+                 == PU_DISPATCHER_READY)
+        wait_ms = MIN (wait_ms, pu_sequenced_order_wait_ms (s, i));
+    }
+  return wait_ms != G_MAXUINT32 ? wait_ms : 0;
+}
+
 /* Returns the milliseconds until ITEM or, if it is an adapter, its base model
    can be ready on any engine; 0: unknown.  */
 static guint32
@@ -56,12 +77,13 @@
   for (guint32 i = 0; i < l->engines->len; i++)
     {
       const engine_t *e = pu_sequenced_get_engine (l, i);
-      pu_due_engine_t d = { i, false };
+      pu_due_engine_t d = { .engine = i };
 
       if (e->name == NULL || !e->usable)
         continue;
       d.cached
           = g_hash_table_contains (e->cached_items, GUINT_TO_POINTER (base));
+      d.wait_ms = pu_sequenced_order_wait_ms (s, i);
       g_array_append_val (engines, d);
     }
   ms = pu_due_ms (l->dispatcher,
@@ -79,6 +101,8 @@
 {
   guint32 ms = s->leader->document != NULL ? model_due_ms (s, item) : 0;
 
+  if (pu_adapters_contains (s->leader->adapters, item))
+    ms = MAX (ms, adapter_wait_ms (s, item));
   pu_control_copy_request_answer (
       request, ms > 0 ? json_pack ("{s:I}", "due_ms", (json_int_t)ms) : NULL);
 }
--- a/libplantainusher/placer/sequenced_private.h
+++ b/libplantainusher/placer/sequenced_private.h
@@ -93,6 +93,10 @@
 /* pu_sequenced_step_engine - as pu_sequenced_step for ENGINE alone.  */
 void pu_sequenced_step_engine (pu_sequenced_t *s, guint32 engine);
 
+/* pu_sequenced_order_wait_ms - returns the milliseconds until ENGINE may be
+   ordered, as far as earlier leaderships are concerned.  */
+guint32 pu_sequenced_order_wait_ms (const pu_sequenced_t *s, guint32 engine);
+
 /* pu_sequenced_may_order - whether ENGINE may be ordered now, as far as the
    orders of this instance's earlier leaderships are concerned.  */
 bool pu_sequenced_may_order (const pu_sequenced_t *s, guint32 engine);
