entry: a backend server that says in an answer that it leaves gets nothing new

Change: the platform's frontend reads it; the entry marks the server as leaving at once and tells the log, as when the server itself reports it. An answer of another process at the address is not believed.

Not done: the header in answers to the leader's report calls.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -271,6 +271,22 @@
   x->at.headers = forwarded_headers (r);
 }
 
+/* Handles what the response head of X says about its backend server.  */
+static void
+server_state_read (pu_exchange_t *x)
+{
+  const pu_attempt_t *at = &x->at;
+  pu_server_t *s = at->server;
+
+  if (s == NULL || at->incarnation != s->incarnation || at->answer.foreign
+      || at->answer.replaced)
+    return;
+  if (at->answer.leaving && !s->leaving)
+    pu_entry_mark_leaving (x->en, s->name);
+  if (at->answer.retry_after_ms > 0)
+    pu_server_back_off (s, now_of (x) + at->answer.retry_after_ms + 1);
+}
+
 static void
 on_head (void *data, pu_http_call_t *call, const pu_http_response_t *r)
 {
@@ -281,12 +297,7 @@
   at->answered = true;
   at->status = r->status;
   response_head_read (x, r);
-  if (at->answer.retry_after_ms > 0
-      && at->incarnation == at->server->incarnation)
-    {
-      pu_server_back_off (at->server,
-                          now_of (x) + at->answer.retry_after_ms + 1);
-    }
+  server_state_read (x);
   at->streaming = at->answer.stream;
   at->body = g_byte_array_new ();
   if (at->streaming)
--- a/libplantainusher/entry/front.h
+++ b/libplantainusher/entry/front.h
@@ -72,6 +72,7 @@
   bool stream;   /* the body is a stream of events */
   bool failed;   /* the server failed to serve the request, which may have
                     run unless not_run is set */
+  bool leaving;  /* the server says that it is about to stop */
   guint retry_after_ms; /* with a refusal: the server wants no request of this
                            entry for so long; 0: not stated */
 } pu_response_class_t;
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -213,6 +213,7 @@
         self.rest_s = None     # refuses and asks for no requests for so long
         self.refused_at = []   # when it did
         self.arrived_at = []   # when requests came
+        self.says_leaving = False  # in its answers to requests
         self.room = None       # models that fit; None: any number
         self.over = False      # more were ordered
         self.accepted = 0
@@ -349,6 +350,8 @@
 
     def _send(self, status, body, **headers):
         self.send_response(status)
+        if self.backend.says_leaving:
+            self.send_header("Server-Leaving", "1")
         for name, value in headers.items():
             self.send_header(name.replace("_", "-"), value)
         self.send_header("Content-Length", str(len(body)))
--- a/tests/platform_process_test.py
+++ b/tests/platform_process_test.py
@@ -254,6 +254,25 @@
         self.assertLess(time.monotonic() - began, 1.0)
         self.assertEqual(len(only.refused_at), 1)
 
+    def test_server_that_says_in_an_answer_that_it_leaves_gets_nothing_new(
+            self):
+        self.serving()
+        gone, stays = self.backends
+        gone.says_leaving = True
+        wait_until("an answer that says so", lambda: self.some[0].ask(
+            "GET", "/safe/x").body == b"of i-0")
+        before = len(gone.ran)
+        self.assertEqual(self.ask_for(0.5), {200})
+        self.assertEqual(len(gone.ran), before)
+        # The others learn it from the log.
+        for one in self.some[1:]:
+            def unused(one=one):
+                n = len(gone.ran)
+                for _ in range(8):
+                    self.assertEqual(one.ask("GET", "/safe/x").status, 200)
+                return len(gone.ran) == n
+            wait_until(f"{one.name} to know", unused, IN_FORCE_S)
+
     def test_bad_check_ins_are_refused_and_end_nothing(self):
         self.serving()
         for body in b"", b"{", b"[]", b'{"seq": -1}', b"\xff\xfe", b"x" * 4096:
