settings: a reload keeps memory_mb and voters, as it says

Cause: pu_settings_keep_restart_fields took all limits from the new settings but two, while reloadable_paths lists seven. /limits/voters and /limits/memory_mb were reported as needing a restart, yet the settings in use held the new values. Both are read at the start only, so nothing acted on them.

Change: the reloadable limits are copied one by one, so that a new limit is kept unless it is named.

--- a/libplantainusher/settings/settings.c
+++ b/libplantainusher/settings/settings.c
@@ -257,15 +257,26 @@
   return (char **)g_ptr_array_free (paths, FALSE);
 }
 
+static void
+take_reloadable_limits (pu_settings_limits_t *to,
+                        const pu_settings_limits_t *from)
+{
+  to->max_header_bytes = from->max_header_bytes;
+  to->max_body_bytes = from->max_body_bytes;
+  to->max_announcement_bytes = from->max_announcement_bytes;
+  to->max_connections = from->max_connections;
+  to->max_open_streams = from->max_open_streams;
+  to->max_claims = from->max_claims;
+  to->drain_s = from->drain_s;
+}
+
 void
 pu_settings_keep_restart_fields (pu_settings_t *newer,
                                  const pu_settings_t *older)
 {
   pu_settings_t merged = *older;
 
-  merged.limits = newer->limits;
-  merged.limits.max_peer_message_bytes = older->limits.max_peer_message_bytes;
-  merged.limits.snapshot_entries = older->limits.snapshot_entries;
+  take_reloadable_limits (&merged.limits, &newer->limits);
   merged.keys.operators = newer->keys.operators;
   merged.keys.backends = newer->keys.backends;
   merged.log_level = newer->log_level;
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -305,6 +305,33 @@
   pu_settings_free (older);
 }
 
+TEST (Settings, EachLimitThatNeedsARestartIsKept)
+{
+  pu_settings_t *older = parse (entry);
+  json_t *all = pu_settings_to_json (older);
+  json_t *limits = json_object_get (all, "limits");
+  const char *name;
+  json_t *value;
+
+  EXPECT_GT (json_object_size (limits), 5u);
+  json_object_foreach (limits, name, value)
+  {
+    std::string more = std::to_string (json_number_value (value) + 1);
+    pu_settings_t *newer = parse (
+        replaced (entry, "'name'",
+                  "'limits': {'" + std::string (name) + "': "
+                      + more.substr (0, more.find ('.')) + "}, 'name'"));
+    pu_settings_keep_restart_fields (newer, older);
+    char **paths = pu_settings_restart_diff (older, newer);
+
+    EXPECT_EQ (nullptr, paths[0]) << name;
+    g_strfreev (paths);
+    pu_settings_free (newer);
+  }
+  json_decref (all);
+  pu_settings_free (older);
+}
+
 TEST (Settings, SplitAddresses)
 {
   const struct
