state: a suspect's list of lost servers keeps the last ones

Cause: a strike is known by its lost server in the suspect's list, which ends at PU_LOST_MAX (16). From the 17th loss on nothing was recorded: each copy of a strike counted again, and the loss of an isolated suspect was not attributed, so that a request beside it got a strike.

Change: a full list drops its oldest; strikes counts all, as before. Removing a strike keeps the order.

--- a/libplantainusher/state/apply_suspects.c
+++ b/libplantainusher/state/apply_suspects.c
@@ -42,15 +42,22 @@
   return false;
 }
 
+/* Removes the lost backend server at index PLACE of P's list.  */
+static void
+remove_lost (pu_suspect_record *p, u_int place)
+{
+  pu_detail *at = p->lost.lost_val + place;
+
+  free (*at);
+  p->lost.lost_len--;
+  memmove (at, at + 1, (p->lost.lost_len - place) * sizeof *at);
+}
+
 /* Removes the strike at index PLACE of P's list.  */
 static void
 remove_strike (const pu_state_t *s, pu_suspect_record *p, int place)
 {
-  u_int last = p->lost.lost_len - 1;
-
-  free (p->lost.lost_val[place]);
-  p->lost.lost_val[place] = p->lost.lost_val[last];
-  p->lost.lost_len = last;
+  remove_lost (p, (u_int)place);
   p->strikes--;
   p->convicted = p->strikes >= s->options.convict_strikes;
 }
@@ -79,15 +86,17 @@
   g_array_free (cleared, TRUE);
 }
 
-/* Appends LOST to P's list, unless the list is full.  */
+/* Appends LOST to P's list.  A full list drops its oldest: what is sent again
+   was lost recently.  */
 static void
 add_lost (pu_suspect_record *p, const char *lost, bool isolated)
 {
-  u_int n = p->lost.lost_len;
+  u_int n;
   size_t size;
 
-  if (n == PU_LOST_MAX)
-    return;
+  if (p->lost.lost_len == PU_LOST_MAX)
+    remove_lost (p, 0);
+  n = p->lost.lost_len;
   p->lost.lost_val = realloc (p->lost.lost_val, (n + 1) * sizeof (pu_detail));
   size = strlen (lost) + sizeof ISOLATED_MARK;
   p->lost.lost_val[n] = malloc (size);
--- a/libplantainusher/state/state_msg.x
+++ b/libplantainusher/state/state_msg.x
@@ -151,7 +151,7 @@
   unsigned int strikes;      /* backend servers lost while it ran */
   bool convicted;
   unsigned hyper wall;       /* of the last strike */
-  pu_detail lost<PU_LOST_MAX>; /* the first of them, as NAME@INCARNATION; with
+  pu_detail lost<PU_LOST_MAX>; /* the last of them, as NAME@INCARNATION; with
                                   '!' appended when it ran there isolated */
 };
 
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -473,6 +473,34 @@
   EXPECT_EQ (nullptr, pu_state_suspect (s.state, 3));
 }
 
+TEST (State, StrikeSentAgainIsNotCountedHoweverManyAreKnown)
+{
+  StateFixture s;
+
+  for (int i = 0; i < PU_LOST_MAX + 4; i++)
+    {
+      std::string lost = "b" + std::to_string (i);
+
+      s.strike (9, lost, 10);
+      EXPECT_EQ (PU_OUTCOME_SEEN, s.strike (9, lost, 10)) << lost;
+    }
+  EXPECT_EQ (PU_LOST_MAX + 4u, pu_state_suspect (s.state, 9)->strikes);
+}
+
+TEST (State, LossOfAnIsolatedSuspectIsAttributedHoweverManyAreKnown)
+{
+  StateFixture s;
+
+  for (int i = 0; i < PU_LOST_MAX + 4; i++)
+    {
+      std::string lost = "b" + std::to_string (i);
+
+      s.strike (9, lost, 10, true);
+      EXPECT_EQ (PU_OUTCOME_SEEN, s.strike (8, lost, 10)) << lost;
+    }
+  EXPECT_EQ (nullptr, pu_state_suspect (s.state, 8));
+}
+
 TEST (State, ExpiredStrikeIsNotCounted)
 {
   StateFixture s;
