control: what a sessions message has no room for is sent in another

Cause: a message to the leader holds at most 4,096 daemons, and as many renewals and models for each; after it was sent the whole table was cleared. Renewals and demand beyond that were lost, always those of the same names, as a hash table is walked in one order.

Change: pu_sessions_send sends messages until the table is empty, removes what was taken and keeps the rest when a message can't be sent.

--- a/libplantainusher/control/lead.c
+++ b/libplantainusher/control/lead.c
@@ -140,28 +140,24 @@
   return sent;
 }
 
+static bool
+sessions_take (void *data, const pu_sessions *m)
+{
+  pu_control_t *c = data;
+
+  if (!c->leading)
+    return !pu_group_is_leader (c->group) && sessions_send (c, m);
+  sessions_apply (c, m, c->sessions_sent);
+  return true;
+}
+
 void
 pu_control_send_sessions (pu_control_t *c, uint64_t now)
 {
-  pu_sessions *m;
-  bool consumed = false;
-
   if (now - c->sessions_sent < c->options.sessions_ms)
     return;
   c->sessions_sent = now;
-  m = pu_sessions_message (c->sessions, c->name, now);
-  if (c->leading)
-    {
-      sessions_apply (c, m, now);
-      consumed = true;
-    }
-  else if (!pu_group_is_leader (c->group))
-    {
-      consumed = sessions_send (c, m);
-    }
-  pu_sessions_message_free (m);
-  if (consumed)
-    pu_sessions_clear (c->sessions);
+  pu_sessions_send (c->sessions, c->name, now, sessions_take, c);
 }
 
 /* --- failure detection by the leader --- */
--- a/libplantainusher/control/sessions.c
+++ b/libplantainusher/control/sessions.c
@@ -57,12 +57,6 @@
   g_free (s);
 }
 
-void
-pu_sessions_clear (pu_sessions_t *s)
-{
-  g_hash_table_remove_all (s->sessions);
-}
-
 static session_t *
 get_or_create_session (pu_sessions_t *s, const char *name)
 {
@@ -177,8 +171,9 @@
     }
 }
 
-pu_sessions *
-pu_sessions_message (const pu_sessions_t *s, const char *voter, uint64_t now)
+/* Returns a message that borrows strings of S.  */
+static pu_sessions *
+message_new (const pu_sessions_t *s, const char *voter, uint64_t now)
 {
   guint n = MIN (g_hash_table_size (s->sessions), PU_CONTROL_LIST_MAX);
   pu_sessions *m = g_new0 (pu_sessions, 1);
@@ -205,8 +200,8 @@
   return m;
 }
 
-void
-pu_sessions_message_free (pu_sessions *m)
+static void
+message_free (pu_sessions *m)
 {
   for (u_int i = 0; i < m->sessions.sessions_len; i++)
     {
@@ -217,3 +212,36 @@
   g_free (m->voter);
   g_free (m);
 }
+
+/* Removes what X of a message has from its session of S.  */
+static void
+remove_sent (pu_sessions_t *s, const pu_session *x)
+{
+  session_t *t = g_hash_table_lookup (s->sessions, x->name);
+
+  for (u_int i = 0; i < x->renewals.renewals_len; i++)
+    g_hash_table_remove (t->renewals, x->renewals.renewals_val[i].backend);
+  for (u_int i = 0; i < x->demand.demand_len; i++)
+    g_hash_table_remove (t->demand, x->demand.demand_val[i].model);
+  if (g_hash_table_size (t->renewals) == 0
+      && g_hash_table_size (t->demand) == 0)
+    g_hash_table_remove (s->sessions, x->name);
+}
+
+void
+pu_sessions_send (pu_sessions_t *s, const char *voter, uint64_t now,
+                  pu_sessions_send_fn *send, void *data)
+{
+  bool taken;
+
+  do
+    {
+      pu_sessions *m = message_new (s, voter, now);
+
+      taken = send (data, m);
+      for (u_int i = 0; taken && i < m->sessions.sessions_len; i++)
+        remove_sent (s, &m->sessions.sessions_val[i]);
+      message_free (m);
+    }
+  while (taken && g_hash_table_size (s->sessions) > 0);
+}
--- a/libplantainusher/control/sessions.h
+++ b/libplantainusher/control/sessions.h
@@ -2,6 +2,7 @@
 #define PU_CONTROL_SESSIONS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "control/generated/control_msg.h"
@@ -25,17 +26,16 @@
    earlier incarnation of the daemon are ignored.  */
 void pu_sessions_add_poll (pu_sessions_t *s, const pu_poll *p, uint64_t now);
 
-/* pu_sessions_message - returns a new message from VOTER to the leader with
-   what was collected, up to PU_CONTROL_LIST_MAX items in each list, and its
-   ages at NOW.  Free it with pu_sessions_message_free, before S changes: it
-   borrows strings of S.  */
-pu_sessions *pu_sessions_message (const pu_sessions_t *s, const char *voter,
-                                  uint64_t now);
-void pu_sessions_message_free (pu_sessions *m);
-
-/* pu_sessions_clear - discards what was collected, after its message was
-   sent.  */
-void pu_sessions_clear (pu_sessions_t *s);
+/* pu_sessions_send_fn - sends M, which is only valid during the call, to the
+   leader.  Returns whether it was taken.  */
+typedef bool pu_sessions_send_fn (void *data, const pu_sessions *m);
+
+/* pu_sessions_send - passes what was collected to SEND as messages from VOTER,
+   with its ages at NOW and up to PU_CONTROL_LIST_MAX items in each list; at
+   least one message.  What SEND has taken is removed from S.  Ends at the
+   first message that SEND does not take.  */
+void pu_sessions_send (pu_sessions_t *s, const char *voter, uint64_t now,
+                       pu_sessions_send_fn *send, void *data);
 
 G_END_DECLS
 
