--- a/libplantainusher/control/control_msg_fuzz.cc
+++ b/libplantainusher/control/control_msg_fuzz.cc
@@ -49,7 +49,7 @@
 {
   if (size == 0)
     return 0;
-  switch (data[0] % 12)
+  switch (data[0] % 13)
     {
     case 0:
       CHECK (pu_poll);
@@ -84,9 +84,12 @@
     case 10:
       CHECK (pu_chunk_request);
       break;
-    default:
+    case 11:
       CHECK (pu_chunk);
       break;
+    default:
+      CHECK (pu_find);
+      break;
     }
   return 0;
 }
