placement: pu_dispatcher_cancel, which nothing called, is gone

Cause: it freed an order that first_sent_order might still point to, so that a later order at that address would have taken over its time-out. It had no caller and no test.

Ruled out by reading, not run: that an order told as FAILED and executed later (an earlier send without an answer) can take memory that was counted as free: the next order carries the old count of accepted orders, which the engine refuses, and the report lists the item before any further order is sent. The header says so.

Run: the tests of the dispatcher with sanitizers, 19 passed.

--- a/libplantainusher/placement/dispatcher.c
+++ b/libplantainusher/placement/dispatcher.c
@@ -353,20 +353,6 @@
   return true;
 }
 
-void
-pu_dispatcher_cancel (pu_dispatcher_t *d, guint32 engine, guint32 item)
-{
-  pu_dispatcher_engine_t *e = pu_dispatcher_engine_at (d, engine);
-  pu_dispatcher_queued_t *o
-      = e != NULL ? pu_dispatcher_find_order (e, item) : NULL;
-
-  if (o == NULL || (e->head_sent && o == queue_head (e)))
-    return;
-  g_queue_remove (&e->queue, o);
-  order_roll_back (e, &o->order);
-  g_free (o);
-}
-
 /* Handles the answer that the engine is executing another order, or that its
    count of accepted orders differs from the expected count.  */
 static void
--- a/libplantainusher/placement/dispatcher.h
+++ b/libplantainusher/placement/dispatcher.h
@@ -109,10 +109,6 @@
 bool pu_dispatcher_enqueue (pu_dispatcher_t *d, guint32 engine,
                             const pu_dispatcher_order_t *o, guint64 now);
 
-/* pu_dispatcher_cancel - removes the queued order for ITEM, unless it was
-   sent.  */
-void pu_dispatcher_cancel (pu_dispatcher_t *d, guint32 engine, guint32 item);
-
 typedef enum
 {
   PU_DISPATCHER_ACCEPTED,    /* the engine is executing the order */
@@ -163,7 +159,10 @@
                                     to pu_dispatcher_handle_report */
   PU_DISPATCHER_ACTION_ACCEPTED, /* the engine is executing the order or
                                     has executed it */
-  PU_DISPATCHER_ACTION_FAILED    /* the order failed and is not sent again */
+  PU_DISPATCHER_ACTION_FAILED    /* the order failed and is not sent again; if
+                                    an earlier send had no answer, the engine
+                                    may still execute it, and its report shows
+                                    that */
 } pu_dispatcher_action_kind_t;
 
 typedef struct
