--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -206,6 +206,38 @@
   EXPECT_EQ (s.node (other).name, s.leader ()->name);
 }
 
+/* Faults and stops of the others are no reason to change the leader.  */
+TEST (Replica, LeaderStaysWhileOtherMembersStopAndRestart)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Sim s (3, seed, 0, 2, 5);
+
+      s.run (12000);
+      sim::Node *l = s.leader ();
+      ASSERT_NE (nullptr, l) << "seed " << seed;
+      uint64_t term = pu_replica_term (l->r);
+      for (unsigned i = 0; i < 40; i++)
+        {
+          unsigned other = i % 5;
+
+          if (&s.node (other) == l)
+            continue;
+          if (i % 3 == 0)
+            pu_replica_begin_stop (s.node (other).r, s.clock (s.node (other)));
+          s.run (700);
+          s.stop (other);
+          s.run (300);
+          s.start (other);
+          s.propose ();
+          s.run (500);
+        }
+      ASSERT_EQ (l, s.leader ()) << "seed " << seed;
+      EXPECT_EQ (term, pu_replica_term (l->r)) << "seed " << seed;
+      EXPECT_EQ (s.violation, "") << "seed " << seed;
+    }
+}
+
 /* The only voter that stays holds old entries: the last step of a stop hands
    over to the voter that has them all, although that one is stopping too.  */
 TEST (Replica, LastStepOfAStopHandsOverThoughTheVoterThatStaysLags)
