planner: a last copy yields only while the engines are known to be too few

Cause: the planner looked at its steps alone whether the engines can hold all models. An unload of a last copy was sent, and sent again, although the leader had been told of a returned engine since the step; and five seconds of too few engines counted on over a moment, between two steps, at which all models fitted.

Change: an engine's report or a declaration after which all models fit ends the yielding of last copies at once.

Check: it compares with what the leader was told in place of a span of a second: at the step that queued the order (too few engines for five seconds without a break, memory for another item, so much more demand for one) and at each send, not only the first (still too few).

Failed before: PlacementSeeds, two tests of Overcommitted, and PlacementBreak OwnToken, which met such a violation first.

--- a/libplantainusher/placement/fuzz_test.cc
+++ b/libplantainusher/placement/fuzz_test.cc
@@ -12,7 +12,7 @@
 constexpr int kOperations = 150;
 
 std::string
-Run (unsigned seed, const std::vector<unsigned> &ops, const Breaks &b)
+RunHistory (unsigned seed, const std::vector<unsigned> &ops, const Breaks &b)
 {
   Simulation s (seed, b);
 
@@ -32,7 +32,18 @@
       100, rc::gen::container<std::vector<unsigned> > (
                kOperations, rc::gen::arbitrary<unsigned> ()));
 
-  RC_ASSERT (Run (seed, ops, Breaks ()) == "");
+  RC_ASSERT (RunHistory (seed, ops, Breaks ()) == "");
+}
+
+std::vector<unsigned>
+Operations (unsigned seed)
+{
+  std::mt19937 rng (seed);
+  std::vector<unsigned> ops;
+
+  for (int i = 0; i < kOperations; i++)
+    ops.push_back (rng ());
+  return ops;
 }
 
 /* The first violation found with the injected faults B, over the seeds 1 to
@@ -42,18 +53,23 @@
 {
   for (unsigned seed = 1; seed <= 200; seed++)
     {
-      std::mt19937 rng (seed);
-      std::vector<unsigned> ops;
-
-      for (int i = 0; i < kOperations; i++)
-        ops.push_back (rng ());
-      std::string violation = Run (seed, ops, b);
+      std::string violation = RunHistory (seed, Operations (seed), b);
       if (!violation.empty ())
         return violation;
     }
   return "";
 }
 
+/* Guards against the unload of a last copy after an engine has returned: just
+   before the planner's step or the send, or for a moment between two steps. */
+TEST (PlacementSeeds, LastCopiesYieldOnlyWhileNotAllModelsFit)
+{
+  for (unsigned seed :
+       { 33,   202,  591,  821,  1374, 1800, 1983, 2597, 2669, 2713,
+         2953, 3362, 3780, 4510, 4704, 4822, 4875, 5073, 5436, 5986 })
+    EXPECT_EQ ("", RunHistory (seed, Operations (seed), Breaks ())) << seed;
+}
+
 struct Case
 {
   const char *name;
@@ -98,6 +114,9 @@
                              kMemoryExceeded },
                        Case{ "UnloadLastCopy",
                              { 0, PU_PLANNER_BREAK_LAST_COPY, 0 },
+                             "last ready copy" },
+                       Case{ "UnloadLastCopyOnceAllFit",
+                             { 0, PU_PLANNER_BREAK_LATE_CAPACITY, 0 },
                              "last ready copy" }),
     [] (const ::testing::TestParamInfo<Case> &i) { return i.param.name; });
 
--- a/libplantainusher/placement/planner.h
+++ b/libplantainusher/placement/planner.h
@@ -152,8 +152,10 @@
 typedef enum
 {
   PU_PLANNER_BREAK_NONE = 0,
-  PU_PLANNER_BREAK_LAST_COPY = 1 /* the planner may unload an item's last ready
-                                    copy */
+  PU_PLANNER_BREAK_LAST_COPY = 1,    /* the planner may unload an item's last
+                                        ready copy */
+  PU_PLANNER_BREAK_LATE_CAPACITY = 2 /* the planner notices only at its next
+                                        step that all models fit again */
 } pu_planner_break_t;
 
 typedef struct
@@ -302,13 +304,14 @@
 /* pu_planner_may_unload - returns whether the copy of VERSION of ITEM on
    ENGINE may be unloaded.  It may be if it is not ready, if another copy of
    ITEM is ready, if ITEM is not declared, or if the planner unloads the last
-   copy for an item with more demand.  Check this again each time an
-   unload order is sent.  */
+   copy for an item with more demand and the engines still cannot hold a copy
+   of each model.  Check this again each time an unload order is sent.  */
 bool pu_planner_may_unload (const pu_planner_t *p, guint32 engine,
                             guint32 item, guint32 version);
 
-/* pu_planner_is_overcommitted - returns whether the engines cannot hold a copy
-   of each declared model, as of the last step.  */
+/* pu_planner_is_overcommitted - returns whether the engines could not hold a
+   copy of each declared model at the last step, and have not been able to
+   since.  */
 bool pu_planner_is_overcommitted (const pu_planner_t *p);
 
 /* pu_planner_expected_streams - returns the demand for ITEM that the forecast
--- a/libplantainusher/placement/planner_internal.h
+++ b/libplantainusher/placement/planner_internal.h
@@ -208,6 +208,11 @@
    engine.  */
 void pu_planner_rebuild_index (pu_planner_t *p, guint64 now);
 
+/* pu_planner_note_capacity - ends the yielding of last copies when the engines
+   may hold a copy of each declared model again.  Call it when an engine or a
+   declaration changed: moves of the last step are sent after the change.  */
+void pu_planner_note_capacity (pu_planner_t *p);
+
 /* pu_planner_reserve_for_adapters - reserves memory on ENGINE, which has or
    will have a copy of the base model ITEM, for those adapters of ITEM that
    have no copy.  */
--- a/libplantainusher/placement/planner_load.c
+++ b/libplantainusher/placement/planner_load.c
@@ -175,6 +175,18 @@
   return models_mb > engines_mb || places < models;
 }
 
+void
+pu_planner_note_capacity (pu_planner_t *p)
+{
+  if (!p->overcommitted
+      || (p->o.test_breaks & PU_PLANNER_BREAK_LATE_CAPACITY) != 0
+      || is_overcommitted (p))
+    return;
+  p->overcommitted = false;
+  p->overcommitted_since = 0;
+  p->last_copies_yield = false;
+}
+
 static void
 note_overcommitted (pu_planner_t *p, guint64 now)
 {
--- a/libplantainusher/placement/planner_overcommit_test.cc
+++ b/libplantainusher/placement/planner_overcommit_test.cc
@@ -73,6 +73,38 @@
   EXPECT_EQ ("load 2.1@2 ", Step ());
 }
 
+/* Guards against the unload of a last copy that is sent after an engine has
+   returned, before the next step.  */
+TEST_F (Overcommitted, UnloadOfALastCopyIsNotSentOnceAllModelsFit)
+{
+  std::string moves;
+
+  Demand (0, 2);
+  for (int i = 0; i < 10 && moves.empty (); i++)
+    {
+      Demand (2, 2);
+      moves = Step (false);
+    }
+  ASSERT_EQ ("unload 1.1@1 ", moves);
+  EXPECT_TRUE (pu_planner_may_unload (p, 1, 1, 1));
+  copies.push_back ({});
+  ReportEngine (2);
+  EXPECT_FALSE (pu_planner_may_unload (p, 1, 1, 1));
+}
+
+/* Guards against a last copy that yields although all models fitted a moment
+   ago, between two steps.  */
+TEST_F (Overcommitted, LastCopiesYieldOnlyAfterAWhileWithoutEnoughEngines)
+{
+  std::string moves = StepsWithDemand (4, 2, 2);
+
+  copies.push_back ({});
+  ReportEngine (2);
+  ReportEngine (2, false);
+  EXPECT_EQ ("", moves + StepsWithDemand (5, 2, 2));
+  EXPECT_EQ ("unload 0.1@0 load 2.1@0 ", StepsWithDemand (3, 2, 2));
+}
+
 TEST_F (Overcommitted, ModelsWithEqualDemandDoNotEvictEachOther)
 {
   for (int i = 0; i < 10; i++)
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -255,6 +255,7 @@
 {
   pu_planned_engine_t *e;
   GArray *copies;
+  bool more_memory;
 
   grow_engines (p, engine);
   e = pu_planned_engine (p, engine);
@@ -272,6 +273,7 @@
   copies = merge_copies (e, from, now);
   g_array_unref (e->copies);
   e->copies = copies;
+  more_memory = from->usable && (!e->usable || e->memory_mb < from->memory_mb);
   e->known = true;
   e->usable = from->usable;
   e->loads_suspended = from->loads_suspended;
@@ -282,6 +284,8 @@
   e->streams = fmax (from->streams, MIN_STREAMS);
   clear_obsolete_deferred (e);
   reset_failures (p, e, now);
+  if (more_memory)
+    pu_planner_note_capacity (p);
 }
 
 static void
@@ -354,6 +358,7 @@
     }
   if (old_base != t->i.base)
     rebuild_adapters (p);
+  pu_planner_note_capacity (p);
 }
 
 void
--- a/libplantainusher/placement/simulation_test.cc
+++ b/libplantainusher/placement/simulation_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdarg>
 #include <cstdio>
+#include <cstring>
 #include <set>
 
 namespace
@@ -16,6 +17,11 @@
    weights store has capacity.  It may wait for a few, because a planned load
    may be refused and planned again on another engine.  */
 constexpr unsigned kMaxStalledChecks = 5;
+/* Time for which the engines must have been too few for all models before a
+   last copy yields, and how many times its item's demand another must have.
+   An item is in demand above kInDemand streams.  */
+constexpr guint64 kYieldAfterMs = 5000;
+constexpr double kYieldDemandRatio = 4, kInDemand = 0.01;
 const guint32 kItemMemoryMb[Simulation::kItems] = { 40, 35, 30, 30, 25, 3, 3 };
 const guint32 kBase[Simulation::kItems] = {
   PU_PLAN_NONE, PU_PLAN_NONE, PU_PLAN_NONE, PU_PLAN_NONE, PU_PLAN_NONE, 0, 1
@@ -129,6 +135,8 @@
   deposed = leader;
   deposed_until = now + options.orders.lease_ms;
   leader = Leader (pu_placement_new (&options, now), pu_placement_free);
+  told_too_few_since = 0;
+  may_end_last_copy.clear ();
   for (guint32 i = 0; i < kItems; i++)
     {
       for (guint32 v = 0; v < kVersions; v++)
@@ -353,7 +361,7 @@
     {
       loads += o.spec.kind == PU_LEDGER_LOAD;
       unloads += o.spec.kind == PU_LEDGER_UNLOAD;
-      if (o.spec.kind == PU_LEDGER_UNLOAD && who == leader && o.tries == 1)
+      if (o.spec.kind == PU_LEDGER_UNLOAD && who == leader)
         CheckUnload (o);
       Send (who, o);
     }
@@ -397,8 +405,6 @@
                                 [] (const Event &e) { return !e.run; }),
                 events.end ());
   ExpireLeases ();
-  if (IsOvercommitted ())
-    overcommitted_at = now;
   if (deposed && now >= deposed_until)
     deposed.reset ();
   if (deposed)
@@ -407,6 +413,7 @@
     CarryOut (deposed, g_array_index (actions, pu_orders_action_t, i));
   g_array_set_size (actions, 0);
   pu_placement_step (leader.get (), report_due, now, actions);
+  NoteNewOrders (report_due);
   if (report_due)
     CheckWaitingItems ();
   for (guint i = 0; i < actions->len; i++)
@@ -487,9 +494,10 @@
     }
 }
 
-/* Whether the engines that are up, by the ledger, cannot hold all models.  */
+/* Whether the engines that are up by the ledger, which is all that the leader
+   is told, have memory for all models.  */
 bool
-Simulation::IsOvercommitted () const
+Simulation::AllModelsFit () const
 {
   guint32 up_mb = 0;
   guint32 models_mb = 0;
@@ -504,12 +512,54 @@
     }
   for (guint32 i = 0; i < kModels; i++)
     models_mb += kItemMemoryMb[i];
-  return models_mb > up_mb;
+  return models_mb <= up_mb;
+}
+
+/* Whether the leader knows of so much more demand for another item than for
+   ITEM that the last copy of ITEM may yield to it.  */
+bool
+Simulation::MayYield (guint32 item) const
+{
+  const pu_planner_t *p = pu_placement_planner (leader.get ());
+  double demand = pu_planner_expected_streams (p, item);
+  double most = 0;
+
+  for (guint32 i = 0; i < kItems; i++)
+    if (i != item)
+      most = std::max (most, pu_planner_expected_streams (p, i));
+  return most > kInDemand
+         && (demand <= kInDemand || most > kYieldDemandRatio * demand);
+}
+
+/* Records for the orders that the leader has queued since the last call
+   whether they may unload a last copy.  PLANNED: the planner has just made a
+   step.  */
+void
+Simulation::NoteNewOrders (bool planned)
+{
+  const pu_orders_t *o = pu_placement_orders (leader.get ());
+
+  if (AllModelsFit ())
+    told_too_few_since = 0;
+  else if (planned && told_too_few_since == 0)
+    told_too_few_since = now;
+  for (guint i = 0; i < pu_orders_count (o); i++)
+    {
+      const pu_orders_order_t *r = pu_orders_get (o, i);
+
+      may_end_last_copy.try_emplace (
+          r->id, planned
+                     && strstr (r->spec.reason, "room for another") != nullptr
+                     && told_too_few_since != 0
+                     && now - told_too_few_since >= kYieldAfterMs
+                     && MayYield (r->spec.copy / kVersions));
+    }
 }
 
 /* Checks from the ledger's state that the unload O leaves another copy of its
-   item ready on an engine that is up.  Where not all models fit, the last copy
-   of one may give way to another in demand.  */
+   item ready on an engine that is up.  A last copy may yield to another item
+   in demand if the leader knew when it planned the unload, and knows now, that
+   not all models fit.  */
 void
 Simulation::CheckUnload (const pu_orders_order_t &o)
 {
@@ -535,9 +585,7 @@
             others += ready;
         }
     }
-  /* The planner may learn of an engine that has come back only with its next
-     step.  */
-  if (here && others == 0 && now - overcommitted_at > kReportIntervalMs)
+  if (here && others == 0 && (AllModelsFit () || !may_end_last_copy.at (o.id)))
     ReportViolation ("the last ready copy is unloaded");
 }
 
--- a/libplantainusher/placement/simulation_test.h
+++ b/libplantainusher/placement/simulation_test.h
@@ -80,7 +80,6 @@
     std::function<void ()> run;
   };
 
-  guint64 overcommitted_at = 0; /* when not all models fitted last */
   guint64 now = 1000, log_position = 0, deposed_until = 0;
   bool settling = false;
   std::mt19937 rng;
@@ -96,6 +95,12 @@
   Leader leader;
   Leader deposed; /* the previous leader, which may still send orders */
   std::vector<Event> events;
+  /* Since which of its planner steps the leader has been told of too few
+     engines for all models; 0: of enough.  */
+  guint64 told_too_few_since = 0;
+  /* By id, each order of the leader: whether it may unload a last ready copy,
+     by what the leader was told when it queued the order.  */
+  std::map<guint32, bool> may_end_last_copy;
 
   unsigned
   Random (unsigned n)
@@ -130,7 +135,9 @@
   pu_orders_answer_t Deliver (const pu_orders_order_t &o);
   void Restart (guint32 engine);
   void CheckMemory ();
-  bool IsOvercommitted () const;
+  bool AllModelsFit () const;
+  bool MayYield (guint32 item) const;
+  void NoteNewOrders (bool planned);
   void CheckUnload (const pu_orders_order_t &o);
   void CheckWaitingItems ();
 };
