entry: sending an attempt has a file of its own

What sends an attempt (headers, time-outs, the call) is attempt_send.c now; what its response means stays. No change of behaviour: the functions are moved; the callbacks of the call are one constant.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -1,4 +1,5 @@
-/* One attempt of a request at a backend server or another entry.  */
+/* The response to one attempt of a request, of a backend server or another
+   entry, and what follows from it.  */
 
 #include "entry/entry_private.h"
 #include "entry/trace.h"
@@ -10,9 +11,6 @@
 enum
 {
   EVENT_MAX_BYTES = 1024 * 1024, /* maximum size of one event with an id */
-  /* Timeout for the response head, as a multiple of the predicted time to the
-     first token.  */
-  HEAD_TIMEOUT_FACTOR = 4,
   LOAD_REPORT_MAX_AGE_MS = 2000, /* an older load report is not used to tell
                                     whether a backend server is full */
   /* How long a copy counts as absent after a refusal.  Within this time a new
@@ -691,143 +689,4 @@
     }
 }
 
-/* --- sending a request to a backend server or another entry --- */
-
-static void
-head_fill (const pu_exchange_t *x, const pu_server_t *s, pu_header_list_t *h)
-{
-  const pu_frontend_t *front = &x->en->front;
-  guint64 now = now_of (x);
-  pu_attempt_params_t params
-      = { .request = &x->q,
-          .server = s != NULL ? s->name : "",
-          .left_ms = x->q.deadline > now ? x->q.deadline - now : 1,
-          .last_event = x->last_event };
-
-  pu_header_list_init (h);
-  for (guint i = 0; i + 1 < x->q.headers->len; i += 2)
-    {
-      pu_header_list_add (h, g_ptr_array_index (x->q.headers, i),
-                          g_ptr_array_index (x->q.headers, i + 1));
-    }
-  if (pu_entry_uses_builtin_frontend (x->en))
-    {
-      pu_builtin_request_headers (x, h);
-    }
-  else
-    {
-      front->head (front->data, &params, h);
-    }
-}
-
-static guint
-first_byte_timeout_ms (const pu_exchange_t *x)
-{
-  guint64 now = now_of (x);
-  guint64 left = x->q.deadline > now ? x->q.deadline - now : 1;
-  guint64 limit = MAX (x->en->o.stream_progress_timeout_ms,
-                       (guint64)x->predicted_ms * HEAD_TIMEOUT_FACTOR);
-
-  /* Where the request can't be retried, a timeout before the deadline gains
-     nothing.  */
-  if (!x->q.repeatable || x->q.plain || x->q.never_relayed)
-    limit = left;
-  return (guint)MIN (limit, left);
-}
-
-static bool
-call_start (pu_exchange_t *x, const char *address, const char *target,
-            const pu_header_list_t *h)
-{
-  bool has_body = g_bytes_get_size (x->q.body) > 0;
-  GBytes *body = x->delivered.tokens > 0 ? pu_exchange_resume_body (x)
-                                         : g_bytes_ref (x->q.body);
-  pu_http_call_options_t o
-      = { .address = address,
-          .method = x->q.method,
-          .target = target,
-          .headers = (const pu_http_header_t *)(void *)h->headers->data,
-          .header_count = h->headers->len,
-          .body = has_body ? body : NULL,
-          .has_body = strcmp (x->q.method, "POST") == 0,
-          /* If a reused connection turns out to have been closed while idle,
-             the request needs a retry.  A request that may run only once gets
-             no retry, so it is sent on a new connection.  Requests with
-             `never_relayed` set, which a frontend given in the options reads,
-             may use any connection.  */
-          .fresh = !x->q.repeatable && !x->q.never_relayed,
-          .first_byte_timeout_ms = first_byte_timeout_ms (x),
-          .progress_timeout_ms = x->en->o.stream_progress_timeout_ms,
-          .events = { on_head, on_body, on_end },
-          .data = x };
-
-  x->at.call = pu_http_client_start (x->en->client, &o, NULL);
-  g_bytes_unref (body);
-  if (x->at.call == NULL)
-    return false;
-  x->at.sent_at = now_of (x);
-  x->phase = PU_EXCHANGE_RUNNING;
-  x->attempts++;
-  return true;
-}
-
-/* Records in the suspects table that X runs at S.  */
-static void
-suspects_note_start (pu_exchange_t *x, pu_server_t *s)
-{
-  pu_suspects_t *suspects = x->en->suspects;
-
-  if (x->q.plain || x->q.never_relayed)
-    return;
-  if (pu_suspects_is_suspect (suspects, x->q.fingerprint, now_of (x)))
-    {
-      x->at.as_suspect = true;
-      pu_server_count_suspect (x->en, s, true);
-    }
-  pu_suspects_started (suspects, x->number, x->q.fingerprint, s->number,
-                       s->incarnation, now_of (x));
-  x->at.suspect_tracked = true;
-}
-
-bool
-pu_attempt_start (pu_exchange_t *x, pu_server_t *s)
-{
-  pu_header_list_t h;
-  bool good;
-
-  head_fill (x, s, &h);
-  x->at.server = s;
-  x->at.incarnation = s->incarnation;
-  good = call_start (x, s->address, x->q.target, &h);
-  pu_header_list_clear (&h);
-  if (!good)
-    return false;
-  suspects_note_start (x, s);
-  pu_trace_sent (x, s);
-  pu_router_sent (x->en->router, x->ticket, now_of (x));
-  return true;
-}
-
-bool
-pu_attempt_relay (pu_exchange_t *x, const pu_directory_entry_t *to)
-{
-  char *target = x->q.plain ? g_strconcat ("/services/", x->q.service,
-                                           x->q.target, NULL)
-                            : g_strdup (x->q.target);
-  pu_header_list_t h;
-  bool good;
-
-  head_fill (x, NULL, &h);
-  pu_header_list_add (&h, "X-Relay-Hop", x->hops == 0 ? "1" : "2");
-  pu_header_list_add (&h, "X-Relay-Key", x->en->peer_key);
-  if (!x->q.plain)
-    pu_header_list_add (&h, "X-Service", x->q.service);
-  x->at.entry = g_strdup (to->name);
-  pu_trace_relayed (x, to->name);
-  good = call_start (x, to->address, target, &h);
-  pu_header_list_clear (&h);
-  g_free (target);
-  if (!good)
-    pu_attempt_clear (x);
-  return good;
-}
+const pu_http_call_events_t pu_attempt_events = { on_head, on_body, on_end };
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -642,13 +642,18 @@
 void pu_builtin_classify_response (pu_exchange_t *x,
                                    const pu_http_response_t *r);
 
-/* --- attempt.c: one attempt at a backend server or another entry --- */
+/* --- attempt_send.c: one attempt at a backend server or another entry --- */
 
 /* pu_attempt_start - sends X to S; pu_attempt_relay relays it to the entry TO.
    Both return false if the call could not be started.  */
 bool pu_attempt_start (pu_exchange_t *x, pu_server_t *s);
 bool pu_attempt_relay (pu_exchange_t *x, const pu_directory_entry_t *to);
 
+/* --- attempt.c: the response to an attempt --- */
+
+/* The callbacks of an attempt's call, whose data is the exchange.  */
+extern const pu_http_call_events_t pu_attempt_events;
+
 /* pu_saved_failure_clear - frees the response in K, which is then empty.  */
 void pu_saved_failure_clear (pu_saved_failure_t *k);
 
