http: requests are counted and bounded while they arrive

What callers saw: with memory_mb 100, 150 callers that each sent 2 MB of a 15 MB body and went on slowly took the entry over its limit; everybody else was refused with 503 from then on, and the system could have ended the process with all its requests.

Cause: what is held of a request was noticed only as resident memory, once it was there, and refused only once it was whole: max_connections times max_body_bytes could be held before. Nothing bounds a slow body on the strict server: each byte sets the idle time anew (h2o, by its documentation, ends a request of HTTP/1 that is not whole after idle_ms).

Change: base/memory_budget counts the bytes that are held of requests that are not whole: at most 25% of the limit together, 20% where it would go to a request of more than 64 KB. The strict server counts with each read, and the stated length at the head; what is read behind a request in progress counts too, and without room it is dropped and the connection ends after the answer. h2o tells nothing before a request is whole: its inputs are counted before it reads them and its HTTP/2 streams are looked up (http/arriving.c; the part of khash.h that h2o's own header lacks in Debian is ours). Over the bound, 503 with Retry-After and not-run, and the connection is closed after a time in which the rest of the body is read and dropped; an HTTP/2 stream is reset with REFUSED_STREAM. Slow requests first, of these the one that holds most; else the newest large one. From 85% of all memory on, large requests that are not whole are refused. A body that could never have room is refused with 413. Whole requests aren't touched. memory_arriving_bytes and memory_arriving_refused_total are on the metrics address.

Open: the operators' address and the platform's own listeners don't get the budget yet (pu_http_server_options_t.memory).

--- a/libplantainusher/base/memory_budget.c
+++ b/libplantainusher/base/memory_budget.c
@@ -9,6 +9,11 @@
 #define HOLD_BULK_PCT 70
 #define REFUSE_REQUESTS_PCT 85
 
+/* Shares of the limit for requests that are not whole yet: for all, and for
+   those that are large.  */
+#define ARRIVING_PCT 25
+#define ARRIVING_LARGE_PCT 20
+
 /* A level ends this much below the share at which it began.  */
 #define HYSTERESIS_PCT 5
 
@@ -55,6 +60,33 @@
   return m != NULL && m->level >= level;
 }
 
+uint64_t
+pu_memory_arriving_max (const pu_memory_budget_t *m)
+{
+  return m == NULL || m->limit == 0 ? UINT64_MAX
+                                    : share_of (m, ARRIVING_LARGE_PCT);
+}
+
+bool
+pu_memory_arriving_fits (const pu_memory_budget_t *m, uint64_t held,
+                         uint64_t more)
+{
+  bool large = held + more > PU_MEMORY_SMALL_REQUEST;
+
+  if (m == NULL || m->limit == 0)
+    return true;
+  return m->arriving + more
+         <= share_of (m, large ? ARRIVING_LARGE_PCT : ARRIVING_PCT);
+}
+
+void
+pu_memory_arriving_move (pu_memory_budget_t *m, uint64_t before,
+                         uint64_t after)
+{
+  if (m != NULL)
+    m->arriving = m->arriving - before + after;
+}
+
 const char *
 pu_memory_level_name (pu_memory_level_t level)
 {
--- a/libplantainusher/base/memory_budget.h
+++ b/libplantainusher/base/memory_budget.h
@@ -18,10 +18,16 @@
  * for callers, then new requests.  What keeps a leader elected and requests in
  * progress is never refused.
  *
+ * What is held of requests that are not whole yet is counted as it arrives and
+ * takes at most a share of the limit.  The last part of the share is for
+ * requests of at most PU_MEMORY_SMALL_REQUEST bytes.
+ *
  * The decision does no I/O and reads no clock; the functions that read what
  * the system knows are apart from it.
  */
 
+#define PU_MEMORY_SMALL_REQUEST 65536
+
 typedef enum
 {
   PU_MEMORY_NORMAL,
@@ -34,6 +40,8 @@
   uint64_t limit; /* bytes; 0: none */
   uint64_t used;  /* bytes, as of the last update */
   pu_memory_level_t level;
+  uint64_t arriving; /* bytes held of requests that are not whole */
+  uint64_t refused;  /* requests refused before they were whole, for room */
 } pu_memory_budget_t;
 
 /* pu_memory_budget_update - sets the use to USED bytes.  Returns whether the
@@ -46,6 +54,21 @@
 bool pu_memory_budget_reached (const pu_memory_budget_t *m,
                                pu_memory_level_t level);
 
+/* pu_memory_arriving_max - the most that the requests of more than
+   PU_MEMORY_SMALL_REQUEST bytes may hold together while they arrive, in bytes;
+   UINT64_MAX when M, which may be NULL, has no limit.  */
+uint64_t pu_memory_arriving_max (const pu_memory_budget_t *m);
+
+/* pu_memory_arriving_fits - whether a request that holds HELD bytes, which are
+   counted, may take MORE.  M may be NULL.  */
+bool pu_memory_arriving_fits (const pu_memory_budget_t *m, uint64_t held,
+                              uint64_t more);
+
+/* pu_memory_arriving_move - a request that held BEFORE bytes holds AFTER.  M
+   may be NULL.  */
+void pu_memory_arriving_move (pu_memory_budget_t *m, uint64_t before,
+                              uint64_t after);
+
 /* pu_memory_level_name - "normal", "hold bulk transfers" or "refuse
    requests".  */
 const char *pu_memory_level_name (pu_memory_level_t level);
--- a/libplantainusher/base/memory_budget_test.cc
+++ b/libplantainusher/base/memory_budget_test.cc
@@ -12,7 +12,7 @@
 
 TEST (MemoryBudget, LevelsBeginAtTheirShareAndEndClearlyBelowIt)
 {
-  pu_memory_budget_t m = { 1000, 0, PU_MEMORY_NORMAL };
+  pu_memory_budget_t m = {};
   struct
   {
     uint64_t used;
@@ -26,6 +26,7 @@
     { 100, PU_MEMORY_NORMAL }
   };
 
+  m.limit = 1000;
   for (auto &row : rows)
     {
       pu_memory_level_t before = m.level;
@@ -37,11 +38,35 @@
 
 TEST (MemoryBudget, WithoutALimitNothingIsRefused)
 {
-  pu_memory_budget_t m = { 0, 0, PU_MEMORY_NORMAL };
+  pu_memory_budget_t m = {};
 
   EXPECT_FALSE (pu_memory_budget_update (&m, UINT64_MAX));
   EXPECT_FALSE (pu_memory_budget_reached (&m, PU_MEMORY_HOLD_BULK));
   EXPECT_FALSE (pu_memory_budget_reached (nullptr, PU_MEMORY_HOLD_BULK));
+  EXPECT_TRUE (pu_memory_arriving_fits (&m, 0, UINT64_MAX));
+  EXPECT_TRUE (pu_memory_arriving_fits (nullptr, 0, UINT64_MAX));
+  EXPECT_EQ (pu_memory_arriving_max (&m), UINT64_MAX);
+  pu_memory_arriving_move (nullptr, 0, 1);
+}
+
+TEST (MemoryBudget, WhatArrivesTakesAShareWithRoomForSmallRequests)
+{
+  constexpr uint64_t small = PU_MEMORY_SMALL_REQUEST;
+  pu_memory_budget_t m = {};
+
+  m.limit = 100 * small;
+  EXPECT_EQ (pu_memory_arriving_max (&m), 20 * small);
+  EXPECT_TRUE (pu_memory_arriving_fits (&m, 0, 20 * small));
+  EXPECT_FALSE (pu_memory_arriving_fits (&m, 0, 20 * small + 1));
+  pu_memory_arriving_move (&m, 0, 20 * small);
+  EXPECT_FALSE (pu_memory_arriving_fits (&m, 20 * small, 1));
+  EXPECT_TRUE (pu_memory_arriving_fits (&m, 0, small));
+  EXPECT_FALSE (pu_memory_arriving_fits (&m, 0, small + 1));
+  pu_memory_arriving_move (&m, 0, 5 * small);
+  EXPECT_FALSE (pu_memory_arriving_fits (&m, 0, 1));
+  pu_memory_arriving_move (&m, 20 * small, 19 * small);
+  EXPECT_TRUE (pu_memory_arriving_fits (&m, 0, 1));
+  EXPECT_EQ (m.arriving, 24 * small);
 }
 
 TEST (MemoryBudget, FilesOfTheSystemAreParsed)
--- a/libplantainusher/daemon/memory_watch.c
+++ b/libplantainusher/daemon/memory_watch.c
@@ -20,6 +20,8 @@
   pu_counters_t *counters;
   pu_counter_t used;
   pu_counter_t level;
+  pu_counter_t arriving;
+  pu_counter_t refused;
 };
 
 static void
@@ -31,6 +33,8 @@
 
   pu_counters_set (m->counters, m->used, (gint64)m->budget.used);
   pu_counters_set (m->counters, m->level, m->budget.level);
+  pu_counters_set (m->counters, m->arriving, (gint64)m->budget.arriving);
+  pu_counters_set (m->counters, m->refused, (gint64)m->budget.refused);
   if (changed)
     {
       pu_log_event (
@@ -52,6 +56,8 @@
   m->counters = counters;
   m->used = pu_counters_get (counters, "memory_resident_bytes");
   m->level = pu_counters_get (counters, "memory_level");
+  m->arriving = pu_counters_get (counters, "memory_arriving_bytes");
+  m->refused = pu_counters_get (counters, "memory_arriving_refused_total");
   pu_counters_set (counters, pu_counters_get (counters, "memory_limit_bytes"),
                    (gint64)m->budget.limit);
   m->resident = pu_memory_open_resident ();
@@ -77,8 +83,8 @@
   g_free (m);
 }
 
-const pu_memory_budget_t *
-pu_memory_watch_budget (const pu_memory_watch_t *m)
+pu_memory_budget_t *
+pu_memory_watch_budget (pu_memory_watch_t *m)
 {
   return &m->budget;
 }
--- a/libplantainusher/daemon/memory_watch.h
+++ b/libplantainusher/daemon/memory_watch.h
@@ -23,7 +23,7 @@
 void pu_memory_watch_free (pu_memory_watch_t *m);
 
 /* pu_memory_watch_budget - returns the budget, which lives as long as M.  */
-const pu_memory_budget_t *pu_memory_watch_budget (const pu_memory_watch_t *m);
+pu_memory_budget_t *pu_memory_watch_budget (pu_memory_watch_t *m);
 
 G_END_DECLS
 
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -297,6 +297,7 @@
     .header_max = o->header_max,
     .body_max = o->body_max,
     .connections_max = o->connections_max,
+    .memory = o->memory,
     .strict = o->front != NULL,
     .refusal_header = "x-outcome",
     .refusal_value = "not-run",
@@ -304,6 +305,8 @@
     = "{\"error\":{\"message\":\"The request is malformed or exceeds a size "
       "limit.\",\"type\":\"invalid_request\",\"outcome\":"
       "\"not-run\"}}",
+    .busy_body = "{\"error\":{\"message\":\"This entry is short of memory."
+                 "\",\"type\":\"memory\",\"outcome\":\"not-run\"}}",
     .handler = on_request,
     .data = en
   };
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -133,12 +133,12 @@
                        default of the HTTP server, also for connections_max */
   gsize body_max;   /* 8 MiB: maximum size of a request body and of a buffered
                        response */
-  gsize announcement_max; /* 1 MiB: maximum size of a report of a backend
-                             server */
-  guint connections_max;  /* 4096: concurrent connections of callers */
-  guint requests_max;     /* 4096: concurrent requests */
-  const pu_memory_budget_t *memory; /* of the process; must outlive the entry;
-                                       NULL: not watched */
+  gsize announcement_max;     /* 1 MiB: maximum size of a report of a backend
+                                 server */
+  guint connections_max;      /* 4096: concurrent connections of callers */
+  guint requests_max;         /* 4096: concurrent requests */
+  pu_memory_budget_t *memory; /* of the process; must outlive the entry; NULL:
+                                 not watched */
   guint connect_ms; /* 1000: connect timeout; 0: the HTTP client's default,
                        also for stream_progress_timeout_ms and idle_ms */
   guint stream_progress_timeout_ms; /* 10000: a stream that sends no byte for
--- a/libplantainusher/http/h1_reader.c
+++ b/libplantainusher/http/h1_reader.c
@@ -36,6 +36,7 @@
   step_t step;
   int status;
   gsize left;    /* of a body of stated length, or of a chunk */
+  gsize head;    /* bytes of the head that was read */
   gsize trailer; /* bytes of trailers so far */
   int minor;
   char *method;
@@ -74,6 +75,14 @@
   g_free (r);
 }
 
+/* Empties B, whose memory would stay if only its length were set.  */
+static void
+bytes_free (GByteArray **b)
+{
+  g_byte_array_free (*b, TRUE);
+  *b = g_byte_array_new ();
+}
+
 static pu_h1_read_t
 refuse (pu_h1_reader_t *r, int status)
 {
@@ -257,6 +266,7 @@
     return refuse (r, HEAD_TOO_LARGE);
   read = head_take (r, method, method_len, target, target_len, headers, n);
   take (r, (gsize)size);
+  r->head = (gsize)size;
   r->looked = 0;
   return read;
 }
@@ -430,6 +440,7 @@
   g_byte_array_set_size (r->body, 0);
   r->step = STEP_HEAD;
   r->looked = 0;
+  r->head = 0;
   r->trailer = 0;
   r->left = 0;
   r->expects = false;
@@ -451,7 +462,27 @@
 gsize
 pu_h1_reader_held (const pu_h1_reader_t *r)
 {
-  return r->in->len + r->body->len;
+  return r->in->len + (r->step == STEP_DONE ? 0 : r->head + r->body->len);
+}
+
+gsize
+pu_h1_reader_left (const pu_h1_reader_t *r)
+{
+  return r->left;
+}
+
+void
+pu_h1_reader_drop_behind (pu_h1_reader_t *r)
+{
+  bytes_free (&r->in);
+}
+
+void
+pu_h1_reader_drop (pu_h1_reader_t *r)
+{
+  r->step = STEP_BAD;
+  bytes_free (&r->in);
+  bytes_free (&r->body);
 }
 
 int
--- a/libplantainusher/http/h1_reader.h
+++ b/libplantainusher/http/h1_reader.h
@@ -49,9 +49,19 @@
 /* pu_h1_reader_has_head - whether its head is whole.  */
 bool pu_h1_reader_has_head (const pu_h1_reader_t *r);
 
-/* pu_h1_reader_held - bytes that are kept.  */
+/* pu_h1_reader_held - bytes that are kept of requests that are not whole.  */
 gsize pu_h1_reader_held (const pu_h1_reader_t *r);
 
+/* pu_h1_reader_left - bytes that are still to come of the body, or of its
+   present chunk, by what the peer has said.  */
+gsize pu_h1_reader_left (const pu_h1_reader_t *r);
+
+/* pu_h1_reader_drop_behind - forgets what came behind a whole request.  */
+void pu_h1_reader_drop_behind (pu_h1_reader_t *r);
+
+/* pu_h1_reader_drop - forgets all; the reader is of no use any more.  */
+void pu_h1_reader_drop (pu_h1_reader_t *r);
+
 /* pu_h1_reader_status - of a refusal: 400, 413 or 431.  */
 int pu_h1_reader_status (const pu_h1_reader_t *r);
 
--- a/libplantainusher/http/h1_server.c
+++ b/libplantainusher/http/h1_server.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "http/arriving.h"
 #include "http/tcp.h"
 
 enum
@@ -25,6 +26,7 @@
   pu_http_request_t *request; /* in progress; NULL: none */
   GString *out;               /* of the answer, not yet written */
   gsize unsent;               /* bytes that the connection has not taken */
+  gsize counted;              /* bytes of it in the budget for what arrives */
   guint64 since;              /* loop time of the last progress */
   guint64 begun;   /* loop time of the first byte of the request that is being
                       read */
@@ -32,6 +34,8 @@
   bool chunked;    /* the answer in progress is */
   bool head_only;  /* the answer has no body */
   bool last;       /* no request comes after this one */
+  bool admitted;   /* the request that is being read had room for its stated
+                      length */
   bool lingers;    /* only what was sent is to be read by the peer */
   bool closing;
 };
@@ -53,6 +57,14 @@
   return uv_now (c->server->o.loop);
 }
 
+/* The reader of C holds N bytes of requests that are not whole.  */
+static void
+count (pu_h1_conn_t *c, gsize n)
+{
+  pu_memory_arriving_move (c->server->o.memory, c->counted, n);
+  c->counted = n;
+}
+
 /* --- the end of a connection --- */
 
 static void
@@ -98,6 +110,7 @@
   if (c->closing)
     return;
   c->closing = true;
+  count (c, 0);
   request_drop (c);
   uv_close ((uv_handle_t *)&c->tcp, on_closed);
 }
@@ -119,6 +132,8 @@
   if (c->closing || c->lingers)
     return;
   c->lingers = true;
+  count (c, 0);
+  pu_h1_reader_drop (c->reader);
   c->since = now_of (c);
   c->shutdown.data = c;
   if (uv_shutdown (&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
@@ -329,6 +344,7 @@
   else
     {
       c->closing = true;
+      count (c, 0);
       if (uv_tcp_close_reset (&c->tcp, on_closed) != 0)
         uv_close ((uv_handle_t *)&c->tcp, on_closed);
     }
@@ -337,15 +353,16 @@
 /* --- reading --- */
 
 static void
-refuse (pu_h1_conn_t *c, int status)
+refuse_with (pu_h1_conn_t *c, int status, const char *headers,
+             const char *text)
 {
   const pu_http_server_t *s = c->server;
-  const char *body = s->refusal_body != NULL ? s->refusal_body : "";
+  const char *body = text != NULL ? text : "";
 
   g_string_append_printf (c->out,
-                          "HTTP/1.1 %d Refused\r\nConnection: close\r\n"
+                          "HTTP/1.1 %d Refused\r\nConnection: close\r\n%s"
                           "Content-Length: %" G_GSIZE_FORMAT "\r\n",
-                          status, strlen (body));
+                          status, headers, strlen (body));
   if (s->refusal_header != NULL)
     {
       g_string_append_printf (c->out, "%s: %s\r\n", s->refusal_header,
@@ -356,6 +373,98 @@
   conn_linger (c);
 }
 
+static void
+refuse (pu_h1_conn_t *c, int status)
+{
+  refuse_with (c, status, "", c->server->refusal_body);
+}
+
+/* --- room for what arrives --- */
+
+static bool
+is_arriving (const pu_h1_conn_t *c)
+{
+  return c->request == NULL && !c->lingers && !c->closing;
+}
+
+/* The connection whose request is refused first so that C can go on to hold
+   TOTAL bytes: C in the end.  */
+static pu_h1_conn_t *
+refused_first (pu_h1_conn_t *c, gsize total)
+{
+  pu_arriving_choice_t choice
+      = { .now = now_of (c), .newest_over = PU_MEMORY_SMALL_REQUEST };
+  pu_h1_conn_t *first;
+
+  for (GList *l = c->server->conns.head; l != NULL; l = l->next)
+    {
+      pu_h1_conn_t *one = l->data;
+      gsize held = one == c ? total : one->counted;
+
+      if (is_arriving (one))
+        pu_arriving_choice_add (&choice, one, held, one->begun, one->since);
+    }
+  first = pu_arriving_choice_first (&choice);
+  return first != NULL ? first : c;
+}
+
+static void
+refuse_busy (pu_h1_conn_t *c)
+{
+  c->server->o.memory->refused++;
+  refuse_with (c, PU_ARRIVING_STATUS, PU_ARRIVING_RETRY, c->server->busy_body);
+}
+
+/* Counts what C holds of a request that is not whole, for which others may be
+   refused; false when C's own was refused.  */
+static bool
+room_take (pu_h1_conn_t *c)
+{
+  const pu_memory_budget_t *m = c->server->o.memory;
+  gsize held = pu_h1_reader_held (c->reader);
+  gsize more = held - MIN (held, c->counted);
+  pu_h1_conn_t *refused;
+
+  if (pu_h1_reader_has_head (c->reader) && !c->admitted)
+    {
+      c->admitted = true;
+      more += pu_h1_reader_left (c->reader);
+    }
+  if (c->counted + more > PU_MEMORY_SMALL_REQUEST
+      && pu_memory_budget_reached (m, PU_MEMORY_REFUSE_REQUESTS))
+    {
+      refuse_busy (c);
+      return false;
+    }
+  while (more > 0 && !pu_memory_arriving_fits (m, c->counted, more))
+    {
+      refused = refused_first (c, c->counted + more);
+      refuse_busy (refused);
+      if (refused == c)
+        return false;
+    }
+  count (c, held);
+  return true;
+}
+
+/* Counts what C holds behind its request in progress.  Without room for it, C
+   ends after the answer, as if it had not been read.  */
+static void
+behind_take (pu_h1_conn_t *c)
+{
+  const pu_memory_budget_t *m = c->server->o.memory;
+  gsize held = pu_h1_reader_held (c->reader);
+  gsize more = held - MIN (held, c->counted);
+
+  if (!pu_memory_arriving_fits (m, c->counted, more))
+    {
+      c->last = true;
+      pu_h1_reader_drop_behind (c->reader);
+      held = 0;
+    }
+  count (c, held);
+}
+
 static void
 request_begin (pu_h1_conn_t *c)
 {
@@ -377,12 +486,17 @@
   switch (read)
     {
     case PU_H1_MORE:
+      room_take (c);
       break;
     case PU_H1_EXPECTS:
+      if (!room_take (c))
+        break;
       g_string_append (c->out, "HTTP/1.1 100 Continue\r\n\r\n");
       flush (c);
       break;
     case PU_H1_DONE:
+      c->admitted = false;
+      behind_take (c);
       request_begin (c);
       break;
     case PU_H1_BAD:
@@ -421,7 +535,7 @@
       conn_close (c);
       return;
     }
-  if (c->lingers)
+  if (c->lingers || (c->request != NULL && c->last))
     return;
   if (c->request == NULL)
     c->since = now_of (c);
@@ -432,10 +546,11 @@
     {
       read_result (c, read);
     }
-  else if (pu_h1_reader_held (c->reader)
-           > PIPELINE_MAX + c->server->o.body_max)
+  else
     {
-      uv_read_stop (stream);
+      behind_take (c);
+      if (pu_h1_reader_held (c->reader) > PIPELINE_MAX)
+        uv_read_stop (stream);
     }
 }
 
--- a/libplantainusher/http/request.c
+++ b/libplantainusher/http/request.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http/arriving.h"
 #include "http/h1_server.h"
 #include "http/query.h"
 
@@ -201,6 +202,7 @@
   r->ended = true;
   gone_report (r);
   r->conn->active--;
+  pu_arriving_watch (r->conn);
   g_queue_unlink (&r->server->open, &r->link);
   g_byte_array_free (r->pending, TRUE);
   g_byte_array_free (r->inflight, TRUE);
@@ -508,6 +510,7 @@
   r->req = req;
   r->conn = req->conn->callbacks->get_socket (req->conn)->on_close.data;
   r->conn->active++;
+  pu_arriving_end (r->conn);
   r->pending = g_byte_array_new ();
   r->inflight = g_byte_array_new ();
   r->path = pool_string (req, req->path_normalized);
--- a/libplantainusher/http/server.c
+++ b/libplantainusher/http/server.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "base/log.h"
+#include "http/arriving.h"
 #include "http/client.h"
 #include "http/h1_server.h"
 #include "http/tcp.h"
@@ -32,6 +33,7 @@
 {
   pu_server_conn_t *conn = data;
 
+  pu_arriving_forget (conn);
   g_queue_unlink (&conn->server->conns, &conn->link);
   g_free (conn);
 }
@@ -52,10 +54,13 @@
   sock = h2o_uv_socket_create ((uv_stream_t *)tcp, tcp_closed);
   conn->server = s;
   conn->tcp = tcp;
+  conn->sock = sock;
   conn->link.data = conn;
   g_queue_push_tail_link (&s->conns, &conn->link);
   sock->on_close.cb = socket_closed;
   sock->on_close.data = conn;
+  conn->unwatched.data = conn;
+  pu_arriving_watch (conn);
   h2o_accept (&s->accept, sock);
 }
 
@@ -140,6 +145,7 @@
   else
     {
       pu_request_sweep (s);
+      pu_arriving_sweep (s);
     }
   stop_check (s);
 }
@@ -157,6 +163,7 @@
   g_free (s->refusal_header);
   g_free (s->refusal_value);
   g_free (s->refusal_body);
+  g_free (s->busy_body);
   g_free (s);
 }
 
@@ -194,6 +201,8 @@
   /* Handles are reported closed last in, first out: the first to be closed
      here may free the memory of those of h2o.  */
   uv_close ((uv_handle_t *)&s->sweep, on_handle_closed);
+  if (s->looks)
+    uv_close ((uv_handle_t *)&s->look, on_handle_closed);
   if (s->o.strict)
     return;
   /* The second GOAWAY may still be due; there is no one left to get it.  */
@@ -232,7 +241,8 @@
                            gsize body_max, guint connections_max)
 {
   s->o.header_max = header_max != 0 ? header_max : HEADER_MAX;
-  s->o.body_max = body_max != 0 ? body_max : BODY_MAX;
+  s->o.body_max = MIN (body_max != 0 ? body_max : BODY_MAX,
+                       pu_memory_arriving_max (s->o.memory));
   s->o.connections_max = or_default (connections_max, CONNECTIONS_MAX);
   /* h2o looks at it with each request.  A strict connection keeps those of its
      beginning.  */
@@ -255,6 +265,7 @@
   pu_http_server_set_times (s, o->header_ms, o->idle_ms);
   s->o.write_timeout_ms = or_default (o->write_timeout_ms, WRITE_TIMEOUT_MS);
   s->o.linger_ms = or_default (o->linger_ms, LINGER_MS);
+  s->busy_body = g_strdup (o->busy_body);
   if (o->refusal_header != NULL && o->refusal_body != NULL)
     {
       s->refusal_header = g_ascii_strdown (o->refusal_header, -1);
@@ -384,6 +395,8 @@
     }
   if (tls_init (s, e) && listen_start (s, e))
     {
+      pu_arriving_start (s);
+      s->open_handles += s->looks ? 1 : 0;
       uv_timer_start (&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
       return s;
     }
--- a/libplantainusher/http/server.h
+++ b/libplantainusher/http/server.h
@@ -6,6 +6,7 @@
 #include <uv.h>
 
 #include "base/error.h"
+#include "base/memory_budget.h"
 #include "http/message.h"
 
 G_BEGIN_DECLS
@@ -33,7 +34,8 @@
   const char *certificate; /* PEM files; NULL: no TLS */
   const char *key;
   gsize header_max;       /* bytes of all headers; 0: 32768; over it 431 */
-  gsize body_max;         /* bytes; 0: 8 MiB; over it 413 */
+  gsize body_max;         /* bytes; 0: 8 MiB; over it, or over what MEMORY
+                             could ever let arrive, 413 */
   guint connections_max;  /* 0: 4096; one more is closed at once */
   bool strict;            /* HTTP/1 only, without TLS, read by h1_reader.h:
                              for callers that must not hide one request in
@@ -49,6 +51,11 @@
   const char *refusal_header;
   const char *refusal_value;
   const char *refusal_body;
+  /* A request that is not whole yet is refused when MEMORY has no room for it:
+     503 with Retry-After, refusal_header and this JSON body; NULL: none.  */
+  const char *busy_body;
+  pu_memory_budget_t *memory; /* of the process; must outlive the server; NULL:
+                                 no bound */
   void (*handler) (void *data, pu_http_request_t *r);
   void *data;
 } pu_http_server_options_t;
--- a/libplantainusher/http/server_private.h
+++ b/libplantainusher/http/server_private.h
@@ -22,7 +22,20 @@
   pu_http_server_t *server;
   GList link; /* in the server's conns */
   uv_tcp_t *tcp;
+  h2o_socket_t *sock;
   guint active; /* requests in progress */
+  /* What arrives on it, for arriving.c.  */
+  gsize held;    /* bytes in the budget */
+  guint64 begun; /* loop time at which the present ones were first seen */
+  guint64 since; /* loop time of the last growth */
+  bool refused;  /* HTTP/1: nothing of it is a request any more */
+  bool h2;
+  h2o_socket_cb read; /* what h2o has set for reading */
+  GList unwatched;    /* in the server's; h2o may have set it anew */
+  /* During a look: what it holds by now, and of HTTP/2 the stream that holds
+     most.  */
+  gsize found;
+  struct st_h2o_http2_stream_t *largest;
 } pu_server_conn_t;
 
 struct pu_http_server
@@ -33,6 +46,10 @@
   h2o_accept_ctx_t accept;
   uv_tcp_t listener;
   uv_timer_t sweep;
+  uv_check_t look; /* arriving.c; when LOOKS */
+  bool looks;
+  GQueue unwatched; /* of pu_server_conn_t */
+  guint64 looked_ms;
   GQueue conns;  /* of pu_server_conn_t, or of pu_h1_conn_t */
   GQueue open;   /* of pu_http_request_t */
   GArray *polls; /* of struct pollfd, for the sweep */
@@ -42,6 +59,7 @@
   char *refusal_header;
   char *refusal_value;
   char *refusal_body;
+  char *busy_body;
   int port;
   guint open_handles; /* listener and sweep */
   bool stopping;
