http: a connection keeps no memory of a body that was answered

Cause: a GByteArray never shrinks, so a connection of the strict server that stayed open kept the memory of its largest body and of its largest read: again up to max_connections times max_body_bytes, not counted anywhere but as resident memory, and with no request to refuse for it.

Change: the reader frees a body of more than 4 KB when it is done with, and its input likewise; bytes that belong to a body go there at once, without a stop in the input.

--- a/libplantainusher/http/arriving_test.cc
+++ b/libplantainusher/http/arriving_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <functional>
+#include <malloc.h>
 #include <memory>
 #include <string>
 #include <vector>
@@ -482,6 +483,20 @@
   });
 }
 
+/* A connection that stays open keeps nothing of a body that was answered.  */
+TEST_P (Arriving, IdleConnectionKeepsNoMemoryOfItsLastBody)
+{
+  const size_t before = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
+
+  for (int i = 0; i < 32; i++)
+    {
+      peer &p = add (head_of (900 * KB) + std::string (900 * KB, 'x'));
+
+      until ([&] { return p.closed || p.has ("921600"); });
+    }
+  EXPECT_LT (mallinfo2 ().uordblks + mallinfo2 ().hblkhd, before + 2000 * KB);
+}
+
 std::string
 frame (char type, char flags, char stream, const std::string &payload)
 {
--- a/libplantainusher/http/h1_reader.c
+++ b/libplantainusher/http/h1_reader.c
@@ -7,6 +7,7 @@
 enum
 {
   HEADERS_MAX = 100,
+  SPARE_MAX = 4096,     /* memory that may stay once its bytes are done with */
   CHUNK_LINE_MAX = 128, /* bytes of a chunk's size and extension */
   CHUNK_DIGITS_MAX = 8,
   TRAILER_MAX = 4096, /* bytes of all trailers */
@@ -91,11 +92,22 @@
   return PU_H1_BAD;
 }
 
-/* The first N bytes of the input are done with.  */
+/* The first N bytes of the input are done with.  An array never shrinks by
+   itself.  */
 static void
 take (pu_h1_reader_t *r, gsize n)
 {
-  g_byte_array_remove_range (r->in, 0, (guint)n);
+  GByteArray *rest;
+
+  if (n <= SPARE_MAX)
+    {
+      g_byte_array_remove_range (r->in, 0, (guint)n);
+      return;
+    }
+  rest = g_byte_array_new ();
+  g_byte_array_append (rest, r->in->data + n, r->in->len - (guint)n);
+  g_byte_array_free (r->in, TRUE);
+  r->in = rest;
 }
 
 /* --- heads --- */
@@ -425,6 +437,17 @@
 pu_h1_read_t
 pu_h1_reader_feed (pu_h1_reader_t *r, const char *bytes, gsize len)
 {
+  /* What belongs to the body makes no stop in the input, whose memory would
+     grow to that of the largest read.  */
+  if (r->in->len == 0 && (r->step == STEP_LENGTH || r->step == STEP_CHUNK))
+    {
+      gsize n = MIN (r->left, len);
+
+      g_byte_array_append (r->body, (const guint8 *)bytes, (guint)n);
+      r->left -= n;
+      bytes += n;
+      len -= n;
+    }
   if (len > 0)
     g_byte_array_append (r->in, (const guint8 *)bytes, (guint)len);
   return advance (r);
@@ -437,7 +460,14 @@
   g_clear_pointer (&r->target, g_free);
   g_clear_pointer (&r->host, g_free);
   g_array_set_size (r->headers, 0);
-  g_byte_array_set_size (r->body, 0);
+  if (r->body->len > SPARE_MAX)
+    {
+      bytes_free (&r->body);
+    }
+  else
+    {
+      g_byte_array_set_size (r->body, 0);
+    }
   r->step = STEP_HEAD;
   r->looked = 0;
   r->head = 0;
