--- a/libplantainusher/http/h1_reader.c
+++ b/libplantainusher/http/h1_reader.c
@@ -7,6 +7,7 @@
 enum
 {
   HEADERS_MAX = 100,
+  SPARE_MAX = 4096,     /* memory that may stay once its bytes are done with */
   CHUNK_LINE_MAX = 128, /* bytes of a chunk's size and extension */
   CHUNK_DIGITS_MAX = 8,
   TRAILER_MAX = 4096, /* bytes of all trailers */
@@ -36,6 +37,7 @@
   step_t step;
   int status;
   gsize left;    /* of a body of stated length, or of a chunk */
+  gsize head;    /* bytes of the head that was read */
   gsize trailer; /* bytes of trailers so far */
   int minor;
   char *method;
@@ -74,6 +76,14 @@
   g_free (r);
 }
 
+/* Empties B, whose memory would stay if only its length were set.  */
+static void
+bytes_free (GByteArray **b)
+{
+  g_byte_array_free (*b, TRUE);
+  *b = g_byte_array_new ();
+}
+
 static pu_h1_read_t
 refuse (pu_h1_reader_t *r, int status)
 {
@@ -82,11 +92,22 @@
   return PU_H1_BAD;
 }
 
-/* The first N bytes of the input are done with.  */
+/* The first N bytes of the input are done with.  An array never shrinks by
+   itself.  */
 static void
 take (pu_h1_reader_t *r, gsize n)
 {
-  g_byte_array_remove_range (r->in, 0, (guint)n);
+  GByteArray *rest;
+
+  if (n <= SPARE_MAX)
+    {
+      g_byte_array_remove_range (r->in, 0, (guint)n);
+      return;
+    }
+  rest = g_byte_array_new ();
+  g_byte_array_append (rest, r->in->data + n, r->in->len - (guint)n);
+  g_byte_array_free (r->in, TRUE);
+  r->in = rest;
 }
 
 /* --- heads --- */
@@ -257,6 +278,7 @@
     return refuse (r, HEAD_TOO_LARGE);
   read = head_take (r, method, method_len, target, target_len, headers, n);
   take (r, (gsize)size);
+  r->head = (gsize)size;
   r->looked = 0;
   return read;
 }
@@ -415,6 +437,17 @@
 pu_h1_read_t
 pu_h1_reader_feed (pu_h1_reader_t *r, const char *bytes, gsize len)
 {
+  /* What belongs to the body makes no stop in the input, whose memory would
+     grow to that of the largest read.  */
+  if (r->in->len == 0 && (r->step == STEP_LENGTH || r->step == STEP_CHUNK))
+    {
+      gsize n = MIN (r->left, len);
+
+      g_byte_array_append (r->body, (const guint8 *)bytes, (guint)n);
+      r->left -= n;
+      bytes += n;
+      len -= n;
+    }
   if (len > 0)
     g_byte_array_append (r->in, (const guint8 *)bytes, (guint)len);
   return advance (r);
@@ -427,9 +460,17 @@
   g_clear_pointer (&r->target, g_free);
   g_clear_pointer (&r->host, g_free);
   g_array_set_size (r->headers, 0);
-  g_byte_array_set_size (r->body, 0);
+  if (r->body->len > SPARE_MAX)
+    {
+      bytes_free (&r->body);
+    }
+  else
+    {
+      g_byte_array_set_size (r->body, 0);
+    }
   r->step = STEP_HEAD;
   r->looked = 0;
+  r->head = 0;
   r->trailer = 0;
   r->left = 0;
   r->expects = false;
@@ -451,7 +492,27 @@
 gsize
 pu_h1_reader_held (const pu_h1_reader_t *r)
 {
-  return r->in->len + r->body->len;
+  return r->in->len + (r->step == STEP_DONE ? 0 : r->head + r->body->len);
+}
+
+gsize
+pu_h1_reader_left (const pu_h1_reader_t *r)
+{
+  return r->left;
+}
+
+void
+pu_h1_reader_drop_behind (pu_h1_reader_t *r)
+{
+  bytes_free (&r->in);
+}
+
+void
+pu_h1_reader_drop (pu_h1_reader_t *r)
+{
+  r->step = STEP_BAD;
+  bytes_free (&r->in);
+  bytes_free (&r->body);
 }
 
 int
