--- a/libplantainusher/http/arriving_test.cc
+++ b/libplantainusher/http/arriving_test.cc
@@ -483,6 +483,25 @@
   });
 }
 
+/* h2o sets anew what reads a connection after each request.  */
+TEST_P (Arriving, LaterRequestsOfAConnectionAreCounted)
+{
+  for (int i = 0; i < 30; i++)
+    {
+      peer &p = add (head_of (KB) + std::string (KB, 's'));
+
+      until ([&] { return p.closed || p.has ("1024"); });
+    }
+  EXPECT_EQ (0u, memory.arriving);
+  EXPECT_EQ (30u, seen.size ());
+  for (auto &p : peers)
+    p->send (head_of (900 * KB) + std::string (200 * KB, 'x'));
+  until ([&] { return refused () >= 20; });
+  EXPECT_LE (peak, ALL_MAX);
+  EXPECT_EQ (30u, seen.size ());
+  EXPECT_EQ (0u, held.size ());
+}
+
 /* A connection that stays open keeps nothing of a body that was answered.  */
 TEST_P (Arriving, IdleConnectionKeepsNoMemoryOfItsLastBody)
 {
