placement: orders of the previous leader are no failed loads of their items

Cause: a new leader adopts the open orders of the log. Those that an engine is fenced off from and does not report fail in its first step, and each counted as a failed load of its item, though most were only replaced by a later order.

Ruled out: lack of memory (three engines had enough), the weights store (no load in flight), the yielding of last copies (the fleet was not overcommitted; the violation is older than it).

Change: the failure of an inherited order counts only when an answer or a report acknowledged the order to this leader. Failures of the leader's own orders count as before; the back-off of the copy on the engine stays.

--- a/libplantainusher/placement/orders.c
+++ b/libplantainusher/placement/orders.c
@@ -195,6 +195,7 @@
 {
   r->state = state;
   r->state_since = now;
+  r->acknowledged = r->acknowledged || state == PU_ORDERS_ACKED;
 }
 
 /* Whether the order R has been proposed and is neither done nor failed.  */
--- a/libplantainusher/placement/orders.h
+++ b/libplantainusher/placement/orders.h
@@ -100,6 +100,7 @@
   guint64 token;         /* 0 until the order is reserved */
   bool inherited;        /* adopted from the previous leader */
   bool ever_sent;
+  bool acknowledged;  /* ever, by an answer or by a report */
   bool answer_lost;   /* at least one send had no answer */
   bool copy_reported; /* the last report lists the copy */
   bool copy_loading;  /* the last report lists the copy as loading */
--- a/libplantainusher/placement/placement.c
+++ b/libplantainusher/placement/placement.c
@@ -592,7 +592,10 @@
       queue_fence (pl, &a->order, now);
       return false;
     case PU_ORDERS_ACTION_FAIL:
-      note_failed_load (pl, &a->order, now);
+      /* A load of the previous leader that no engine is known to have begun
+         tells nothing about its item: a later order may have replaced it.  */
+      if (!a->order.inherited || a->order.acknowledged)
+        note_failed_load (pl, &a->order, now);
       return true;
     default:
       return true;
--- a/libplantainusher/placement/planner_test.cc
+++ b/libplantainusher/placement/planner_test.cc
@@ -251,6 +251,45 @@
   pu_placement_free (pl);
 }
 
+/* Guards against a back-off of the item: each order that a later one has
+   replaced counted as a failed load for the next leader.  */
+TEST (Placement, OrdersOfThePreviousLeaderAreNoLoadFailures)
+{
+  pu_placement_options_t o = {};
+  pu_ledger_report_t r = {};
+  pu_plan_item_t i = {};
+  unsigned reserved = 0;
+
+  pu_planner_options_init (&o.planner);
+  pu_orders_options_init (&o.orders);
+  o.committed = [] (void *, guint32) -> guint64 { return 0; };
+  pu_placement_t *pl = pu_placement_new (&o, 0);
+  i.name = "model";
+  i.base = i.previous_version = PU_PLAN_NONE;
+  i.memory_mb = 50;
+  i.min_copies = i.max_copies = 1;
+  i.importance = 5;
+  pu_placement_map_copy (pl, 0, 0, 0);
+  pu_planner_set_item (pu_placement_planner (pl), 0, &i);
+  r.incarnation = 1;
+  r.token = o.planner.max_failures + 1;
+  r.accelerators = 1;
+  r.memory_mb = 100;
+  r.fenced = true;
+  for (r.backend = 0; r.backend < 2; r.backend++)
+    pu_placement_update_backend (pl, &r, false, 0, 4.0, 1000);
+  for (guint64 token = 1; token <= o.planner.max_failures; token++)
+    {
+      pu_ledger_order_t open = { token, PU_LEDGER_LOAD, 0, 1, 0, 50 };
+
+      pu_placement_adopt (pl, &open, 1000);
+    }
+  for (guint64 now = 1000; now <= 5000; now += 1000)
+    reserved += CountReservations (pl, now);
+  EXPECT_EQ (1U, reserved) << "on the other engine";
+  pu_placement_free (pl);
+}
+
 TEST_F (Planner, NewVersionIsObservedBeforeTheOldOneIsUnloaded)
 {
   AddEngines (1);
