planner: failures of the old version don't count for the new one

Cause: a lost copy, or a failed load, of any version counted as a failure of the item. While a version change was under way, losing copies of the old version delayed the load of the new one on all engines, or made its first failure roll it back.

Change: only failures of the version that the item should have count; those of another still keep the item off that engine for a while.

Test, failing before: Planner.FailuresOfTheOldVersionDoNotCountForTheNewOne.

--- a/libplantainusher/placement/planner.h
+++ b/libplantainusher/placement/planner.h
@@ -242,8 +242,8 @@
 /* pu_planner_load_failed - records that a load of VERSION of ITEM on ENGINE
    failed, or that a ready copy was lost while the engine kept running.  No
    load of ITEM is planned on ENGINE for a backoff period.  After max_failures
-   such failures, the item is in backoff on all engines, and a new version is
-   rolled back.  */
+   such failures of the version that ITEM should have, the item is in backoff
+   on all engines, and a new version is rolled back.  */
 void pu_planner_load_failed (pu_planner_t *p, guint32 engine, guint32 item,
                              guint32 version, guint64 now);
 
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -454,8 +454,10 @@
   wait = (guint64)FAILURE_BACKOFF_MS
          << MIN (t->failures, FAILURE_BACKOFF_DOUBLINGS_MAX);
   wait = MIN (wait, FAILURE_BACKOFF_MAX_MS);
-  t->failures++;
   pu_planner_block (p, engine, item, now + wait);
+  if (version != pu_planned_version (t))
+    return;
+  t->failures++;
   if (t->failures < p->o.max_failures)
     return;
 
@@ -463,8 +465,7 @@
   older = ready_other_version (p, item);
   if (older != PU_PLAN_NONE)
     t->i.previous_version = older;
-  if (version != pu_planned_version (t)
-      || t->i.previous_version == PU_PLAN_NONE
+  if (t->i.previous_version == PU_PLAN_NONE
       || t->i.previous_version == t->i.version)
     return;
   /* If the previous version was in use already and failed as well, the
--- a/libplantainusher/placement/planner_test.cc
+++ b/libplantainusher/placement/planner_test.cc
@@ -316,6 +316,24 @@
   EXPECT_FALSE (pu_planner_rolled_back (p, 0));
 }
 
+/* Guards against a new version that waits, or is rolled back at its first
+   failure, because copies of the version that it replaces were lost.  */
+TEST_F (Planner, FailuresOfTheOldVersionDoNotCountForTheNewOne)
+{
+  AddEngines (3);
+  DeclareItem (0, 60);
+  copies[0] = { { 0, 1, 60, PU_PLAN_READY } };
+  ReportEngine (0);
+  DeclareItem (0, 60, 2);
+  for (guint i = 0; i < o.max_failures; i++)
+    pu_planner_load_failed (p, 0, 0, 1, now);
+  copies[0].clear ();
+  ReportEngine (0);
+  EXPECT_EQ ("load 0.2@1 ", Step ()) << "without a retry delay";
+  pu_planner_load_failed (p, 1, 0, 2, now);
+  EXPECT_FALSE (pu_planner_rolled_back (p, 0));
+}
+
 TEST_F (Planner, BurstGetsACopyOnlyWhenTheGainExceedsThePrice)
 {
   o.zone_spread = false;
