--- a/libplantainusher/log/replica_append.c
+++ b/libplantainusher/log/replica_append.c
@@ -94,6 +94,7 @@
   r->committed_config_index = 0;
   r->transfer_deadline = 0;
   r->transfer_retry_at = 0;
+  r->transfer_wanted_until = 0;
   for (guint i = 0; i < r->progress->len; i++)
     {
       g_queue_clear (
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -191,9 +191,11 @@
   uint64_t transfer_deadline; /* deadline of a leadership transfer; 0: none */
   bool transfer_any; /* to a voter that is about to stop, if no other can take
                         over */
-  uint64_t transfer_retry_at; /* no earlier than this, a leader that stops
-                                 begins another transfer */
-  uint64_t transfer_target;   /* identity that is to become the leader */
+  uint64_t transfer_retry_at;     /* no earlier than this, a leader that stops
+                                     begins another transfer */
+  uint64_t transfer_wanted_until; /* until then, a leader without a target
+                                     looks for one */
+  uint64_t transfer_target;       /* identity that is to become the leader */
 };
 
 /* replica.c */
--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -206,6 +206,22 @@
   EXPECT_EQ (s.node (other).name, s.leader ()->name);
 }
 
+TEST (Replica, TransferRightAfterAnElectionIsCarriedOut)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Sim s (3, seed, 0);
+
+      while (s.leader () == nullptr)
+        s.run (sim::STEP_MS);
+      sim::Node *old = s.leader ();
+      pu_replica_transfer_leadership (old->r, s.clock (*old));
+      s.run (400);
+      ASSERT_NE (nullptr, s.leader ()) << "seed " << seed;
+      EXPECT_NE (old, s.leader ()) << "seed " << seed;
+    }
+}
+
 /* Faults and stops of the others are no reason to change the leader.  */
 TEST (Replica, LeaderStaysWhileOtherMembersStopAndRestart)
 {
--- a/libplantainusher/log/replica_transfer.c
+++ b/libplantainusher/log/replica_transfer.c
@@ -124,7 +124,8 @@
     {
       advance_transfer (r, now);
     }
-  else if (r->stopping && now >= r->transfer_retry_at)
+  else if ((r->stopping || now < r->transfer_wanted_until)
+           && now >= r->transfer_retry_at)
     {
       begin_transfer (r, now, r->transfer_any);
     }
@@ -173,7 +174,9 @@
 void
 pu_replica_transfer_leadership (pu_replica_t *r, uint64_t now)
 {
-  /* Ends a transfer that waits for its target.  */
+  /* Ends a transfer that waits for its target.  A leader that was elected just
+     now has no target until other voters have answered.  */
   r->transfer_deadline = 0;
+  r->transfer_wanted_until = now + r->o.election_ms;
   begin_transfer (r, now, true);
 }
