daemon, platform: requests to operators and configs are bounded as they arrive

The bound on requests that arrive held for callers' requests only: 150 clients that each sent 2 MB of a document or a config, slowly, took the process to 366 MB (operators' address) and 361 MB (the platform's address for configs), where its limit is 100.

Change: the listeners of the daemon and of the platform get the memory budget.

--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -424,7 +424,8 @@
   pu_daemon_entry_hooks (d, &o.hooks);
   if (pu_settings_on_platform (s))
     {
-      d->platform = pu_platform_new (d->loop, s);
+      d->platform
+          = pu_platform_new (d->loop, s, pu_memory_watch_budget (d->memory));
       o.front = pu_platform_frontend (d->platform);
     }
   d->entry = pu_entry_new (&o, e);
@@ -474,6 +475,7 @@
   o.host = host;
   o.port = port;
   o.body_max = PU_OPERATOR_BODY_MAX;
+  o.memory = pu_memory_watch_budget (d->memory);
   o.handler = pu_operator_on_request;
   o.data = d->operator;
   d->operators = pu_http_server_new (&o, e);
--- a/tests/bodies_process_test.py
+++ b/tests/bodies_process_test.py
@@ -25,14 +25,15 @@
 class Sender:
     """A caller that never finishes its body."""
 
-    def __init__(self, address, path):
+    def __init__(self, address, path, method="POST", body_bytes=BODY_BYTES,
+                 key="none"):
         host, port = address.rsplit(":", 1)
         self._s = socket.create_connection((host, int(port)))
         self._s.setblocking(False)
         self.answer = None  # bytes, once there are any
-        self._send(f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-                   "Request-Id: big\r\n"
-                   f"Content-Length: {BODY_BYTES}\r\n\r\n".encode())
+        self._send(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+                   f"Request-Id: big\r\nAuthorization: Bearer {key}\r\n"
+                   f"Content-Length: {body_bytes}\r\n\r\n".encode())
 
     def _send(self, data):
         try:
@@ -69,9 +70,10 @@
 
 
 class Bodies(ClusterTest):
-    def flood(self, daemon, address, path, small):
-        """Sends as above; SMALL () is a request whose status is 200."""
-        some = [Sender(address, path) for _ in range(SENDERS)]
+    def flood(self, daemon, small, *target, **more):
+        """Sends as above, by Sender (*TARGET, **MORE); SMALL () is a request
+        whose status is 200.  Returns the answers."""
+        some = [Sender(*target, **more) for _ in range(SENDERS)]
         for _ in range(ROUNDS):
             for one in some:
                 one.go_on(b"x" * PIECE_BYTES)
@@ -86,13 +88,19 @@
         self.assertLess(self.peak_mb(daemon), MEMORY_MB)
         told = [one.answer for one in some if one.answer]
         self.assertGreater(len(told), SENDERS / 2)
+        answers = []
         for data in told:
             answer = http.client.HTTPResponse(_Bytes(data))
             answer.begin()
             self.assertEqual(answer.status, 503)
-            self.assertEqual(answer.headers["X-Outcome"], "not-run")
             self.assertGreater(int(answer.headers["Retry-After"]), 0)
             self.assertEqual(answer.headers["Connection"], "close")
+            answers.append(answer)
+        return answers
+
+    def check_callers(self, answers):
+        for answer in answers:
+            self.assertEqual(answer.headers["X-Outcome"], "not-run")
             self.assertEqual(json.loads(answer.read())["error"]["type"],
                              "memory")
 
@@ -117,9 +125,10 @@
                                         "/services/doors/echo", "running"))
         wait_until("the call to be at work", lambda: request(
             s.address, "GET", "/state").json["running"] > 0)
-        self.flood(entry, entry.callers, "/services/doors/echo",
-                   lambda: request(entry.callers, "PUT",
-                                   "/services/doors/echo", "small").status)
+        self.check_callers(self.flood(
+            entry, lambda: request(entry.callers, "PUT",
+                                   "/services/doors/echo", "small").status,
+            entry.callers, "/services/doors/echo"))
         a = running.result()
         self.assertEqual((a.status, a.body), (200, b"running"))
         metrics = entry.ask("GET", "/metrics").body.decode()
@@ -153,11 +162,32 @@
                                           timeout_s=9))
         wait_until("the request to run", lambda: "running" in backend.ran)
         backend.hold_s = 0
-        self.flood(front, front.front, "/safe/x",
-                   lambda: front.ask("GET", "/safe/x", rid="small").status)
+        self.check_callers(self.flood(
+            front, lambda: front.ask("GET", "/safe/x", rid="small").status,
+            front.front, "/safe/x"))
         self.assertEqual(running.result().status, 200)
         self.assertNotIn("big", backend.ran)
 
+    def test_operators_address_stays_within_its_memory(self):
+        c = self.cluster(limits={"memory_mb": MEMORY_MB})
+        voter = c.add_voters(["v1"])[0]
+        c.start()
+        c.wait_leader()
+        self.flood(voter, lambda: voter.ask("GET", "/operator/status").status,
+                   voter.operators, "/operator/check", body_bytes=7 * MB)
+
+    def test_address_for_configs_stays_within_its_memory(self):
+        c = self.cluster()
+        some = instances(c)
+        front = some[-1]
+        front.kill()
+        front.values["limits"]["memory_mb"] = MEMORY_MB
+        front.start()
+        submit(some, config(1))
+        wait_until("the config", lambda: front.get_config()[0] == 200)
+        self.flood(front, lambda: front.get_config()[0], front.control,
+                   "/api/config", method="PUT", body_bytes=3 * MB)
+
 
 if __name__ == "__main__":
     main()
