planner: the decision to unload a last copy holds for that copy alone

Cause: when a last copy yields, its unload may be sent again for a minute. That was noted for the item, so that any unload of the item passed in that minute.

Change: the note is kept with the copy. It ends when the engine no longer reports the copy, or when its unload is over and it is ready again.

--- a/libplantainusher/placement/fuzz_test.cc
+++ b/libplantainusher/placement/fuzz_test.cc
@@ -65,8 +65,8 @@
 TEST (PlacementSeeds, LastCopiesYieldOnlyWhileNotAllModelsFit)
 {
   for (unsigned seed :
-       { 33,   202,  591,  821,  1374, 1800, 1983, 2597, 2669, 2713,
-         2953, 3362, 3780, 4510, 4704, 4822, 4875, 5073, 5436, 5986 })
+       { 33,   202,  591,  821,  1374, 1800, 1983, 2597, 2669, 2713, 2953,
+         2978, 3362, 3780, 4510, 4704, 4822, 4875, 5073, 5436, 5986 })
     EXPECT_EQ ("", RunHistory (seed, Operations (seed), Breaks ())) << seed;
 }
 
--- a/libplantainusher/placement/planner.c
+++ b/libplantainusher/placement/planner.c
@@ -38,7 +38,7 @@
 
   t->ready -= c->c.phase == PU_PLAN_READY;
   if (t->ready == 0 && for_item != PU_PLAN_NONE)
-    t->yields_until = r->now + YIELD_MS;
+    c->yields_until = r->now + YIELD_MS;
   c->c.phase = PU_PLAN_UNLOADING;
   c->since = r->now;
   emit (r, PU_MOVE_UNLOAD, engine, c, reason, for_item);
--- a/libplantainusher/placement/planner_internal.h
+++ b/libplantainusher/placement/planner_internal.h
@@ -33,6 +33,9 @@
   double share;     /* streams of the item's demand assigned to this copy */
   bool deferred;    /* the load is not ordered yet: it waits for memory or the
                        store */
+  /* The copy, the last ready one, is being unloaded for an item with more
+     demand, and the order may be repeated until this time; 0: it is not.  */
+  guint64 yields_until;
 } pu_planned_copy_t;
 
 /* No load of ITEM is planned on the engine before UNTIL.  */
@@ -94,11 +97,8 @@
   guint32 evacuated_engine;
   guint64 evacuated_until; /* deadline for moving these copies; 0: no move in
                               progress */
-  /* The planner unloads the last ready copy, for an item with more demand, and
-     may repeat the order until this time; 0: it does not.  */
-  guint64 yields_until;
-  bool no_room; /* the last attempt to place a copy found no
-                   engine */
+  bool no_room;            /* the last attempt to place a copy found no
+                              engine */
   pu_forecast_t forecast;
   GArray *locations;   /* of pu_copy_location_t: copies on usable engines */
   GArray *adapters;    /* of guint32: handles of the adapters of this base
--- a/libplantainusher/placement/planner_overcommit_test.cc
+++ b/libplantainusher/placement/planner_overcommit_test.cc
@@ -92,6 +92,26 @@
   EXPECT_FALSE (pu_planner_may_unload (p, 1, 1, 1));
 }
 
+/* Guards against the unload of a last copy by a later order, which fences off
+   the one that was planned for an item with more demand.  */
+TEST_F (Overcommitted, CopyThatHasYieldedMayNotYieldAgainUnplanned)
+{
+  std::string moves;
+
+  Demand (0, 2);
+  for (int i = 0; i < 10 && moves.empty (); i++)
+    {
+      Demand (2, 2);
+      moves = Step (false);
+    }
+  ASSERT_EQ ("unload 1.1@1 ", moves);
+  copies[1].clear ();
+  ReportEngine (1);
+  copies[1] = { { 1, 1, 60, PU_PLAN_UNLOADING } };
+  ReportEngine (1);
+  EXPECT_FALSE (pu_planner_may_unload (p, 1, 1, 1));
+}
+
 /* Guards against a last copy that yields although all models fitted a moment
    ago, between two steps.  */
 TEST_F (Overcommitted, LastCopiesYieldOnlyAfterAWhileWithoutEnoughEngines)
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -213,6 +213,8 @@
       n.deferred = false;
       if (old == NULL || old->c.phase != c->phase)
         n.since = now;
+      if (c->phase != PU_PLAN_UNLOADING)
+        n.yields_until = 0;
       n.c = *c;
       g_array_append_val (copies, n);
     }
@@ -533,15 +535,18 @@
   return PU_ITEM_STATE_WAIT_STORE;
 }
 
-/* Whether the copy of VERSION of ITEM on E is ready, or is being unloaded and
-   may still be ready.  */
-static bool
-may_be_ready_on (const pu_planned_engine_t *e, guint32 item, guint32 version)
+/* Returns the copy of VERSION of ITEM on ENGINE if it is ready, or is being
+   unloaded and may still be ready; else NULL.  */
+static const pu_planned_copy_t *
+find_maybe_ready (const pu_planner_t *p, guint32 engine, guint32 item,
+                  guint32 version)
 {
   pu_plan_copy_t wanted = { item, version, 0, PU_PLAN_READY };
-  const pu_planned_copy_t *c = find_copy (e->copies, &wanted);
+  const pu_planned_copy_t *c = NULL;
 
-  return c != NULL && c->c.phase >= PU_PLAN_READY;
+  if (engine < p->engines->len)
+    c = find_copy (pu_planned_engine (p, engine)->copies, &wanted);
+  return c != NULL && c->c.phase >= PU_PLAN_READY ? c : NULL;
 }
 
 bool
@@ -566,15 +571,15 @@
 pu_planner_may_unload (const pu_planner_t *p, guint32 engine, guint32 item,
                        guint32 version)
 {
+  const pu_planned_copy_t *copy;
+
   if (item >= p->items->len || !pu_planned_item (p, item)->declared)
     return true;
   if ((p->o.test_breaks & PU_PLANNER_BREAK_LAST_COPY) != 0)
     return true;
-  if (p->last_copies_yield
-      && p->step_ms < pu_planned_item (p, item)->yields_until)
-    return true;
-  if (engine >= p->engines->len
-      || !may_be_ready_on (pu_planned_engine (p, engine), item, version))
+  copy = find_maybe_ready (p, engine, item, version);
+  if (copy == NULL
+      || (p->last_copies_yield && p->step_ms < copy->yields_until))
     return true;
   for (guint i = 0; i < p->engines->len; i++)
     {
