Names: measuring what h2o holds, choosing a transfer's target

Read as a newcomer would: 'look', 'hook', 'unwatched' and 'bound_keep' of http/arriving.c say now what they do (measure, intercept_reads, not_intercepted, enforce_bound), and how h2o's read callback is replaced is told at the head; the choice of a transfer's target has its rules at the function that holds them.

--- a/libplantainusher/http/arriving.c
+++ b/libplantainusher/http/arriving.c
@@ -10,8 +10,8 @@
   STALL_MS = 1000,   /* a request that waits so long for a byte is slow */
   SLOW_RATE = 65536, /* bytes a second, below which one is slow */
   MS_PER_S = 1000,
-  LOOK_MS = 20,     /* between two countings */
-  LINGER_MS = 1000, /* a refused peer may go on sending so long */
+  MEASURE_INTERVAL_MS = 20, /* between two countings */
+  LINGER_MS = 1000,         /* a refused peer may go on sending so long */
 };
 
 /* --- the order of refusals --- */
@@ -65,30 +65,33 @@
 }
 
 static bool
-is_unwatched (const pu_server_conn_t *conn)
+is_queued_for_intercept (const pu_server_conn_t *conn)
 {
-  return conn->unwatched.prev != NULL || conn->unwatched.next != NULL
-         || conn->server->unwatched.head == &conn->unwatched;
+  return conn->not_intercepted.prev != NULL
+         || conn->not_intercepted.next != NULL
+         || conn->server->not_intercepted.head == &conn->not_intercepted;
 }
 
 void
 pu_arriving_watch (pu_server_conn_t *conn)
 {
-  if (conn->server->looks && !is_unwatched (conn))
-    g_queue_push_tail_link (&conn->server->unwatched, &conn->unwatched);
+  if (conn->server->measures && !is_queued_for_intercept (conn))
+    g_queue_push_tail_link (&conn->server->not_intercepted,
+                            &conn->not_intercepted);
 }
 
 void
 pu_arriving_forget (pu_server_conn_t *conn)
 {
-  if (is_unwatched (conn))
-    g_queue_unlink (&conn->server->unwatched, &conn->unwatched);
+  if (is_queued_for_intercept (conn))
+    g_queue_unlink (&conn->server->not_intercepted, &conn->not_intercepted);
   count (conn, 0);
 }
 
-/* Puts itself before what h2o has set for reading.  */
+/* Replaces the read callback that h2o has set by on_socket_read, which calls
+   it.  */
 static void
-hook (pu_server_conn_t *conn)
+intercept_reads (pu_server_conn_t *conn)
 {
   h2o_socket_cb *set = &conn->sock->_cb.read;
 
@@ -102,7 +105,7 @@
    connection with many, from when one of them was whole last.  HTTP/1 drops
    the framing of chunks from what it holds.  */
 static void
-held_set (pu_server_conn_t *conn, guint64 now)
+record_held (pu_server_conn_t *conn, guint64 now)
 {
   if (conn->refused)
     return;
@@ -115,7 +118,7 @@
 
 /* HTTP/2: the body of a stream that is not whole.  */
 static int
-stream_look (h2o_req_t *req, void *data)
+measure_stream (h2o_req_t *req, void *data)
 {
   h2o_http2_stream_t *stream
       = H2O_STRUCT_FROM_MEMBER (h2o_http2_stream_t, req, req);
@@ -144,19 +147,19 @@
 }
 
 static void
-look (pu_http_server_t *s)
+measure (pu_http_server_t *s)
 {
   for (GList *l = s->conns.head; l != NULL; l = l->next)
     {
       pu_server_conn_t *conn = l->data;
 
-      hook (conn);
+      intercept_reads (conn);
       conn->largest = NULL;
       conn->found = input_held (conn);
     }
-  H2O_HTTP2_CALLBACKS.foreach_request (&s->ctx, stream_look, NULL);
+  H2O_HTTP2_CALLBACKS.foreach_request (&s->ctx, measure_stream, NULL);
   for (GList *l = s->conns.head; l != NULL; l = l->next)
-    held_set (l->data, uv_now (s->o.loop));
+    record_held (l->data, uv_now (s->o.loop));
 }
 
 /* --- refusals --- */
@@ -231,11 +234,11 @@
     {
       input_refuse (conn);
     }
-  look (s);
+  measure (s);
 }
 
 static pu_server_conn_t *
-refused_first (const pu_http_server_t *s, gsize newest_over)
+choose_refused (const pu_http_server_t *s, gsize newest_over)
 {
   pu_arriving_choice_t choice
       = { .now = uv_now (s->o.loop), .newest_over = newest_over };
@@ -255,7 +258,7 @@
 
 /* While the process is short of memory, large requests do not grow.  */
 static pu_server_conn_t *
-growing_large (const pu_http_server_t *s)
+find_growing_large (const pu_http_server_t *s)
 {
   guint64 now = uv_now (s->o.loop);
 
@@ -270,32 +273,32 @@
 }
 
 static pu_server_conn_t *
-refused_next (const pu_http_server_t *s)
+next_refused (const pu_http_server_t *s)
 {
   const pu_memory_budget_t *m = s->o.memory;
   pu_server_conn_t *first = NULL;
 
   if (pu_memory_budget_reached (m, PU_MEMORY_REFUSE_REQUESTS))
-    first = growing_large (s);
+    first = find_growing_large (s);
   if (first == NULL && m->arriving > pu_memory_arriving_max (m))
-    first = refused_first (s, PU_MEMORY_SMALL_REQUEST);
+    first = choose_refused (s, PU_MEMORY_SMALL_REQUEST);
   if (first == NULL && !pu_memory_arriving_fits (m, 0, 0))
-    first = refused_first (s, 0);
+    first = choose_refused (s, 0);
   return first;
 }
 
 static void
-bound_keep (pu_http_server_t *s)
+enforce_bound (pu_http_server_t *s)
 {
   pu_server_conn_t *refused;
 
-  look (s);
-  while ((refused = refused_next (s)) != NULL)
+  measure (s);
+  while ((refused = next_refused (s)) != NULL)
     refuse (refused);
 }
 
 static bool
-is_h2_begin (const h2o_buffer_t *input)
+is_h2_preface (const h2o_buffer_t *input)
 {
   static const char begin[] = "PRI * HTTP/2.0";
 
@@ -304,8 +307,8 @@
 }
 
 /* Before h2o reads what has come.  HTTP/1 leaves it in the input until the
-   request is whole; HTTP/2 takes it away, and the next look finds what became
-   of it.  */
+   request is whole; HTTP/2 takes it away, and the next measurement finds what
+   became of it.  */
 static void
 on_socket_read (h2o_socket_t *sock, const char *err)
 {
@@ -314,13 +317,13 @@
 
   if (!conn->refused && err == NULL)
     {
-      conn->h2 = conn->h2 || is_h2_begin (sock->input);
+      conn->h2 = conn->h2 || is_h2_preface (sock->input);
       conn->found = (conn->h2 ? conn->held : 0) + sock->input->size;
-      held_set (conn, uv_now (conn->server->o.loop));
+      record_held (conn, uv_now (conn->server->o.loop));
       if (m->arriving > pu_memory_arriving_max (m)
           || (conn->held > PU_MEMORY_SMALL_REQUEST
               && pu_memory_budget_reached (m, PU_MEMORY_REFUSE_REQUESTS)))
-        bound_keep (conn->server);
+        enforce_bound (conn->server);
     }
   if (!conn->refused || err != NULL)
     {
@@ -333,18 +336,18 @@
 }
 
 static void
-on_look (uv_check_t *check)
+on_check (uv_check_t *check)
 {
   pu_http_server_t *s = check->data;
   guint64 now = uv_now (s->o.loop);
   GList *l;
 
-  while ((l = g_queue_pop_head_link (&s->unwatched)) != NULL)
-    hook (l->data);
-  if (now - s->looked_ms < LOOK_MS)
+  while ((l = g_queue_pop_head_link (&s->not_intercepted)) != NULL)
+    intercept_reads (l->data);
+  if (now - s->measured_ms < MEASURE_INTERVAL_MS)
     return;
-  s->looked_ms = now;
-  bound_keep (s);
+  s->measured_ms = now;
+  enforce_bound (s);
 }
 
 void
@@ -353,7 +356,7 @@
   guint64 now = uv_now (s->o.loop);
   GList *next;
 
-  for (GList *l = s->looks ? s->conns.head : NULL; l != NULL; l = next)
+  for (GList *l = s->measures ? s->conns.head : NULL; l != NULL; l = next)
     {
       pu_server_conn_t *conn = l->data;
 
@@ -368,8 +371,8 @@
 {
   if (s->o.strict || pu_memory_arriving_max (s->o.memory) == UINT64_MAX)
     return;
-  uv_check_init (s->o.loop, &s->look);
-  s->look.data = s;
-  s->looks = true;
-  uv_check_start (&s->look, on_look);
+  uv_check_init (s->o.loop, &s->measure_check);
+  s->measure_check.data = s;
+  s->measures = true;
+  uv_check_start (&s->measure_check, on_check);
 }
--- a/libplantainusher/http/arriving.h
+++ b/libplantainusher/http/arriving.h
@@ -10,9 +10,10 @@
  * more together than the process has room for; and the counting of those that
  * h2o reads.
  *
- * h2o tells nothing of a request before it is whole.  What it holds is looked
- * up after the loop has read, a few hundred times a second at most, and before
- * h2o gets to read what would pass the bound.
+ * h2o reports a request when it is whole, not before.  What it holds meanwhile
+ * is measured every few turns of the loop, and again before h2o reads bytes
+ * that would pass the bound: the read callback that h2o sets on a socket is
+ * replaced by one that measures first and then calls h2o's.
  */
 
 #define PU_ARRIVING_STATUS 503
--- a/libplantainusher/http/h1_server.c
+++ b/libplantainusher/http/h1_server.c
@@ -390,7 +390,7 @@
 /* The connection whose request is refused first so that C can go on to hold
    TOTAL bytes: C in the end.  */
 static pu_h1_conn_t *
-refused_first (pu_h1_conn_t *c, gsize total)
+choose_refused (pu_h1_conn_t *c, gsize total)
 {
   pu_arriving_choice_t choice
       = { .now = now_of (c), .newest_over = PU_MEMORY_SMALL_REQUEST };
@@ -438,7 +438,7 @@
     }
   while (more > 0 && !pu_memory_arriving_fits (m, c->counted, more))
     {
-      refused = refused_first (c, c->counted + more);
+      refused = choose_refused (c, c->counted + more);
       refuse_busy (refused);
       if (refused == c)
         return false;
--- a/libplantainusher/http/server.c
+++ b/libplantainusher/http/server.c
@@ -59,7 +59,7 @@
   g_queue_push_tail_link (&s->conns, &conn->link);
   sock->on_close.cb = socket_closed;
   sock->on_close.data = conn;
-  conn->unwatched.data = conn;
+  conn->not_intercepted.data = conn;
   pu_arriving_watch (conn);
   h2o_accept (&s->accept, sock);
 }
@@ -201,8 +201,8 @@
   /* Handles are reported closed last in, first out: the first to be closed
      here may free the memory of those of h2o.  */
   uv_close ((uv_handle_t *)&s->sweep, on_handle_closed);
-  if (s->looks)
-    uv_close ((uv_handle_t *)&s->look, on_handle_closed);
+  if (s->measures)
+    uv_close ((uv_handle_t *)&s->measure_check, on_handle_closed);
   if (s->o.strict)
     return;
   /* The second GOAWAY may still be due; there is no one left to get it.  */
@@ -396,7 +396,7 @@
   if (tls_init (s, e) && listen_start (s, e))
     {
       pu_arriving_start (s);
-      s->open_handles += s->looks ? 1 : 0;
+      s->open_handles += s->measures ? 1 : 0;
       uv_timer_start (&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
       return s;
     }
--- a/libplantainusher/http/server_private.h
+++ b/libplantainusher/http/server_private.h
@@ -30,10 +30,10 @@
   guint64 since; /* loop time of the last growth */
   bool refused;  /* HTTP/1: nothing of it is a request any more */
   bool h2;
-  h2o_socket_cb read; /* what h2o has set for reading */
-  GList unwatched;    /* in the server's; h2o may have set it anew */
-  /* During a look: what it holds by now, and of HTTP/2 the stream that holds
-     most.  */
+  h2o_socket_cb read;    /* what h2o has set for reading */
+  GList not_intercepted; /* in the server's; h2o may have set it anew */
+  /* During a measurement: what it holds by now, and of HTTP/2 the stream that
+     holds most.  */
   gsize found;
   struct st_h2o_http2_stream_t *largest;
 } pu_server_conn_t;
@@ -46,10 +46,10 @@
   h2o_accept_ctx_t accept;
   uv_tcp_t listener;
   uv_timer_t sweep;
-  uv_check_t look; /* arriving.c; when LOOKS */
-  bool looks;
-  GQueue unwatched; /* of pu_server_conn_t */
-  guint64 looked_ms;
+  uv_check_t measure_check; /* arriving.c; when LOOKS */
+  bool measures;
+  GQueue not_intercepted; /* of pu_server_conn_t */
+  guint64 measured_ms;
   GQueue conns;  /* of pu_server_conn_t, or of pu_h1_conn_t */
   GQueue open;   /* of pu_http_request_t */
   GArray *polls; /* of struct pollfd, for the sweep */
--- a/libplantainusher/log/replica_transfer.c
+++ b/libplantainusher/log/replica_transfer.c
@@ -33,6 +33,8 @@
          && now <= *heard + STOPPING_HEARTBEATS * (uint64_t)r->o.heartbeat_ms;
 }
 
+/* Returns whether M can lead within an election timeout: it answers, and has
+   all committed entries.  */
 static bool
 can_take_over (const pu_replica_t *r, const pu_log_member *m,
                const pu_progress_t *p, uint64_t now)
@@ -44,10 +46,9 @@
                              * (uint64_t)r->o.heartbeat_ms;
 }
 
-/* Returns the voter that is to lead next, or NULL: of those that can take
-   over, which a voter without all committed entries can't soon enough, the one
-   with the highest match index among the voters that stay, or else, if ANY,
-   among those that are stopping.  */
+/* Returns the voter that is to lead next, or NULL: the one with the highest
+   match index among those that can take over and stay or, if ANY and there is
+   none, among those that can take over and are stopping.  */
 static const pu_progress_t *
 choose_target (const pu_replica_t *r, uint64_t now, bool any)
 {
