--- a/libplantainusher/http/arriving.c
+++ b/libplantainusher/http/arriving.c
@@ -76,8 +76,10 @@
 pu_arriving_watch (pu_server_conn_t *conn)
 {
   if (conn->server->measures && !is_queued_for_intercept (conn))
-    g_queue_push_tail_link (&conn->server->not_intercepted,
-                            &conn->not_intercepted);
+    {
+      g_queue_push_tail_link (&conn->server->not_intercepted,
+                              &conn->not_intercepted);
+    }
 }
 
 void
