--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -254,6 +254,28 @@
     }
 }
 
+/* Runs S, of three voters, until one voter is stopping, another one lags and
+   the leader, which is returned, begins its stop.  NULL: no leader.  */
+static sim::Node *
+stop_leader_beside_lagging_voter (Sim &s)
+{
+  s.run (4000);
+  sim::Node *l = s.leader ();
+  if (l == nullptr)
+    return nullptr;
+  unsigned a = (unsigned)(l->name[0] - 'a');
+  sim::Node &stopping = s.node ((a + 2) % 3);
+  s.node ((a + 1) % 3).stalled = true;
+  pu_replica_begin_stop (stopping.r, s.clock (stopping));
+  for (int i = 0; i < 10; i++)
+    {
+      s.propose ();
+      s.run (100);
+    }
+  pu_replica_begin_stop (l->r, s.clock (*l));
+  return l;
+}
+
 /* The only voter that stays holds old entries: the last step of a stop hands
    over to the voter that has them all, although that one is stopping too.  */
 TEST (Replica, LastStepOfAStopHandsOverThoughTheVoterThatStaysLags)
@@ -261,21 +283,9 @@
   for (unsigned seed = 1; seed <= 20; seed++)
     {
       Sim s (3, seed, 0);
+      sim::Node *l = stop_leader_beside_lagging_voter (s);
 
-      s.run (4000);
-      sim::Node *l = s.leader ();
       ASSERT_NE (nullptr, l) << "seed " << seed;
-      unsigned a = (unsigned)(l->name[0] - 'a');
-      unsigned lagging = (a + 1) % 3;
-      unsigned stopping = (a + 2) % 3;
-      s.node (lagging).stalled = true;
-      pu_replica_begin_stop (s.node (stopping).r, s.clock (s.node (stopping)));
-      for (int i = 0; i < 10; i++)
-        {
-          s.propose ();
-          s.run (100);
-        }
-      pu_replica_begin_stop (l->r, s.clock (*l));
       for (int i = 0; i < 40; i++)
         {
           s.propose ();
@@ -296,21 +306,9 @@
   for (unsigned seed = 1; seed <= 20; seed++)
     {
       Sim s (3, seed, 0);
+      sim::Node *l = stop_leader_beside_lagging_voter (s);
 
-      s.run (4000);
-      sim::Node *l = s.leader ();
       ASSERT_NE (nullptr, l) << "seed " << seed;
-      unsigned a = (unsigned)(l->name[0] - 'a');
-      unsigned lagging = (a + 1) % 3;
-      unsigned stopping = (a + 2) % 3;
-      s.node (lagging).stalled = true;
-      pu_replica_begin_stop (s.node (stopping).r, s.clock (s.node (stopping)));
-      for (int i = 0; i < 10; i++)
-        {
-          s.propose ();
-          s.run (100);
-        }
-      pu_replica_begin_stop (l->r, s.clock (*l));
       for (int i = 0; i < 60; i++)
         {
           refused += s.propose () == 0;
