--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -20,6 +20,7 @@
 DIRECTORY_PORT, OPERATOR_PORT, PEERS_PORT = 17404, 17405, 17406
 BACKEND_PORT = 17407
 HEARTBEAT_MS = 300
+CRASH_AFTER_S = 0.05  # from the first event of a request that crashes it
 HOST = "shop.example"
 
 
@@ -128,8 +129,9 @@
         a = request(self.control, "GET", "/api/config", timeout_s=2)
         return a.status, a.json if a.status == 200 else None
 
-    def ask(self, method, path, headers=None, rid="r1", timeout_s=5):
-        return request(self.front, method, path, None,
+    def ask(self, method, path, headers=None, rid="r1", timeout_s=5,
+            body=None):
+        return request(self.front, method, path, body,
                        {"Host": HOST, "Request-Id": rid, **(headers or {})},
                        timeout_s)
 
@@ -214,6 +216,8 @@
         self.refused_at = []   # when it did
         self.arrived_at = []   # when requests came
         self.says_leaving = False  # in its answers to requests
+        self.crash_on = None   # bytes of a body that it doesn't survive
+        self.crashed = False
         self.room = None       # models that fit; None: any number
         self.over = False      # more were ordered
         self.accepted = 0
@@ -321,6 +325,14 @@
                 last[holder] = i
         return found
 
+    def crash(self):
+        """Ends once, whichever of its requests comes first."""
+        with self._lock:
+            if self.crashed:
+                return
+            self.crashed = True
+        self.close()
+
     def close(self):
         """Ends it as a crash does: its open connections break."""
         self._end.set()
@@ -362,7 +374,7 @@
         self.close_connection = True
         self.connection.shutdown(2)
 
-    def _stream(self, rid):
+    def _stream(self, rid, body):
         b = self.backend
         after = int(self.headers.get("Last-Event-Id", "0"))
         self.send_response(200)
@@ -372,6 +384,10 @@
         self.send_header("Connection", "close")
         self.end_headers()
         for i in range(after + 1, b.events + 1):
+            if b.crash_on is not None and b.crash_on in body and i > 1:
+                time.sleep(CRASH_AFTER_S)
+                b.crash()
+                return
             if b.cut and i > 1:
                 # An answer without length ends with its connection: what
                 # tells this one from a whole one is the event in two.
@@ -415,12 +431,12 @@
             b.arrived_at.append(time.monotonic())
             b.ran.append(rid)
             b.heads.append(dict(self.headers))
-            self._run(rid)
+            self._run(rid, body)
 
-    def _run(self, rid):
+    def _run(self, rid, body):
         b = self.backend
         if b.models is not None:
-            self._stream(rid)
+            self._stream(rid, body)
         elif b.cut:
             self._break_off()
         else:
