entry: crashes are attributed to requests behind the platform's frontend too

Cause: `never_relayed`, which the platform's frontend sets on each request, also turned off the attribution of crashes. No strike was ever proposed there.

Ruled out: unequal fingerprints of equal requests (a trial printed them), and crashes that are not learnt of (the entry that sent the request sees them).

Change: a flag of its own for attribution. After an answer broke off, the entry connects to that backend server; a refused connection with no other left is a crash. Two strikes isolate on the platform, and a third for an isolated run convicts, so that the many requests of one crash, or of several servers that fail at once, are neither held up nor refused. An isolated run that completes lifts the strikes.

--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -219,6 +219,24 @@
              : NULL;
 }
 
+/* On the platform one crash breaks off the requests of many callers, which are
+   sent again at once.  They are not isolated for a single crash, and a death
+   convicts only a request that was isolated.  */
+enum
+{
+  PLATFORM_ISOLATE_STRIKES = 2,
+  PLATFORM_CONVICT_STRIKES = 3,
+};
+
+static void
+set_state (const pu_settings_t *s, pu_state_options_t *o)
+{
+  if (!pu_settings_on_platform (s))
+    return;
+  o->convict_strikes = PLATFORM_CONVICT_STRIKES;
+  o->convict_isolated = true;
+}
+
 static bool
 build_control (pu_daemon_t *d, pu_error_t *e)
 {
@@ -255,6 +273,7 @@
   o.public_state = kept_state;
   o.public_state_data = d;
   set_membership (s, &o.membership);
+  set_state (s, &o.state);
   if (make_folder (folder, e))
     d->control = pu_control_new (&o, e);
   g_free (folder);
@@ -346,6 +365,7 @@
   o.on_change = on_change;
   o.on_superseded = on_superseded;
   o.data = d;
+  set_state (s, &o.state);
   if (folder == NULL || make_folder (folder, e))
     d->agent = pu_agent_new (&o, e);
   g_free (folder);
@@ -427,6 +447,8 @@
       d->platform
           = pu_platform_new (d->loop, s, pu_memory_watch_budget (d->memory));
       o.front = pu_platform_frontend (d->platform);
+      o.isolate_strikes = PLATFORM_ISOLATE_STRIKES;
+      o.acquit_suspects = true;
     }
   d->entry = pu_entry_new (&o, e);
   return d->entry != NULL
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -39,7 +39,8 @@
 {
   pu_suspects_t *suspects = x->en->suspects;
   const pu_attempt_t *at = &x->at;
-  bool cut = at->call != NULL || x->phase == PU_EXCHANGE_PROBING;
+  bool cut = at->call != NULL || at->connection_lost
+             || x->phase == PU_EXCHANGE_PROBING;
 
   if (at->suspect_tracked && cut)
     {
@@ -129,6 +130,8 @@
   pu_trace_answered (x);
   if (good)
     pu_demand_record_run (x);
+  if (good && x->at.as_suspect && x->en->o.acquit_suspects)
+    pu_strikes_lift (x);
   if (x->at.answer.failed && !pu_entry_uses_builtin_frontend (x->en))
     {
       router_failed (x);
@@ -155,6 +158,32 @@
 
 /* --- responses of backend servers and other entries --- */
 
+/* Whether an attempt that broke with FAILURE may have crashed its backend
+   server.  */
+static bool
+is_crash_sign (pu_router_failure_t failure)
+{
+  return failure == PU_ROUTER_FAIL_DIED || failure == PU_ROUTER_FAIL_TRUNCATED;
+}
+
+/* Checks whether the backend server of X, whose attempt broke with FAILURE,
+   has crashed.  Returns whether X waits for the result: only a suspect does,
+   as a crash breaks off many requests.  */
+static bool
+crash_check (pu_exchange_t *x, pu_router_failure_t failure)
+{
+  if (!x->at.suspect_tracked || !is_crash_sign (failure))
+    return false;
+  x->at.connection_lost = true;
+  if (x->at.as_suspect)
+    {
+      pu_server_hold (x->at.server, x);
+      return true;
+    }
+  pu_server_check_crash (x->at.server);
+  return false;
+}
+
 /* Handles an attempt that broke after the request was sent.  With the
    built-in frontend, the backend server is probed before the next attempt.  */
 static void
@@ -172,7 +201,7 @@
     {
       pu_server_hold (x->at.server, x);
     }
-  else
+  else if (!crash_check (x, failure))
     {
       pu_exchange_retry (x, failure);
     }
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -99,7 +99,7 @@
 {
   pu_suspects_t *suspects = x->en->suspects;
 
-  if (x->q.plain || x->q.never_relayed)
+  if (!x->q.crash_tracked)
     return;
   if (pu_suspects_is_suspect (suspects, x->q.fingerprint, now_of (x)))
     {
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -20,6 +20,7 @@
   PROGRESS_TIMEOUT_MS = 10000,
   PROBE_TIMEOUT_MS = 1000,
   STRIKE_SETTLE_MS = 1000,
+  ISOLATE_STRIKES = 1,
   IDLE_CONNECTION_MS = 4000,
   REPORT_INTERVAL_MS = 1000,
   PROPOSE_TIMEOUT_MS = 2000,
@@ -40,6 +41,7 @@
     .stream_progress_timeout_ms = PROGRESS_TIMEOUT_MS,
     .health_probe_timeout_ms = PROBE_TIMEOUT_MS,
     .strike_settle_ms = STRIKE_SETTLE_MS,
+    .isolate_strikes = ISOLATE_STRIKES,
     .idle_ms = IDLE_CONNECTION_MS,
     .report_ms = REPORT_INTERVAL_MS,
     .log_proposal_timeout_ms = PROPOSE_TIMEOUT_MS,
@@ -242,6 +244,7 @@
   once.retry_ms = MIN (once.retry_ms, en->o.log_proposal_timeout_ms);
   en->once = pu_once_new (&once);
   pu_suspects_options_init (&suspects);
+  suspects.isolate_strikes = en->o.isolate_strikes;
   en->suspects = pu_suspects_new (&suspects);
 }
 
@@ -268,8 +271,7 @@
                                          pu_reporter_free);
   en->suspect_fingerprints
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  en->strikes = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                       pu_strike_free);
+  en->strikes = g_ptr_array_new_with_free_func (pu_strike_free);
   en->rates = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   en->mean_run_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -343,7 +345,7 @@
   g_ptr_array_free (en->other_addresses, TRUE);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
-  g_hash_table_destroy (en->strikes);
+  g_ptr_array_free (en->strikes, TRUE);
   g_hash_table_destroy (en->suspect_fingerprints);
   g_hash_table_destroy (en->rates);
   g_hash_table_destroy (en->mean_run_ms);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -45,6 +45,7 @@
 typedef struct
 {
   pu_entry_t *en;
+  guint64 number; /* unique within the entry */
   guint64 fingerprint;
   char *model;
   char *backend;
@@ -82,6 +83,7 @@
                                 `probe` */
   pu_entry_t *en;
   pu_http_call_t *probe;
+  bool probe_again;       /* an attempt broke while `probe` ran */
   guint failed_probes;    /* consecutive probes that were refused or closed */
   guint64 probe_at;       /* loop time of the next probe; 0: none */
   guint64 aborted_until;  /* loop time until which aborted_suspects is still
@@ -139,6 +141,7 @@
                                 table */
   bool reported_to_router;   /* the first token was reported to the router */
   bool suspect_tracked; /* the attempt is recorded in the suspects' table */
+  bool connection_lost; /* the connection broke, which may be a crash */
   bool as_suspect;      /* the attempt runs as a suspect */
   char *content_type;
   char *outcome;               /* X-Outcome of the response */
@@ -188,9 +191,11 @@
   pu_ticket_t ticket;
   pu_once_handle_t claim;
   guint attempts;
-  bool offered_again; /* was offered to the router again after every copy had
-                        been tried */
-  GPtrArray *avoid;   /* names of entries to which a relay failed */
+  guint attempts_spent; /* attempts of earlier tickets, which the limit of its
+                           route covers too */
+  bool offered_again;   /* was offered to the router again after every copy had
+                          been tried */
+  GPtrArray *avoid;     /* names of entries to which a relay failed */
   pu_attempt_t at;
   pu_saved_failure_t saved_failure;
   pu_delivered_t delivered; /* the part of a token stream sent to the caller */
@@ -237,7 +242,7 @@
   GHashTable
       *ticking_servers;  /* set of pu_server_t that have a pending timer */
   GHashTable *reporters; /* name -> pu_reporter_t */
-  GHashTable *strikes;   /* &fingerprint -> pu_strike_t */
+  GPtrArray *strikes;    /* of pu_strike_t, owned */
   GHashTable *suspect_fingerprints; /* set of &fingerprint of the view */
   GHashTable *rates;  /* service -> double: requests per second */
   GHashTable *counts; /* service -> guint: requests in the current second */
@@ -257,7 +262,8 @@
   guint open_handles;      /* number of open libuv handles */
   guint pending; /* number of callbacks still expected from proposals, load
                     requests and parses */
-  guint64 last_number;
+  guint64 last_number; /* of an exchange */
+  guint64 last_strike_number;
   guint last_server_number;
   guint64 rates_updated_at; /* loop time when the rates were last updated */
   guint64
@@ -436,6 +442,11 @@
 /* pu_server_probe - probes S after a connection to it has failed.  */
 void pu_server_probe (pu_server_t *s);
 
+/* pu_server_check_crash - checks whether S has crashed after an attempt on S
+   broke.  If it has, each request that was in flight on S, or was aborted
+   there shortly before, gets a strike.  */
+void pu_server_check_crash (pu_server_t *s);
+
 /* pu_server_mark_present - treats S as having a ready copy of MODEL until loop
    time UNTIL, even if the reports of S list none.  */
 void pu_server_mark_present (pu_server_t *s, const char *model, guint64 until);
@@ -472,10 +483,10 @@
    S, this entry sends S nothing else.  */
 void pu_server_count_suspect (pu_entry_t *en, pu_server_t *s, bool begins);
 
-/* pu_servers_copy_isolated - whether there is a backend server with a copy of
-   MODEL to which this entry sends nothing, for the sole reason that the entry
+/* pu_servers_copy_isolated - whether there is a backend server that could run
+   Q but to which this entry sends nothing, for the sole reason that the entry
    runs a suspect on that server.  */
-bool pu_servers_copy_isolated (const pu_entry_t *en, const char *model);
+bool pu_servers_copy_isolated (const pu_entry_t *en, const pu_request_t *q);
 
 /* pu_server_suspect_aborted - the attempt of a suspect at S was cancelled or
    lost its connection.  The suspect counts as running for strike_settle_ms
@@ -489,10 +500,14 @@
                       const pu_suspects_strike_t *one);
 
 /* pu_strike_pending - whether there is a strike against FINGERPRINT that
-   pu_strikes_tick has not removed yet.  While there is one, requests with that
-   fingerprint must not run.  */
+   pu_strikes_tick has not removed yet and that makes FINGERPRINT a suspect.
+   While there is one, requests with that fingerprint must not run.  */
 bool pu_strike_pending (const pu_entry_t *en, guint64 fingerprint);
 
+/* pu_strikes_lift - asks the log to remove the strikes against X, a suspect
+   whose isolated run is complete: it has crashed nothing.  */
+void pu_strikes_lift (const pu_exchange_t *x);
+
 /* pu_strikes_tick - removes the strikes that all entries have received, whose
    request is convicted, or that have timed out.  Proposes the others to the
    log again when their retry is due.  */
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -242,17 +242,10 @@
   return relay;
 }
 
-/* Whether crashes of backend servers are attributed to X.  */
-static bool
-is_crash_tracked (const pu_exchange_t *x)
-{
-  return !x->q.plain && !x->q.never_relayed;
-}
-
 static bool
 is_suspect (const pu_exchange_t *x)
 {
-  return is_crash_tracked (x)
+  return x->q.crash_tracked
          && pu_suspects_is_suspect (x->en->suspects, x->q.fingerprint,
                                     uv_now (x->en->o.loop));
 }
@@ -262,7 +255,7 @@
 static pu_suspects_verdict_t
 crash_verdict (const pu_exchange_t *x)
 {
-  if (!is_crash_tracked (x))
+  if (!x->q.crash_tracked)
     return PU_SUSPECTS_RUN;
   if (pu_strike_pending (x->en, x->q.fingerprint))
     return PU_SUSPECTS_WAIT;
@@ -313,10 +306,21 @@
     }
   else
     {
+      x->attempts_spent = x->attempts;
       pu_exchange_offer (x);
     }
 }
 
+/* Returns how many attempts X has left at backend servers; 0: no limit of its
+   own.  */
+static guint
+attempts_left (const pu_exchange_t *x)
+{
+  guint max = x->q.attempts_max;
+
+  return max == 0 ? 0 : max - MIN (x->attempts_spent, max - 1);
+}
+
 static guint64
 affinity_of (const pu_request_t *q)
 {
@@ -341,7 +345,7 @@
     .prefix = x->q.prefix,
     .prefix_tokens = x->q.has_prefix_tokens ? x->q.prefix_tokens : NULL,
     .n_prefix = x->q.n_prefix,
-    .attempts_max = x->q.attempts_max,
+    .attempts_max = attempts_left (x),
     .fingerprint = affinity_of (&x->q),
     .shared_tokens = x->q.shared_tokens,
     .repeatable
@@ -362,7 +366,7 @@
 static bool
 must_avoid (const pu_exchange_t *x, guint server)
 {
-  return is_crash_tracked (x)
+  return x->q.crash_tracked
          && pu_suspects_must_avoid (x->en->suspects, x->q.fingerprint, server,
                                     x->duplicate_wait_since,
                                     uv_now (x->en->o.loop));
@@ -423,12 +427,14 @@
 is_blocked_by_suspect (const pu_exchange_t *x)
 {
   pu_router_t *router = x->en->router;
+  char *model = x->q.plain ? g_strconcat ("service:", x->q.service, NULL)
+                           : g_strdup (x->q.model);
+  guint ready
+      = pu_router_ready_copies (router, pu_router_find_model (router, model));
 
-  return is_crash_tracked (x)
-         && pu_router_ready_copies (router,
-                                    pu_router_find_model (router, x->q.model))
-                == 0
-         && pu_servers_copy_isolated (x->en, x->q.model);
+  g_free (model);
+  return x->q.crash_tracked && ready == 0
+         && pu_servers_copy_isolated (x->en, &x->q);
 }
 
 void
@@ -512,7 +518,10 @@
 static void
 suspect_route (pu_exchange_t *x)
 {
-  if (x->attempts >= ATTEMPTS_MAX)
+  guint max = x->q.attempts_max != 0 ? MIN (x->q.attempts_max, ATTEMPTS_MAX)
+                                     : ATTEMPTS_MAX;
+
+  if (x->attempts >= max)
     {
       fail_exhausted (x);
     }
--- a/libplantainusher/entry/parse.c
+++ b/libplantainusher/entry/parse.c
@@ -206,6 +206,7 @@
 
   x->q.prompt_tokens = (guint)(len / BYTES_PER_TOKEN);
   x->q.fingerprint = pu_suspects_fingerprint (x->q.model, prompt, len);
+  x->q.crash_tracked = true;
   prefix_hash (x, prompt, len);
 }
 
--- a/libplantainusher/entry/request.h
+++ b/libplantainusher/entry/request.h
@@ -46,6 +46,8 @@
   bool resumable;        /* a broken stream may be resumed at another backend
                             server */
   bool never_relayed;    /* not relayed, because any entry serves it */
+  bool crash_tracked;    /* crashes of backend servers are attributed to it;
+                            needs a fingerprint */
   guint priority;        /* 0 to 9; 9 is served first */
   guint attempts_max;    /* how many backend servers it may be sent to; 0: the
                             router's default */
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -371,7 +371,7 @@
 }
 
 bool
-pu_servers_copy_isolated (const pu_entry_t *en, const char *model)
+pu_servers_copy_isolated (const pu_entry_t *en, const pu_request_t *q)
 {
   const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
   GHashTableIter it;
@@ -386,7 +386,9 @@
       if (s->running_suspects == 0 || s->down)
         continue;
       b = pu_state_backend (view, s->name);
-      if (b != NULL && is_reported (b, model))
+      if (b != NULL
+          && (q->plain ? strcmp (b->service, q->service) == 0
+                       : is_reported (b, q->model)))
         return true;
     }
   return false;
@@ -585,6 +587,32 @@
          || kind == PU_HTTP_END_STALE;
 }
 
+static void probe_start (pu_server_t *s);
+
+/* Handles the result of a connection to S after an attempt on S broke.  S has
+   crashed if it refuses connections and none of its connections is left.  With
+   a frontend given in the options, a broken attempt alone is no sign of that:
+   such backend servers reset connections for other reasons too.  */
+static void
+crash_check_end (pu_server_t *s, pu_http_end_t kind)
+{
+  if (kind == PU_HTTP_END_CONNECT_FAILED
+      && !pu_suspects_has_open (s->en->suspects, s->number, s->incarnation))
+    {
+      pu_log_note (PU_ENTRY_LOG_SLICE,
+                   "Backend server %s broke off requests and refuses "
+                   "connections: it has crashed.",
+                   s->name);
+      incarnation_propose_strikes (s, s->incarnation);
+    }
+  else if (s->probe_again)
+    {
+      probe_start (s);
+      return;
+    }
+  held_retry (s);
+}
+
 static void
 probe_end (void *data, pu_http_call_t *call, const pu_http_result_t *result)
 {
@@ -592,6 +620,11 @@
 
   (void)call;
   s->probe = NULL;
+  if (!pu_entry_uses_builtin_frontend (s->en))
+    {
+      crash_check_end (s, result->kind);
+      return;
+    }
   /* A dying process may still accept a connection and close it, so S counts as
      alive only if it sends a response or keeps the connection open.  */
   if (result->head || !is_refused_or_closed (result->kind))
@@ -618,12 +651,14 @@
           .method = "GET",
           .target = "/health",
           .fresh = true,
+          .connect_only = !pu_entry_uses_builtin_frontend (s->en),
           .first_byte_timeout_ms = s->en->o.health_probe_timeout_ms,
           .progress_timeout_ms = s->en->o.health_probe_timeout_ms,
           .events = { .on_end = probe_end },
           .data = s };
 
   s->probe_at = 0;
+  s->probe_again = false;
   s->probe = pu_http_client_start (s->en->client, &o, NULL);
   if (s->probe == NULL)
     held_retry (s);
@@ -636,6 +671,19 @@
     probe_start (s);
 }
 
+void
+pu_server_check_crash (pu_server_t *s)
+{
+  if (s->probe == NULL)
+    {
+      probe_start (s);
+    }
+  else
+    {
+      s->probe_again = true;
+    }
+}
+
 void
 pu_server_mark_replaced (pu_server_t *s)
 {
--- a/libplantainusher/entry/strikes.c
+++ b/libplantainusher/entry/strikes.c
@@ -20,10 +20,38 @@
   g_free (k);
 }
 
+/* Whether VIEW, this instance's copy of the replicated state, contains K.  */
+static bool
+is_in_view (const pu_strike_t *k, const pu_state_t *view)
+{
+  return k->position != 0 && k->position <= pu_state_position (view);
+}
+
 bool
 pu_strike_pending (const pu_entry_t *en, guint64 fingerprint)
 {
-  return g_hash_table_contains (en->strikes, &fingerprint);
+  const pu_state_t *view;
+  const pu_suspect_record *record;
+  guint pending = 0;
+  guint strikes = 0;
+
+  if (en->strikes->len == 0)
+    return false;
+  view = en->o.hooks.view (en->o.hooks.data);
+  for (guint i = 0; i < en->strikes->len; i++)
+    {
+      const pu_strike_t *k = g_ptr_array_index (en->strikes, i);
+
+      if (k->fingerprint != fingerprint)
+        continue;
+      pending++;
+      strikes += !is_in_view (k, view);
+    }
+  if (pending == 0)
+    return false;
+  record = pu_state_suspect (view, fingerprint);
+  strikes += record != NULL ? record->strikes : 0;
+  return strikes >= en->o.isolate_strikes;
 }
 
 static const char *
@@ -39,10 +67,23 @@
   return "";
 }
 
+static pu_strike_t *
+strike_by_number (const pu_entry_t *en, guint64 number)
+{
+  for (guint i = 0; i < en->strikes->len; i++)
+    {
+      pu_strike_t *k = g_ptr_array_index (en->strikes, i);
+
+      if (k->number == number)
+        return k;
+    }
+  return NULL;
+}
+
 typedef struct
 {
   pu_entry_t *en;
-  guint64 fingerprint;
+  guint64 number; /* of the strike */
 } proposal_t;
 
 static void
@@ -50,7 +91,7 @@
 {
   proposal_t *proposal = data;
   pu_entry_t *en = proposal->en;
-  pu_strike_t *k = g_hash_table_lookup (en->strikes, &proposal->fingerprint);
+  pu_strike_t *k = strike_by_number (en, proposal->number);
   guint64 now = uv_now (en->o.loop);
 
   (void)e;
@@ -78,7 +119,7 @@
   proposal_t *proposal = g_new0 (proposal_t, 1);
 
   proposal->en = en;
-  proposal->fingerprint = k->fingerprint;
+  proposal->number = k->number;
   en->pending++;
   k->propose_at = 0;
   strike->apart = k->isolated;
@@ -102,13 +143,14 @@
                "x for the crash of backend server %s.",
                one->fingerprint, s->name);
   k->en = en;
+  k->number = ++en->last_strike_number;
   k->fingerprint = one->fingerprint;
   k->model = g_strdup (model_by_fingerprint (en, one->fingerprint));
   k->backend = g_strdup (s->name);
   k->incarnation = one->incarnation;
   k->isolated = one->apart;
   k->give_up_at = uv_now (en->o.loop) + STRIKE_TIMEOUT_MS;
-  g_hash_table_replace (en->strikes, &k->fingerprint, k);
+  g_ptr_array_add (en->strikes, k);
   strike_propose (k);
 }
 
@@ -126,7 +168,7 @@
 
   if (k->give_up_at <= now)
     return true;
-  if (k->position == 0 || k->position > pu_state_position (view))
+  if (!is_in_view (k, view))
     return false;
   if (k->settled_at == 0)
     k->settled_at = now + k->en->o.strike_settle_ms;
@@ -138,17 +180,14 @@
 pu_strikes_tick (pu_entry_t *en, guint64 now)
 {
   const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
-  GHashTableIter it;
-  gpointer value;
 
-  g_hash_table_iter_init (&it, en->strikes);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  for (guint i = en->strikes->len; i > 0; i--)
     {
-      pu_strike_t *k = value;
+      pu_strike_t *k = g_ptr_array_index (en->strikes, i - 1);
 
       if (strike_is_complete (k, view, now))
         {
-          g_hash_table_iter_remove (&it);
+          g_ptr_array_remove_index_fast (en->strikes, i - 1);
         }
       else if (k->propose_at != 0 && k->propose_at <= now)
         {
@@ -156,3 +195,40 @@
         }
     }
 }
+
+/* --- the end of a suspicion --- */
+
+static void
+on_lifted (void *data, const pu_reply *r, const pu_error_t *e)
+{
+  pu_entry_t *en = data;
+
+  if (r == NULL)
+    {
+      pu_log_note (PU_ENTRY_LOG_SLICE,
+                   "The strikes of a request that ran well remain: %s",
+                   e != NULL ? e->message : "no reply.");
+    }
+  en->pending--;
+  pu_entry_check_stopped (en);
+}
+
+void
+pu_strikes_lift (const pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+  const pu_suspect_record *record = pu_state_suspect (
+      en->o.hooks.view (en->o.hooks.data), x->q.fingerprint);
+  pu_command c = { .type = PU_COMMAND_LIFT };
+
+  if (record == NULL || record->convicted)
+    return;
+  pu_log_note (PU_ENTRY_LOG_SLICE,
+               "Request %016" G_GINT64_MODIFIER
+               "x ran isolated without a crash; lifting its strikes.",
+               x->q.fingerprint);
+  c.pu_command_u.lift = x->q.fingerprint;
+  en->pending++;
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.log_proposal_timeout_ms,
+                       on_lifted, en);
+}
--- a/libplantainusher/http/client.c
+++ b/libplantainusher/http/client.c
@@ -311,6 +311,7 @@
       = pu_http_reader_new (c->o.head_max, strcmp (o->method, "HEAD") == 0);
   call->events = o->events;
   call->data = o->data;
+  call->connect_only = o->connect_only;
   call->first_byte_timeout_ms
       = or_default (o->first_byte_timeout_ms, c->o.first_byte_timeout_ms);
   call->progress_timeout_ms
@@ -345,7 +346,7 @@
   if (head == NULL)
     return NULL;
   call = call_new (c, o);
-  if (!o->fresh)
+  if (!o->fresh && !o->connect_only)
     conn = idle_take (c, o->address);
   if (conn == NULL)
     conn = pu_conn_new (c, o->address, &sockaddr);
@@ -403,8 +404,8 @@
 static bool
 can_keep (const pu_http_call_t *call, pu_http_end_t kind)
 {
-  return kind == PU_HTTP_END_COMPLETE && !call->conn->writing
-         && pu_http_reader_keep_alive (call->reader);
+  return kind == PU_HTTP_END_COMPLETE && !call->connect_only
+         && !call->conn->writing && pu_http_reader_keep_alive (call->reader);
 }
 
 void
--- a/libplantainusher/http/client.h
+++ b/libplantainusher/http/client.h
@@ -83,6 +83,8 @@
   bool fresh;                  /* never on a connection that was used before */
   bool reset;                  /* an early end resets the connection, so that
                                   nothing of the request arrives later */
+  bool connect_only;           /* send nothing: the call is complete once a new
+                                  connection is open, which is then closed */
   guint first_byte_timeout_ms; /* 0: as the client */
   guint progress_timeout_ms;   /* 0: as the client */
   pu_http_call_events_t events;
--- a/libplantainusher/http/client_private.h
+++ b/libplantainusher/http/client_private.h
@@ -62,6 +62,7 @@
   void *data;
   guint first_byte_timeout_ms;
   guint progress_timeout_ms;
+  bool connect_only;
   bool written;
   bool ended; /* on_end is running */
 };
--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -301,6 +301,11 @@
       pu_call_end (conn->call, PU_HTTP_END_CONNECT_TIMEOUT);
       return;
     }
+  if (conn->call->connect_only)
+    {
+      pu_call_end (conn->call, PU_HTTP_END_COMPLETE);
+      return;
+    }
   pu_http_tcp_tune (&conn->tcp);
   pu_conn_send (conn);
 }
--- a/libplantainusher/state/apply_suspects.c
+++ b/libplantainusher/state/apply_suspects.c
@@ -59,7 +59,7 @@
 {
   remove_lost (p, (u_int)place);
   p->strikes--;
-  p->convicted = p->strikes >= s->options.convict_strikes;
+  p->convicted = p->convicted && p->strikes >= s->options.convict_strikes;
 }
 
 /* Removes the strikes for the loss LOST of all requests that were not
@@ -125,12 +125,42 @@
   return p;
 }
 
+/* Whether P is convicted by its newest strike, for a run that was ISOLATED or
+   not.  */
+static bool
+convicts (const pu_state_t *s, const pu_suspect_record *p, bool isolated)
+{
+  return p->strikes >= s->options.convict_strikes
+         && (isolated || !s->options.convict_isolated);
+}
+
+/* Removes the suspects that are not convicted and whose last strike is older
+   than strike_window_ms at the time WALL.  */
+static void
+remove_expired (pu_state_t *s, uint64_t wall)
+{
+  GArray *expired = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  for (GTreeNode *n = g_tree_node_first (s->suspects); n != NULL;
+       n = g_tree_node_next (n))
+    {
+      const pu_suspect_record *p = g_tree_node_value (n);
+
+      if (!p->convicted && p->wall + s->options.strike_window_ms < wall)
+        g_array_append_val (expired, p->fingerprint);
+    }
+  for (guint i = 0; i < expired->len; i++)
+    g_tree_remove (s->suspects, &g_array_index (expired, uint64_t, i));
+  g_array_free (expired, TRUE);
+}
+
 void
 pu_apply_strike (pu_apply_t *a, const pu_strike *c)
 {
   pu_suspect_record *p;
   char lost[PU_DETAIL_MAX - 1];
 
+  remove_expired (a->state, c->wall);
   g_snprintf (lost, sizeof lost, "%s@%lu", c->backend,
               (unsigned long)c->incarnation);
   if (!c->apart && is_attributed (a->state, lost))
@@ -155,8 +185,7 @@
   add_lost (p, lost, c->apart);
   p->strikes++;
   p->wall = MAX (p->wall, c->wall);
-  p->convicted
-      = p->convicted || p->strikes >= a->state->options.convict_strikes;
+  p->convicted = p->convicted || convicts (a->state, p, c->apart);
   a->state->changes++;
 }
 
--- a/libplantainusher/state/state.c
+++ b/libplantainusher/state/state.c
@@ -15,6 +15,7 @@
   o->claim_window_ms = DEFAULT_CLAIM_WINDOW_MS;
   o->strike_window_ms = DEFAULT_STRIKE_WINDOW_MS;
   o->convict_strikes = DEFAULT_CONVICT_STRIKES;
+  o->convict_isolated = false;
   o->test_breaks
       = pu_break_bit (PU_BREAK_BASE_IGNORED, PU_STATE_BREAK_NO_BASE_CHECK)
         | pu_break_bit (PU_BREAK_CHANGE_TWICE,
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -44,12 +44,13 @@
                                  one starts a new count; a conviction stays */
   uint32_t convict_strikes;  /* strikes (lost backend servers) that convict a
                                 suspect */
+  bool convict_isolated;     /* only a strike for an isolated run convicts */
   uint32_t test_breaks;      /* pu_state_break_t; 0 outside tests */
 } pu_state_options_t;
 
 /* pu_state_options_init - sets the defaults: 10000 documents in the history,
    claims kept for one hour, strikes counted for ten minutes, conviction at two
-   strikes.  All voters must use the same values.  */
+   strikes of any kind.  All voters must use the same values.  */
 void pu_state_options_init (pu_state_options_t *o);
 
 /* pu_state_new - returns an empty state at position 0.  To be freed with
--- a/libplantainusher/state/state_fixture_test.h
+++ b/libplantainusher/state/state_fixture_test.h
@@ -34,11 +34,12 @@
 class StateFixture
 {
 public:
-  explicit StateFixture (unsigned breaks = 0)
+  explicit StateFixture (unsigned breaks = 0, bool convict_isolated = false)
   {
     pu_state_options_t o;
 
     pu_state_options_init (&o);
+    o.convict_isolated = convict_isolated;
     o.claim_window_ms = 1000;
     o.strike_window_ms = 1000;
     o.test_breaks = breaks;
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -457,6 +457,30 @@
   EXPECT_TRUE (pu_state_suspect (s.state, 9)->convicted);
 }
 
+TEST (State, RequestLostWithManyBackendServersAtOnceIsNotConvicted)
+{
+  StateFixture s (0, true);
+
+  s.strike (9, "b1", 10);
+  s.strike (9, "b2", 10);
+  s.strike (9, "b3", 10);
+  EXPECT_FALSE (pu_state_suspect (s.state, 9)->convicted);
+  s.strike (9, "b4", 11, true);
+  EXPECT_TRUE (pu_state_suspect (s.state, 9)->convicted);
+}
+
+TEST (State, SuspectsThatAreNotConvictedExpire)
+{
+  StateFixture s;
+
+  s.strike (1, "b1", 10);
+  s.strike (2, "b1", 10);
+  s.strike (2, "b2", 10);
+  s.strike (3, "b3", 1011);
+  EXPECT_EQ (nullptr, pu_state_suspect (s.state, 1));
+  EXPECT_TRUE (pu_state_suspect (s.state, 2)->convicted);
+}
+
 TEST (State, IsolatedSuspectClearsTheOthersOfThatLoss)
 {
   StateFixture s;
--- a/libplantainusher/suspects/suspects.c
+++ b/libplantainusher/suspects/suspects.c
@@ -9,6 +9,7 @@
   DEFAULT_DUPLICATE_WAIT_MS = 200,
   DEFAULT_ABORTED_RETENTION_MS = 5000,
   DEFAULT_SUSPECT_COOLDOWN_MS = 1000,
+  DEFAULT_ISOLATE_STRIKES = 1,
   ABORTED_MAX = 1024,
 };
 
@@ -18,7 +19,8 @@
   guint64 fingerprint;
   guint strikes; /* in the replicated log */
   bool convicted;
-  guint64 local_strike_until; /* when the local strike expires; 0: none */
+  guint local_strikes; /* of this daemon, not in the replicated log yet */
+  guint64 local_strike_until; /* when the local strikes expire; 0: none */
 } record_t;
 
 /* The requests of one fingerprint that are in flight without an answer.  */
@@ -72,6 +74,7 @@
   o->duplicate_wait_ms = DEFAULT_DUPLICATE_WAIT_MS;
   o->aborted_retention_ms = DEFAULT_ABORTED_RETENTION_MS;
   o->suspect_cooldown_ms = DEFAULT_SUSPECT_COOLDOWN_MS;
+  o->isolate_strikes = DEFAULT_ISOLATE_STRIKES;
   o->test_breaks = 0;
 }
 
@@ -133,6 +136,7 @@
 
   r->strikes = strikes;
   r->convicted = convicted;
+  r->local_strikes = 0;
   r->local_strike_until = 0;
 }
 
@@ -142,13 +146,22 @@
   g_hash_table_remove (s->records, &fingerprint);
 }
 
+guint
+pu_suspects_strikes (const pu_suspects_t *s, guint64 fingerprint, guint64 now)
+{
+  const record_t *r = g_hash_table_lookup (s->records, &fingerprint);
+
+  if (r == NULL)
+    return 0;
+  return r->strikes + (r->local_strike_until > now ? r->local_strikes : 0);
+}
+
 bool
 pu_suspects_is_suspect (const pu_suspects_t *s, guint64 fingerprint,
                         guint64 now)
 {
-  const record_t *r = g_hash_table_lookup (s->records, &fingerprint);
-
-  return r != NULL && (r->strikes > 0 || r->local_strike_until > now);
+  return pu_suspects_strikes (s, fingerprint, now)
+         >= s->options.isolate_strikes;
 }
 
 static bool
@@ -393,11 +406,16 @@
                                .incarnation = r->incarnation,
                                .apart = isolated };
 
+  record_t *record;
+
   if (has_break (s, PU_SUSPECTS_BREAK_NO_STRIKE)
       || has_strike (strikes, r->fingerprint))
     return;
-  record_ensure (s, r->fingerprint)->local_strike_until
-      = now + s->options.local_strike_ms;
+  record = record_ensure (s, r->fingerprint);
+  if (record->local_strike_until <= now)
+    record->local_strikes = 0;
+  record->local_strikes++;
+  record->local_strike_until = now + s->options.local_strike_ms;
   g_array_append_val (strikes, one);
 }
 
@@ -506,6 +524,25 @@
   return ended;
 }
 
+bool
+pu_suspects_has_open (const pu_suspects_t *s, guint32 backend,
+                      guint64 incarnation)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, s->in_flight);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const attempt_t *r = value;
+
+      if (r->backend == backend && r->incarnation == incarnation
+          && !r->connection_lost)
+        return true;
+    }
+  return false;
+}
+
 guint
 pu_suspects_in_flight (const pu_suspects_t *s)
 {
--- a/libplantainusher/suspects/suspects.h
+++ b/libplantainusher/suspects/suspects.h
@@ -33,6 +33,10 @@
  * Two crashing requests on one backend server at the same time can take down
  * a third.
  *
+ * With isolate_strikes at 2, a request becomes a suspect at its second strike
+ * only.  The many requests that one crash breaks off are then not isolated, at
+ * the price of one more backend server for each crashing request.
+ *
  * Times are milliseconds of the event loop's clock.
  */
 
@@ -48,6 +52,7 @@
                                    death within this time */
   guint64 suspect_cooldown_ms;  /* wait after a suspect was aborted, for its
                                    duplicates and its backend server */
+  guint isolate_strikes;        /* strikes that make a request a suspect */
   guint test_breaks;            /* pu_suspects_break_t; 0 outside tests */
 } pu_suspects_options_t;
 
@@ -67,7 +72,7 @@
 
 /* pu_suspects_options_init - fills O with the defaults: local strikes count
    for ten minutes, duplicates wait for 200 ms, aborted requests are kept for
-   5 s, and the cooldown of a suspect is 1 s.  */
+   5 s, the cooldown of a suspect is 1 s, and one strike makes a suspect.  */
 void pu_suspects_options_init (pu_suspects_options_t *o);
 
 /* pu_suspects_new - returns a new, empty table.  Copies O.  The caller
@@ -106,8 +111,13 @@
 pu_suspects_verdict_t pu_suspects_check (pu_suspects_t *s, guint64 fingerprint,
                                          guint64 now);
 
-/* pu_suspects_is_suspect - returns whether a request with FINGERPRINT must be
-   sent to the entry that its model hashes to.  */
+/* pu_suspects_strikes - returns the number of strikes against FINGERPRINT that
+   count at NOW, those included that the log has not accepted yet.  */
+guint pu_suspects_strikes (const pu_suspects_t *s, guint64 fingerprint,
+                           guint64 now);
+
+/* pu_suspects_is_suspect - returns whether a request with FINGERPRINT has so
+   many strikes that it must run isolated.  */
 bool pu_suspects_is_suspect (const pu_suspects_t *s, guint64 fingerprint,
                              guint64 now);
 
@@ -170,6 +180,11 @@
 bool pu_suspects_is_reserved (const pu_suspects_t *s, guint32 backend,
                               guint64 now);
 
+/* pu_suspects_has_open - returns whether a request whose connection was not
+   lost is in flight on INCARNATION of BACKEND.  */
+bool pu_suspects_has_open (const pu_suspects_t *s, guint32 backend,
+                           guint64 incarnation);
+
 /* pu_suspects_in_flight - returns the number of requests recorded as in
    flight, for the state dump.  */
 guint pu_suspects_in_flight (const pu_suspects_t *s);
--- a/libplantainusher/suspects/suspects_test.cc
+++ b/libplantainusher/suspects/suspects_test.cc
@@ -24,11 +24,12 @@
 class Suspects
 {
 public:
-  explicit Suspects (guint breaks = 0)
+  explicit Suspects (guint breaks = 0, guint isolate_strikes = 1)
   {
     pu_suspects_options_t o;
 
     pu_suspects_options_init (&o);
+    o.isolate_strikes = isolate_strikes;
     o.test_breaks = breaks;
     s = pu_suspects_new (&o);
   }
@@ -106,6 +107,49 @@
   EXPECT_FALSE (pu_suspects_is_reserved (t.s, 0, 0));
 }
 
+TEST (Suspects, RequestsOfOneCrashRunOnUnlessThatIsEnoughToIsolateThem)
+{
+  Suspects t (0, 2);
+
+  pu_suspects_started (t.s, 1, 7, 0, 1, 0);
+  pu_suspects_started (t.s, 2, 8, 0, 1, 0);
+  EXPECT_EQ (std::vector<guint64> ({ 7, 8 }), t.died (0, 1));
+  EXPECT_EQ (PU_SUSPECTS_RUN, pu_suspects_check (t.s, 7, 1));
+  pu_suspects_put (t.s, 7, 1, false);
+  EXPECT_EQ (PU_SUSPECTS_RUN, pu_suspects_check (t.s, 7, 1));
+  pu_suspects_started (t.s, 3, 7, 1, 1, 1);
+  EXPECT_EQ (std::vector<guint64> ({ 7 }), t.died (1, 1));
+  EXPECT_EQ (0, t.isolated_strikes);
+  EXPECT_EQ (PU_SUSPECTS_RUN_ISOLATED, pu_suspects_check (t.s, 7, 2));
+  EXPECT_EQ (PU_SUSPECTS_RUN, pu_suspects_check (t.s, 8, 2));
+}
+
+TEST (Suspects, StrikesOfCrashesThatTheLogDoesNotKnowAddUp)
+{
+  Suspects t (0, 2);
+
+  for (guint i = 0; i < 2; i++)
+    {
+      EXPECT_EQ (i, pu_suspects_strikes (t.s, 7, 0));
+      pu_suspects_started (t.s, i, 7, i, 1, 0);
+      t.died (i, 1);
+    }
+  EXPECT_TRUE (pu_suspects_is_suspect (t.s, 7, 0));
+  EXPECT_FALSE (pu_suspects_is_suspect (t.s, 7, 600000));
+}
+
+TEST (Suspects, ConnectionsThatAreLeftShowThatAServerRuns)
+{
+  Suspects t;
+
+  pu_suspects_started (t.s, 1, 7, 0, 1, 0);
+  pu_suspects_started (t.s, 2, 8, 0, 1, 0);
+  pu_suspects_aborted (t.s, 1, 0);
+  EXPECT_TRUE (pu_suspects_has_open (t.s, 0, 1));
+  pu_suspects_connection_lost (t.s, 2);
+  EXPECT_FALSE (pu_suspects_has_open (t.s, 0, 1));
+}
+
 TEST (Suspects, ConvictedRequestIsRefusedUntilLifted)
 {
   Suspects t;
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -20,6 +20,9 @@
 DIRECTORY_PORT, OPERATOR_PORT, PEERS_PORT = 17404, 17405, 17406
 BACKEND_PORT = 17407
 HEARTBEAT_MS = 300
+# An answer without length ends with its connection: what tells one that broke
+# off from a whole one is the event in two.
+HALF_EVENT = b"id: "
 CRASH_AFTER_S = 0.05  # from the first event of a request that crashes it
 HOST = "shop.example"
 
@@ -386,12 +389,11 @@
         for i in range(after + 1, b.events + 1):
             if b.crash_on is not None and b.crash_on in body and i > 1:
                 time.sleep(CRASH_AFTER_S)
+                self.wfile.write(HALF_EVENT)
                 b.crash()
                 return
             if b.cut and i > 1:
-                # An answer without length ends with its connection: what
-                # tells this one from a whole one is the event in two.
-                self.wfile.write(b"id: ")
+                self.wfile.write(HALF_EVENT)
                 self._break_off()
                 return
             self.wfile.write(f"id: {i}\ndata: e{i}\n\n".encode())
