--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -90,6 +90,8 @@
                            counted in running_suspects */
   guint64 back_off_until; /* loop time until which it wants no requests of
                              this entry */
+  double limit_per_s;     /* requests per second that it takes from all entries
+                             together; 0: not limited */
   guint64 local_down_until; /* loop time until which this entry takes the
                                server for dead, even if the view lists it as
                                up; 0: not found dead */
@@ -468,6 +470,11 @@
    for with a refusal.  Lasts as long as the incarnation of S.  */
 void pu_server_back_off (pu_server_t *s, guint64 until);
 
+/* pu_server_set_limit - S takes PER_S requests per second from all entries
+   together, or has no limit if PER_S is 0.  Lasts as long as the incarnation
+   of S.  */
+void pu_server_set_limit (pu_server_t *s, double per_s);
+
 /* pu_server_mark_replaced - marks S as down because another process has its
    address.  */
 void pu_server_mark_replaced (pu_server_t *s);
--- a/libplantainusher/entry/front.h
+++ b/libplantainusher/entry/front.h
@@ -75,6 +75,8 @@
   bool leaving;  /* the server says that it is about to stop */
   guint retry_after_ms; /* with a refusal: the server wants no request of this
                            entry for so long; 0: not stated */
+  double limit_per_s;   /* requests per second that the server takes from all
+                           entries together; 0: not limited */
 } pu_response_class_t;
 
 typedef struct
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -237,6 +237,7 @@
   g_hash_table_insert (s->en->load_ids, &s->load_id, s);
   s->leaving = false;
   s->back_off_until = 0;
+  s->limit_per_s = 0;
   s->local_down_until = 0;
   s->failed_probes = 0;
 }
@@ -332,6 +333,26 @@
     }
 }
 
+void
+pu_server_set_limit (pu_server_t *s, double per_s)
+{
+  if (s->limit_per_s == per_s)
+    return;
+  s->limit_per_s = per_s;
+  if (per_s > 0)
+    {
+      pu_log_note (PU_ENTRY_LOG_SLICE,
+                   "Backend server %s limits its requests to %.2f per second.",
+                   s->name, per_s);
+    }
+  else
+    {
+      pu_log_note (PU_ENTRY_LOG_SLICE,
+                   "Backend server %s no longer limits its requests.",
+                   s->name);
+    }
+}
+
 void
 pu_servers_sync (pu_entry_t *en, guint64 since)
 {
