--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -219,6 +219,7 @@
         self.refused_at = []   # when it did
         self.arrived_at = []   # when requests came
         self.says_leaving = False  # in its answers to requests
+        self.limit = None      # requests a second that it names in answers
         self.crash_on = None   # bytes of a body that it doesn't survive
         self.crashed = False
         self.room = None       # models that fit; None: any number
@@ -367,12 +368,17 @@
         self.send_response(status)
         if self.backend.says_leaving:
             self.send_header("Server-Leaving", "1")
+        self._send_limit()
         for name, value in headers.items():
             self.send_header(name.replace("_", "-"), value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
+    def _send_limit(self):
+        if self.backend.limit is not None:
+            self.send_header("Server-Limit", f"{self.backend.limit:g}")
+
     def _break_off(self):
         self.close_connection = True
         self.connection.shutdown(2)
@@ -384,6 +390,7 @@
         self.send_header("Request-Id", rid)
         self.send_header("Server-Seal", "seal." + b.name)
         self.send_header("Content-Type", "text/event-stream")
+        self._send_limit()
         self.send_header("Connection", "close")
         self.end_headers()
         for i in range(after + 1, b.events + 1):
