entry, control: the limit that a backend server names holds over all instances

Cause: Server-Limit was read nowhere.

Ruled out: a limit kept by each instance for itself (nothing kept it), and requests of instances that don't know it (the rule doesn't count them).

Change: an instance that knows the limit sends such a server only what the leader grants, one request at a time or a few where the limit is high. Between grants the server backs off, as after a Retry-After: requests go to other copies, wait, or are refused at once with the time that is left. An answer without the header, or a new incarnation, ends the limit. A share for each instance would be less than a request: 11 instances break the bound at 0.5 a second, 300 at any small limit.

--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -9,6 +9,7 @@
 
 #include "base/counters.h"
 #include "base/error.h"
+#include "control/grants.h"
 #include "rpc/client.h"
 #include "rpc/server.h"
 #include "state/state.h"
@@ -159,6 +160,13 @@
 void pu_agent_want (pu_agent_t *a, const char *model, guint timeout_ms,
                     pu_agent_json_fn *fn, void *data);
 
+/* pu_agent_request_grant - asks the leader for the requests in Q to a backend
+   server that limits them (control/grants.h): {"granted","next_ms","ended"}.
+ */
+void pu_agent_request_grant (pu_agent_t *a, const pu_grant_request_t *q,
+                             guint timeout_ms, pu_agent_json_fn *fn,
+                             void *data);
+
 /* pu_agent_voters - ACTION "add", "remove" or "replace" (by OTHER, else "").
    The answer is {"voters":[NAME...]}.  */
 void pu_agent_voters (pu_agent_t *a, const char *action, const char *name,
--- a/libplantainusher/agent/query.c
+++ b/libplantainusher/agent/query.c
@@ -132,6 +132,22 @@
   query_send (a, &x, timeout_ms, fn, data);
 }
 
+void
+pu_agent_request_grant (pu_agent_t *a, const pu_grant_request_t *q,
+                        guint timeout_ms, pu_agent_json_fn *fn, void *data)
+{
+  char *incarnation = g_strdup_printf ("%" G_GUINT64_FORMAT, q->incarnation);
+  char *terms = pu_grant_terms_write (q);
+  pu_query x = { .kind = PU_QUERY_GRANT,
+                 .action = incarnation,
+                 .name = (char *)q->server,
+                 .other = terms };
+
+  query_send (a, &x, timeout_ms, fn, data);
+  g_free (terms);
+  g_free (incarnation);
+}
+
 void
 pu_agent_voters (pu_agent_t *a, const char *action, const char *name,
                  const char *other, guint timeout_ms, pu_agent_json_fn *fn,
--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -248,6 +248,7 @@
   pu_control_leadership_clear (c);
   pu_control_proposals_clear (c);
   pu_sessions_free (c->sessions);
+  pu_grants_free (c->grants);
   pu_feed_free (c->feed);
   pu_state_free (c->state);
   pu_rpc_pool_free (c->pool);
@@ -269,6 +270,7 @@
   c->state = pu_state_new (&o->state);
   c->feed = pu_feed_new (o->ring_entries, o->ring_bytes);
   c->sessions = pu_sessions_new ();
+  c->grants = pu_grants_new ();
   c->pool = pool_new (o);
   pu_control_proposals_init (c);
   pu_control_leadership_init (c);
--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -209,8 +209,10 @@
   PU_QUERY_STATUS = 0,        /* to the leader: sessions, voters */
   PU_QUERY_HISTORY = 1,       /* to any voter */
   PU_QUERY_VOTERS = 2,        /* to the leader: changes the voters */
-  PU_QUERY_WANT = 3           /* to the leader: asks for a ready copy of
+  PU_QUERY_WANT = 3,          /* to the leader: asks for a ready copy of
                                  model NAME */
+  PU_QUERY_GRANT = 4          /* to the leader: asks for requests to backend
+                                 server NAME, which limits them */
 };
 
 struct pu_query
@@ -218,9 +220,11 @@
   pu_query_kind kind;
   bool forwarded;
   unsigned int timeout_ms;
-  pu_name action;             /* PU_QUERY_VOTERS: add, remove, replace */
+  pu_name action;             /* PU_QUERY_VOTERS: add, remove, replace;
+                                 PU_QUERY_GRANT: the incarnation */
   pu_name name;
-  pu_name other;              /* PU_QUERY_VOTERS: the replacement */
+  pu_name other;              /* PU_QUERY_VOTERS: the replacement;
+                                 PU_QUERY_GRANT: pu_grant_terms_write */
 };
 
 struct pu_query_reply
--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -6,6 +6,7 @@
 #include "control/control.h"
 #include "control/feed.h"
 #include "control/flight.h"
+#include "control/grants.h"
 #include "control/generated/control_msg.h"
 #include "control/pace.h"
 #include "control/sessions.h"
@@ -37,6 +38,7 @@
   void *demand_data;
   pu_control_copy_request_fn *copy_request;
   void *copy_request_data;
+  pu_grants_t *grants; /* used while this voter is the leader */
 
   /* polls.c */
   GQueue polls; /* waiting poll_t */
--- a/libplantainusher/control/query.c
+++ b/libplantainusher/control/query.c
@@ -91,6 +91,26 @@
     }
 }
 
+static void
+grant_answer (pu_control_t *c, pu_rpc_call_t *call, const pu_query *q)
+{
+  pu_grant_request_t request = { .server = q->name };
+  pu_grant_t grant;
+
+  if (!g_ascii_string_to_unsigned (q->action, 10, 0, G_MAXUINT64,
+                                   &request.incarnation, NULL)
+      || !pu_grant_terms_read (&request, q->other))
+    {
+      query_fail (c, call, PU_ERROR_INVALID,
+                  "The grant request can't be read.");
+      return;
+    }
+  grant = pu_grants_take (c->grants, &request, pu_control_now (c));
+  query_answer (call, json_pack ("{s:i, s:i, s:b}", "granted",
+                                 (int)grant.granted, "next_ms",
+                                 (int)grant.next_ms, "ended", grant.ended));
+}
+
 static void
 execute_query (pu_control_t *c, pu_rpc_call_t *call, const pu_query *q)
 {
@@ -119,6 +139,9 @@
     case PU_QUERY_WANT:
       begin_copy_request (c, call, q);
       return;
+    case PU_QUERY_GRANT:
+      grant_answer (c, call, q);
+      return;
     }
   pu_rpc_call_garbage (call);
 }
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -81,6 +81,15 @@
   pu_agent_want (d->agent, model, timeout_ms, fn, fn_data);
 }
 
+static void
+entry_request_grant (void *data, const pu_grant_request_t *q, guint timeout_ms,
+                     pu_entry_json_fn *fn, void *fn_data)
+{
+  pu_daemon_t *d = data;
+
+  pu_agent_request_grant (d->agent, q, timeout_ms, fn, fn_data);
+}
+
 void
 pu_daemon_entry_hooks (pu_daemon_t *d, pu_entry_hooks_t *h)
 {
@@ -92,6 +101,7 @@
   h->renew = entry_renew;
   h->demand = entry_demand;
   h->request_model_load = entry_want;
+  h->request_grant = entry_request_grant;
   h->loads = pu_daemon_loads_out;
   h->withdraw = pu_daemon_withdraw_out;
   h->data = d;
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -10,6 +10,7 @@
 #include "base/counters.h"
 #include "base/error.h"
 #include "base/memory_budget.h"
+#include "control/grants.h"
 #include "entry/front.h"
 #include "state/state.h"
 
@@ -88,6 +89,11 @@
   /* Asks the leader to have MODEL loaded, as pu_agent_want; may be NULL.  */
   void (*request_model_load) (void *data, const char *model, guint timeout_ms,
                               pu_entry_json_fn *fn, void *fn_data);
+  /* Asks the leader for requests to a backend server that limits them, as
+     pu_agent_request_grant; may be NULL: limits are not obeyed.  */
+  void (*request_grant) (void *data, const pu_grant_request_t *q,
+                         guint timeout_ms, pu_entry_json_fn *fn,
+                         void *fn_data);
   /* Sends N load reports to the daemon with the peer address ADDRESS.  The
      reports are valid until the next ones arrive, and for LIFE_MS at most.
      May be NULL.  */
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -92,6 +92,11 @@
                              this entry */
   double limit_per_s;     /* requests per second that it takes from all entries
                              together; 0: not limited */
+  guint64 limit_stated_at;  /* loop time when it last stated limit_per_s */
+  guint grants;             /* requests that the leader has granted */
+  guint64 grants_until;     /* loop time until which `grants` is valid */
+  guint64 next_grant_at;    /* loop time of the next possible grant */
+  bool grant_requested;     /* a grant request has no reply yet */
   guint64 local_down_until; /* loop time until which this entry takes the
                                server for dead, even if the view lists it as
                                up; 0: not found dead */
@@ -190,6 +195,8 @@
   bool waits_for_suspect; /* no copy of its model is ready, because a suspect
                              occupies one: waits until that suspect ends */
   bool waits_for_model;   /* waits for its model to be loaded */
+  guint grant_server; /* number of the backend server for which it waits for
+                         the leader's grant; 0: none */
   pu_ticket_t ticket;
   pu_once_handle_t claim;
   guint attempts;
@@ -470,11 +477,6 @@
    for with a refusal.  Lasts as long as the incarnation of S.  */
 void pu_server_back_off (pu_server_t *s, guint64 until);
 
-/* pu_server_set_limit - S takes PER_S requests per second from all entries
-   together, or has no limit if PER_S is 0.  Lasts as long as the incarnation
-   of S.  */
-void pu_server_set_limit (pu_server_t *s, double per_s);
-
 /* pu_server_mark_replaced - marks S as down because another process has its
    address.  */
 void pu_server_mark_replaced (pu_server_t *s);
@@ -500,6 +502,22 @@
    more.  */
 void pu_server_suspect_aborted (pu_server_t *s);
 
+/* --- server_limit.c: backend servers that limit their requests --- */
+
+/* pu_server_set_limit - S takes PER_S requests per second from all entries
+   together, or has no limit if PER_S is 0.  Lasts as long as the incarnation
+   of S.  */
+void pu_server_set_limit (pu_server_t *s, double per_s);
+
+/* pu_server_limit_stated - as pu_server_set_limit, when S itself states PER_S.
+   Other entries learn from the leader that a limit has ended.  */
+void pu_server_limit_stated (pu_server_t *s, double per_s);
+
+/* pu_server_limit_permits - whether X may be sent to S now, which uses up a
+   grant if S limits its requests.  On false X must wait: it is routed again
+   after the leader's reply.  */
+bool pu_server_limit_permits (pu_exchange_t *x, pu_server_t *s);
+
 /* --- strikes.c: strikes against requests --- */
 
 /* pu_strike_begin - proposes ONE, a strike for the crash of S, to the log.  */
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -387,10 +387,10 @@
 }
 
 /* Checks whether X is convicted or must wait, and whether S already runs a
-   suspect, before X is sent to S.  On false X was refused and freed, or waits
-   without a ticket.  */
+   suspect, and whether S has a limit that X must wait for, before X is sent to
+   S.  On false X was refused and freed, or waits without a ticket.  */
 static bool
-dispatch_permit (pu_exchange_t *x, const pu_server_t *s)
+dispatch_permit (pu_exchange_t *x, pu_server_t *s)
 {
   pu_suspects_verdict_t verdict = crash_verdict (x);
 
@@ -401,7 +401,8 @@
       return false;
     }
   if (verdict != PU_SUSPECTS_WAIT
-      && (!is_suspect (x) || s->running_suspects == 0) && !defer_from (x, s))
+      && (!is_suspect (x) || s->running_suspects == 0) && !defer_from (x, s)
+      && pu_server_limit_permits (x, s))
     return true;
   ticket_cancel (x);
   x->phase = PU_EXCHANGE_WAITING;
@@ -603,7 +604,7 @@
 static bool
 wait_is_over (const pu_exchange_t *x)
 {
-  if (crash_verdict (x) == PU_SUSPECTS_WAIT
+  if (x->grant_server != 0 || crash_verdict (x) == PU_SUSPECTS_WAIT
       || (x->waits_for_suspect && is_blocked_by_suspect (x)))
     return false;
   return x->duplicate_wait_since == 0
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -238,6 +238,7 @@
   s->leaving = false;
   s->back_off_until = 0;
   s->limit_per_s = 0;
+  s->grants = 0;
   s->local_down_until = 0;
   s->failed_probes = 0;
 }
@@ -333,26 +334,6 @@
     }
 }
 
-void
-pu_server_set_limit (pu_server_t *s, double per_s)
-{
-  if (s->limit_per_s == per_s)
-    return;
-  s->limit_per_s = per_s;
-  if (per_s > 0)
-    {
-      pu_log_note (PU_ENTRY_LOG_SLICE,
-                   "Backend server %s limits its requests to %.2f per second.",
-                   s->name, per_s);
-    }
-  else
-    {
-      pu_log_note (PU_ENTRY_LOG_SLICE,
-                   "Backend server %s no longer limits its requests.",
-                   s->name);
-    }
-}
-
 void
 pu_servers_sync (pu_entry_t *en, guint64 since)
 {
