entry: a run that is complete acquits the requests of its content

Requests of many callers may be identical on the platform, a GET of one path for instance. With the attribution of crashes they were kept on one backend server while one of them ran, and would have gathered strikes from crashes that others caused, until isolated, one at a time.

Change: a run that is complete by its length lifts the strikes against its content, and identical requests are kept together only while they have a strike. Strikes of requests that were merely beside a crash leave the log with their next run, too.

The rule is tested in the table of suspects.

--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -220,10 +220,12 @@
 }
 
 /* On the platform one crash breaks off the requests of many callers, which are
-   sent again at once.  They are not isolated for a single crash, and a death
-   convicts only a request that was isolated.  */
+   sent again at once, and the requests of many callers may be identical.  They
+   are not isolated for a single crash, one that runs to its end acquits all,
+   and a death convicts only a request that was isolated.  */
 enum
 {
+  PLATFORM_TOGETHER_STRIKES = 1,
   PLATFORM_ISOLATE_STRIKES = 2,
   PLATFORM_CONVICT_STRIKES = 3,
 };
@@ -448,7 +450,8 @@
           = pu_platform_new (d->loop, s, pu_memory_watch_budget (d->memory));
       o.front = pu_platform_frontend (d->platform);
       o.isolate_strikes = PLATFORM_ISOLATE_STRIKES;
-      o.acquit_suspects = true;
+      o.together_strikes = PLATFORM_TOGETHER_STRIKES;
+      o.acquit = true;
     }
   d->entry = pu_entry_new (&o, e);
   return d->entry != NULL
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -130,8 +130,8 @@
   pu_trace_answered (x);
   if (good)
     pu_demand_record_run (x);
-  if (good && x->at.as_suspect && x->en->o.acquit_suspects)
-    pu_strikes_lift (x);
+  if (good && x->at.complete)
+    pu_strikes_acquit (x);
   if (x->at.answer.failed && !pu_entry_uses_builtin_frontend (x->en))
     {
       router_failed (x);
@@ -694,6 +694,7 @@
   switch (result->kind)
     {
     case PU_HTTP_END_COMPLETE:
+      x->at.complete = true;
       response_complete (x);
       break;
     case PU_HTTP_END_CONNECT_FAILED:
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -245,6 +245,7 @@
   en->once = pu_once_new (&once);
   pu_suspects_options_init (&suspects);
   suspects.isolate_strikes = en->o.isolate_strikes;
+  suspects.together_strikes = en->o.together_strikes;
   en->suspects = pu_suspects_new (&suspects);
 }
 
@@ -272,6 +273,8 @@
   en->suspect_fingerprints
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   en->strikes = g_ptr_array_new_with_free_func (pu_strike_free);
+  en->acquittals
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   en->rates = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   en->mean_run_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -346,6 +349,7 @@
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
   g_ptr_array_free (en->strikes, TRUE);
+  g_hash_table_destroy (en->acquittals);
   g_hash_table_destroy (en->suspect_fingerprints);
   g_hash_table_destroy (en->rates);
   g_hash_table_destroy (en->mean_run_ms);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -152,8 +152,9 @@
   guint strike_settle_ms; /* 1000: time until all entries know of a strike */
   guint isolate_strikes;  /* 1: strikes that make a request a suspect, which
                              runs isolated (suspects/suspects.h) */
-  bool acquit_suspects;   /* false: a suspect that has run isolated without a
-                             crash loses its strikes */
+  guint together_strikes; /* 0: strikes from which identical requests are kept
+                             on one backend server */
+  bool acquit; /* false: a request that runs to its end loses its strikes */
   guint health_probe_timeout_ms; /* 1000: timeout of the health probe, which is
                                     sent on a new connection after an attempt
                                     broke off */
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -149,6 +149,7 @@
   bool reported_to_router;   /* the first token was reported to the router */
   bool suspect_tracked; /* the attempt is recorded in the suspects' table */
   bool connection_lost; /* the connection broke, which may be a crash */
+  bool complete;        /* the whole response has come, by its length */
   bool as_suspect;      /* the attempt runs as a suspect */
   char *content_type;
   char *outcome;               /* X-Outcome of the response */
@@ -249,9 +250,11 @@
                                  other_addresses was made from */
   GHashTable *servers;             /* name -> pu_server_t */
   GHashTable
-      *ticking_servers;  /* set of pu_server_t that have a pending timer */
-  GHashTable *reporters; /* name -> pu_reporter_t */
-  GPtrArray *strikes;    /* of pu_strike_t, owned */
+      *ticking_servers;   /* set of pu_server_t that have a pending timer */
+  GHashTable *reporters;  /* name -> pu_reporter_t */
+  GPtrArray *strikes;     /* of pu_strike_t, owned */
+  GHashTable *acquittals; /* set of &fingerprint: acquittals that are being
+                             proposed to the log */
   GHashTable *suspect_fingerprints; /* set of &fingerprint of the view */
   GHashTable *rates;  /* service -> double: requests per second */
   GHashTable *counts; /* service -> guint: requests in the current second */
@@ -529,9 +532,10 @@
    While there is one, requests with that fingerprint must not run.  */
 bool pu_strike_pending (const pu_entry_t *en, guint64 fingerprint);
 
-/* pu_strikes_lift - asks the log to remove the strikes against X, a suspect
-   whose isolated run is complete: it has crashed nothing.  */
-void pu_strikes_lift (const pu_exchange_t *x);
+/* pu_strikes_acquit - asks the log to remove the strikes against X, if there
+   are any and the entry acquits.  X has run to its end, so it has crashed
+   nothing.  */
+void pu_strikes_acquit (const pu_exchange_t *x);
 
 /* pu_strikes_tick - removes the strikes that all entries have received, whose
    request is convicted, or that have timed out.  Proposes the others to the
--- a/libplantainusher/entry/strikes.c
+++ b/libplantainusher/entry/strikes.c
@@ -196,39 +196,58 @@
     }
 }
 
-/* --- the end of a suspicion --- */
+/* --- acquittals --- */
+
+typedef struct
+{
+  pu_entry_t *en;
+  guint64 fingerprint;
+} acquittal_t;
 
 static void
-on_lifted (void *data, const pu_reply *r, const pu_error_t *e)
+on_acquitted (void *data, const pu_reply *r, const pu_error_t *e)
 {
-  pu_entry_t *en = data;
+  acquittal_t *a = data;
+  pu_entry_t *en = a->en;
 
   if (r == NULL)
     {
       pu_log_note (PU_ENTRY_LOG_SLICE,
-                   "The strikes of a request that ran well remain: %s",
+                   "The strikes of a request that has run well remain: %s",
                    e != NULL ? e->message : "no reply.");
     }
+  g_hash_table_remove (en->acquittals, &a->fingerprint);
+  g_free (a);
   en->pending--;
   pu_entry_check_stopped (en);
 }
 
 void
-pu_strikes_lift (const pu_exchange_t *x)
+pu_strikes_acquit (const pu_exchange_t *x)
 {
   pu_entry_t *en = x->en;
-  const pu_suspect_record *record = pu_state_suspect (
-      en->o.hooks.view (en->o.hooks.data), x->q.fingerprint);
+  guint64 fingerprint = x->q.fingerprint;
   pu_command c = { .type = PU_COMMAND_LIFT };
+  const pu_suspect_record *record;
+  acquittal_t *a;
 
+  if (!en->o.acquit || !x->q.crash_tracked
+      || g_hash_table_contains (en->acquittals, &fingerprint))
+    return;
+  record = pu_state_suspect (en->o.hooks.view (en->o.hooks.data), fingerprint);
   if (record == NULL || record->convicted)
     return;
   pu_log_note (PU_ENTRY_LOG_SLICE,
                "Request %016" G_GINT64_MODIFIER
-               "x ran isolated without a crash; lifting its strikes.",
-               x->q.fingerprint);
-  c.pu_command_u.lift = x->q.fingerprint;
+               "x has run to its end; lifting its strikes.",
+               fingerprint);
+  a = g_new0 (acquittal_t, 1);
+  a->en = en;
+  a->fingerprint = fingerprint;
+  g_hash_table_add (en->acquittals,
+                    g_memdup2 (&fingerprint, sizeof fingerprint));
+  c.pu_command_u.lift = fingerprint;
   en->pending++;
   en->o.hooks.propose (en->o.hooks.data, &c, en->o.log_proposal_timeout_ms,
-                       on_lifted, en);
+                       on_acquitted, a);
 }
--- a/libplantainusher/suspects/suspects.c
+++ b/libplantainusher/suspects/suspects.c
@@ -10,6 +10,7 @@
   DEFAULT_ABORTED_RETENTION_MS = 5000,
   DEFAULT_SUSPECT_COOLDOWN_MS = 1000,
   DEFAULT_ISOLATE_STRIKES = 1,
+  DEFAULT_TOGETHER_STRIKES = 0,
   ABORTED_MAX = 1024,
 };
 
@@ -75,6 +76,7 @@
   o->aborted_retention_ms = DEFAULT_ABORTED_RETENTION_MS;
   o->suspect_cooldown_ms = DEFAULT_SUSPECT_COOLDOWN_MS;
   o->isolate_strikes = DEFAULT_ISOLATE_STRIKES;
+  o->together_strikes = DEFAULT_TOGETHER_STRIKES;
   o->test_breaks = 0;
 }
 
@@ -380,6 +382,8 @@
   const duplicates_t *d = duplicates_of (s, fingerprint);
 
   if (d == NULL || has_break (s, PU_SUSPECTS_BREAK_CONCURRENT)
+      || pu_suspects_strikes (s, fingerprint, now)
+             < s->options.together_strikes
       || (since != 0 && now - since >= s->options.duplicate_wait_ms))
     return false;
   return d->backend != backend || d->elsewhere > 0;
--- a/libplantainusher/suspects/suspects.h
+++ b/libplantainusher/suspects/suspects.h
@@ -53,6 +53,8 @@
   guint64 suspect_cooldown_ms;  /* wait after a suspect was aborted, for its
                                    duplicates and its backend server */
   guint isolate_strikes;        /* strikes that make a request a suspect */
+  guint together_strikes;       /* strikes from which duplicates are kept on
+                                   one backend server */
   guint test_breaks;            /* pu_suspects_break_t; 0 outside tests */
 } pu_suspects_options_t;
 
@@ -72,7 +74,8 @@
 
 /* pu_suspects_options_init - fills O with the defaults: local strikes count
    for ten minutes, duplicates wait for 200 ms, aborted requests are kept for
-   5 s, the cooldown of a suspect is 1 s, and one strike makes a suspect.  */
+   5 s, the cooldown of a suspect is 1 s, one strike makes a suspect, and
+   duplicates are kept together without any strike.  */
 void pu_suspects_options_init (pu_suspects_options_t *o);
 
 /* pu_suspects_new - returns a new, empty table.  Copies O.  The caller
@@ -149,8 +152,8 @@
 
 /* pu_suspects_must_avoid - returns whether a request with FINGERPRINT must not
    be sent to BACKEND because a duplicate is in flight on another one without
-   an answer.  SINCE is the time from which the request has waited for that; 0:
-   it has not waited yet.  */
+   an answer and they are kept together.  SINCE is the time from which the
+   request has waited for that; 0: it has not waited yet.  */
 bool pu_suspects_must_avoid (const pu_suspects_t *s, guint64 fingerprint,
                              guint32 backend, guint64 since, guint64 now);
 
--- a/libplantainusher/suspects/suspects_test.cc
+++ b/libplantainusher/suspects/suspects_test.cc
@@ -24,12 +24,14 @@
 class Suspects
 {
 public:
-  explicit Suspects (guint breaks = 0, guint isolate_strikes = 1)
+  explicit Suspects (guint breaks = 0, guint isolate_strikes = 1,
+                     guint together_strikes = 0)
   {
     pu_suspects_options_t o;
 
     pu_suspects_options_init (&o);
     o.isolate_strikes = isolate_strikes;
+    o.together_strikes = together_strikes;
     o.test_breaks = breaks;
     s = pu_suspects_new (&o);
   }
@@ -124,6 +126,17 @@
   EXPECT_EQ (PU_SUSPECTS_RUN, pu_suspects_check (t.s, 8, 2));
 }
 
+TEST (Suspects, IdenticalRequestsOfManyCallersMayRunOnSeveralServers)
+{
+  Suspects t (0, 2, 1);
+
+  pu_suspects_started (t.s, 1, 7, 0, 1, 0);
+  EXPECT_FALSE (pu_suspects_must_avoid (t.s, 7, 1, 0, 0));
+  pu_suspects_put (t.s, 7, 1, false);
+  EXPECT_TRUE (pu_suspects_must_avoid (t.s, 7, 1, 0, 0));
+  EXPECT_FALSE (pu_suspects_must_avoid (t.s, 7, 0, 0, 0));
+}
+
 TEST (Suspects, StrikesOfCrashesThatTheLogDoesNotKnowAddUp)
 {
   Suspects t (0, 2);
--- a/tests/crashing_request_process_test.py
+++ b/tests/crashing_request_process_test.py
@@ -9,6 +9,7 @@
 from cluster import main, wait_until
 from platform_fakes import config, submit
 from platform_process_test import PlatformTest
+from server_limit_process_test import Callers
 
 ENGINES = 6
 RESENDS = 16
@@ -42,6 +43,33 @@
         return self.answers
 
 
+class PopularRequest(PlatformTest):
+    """Requests of equal content, sent by many callers at the same time."""
+    CRASHES = 5
+
+    def test_crashes_of_others_do_not_convict_it(self):
+        self.serving(plain=4)
+        for b in self.backends:
+            b.hold_s = 0.05
+        callers = Callers(self.some)
+        for i in range(self.CRASHES):
+            time.sleep(0.8)
+            self.backends[i].crash()
+            self.backend(f"i-{4 + i}", "app").hold_s = 0.05
+        time.sleep(RESTART_S)
+        settled = time.monotonic()
+        time.sleep(2)
+        end = time.monotonic()
+        answers = callers.finish()
+        self.assertEqual([a for a in answers if a and REFUSAL in a.body], [])
+        later = [a for at, a in callers.answers if settled < at < end]
+        self.assertEqual({a.status if a else None for a in later}, {200})
+        # A run that is complete has crashed nothing, whatever ended beside it.
+        logs = [one.log.read_text(errors="replace") for one in self.some]
+        self.assertTrue(any("Proposing a strike" in text for text in logs))
+        self.assertTrue(any("lifting its strikes" in text for text in logs))
+
+
 class CrashingRequest(PlatformTest):
     def setUp(self):
         super().setUp()
