entry: the end of a limit that an instance reports asks for nothing

The reply to such a report could be taken for the reply to a grant request, and end a limit that the server had named again meanwhile. Read, not seen.

The soak's backend servers name limits, and crash under a request of any caller. docs/design/platform.md says how both are decided.

--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -507,13 +507,11 @@
 
 /* --- server_limit.c: backend servers that limit their requests --- */
 
-/* pu_server_set_limit - S takes PER_S requests per second from all entries
-   together, or has no limit if PER_S is 0.  Lasts as long as the incarnation
-   of S.  */
-void pu_server_set_limit (pu_server_t *s, double per_s);
-
-/* pu_server_limit_stated - as pu_server_set_limit, when S itself states PER_S.
-   Other entries learn from the leader that a limit has ended.  */
+/* pu_server_limit_stated - S has stated in a response that it takes PER_S
+   requests per second from all entries together, or that it has no limit if
+   PER_S is 0.  That lasts until S states something else, as long as the
+   incarnation of S.  Other entries learn from the leader that a limit has
+   ended.  */
 void pu_server_limit_stated (pu_server_t *s, double per_s);
 
 /* pu_server_limit_permits - whether X may be sent to S now, which uses up a
--- a/libplantainusher/entry/server_limit.c
+++ b/libplantainusher/entry/server_limit.c
@@ -25,6 +25,7 @@
   pu_entry_t *en;
   pu_server_t *server;
   guint64 incarnation;
+  bool wanted; /* false: the call only reported the end of a limit */
 } grant_call_t;
 
 static guint
@@ -64,6 +65,29 @@
   g_array_free (numbers, TRUE);
 }
 
+static void
+limit_set (pu_server_t *s, double per_s)
+{
+  s->limit_stated_at = uv_now (s->en->o.loop);
+  if (s->limit_per_s == per_s)
+    return;
+  s->limit_per_s = per_s;
+  if (per_s > 0)
+    {
+      pu_log_note (PU_ENTRY_LOG_SLICE,
+                   "Backend server %s limits its requests to %.2f per second.",
+                   s->name, per_s);
+    }
+  else
+    {
+      pu_log_note (PU_ENTRY_LOG_SLICE,
+                   "Backend server %s no longer limits its requests.",
+                   s->name);
+    }
+}
+
+/* Applies the leader's REPLY to a grant request for S; NULL: there was
+   none.  */
 static void
 reply_apply (pu_server_t *s, json_t *reply, guint64 now)
 {
@@ -75,7 +99,7 @@
                &next_ms, "ended", &ended);
   if (ended)
     {
-      pu_server_set_limit (s, 0);
+      limit_set (s, 0);
       return;
     }
   s->grants = (guint)MAX (granted, 0);
@@ -91,7 +115,8 @@
   grant_call_t *call = data;
   pu_entry_t *en = call->en;
   pu_server_t *s = call->server;
-  bool current = call->incarnation == s->incarnation && s->limit_per_s > 0;
+  bool current = call->wanted && call->incarnation == s->incarnation
+                 && s->limit_per_s > 0;
 
   g_free (call);
   en->pending--;
@@ -127,41 +152,19 @@
   call->en = en;
   call->server = s;
   call->incarnation = s->incarnation;
+  call->wanted = wanted > 0;
   s->grant_requested = true;
   en->pending++;
   en->o.hooks.request_grant (en->o.hooks.data, &q, GRANT_TIMEOUT_MS,
                              on_grant_reply, call);
 }
 
-void
-pu_server_set_limit (pu_server_t *s, double per_s)
-{
-  double before = s->limit_per_s;
-
-  s->limit_stated_at = uv_now (s->en->o.loop);
-  if (before == per_s)
-    return;
-  s->limit_per_s = per_s;
-  if (per_s > 0)
-    {
-      pu_log_note (PU_ENTRY_LOG_SLICE,
-                   "Backend server %s limits its requests to %.2f per second.",
-                   s->name, per_s);
-    }
-  else
-    {
-      pu_log_note (PU_ENTRY_LOG_SLICE,
-                   "Backend server %s no longer limits its requests.",
-                   s->name);
-    }
-}
-
 void
 pu_server_limit_stated (pu_server_t *s, double per_s)
 {
   bool ends = s->limit_per_s > 0 && per_s == 0;
 
-  pu_server_set_limit (s, per_s);
+  limit_set (s, per_s);
   if (ends && s->en->o.hooks.request_grant != NULL)
     grant_request (s, 0);
 }
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -27,6 +27,7 @@
 # once than may be.
 CATCH_UP_S = 4.0
 EVENTS = 3
+LIMITS = 0.5, 2, 5   # requests a second that a backend server names
 LEASE_S = 3.0        # lease_ms of tests/platform_fakes.py
 # Every third config has routes enough to be read beside the event loop.
 MANY_ROUTES = 500
@@ -251,7 +252,8 @@
 
     def harm_backend(self):
         b = self.random.choice(self.live())
-        how = self.random.choice(["cut", "slow", "leave", "crash"])
+        how = self.random.choice(["cut", "slow", "limit", "leave", "crash",
+                                  "crash under a request"])
         self.log.append(f"{how} {b.name}")
         if how == "cut":
             b.cut = True
@@ -259,12 +261,17 @@
         elif how == "slow":
             b.hold_s = 0.5
             self._later(lambda: setattr(b, "hold_s", 0.0))
+        elif how == "limit":
+            b.limit = self.random.choice(LIMITS)
+            self._later(lambda: setattr(b, "limit", None))
         elif len(self.live(b.service)) > 2:
             b.gone = True
             b.state = "draining"
             self.add_backend(b.service)
             if how == "crash":
                 b.close()
+            elif how == "crash under a request" and b.models is not None:
+                b.state, b.crash_on = "ready", b""
             else:
                 self._later(b.close)
 
@@ -379,7 +386,7 @@
     def close(self):
         self.over.set()
         for b in self.backends:
-            if not b.gone:
+            if not b.gone or (b.crash_on is not None and not b.crashed):
                 b.close()
 
 
