control: entries that want a limited server ask for it in turn

All entries that were refused a grant were told the time of the next one, came back together, and all but one asked in vain: 445,500 questions in 60 s for one server at a limit of 50 and 300 entries, all of them wanting it all the time (simulated, Grants.EntriesTogetherStayWithinTheLimitAndUseIt with its new bound, which failed before).

Change: each is told a turn of its own, a second away at most.

--- a/libplantainusher/control/grants.c
+++ b/libplantainusher/control/grants.c
@@ -10,6 +10,9 @@
   MS_PER_S = 1000,
   /* At most this part of a second's requests is granted at once.  */
   GRANT_DIVISOR = 10,
+  /* An entry is told to come back within this time, or when the next grant is
+     possible.  */
+  TURN_MAX_MS = 1000,
   IDLE_MS = 60000,  /* a server that nobody asked about for this time is
                        forgotten */
   COUNT_MAX = 1024, /* of servers, above which idle ones are looked for */
@@ -22,6 +25,7 @@
   double limit_per_s; /* 0: the limit has ended */
   guint64 stated_at;  /* when the server stated this */
   double next_at;     /* time of the next grant */
+  double turn_at;     /* time when the next entry that asks has its turn */
   guint64 asked_at;
 } server_t;
 
@@ -111,6 +115,19 @@
   return s;
 }
 
+/* Returns the time until the next entry that asked has its turn at S.  Turns
+   are INTERVAL_MS apart: if all entries came back for the same grant, all but
+   one of them would ask in vain.  */
+static guint
+next_turn_ms (server_t *s, double interval_ms, guint64 now)
+{
+  double latest = MAX (s->next_at, (double)now + TURN_MAX_MS);
+  double at = MIN (MAX (s->turn_at, s->next_at), latest);
+
+  s->turn_at = at + interval_ms;
+  return at > (double)now ? (guint)(at - (double)now) + 1 : 0;
+}
+
 /* Takes over what Q reports of S, unless S is known to have stated something
    else since.  */
 static void
@@ -121,7 +138,7 @@
   if (q->incarnation == s->incarnation && stated_at < s->stated_at)
     return;
   if (q->incarnation > s->incarnation)
-    s->next_at = 0;
+    s->next_at = s->turn_at = 0;
   s->incarnation = q->incarnation;
   s->limit_per_s = q->limit_per_s;
   s->stated_at = stated_at;
@@ -155,7 +172,6 @@
       s->next_at = MAX (s->next_at, (double)now - interval_ms)
                    + grant.granted * interval_ms;
     }
-  if (s->next_at > (double)now)
-    grant.next_ms = (guint)(s->next_at - (double)now) + 1;
+  grant.next_ms = next_turn_ms (s, interval_ms, now);
   return grant;
 }
--- a/libplantainusher/control/grants.h
+++ b/libplantainusher/control/grants.h
@@ -19,6 +19,11 @@
  * allows N requests.  No rate is saved up for later but that of one request,
  * so that in any time T no more than T * limit + 2 * N requests are granted.
  *
+ * An entry that gets nothing, or has had a grant, is told when to ask again:
+ * entries that want the same server come back one after the other, so that
+ * they ask about once for each grant, and once a second each, however many
+ * they are.
+ *
  * Times are monotonic milliseconds.
  */
 
@@ -37,7 +42,7 @@
 typedef struct
 {
   guint granted;
-  guint next_ms; /* time until the next grant is possible */
+  guint next_ms; /* time until the entry should ask again */
   bool ended;    /* the server has stated since that there is no limit */
 } pu_grant_t;
 
--- a/libplantainusher/control/grants_test.cc
+++ b/libplantainusher/control/grants_test.cc
@@ -59,6 +59,7 @@
         std::vector<guint64> back (entries, 0);
         std::vector<guint64> at;
         std::mt19937 random (entries);
+        guint asked = 0;
 
         for (guint64 now = 100000; now < 160000; now++)
           for (guint e = 0; e < entries; e++)
@@ -67,12 +68,16 @@
                 continue;
               const pu_grant_t r = t.take (limit, now, 1 + random () % 3);
 
+              asked++;
               at.insert (at.end (), r.granted, now);
               back[e] = now + std::max (r.next_ms, 1u);
             }
         EXPECT_LE (most (at), window_ms / 1000 * limit + 2 * limit / 10 + 2)
             << limit << " " << entries;
         EXPECT_GE (at.size (), 60 * limit * 0.9) << limit << " " << entries;
+        /* As the header says.  */
+        EXPECT_LE (asked, 60 * (limit + entries) * 1.1)
+            << limit << " " << entries;
       }
 }
 
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -95,7 +95,7 @@
   guint64 limit_stated_at;  /* loop time when it last stated limit_per_s */
   guint grants;             /* requests that the leader has granted */
   guint64 grants_until;     /* loop time until which `grants` is valid */
-  guint64 next_grant_at;    /* loop time of the next possible grant */
+  guint64 next_grant_at;    /* loop time when to ask for the next grant */
   bool grant_requested;     /* a grant request has no reply yet */
   guint64 local_down_until; /* loop time until which this entry takes the
                                server for dead, even if the view lists it as
