Test: the crash of a stand-in resets its connections

Cause, traced in its logs: the engine of the stand-in crashed under another request and closed this stream in order, between two events and without a length. Nobody can tell that from a whole answer. The users' page tells a reset apart; a crash of the stand-in now is one. The check is unchanged.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -8,8 +8,11 @@
 import http.client
 import http.server
 import json
+import os
 import pathlib
 import re
+import socket
+import struct
 import threading
 import time
 
@@ -197,6 +200,15 @@
 
 # --- backend servers ---
 
+def reset(connection):
+    """Ends CONNECTION with a reset.  An answer without a length that ends in
+    order between two events would be whole."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
+    connection.shutdown(socket.SHUT_RD)  # for whoever reads it
+    os.close(connection.detach())
+
+
 class Backend:
     """A backend server in this process: `ran` lists the ids of the requests
     that it ran, `orders` the bodies of the orders that it accepted."""
@@ -335,16 +347,16 @@
             if self.crashed:
                 return
             self.crashed = True
-        self.close()
+        self.close(reset)
 
-    def close(self):
-        """Ends it as a crash does: its open connections break."""
+    def close(self, end=lambda one: one.shutdown(socket.SHUT_RDWR)):
+        """Ends it, and its open connections by END."""
         self._end.set()
         self._server.shutdown()
         self._server.server_close()
         for one in list(self.connections):
             try:
-                one.shutdown(2)
+                end(one)
             except OSError:
                 pass  # its caller was quicker
 
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -269,7 +269,7 @@
             b.state = "draining"
             self.add_backend(b.service)
             if how == "crash":
-                b.close()
+                b.crash()
             elif how == "crash under a request" and b.models is not None:
                 b.state, b.crash_on = "ready", b""
             else:
