entry: run times and load requests of undeclared models are removed

Callers saw nothing at once; the memory of an entry grew with each name of a model or adapter ever asked for, and demand was told by the run times of an earlier model of the same name.

Cause: mean_run_ms was filled at the end of each run and emptied nowhere; model_waits the same. A new document now removes what it does not declare; a wait whose load request is in flight stays until the next document.

The same class remains in the table of backend servers, which is listed.

--- a/libplantainusher/entry/demand.c
+++ b/libplantainusher/entry/demand.c
@@ -60,6 +60,23 @@
   en->o.hooks.demand (en->o.hooks.data, x->q.model, 1, (guint32)(ms + 0.5));
 }
 
+/* A GHRFunc: whether the document of the entry DATA does not declare
+   MODEL.  */
+static gboolean
+is_undeclared (gpointer model, gpointer mean, gpointer data)
+{
+  const pu_entry_t *en = data;
+
+  (void)mean;
+  return pu_document_find_model (en->document, model) == PU_HANDLE_NONE;
+}
+
+void
+pu_demand_remove_stale (pu_entry_t *en)
+{
+  g_hash_table_foreach_remove (en->mean_run_ms, is_undeclared, en);
+}
+
 void
 pu_demand_record_run (pu_exchange_t *x)
 {
@@ -70,6 +87,9 @@
      a stream, is not that of a whole run.  */
   if (x->q.plain || x->at.server == NULL || x->attempts > 1)
     return;
+  /* The document may have dropped the model while X ran.  */
+  if (is_undeclared (x->q.model, NULL, x->en))
+    return;
   mean = g_hash_table_lookup (x->en->mean_run_ms, x->q.model);
   if (mean != NULL)
     {
--- a/libplantainusher/entry/document.c
+++ b/libplantainusher/entry/document.c
@@ -162,6 +162,8 @@
       services_remove_stale (en, old);
       models_remove_stale (en, old);
       routes_remove_stale (en, old);
+      pu_demand_remove_stale (en);
+      pu_model_waits_remove_stale (en);
     }
   router_tables_set (en, d);
   pu_document_unref (old);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -382,6 +382,10 @@
 
 void pu_model_wait_free (gpointer wait);
 
+/* pu_model_waits_remove_stale - removes the records of models that the document
+   in force does not declare and of which no load request is in flight.  */
+void pu_model_waits_remove_stale (pu_entry_t *en);
+
 /* pu_model_wait_allowed - whether X may wait while the leader has the model of
    X loaded.  */
 bool pu_model_wait_allowed (const pu_exchange_t *x);
@@ -405,6 +409,10 @@
    when X has been answered successfully.  */
 void pu_demand_record_run (pu_exchange_t *x);
 
+/* pu_demand_remove_stale - removes the mean run times of models that the
+   document in force does not declare.  */
+void pu_demand_remove_stale (pu_entry_t *en);
+
 /* --- load_forward.c: load reports forwarded to other entries --- */
 
 /* pu_load_forward_interval_ms - the interval between the load reports that are
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -486,6 +486,26 @@
       << "also reported for a request rejected for lack of a copy";
 }
 
+/* Guards against mean run times that outlive their model: names of adapters
+   come and go with each document.  */
+TEST_F (Entry, RunTimesOfUndeclaredModelsAreForgotten)
+{
+  static const char without_m[]
+      = "{\"services\":{\"chat\":{\"kind\":\"model\",\"models\":[\"m2\"],"
+        "\"timeout_ms\":15000}},\"models\":{\"m2\":{\"version\":\"1\","
+        "\"memory_mb\":100,\"kv_cache_mb\":10}}}";
+
+  r.add_backend ("e1", "", n);
+  r.call_chat (c, n, "hi", false);
+  r.submit_document (without_m);
+  r.submit_document (rig_document);
+  caller again;
+  r.call_chat (again, n, "hi", false);
+  ASSERT_EQ (2u, n.reported_demand_ms.size ());
+  EXPECT_EQ (1000u, n.reported_demand_ms[1])
+      << "the default, as for a model that has not run";
+}
+
 /* --- plain services and at-most-once calls --- */
 
 TEST_F (Entry, PlainServiceGetsThePathWithoutItsPrefix)
--- a/libplantainusher/entry/model_wait.c
+++ b/libplantainusher/entry/model_wait.c
@@ -202,6 +202,23 @@
   return w;
 }
 
+/* A GHRFunc: whether the document of the entry DATA does not declare MODEL and
+   no load request of WAIT is in flight.  */
+static gboolean
+is_stale (gpointer model, gpointer wait, gpointer data)
+{
+  const pu_entry_t *en = data;
+
+  return !((const model_wait_t *)wait)->in_flight
+         && pu_document_find_model (en->document, model) == PU_HANDLE_NONE;
+}
+
+void
+pu_model_waits_remove_stale (pu_entry_t *en)
+{
+  g_hash_table_foreach_remove (en->model_waits, is_stale, en);
+}
+
 void
 pu_model_wait_begin (pu_exchange_t *x)
 {
