placement: an order that can no longer be sent fails at once

Callers of a model in demand got no further copy for up to 20 s: an order whose reservation committed after its send deadline was never sent, but counted as in flight until the end of its life.

Cause: send_order returned at the deadline for good, and has_failed failed a reserved order at expires_at only. Besides, the shell dropped sends without telling the core or the log. Ruled out by reading: the dispatcher of engines that count their orders, which keeps no reservations.

Now such an order fails at its deadline, without a back-off and without counting against its model, and the shell reports what it did not send.

--- a/libplantainusher/placement/orders.c
+++ b/libplantainusher/placement/orders.c
@@ -325,6 +325,20 @@
   set_state (r, PU_ORDERS_RESERVED, now);
 }
 
+void
+pu_orders_handle_unsent (pu_orders_t *o, guint64 token, guint64 now)
+{
+  pu_orders_order_t *r = find_token (o, token);
+
+  if (r == NULL || r->state != PU_ORDERS_SENT || r->inherited)
+    return;
+  r->tries--;
+  if (r->tries > 0)
+    return;
+  r->ever_sent = false;
+  set_state (r, PU_ORDERS_RESERVED, now);
+}
+
 static void
 fail_order (pu_orders_t *o, pu_orders_order_t *r, guint64 now)
 {
@@ -672,10 +686,33 @@
     }
 }
 
+/* Whether the order R has not been sent and can no longer be.  */
+static bool
+is_unsendable (const pu_orders_order_t *r, guint64 now)
+{
+  return r->state == PU_ORDERS_RESERVED && !r->ever_sent
+         && now >= r->send_deadline;
+}
+
+/* Fails the order R, which was never sent.  It has no effect on its engine, so
+   it expires now, and its copy may be ordered again without a back-off.  */
+static void
+fail_unsent_order (pu_orders_order_t *r, guint64 now, GArray *actions)
+{
+  set_state (r, PU_ORDERS_FAILED, now);
+  r->expires_at = now;
+  add_action (actions, PU_ORDERS_ACTION_UNSENT, r);
+}
+
 static void
 advance_order (pu_orders_t *o, pu_orders_order_t *r, guint64 now,
                GArray *actions)
 {
+  if (is_unsendable (r, now))
+    {
+      fail_unsent_order (r, now, actions);
+      return;
+    }
   if (has_failed (o, r, now))
     {
       fail_order (o, r, now);
--- a/libplantainusher/placement/orders.h
+++ b/libplantainusher/placement/orders.h
@@ -49,6 +49,10 @@
  * applied up to the new term, and adopt the open orders of the replicated
  * state.
  *
+ * Unsent orders.  An order that has not been sent by send_deadline never will
+ * be.  It fails then and expires at once, and does not count as a failure of
+ * its copy.
+ *
  * Limits.  Proposals wait for the weights store's limits on loads per second
  * and on concurrent loads, and for the limit on orders in flight to one
  * engine.  Orders to an engine that checks tokens are sent by increasing
@@ -124,7 +128,10 @@
   PU_ORDERS_ACTION_RELEASE, /* propose RELEASE, as the lifetime is over */
   PU_ORDERS_ACTION_FENCE,   /* queue another order for the same copy,
                                whose later token fences this one off */
-  PU_ORDERS_ACTION_FAIL     /* the order failed; for information only */
+  PU_ORDERS_ACTION_FAIL,    /* the order failed; for information only */
+  PU_ORDERS_ACTION_UNSENT   /* the order failed because its reservation took
+                               until send_deadline, so that it was never sent;
+                               for information only */
 } pu_orders_action_kind_t;
 
 typedef struct
@@ -221,6 +228,11 @@
 void pu_orders_handle_reserved (pu_orders_t *o, guint32 id, bool accepted,
                                 guint64 token, guint64 now);
 
+/* pu_orders_handle_unsent - records that the order TOKEN was not sent although
+   the last PU_ORDERS_ACTION_SEND for it said so.  An order that has not been
+   sent before either counts as never sent.  */
+void pu_orders_handle_unsent (pu_orders_t *o, guint64 token, guint64 now);
+
 /* pu_orders_handle_answer - handles the engine's answer to the order TOKEN. An
    answer for an unknown order and a duplicate answer are ignored.  */
 void pu_orders_handle_answer (pu_orders_t *o, guint64 token,
--- a/libplantainusher/placement/placement.c
+++ b/libplantainusher/placement/placement.c
@@ -453,6 +453,15 @@
     }
 }
 
+void
+pu_placement_handle_unsent (pu_placement_t *pl, guint64 token, guint64 now)
+{
+  guint32 backend = backend_of (pl, 0, token);
+
+  pu_orders_handle_unsent (pl->orders, token, now);
+  refresh_engine (pl, backend, now);
+}
+
 void
 pu_placement_handle_answer (pu_placement_t *pl, guint64 token,
                             pu_orders_answer_t a, guint64 now)
--- a/libplantainusher/placement/placement.h
+++ b/libplantainusher/placement/placement.h
@@ -74,12 +74,15 @@
 void pu_placement_adopt (pu_placement_t *pl, const pu_ledger_order_t *open,
                          guint64 now);
 
-/* pu_placement_handle_reserved, pu_placement_handle_answer,
-   pu_placement_handle_closed - see pu_orders_handle_reserved,
-   pu_orders_handle_answer and pu_orders_handle_closed.  They also update the
-   planner's state of the engine that the order is for.  */
+/* pu_placement_handle_reserved, pu_placement_handle_unsent,
+   pu_placement_handle_answer, pu_placement_handle_closed - see
+   pu_orders_handle_reserved, pu_orders_handle_unsent, pu_orders_handle_answer
+   and pu_orders_handle_closed.  They also update the planner's state of the
+   engine that the order is for.  */
 void pu_placement_handle_reserved (pu_placement_t *pl, guint32 id,
                                    bool accepted, guint64 token, guint64 now);
+void pu_placement_handle_unsent (pu_placement_t *pl, guint64 token,
+                                 guint64 now);
 void pu_placement_handle_answer (pu_placement_t *pl, guint64 token,
                                  pu_orders_answer_t a, guint64 now);
 void pu_placement_handle_closed (pu_placement_t *pl, guint64 token,
@@ -87,7 +90,8 @@
 
 /* pu_placement_step - plans, and appends the actions that are due
    (pu_orders_action_t) to ACTIONS: propose RESERVE, send, propose RELEASE.
-   PU_ORDERS_ACTION_FAIL is only for the caller to log.  With PLAN false no new
+   PU_ORDERS_ACTION_FAIL and PU_ORDERS_ACTION_UNSENT are only for the caller to
+   log.  With PLAN false no new
    moves are planned and only existing orders advance, for calls between two
    rounds of planning.  */
 void pu_placement_step (pu_placement_t *pl, bool plan, guint64 now,
--- a/libplantainusher/placer/placer.c
+++ b/libplantainusher/placer/placer.c
@@ -214,27 +214,50 @@
                               pu_control_now (p->o.control));
 }
 
+static const char *
+order_verb (const pu_orders_order_t *r)
+{
+  return r->spec.kind == PU_LEDGER_LOAD ? "load" : "unload";
+}
+
+/* Returns why R must not be sent to the backend server B of the replicated
+   state, or NULL if it may be sent.  Reads the clock again: the tick that
+   decided to send R may have taken long.  */
+static const char *
+send_obstacle (const pu_placer_t *p, const pu_orders_order_t *r,
+               const pu_backend_record *b)
+{
+  if (b == NULL || b->down)
+    return "the backend server is down";
+  if (b->incarnation != r->spec.incarnation)
+    return "the backend server has restarted";
+  if (!pu_control_is_leader (p->o.control))
+    return "this voter does not lead";
+  if (pu_control_now (p->o.control) >= r->send_deadline)
+    return "it is too late to send it";
+  return NULL;
+}
+
 static void
 send_order (pu_placer_t *p, const pu_orders_order_t *r, guint64 now)
 {
   pu_order_record o = order_record_of (p, r);
   const pu_backend_record *b
       = pu_state_backend (pu_control_state (p->o.control), o.backend);
+  const char *obstacle = send_obstacle (p, r, b);
 
-  if (b == NULL || b->down || b->incarnation != o.incarnation)
-    return;
-  /* Read the clock again: NOW is the time at the start of the tick, and the
-     tick may have taken long.  */
-  if (!pu_control_is_leader (p->o.control)
-      || pu_control_now (p->o.control) >= r->send_deadline)
-    return;
-  count_event (p, p->counters.orders_sent);
-  if (!pu_order_sender_send (p->sender, b->address, &o, now))
+  if (obstacle == NULL
+      && !pu_order_sender_send (p->sender, b->address, &o, now))
+    obstacle = "the address of the backend server is invalid";
+  if (obstacle == NULL)
     {
-      pu_log_warn (PU_PLACER_PART,
-                   "Backend server %s has an invalid address: %s", b->name,
-                   b->address);
+      count_event (p, p->counters.orders_sent);
+      return;
     }
+  pu_log_warn (PU_PLACER_PART,
+               "Did not send the order to %s %s version %s on %s: %s.",
+               order_verb (r), o.model, o.model_version, o.backend, obstacle);
+  pu_placement_handle_unsent (p->sync->placement, r->token, now);
 }
 
 static void
@@ -246,12 +269,25 @@
   pu_placer_sync_add_failure (sync, r->spec.backend, r->spec.copy);
   pu_log_note (PU_PLACER_PART,
                "Abandoned the order to %s %s version %s on %s.",
-               r->spec.kind == PU_LEDGER_LOAD ? "load" : "unload",
-               pu_placer_sync_copy_model (sync, r->spec.copy),
+               order_verb (r), pu_placer_sync_copy_model (sync, r->spec.copy),
                pu_placer_sync_copy_version (sync, r->spec.copy),
                pu_names_name (&sync->backends, r->spec.backend));
 }
 
+static void
+report_unsent (const pu_placer_t *p, const pu_orders_order_t *r, guint64 now)
+{
+  const pu_placer_sync_t *sync = p->sync;
+
+  pu_log_note (
+      PU_PLACER_PART,
+      "Gave up the order to %s %s version %s on %s, which was never "
+      "sent: %" G_GUINT64_FORMAT " ms have passed since its proposal.",
+      order_verb (r), pu_placer_sync_copy_model (sync, r->spec.copy),
+      pu_placer_sync_copy_version (sync, r->spec.copy),
+      pu_names_name (&sync->backends, r->spec.backend), now - r->proposed_at);
+}
+
 static void
 execute_action (pu_placer_t *p, const pu_orders_action_t *a, guint64 now)
 {
@@ -269,6 +305,9 @@
     case PU_ORDERS_ACTION_FAIL:
       report_failure (p, &a->order);
       return;
+    case PU_ORDERS_ACTION_UNSENT:
+      report_unsent (p, &a->order, now);
+      return;
     case PU_ORDERS_ACTION_FENCE:
       return;
     }
