placer: an engine that refuses connections is down before its lease ends

Cause: what an entry knows of a crash went into the log as strikes alone; the leader waited for the lease, which a new leader begins anew. Ruled out: slow planning (the load is planned within a second once the engine is down), the store (idle).

Entries now tell the leader of refused connections, and the leader puts an engine down that refuses it too. An answer refutes older evidence, and no instance is believed alone. Orders without a connection fail at once, and no room is made where the leader is refused.

--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -160,6 +160,12 @@
 void pu_agent_want (pu_agent_t *a, const char *model, guint timeout_ms,
                     pu_agent_json_fn *fn, void *data);
 
+/* pu_agent_report_refusal - tells the leader that BACKEND in INCARNATION
+   refuses connections from this daemon.  */
+void pu_agent_report_refusal (pu_agent_t *a, const char *backend,
+                              uint64_t incarnation, guint timeout_ms,
+                              pu_agent_json_fn *fn, void *data);
+
 /* pu_agent_request_grant - asks the leader for the requests in Q to a backend
    server that limits them (control/grants.h): {"granted","next_ms","ended"}.
  */
--- a/libplantainusher/agent/query.c
+++ b/libplantainusher/agent/query.c
@@ -148,6 +148,21 @@
   g_free (incarnation);
 }
 
+void
+pu_agent_report_refusal (pu_agent_t *a, const char *backend,
+                         uint64_t incarnation, guint timeout_ms,
+                         pu_agent_json_fn *fn, void *data)
+{
+  char *number = g_strdup_printf ("%" G_GUINT64_FORMAT, incarnation);
+  pu_query x = { .kind = PU_QUERY_REFUSAL,
+                 .action = number,
+                 .name = (char *)backend,
+                 .other = (char *)a->self->name };
+
+  query_send (a, &x, timeout_ms, fn, data);
+  g_free (number);
+}
+
 void
 pu_agent_voters (pu_agent_t *a, const char *action, const char *name,
                  const char *other, guint timeout_ms, pu_agent_json_fn *fn,
--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -404,6 +404,13 @@
   c->copy_request_data = data;
 }
 
+void
+pu_control_on_refusal (pu_control_t *c, pu_control_refusal_fn *fn, void *data)
+{
+  c->refusal = fn;
+  c->refusal_data = data;
+}
+
 void
 pu_control_on_demand (pu_control_t *c, pu_control_demand_fn *fn, void *data)
 {
--- a/libplantainusher/control/control.h
+++ b/libplantainusher/control/control.h
@@ -180,6 +180,15 @@
 void pu_control_copy_request_answer (pu_control_copy_request_t *request,
                                      json_t *place);
 
+/* pu_control_on_refusal - sets FN, which is called on the leader when the
+   daemon INSTANCE reports that backend server NAME in INCARNATION refuses its
+   connections.  */
+typedef void pu_control_refusal_fn (void *data, const char *name,
+                                    uint64_t incarnation,
+                                    const char *instance);
+void pu_control_on_refusal (pu_control_t *c, pu_control_refusal_fn *fn,
+                            void *data);
+
 /* pu_control_backend_silent_ms - on the leader, returns the time since backend
    server NAME was last heard of; G_MAXUINT64 when it is unknown.  */
 uint64_t pu_control_backend_silent_ms (pu_control_t *c, const char *name);
--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -211,8 +211,10 @@
   PU_QUERY_VOTERS = 2,        /* to the leader: changes the voters */
   PU_QUERY_WANT = 3,          /* to the leader: asks for a ready copy of
                                  model NAME */
-  PU_QUERY_GRANT = 4          /* to the leader: asks for requests to backend
+  PU_QUERY_GRANT = 4,         /* to the leader: asks for requests to backend
                                  server NAME, which limits them */
+  PU_QUERY_REFUSAL = 5        /* to the leader: backend server NAME refuses
+                                 connections from the daemon OTHER */
 };
 
 struct pu_query
@@ -221,10 +223,12 @@
   bool forwarded;
   unsigned int timeout_ms;
   pu_name action;             /* PU_QUERY_VOTERS: add, remove, replace;
-                                 PU_QUERY_GRANT: the incarnation */
+                                 PU_QUERY_GRANT, PU_QUERY_REFUSAL: the
+                                 incarnation */
   pu_name name;
   pu_name other;              /* PU_QUERY_VOTERS: the replacement;
-                                 PU_QUERY_GRANT: pu_grant_terms_write */
+                                 PU_QUERY_GRANT: pu_grant_terms_write;
+                                 PU_QUERY_REFUSAL: the daemon */
 };
 
 struct pu_query_reply
--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -38,6 +38,8 @@
   void *demand_data;
   pu_control_copy_request_fn *copy_request;
   void *copy_request_data;
+  pu_control_refusal_fn *refusal;
+  void *refusal_data;
   pu_grants_t *grants; /* used while this voter is the leader */
 
   /* polls.c */
--- a/libplantainusher/control/query.c
+++ b/libplantainusher/control/query.c
@@ -91,14 +91,20 @@
     }
 }
 
+static bool
+read_incarnation (const pu_query *q, uint64_t *incarnation)
+{
+  return g_ascii_string_to_unsigned (q->action, 10, 0, G_MAXUINT64,
+                                     incarnation, NULL);
+}
+
 static void
 grant_answer (pu_control_t *c, pu_rpc_call_t *call, const pu_query *q)
 {
   pu_grant_request_t request = { .server = q->name };
   pu_grant_t grant;
 
-  if (!g_ascii_string_to_unsigned (q->action, 10, 0, G_MAXUINT64,
-                                   &request.incarnation, NULL)
+  if (!read_incarnation (q, &request.incarnation)
       || !pu_grant_terms_read (&request, q->other))
     {
       query_fail (c, call, PU_ERROR_INVALID,
@@ -111,6 +117,21 @@
                                  (int)grant.next_ms, "ended", grant.ended));
 }
 
+static void
+note_refusal (pu_control_t *c, pu_rpc_call_t *call, const pu_query *q)
+{
+  uint64_t incarnation;
+
+  if (!read_incarnation (q, &incarnation))
+    {
+      query_fail (c, call, PU_ERROR_INVALID, "The incarnation can't be read.");
+      return;
+    }
+  if (c->refusal != NULL)
+    c->refusal (c->refusal_data, q->name, incarnation, q->other);
+  query_answer (call, json_object ());
+}
+
 static void
 execute_query (pu_control_t *c, pu_rpc_call_t *call, const pu_query *q)
 {
@@ -142,6 +163,9 @@
     case PU_QUERY_GRANT:
       grant_answer (c, call, q);
       return;
+    case PU_QUERY_REFUSAL:
+      note_refusal (c, call, q);
+      return;
     }
   pu_rpc_call_garbage (call);
 }
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -670,11 +670,20 @@
     }
 }
 
+/* Handles an attempt without a connection.  REFUSED: its peer refused it.  */
 static void
-connect_failed (pu_exchange_t *x)
+connect_failed (pu_exchange_t *x, bool refused)
 {
-  if (x->at.server != NULL && pu_entry_uses_builtin_frontend (x->en))
-    pu_server_probe (x->at.server);
+  pu_server_t *s = x->at.server;
+
+  if (s != NULL && pu_entry_uses_builtin_frontend (x->en))
+    {
+      pu_server_probe (s);
+    }
+  else if (s != NULL && refused)
+    {
+      pu_server_refused (s);
+    }
   pu_exchange_retry (x, PU_ROUTER_FAIL_CONNECT);
 }
 
@@ -699,7 +708,7 @@
       break;
     case PU_HTTP_END_CONNECT_FAILED:
     case PU_HTTP_END_CONNECT_TIMEOUT:
-      connect_failed (x);
+      connect_failed (x, result->refused);
       break;
     case PU_HTTP_END_FIRST_BYTE_TIMEOUT:
     case PU_HTTP_END_PROGRESS_TIMEOUT:
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -94,6 +94,11 @@
   void (*request_grant) (void *data, const pu_grant_request_t *q,
                          guint timeout_ms, pu_entry_json_fn *fn,
                          void *fn_data);
+  /* Tells the leader that a backend server refuses connections, as
+     pu_agent_report_refusal; may be NULL.  */
+  void (*report_refusal) (void *data, const char *backend, guint64 incarnation,
+                          guint timeout_ms, pu_entry_json_fn *fn,
+                          void *fn_data);
   /* Sends N load reports to the daemon with the peer address ADDRESS.  The
      reports are valid until the next ones arrive, and for LIFE_MS at most.
      May be NULL.  */
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -97,6 +97,9 @@
   guint64 grants_until;     /* loop time until which `grants` is valid */
   guint64 next_grant_at;    /* loop time when to ask for the next grant */
   bool grant_requested;     /* a grant request has no reply yet */
+  bool refusal_reporting;   /* a report of a refused connection has no reply
+                               yet */
+  guint64 refusal_report_at; /* loop time of the next such report */
   guint64 local_down_until; /* loop time until which this entry takes the
                                server for dead, even if the view lists it as
                                up; 0: not found dead */
@@ -467,6 +470,10 @@
    there shortly before, gets a strike.  */
 void pu_server_check_crash (pu_server_t *s);
 
+/* pu_server_refused - tells the leader that S, an engine, refuses connections
+   from this instance, unless it has just been told.  */
+void pu_server_refused (pu_server_t *s);
+
 /* pu_server_mark_present - treats S as having a ready copy of MODEL until loop
    time UNTIL, even if the reports of S list none.  */
 void pu_server_mark_present (pu_server_t *s, const char *model, guint64 until);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -14,6 +14,9 @@
      if the replicated state says that it is up.  After this time the
      replicated state must have it as down.  */
   LOCAL_DOWN_MS = 5000,
+  /* Interval of reports to the leader while a backend server refuses
+     connections: a new leader knows of none.  */
+  REFUSAL_REPORT_INTERVAL_MS = 500,
 };
 
 /* An override: whether a backend server has a ready copy of a model, for the
@@ -241,6 +244,7 @@
   s->grants = 0;
   s->local_down_until = 0;
   s->failed_probes = 0;
+  s->refusal_report_at = 0;
 }
 
 /* Returns the name of the state that S has at this entry, for the log.  */
@@ -591,14 +595,49 @@
 
 static void probe_start (pu_server_t *s);
 
+static void
+on_refusal_reported (void *data, json_t *reply, const pu_error_t *e)
+{
+  pu_server_t *s = data;
+  pu_entry_t *en = s->en;
+
+  en->pending--;
+  s->refusal_reporting = false;
+  if (reply == NULL)
+    {
+      pu_log_debug (PU_ENTRY_LOG_SLICE,
+                    "The leader was not told that backend server %s refuses "
+                    "connections: %s",
+                    s->name, e != NULL ? e->message : "no reply.");
+    }
+  pu_entry_check_stopped (en);
+}
+
+void
+pu_server_refused (pu_server_t *s)
+{
+  pu_entry_t *en = s->en;
+  guint64 now = uv_now (en->o.loop);
+
+  if (en->o.hooks.report_refusal == NULL || s->plain || s->down
+      || s->refusal_reporting || now < s->refusal_report_at)
+    return;
+  s->refusal_reporting = true;
+  s->refusal_report_at = now + REFUSAL_REPORT_INTERVAL_MS;
+  en->pending++;
+  en->o.hooks.report_refusal (en->o.hooks.data, s->name, s->incarnation,
+                              REFUSAL_REPORT_INTERVAL_MS, on_refusal_reported,
+                              s);
+}
+
 /* Handles the result of a connection to S after an attempt on S broke.  S has
    crashed if it refuses connections and none of its connections is left.  With
    a frontend given in the options, a broken attempt alone is no sign of that:
    such backend servers reset connections for other reasons too.  */
 static void
-crash_check_end (pu_server_t *s, pu_http_end_t kind)
+crash_check_end (pu_server_t *s, const pu_http_result_t *result)
 {
-  if (kind == PU_HTTP_END_CONNECT_FAILED
+  if (result->kind == PU_HTTP_END_CONNECT_FAILED
       && !pu_suspects_has_open (s->en->suspects, s->number, s->incarnation))
     {
       pu_log_note (PU_ENTRY_LOG_SLICE,
@@ -606,6 +645,8 @@
                    "connections: it has crashed.",
                    s->name);
       incarnation_propose_strikes (s, s->incarnation);
+      if (result->refused)
+        pu_server_refused (s);
     }
   else if (s->probe_again)
     {
@@ -624,7 +665,7 @@
   s->probe = NULL;
   if (!pu_entry_uses_builtin_frontend (s->en))
     {
-      crash_check_end (s, result->kind);
+      crash_check_end (s, result);
       return;
     }
   /* A dying process may still accept a connection and close it, so S counts as
--- a/libplantainusher/http/client.c
+++ b/libplantainusher/http/client.c
@@ -417,6 +417,7 @@
     .written = call->written,
     .reused = conn->reused,
     .head = pu_http_reader_has_head (call->reader),
+    .refused = conn->refused,
   };
 
   bool keep = can_keep (call, kind);
--- a/libplantainusher/http/client.h
+++ b/libplantainusher/http/client.h
@@ -58,6 +58,7 @@
   bool written; /* a byte of the request may have reached the peer */
   bool reused;  /* the connection had carried an exchange before */
   bool head;    /* on_head was called */
+  bool refused; /* PU_HTTP_END_CONNECT_FAILED: nothing listens there */
 } pu_http_result_t;
 
 typedef struct
--- a/libplantainusher/http/client_private.h
+++ b/libplantainusher/http/client_private.h
@@ -36,6 +36,7 @@
   bool reused;
   bool writing;
   bool received; /* a byte of the answer */
+  bool refused;  /* nothing listens at the address */
   bool failed;   /* connecting failed at once: reported by the timer */
   bool reset;    /* as the call wants it */
   bool paused;
--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -291,6 +291,7 @@
     return;
   if (status < 0)
     {
+      conn->refused = status == UV_ECONNREFUSED;
       pu_call_end (conn->call, PU_HTTP_END_CONNECT_FAILED);
       return;
     }
--- a/libplantainusher/placement/dispatcher.c
+++ b/libplantainusher/placement/dispatcher.c
@@ -412,6 +412,15 @@
       order_fail (d, engine);
       e->fetch_at = now;
       return;
+    case PU_DISPATCHER_UNDELIVERED:
+      if (!e->outcome_unknown)
+        {
+          order_fail (d, engine);
+          e->fetch_at = MIN (e->fetch_at, now);
+          return;
+        }
+      /* An earlier send may have arrived.  */
+      G_GNUC_FALLTHROUGH;
     case PU_DISPATCHER_NO_ANSWER:
       e->outcome_unknown = true;
       e->send_after = now + d->options.retry_backoff_ms;
@@ -564,6 +573,15 @@
     e->fetch_at = now + d->options.busy_poll_interval_ms;
 }
 
+void
+pu_dispatcher_request_report (pu_dispatcher_t *d, guint32 engine, guint64 now)
+{
+  pu_dispatcher_engine_t *e = pu_dispatcher_engine_at (d, engine);
+
+  if (e != NULL)
+    e->fetch_at = MIN (e->fetch_at, now);
+}
+
 void
 pu_dispatcher_mark_loaded (pu_dispatcher_t *d, guint32 engine, guint32 item,
                            guint64 now)
--- a/libplantainusher/placement/dispatcher.h
+++ b/libplantainusher/placement/dispatcher.h
@@ -120,7 +120,8 @@
   PU_DISPATCHER_FENCED,      /* a later leader has sent orders to the engine */
   PU_DISPATCHER_REFUSED,     /* the engine can't execute the order */
   PU_DISPATCHER_MISDIRECTED, /* another engine answered at this address */
-  PU_DISPATCHER_NO_ANSWER    /* no answer: the outcome is unknown */
+  PU_DISPATCHER_NO_ANSWER,   /* no answer: the outcome is unknown */
+  PU_DISPATCHER_UNDELIVERED  /* no connection: the engine did not get it */
 } pu_dispatcher_answer_t;
 
 /* pu_dispatcher_handle_answer - handles A, the answer of ENGINE to the order
@@ -146,6 +147,10 @@
                                   const pu_dispatcher_report_t *r,
                                   guint64 requested_at, guint64 now);
 
+/* pu_dispatcher_request_report - makes the report of ENGINE due now.  */
+void pu_dispatcher_request_report (pu_dispatcher_t *d, guint32 engine,
+                                   guint64 now);
+
 /* pu_dispatcher_mark_loaded - records that ENGINE holds ITEM, as known from
    another source than a fetched report, and ends the load of ITEM.  */
 void pu_dispatcher_mark_loaded (pu_dispatcher_t *d, guint32 engine,
--- a/libplantainusher/placement/dispatcher_test.cc
+++ b/libplantainusher/placement/dispatcher_test.cc
@@ -200,6 +200,37 @@
   EXPECT_EQ (a[0].expected, 7U);
 }
 
+/* Guards against orders that wait for seconds at an engine that has crashed,
+   although no connection to it opens.  */
+TEST (Dispatcher, OrderThatWasNotDeliveredFailsAtOnce)
+{
+  Dispatcher k (1);
+
+  k.Add (0);
+  k.DeliverReport ({ 7, false, {} }, 0, 10);
+  k.Enqueue (PU_DISPATCHER_LOAD, 1, 20);
+  k.Step (20);
+  pu_dispatcher_handle_answer (k.d, kEngine, PU_DISPATCHER_UNDELIVERED, 21);
+  EXPECT_EQ (PU_DISPATCHER_ABSENT, pu_dispatcher_phase (k.d, kEngine, 1));
+  auto a = k.Step (22);
+  ASSERT_FALSE (a.empty ());
+  EXPECT_EQ (a.back ().kind, PU_DISPATCHER_ACTION_FAILED);
+}
+
+TEST (Dispatcher, OrderThatMayHaveArrivedBeforeIsNotGivenUp)
+{
+  Dispatcher k (1);
+
+  k.Add (0);
+  k.DeliverReport ({ 7, false, {} }, 0, 10);
+  k.Enqueue (PU_DISPATCHER_LOAD, 1, 20);
+  k.Step (20);
+  pu_dispatcher_handle_answer (k.d, kEngine, PU_DISPATCHER_NO_ANSWER, 320);
+  k.Step (600);
+  pu_dispatcher_handle_answer (k.d, kEngine, PU_DISPATCHER_UNDELIVERED, 601);
+  EXPECT_EQ (PU_DISPATCHER_QUEUED, pu_dispatcher_phase (k.d, kEngine, 1));
+}
+
 /* A dispatcher with N engines that have all reported at time 0.  */
 pu_dispatcher_t *
 DispatcherWithEngines (guint32 n)
--- /dev/null
+++ b/libplantainusher/placement/outages_test.cc
@@ -0,0 +1,72 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "placement/outages.h"
+}
+
+namespace
+{
+
+constexpr guint32 kEngine = 3;
+constexpr guint64 kEvidenceMs = 2000;
+
+struct Outages : ::testing::Test
+{
+  pu_outages_t *o = pu_outages_new (kEvidenceMs);
+  guint64 now = 1000;
+
+  ~Outages () override { pu_outages_free (o); }
+};
+
+TEST_F (Outages, EngineThatRefusesTheLeaderAndAnotherInstanceIsOut)
+{
+  pu_outages_add_report (o, kEngine, now);
+  pu_outages_add_refusal (o, kEngine, now + 1);
+  EXPECT_TRUE (pu_outages_confirm (o, kEngine, now + 1));
+  EXPECT_FALSE (pu_outages_confirm (o, kEngine, now + 1)) << "told already";
+}
+
+/* Guards against an instance that is itself the fault: everything refuses its
+   connections.  */
+TEST_F (Outages, NoInstanceIsBelievedAlone)
+{
+  pu_outages_add_report (o, kEngine, now);
+  EXPECT_FALSE (pu_outages_confirm (o, kEngine, now));
+  pu_outages_add_refusal (o, kEngine + 1, now);
+  EXPECT_FALSE (pu_outages_confirm (o, kEngine + 1, now));
+}
+
+TEST_F (Outages, AnswerRefutesWhatWasSeenBefore)
+{
+  pu_outages_add_report (o, kEngine, now);
+  pu_outages_add_answer (o, kEngine, now + 1);
+  pu_outages_add_refusal (o, kEngine, now + 2);
+  EXPECT_FALSE (pu_outages_confirm (o, kEngine, now + 2));
+}
+
+TEST_F (Outages, AnswerFromBeforeTheCrashRefutesNothing)
+{
+  pu_outages_add_report (o, kEngine, now);
+  pu_outages_add_answer (o, kEngine, now - 1);
+  pu_outages_add_refusal (o, kEngine, now + 2);
+  EXPECT_TRUE (pu_outages_confirm (o, kEngine, now + 2));
+}
+
+TEST_F (Outages, LeadersOwnRefusalStopsItsOrdersUntilAnAnswer)
+{
+  EXPECT_FALSE (pu_outages_refuses (o, kEngine, now));
+  pu_outages_add_refusal (o, kEngine, now);
+  EXPECT_TRUE (pu_outages_refuses (o, kEngine, now + 1));
+  pu_outages_add_answer (o, kEngine, now + 1);
+  EXPECT_FALSE (pu_outages_refuses (o, kEngine, now + 2));
+}
+
+TEST_F (Outages, OldEvidenceDoesNotCount)
+{
+  pu_outages_add_report (o, kEngine, now);
+  pu_outages_add_refusal (o, kEngine, now + kEvidenceMs);
+  EXPECT_FALSE (pu_outages_confirm (o, kEngine, now + kEvidenceMs));
+}
+
+} // namespace
--- a/libplantainusher/placement/planner.h
+++ b/libplantainusher/placement/planner.h
@@ -84,9 +84,11 @@
      for them, plus the memory of requested loads that have no reservation
      yet.  */
   guint32 committed_mb;
-  double streams;       /* requests that the engine can run at once at full
-                           speed */
-  bool usable;          /* the engine is up and not draining */
+  double streams;   /* requests that the engine can run at once at full
+                       speed */
+  bool usable;      /* the engine is up and not draining */
+  bool unreachable; /* no order reaches it: room that is being made there is
+                       made elsewhere; set loads_suspended too */
   bool loads_suspended; /* the engine accepts no loads now */
   const pu_plan_copy_t *copies;
   guint n_copies;
--- a/libplantainusher/placement/planner_tables.c
+++ b/libplantainusher/placement/planner_tables.c
@@ -241,13 +241,14 @@
 }
 
 /* Clears the deferred load of E when E reports the copy, or when E is not
-   usable.  */
+   usable or UNREACHABLE.  */
 static void
-clear_obsolete_deferred (pu_planned_engine_t *e)
+clear_obsolete_deferred (pu_planned_engine_t *e, bool unreachable)
 {
   if (!e->deferred)
     return;
-  if (!e->usable || find_copy (e->copies, &e->deferred_load.c) != NULL)
+  if (!e->usable || unreachable
+      || find_copy (e->copies, &e->deferred_load.c) != NULL)
     e->deferred = false;
 }
 
@@ -284,7 +285,7 @@
   e->memory_mb = from->memory_mb;
   e->committed_mb = from->committed_mb;
   e->streams = fmax (from->streams, MIN_STREAMS);
-  clear_obsolete_deferred (e);
+  clear_obsolete_deferred (e, from->unreachable);
   reset_failures (p, e, now);
   if (more_memory)
     pu_planner_note_capacity (p);
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -15,6 +15,9 @@
   /* Interval between two fetches of the report of an engine.  Entry instances
      learn of the requests of each other only from these reports.  */
   REPORT_INTERVAL_MS = 400,
+  /* How long a refused connection counts as evidence of a crash: a few reports
+     of entries and a few fetches.  */
+  OUTAGE_EVIDENCE_MS = 2000,
 };
 
 /* Capacity of an engine in the unit of demand.  The planner measures demand in
@@ -352,8 +355,10 @@
   p.zone = pu_names_intern (&l->zone_names, e->zone);
   p.memory_mb = c->memory_mb - MIN (c->memory_mb, adapter_reserve_mb (l, c));
   p.usable = e->usable && pu_dispatcher_accepts_orders (l->dispatcher, handle);
+  p.unreachable
+      = pu_outages_refuses (l->outages, handle, pu_sequenced_now (s));
   p.loads_suspended
-      = !p.usable || !pu_sequenced_may_order (s, handle)
+      = !p.usable || p.unreachable || !pu_sequenced_may_order (s, handle)
         || pu_dispatcher_has_unknown_order (l->dispatcher, handle);
   pu_dispatcher_set_capacity (l->dispatcher, handle, p.memory_mb);
   pu_dispatcher_set_adapter_slots (l->dispatcher, handle, c->adapter_places);
@@ -570,6 +575,7 @@
   if (l == NULL)
     return;
   pu_adapters_free (l->adapters);
+  pu_outages_free (l->outages);
   pu_dispatcher_free (l->dispatcher);
   pu_planner_free (l->planner);
   pu_names_clear (&l->item_names);
@@ -594,6 +600,7 @@
   l->planner = pu_planner_new (&planner);
   l->dispatcher = pu_dispatcher_new (&o);
   l->adapters = pu_adapters_new (l->dispatcher);
+  l->outages = pu_outages_new (OUTAGE_EVIDENCE_MS);
   pu_names_init (&l->item_names);
   pu_names_init (&l->engine_names);
   pu_names_init (&l->zone_names);
@@ -696,6 +703,7 @@
   pu_control_add_leader_task (o->control, &task);
   pu_control_on_demand (o->control, on_demand, s);
   pu_control_on_copy_request (o->control, pu_sequenced_on_copy_request, s);
+  pu_control_on_refusal (o->control, pu_sequenced_on_refusal, s);
   return s;
 }
 
--- a/libplantainusher/placer/sequenced_calls.c
+++ b/libplantainusher/placer/sequenced_calls.c
@@ -81,6 +81,13 @@
   return current;
 }
 
+/* Returns what the end RESULT of an order without an answer tells.  */
+static pu_dispatcher_answer_t
+no_answer_kind (const pu_http_result_t *result)
+{
+  return result->refused ? PU_DISPATCHER_UNDELIVERED : PU_DISPATCHER_NO_ANSWER;
+}
+
 static void
 on_order_answer (void *data, const pu_http_fetched_t *f)
 {
@@ -89,10 +96,11 @@
       = f->result.kind == PU_HTTP_END_COMPLETE && f->response != NULL;
   pu_dispatcher_answer_t answer
       = complete ? a.owner->options.wire->order_answer (f->response->status)
-                 : PU_DISPATCHER_NO_ANSWER;
+                 : no_answer_kind (&f->result);
 
   if (!call_end (data, complete))
     return;
+  pu_sequenced_note_call (a.owner, a.engine, &f->result, a.started_ms);
   if (answer == PU_DISPATCHER_NO_ANSWER)
     count (a.owner, a.owner->answers_lost);
   if (answer != PU_DISPATCHER_ACCEPTED && answer != PU_DISPATCHER_COMPLETED)
@@ -311,6 +319,7 @@
 
   if (!call_end (data, complete))
     return;
+  pu_sequenced_note_call (s, a.engine, &f->result, a.started_ms);
   busy = pu_dispatcher_is_busy (s->leader->dispatcher, a.engine);
   findings = pu_findings_new ();
   init_wire_report (&r);
--- a/libplantainusher/placer/sequenced_private.h
+++ b/libplantainusher/placer/sequenced_private.h
@@ -5,6 +5,7 @@
 #include "http/client.h"
 #include "placement/adapters.h"
 #include "placement/order_turns.h"
+#include "placement/outages.h"
 #include "placement/planner.h"
 #include "placer/names.h"
 #include "placer/sequenced.h"
@@ -13,7 +14,8 @@
 
 /* The files of this module: planning and the steps of the dispatcher
    (sequenced.c), HTTP calls to engines (sequenced_calls.c), copy requests of
-   daemons (sequenced_copy_requests.c).  */
+   daemons (sequenced_copy_requests.c), engines that have crashed
+   (sequenced_outages.c).  */
 
 /* An engine; its handle is the index into leader_state_t.engines.  */
 typedef struct
@@ -36,6 +38,7 @@
   pu_planner_t *planner;
   pu_dispatcher_t *dispatcher;
   pu_adapters_t *adapters;
+  pu_outages_t *outages;
   pu_names_t item_names;
   pu_names_t engine_names;
   pu_names_t zone_names;
@@ -121,6 +124,17 @@
    not called.  */
 void pu_sequenced_cancel_calls (pu_sequenced_t *s);
 
+/* --- sequenced_outages.c --- */
+
+/* pu_sequenced_on_refusal - a pu_control_refusal_fn.  */
+void pu_sequenced_on_refusal (void *data, const char *name,
+                              uint64_t incarnation, const char *instance);
+
+/* pu_sequenced_note_call - takes the end RESULT of a call to ENGINE that was
+   started at STARTED as evidence for or against an outage of ENGINE.  */
+void pu_sequenced_note_call (pu_sequenced_t *s, guint32 engine,
+                             const pu_http_result_t *result, guint64 started);
+
 /* --- sequenced_copy_requests.c --- */
 
 /* pu_sequenced_on_copy_request - a pu_control_copy_request_fn.  */
