entry: the log names requests that are isolated, convicted and refused

An operator could not tell from the logs whether an innocent request was refused: a refusal 'convicted' named no fingerprint, and no line said that a request became isolated, convicted or cleared.

Each change of standing is logged with the fingerprint and its strikes, and a convicted request's refusal names its fingerprint. The new case of crashing_request_process_test reads both from the logs.

--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -270,7 +270,7 @@
   en->other_addresses_version = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
-  en->suspect_fingerprints
+  en->suspect_standings
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   en->strikes = g_ptr_array_new_with_free_func (pu_strike_free);
   en->acquittals
@@ -350,7 +350,7 @@
   g_hash_table_destroy (en->reporters);
   g_ptr_array_free (en->strikes, TRUE);
   g_hash_table_destroy (en->acquittals);
-  g_hash_table_destroy (en->suspect_fingerprints);
+  g_hash_table_destroy (en->suspect_standings);
   g_hash_table_destroy (en->rates);
   g_hash_table_destroy (en->mean_run_ms);
   g_hash_table_destroy (en->counts);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -201,6 +201,7 @@
   static const pu_refusal_t convicted
       = { STATUS_UNPROCESSABLE, "convicted", PU_RUN_OUTCOME_NOT_RUN, 0 };
 
+  pu_trace_convicted (x);
   pu_exchange_fail (x, &convicted,
                     "This request has crashed backend servers. An operator "
                     "can lift the conviction.");
--- a/libplantainusher/entry/trace.c
+++ b/libplantainusher/entry/trace.c
@@ -148,6 +148,18 @@
       PU_LOG_NUMBER ("left_ms", time_left_ms (x)));
 }
 
+void
+pu_trace_convicted (const pu_exchange_t *x)
+{
+  char hex[sizeof "0123456789abcdef"];
+
+  g_snprintf (hex, sizeof hex, "%016" G_GINT64_MODIFIER "x", x->q.fingerprint);
+  pu_log_event (PU_ENTRY_LOG_SLICE, "Refuses a convicted request.",
+                PU_LOG_TEXT ("request", x->q.id),
+                PU_LOG_TEXT ("fingerprint", hex),
+                PU_LOG_TEXT ("model", x->q.model));
+}
+
 void
 pu_trace_request_failed (const pu_exchange_t *x, const pu_refusal_t *r,
                          const char *message)
--- a/libplantainusher/entry/trace.h
+++ b/libplantainusher/entry/trace.h
@@ -29,6 +29,10 @@
 void pu_trace_attempt_failed (const pu_exchange_t *x,
                               pu_router_failure_t failure);
 
+/* pu_trace_convicted - X is refused, as requests of its content have crashed
+   backend servers.  */
+void pu_trace_convicted (const pu_exchange_t *x);
+
 /* pu_trace_request_failed - X is answered with the refusal or failure R.  */
 void pu_trace_request_failed (const pu_exchange_t *x, const pu_refusal_t *r,
                               const char *message);
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -1,5 +1,7 @@
 #include "entry/entry_private.h"
 
+#include "base/log.h"
+
 #include "base/breaks.h"
 
 #include <string.h>
@@ -41,22 +43,66 @@
   g_array_free (members.found, TRUE);
 }
 
+/* How a request that ran where a backend server crashed is treated.  */
+typedef enum
+{
+  STANDING_CLEARED, /* as any other */
+  STANDING_SUSPECTED,
+  STANDING_ISOLATED, /* runs on a backend server of its own */
+  STANDING_CONVICTED /* is refused */
+} standing_t;
+
 typedef struct
 {
   pu_entry_t *en;
-  GHashTable *suspect_fingerprints; /* set of &fingerprint */
+  GHashTable *standings; /* &fingerprint -> standing_t */
 } suspects_sync_t;
 
+static standing_t
+standing_of (const pu_entry_t *en, const pu_suspect_record *s)
+{
+  if (s->convicted)
+    return STANDING_CONVICTED;
+  return s->strikes >= en->o.isolate_strikes ? STANDING_ISOLATED
+                                             : STANDING_SUSPECTED;
+}
+
+static void
+standing_log (guint64 fingerprint, standing_t before, standing_t now,
+              guint strikes)
+{
+  static const char *const names[] = {
+    [STANDING_CLEARED] = "cleared",
+    [STANDING_SUSPECTED] = "suspected",
+    [STANDING_ISOLATED] = "isolated",
+    [STANDING_CONVICTED] = "convicted",
+  };
+  char hex[sizeof "0123456789abcdef"];
+
+  if (before == now)
+    return;
+  g_snprintf (hex, sizeof hex, "%016" G_GINT64_MODIFIER "x", fingerprint);
+  pu_log_event (
+      PU_ENTRY_LOG_SLICE, "A request changed its standing.",
+      PU_LOG_TEXT ("fingerprint", hex), PU_LOG_TEXT ("before", names[before]),
+      PU_LOG_TEXT ("now", names[now]), PU_LOG_NUMBER ("strikes", strikes));
+}
+
 static void
 suspect_apply (const pu_suspect_record *s, void *data)
 {
   suspects_sync_t *all = data;
+  pu_entry_t *en = all->en;
   guint64 fingerprint = s->fingerprint;
+  standing_t before = (standing_t)GPOINTER_TO_INT (
+      g_hash_table_lookup (en->suspect_standings, &fingerprint));
+  standing_t now = standing_of (en, s);
 
-  pu_suspects_put (all->en->suspects, s->fingerprint, s->strikes,
-                   s->convicted);
-  g_hash_table_add (all->suspect_fingerprints,
-                    g_memdup2 (&fingerprint, sizeof fingerprint));
+  pu_suspects_put (en->suspects, s->fingerprint, s->strikes, s->convicted);
+  standing_log (fingerprint, before, now, s->strikes);
+  g_hash_table_insert (all->standings,
+                       g_memdup2 (&fingerprint, sizeof fingerprint),
+                       GINT_TO_POINTER (now));
 }
 
 /* Applies the suspects of the view.  A suspect that the view no longer
@@ -69,17 +115,23 @@
       = { en,
           g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL) };
   GHashTableIter it;
-  gpointer fingerprint;
+  gpointer key;
+  gpointer before;
 
   pu_state_each_suspect (view, suspect_apply, &all);
-  g_hash_table_iter_init (&it, en->suspect_fingerprints);
-  while (g_hash_table_iter_next (&it, &fingerprint, NULL))
+  g_hash_table_iter_init (&it, en->suspect_standings);
+  while (g_hash_table_iter_next (&it, &key, &before))
     {
-      if (!g_hash_table_contains (all.suspect_fingerprints, fingerprint))
-        pu_suspects_remove (en->suspects, *(const guint64 *)fingerprint);
+      guint64 fingerprint = *(const guint64 *)key;
+
+      if (g_hash_table_contains (all.standings, key))
+        continue;
+      pu_suspects_remove (en->suspects, fingerprint);
+      standing_log (fingerprint, (standing_t)GPOINTER_TO_INT (before),
+                    STANDING_CLEARED, 0);
     }
-  g_hash_table_destroy (en->suspect_fingerprints);
-  en->suspect_fingerprints = all.suspect_fingerprints;
+  g_hash_table_destroy (en->suspect_standings);
+  en->suspect_standings = all.standings;
 }
 
 void
--- a/tests/crashing_request_process_test.py
+++ b/tests/crashing_request_process_test.py
@@ -3,6 +3,7 @@
 three crashes, and nothing else is.  tests/cluster.py says how to run this
 file."""
 import http.client
+import json
 import threading
 import time
 
@@ -144,6 +145,20 @@
             self.assertEqual([a for a in later
                               if a is None or a.status != 200], [])
 
+    def test_log_names_the_content_that_is_isolated_and_refused(self):
+        self.resend(RESENDS // 2)
+        lines = [json.loads(line) for one in self.some
+                 for line in one.log.read_text(errors="replace").splitlines()
+                 if '"fingerprint"' in line]
+        standings = [(x["fingerprint"], x["now"]) for x in lines
+                     if x["message"] == "A request changed its standing."]
+        refused = {x["fingerprint"] for x in lines
+                   if x["message"] == "Refuses a convicted request."}
+        self.assertEqual(len(refused), 1, refused)
+        content = refused.pop()
+        for now in "isolated", "convicted":
+            self.assertIn((content, now), standings)
+
     def test_conviction_outlives_the_restart_of_all_instances(self):
         self.resend(len(self.some))
         before = self.crashes()
