--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -92,17 +92,17 @@
                              this entry */
   double limit_per_s;     /* requests per second that it takes from all entries
                              together; 0: not limited */
-  guint64 limit_stated_at;  /* loop time when it last stated limit_per_s */
-  guint grants;             /* requests that the leader has granted */
-  guint64 grants_until;     /* loop time until which `grants` is valid */
-  guint64 next_grant_at;    /* loop time when to ask for the next grant */
-  bool grant_requested;     /* a grant request has no reply yet */
-  bool refusal_reporting;   /* a report of a refused connection has no reply
-                               yet */
+  guint64 limit_stated_at;   /* loop time when it last stated limit_per_s */
+  guint grants;              /* requests that the leader has granted */
+  guint64 grants_until;      /* loop time until which `grants` is valid */
+  guint64 next_grant_at;     /* loop time when to ask for the next grant */
+  bool grant_requested;      /* a grant request has no reply yet */
+  bool refusal_reporting;    /* a report of a refused connection has no reply
+                                yet */
   guint64 refusal_report_at; /* loop time of the next such report */
-  guint64 local_down_until; /* loop time until which this entry takes the
-                               server for dead, even if the view lists it as
-                               up; 0: not found dead */
+  guint64 local_down_until;  /* loop time until which this entry takes the
+                                server for dead, even if the view lists it as
+                                up; 0: not found dead */
   GHashTable
       *copy_overrides; /* model -> copy_override_t: copies known to be present,
                   or found missing, contrary to the last report */
@@ -240,6 +240,9 @@
   pu_http_client_t *client;
   pu_router_t *router;
   pu_directory_t *directory;
+  double retry_pct;    /* of the router: retries earned by 100 requests */
+  guint retry_entries; /* entries that share the retries */
+  double retry_burst;  /* the router's own bound on saved retries */
   pu_once_t *once;
   pu_suspects_t *suspects;
   pu_document_t *document;
@@ -254,12 +257,15 @@
   GHashTable *servers;             /* name -> pu_server_t */
   GHashTable
       *ticking_servers;   /* set of pu_server_t that have a pending timer */
+  bool applying_all;      /* all backend servers of the view are applied */
+  guint changes_logged;   /* changes of state among them */
   GHashTable *reporters;  /* name -> pu_reporter_t */
   GPtrArray *strikes;     /* of pu_strike_t, owned */
   GHashTable *acquittals; /* set of &fingerprint: acquittals that are being
                              proposed to the log */
-  GHashTable *suspect_fingerprints; /* set of &fingerprint of the view */
-  GHashTable *rates;  /* service -> double: requests per second */
+  GHashTable *suspect_standings; /* &fingerprint of the view -> standing_t of
+                                    view.c */
+  GHashTable *rates;             /* service -> double: requests per second */
   GHashTable *counts; /* service -> guint: requests in the current second */
   GHashTable *mean_run_ms; /* model -> double: mean run time of a request */
   GHashTable *claims;      /* pu_once_handle_t -> pu_exchange_t */
@@ -385,8 +391,9 @@
 
 void pu_model_wait_free (gpointer wait);
 
-/* pu_model_waits_remove_stale - removes the records of models that the document
-   in force does not declare and of which no load request is in flight.  */
+/* pu_model_waits_remove_stale - removes the records of models that the
+   document in force does not declare and of which no load request is in
+   flight.  */
 void pu_model_waits_remove_stale (pu_entry_t *en);
 
 /* pu_model_wait_allowed - whether X may wait while the leader has the model of
