entry: a record that the log holds is not proposed again

After a restart of all instances, and whenever a backend server's check-ins move to another entry, the entry proposed its record although the log had the same one: 3000 proposals of some 440 bytes within a check-in's interval after 300 instances restarted, each replicated to all voters.

Cause: a record counts as accepted only by an answer to this entry's own proposal. The record of the replicated state now counts, where it is equal but for the report's number.

Entry.RecordThatTheLogHoldsIsNotProposedByAnotherEntry failed before (a proposal was made).

--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -79,6 +79,24 @@
   return p->accepted == NULL || !record_equal (p->accepted, p->record);
 }
 
+/* Takes the record of the replicated state for the accepted one if no proposal
+   of this entry was: another entry, or this one before a restart, has proposed
+   the same record.  Else the log gets a copy of each record when all entries
+   restart.  */
+static void
+accepted_from_view (pu_reporter_t *p)
+{
+  const pu_backend_record *b = view_record (p->en, p->record->name);
+  pu_backend_record same;
+
+  if (b == NULL || p->accepted != NULL || p->proposed != NULL)
+    return;
+  same = *b;
+  same.seq = p->record->seq;
+  if (record_equal (&same, p->record))
+    p->accepted = record_copy (p->record);
+}
+
 static void record_propose (pu_reporter_t *p);
 
 static void
@@ -181,6 +199,7 @@
   en->o.hooks.renew (en->o.hooks.data, a->record->name,
                      a->record->incarnation);
   leaving_apply (en, a->record);
+  accepted_from_view (p);
   if (must_propose (p))
     record_propose (p);
   router_report (en, a);
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -505,6 +505,23 @@
   EXPECT_EQ (1000u, n.reported_demand_ms[1])
       << "the default, as for a model that has not run";
 }
+/* Guards against a copy of every record in the log when all entries
+   restart.  */
+TEST_F (Entry, RecordThatTheLogHoldsIsNotProposedByAnotherEntry)
+{
+  backend &b = r.add_backend ("e1", "", n);
+  node &other = r.add_node ("n2");
+  guint64 before = r.log_position;
+
+  EXPECT_EQ (200, r.announce (b, other));
+  EXPECT_EQ (200, r.announce (b, other));
+  EXPECT_TRUE (r.proposals.empty ());
+  EXPECT_EQ (before, r.log_position);
+  b.incarnation = 2;
+  EXPECT_EQ (200, r.announce (b, other));
+  r.run_until ([&] { return r.log_position == before + 1; });
+}
+
 
 /* --- plain services and at-most-once calls --- */
 
