placer: a new leader asks the engines for their reports in turn

Cause: a new leader fetched the reports of all engines in its first step. Its loop stood still for 0.8 s ('The event loop was blocked', 847 and 802 ms, from the moment of the election), longer than an election's timeout. Ruled out: disks (no sync waits), the size of the document (in force at 241 of 297 instances 0.1 s after their start).

First reports are now fetched 2 ms apart, as later ones are on average.

Dispatcher.FirstReportsOfManyEnginesAreFetchedInTurn fails before (3000 fetches in a step). sequenced.c is split: what is known of each engine is in sequenced_engines.c.

--- a/libplantainusher/placement/dispatcher.c
+++ b/libplantainusher/placement/dispatcher.c
@@ -285,7 +285,12 @@
   e = &g_array_index (d->engines, pu_dispatcher_engine_t, engine);
   if (e->present)
     return;
-  *e = (pu_dispatcher_engine_t){ .present = true, .fetch_at = now };
+  /* A new leader adds all engines at once; to ask them all at once would take
+     it too long to keep the lead.  */
+  d->first_fetch_at = MAX (now, d->first_fetch_at);
+  *e = (pu_dispatcher_engine_t){ .present = true,
+                                 .fetch_at = d->first_fetch_at };
+  d->first_fetch_at += d->options.poll_per_engine_ms;
   d->n_present++;
   e->items = g_array_new (FALSE, FALSE, sizeof (pu_dispatcher_item_t));
   g_queue_init (&e->queue);
@@ -545,6 +550,7 @@
                        d->n_present * d->options.poll_per_engine_ms);
   if (r == NULL)
     {
+      e->fetch_failed = true;
       e->fetch_at = now + d->options.busy_poll_interval_ms;
       return;
     }
@@ -738,6 +744,14 @@
   return e != NULL && e->reported && !e->fenced;
 }
 
+bool
+pu_dispatcher_awaits_first_report (const pu_dispatcher_t *d, guint32 engine)
+{
+  const pu_dispatcher_engine_t *e = pu_dispatcher_engine_at (d, engine);
+
+  return e != NULL && !e->reported && !e->fetch_failed;
+}
+
 bool
 pu_dispatcher_is_busy (const pu_dispatcher_t *d, guint32 engine)
 {
--- a/libplantainusher/placement/dispatcher.h
+++ b/libplantainusher/placement/dispatcher.h
@@ -239,6 +239,11 @@
    order.  */
 bool pu_dispatcher_accepts_orders (const pu_dispatcher_t *d, guint32 engine);
 
+/* pu_dispatcher_awaits_first_report - whether nothing is known of ENGINE yet:
+   its report has not been fetched, nor has a fetch failed.  */
+bool pu_dispatcher_awaits_first_report (const pu_dispatcher_t *d,
+                                        guint32 engine);
+
 /* pu_dispatcher_is_busy - whether ENGINE is executing an order for a model or
    the unload of an adapter.  */
 bool pu_dispatcher_is_busy (const pu_dispatcher_t *d, guint32 engine);
--- a/libplantainusher/placement/dispatcher_private.h
+++ b/libplantainusher/placement/dispatcher_private.h
@@ -20,6 +20,7 @@
 {
   bool present;
   bool reported;       /* a report has arrived */
+  bool fetch_failed;   /* a fetch of its report has failed */
   bool fenced;         /* a later leader has sent orders to the engine */
   guint64 accepted;    /* number of orders that the engine has accepted, as
                           last known */
@@ -62,11 +63,12 @@
 struct pu_dispatcher
 {
   pu_dispatcher_options_t options;
-  GArray *engines;    /* of pu_dispatcher_engine_t, by handle */
-  guint n_present;    /* number of engines that are present */
-  GArray *item_infos; /* of pu_dispatcher_item_info_t, by item handle */
-  GArray *finished;   /* of pu_dispatcher_action_t: results of orders, which
-                         the next pu_dispatcher_step returns */
+  GArray *engines;        /* of pu_dispatcher_engine_t, by handle */
+  guint n_present;        /* number of engines that are present */
+  guint64 first_fetch_at; /* ms; of the next engine that is added */
+  GArray *item_infos;     /* of pu_dispatcher_item_info_t, by item handle */
+  GArray *finished; /* of pu_dispatcher_action_t: results of orders, which
+                       the next pu_dispatcher_step returns */
 };
 
 /* Whether an engine has room for a load, so that the load may be sent.  */
--- a/libplantainusher/placement/dispatcher_test.cc
+++ b/libplantainusher/placement/dispatcher_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <memory>
 #include <random>
 #include <set>
@@ -231,6 +232,39 @@
   EXPECT_EQ (PU_DISPATCHER_QUEUED, pu_dispatcher_phase (k.d, kEngine, 1));
 }
 
+/* Guards against a new leader that asks thousands of engines in one step and
+   sends no heartbeat meanwhile.  */
+TEST (Dispatcher, FirstReportsOfManyEnginesAreFetchedInTurn)
+{
+  constexpr guint32 kMany = 3000;
+  pu_dispatcher_options_t o;
+  std::set<guint32> asked;
+  size_t most = 0;
+
+  pu_dispatcher_options_init (&o);
+  pu_dispatcher_t *d = pu_dispatcher_new (&o);
+  for (guint32 i = 0; i < kMany; i++)
+    pu_dispatcher_add_engine (d, i, 0);
+  GArray *actions
+      = g_array_new (FALSE, FALSE, sizeof (pu_dispatcher_action_t));
+  for (guint64 now = 0; now <= 6000; now += 100)
+    {
+      g_array_set_size (actions, 0);
+      pu_dispatcher_step (d, nullptr, nullptr, now, actions);
+      most = std::max<size_t> (most, actions->len);
+      for (guint i = 0; i < actions->len; i++)
+        asked.insert (
+            g_array_index (actions, pu_dispatcher_action_t, i).engine);
+    }
+  EXPECT_EQ (kMany, asked.size ());
+  EXPECT_LE (most, 50u) << "500 a second";
+  EXPECT_TRUE (pu_dispatcher_awaits_first_report (d, 0));
+  pu_dispatcher_handle_report (d, 0, nullptr, 0, 6100);
+  EXPECT_FALSE (pu_dispatcher_awaits_first_report (d, 0)) << "failed";
+  g_array_unref (actions);
+  pu_dispatcher_free (d);
+}
+
 /* A dispatcher with N engines that have all reported at time 0.  */
 pu_dispatcher_t *
 DispatcherWithEngines (guint32 n)
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -20,12 +20,6 @@
   OUTAGE_EVIDENCE_MS = 2000,
 };
 
-/* Capacity of an engine in the unit of demand.  The planner measures demand in
-   concurrent requests, but the daemons report demand to this module in
-   milliseconds of one engine's time, so the capacity is 1.  The planner's
-   option hot_utilization is 70 % by default.  */
-#define ENGINE_STREAMS 1.0
-
 /* Time constants of the demand forecast, in seconds.  The set of busy models
    changes within five seconds, and a load takes a second or two where the
    weights are cached for the engine.  */
@@ -49,8 +43,8 @@
 
 /* --- the document --- */
 
-static guint32
-item_memory_mb (const leader_state_t *l, guint32 item)
+guint32
+pu_sequenced_item_memory_mb (const leader_state_t *l, guint32 item)
 {
   return item < l->item_memory_mb->len
              ? g_array_index (l->item_memory_mb, guint32, item)
@@ -126,7 +120,7 @@
   for (guint32 i = 0; i < l->item_memory_mb->len; i++)
     {
       if (pu_adapters_contains (l->adapters, i))
-        largest = MAX (largest, item_memory_mb (l, i));
+        largest = MAX (largest, pu_sequenced_item_memory_mb (l, i));
     }
   return largest;
 }
@@ -279,40 +273,6 @@
 
 /* --- planning --- */
 
-static const pu_engine_class_t *
-engine_class (const leader_state_t *l, const engine_t *e)
-{
-  return l->document != NULL && e->service != NULL
-             ? pu_document_engine_class (l->document, e->service)
-             : NULL;
-}
-
-static pu_plan_phase_t
-to_plan_phase (pu_dispatcher_phase_t phase)
-{
-  switch (phase)
-    {
-    case PU_DISPATCHER_QUEUED:
-      return PU_PLAN_ORDERED;
-    case PU_DISPATCHER_LOADING:
-      return PU_PLAN_LOADING;
-    case PU_DISPATCHER_READY:
-      return PU_PLAN_READY;
-    case PU_DISPATCHER_UNLOADING:
-    case PU_DISPATCHER_ABSENT:
-      break;
-    }
-  return PU_PLAN_UNLOADING;
-}
-
-/* Returns the memory, in MB, reserved for adapters on an engine of class C:
-   each adapter slot may hold the largest adapter.  */
-static guint32
-adapter_reserve_mb (const leader_state_t *l, const pu_engine_class_t *c)
-{
-  return c->adapter_places * l->max_adapter_mb;
-}
-
 guint32
 pu_sequenced_order_wait_ms (const pu_sequenced_t *s, guint32 engine)
 {
@@ -327,49 +287,6 @@
   return pu_sequenced_order_wait_ms (s, engine) == 0;
 }
 
-void
-pu_sequenced_refresh_engine (pu_sequenced_t *s, guint32 handle)
-{
-  leader_state_t *l = s->leader;
-  const engine_t *e = pu_sequenced_get_engine (l, handle);
-  const pu_engine_class_t *c = engine_class (l, e);
-  guint n;
-  const pu_dispatcher_item_t *items
-      = pu_dispatcher_items (l->dispatcher, handle, &n);
-  pu_plan_engine_t p = { .accelerators = 1, .streams = ENGINE_STREAMS };
-
-  if (c == NULL || e->name == NULL)
-    return;
-  g_array_set_size (s->copies, 0);
-  for (guint i = 0; i < n; i++)
-    {
-      pu_plan_copy_t copy = { .item = items[i].item,
-                              .memory_mb = item_memory_mb (l, items[i].item),
-                              .phase = to_plan_phase (items[i].phase) };
-
-      if (pu_adapters_contains (l->adapters, items[i].item))
-        continue;
-      p.committed_mb += copy.memory_mb;
-      g_array_append_val (s->copies, copy);
-    }
-  p.zone = pu_names_intern (&l->zone_names, e->zone);
-  p.memory_mb = c->memory_mb - MIN (c->memory_mb, adapter_reserve_mb (l, c));
-  p.usable = e->usable && pu_dispatcher_accepts_orders (l->dispatcher, handle);
-  p.unreachable
-      = pu_outages_refuses (l->outages, handle, pu_sequenced_now (s));
-  p.loads_suspended
-      = !p.usable || p.unreachable || !pu_sequenced_may_order (s, handle)
-        || pu_dispatcher_has_unknown_order (l->dispatcher, handle);
-  pu_dispatcher_set_capacity (l->dispatcher, handle, p.memory_mb);
-  pu_dispatcher_set_adapter_slots (l->dispatcher, handle, c->adapter_places);
-  p.copies = (const pu_plan_copy_t *)(void *)s->copies->data;
-  p.n_copies = s->copies->len;
-  pu_planner_set_engine (l->planner, handle, &p, pu_sequenced_now (s));
-  pu_adapters_set_engine (l->adapters, handle, c->adapter_places,
-                          e->reported_requests, p.usable,
-                          pu_sequenced_may_order (s, handle));
-}
-
 static void
 enqueue_move (pu_sequenced_t *s, const pu_move_t *m)
 {
--- a/libplantainusher/placer/sequenced_private.h
+++ b/libplantainusher/placer/sequenced_private.h
@@ -13,8 +13,9 @@
 G_BEGIN_DECLS
 
 /* The files of this module: planning and the steps of the dispatcher
-   (sequenced.c), HTTP calls to engines (sequenced_calls.c), copy requests of
-   daemons (sequenced_copy_requests.c), engines that have crashed
+   (sequenced.c), what is known of each engine (sequenced_engines.c), HTTP
+   calls to engines (sequenced_calls.c), copy requests of daemons
+   (sequenced_copy_requests.c), engines that have crashed
    (sequenced_outages.c).  */
 
 /* An engine; its handle is the index into leader_state_t.engines.  */
@@ -104,6 +105,12 @@
    orders of this instance's earlier leaderships are concerned.  */
 bool pu_sequenced_may_order (const pu_sequenced_t *s, guint32 engine);
 
+/* pu_sequenced_item_memory_mb - returns the memory of ITEM in MB; 0: it was
+   never declared.  */
+guint32 pu_sequenced_item_memory_mb (const leader_state_t *l, guint32 item);
+
+/* --- sequenced_engines.c --- */
+
 /* pu_sequenced_refresh_engine - passes the state and limits of ENGINE to the
    planner, the dispatcher and the adapters.  */
 void pu_sequenced_refresh_engine (pu_sequenced_t *s, guint32 engine);
