entry: a start logs at most 200 backend servers one by one

Lines beyond 200 are counted in one line when all backend servers are applied at once; changes after that are logged one by one as before.

--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -14,6 +14,9 @@
      if the replicated state says that it is up.  After this time the
      replicated state must have it as down.  */
   LOCAL_DOWN_MS = 5000,
+  /* Most lines on changes of state when all backend servers are applied at
+     once, as after a start.  */
+  CHANGES_LOGGED_MAX = 200,
   /* Interval of reports to the leader while a backend server refuses
      connections: a new leader knows of none.  */
   REFUSAL_REPORT_INTERVAL_MS = 500,
@@ -259,16 +262,20 @@
 }
 
 static void
-health_log_change (const pu_server_t *s, const char *before)
+health_log_change (pu_server_t *s, const char *before)
 {
+  pu_entry_t *en = s->en;
+
   if (strcmp (before, health_name (s)) == 0)
     return;
+  if (en->applying_all && en->changes_logged++ >= CHANGES_LOGGED_MAX)
+    return;
   pu_log_event (
       PU_ENTRY_LOG_SLICE, "Backend server changed state.",
       PU_LOG_TEXT ("server", s->name), PU_LOG_TEXT ("address", s->address),
       PU_LOG_TEXT ("before", before), PU_LOG_TEXT ("now", health_name (s)),
       PU_LOG_NUMBER ("incarnation", s->incarnation),
-      PU_LOG_NUMBER ("changes", s->en->changes));
+      PU_LOG_NUMBER ("changes", en->changes));
 }
 
 pu_server_t *
@@ -345,8 +352,17 @@
 
   if (pu_state_each_changed_backend (view, since, backend_apply, en))
     return;
+  en->applying_all = true;
+  en->changes_logged = 0;
   pu_state_each_backend (view, backend_apply, en);
   unlisted_remove (en, view);
+  en->applying_all = false;
+  if (en->changes_logged > CHANGES_LOGGED_MAX)
+    {
+      pu_log_event (
+          PU_ENTRY_LOG_SLICE, "More backend servers changed state at once.",
+          PU_LOG_NUMBER ("more", en->changes_logged - CHANGES_LOGGED_MAX));
+    }
 }
 
 void
