settings: the bounds on retries and loads decide, or are refused

An operator who lowered retry_ratio, retry_slack or store_overage saw no change and no error; five more keys decided nothing either.

The slack is shared by the entries of the view and the ratio is taken, each where it is below the router's own; store_overage below 1 lowers the rate of loads. drain_ms, in_force_ms, reuse_s, retry_window_s and store_window_s are no longer keys: a file that has one is refused.

settings_test: the check of the default of drain_ms is replaced by that of lease_ms, as the key is gone; another check demands that an old key is refused at its place.

--- a/deploy/settings.json.tpl
+++ b/deploy/settings.json.tpl
@@ -29,17 +29,12 @@
 {{#limits.memory_mb}}    "memory_mb": {{.}},{{/limits.memory_mb}}
 {{#limits.max_fds}}    "descriptors": {{.}},{{/limits.max_fds}}
 {{#heartbeat_ms}}    "report_ms": {{.}},{{/heartbeat_ms}}
-{{#bounds.drain_ms}}    "drain_ms": {{.}},{{/bounds.drain_ms}}
-{{#bounds.config_apply_ms}}    "in_force_ms": {{.}},{{/bounds.config_apply_ms}}
 {{#bounds.grace_s}}    "grace_s": {{.}},{{/bounds.grace_s}}
-{{#bounds.reuse_after_s}}    "reuse_s": {{.}},{{/bounds.reuse_after_s}}
 {{#bounds.lease_ms}}    "lease_ms": {{.}},{{/bounds.lease_ms}}
 {{#bounds.ttl_max_s}}    "ttl_s": {{.}},{{/bounds.ttl_max_s}}
     "fenced": {{#bounds.fence_checked}}true{{/bounds.fence_checked}}{{^bounds.fence_checked}}false{{/bounds.fence_checked}},
 {{#bounds.retry_budget_ratio}}    "retry_ratio": {{.}},{{/bounds.retry_budget_ratio}}
 {{#bounds.budget_slack}}    "retry_slack": {{.}},{{/bounds.budget_slack}}
-{{#bounds.budget_window_s}}    "retry_window_s": {{.}},{{/bounds.budget_window_s}}
 {{#bounds.ceiling_overage}}    "store_overage": {{.}},{{/bounds.ceiling_overage}}
-{{#bounds.ceiling_window_s}}    "store_window_s": {{.}},{{/bounds.ceiling_window_s}}
   },
 }
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -203,6 +203,7 @@
   o.wire = pu_platform_get_order_protocol ();
   o.lease_ms = d->settings->platform.lease_ms;
   o.checks_tokens = d->settings->platform.fenced;
+  o.store_share = MIN (d->settings->platform.store_overage, 1);
   o.on_load_report = on_load;
   o.on_unload = on_unload;
   o.data = d;
@@ -401,6 +402,15 @@
   o->loads_to_all_entries = pu_settings_on_platform (s);
 }
 
+static void
+set_retries (const pu_settings_t *s, pu_entry_options_t *o)
+{
+  if (!pu_settings_on_platform (s))
+    return;
+  o->retry_ratio = s->platform.retry_ratio;
+  o->retry_slack = s->platform.retry_slack;
+}
+
 /* For tests alone: nothing in a usual build.  */
 static void
 set_entry_breaks (pu_entry_options_t *o)
@@ -441,6 +451,7 @@
   o.counters = d->counters;
   o.seed = seed_of (s);
   pu_daemon_entry_reloadable (s, &o);
+  set_retries (s, &o);
   set_entry_times (s, &o);
   set_entry_breaks (&o);
   pu_daemon_entry_hooks (d, &o.hooks);
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -5,9 +5,13 @@
 #include "base/breaks.h"
 #include "base/log.h"
 
+/* Retries for each first attempt.  */
+#define RETRY_RATIO 0.1
+
 enum
 {
   TICK_MS = 50,
+  PERCENT = 100,
   LOADS_CHECK_MS = 200,     /* interval of pu_load_forward_tick */
   PREFIX_BLOCK_TOKENS = 64, /* tokens of a hashed block of the prompt; stands
                                for 256 bytes, see parse.c */
@@ -42,6 +46,8 @@
     .health_probe_timeout_ms = PROBE_TIMEOUT_MS,
     .strike_settle_ms = STRIKE_SETTLE_MS,
     .isolate_strikes = ISOLATE_STRIKES,
+    .retry_ratio = RETRY_RATIO,
+    .retry_slack = -1,
     .idle_ms = IDLE_CONNECTION_MS,
     .report_ms = REPORT_INTERVAL_MS,
     .log_proposal_timeout_ms = PROPOSE_TIMEOUT_MS,
@@ -236,6 +242,8 @@
   if (pu_break_active (PU_BREAK_DRAINING_USED))
     router.test_break = PU_ROUTER_BREAK_DRAINING;
   en->router = pu_router_new (&router);
+  en->retry_pct = MIN (router.retry_pct, en->o.retry_ratio * PERCENT);
+  en->retry_burst = router.retry_burst;
   pu_directory_options_init (&directory);
   directory.self = en->name;
   directory.ttl_s = en->o.ttl_s;
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -159,6 +159,10 @@
                              runs isolated (suspects/suspects.h) */
   guint together_strikes; /* 0: strikes from which identical requests are kept
                              on one backend server */
+  double retry_ratio;     /* 0.1: retries for each first attempt, at most the
+                             router's own share */
+  double retry_slack;     /* -1: retries beyond that, of all entries together;
+                             -1: the router's own number for each entry */
   bool acquit; /* false: a request that runs to its end loses its strikes */
   guint health_probe_timeout_ms; /* 1000: timeout of the health probe, which is
                                     sent on a new connection after an attempt
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -147,6 +147,49 @@
   EXPECT_EQ (4u, b.executed_ids.size ());
 }
 
+/* Returns the retries that N has saved for the service "chat".  */
+double
+SavedRetries (const node &n)
+{
+  json_t *dump = pu_entry_dump (n.entry);
+  json_t *services
+      = json_object_get (json_object_get (dump, "router"), "services");
+  double budget = -1;
+  size_t i;
+  json_t *s;
+
+  json_array_foreach (services, i, s)
+  {
+    if (std::string ("chat")
+        == json_string_value (json_object_get (s, "name")))
+      budget = json_number_value (json_object_get (s, "retry_budget"));
+  }
+  json_decref (dump);
+  return budget;
+}
+
+/* Guards against settings of the retry budget that decide nothing.  */
+TEST (EntryRetries, SlackIsSharedByAllEntries)
+{
+  const struct
+  {
+    double slack;
+    int n_entries;
+    double each;
+  } cases[]
+      = { { -1, 1, 5 }, { 0, 1, 0 }, { 3, 1, 3 }, { 4, 2, 2 }, { 100, 2, 5 } };
+
+  for (const auto &one : cases)
+    {
+      rig r;
+
+      r.retry_slack = one.slack;
+      for (int i = 0; i < one.n_entries; i++)
+        r.add_node ("n" + std::to_string (i));
+      EXPECT_EQ (one.each, SavedRetries (r.nodes.front ())) << one.slack;
+    }
+}
+
 class TruncatedStream : public testing::TestWithParam<bool>
 {
 };
@@ -462,6 +505,23 @@
   EXPECT_EQ (409, r.announce (b, n));
 }
 
+/* Guards against a copy of every record in the log when all entries
+   restart.  */
+TEST_F (Entry, RecordThatTheLogHoldsIsNotProposedByAnotherEntry)
+{
+  backend &b = r.add_backend ("e1", "", n);
+  node &other = r.add_node ("n2");
+  guint64 before = r.log_position;
+
+  EXPECT_EQ (200, r.announce (b, other));
+  EXPECT_EQ (200, r.announce (b, other));
+  EXPECT_TRUE (r.proposals.empty ());
+  EXPECT_EQ (before, r.log_position);
+  b.incarnation = 2;
+  EXPECT_EQ (200, r.announce (b, other));
+  r.run_until ([&] { return r.log_position == before + 1; });
+}
+
 /* The leader plans the model copies from the number of requests and their
    service time, so every demand report carries both.  */
 TEST_F (Entry, DemandReportsCarryTheMeanServiceTime)
@@ -505,23 +565,6 @@
   EXPECT_EQ (1000u, n.reported_demand_ms[1])
       << "the default, as for a model that has not run";
 }
-/* Guards against a copy of every record in the log when all entries
-   restart.  */
-TEST_F (Entry, RecordThatTheLogHoldsIsNotProposedByAnotherEntry)
-{
-  backend &b = r.add_backend ("e1", "", n);
-  node &other = r.add_node ("n2");
-  guint64 before = r.log_position;
-
-  EXPECT_EQ (200, r.announce (b, other));
-  EXPECT_EQ (200, r.announce (b, other));
-  EXPECT_TRUE (r.proposals.empty ());
-  EXPECT_EQ (before, r.log_position);
-  b.incarnation = 2;
-  EXPECT_EQ (200, r.announce (b, other));
-  r.run_until ([&] { return r.log_position == before + 1; });
-}
-
 
 /* --- plain services and at-most-once calls --- */
 
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -389,6 +389,7 @@
   o.log_proposal_timeout_ms = 100;
   o.seed = 1;
   o.test_breaks = test_breaks;
+  o.retry_slack = retry_slack;
   o.memory = &memory;
   o.loads_to_all_entries = loads_to_all_entries;
   o.front = front;
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -138,6 +138,7 @@
 
   /* Options of the nodes that are added after these members were set.  */
   guint test_breaks = 0;                /* flags of pu_entry_break_t */
+  double retry_slack = -1;              /* as in pu_entry_options_t */
   const pu_frontend_t *front = nullptr; /* NULL: the built-in frontend */
   bool loads_to_all_entries = false;
   bool model_loads_enabled = false; /* the nodes can request model loads */
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -29,6 +29,21 @@
   g_array_append_val (members->found, one);
 }
 
+/* Gives the router this entry's share of the retries that all entries together
+   may send beyond the ratio.  */
+static void
+retry_budget_sync (pu_entry_t *en, guint n_entries)
+{
+  double burst = en->retry_burst;
+
+  if (n_entries == en->retry_entries)
+    return;
+  en->retry_entries = n_entries;
+  if (en->o.retry_slack >= 0)
+    burst = MIN (burst, en->o.retry_slack / MAX (n_entries, 1));
+  pu_router_set_service_retries (en->router, en->retry_pct, burst);
+}
+
 static void
 members_sync (pu_entry_t *en, const pu_state_t *view)
 {
@@ -40,6 +55,7 @@
       en->directory, pu_state_membership_version (view),
       (const pu_directory_member_t *)(void *)members.found->data,
       members.found->len);
+  retry_budget_sync (en, members.found->len);
   g_array_free (members.found, TRUE);
 }
 
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -38,6 +38,7 @@
                                  .order_timeout_ms = ORDER_TIMEOUT_MS,
                                  .plan_interval_ms = PLAN_INTERVAL_MS,
                                  .lease_ms = LEASE_MS,
+                                 .store_share = 1,
                                  .store_burst = STORE_BURST };
 }
 
@@ -107,7 +108,7 @@
   o.forecast.peak_decay_s = FORECAST_PEAK_DECAY_S;
   o.forecast.horizon_s = FORECAST_HORIZON_S;
   pu_planner_set_options (l->planner, &o);
-  l->store_tokens_per_s = p->store_loads_per_s;
+  l->store_tokens_per_s = p->store_loads_per_s * s->options.store_share;
 }
 
 /* Returns the memory of the largest adapter, in MB, including adapters that
--- a/libplantainusher/placer/sequenced.h
+++ b/libplantainusher/placer/sequenced.h
@@ -37,6 +37,8 @@
   guint32 lease_ms;   /* an instance that leads again does not order an engine
                          until its own orders are older than this */
   bool checks_tokens; /* engines refuse orders with an old fencing token */
+  double store_share; /* share of the weights store's rate that loads may
+                         take */
   double store_burst; /* most loads from the weights store that the rate limit
                          admits in a burst */
   /* Receives the load of ENGINE from each report of ENGINE; may be NULL.  */
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -295,10 +295,26 @@
 }
 
 void
-retry_budget_credit (const pu_router_t *r, double *retry_budget)
+retry_budget_credit (const retry_earnings_t *earnings, double *retry_budget)
 {
-  *retry_budget += r->options.retry_pct / 100.0;
-  *retry_budget = MIN (*retry_budget, r->options.retry_burst);
+  double most = earnings->burst;
+
+  if (earnings->pct > 0)
+    most = MAX (most, 1);
+  *retry_budget += earnings->pct / 100.0;
+  *retry_budget = MIN (*retry_budget, most);
+}
+
+void
+pu_router_set_service_retries (pu_router_t *r, double pct, double burst)
+{
+  r->service_retries = (retry_earnings_t){ pct, burst };
+  for (guint i = 0; i < r->services->len; i++)
+    {
+      service_t *s = g_ptr_array_index (r->services, i);
+
+      s->retry_budget = MIN (s->retry_budget, burst);
+    }
 }
 
 bool
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -243,7 +243,7 @@
   queue_charge (r, q, c);
   if (q->attempt == 0)
     {
-      retry_budget_credit (r, &b->retry_budget);
+      retry_budget_credit (&r->backend_retries, &b->retry_budget);
     }
   else
     {
@@ -446,7 +446,7 @@
       refuse_undeclared (r, PU_ROUTER_REASON_MODEL, d);
       return;
     }
-  retry_budget_credit (r, &s->retry_budget);
+  retry_budget_credit (&r->service_retries, &s->retry_budget);
   q = request_new (r);
   request_fill (r, q, in, now);
   decide (r, q, now, d);
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -95,9 +95,10 @@
      for duplicates of a request.  Without a fingerprint, the best copy is
      selected.  */
   guint score_tolerance_pct;
-  guint retry_pct;      /* retries earned by 100 first attempts */
-  guint retry_burst;    /* initial and maximum retry budget */
-  guint attempts_max;   /* attempts of one request, with the first */
+  double retry_pct;   /* retries earned by 100 first attempts of a service, and
+                         of a backend server */
+  double retry_burst; /* initial and maximum retry budget of each */
+  guint attempts_max; /* attempts of one request, with the first */
   guint eject_failures; /* consecutive failures after which a backend server is
                            ejected */
   guint eject_ms;       /* length of the first ejection; each further
@@ -203,6 +204,11 @@
   guint n_copies;
 } pu_router_backend_options_t;
 
+/* pu_router_set_service_retries - replaces the options retry_pct and
+   retry_burst for services; their budgets above BURST are cut to it.  With a
+   BURST below 1 a budget can still grow to one retry, unless PCT is 0.  */
+void pu_router_set_service_retries (pu_router_t *r, double pct, double burst);
+
 /* pu_router_set_backend - adds a backend server, or replaces its flags and
    copies and keeps its estimates.  A higher incarnation counts as a new
    backend server and removes the old one; a lower incarnation changes nothing.
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -211,8 +211,17 @@
   guint64 sampled_at;
 } request_t;
 
+/* How a retry budget grows.  */
+typedef struct
+{
+  double pct;   /* retries earned by 100 first attempts */
+  double burst; /* initial budget, and the maximum if that is at least 1 */
+} retry_earnings_t;
+
 struct pu_router
 {
+  retry_earnings_t service_retries;
+  retry_earnings_t backend_retries;
   pu_router_options_t options;
   char *region;
   char *zone;
@@ -427,7 +436,8 @@
 void backend_succeeded (pu_router_t *r, pu_router_backend_t b);
 
 /* retry_budget_credit - credits a first attempt to RETRY_BUDGET.  */
-void retry_budget_credit (const pu_router_t *r, double *retry_budget);
+void retry_budget_credit (const retry_earnings_t *earnings,
+                          double *retry_budget);
 
 /* retry_budget_allows - returns whether RETRY_BUDGET allows a retry.  */
 bool retry_budget_allows (const pu_router_t *r, double retry_budget);
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -652,6 +652,32 @@
     }
 }
 
+TEST_F (Router, RetriesKeepToTheBudgetThatIsSet)
+{
+  const struct
+  {
+    double pct, burst;
+    int retries; /* of ten first attempts that fail */
+  } cases[] = { { 0, 0, 0 }, { 0, 3, 3 }, { 20, 0.5, 2 } };
+  for (const auto &c : cases)
+    {
+      make_router ();
+      pu_router_set_service_retries (r_, c.pct, c.burst);
+      int retries = 0;
+      for (int i = 0; i < 10; i++)
+        {
+          backend (("a" + std::to_string (i)).c_str ());
+          backend (("b" + std::to_string (i)).c_str ());
+          pu_router_decision_t d = offer (request ());
+          d = retry (d.ticket, PU_ROUTER_FAIL_ABSENT);
+          retries += d.verdict == PU_ROUTER_DISPATCH;
+          if (d.verdict == PU_ROUTER_DISPATCH)
+            finish (d.ticket);
+        }
+      EXPECT_EQ (retries, c.retries) << c.pct << " " << c.burst;
+    }
+}
+
 TEST_F (Router, NoRetryPastTheDeadline)
 {
   backend ("a");
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -102,7 +102,7 @@
 
   s->name = g_strdup (name);
   s->limit = r->options.limit_initial;
-  s->retry_budget = r->options.retry_burst;
+  s->retry_budget = r->service_retries.burst;
   s->models = g_array_new (FALSE, FALSE, sizeof (pu_router_model_t));
   g_ptr_array_add (r->services, s);
   g_hash_table_insert (r->service_names, s->name, GUINT_TO_POINTER (h));
@@ -318,7 +318,7 @@
     .slots = r->options.slots_initial,
     .prefill_window = 1,
     .copies = copies_new (),
-    .retry_budget = r->options.retry_burst,
+    .retry_budget = r->backend_retries.burst,
     .finish_tags = g_array_new (FALSE, TRUE, sizeof (double)),
     .blocks = g_hash_table_new (NULL, NULL),
   };
@@ -657,6 +657,9 @@
   r->options.region = r->region;
   r->options.zone = r->zone;
   r->rand = g_rand_new_with_seed ((guint32)o->seed);
+  r->service_retries
+      = (retry_earnings_t){ r->options.retry_pct, r->options.retry_burst };
+  r->backend_retries = r->service_retries;
   r->services = g_ptr_array_new_with_free_func (service_free);
   r->models = g_ptr_array_new_with_free_func (model_free);
   r->backends = g_ptr_array_new_with_free_func (backend_free);
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -242,10 +242,7 @@
   PLATFORM_LIMIT (memory_mb, 16, 1000000, 256, "MB"),
   PLATFORM_LIMIT (descriptors, 64, 1000000, 4096, "descriptors"),
   PLATFORM_LIMIT (report_ms, 50, MINUTE_MS, 1000, "ms"),
-  PLATFORM_LIMIT (drain_ms, 50, MINUTE_MS, 2000, "ms"),
-  PLATFORM_LIMIT (in_force_ms, 50, MINUTE_MS, 2000, "ms"),
   PLATFORM_NUMBER (grace_s, 0, 3600, 8, "s"),
-  PLATFORM_LIMIT (reuse_s, 0, 3600, 2, "s"),
   PLATFORM_LIMIT (lease_ms, 50, MINUTE_MS, 3000, "ms"),
   PLATFORM_LIMIT (ttl_s, 0, 3600, 5, "s"),
   { .name = "fenced",
@@ -254,9 +251,7 @@
     .fallback = 0 },
   PLATFORM_NUMBER (retry_ratio, 0, 10, 0.1, "retries a request"),
   PLATFORM_LIMIT (retry_slack, 0, 1000000, 10, "retries"),
-  PLATFORM_LIMIT (retry_window_s, 1, 3600, 10, "s"),
   PLATFORM_NUMBER (store_overage, 0.1, 10, 1, NULL),
-  PLATFORM_LIMIT (store_window_s, 1, 3600, 5, "s"),
 };
 static const pu_schema_t platform_schema
     = SCHEMA (platform_fields, pu_settings_platform_t);
--- a/libplantainusher/settings/settings.h
+++ b/libplantainusher/settings/settings.h
@@ -122,22 +122,15 @@
   guint32 memory_mb;     /* limit of this process */
   guint32 descriptors;   /* limit of this process */
   guint32 report_ms;     /* interval of a backend server's reports */
-  guint32 drain_ms;      /* a leaving backend server may get new requests for
-                            this long */
-  guint32 in_force_ms;   /* an accepted document is in force everywhere
-                            after this */
   double grace_s;        /* from the stop signal to the kill */
-  guint32 reuse_s;       /* an address may be reassigned after this */
   guint32 lease_ms;      /* lease of the instance that sends orders to
                             engines */
   guint32 ttl_s;         /* callers cache a directory answer this long */
   bool fenced;           /* engines reject orders with an old fencing token */
   double retry_ratio;    /* retries per first attempt, over all instances */
-  guint32 retry_slack;   /* retries allowed beyond that in one window */
-  guint32 retry_window_s;
-  double store_overage; /* loads from the weights store allowed in one window,
-                           as a multiple of the store's rate */
-  guint32 store_window_s;
+  guint32 retry_slack;   /* retries allowed beyond that, over all instances */
+  double store_overage;  /* loads from the weights store as a multiple of its
+                            rate; above 1 counts as 1 */
 } pu_settings_platform_t;
 
 typedef struct
--- a/libplantainusher/settings/settings_test.cc
+++ b/libplantainusher/settings/settings_test.cc
@@ -111,8 +111,12 @@
   EXPECT_EQ (60u, s->platform.retry_slack);
   EXPECT_EQ (0u, s->platform.ttl_s);
   EXPECT_EQ (260u, s->platform.memory_mb);
-  EXPECT_EQ (2000u, s->platform.drain_ms) << "not told";
+  EXPECT_EQ (3000u, s->platform.lease_ms) << "not told";
   pu_settings_free (s);
+  const std::string without = replaced (platform, "'retry_slack'",
+                                        "'retry_window_s': 10, 'retry_slack'");
+  EXPECT_EQ ("/platform/retry_window_s: is not a known key\n",
+             findings_of (replaced (entry, "'join'", without)));
   const std::string bad
       = replaced (replaced (platform, "7.9", "'7'"), "'join'",
                   "'limits': {'max_claims': 16.5}, 'join'");
