Test: a restart of all reads the document after an answer of the log

ControlTest.test_restart_of_all_keeps_what_was_accepted took a change whose answer was lost for not accepted, if an instance showed the document before it right after the election.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -190,11 +190,13 @@
     def cont(self):
         self._p.send_signal(signal.SIGCONT)
 
-    def slow_disk(self, sync_ms):
-        """From its next start on, each fsync takes SYNC_MS longer."""
+    def slow_disk(self, sync_ms, datasync_ms=0):
+        """From its next start on, each fsync takes SYNC_MS longer, and each
+        fdatasync, with which the log is written, DATASYNC_MS."""
         self.environment = {
             "LD_PRELOAD": str(self.cluster.build / "tests/libslow_sync.so"),
-            "SLOW_SYNC_MS": str(sync_ms)}
+            "SLOW_SYNC_MS": str(sync_ms),
+            "SLOW_DATASYNC_MS": str(datasync_ms)}
 
     def slow_json(self, load_ms):
         """From its next start on, loading 64 KB or more takes LOAD_MS longer."""
--- a/tests/control_process_test.py
+++ b/tests/control_process_test.py
@@ -9,6 +9,7 @@
 import cluster
 from cluster import wait_until
 
+DATASYNC_MS = 400
 ROUNDS = 300
 SILENT_S = 3
 
@@ -54,9 +55,7 @@
         unknown = self.submit_until_killed(c)
         c.start()
         c.wait_leader()
-        d = wait_until("a document", self.all[5].document)
-        if d["change_id"] == unknown:  # it was accepted, its answer lost
-            self.accepted.add(d, unknown, "ada", changes.document(unknown))
+        self.settle(unknown)
         for one in self.all:
             self.accepted.check(self, one)
         self.race(ROUNDS, self.accepted.version, 0)
@@ -64,6 +63,41 @@
         self.assertEqual(late.status, 409, late)
         self.assertGreater(self.accepted.version, ROUNDS)
 
+    def settle(self, unknown):
+        """Finds out whether the change UNKNOWN was accepted.  A daemon may
+        show the document before it until the new leader has committed what
+        it found in the log, so this reads after an answer of the log."""
+        probe = wait_until("an answer of the log", lambda: (
+            a := self.all[5].submit(0, "probe", changes.document("probe"))
+        ).status == 409 and a)
+        d = wait_until("the document in force", lambda: (
+            d := self.all[5].document())
+            and d["version"] >= probe.json["current_version"] and d)
+        if d["change_id"] == unknown:  # it was accepted, its answer lost
+            self.accepted.add(d, unknown, "ada", changes.document(unknown))
+
+    def test_change_without_an_answer_is_settled_on_slow_disks(self):
+        """Invariant: a change that a daemon had in force before SIGKILL of
+        all is in the history of all after it, though disks are so slow that
+        the document before it is shown first."""
+        c = self.start()
+        self.race(0, self.accepted.version, 0)
+        base, text = self.accepted.version, changes.document("lost")
+        body = json.dumps({"base_version": base, "change_id": "lost",
+                           "document": text})
+        self.send_without_reading(self.all[8], body)
+        wait_until("the change", lambda: self.all[9].document()["change_id"]
+                   == "lost")
+        c.kill(*self.all)
+        for one in self.all:
+            one.slow_disk(DATASYNC_MS, DATASYNC_MS)
+        c.start()
+        c.wait_leader()
+        self.settle("lost")
+        self.assertEqual(self.accepted.rows[-1][:2], (base + 1, "lost"))
+        for one in self.all:
+            self.accepted.check(self, one)
+
     def submit_until_killed(self, c):
         """One change after the other until all daemons are killed; the id of
         the one without an answer."""
