entry: a pause of a stream does not end it before its deadline

Cause: the limit between two pieces of a body was a fixed 10 s, while that for the head was already the time left. Both are the time left now, behind a frontend given in the options.

Streams.test_stream_that_pauses_is_not_cut_before_its_deadline failed before (the answer broke off) and passes.

--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -42,11 +42,29 @@
     }
 }
 
+static guint64
+time_left_ms (const pu_exchange_t *x)
+{
+  guint64 now = now_of (x);
+
+  return x->q.deadline > now ? x->q.deadline - now : 1;
+}
+
+/* Returns how long the response may pause.  Requests of a frontend given in the
+   options have callers that leave when a pause is too long for them, so that
+   only the deadline ends such a request.  */
+static guint
+progress_timeout_ms (const pu_exchange_t *x)
+{
+  guint64 limit = x->en->o.stream_progress_timeout_ms;
+
+  return (guint)(x->q.never_relayed ? MAX (limit, time_left_ms (x)) : limit);
+}
+
 static guint
 first_byte_timeout_ms (const pu_exchange_t *x)
 {
-  guint64 now = now_of (x);
-  guint64 left = x->q.deadline > now ? x->q.deadline - now : 1;
+  guint64 left = time_left_ms (x);
   guint64 limit = MAX (x->en->o.stream_progress_timeout_ms,
                        (guint64)x->predicted_ms * HEAD_TIMEOUT_FACTOR);
 
@@ -79,7 +97,7 @@
              may use any connection.  */
           .fresh = !x->q.repeatable && !x->q.never_relayed,
           .first_byte_timeout_ms = first_byte_timeout_ms (x),
-          .progress_timeout_ms = x->en->o.stream_progress_timeout_ms,
+          .progress_timeout_ms = progress_timeout_ms (x),
           .events = pu_attempt_events,
           .data = x };
 
--- a/tests/platform_process_test.py
+++ b/tests/platform_process_test.py
@@ -284,6 +284,28 @@
         self.wait_served(self.some[0])
 
 
+class Streams(PlatformTest):
+    SILENT_S = 11  # longer than any time limit but the route's
+
+    def test_stream_that_pauses_is_not_cut_before_its_deadline(self):
+        engine = self.backend("g-0", "llm", models=["m1"])
+        engine.events = 2
+        submit(self.some, config(1, [
+            route("t", "/talk/", "stream", "llm", timeout_ms=20000)],
+            models=["m1"]))
+        one = self.some[3]
+        head = {"Model": "m1", "Token-Counts": "100,10"}
+        wait_until("the model", lambda: one.ask("POST", "/talk/x", head
+                                                ).status == 200)
+        ran, engine.hold_s = len(engine.ran), self.SILENT_S
+        answer = Later(lambda: one.ask(
+            "POST", "/talk/x", head, "pausing", timeout_s=30))
+        wait_until("the request", lambda: len(engine.ran) > ran)
+        time.sleep(0.5)
+        engine.hold_s = 0.0  # after the pause that has begun
+        self.assertEqual(answer.result().body.count(b"data: "), 2)
+
+
 class Models(PlatformTest):
     HEADERS = {"Model": "m2", "Token-Counts": "100,10",
                "Prompt-Prefix": "a1:60,b2:40"}
