--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -50,9 +50,9 @@
   return x->q.deadline > now ? x->q.deadline - now : 1;
 }
 
-/* Returns how long the response may pause.  Requests of a frontend given in the
-   options have callers that leave when a pause is too long for them, so that
-   only the deadline ends such a request.  */
+/* Returns how long the response may pause.  Requests of a frontend given in
+   the options have callers that leave when a pause is too long for them, so
+   that only the deadline ends such a request.  */
 static guint
 progress_timeout_ms (const pu_exchange_t *x)
 {
