agent: renewals that a voter may not have passed on go to the next one

Cause, one of two: a renewal was sent with one poll and forgotten; a voter that is cut off gets it and passes it on to nobody. Renewals of the last 5 s are sent again, with their age, when a poll fails.

Control.RenewalThatAVoterDoesNotPassOnReachesTheNextVoter failed before and passes.

--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -215,13 +215,14 @@
   for (guint i = 0; i < a->ranked->len; i++)
     json_array_append_new (voters, json_string (a->ranked->pdata[i]));
   return json_pack (
-      "{s:s, s:I, s:I, s:b, s:b, s:b, s:b, s:s, s:s, s:o, s:I, s:I, s:I}",
+      "{s:s, s:I, s:I, s:b, s:b, s:b, s:b, s:s, s:s, s:o, s:I, s:I, s:I, s:I}",
       "name", a->self->name, "incarnation", (json_int_t)a->self->incarnation,
       "position", (json_int_t)pu_state_position (a->view), "ready",
       pu_agent_ready (a), "joined", a->joined, "connected",
       pu_agent_connected (a), "leaving", (int)a->self->leaving, "leader",
       a->leader, "voter", voter == NULL ? "" : voter, "voters", voters,
       "failures", (json_int_t)a->failures, "proposals",
-      (json_int_t)a->proposals.length, "peers",
+      (json_int_t)a->proposals.length, "renewals",
+      (json_int_t)g_hash_table_size (a->renewals), "peers",
       (json_int_t)pu_rpc_pool_size (a->peers));
 }
--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -46,14 +46,15 @@
 
   /* poll.c */
   uv_timer_t *poll_timer;
-  uint32_t poll_handle; /* 0: none under way */
-  guint failures;       /* polls in a row */
-  guint leaderless;     /* answers in a row */
-  uint64_t answered_at; /* by a voter that knows a leader; 0: never */
-  char *old_voter;      /* address of a voter that does not know
-                           PU_CONTROL_POLL_BLOBS, or NULL */
-  GHashTable *renewals; /* backend server -> renewal_t */
-  GHashTable *demand;   /* model -> demand_t */
+  uint32_t poll_handle;      /* 0: none under way */
+  guint failures;            /* polls in a row */
+  guint leaderless;          /* answers in a row */
+  uint64_t answered_at;      /* by a voter that knows a leader; 0: never */
+  char *old_voter;           /* address of a voter that does not know
+                                PU_CONTROL_POLL_BLOBS, or NULL */
+  GHashTable *renewals;      /* backend server -> renewal_t */
+  GHashTable *sent_renewals; /* the same, of the last polls */
+  GHashTable *demand;        /* model -> demand_t */
 
   /* find.c */
   uv_timer_t *find_timer;
--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -14,6 +14,9 @@
    asked.  */
 #define LEADERLESS_MAX 2
 
+/* How long a renewal may be of use after the report that it is for.  */
+#define RENEWAL_KEPT_MS 5000
+
 typedef struct
 {
   uint64_t incarnation;
@@ -59,6 +62,49 @@
   d->stream_ms += stream_ms;
 }
 
+/* Copies the renewals of FROM that TO lacks to TO.  */
+static void
+copy_renewals (GHashTable *from, GHashTable *to)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, from);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      if (!g_hash_table_contains (to, key))
+        {
+          g_hash_table_insert (to, g_strdup (key),
+                               g_memdup2 (value, sizeof (renewal_t)));
+        }
+    }
+}
+
+/* A GHRFunc: whether the renewal VALUE is too old to matter to a lease.  */
+static gboolean
+is_old_renewal (gpointer key, gpointer value, gpointer now)
+{
+  (void)key;
+  return *(const uint64_t *)now
+         >= ((const renewal_t *)value)->heard + RENEWAL_KEPT_MS;
+}
+
+/* Records that the renewals go out with a poll.  They are kept for a while:
+   the voter may not get them, or not pass them on to the leader.  */
+static void
+note_renewals_sent (pu_agent_t *a)
+{
+  GHashTable *sent = a->sent_renewals;
+  uint64_t now = uv_now (a->options.loop);
+
+  copy_renewals (sent, a->renewals);
+  a->sent_renewals = a->renewals;
+  a->renewals = sent;
+  g_hash_table_remove_all (a->renewals);
+  g_hash_table_foreach_remove (a->sent_renewals, is_old_renewal, &now);
+}
+
 static void
 put_renewals (const pu_agent_t *a, pu_poll *p)
 {
@@ -153,6 +199,9 @@
       pu_log_info (PU_AGENT_PART, "Voter %s does not answer: %s",
                    pu_agent_voter (a), why);
     }
+  /* Backend servers repeat them with their next report only, and that may be
+     too late for their leases.  */
+  copy_renewals (a->sent_renewals, a->renewals);
   pu_agent_voters_next (a);
   poll_later (
       a, (guint)g_rand_int_range (a->rand, (gint)most / 2, (gint)most + 1));
@@ -281,8 +330,8 @@
   pu_agent_voters_home (a);
   old = a->old_voter != NULL
         && g_strcmp0 (a->old_voter, pu_agent_voter (a)) == 0;
-  /* What is lost with a poll is a hint or comes again with a report.  */
-  g_hash_table_remove_all (a->renewals);
+  note_renewals_sent (a);
+  /* Demand that is lost with a poll is a hint.  */
   g_hash_table_remove_all (a->demand);
   pu_agent_call_voter (a, old ? PU_CONTROL_POLL_DELTAS : PU_CONTROL_POLL_BLOBS,
                        bytes, old ? on_polled_old : on_polled);
@@ -294,6 +343,8 @@
 {
   a->renewals
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  a->sent_renewals
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   a->demand = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   a->poll_timer = pu_rpc_timer_new (a->options.loop, a);
   poll_later (a, 0);
@@ -304,6 +355,7 @@
 {
   pu_rpc_timer_free (a->poll_timer);
   g_hash_table_unref (a->renewals);
+  g_hash_table_unref (a->sent_renewals);
   g_hash_table_unref (a->demand);
   g_free (a->old_voter);
 }
--- a/libplantainusher/control/control_test.cc
+++ b/libplantainusher/control/control_test.cc
@@ -280,6 +280,47 @@
   });
 }
 
+/* Guards against a lease that ends because a voter that was cut off got its
+   renewal and passed it on to nobody.  */
+TEST_F (Control, RenewalThatAVoterDoesNotPassOnReachesTheNextVoter)
+{
+  pu_command c = {};
+  pu_backend_record &b = c.pu_command_u.backend_up;
+  char name[] = "engine", empty[] = "";
+  Answer a;
+
+  start_all ();
+  start_agent ();
+  c.type = PU_COMMAND_BACKEND_UP;
+  b.name = name;
+  b.incarnation = 3;
+  b.service = b.address = b.region = b.zone = empty;
+  pu_agent_propose (agent, &c, 5000, take_answer, &a);
+  run_until ([&] { return a.count > 0 && pu_agent_joined (agent); });
+  while (leader () == &polled_voter ())
+    {
+      pu_control_step_down (leader ()->control);
+      run_until ([&] { return leader () != nullptr; });
+    }
+  guint64 end = uv_now (&loop) + 1000;
+  run_until ([&] { return uv_now (&loop) >= end; });
+  auto unsent = [&] {
+    json_t *dump = pu_agent_dump (agent);
+    auto n = json_integer_value (json_object_get (dump, "renewals"));
+    json_decref (dump);
+    return n;
+  };
+  pu_agent_renew (agent, "engine", 3);
+  guint64 renewed = uv_now (&loop);
+  run_until ([&] { return unsent () == 0; });
+  stop (polled_voter ());
+  run_until ([&] {
+    return leader () != nullptr
+           && pu_control_backend_silent_ms (leader ()->control, "engine")
+                  <= uv_now (&loop) - renewed + 20;
+  });
+}
+
 /* The record of an engine in the agent's view differs from the voters' record,
    so the next delta of it does not apply.  The agent must request an image. */
 TEST_F (Control, DeltaThatDoesNotApplyIsFollowedByAnImage)
