--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -409,6 +409,12 @@
    disconnect, or asks the leader again.  */
 void pu_model_wait_tick (pu_exchange_t *x, guint64 now);
 
+/* --- refusals.c: engines that refuse connections --- */
+
+/* pu_server_refused - tells the leader that S, an engine, refuses connections
+   from this instance, unless it has just been told.  */
+void pu_server_refused (pu_server_t *s);
+
 /* --- demand.c: demand reported to the leader --- */
 
 /* pu_demand_report - reports the demand of X to the leader, once for each
@@ -477,10 +483,6 @@
    there shortly before, gets a strike.  */
 void pu_server_check_crash (pu_server_t *s);
 
-/* pu_server_refused - tells the leader that S, an engine, refuses connections
-   from this instance, unless it has just been told.  */
-void pu_server_refused (pu_server_t *s);
-
 /* pu_server_mark_present - treats S as having a ready copy of MODEL until loop
    time UNTIL, even if the reports of S list none.  */
 void pu_server_mark_present (pu_server_t *s, const char *model, guint64 until);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -17,9 +17,6 @@
   /* Most lines on changes of state when all backend servers are applied at
      once, as after a start.  */
   CHANGES_LOGGED_MAX = 200,
-  /* Interval of reports to the leader while a backend server refuses
-     connections: a new leader knows of none.  */
-  REFUSAL_REPORT_INTERVAL_MS = 500,
 };
 
 /* An override: whether a backend server has a ready copy of a model, for the
@@ -611,41 +608,6 @@
 
 static void probe_start (pu_server_t *s);
 
-static void
-on_refusal_reported (void *data, json_t *reply, const pu_error_t *e)
-{
-  pu_server_t *s = data;
-  pu_entry_t *en = s->en;
-
-  en->pending--;
-  s->refusal_reporting = false;
-  if (reply == NULL)
-    {
-      pu_log_debug (PU_ENTRY_LOG_SLICE,
-                    "The leader was not told that backend server %s refuses "
-                    "connections: %s",
-                    s->name, e != NULL ? e->message : "no reply.");
-    }
-  pu_entry_check_stopped (en);
-}
-
-void
-pu_server_refused (pu_server_t *s)
-{
-  pu_entry_t *en = s->en;
-  guint64 now = uv_now (en->o.loop);
-
-  if (en->o.hooks.report_refusal == NULL || s->plain || s->down
-      || s->refusal_reporting || now < s->refusal_report_at)
-    return;
-  s->refusal_reporting = true;
-  s->refusal_report_at = now + REFUSAL_REPORT_INTERVAL_MS;
-  en->pending++;
-  en->o.hooks.report_refusal (en->o.hooks.data, s->name, s->incarnation,
-                              REFUSAL_REPORT_INTERVAL_MS, on_refusal_reported,
-                              s);
-}
-
 /* Handles the result of a connection to S after an attempt on S broke.  S has
    crashed if it refuses connections and none of its connections is left.  With
    a frontend given in the options, a broken attempt alone is no sign of that:
--- a/libplantainusher/settings/schema.c
+++ b/libplantainusher/settings/schema.c
@@ -250,7 +250,7 @@
     .offset = offsetof (pu_settings_platform_t, fenced),
     .fallback = 0 },
   PLATFORM_NUMBER (retry_ratio, 0, 10, 0.1, "retries a request"),
-  PLATFORM_LIMIT (retry_slack, 0, 1000000, 10, "retries"),
+  PLATFORM_LIMIT (retry_slack, 0, 1000000, 1000000, "retries"),
   PLATFORM_NUMBER (store_overage, 0.1, 10, 1, NULL),
 };
 static const pu_schema_t platform_schema
