Test: engines of the demand test have room for one model each

Its ledgers show that spare memory had given each engine both models within 3 s, before the crowd on m1 began. The test asked for what cannot be.

Engines now hold one model each, so that copies of m0 have to make room for those of m1: stricter than before, and never met by spare memory alone.

--- a/tests/demand_process_test.py
+++ b/tests/demand_process_test.py
@@ -12,6 +12,7 @@
 TOKENS = 50
 DECODE_MS = 20
 ENGINES = 4
+ENGINE_MB = 300  # room for one model: copies of the other have to go
 
 
 def document():
@@ -60,7 +61,7 @@
         is overcommitted meanwhile; every request is answered whole, or is
         refused at once and truly did not run."""
         c = self.begin(fenced=(True, False) * 2, decode_ms=DECODE_MS,
-                       event_ids=True, memory_mb=placement.ENGINE_MB, max_batch=8)
+                       event_ids=True, memory_mb=ENGINE_MB, max_batch=8)
         self.submit(c, 0, document())
         self.wait_reachable(c, MODELS)
         wait_until("all entries to know", lambda: all(
