control, entry: log the bytes of replies to polls, a lost lease and leaves

The logs could not tell why a leader loses its lease without a fault, nor how long the log takes for a backend server's leave that was acknowledged already. Replies between two notifications are logged from 512 KB on, the end of leadership with the age of what a quorum acknowledged last, and the outcome of each proposal that a backend server leaves. No logic changes.

--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -51,6 +51,8 @@
   uint64_t image_position;
   const pu_state_t *image_of; /* the state that the image was made from */
   bool bulk_waits;            /* a poll waits until bulk data may be sent */
+  guint round_replies;        /* replies to polls since the last notification */
+  size_t round_bytes;         /* the bytes of these */
 
   /* chunks.c */
   pu_blobs_t *blobs;
@@ -75,9 +77,9 @@
 };
 
 /* pu_control_reply_xdr - answers CALL with RECORD, encoded by PROC, and frees
-   CALL.  */
-void pu_control_reply_xdr (pu_rpc_call_t *call, xdrproc_t proc,
-                           const void *record);
+   CALL.  Returns the bytes of the reply.  */
+size_t pu_control_reply_xdr (pu_rpc_call_t *call, xdrproc_t proc,
+                             const void *record);
 
 /* pu_control_leader_address - returns the peer address of the leader; "" when
    it is unknown.  */
--- a/libplantainusher/control/lead.c
+++ b/libplantainusher/control/lead.c
@@ -278,7 +278,10 @@
   if (!c->leading)
     return;
   c->leading = false;
-  pu_log_note (PU_CONTROL_PART, "Leads no more.");
+  pu_log_note (PU_CONTROL_PART,
+               "Leads no more; a quorum has acknowledged nothing sent in the "
+               "last %" G_GUINT64_FORMAT " ms.",
+               pu_group_quorum_silent_ms (c->group));
   for (guint i = 0; i < c->leader_tasks->len; i++)
     {
       const pu_control_leader_task_t *d
--- a/libplantainusher/control/polls.c
+++ b/libplantainusher/control/polls.c
@@ -23,6 +23,10 @@
    flight.  */
 #define BULK_MIN_BYTES ((size_t)4 << 10)
 
+/* Replies between two notifications that are logged: those of a twentieth of a
+   second on a link of 100 Mbit/s.  */
+#define ROUND_LOGGED_MIN_BYTES ((size_t)512 << 10)
+
 typedef enum
 {
   POLL_WHOLE,  /* entries and images are sent whole */
@@ -356,13 +360,16 @@
   r->reply.leader = g_strdup (pu_control_leader_address (c));
   reply_set_voters (&r->reply, c->group, p->voters_hash, voters);
   poll_free (p);
+  c->round_replies++;
   if (blobs)
     {
-      pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_blob_reply, r);
+      c->round_bytes
+          += pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_blob_reply, r);
     }
   else
     {
-      pu_control_reply_xdr (call, (xdrproc_t)xdr_pu_poll_reply, &r->reply);
+      c->round_bytes += pu_control_reply_xdr (
+          call, (xdrproc_t)xdr_pu_poll_reply, &r->reply);
     }
   g_free (r->reply.leader);
 }
@@ -427,6 +434,22 @@
     }
 }
 
+/* round_log - logs what was sent to daemons since the last notification, if
+   that is much.  */
+static void
+round_log (pu_control_t *c)
+{
+  if (c->round_bytes >= ROUND_LOGGED_MIN_BYTES)
+    {
+      pu_log_event (PU_CONTROL_PART, "Sent many bytes to daemons.",
+                    PU_LOG_NUMBER ("replies", c->round_replies),
+                    PU_LOG_NUMBER ("bytes", c->round_bytes),
+                    PU_LOG_NUMBER ("polls_waiting", c->polls.length));
+    }
+  c->round_replies = 0;
+  c->round_bytes = 0;
+}
+
 static void
 on_notify_timer (uv_timer_t *t)
 {
@@ -435,6 +458,7 @@
 
   pu_pace_mark_sent (&c->pace, pu_feed_newest (c->feed), now);
   polls_process_all (c, now);
+  round_log (c);
 }
 
 void
--- a/libplantainusher/control/proposals.c
+++ b/libplantainusher/control/proposals.c
@@ -37,7 +37,7 @@
 
 /* --- replies --- */
 
-void
+size_t
 pu_control_reply_xdr (pu_rpc_call_t *call, xdrproc_t proc, const void *record)
 {
   GBytes *bytes = pu_codec_encode (proc, record);
@@ -46,6 +46,7 @@
 
   pu_rpc_call_reply (call, data, size);
   g_bytes_unref (bytes);
+  return size;
 }
 
 static void
--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -53,6 +53,7 @@
 {
   pu_entry_t *en;
   char *name;
+  guint64 started_at; /* loop time */
 } proposal_t;
 
 static const pu_backend_record *
@@ -99,6 +100,24 @@
 
 static void record_propose (pu_reporter_t *p);
 
+static const char *
+leaving_outcome (const pu_reply *r, const pu_error_t *e)
+{
+  if (r == NULL)
+    return e->message;
+  return r->outcome == PU_OUTCOME_REFUSED ? r->detail : "in the log";
+}
+
+/* Logs the outcome of the proposal that a backend server leaves.  */
+static void
+leaving_log (const proposal_t *p, const pu_reply *r, const pu_error_t *e)
+{
+  pu_log_event (PU_ENTRY_LOG_SLICE, "Proposed that a backend server leaves.",
+                PU_LOG_TEXT ("server", p->name),
+                PU_LOG_NUMBER ("waited_ms", loop_now (p->en) - p->started_at),
+                PU_LOG_TEXT ("outcome", leaving_outcome (r, e)));
+}
+
 static void
 on_proposed (void *data, const pu_reply *r, const pu_error_t *e)
 {
@@ -106,8 +125,9 @@
   pu_entry_t *en = proposal->en;
   pu_reporter_t *p = g_hash_table_lookup (en->reporters, proposal->name);
 
-  (void)e;
   en->pending--;
+  if (p != NULL && p->proposed != NULL && p->proposed->leaving)
+    leaving_log (proposal, r, e);
   g_free (proposal->name);
   g_free (proposal);
   if (p != NULL && p->proposed != NULL)
@@ -137,6 +157,7 @@
 
   proposal->en = en;
   proposal->name = g_strdup (p->record->name);
+  proposal->started_at = loop_now (en);
   en->pending++;
   p->proposed = record_copy (p->record);
   c.pu_command_u.backend_up = *p->proposed;
--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -637,6 +637,12 @@
   return !g->closing && pu_replica_holds_lease (g->replica, now_ms (g));
 }
 
+uint64_t
+pu_group_quorum_silent_ms (pu_group_t *g)
+{
+  return pu_replica_quorum_silent_ms (g->replica, now_ms (g));
+}
+
 bool
 pu_group_is_leader (const pu_group_t *g)
 {
--- a/libplantainusher/log/group.h
+++ b/libplantainusher/log/group.h
@@ -122,6 +122,11 @@
    Check it before each action that only the leader may take; the term is the
    fencing token.  */
 bool pu_group_holds_lease (pu_group_t *g);
+
+/* pu_group_quorum_silent_ms - returns the age, in milliseconds, of the newest
+   message of this leader that a quorum has acknowledged; 0 if this voter is
+   not the leader or none was acknowledged.  */
+uint64_t pu_group_quorum_silent_ms (pu_group_t *g);
 bool pu_group_is_leader (const pu_group_t *g);
 uint64_t pu_group_term (const pu_group_t *g);
 
--- a/libplantainusher/log/replica_vote.c
+++ b/libplantainusher/log/replica_vote.c
@@ -336,3 +336,12 @@
   sent = pu_r_quorum_acked_send_time (r, now);
   return sent != 0 && now < sent + lease - CLOCK_ROUNDING_MS;
 }
+
+uint64_t
+pu_replica_quorum_silent_ms (const pu_replica_t *r, uint64_t now)
+{
+  uint64_t sent
+      = r->role == PU_ROLE_LEADER ? pu_r_quorum_acked_send_time (r, now) : 0;
+
+  return sent != 0 && sent < now ? now - sent : 0;
+}
