membership: a silent voter is suspected before the instances that poll it

Cause: a member's timeout is doubled while its voter is silent itself, but a voter counted as silent after 3,000 ms only, while a member's own timeout is 1,200 ms on the platform and 2,400 ms at most. So the rule that exists for this case never applied.

Change: the route is suspected after half of the subject's least timeout at the latest, whatever the settings. For leases the same holds for the home entry: 1,500 ms in place of 3,000 with a lease of 3,000.

--- a/libplantainusher/membership/membership.c
+++ b/libplantainusher/membership/membership.c
@@ -203,6 +203,16 @@
   return home_entry == NULL ? 0 : home_entry->last_heard;
 }
 
+/* Returns the silence after which the route of a subject is suspected.  That
+   must be before the subject itself is, since both are silent from the same
+   moment on.  */
+static uint64_t
+route_timeout_ms (const pu_membership_t *m, pu_subject_kind_t kind)
+{
+  return MIN (m->options.route_timeout_ms,
+              m->options.min_timeout_ms[kind] / 2);
+}
+
 static bool
 route_is_silent (const pu_membership_t *m, pu_subject_kind_t kind,
                  const subject_t *s, uint64_t now)
@@ -210,7 +220,7 @@
   if (is_rule_broken (m, PU_MEMBERSHIP_BREAK_IGNORE_ROUTE))
     return false;
   return s->route != NULL
-         && now - route_last_heard (m, kind, s) > m->options.route_timeout_ms;
+         && now - route_last_heard (m, kind, s) > route_timeout_ms (m, kind);
 }
 
 static uint64_t
--- a/libplantainusher/membership/membership.h
+++ b/libplantainusher/membership/membership.h
@@ -23,9 +23,9 @@
  * min_timeout_ms and max_timeout_ms.  A slow instance thus gets more time, and
  * no subject less than min_timeout_ms.  While the route of the subject (a
  * voter for a session, the home entry for a lease) has itself been silent for
- * over route_timeout_ms, the timeout is max_timeout_ms, because missing
- * heartbeats then say nothing about the subject.  Time in which the leader did
- * not run does not count as silence.
+ * over route_timeout_ms, or over half of min_timeout_ms, the timeout is
+ * max_timeout_ms, because missing heartbeats then say nothing about the
+ * subject.  Time in which the leader did not run does not count as silence.
  */
 
 typedef struct pu_membership pu_membership_t;
@@ -50,7 +50,8 @@
   guint32 min_timeout_ms[2]; /* by kind: lower bound of the timeout */
   guint32 max_timeout_ms[2]; /* by kind: upper bound of the timeout */
   double deviation_factor;   /* mean deviations in the timeout; default 6 */
-  guint32 route_timeout_ms;  /* silence after which a route is suspected */
+  guint32 route_timeout_ms;  /* silence after which a route is suspected, half
+                                of min_timeout_ms at most */
   guint32 max_tick_gap_ms; /* time between ticks beyond this is not counted as
                               silence */
   guint32 report_interval_ms; /* between reports of the same failure */
--- a/libplantainusher/membership/membership_test.cc
+++ b/libplantainusher/membership/membership_test.cc
@@ -36,6 +36,15 @@
 
   ~Membership () { pu_membership_free (m); }
 
+  /* Begins anew with the options as they are now.  */
+  void
+  restart ()
+  {
+    pu_membership_free (m);
+    m = pu_membership_new (&o);
+    pu_membership_reset (m, now);
+  }
+
   /* Advances the clock by MS with a tick each STEP_MS; returns the names
      reported as failed.  */
   std::vector<std::string>
@@ -176,6 +185,31 @@
     }
 }
 
+/* With a minimum timeout below the route's, all members that reported through
+   a frozen voter were reported before that voter was suspected.  */
+TEST (Membership, SilentRouteIsSuspectedBeforeItsMembers)
+{
+  Membership t;
+
+  t.o.min_timeout_ms[PU_SUBJECT_MEMBER] = 1200;
+  t.o.max_timeout_ms[PU_SUBJECT_MEMBER] = 2400;
+  t.restart ();
+  t.members = { { "a", 1 }, { "c", 1 } };
+  t.advance (100);
+  for (int i = 0; i < 10; i++)
+    {
+      t.heartbeat ("a", 1, "v");
+      t.heartbeat ("c", 1, "w");
+      EXPECT_EQ (t.advance (200), Names{});
+    }
+  for (int i = 0; i < 10; i++)
+    {
+      t.heartbeat ("c", 1, "w");
+      EXPECT_EQ (t.advance (200), Names{});
+    }
+  EXPECT_EQ (t.advance (600), Names{ "a" });
+}
+
 TEST (Membership, SilentHomeEntryExtendsTheLease)
 {
   Membership t;
