entry, platform: a leave is acknowledged when the log has it

Cause: a check-in that says draining, and a removal, were acknowledged with 200 before their proposal had a reply. If the proposal failed it was made again with the next check-in, after a removal never; while a proposal of the record was under way, the leave waited for the end of that one.

Change: entry/leaves.c proposes the leave by itself and again until the log has it, and the check-in is answered then, or with 503 after 800 ms, so that the backend server turns to another instance within its second. The entry that heard it sends nothing new there from the first moment on, as before. Leaves that answers of backend servers state go the same way.

Their second half was looking for the word leaving in logs; it asks now whether requests still go there, since a server that is down gets none either.

--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -53,7 +53,6 @@
 {
   pu_entry_t *en;
   char *name;
-  guint64 started_at; /* loop time */
 } proposal_t;
 
 static const pu_backend_record *
@@ -100,24 +99,6 @@
 
 static void record_propose (pu_reporter_t *p);
 
-static const char *
-leaving_outcome (const pu_reply *r, const pu_error_t *e)
-{
-  if (r == NULL)
-    return e->message;
-  return r->outcome == PU_OUTCOME_REFUSED ? r->detail : "in the log";
-}
-
-/* Logs the outcome of the proposal that a backend server leaves.  */
-static void
-leaving_log (const proposal_t *p, const pu_reply *r, const pu_error_t *e)
-{
-  pu_log_event (PU_ENTRY_LOG_SLICE, "Proposed that a backend server leaves.",
-                PU_LOG_TEXT ("server", p->name),
-                PU_LOG_NUMBER ("waited_ms", loop_now (p->en) - p->started_at),
-                PU_LOG_TEXT ("outcome", leaving_outcome (r, e)));
-}
-
 static void
 on_proposed (void *data, const pu_reply *r, const pu_error_t *e)
 {
@@ -125,9 +106,8 @@
   pu_entry_t *en = proposal->en;
   pu_reporter_t *p = g_hash_table_lookup (en->reporters, proposal->name);
 
+  (void)e;
   en->pending--;
-  if (p != NULL && p->proposed != NULL && p->proposed->leaving)
-    leaving_log (proposal, r, e);
   g_free (proposal->name);
   g_free (proposal);
   if (p != NULL && p->proposed != NULL)
@@ -157,7 +137,6 @@
 
   proposal->en = en;
   proposal->name = g_strdup (p->record->name);
-  proposal->started_at = loop_now (en);
   en->pending++;
   p->proposed = record_copy (p->record);
   c.pu_command_u.backend_up = *p->proposed;
@@ -168,18 +147,6 @@
 
 /* --- applying a report --- */
 
-static void
-leaving_apply (pu_entry_t *en, const pu_backend_record *b)
-{
-  pu_server_t *s = pu_server_find (en, b->name);
-
-  if (!b->leaving || s == NULL || s->incarnation != b->incarnation)
-    return;
-  s->leaving = true;
-  if (s->handle != PU_ROUTER_NONE)
-    pu_router_set_leaving (en->router, s->handle);
-}
-
 static void
 router_report (pu_entry_t *en, const pu_announcement_t *a)
 {
@@ -219,7 +186,8 @@
 
   en->o.hooks.renew (en->o.hooks.data, a->record->name,
                      a->record->incarnation);
-  leaving_apply (en, a->record);
+  if (a->record->leaving)
+    pu_server_set_leaving (en, a->record->name, a->record->incarnation);
   accepted_from_view (p);
   if (must_propose (p))
     record_propose (p);
@@ -265,32 +233,6 @@
   return true;
 }
 
-static void
-ignore_reply (void *data, const pu_reply *r, const pu_error_t *e)
-{
-  (void)data;
-  (void)r;
-  (void)e;
-}
-
-void
-pu_entry_mark_leaving (pu_entry_t *en, const char *name)
-{
-  const pu_backend_record *b = view_record (en, name);
-  pu_command c = { .type = PU_COMMAND_BACKEND_LEAVING };
-  pu_backend_record leaving;
-
-  if (b == NULL)
-    return;
-  leaving = *b;
-  leaving.leaving = TRUE;
-  leaving_apply (en, &leaving);
-  c.pu_command_u.backend_leaving.name = (char *)name;
-  c.pu_command_u.backend_leaving.incarnation = b->incarnation;
-  en->o.hooks.propose (en->o.hooks.data, &c, en->o.log_proposal_timeout_ms,
-                       ignore_reply, NULL);
-}
-
 /* --- HTTP handler --- */
 
 static void
@@ -348,6 +290,62 @@
   pu_respond_json (http, 200, v);
 }
 
+/* The response to a report that a backend server leaves.  */
+typedef struct
+{
+  pu_entry_t *en;
+  pu_http_request_t *http; /* NULL: the backend server has disconnected */
+  guint64 seq;
+} leave_answer_t;
+
+static void
+on_leave_disconnected (void *data)
+{
+  ((leave_answer_t *)data)->http = NULL;
+}
+
+static void
+on_leave (void *data, bool known)
+{
+  static const pu_refusal_t unknown
+      = { 503, "unavailable", PU_RUN_OUTCOME_NOT_RUN, 0 };
+  leave_answer_t *a = data;
+
+  if (a->http != NULL && known)
+    {
+      report_answer (a->en, a->http, a->seq, false);
+    }
+  else if (a->http != NULL)
+    {
+      pu_respond_error (a->http, NULL, &unknown,
+                        "The log does not have this leave yet.");
+    }
+  g_free (a);
+}
+
+/* Answers the report SEQ of NAME.  That it leaves is acknowledged when the log
+   has it.  */
+static void
+report_answer_when_known (pu_entry_t *en, pu_http_request_t *http,
+                          const char *name, guint64 seq, bool leaving)
+{
+  static const pu_http_request_events_t events
+      = { on_leave_disconnected, NULL };
+  leave_answer_t *a;
+
+  if (!leaving)
+    {
+      report_answer (en, http, seq, false);
+      return;
+    }
+  a = g_new0 (leave_answer_t, 1);
+  a->en = en;
+  a->http = http;
+  a->seq = seq;
+  pu_http_request_watch (http, &events, a);
+  pu_entry_mark_leaving (en, name, on_leave, a);
+}
+
 static void
 report_handle (pu_entry_t *en, pu_http_request_t *http, const json_t *root,
                const char *name, guint64 incarnation, pu_findings_t *f)
@@ -368,12 +366,12 @@
   else if (p != NULL && p->record->incarnation == incarnation
            && a.seq <= p->seq)
     {
-      report_answer (en, http, p->seq, false);
+      report_answer_when_known (en, http, name, p->seq, p->record->leaving);
     }
   else
     {
       report_apply (en, &a);
-      report_answer (en, http, a.seq, false);
+      report_answer_when_known (en, http, name, a.seq, a.record->leaving);
     }
   pu_announcement_clear (&a);
 }
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -309,7 +309,7 @@
       || at->answer.replaced)
     return;
   if (at->answer.leaving && !s->leaving)
-    pu_entry_mark_leaving (x->en, s->name);
+    pu_entry_mark_leaving (x->en, s->name, NULL, NULL);
   pu_server_limit_stated (s, at->answer.limit_per_s);
   if (at->answer.retry_after_ms > 0)
     pu_server_back_off (s, now_of (x) + at->answer.retry_after_ms + 1);
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -211,6 +211,7 @@
 
   pu_servers_tick (en, now);
   pu_strikes_tick (en, now);
+  pu_leaves_tick (en, now);
   pu_once_tick (en->once, now);
   pu_claim_run_actions (en);
   pu_exchanges_tick (en, now);
@@ -278,6 +279,8 @@
   en->other_addresses_version = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
+  en->leaves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                      pu_leave_free);
   en->suspect_standings
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   en->strikes = g_ptr_array_new_with_free_func (pu_strike_free);
@@ -356,6 +359,7 @@
   g_ptr_array_free (en->other_addresses, TRUE);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
+  g_hash_table_destroy (en->leaves);
   g_ptr_array_free (en->strikes, TRUE);
   g_hash_table_destroy (en->acquittals);
   g_hash_table_destroy (en->suspect_standings);
@@ -537,6 +541,7 @@
   if (en == NULL)
     return;
   pu_exchanges_abort (en);
+  pu_leaves_give_up (en);
   en->stopping = true;
   pu_startup_tick (en, uv_now (en->o.loop));
   en->freed = true;
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -240,9 +240,17 @@
 bool pu_entry_add_report (pu_entry_t *en, const pu_backend_record *record,
                           guint64 seq);
 
+/* pu_entry_leave_fn - KNOWN: the log has it that a backend server leaves, so
+   that each entry in contact with the voters learns of it.  */
+typedef void pu_entry_leave_fn (void *data, bool known);
+
 /* pu_entry_mark_leaving - records that the backend server NAME has reported
-   that it shuts down.  It gets no new requests.  */
-void pu_entry_mark_leaving (pu_entry_t *en, const char *name);
+   that it shuts down.  It gets no new requests of this entry, and the log is
+   told until it has that.  FN, if not NULL, is called exactly once, within
+   800 ms and maybe before this returns: a leave that the log does not have
+   must not be acknowledged.  */
+void pu_entry_mark_leaving (pu_entry_t *en, const char *name,
+                            pu_entry_leave_fn *fn, void *data);
 
 /* pu_entry_document - the document in force on this entry, or NULL.  */
 const pu_document_t *pu_entry_document (const pu_entry_t *en);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -260,6 +260,7 @@
   bool applying_all;      /* all backend servers of the view are applied */
   guint changes_logged;   /* changes of state among them */
   GHashTable *reporters;  /* name -> pu_reporter_t */
+  GHashTable *leaves;     /* name -> leave_t of leaves.c */
   GPtrArray *strikes;     /* of pu_strike_t, owned */
   GHashTable *acquittals; /* set of &fingerprint: acquittals that are being
                              proposed to the log */
@@ -500,6 +501,11 @@
 bool pu_server_is_withdrawn (const pu_server_t *s, const char *model,
                              guint64 until);
 
+/* pu_server_set_leaving - sends no new request to the backend server NAME at
+   INCARNATION, which has said that it leaves.  */
+void pu_server_set_leaving (pu_entry_t *en, const char *name,
+                            guint64 incarnation);
+
 /* pu_server_back_off - sends no request to S until loop time UNTIL, as S asked
    for with a refusal.  Lasts as long as the incarnation of S.  */
 void pu_server_back_off (pu_server_t *s, guint64 until);
@@ -543,6 +549,16 @@
    after the leader's reply.  */
 bool pu_server_limit_permits (pu_exchange_t *x, pu_server_t *s);
 
+/* --- leaves.c: backend servers that have said that they leave --- */
+
+/* pu_leaves_tick - calls the waiters whose time is over, proposes again what
+   the log did not take, and ends what the view shows.  */
+void pu_leaves_tick (pu_entry_t *en, guint64 now);
+
+/* pu_leaves_give_up - calls all waiters: the leave is not known.  */
+void pu_leaves_give_up (pu_entry_t *en);
+void pu_leave_free (gpointer leave);
+
 /* --- strikes.c: strikes against requests --- */
 
 /* pu_strike_begin - proposes ONE, a strike for the crash of S, to the log.  */
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -331,6 +331,18 @@
     }
 }
 
+void
+pu_server_set_leaving (pu_entry_t *en, const char *name, guint64 incarnation)
+{
+  pu_server_t *s = pu_server_find (en, name);
+
+  if (s == NULL || s->incarnation != incarnation)
+    return;
+  s->leaving = true;
+  if (s->handle != PU_ROUTER_NONE)
+    pu_router_set_leaving (en->router, s->handle);
+}
+
 void
 pu_server_back_off (pu_server_t *s, guint64 until)
 {
--- a/tests/late_news_process_test.py
+++ b/tests/late_news_process_test.py
@@ -49,14 +49,15 @@
         self.assertNotIn(200, statuses, "acknowledged, though no log has it")
         wait_until("the leave to be acknowledged", lambda: leave() == 200)
         for one in self.some:
-            wait_until(f"{one.name} to know", lambda one=one:
-                       self.says(one, "leaving"), IN_FORCE_S)
-
-    @staticmethod
-    def says(one, now):
-        return any('"server":"i-0"' in line and f'"now":"{now}"' in line
-                   for line in one.log.read_text(errors="replace")
-                   .splitlines())
+            wait_until(f"{one.name} to send it nothing new",
+                       lambda one=one: self.unused(one), IN_FORCE_S)
+
+    def unused(self, one):
+        gone = self.backends[0]
+        before = len(gone.ran)
+        for _ in range(4):
+            self.assertEqual(one.ask("GET", "/safe/x").status, 200)
+        return len(gone.ran) == before
 
     def test_leave_is_not_acknowledged_before_the_log_has_it(self):
         def leave():
