control: log slow leader tasks and what queries cost the leader

A leader logs once a second how many queries it answered by kind, if they took 50 ms or more, and each tick of a task of 100 ms or more. No logic changes.

--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -179,6 +179,7 @@
   pu_control_polls_tick (c, now);
   pu_control_chunks_tick (c, now);
   pu_control_leadership_tick (c, now);
+  pu_control_queries_tick (c, now);
   pu_control_send_sessions (c, now);
 }
 
--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -19,6 +19,9 @@
 
 #define PU_CONTROL_PART "control"
 
+/* Number of kinds of queries, pu_query_kind.  */
+#define PU_CONTROL_QUERY_KINDS (PU_QUERY_REFUSAL + 1)
+
 struct pu_control
 {
   pu_control_options_t options;
@@ -51,8 +54,13 @@
   uint64_t image_position;
   const pu_state_t *image_of; /* the state that the image was made from */
   bool bulk_waits;            /* a poll waits until bulk data may be sent */
-  guint round_replies;        /* replies to polls since the last notification */
-  size_t round_bytes;         /* the bytes of these */
+  guint round_replies; /* replies to polls since the last notification */
+  size_t round_bytes;  /* the bytes of these */
+
+  /* query.c */
+  guint queries[PU_CONTROL_QUERY_KINDS]; /* by kind, since the last log line */
+  guint64 queries_ns;                    /* time spent on them */
+  uint64_t queries_logged;               /* ms */
 
   /* chunks.c */
   pu_blobs_t *blobs;
@@ -109,6 +117,10 @@
 void pu_control_on_query (void *data, pu_rpc_call_t *call, const guint8 *body,
                           size_t n);
 
+/* pu_control_queries_tick - logs how many queries this leader has answered, if
+   that took much of the time.  */
+void pu_control_queries_tick (pu_control_t *c, uint64_t now);
+
 /* polls.c */
 void pu_control_polls_init (pu_control_t *c);
 void pu_control_polls_clear (pu_control_t *c);
--- a/libplantainusher/control/lead.c
+++ b/libplantainusher/control/lead.c
@@ -4,6 +4,11 @@
 
 #include "base/log.h"
 
+#define NS_PER_MS 1000000
+
+/* A tick of a leader task is logged from this time on.  */
+#define TICK_LOGGED_MIN_MS 100
+
 /* The session of a daemon, as reported to the leader.  */
 typedef struct
 {
@@ -292,6 +297,22 @@
     }
 }
 
+/* Calls the tick of D and logs one that takes long.  */
+static void
+task_tick (const pu_control_leader_task_t *d, uint64_t now)
+{
+  guint64 started_ns = uv_hrtime ();
+  guint64 ms;
+
+  d->tick (d->data, now);
+  ms = (uv_hrtime () - started_ns) / NS_PER_MS;
+  if (ms >= TICK_LOGGED_MIN_MS)
+    {
+      pu_log_event (PU_CONTROL_PART, "A leader task took long.",
+                    PU_LOG_TEXT ("task", d->name), PU_LOG_NUMBER ("ms", ms));
+    }
+}
+
 void
 pu_control_leadership_tick (pu_control_t *c, uint64_t now)
 {
@@ -312,7 +333,7 @@
           = &g_array_index (c->leader_tasks, pu_control_leader_task_t, i);
 
       if (d->tick != NULL && pu_group_holds_lease (c->group))
-        d->tick (d->data, now);
+        task_tick (d, now);
     }
 }
 
--- a/libplantainusher/control/query.c
+++ b/libplantainusher/control/query.c
@@ -2,6 +2,13 @@
 
 #include <string.h>
 
+#include "base/log.h"
+
+/* Interval of the log line on queries, and the time spent on them in it from
+   which it is written.  */
+#define QUERIES_LOG_INTERVAL_MS 1000
+#define QUERIES_LOGGED_MIN_NS ((guint64)50 * 1000 * 1000)
+
 static void
 query_fail (pu_control_t *c, pu_rpc_call_t *call, pu_error_kind_t kind,
             const char *message)
@@ -187,7 +194,11 @@
      leader is known, a voter answers from its own state.  */
   if (pu_group_is_leader (c->group) || (q.kind == PU_QUERY_HISTORY && !known))
     {
+      guint64 started_ns = uv_hrtime ();
+
+      c->queries[q.kind]++;
       execute_query (c, call, &q);
+      c->queries_ns += uv_hrtime () - started_ns;
     }
   else if (known && !q.forwarded)
     {
@@ -201,3 +212,25 @@
     }
   xdr_free ((xdrproc_t)xdr_pu_query, &q);
 }
+
+void
+pu_control_queries_tick (pu_control_t *c, uint64_t now)
+{
+  if (now - c->queries_logged < QUERIES_LOG_INTERVAL_MS)
+    return;
+  if (c->queries_ns >= QUERIES_LOGGED_MIN_NS)
+    {
+      pu_log_event (
+          PU_CONTROL_PART, "Answered many queries.",
+          PU_LOG_NUMBER ("status", c->queries[PU_QUERY_STATUS]),
+          PU_LOG_NUMBER ("copies", c->queries[PU_QUERY_WANT]),
+          PU_LOG_NUMBER ("grants", c->queries[PU_QUERY_GRANT]),
+          PU_LOG_NUMBER ("refusals", c->queries[PU_QUERY_REFUSAL]),
+          PU_LOG_NUMBER ("spent_ms",
+                         c->queries_ns / G_GUINT64_CONSTANT (1000000)),
+          PU_LOG_NUMBER ("in_ms", now - c->queries_logged));
+    }
+  memset (c->queries, 0, sizeof c->queries);
+  c->queries_ns = 0;
+  c->queries_logged = now;
+}
