placer, entry: daemons ask for copies as often as the leader can answer

The leader answers 2,000 to 4,000 questions a second, which take 0.75 to 1.35 s of each second: an answer costs 0.3 to 1.3 ms, as all 320 engines are passed to the planner for each adapter, and all engines are walked twice. Ruled out: loss of voters, disk and network (the core was stable from 13.5 to 32.8 s); plans (0.12 to 0.15 s each); refusals (961 questions of 0.1 ms).

Change: replies say when to ask again, and that grows with the number of askers, so that the leader gets some 300 questions a second (placement/ copy_pace); daemons wait so long, with jitter, and longer after errors. The leader refreshes engines for adapters at most every 50 ms, answers the same item from what it computed within 50 ms, and steps the one engine that gets an order.

--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -279,8 +279,8 @@
   en->other_addresses_version = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
-  en->leaves = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                      pu_leave_free);
+  en->leaves
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pu_leave_free);
   en->suspect_standings
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   en->strikes = g_ptr_array_new_with_free_func (pu_strike_free);
--- a/libplantainusher/entry/model_wait.c
+++ b/libplantainusher/entry/model_wait.c
@@ -9,11 +9,16 @@
 enum
 {
   LOAD_REQUEST_TIMEOUT_MS = 900, /* timeout; then a new request is sent */
-  LOAD_REQUEST_BACKOFF_MS = 100, /* from a reply to the next request */
+  LOAD_REQUEST_BACKOFF_MS = 100, /* from a reply to the next request, at least;
+                                    doubled for each reply that is an error */
+  LOAD_REQUEST_BACKOFF_MAX_MS = 5000,
+  BACKOFF_DOUBLINGS_MAX = 4,
+  BACKOFF_JITTER_PCT = 25,
   /* How long a copy that the leader named counts as ready without a report.
      Within this time its backend server reports it.  */
   UNREPORTED_COPY_MS = 4000,
-  READY_ESTIMATE_TTL_MS = 1000, /* lifetime of a ready_at estimate */
+  READY_ESTIMATE_TTL_MS = 1000, /* lifetime of a ready_at estimate after the
+                                   next request is due */
   /* A waiting request is refused with a Retry-After this long before its
      caller disconnects: a first event would hardly reach the caller in the
      remaining time.  */
@@ -30,12 +35,13 @@
 {
   pu_entry_t *en;
   char *model;
-  bool in_flight;       /* a load request was sent to the leader and has no
-                           reply yet */
-  guint64 retry_at;     /* loop time of the next load request */
-  guint64 ready_at;     /* estimated loop time before which no copy is ready */
-  guint64 estimated_at; /* loop time when ready_at was received; 0: it is not
-                           known */
+  bool in_flight;   /* a load request was sent to the leader and has no
+                       reply yet */
+  guint failures;   /* replies in a row that were errors */
+  guint64 retry_at; /* loop time of the next load request */
+  guint64 ready_at; /* estimated loop time before which no copy is ready */
+  guint64 estimate_until; /* loop time until which ready_at is valid; 0: it is
+                             not known */
 } model_wait_t;
 
 void
@@ -77,8 +83,7 @@
   guint64 left = x->q.deadline - MIN (x->q.deadline, now);
   guint64 returns_at = now + left / RETRY_AFTER_DIVISOR;
 
-  if (w->estimated_at == 0 || now >= w->estimated_at + READY_ESTIMATE_TTL_MS
-      || w->ready_at <= caller_leaves_at (x))
+  if (now >= w->estimate_until || w->ready_at <= caller_leaves_at (x))
     return false;
   return w->ready_at > x->q.deadline || returns_at >= caller_leaves_at (x);
 }
@@ -147,10 +152,28 @@
 {
   guint64 now = uv_now (w->en->o.loop);
 
-  w->estimated_at = json_is_integer (due) ? now : 0;
+  w->estimate_until
+      = json_is_integer (due) ? w->retry_at + READY_ESTIMATE_TTL_MS : 0;
   w->ready_at = now + (guint64)MAX (0, json_integer_value (due));
 }
 
+/* Returns the pause until the next load request: what the leader asks for, or
+   a growing one after errors; with jitter, so that the daemons do not ask all
+   at once.  */
+static guint
+backoff_ms (const model_wait_t *w, json_t *reply)
+{
+  json_int_t told
+      = json_integer_value (json_object_get (reply, "ask_again_ms"));
+  guint own = (guint)LOAD_REQUEST_BACKOFF_MS
+              << MIN (w->failures, BACKOFF_DOUBLINGS_MAX);
+  guint ms = (guint)CLAMP (told, (json_int_t)own, LOAD_REQUEST_BACKOFF_MAX_MS);
+  guint jitter = ms * BACKOFF_JITTER_PCT / 100;
+
+  return ms - jitter
+         + (guint)g_rand_int_range (w->en->random, 0, (gint)(2 * jitter) + 1);
+}
+
 static void
 on_load_reply (void *data, json_t *reply, const pu_error_t *e)
 {
@@ -159,10 +182,12 @@
   const char *name = json_string_value (json_object_get (reply, "backend"));
   pu_server_t *s = name != NULL ? pu_server_find (en, name) : NULL;
 
-  (void)e;
   en->pending--;
   w->in_flight = false;
-  w->retry_at = uv_now (en->o.loop) + LOAD_REQUEST_BACKOFF_MS;
+  /* PU_ERROR_NOT_FOUND is the leader's answer that it expects no copy.  */
+  w->failures
+      = reply != NULL || e->kind == PU_ERROR_NOT_FOUND ? 0 : w->failures + 1;
+  w->retry_at = uv_now (en->o.loop) + backoff_ms (w, reply);
   ready_estimate_set (w, json_object_get (reply, "due_ms"));
   if (s != NULL && !s->down && !en->freed)
     {
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -139,6 +139,13 @@
     {
       json_t *place
           = r.due_ms > 0 ? json_pack ("{s:i}", "due_ms", r.due_ms) : nullptr;
+
+      r.load_requests_answered++;
+      if (r.ask_again_ms > 0 && place == nullptr)
+        place = json_object ();
+      if (r.ask_again_ms > 0)
+        json_object_set_new (place, "ask_again_ms",
+                             json_integer (r.ask_again_ms));
       pu_error_t e{};
 
       e.kind = place != nullptr ? PU_OK : PU_ERROR_NOT_FOUND;
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -133,6 +133,8 @@
   std::deque<load_request> load_requests;
   int due_ms = 0; /* answer to a load request: time until the copy is ready;
                      0: not found */
+  int ask_again_ms = 0; /* in the same answer, if it is not 0 */
+  guint load_requests_answered = 0;
   guint load_reports_sent = 0; /* load reports from node to node */
   guint withdrawals_sent = 0;
 
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -383,8 +383,7 @@
   if (l->document == NULL || now < l->next_plan_ms)
     return;
   l->next_plan_ms = now + s->options.plan_interval_ms;
-  for (guint32 i = 0; i < l->engines->len; i++)
-    pu_sequenced_refresh_engine (s, i);
+  pu_sequenced_refresh_engines (s, 0);
   set_min_copies_for_adapters (s, now);
   pu_planner_set_load_slots (l->planner, count_free_store_loads (s));
   g_array_set_size (s->moves, 0);
@@ -501,6 +500,7 @@
   pu_names_clear (&l->zone_names);
   g_array_unref (l->engines);
   g_array_unref (l->item_memory_mb);
+  g_hash_table_unref (l->due_times);
   pu_document_unref (l->document);
   g_free (l);
 }
@@ -525,6 +525,8 @@
   l->engines = g_array_new (FALSE, TRUE, sizeof (engine_t));
   g_array_set_clear_func (l->engines, engine_clear);
   l->item_memory_mb = g_array_new (FALSE, TRUE, sizeof (guint32));
+  l->due_times = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  pu_copy_pace_init (&l->pace, now);
   l->state_changes = G_MAXUINT64;
   l->term = term;
   /* Start without tokens of the rate limit of the weights store: the previous
--- a/libplantainusher/placer/sequenced_copy_requests.c
+++ b/libplantainusher/placer/sequenced_copy_requests.c
@@ -9,8 +9,18 @@
   COPY_REQUEST_TIMEOUT_MS = 800, /* time-out of a request; a daemon requests a
                                     copy that takes longer again */
   CHECK_INTERVAL_MS = 5, /* interval between checks while requests wait */
+  /* Hundreds of daemons ask for the same models and adapters.  For this time
+     they get the same answer, and the engines count as they were.  */
+  ANSWER_MAX_AGE_MS = 50,
 };
 
+/* The answer to a request for a copy that can't be had at once.  */
+typedef struct
+{
+  guint32 due_ms; /* 0: unknown */
+  guint64 computed_ms;
+} due_time_t;
+
 /* A request that waits until its copy is ready.  */
 typedef struct
 {
@@ -93,18 +103,45 @@
   return ms;
 }
 
-/* Answers REQUEST with the time until ITEM can be ready, as no engine holds it
-   or can load it immediately.  */
+/* Returns the current answer for ITEM, or NULL if there is none.  */
+static const due_time_t *
+find_due_time (const pu_sequenced_t *s, guint32 item)
+{
+  const due_time_t *t
+      = g_hash_table_lookup (s->leader->due_times, GUINT_TO_POINTER (item));
+
+  return t != NULL && pu_sequenced_now (s) < t->computed_ms + ANSWER_MAX_AGE_MS
+             ? t
+             : NULL;
+}
+
+static const due_time_t *
+compute_due_time (pu_sequenced_t *s, guint32 item)
+{
+  due_time_t *t = g_new0 (due_time_t, 1);
+
+  t->computed_ms = pu_sequenced_now (s);
+  t->due_ms = s->leader->document != NULL ? model_due_ms (s, item) : 0;
+  if (pu_adapters_contains (s->leader->adapters, item))
+    t->due_ms = MAX (t->due_ms, adapter_wait_ms (s, item));
+  g_hash_table_insert (s->leader->due_times, GUINT_TO_POINTER (item), t);
+  return t;
+}
+
+/* Answers REQUEST with T, and when to ask again.  */
 static void
-answer_due (pu_sequenced_t *s, guint32 item,
+answer_due (pu_sequenced_t *s, const due_time_t *t,
             pu_control_copy_request_t *request)
 {
-  guint32 ms = s->leader->document != NULL ? model_due_ms (s, item) : 0;
+  json_t *answer = json_pack ("{s:I}", "ask_again_ms",
+                              (json_int_t)s->leader->pace.interval_ms);
 
-  if (pu_adapters_contains (s->leader->adapters, item))
-    ms = MAX (ms, adapter_wait_ms (s, item));
-  pu_control_copy_request_answer (
-      request, ms > 0 ? json_pack ("{s:I}", "due_ms", (json_int_t)ms) : NULL);
+  if (t->due_ms > 0)
+    {
+      json_object_set_new (answer, "due_ms",
+                           json_integer ((json_int_t)t->due_ms));
+    }
+  pu_control_copy_request_answer (request, answer);
 }
 
 static void
@@ -123,29 +160,29 @@
   g_free (r);
 }
 
-void
-pu_sequenced_check_copy_requests (pu_sequenced_t *s)
+/* Answers R if its copy is ready, is no longer being loaded, or has timed
+   out.  */
+static void
+copy_request_check (copy_request_t *r)
 {
-  GList *next;
+  pu_sequenced_t *s = r->owner;
+  pu_dispatcher_phase_t phase
+      = pu_dispatcher_phase (s->leader->dispatcher, r->engine, r->item);
 
-  for (GList *l = s->copy_requests.head; l != NULL; l = next)
+  if (phase == PU_DISPATCHER_READY)
     {
-      copy_request_t *r = l->data;
-      pu_dispatcher_phase_t phase
-          = pu_dispatcher_phase (s->leader->dispatcher, r->engine, r->item);
-
-      next = l->next;
-      if (phase == PU_DISPATCHER_READY)
-        {
-          copy_request_answer (r, true);
-        }
-      else if (phase == PU_DISPATCHER_ABSENT
-               || phase == PU_DISPATCHER_UNLOADING
-               || pu_sequenced_now (s) >= r->deadline_ms)
-        {
-          copy_request_answer (r, false);
-        }
+      copy_request_answer (r, true);
+    }
+  else if (phase == PU_DISPATCHER_ABSENT || phase == PU_DISPATCHER_UNLOADING
+           || pu_sequenced_now (s) >= r->deadline_ms)
+    {
+      copy_request_answer (r, false);
     }
+}
+
+static void
+check_timer_start (pu_sequenced_t *s)
+{
   if (s->copy_requests.head != NULL
       && !uv_is_active ((uv_handle_t *)&s->copy_request_timer))
     {
@@ -154,6 +191,19 @@
     }
 }
 
+void
+pu_sequenced_check_copy_requests (pu_sequenced_t *s)
+{
+  GList *next;
+
+  for (GList *l = s->copy_requests.head; l != NULL; l = next)
+    {
+      next = l->next;
+      copy_request_check (l->data);
+    }
+  check_timer_start (s);
+}
+
 static void
 on_check_timer (uv_timer_t *t)
 {
@@ -165,45 +215,57 @@
   pu_sequenced_check_copy_requests (s);
 }
 
+/* Waits until ITEM, whose load on ENGINE has been queued, is ready there.  */
+static void
+copy_request_wait (pu_sequenced_t *s, guint32 item, guint32 engine,
+                   pu_control_copy_request_t *request)
+{
+  copy_request_t *r = g_new0 (copy_request_t, 1);
+
+  r->owner = s;
+  r->link.data = r;
+  r->request = request;
+  r->engine = engine;
+  r->item = item;
+  r->deadline_ms = pu_sequenced_now (s) + COPY_REQUEST_TIMEOUT_MS;
+  g_queue_push_tail_link (&s->copy_requests, &r->link);
+  pu_sequenced_step_engine (s, engine);
+  copy_request_check (r);
+  check_timer_start (s);
+}
+
 void
 pu_sequenced_on_copy_request (void *data, const char *model,
                               pu_control_copy_request_t *request)
 {
   pu_sequenced_t *s = data;
   leader_state_t *l = s->leader;
-  copy_request_t *r;
+  guint32 engine = PU_ADAPTERS_NONE;
+  const due_time_t *t;
   guint32 item;
-  guint32 engine;
 
   if (l == NULL || !pu_names_find (&l->item_names, model, &item))
     {
       pu_control_copy_request_answer (request, NULL);
       return;
     }
+  pu_copy_pace_add (&l->pace, pu_sequenced_now (s));
+  t = find_due_time (s, item);
   /* Only adapters are loaded immediately; models wait for the next plan.  */
-  if (!pu_adapters_contains (l->adapters, item))
+  if (t == NULL && pu_adapters_contains (l->adapters, item))
     {
-      answer_due (s, item, request);
-      return;
+      pu_sequenced_refresh_engines (s, ANSWER_MAX_AGE_MS);
+      engine = pu_adapters_ensure_loaded (l->adapters, item,
+                                          pu_sequenced_now (s));
     }
-  for (guint32 i = 0; i < l->engines->len; i++)
-    pu_sequenced_refresh_engine (s, i);
-  engine = pu_adapters_ensure_loaded (l->adapters, item, pu_sequenced_now (s));
-  if (engine == PU_ADAPTERS_NONE)
+  if (engine != PU_ADAPTERS_NONE)
     {
-      answer_due (s, item, request);
-      return;
+      copy_request_wait (s, item, engine, request);
+    }
+  else
+    {
+      answer_due (s, t != NULL ? t : compute_due_time (s, item), request);
     }
-  r = g_new0 (copy_request_t, 1);
-  r->owner = s;
-  r->link.data = r;
-  r->request = request;
-  r->engine = engine;
-  r->item = item;
-  r->deadline_ms = pu_sequenced_now (s) + COPY_REQUEST_TIMEOUT_MS;
-  g_queue_push_tail_link (&s->copy_requests, &r->link);
-  pu_sequenced_step (s);
-  pu_sequenced_check_copy_requests (s);
 }
 
 void
--- a/libplantainusher/placer/sequenced_engines.c
+++ b/libplantainusher/placer/sequenced_engines.c
@@ -114,8 +114,8 @@
   return mb;
 }
 
-void
-pu_sequenced_refresh_engine (pu_sequenced_t *s, guint32 handle)
+static void
+refresh_engine (pu_sequenced_t *s, guint32 handle)
 {
   leader_state_t *l = s->leader;
   const engine_t *e = pu_sequenced_get_engine (l, handle);
@@ -147,3 +147,16 @@
                           e->reported_requests, e->usable && ordered,
                           pu_sequenced_may_order (s, handle));
 }
+
+void
+pu_sequenced_refresh_engines (pu_sequenced_t *s, guint64 max_age_ms)
+{
+  leader_state_t *l = s->leader;
+  guint64 now = pu_sequenced_now (s);
+
+  if (l->refreshed_ms != 0 && now < l->refreshed_ms + max_age_ms)
+    return;
+  l->refreshed_ms = now;
+  for (guint32 i = 0; i < l->engines->len; i++)
+    refresh_engine (s, i);
+}
--- a/libplantainusher/placer/sequenced_private.h
+++ b/libplantainusher/placer/sequenced_private.h
@@ -4,6 +4,7 @@
 #include "document/document.h"
 #include "http/client.h"
 #include "placement/adapters.h"
+#include "placement/copy_pace.h"
 #include "placement/order_turns.h"
 #include "placement/outages.h"
 #include "placement/planner.h"
@@ -56,6 +57,9 @@
   double store_tokens_per_s; /* refill rate of store_tokens */
   guint64 store_refilled_at_ms;
   guint64 next_plan_ms;
+  guint64 refreshed_ms;  /* when all engines were last refreshed */
+  pu_copy_pace_t pace;   /* of copy requests */
+  GHashTable *due_times; /* item -> due_time_t of sequenced_copy_requests.c */
 } leader_state_t;
 
 struct pu_sequenced
@@ -111,9 +115,10 @@
 
 /* --- sequenced_engines.c --- */
 
-/* pu_sequenced_refresh_engine - passes the state and limits of ENGINE to the
-   planner, the dispatcher and the adapters.  */
-void pu_sequenced_refresh_engine (pu_sequenced_t *s, guint32 engine);
+/* pu_sequenced_refresh_engines - passes the state and limits of all engines to
+   the planner, the dispatcher and the adapters, unless that was done less than
+   MAX_AGE_MS ago.  */
+void pu_sequenced_refresh_engines (pu_sequenced_t *s, guint64 max_age_ms);
 
 /* --- sequenced_calls.c --- */
 
