agent, control: a large command is proposed compressed

Cause: a config of 82 KB is a command of 480 KB, which an instance with a link of 10 Mbit/s sends for 0.4 s, with each try anew, and twice where it goes through a voter. Ruled out: reading the config (0.14 to 0.29 s in the thread pool, before the limit begins).

Change: commands of 4 KB and more are proposed with Zstandard, which voters and daemons already use for what they fetch; a voter of an older version answers that it has no such procedure, and gets the command as before. The leader bounds the size before it allocates.

Transfer.VoterOfAnOldVersionGetsAProposalUncompressed tests the upgrade.

--- a/libplantainusher/agent/propose.c
+++ b/libplantainusher/agent/propose.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+#include "control/packed.h"
+
+/* A command over this size is sent compressed.  */
+#define PACKED_MIN_BYTES ((size_t)4 << 10)
+
 /* Pause before an attempt is made again, with jitter.  */
 #define PAUSE_MS 40
 
@@ -12,6 +17,8 @@
   uint64_t seq;
   pu_command_type type;
   GBytes *command;
+  GBytes *packed; /* COMMAND compressed; NULL: it is short, or a voter does not
+                     take compressed commands */
   uint64_t due;   /* loop time, ms */
   bool unknown;   /* an attempt ended so: it may have run */
   bool under_way; /* an attempt is */
@@ -33,6 +40,7 @@
   if (p->timer != NULL)
     pu_rpc_timer_free (p->timer);
   g_bytes_unref (p->command);
+  g_clear_pointer (&p->packed, g_bytes_unref);
   g_free (p);
   fn (data, r, e);
 }
@@ -156,6 +164,13 @@
       xdr_free ((xdrproc_t)xdr_pu_propose_reply, &x);
       return;
     }
+  if (e->kind == PU_ERROR_NOT_FOUND && p->packed != NULL)
+    {
+      /* A voter of a version without compressed commands.  */
+      g_clear_pointer (&p->packed, g_bytes_unref);
+      proposal_try (p);
+      return;
+    }
   if (e->kind == PU_ERROR_DENIED || e->kind == PU_ERROR_TOO_LARGE)
     {
       proposal_end (p, NULL, e);
@@ -211,14 +226,16 @@
       proposal_again (p);
       return;
     }
-  x.command.command_val = (char *)g_bytes_get_data (p->command, &size);
+  x.command.command_val = (char *)g_bytes_get_data (
+      p->packed != NULL ? p->packed : p->command, &size);
   x.command.command_len = (u_int)size;
   bytes = pu_codec_encode ((xdrproc_t)xdr_pu_propose, &x);
   data = g_bytes_get_data (bytes, &size);
   p->under_way = true;
   pu_rpc_client_call (client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
-                      PU_CONTROL_PROPOSE, data, size, x.timeout_ms,
-                      on_proposed, p);
+                      p->packed != NULL ? PU_CONTROL_PROPOSE_PACKED
+                                        : PU_CONTROL_PROPOSE,
+                      data, size, x.timeout_ms, on_proposed, p);
   g_bytes_unref (bytes);
 }
 
@@ -255,6 +272,8 @@
   p->seq = a->next_seq++;
   p->type = c->type;
   p->command = command_bytes (a, c);
+  if (g_bytes_get_size (p->command) >= PACKED_MIN_BYTES)
+    p->packed = pu_packed_new (p->command);
   /* The caller, and encoding the command, may have taken long since the loop
      read its clock.  */
   uv_update_time (a->options.loop);
--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -193,6 +193,7 @@
   { PU_CONTROL_POLL_BLOBS, pu_control_on_poll_blobs },
   { PU_CONTROL_CHUNK, pu_control_on_chunk },
   { PU_CONTROL_PROPOSE, pu_control_on_propose },
+  { PU_CONTROL_PROPOSE_PACKED, pu_control_on_propose_packed },
   { PU_CONTROL_SESSIONS, pu_control_on_sessions },
   { PU_CONTROL_REPLICA, on_replica_message },
   { PU_CONTROL_QUERY, pu_control_on_query },
--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -32,6 +32,8 @@
                                      but a large entry or image is only
                                      described, and fetched in chunks */
 const PU_CONTROL_CHUNK = 12;   /* pu_chunk_request -> pu_chunk */
+const PU_CONTROL_PROPOSE_PACKED = 13; /* as PROPOSE; the command is compressed
+                                         (control/packed.h) */
 
 const PU_CONTROL_LIST_MAX = 4096;
 const PU_CONTROL_VOTERS_MAX = 16;
--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -112,6 +112,8 @@
                              const pu_reply *r);
 void pu_control_on_propose (void *data, pu_rpc_call_t *call,
                             const guint8 *body, size_t n);
+void pu_control_on_propose_packed (void *data, pu_rpc_call_t *call,
+                                   const guint8 *body, size_t n);
 
 /* query.c */
 void pu_control_on_query (void *data, pu_rpc_call_t *call, const guint8 *body,
--- a/libplantainusher/control/packed.c
+++ b/libplantainusher/control/packed.c
@@ -27,6 +27,16 @@
   return ZSTD_compressBound (n);
 }
 
+size_t
+pu_packed_size (const void *packed, size_t n)
+{
+  unsigned long long size = ZSTD_getFrameContentSize (packed, n);
+
+  return size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR
+             ? G_MAXSIZE
+             : (size_t)size;
+}
+
 GBytes *
 pu_packed_content (const void *packed, size_t n, size_t size, size_t max,
                    pu_error_t *e)
--- a/libplantainusher/control/packed.h
+++ b/libplantainusher/control/packed.h
@@ -23,6 +23,10 @@
    when compressed.  */
 size_t pu_packed_size_max (size_t n);
 
+/* pu_packed_size - returns the size of the content that the N bytes of PACKED
+   state; G_MAXSIZE: they state none.  */
+size_t pu_packed_size (const void *packed, size_t n);
+
 /* pu_packed_content - returns the content of the N bytes of PACKED, which must
    have exactly SIZE bytes.  Returns NULL with PU_ERROR_TOO_LARGE, before
    memory is allocated for it, when SIZE is above MAX, and with
--- a/libplantainusher/control/proposals.c
+++ b/libplantainusher/control/proposals.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "control/packed.h"
 
 /* Upper limit of the timeout of a proposal or a query that is forwarded to the
    leader, whatever the caller asks for.  */
@@ -373,33 +374,83 @@
   g_bytes_unref (bytes);
 }
 
-void
-pu_control_on_propose (void *data, pu_rpc_call_t *call, const guint8 *body,
-                       size_t n)
+/* propose_packed_as_leader - as propose_as_leader, for a compressed command.
+ */
+static void
+propose_packed_as_leader (pu_control_t *c, pu_rpc_call_t *call,
+                          const pu_propose *a)
 {
-  pu_control_t *c = data;
-  pu_propose a;
+  const char *packed = a->command.command_val;
+  size_t n = a->command.command_len;
+  pu_error_t e;
+  GBytes *content = pu_packed_content (packed, n, pu_packed_size (packed, n),
+                                       PU_CONTROL_COMMAND_MAX, &e);
+  pu_propose whole = *a;
+  gsize size;
 
-  if (!pu_codec_decode ((xdrproc_t)xdr_pu_propose, &a, sizeof a, body, n,
-                        NULL))
+  if (content == NULL)
     {
-      pu_rpc_call_garbage (call);
+      propose_fail (c, call, PU_ERROR_INVALID, e.message);
       return;
     }
-  if (pu_group_is_leader (c->group))
+  whole.command.command_val = (char *)g_bytes_get_data (content, &size);
+  whole.command.command_len = (u_int)size;
+  propose_as_leader (c, call, &whole);
+  g_bytes_unref (content);
+}
+
+/* propose_or_forward - handles the proposal A to procedure PROC: as the
+   leader, or by forwarding it.  */
+static void
+propose_or_forward (pu_control_t *c, pu_rpc_call_t *call, pu_propose *a,
+                    guint32 proc)
+{
+  if (pu_group_is_leader (c->group) && proc == PU_CONTROL_PROPOSE_PACKED)
+    {
+      propose_packed_as_leader (c, call, a);
+    }
+  else if (pu_group_is_leader (c->group))
     {
-      propose_as_leader (c, call, &a);
+      propose_as_leader (c, call, a);
     }
-  else if (a.forwarded || pu_control_leader_address (c)[0] == '\0')
+  else if (a->forwarded || pu_control_leader_address (c)[0] == '\0')
     {
       propose_fail (c, call, PU_ERROR_UNAVAILABLE, "No leader is known.");
     }
   else
     {
-      a.forwarded = TRUE;
-      pu_control_forward (c, call, PU_CONTROL_PROPOSE,
-                          (xdrproc_t)xdr_pu_propose, &a, a.timeout_ms,
-                          propose_fail);
+      a->forwarded = TRUE;
+      pu_control_forward (c, call, proc, (xdrproc_t)xdr_pu_propose, a,
+                          a->timeout_ms, propose_fail);
     }
+}
+
+static void
+on_propose (pu_control_t *c, pu_rpc_call_t *call, const guint8 *body, size_t n,
+            guint32 proc)
+{
+  pu_propose a;
+
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_propose, &a, sizeof a, body, n,
+                        NULL))
+    {
+      pu_rpc_call_garbage (call);
+      return;
+    }
+  propose_or_forward (c, call, &a, proc);
   xdr_free ((xdrproc_t)xdr_pu_propose, &a);
 }
+
+void
+pu_control_on_propose (void *data, pu_rpc_call_t *call, const guint8 *body,
+                       size_t n)
+{
+  on_propose (data, call, body, n, PU_CONTROL_PROPOSE);
+}
+
+void
+pu_control_on_propose_packed (void *data, pu_rpc_call_t *call,
+                              const guint8 *body, size_t n)
+{
+  on_propose (data, call, body, n, PU_CONTROL_PROPOSE_PACKED);
+}
--- a/libplantainusher/control/transfer_test.cc
+++ b/libplantainusher/control/transfer_test.cc
@@ -451,6 +451,22 @@
   EXPECT_TRUE (pu_state_document (pu_agent_view (agent))->text == text);
 }
 
+TEST_F (Transfer, VoterOfAnOldVersionGetsAProposalUncompressed)
+{
+  const std::string text (200000, 'x');
+
+  start_all ();
+  for (auto &v : voters)
+    {
+      pu_rpc_server_remove (v->server, PU_RPC_PROGRAM_CONTROL,
+                            PU_CONTROL_VERSION, PU_CONTROL_PROPOSE_PACKED);
+    }
+  start_agent ();
+  EXPECT_EQ (submit (0, "large", 10000, text).outcome, PU_OUTCOME_DONE);
+  run_until ([&] { return version () == 1; });
+  EXPECT_TRUE (pu_state_document (pu_agent_view (agent))->text == text);
+}
+
 /* A fake voter answers each poll with a blob of the given description, and
    each request for a chunk with the given bytes.  */
 class DamagedTransfer : public Control
