--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -151,6 +151,7 @@
         self.log = cluster.folder / f"{name}.log"
         self.environment = {}
         self._lost = cluster.folder / f"{name}.lost"
+        self._cut = cluster.folder / f"{name}.cut"
         self._p = None
         self._expected = True
         self.starts = 0  # how often it was started
@@ -211,6 +212,21 @@
             "LD_PRELOAD": str(self.cluster.build / "tests/liblost_sockets.so"),
             "LOST_SOCKETS": str(self._lost)}
 
+    def may_lose_servers(self, port):
+        """From its next start on, cut_servers works, for all that listen on
+        PORT."""
+        self.environment = {
+            "LD_PRELOAD": str(self.cluster.build / "tests/libcut_servers.so"),
+            "CUT_SERVERS": str(self._cut), "CUT_PORT": str(port)}
+
+    def cut_servers(self, how):
+        """Until HOW is None, it reaches no backend server: new connections
+        are refused ("refuse") or all hang ("hang")."""
+        if how is None:
+            self._cut.unlink(missing_ok=True)
+        else:
+            self._cut.write_text(how)
+
     def lose_connections(self):
         """What it writes to the connections open now never arrives; both ends
         keep them open, and new ones work."""
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -143,9 +143,10 @@
 
 
 def instances(cluster, disks=3, plain=1, heartbeat_ms=HEARTBEAT_MS,
-              bounds=None):
+              bounds=None, cuttable=False):
     """DISKS instances with a disk, which are the seeds, and PLAIN without.
-    BOUNDS takes the place of the platform's own."""
+    BOUNDS takes the place of the platform's own.  CUTTABLE: their cut_servers
+    works."""
     some = [Instance(cluster, f"core-{i}", "abc"[i % 3], True)
             for i in range(disks)]
     some += [Instance(cluster, f"front-{i}", "abc"[i % 3], False)
@@ -155,6 +156,8 @@
         one.values["heartbeat_ms"] = heartbeat_ms
         if bounds is not None:
             one.values["bounds"] = bounds
+        if cuttable:
+            one.may_lose_servers(BACKEND_PORT)
         one.start()
     return some
 
