routing: an attempt without a connection is not charged

Cause: PU_ROUTER_FAIL_CONNECT counted as one of the attempts that a route allows and took a token of the service's and the backend server's retry budget, though nothing had reached a backend server: both bounds are on arrivals. Ruled out: budgets spent by others (the refusals begin with the cut and end with it).

Change: up to three attempts of a request that end without a connection are taken back. Each copy is still tried once, and the deadline holds.

Tests: Router.AttemptWithoutAConnectionIsNotCharged and AttemptAfterOneThatArrivedIsCharged failed before.

--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -185,6 +185,19 @@
   return true;
 }
 
+/* Takes back the attempt of Q that ended without a connection: it reached no
+   backend server, so it is none of the attempts that the route allows, and
+   needs no retry budget.  Returns false if Q has had too many of these.  */
+static bool
+uncharge_unconnected (request_t *q)
+{
+  if (q->unconnected >= TRIED_MAX - 1)
+    return false;
+  q->unconnected++;
+  q->attempt--;
+  return true;
+}
+
 static void
 record_failure (pu_router_t *r, request_t *q, pu_router_failure_t failure,
                 guint64 now)
@@ -198,9 +211,11 @@
     q->tried[q->n_tried++] = backend_at (r, b)->serial;
 }
 
-/* Returns why Q must not be retried, or PU_ROUTER_REASON_NONE if it may be. */
+/* Returns why Q must not be retried, or PU_ROUTER_REASON_NONE if it may be.
+   CHARGED: the retry needs budget.  */
 static pu_router_reason_t
-retry_refusal_reason (const pu_router_t *r, const request_t *q, guint64 now)
+retry_refusal_reason (const pu_router_t *r, const request_t *q, bool charged,
+                      guint64 now)
 {
   const service_t *s = service_at (r, q->service);
   bool unsafe_to_repeat
@@ -215,8 +230,9 @@
     return PU_ROUTER_REASON_ATTEMPTS;
   if (q->deadline <= now || q->expires_at < now)
     return PU_ROUTER_REASON_DEADLINE;
-  if (!retry_budget_allows (r, s->retry_budget)
-      || retry_copies (r, q) == RETRY_COPIES_NO_BUDGET)
+  if (charged
+      && (!retry_budget_allows (r, s->retry_budget)
+          || retry_copies (r, q) == RETRY_COPIES_NO_BUDGET))
     return PU_ROUTER_REASON_BUDGET;
   return PU_ROUTER_REASON_NONE;
 }
@@ -239,6 +255,7 @@
   request_t *q = request_lookup_running (r, t);
   pu_router_reason_t reason;
   candidate_t c;
+  bool charged;
 
   if (!q)
     {
@@ -248,15 +265,17 @@
     }
   record_failure (r, q, failure, now);
   request_stop (r, q, now);
+  charged = failure != PU_ROUTER_FAIL_CONNECT || !uncharge_unconnected (q);
   q->late = is_served_late (r, q, now);
   request_set_due (r, q);
-  reason = retry_refusal_reason (r, q, now);
+  reason = retry_refusal_reason (r, q, charged, now);
   if (reason != PU_ROUTER_REASON_NONE)
     {
       request_refuse (r, q, reason, 0, d);
       return;
     }
-  service_at (r, q->service)->retry_budget -= 1;
+  if (charged)
+    service_at (r, q->service)->retry_budget -= 1;
   if (service_may_start (r, service_at (r, q->service))
       && choose_copy (r, q, now, &c))
     {
--- a/libplantainusher/routing/router_fuzz_test.cc
+++ b/libplantainusher/routing/router_fuzz_test.cc
@@ -554,7 +554,7 @@
 
 TEST_P (RouterBreak, DeliberateFaultIsCaught)
 {
-  for (unsigned seed = 1; seed <= 300; seed++)
+  for (unsigned seed = 1; seed <= 3000; seed++)
     {
       std::string violation = run (random_ops (seed, 500), GetParam ().first);
       if (violation == GetParam ().second)
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -195,6 +195,8 @@
   guint64 tried[TRIED_MAX]; /* serials of the backend servers on which an
                                attempt failed */
   guint n_tried;
+  guint unconnected; /* attempts that ended without a connection and were not
+                        charged */
   GSequenceIter *queue_iter;   /* in the queue of its flow (flow_t: the waiting
                                   requests of one service for one model) */
   GSequenceIter *timeout_iter; /* in waiting_by_timeout of the router */
--- a/libplantainusher/routing/router_test.cc
+++ b/libplantainusher/routing/router_test.cc
@@ -678,6 +678,43 @@
     }
 }
 
+/* An instance that loses its way to most backend servers refused requests for
+   spent attempts and budgets, though none had reached a backend server.  */
+TEST_F (Router, AttemptWithoutAConnectionIsNotCharged)
+{
+  pu_router_set_service_retries (r_, 0, 0);
+  for (const char *name : { "a", "b", "c" })
+    backend (name);
+  pu_router_request_t q = request ();
+  q.repeatable = false;
+  q.attempts_max = 1;
+  pu_router_decision_t d = offer (q);
+  for (int i = 0; i < 2; i++)
+    {
+      d = retry (d.ticket, PU_ROUTER_FAIL_CONNECT);
+      ASSERT_EQ (d.verdict, PU_ROUTER_DISPATCH) << i;
+      EXPECT_EQ (d.attempt, 1u);
+    }
+  d = retry (d.ticket, PU_ROUTER_FAIL_CONNECT);
+  EXPECT_EQ (d.reason, PU_ROUTER_REASON_ATTEMPTS) << "every copy was tried";
+  EXPECT_EQ (d.ran, PU_ROUTER_NOT_RUN);
+}
+
+TEST_F (Router, AttemptAfterOneThatArrivedIsCharged)
+{
+  for (const char *name : { "a", "b", "c" })
+    backend (name);
+  pu_router_request_t q = request ();
+  q.attempts_max = 2;
+  pu_router_decision_t d = offer (q);
+  d = retry (d.ticket, PU_ROUTER_FAIL_ABSENT);
+  EXPECT_EQ (d.attempt, 2u);
+  d = retry (d.ticket, PU_ROUTER_FAIL_CONNECT);
+  EXPECT_EQ (d.attempt, 2u);
+  d = retry (d.ticket, PU_ROUTER_FAIL_ABSENT);
+  EXPECT_EQ (d.reason, PU_ROUTER_REASON_ATTEMPTS);
+}
+
 TEST_F (Router, NoRetryPastTheDeadline)
 {
   backend ("a");
