entry: a request goes to another entry when its own reaches no backend server

Cause: behind the platform's frontend a request was never relayed, as any entry serves it. An entry that reaches no backend server serves nothing, and nobody else was asked. What it saw, it took for crashes of the backend servers: it struck requests and reported engines to the leader.

Change: routing/reach decides whether the entry itself is in doubt, by connections that two backend servers in a row refuse or leave open, or by silence of all while requests wait; probes of others tell whether it is cut off, and when that ends. A cut off entry relays what comes, one hop, to an entry drawn at random in its zone or in all; one that is cut off too says so, and the next is asked. Two connections that fail send a single request on whatever is known. Headers, deadline, id and the attempts that are left go along; the other entry's refusal keeps its outcome and its time to come back. While in doubt, an entry strikes no requests and reports no engines. The flag never_relayed is any_entry now, as it says what follows.

Tests: cut_off_process_test, both cases failed before (160 failures where 25 may be; none served) and pass; Reach.*.

--- a/libplantainusher/entry/admit.c
+++ b/libplantainusher/entry/admit.c
@@ -2,6 +2,7 @@
 
 #include "entry/entry_private.h"
 #include "entry/trace.h"
+#include "http/auth.h"
 
 const pu_refusal_t pu_refusal_stopping
     = { 503, "stopping", PU_RUN_OUTCOME_NOT_RUN, PU_BUSY_RETRY_AFTER_MS };
@@ -164,6 +165,24 @@
   reject (en, http, &starting, "This entry has no document yet.");
 }
 
+/* Reads the headers of a relay, if HTTP comes from another entry.  */
+static void
+relay_read (pu_exchange_t *x)
+{
+  const char *key = pu_http_request_header (x->http, "x-relay-key");
+  const char *left = pu_http_request_header (x->http, "x-relay-attempts");
+  guint64 attempts;
+
+  x->relayed = key != NULL && pu_http_key_equal (key, x->en->peer_key);
+  if (!x->relayed)
+    return;
+  x->hops = PU_RELAY_HOPS_MAX;
+  if (left != NULL
+      && g_ascii_string_to_unsigned (left, 10, 1, G_MAXUINT32, &attempts,
+                                     NULL))
+    x->q.attempts_max = (guint)attempts;
+}
+
 void
 pu_exchange_begin_arrived (pu_entry_t *en, pu_http_request_t *http,
                            guint64 arrived)
@@ -177,5 +196,7 @@
   x->q.arrived = arrived;
   read = en->front.read (en->front.data, en->document, http, &x->q);
   x->last_event = x->q.last_event;
+  if (read)
+    relay_read (x);
   exchange_begin_or_free (x, read);
 }
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -210,6 +210,7 @@
   guint64 now = uv_now (t->loop);
 
   pu_servers_tick (en, now);
+  pu_entry_reach_tick (en, now);
   pu_strikes_tick (en, now);
   pu_leaves_tick (en, now);
   pu_once_tick (en->once, now);
@@ -279,6 +280,11 @@
   en->other_addresses_version = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
+  pu_reach_init (&en->reach);
+  en->peers = g_ptr_array_new_with_free_func (pu_entry_peer_free);
+  en->peers_version = G_MAXUINT64;
+  en->cut_off_peers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   en->leaves
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pu_leave_free);
   en->suspect_standings
@@ -360,6 +366,8 @@
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
   g_hash_table_destroy (en->leaves);
+  g_ptr_array_free (en->peers, TRUE);
+  g_hash_table_destroy (en->cut_off_peers);
   g_ptr_array_free (en->strikes, TRUE);
   g_hash_table_destroy (en->acquittals);
   g_hash_table_destroy (en->suspect_standings);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -10,6 +10,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "once/once.h"
+#include "routing/reach.h"
 #include "routing/router.h"
 #include "suspects/suspects.h"
 
@@ -204,11 +205,13 @@
   pu_ticket_t ticket;
   pu_once_handle_t claim;
   guint attempts;
-  guint attempts_spent; /* attempts of earlier tickets, which the limit of its
-                           route covers too */
-  bool offered_again;   /* was offered to the router again after every copy had
-                          been tried */
-  GPtrArray *avoid;     /* names of entries to which a relay failed */
+  guint server_attempts; /* those at backend servers that got a connection */
+  guint unconnected;     /* those at backend servers that got none */
+  guint attempts_spent;  /* attempts of earlier tickets, which the limit of its
+                            route covers too */
+  bool offered_again; /* was offered to the router again after every copy had
+                        been tried */
+  GPtrArray *avoid;   /* names of entries to which a relay failed */
   pu_attempt_t at;
   pu_saved_failure_t saved_failure;
   pu_delivered_t delivered; /* the part of a token stream sent to the caller */
@@ -256,14 +259,22 @@
                                  other_addresses was made from */
   GHashTable *servers;             /* name -> pu_server_t */
   GHashTable
-      *ticking_servers;   /* set of pu_server_t that have a pending timer */
-  bool applying_all;      /* all backend servers of the view are applied */
-  guint changes_logged;   /* changes of state among them */
-  GHashTable *reporters;  /* name -> pu_reporter_t */
-  GHashTable *leaves;     /* name -> leave_t of leaves.c */
-  GPtrArray *strikes;     /* of pu_strike_t, owned */
-  GHashTable *acquittals; /* set of &fingerprint: acquittals that are being
-                             proposed to the log */
+      *ticking_servers;  /* set of pu_server_t that have a pending timer */
+  bool applying_all;     /* all backend servers of the view are applied */
+  guint changes_logged;  /* changes of state among them */
+  GHashTable *reporters; /* name -> pu_reporter_t */
+  GHashTable *leaves;    /* name -> leave_t of leaves.c */
+  pu_reach_t reach;      /* whether it reaches the backend servers */
+  guint64 heard_at;      /* loop time when a backend server last sent
+                            anything */
+  GPtrArray *peers;      /* of peer_t of reach.c: the other entries */
+  guint64 peers_version; /* version of the view's members that peers was made
+                            from */
+  GHashTable *cut_off_peers; /* name -> guint64: loop time until which an entry
+                                counts as cut off from the backend servers */
+  GPtrArray *strikes;        /* of pu_strike_t, owned */
+  GHashTable *acquittals;    /* set of &fingerprint: acquittals that are being
+                                proposed to the log */
   GHashTable *suspect_standings; /* &fingerprint of the view -> standing_t of
                                     view.c */
   GHashTable *rates;             /* service -> double: requests per second */
@@ -559,6 +570,33 @@
 void pu_leaves_give_up (pu_entry_t *en);
 void pu_leave_free (gpointer leave);
 
+/* --- reach.c: whether this entry reaches the backend servers --- */
+
+/* pu_entry_reach_tick - starts the probes that are due.  */
+void pu_entry_reach_tick (pu_entry_t *en, guint64 now);
+
+/* pu_entry_reach_note_end - takes the end RESULT of an attempt of X as a sign
+   whether this entry reaches its backend server.  */
+void pu_entry_reach_note_end (pu_exchange_t *x,
+                              const pu_http_result_t *result);
+
+/* pu_entry_reach_is_doubtful - whether this entry may be cut off from all
+   backend servers, so that what it sees of one says nothing about it.  */
+bool pu_entry_reach_is_doubtful (const pu_entry_t *en);
+
+/* pu_entry_reach_note_peer - the entry NAME has said that it reaches no
+   backend server either.  */
+void pu_entry_reach_note_peer (pu_entry_t *en, const char *name);
+
+/* pu_entry_hand_over - relays X to another entry if this one does not reach
+   the backend servers.  Returns false if X stays here.  */
+bool pu_entry_hand_over (pu_exchange_t *x);
+
+/* pu_entry_refuses_relayed - whether X, which another entry relayed, is to be
+   refused because this entry reaches no backend server either.  */
+bool pu_entry_refuses_relayed (const pu_exchange_t *x);
+void pu_entry_peer_free (gpointer peer);
+
 /* --- strikes.c: strikes against requests --- */
 
 /* pu_strike_begin - proposes ONE, a strike for the crash of S, to the log.  */
@@ -630,6 +668,10 @@
    use.  */
 #define PU_BUSY_RETRY_AFTER_MS 1000
 
+/* Type of the refusal of a relayed request by an entry that reaches no backend
+   server either.  */
+#define PU_REFUSAL_CUT_OFF "cut-off"
+
 /* The refusal sent while the instance stops: to new requests, and to requests
    in progress that can't end in time.  */
 extern const pu_refusal_t pu_refusal_stopping;
--- a/libplantainusher/entry/model_wait.c
+++ b/libplantainusher/entry/model_wait.c
@@ -59,7 +59,7 @@
   const pu_entry_t *en = x->en;
 
   return en->o.hooks.request_model_load != NULL && !x->q.plain
-         && x->q.never_relayed
+         && x->q.any_entry
          && pu_document_find_model (en->document, x->q.model)
                 != PU_HANDLE_NONE;
 }
--- a/libplantainusher/entry/request.h
+++ b/libplantainusher/entry/request.h
@@ -45,7 +45,8 @@
   bool repeatable;       /* may run more than once */
   bool resumable;        /* a broken stream may be resumed at another backend
                             server */
-  bool never_relayed;    /* not relayed, because any entry serves it */
+  bool any_entry;        /* any entry serves it: it is relayed only by one that
+                            reaches no backend server */
   bool crash_tracked;    /* crashes of backend servers are attributed to it;
                             needs a fingerprint */
   guint priority;        /* 0 to 9; 9 is served first */
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -627,7 +627,10 @@
 static void
 crash_check_end (pu_server_t *s, const pu_http_result_t *result)
 {
+  if (result->kind == PU_HTTP_END_CONNECT_FAILED)
+    pu_reach_failed (&s->en->reach, s->number, uv_now (s->en->o.loop));
   if (result->kind == PU_HTTP_END_CONNECT_FAILED
+      && !pu_entry_reach_is_doubtful (s->en)
       && !pu_suspects_has_open (s->en->suspects, s->number, s->incarnation))
     {
       pu_log_note (PU_ENTRY_LOG_SLICE,
