--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -235,6 +235,10 @@
         self.arrived_at = []   # when requests came
         self.says_leaving = False  # in its answers to requests
         self.limit = None      # requests a second that it names in answers
+        self.brittle = None    # rejections a second that it bears, as it says
+        self.places = None     # requests at once; it rejects others
+        self.running = 0
+        self.rejected_at = []  # when it rejected for want of a place
         self.crash_on = None   # bytes of a body that it doesn't survive
         self.crashed = False
         self.room = None       # models that fit; None: any number
@@ -312,9 +316,22 @@
         with self._lock:
             return {"models": self.held(), "seq": self.accepted,
                     "busy": time.monotonic() < self.busy_until,
-                    "waiting": 0, "running": 0, "kv_used": 0,
+                    "waiting": 0, "running": self.running, "kv_used": 0,
                     "kv_total": 100000, "handles": 0}
 
+    def enter(self):
+        """Whether a request gets a place."""
+        with self._lock:
+            if self.places is not None and self.running >= self.places:
+                self.rejected_at.append(time.monotonic())
+                return False
+            self.running += 1
+            return True
+
+    def leave(self):
+        with self._lock:
+            self.running -= 1
+
     def wrongs(self):
         """What was wrong with the orders that it accepted."""
         fences = [o["fence"] for o in self.orders]
@@ -393,6 +410,8 @@
     def _send_limit(self):
         if self.backend.limit is not None:
             self.send_header("Server-Limit", f"{self.backend.limit:g}")
+        if self.backend.brittle is not None:
+            self.send_header("Server-Brittle", f"{self.backend.brittle:g}")
 
     def _break_off(self):
         self.close_connection = True
@@ -451,11 +470,17 @@
                 and not b.holds(self.headers.get("Model")):
             self._send(421, b"", Request_Id=rid, Not_Run="1",
                        Instance_Id=b.name)
+        elif not b.enter():
+            self._send(503, b"", Request_Id=rid, Not_Run="1",
+                       Instance_Id=b.name)
         else:
             b.arrived_at.append(time.monotonic())
             b.ran.append(rid)
             b.heads.append(dict(self.headers))
-            self._run(rid, body)
+            try:
+                self._run(rid, body)
+            finally:
+                b.leave()
 
     def _run(self, rid, body):
         b = self.backend
