entry, platform: a brittle backend server is not pressed

A backend server may say Server-Brittle: N, and falls over if all instances together make it reject more than N requests in a second for want of room.

Cause of the failing test: nothing read it; an entry that was rejected came back after 100 ms, and each entry on its own.

Change (entry/brittle.c): from the first answer that says so on, each server of that service gets at most three quarters of its engine class's places at once, as far as reports tell, or one request of each entry where none do. An entry that is rejected takes what the server had for its places, one more every two seconds, and stays away for so long that all entries, rejected in turn, stay within half of N; what would be rejected waits in the router's queue. Weighed: the leader's grants, as for Server-Limit (a message for each request that may not fit, and no requests without a leader).

Callers of the test come back when they are told to.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -318,6 +318,7 @@
   if (at->answer.leaving && !s->leaving)
     pu_entry_mark_leaving (x->en, s->name, NULL, NULL);
   pu_server_limit_stated (s, at->answer.limit_per_s);
+  pu_server_brittle_stated (s, at->answer.rejections_per_s);
   if (at->answer.retry_after_ms > 0)
     pu_server_back_off (s, now_of (x) + at->answer.retry_after_ms + 1);
 }
@@ -693,6 +694,7 @@
       pu_exchange_retry (x, PU_ROUTER_FAIL_ABSENT);
       return;
     case RESPONSE_NOT_RUN:
+      pu_server_brittle_rejected (x->at.server);
       if (x->at.answer.retry_after_ms > 0 || !is_unloading_copy (x))
         {
           pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
@@ -710,6 +712,7 @@
       failure_forward (x);
       return;
     case RESPONSE_GOOD:
+      pu_server_brittle_accepted (x->at.server);
       partial_event_flush (x);
       attempt_finish (x);
       return;
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -84,15 +84,19 @@
                                 `probe` */
   pu_entry_t *en;
   pu_http_call_t *probe;
-  bool probe_again;       /* an attempt broke while `probe` ran */
-  guint failed_probes;    /* consecutive probes that were refused or closed */
-  guint64 probe_at;       /* loop time of the next probe; 0: none */
-  guint64 aborted_until;  /* loop time until which aborted_suspects is still
-                           counted in running_suspects */
-  guint64 back_off_until; /* loop time until which it wants no requests of
-                             this entry */
-  double limit_per_s;     /* requests per second that it takes from all entries
-                             together; 0: not limited */
+  bool probe_again;        /* an attempt broke while `probe` ran */
+  guint failed_probes;     /* consecutive probes that were refused or closed */
+  guint64 probe_at;        /* loop time of the next probe; 0: none */
+  guint64 aborted_until;   /* loop time until which aborted_suspects is still
+                            counted in running_suspects */
+  guint64 back_off_until;  /* loop time until which it wants no requests of
+                              this entry */
+  double rejections_per_s; /* that it bears, from all entries together; 0: any
+                              number */
+  guint places; /* of a brittle server: requests at once that it takes */
+  guint64 places_changed_at; /* loop time */
+  double limit_per_s; /* requests per second that it takes from all entries
+                         together; 0: not limited */
   guint64 limit_stated_at;   /* loop time when it last stated limit_per_s */
   guint grants;              /* requests that the leader has granted */
   guint64 grants_until;      /* loop time until which `grants` is valid */
@@ -597,6 +601,24 @@
 bool pu_entry_refuses_relayed (const pu_exchange_t *x);
 void pu_entry_peer_free (gpointer peer);
 
+/* --- brittle.c: backend servers that bear few rejections --- */
+
+/* pu_server_brittle_stated - S has stated in a response how many rejections a
+   second it bears (0: any number).  This holds for the backend servers of the
+   same service too, until they state something else.  */
+void pu_server_brittle_stated (pu_server_t *s, double per_s);
+
+/* pu_server_brittle_rejected - S has rejected a request for want of room.  If
+   S is brittle, this entry leaves it alone for its share of the time.  */
+void pu_server_brittle_rejected (pu_server_t *s);
+
+/* pu_server_brittle_accepted - S has run a request.  */
+void pu_server_brittle_accepted (pu_server_t *s);
+
+/* pu_server_brittle_apply - sets the limit of S in the router, which has just
+   got S.  */
+void pu_server_brittle_apply (const pu_server_t *s);
+
 /* --- strikes.c: strikes against requests --- */
 
 /* pu_strike_begin - proposes ONE, a strike for the crash of S, to the log.  */
--- a/libplantainusher/entry/front.h
+++ b/libplantainusher/entry/front.h
@@ -78,6 +78,9 @@
                            entry for so long; 0: not stated */
   double limit_per_s;   /* requests per second that the server takes from all
                            entries together; 0: not limited */
+  double rejections_per_s; /* requests per second, of all entries together,
+                              that the server can reject without falling over;
+                              0: any number */
 } pu_response_class_t;
 
 typedef struct
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -216,6 +216,7 @@
   if (s->handle != PU_ROUTER_NONE)
     {
       pu_router_set_back_off (s->en->router, s->handle, s->back_off_until);
+      pu_server_brittle_apply (s);
     }
   g_array_free (copies, TRUE);
   g_free (plain);
@@ -241,6 +242,7 @@
   s->leaving = false;
   s->back_off_until = 0;
   s->limit_per_s = 0;
+  s->rejections_per_s = 0;
   s->grants = 0;
   s->local_down_until = 0;
   s->failed_probes = 0;
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -166,7 +166,9 @@
 guint
 backend_slot_limit (const backend_t *s)
 {
-  return s->fixed_slots ? s->fixed_slots : (guint)s->slots;
+  guint slots = s->fixed_slots ? s->fixed_slots : (guint)s->slots;
+
+  return s->slots_cap > 0 ? MIN (slots, s->slots_cap) : slots;
 }
 
 static void
@@ -241,6 +243,17 @@
   start_cooldown (r, b);
 }
 
+void
+pu_router_set_slots_cap (pu_router_t *r, pu_router_backend_t b, guint cap)
+{
+  backend_t *s = backend_at (r, b);
+
+  if (s == NULL || !s->in_use || s->slots_cap == cap)
+    return;
+  s->slots_cap = cap;
+  backend_mark_dirty (r, b);
+}
+
 void
 pu_router_set_back_off (pu_router_t *r, pu_router_backend_t b, guint64 until)
 {
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -234,6 +234,12 @@
 void pu_router_set_back_off (pu_router_t *r, pu_router_backend_t b,
                              guint64 until);
 
+/* pu_router_set_slots_cap - B gets at most CAP requests at once, those of
+   other routers included as far as reports show them, whatever it seems to
+   bear; 0: as it seems to bear.  */
+void pu_router_set_slots_cap (pu_router_t *r, pu_router_backend_t b,
+                              guint cap);
+
 /* pu_router_find_backend - returns the handle of the newest incarnation, or
    PU_ROUTER_NONE.  */
 pu_router_backend_t pu_router_find_backend (const pu_router_t *r,
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -119,6 +119,7 @@
   bool dirty;        /* may have capacity; in the router's dirty list */
   bool cooling_down; /* in the router's list of cooldowns */
   guint fixed_slots;
+  guint slots_cap;        /* upper limit of concurrent requests; 0: none */
   double slots;           /* adaptive limit of concurrent requests */
   bool slots_have_shrunk; /* growth is slower once slots have shrunk */
   guint queueing_reports; /* consecutive reports that showed a queue */
