Test that fails: servers are down while the leader and others are cut off

Instances whose connections to backend servers are refused, the leader among them, take their own loss for crashes: an entry records a server as down when it is refused after an attempt broke, and the leader confirms what another instance reports when it is refused as well. With both cut off, running backend servers are recorded as down for everybody.

--- a/tests/cut_off_process_test.py
+++ b/tests/cut_off_process_test.py
@@ -88,6 +88,26 @@
         self.assertGreater(len(ran), 0)
         self.assertEqual(len(ran), len(set(ran)), "ran twice")
 
+    def test_backend_servers_stay_up_while_the_leader_and_others_are_cut_off(
+            self):
+        """What cut off instances see of backend servers is no crash."""
+        leader = self.leader()
+        cut = [leader] + [one for one in self.some[3:6]]
+        for one in cut:
+            one.cut_servers("refuse")
+        end, n = time.monotonic() + CONTACT_S, 0
+        while time.monotonic() < end:
+            for one in cut:
+                n += 1
+                self.ask(one, KINDS[n % len(KINDS)], f"cut-{one.name}-{n}")
+        for one in cut:
+            one.cut_servers(None)
+        down = [line for one in self.some
+                for line in one.log.read_text(errors="replace").splitlines()
+                if "refuses connections from this instance" in line
+                or "it has crashed" in line]
+        self.assertEqual(down, [])
+
     def test_callers_are_served_while_connections_are_refused(self):
         self.cut_some("refuse")
 
--- a/tests/cut_servers.c
+++ b/tests/cut_servers.c
@@ -66,16 +66,20 @@
 
       full.sin_family = AF_INET;
       full.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-      bind (l, (struct sockaddr *)&full, sizeof full);
-      listen (l, 0);
-      getsockname (l, (struct sockaddr *)&full, &n);
+      if (bind (l, (struct sockaddr *)&full, sizeof full) != 0
+          || listen (l, 0) != 0
+          || getsockname (l, (struct sockaddr *)&full, &n) != 0)
+        abort ();
       for (int i = 0; i < 4; i++)
         {
           int s = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
                           0);
 
-          ((connect_fn *)real ("connect")) (s, (struct sockaddr *)&full,
-                                            sizeof full);
+          if (((connect_fn *)real ("connect")) (s, (struct sockaddr *)&full,
+                                                sizeof full)
+                  != 0
+              && errno != EINPROGRESS)
+            abort ();
         }
     }
   *a = full;
@@ -103,7 +107,7 @@
 is_lost (int fd)
 {
   int kept = errno;
-  struct sockaddr_in peer;
+  struct sockaddr_in peer = { 0 };
   socklen_t n = sizeof peer;
   bool lost = getpeername (fd, (struct sockaddr *)&peer, &n) == 0
               && is_server ((const struct sockaddr *)&peer) && mode () == 'h';
