--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -482,7 +482,7 @@
     {
       guint64 ms = g_ascii_strtoull (at->retry_after, NULL, 10);
 
-      r.retry_after_ms = (guint)MIN (ms, RETRY_AFTER_MAX_S * 1000);
+      r.retry_after_ms = (guint)MIN (ms, (guint64)RETRY_AFTER_MAX_S * 1000);
     }
   if (g_strcmp0 (at->outcome, pu_run_outcome_name (PU_RUN_OUTCOME_NOT_RUN))
           == 0
--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -56,8 +56,10 @@
 pu_server_brittle_apply (const pu_server_t *s)
 {
   if (s->handle != PU_ROUTER_NONE)
-    pu_router_set_slots_cap (s->en->router, s->handle,
-                             s->rejections_per_s > 0 ? s->places : 0);
+    {
+      pu_router_set_slots_cap (s->en->router, s->handle,
+                               s->rejections_per_s > 0 ? s->places : 0);
+    }
 }
 
 static void
