entry: a refused connection is a crash only if another server accepts one

Cause: an entry took a backend server for crashed when an attempt on it broke and a new connection was refused. An entry that is cut off from all backend servers sees exactly that of each of them.

Ruled out: to judge by recent failures alone.

Change: the entry connects to other backend servers that are up, 8 at most, and records the crash when one accepts. A random server is now drawn evenly from those that are up.

--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -84,13 +84,15 @@
                                 `probe` */
   pu_entry_t *en;
   pu_http_call_t *probe;
-  bool probe_again;        /* an attempt broke while `probe` ran */
-  guint failed_probes;     /* consecutive probes that were refused or closed */
-  guint64 probe_at;        /* loop time of the next probe; 0: none */
-  guint64 aborted_until;   /* loop time until which aborted_suspects is still
-                            counted in running_suspects */
-  guint64 back_off_until;  /* loop time until which it wants no requests of
-                              this entry */
+  bool probe_again;    /* an attempt broke while `probe` ran */
+  guint failed_probes; /* consecutive probes that were refused or closed */
+  guint crash_confirmations; /* other backend servers that have refused a
+                                connection since this one was found to */
+  guint64 probe_at;          /* loop time of the next probe; 0: none */
+  guint64 aborted_until;     /* loop time until which aborted_suspects is still
+                              counted in running_suspects */
+  guint64 back_off_until;    /* loop time until which it wants no requests of
+                                this entry */
   double rejections_per_s; /* that it bears, from all entries together; 0: any
                               number */
   guint places; /* of a brittle server: requests at once that it takes */
@@ -588,6 +590,11 @@
    backend servers, so that what it sees of one says nothing about it.  */
 bool pu_entry_reach_is_doubtful (const pu_entry_t *en);
 
+/* pu_entry_reach_random_server - returns a random backend server other than
+   BUT that is up, or NULL.  */
+const pu_server_t *pu_entry_reach_random_server (const pu_entry_t *en,
+                                                 const pu_server_t *but);
+
 /* pu_entry_reach_note_peer - the entry NAME has said that it reaches no
    backend server either.  */
 void pu_entry_reach_note_peer (pu_entry_t *en, const char *name);
--- a/libplantainusher/entry/reach.c
+++ b/libplantainusher/entry/reach.c
@@ -95,12 +95,10 @@
   return true;
 }
 
-/* Returns a random backend server that is up, or NULL.  */
-static const pu_server_t *
-random_server (const pu_entry_t *en)
+const pu_server_t *
+pu_entry_reach_random_server (const pu_entry_t *en, const pu_server_t *but)
 {
-  guint n = g_hash_table_size (en->servers);
-  guint skip = n > 0 ? (guint)g_rand_int_range (en->random, 0, (gint)n) : 0;
+  GPtrArray *up = g_ptr_array_new ();
   const pu_server_t *found = NULL;
   GHashTableIter it;
   gpointer value;
@@ -110,13 +108,15 @@
     {
       const pu_server_t *s = value;
 
-      if (!s->down)
-        found = s;
-      if (skip-- == 0 && found != NULL)
-        break;
-      if (skip == G_MAXUINT)
-        skip = 0;
+      if (!s->down && s != but)
+        g_ptr_array_add (up, value);
     }
+  if (up->len > 0)
+    {
+      found = g_ptr_array_index (
+          up, g_rand_int_range (en->random, 0, (gint)up->len));
+    }
+  g_ptr_array_free (up, TRUE);
   return found;
 }
 
@@ -125,7 +125,7 @@
 {
   for (guint i = 0; i < n; i++)
     {
-      const pu_server_t *s = random_server (en);
+      const pu_server_t *s = pu_entry_reach_random_server (en, NULL);
 
       if (s == NULL || !probe_start (en, s))
         pu_reach_probe_ended (&en->reach, false);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -17,6 +17,9 @@
   /* Most lines on changes of state when all backend servers are applied at
      once, as after a start.  */
   CHANGES_LOGGED_MAX = 200,
+  /* Other backend servers that are asked before a crash is taken for a fault
+     of this instance's network.  */
+  CONFIRMATIONS_MAX = 8,
 };
 
 /* An override: whether a backend server has a ready copy of a model, for the
@@ -622,26 +625,81 @@
 
 static void probe_start (pu_server_t *s);
 
+static void
+crash_record (pu_server_t *s)
+{
+  pu_log_note (PU_ENTRY_LOG_SLICE,
+               "Backend server %s broke off requests and refuses "
+               "connections: it has crashed.",
+               s->name);
+  incarnation_propose_strikes (s, s->incarnation);
+  pu_server_refused (s);
+}
+
+static bool crash_confirm (pu_server_t *s);
+
+/* Handles the result of a connection to another backend server than S, which
+   refuses connections.  That one may have crashed too; if none that is asked
+   accepts a connection, it is this instance that may be cut off.  */
+static void
+on_crash_confirmed (void *data, pu_http_call_t *call,
+                    const pu_http_result_t *result)
+{
+  pu_server_t *s = data;
+
+  (void)call;
+  s->probe = NULL;
+  if (result->kind == PU_HTTP_END_COMPLETE)
+    {
+      pu_reach_connected (&s->en->reach);
+      crash_record (s);
+    }
+  else if (result->refused && ++s->crash_confirmations < CONFIRMATIONS_MAX
+           && crash_confirm (s))
+    {
+      return;
+    }
+  held_retry (s);
+}
+
+/* Connects to another backend server, if there is one.  */
+static bool
+crash_confirm (pu_server_t *s)
+{
+  const pu_server_t *other = pu_entry_reach_random_server (s->en, s);
+  pu_http_call_options_t o = { .method = "GET",
+                               .target = "/",
+                               .fresh = true,
+                               .connect_only = true,
+                               .events = { .on_end = on_crash_confirmed },
+                               .data = s };
+
+  if (other == NULL)
+    return false;
+  o.address = other->address;
+  s->probe = pu_http_client_start (s->en->client, &o, NULL);
+  return s->probe != NULL;
+}
+
 /* Handles the result of a connection to S after an attempt on S broke.  S has
-   crashed if it refuses connections and none of its connections is left.  With
-   a frontend given in the options, a broken attempt alone is no sign of that:
-   such backend servers reset connections for other reasons too.  */
+   crashed if it refuses connections, none of its connections is left, and
+   another backend server accepts one.  With a frontend given in the options, a
+   broken attempt alone is no sign of that: such backend servers reset
+   connections for other reasons too.  */
 static void
 crash_check_end (pu_server_t *s, const pu_http_result_t *result)
 {
-  if (result->kind == PU_HTTP_END_CONNECT_FAILED)
+  bool refused = result->kind == PU_HTTP_END_CONNECT_FAILED;
+
+  if (refused)
     pu_reach_failed (&s->en->reach, s->number, uv_now (s->en->o.loop));
-  if (result->kind == PU_HTTP_END_CONNECT_FAILED
-      && !pu_entry_reach_is_doubtful (s->en)
+  if (refused
       && !pu_suspects_has_open (s->en->suspects, s->number, s->incarnation))
     {
-      pu_log_note (PU_ENTRY_LOG_SLICE,
-                   "Backend server %s broke off requests and refuses "
-                   "connections: it has crashed.",
-                   s->name);
-      incarnation_propose_strikes (s, s->incarnation);
-      if (result->refused)
-        pu_server_refused (s);
+      s->crash_confirmations = 0;
+      if (crash_confirm (s))
+        return;
+      crash_record (s);
     }
   else if (s->probe_again)
     {
