placement: a leader whom no engine answers confirms no outage

Cause: the leader proposed an engine as down when another instance reported a refused connection and its own was refused too. A leader that is cut off from the engines together with that instance confirms every report.

Change: an engine is out only if another engine has answered a call that was started after the refusal; where there is no other engine the refusals are enough, as before. Answers that come later confirm what was refused before them, within the time for which evidence is valid.

Ruled out: to demand an answer always. With one engine its crash was found only at the end of its lease; the test of a new leader that learns of a crash failed for it.

--- a/libplantainusher/placement/outages.c
+++ b/libplantainusher/placement/outages.c
@@ -12,6 +12,7 @@
 {
   guint64 evidence_ms;
   GHashTable *evidence; /* engine -> evidence_t */
+  guint64 answered;     /* latest start of a call that an engine answered */
 };
 
 pu_outages_t *
@@ -68,6 +69,7 @@
 {
   const evidence_t *v = find_evidence (o, engine);
 
+  o->answered = MAX (o->answered, started);
   if (v != NULL && v->reported_at <= started && v->refused_at <= started)
     g_hash_table_remove (o->evidence, GUINT_TO_POINTER (engine));
 }
@@ -86,15 +88,39 @@
   return v != NULL && is_current (o, v->refused_at, now);
 }
 
-bool
-pu_outages_confirm (pu_outages_t *o, guint32 engine, guint64 now)
+static bool
+confirm (const pu_outages_t *o, evidence_t *v, bool alone, guint64 now)
 {
-  evidence_t *v = find_evidence (o, engine);
-
-  if (v == NULL || is_current (o, v->confirmed_at, now)
+  if (is_current (o, v->confirmed_at, now)
       || !is_current (o, v->reported_at, now)
-      || !is_current (o, v->refused_at, now))
+      || !is_current (o, v->refused_at, now)
+      || (!alone && o->answered < v->refused_at))
     return false;
   v->confirmed_at = now;
   return true;
 }
+
+bool
+pu_outages_confirm (pu_outages_t *o, guint32 engine, bool alone, guint64 now)
+{
+  evidence_t *v = find_evidence (o, engine);
+
+  return v != NULL && confirm (o, v, alone, now);
+}
+
+bool
+pu_outages_confirm_next (pu_outages_t *o, guint64 now, guint32 *engine)
+{
+  GHashTableIter it;
+  gpointer key;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, o->evidence);
+  while (g_hash_table_iter_next (&it, &key, &v))
+    {
+      *engine = GPOINTER_TO_UINT (key);
+      if (confirm (o, v, false, now))
+        return true;
+    }
+  return false;
+}
--- a/libplantainusher/placement/outages.h
+++ b/libplantainusher/placement/outages.h
@@ -14,7 +14,9 @@
  * it at once.  One instance alone may be the cause of what it sees, so an
  * engine is out only if it refuses connections from this instance, the leader,
  * and from another one.  An answer of the engine refutes what was seen before
- * it.
+ * it.  An answer of another engine, to a call that was started after the
+ * refusal, shows that this instance itself is not cut off from the engines; it
+ * is needed if there is another engine.
  *
  * Does no I/O and reads no clock.  `now` is monotonic milliseconds.  Engines
  * are handles from 0; the handle of an engine that has restarted is another.
@@ -42,8 +44,14 @@
    far as is known: no order reaches it.  */
 bool pu_outages_refuses (const pu_outages_t *o, guint32 engine, guint64 now);
 
-/* pu_outages_confirm - whether ENGINE is out.  True once in evidence_ms.  */
-bool pu_outages_confirm (pu_outages_t *o, guint32 engine, guint64 now);
+/* pu_outages_confirm - whether ENGINE is out.  True once in evidence_ms. ALONE
+   says that there is no other engine to answer.  */
+bool pu_outages_confirm (pu_outages_t *o, guint32 engine, bool alone,
+                         guint64 now);
+
+/* pu_outages_confirm_next - as pu_outages_confirm for any engine, which ENGINE
+   is set to.  Call it until it returns false when an engine has answered.  */
+bool pu_outages_confirm_next (pu_outages_t *o, guint64 now, guint32 *engine);
 
 G_END_DECLS
 
--- a/libplantainusher/placer/sequenced_outages.c
+++ b/libplantainusher/placer/sequenced_outages.c
@@ -27,13 +27,11 @@
 }
 
 static void
-propose_down_if_out (pu_sequenced_t *s, guint32 engine)
+propose_down (pu_sequenced_t *s, guint32 engine)
 {
   const engine_t *e = pu_sequenced_get_engine (s->leader, engine);
   pu_command c = { .type = PU_COMMAND_BACKEND_DOWN };
 
-  if (!pu_outages_confirm (s->leader->outages, engine, pu_sequenced_now (s)))
-    return;
   pu_log_note (PART,
                "Backend server %s refuses connections from this instance and "
                "from others: it is down.",
@@ -43,6 +41,38 @@
   pu_control_propose (s->options.control, &c, on_down_proposed, NULL);
 }
 
+static bool
+is_only_engine (const leader_state_t *l, guint32 engine)
+{
+  for (guint32 i = 0; i < l->engines->len; i++)
+    {
+      if (i != engine && pu_sequenced_get_engine (l, i)->in_state)
+        return false;
+    }
+  return true;
+}
+
+static void
+propose_down_if_out (pu_sequenced_t *s, guint32 engine)
+{
+  if (pu_outages_confirm (s->leader->outages, engine,
+                          is_only_engine (s->leader, engine),
+                          pu_sequenced_now (s)))
+    propose_down (s, engine);
+}
+
+/* Proposes the outages that the answer of an engine confirms.  */
+static void
+propose_confirmed (pu_sequenced_t *s)
+{
+  guint32 engine;
+
+  while (s->leader != NULL
+         && pu_outages_confirm_next (s->leader->outages, pu_sequenced_now (s),
+                                     &engine))
+    propose_down (s, engine);
+}
+
 /* Returns the handle of the engine NAME in INCARNATION, if it is up.  */
 static bool
 find_engine (const leader_state_t *l, const char *name, guint64 incarnation,
@@ -95,5 +125,6 @@
   else if (result->head)
     {
       pu_outages_add_answer (s->leader->outages, engine, started);
+      propose_confirmed (s);
     }
 }
