placer: a leader probes another engine before it confirms an outage

Cause: an answer of any engine counted as a sign that the leader is not cut off, also on a connection that was open before. Such connections live on while new ones are refused. In a run of the whole check beside load the leader had lost its idle connection to one engine and kept that to another: test_backend_servers_stay_up_while_the_leader_and_others_are_cut_off saw the first recorded as down.

Change: only a new connection, started after the refusal, counts. The leader opens one to another engine, in turn, as soon as an engine is suspected, and to the next one if that refuses as well; engines that refused lately are left out, which bounds the probes.

Ruled out: to wait for the leader's own polls to open one. They use open connections for as long as these live, and the evidence ends after two seconds.

Test: Outages.AnswerOfAnotherEngineOnAnOpenConnectionConfirmsNothing fails without the change.

--- a/libplantainusher/placement/outages.c
+++ b/libplantainusher/placement/outages.c
@@ -12,7 +12,7 @@
 {
   guint64 evidence_ms;
   GHashTable *evidence; /* engine -> evidence_t */
-  guint64 answered;     /* latest start of a call that an engine answered */
+  guint64 connected; /* latest start of a connection that an engine accepted */
 };
 
 pu_outages_t *
@@ -69,7 +69,6 @@
 {
   const evidence_t *v = find_evidence (o, engine);
 
-  o->answered = MAX (o->answered, started);
   if (v != NULL && v->reported_at <= started && v->refused_at <= started)
     g_hash_table_remove (o->evidence, GUINT_TO_POINTER (engine));
 }
@@ -88,13 +87,32 @@
   return v != NULL && is_current (o, v->refused_at, now);
 }
 
+void
+pu_outages_add_connection (pu_outages_t *o, guint64 started)
+{
+  o->connected = MAX (o->connected, started);
+}
+
+static bool
+is_suspected (const pu_outages_t *o, const evidence_t *v, guint64 now)
+{
+  return !is_current (o, v->confirmed_at, now)
+         && is_current (o, v->reported_at, now)
+         && is_current (o, v->refused_at, now);
+}
+
+bool
+pu_outages_is_suspected (const pu_outages_t *o, guint32 engine, guint64 now)
+{
+  const evidence_t *v = find_evidence (o, engine);
+
+  return v != NULL && is_suspected (o, v, now);
+}
+
 static bool
 confirm (const pu_outages_t *o, evidence_t *v, bool alone, guint64 now)
 {
-  if (is_current (o, v->confirmed_at, now)
-      || !is_current (o, v->reported_at, now)
-      || !is_current (o, v->refused_at, now)
-      || (!alone && o->answered < v->refused_at))
+  if (!is_suspected (o, v, now) || (!alone && o->connected < v->refused_at))
     return false;
   v->confirmed_at = now;
   return true;
--- a/libplantainusher/placement/outages_test.cc
+++ b/libplantainusher/placement/outages_test.cc
@@ -27,7 +27,7 @@
   pu_outages_add_report (o, kEngine, now);
   pu_outages_add_refusal (o, kEngine, now + 1);
   EXPECT_FALSE (pu_outages_confirm_next (o, now + 1, &engine));
-  pu_outages_add_answer (o, kOther, now + 1);
+  pu_outages_add_connection (o, now + 1);
   EXPECT_TRUE (pu_outages_confirm_next (o, now + 1, &engine));
   EXPECT_EQ (engine, kEngine);
   EXPECT_FALSE (pu_outages_confirm (o, kEngine, false, now + 1))
@@ -38,7 +38,7 @@
    were recorded as down.  */
 TEST_F (Outages, LeaderThatNoEngineAnswersConfirmsNothing)
 {
-  pu_outages_add_answer (o, kOther, now - 1);
+  pu_outages_add_connection (o, now - 1);
   for (guint32 engine : { kEngine, kOther })
     {
       pu_outages_add_report (o, engine, now);
@@ -48,6 +48,16 @@
     EXPECT_FALSE (pu_outages_confirm (o, engine, false, now + 1));
 }
 
+/* Open connections live on when a leader is cut off.  */
+TEST_F (Outages, AnswerOfAnotherEngineOnAnOpenConnectionConfirmsNothing)
+{
+  pu_outages_add_report (o, kEngine, now);
+  pu_outages_add_refusal (o, kEngine, now);
+  pu_outages_add_answer (o, kOther, now + 1);
+  EXPECT_FALSE (pu_outages_confirm (o, kEngine, false, now + 1));
+  EXPECT_TRUE (pu_outages_is_suspected (o, kEngine, now + 1));
+}
+
 TEST_F (Outages, OnlyEngineNeedsNoAnswerOfAnother)
 {
   pu_outages_add_report (o, kEngine, now);
@@ -78,7 +88,7 @@
   pu_outages_add_report (o, kEngine, now);
   pu_outages_add_answer (o, kEngine, now - 1);
   pu_outages_add_refusal (o, kEngine, now + 2);
-  pu_outages_add_answer (o, kOther, now + 2);
+  pu_outages_add_connection (o, now + 2);
   EXPECT_TRUE (pu_outages_confirm (o, kEngine, false, now + 2));
 }
 
--- a/libplantainusher/placer/sequenced_calls.c
+++ b/libplantainusher/placer/sequenced_calls.c
@@ -21,13 +21,13 @@
                           that count the reports of one term */
 };
 
-/* An order or a fetch in flight.  */
+/* An order, a fetch or a probe in flight.  */
 typedef struct
 {
   pu_sequenced_t *owner;
   guint64 leader_epoch; /* leader_epoch of the owner when the call started */
   guint32 engine;
-  bool order; /* an order, else a fetch */
+  bool order; /* an order, else a fetch or a probe */
   guint64 started_ms;
   pu_http_fetch_t *fetch;
 } call_t;
@@ -188,6 +188,40 @@
     }
 }
 
+static void
+on_probe_end (void *data, const pu_http_fetched_t *f)
+{
+  call_t a = *(call_t *)data;
+
+  if (!call_end (data, true))
+    return;
+  if (f->result.kind == PU_HTTP_END_COMPLETE)
+    {
+      pu_sequenced_note_connection (a.owner, a.started_ms);
+    }
+  else
+    {
+      pu_sequenced_note_call (a.owner, a.engine, &f->result, a.started_ms);
+      if (a.owner->leader != NULL && f->result.refused)
+        pu_sequenced_probe_another (a.owner, a.engine);
+    }
+}
+
+void
+pu_sequenced_probe (pu_sequenced_t *s, guint32 engine)
+{
+  pu_http_call_options_t call = { .method = "GET",
+                                  .target = s->options.wire->report_target,
+                                  .fresh = true,
+                                  .connect_only = true };
+
+  if (!call_start (s, engine, &call, on_probe_end))
+    {
+      pu_log_info (PART, "Engine %s can't be probed.",
+                   pu_sequenced_get_engine (s->leader, engine)->name);
+    }
+}
+
 static GArray *
 items_by_names (leader_state_t *l, const GPtrArray *names)
 {
--- a/libplantainusher/placer/sequenced_outages.c
+++ b/libplantainusher/placer/sequenced_outages.c
@@ -52,16 +52,42 @@
   return true;
 }
 
+void
+pu_sequenced_probe_another (pu_sequenced_t *s, guint32 engine)
+{
+  leader_state_t *l = s->leader;
+  guint64 now = pu_sequenced_now (s);
+
+  for (guint n = 0; n < l->engines->len; n++)
+    {
+      guint32 i = l->next_probe++ % l->engines->len;
+
+      if (i != engine && pu_sequenced_get_engine (l, i)->in_state
+          && !pu_outages_refuses (l->outages, i, now))
+        {
+          pu_sequenced_probe (s, i);
+          return;
+        }
+    }
+}
+
 static void
 propose_down_if_out (pu_sequenced_t *s, guint32 engine)
 {
-  if (pu_outages_confirm (s->leader->outages, engine,
-                          is_only_engine (s->leader, engine),
-                          pu_sequenced_now (s)))
-    propose_down (s, engine);
+  pu_outages_t *o = s->leader->outages;
+  guint64 now = pu_sequenced_now (s);
+
+  if (pu_outages_confirm (o, engine, is_only_engine (s->leader, engine), now))
+    {
+      propose_down (s, engine);
+    }
+  else if (pu_outages_is_suspected (o, engine, now))
+    {
+      pu_sequenced_probe_another (s, engine);
+    }
 }
 
-/* Proposes the outages that the answer of an engine confirms.  */
+/* Proposes the outages that a connection to another engine confirms.  */
 static void
 propose_confirmed (pu_sequenced_t *s)
 {
@@ -112,6 +138,13 @@
     pu_sequenced_step_engine (s, engine);
 }
 
+void
+pu_sequenced_note_connection (pu_sequenced_t *s, guint64 started)
+{
+  pu_outages_add_connection (s->leader->outages, started);
+  propose_confirmed (s);
+}
+
 void
 pu_sequenced_note_call (pu_sequenced_t *s, guint32 engine,
                         const pu_http_result_t *result, guint64 started)
@@ -125,6 +158,7 @@
   else if (result->head)
     {
       pu_outages_add_answer (s->leader->outages, engine, started);
-      propose_confirmed (s);
+      if (!result->reused)
+        pu_sequenced_note_connection (s, started);
     }
 }
--- a/libplantainusher/placer/sequenced_private.h
+++ b/libplantainusher/placer/sequenced_private.h
@@ -41,6 +41,7 @@
   pu_dispatcher_t *dispatcher;
   pu_adapters_t *adapters;
   pu_outages_t *outages;
+  guint32 next_probe; /* engine to probe next, modulo their number */
   pu_names_t item_names;
   pu_names_t engine_names;
   pu_names_t zone_names;
@@ -132,6 +133,9 @@
 void pu_sequenced_fetch_report (pu_sequenced_t *s,
                                 const pu_dispatcher_action_t *a);
 
+/* pu_sequenced_probe - opens a connection to ENGINE and closes it again.  */
+void pu_sequenced_probe (pu_sequenced_t *s, guint32 engine);
+
 /* pu_sequenced_cancel_calls - cancels all calls in flight; their callbacks are
    not called.  */
 void pu_sequenced_cancel_calls (pu_sequenced_t *s);
@@ -147,6 +151,14 @@
 void pu_sequenced_note_call (pu_sequenced_t *s, guint32 engine,
                              const pu_http_result_t *result, guint64 started);
 
+/* pu_sequenced_probe_another - opens a connection to an engine other than
+   ENGINE, in turn, that has refused none lately.  */
+void pu_sequenced_probe_another (pu_sequenced_t *s, guint32 engine);
+
+/* pu_sequenced_note_connection - an engine has accepted a connection that was
+   started at STARTED.  */
+void pu_sequenced_note_connection (pu_sequenced_t *s, guint64 started);
+
 /* --- sequenced_copy_requests.c --- */
 
 /* pu_sequenced_on_copy_request - a pu_control_copy_request_fn.  */
