--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -223,7 +223,10 @@
         self.ran, self.heads, self.orders = [], [], []
         self.ordered_at = []   # when it accepted the orders
         self.state = "ready"
+        self.version = "v1"    # of its software, as its check-ins say
+        self.marks = False     # its events say by which version and server
         self.cut = False       # breaks off in its next answers
+        self.cut_at = 0.0      # breaks off in the streams that began before
         self.hold_s = 0.0      # before it answers
         self.events = 3
         self.beat_s = HEARTBEAT_MS / 1000
@@ -261,8 +264,10 @@
         """The status of one check-in there."""
         self._seq += 1
         body = {"service": self.service, "address": self.address,
-                "zone": self.zone, "version": "v1", "slots": 8,
+                "zone": self.zone, "slots": 8,
                 "state": self.state, "cold_left_ms": 0, "seq": self._seq}
+        if self.version is not None:
+            body["version"] = self.version
         if self.models is not None:
             body["models"] = self.held()
         return request(instance.control, "PUT", f"/api/instances/{self.name}",
@@ -427,20 +432,29 @@
         self._send_limit()
         self.send_header("Connection", "close")
         self.end_headers()
+        try:
+            self._events(after, body)
+        except (BrokenPipeError, ConnectionResetError):
+            pass  # its caller has left
+        self.close_connection = True
+
+    def _events(self, after, body):
+        b = self.backend
+        begun = time.monotonic()
         for i in range(after + 1, b.events + 1):
             if b.crash_on is not None and b.crash_on in body and i > 1:
                 time.sleep(CRASH_AFTER_S)
                 self.wfile.write(HALF_EVENT)
                 b.crash()
                 return
-            if b.cut and i > 1:
+            if (b.cut and i > 1) or begun < b.cut_at:
                 self.wfile.write(HALF_EVENT)
                 self._break_off()
                 return
-            self.wfile.write(f"id: {i}\ndata: e{i}\n\n".encode())
+            mark = f" {b.version} {b.name}" if b.marks else ""
+            self.wfile.write(f"id: {i}\ndata: e{i}{mark}\n\n".encode())
             self.wfile.flush()
             time.sleep(b.hold_s)
-        self.close_connection = True
 
     def _answer(self):
         b = self.backend
