platform, state: the software version of backend servers is recorded and logged

What the incident could not show: which version a request was sent to, and which stream it resumes. An engine of the completions interface states it as software in its announcement.

The record keeps it as a copy with a reserved name. Weighed: a member in the record (changes the encoding of the log, of images, deltas and polls, which instances of the last release can't decode); a command of its own (the same for the log). Instances of the last release see a copy that drains, needs no memory and is declared by no document; a record that one of them proposes lacks the version, so an entry keeps what it knows of an incarnation. Two versions of one incarnation count as unknown.

No request is routed by the version yet.

--- a/libplantainusher/entry/announcement.c
+++ b/libplantainusher/entry/announcement.c
@@ -3,15 +3,16 @@
 #include <string.h>
 
 #include "state/codec.h"
+#include "state/software.h"
 
 #define VALUE_MAX 1048576 /* maximum of counts and of sizes in MB */
 #define HASHES_MAX 65536  /* maximum of block hashes per list */
 #define HASH_HEX_DIGITS 16
 
 static const char *const known_members[]
-    = { "name", "incarnation",  "kind",      "service",  "address", "region",
-        "zone", "accelerators", "memory_mb", "fenced",   "leaving", "token",
-        "seq",  "copies",       "load",      "kv_events" };
+    = { "name", "incarnation",  "kind",      "service",   "address", "region",
+        "zone", "accelerators", "memory_mb", "fenced",    "leaving", "token",
+        "seq",  "copies",       "load",      "kv_events", "software" };
 
 static const char *const phase_names[] = {
   [PU_COPY_LOADING] = "loading",
@@ -184,6 +185,7 @@
 {
   const json_t *list = json_object_get (o, "copies");
   size_t n = json_array_size (list);
+  char *software;
 
   if (list == NULL)
     return;
@@ -193,13 +195,28 @@
                    "is not an array or has too many entries.");
       return;
     }
+  software = g_strdup (pu_backend_software (b));
   copies_clear (b);
-  if (n == 0)
-    return;
-  b->copies.copies_val = calloc (n, sizeof *b->copies.copies_val);
-  b->copies.copies_len = (u_int)n;
+  if (n > 0)
+    {
+      b->copies.copies_val = calloc (n, sizeof *b->copies.copies_val);
+      b->copies.copies_len = (u_int)n;
+    }
   for (size_t i = 0; i < n; i++)
     read_copy (json_array_get (list, i), i, &b->copies.copies_val[i], f);
+  pu_backend_set_software (b, software);
+  g_free (software);
+}
+
+static void
+read_software (const json_t *o, pu_backend_record *b, pu_findings_t *f)
+{
+  char *software = NULL;
+
+  read_name (o, "", "software", false, &software, f);
+  if (software != NULL)
+    pu_backend_set_software (b, software);
+  free (software);
 }
 
 static pu_backend_record *
@@ -231,6 +248,7 @@
   read_bool (o, "leaving", &b->leaving, f);
   read_number (o, "", "token", G_MAXINT64, &token, f);
   read_copies (o, b, f);
+  read_software (o, b, f);
   b->token = token;
   b->incarnation = incarnation;
   b->down = FALSE;
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -72,6 +72,8 @@
   /* Identifies the server in `suspects` of the entry, the table that records
      which request is in flight on which server; never reused.  */
   guint number;
+  char *software;         /* version of its own software; "": not known */
+  bool software_disputed; /* its incarnation has stated several versions */
   bool leaving;
   bool plain; /* serves a plain service, not models */
   bool down;  /* according to the view, or found dead by this entry */
--- a/libplantainusher/entry/request.h
+++ b/libplantainusher/entry/request.h
@@ -75,6 +75,8 @@
                              value go to the same copy unless another is
                              better; 0: the fingerprint is used */
   guint64 last_event; /* number of the last event that the caller received */
+  char *resumes; /* id of the caller's request that brought the first event
+                    of the stream which this one resumes; NULL: none */
 } pu_request_t;
 
 /* pu_request_add_header - adds a header to forward.  Copies NAME and
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "state/software.h"
 
 enum
 {
@@ -57,6 +58,7 @@
   g_hash_table_destroy (s->copy_overrides);
   g_free (s->name);
   g_free (s->address);
+  g_free (s->software);
   g_free (s);
 }
 
@@ -70,6 +72,7 @@
   s = g_new0 (pu_server_t, 1);
   s->en = en;
   s->name = g_strdup (name);
+  s->software = g_strdup ("");
   s->handle = PU_ROUTER_NONE;
   s->number = ++en->last_server_number;
   s->held_exchanges = g_ptr_array_new ();
@@ -186,7 +189,7 @@
       pu_router_copy_t one
           = { c->model, c->model_version, router_phase (c->phase) };
 
-      if (!is_marked_absent (s, c->model))
+      if (!pu_copy_is_software (c) && !is_marked_absent (s, c->model))
         g_array_append_val (copies, one);
     }
   overrides_append (s, b, copies);
@@ -250,6 +253,32 @@
   s->local_down_until = 0;
   s->failed_probes = 0;
   s->refusal_report_at = 0;
+  g_free (s->software);
+  s->software = g_strdup ("");
+  s->software_disputed = false;
+}
+
+/* Sets the software version of S from its record B.  An entry of an earlier
+   release leaves the version out of a record.  Two versions of one incarnation
+   come from two processes, so that neither can be relied on.  */
+static void
+software_update (pu_server_t *s, const pu_backend_record *b)
+{
+  const char *stated = pu_backend_software (b);
+
+  if (*stated == '\0' || s->software_disputed
+      || strcmp (stated, s->software) == 0)
+    return;
+  s->software_disputed = *s->software != '\0';
+  if (s->software_disputed)
+    {
+      pu_log_warn (PU_ENTRY_LOG_SLICE,
+                   "Backend server %s states software versions %s and %s; its "
+                   "streams are not resumed elsewhere.",
+                   s->name, s->software, stated);
+    }
+  g_free (s->software);
+  s->software = g_strdup (s->software_disputed ? "" : stated);
 }
 
 /* Returns the name of the state that S has at this entry, for the log.  */
@@ -276,6 +305,7 @@
       PU_ENTRY_LOG_SLICE, "Backend server changed state.",
       PU_LOG_TEXT ("server", s->name), PU_LOG_TEXT ("address", s->address),
       PU_LOG_TEXT ("before", before), PU_LOG_TEXT ("now", health_name (s)),
+      PU_LOG_TEXT ("software", s->software),
       PU_LOG_NUMBER ("incarnation", s->incarnation),
       PU_LOG_NUMBER ("changes", en->changes));
 }
@@ -293,6 +323,7 @@
   g_free (s->address);
   s->address = g_strdup (b->address);
   s->plain = b->kind == PU_BACKEND_PLAIN;
+  software_update (s, b);
   s->leaving = s->leaving || b->leaving;
   s->down = b->down || uv_now (en->o.loop) < s->local_down_until;
   if (s->down)
--- a/libplantainusher/operator/views.c
+++ b/libplantainusher/operator/views.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#include "state/software.h"
+
 char *
 pu_operator_time (guint64 wall)
 {
@@ -166,6 +168,8 @@
     {
       const pu_copy_record *c = &b->copies.copies_val[i];
 
+      if (pu_copy_is_software (c))
+        continue;
       json_array_append_new (
           list, json_pack ("{s:s, s:s, s:i, s:s}", "model", c->model,
                            "version", c->model_version, "memory_mb",
@@ -184,12 +188,13 @@
 add_backend (const pu_backend_record *b, void *data)
 {
   backends_t *all = data;
-  json_t *o = json_pack (
-      "{s:s, s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:o}", "name", b->name,
-      "kind", b->kind == PU_BACKEND_ENGINE ? "engine" : "plain", "service",
-      b->service, "address", b->address, "region", b->region, "zone", b->zone,
-      "fenced", b->fenced, "leaving", b->leaving, "down", b->down, "copies",
-      copies_json (b));
+  json_t *o
+      = json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:o}",
+                   "name", b->name, "software", pu_backend_software (b),
+                   "kind", b->kind == PU_BACKEND_ENGINE ? "engine" : "plain",
+                   "service", b->service, "address", b->address, "region",
+                   b->region, "zone", b->zone, "fenced", b->fenced, "leaving",
+                   b->leaving, "down", b->down, "copies", copies_json (b));
 
   set_number (o, "accelerators", b->accelerators);
   set_number (o, "memory_mb", b->memory_mb);
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "state/software.h"
 
 #define PART "placer"
 
@@ -201,9 +202,11 @@
 
   for (u_int i = 0; i < b->copies.copies_len; i++)
     {
-      guint32 item
-          = pu_names_intern (&l->item_names, b->copies.copies_val[i].model);
+      guint32 item;
 
+      if (pu_copy_is_software (&b->copies.copies_val[i]))
+        continue;
+      item = pu_names_intern (&l->item_names, b->copies.copies_val[i].model);
       pu_dispatcher_mark_loaded (l->dispatcher, handle, item,
                                  pu_sequenced_now (s));
     }
--- a/libplantainusher/placer/sync.c
+++ b/libplantainusher/placer/sync.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "base/log.h"
+#include "state/software.h"
 
 #define PART "placer"
 #define MIN_IMPORTANCE 1
@@ -262,16 +263,17 @@
 {
   pu_ledger_report_t r = { 0 };
 
-  g_array_set_size (sync->held_copies, b->copies.copies_len);
+  g_array_set_size (sync->held_copies, 0);
   for (u_int i = 0; i < b->copies.copies_len; i++)
     {
       const pu_copy_record *c = &b->copies.copies_val[i];
-      pu_ledger_copy_t *h
-          = &g_array_index (sync->held_copies, pu_ledger_copy_t, i);
+      pu_ledger_copy_t h = { .memory_mb = c->memory_mb,
+                             .phase = (pu_ledger_phase_t)c->phase };
 
-      h->copy = pu_placer_sync_intern_copy (sync, c->model, c->model_version);
-      h->memory_mb = c->memory_mb;
-      h->phase = (pu_ledger_phase_t)c->phase;
+      if (pu_copy_is_software (c))
+        continue;
+      h.copy = pu_placer_sync_intern_copy (sync, c->model, c->model_version);
+      g_array_append_val (sync->held_copies, h);
     }
   r.backend = handle;
   r.incarnation = b->incarnation;
