routing, entry: a stream that was cut is resumed by the software version that began it

Cause: nothing in the way of a retry knew the software version. The router chose among all copies, and what the copy then wrote was appended to the same answer. Class: two processes are taken to be alike because they serve the same thing.

Change: an exchange is bound to the version of the backend server whose bytes it forwards first, a request in the router can be bound to a version, and every choice of a copy leaves out the others. An unknown version equals nothing. A response of a server whose version has become doubtful is not appended either. A bound request is not sampled, as a sample could miss its few copies; it does not hold up those behind it in a queue; it is refused at once when no ready copy of its version is left.

Before its first event a request may still go to another version.

Ruled out: to check the versions of events (engines don't state them); to end each cut stream (callers would lose what can go on).

Streams that are relayed or resumed by their caller still change the version: next.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -340,6 +340,8 @@
   at->body = g_byte_array_new ();
   if (at->streaming)
     stream_parser_create (x, r);
+  if (at->streaming && !pu_software_fits (x))
+    at->answer.foreign = true;
   if (!at->streaming && !at->answer.foreign && x->ticket != 0
       && r->status < STATUS_CLIENT_ERROR)
     pu_router_first_token (x->en->router, x->ticket, now_of (x));
--- a/libplantainusher/entry/deliver.c
+++ b/libplantainusher/entry/deliver.c
@@ -91,6 +91,7 @@
 {
   if (x->http == NULL)
     return;
+  pu_software_begin (x);
   stream_head_send (x);
   if (pu_http_respond_write (x->http, bytes, len) > CALLER_BUFFER_MAX_BYTES)
     pu_http_call_pause (x->at.call);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -223,6 +223,9 @@
   pu_attempt_t at;
   pu_saved_failure_t saved_failure;
   pu_delivered_t delivered; /* the part of a token stream sent to the caller */
+  char *software;     /* version of the software that began its stream; "": not
+                         known, the stream can't be resumed; NULL: the stream
+                         has not begun */
   guint64 last_event; /* number of the last event that the caller received */
   guint events;       /* number of events that this entry sent to the caller */
   guint64 last_event_at; /* loop time of the last event sent to the caller */
@@ -838,6 +841,24 @@
    response.  X must not be used afterwards: it may be freed.  */
 void pu_deliver_at_most_once (pu_exchange_t *x);
 
+/* --- software.c: streams and software versions --- */
+
+/* What two versions of a backend server's software write doesn't fit together,
+   so that a stream is resumed only by the version that began it.  */
+
+/* pu_server_software - returns the software version of S, "" if it is not
+   known.  */
+const char *pu_server_software (const pu_server_t *s);
+
+/* pu_software_begin - the first bytes of the stream of X are about to be
+   forwarded from its current attempt, whose software X is bound to from now
+   on.  Does nothing if the stream has begun before.  */
+void pu_software_begin (pu_exchange_t *x);
+
+/* pu_software_fits - whether the current attempt of X may add to its
+   stream.  */
+bool pu_software_fits (const pu_exchange_t *x);
+
 /* --- claim.c: at-most-once calls --- */
 
 /* pu_claim_begin - starts to claim the key of X in the log.  */
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -21,6 +21,7 @@
   pu_request_clear (&x->q);
   pu_saved_failure_clear (&x->saved_failure);
   g_free (x->key);
+  g_free (x->software);
   g_ptr_array_free (x->avoid, TRUE);
   pu_delivered_clear (&x->delivered);
   g_free (x);
@@ -377,6 +378,7 @@
     .repeatable
     = x->q.repeatable
       || pu_entry_fault_injected (x->en, PU_ENTRY_BREAK_RETRY_NON_REPEATABLE),
+    .software = x->software,
   };
   pu_router_decision_t d;
 
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -212,6 +212,7 @@
     .kind = s->plain ? PU_ROUTER_PLAIN : PU_ROUTER_ENGINE,
     .region = b->region,
     .zone = b->zone,
+    .software = pu_server_software (s),
     .leaving = s->leaving || s->running_suspects > 0,
   };
 
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -138,6 +138,35 @@
   return false;
 }
 
+bool
+software_may_run (const request_t *q, const backend_t *b)
+{
+  return q->software == NULL
+         || (*q->software != '\0' && strcmp (q->software, b->software) == 0);
+}
+
+bool
+has_copy (const pu_router_t *r, const request_t *q)
+{
+  const GArray *ready = model_at (r, q->model)->ready;
+
+  for (guint i = 0; i < ready->len; i++)
+    {
+      if (software_may_run (
+              q,
+              backend_at (r, g_array_index (ready, ready_copy_t, i).backend)))
+        return true;
+    }
+  return false;
+}
+
+/* Whether S is no choice for Q, whatever its load.  */
+static bool
+is_excluded (const request_t *q, const backend_t *s)
+{
+  return was_tried (q, s) || !software_may_run (q, s);
+}
+
 /* Returns whether S accepts Q: S has a free slot, has not just refused a
    request as overloaded, is not ejected and, if Q is a retry, has retry budget
    left.  After an ejection S gets one request at a time, as a probe, until one
@@ -224,7 +253,7 @@
       const backend_t *b
           = backend_at (r, g_array_index (ready, ready_copy_t, i).backend);
 
-      if (!was_tried (q, b))
+      if (!is_excluded (q, b))
         nearest = MIN (nearest, b->network_cost_ms);
     }
   return nearest;
@@ -246,7 +275,8 @@
       const backend_t *b = backend_at (r, e->backend);
       guint64 p = rendezvous_weight (q->fingerprint, b);
 
-      if (p < highest || was_tried (q, b) || b->network_cost_ms > furthest_ms)
+      if (p < highest || is_excluded (q, b)
+          || b->network_cost_ms > furthest_ms)
         continue;
       highest = p;
       preferred = e;
@@ -289,7 +319,7 @@
   guint64 pending;
   double margin;
 
-  if (was_tried (q, s) || !accepts_request (r, q, s, ignore_ejection, now))
+  if (is_excluded (q, s) || !accepts_request (r, q, s, ignore_ejection, now))
     return false;
   load = backend_load (s, now);
   pending = pending_prefill_tokens (s, m, now);
@@ -328,7 +358,7 @@
       const backend_t *s
           = backend_at (r, g_array_index (ready, ready_copy_t, i).backend);
 
-      if (!was_tried (q, s) && now >= s->ejected_until)
+      if (!is_excluded (q, s) && now >= s->ejected_until)
         return false;
     }
   return true;
@@ -345,7 +375,7 @@
       const backend_t *s
           = backend_at (r, g_array_index (ready, ready_copy_t, i).backend);
 
-      if (!was_tried (q, s))
+      if (!is_excluded (q, s))
         earliest = MIN (earliest, s->back_off_until);
     }
   return earliest == G_MAXUINT64 ? 0 : earliest;
@@ -362,7 +392,7 @@
       const backend_t *s
           = backend_at (r, g_array_index (ready, ready_copy_t, i).backend);
 
-      if (was_tried (q, s))
+      if (is_excluded (q, s))
         continue;
       if (retry_budget_allows (r, s->retry_budget))
         return RETRY_COPIES_AVAILABLE;
@@ -506,7 +536,8 @@
 
   if (ready->len == 0)
     return false;
-  if (ready->len > r->options.candidates)
+  /* A sample could miss the few copies that may run a resumed stream.  */
+  if (ready->len > r->options.candidates && q->software == NULL)
     {
       if (choose_among_sample (r, q, now, c))
         return true;
--- a/libplantainusher/routing/queue.c
+++ b/libplantainusher/routing/queue.c
@@ -82,6 +82,7 @@
   q->timeout_iter = g_sequence_insert_sorted (r->waiting_by_timeout, q,
                                               compare_timeout, NULL);
   service_at (r, q->service)->waiting++;
+  m->waiting_bound += q->software != NULL;
   if (m->waiting++ > 0)
     return;
   m->busy_since = now;
@@ -99,6 +100,7 @@
   q->timeout_iter = NULL;
   service_at (r, q->service)->waiting--;
   m->waiting--;
+  m->waiting_bound -= q->software != NULL;
 }
 
 void
@@ -183,12 +185,17 @@
 pick_from_flow (pu_router_t *r, const flow_t *f, pu_router_backend_t b,
                 guint copy, guint64 now, candidate_t *c)
 {
+  const backend_t *s = backend_at (r, b);
   GSequenceIter *at = g_sequence_get_begin_iter (f->queue);
+  guint scanned = 0;
 
-  for (guint i = 0; i < FLOW_SCAN_MAX && !g_sequence_iter_is_end (at); i++)
+  while (scanned < FLOW_SCAN_MAX && !g_sequence_iter_is_end (at))
     {
       request_t *q = g_sequence_get (at);
 
+      /* Those that wait for another software version don't hold up the
+         others.  */
+      scanned += software_may_run (q, s);
       if (evaluate_candidate (r, q, b, copy, now, c))
         return q;
       at = g_sequence_iter_next (at);
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -117,6 +117,7 @@
   guint index = q->index;
   guint32 generation = q->generation + 1;
 
+  g_free (q->software);
   g_free (q->prefix);
   g_free (q->prefix_tokens);
   *q = (request_t){ .index = index, .generation = generation };
@@ -193,6 +194,7 @@
   q->fingerprint = in->fingerprint;
   q->shared_tokens = MIN (in->shared_tokens, in->prompt_tokens);
   q->repeatable = in->repeatable;
+  q->software = g_strdup (in->software);
   q->wants_preferred = (guint)g_rand_int_range (r->rand, 0, 1000) < m->share;
   request_set_due (r, q);
 }
@@ -409,7 +411,7 @@
 {
   candidate_t c;
 
-  if (model_at (r, q->model)->ready->len == 0)
+  if (!has_copy (r, q))
     {
       request_refuse (r, q, PU_ROUTER_REASON_COPY, 0, d);
     }
@@ -454,6 +456,17 @@
     d->ticket = 0;
 }
 
+void
+pu_router_set_software (pu_router_t *r, pu_ticket_t t, const char *version)
+{
+  request_t *q = request_lookup_running (r, t);
+
+  if (q == NULL)
+    return;
+  g_free (q->software);
+  q->software = g_strdup (version);
+}
+
 /* Scheduling of waiting requests.  */
 
 static void
@@ -537,7 +550,7 @@
     return PU_ROUTER_REASON_SERVICE;
   if (!m->declared)
     return PU_ROUTER_REASON_MODEL;
-  if (m->ready->len == 0)
+  if (!has_copy (r, q))
     return PU_ROUTER_REASON_COPY;
   return PU_ROUTER_REASON_NONE;
 }
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -198,8 +198,10 @@
   pu_router_kind_t kind;
   const char *region;
   const char *zone;
-  bool leaving; /* gets no new requests */
-  guint slots;  /* fixed limit of concurrent requests; 0: adaptive */
+  const char *software; /* version of its own software; NULL or "": not known;
+                           fixed for an incarnation, unless it becomes ""  */
+  bool leaving;         /* gets no new requests */
+  guint slots;          /* fixed limit of concurrent requests; 0: adaptive */
   const pu_router_copy_t *copies;
   guint n_copies;
 } pu_router_backend_options_t;
@@ -319,14 +321,17 @@
   const guint *prefix_tokens; /* tokens of the prompt up to the end of each
                                  block; NULL: block_tokens for each */
   guint n_prefix;
-  guint64 fingerprint; /* hash of model and input, or an affinity key: all
-                          entries send requests of one fingerprint to the
-                          same copy where copies are equally good; 0: none */
-  guint shared_tokens; /* tokens of the prompt prefix that requests of one
-                          fingerprint share */
-  bool repeatable;     /* safe to run more than once */
-  guint attempts_max;  /* most attempts of this request; 0: the value in the
-                          options */
+  guint64 fingerprint;  /* hash of model and input, or an affinity key: all
+                           entries send requests of one fingerprint to the
+                           same copy where copies are equally good; 0: none */
+  guint shared_tokens;  /* tokens of the prompt prefix that requests of one
+                           fingerprint share */
+  bool repeatable;      /* safe to run more than once */
+  guint attempts_max;   /* most attempts of this request; 0: the value in the
+                           options */
+  const char *software; /* it resumes a stream: only backend servers with this
+                           software version may run it, none if ""; NULL: any.
+                           Copied.  */
 } pu_router_request_t;
 
 typedef enum
@@ -398,6 +403,12 @@
    means immediately and G_MAXUINT64 means never.  */
 guint64 pu_router_next_timeout_at (const pu_router_t *r);
 
+/* pu_router_set_software - from its next attempt on, the running request with
+   the ticket T may be run only by backend servers whose software has VERSION,
+   by none if VERSION is "": its stream has begun.  */
+void pu_router_set_software (pu_router_t *r, pu_ticket_t t,
+                             const char *version);
+
 /* Feedback about a dispatched request.  */
 
 /* pu_router_sent - reports that the request with the ticket T was sent to its
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -73,6 +73,7 @@
   GArray *ready;   /* of ready_copy_t */
   GArray *flows;   /* of flow_t */
   guint waiting;
+  guint waiting_bound; /* of `waiting`, those bound to a software version */
   guint in_flight;
   /* Milliseconds to the first token (y) by prefill tokens queued (x).  */
   linear_fit_t first_token_fit;
@@ -112,6 +113,7 @@
   pu_router_kind_t kind;
   char *region;
   char *zone;
+  char *software;        /* "": not known */
   guint network_cost_ms; /* network latency penalty */
   bool in_use;           /* false: the handle is free */
   bool removed;          /* true: freed when its last request ends */
@@ -188,6 +190,7 @@
   guint attempts_max;
   guint64 fingerprint;
   guint shared_tokens;
+  char *software; /* as in pu_router_request_t */
   bool repeatable;
   bool wants_preferred;
   guint attempt;
@@ -352,6 +355,13 @@
                          pu_router_backend_t b, guint copy, guint64 now,
                          candidate_t *c);
 
+/* has_copy - whether a ready copy, tried or not, is on a backend server whose
+   software may run Q.  */
+bool has_copy (const pu_router_t *r, const request_t *q);
+
+/* software_may_run - whether the software version of B may run Q.  */
+bool software_may_run (const request_t *q, const backend_t *b);
+
 /* Whether a copy is left for the retry of a request.  */
 typedef enum
 {
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -46,7 +46,7 @@
       if (g_array_index (list, ready_copy_t, i).backend == b)
         g_array_remove_index_fast (list, i);
     }
-  if (may_all_back_off (r, list))
+  if (may_all_back_off (r, list) || model_at (r, m)->waiting_bound > 0)
     r->recheck_waiting = true;
 }
 
@@ -317,6 +317,7 @@
     .in_use = true,
     .slots = r->options.slots_initial,
     .prefill_window = 1,
+    .software = g_strdup (""),
     .copies = copies_new (),
     .retry_budget = r->backend_retries.burst,
     .finish_tags = g_array_new (FALSE, TRUE, sizeof (double)),
@@ -370,6 +371,7 @@
   s->fixed_slots = o->slots;
   replace_string (&s->region, o->region);
   replace_string (&s->zone, o->zone);
+  replace_string (&s->software, o->software);
   s->network_cost_ms = network_cost_ms (r, s);
   set_copies (r, s, o->copies, o->n_copies);
   ready_list_add_backend (r, h);
@@ -419,6 +421,7 @@
   g_free (s->name);
   g_free (s->region);
   g_free (s->zone);
+  g_free (s->software);
   g_array_free (s->copies, TRUE);
   g_array_free (s->finish_tags, TRUE);
   g_hash_table_destroy (s->blocks);
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -5,6 +5,7 @@
 import random
 import threading
 import time
+import zlib
 
 from cluster import wait_until
 from platform_fakes import HOST, config
@@ -90,7 +91,8 @@
     t.resumes = resumes
     headers = {"Host": HOST, "Request-Id": rid, "Model": model,
                "Deadline-Ms": str(deadline_ms), "Token-Counts": "100,10",
-               "Prompt-Prefix": "a1:60,b2:40"}
+               "Prompt-Prefix": f"{zlib.crc32(rid.split('.')[0].encode()):x}"
+                                ":60,b2:40"}
     if after > 0:
         headers["Last-Event-Id"] = str(after)
     if resumes is not None:
