entry: an attempt without a connection doesn't use up a route's attempts before a relay

A stream that was cut at a backend server by an instance that had just lost its way to all of them was not relayed on a route with two attempts: none of 24 went on (stream_relayed_process_test, the case of the last attempt).

Cause: server_attempts counts attempts at backend servers that got a connection, as its comment says, but was raised when an attempt was started and never lowered when it got none. may_hand_over then found the attempts of the route used up.

Change: it is lowered with the count of unconnected attempts.

Ruled out: the retry budget (such an attempt isn't charged); the directory of neighbours (the same request is relayed on a route with six attempts).

--- a/libplantainusher/entry/reach.c
+++ b/libplantainusher/entry/reach.c
@@ -176,6 +176,7 @@
   if (unconnected)
     {
       x->unconnected++;
+      x->server_attempts--;
       pu_reach_failed (&en->reach, x->at.server->number, loop_now (en));
       pu_entry_reach_tick (en, loop_now (en));
     }
