entry: a relayed stream goes on at the software version that began it

Cause: the entry that relays knew what began the stream but did not tell, and the other entry chose among all copies; in the other direction an entry never learned which version wrote the events that another one sent.

Change: a relay and its response carry the version in X-Relay-Software, percent-encoded, as versions are any text; believed with the peer key only, and never passed on to callers or backend servers.

--- a/libplantainusher/entry/admit.c
+++ b/libplantainusher/entry/admit.c
@@ -177,6 +177,8 @@
   if (!x->relayed)
     return;
   x->hops = PU_RELAY_HOPS_MAX;
+  x->software = pu_software_decode (
+      pu_http_request_header (x->http, PU_SOFTWARE_RELAY_HEADER));
   if (left != NULL
       && g_ascii_string_to_unsigned (left, 10, 1, G_MAXUINT32, &attempts,
                                      NULL))
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -171,6 +171,13 @@
       pu_header_list_add_number (&h, "X-Relay-Attempts",
                                  x->q.attempts_max - x->server_attempts);
     }
+  if (x->software != NULL)
+    {
+      char *value = pu_software_encode (x->software);
+
+      g_ptr_array_add (h.owned, value);
+      pu_header_list_add (&h, PU_SOFTWARE_RELAY_HEADER, value);
+    }
   x->at.entry = g_strdup (to->name);
   pu_trace_relayed (x, to->name);
   good = call_start (x, to->address, target, &h);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -149,7 +149,9 @@
   pu_server_t *server; /* NULL: relayed to another entry */
   guint64 incarnation; /* incarnation of the backend server */
   guint64 sent_at;     /* loop time when the call was started */
-  char *entry; /* name of the entry that it is relayed to; NULL: none */
+  char *entry;    /* name of the entry that it is relayed to; NULL: none */
+  char *software; /* of the backend server, as that entry states; NULL: not
+                     stated */
   int status;
   pu_response_class_t answer;
   GPtrArray *headers; /* alternating names and values of the response headers
@@ -850,6 +852,16 @@
    known.  */
 const char *pu_server_software (const pu_server_t *s);
 
+/* The header of a relay and of its response with the version to which the
+   stream is bound, percent-encoded.  */
+#define PU_SOFTWARE_RELAY_HEADER "X-Relay-Software"
+
+/* pu_software_encode - returns VERSION as a value of
+   PU_SOFTWARE_RELAY_HEADER; pu_software_decode reads such a value and returns
+   NULL for none or an invalid one.  Free both with g_free.  */
+char *pu_software_encode (const char *version);
+char *pu_software_decode (const char *value);
+
 /* pu_software_begin - the first bytes of the stream of X are about to be
    forwarded from its current attempt, whose software X is bound to from now
    on.  Does nothing if the stream has begun before.  */
--- a/libplantainusher/entry/parse.c
+++ b/libplantainusher/entry/parse.c
@@ -118,7 +118,11 @@
         && pu_http_key_equal (pu_http_request_header (x->http, "x-relay-key"),
                               x->en->peer_key);
   if (x->relayed)
-    x->hops = g_strcmp0 (hop, "1") == 0 ? 1 : PU_RELAY_HOPS_MAX;
+    {
+      x->hops = g_strcmp0 (hop, "1") == 0 ? 1 : PU_RELAY_HOPS_MAX;
+      x->software = pu_software_decode (
+          pu_http_request_header (x->http, PU_SOFTWARE_RELAY_HEADER));
+    }
   if (!number_header (x, "x-priority", 0, PU_ROUTER_PRIORITY_MAX,
                       DEFAULT_PRIORITY, &priority)
       || !number_header (x, "x-timeout-ms", 1, TIMEOUT_MAX_MS, 0, &timeout))
@@ -355,7 +359,8 @@
 is_set_by_entry (const char *name)
 {
   static const char *const names[]
-      = { "x-request-id", "x-relay-hop", "x-relay-key" };
+      = { "x-request-id", "x-relay-hop", "x-relay-key",
+          PU_SOFTWARE_RELAY_HEADER };
 
   for (gsize i = 0; i < G_N_ELEMENTS (names); i++)
     {
