entry, control: a stream that its caller resumes goes on at the version that began it

Cause: the caller names only the id of its first try, and no instance had what that id stands for; Resumes was not read. Class: state that has to outlive the process that made it existed in that process alone.

Change: the entry that forwards a stream's first event records the version (routing/origins). While a service has backend servers of several versions, or had within ten minutes, it also tells two other entries, chosen by a hash of the id among at most 32, in different zones, in batches of 20 ms; streams in progress are told when a second version appears. An entry that gets a resumed stream asks three of them, for 400 ms at most, and routes the request to that version only. If nobody knows, the only version that the service has had is taken, if the entry is in contact with the voters; otherwise the request is refused at once as not run.

Weighed: a record in the log for each stream (3,000 proposals a second at 300 instances, each sent to all daemons); all instances asked (299 messages for each resumed stream, and a loss of an instance brings hundreds of these); telling at the time of sending (a retry at another version before the first event would leave a wrong record behind, unless each first event waits); a version that follows from the id (routing would lose its choice while versions come and go); any two instances as keepers (a connection between each two of 300).

--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -35,6 +35,10 @@
 const PU_CONTROL_PROPOSE_PACKED = 13; /* as PROPOSE; the command is compressed
                                          (control/packed.h) */
 
+const PU_CONTROL_ORIGINS = 14; /* pu_origin_list -> void, entry to entry */
+const PU_CONTROL_FIND_ORIGIN = 15; /* pu_origin_query -> pu_origin_reply, entry
+                                      to entry */
+
 const PU_CONTROL_LIST_MAX = 4096;
 const PU_CONTROL_VOTERS_MAX = 16;
 const PU_CONTROL_CHUNK_MAX = 16384;
@@ -206,6 +210,31 @@
                                  unload */
 };
 
+/* The software version that began a stream (routing/origins.h).  */
+struct pu_origin_record
+{
+  unsigned hyper key;         /* pu_origin_key of the request's id */
+  pu_name software;
+  unsigned int life_ms;       /* how long the stream can be resumed */
+};
+
+struct pu_origin_list
+{
+  pu_origin_record origins<PU_CONTROL_LIST_MAX>;
+};
+
+struct pu_origin_query
+{
+  unsigned hyper key;
+};
+
+struct pu_origin_reply
+{
+  unsigned hyper key;
+  bool known;
+  pu_name software;           /* "": several versions, or not known */
+};
+
 enum pu_query_kind
 {
   PU_QUERY_STATUS = 0,        /* to the leader: sessions, voters */
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -115,6 +115,8 @@
   h->report_refusal = entry_report_refusal;
   h->loads = pu_daemon_loads_out;
   h->withdraw = pu_daemon_withdraw_out;
+  h->tell_origins = pu_daemon_origins_tell;
+  h->ask_origin = pu_daemon_origin_ask;
   h->data = d;
 }
 
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -76,6 +76,13 @@
 void pu_daemon_withdraw_out (void *daemon, const char *address, guint64 id,
                              const char *model, guint life_ms);
 
+/* origins.c - what began streams, between entries.  */
+void pu_daemon_origins_listen (pu_daemon_t *d);
+void pu_daemon_origins_tell (void *daemon, const char *address,
+                             const pu_entry_origin_t *origins, guint n);
+void pu_daemon_origin_ask (void *daemon, const char *address, guint64 key,
+                           guint timeout_ms);
+
 /* status.c - what operators see.  */
 void pu_daemon_status (json_t *status, pu_operator_json_fn *done,
                        void *done_data, void *daemon);
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -281,6 +281,7 @@
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
   pu_reach_init (&en->reach);
+  pu_origins_init (en);
   en->peers = g_ptr_array_new_with_free_func (pu_entry_peer_free);
   en->peers_version = G_MAXUINT64;
   en->cut_off_peers
@@ -343,7 +344,9 @@
   uv_timer_init (en->o.loop, &en->router_timer);
   en->tick_timer.data = en;
   en->router_timer.data = en;
-  en->open_handles = 2;
+  uv_timer_init (en->o.loop, &en->origins_timer);
+  en->origins_timer.data = en;
+  en->open_handles = 3;
   uv_timer_start (&en->tick_timer, on_tick, TICK_MS, TICK_MS);
 }
 
@@ -368,6 +371,7 @@
   g_hash_table_destroy (en->leaves);
   g_ptr_array_free (en->peers, TRUE);
   g_hash_table_destroy (en->cut_off_peers);
+  pu_origins_clear (en);
   g_ptr_array_free (en->strikes, TRUE);
   g_hash_table_destroy (en->acquittals);
   g_hash_table_destroy (en->suspect_standings);
@@ -557,6 +561,7 @@
   pu_http_server_free (en->server);
   uv_close ((uv_handle_t *)&en->tick_timer, on_handle_closed);
   uv_close ((uv_handle_t *)&en->router_timer, on_handle_closed);
+  uv_close ((uv_handle_t *)&en->origins_timer, on_handle_closed);
 }
 
 int
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -53,6 +53,14 @@
    hints.  */
 guint64 pu_entry_load_id (const char *backend, guint64 incarnation);
 
+/* The software version that began a stream, as sent between entries.  */
+typedef struct
+{
+  guint64 key;    /* hash of the id of the request that began it */
+  char *software; /* version of the backend server's software */
+  guint life_ms;  /* how long the stream can be resumed */
+} pu_entry_origin_t;
+
 /* pu_entry_done_fn - receives the reply R to a proposal, or the error E, as
    pu_agent_done_fn does.  */
 typedef void pu_entry_done_fn (void *data, const pu_reply *r,
@@ -109,6 +117,15 @@
      May be NULL.  */
   void (*withdraw) (void *data, const char *address, guint64 id,
                     const char *model, guint life_ms);
+  /* Sends N origins of streams to the daemon with the peer address ADDRESS,
+     which gets them unless the connection breaks.  May be NULL.  */
+  void (*tell_origins) (void *data, const char *address,
+                        const pu_entry_origin_t *origins, guint n);
+  /* Asks the daemon with the peer address ADDRESS for the origin KEY.  An
+     answer is given to pu_entry_receive_origin, if one comes within
+     TIMEOUT_MS.  May be NULL.  */
+  void (*ask_origin) (void *data, const char *address, guint64 key,
+                      guint timeout_ms);
   void *data;
 } pu_entry_hooks_t;
 
@@ -226,6 +243,20 @@
 void pu_entry_receive_loads (pu_entry_t *en, const pu_entry_load_t *loads,
                              guint n, guint life_ms);
 
+/* pu_origins_receive - receives N origins that another entry sent.  */
+void pu_origins_receive (pu_entry_t *en, const pu_entry_origin_t *list,
+                         guint n);
+
+/* pu_entry_find_origin - returns the software version that began the stream
+   KEY, as far as this entry knows, "" if several did, or NULL.  Valid until
+   the entry is called again.  */
+const char *pu_entry_find_origin (const pu_entry_t *en, guint64 key);
+
+/* pu_entry_receive_origin - receives the answer of another entry to
+   ask_origin, in the form of pu_entry_find_origin.  */
+void pu_entry_receive_origin (pu_entry_t *en, guint64 key,
+                              const char *software);
+
 /* pu_entry_accepts_reports - whether a report received now may be
    acknowledged.  If an instance without contact to the voters acknowledged it,
    no lease would be renewed: after five seconds all other instances would take
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -10,6 +10,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "once/once.h"
+#include "routing/origins.h"
 #include "routing/reach.h"
 #include "routing/router.h"
 #include "suspects/suspects.h"
@@ -72,7 +73,12 @@
   /* Identifies the server in `suspects` of the entry, the table that records
      which request is in flight on which server; never reused.  */
   guint number;
-  char *software;         /* version of its own software; "": not known */
+  char *software;        /* version of its own software; "": not known */
+  char *counted_service; /* under which it is counted in `versions` of the
+                            entry, with counted_software; NULL: it is not */
+  char *counted_software;
+  bool version_counted; /* it has been counted in `versions`, or is */
+
   bool software_disputed; /* its incarnation has stated several versions */
   bool leaving;
   bool plain; /* serves a plain service, not models */
@@ -225,9 +231,15 @@
   pu_attempt_t at;
   pu_saved_failure_t saved_failure;
   pu_delivered_t delivered; /* the part of a token stream sent to the caller */
-  char *software;     /* version of the software that began its stream; "": not
-                         known, the stream can't be resumed; NULL: the stream
-                         has not begun */
+  char *software;    /* version of the software that began its stream; "": not
+                        known, the stream can't be resumed; NULL: the stream
+                        has not begun */
+  bool began_here;   /* this entry has recorded the origin of its stream */
+  bool origin_asked; /* other entries were asked for the origin of the stream
+                        that it resumes */
+  guint origin_answers_due;
+  guint64 origin_wait_until; /* loop time until which it waits for these
+                                answers; 0: it does not wait */
   guint64 last_event; /* number of the last event that the caller received */
   guint events;       /* number of events that this entry sent to the caller */
   guint64 last_event_at; /* loop time of the last event sent to the caller */
@@ -285,9 +297,14 @@
                             from */
   GHashTable *cut_off_peers; /* name -> guint64: loop time until which an entry
                                 counts as cut off from the backend servers */
-  GPtrArray *strikes;        /* of pu_strike_t, owned */
-  GHashTable *acquittals;    /* set of &fingerprint: acquittals that are being
-                                proposed to the log */
+  pu_origins_t *origins;     /* what began streams, here and elsewhere */
+  pu_versions_t *versions;   /* software versions by service */
+  GHashTable *outgoing_origins; /* peer address -> GArray of
+                                   pu_entry_origin_t, to be sent */
+  uv_timer_t origins_timer;     /* sends outgoing_origins */
+  GPtrArray *strikes;           /* of pu_strike_t, owned */
+  GHashTable *acquittals; /* set of &fingerprint: acquittals that are being
+                             proposed to the log */
   GHashTable *suspect_standings; /* &fingerprint of the view -> standing_t of
                                     view.c */
   GHashTable *rates;             /* service -> double: requests per second */
@@ -871,6 +888,32 @@
    stream.  */
 bool pu_software_fits (const pu_exchange_t *x);
 
+/* --- origin.c: what began a stream that a caller resumes --- */
+
+void pu_origins_init (pu_entry_t *en);
+void pu_origins_clear (pu_entry_t *en);
+
+/* pu_origin_record - the stream of X has begun at this entry, with
+   x->software.  */
+void pu_origin_record (pu_exchange_t *x);
+
+/* pu_origin_waits - finds out which software version began the stream that X
+   resumes.  Returns true if X waits for answers of other entries, or was ended
+   because nobody knows.  */
+bool pu_origin_waits (pu_exchange_t *x);
+
+/* pu_origin_tick - routes X again if it has waited for answers too long.  */
+void pu_origin_tick (pu_exchange_t *x, guint64 now);
+
+/* pu_server_count_version - the software version of S serves SERVICE or, if
+   SERVES is false, does so no more.  */
+void pu_server_count_version (pu_server_t *s, const char *service,
+                              bool serves);
+
+/* pu_server_uncount_version - the incarnation of S that was counted is
+   gone.  */
+void pu_server_uncount_version (pu_server_t *s);
+
 /* --- claim.c: at-most-once calls --- */
 
 /* pu_claim_begin - starts to claim the key of X in the log.  */
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -305,6 +305,8 @@
       fail_cut_off (x);
       return;
     }
+  if (pu_origin_waits (x))
+    return;
   if (pu_entry_hand_over (x))
     return;
   /* A request that may run only once is not relayed: each further hop is
@@ -483,7 +485,7 @@
       break;
     case PU_ROUTER_REFUSE:
       if (d->reason == PU_ROUTER_REASON_COPY && pu_model_wait_allowed (x)
-          && !x->may_have_run)
+          && !x->may_have_run && x->software == NULL)
         {
           ticket_set (x, 0);
           pu_model_wait_begin (x);
@@ -673,6 +675,10 @@
     {
       fail_deadline (x);
     }
+  else if (x->phase == PU_EXCHANGE_WAITING && x->origin_wait_until != 0)
+    {
+      pu_origin_tick (x, now);
+    }
   else if (x->phase == PU_EXCHANGE_WAITING && x->waits_for_model)
     {
       pu_model_wait_tick (x, now);
--- /dev/null
+++ b/libplantainusher/entry/origin.c
@@ -0,0 +1,503 @@
+/* Which software version began a stream that a caller resumes, possibly at
+   another entry than the one that it came through before.
+
+   The entry that forwards the first event records the version.  If a service
+   has backend servers of several versions, it also tells a few other entries,
+   chosen by the id of the request, so that any entry can ask them; the
+   recording entry may have stopped by then.  */
+
+#include "entry/entry_private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/counters.h"
+#include "base/log.h"
+
+enum
+{
+  ORIGINS_MAX = 65536,
+  /* How long a stream can be resumed at most, and how long a version counts
+     that no backend server has any more.  */
+  LIFE_MAX_MS = 600000,
+  /* Entries that keep origins.  All of them would mean a connection between
+     any two entries.  */
+  KEEPERS_MAX = 32,
+  TOLD = 2,  /* keepers that are told of one origin */
+  ASKED = 3, /* keepers that are asked: the set may have changed by one */
+  ANSWER_TIMEOUT_MS = 400,
+  FLUSH_MS = 20,
+};
+
+/* The key of the directory for the set of keepers.  */
+#define KEEPERS_KEY "origins"
+
+static guint64
+loop_now (const pu_entry_t *en)
+{
+  return uv_now (en->o.loop);
+}
+
+static void
+count (const pu_entry_t *en, const char *name, guint n)
+{
+  pu_counters_t *c = en->o.counters;
+
+  if (c != NULL)
+    pu_counters_add (c, pu_counters_get (c, name), n);
+}
+
+/* --- keepers of an origin --- */
+
+static guint64
+keeper_weight (const pu_directory_entry_t *e, guint64 key)
+{
+  return XXH3_64bits_withSeed (e->name, strlen (e->name), key);
+}
+
+static bool
+is_zone_taken (const GArray *taken, const char *zone)
+{
+  for (guint i = 0; i < taken->len; i++)
+    {
+      if (strcmp (g_array_index (taken, pu_directory_entry_t, i).zone, zone)
+          == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Returns the index in KEEPERS of the heaviest one for KEY, of a zone that
+   TAKEN lacks if there is one.  */
+static guint
+heaviest_keeper (const GArray *keepers, const GArray *taken, guint64 key)
+{
+  guint best = 0;
+  bool best_zone_is_new = false;
+  guint64 best_weight = 0;
+
+  for (guint i = 0; i < keepers->len; i++)
+    {
+      const pu_directory_entry_t *e
+          = &g_array_index (keepers, pu_directory_entry_t, i);
+      bool zone_is_new = !is_zone_taken (taken, e->zone);
+      guint64 weight = keeper_weight (e, key);
+
+      if (i > 0
+          && (zone_is_new < best_zone_is_new
+              || (zone_is_new == best_zone_is_new && weight <= best_weight)))
+        continue;
+      best = i;
+      best_zone_is_new = zone_is_new;
+      best_weight = weight;
+    }
+  return best;
+}
+
+/* Returns the first N keepers of KEY, of pu_directory_entry_t.  Each zone
+   appears once before any does twice, so that the loss of a zone loses no
+   origin.  */
+static GArray *
+keepers_of (const pu_entry_t *en, guint64 key, guint n)
+{
+  GArray *left = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
+  GArray *taken = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
+
+  pu_directory_entries (en->directory, KEEPERS_KEY, KEEPERS_MAX, NULL, NULL,
+                        left);
+  while (taken->len < n && left->len > 0)
+    {
+      guint i = heaviest_keeper (left, taken, key);
+      pu_directory_entry_t e = g_array_index (left, pu_directory_entry_t, i);
+
+      g_array_append_val (taken, e);
+      g_array_remove_index (left, i);
+    }
+  g_array_free (left, TRUE);
+  return taken;
+}
+
+/* Returns the peer address of the keeper E, or NULL if it is this entry or not
+   a member any more.  */
+static const char *
+peer_address (const pu_entry_t *en, const pu_directory_entry_t *e)
+{
+  const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
+  const pu_member_record *m = pu_state_member (view, e->name);
+
+  return m != NULL && strcmp (e->name, en->name) != 0 ? m->peer_address : NULL;
+}
+
+/* --- recording --- */
+
+static void
+outgoing_free (gpointer list)
+{
+  GArray *origins = list;
+
+  for (guint i = 0; i < origins->len; i++)
+    g_free (g_array_index (origins, pu_entry_origin_t, i).software);
+  g_array_free (origins, TRUE);
+}
+
+void
+pu_origins_init (pu_entry_t *en)
+{
+  en->origins = pu_origins_new (ORIGINS_MAX);
+  en->versions = pu_versions_new (LIFE_MAX_MS);
+  en->outgoing_origins
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, outgoing_free);
+}
+
+void
+pu_origins_clear (pu_entry_t *en)
+{
+  pu_origins_free (en->origins);
+  pu_versions_free (en->versions);
+  g_hash_table_destroy (en->outgoing_origins);
+}
+
+static void
+on_flush (uv_timer_t *t)
+{
+  pu_entry_t *en = t->data;
+  GHashTableIter it;
+  gpointer address;
+  gpointer list;
+
+  g_hash_table_iter_init (&it, en->outgoing_origins);
+  while (g_hash_table_iter_next (&it, &address, &list))
+    {
+      const GArray *origins = list;
+
+      count (en, "origins_told_total", origins->len);
+      en->o.hooks.tell_origins (
+          en->o.hooks.data, address,
+          (const pu_entry_origin_t *)(void *)origins->data, origins->len);
+    }
+  g_hash_table_remove_all (en->outgoing_origins);
+}
+
+static void
+outgoing_add (pu_entry_t *en, const char *address, guint64 key,
+              const char *software, guint life_ms)
+{
+  pu_entry_origin_t one = { key, g_strdup (software), life_ms };
+  GArray *list = g_hash_table_lookup (en->outgoing_origins, address);
+
+  if (list == NULL)
+    {
+      list = g_array_new (FALSE, FALSE, sizeof one);
+      g_hash_table_insert (en->outgoing_origins, g_strdup (address), list);
+    }
+  g_array_append_val (list, one);
+  if (!uv_is_active ((uv_handle_t *)&en->origins_timer))
+    uv_timer_start (&en->origins_timer, on_flush, FLUSH_MS, 0);
+}
+
+static guint
+life_ms (const pu_exchange_t *x)
+{
+  guint64 now = loop_now (x->en);
+  guint64 until = MAX (x->q.resumable_until, x->q.deadline);
+
+  return (guint)MIN (until > now ? until - now : 0, LIFE_MAX_MS);
+}
+
+static void
+origin_tell (const pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+  guint64 key = pu_origin_key (x->q.id);
+  GArray *keepers;
+
+  if (en->o.hooks.tell_origins == NULL)
+    return;
+  keepers = keepers_of (en, key, TOLD);
+  for (guint i = 0; i < keepers->len; i++)
+    {
+      const char *address = peer_address (
+          en, &g_array_index (keepers, pu_directory_entry_t, i));
+
+      if (address != NULL)
+        outgoing_add (en, address, key, x->software, life_ms (x));
+    }
+  g_array_free (keepers, TRUE);
+}
+
+/* Whether callers may resume the stream of X with a request of their own.  */
+static bool
+is_resumable_by_caller (const pu_exchange_t *x)
+{
+  return x->q.stream && x->q.resumable
+         && !pu_entry_uses_builtin_frontend (x->en);
+}
+
+void
+pu_origin_record (pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+  guint64 now = loop_now (en);
+
+  /* The entry to which X was relayed has recorded it.  */
+  if (!is_resumable_by_caller (x) || x->at.server == NULL
+      || *x->software == '\0')
+    return;
+  x->began_here = true;
+  pu_origins_add (en->origins, pu_origin_key (x->q.id), x->software,
+                  now + life_ms (x), now);
+  if (pu_versions_only (en->versions, x->q.service, now) == NULL)
+    origin_tell (x);
+}
+
+/* Tells of the streams of SERVICE in progress, which nobody was told of while
+   the service had one version.  */
+static void
+open_streams_tell (const pu_entry_t *en, const char *service)
+{
+  for (const GList *l = en->open.head; l != NULL; l = l->next)
+    {
+      const pu_exchange_t *x = l->data;
+
+      if (x->began_here && strcmp (x->q.service, service) == 0)
+        origin_tell (x);
+    }
+}
+
+void
+pu_origins_receive (pu_entry_t *en, const pu_entry_origin_t *list, guint n)
+{
+  guint64 now = loop_now (en);
+
+  for (guint i = 0; i < n; i++)
+    {
+      pu_origins_add (en->origins, list[i].key, list[i].software,
+                      now + MIN (list[i].life_ms, LIFE_MAX_MS), now);
+    }
+}
+
+const char *
+pu_entry_find_origin (const pu_entry_t *en, guint64 key)
+{
+  return pu_origins_find (en->origins, key, loop_now (en));
+}
+
+/* --- versions of a service --- */
+
+static void
+counted_remove (pu_server_t *s)
+{
+  if (s->counted_service == NULL)
+    return;
+  pu_versions_remove (s->en->versions, s->counted_service, s->counted_software,
+                      loop_now (s->en));
+  g_clear_pointer (&s->counted_service, g_free);
+  g_clear_pointer (&s->counted_software, g_free);
+}
+
+void
+pu_server_count_version (pu_server_t *s, const char *service, bool serves)
+{
+  pu_entry_t *en = s->en;
+  bool had_one;
+
+  /* One that was gone before this entry started may have served until then. */
+  if (!serves && s->counted_service == NULL && !s->version_counted)
+    {
+      pu_versions_add (en->versions, service, s->software);
+      pu_versions_remove (en->versions, service, s->software, loop_now (en));
+    }
+  s->version_counted = true;
+  if (serves && s->counted_service != NULL
+      && strcmp (s->counted_service, service) == 0
+      && strcmp (s->counted_software, s->software) == 0)
+    return;
+  counted_remove (s);
+  if (!serves)
+    return;
+  had_one = pu_versions_only (en->versions, service, loop_now (en)) != NULL;
+  pu_versions_add (en->versions, service, s->software);
+  s->counted_service = g_strdup (service);
+  s->counted_software = g_strdup (s->software);
+  if (had_one
+      && pu_versions_only (en->versions, service, loop_now (en)) == NULL)
+    open_streams_tell (en, service);
+}
+
+void
+pu_server_uncount_version (pu_server_t *s)
+{
+  counted_remove (s);
+  s->version_counted = false;
+}
+
+/* --- resuming --- */
+
+/* Whether X resumes a stream whose software version is not known yet.  */
+static bool
+is_to_be_found (const pu_exchange_t *x)
+{
+  return x->software == NULL && x->q.stream
+         && !pu_entry_uses_builtin_frontend (x->en)
+         && (x->last_event > 0 || x->q.resumes != NULL);
+}
+
+static void
+origin_log (const pu_exchange_t *x, const char *from)
+{
+  char *name = g_strdup_printf ("streams_resumed_total{origin=\"%s\"}", from);
+
+  count (x->en, name, 1);
+  g_free (name);
+  pu_log_event (
+      PU_ENTRY_LOG_SLICE, "Resumes a stream.",
+      PU_LOG_TEXT ("request", x->q.id), PU_LOG_TEXT ("resumes", x->q.resumes),
+      PU_LOG_TEXT ("software", x->software), PU_LOG_TEXT ("known_from", from),
+      PU_LOG_NUMBER ("last_event", x->last_event));
+}
+
+static void
+origin_set (pu_exchange_t *x, const char *software, const char *from)
+{
+  x->software = g_strdup (software);
+  x->origin_wait_until = 0;
+  origin_log (x, from);
+}
+
+static void
+fail_unknown (pu_exchange_t *x)
+{
+  static const pu_refusal_t unknown
+      = { 503, "origin", PU_RUN_OUTCOME_NOT_RUN, PU_BUSY_RETRY_AFTER_MS };
+
+  pu_exchange_fail (x, &unknown,
+                    "It is not known which software version began the "
+                    "stream.");
+}
+
+/* Asks the keepers of the origin of X.  Returns false if there are none.  */
+static bool
+origin_ask (pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+  guint64 key;
+  GArray *keepers;
+
+  if (x->q.resumes == NULL || en->o.hooks.ask_origin == NULL
+      || x->origin_asked)
+    return false;
+  x->origin_asked = true;
+  key = pu_origin_key (x->q.resumes);
+  keepers = keepers_of (en, key, ASKED);
+  for (guint i = 0; i < keepers->len; i++)
+    {
+      const char *address = peer_address (
+          en, &g_array_index (keepers, pu_directory_entry_t, i));
+
+      if (address == NULL)
+        continue;
+      x->origin_answers_due++;
+      en->o.hooks.ask_origin (en->o.hooks.data, address, key,
+                              ANSWER_TIMEOUT_MS);
+    }
+  g_array_free (keepers, TRUE);
+  return x->origin_answers_due > 0;
+}
+
+/* Takes the only version that the service of X has had, if this entry is in
+   contact with the voters: otherwise another version may serve that it does
+   not know of.  */
+static bool
+only_version_take (pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+  const char *only
+      = pu_versions_only (en->versions, x->q.service, loop_now (en));
+
+  if (only == NULL || !en->o.hooks.leader_reachable (en->o.hooks.data))
+    return false;
+  origin_set (x, only, "only version");
+  return true;
+}
+
+bool
+pu_origin_waits (pu_exchange_t *x)
+{
+  const char *own;
+
+  if (x->software != NULL && *x->software == '\0')
+    {
+      fail_unknown (x);
+      return true;
+    }
+  if (!is_to_be_found (x))
+    return false;
+  own = x->q.resumes != NULL
+            ? pu_entry_find_origin (x->en, pu_origin_key (x->q.resumes))
+            : NULL;
+  if (own != NULL && *own != '\0')
+    {
+      origin_set (x, own, "own record");
+      return false;
+    }
+  if (own == NULL && origin_ask (x))
+    {
+      x->phase = PU_EXCHANGE_WAITING;
+      x->origin_wait_until = loop_now (x->en) + ANSWER_TIMEOUT_MS;
+      return true;
+    }
+  if (own == NULL && only_version_take (x))
+    return false;
+  fail_unknown (x);
+  return true;
+}
+
+void
+pu_origin_tick (pu_exchange_t *x, guint64 now)
+{
+  if (now < x->origin_wait_until)
+    return;
+  x->origin_wait_until = 0;
+  pu_exchange_route (x);
+}
+
+/* Handles the answer SOFTWARE, NULL if the keeper knows nothing, for X, which
+   waits for it.  */
+static void
+answer_handle (pu_exchange_t *x, const char *software)
+{
+  x->origin_answers_due -= x->origin_answers_due > 0;
+  if (software != NULL)
+    {
+      origin_set (x, software, "another entry");
+    }
+  else if (x->origin_answers_due > 0)
+    {
+      return;
+    }
+  x->origin_wait_until = 0;
+  pu_exchange_route (x);
+}
+
+void
+pu_entry_receive_origin (pu_entry_t *en, guint64 key, const char *software)
+{
+  GArray *numbers = g_array_new (FALSE, FALSE, sizeof (guint64));
+
+  for (const GList *l = en->open.head; l != NULL; l = l->next)
+    {
+      const pu_exchange_t *x = l->data;
+
+      if (x->origin_wait_until != 0 && pu_origin_key (x->q.resumes) == key)
+        g_array_append_val (numbers, x->number);
+    }
+  for (guint i = 0; i < numbers->len; i++)
+    {
+      pu_exchange_t *x = g_hash_table_lookup (
+          en->numbers, &g_array_index (numbers, guint64, i));
+
+      if (x != NULL && x->origin_wait_until != 0)
+        answer_handle (x, software);
+    }
+  g_array_free (numbers, TRUE);
+}
--- a/libplantainusher/entry/request.h
+++ b/libplantainusher/entry/request.h
@@ -75,6 +75,9 @@
                              value go to the same copy unless another is
                              better; 0: the fingerprint is used */
   guint64 last_event; /* number of the last event that the caller received */
+  guint64 resumable_until; /* loop time, ms, until which its caller may resume
+                              its stream with another request; 0: until its
+                              deadline */
   char *resumes; /* id of the caller's request that brought the first event
                     of the stream which this one resumes; NULL: none */
 } pu_request_t;
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -59,6 +59,8 @@
   g_free (s->name);
   g_free (s->address);
   g_free (s->software);
+  g_free (s->counted_service);
+  g_free (s->counted_software);
   g_free (s);
 }
 
@@ -254,6 +256,7 @@
   s->local_down_until = 0;
   s->failed_probes = 0;
   s->refusal_report_at = 0;
+  pu_server_uncount_version (s);
   g_free (s->software);
   s->software = g_strdup ("");
   s->software_disputed = false;
@@ -325,6 +328,7 @@
   s->address = g_strdup (b->address);
   s->plain = b->kind == PU_BACKEND_PLAIN;
   software_update (s, b);
+  pu_server_count_version (s, b->service, !b->down);
   s->leaving = s->leaving || b->leaving;
   s->down = b->down || uv_now (en->o.loop) < s->local_down_until;
   if (s->down)
@@ -363,6 +367,7 @@
       if (pu_state_backend (view, s->name) != NULL)
         continue;
       router_remove (s);
+      pu_server_uncount_version (s);
       s->down = true;
       health_log_change (s, before);
     }
