Soak: engines of several software versions, callers that resume streams

Releases start engines of a new version among kills, stops, freezes, cuts and crashes; three callers leave streams and resume them anywhere, and each stream must be of one version, each event once.

A resumed stream waits for other entries 100 ms, not 400, while its service has had one version: there is an answer without them.

--- a/libplantainusher/daemon/origins.c
+++ b/libplantainusher/daemon/origins.c
@@ -37,9 +37,12 @@
   (void)data;
   (void)body;
   (void)n;
+  /* An entry of an earlier release has no such procedure.  */
   if (e->kind != PU_OK && e->kind != PU_ERROR_NOT_FOUND)
-    pu_log_debug ("origins", "Origins of streams were not sent: %s",
-                  e->message);
+    {
+      pu_log_debug ("origins", "Origins of streams were not sent: %s",
+                    e->message);
+    }
 }
 
 void
--- a/libplantainusher/entry/origin.c
+++ b/libplantainusher/entry/origin.c
@@ -26,6 +26,8 @@
   TOLD = 2,  /* keepers that are told of one origin */
   ASKED = 3, /* keepers that are asked: the set may have changed by one */
   ANSWER_TIMEOUT_MS = 400,
+  /* As long as there is an answer without the keepers.  */
+  ANSWER_TIMEOUT_SHORT_MS = 100,
   FLUSH_MS = 20,
 };
 
@@ -404,26 +406,24 @@
   return x->origin_answers_due > 0;
 }
 
-/* Takes the only version that the service of X has had, if this entry is in
-   contact with the voters: otherwise another version may serve that it does
-   not know of.  */
-static bool
-only_version_take (pu_exchange_t *x)
+/* Returns the only version that the service of X has had, or NULL.  An entry
+   without contact to the voters can't tell: another version may serve that it
+   does not know of.  */
+static const char *
+only_version (const pu_exchange_t *x)
 {
   pu_entry_t *en = x->en;
-  const char *only
-      = pu_versions_only (en->versions, x->q.service, loop_now (en));
 
-  if (only == NULL || !en->o.hooks.leader_reachable (en->o.hooks.data))
-    return false;
-  origin_set (x, only, "only version");
-  return true;
+  if (!en->o.hooks.leader_reachable (en->o.hooks.data))
+    return NULL;
+  return pu_versions_only (en->versions, x->q.service, loop_now (en));
 }
 
 bool
 pu_origin_waits (pu_exchange_t *x)
 {
   const char *own;
+  const char *only;
 
   if (x->software != NULL && *x->software == '\0')
     {
@@ -440,14 +440,20 @@
       origin_set (x, own, "own record");
       return false;
     }
+  only = only_version (x);
   if (own == NULL && origin_ask (x))
     {
       x->phase = PU_EXCHANGE_WAITING;
-      x->origin_wait_until = loop_now (x->en) + ANSWER_TIMEOUT_MS;
+      x->origin_wait_until
+          = loop_now (x->en)
+            + (only != NULL ? ANSWER_TIMEOUT_SHORT_MS : ANSWER_TIMEOUT_MS);
       return true;
     }
-  if (own == NULL && only_version_take (x))
-    return false;
+  if (own == NULL && only != NULL)
+    {
+      origin_set (x, only, "only version");
+      return false;
+    }
   fail_unknown (x);
   return true;
 }
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -229,6 +229,7 @@
         self.cut_at = 0.0      # breaks off in the streams that began before
         self.hold_s = 0.0      # before it answers
         self.events = 3
+        self.event_s = 0.0     # after each event
         self.beat_s = HEARTBEAT_MS / 1000
         self.connections = set()
         self.closing = False   # refuses requests, as while a model goes
@@ -454,7 +455,7 @@
             mark = f" {b.version} {b.name}" if b.marks else ""
             self.wfile.write(f"id: {i}\ndata: e{i}{mark}\n\n".encode())
             self.wfile.flush()
-            time.sleep(b.hold_s)
+            time.sleep(b.hold_s + b.event_s)
 
     def _answer(self):
         b = self.backend
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -6,6 +6,7 @@
 as they like, so a seed does not fix the whole history."""
 import http.client
 import random
+import re
 import shutil
 import signal
 import threading
@@ -14,6 +15,7 @@
 from cluster import wait_until
 from platform_fakes import HOST, Backend, Instance, config, route, submit
 from relay import BOTH, FROM, HOLD, SWALLOW, TO, Relay, ways
+from streams import follow, shares
 
 NOT_RUN = (408, 421, 429, 503)  # statuses that promise that nothing ran
 MODELS = ["m1", "m2", "m3", "m4"]
@@ -26,7 +28,10 @@
 # An instance that is back counts as lost for so long: no more disks are lost at
 # once than may be.
 CATCH_UP_S = 4.0
-EVENTS = 3
+EVENTS = 6
+EVENT_S = 0.03
+RESUMERS = 3
+VERSIONS_MAX = 4
 LIMITS = 0.5, 2, 5   # requests a second that a backend server names
 LEASE_S = 3.0        # lease_ms of tests/platform_fakes.py
 # Every third config has routes enough to be read beside the event loop.
@@ -86,6 +91,25 @@
             c.close()
 
 
+class Resumer(threading.Thread):
+    """Resumes streams that broke off, or that it has left, at any instance."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.random = random.Random(soak.seed * 100 + 50 + number)
+        self.number, self.streams = number, []
+
+    def run(self):
+        while not self.soak.over.is_set():
+            leave_at = self.random.choice([None, 1, EVENTS // 2])
+            self.streams.append(follow(
+                lambda: self.random.choice(self.soak.some),
+                f"r{self.number}x{len(self.streams)}", leave_at,
+                self.random.choice(MODELS), DEADLINE_MS / 1000))
+            time.sleep(0.01)
+
+
 class Operator(threading.Thread):
     """Sends configs with rising versions, and reads them back."""
 
@@ -128,6 +152,7 @@
         # Engines of every other seed don't check fencing tokens.
         self.checks_tokens = seed % 2 == 0
         self.backends, self.number = [], 0
+        self.versions = ["v1"]  # of the software of engines that may start
         self.busy, self.pending, self.log = set(), [], []
         self.some = [Instance(cluster, f"core-{i}", "abc"[i], True)
                      for i in range(3)]
@@ -149,6 +174,8 @@
         self.number += 1
         b = Backend(self.c, f"i-{self.number}", service, models=models)
         b.room = ENGINE_MODELS
+        b.version, b.marks = self.random.choice(self.versions), True
+        b.events, b.event_s = EVENTS, EVENT_S
         b.gone = False
         self.backends.append(b)
 
@@ -253,7 +280,7 @@
     def harm_backend(self):
         b = self.random.choice(self.live())
         how = self.random.choice(["cut", "slow", "limit", "leave", "crash",
-                                  "crash under a request"])
+                                  "crash under a request", "release"])
         self.log.append(f"{how} {b.name}")
         if how == "cut":
             b.cut = True
@@ -264,6 +291,11 @@
         elif how == "limit":
             b.limit = self.random.choice(LIMITS)
             self._later(lambda: setattr(b, "limit", None))
+        elif how == "release":
+            self.versions = self.versions[1 - VERSIONS_MAX:] \
+                + [f"v{self.number}"]
+            for _ in range(2):
+                self.add_backend("llm")
         elif len(self.live(b.service)) > 2:
             b.gone = True
             b.state = "draining"
@@ -312,8 +344,9 @@
         for one in self.some:
             wait_until(f"{one.name} to be ready", one.is_ready)
         callers = [Caller(self, i) for i in range(CALLERS)]
+        resumers = [Resumer(self, i) for i in range(RESUMERS)]
         operator = Operator(self)
-        for t in [*callers, operator]:
+        for t in [*callers, *resumers, operator]:
             t.start()
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
@@ -326,10 +359,21 @@
             wait_until(f"{one.name} to serve again", lambda one=one: one.ask(
                 "GET", "/safe/x", rid="after").status == 200, RECOVER_S)
         self.over.set()
-        for t in [*callers, operator]:
+        for t in [*callers, *resumers, operator]:
             t.join()
         found = operator.findings + self.check_config(operator)
-        return found + self.check([r for c in callers for r in c.results])
+        streams = [s for r in resumers for s in r.streams]
+        found += self.check_streams(streams)
+        return found + self.check(
+            [r for c in callers for r in c.results]
+            + [(t.rid, "resumed", t.status if t.status in NOT_RUN else 0,
+                None, None) for s in streams for t in s.tries])
+
+    def check_streams(self, streams):
+        begun, new, gone_on, again = shares(streams)
+        print(f"seed {self.seed}: versions {self.versions}, {begun} of {new} "
+              f"streams began, {gone_on} of {again} went on", flush=True)
+        return [w for s in streams for w in s.wrongs(EVENTS)]
 
     def check_config(self, operator):
         """What every instance reads back at last."""
@@ -365,6 +409,7 @@
                              f"at {names}")
             if status == 200:
                 found += self.check_answer(rid, kind, body, seal, names)
+        results = [r for r in results if r[1] != "resumed"]
         served = sum(r[2] == 200 for r in results)
         print(f"seed {self.seed}: {len(self.log)} faults, {len(results)} "
               f"requests, {served} served, {len(found)} findings", flush=True)
@@ -377,7 +422,10 @@
         if seal is None or seal.split(".", 1)[1] not in names:
             return [f"{rid} has the seal {seal} and ran at {names}"]
         if kind == "talk":
-            whole = b"".join(b"id: %d\ndata: e%d\n\n" % (k, k)
+            # The version of the first event, and any of its engines.
+            version = (re.findall(rb"data: e1 (\S+) ", body) or [b""])[0]
+            body = re.sub(rb" \S+\n\n", b"\n\n", body)
+            whole = b"".join(b"id: %d\ndata: e%d %s\n\n" % (k, k, version)
                              for k in range(1, EVENTS + 1))
         else:
             whole = f"of {seal.split('.', 1)[1]}".encode()
