--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -31,6 +31,7 @@
 EVENTS = 6
 EVENT_S = 0.03
 RESUMERS = 3
+ENGINES = 6
 VERSIONS_MAX = 4
 LIMITS = 0.5, 2, 5   # requests a second that a backend server names
 LEASE_S = 3.0        # lease_ms of tests/platform_fakes.py
@@ -152,7 +153,8 @@
         # Engines of every other seed don't check fencing tokens.
         self.checks_tokens = seed % 2 == 0
         self.backends, self.number = [], 0
-        self.versions = ["v1"]  # of the software of engines that may start
+        # Versions of the software of engines that may start.
+        self.versions = ["v1", "v2"]
         self.busy, self.pending, self.log = set(), [], []
         self.some = [Instance(cluster, f"core-{i}", "abc"[i], True)
                      for i in range(3)]
@@ -165,6 +167,7 @@
             one.start()
         for _ in range(3):
             self.add_backend("app")
+        for _ in range(ENGINES):
             self.add_backend("llm")
 
     def add_backend(self, service):
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -91,8 +91,8 @@
     t.resumes = resumes
     headers = {"Host": HOST, "Request-Id": rid, "Model": model,
                "Deadline-Ms": str(deadline_ms), "Token-Counts": "100,10",
-               "Prompt-Prefix": f"{zlib.crc32(rid.split('.')[0].encode()):x}"
-                                ":60,b2:40"}
+               # Prompts that begin alike would meet at one engine.
+               "Prompt-Prefix": f"{zlib.crc32(rid.encode()):x}:60,b2:40"}
     if after > 0:
         headers["Last-Event-Id"] = str(after)
     if resumes is not None:
