routing, entry: versions of a service apart from origins of streams

routing/origins held two things; versions has a file of its own. Functions of the entry have its prefix, and no function shares its name with a message of control.

--- a/libplantainusher/daemon/origins.c
+++ b/libplantainusher/daemon/origins.c
@@ -85,7 +85,7 @@
       const pu_origin_record *r = &m.origins.origins_val[i];
       const pu_entry_origin_t one = { r->key, r->software, r->life_ms };
 
-      pu_origins_receive (d->entry, &one, 1);
+      pu_entry_receive_origins (d->entry, &one, 1);
     }
   xdr_free ((xdrproc_t)xdr_pu_origin_list, (char *)&m);
   pu_rpc_call_reply (call, "", 0);
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -281,7 +281,7 @@
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
   pu_reach_init (&en->reach);
-  pu_origins_init (en);
+  pu_entry_origins_init (en);
   en->peers = g_ptr_array_new_with_free_func (pu_entry_peer_free);
   en->peers_version = G_MAXUINT64;
   en->cut_off_peers
@@ -371,7 +371,7 @@
   g_hash_table_destroy (en->leaves);
   g_ptr_array_free (en->peers, TRUE);
   g_hash_table_destroy (en->cut_off_peers);
-  pu_origins_clear (en);
+  pu_entry_origins_clear (en);
   g_ptr_array_free (en->strikes, TRUE);
   g_hash_table_destroy (en->acquittals);
   g_hash_table_destroy (en->suspect_standings);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -243,9 +243,9 @@
 void pu_entry_receive_loads (pu_entry_t *en, const pu_entry_load_t *loads,
                              guint n, guint life_ms);
 
-/* pu_origins_receive - receives N origins that another entry sent.  */
-void pu_origins_receive (pu_entry_t *en, const pu_entry_origin_t *list,
-                         guint n);
+/* pu_entry_receive_origins - receives N origins that another entry sent.  */
+void pu_entry_receive_origins (pu_entry_t *en, const pu_entry_origin_t *list,
+                               guint n);
 
 /* pu_entry_find_origin - returns the software version that began the stream
    KEY, as far as this entry knows, "" if several did, or NULL.  Valid until
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -13,6 +13,7 @@
 #include "routing/origins.h"
 #include "routing/reach.h"
 #include "routing/router.h"
+#include "routing/versions.h"
 #include "suspects/suspects.h"
 
 /*
@@ -890,12 +891,12 @@
 
 /* --- origin.c: what began a stream that a caller resumes --- */
 
-void pu_origins_init (pu_entry_t *en);
-void pu_origins_clear (pu_entry_t *en);
+void pu_entry_origins_init (pu_entry_t *en);
+void pu_entry_origins_clear (pu_entry_t *en);
 
-/* pu_origin_record - the stream of X has begun at this entry, with
+/* pu_origin_note_begin - the stream of X has begun at this entry, with
    x->software.  */
-void pu_origin_record (pu_exchange_t *x);
+void pu_origin_note_begin (pu_exchange_t *x);
 
 /* pu_origin_waits - finds out which software version began the stream that X
    resumes.  Returns true if X waits for answers of other entries, or was ended
--- a/libplantainusher/entry/origin.c
+++ b/libplantainusher/entry/origin.c
@@ -143,7 +143,7 @@
 }
 
 void
-pu_origins_init (pu_entry_t *en)
+pu_entry_origins_init (pu_entry_t *en)
 {
   en->origins = pu_origins_new (ORIGINS_MAX);
   en->versions = pu_versions_new (LIFE_MAX_MS);
@@ -152,7 +152,7 @@
 }
 
 void
-pu_origins_clear (pu_entry_t *en)
+pu_entry_origins_clear (pu_entry_t *en)
 {
   pu_origins_free (en->origins);
   pu_versions_free (en->versions);
@@ -236,7 +236,7 @@
 }
 
 void
-pu_origin_record (pu_exchange_t *x)
+pu_origin_note_begin (pu_exchange_t *x)
 {
   pu_entry_t *en = x->en;
   guint64 now = loop_now (en);
@@ -267,7 +267,8 @@
 }
 
 void
-pu_origins_receive (pu_entry_t *en, const pu_entry_origin_t *list, guint n)
+pu_entry_receive_origins (pu_entry_t *en, const pu_entry_origin_t *list,
+                          guint n)
 {
   guint64 now = loop_now (en);
 
--- a/libplantainusher/entry/software.c
+++ b/libplantainusher/entry/software.c
@@ -47,7 +47,7 @@
   if (x->software != NULL)
     return;
   x->software = g_strdup (attempt_software (x));
-  pu_origin_record (x);
+  pu_origin_note_begin (x);
   if (x->ticket != 0)
     pu_router_set_software (x->en->router, x->ticket, x->software);
 }
--- a/libplantainusher/routing/origins_test.cc
+++ b/libplantainusher/routing/origins_test.cc
@@ -2,14 +2,11 @@
 
 #include <gtest/gtest.h>
 
-#include <string>
-
 namespace
 {
 
 constexpr guint kMax = 100;
 constexpr guint64 kNow = 1000;
-constexpr guint64 kMemoryMs = 600;
 
 class Origins : public testing::Test
 {
@@ -55,48 +52,4 @@
   EXPECT_EQ (1u, pu_origins_count (o_));
 }
 
-class Versions : public testing::Test
-{
-protected:
-  ~Versions () override { pu_versions_free (v_); }
-
-  std::string
-  only (const char *service, guint64 now)
-  {
-    const char *version = pu_versions_only (v_, service, now);
-
-    return version != nullptr ? version : "(several)";
-  }
-
-  pu_versions_t *v_ = pu_versions_new (kMemoryMs);
-};
-
-TEST_F (Versions, OnlyOneIsKnownForEachService)
-{
-  EXPECT_EQ ("(several)", only ("a", kNow));
-  pu_versions_add (v_, "a", "v1");
-  pu_versions_add (v_, "a", "v1");
-  pu_versions_add (v_, "b", "v2");
-  EXPECT_EQ ("v1", only ("a", kNow));
-  EXPECT_EQ ("v2", only ("b", kNow));
-}
-
-TEST_F (Versions, OneThatIsGoneCountsForAWhile)
-{
-  pu_versions_add (v_, "a", "v1");
-  pu_versions_add (v_, "a", "v2");
-  EXPECT_EQ ("(several)", only ("a", kNow));
-  pu_versions_remove (v_, "a", "v1", kNow);
-  EXPECT_EQ ("(several)", only ("a", kNow + kMemoryMs - 1));
-  EXPECT_EQ ("v2", only ("a", kNow + kMemoryMs));
-}
-
-TEST_F (Versions, UnknownOneIsNotTheOnlyOne)
-{
-  pu_versions_add (v_, "a", "");
-  EXPECT_EQ ("(several)", only ("a", kNow));
-  pu_versions_add (v_, "a", "v1");
-  EXPECT_EQ ("(several)", only ("a", kNow));
-}
-
 } // namespace
