entry: a resumed stream waits for contact to the voters where one version is known

Cause: a resumed stream without a record takes the only version that its service has had, but only if the entry is in contact with the voters; after a restart of all nobody is, for about a second.

Change: it waits for that contact, 1.5 s at most, as requests before the first document do; then it is refused as before.

Ruled out: to take the only version without contact (an entry that is cut off can't know of a second one).

PlatformFront.ResumedStreamWaitsForContactToTheVoters failed before; ...IsRefusedWithoutContactToTheVoters guards the other side.

--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -239,8 +239,11 @@
   bool origin_asked; /* other entries were asked for the origin of the stream
                         that it resumes */
   guint origin_answers_due;
-  guint64 origin_wait_until; /* loop time until which it waits for these
-                                answers; 0: it does not wait */
+  guint64 origin_wait_until;  /* loop time until which it waits for these
+                                 answers; 0: it does not wait */
+  guint64 contact_wait_until; /* loop time until which it waits for contact to
+                                 the voters, without which the origin is not
+                                 certain; 0: it has not waited */
   guint64 last_event; /* number of the last event that the caller received */
   guint events;       /* number of events that this entry sent to the caller */
   guint64 last_event_at; /* loop time of the last event sent to the caller */
@@ -903,8 +906,10 @@
    because nobody knows.  */
 bool pu_origin_waits (pu_exchange_t *x);
 
-/* pu_origin_tick - routes X again if it has waited for answers too long.  */
-void pu_origin_tick (pu_exchange_t *x, guint64 now);
+/* pu_origin_tick - handles X if it waits for what began its stream: routes it
+   again when there is contact to the voters, or when it has waited too long.
+   Returns whether X waits for that or was routed.  */
+bool pu_origin_tick (pu_exchange_t *x, guint64 now);
 
 /* pu_server_count_version - the software version of S serves SERVICE or, if
    SERVES is false, does so no more.  */
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -675,9 +675,9 @@
     {
       fail_deadline (x);
     }
-  else if (x->phase == PU_EXCHANGE_WAITING && x->origin_wait_until != 0)
+  else if (x->phase == PU_EXCHANGE_WAITING && pu_origin_tick (x, now))
     {
-      pu_origin_tick (x, now);
+      return;
     }
   else if (x->phase == PU_EXCHANGE_WAITING && x->waits_for_model)
     {
--- a/libplantainusher/entry/origin.c
+++ b/libplantainusher/entry/origin.c
@@ -28,6 +28,7 @@
   ANSWER_TIMEOUT_MS = 400,
   /* As long as there is an answer without the keepers.  */
   ANSWER_TIMEOUT_SHORT_MS = 100,
+  CONTACT_TIMEOUT_MS = 1500,
   FLUSH_MS = 20,
 };
 
@@ -407,17 +408,24 @@
   return x->origin_answers_due > 0;
 }
 
-/* Returns the only version that the service of X has had, or NULL.  An entry
-   without contact to the voters can't tell: another version may serve that it
-   does not know of.  */
-static const char *
-only_version (const pu_exchange_t *x)
+static bool
+has_contact (const pu_exchange_t *x)
 {
-  pu_entry_t *en = x->en;
+  return x->en->o.hooks.leader_reachable (x->en->o.hooks.data);
+}
 
-  if (!en->o.hooks.leader_reachable (en->o.hooks.data))
-    return NULL;
-  return pu_versions_only (en->versions, x->q.service, loop_now (en));
+/* Makes X, whose service has had one version as far as this entry knows, wait
+   for contact to the voters: another version may serve that only they know of.
+   After a restart of all instances that takes about a second.  Returns false
+   if X has waited before.  */
+static bool
+contact_wait (pu_exchange_t *x)
+{
+  if (x->contact_wait_until != 0)
+    return false;
+  x->contact_wait_until = loop_now (x->en) + CONTACT_TIMEOUT_MS;
+  x->phase = PU_EXCHANGE_WAITING;
+  return true;
 }
 
 bool
@@ -441,7 +449,7 @@
       origin_set (x, own, "own record");
       return false;
     }
-  only = only_version (x);
+  only = pu_versions_only (x->en->versions, x->q.service, loop_now (x->en));
   if (own == NULL && origin_ask (x))
     {
       x->phase = PU_EXCHANGE_WAITING;
@@ -450,22 +458,31 @@
             + (only != NULL ? ANSWER_TIMEOUT_SHORT_MS : ANSWER_TIMEOUT_MS);
       return true;
     }
-  if (own == NULL && only != NULL)
+  if (own == NULL && only != NULL && has_contact (x))
     {
       origin_set (x, only, "only version");
       return false;
     }
+  if (own == NULL && only != NULL && contact_wait (x))
+    return true;
   fail_unknown (x);
   return true;
 }
 
-void
+bool
 pu_origin_tick (pu_exchange_t *x, guint64 now)
 {
-  if (now < x->origin_wait_until)
-    return;
+  if (x->software != NULL
+      || (x->origin_wait_until == 0 && x->contact_wait_until == 0))
+    return false;
+  if (x->origin_wait_until != 0 && now < x->origin_wait_until)
+    return true;
+  if (x->origin_wait_until == 0 && now < x->contact_wait_until
+      && !has_contact (x))
+    return true;
   x->origin_wait_until = 0;
   pu_exchange_route (x);
+  return true;
 }
 
 /* Handles the answer SOFTWARE, NULL if the keeper knows nothing, for X, which
