entry: a relay that may have run counts for all attempts of the route

A crashing request took more backend servers than its route allows in one try of its caller: 4 where 2 are allowed, at an instance that reaches no backend server (RelayedCrashingRequest).

Cause: when a relay broke off, the entry relayed the request to the next neighbour with all attempts of the route again, though the first neighbour had used them; nothing but the limit of relays ended that.

Change: a relay that broke off and may have run ends the request, if its route limits attempts. Its caller gets a broken stream, which it may resume.

--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -515,15 +515,18 @@
   pu_exchange_fail (x, &exhausted, "All attempts at the request failed.");
 }
 
-/* Handles a failed relay of X to ENTRY.  X avoids ENTRY from now on.  Takes
-   ownership of ENTRY.  */
+/* Handles a relay of X to ENTRY that failed with FAILURE.  X avoids ENTRY from
+   now on.  Takes ownership of ENTRY.  */
 static void
-relay_retry (pu_exchange_t *x, char *entry)
+relay_retry (pu_exchange_t *x, char *entry, pu_router_failure_t failure)
 {
   guint max = x->q.any_entry ? HAND_OVERS_MAX : ATTEMPTS_MAX;
+  /* It may have used all attempts that the route of X allows.  */
+  bool exhausted = x->q.any_entry && x->q.attempts_max > 0
+                   && pu_router_failure_may_have_run (failure);
 
   g_ptr_array_add (x->avoid, entry);
-  if (x->attempts >= max || (x->may_have_run && !x->q.repeatable))
+  if (exhausted || x->attempts >= max || (x->may_have_run && !x->q.repeatable))
     {
       fail_exhausted (x);
     }
@@ -607,7 +610,7 @@
   pu_attempt_clear (x);
   if (entry != NULL)
     {
-      relay_retry (x, entry);
+      relay_retry (x, entry, failure);
       return;
     }
   if (uv_now (x->en->o.loop) >= x->q.deadline)
--- a/tests/crashing_request_process_test.py
+++ b/tests/crashing_request_process_test.py
@@ -175,5 +175,28 @@
         self.assertEqual(self.crashes(), before)
 
 
+class RelayedCrashingRequest(PlatformTest):
+    """A crashing request at an instance that reaches no backend server."""
+    options = {"plain": 4, "cuttable": True}
+    ATTEMPTS = 2  # of its route
+
+    def test_one_try_runs_at_no_more_servers_than_its_route_allows(self):
+        for i in range(ENGINES):
+            b = self.backend(f"g-{i}", "llm", models=["m1"])
+            b.crash_on, b.hold_s = POISON, 0.02
+        submit(self.some, config(1, models=["m1"]))
+        for one in self.some:
+            for b in self.backends:
+                wait_until(f"{one.name} to know {b.name}",
+                           lambda one=one, b=b: self.knows(one, b))
+        cut = self.some[3]
+        cut.cut_servers("refuse")
+        CrashingRequest.talk(cut, POISON.decode(), "p0")
+        time.sleep(RESTART_S)
+        ran = sum(b.ran.count("p0") for b in self.backends)
+        self.assertGreater(ran, 0)
+        self.assertLessEqual(ran, self.ATTEMPTS)
+
+
 if __name__ == "__main__":
     main()
