--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -243,6 +243,8 @@
         self.places = None     # requests at once; it rejects others
         self.running = 0
         self.rejected_at = []  # when it rejected for want of a place
+        self.falls_over = False  # goes down when it rejects more than it bears
+        self.fell = False
         self.crash_on = None   # bytes of a body that it doesn't survive
         self.crashed = False
         self.room = None       # models that fit; None: any number
@@ -328,11 +330,17 @@
     def enter(self):
         """Whether a request gets a place."""
         with self._lock:
-            if self.places is not None and self.running >= self.places:
-                self.rejected_at.append(time.monotonic())
-                return False
-            self.running += 1
-            return True
+            if self.places is None or self.running < self.places:
+                self.running += 1
+                return True
+            now = time.monotonic()
+            self.rejected_at.append(now)
+            late = [t for t in self.rejected_at if t > now - 1]
+            falls = self.falls_over and len(late) > self.brittle
+            self.fell |= falls
+        if falls:
+            self.crash()
+        return False
 
     def leave(self):
         with self._lock:
@@ -486,6 +494,9 @@
             self._send(421, b"", Request_Id=rid, Not_Run="1",
                        Instance_Id=b.name)
         elif not b.enter():
+            if b.crashed:
+                self.close_connection = True
+                return
             self._send(503, b"", Request_Id=rid, Not_Run="1",
                        Instance_Id=b.name)
         else:
