entry: one entry sends the requests of all to a brittle plain server

Cause: the bound is on all entries together, and each kept one of its own: one request at once from each entry to a server that reports no load, whatever their number. Class: a constant of each entry that is multiplied by the number of entries.

Ruled out: grants of the leader (a message for each request to one process, nothing without a leader), a subset of the entries (each would bear less than one rejection a second), reports (plain servers have none).

Change: a server's owner, found by rendezvous hashing among the entries of its zone, sends it the requests of all; the others relay one hop.

--- a/libplantainusher/entry/admit.c
+++ b/libplantainusher/entry/admit.c
@@ -165,6 +165,22 @@
   reject (en, http, &starting, "This entry has no document yet.");
 }
 
+/* Reads the headers with the brittle server to which this entry is to send the
+   requests of others.  */
+static void
+owned_server_read (pu_exchange_t *x)
+{
+  const char *bound = pu_http_request_header (x->http, "x-relay-rejections");
+
+  if (bound == NULL)
+    return;
+  x->owned_bound = g_ascii_strtod (bound, NULL);
+  x->owned_server
+      = g_strdup (pu_http_request_header (x->http, "x-relay-server"));
+  if (x->owned_bound > 0)
+    pu_exchange_accept_as_owner (x);
+}
+
 /* Reads the headers of a relay, if HTTP comes from another entry.  */
 static void
 relay_read (pu_exchange_t *x)
@@ -183,6 +199,7 @@
       && g_ascii_string_to_unsigned (left, 10, 1, G_MAXUINT32, &attempts,
                                      NULL))
     x->q.attempts_max = (guint)attempts;
+  owned_server_read (x);
 }
 
 void
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -76,6 +76,7 @@
   pu_attempt_t *at = &x->at;
 
   suspects_note_end (x);
+  pu_server_brittle_ended (x);
   if (x->phase == PU_EXCHANGE_PROBING)
     pu_server_remove_held (x);
   if (at->call != NULL)
@@ -319,6 +320,8 @@
   const pu_attempt_t *at = &x->at;
   pu_server_t *s = at->server;
 
+  if (s == NULL)
+    pu_server_brittle_relayed (x);
   if (s == NULL || at->incarnation != s->incarnation || at->answer.foreign
       || at->answer.replaced)
     return;
@@ -703,7 +706,7 @@
       pu_exchange_retry (x, PU_ROUTER_FAIL_ABSENT);
       return;
     case RESPONSE_NOT_RUN:
-      pu_server_brittle_rejected (x->at.server);
+      pu_server_brittle_rejected (x);
       if (x->at.answer.retry_after_ms > 0 || !is_unloading_copy (x))
         {
           pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
@@ -721,7 +724,7 @@
       failure_forward (x);
       return;
     case RESPONSE_GOOD:
-      pu_server_brittle_accepted (x->at.server);
+      pu_server_brittle_accepted (x);
       partial_event_flush (x);
       attempt_finish (x);
       return;
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -144,6 +144,7 @@
   if (!good)
     return false;
   x->server_attempts++;
+  pu_server_brittle_sent (s);
   suspects_note_start (x, s);
   pu_trace_sent (x, s);
   pu_router_sent (x->en->router, x->ticket, now_of (x));
@@ -171,6 +172,14 @@
       pu_header_list_add_number (&h, "X-Relay-Attempts",
                                  x->q.attempts_max - x->server_attempts);
     }
+  if (x->owned_server != NULL)
+    {
+      char *bound = g_strdup_printf ("%.3f", x->owned_bound);
+
+      g_ptr_array_add (h.owned, bound);
+      pu_header_list_add (&h, "X-Relay-Server", x->owned_server);
+      pu_header_list_add (&h, "X-Relay-Rejections", bound);
+    }
   if (x->software != NULL)
     {
       char *value = pu_software_encode (x->software);
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -210,6 +210,7 @@
   guint64 now = uv_now (t->loop);
 
   pu_servers_tick (en, now);
+  pu_entry_brittle_tick (en);
   pu_entry_reach_tick (en, now);
   pu_strikes_tick (en, now);
   pu_leaves_tick (en, now);
@@ -276,6 +277,7 @@
   en->servers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pu_server_free);
   en->ticking_servers = g_hash_table_new (NULL, NULL);
+  en->brittle_servers = g_hash_table_new (NULL, NULL);
   en->other_addresses = g_ptr_array_new_with_free_func (g_free);
   en->other_addresses_version = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -365,6 +367,7 @@
   g_hash_table_destroy (en->load_ids);
   g_hash_table_destroy (en->model_waits);
   g_hash_table_destroy (en->ticking_servers);
+  g_hash_table_destroy (en->brittle_servers);
   g_ptr_array_free (en->other_addresses, TRUE);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -397,6 +397,7 @@
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
     backend = None
 
     def setup(self):
