entry: a new process of a brittle service is brittle from its start

What callers saw: a server that fell came back and fell at once, under the requests that had waited for it; three servers did not stand at the same time within 40 s (test_new_processes_of_a_brittle_service on the parent commit).

Cause: how many rejections a server bears was forgotten with its incarnation, and a new process counted as sturdy until its first answer came. Class: what is known of a service was kept of a process.

Change: a new process bears what another server of its service has stated, one that has stopped included, until it states something itself; an answer without the statement also ends what is kept of stopped ones.

--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -383,6 +383,35 @@
     }
 }
 
+/* Returns the bound that another server of the service of S has stated, 0 if
+   none has.  */
+static double
+bound_of_service (const pu_server_t *s)
+{
+  const char *service = service_of (s);
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, s->en->brittle_servers);
+  while (g_hash_table_iter_next (&it, &value, NULL))
+    {
+      const pu_server_t *other = value;
+
+      if (other != s && strcmp (service_of (other), service) == 0)
+        return other->rejections_per_s;
+    }
+  return 0;
+}
+
+void
+pu_server_brittle_inherit (pu_server_t *s)
+{
+  double per_s = bound_of_service (s);
+
+  if (s->rejections_per_s == 0 && per_s > 0)
+    set_bound (s, per_s);
+}
+
 void
 pu_server_brittle_forget (pu_server_t *s)
 {
@@ -392,6 +421,25 @@
   s->rejections_per_s = 0;
 }
 
+/* Forgets what servers of SERVICE that no longer run have stated.  */
+static void
+stopped_forget (pu_entry_t *en, const char *service)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, en->brittle_servers);
+  while (g_hash_table_iter_next (&it, &value, NULL))
+    {
+      pu_server_t *s = value;
+
+      if (!s->down || strcmp (service_of (s), service) != 0)
+        continue;
+      g_hash_table_iter_remove (&it);
+      pu_server_brittle_forget (s);
+    }
+}
+
 void
 pu_server_brittle_stated (pu_server_t *s, double per_s)
 {
@@ -406,6 +454,7 @@
   if (per_s <= 0)
     {
       set_bound (s, 0);
+      stopped_forget (en, service);
       return;
     }
   pu_log_note (PU_ENTRY_LOG_SLICE,
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -665,6 +665,10 @@
    was relayed, says about the server for which it was relayed.  */
 void pu_server_brittle_relayed (pu_exchange_t *x);
 
+/* pu_server_brittle_inherit - S is a new process: as long as it has stated
+   nothing, it bears as few rejections as others of its service.  */
+void pu_server_brittle_inherit (pu_server_t *s);
+
 /* pu_server_brittle_forget - S is gone, or is about to be another
    process.  */
 void pu_server_brittle_forget (pu_server_t *s);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -339,6 +339,7 @@
     }
   else
     {
+      pu_server_brittle_inherit (s);
       router_update (s, b);
     }
   health_log_change (s, before);
