entry: requests go to brittle engines by way of their owner too

Cause: as with plain servers, each entry kept a bound of its own, filled from load reports that are up to 6.5 s old with 90 engines. Class: a bound of each entry in the place of a bound on all.

Ruled out: shares of the free places drawn at each report (reports are too old), a shared back-off after a rejection (the first moment is not bounded).

Change: one mechanism for both kinds. The router of each entry chooses the server; the request goes there by way of its owner, which queues it for that server alone, makes one attempt, and keeps the bound of routing/brittle. Its refusal counts as the server's. The three quarters of the places by reports are gone.

--- a/libplantainusher/entry/admit.c
+++ b/libplantainusher/entry/admit.c
@@ -165,19 +165,19 @@
   reject (en, http, &starting, "This entry has no document yet.");
 }
 
-/* Reads the headers with the brittle server to which this entry is to send the
-   requests of others.  */
+/* Reads which brittle server X came here for, if it came by way of its
+   owner.  */
 static void
-owned_server_read (pu_exchange_t *x)
+only_server_read (pu_exchange_t *x)
 {
+  const char *server = pu_http_request_header (x->http, "x-relay-server");
   const char *bound = pu_http_request_header (x->http, "x-relay-rejections");
 
-  if (bound == NULL)
+  if (server == NULL || bound == NULL)
     return;
-  x->owned_bound = g_ascii_strtod (bound, NULL);
-  x->owned_server
-      = g_strdup (pu_http_request_header (x->http, "x-relay-server"));
-  if (x->owned_bound > 0)
+  x->only_server = g_strdup (server);
+  x->only_server_bound = g_ascii_strtod (bound, NULL);
+  if (x->only_server_bound > 0)
     pu_exchange_accept_as_owner (x);
 }
 
@@ -199,7 +199,7 @@
       && g_ascii_string_to_unsigned (left, 10, 1, G_MAXUINT32, &attempts,
                                      NULL))
     x->q.attempts_max = (guint)attempts;
-  owned_server_read (x);
+  only_server_read (x);
 }
 
 void
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -20,6 +20,7 @@
   STATUS_CLIENT_ERROR = 400,
   STATUS_REQUEST_TIMEOUT = 408,
   STATUS_MISDIRECTED = 421,
+  STATUS_UNPROCESSABLE = 422,
   STATUS_TOO_MANY = 429,
   STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
@@ -82,6 +83,7 @@
   if (at->call != NULL)
     pu_http_call_cancel (at->call);
   g_free (at->entry);
+  g_free (at->owner);
   g_free (at->software);
   g_free (at->content_type);
   g_free (at->outcome);
@@ -306,13 +308,31 @@
                  x->at.server != NULL ? x->at.server->name : "", r,
                  &x->at.answer);
   x->at.headers = forwarded_headers (r);
-  if (x->at.server != NULL)
+  if (x->at.server != NULL && x->at.owner == NULL)
     return;
   x->at.outcome = g_strdup (pu_http_response_header (r, "x-outcome"));
   x->at.retry_after
       = g_strdup (pu_http_response_header (r, "x-retry-after-ms"));
 }
 
+/* Whether STATUS tells a caller that its request has not run.  */
+static bool
+status_means_not_run (int status)
+{
+  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED
+         || status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
+/* Whether the response is the refusal of the entry that owns the brittle
+   server of AT, not the response of that server.  A refusal without an outcome
+   comes from an entry that does not know of the relay, as while it stops.  */
+static bool
+is_refused_by_owner (const pu_attempt_t *at)
+{
+  return at->owner != NULL
+         && (at->outcome != NULL || status_means_not_run (at->status));
+}
+
 /* Handles what the response head of X says about its backend server.  */
 static void
 server_state_read (pu_exchange_t *x)
@@ -320,10 +340,8 @@
   const pu_attempt_t *at = &x->at;
   pu_server_t *s = at->server;
 
-  if (s == NULL)
-    pu_server_brittle_relayed (x);
   if (s == NULL || at->incarnation != s->incarnation || at->answer.foreign
-      || at->answer.replaced)
+      || at->answer.replaced || is_refused_by_owner (at))
     return;
   if (at->answer.leaving && !s->leaving)
     pu_entry_mark_leaving (x->en, s->name, NULL, NULL);
@@ -342,7 +360,7 @@
   (void)call;
   at->answered = true;
   at->status = r->status;
-  if (at->server != NULL)
+  if (at->server != NULL && at->owner == NULL)
     x->en->heard_at = now_of (x);
   response_head_read (x, r);
   server_state_read (x);
@@ -412,7 +430,7 @@
   pu_attempt_t *at = &x->at;
   bool duplicate = false;
 
-  if (at->server != NULL)
+  if (at->server != NULL && at->owner == NULL)
     x->en->heard_at = now_of (x);
   if (!at->streaming && !at->answer.foreign)
     {
@@ -440,14 +458,6 @@
   attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
 }
 
-/* Whether STATUS tells a caller that its request has not run.  */
-static bool
-status_means_not_run (int status)
-{
-  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED
-         || status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
-}
-
 /* Forwards the bytes after the last complete event of a stream: the response
    is complete, so no more bytes of that event follow.  */
 static void
@@ -521,6 +531,36 @@
   return cut_off;
 }
 
+/* Handles the refusal of X by the entry that owns its backend server.  */
+static void
+owner_refused (pu_exchange_t *x)
+{
+  const pu_attempt_t *at = &x->at;
+
+  if (at->outcome == NULL)
+    {
+      pu_exchange_leave_owner (x);
+    }
+  else if (peer_is_cut_off (x))
+    {
+      pu_entry_reach_note_peer (x->en, at->owner);
+      pu_exchange_leave_owner (x);
+    }
+  else if (at->status == STATUS_UNPROCESSABLE)
+    {
+      refusal_forward (x);
+    }
+  else if (strcmp (at->outcome, pu_run_outcome_name (PU_RUN_OUTCOME_NOT_RUN))
+           == 0)
+    {
+      pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
+    }
+  else
+    {
+      attempt_break (x, PU_ROUTER_FAIL_DIED);
+    }
+}
+
 /* Handles the complete response of another entry to X, which any entry serves:
    its refusal, or the answer of a backend server.  */
 static void
@@ -691,6 +731,11 @@
       relayed_response_complete (x);
       return;
     }
+  if (is_refused_by_owner (&x->at))
+    {
+      owner_refused (x);
+      return;
+    }
   switch (response_classify (x))
     {
     case RESPONSE_BROKEN:
@@ -707,7 +752,8 @@
       return;
     case RESPONSE_NOT_RUN:
       pu_server_brittle_rejected (x);
-      if (x->at.answer.retry_after_ms > 0 || !is_unloading_copy (x))
+      if (x->at.answer.retry_after_ms > 0 || x->at.server->brittle != NULL
+          || !is_unloading_copy (x))
         {
           pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
           return;
@@ -724,7 +770,6 @@
       failure_forward (x);
       return;
     case RESPONSE_GOOD:
-      pu_server_brittle_accepted (x);
       partial_event_flush (x);
       attempt_finish (x);
       return;
@@ -767,6 +812,11 @@
 {
   pu_server_t *s = x->at.server;
 
+  if (x->at.owner != NULL)
+    {
+      pu_exchange_leave_owner (x);
+      return;
+    }
   if (s != NULL && pu_entry_uses_builtin_frontend (x->en))
     {
       pu_server_probe (s);
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -96,7 +96,8 @@
              `any_entry` set, which a frontend given in the options reads,
              may use any connection.  */
           .fresh
-          = !x->q.repeatable && (!x->q.any_entry || x->at.entry != NULL),
+          = !x->q.repeatable
+            && (!x->q.any_entry || x->at.entry != NULL || x->at.owner != NULL),
           .first_byte_timeout_ms = first_byte_timeout_ms (x),
           .progress_timeout_ms = progress_timeout_ms (x),
           .events = pu_attempt_events,
@@ -130,22 +131,77 @@
   x->at.suspect_tracked = true;
 }
 
-bool
-pu_attempt_start (pu_exchange_t *x, pu_server_t *s)
+/* Adds the headers that mark a relay, after which X may still be sent to
+   ATTEMPTS backend servers (0: no limit is stated).  */
+static void
+relay_headers_add (const pu_exchange_t *x, guint attempts, pu_header_list_t *h)
+{
+  pu_header_list_add (h, "X-Relay-Hop", x->hops == 0 ? "1" : "2");
+  pu_header_list_add (h, "X-Relay-Key", x->en->peer_key);
+  if (attempts > 0)
+    pu_header_list_add_number (h, "X-Relay-Attempts", attempts);
+  if (x->software != NULL)
+    {
+      char *value = pu_software_encode (x->software);
+
+      g_ptr_array_add (h->owned, value);
+      pu_header_list_add (h, PU_SOFTWARE_RELAY_HEADER, value);
+    }
+}
+
+/* Sends X to the brittle server S by way of its owner TO.  */
+static bool
+start_at_owner (pu_exchange_t *x, const pu_server_t *s,
+                const pu_directory_entry_t *to)
+{
+  char *bound = g_strdup_printf ("%.3f", pu_brittle_bound (s->brittle));
+  pu_header_list_t h;
+  bool good;
+
+  head_fill (x, NULL, &h);
+  relay_headers_add (x, 1, &h);
+  pu_header_list_add (&h, "X-Relay-Server", s->name);
+  pu_header_list_add (&h, "X-Relay-Rejections", bound);
+  x->at.owner = g_strdup (to->name);
+  good = call_start (x, to->address, x->q.target, &h);
+  pu_header_list_clear (&h);
+  g_free (bound);
+  return good;
+}
+
+static bool
+start_at_server (pu_exchange_t *x, const pu_server_t *s)
 {
   pu_header_list_t h;
   bool good;
 
   head_fill (x, s, &h);
-  x->at.server = s;
-  x->at.incarnation = s->incarnation;
   good = call_start (x, s->address, x->q.target, &h);
   pu_header_list_clear (&h);
-  if (!good)
-    return false;
+  return good;
+}
+
+bool
+pu_attempt_start (pu_exchange_t *x, pu_server_t *s)
+{
+  pu_directory_entry_t to;
+
+  x->at.server = s;
+  x->at.incarnation = s->incarnation;
+  if (pu_brittle_find_way (x, s, &to) == PU_BRITTLE_BY_OWNER)
+    {
+      if (!start_at_owner (x, s, &to))
+        return false;
+      pu_trace_relayed (x, to.name);
+    }
+  else
+    {
+      if (!start_at_server (x, s))
+        return false;
+      pu_server_brittle_sent (x);
+      suspects_note_start (x, s);
+    }
   x->server_attempts++;
-  pu_server_brittle_sent (s);
-  suspects_note_start (x, s);
   pu_trace_sent (x, s);
   pu_router_sent (x->en->router, x->ticket, now_of (x));
   return true;
@@ -159,34 +215,16 @@
       = x->q.plain && builtin
             ? g_strconcat ("/services/", x->q.service, x->q.target, NULL)
             : g_strdup (x->q.target);
+  guint attempts = x->q.attempts_max > 0 && !builtin
+                       ? x->q.attempts_max - x->server_attempts
+                       : 0;
   pu_header_list_t h;
   bool good;
 
   head_fill (x, NULL, &h);
-  pu_header_list_add (&h, "X-Relay-Hop", x->hops == 0 ? "1" : "2");
-  pu_header_list_add (&h, "X-Relay-Key", x->en->peer_key);
+  relay_headers_add (x, attempts, &h);
   if (!x->q.plain && builtin)
     pu_header_list_add (&h, "X-Service", x->q.service);
-  if (x->q.attempts_max > 0 && !builtin)
-    {
-      pu_header_list_add_number (&h, "X-Relay-Attempts",
-                                 x->q.attempts_max - x->server_attempts);
-    }
-  if (x->owned_server != NULL)
-    {
-      char *bound = g_strdup_printf ("%.3f", x->owned_bound);
-
-      g_ptr_array_add (h.owned, bound);
-      pu_header_list_add (&h, "X-Relay-Server", x->owned_server);
-      pu_header_list_add (&h, "X-Relay-Rejections", bound);
-    }
-  if (x->software != NULL)
-    {
-      char *value = pu_software_encode (x->software);
-
-      g_ptr_array_add (h.owned, value);
-      pu_header_list_add (&h, PU_SOFTWARE_RELAY_HEADER, value);
-    }
   x->at.entry = g_strdup (to->name);
   pu_trace_relayed (x, to->name);
   good = call_start (x, to->address, target, &h);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -103,16 +103,11 @@
                               counted in running_suspects */
   guint64 back_off_until;    /* loop time until which it wants no requests of
                                 this entry */
-  double rejections_per_s; /* that it bears, from all entries together; 0: any
-                              number */
-  guint places; /* of a brittle engine: requests at once that it takes */
-  guint64 places_changed_at; /* loop time */
-  pu_brittle_t *brittle;     /* of a brittle plain server; NULL: it is none */
+  pu_brittle_t *brittle;     /* NULL: it bears any number of rejections */
   guint64 adopted_until; /* loop time until which this entry sends requests to
                             the brittle server, whoever owns it */
-  bool left_to_others;   /* as pu_server_is_left_to_others was last found */
-  double limit_per_s; /* requests per second that it takes from all entries
-                         together; 0: not limited */
+  double limit_per_s;    /* requests per second that it takes from all entries
+                            together; 0: not limited */
   guint64 limit_stated_at;   /* loop time when it last stated limit_per_s */
   guint grants;              /* requests that the leader has granted */
   guint64 grants_until;      /* loop time until which `grants` is valid */
@@ -162,6 +157,8 @@
   guint64 incarnation; /* incarnation of the backend server */
   guint64 sent_at;     /* loop time when the call was started */
   char *entry;    /* name of the entry that it is relayed to; NULL: none */
+  char *owner;    /* name of the entry by whose way it goes to `server`, which
+                     is brittle; NULL: it goes there itself */
   char *software; /* of the backend server, as that entry states; NULL: not
                      stated */
   int status;
@@ -235,9 +232,11 @@
   bool offered_again; /* was offered to the router again after every copy had
                         been tried */
   GPtrArray *avoid;   /* names of entries to which a relay failed */
-  char *owned_server; /* brittle server for which it was relayed to an entry,
-                         or to this one; NULL: none */
-  double owned_bound; /* rejections per second that this server bears */
+  GPtrArray *unreached_owners; /* names of owners of brittle servers that were
+                                  not reached; NULL: none */
+  char *only_server; /* brittle server for which it came here by way of its
+                        owner, the only one that may run it; NULL: any */
+  double only_server_bound; /* rejections per second that this server bears */
   pu_attempt_t at;
   pu_saved_failure_t saved_failure;
   pu_delivered_t delivered; /* the part of a token stream sent to the caller */
@@ -297,7 +296,7 @@
                                  other_addresses was made from */
   GHashTable *servers;             /* name -> pu_server_t */
   GHashTable
-      *ticking_servers;  /* set of pu_server_t that have a pending timer */
+      *ticking_servers; /* set of pu_server_t that have a pending timer */
   GHashTable *brittle_servers; /* set of pu_server_t that bear few
                                   rejections */
   bool applying_all;     /* all backend servers of the view are applied */
@@ -557,9 +556,6 @@
 bool pu_server_is_withdrawn (const pu_server_t *s, const char *model,
                              guint64 until);
 
-/* pu_server_refresh - updates S in the router, if it is there.  */
-void pu_server_refresh (pu_server_t *s);
-
 /* pu_server_set_leaving - sends no new request to the backend server NAME at
    INCARNATION, which has said that it leaves.  */
 void pu_server_set_leaving (pu_entry_t *en, const char *name,
@@ -661,46 +657,45 @@
    same service too, until they state something else.  */
 void pu_server_brittle_stated (pu_server_t *s, double per_s);
 
-/* pu_server_brittle_relayed - takes over what the response head of X, which
-   was relayed, says about the server for which it was relayed.  */
-void pu_server_brittle_relayed (pu_exchange_t *x);
-
 /* pu_server_brittle_inherit - S is a new process: as long as it has stated
    nothing, it bears as few rejections as others of its service.  */
 void pu_server_brittle_inherit (pu_server_t *s);
 
-/* pu_server_brittle_forget - S is gone, or is about to be another
-   process.  */
+/* pu_server_brittle_forget - S is gone, is about to be another process, or
+   bears any number of rejections.  */
 void pu_server_brittle_forget (pu_server_t *s);
 
-/* pu_server_brittle_sent, pu_server_brittle_rejected,
-   pu_server_brittle_accepted, pu_server_brittle_ended - a request was sent to
-   S; the current attempt of X was rejected for want of room, has run, has
-   ended in any way.  */
-void pu_server_brittle_sent (pu_server_t *s);
+/* pu_server_brittle_sent, pu_server_brittle_rejected, pu_server_brittle_ended
+   - this entry has sent X to its server; the current attempt of X was rejected
+   for want of room; it has ended in any way.  */
+void pu_server_brittle_sent (const pu_exchange_t *x);
 void pu_server_brittle_rejected (pu_exchange_t *x);
-void pu_server_brittle_accepted (pu_exchange_t *x);
 void pu_server_brittle_ended (pu_exchange_t *x);
 
-/* pu_server_brittle_apply - sets the limit of S in the router, which has just
-   got S.  */
+/* pu_server_brittle_apply - sets the limit of S in the router, which has
+   changed, or got S.  */
 void pu_server_brittle_apply (pu_server_t *s);
 
-/* pu_server_is_left_to_others - whether S is a brittle plain server to which
-   another entry sends the requests of all.  */
-bool pu_server_is_left_to_others (const pu_server_t *s);
-
-/* pu_exchange_relay_to_owner - relays X to the entry that sends the requests
-   of all entries to a server of its service.  Returns false if X stays
-   here.  */
-bool pu_exchange_relay_to_owner (pu_exchange_t *x);
-
-/* pu_exchange_accept_as_owner - X was relayed to this entry, which is to send
-   the requests of others to x->owned_server.  */
+/* How a request gets to a backend server.  */
+typedef enum
+{
+  PU_BRITTLE_DIRECT,
+  PU_BRITTLE_BY_OWNER, /* the server is brittle, and another entry owns it */
+  PU_BRITTLE_NO_WAY    /* none of those that may own it is reached */
+} pu_brittle_way_t;
+
+/* pu_brittle_find_way - returns how X gets to S.  For PU_BRITTLE_BY_OWNER, TO
+   is the first of the entries that may own S which X has not tried in
+   vain.  */
+pu_brittle_way_t pu_brittle_find_way (const pu_exchange_t *x,
+                                      const pu_server_t *s,
+                                      pu_directory_entry_t *to);
+
+/* pu_exchange_accept_as_owner - X came here by way of the owner of
+   x->only_server.  */
 void pu_exchange_accept_as_owner (pu_exchange_t *x);
 
-/* pu_entry_brittle_tick - updates the limits and owners of brittle
-   servers.  */
+/* pu_entry_brittle_tick - updates the limits of brittle servers.  */
 void pu_entry_brittle_tick (pu_entry_t *en);
 
 /* --- strikes.c: strikes against requests --- */
@@ -829,6 +824,10 @@
    fails it.  */
 void pu_exchange_retry (pu_exchange_t *x, pu_router_failure_t failure);
 
+/* pu_exchange_leave_owner - the owner by whose way X was sent can't be
+   reached, or sends nothing: X has not run, and is routed again.  */
+void pu_exchange_leave_owner (pu_exchange_t *x);
+
 /* pu_exchange_finish - ends X after its caller was answered or has
    disconnected.  X is freed.  */
 void pu_exchange_finish (pu_exchange_t *x);
@@ -874,8 +873,9 @@
 
 /* --- attempt_send.c: one attempt at a backend server or another entry --- */
 
-/* pu_attempt_start - sends X to S; pu_attempt_relay relays it to the entry TO.
-   Both return false if the call could not be started.  */
+/* pu_attempt_start - sends X to S, by way of the owner of S if S is brittle;
+   pu_attempt_relay relays X to the entry TO.  Both return false if the call
+   could not be started.  */
 bool pu_attempt_start (pu_exchange_t *x, pu_server_t *s);
 bool pu_attempt_relay (pu_exchange_t *x, const pu_directory_entry_t *to);
 
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -22,7 +22,9 @@
   pu_saved_failure_clear (&x->saved_failure);
   g_free (x->key);
   g_free (x->software);
-  g_free (x->owned_server);
+  g_free (x->only_server);
+  if (x->unreached_owners != NULL)
+    g_ptr_array_free (x->unreached_owners, TRUE);
   g_ptr_array_free (x->avoid, TRUE);
   pu_delivered_clear (&x->delivered);
   g_free (x);
@@ -227,6 +229,18 @@
   pu_exchange_fail (x, &cut_off, "This entry reaches no backend server.");
 }
 
+/* No entry that may send X to its brittle backend server is reached.  */
+static void
+fail_without_owner (pu_exchange_t *x)
+{
+  static const pu_refusal_t owner
+      = { 503, "owner", PU_RUN_OUTCOME_NOT_RUN, PU_BUSY_RETRY_AFTER_MS };
+
+  pu_exchange_fail (x, &owner,
+                    "The entry that sends requests to this backend server is "
+                    "not reached.");
+}
+
 static void
 fail_deadline (pu_exchange_t *x)
 {
@@ -308,7 +322,7 @@
     }
   if (pu_origin_waits (x))
     return;
-  if (pu_exchange_relay_to_owner (x) || pu_entry_hand_over (x))
+  if (pu_entry_hand_over (x))
     return;
   /* A request that may run only once is not relayed: each further hop is
      another place where its outcome can be lost.  */
@@ -382,6 +396,7 @@
     = x->q.repeatable
       || pu_entry_fault_injected (x->en, PU_ENTRY_BREAK_RETRY_NON_REPEATABLE),
     .software = x->software,
+    .backend_name = x->only_server,
   };
   pu_router_decision_t d;
 
@@ -424,6 +439,8 @@
 dispatch_permit (pu_exchange_t *x, pu_server_t *s)
 {
   pu_suspects_verdict_t verdict = crash_verdict (x);
+  pu_directory_entry_t owner;
+  pu_brittle_way_t way = pu_brittle_find_way (x, s, &owner);
 
   if (verdict == PU_SUSPECTS_REFUSE)
     {
@@ -431,9 +448,15 @@
       fail_convicted (x);
       return false;
     }
+  if (way == PU_BRITTLE_NO_WAY)
+    {
+      ticket_cancel (x);
+      fail_without_owner (x);
+      return false;
+    }
   if (verdict != PU_SUSPECTS_WAIT
       && (!is_suspect (x) || s->running_suspects == 0) && !defer_from (x, s)
-      && pu_server_limit_permits (x, s))
+      && (way == PU_BRITTLE_BY_OWNER || pu_server_limit_permits (x, s)))
     return true;
   ticket_cancel (x);
   x->phase = PU_EXCHANGE_WAITING;
@@ -486,7 +509,7 @@
       break;
     case PU_ROUTER_REFUSE:
       if (d->reason == PU_ROUTER_REASON_COPY && pu_model_wait_allowed (x)
-          && !x->may_have_run && x->software == NULL)
+          && !x->may_have_run && x->software == NULL && x->only_server == NULL)
         {
           ticket_set (x, 0);
           pu_model_wait_begin (x);
@@ -652,6 +675,19 @@
   pu_exchange_apply_decision (x, &d);
 }
 
+void
+pu_exchange_leave_owner (pu_exchange_t *x)
+{
+  if (x->unreached_owners == NULL)
+    x->unreached_owners = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (x->unreached_owners, g_strdup (x->at.owner));
+  x->server_attempts--;
+  pu_trace_attempt_failed (x, PU_ROUTER_FAIL_NOT_RUN);
+  pu_attempt_clear (x);
+  ticket_cancel (x);
+  pu_exchange_route (x);
+}
+
 /* --- checks at each tick, and abort --- */
 
 /* Whether the reason for which X waits no longer holds.  */
--- a/libplantainusher/entry/reach.c
+++ b/libplantainusher/entry/reach.c
@@ -146,7 +146,7 @@
       const pu_exchange_t *x = l->data;
 
       if (x->phase == PU_EXCHANGE_RUNNING && x->at.server != NULL
-          && now >= x->at.sent_at + SILENCE_MS)
+          && x->at.owner == NULL && now >= x->at.sent_at + SILENCE_MS)
         pu_reach_failed (&en->reach, x->at.server->number, now);
     }
 }
@@ -171,7 +171,7 @@
   bool unconnected = result->kind == PU_HTTP_END_CONNECT_FAILED
                      || result->kind == PU_HTTP_END_CONNECT_TIMEOUT;
 
-  if (x->at.server == NULL)
+  if (x->at.server == NULL || x->at.owner != NULL)
     return;
   if (unconnected)
     {
@@ -257,7 +257,8 @@
     {
       peer_t *p = g_ptr_array_index (x->en->peers, i);
 
-      if ((p->same_zone || !same_zone) && !pu_entry_peer_is_avoided (x, p->name))
+      if ((p->same_zone || !same_zone)
+          && !pu_entry_peer_is_avoided (x, p->name))
         g_ptr_array_add (found, p);
     }
   return found;
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -216,8 +216,7 @@
     .region = b->region,
     .zone = b->zone,
     .software = pu_server_software (s),
-    .leaving = s->leaving || s->running_suspects > 0
-               || pu_server_is_left_to_others (s),
+    .leaving = s->leaving || s->running_suspects > 0,
   };
 
   copies_append (s, b, plain, copies);
@@ -505,17 +504,6 @@
              : NULL;
 }
 
-void
-pu_server_refresh (pu_server_t *s)
-{
-  const pu_backend_record *b = routed_record (s);
-
-  if (b == NULL || b->incarnation != s->incarnation)
-    return;
-  router_update (s, b);
-  pu_entry_schedule_router (s->en);
-}
-
 static void
 override_apply (pu_server_t *s, const char *model, bool present, guint64 until)
 {
--- a/libplantainusher/routing/brittle.c
+++ b/libplantainusher/routing/brittle.c
@@ -115,9 +115,9 @@
 }
 
 guint
-pu_brittle_limit (pu_brittle_t *b, guint64 now)
+pu_brittle_limit (pu_brittle_t *b, bool owner, guint64 now)
 {
-  guint most = (guint)MAX (b->rejections_per_s * BOUND_SHARE, 1);
+  guint most = owner ? (guint)MAX (b->rejections_per_s * BOUND_SHARE, 1) : 1;
 
   rejected_expire (b, now);
   return MIN (proven_count (b, now) + most - MIN (most, b->rejected->len),
--- a/libplantainusher/routing/brittle.h
+++ b/libplantainusher/routing/brittle.h
@@ -2,6 +2,7 @@
 #define PU_ROUTING_BRITTLE_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 G_BEGIN_DECLS
 
@@ -48,8 +49,9 @@
 
 /* pu_brittle_limit - returns the most requests at once for the server, those
    included that were sent and have not ended.  0: none until
-   pu_brittle_free_at.  */
-guint pu_brittle_limit (pu_brittle_t *b, guint64 now);
+   pu_brittle_free_at.  An entry that is not the OWNER, and sends requests in
+   its place for a while, tries one at a time.  */
+guint pu_brittle_limit (pu_brittle_t *b, bool owner, guint64 now);
 
 /* pu_brittle_free_at - returns the time when the oldest rejection no longer
    counts, 0 if there is none.  */
--- a/libplantainusher/routing/brittle_test.cc
+++ b/libplantainusher/routing/brittle_test.cc
@@ -74,7 +74,7 @@
   void
   send_all ()
   {
-    while (flight.size () < pu_brittle_limit (b, now))
+    while (flight.size () < pu_brittle_limit (b, true, now))
       {
         bool full = running () >= places;
 
@@ -156,11 +156,21 @@
   b = pu_brittle_new (4);
   for (int i = 0; i < 3; i++)
     {
-      EXPECT_GT (pu_brittle_limit (b, now), 0U);
+      EXPECT_GT (pu_brittle_limit (b, true, now), 0U);
       pu_brittle_sent (b, now);
       pu_brittle_rejected (b, now, now);
     }
-  EXPECT_EQ (pu_brittle_limit (b, now), 0U);
+  EXPECT_EQ (pu_brittle_limit (b, true, now), 0U);
   EXPECT_EQ (pu_brittle_free_at (b), now + WINDOW_MS);
-  EXPECT_GT (pu_brittle_limit (b, now + WINDOW_MS), 0U);
+  EXPECT_GT (pu_brittle_limit (b, true, now + WINDOW_MS), 0U);
+}
+
+TEST_F (Brittle, EntryThatIsNotTheOwnerTriesOneRequestAtATime)
+{
+  b = pu_brittle_new (10);
+  EXPECT_EQ (pu_brittle_limit (b, false, now), 1U);
+  pu_brittle_sent (b, now);
+  EXPECT_EQ (pu_brittle_limit (b, false, now), 1U);
+  pu_brittle_ended (b, now, now);
+  EXPECT_EQ (pu_brittle_limit (b, false, now), 1U);
 }
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -139,8 +139,10 @@
 }
 
 bool
-software_may_run (const request_t *q, const backend_t *b)
+backend_may_run (const request_t *q, const backend_t *b)
 {
+  if (q->backend_name != NULL && strcmp (q->backend_name, b->name) != 0)
+    return false;
   return q->software == NULL
          || (*q->software != '\0' && strcmp (q->software, b->software) == 0);
 }
@@ -152,7 +154,7 @@
 
   for (guint i = 0; i < ready->len; i++)
     {
-      if (software_may_run (
+      if (backend_may_run (
               q,
               backend_at (r, g_array_index (ready, ready_copy_t, i).backend)))
         return true;
@@ -164,7 +166,7 @@
 static bool
 is_excluded (const request_t *q, const backend_t *s)
 {
-  return was_tried (q, s) || !software_may_run (q, s);
+  return was_tried (q, s) || !backend_may_run (q, s);
 }
 
 /* Returns whether S accepts Q: S has a free slot, has not just refused a
@@ -536,8 +538,8 @@
 
   if (ready->len == 0)
     return false;
-  /* A sample could miss the few copies that may run a resumed stream.  */
-  if (ready->len > r->options.candidates && q->software == NULL)
+  /* A sample could miss the few copies that may run the request.  */
+  if (ready->len > r->options.candidates && !request_is_bound (q))
     {
       if (choose_among_sample (r, q, now, c))
         return true;
--- a/libplantainusher/routing/queue.c
+++ b/libplantainusher/routing/queue.c
@@ -82,7 +82,7 @@
   q->timeout_iter = g_sequence_insert_sorted (r->waiting_by_timeout, q,
                                               compare_timeout, NULL);
   service_at (r, q->service)->waiting++;
-  m->waiting_bound += q->software != NULL;
+  m->waiting_bound += request_is_bound (q);
   if (m->waiting++ > 0)
     return;
   m->busy_since = now;
@@ -100,7 +100,7 @@
   q->timeout_iter = NULL;
   service_at (r, q->service)->waiting--;
   m->waiting--;
-  m->waiting_bound -= q->software != NULL;
+  m->waiting_bound -= request_is_bound (q);
 }
 
 void
@@ -193,9 +193,9 @@
     {
       request_t *q = g_sequence_get (at);
 
-      /* Those that wait for another software version don't hold up the
-         others.  */
-      scanned += software_may_run (q, s);
+      /* Those that wait for another backend server or software version don't
+         hold up the others.  */
+      scanned += backend_may_run (q, s);
       if (evaluate_candidate (r, q, b, copy, now, c))
         return q;
       at = g_sequence_iter_next (at);
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -118,6 +118,7 @@
   guint32 generation = q->generation + 1;
 
   g_free (q->software);
+  g_free (q->backend_name);
   g_free (q->prefix);
   g_free (q->prefix_tokens);
   *q = (request_t){ .index = index, .generation = generation };
@@ -195,6 +196,7 @@
   q->shared_tokens = MIN (in->shared_tokens, in->prompt_tokens);
   q->repeatable = in->repeatable;
   q->software = g_strdup (in->software);
+  q->backend_name = g_strdup (in->backend_name);
   q->wants_preferred = (guint)g_rand_int_range (r->rand, 0, 1000) < m->share;
   request_set_due (r, q);
 }
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -73,7 +73,7 @@
   GArray *ready;   /* of ready_copy_t */
   GArray *flows;   /* of flow_t */
   guint waiting;
-  guint waiting_bound; /* of `waiting`, those bound to a software version */
+  guint waiting_bound; /* of `waiting`, those that some copies may run */
   guint in_flight;
   /* Milliseconds to the first token (y) by prefill tokens queued (x).  */
   linear_fit_t first_token_fit;
@@ -190,7 +190,8 @@
   guint attempts_max;
   guint64 fingerprint;
   guint shared_tokens;
-  char *software; /* as in pu_router_request_t */
+  char *software;     /* as in pu_router_request_t */
+  char *backend_name; /* as in pu_router_request_t */
   bool repeatable;
   bool wants_preferred;
   guint attempt;
@@ -359,8 +360,17 @@
    software may run Q.  */
 bool has_copy (const pu_router_t *r, const request_t *q);
 
-/* software_may_run - whether the software version of B may run Q.  */
-bool software_may_run (const request_t *q, const backend_t *b);
+/* request_is_bound - whether only some copies, whatever their load, may run
+   Q.  */
+static inline bool
+request_is_bound (const request_t *q)
+{
+  return q->software != NULL || q->backend_name != NULL;
+}
+
+/* backend_may_run - whether Q may run on B, by the name of B and the version
+   of its software.  */
+bool backend_may_run (const request_t *q, const backend_t *b);
 
 /* Whether a copy is left for the retry of a request.  */
 typedef enum
--- a/libplantainusher/routing/tables.c
+++ b/libplantainusher/routing/tables.c
@@ -644,6 +644,7 @@
   request_t *q = data;
 
   g_free (q->software);
+  g_free (q->backend_name);
   g_free (q->prefix);
   g_free (q->prefix_tokens);
   g_free (q);
--- a/tests/brittle_scale_process_test.py
+++ b/tests/brittle_scale_process_test.py
@@ -7,7 +7,7 @@
 import time
 
 from cluster import main, wait_until
-from platform_fakes import config
+from platform_fakes import config, submit
 from platform_process_test import PlatformTest
 
 INSTANCES = 28
@@ -19,6 +19,7 @@
 PATIENCE_S = 4.0
 HOLD_S = 0.03
 FALLS, FALLS_ONE_IN = 2, 10
+TALK = {"Model": "m1", "Token-Counts": "10,3", "Prompt-Prefix": "a:6,b:4"}
 
 
 class ManyInstances(PlatformTest):
@@ -26,10 +27,11 @@
 
     def setUp(self):
         super().setUp()
-        self.brittle, self.places, self.started = 4, None, SERVERS
+        self.brittle, self.places, self.started = 4, None, SERVERS - 1
         self._end = threading.Event()
         self.answers = []  # (when it was asked, status)
-        self.call = "GET", "/safe/x"
+        self.call = "GET", "/safe/x", {}
+        self.service, self.models = "app", None
 
     def tearDown(self):
         self._end.set()
@@ -57,7 +59,11 @@
         if self._end.is_set():
             return
         self.started += 1
-        self._become_brittle(self.backend(f"i-{self.started}", "app"))
+        self._add(self.started)
+
+    def _add(self, number):
+        self._become_brittle(self.backend(f"s-{number}", self.service,
+                                          models=self.models))
 
     def _become_brittle(self, b):
         b.hold_s, b.brittle, b.places = HOLD_S, self.brittle, self.places
@@ -69,7 +75,7 @@
             n += 1
             at = time.monotonic()
             try:
-                a = one.ask(*self.call, {}, f"{one.name}-{i}-{n}",
+                a = one.ask(*self.call, f"{one.name}-{i}-{n}",
                             timeout_s=PATIENCE_S)
                 self.answers.append((at, a.status))
                 self._end.wait(max(0.1, min(float(
@@ -79,9 +85,13 @@
 
     def press(self):
         """Callers of all instances, until the test ends."""
-        self.serving(config(1), plain=SERVERS)
-        for b in self.backends:
-            self._become_brittle(b)
+        submit(self.some, config(1, models=["m1"]))
+        for i in range(SERVERS):
+            self._add(i)
+        for one in self.some:
+            for b in list(self.backends):
+                wait_until(f"{one.name} to know {b.name}",
+                           lambda one=one, b=b: self.knows(one, b))
         threading.Thread(target=self._replace, daemon=True).start()
         for one in self.some:
             for i in range(CALLERS):
@@ -144,7 +154,7 @@
         self.check(since, 0.8)
 
     def test_requests_that_run_once_only(self):
-        self.call = "POST", "/unsafe/x"
+        self.call = "POST", "/unsafe/x", {}
         self.press()
         since = time.monotonic()
         self.shorten(3)
@@ -165,6 +175,28 @@
         time.sleep(1)
         self.check(since, 0.8, killed=True)
 
+    def stream(self):
+        self.call = "POST", "/talk/x", TALK
+        self.service, self.models = "llm", ["m1"]
+
+    def test_engines_with_fewer_places(self):
+        self.stream()
+        self.press()
+        since = time.monotonic()
+        self.shorten(4)
+        time.sleep(8)
+        self.check(since, 0.8)
+
+    def test_engines_with_fewer_places_again_and_again(self):
+        self.stream()
+        self.brittle = 10
+        self.press()
+        since = time.monotonic()
+        for places in 8, 4, 6, 3:
+            self.shorten(places)
+            time.sleep(2)
+        self.check(since, 0.8)
+
 
 if __name__ == "__main__":
     main()
