entry: one request to a service until its first answer

Cause: an instance that has just started does not know that a service is brittle, and sends what all its callers ask at once; from its log six rejections of one instance within 10 ms, retries included.

Ruled out: the statement in the replicated state (each entry that learns it would propose it, and a check-in would have to keep it).

Change: an entry that has had no answer of a service since its start sends it one request, and waits up to 150 ms for the answer.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -363,6 +363,7 @@
   if (at->server != NULL && at->owner == NULL)
     x->en->heard_at = now_of (x);
   response_head_read (x, r);
+  pu_brittle_note_answer (x);
   server_state_read (x);
   at->streaming = at->answer.stream;
   at->body = g_byte_array_new ();
--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -18,6 +18,9 @@
   ADOPTED_MS = 2000,
   /* Entries that may own a server.  */
   OWNERS_MAX = 4,
+  /* How long an entry that has had no answer of a service sends it one request
+     only.  */
+  FIRST_ANSWER_MS = 150,
 };
 
 static guint64
@@ -293,6 +296,46 @@
     }
 }
 
+/* --- the first answer of a service --- */
+
+bool
+pu_brittle_awaits_first_answer (const pu_exchange_t *x)
+{
+  const pu_entry_t *en = x->en;
+  const guint64 *asked_at;
+
+  if (!x->q.any_entry || x->only_server != NULL
+      || g_hash_table_contains (en->heard_services, x->q.service))
+    return false;
+  asked_at = g_hash_table_lookup (en->asked_services, x->q.service);
+  return asked_at != NULL && loop_now (en) < *asked_at + FIRST_ANSWER_MS;
+}
+
+static void
+note_asked (const pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+  guint64 now = loop_now (en);
+
+  if (!g_hash_table_contains (en->heard_services, x->q.service))
+    {
+      g_hash_table_replace (en->asked_services, g_strdup (x->q.service),
+                            g_memdup2 (&now, sizeof now));
+    }
+}
+
+void
+pu_brittle_note_answer (const pu_exchange_t *x)
+{
+  pu_entry_t *en = x->en;
+
+  if (x->at.server == NULL
+      || g_hash_table_contains (en->heard_services, x->q.service))
+    return;
+  g_hash_table_add (en->heard_services, g_strdup (x->q.service));
+  g_hash_table_remove (en->asked_services, x->q.service);
+}
+
 /* --- requests that this entry sends itself --- */
 
 void
@@ -300,6 +343,7 @@
 {
   pu_server_t *s = x->at.server;
 
+  note_asked (x);
   if (s->brittle == NULL)
     return;
   adopt (s);
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -278,6 +278,10 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pu_server_free);
   en->ticking_servers = g_hash_table_new (NULL, NULL);
   en->brittle_servers = g_hash_table_new (NULL, NULL);
+  en->heard_services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  en->asked_services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   en->other_addresses = g_ptr_array_new_with_free_func (g_free);
   en->other_addresses_version = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -368,6 +372,8 @@
   g_hash_table_destroy (en->model_waits);
   g_hash_table_destroy (en->ticking_servers);
   g_hash_table_destroy (en->brittle_servers);
+  g_hash_table_destroy (en->heard_services);
+  g_hash_table_destroy (en->asked_services);
   g_ptr_array_free (en->other_addresses, TRUE);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->reporters);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -299,6 +299,9 @@
       *ticking_servers; /* set of pu_server_t that have a pending timer */
   GHashTable *brittle_servers; /* set of pu_server_t that bear few
                                   rejections */
+  GHashTable *heard_services;  /* set of services of which an answer came */
+  GHashTable *asked_services;  /* other service -> &loop time of the last
+                                  request */
   bool applying_all;     /* all backend servers of the view are applied */
   guint changes_logged;  /* changes of state among them */
   GHashTable *reporters; /* name -> pu_reporter_t */
@@ -665,6 +668,14 @@
    bears any number of rejections.  */
 void pu_server_brittle_forget (pu_server_t *s);
 
+/* pu_brittle_awaits_first_answer - whether X must wait for the answer to
+   another request for its service.  Before the first answer, as after a start
+   of this instance, it is not known whether the service is brittle.  */
+bool pu_brittle_awaits_first_answer (const pu_exchange_t *x);
+
+/* pu_brittle_note_answer - a response to X has come.  */
+void pu_brittle_note_answer (const pu_exchange_t *x);
+
 /* pu_server_brittle_sent, pu_server_brittle_rejected, pu_server_brittle_ended
    - this entry has sent X to its server; the current attempt of X was rejected
    for want of room; it has ended in any way.  */
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -456,6 +456,7 @@
     }
   if (verdict != PU_SUSPECTS_WAIT
       && (!is_suspect (x) || s->running_suspects == 0) && !defer_from (x, s)
+      && !pu_brittle_awaits_first_answer (x)
       && (way == PU_BRITTLE_BY_OWNER || pu_server_limit_permits (x, s)))
     return true;
   ticket_cancel (x);
@@ -695,7 +696,8 @@
 wait_is_over (const pu_exchange_t *x)
 {
   if (x->grant_server != 0 || crash_verdict (x) == PU_SUSPECTS_WAIT
-      || (x->waits_for_suspect && is_blocked_by_suspect (x)))
+      || (x->waits_for_suspect && is_blocked_by_suspect (x))
+      || pu_brittle_awaits_first_answer (x))
     return false;
   return x->duplicate_wait_since == 0
          || !must_avoid (x, x->duplicate_wait_server_number);
