entry: a server that may have fallen under rejections accuses no request

Cause: a crash accuses what the server ran, though a brittle server that has just rejected requests falls by these. Class: one cause is assumed for an event that has two.

Change: a crash within two seconds of a rejection strikes nobody. A request that crashes a brittle server while that rejects others is noticed at its next crash only.

--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -21,6 +21,10 @@
   /* How long an entry that has had no answer of a service sends it one request
      only.  */
   FIRST_ANSWER_MS = 150,
+  /* How long after a rejection a crash may be a fall under rejections: the
+     second in which the server counts them, and the time until the crash is
+     noticed.  */
+  REJECTION_MEMORY_MS = 2000,
 };
 
 static guint64
@@ -296,6 +300,13 @@
     }
 }
 
+bool
+pu_server_may_have_fallen (const pu_server_t *s)
+{
+  return s->brittle != NULL
+         && loop_now (s->en) < s->rejected_at + REJECTION_MEMORY_MS;
+}
+
 /* --- the first answer of a service --- */
 
 bool
@@ -357,6 +368,7 @@
   pu_server_t *s = x->at.server;
 
   x->at.rejected = true;
+  s->rejected_at = loop_now (s->en);
   if (s->brittle == NULL)
     return;
   pu_brittle_rejected (s->brittle, x->at.sent_at, loop_now (s->en));
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -106,6 +106,8 @@
   pu_brittle_t *brittle;     /* NULL: it bears any number of rejections */
   guint64 adopted_until; /* loop time until which this entry sends requests to
                             the brittle server, whoever owns it */
+  guint64 rejected_at;   /* loop time when it last rejected a request for want
+                            of room; 0: never */
   double limit_per_s;    /* requests per second that it takes from all entries
                             together; 0: not limited */
   guint64 limit_stated_at;   /* loop time when it last stated limit_per_s */
@@ -702,6 +704,10 @@
                                       const pu_server_t *s,
                                       pu_directory_entry_t *to);
 
+/* pu_server_may_have_fallen - whether S has rejected so much lately that this
+   may be why it crashed, not what it ran.  */
+bool pu_server_may_have_fallen (const pu_server_t *s);
+
 /* pu_exchange_accept_as_owner - X came here by way of the owner of
    x->only_server.  */
 void pu_exchange_accept_as_owner (pu_exchange_t *x);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -115,6 +115,8 @@
 
   pu_suspects_backend_died (en->suspects, s->number, incarnation, strikes,
                             uv_now (en->o.loop));
+  if (pu_server_may_have_fallen (s))
+    g_array_set_size (strikes, 0);
   for (guint i = 0; i < strikes->len; i++)
     {
       const pu_suspects_strike_t *one
--- a/tests/brittle_scale_process_test.py
+++ b/tests/brittle_scale_process_test.py
@@ -113,6 +113,9 @@
         self.assertLessEqual(self.falls(), FALLS + SERVERS / FALLS_ONE_IN,
                              said)
         self.assertGreater(served, least, said)
+        # No request is to blame for a server that falls over.
+        logs = [one.log.read_text(errors="replace") for one in self.some]
+        self.assertFalse(any('"reason":"convicted"' in text for text in logs))
 
     def test_places_withdrawn_at_one_moment(self):
         self.press()
