--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -27,6 +27,7 @@
 # off from a whole one is the event in two.
 HALF_EVENT = b"id: "
 CRASH_AFTER_S = 0.05  # from the first event of a request that crashes it
+CLOSE_S = 0.05  # at most, until it refuses connections
 HOST = "shop.example"
 
 
@@ -244,7 +245,9 @@
         self.running = 0
         self.rejected_at = []  # when it rejected for want of a place
         self.crash_on = None   # bytes of a body that it doesn't survive
+        self.crash_on_part = None  # nor a prompt with this part before the last
         self.crashed = False
+        self.crashed_at = None
         self.room = None       # models that fit; None: any number
         self.over = False      # more were ordered
         self.accepted = 0
@@ -258,9 +261,12 @@
             (cluster.host(), BACKEND_PORT), handler)
         self._server.daemon_threads = True
         self.address = f"{self._server.server_address[0]}:{BACKEND_PORT}"
-        for run in self._server.serve_forever, self._beat:
+        for run in self._serve, self._beat:
             threading.Thread(target=run, daemon=True).start()
 
+    def _serve(self):
+        self._server.serve_forever(poll_interval=CLOSE_S)
+
     def check_in(self, instance):
         """The status of one check-in there."""
         self._seq += 1
@@ -374,6 +380,7 @@
                 return
             self.crashed = True
         self.close(reset)
+        self.crashed_at = time.monotonic()
 
     def close(self, end=lambda one: one.shutdown(socket.SHUT_RDWR)):
         """Ends it, and its open connections by END."""
@@ -439,11 +446,19 @@
             pass  # its caller has left
         self.close_connection = True
 
+    def _crashes(self, body):
+        """Whether the engine doesn't survive the request with BODY."""
+        b = self.backend
+        parts = self.headers.get("Prompt-Prefix", "").split(",")
+        ids = [part.split(":")[0] for part in parts[:-1]]
+        return b.crash_on_part in ids \
+            or (b.crash_on is not None and b.crash_on in body)
+
     def _events(self, after, body):
         b = self.backend
         begun = time.monotonic()
         for i in range(after + 1, b.events + 1):
-            if b.crash_on is not None and b.crash_on in body and i > 1:
+            if i > 1 and self._crashes(body):
                 time.sleep(CRASH_AFTER_S)
                 self.wfile.write(HALF_EVENT)
                 b.crash()
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -30,6 +30,8 @@
         self.whole = False
         self.retry_after_s = 0.0
         self.resumes = None  # the id that it named
+        self.refusal = b""   # the body of another answer than 200
+        self.sent_at = time.monotonic()
         self.took_s = 0.0
 
 
@@ -85,14 +87,15 @@
 
 
 def ask(one, rid, path="/talk/x", after=0, resumes=None, leave_at=None,
-        model="m1", deadline_ms=4000):
+        model="m1", deadline_ms=4000, prompt=None, body=None):
     """One try at ONE that leaves after event LEAVE_AT."""
     t = Try(rid)
     t.resumes = resumes
     headers = {"Host": HOST, "Request-Id": rid, "Model": model,
                "Deadline-Ms": str(deadline_ms), "Token-Counts": "100,10",
                # Prompts that begin alike would meet at one engine.
-               "Prompt-Prefix": f"{zlib.crc32(rid.encode()):x}:60,b2:40"}
+               "Prompt-Prefix": prompt
+               or f"{zlib.crc32(rid.encode()):x}:60,b2:40"}
     if after > 0:
         headers["Last-Event-Id"] = str(after)
     if resumes is not None:
@@ -100,14 +103,14 @@
     begun = time.monotonic()
     c = http.client.HTTPConnection(one.front, timeout=deadline_ms / 1000)
     try:
-        c.request("POST", path, headers=headers)
+        c.request("POST", path, body, headers)
         r = c.getresponse()
         t.status = r.status
         t.retry_after_s = float(r.getheader("Retry-After", 0))
         if r.status == 200:
             _read(r, t, leave_at)
         else:
-            r.read()
+            t.refusal = r.read()
     except (OSError, http.client.HTTPException):
         t.whole = False
     finally:
