A part of prompts that crashes engines is convicted

Cause: crashes were attributed to whole requests only. Requests that share nothing but a part of their prompts have different fingerprints, so that their strikes never add up.

Ruled out: breakers, ejections and isolation of innocents as the reason why sound callers are refused.

Change: an entry keeps the parts that runs have cleared (a whole response, or four events and 1.5 s) and accuses the others, but the last, of a crash. Accusations are strikes in the log against the hash of the part; its model name tells them from those of requests, `backend` names the server and the request, so voters of all releases compute the same state. Entries convict from three servers and three requests on, lift what a run clears, and let a conviction rest three to six minutes after its last crash. Of parts with the same crashes only a request with all of them is refused. A response that ends with its connection clears nothing before a connection to its server has shown that it lives.

A broken request with the part is still sent to a second engine until the part is convicted.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -42,6 +42,8 @@
   bool cut = at->call != NULL || at->connection_lost
              || x->phase == PU_EXCHANGE_PROBING;
 
+  if (at->suspect_tracked)
+    pu_part_ended (x, cut);
   if (at->suspect_tracked && cut)
     {
       pu_suspects_aborted (suspects, x->number, now_of (x));
@@ -133,6 +135,8 @@
     pu_demand_record_run (x);
   if (good && x->at.complete)
     pu_strikes_acquit (x);
+  if (good && !x->at.answer.failed)
+    pu_part_completed (x);
   if (x->at.answer.failed && !pu_entry_uses_builtin_frontend (x->en))
     {
       router_failed (x);
@@ -341,6 +345,7 @@
   at->status = r->status;
   if (at->server != NULL)
     x->en->heard_at = now_of (x);
+  pu_part_wrote (x, 0);
   response_head_read (x, r);
   server_state_read (x);
   at->streaming = at->answer.stream;
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -128,6 +128,7 @@
   pu_suspects_started (suspects, x->number, x->q.fingerprint, s->number,
                        s->incarnation, now_of (x));
   x->at.suspect_tracked = true;
+  pu_part_sent (x);
 }
 
 bool
--- a/libplantainusher/entry/deliver.c
+++ b/libplantainusher/entry/deliver.c
@@ -122,6 +122,7 @@
       x->at.reported_to_suspects = true;
       pu_suspects_answered (x->en->suspects, x->number);
     }
+  pu_part_wrote (x, total);
   if (x->ticket == 0)
     return;
   if (!x->at.reported_to_router)
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -212,6 +212,7 @@
   pu_servers_tick (en, now);
   pu_entry_reach_tick (en, now);
   pu_strikes_tick (en, now);
+  pu_parts_entry_tick (en, now);
   pu_leaves_tick (en, now);
   pu_once_tick (en->once, now);
   pu_claim_run_actions (en);
@@ -235,6 +236,7 @@
   pu_directory_options_t directory;
   pu_once_options_t once;
   pu_suspects_options_t suspects;
+  pu_parts_options_t parts;
 
   pu_router_options_init (&router);
   router.seed = en->o.seed;
@@ -257,6 +259,9 @@
   suspects.isolate_strikes = en->o.isolate_strikes;
   suspects.together_strikes = en->o.together_strikes;
   en->suspects = pu_suspects_new (&suspects);
+  pu_parts_options_init (&parts);
+  parts.seed = en->o.seed;
+  en->parts = pu_parts_new (&parts);
 }
 
 static char **
@@ -290,6 +295,10 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pu_leave_free);
   en->suspect_standings
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  en->logged_parts
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  en->part_standings
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   en->strikes = g_ptr_array_new_with_free_func (pu_strike_free);
   en->acquittals
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
@@ -360,6 +369,7 @@
   pu_directory_free (en->directory);
   pu_once_free (en->once);
   pu_suspects_free (en->suspects);
+  pu_parts_free (en->parts);
   pu_document_unref (en->document);
   g_hash_table_destroy (en->load_receivers);
   g_hash_table_destroy (en->load_ids);
@@ -375,6 +385,8 @@
   g_ptr_array_free (en->strikes, TRUE);
   g_hash_table_destroy (en->acquittals);
   g_hash_table_destroy (en->suspect_standings);
+  g_hash_table_destroy (en->part_standings);
+  g_hash_table_destroy (en->logged_parts);
   g_hash_table_destroy (en->rates);
   g_hash_table_destroy (en->mean_run_ms);
   g_hash_table_destroy (en->counts);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -14,6 +14,7 @@
 #include "routing/reach.h"
 #include "routing/router.h"
 #include "routing/versions.h"
+#include "suspects/parts.h"
 #include "suspects/suspects.h"
 
 /*
@@ -277,6 +278,11 @@
   double retry_burst;  /* the router's own bound on saved retries */
   pu_once_t *once;
   pu_suspects_t *suspects;
+  pu_parts_t *parts; /* parts of prompts that may crash backend servers */
+  GHashTable *logged_parts;   /* set of &part: those that the view has a record
+                                 of */
+  GHashTable *part_standings; /* &part of the view -> pu_parts_verdict_t that
+                                 was logged */
   pu_document_t *document;
   guint64 document_version;
   guint64 rejected_version; /* version of the last document that was invalid */
@@ -660,6 +666,16 @@
 void pu_strike_begin (pu_entry_t *en, const pu_server_t *s,
                       const pu_suspects_strike_t *one);
 
+/* pu_strike_propose - proposes a strike against FINGERPRINT to the log, again
+   and again until the log has it or it is too late.  */
+void pu_strike_propose (pu_entry_t *en, guint64 fingerprint, const char *model,
+                        const char *backend, guint64 incarnation,
+                        bool isolated);
+
+/* pu_strikes_lift - asks the log to remove the strikes against FINGERPRINT,
+   unless it is being asked.  */
+void pu_strikes_lift (pu_entry_t *en, guint64 fingerprint);
+
 /* pu_strike_pending - whether there is a strike against FINGERPRINT that
    pu_strikes_tick has not removed yet and that makes FINGERPRINT a suspect.
    While there is one, requests with that fingerprint must not run.  */
@@ -676,6 +692,40 @@
 void pu_strikes_tick (pu_entry_t *en, guint64 now);
 void pu_strike_free (gpointer strike);
 
+/* --- parts.c: parts of prompts that crash backend servers --- */
+
+/* pu_part_sent - X has been sent to its backend server.  */
+void pu_part_sent (const pu_exchange_t *x);
+
+/* pu_part_wrote - the attempt of X has written EVENTS events so far; 0: the
+   head of its response.  */
+void pu_part_wrote (const pu_exchange_t *x, guint events);
+
+/* pu_part_completed - the attempt of X has ended with a good response.  */
+void pu_part_completed (const pu_exchange_t *x);
+
+/* pu_part_ended - the attempt of X has ended.  CUT: it was cancelled or broke
+   off.  */
+void pu_part_ended (const pu_exchange_t *x, bool cut);
+
+/* pu_part_accuse - proposes to the log that the parts of the prompts that ran
+   on S crashed the process INCARNATION of S.  */
+void pu_part_accuse (const pu_server_t *s, guint64 incarnation);
+
+/* pu_part_verdict - the verdict on the parts of the prompt of X.  Stores the
+   part that decides in *WHICH, which may be NULL.  */
+pu_parts_verdict_t pu_part_verdict (const pu_exchange_t *x, guint64 *which);
+
+/* pu_part_is_record - whether S is about a part of prompts, not about a
+   request.  */
+bool pu_part_is_record (const pu_suspect_record *s);
+
+/* pu_part_apply - applies the record S of the view.  pu_part_remove - the view
+   has no record of PART any more.  */
+void pu_part_apply (pu_entry_t *en, const pu_suspect_record *s);
+void pu_part_remove (pu_entry_t *en, guint64 part);
+void pu_parts_entry_tick (pu_entry_t *en, guint64 now);
+
 /* --- document.c: puts a new document into force --- */
 
 /* pu_entry_document_sync - parses the document in RECORD if it is not the one
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -203,16 +203,31 @@
   pu_exchange_fail (x, &r, refusal_message (d->reason));
 }
 
+static bool
+has_convicted_part (const pu_exchange_t *x)
+{
+  return pu_part_verdict (x, NULL) == PU_PARTS_CONVICTED;
+}
+
 static void
 fail_convicted (pu_exchange_t *x)
 {
   static const pu_refusal_t convicted
       = { STATUS_UNPROCESSABLE, "convicted", PU_RUN_OUTCOME_NOT_RUN, 0 };
+  const char *message
+      = "This request has crashed backend servers. An operator "
+        "can lift the conviction.";
 
-  pu_trace_convicted (x);
-  pu_exchange_fail (x, &convicted,
-                    "This request has crashed backend servers. An operator "
-                    "can lift the conviction.");
+  if (has_convicted_part (x))
+    {
+      message = "A part of this request's prompt has crashed backend servers.";
+      pu_trace_convicted_part (x);
+    }
+  else
+    {
+      pu_trace_convicted (x);
+    }
+  pu_exchange_fail (x, &convicted, message);
 }
 
 /* Tells the entry that relayed X to turn to another one.  */
@@ -270,13 +285,16 @@
                                     uv_now (x->en->o.loop));
 }
 
-/* Whether X may run, by the crashes attributed to its fingerprint.  X must
-   wait while the log has not decided on a strike against it.  */
+/* Whether X may run, by the crashes attributed to its fingerprint and to the
+   parts of its prompt.  X must wait while the log has not decided on a strike
+   against it.  */
 static pu_suspects_verdict_t
 crash_verdict (const pu_exchange_t *x)
 {
   if (!x->q.crash_tracked)
     return PU_SUSPECTS_RUN;
+  if (has_convicted_part (x))
+    return PU_SUSPECTS_REFUSE;
   if (pu_strike_pending (x->en, x->q.fingerprint))
     return PU_SUSPECTS_WAIT;
   return pu_suspects_check (x->en->suspects, x->q.fingerprint,
--- a/libplantainusher/entry/request.h
+++ b/libplantainusher/entry/request.h
@@ -8,6 +8,9 @@
 
 G_BEGIN_DECLS
 
+/* The most parts of a prompt to which crashes are attributed.  */
+#define PU_REQUEST_PARTS_MAX 32
+
 /*
  * request - a caller's request as read by a frontend.
  *
@@ -67,14 +70,18 @@
                                                 the end of each block; not set
                                                 if all blocks have one size */
   guint n_prefix;
-  bool has_prefix_tokens; /* prefix_tokens is set */
-  guint64 fingerprint;    /* equal for identical requests */
-  guint shared_tokens;    /* length of the prompt prefix that requests with the
-                             same affinity share */
-  guint64 affinity_key;   /* hash of the shared prefix: requests with the same
-                             value go to the same copy unless another is
-                             better; 0: the fingerprint is used */
-  guint64 last_event; /* number of the last event that the caller received */
+  bool has_prefix_tokens;              /* prefix_tokens is set */
+  guint64 parts[PU_REQUEST_PARTS_MAX]; /* hashes of the parts of the prompt
+                                          that other requests may share, see
+                                          pu_parts_hash */
+  guint n_parts;
+  guint64 fingerprint;  /* equal for identical requests */
+  guint shared_tokens;  /* length of the prompt prefix that requests with the
+                           same affinity share */
+  guint64 affinity_key; /* hash of the shared prefix: requests with the same
+                           value go to the same copy unless another is
+                           better; 0: the fingerprint is used */
+  guint64 last_event;   /* number of the last event that the caller received */
   guint64 resumable_until; /* loop time, ms, until which its caller may resume
                               its stream with another request; 0: until its
                               deadline */
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -122,6 +122,7 @@
       pu_strike_begin (en, s, one);
     }
   g_array_free (strikes, TRUE);
+  pu_part_accuse (s, incarnation);
 }
 
 /* --- updating the router's table of backend servers --- */
--- a/libplantainusher/entry/strikes.c
+++ b/libplantainusher/entry/strikes.c
@@ -136,19 +136,28 @@
 pu_strike_begin (pu_entry_t *en, const pu_server_t *s,
                  const pu_suspects_strike_t *one)
 {
-  pu_strike_t *k = g_new0 (pu_strike_t, 1);
-
   pu_log_note (PU_ENTRY_LOG_SLICE,
                "Proposing a strike against request %016" G_GINT64_MODIFIER
                "x for the crash of backend server %s.",
                one->fingerprint, s->name);
+  pu_strike_propose (en, one->fingerprint,
+                     model_by_fingerprint (en, one->fingerprint), s->name,
+                     one->incarnation, one->apart);
+}
+
+void
+pu_strike_propose (pu_entry_t *en, guint64 fingerprint, const char *model,
+                   const char *backend, guint64 incarnation, bool isolated)
+{
+  pu_strike_t *k = g_new0 (pu_strike_t, 1);
+
   k->en = en;
   k->number = ++en->last_strike_number;
-  k->fingerprint = one->fingerprint;
-  k->model = g_strdup (model_by_fingerprint (en, one->fingerprint));
-  k->backend = g_strdup (s->name);
-  k->incarnation = one->incarnation;
-  k->isolated = one->apart;
+  k->fingerprint = fingerprint;
+  k->model = g_strdup (model);
+  k->backend = g_strdup (backend);
+  k->incarnation = incarnation;
+  k->isolated = isolated;
   k->give_up_at = uv_now (en->o.loop) + STRIKE_TIMEOUT_MS;
   g_ptr_array_add (en->strikes, k);
   strike_propose (k);
@@ -213,7 +222,7 @@
   if (r == NULL)
     {
       pu_log_note (PU_ENTRY_LOG_SLICE,
-                   "The strikes of a request that has run well remain: %s",
+                   "Strikes against what has run well remain: %s",
                    e != NULL ? e->message : "no reply.");
     }
   g_hash_table_remove (en->acquittals, &a->fingerprint);
@@ -222,14 +231,31 @@
   pu_entry_check_stopped (en);
 }
 
+void
+pu_strikes_lift (pu_entry_t *en, guint64 fingerprint)
+{
+  pu_command c = { .type = PU_COMMAND_LIFT };
+  acquittal_t *a;
+
+  if (g_hash_table_contains (en->acquittals, &fingerprint))
+    return;
+  a = g_new0 (acquittal_t, 1);
+  a->en = en;
+  a->fingerprint = fingerprint;
+  g_hash_table_add (en->acquittals,
+                    g_memdup2 (&fingerprint, sizeof fingerprint));
+  c.pu_command_u.lift = fingerprint;
+  en->pending++;
+  en->o.hooks.propose (en->o.hooks.data, &c, en->o.log_proposal_timeout_ms,
+                       on_acquitted, a);
+}
+
 void
 pu_strikes_acquit (const pu_exchange_t *x)
 {
   pu_entry_t *en = x->en;
   guint64 fingerprint = x->q.fingerprint;
-  pu_command c = { .type = PU_COMMAND_LIFT };
   const pu_suspect_record *record;
-  acquittal_t *a;
 
   if (!en->o.acquit || !x->q.crash_tracked
       || g_hash_table_contains (en->acquittals, &fingerprint))
@@ -241,13 +267,5 @@
                "Request %016" G_GINT64_MODIFIER
                "x has run to its end; lifting its strikes.",
                fingerprint);
-  a = g_new0 (acquittal_t, 1);
-  a->en = en;
-  a->fingerprint = fingerprint;
-  g_hash_table_add (en->acquittals,
-                    g_memdup2 (&fingerprint, sizeof fingerprint));
-  c.pu_command_u.lift = fingerprint;
-  en->pending++;
-  en->o.hooks.propose (en->o.hooks.data, &c, en->o.log_proposal_timeout_ms,
-                       on_acquitted, a);
+  pu_strikes_lift (en, fingerprint);
 }
--- a/libplantainusher/entry/trace.c
+++ b/libplantainusher/entry/trace.c
@@ -163,6 +163,20 @@
                 PU_LOG_TEXT ("model", x->q.model));
 }
 
+void
+pu_trace_convicted_part (const pu_exchange_t *x)
+{
+  char hex[sizeof "0123456789abcdef"];
+  guint64 part = 0;
+
+  pu_part_verdict (x, &part);
+  g_snprintf (hex, sizeof hex, "%016" G_GINT64_MODIFIER "x", part);
+  pu_log_event (PU_ENTRY_LOG_SLICE, "Refuses a request with a convicted part.",
+                PU_LOG_TEXT ("request", x->q.id), PU_LOG_TEXT ("part", hex),
+                PU_LOG_TEXT ("model", x->q.model),
+                PU_LOG_NUMBER ("attempts", x->attempts));
+}
+
 void
 pu_trace_request_failed (const pu_exchange_t *x, const pu_refusal_t *r,
                          const char *message)
--- a/libplantainusher/entry/trace.h
+++ b/libplantainusher/entry/trace.h
@@ -33,6 +33,10 @@
    backend servers.  */
 void pu_trace_convicted (const pu_exchange_t *x);
 
+/* pu_trace_convicted_part - X is refused, as requests with a part of its
+   prompt have crashed backend servers.  */
+void pu_trace_convicted_part (const pu_exchange_t *x);
+
 /* pu_trace_request_failed - X is answered with the refusal or failure R.  */
 void pu_trace_request_failed (const pu_exchange_t *x, const pu_refusal_t *r,
                               const char *message);
--- a/libplantainusher/entry/view.c
+++ b/libplantainusher/entry/view.c
@@ -72,6 +72,7 @@
 {
   pu_entry_t *en;
   GHashTable *standings; /* &fingerprint -> standing_t */
+  GHashTable *parts;     /* set of &fingerprint: records of parts */
 } suspects_sync_t;
 
 static standing_t
@@ -114,6 +115,13 @@
       g_hash_table_lookup (en->suspect_standings, &fingerprint));
   standing_t now = standing_of (en, s);
 
+  if (pu_part_is_record (s))
+    {
+      pu_part_apply (en, s);
+      g_hash_table_add (all->parts,
+                        g_memdup2 (&fingerprint, sizeof fingerprint));
+      return;
+    }
   pu_suspects_put (en->suspects, s->fingerprint, s->strikes, s->convicted);
   standing_log (fingerprint, before, now, s->strikes);
   g_hash_table_insert (all->standings,
@@ -129,6 +137,7 @@
 {
   suspects_sync_t all
       = { en,
+          g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL),
           g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL) };
   GHashTableIter it;
   gpointer key;
@@ -148,6 +157,14 @@
     }
   g_hash_table_destroy (en->suspect_standings);
   en->suspect_standings = all.standings;
+  g_hash_table_iter_init (&it, en->logged_parts);
+  while (g_hash_table_iter_next (&it, &key, NULL))
+    {
+      if (!g_hash_table_contains (all.parts, key))
+        pu_part_remove (en, *(const guint64 *)key);
+    }
+  g_hash_table_destroy (en->logged_parts);
+  en->logged_parts = all.parts;
 }
 
 void
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -481,6 +481,17 @@
   EXPECT_TRUE (pu_state_suspect (s.state, 2)->convicted);
 }
 
+TEST (State, StrikesOfPartsOfPromptsOutliveAnIsolatedSuspect)
+{
+  StateFixture s;
+
+  s.strike (1, "b1#00000000000000aa", 10);
+  s.strike (2, "b1", 11, true);
+  s.strike (3, "b1#00000000000000bb", 12);
+  EXPECT_EQ (1U, pu_state_suspect (s.state, 1)->strikes);
+  EXPECT_EQ (1U, pu_state_suspect (s.state, 3)->strikes);
+}
+
 TEST (State, IsolatedSuspectClearsTheOthersOfThatLoss)
 {
   StateFixture s;
--- a/tests/bad_part_process_test.py
+++ b/tests/bad_part_process_test.py
@@ -28,13 +28,13 @@
 REFUSAL = b"has crashed backend servers"
 
 
-def prompt(middle, last, bad_at=None):
+def prompt(middle, last, bad_at=None, tokens=20):
     """A prompt of COMMON, MIDDLE and LAST, with the bad part in front of the
-    part numbered BAD_AT."""
+    part numbered BAD_AT.  Each part has TOKENS or a few more."""
     parts = [COMMON, middle, last]
     if bad_at is not None:
         parts.insert(bad_at, BAD)
-    return ",".join(f"{part}:{20 + 10 * i}" for i, part in enumerate(parts))
+    return ",".join(f"{part}:{tokens + i}" for i, part in enumerate(parts))
 
 
 class Callers:
@@ -64,7 +64,8 @@
                 continue
             t = ask(draw.choice(alive), rid, f"/talk/{rid}",
                     body=f"body {rid}",
-                    prompt=prompt(middle, f"f{caller:x}{n:04x}", self._bad_at))
+                    prompt=prompt(middle, f"f{caller:x}{n:04x}", self._bad_at,
+                                  draw.randint(10, 50)))
             self.tries.append(t)
             if not t.whole:
                 time.sleep(RETRY_S)
@@ -85,6 +86,7 @@
     """Engines that crash when they write on a prompt with a certain part, and
     are replaced under another name at another address."""
     options = {"plain": 4}
+    crash_half = True
 
     def setUp(self):
         super().setUp()
@@ -112,6 +114,7 @@
                          zone="abc"[self.started % 3], models=["m1"])
         self.started += 1
         b.crash_on_part, b.marks = BAD, True
+        b.crash_half = self.crash_half
         b.events, b.hold_s = 8, 0.05
 
     def _supervise(self):
@@ -171,8 +174,6 @@
     def bad(self, at, name="bad"):
         return Callers(self, name, BAD_CALLERS, at, BAD_EVERY_S)
 
-
-class BadPart(BadPartTest):
     def check_place(self, place):
         sound = self.sound()
         time.sleep(QUIET_S)
@@ -185,6 +186,8 @@
         self.assertTrue(told[-1].status == 503 and REFUSAL in told[-1].refusal,
                         (told[-1].status, told[-1].refusal))
 
+
+class BadPart(BadPartTest):
     def test_first_part_crashes_engines(self):
         self.check_place(0)
 
@@ -195,6 +198,15 @@
         self.check_place(2)
 
 
+class CutBetweenEvents(BadPartTest):
+    """The engines' answers have no length, and what is cut off between two
+    events looks whole."""
+    crash_half = False
+
+    def test_part_is_found_by_answers_that_look_whole(self):
+        self.check_place(1)
+
+
 class RestartedInstances(BadPartTest):
     def test_part_is_known_after_a_restart_of_all_instances(self):
         sound = self.sound()
@@ -217,7 +229,7 @@
         bad.finish()
         self.assertEqual(self.reached(restarted), [])
 
-    def test_instance_that_has_just_started_accuses_no_sound_part(self):
+    def test_instances_that_have_just_started_refuse_no_sound_request(self):
         sound = self.sound()
         time.sleep(QUIET_S)
         quiet_until = time.monotonic()
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -246,6 +246,7 @@
         self.rejected_at = []  # when it rejected for want of a place
         self.crash_on = None   # bytes of a body that it doesn't survive
         self.crash_on_part = None  # nor a prompt with this part before the last
+        self.crash_half = True  # in the middle of an event, else between two
         self.crashed = False
         self.crashed_at = None
         self.room = None       # models that fit; None: any number
@@ -379,7 +380,10 @@
             if self.crashed:
                 return
             self.crashed = True
-        self.close(reset)
+        if self.crash_half:
+            self.close(reset)
+        else:
+            self.close()
         self.crashed_at = time.monotonic()
 
     def close(self, end=lambda one: one.shutdown(socket.SHUT_RDWR)):
@@ -460,7 +464,8 @@
         for i in range(after + 1, b.events + 1):
             if i > 1 and self._crashes(body):
                 time.sleep(CRASH_AFTER_S)
-                self.wfile.write(HALF_EVENT)
+                if b.crash_half:
+                    self.wfile.write(HALF_EVENT)
                 b.crash()
                 return
             if (b.cut and i > 1) or begun < b.cut_at:
