Test that fails: a stream that ends inside an event passes for whole

What callers see: a stream whose backend server ends it inside an event, but in order by HTTP (its length is met, or its last chunk comes), is passed on with the half event and ends as complete. The users' page says that such a stream has been broken off.

The stand-in's answers have a framing now (a length, chunks, or up to the end of the connection), and its streams may end inside an event.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -227,6 +227,8 @@
         self.marks = False     # its events say by which version and server
         self.cut = False       # breaks off in its next answers
         self.cut_at = 0.0      # breaks off in the streams that began before
+        self.framing = None    # of answers: "length", "chunks", "close"
+        self.ends_inside = None  # event in which new streams end, in order
         self.hold_s = 0.0      # before it answers
         self.events = 3
         self.event_s = 0.0     # after each event
@@ -418,9 +420,31 @@
         self._send_limit()
         for name, value in headers.items():
             self.send_header(name.replace("_", "-"), value)
-        self.send_header("Content-Length", str(len(body)))
+        self._begin("length", len(body))
+        self._write(body)
+        self._finish()
+
+    def _begin(self, framing, length):
+        """Ends the head of an answer of LENGTH bytes, in FRAMING unless the
+        server has one of its own."""
+        self.framing = self.backend.framing or framing
+        if self.framing == "length":
+            self.send_header("Content-Length", str(length))
+        elif self.framing == "chunks":
+            self.send_header("Transfer-Encoding", "chunked")
+        else:
+            self.send_header("Connection", "close")
         self.end_headers()
+
+    def _write(self, body):
+        if self.framing == "chunks" and body:
+            body = b"%x\r\n%b\r\n" % (len(body), body)
         self.wfile.write(body)
+        self.wfile.flush()
+
+    def _finish(self):
+        if self.framing == "chunks":
+            self.wfile.write(b"0\r\n\r\n")
 
     def _send_limit(self):
         if self.backend.limit is not None:
@@ -440,31 +464,42 @@
         self.send_header("Server-Seal", "seal." + b.name)
         self.send_header("Content-Type", "text/event-stream")
         self._send_limit()
-        self.send_header("Connection", "close")
-        self.end_headers()
+        pieces = self._pieces(after)
+        self._begin("close", sum(map(len, pieces)))
         try:
-            self._events(after, body)
+            if self._events(after, body, pieces):
+                self._finish()
         except (BrokenPipeError, ConnectionResetError):
-            pass  # its caller has left
-        self.close_connection = True
+            self.close_connection = True  # its caller has left
 
-    def _events(self, after, body):
+    def _pieces(self, after):
+        """The events of a stream, and what it leaves of its last one."""
+        b = self.backend
+        last = b.events
+        if b.ends_inside is not None and after == 0:
+            last = b.ends_inside - 1
+        mark = f" {b.version} {b.name}" if b.marks else ""
+        made = [f"id: {i}\ndata: e{i}{mark}\n\n".encode()
+                for i in range(after + 1, last + 1)]
+        return made if last == b.events else [*made, HALF_EVENT]
+
+    def _events(self, after, body, pieces):
+        """Whether all PIECES were written."""
         b = self.backend
         begun = time.monotonic()
-        for i in range(after + 1, b.events + 1):
+        for i, piece in enumerate(pieces, after + 1):
             if b.crash_on is not None and b.crash_on in body and i > 1:
                 time.sleep(CRASH_AFTER_S)
-                self.wfile.write(HALF_EVENT)
+                self._write(HALF_EVENT)
                 b.crash()
-                return
+                return False
             if (b.cut and i > 1) or begun < b.cut_at:
-                self.wfile.write(HALF_EVENT)
+                self._write(HALF_EVENT)
                 self._break_off()
-                return
-            mark = f" {b.version} {b.name}" if b.marks else ""
-            self.wfile.write(f"id: {i}\ndata: e{i}{mark}\n\n".encode())
-            self.wfile.flush()
+                return False
+            self._write(piece)
             time.sleep(b.hold_s + b.event_s)
+        return True
 
     def _answer(self):
         b = self.backend
