entry: a stream that ends inside an event has been broken off

What callers saw: a backend server that ended its stream inside an event, in order by HTTP, got the half event passed on and the stream finished as whole; a stream that may be resumed was not resumed, the run was recorded as a good one, and its strikes were lifted.

Cause: response_complete took the end of a body of a length or in chunks for the end of the stream, and flushed what was left of the last event. Only the end of a connection was looked at (response_closed).

Ruled out, each by a case of the test that passed before: the end of a connection without length (0 of 10 failed), whole answers and streams in any framing, direct and relayed (0 of 12). Read: the HTTP client keeps no connection after such an answer (can_keep wants a complete one), the server ends a broken off answer short of its last chunk, or by a reset for a caller of HTTP/1.0, so that a relaying entry sees it as truncated. The built-in frontend wants its end mark, in any framing.

Change: one check for all framings, for answers of backend servers and of other entries. pu_event_filter_flush is gone.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -448,15 +448,6 @@
          || status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
 }
 
-/* Forwards the bytes after the last complete event of a stream: the response
-   is complete, so no more bytes of that event follow.  */
-static void
-partial_event_flush (pu_exchange_t *x)
-{
-  if (x->at.events != NULL)
-    pu_event_filter_flush (x->at.events);
-}
-
 /* Whether another entry reports that X did not run at that entry, although an
    earlier attempt of X, by this entry or by one that relayed X, may have
    run.  */
@@ -549,7 +540,6 @@
     }
   else
     {
-      partial_event_flush (x);
       attempt_finish (x);
     }
 }
@@ -683,9 +673,22 @@
          && !is_full (x, x->at.server);
 }
 
+/* Whether the response of X is a stream that ends inside an event.  Such a
+   stream has been broken off, even if its HTTP response is complete.  */
+static bool
+ends_inside_event (const pu_exchange_t *x)
+{
+  return x->at.events != NULL && pu_event_filter_has_partial (x->at.events);
+}
+
 static void
 frontend_response_complete (pu_exchange_t *x)
 {
+  if (ends_inside_event (x))
+    {
+      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+      return;
+    }
   if (x->at.server == NULL)
     {
       relayed_response_complete (x);
@@ -725,7 +728,6 @@
       return;
     case RESPONSE_GOOD:
       pu_server_brittle_accepted (x);
-      partial_event_flush (x);
       attempt_finish (x);
       return;
     }
@@ -745,19 +747,18 @@
 }
 
 /* Handles a response without a length, which ends where its connection is
-   closed.  The response counts as truncated if the built-in frontend is used,
-   or if the last event of a stream is incomplete.  */
+   closed.  The response counts as truncated if the built-in frontend is
+   used.  */
 static void
 response_closed (pu_exchange_t *x)
 {
-  if (!pu_entry_uses_builtin_frontend (x->en)
-      && (x->at.events == NULL || !pu_event_filter_has_partial (x->at.events)))
+  if (pu_entry_uses_builtin_frontend (x->en))
     {
-      frontend_response_complete (x);
+      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
     }
   else
     {
-      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+      frontend_response_complete (x);
     }
 }
 
--- a/libplantainusher/entry/events.c
+++ b/libplantainusher/entry/events.c
@@ -136,15 +136,6 @@
   return true;
 }
 
-void
-pu_event_filter_flush (pu_event_filter_t *s)
-{
-  if (s->partial->len == 0)
-    return;
-  s->cb (s->data, s->partial->str, s->partial->len, 0);
-  g_string_truncate (s->partial, 0);
-}
-
 guint64
 pu_event_filter_last_id (const pu_event_filter_t *s)
 {
--- a/libplantainusher/entry/events.h
+++ b/libplantainusher/entry/events.h
@@ -33,11 +33,6 @@
  */
 bool pu_event_filter_feed (pu_event_filter_t *s, const char *bytes, gsize len);
 
-/* pu_event_filter_flush - forwards the buffered part of an incomplete event.
-   For a response that is complete by its length although its last event has no
-   end.  */
-void pu_event_filter_flush (pu_event_filter_t *s);
-
 /* pu_event_filter_last_id - id of the last event forwarded; if there is none,
    the AFTER given to pu_event_filter_new.  */
 guint64 pu_event_filter_last_id (const pu_event_filter_t *s);
