Test that fails: an engine's answers to orders end with their connection

What callers see: no adapter is served by an engine whose answers have neither a length nor chunks, where the users' page allows that for any answer.

--- a/tests/stream_broken_off_process_test.py
+++ b/tests/stream_broken_off_process_test.py
@@ -6,11 +6,12 @@
 import http.client
 
 from cluster import main, wait_until
-from platform_fakes import HOST, config, route
+from platform_fakes import HOST, config, route, submit
 from platform_process_test import PlatformTest
 
 FRAMINGS = "length", "chunks", "close"
 EVENTS = 3
+ADAPTERS = 6
 SERVERS = 2
 WHOLE = b"".join(b"id: %d\ndata: e%d\n\n" % (i, i)
                  for i in range(1, EVENTS + 1))
@@ -107,5 +108,26 @@
             self.each(self.engines, check, inside)
 
 
+class Orders(PlatformTest):
+    def served(self, framing):
+        """Adapters in turn, of which an engine has room for some."""
+        submit(self.some, config(1, models=["m1"], adapters=ADAPTERS))
+        self.backend("g-0", "llm", models=["m1"]).framing = framing
+        for i in range(ADAPTERS):
+            wait_until(f"adapter {i + 1} to be served",
+                       lambda i=i: self.some[-1].ask("POST", "/talk/x", {
+                           "Model": f"m1/a{i + 1}", "Token-Counts": "100,10",
+                           "Prompt-Prefix": f"{i:x}:60"}).status == 200)
+
+    def test_answers_with_a_length(self):
+        self.served("length")
+
+    def test_answers_in_chunks(self):
+        self.served("chunks")
+
+    def test_answers_up_to_the_end_of_their_connection(self):
+        self.served("close")
+
+
 if __name__ == "__main__":
     main()
