placer: an engine's answer may end with its connection

What callers saw: an engine whose answers to orders and reports have neither a length nor chunks got no second order; its adapters weren't served.

Cause: only an answer that HTTP proves to be whole counted (the end kind `complete`); one that ended with its connection counted as lost, and its report was never read.

Ruled out: the order itself (it arrives, and the engine carries it out); the same engine with a length or chunks is served. Truncation isn't let in: an answer that is reset still counts as lost (http_test, ResetIsNoEndOfAnAnswerWithoutLength), a report that lacks a part is no JSON, and an order's answer is its status.

Change: answers that have ended in order count, of reports, orders and the orders of the built-in interface alike.

--- a/libplantainusher/http/fetch.c
+++ b/libplantainusher/http/fetch.c
@@ -94,3 +94,11 @@
   pu_http_call_cancel (f->call);
   fetch_free (f);
 }
+
+bool
+pu_http_fetched_in_order (const pu_http_fetched_t *f)
+{
+  return f->response != NULL
+         && (f->result.kind == PU_HTTP_END_COMPLETE
+             || f->result.kind == PU_HTTP_END_UNTIL_CLOSE);
+}
--- a/libplantainusher/http/fetch.h
+++ b/libplantainusher/http/fetch.h
@@ -31,6 +31,11 @@
                                 pu_error_t *e);
 void pu_http_fetch_cancel (pu_http_fetch_t *f);
 
+/* pu_http_fetched_in_order - whether F is an answer that has ended in order.
+   One without a length may lack a part of its body all the same, so that
+   whoever reads the body must be able to tell.  */
+bool pu_http_fetched_in_order (const pu_http_fetched_t *f);
+
 G_END_DECLS
 
 #endif
--- a/libplantainusher/placer/sequenced_calls.c
+++ b/libplantainusher/placer/sequenced_calls.c
@@ -92,8 +92,7 @@
 on_order_answer (void *data, const pu_http_fetched_t *f)
 {
   call_t a = *(call_t *)data;
-  bool complete
-      = f->result.kind == PU_HTTP_END_COMPLETE && f->response != NULL;
+  bool complete = pu_http_fetched_in_order (f);
   pu_dispatcher_answer_t answer
       = complete ? a.owner->options.wire->order_answer (f->response->status)
                  : no_answer_kind (&f->result);
@@ -345,8 +344,8 @@
 {
   call_t a = *(call_t *)data;
   pu_sequenced_t *s = a.owner;
-  bool complete = f->result.kind == PU_HTTP_END_COMPLETE && f->response != NULL
-                  && f->response->status == HTTP_STATUS_OK;
+  bool complete
+      = pu_http_fetched_in_order (f) && f->response->status == HTTP_STATUS_OK;
   pu_findings_t *findings;
   pu_wire_report_t r;
   bool busy;
