Soak: brittle servers that fall over, and answers in any framing

Beside the other faults, and at the end of each history beside none: the plain servers name how many rejections a second they bear (1, 4, 10), and from 3 s on have fewer places again and again; one that rejects more goes down and is back 2 s later as a new process. Beside no other fault, more than 2 falls and a tenth of the servers are a finding. Eight more callers press them then. Callers with an even number wait as they are told.

The share that is served leaves out what was sent in a brittle time. Servers answer with a length, in chunks, or up to the end of their connection.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -34,6 +34,15 @@
 ENGINES = 6
 VERSIONS_MAX = 4
 LIMITS = 0.5, 2, 5   # requests a second that a backend server names
+# A brittle time of the plain service: rejections a second that its servers
+# name, and after a while fewer places, again and again.
+BRITTLE = 1, 4, 10
+PLACES = 1, 2, 3
+BRITTLE_S, SCARCE_S, PLACES_S = 3.0, 5.0, (0.5, 2)
+PRESSERS = 8         # more callers of it, when no fault is about
+RUN_S = 0.03         # how long a request takes then
+DOWN_S = 2.0         # until a server that fell over is back
+FALLS, FALLS_ONE_IN = 2, 10
 LEASE_S = 3.0        # lease_ms of tests/platform_fakes.py
 # Every third config has routes enough to be read beside the event loop.
 MANY_ROUTES = 500
@@ -49,24 +58,28 @@
 
 
 class Caller(threading.Thread):
-    """Sends requests on connections that it keeps, as long as they last."""
+    """Sends requests on connections that it keeps, as long as they last, and
+    waits as it is told if its number is even."""
 
-    def __init__(self, soak, number):
+    def __init__(self, soak, number, kinds=("safe", "unsafe", "talk")):
         super().__init__(daemon=True)
         self.soak, self.random = soak, random.Random(soak.seed * 100 + number)
-        self.number, self.sent = number, 0
+        self.number, self.sent, self.kinds = number, 0, kinds
         self.kept = {}  # instance -> its open connection
         self.results = []  # (rid, kind, status, body or None, seal)
+        self.scarce = set()  # ids of those that may find no server
 
     def run(self):
         while not self.soak.over.is_set():
-            self.one(self.random.choice(self.soak.some))
-            time.sleep(0.01)
+            wait = self.one(self.random.choice(self.soak.some))
+            time.sleep(max(0.01, min(wait, DEADLINE_MS / 3000)
+                           if self.number % 2 == 0 else 0))
         for c in self.kept.values():
             c.close()
 
     def one(self, at):
-        kind = self.random.choice(["safe", "unsafe", "talk"])
+        """How many seconds the answer tells to wait."""
+        kind = self.random.choice(self.kinds)
         rid = f"s{self.number}x{self.sent}"
         self.sent += 1
         headers = {"Host": HOST, "Request-Id": rid,
@@ -75,6 +88,8 @@
             headers |= {"Model": self.random.choice(MODELS),
                         "Token-Counts": "100,10",
                         "Prompt-Prefix": f"a1:60,{self.sent:x}:40"}
+        if time.monotonic() < self.soak.scarce_until:
+            self.scarce.add(rid)
         c = self.kept.pop(at, None) or http.client.HTTPConnection(
             at.front, timeout=3)
         try:
@@ -86,10 +101,12 @@
                                  r.getheader("Server-Seal")))
             if not r.will_close:
                 self.kept[at] = c
+            return float(r.getheader("Retry-After", 0))
         except (OSError, http.client.HTTPException):
             # Nothing is promised by a connection that breaks.
             self.results.append((rid, kind, 0, None, None))
             c.close()
+            return 0
 
 
 class Resumer(threading.Thread):
@@ -153,6 +170,8 @@
         # Engines of every other seed don't check fencing tokens.
         self.checks_tokens = seed % 2 == 0
         self.backends, self.number = [], 0
+        self.brittle, self.places, self.falls = None, None, 0
+        self.scarce_until = 0.0
         # Versions of the software of engines that may start.
         self.versions = ["v1", "v2"]
         self.busy, self.pending, self.log = set(), [], []
@@ -180,7 +199,10 @@
         b.version, b.marks = self.random.choice(self.versions), True
         b.events, b.event_s = EVENTS, EVENT_S
         b.gone = False
+        b.framing = self.random.choice([None, "length", "chunks", "close"])
         self.backends.append(b)
+        if service == "app" and self.brittle is not None:
+            self._make_brittle(b)
 
     def live(self, service=None):
         return [b for b in self.backends if not b.gone
@@ -199,6 +221,13 @@
         self.pending = [p for p in self.pending if p[0] > now]
         for fn in due:
             fn()
+        for b in self.live("app"):
+            if b.fell:
+                b.gone = True
+                self.falls += 1
+                self.log.append(f"{b.name} fell over")
+                self.pending.append((now + DOWN_S,
+                                     lambda: self.add_backend("app")))
 
     def _wait(self, seconds):
         end = time.monotonic() + seconds
@@ -310,6 +339,50 @@
             else:
                 self._later(b.close)
 
+    def _make_brittle(self, b):
+        b.hold_s = RUN_S if self.brittle else 0.0
+        b.brittle, b.places = self.brittle, self.places
+        b.falls_over = self.brittle is not None
+
+    def _set_brittle(self, n, places):
+        self.brittle, self.places = n, places
+        for b in self.live("app"):
+            self._make_brittle(b)
+
+    def brittle_time(self):
+        n, begun = self.random.choice(BRITTLE), time.monotonic()
+        self.log.append(f"brittle {n}")
+        self.scarce_until = float("inf")
+        self._set_brittle(n, None)
+
+        def shorten():
+            now = time.monotonic()
+            if now > begun + BRITTLE_S + SCARCE_S:
+                self._set_brittle(None, None)
+                self.scarce_until = now + DOWN_S + 1
+                return
+            self._set_brittle(n, self.random.choice(PLACES))
+            self.pending.append((now + self.random.uniform(*PLACES_S),
+                                 shorten))
+        self.pending.append((begun + BRITTLE_S, shorten))
+
+    def brittle_time_alone(self):
+        """What is found in a brittle time beside no other fault, and those who
+        called in it."""
+        pressers = [Caller(self, 20 + i, ("safe", "unsafe"))
+                    for i in range(PRESSERS)]
+        before, servers = self.falls, len(self.live("app"))
+        self.brittle_time()
+        for t in pressers:
+            t.start()
+        while self.pending:
+            self._wait(0.1)
+        falls = self.falls - before
+        print(f"seed {self.seed}: {falls} falls of brittle servers, "
+              f"{sum(len(b.rejected_at) for b in self.backends)} rejected")
+        return ([f"{falls} brittle servers fell over"]
+                if falls > FALLS + servers / FALLS_ONE_IN else []), pressers
+
     def kill_all(self):
         free = [o for o in self.some if o not in self.busy]
         if len(free) < len(self.some):
@@ -329,6 +402,8 @@
             self.harm_backend()
         elif kind < 0.4:
             self.kill_all()
+        elif kind < 0.43 and self.brittle is None:
+            self.brittle_time()
         elif free:
             one = self.random.choice(free)
             acts = [self.kill, self.term, self.freeze, self.reload, self.cut,
@@ -361,15 +436,18 @@
         for one in self.some:
             wait_until(f"{one.name} to serve again", lambda one=one: one.ask(
                 "GET", "/safe/x", rid="after").status == 200, RECOVER_S)
+        found, pressers = self.brittle_time_alone()
         self.over.set()
+        callers += pressers
         for t in [*callers, *resumers, operator]:
             t.join()
-        found = operator.findings + self.check_config(operator)
+        found += operator.findings + self.check_config(operator)
         streams = [s for r in resumers for s in r.streams]
         found += self.check_streams(streams)
         return found + self.check(
-            [r for c in callers for r in c.results]
-            + [(t.rid, "resumed", t.status if t.status in NOT_RUN else 0,
+            [r for c in callers for r in c.results],
+            {rid for c in callers for rid in c.scarce},
+            [(t.rid, "resumed", t.status if t.status in NOT_RUN else 0,
                 None, None) for s in streams for t in s.tries])
 
     def check_streams(self, streams):
@@ -395,7 +473,7 @@
                   for i in self.some if i.put_config(wanted(last)) != 200]
         return found
 
-    def check(self, results):
+    def check(self, results, scarce, resumed):
         runs = {}
         for b in self.backends:
             for rid in b.ran:
@@ -403,7 +481,7 @@
         found = [w for b in self.backends for w in b.wrongs()]
         if not self.checks_tokens:
             found += [w for b in self.backends for w in b.returns(LEASE_S)]
-        for rid, kind, status, body, seal in results:
+        for rid, kind, status, body, seal in results + resumed:
             names = runs.get(rid, [])
             if kind == "unsafe" and len(names) > 1:
                 found.append(f"{rid} ran at {names}, once at most")
@@ -412,7 +490,7 @@
                              f"at {names}")
             if status == 200:
                 found += self.check_answer(rid, kind, body, seal, names)
-        results = [r for r in results if r[1] != "resumed"]
+        results = [r for r in results if r[0] not in scarce]
         served = sum(r[2] == 200 for r in results)
         print(f"seed {self.seed}: {len(self.log)} faults, {len(results)} "
               f"requests, {served} served, {len(found)} findings", flush=True)
