--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -476,6 +476,8 @@
         try:
             if self._events(after, body, pieces):
                 self._finish()
+            else:
+                self.close_connection = True
         except (BrokenPipeError, ConnectionResetError):
             self.close_connection = True  # its caller has left
 
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -15,7 +15,7 @@
 from cluster import wait_until
 from platform_fakes import HOST, Backend, Instance, config, route, submit
 from relay import BOTH, FROM, HOLD, SWALLOW, TO, Relay, ways
-from streams import follow, shares
+from streams import ask, follow, shares
 
 NOT_RUN = (408, 421, 429, 503)  # statuses that promise that nothing ran
 MODELS = ["m1", "m2", "m3", "m4"]
@@ -43,6 +43,9 @@
 RUN_S = 0.03         # how long a request takes then
 DOWN_S = 2.0         # until a server that fell over is back
 FALLS, FALLS_ONE_IN = 2, 10
+# In every third seed a part of prompts crashes the engines that write on it.
+BAD_EVERY, BAD, BAD_S = 3, "bad0", 0.3
+CRASHES, CONTACT_S, REACH_MAX = 5, 3.0, 3
 LEASE_S = 3.0        # lease_ms of tests/platform_fakes.py
 # Every third config has routes enough to be read beside the event loop.
 MANY_ROUTES = 500
@@ -128,6 +131,37 @@
             time.sleep(0.01)
 
 
+class Spoiler(threading.Thread):
+    """Sends requests with a part that crashes engines, no two alike."""
+
+    def __init__(self, soak):
+        super().__init__(daemon=True)
+        self.soak, self.random = soak, random.Random(soak.seed * 100 + 98)
+        self.calm = set()  # ids of those sent while it has to be known
+
+    def run(self):
+        n = 0
+        while not self.soak.over.wait(BAD_S):
+            n, rid = n + 1, f"b{n}"
+            at = self.random.choice(self.soak.some)
+            if not self.soak.busy & {at, *self.soak.disks()}:
+                self.calm.add(rid)
+            ask(at, rid, f"/talk/{rid}", model=self.random.choice(MODELS),
+                deadline_ms=DEADLINE_MS, prompt=f"a1:60,{BAD}:20,{n:x}:20",
+                body=rid)
+
+    def wrongs(self):
+        crashes = sorted(b.crashed_at for b in self.soak.spoilt)
+        late = [rid for b in self.soak.backends
+                for at, rid in zip(b.arrived_at, b.ran) if rid in self.calm
+                and len(crashes) >= CRASHES
+                and at > crashes[CRASHES - 1] + CONTACT_S]
+        print(f"seed {self.soak.seed}: {len(crashes)} crashes by a part, "
+              f"{len(late)} arrivals too late of {len(self.calm)} requests")
+        return [f"{len(late)} requests with a part that has crashed engines "
+                "reach engines"] if len(late) > REACH_MAX else []
+
+
 class Operator(threading.Thread):
     """Sends configs with rising versions, and reads them back."""
 
@@ -172,6 +206,9 @@
         self.backends, self.number = [], 0
         self.brittle, self.places, self.falls = None, None, 0
         self.scarce_until = 0.0
+        self.down = []    # (when it is back, service) of those that fell over
+        self.spoilt = []  # engines that crashed by a part of a prompt
+        self.bad = BAD if seed % BAD_EVERY == 0 else None
         # Versions of the software of engines that may start.
         self.versions = ["v1", "v2"]
         self.busy, self.pending, self.log = set(), [], []
@@ -198,7 +235,7 @@
         b.room = ENGINE_MODELS
         b.version, b.marks = self.random.choice(self.versions), True
         b.events, b.event_s = EVENTS, EVENT_S
-        b.gone = False
+        b.gone, b.crash_on_part = False, self.bad
         b.framing = self.random.choice([None, "length", "chunks", "close"])
         self.backends.append(b)
         if service == "app" and self.brittle is not None:
@@ -208,6 +245,9 @@
         return [b for b in self.backends if not b.gone
                 and service in (None, b.service)]
 
+    def disks(self):
+        return [i for i in self.some if "data_dir" in i.values]
+
     # faults; each takes the one that it harms and undoes itself
 
     def _later(self, fn):
@@ -221,13 +261,15 @@
         self.pending = [p for p in self.pending if p[0] > now]
         for fn in due:
             fn()
-        for b in self.live("app"):
-            if b.fell:
-                b.gone = True
-                self.falls += 1
-                self.log.append(f"{b.name} fell over")
-                self.pending.append((now + DOWN_S,
-                                     lambda: self.add_backend("app")))
+        for b in [b for b in self.live() if b.crashed_at is not None]:
+            b.gone = True
+            self.falls += b.fell
+            self.spoilt += [] if b.fell else [b]
+            self.log.append(f"{b.name} fell over")
+            self.down.append((now + DOWN_S, b.service))
+        for one in [d for d in self.down if d[0] <= now]:
+            self.down.remove(one)
+            self.add_backend(one[1])
 
     def _wait(self, seconds):
         end = time.monotonic() + seconds
@@ -394,7 +436,7 @@
             self._restart(one)
 
     def step(self):
-        disks = [i for i in self.some if "data_dir" in i.values]
+        disks = self.disks()
         free = [o for o in self.some if o not in self.busy
                 and (o not in disks or not self.busy & set(disks))]
         kind = self.random.random()
@@ -424,7 +466,8 @@
         callers = [Caller(self, i) for i in range(CALLERS)]
         resumers = [Resumer(self, i) for i in range(RESUMERS)]
         operator = Operator(self)
-        for t in [*callers, *resumers, operator]:
+        spoilers = [Spoiler(self)] if self.bad is not None else []
+        for t in [*callers, *resumers, operator, *spoilers]:
             t.start()
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
@@ -439,8 +482,9 @@
         found, pressers = self.brittle_time_alone()
         self.over.set()
         callers += pressers
-        for t in [*callers, *resumers, operator]:
+        for t in [*callers, *resumers, operator, *spoilers]:
             t.join()
+        found += [w for s in spoilers for w in s.wrongs()]
         found += operator.findings + self.check_config(operator)
         streams = [s for r in resumers for s in r.streams]
         found += self.check_streams(streams)
