--- a/libplantainusher/entry/parts.c
+++ b/libplantainusher/entry/parts.c
@@ -164,7 +164,7 @@
   pu_entry_t *en = s->en;
   GArray *accused = g_array_new (FALSE, FALSE, sizeof (pu_parts_accusation_t));
 
-  if (!pu_entry_reach_is_doubtful (en))
+  if (!pu_entry_reach_is_doubtful (en) && !pu_server_may_have_fallen (s))
     {
       pu_parts_backend_died (en->parts,
                              server_hash (s->name, strlen (s->name)),
