entry: what an owner answers is told apart from what its server answers

Cause: by way of an owner an entry took each response without an outcome for the server's, booked each refusal as the server's, and the owner drew the service of a split route anew. Class: a second sender behind the same field.

Change: the owner marks the responses that are its server's; only these say something about the server. The service of the request is that of the server for which it came. A server that backs off is refused at once with the time left, which the sender keeps; an attempt that the owner did not send is not charged, and a broken relay is not the server's fault. An owner that is not reached is passed over by all requests for half a second. Demand and run times are booked by the owner alone. An answer that failed and says nothing of rejections does not end what is known. A crash is taken for a fall only if the owner has seen half of the rejections that its server bears.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -18,6 +18,7 @@
   ABSENT_COPY_MS = 1500,
   RETRY_AFTER_MAX_S = 3600,
   STATUS_CLIENT_ERROR = 400,
+  STATUS_NOT_FOUND = 404,
   STATUS_REQUEST_TIMEOUT = 408,
   STATUS_MISDIRECTED = 421,
   STATUS_UNPROCESSABLE = 422,
@@ -203,6 +204,8 @@
       attempt_finish (x);
       return;
     }
+  if (x->at.owner != NULL)
+    failure = PU_ROUTER_FAIL_RELAY;
   x->at.failure = failure;
   x->may_have_run = true;
   if (x->at.server != NULL && pu_entry_uses_builtin_frontend (x->en))
@@ -285,7 +288,8 @@
 
       if (!pu_http_header_is_passed (h->name)
           || pu_http_header_is_ours (h->name)
-          || g_ascii_strcasecmp (h->name, PU_SOFTWARE_RELAY_HEADER) == 0)
+          || g_ascii_strcasecmp (h->name, PU_SOFTWARE_RELAY_HEADER) == 0
+          || g_ascii_strcasecmp (h->name, PU_SERVER_RELAY_HEADER) == 0)
         continue;
       g_ptr_array_add (passed, g_strdup (h->name));
       g_ptr_array_add (passed, g_strdup (h->value));
@@ -298,7 +302,7 @@
 {
   pu_frontend_t *front = &x->en->front;
 
-  if (x->at.server == NULL)
+  if (x->at.server == NULL || x->at.owner != NULL)
     {
       x->at.software = pu_software_decode (
           pu_http_response_header (r, PU_SOFTWARE_RELAY_HEADER));
@@ -313,7 +317,19 @@
                  &x->at.answer);
   x->at.headers = forwarded_headers (r);
   if (x->at.server != NULL && x->at.owner == NULL)
-    return;
+    {
+      if (x->only_server != NULL)
+        {
+          g_ptr_array_add (x->at.headers, g_strdup (PU_SERVER_RELAY_HEADER));
+          g_ptr_array_add (x->at.headers, g_strdup (x->at.server->name));
+        }
+      return;
+    }
+  x->at.by_server
+      = x->at.owner != NULL
+        && g_strcmp0 (pu_http_response_header (r, PU_SERVER_RELAY_HEADER),
+                      x->at.server->name)
+               == 0;
   x->at.outcome = g_strdup (pu_http_response_header (r, "x-outcome"));
   x->at.retry_after
       = g_strdup (pu_http_response_header (r, "x-retry-after-ms"));
@@ -329,12 +345,21 @@
 
 /* Whether the response is the refusal of the entry that owns the brittle
    server of AT, not the response of that server.  A refusal without an outcome
-   comes from an entry that does not know of the relay, as while it stops.  */
+   comes from an entry that does not know of the relay, as while it stops, or
+   that has no such route yet.  */
 static bool
 is_refused_by_owner (const pu_attempt_t *at)
 {
-  return at->owner != NULL
-         && (at->outcome != NULL || status_means_not_run (at->status));
+  return at->owner != NULL && !at->by_server
+         && (at->outcome != NULL || status_means_not_run (at->status)
+             || at->status == STATUS_NOT_FOUND);
+}
+
+/* Whether the response of AT says something about its backend server.  */
+static bool
+is_by_server (const pu_attempt_t *at)
+{
+  return at->owner == NULL || at->by_server;
 }
 
 /* Handles what the response head of X says about its backend server.  */
@@ -345,12 +370,13 @@
   pu_server_t *s = at->server;
 
   if (s == NULL || at->incarnation != s->incarnation || at->answer.foreign
-      || at->answer.replaced || is_refused_by_owner (at))
+      || at->answer.replaced || !is_by_server (at))
     return;
   if (at->answer.leaving && !s->leaving)
     pu_entry_mark_leaving (x->en, s->name, NULL, NULL);
   pu_server_limit_stated (s, at->answer.limit_per_s);
-  pu_server_brittle_stated (s, at->answer.rejections_per_s);
+  if (at->answer.rejections_per_s > 0 || !at->answer.failed)
+    pu_server_brittle_stated (s, at->answer.rejections_per_s);
   if (at->answer.retry_after_ms > 0)
     pu_server_back_off (s, now_of (x) + at->answer.retry_after_ms + 1);
 }
@@ -511,21 +537,33 @@
   json_decref (root);
 }
 
-/* Whether the other entry refused X because it reaches no backend server
-   either.  */
+/* Whether the refusal of the other entry has the type WANTED.  */
 static bool
-peer_is_cut_off (const pu_exchange_t *x)
+refusal_has_type (const pu_exchange_t *x, const char *wanted)
 {
   const pu_attempt_t *at = &x->at;
   json_t *root
       = json_loadb ((const char *)at->body->data, at->body->len, 0, NULL);
   const char *type = "";
-  bool cut_off;
+  bool same;
 
   json_unpack (root, "{s:{s:s}}", "error", "type", &type);
-  cut_off = strcmp (type, PU_REFUSAL_CUT_OFF) == 0;
+  same = strcmp (type, wanted) == 0;
   json_decref (root);
-  return cut_off;
+  return same;
+}
+
+/* Leaves the backend server of X alone for as long as the entry that owns it
+   says in its refusal.  */
+static void
+owner_back_off (const pu_exchange_t *x)
+{
+  guint64 ms = x->at.retry_after != NULL
+                   ? g_ascii_strtoull (x->at.retry_after, NULL, 10)
+                   : 0;
+
+  if (x->at.incarnation == x->at.server->incarnation)
+    pu_server_back_off (x->at.server, now_of (x) + MAX (ms, 1));
 }
 
 /* Handles the refusal of X by the entry that owns its backend server.  */
@@ -538,7 +576,7 @@
     {
       pu_exchange_leave_owner (x);
     }
-  else if (peer_is_cut_off (x))
+  else if (refusal_has_type (x, PU_REFUSAL_CUT_OFF))
     {
       pu_entry_reach_note_peer (x->en, at->owner);
       pu_exchange_leave_owner (x);
@@ -547,6 +585,11 @@
     {
       refusal_forward (x);
     }
+  else if (refusal_has_type (x, PU_REFUSAL_BACK_OFF))
+    {
+      owner_back_off (x);
+      pu_exchange_retry (x, PU_ROUTER_FAIL_UNSENT);
+    }
   else if (strcmp (at->outcome, pu_run_outcome_name (PU_RUN_OUTCOME_NOT_RUN))
            == 0)
     {
@@ -554,7 +597,7 @@
     }
   else
     {
-      attempt_break (x, PU_ROUTER_FAIL_DIED);
+      attempt_break (x, PU_ROUTER_FAIL_RELAY);
     }
 }
 
@@ -570,7 +613,7 @@
     {
       attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
     }
-  else if (refused && peer_is_cut_off (x))
+  else if (refused && refusal_has_type (x, PU_REFUSAL_CUT_OFF))
     {
       pu_entry_reach_note_peer (x->en, at->entry);
       pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -161,7 +161,7 @@
 
   head_fill (x, NULL, &h);
   relay_headers_add (x, 1, &h);
-  pu_header_list_add (&h, "X-Relay-Server", s->name);
+  pu_header_list_add (&h, PU_SERVER_RELAY_HEADER, s->name);
   pu_header_list_add (&h, "X-Relay-Rejections", bound);
   x->at.owner = g_strdup (to->name);
   good = call_start (x, to->address, x->q.target, &h);
--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -21,10 +21,6 @@
   /* How long an entry that has had no answer of a service sends it one request
      only.  */
   FIRST_ANSWER_MS = 150,
-  /* How long after a rejection a crash may be a fall under rejections: the
-     second in which the server counts them, and the time until the crash is
-     noticed.  */
-  REJECTION_MEMORY_MS = 2000,
 };
 
 static guint64
@@ -151,6 +147,9 @@
 
   if (s == NULL)
     return;
+  /* A split route draws a service anew at each entry.  */
+  g_free (x->q.service);
+  x->q.service = g_strdup (service_of (s));
   if (s->brittle == NULL)
     pu_server_brittle_stated (s, x->only_server_bound);
   adopt (s);
@@ -174,7 +173,8 @@
   limit = pu_brittle_limit (s->brittle, owned, loop_now (s->en));
   if (limit == 0)
     {
-      pu_server_back_off (s, pu_brittle_free_at (s->brittle));
+      pu_server_back_off (s,
+                          pu_brittle_free_at (s->brittle, loop_now (s->en)));
     }
   else
     {
@@ -304,7 +304,8 @@
 pu_server_may_have_fallen (const pu_server_t *s)
 {
   return s->brittle != NULL
-         && loop_now (s->en) < s->rejected_at + REJECTION_MEMORY_MS;
+         && pu_brittle_may_have_fallen (s->brittle, is_owned (s),
+                                        loop_now (s->en));
 }
 
 /* --- the first answer of a service --- */
@@ -368,7 +369,6 @@
   pu_server_t *s = x->at.server;
 
   x->at.rejected = true;
-  s->rejected_at = loop_now (s->en);
   if (s->brittle == NULL)
     return;
   pu_brittle_rejected (s->brittle, x->at.sent_at, loop_now (s->en));
--- a/libplantainusher/entry/demand.c
+++ b/libplantainusher/entry/demand.c
@@ -85,7 +85,8 @@
 
   /* The time of a relayed request, or of a later attempt that may only resume
      a stream, is not that of a whole run.  */
-  if (x->q.plain || x->at.server == NULL || x->attempts > 1)
+  if (x->q.plain || x->at.server == NULL || x->at.owner != NULL
+      || x->attempts > 1)
     return;
   /* The document may have dropped the model while X ran.  */
   if (is_undeclared (x->q.model, NULL, x->en))
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -107,8 +107,6 @@
   pu_brittle_t *brittle;     /* NULL: it bears any number of rejections */
   guint64 adopted_until; /* loop time until which this entry sends requests to
                             the brittle server, whoever owns it */
-  guint64 rejected_at;   /* loop time when it last rejected a request for want
-                            of room; 0: never */
   double limit_per_s;    /* requests per second that it takes from all entries
                             together; 0: not limited */
   guint64 limit_stated_at;   /* loop time when it last stated limit_per_s */
@@ -177,6 +175,8 @@
   bool connection_lost; /* the connection broke, which may be a crash */
   bool complete;        /* the whole response has come, by its length */
   bool rejected;        /* the backend server had no room for it */
+  bool by_server;       /* the response that came by way of `owner` is that of
+                           `server` */
   bool as_suspect;      /* the attempt runs as a suspect */
   char *content_type;
   char *outcome;               /* X-Outcome of the response */
@@ -236,7 +236,8 @@
                         been tried */
   GPtrArray *avoid;   /* names of entries to which a relay failed */
   GPtrArray *unreached_owners; /* names of owners of brittle servers that were
-                                  not reached; NULL: none */
+                                  not reached, or did not serve it; NULL:
+                                  none */
   char *only_server; /* brittle server for which it came here by way of its
                         owner, the only one that may run it; NULL: any */
   double only_server_bound; /* rejections per second that this server bears */
@@ -710,8 +711,8 @@
                                       const pu_server_t *s,
                                       pu_directory_entry_t *to);
 
-/* pu_server_may_have_fallen - whether S has rejected so much lately that this
-   may be why it crashed, not what it ran.  */
+/* pu_server_may_have_fallen - whether S is brittle and has rejected so much
+   lately that this may be why it crashed, not what it ran.  */
 bool pu_server_may_have_fallen (const pu_server_t *s);
 
 /* pu_exchange_accept_as_owner - X came here by way of the owner of
@@ -840,6 +841,14 @@
    server either.  */
 #define PU_REFUSAL_CUT_OFF "cut-off"
 
+/* Type of the refusal of a request that came by way of its backend server's
+   owner while that server wants no requests.  */
+#define PU_REFUSAL_BACK_OFF "back-off"
+
+/* How long an entry sends nothing to a brittle backend server of whose owners
+   it reaches none.  */
+#define PU_NO_OWNER_BACK_OFF_MS 500
+
 /* The refusal sent while the instance stops: to new requests, and to requests
    in progress that can't end in time.  */
 extern const pu_refusal_t pu_refusal_stopping;
@@ -892,7 +901,8 @@
 void pu_exchange_retry (pu_exchange_t *x, pu_router_failure_t failure);
 
 /* pu_exchange_leave_owner - the owner by whose way X was sent can't be
-   reached, or sends nothing: X has not run, and is routed again.  */
+   reached, or does not serve relays now: X has not run, and is routed
+   again.  */
 void pu_exchange_leave_owner (pu_exchange_t *x);
 
 /* pu_exchange_finish - ends X after its caller was answered or has
@@ -940,6 +950,10 @@
 
 /* --- attempt_send.c: one attempt at a backend server or another entry --- */
 
+/* The header with the name of the brittle backend server for which a request
+   comes by way of its owner, and of the responses that are its own.  */
+#define PU_SERVER_RELAY_HEADER "X-Relay-Server"
+
 /* pu_attempt_start - sends X to S, by way of the owner of S if S is brittle;
    pu_attempt_relay relays X to the entry TO.  Both return false if the call
    could not be started.  */
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -244,18 +244,6 @@
   pu_exchange_fail (x, &cut_off, "This entry reaches no backend server.");
 }
 
-/* No entry that may send X to its brittle backend server is reached.  */
-static void
-fail_without_owner (pu_exchange_t *x)
-{
-  static const pu_refusal_t owner
-      = { 503, "owner", PU_RUN_OUTCOME_NOT_RUN, PU_BUSY_RETRY_AFTER_MS };
-
-  pu_exchange_fail (x, &owner,
-                    "The entry that sends requests to this backend server is "
-                    "not reached.");
-}
-
 static void
 fail_deadline (pu_exchange_t *x)
 {
@@ -391,6 +379,23 @@
   return q->affinity_key != 0 ? q->affinity_key : q->fingerprint;
 }
 
+/* Refuses X if its only server wants no requests now: the entry that sent X
+   here may have other copies.  */
+static bool
+refuse_backing_off (pu_exchange_t *x)
+{
+  const pu_server_t *s
+      = x->only_server != NULL ? pu_server_find (x->en, x->only_server) : NULL;
+  guint64 now = uv_now (x->en->o.loop);
+  pu_refusal_t r = { 503, PU_REFUSAL_BACK_OFF, PU_RUN_OUTCOME_NOT_RUN, 0 };
+
+  if (s == NULL || s->back_off_until <= now)
+    return false;
+  r.retry_after_ms = (guint)MIN (s->back_off_until - now, G_MAXUINT);
+  pu_exchange_fail (x, &r, "The backend server wants no requests now.");
+  return true;
+}
+
 void
 pu_exchange_offer (pu_exchange_t *x)
 {
@@ -419,7 +424,10 @@
   pu_router_decision_t d;
 
   g_free (plain);
-  pu_demand_report (x);
+  if (refuse_backing_off (x))
+    return;
+  if (x->only_server == NULL)
+    pu_demand_report (x);
   pu_router_offer (router, &q, uv_now (x->en->o.loop), &d);
   pu_exchange_apply_decision (x, &d);
 }
@@ -468,8 +476,8 @@
     }
   if (way == PU_BRITTLE_NO_WAY)
     {
-      ticket_cancel (x);
-      fail_without_owner (x);
+      pu_server_back_off (s, uv_now (x->en->o.loop) + PU_NO_OWNER_BACK_OFF_MS);
+      pu_exchange_retry (x, PU_ROUTER_FAIL_UNSENT);
       return false;
     }
   if (verdict != PU_SUSPECTS_WAIT
@@ -700,8 +708,9 @@
   if (x->unreached_owners == NULL)
     x->unreached_owners = g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_add (x->unreached_owners, g_strdup (x->at.owner));
+  pu_entry_reach_note_peer (x->en, x->at.owner);
   x->server_attempts--;
-  pu_trace_attempt_failed (x, PU_ROUTER_FAIL_NOT_RUN);
+  pu_trace_attempt_failed (x, PU_ROUTER_FAIL_UNSENT);
   pu_attempt_clear (x);
   ticket_cancel (x);
   pu_exchange_route (x);
--- a/libplantainusher/entry/software.c
+++ b/libplantainusher/entry/software.c
@@ -36,7 +36,7 @@
 {
   const pu_server_t *s = x->at.server;
 
-  if (s == NULL)
+  if (s == NULL || x->at.software != NULL)
     return x->at.software != NULL ? x->at.software : "";
   return s->incarnation == x->at.incarnation ? pu_server_software (s) : "";
 }
--- a/libplantainusher/routing/brittle.h
+++ b/libplantainusher/routing/brittle.h
@@ -53,9 +53,15 @@
    its place for a while, tries one at a time.  */
 guint pu_brittle_limit (pu_brittle_t *b, bool owner, guint64 now);
 
-/* pu_brittle_free_at - returns the time when the oldest rejection no longer
-   counts, 0 if there is none.  */
-guint64 pu_brittle_free_at (const pu_brittle_t *b);
+/* pu_brittle_free_at - returns the time when the oldest rejection that counts
+   at NOW no longer does, 0 if there is none.  */
+guint64 pu_brittle_free_at (const pu_brittle_t *b, guint64 now);
+
+/* pu_brittle_may_have_fallen - whether the server has rejected so many
+   requests of this entry lately that a crash may be a fall under them.  An
+   entry that is not the OWNER knows few of the rejections.  */
+bool pu_brittle_may_have_fallen (const pu_brittle_t *b, bool owner,
+                                 guint64 now);
 
 G_END_DECLS
 
--- a/libplantainusher/routing/brittle_test.cc
+++ b/libplantainusher/routing/brittle_test.cc
@@ -161,7 +161,7 @@
       pu_brittle_rejected (b, now, now);
     }
   EXPECT_EQ (pu_brittle_limit (b, true, now), 0U);
-  EXPECT_EQ (pu_brittle_free_at (b), now + WINDOW_MS);
+  EXPECT_EQ (pu_brittle_free_at (b, now), now + WINDOW_MS);
   EXPECT_GT (pu_brittle_limit (b, true, now + WINDOW_MS), 0U);
 }
 
@@ -174,3 +174,16 @@
   pu_brittle_ended (b, now, now);
   EXPECT_EQ (pu_brittle_limit (b, false, now), 1U);
 }
+
+TEST_F (Brittle, CrashAfterManyRejectionsMayBeAFall)
+{
+  b = pu_brittle_new (4);
+  pu_brittle_sent (b, now);
+  pu_brittle_rejected (b, now, now);
+  EXPECT_FALSE (pu_brittle_may_have_fallen (b, true, now));
+  EXPECT_TRUE (pu_brittle_may_have_fallen (b, false, now));
+  pu_brittle_sent (b, now);
+  pu_brittle_rejected (b, now, now);
+  EXPECT_TRUE (pu_brittle_may_have_fallen (b, true, now));
+  EXPECT_FALSE (pu_brittle_may_have_fallen (b, true, now + 2 * WINDOW_MS));
+}
--- a/libplantainusher/routing/dump.c
+++ b/libplantainusher/routing/dump.c
@@ -152,6 +152,8 @@
     [PU_ROUTER_FAIL_TRUNCATED] = "truncated",
     [PU_ROUTER_FAIL_ERROR] = "error",
     [PU_ROUTER_FAIL_ABSENT] = "absent",
+    [PU_ROUTER_FAIL_UNSENT] = "unsent",
+    [PU_ROUTER_FAIL_RELAY] = "relay",
   };
 
   return names[failure];
--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -175,11 +175,13 @@
     case PU_ROUTER_FAIL_CONNECT:
     case PU_ROUTER_FAIL_NOT_RUN:
     case PU_ROUTER_FAIL_ABSENT:
+    case PU_ROUTER_FAIL_UNSENT:
       return false;
     case PU_ROUTER_FAIL_DIED:
     case PU_ROUTER_FAIL_ERROR:
     case PU_ROUTER_FAIL_SILENT:
     case PU_ROUTER_FAIL_TRUNCATED:
+    case PU_ROUTER_FAIL_RELAY:
       return true;
     }
   return true;
@@ -207,7 +209,8 @@
   if (pu_router_failure_may_have_run (failure))
     q->may_have_run = true;
   backend_failed (r, b, failure, now);
-  if (failure != PU_ROUTER_FAIL_NOT_RUN && q->n_tried < TRIED_MAX)
+  if (failure != PU_ROUTER_FAIL_NOT_RUN && failure != PU_ROUTER_FAIL_UNSENT
+      && q->n_tried < TRIED_MAX)
     q->tried[q->n_tried++] = backend_at (r, b)->serial;
 }
 
@@ -265,7 +268,9 @@
     }
   record_failure (r, q, failure, now);
   request_stop (r, q, now);
-  charged = failure != PU_ROUTER_FAIL_CONNECT || !uncharge_unconnected (q);
+  charged
+      = (failure != PU_ROUTER_FAIL_CONNECT && failure != PU_ROUTER_FAIL_UNSENT)
+        || !uncharge_unconnected (q);
   q->late = is_served_late (r, q, now);
   request_set_due (r, q);
   reason = retry_refusal_reason (r, q, charged, now);
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -279,7 +279,8 @@
       start_cooldown (r, b);
       return;
     }
-  if (failure == PU_ROUTER_FAIL_ABSENT)
+  if (failure == PU_ROUTER_FAIL_ABSENT || failure == PU_ROUTER_FAIL_UNSENT
+      || failure == PU_ROUTER_FAIL_RELAY)
     return;
   /* An error response is weaker evidence than a broken connection, as some
      requests fail on every backend server.  */
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -451,6 +451,10 @@
   PU_ROUTER_FAIL_TRUNCATED, /* the stream ended without its end marker */
   PU_ROUTER_FAIL_ERROR,     /* the request ran and the response is an error */
   PU_ROUTER_FAIL_ABSENT,    /* not run: the backend server lacks the copy */
+  PU_ROUTER_FAIL_UNSENT,    /* another entry that was to send the request did
+                               not: no fault of the backend server */
+  PU_ROUTER_FAIL_RELAY      /* the way by another entry broke after sending: no
+                               fault of the backend server */
 } pu_router_failure_t;
 
 /* pu_router_failure_may_have_run - returns whether a request may have run, at
