An answer that ends with its connection proves nothing of its engine

Change: such an answer clears its parts only if the engine has accepted a connection that was begun after its end, and no crash was found for 1.5 s. Until then its run may still be accused.

Parts.ResponseThatEndedWithItsConnectionClearsIfItsServerLives covers it.

--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -94,8 +94,9 @@
                                 `probe` */
   pu_entry_t *en;
   pu_http_call_t *probe;
-  bool probe_again;    /* an attempt broke while `probe` ran */
-  guint failed_probes; /* consecutive probes that were refused or closed */
+  guint64 probe_began_at; /* loop time */
+  bool probe_again;       /* an attempt broke while `probe` ran */
+  guint failed_probes;    /* consecutive probes that were refused or closed */
   guint crash_confirmations; /* other backend servers that have refused a
                                 connection since this one was found to */
   guint64 probe_at;          /* loop time of the next probe; 0: none */
@@ -708,6 +709,10 @@
    off.  */
 void pu_part_ended (const pu_exchange_t *x, bool cut);
 
+/* pu_part_server_alive - S has accepted a connection that was begun at loop
+   time SINCE.  */
+void pu_part_server_alive (const pu_server_t *s, guint64 since);
+
 /* pu_part_accuse - proposes to the log that the parts of the prompts that ran
    on S crashed the process INCARNATION of S.  */
 void pu_part_accuse (const pu_server_t *s, guint64 incarnation);
--- a/libplantainusher/entry/parts.c
+++ b/libplantainusher/entry/parts.c
@@ -118,7 +118,8 @@
     return;
   pu_parts_completed (x->en->parts, x->number, proven, now_of (x));
   cleared_lift (x->en);
-  /* A crash between two events looks like the end of a response.  */
+  /* A crash between two events looks like the end of a response, so that a
+     connection must show that the backend server lives.  */
   if (!proven && !has_cleared_parts_only (x))
     pu_server_check_crash (x->at.server);
 }
@@ -137,6 +138,14 @@
   cleared_lift (en);
 }
 
+void
+pu_part_server_alive (const pu_server_t *s, guint64 since)
+{
+  pu_parts_backend_alive (s->en->parts,
+                          server_hash (s->name, strlen (s->name)),
+                          s->incarnation, since);
+}
+
 /* --- accusations --- */
 
 static void
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -729,6 +729,8 @@
 {
   bool refused = result->kind == PU_HTTP_END_CONNECT_FAILED;
 
+  if (result->kind == PU_HTTP_END_COMPLETE)
+    pu_part_server_alive (s, s->probe_began_at);
   if (refused)
     pu_reach_failed (&s->en->reach, s->number, uv_now (s->en->o.loop));
   if (refused
@@ -793,6 +795,7 @@
 
   s->probe_at = 0;
   s->probe_again = false;
+  s->probe_began_at = uv_now (s->en->o.loop);
   s->probe = pu_http_client_start (s->en->client, &o, NULL);
   if (s->probe == NULL)
     held_retry (s);
--- a/libplantainusher/suspects/parts.c
+++ b/libplantainusher/suspects/parts.c
@@ -36,6 +36,7 @@
   guint64 serial;   /* increases with each start */
   bool answered;    /* the head of the response has come */
   bool closed;      /* the response ended with its connection */
+  bool alive;       /* its backend server has accepted a connection since */
   guint64 wrote_at; /* of the first event; 0: none */
   guint64 ended_at;
   guint n;
@@ -295,6 +296,20 @@
     }
 }
 
+void
+pu_parts_backend_alive (pu_parts_t *p, guint64 backend, guint64 incarnation,
+                        guint64 since)
+{
+  for (GList *l = p->ended.head; l != NULL; l = l->next)
+    {
+      run_t *r = l->data;
+
+      if (r->backend == backend && r->incarnation == incarnation
+          && r->ended_at <= since)
+        r->alive = true;
+    }
+}
+
 static gboolean
 record_is_over (gpointer part, gpointer value, gpointer now)
 {
@@ -314,12 +329,13 @@
   for (GList *l = p->ended.head; l != NULL; l = next)
     {
       run_t *r = l->data;
-      guint64 keep_ms = r->closed ? p->options.closed_ms : p->options.ended_ms;
+      bool complete = r->closed && r->alive;
+      guint64 keep_ms = complete ? p->options.closed_ms : p->options.ended_ms;
 
       next = l->next;
       if (now - r->ended_at < keep_ms)
         continue;
-      if (r->closed)
+      if (complete)
         run_clear (p, r, now);
       g_queue_delete_link (&p->ended, l);
       g_free (r);
--- a/libplantainusher/suspects/parts.h
+++ b/libplantainusher/suspects/parts.h
@@ -48,7 +48,8 @@
   guint64 written_ms;     /* so long, is not going to crash */
   guint64 closed_ms;      /* after which a response that ended with its
                              connection is taken for complete, if its backend
-                             server has not crashed */
+                             server has accepted another one since and has not
+                             crashed */
   guint64 ended_ms;       /* how long a broken run is accused of a crash */
   guint64 own_ms;         /* how long an accusation counts here while the log
                              has not accepted it */
@@ -93,6 +94,11 @@
    broke off, and may have crashed its backend server.  */
 void pu_parts_ended (pu_parts_t *p, guint64 run, bool cut, guint64 now);
 
+/* pu_parts_backend_alive - INCARNATION of BACKEND has accepted a connection
+   that was begun at SINCE.  */
+void pu_parts_backend_alive (pu_parts_t *p, guint64 backend,
+                             guint64 incarnation, guint64 since);
+
 /* pu_parts_tick - takes the responses that ended with their connections for
    complete when it is time, and forgets old runs.  */
 void pu_parts_tick (pu_parts_t *p, guint64 now);
--- a/libplantainusher/suspects/parts_test.cc
+++ b/libplantainusher/suspects/parts_test.cc
@@ -193,17 +193,22 @@
   EXPECT_EQ (died (1), Set ());
 }
 
-TEST_F (Parts,
-        ResponseThatEndedWithItsConnectionClearsLaterUnlessACrashFollows)
+TEST_F (Parts, ResponseThatEndedWithItsConnectionClearsIfItsServerLives)
 {
   pu_parts_completed (p, start ({ OTHER }, 1), false, now);
   pu_parts_completed (p, start ({ BAD }, 2), false, now);
+  pu_parts_completed (p, start ({ COMMON }, 3), false, now);
+  pu_parts_backend_alive (p, 1, 1, now);
+  pu_parts_backend_alive (p, 2, 1, now - 1);
+  pu_parts_backend_alive (p, 3, 1, now);
   EXPECT_FALSE (pu_parts_is_cleared (p, OTHER, now));
-  EXPECT_EQ (died (2), Set ({ BAD }));
+  EXPECT_EQ (died (3), Set ({ COMMON }));
   now += o.closed_ms;
   pu_parts_tick (p, now);
   EXPECT_TRUE (pu_parts_is_cleared (p, OTHER, now));
   EXPECT_FALSE (pu_parts_is_cleared (p, BAD, now));
+  EXPECT_FALSE (pu_parts_is_cleared (p, COMMON, now));
+  EXPECT_EQ (died (2), Set ({ BAD }));
 }
 
 TEST_F (Parts, NewerIncarnationIsNotAccused)
