A broken request with a suspected part isn't sent to the next engine

Each request with the part that crashes engines took as many engines as its route allows attempts, until the part was convicted.

Cause: an entry retried a broken request before it knew whether its engine had crashed, and without regard to what had crashed others.

Change: a request with an accused part waits for the check of its engine. If two engines have crashed under two requests with a part of it, it is answered 502 ("suspected") in place of a retry. Sound requests beside it are retried as before. A part that crashed two engines under one request alone counts for nothing, since a sound request that met two crashes would be refused.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -172,15 +172,15 @@
 }
 
 /* Checks whether the backend server of X, whose attempt broke with FAILURE,
-   has crashed.  Returns whether X waits for the result: only a suspect does,
-   as a crash breaks off many requests.  */
+   has crashed.  Returns whether X waits for the result: only a suspect and a
+   request with an accused part do, as a crash breaks off many requests.  */
 static bool
 crash_check (pu_exchange_t *x, pu_router_failure_t failure)
 {
   if (!x->at.suspect_tracked || !is_crash_sign (failure))
     return false;
   x->at.connection_lost = true;
-  if (x->at.as_suspect)
+  if (x->at.as_suspect || pu_part_verdict (x, NULL) != PU_PARTS_UNKNOWN)
     {
       pu_server_hold (x->at.server, x);
       return true;
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -721,6 +721,11 @@
    part that decides in *WHICH, which may be NULL.  */
 pu_parts_verdict_t pu_part_verdict (const pu_exchange_t *x, guint64 *which);
 
+/* pu_part_forbids_repeat - whether X, whose attempt ended with FAILURE, may
+   crash the next backend server too.  */
+bool pu_part_forbids_repeat (const pu_exchange_t *x,
+                             pu_router_failure_t failure);
+
 /* pu_part_is_record - whether S is about a part of prompts, not about a
    request.  */
 bool pu_part_is_record (const pu_suspect_record *s);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -616,6 +616,31 @@
   return true;
 }
 
+/* Fails X, whose attempt ended with FAILURE, without a retry.  */
+static void
+repeat_refuse (pu_exchange_t *x, pu_router_failure_t failure)
+{
+  static const pu_refusal_t suspected
+      = { 502, "suspected", PU_RUN_OUTCOME_UNKNOWN, 0 };
+  pu_ticket_t ticket = x->ticket;
+
+  ticket_set (x, 0);
+  if (ticket != 0)
+    {
+      pu_router_abandon (x->en->router, ticket, failure,
+                         uv_now (x->en->o.loop));
+      pu_entry_schedule_router (x->en);
+    }
+  if (has_convicted_part (x))
+    {
+      fail_convicted (x);
+      return;
+    }
+  pu_exchange_fail (x, &suspected,
+                    "The backend server was lost, and others were lost under "
+                    "a part of this request's prompt.");
+}
+
 void
 pu_exchange_retry (pu_exchange_t *x, pu_router_failure_t failure)
 {
@@ -626,6 +651,12 @@
     x->may_have_run = true;
   pu_trace_attempt_failed (x, failure);
   pu_attempt_clear (x);
+  if (pu_part_forbids_repeat (x, failure))
+    {
+      g_free (entry);
+      repeat_refuse (x, failure);
+      return;
+    }
   if (entry != NULL)
     {
       relay_retry (x, entry, failure);
--- a/libplantainusher/entry/parts.c
+++ b/libplantainusher/entry/parts.c
@@ -196,6 +196,14 @@
                          which);
 }
 
+bool
+pu_part_forbids_repeat (const pu_exchange_t *x, pu_router_failure_t failure)
+{
+  return (failure == PU_ROUTER_FAIL_DIED
+          || failure == PU_ROUTER_FAIL_TRUNCATED)
+         && pu_part_verdict (x, NULL) >= PU_PARTS_SUSPECTED;
+}
+
 /* --- records of the log --- */
 
 bool
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -840,6 +840,7 @@
 pu_server_hold (pu_server_t *s, pu_exchange_t *x)
 {
   x->phase = PU_EXCHANGE_PROBING;
+  s->probe_again = s->probe != NULL;
   if (x->at.suspect_tracked)
     pu_suspects_connection_lost (s->en->suspects, x->number);
   g_ptr_array_add (s->held_exchanges, x);
