--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -95,8 +95,9 @@
                                 `probe` */
   pu_entry_t *en;
   pu_http_call_t *probe;
-  bool probe_again;    /* an attempt broke while `probe` ran */
-  guint failed_probes; /* consecutive probes that were refused or closed */
+  guint64 probe_began_at; /* loop time */
+  bool probe_again;       /* an attempt broke while `probe` ran */
+  guint failed_probes;    /* consecutive probes that were refused or closed */
   guint crash_confirmations; /* other backend servers that have refused a
                                 connection since this one was found to */
   guint64 probe_at;          /* loop time of the next probe; 0: none */
@@ -770,6 +771,10 @@
    off.  */
 void pu_part_ended (const pu_exchange_t *x, bool cut);
 
+/* pu_part_server_alive - S has accepted a connection that was begun at loop
+   time SINCE.  */
+void pu_part_server_alive (const pu_server_t *s, guint64 since);
+
 /* pu_part_accuse - proposes to the log that the parts of the prompts that ran
    on S crashed the process INCARNATION of S.  */
 void pu_part_accuse (const pu_server_t *s, guint64 incarnation);
@@ -778,6 +783,11 @@
    part that decides in *WHICH, which may be NULL.  */
 pu_parts_verdict_t pu_part_verdict (const pu_exchange_t *x, guint64 *which);
 
+/* pu_part_forbids_repeat - whether X, whose attempt ended with FAILURE, may
+   crash the next backend server too.  */
+bool pu_part_forbids_repeat (const pu_exchange_t *x,
+                             pu_router_failure_t failure);
+
 /* pu_part_is_record - whether S is about a part of prompts, not about a
    request.  */
 bool pu_part_is_record (const pu_suspect_record *s);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -734,6 +734,8 @@
 {
   bool refused = result->kind == PU_HTTP_END_CONNECT_FAILED;
 
+  if (result->kind == PU_HTTP_END_COMPLETE)
+    pu_part_server_alive (s, s->probe_began_at);
   if (refused)
     pu_reach_failed (&s->en->reach, s->number, uv_now (s->en->o.loop));
   if (refused
@@ -798,6 +800,7 @@
 
   s->probe_at = 0;
   s->probe_again = false;
+  s->probe_began_at = uv_now (s->en->o.loop);
   s->probe = pu_http_client_start (s->en->client, &o, NULL);
   if (s->probe == NULL)
     held_retry (s);
@@ -842,6 +845,7 @@
 pu_server_hold (pu_server_t *s, pu_exchange_t *x)
 {
   x->phase = PU_EXCHANGE_PROBING;
+  s->probe_again = s->probe != NULL;
   if (x->at.suspect_tracked)
     pu_suspects_connection_lost (s->en->suspects, x->number);
   g_ptr_array_add (s->held_exchanges, x);
