--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -219,13 +219,14 @@
             "LD_PRELOAD": str(self.cluster.build / "tests/libcut_servers.so"),
             "CUT_SERVERS": str(self._cut), "CUT_PORT": str(port)}
 
-    def cut_servers(self, how):
-        """Until HOW is None, it reaches no backend server: new connections
-        are refused ("refuse") or all hang ("hang")."""
+    def cut_servers(self, how, hosts=()):
+        """Until HOW is None, it reaches no backend server, or none of HOSTS:
+        new connections are refused ("refuse"), open ones reset, too
+        ("break"), or all hang ("hang")."""
         if how is None:
             self._cut.unlink(missing_ok=True)
         else:
-            self._cut.write_text(how)
+            self._cut.write_text(" ".join([how, *hosts]))
 
     def lose_connections(self):
         """What it writes to the connections open now never arrives; both ends
--- a/tests/cut_servers.c
+++ b/tests/cut_servers.c
@@ -1,8 +1,10 @@
 /* cut_servers - loaded before the C library by a test: while the file
    CUT_SERVERS exists, this process reaches no backend server, that is, nothing
    that listens on port CUT_PORT.  If the file says "refuse", new connections
-   are refused and open ones live on; if it says "hang", new connections hang,
-   and what is written to open ones is lost.  */
+   are refused and open ones live on; if it says "break", open ones are reset,
+   too; if it says "hang", new connections hang, and what is written to open
+   ones is lost.  Hosts that follow in the file, each after a space, are the
+   only ones that are out of reach.  */
 
 #include <arpa/inet.h>
 #include <dlfcn.h>
@@ -25,31 +27,83 @@
   return dlsym (RTLD_NEXT, name);
 }
 
-/* The first letter of what the file says, or 0 without a file.  */
+static ssize_t
+real_read (int fd, void *bytes, size_t n)
+{
+  return ((ssize_t (*) (int, void *, size_t))real ("read")) (fd, bytes, n);
+}
+
+static bool
+is_server (const struct sockaddr_in *a)
+{
+  const char *port = getenv ("CUT_PORT");
+
+  return port != NULL && a->sin_family == AF_INET
+         && ntohs (a->sin_port) == atoi (port);
+}
+
+/* Whether HOST is one of the words of TEXT after the first, or there is only
+   one.  */
+static bool
+is_named (char *text, const char *host)
+{
+  char *kept;
+  const char *word;
+
+  strtok_r (text, " ", &kept);
+  word = strtok_r (NULL, " ", &kept);
+  if (word == NULL)
+    return true;
+  for (; word != NULL; word = strtok_r (NULL, " ", &kept))
+    {
+      if (strcmp (word, host) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* How connections to A are cut: the first letter of what the file says, or
+   0.  */
 static char
-mode (void)
+mode (const struct sockaddr_in *a)
 {
   int kept = errno;
   const char *path = getenv ("CUT_SERVERS");
-  int fd = path != NULL ? open (path, O_RDONLY | O_CLOEXEC) : -1;
-  char c = 0;
+  int fd = -1;
+  char text[4096] = "";
+  char host[INET_ADDRSTRLEN] = "";
+  char how = 0;
 
-  if (fd >= 0 && read (fd, &c, 1) != 1)
-    c = 0;
+  if (is_server (a) && path != NULL)
+    fd = open (path, O_RDONLY | O_CLOEXEC);
   if (fd >= 0)
-    close (fd);
+    {
+      if (real_read (fd, text, sizeof text - 1) > 0
+          && inet_ntop (AF_INET, &a->sin_addr, host, sizeof host) != NULL)
+        {
+          how = text[0];
+          if (!is_named (text, host))
+            how = 0;
+        }
+      close (fd);
+    }
   errno = kept;
-  return c;
+  return how;
 }
 
-static bool
-is_server (const struct sockaddr *address)
+/* How the connection FD is cut, as mode.  */
+static char
+mode_of (int fd)
 {
-  const char *port = getenv ("CUT_PORT");
+  int kept = errno;
+  struct sockaddr_in peer = { 0 };
+  socklen_t n = sizeof peer;
+  char how = 0;
 
-  return port != NULL && address->sa_family == AF_INET
-         && ntohs (((const struct sockaddr_in *)address)->sin_port)
-                == atoi (port);
+  if (getpeername (fd, (struct sockaddr *)&peer, &n) == 0)
+    how = mode (&peer);
+  errno = kept;
+  return how;
 }
 
 /* Fills A with the address of a listener that is full, so that connections to
@@ -89,10 +143,12 @@
 connect (int fd, const struct sockaddr *address, socklen_t n)
 {
   connect_fn *fn = (connect_fn *)real ("connect");
-  char how = is_server (address) ? mode () : 0;
+  char how = address->sa_family == AF_INET
+                 ? mode ((const struct sockaddr_in *)address)
+                 : 0;
   struct sockaddr_in full;
 
-  if (how == 'r')
+  if (how == 'r' || how == 'b')
     {
       errno = ECONNREFUSED;
       return -1;
@@ -103,17 +159,13 @@
   return fn (fd, (const struct sockaddr *)&full, sizeof full);
 }
 
-static bool
-is_lost (int fd)
+ssize_t
+read (int fd, void *bytes, size_t n)
 {
-  int kept = errno;
-  struct sockaddr_in peer = { 0 };
-  socklen_t n = sizeof peer;
-  bool lost = getpeername (fd, (struct sockaddr *)&peer, &n) == 0
-              && is_server ((const struct sockaddr *)&peer) && mode () == 'h';
-
-  errno = kept;
-  return lost;
+  if (mode_of (fd) != 'b')
+    return real_read (fd, bytes, n);
+  errno = ECONNRESET;
+  return -1;
 }
 
 ssize_t
@@ -122,7 +174,16 @@
   ssize_t (*fn) (int, const void *, size_t)
       = (ssize_t (*) (int, const void *, size_t))real ("write");
 
-  return is_lost (fd) ? (ssize_t)n : fn (fd, bytes, n);
+  switch (mode_of (fd))
+    {
+    case 'h':
+      return (ssize_t)n;
+    case 'b':
+      errno = ECONNRESET;
+      return -1;
+    default:
+      return fn (fd, bytes, n);
+    }
 }
 
 ssize_t
@@ -132,9 +193,16 @@
       = (ssize_t (*) (int, const struct iovec *, int))real ("writev");
   ssize_t sum = 0;
 
-  if (!is_lost (fd))
-    return fn (fd, v, n);
-  for (int i = 0; i < n; i++)
-    sum += (ssize_t)v[i].iov_len;
-  return sum;
+  switch (mode_of (fd))
+    {
+    case 'h':
+      for (int i = 0; i < n; i++)
+        sum += (ssize_t)v[i].iov_len;
+      return sum;
+    case 'b':
+      errno = ECONNRESET;
+      return -1;
+    default:
+      return fn (fd, v, n);
+    }
 }
