entry: other instances confirm the crash of a backend server

Cause: a refused connection and another backend server that accepts one were taken for a crash. In the loss of a part of the way both hold for each lost server. Ruled out: silence of others (they accepted), new incarnations.

Change: an entry asks up to eight others, spread over the zones (PU_CONTROL_WITNESS, a new procedure; no message changed). One that the server accepts refutes the crash, most have to be refused to confirm it. Where witnesses can't tell, strikes wait for the log.

Weighed: the log's own down (11 to 690 ms, and it is what a cut off leader gets wrong), no later check-in (a lease's end, 1.6 to 1.9 s).

A third case demands that a real crash beside a cut is struck.

Its callers go on after an answer that breaks off, which ended their threads.

--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -39,6 +39,9 @@
 const PU_CONTROL_FIND_ORIGIN = 15; /* pu_origin_query -> pu_origin_reply, entry
                                       to entry */
 
+const PU_CONTROL_WITNESS = 16; /* pu_witness_query -> pu_witness_reply, entry
+                                  to entry */
+
 const PU_CONTROL_LIST_MAX = 4096;
 const PU_CONTROL_VOTERS_MAX = 16;
 const PU_CONTROL_CHUNK_MAX = 16384;
@@ -235,6 +238,20 @@
   pu_name software;           /* "": several versions, or not known */
 };
 
+/* What another entry sees of a backend server (routing/witnesses.h).  */
+struct pu_witness_query
+{
+  pu_name backend;
+  unsigned hyper incarnation;
+  unsigned hyper inquiry;     /* number at the entry that asks */
+};
+
+struct pu_witness_reply
+{
+  unsigned hyper inquiry;
+  unsigned int sight;         /* pu_sight_t */
+};
+
 enum pu_query_kind
 {
   PU_QUERY_STATUS = 0,        /* to the leader: sessions, voters */
--- a/libplantainusher/control/control_msg_fuzz.cc
+++ b/libplantainusher/control/control_msg_fuzz.cc
@@ -49,7 +49,7 @@
 {
   if (size == 0)
     return 0;
-  switch (data[0] % 13)
+  switch (data[0] % 15)
     {
     case 0:
       CHECK (pu_poll);
@@ -87,9 +87,15 @@
     case 11:
       CHECK (pu_chunk);
       break;
-    default:
+    case 12:
       CHECK (pu_find);
       break;
+    case 13:
+      CHECK (pu_witness_query);
+      break;
+    default:
+      CHECK (pu_witness_reply);
+      break;
     }
   return 0;
 }
--- a/libplantainusher/daemon/build.c
+++ b/libplantainusher/daemon/build.c
@@ -539,6 +539,7 @@
     return false;
   pu_daemon_loads_listen (d);
   pu_daemon_origins_listen (d);
+  pu_daemon_witnesses_listen (d);
   if (d->settings->control && !build_control (d, e))
     return false;
   if (!build_agent (d, e))
--- a/libplantainusher/daemon/origins.c
+++ b/libplantainusher/daemon/origins.c
@@ -11,11 +11,10 @@
   TELL_TIMEOUT_MS = 2000,
 };
 
-/* Calls PROC of the daemon at ADDRESS with M, an XDR record of the type
-   TYPE.  */
-static void
-peer_call (pu_daemon_t *d, const char *address, guint32 proc, xdrproc_t type,
-           const void *m, guint timeout_ms, pu_rpc_answer_t *fn)
+void
+pu_daemon_peer_call (pu_daemon_t *d, const char *address, guint32 proc,
+                     xdrproc_t type, const void *m, guint timeout_ms,
+                     pu_rpc_answer_t *fn)
 {
   pu_rpc_client_t *peer = pu_agent_peer (d->agent, address);
   GBytes *bytes;
@@ -61,8 +60,9 @@
           list[i].software = origins[sent + i].software;
           list[i].life_ms = origins[sent + i].life_ms;
         }
-      peer_call (daemon, address, PU_CONTROL_ORIGINS,
-                 (xdrproc_t)xdr_pu_origin_list, &m, TELL_TIMEOUT_MS, on_told);
+      pu_daemon_peer_call (daemon, address, PU_CONTROL_ORIGINS,
+                           (xdrproc_t)xdr_pu_origin_list, &m, TELL_TIMEOUT_MS,
+                           on_told);
       g_free (list);
       sent += part;
     }
@@ -113,8 +113,9 @@
 {
   pu_origin_query m = { key };
 
-  peer_call (daemon, address, PU_CONTROL_FIND_ORIGIN,
-             (xdrproc_t)xdr_pu_origin_query, &m, timeout_ms, on_answer);
+  pu_daemon_peer_call (daemon, address, PU_CONTROL_FIND_ORIGIN,
+                       (xdrproc_t)xdr_pu_origin_query, &m, timeout_ms,
+                       on_answer);
 }
 
 static void
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -76,6 +76,12 @@
 void pu_daemon_withdraw_out (void *daemon, const char *address, guint64 id,
                              const char *model, guint life_ms);
 
+/* pu_daemon_peer_call - calls PROC of the daemon at ADDRESS with M, an XDR
+   record of the type TYPE; FN gets D.  Does nothing for an invalid address. */
+void pu_daemon_peer_call (pu_daemon_t *d, const char *address, guint32 proc,
+                          xdrproc_t type, const void *m, guint timeout_ms,
+                          pu_rpc_answer_t *fn);
+
 /* origins.c - what began streams, between entries.  */
 void pu_daemon_origins_listen (pu_daemon_t *d);
 void pu_daemon_origins_tell (void *daemon, const char *address,
@@ -83,6 +89,12 @@
 void pu_daemon_origin_ask (void *daemon, const char *address, guint64 key,
                            guint timeout_ms);
 
+/* witnesses.c - what entries see of a backend server, between entries.  */
+void pu_daemon_witnesses_listen (pu_daemon_t *d);
+void pu_daemon_witness_ask (void *daemon, const char *address,
+                            const char *backend, guint64 incarnation,
+                            guint64 inquiry, guint timeout_ms);
+
 /* status.c - what operators see.  */
 void pu_daemon_status (json_t *status, pu_operator_json_fn *done,
                        void *done_data, void *daemon);
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -770,7 +770,7 @@
     }
   else if (s != NULL && refused && !pu_entry_reach_is_doubtful (x->en))
     {
-      pu_server_refused (s);
+      pu_server_note_refusal (s);
     }
   pu_exchange_retry (x, PU_ROUTER_FAIL_CONNECT);
 }
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -276,6 +276,7 @@
   en->servers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pu_server_free);
   en->ticking_servers = g_hash_table_new (NULL, NULL);
+  en->inquiries = g_hash_table_new (g_int64_hash, g_int64_equal);
   en->other_addresses = g_ptr_array_new_with_free_func (g_free);
   en->other_addresses_version = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -367,6 +368,7 @@
   g_hash_table_destroy (en->ticking_servers);
   g_ptr_array_free (en->other_addresses, TRUE);
   g_hash_table_destroy (en->servers);
+  g_hash_table_destroy (en->inquiries);
   g_hash_table_destroy (en->reporters);
   g_hash_table_destroy (en->leaves);
   g_ptr_array_free (en->peers, TRUE);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -12,6 +12,7 @@
 #include "base/memory_budget.h"
 #include "control/grants.h"
 #include "entry/front.h"
+#include "routing/witnesses.h"
 #include "state/state.h"
 
 G_BEGIN_DECLS
@@ -126,6 +127,12 @@
      TIMEOUT_MS.  May be NULL.  */
   void (*ask_origin) (void *data, const char *address, guint64 key,
                       guint timeout_ms);
+  /* Asks the daemon with the peer address ADDRESS what it sees of BACKEND in
+     INCARNATION.  An answer is given to pu_entry_receive_sight with INQUIRY,
+     if one comes within TIMEOUT_MS.  May be NULL: crashes are confirmed by
+     nobody.  */
+  void (*ask_witness) (void *data, const char *address, const char *backend,
+                       guint64 incarnation, guint64 inquiry, guint timeout_ms);
   void *data;
 } pu_entry_hooks_t;
 
@@ -257,6 +264,20 @@
 void pu_entry_receive_origin (pu_entry_t *en, guint64 key,
                               const char *software);
 
+/* pu_entry_receive_sight - receives the answer of another entry to
+   ask_witness.  */
+void pu_entry_receive_sight (pu_entry_t *en, guint64 inquiry,
+                             pu_sight_t sight);
+
+typedef void pu_entry_sight_fn (void *data, pu_sight_t sight);
+
+/* pu_entry_see_backend - connects to the backend server NAME in INCARNATION,
+   for another entry.  FN is called exactly once with what this entry sees of
+   it, maybe before this returns.  */
+void pu_entry_see_backend (pu_entry_t *en, const char *name,
+                           guint64 incarnation, pu_entry_sight_fn *fn,
+                           void *data);
+
 /* pu_entry_accepts_reports - whether a report received now may be
    acknowledged.  If an instance without contact to the voters acknowledged it,
    no lease would be renewed: after five seconds all other instances would take
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -116,6 +116,14 @@
   bool refusal_reporting;    /* a report of a refused connection has no reply
                                 yet */
   guint64 refusal_report_at; /* loop time of the next such report */
+  guint64 inquiry; /* number of the inquiry whether it has crashed; 0: none */
+  guint64 inquiry_incarnation;
+  pu_witnesses_t witnesses;  /* of the inquiry */
+  bool broke_off;            /* requests broke off, which the check is about */
+  guint64 refused_at;        /* loop time when the check began */
+  guint64 next_inquiry_at;   /* loop time of the next one if none breaks off */
+  guint64 unconfirmed_until; /* loop time until which it counts as crashed if
+                                the log has it as down */
   guint64 local_down_until;  /* loop time until which this entry takes the
                                 server for dead, even if the view lists it as
                                 up; 0: not found dead */
@@ -331,6 +339,9 @@
                     requests and parses */
   guint64 last_number; /* of an exchange */
   guint64 last_strike_number;
+  guint64 last_inquiry;
+  GHashTable *inquiries; /* &inquiry -> pu_server_t */
+  guint sightings;       /* as a witness, that have not ended */
   guint last_server_number;
   guint64 rates_updated_at; /* loop time when the rates were last updated */
   guint64
@@ -529,6 +540,48 @@
    there shortly before, gets a strike.  */
 void pu_server_check_crash (pu_server_t *s);
 
+/* pu_server_probe_start - probes S, whose result releases what is held or
+   begins another check.  pu_server_release_held - retries the exchanges that
+   wait for the check of S, which has ended.  */
+void pu_server_probe_start (pu_server_t *s);
+void pu_server_release_held (pu_server_t *s);
+
+/* pu_server_propose_strikes - proposes a strike against each request that was
+   running on S when its process INCARNATION crashed, or that was aborted on S
+   shortly before.  */
+void pu_server_propose_strikes (pu_server_t *s, guint64 incarnation);
+
+/* pu_server_watch - makes pu_servers_tick visit S until none of its timers is
+   pending.  */
+void pu_server_watch (pu_server_t *s);
+
+/* pu_server_is_checked - whether it is being checked whether S has
+   crashed.  */
+static inline bool
+pu_server_is_checked (const pu_server_t *s)
+{
+  return s->probe != NULL || s->probe_at != 0 || s->inquiry != 0;
+}
+
+/* --- crashes.c: crashes told from a loss of this entry's network --- */
+
+/* pu_server_crash_probed - a probe of S after a request broke off there has
+   ended with RESULT.  S has crashed if it refuses connections, none of its
+   connections is left, another backend server accepts one, and other entries
+   confirm it.  A request that broke off alone is no sign of that: backend
+   servers reset connections for other reasons too.  */
+void pu_server_crash_probed (pu_server_t *s, const pu_http_result_t *result);
+
+/* pu_server_note_refusal - S has refused a connection.  The leader is told if
+   other entries confirm that S has crashed.  */
+void pu_server_note_refusal (pu_server_t *s);
+
+/* pu_server_crash_logged - the log has it that S is down, which confirms a
+   crash that is still in question.  */
+void pu_server_crash_logged (pu_server_t *s);
+
+void pu_server_inquiry_tick (pu_server_t *s, guint64 now);
+
 /* pu_server_mark_present - treats S as having a ready copy of MODEL until loop
    time UNTIL, even if the reports of S list none.  */
 void pu_server_mark_present (pu_server_t *s, const char *model, guint64 until);
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -18,9 +18,6 @@
   /* Most lines on changes of state when all backend servers are applied at
      once, as after a start.  */
   CHANGES_LOGGED_MAX = 200,
-  /* Other backend servers that are asked before a crash is taken for a fault
-     of this instance's network.  */
-  CONFIRMATIONS_MAX = 8,
 };
 
 /* An override: whether a backend server has a ready copy of a model, for the
@@ -53,6 +50,8 @@
 {
   pu_server_t *s = server;
 
+  if (s->inquiry != 0)
+    g_hash_table_remove (s->en->inquiries, &s->inquiry);
   pu_http_call_cancel (s->probe);
   g_ptr_array_free (s->held_exchanges, TRUE);
   g_hash_table_destroy (s->copy_overrides);
@@ -84,11 +83,10 @@
   return s;
 }
 
-/* server_watch - makes pu_servers_tick visit S until none of its timers is
-   pending.  The tick does not visit all servers, because nearly all of several
-   thousand have no timer pending.  */
-static void
-server_watch (pu_server_t *s)
+/* The tick does not visit all servers, because nearly all of several thousand
+   have no timer pending.  */
+void
+pu_server_watch (pu_server_t *s)
 {
   g_hash_table_add (s->en->ticking_servers, s);
 }
@@ -96,18 +94,17 @@
 static bool
 has_timer (const pu_server_t *s)
 {
-  return s->probe_at != 0 || s->aborted_suspects > 0
+  return s->probe_at != 0 || s->inquiry != 0 || s->aborted_suspects > 0
          || s->local_down_until != 0
          || g_hash_table_size (s->copy_overrides) > 0;
 }
 
 /* --- strikes for crashes of backend servers --- */
 
-/* Proposes a strike, a record in the replicated log that blames a request for
-   a crash, against each request that was running on S when the process
-   INCARNATION of S crashed, or that was aborted on S shortly before.  */
-static void
-incarnation_propose_strikes (pu_server_t *s, guint64 incarnation)
+/* A strike is a record in the replicated log that blames a request for a
+   crash.  */
+void
+pu_server_propose_strikes (pu_server_t *s, guint64 incarnation)
 {
   pu_entry_t *en = s->en;
   GArray *strikes = g_array_new (FALSE, FALSE, sizeof (pu_suspects_strike_t));
@@ -243,7 +240,7 @@
 incarnation_set (pu_server_t *s, const pu_backend_record *b)
 {
   if (s->incarnation != 0)
-    incarnation_propose_strikes (s, s->incarnation);
+    pu_server_propose_strikes (s, s->incarnation);
   g_hash_table_remove (s->en->load_ids, &s->load_id);
   s->incarnation = b->incarnation;
   s->load_id = pu_entry_load_id (s->name, s->incarnation);
@@ -256,6 +253,8 @@
   s->local_down_until = 0;
   s->failed_probes = 0;
   s->refusal_report_at = 0;
+  s->next_inquiry_at = 0;
+  s->unconfirmed_until = 0;
   pu_server_uncount_version (s);
   g_free (s->software);
   s->software = g_strdup ("");
@@ -330,6 +329,8 @@
   software_update (s, b);
   pu_server_count_version (s, b->service, !b->down);
   s->leaving = s->leaving || b->leaving;
+  if (b->down && !s->down)
+    pu_server_crash_logged (s);
   s->down = b->down || uv_now (en->o.loop) < s->local_down_until;
   if (s->down)
     {
@@ -438,7 +439,7 @@
 void
 pu_server_suspect_aborted (pu_server_t *s)
 {
-  server_watch (s);
+  pu_server_watch (s);
   s->aborted_suspects++;
   s->aborted_until = uv_now (s->en->o.loop) + s->en->o.strike_settle_ms;
 }
@@ -485,7 +486,7 @@
   x->version = g_strdup (pu_document_model (d, m)->version);
   x->present = present;
   x->expires_at = until;
-  server_watch (s);
+  pu_server_watch (s);
   g_hash_table_replace (s->copy_overrides, g_strdup (model), x);
 }
 
@@ -600,8 +601,8 @@
 
 /* --- health probes of backend servers --- */
 
-static void
-held_retry (pu_server_t *s)
+void
+pu_server_release_held (pu_server_t *s)
 {
   GPtrArray *held = s->held_exchanges;
 
@@ -643,14 +644,14 @@
   pu_log_note (PU_ENTRY_LOG_SLICE,
                "Backend server %s is down: probes were refused or closed.",
                s->name);
-  incarnation_propose_strikes (s, s->incarnation);
+  pu_server_propose_strikes (s, s->incarnation);
   router_remove (s);
   s->down = true;
-  server_watch (s);
+  pu_server_watch (s);
   s->local_down_until = uv_now (s->en->o.loop) + LOCAL_DOWN_MS;
   pu_http_client_close_idle (s->en->client, s->address);
   down_propose (s);
-  held_retry (s);
+  pu_server_release_held (s);
 }
 
 static bool
@@ -660,92 +661,6 @@
          || kind == PU_HTTP_END_STALE;
 }
 
-static void probe_start (pu_server_t *s);
-
-static void
-crash_record (pu_server_t *s)
-{
-  pu_log_note (PU_ENTRY_LOG_SLICE,
-               "Backend server %s broke off requests and refuses "
-               "connections: it has crashed.",
-               s->name);
-  incarnation_propose_strikes (s, s->incarnation);
-  pu_server_refused (s);
-}
-
-static bool crash_confirm (pu_server_t *s);
-
-/* Handles the result of a connection to another backend server than S, which
-   refuses connections.  That one may have crashed too; if none that is asked
-   accepts a connection, it is this instance that may be cut off.  */
-static void
-on_crash_confirmed (void *data, pu_http_call_t *call,
-                    const pu_http_result_t *result)
-{
-  pu_server_t *s = data;
-
-  (void)call;
-  s->probe = NULL;
-  if (result->kind == PU_HTTP_END_COMPLETE)
-    {
-      pu_reach_connected (&s->en->reach);
-      crash_record (s);
-    }
-  else if (result->refused && ++s->crash_confirmations < CONFIRMATIONS_MAX
-           && crash_confirm (s))
-    {
-      return;
-    }
-  held_retry (s);
-}
-
-/* Connects to another backend server, if there is one.  */
-static bool
-crash_confirm (pu_server_t *s)
-{
-  const pu_server_t *other = pu_entry_reach_random_server (s->en, s);
-  pu_http_call_options_t o = { .method = "GET",
-                               .target = "/",
-                               .fresh = true,
-                               .connect_only = true,
-                               .events = { .on_end = on_crash_confirmed },
-                               .data = s };
-
-  if (other == NULL)
-    return false;
-  o.address = other->address;
-  s->probe = pu_http_client_start (s->en->client, &o, NULL);
-  return s->probe != NULL;
-}
-
-/* Handles the result of a connection to S after an attempt on S broke.  S has
-   crashed if it refuses connections, none of its connections is left, and
-   another backend server accepts one.  With a frontend given in the options, a
-   broken attempt alone is no sign of that: such backend servers reset
-   connections for other reasons too.  */
-static void
-crash_check_end (pu_server_t *s, const pu_http_result_t *result)
-{
-  bool refused = result->kind == PU_HTTP_END_CONNECT_FAILED;
-
-  if (refused)
-    pu_reach_failed (&s->en->reach, s->number, uv_now (s->en->o.loop));
-  if (refused
-      && !pu_suspects_has_open (s->en->suspects, s->number, s->incarnation))
-    {
-      s->crash_confirmations = 0;
-      if (crash_confirm (s))
-        return;
-      crash_record (s);
-    }
-  else if (s->probe_again)
-    {
-      probe_start (s);
-      return;
-    }
-  held_retry (s);
-}
-
 static void
 probe_end (void *data, pu_http_call_t *call, const pu_http_result_t *result)
 {
@@ -755,14 +670,14 @@
   s->probe = NULL;
   if (!pu_entry_uses_builtin_frontend (s->en))
     {
-      crash_check_end (s, result);
+      pu_server_crash_probed (s, result);
       return;
     }
   /* A dying process may still accept a connection and close it, so S counts as
      alive only if it sends a response or keeps the connection open.  */
   if (result->head || !is_refused_or_closed (result->kind))
     {
-      held_retry (s);
+      pu_server_release_held (s);
       return;
     }
   if (++s->failed_probes >= PROBES_UNTIL_DOWN)
@@ -771,13 +686,13 @@
     }
   else
     {
-      server_watch (s);
+      pu_server_watch (s);
       s->probe_at = uv_now (s->en->o.loop) + PROBE_RETRY_MS;
     }
 }
 
-static void
-probe_start (pu_server_t *s)
+void
+pu_server_probe_start (pu_server_t *s)
 {
   pu_http_call_options_t o
       = { .address = s->address,
@@ -794,22 +709,22 @@
   s->probe_again = false;
   s->probe = pu_http_client_start (s->en->client, &o, NULL);
   if (s->probe == NULL)
-    held_retry (s);
+    pu_server_release_held (s);
 }
 
 void
 pu_server_probe (pu_server_t *s)
 {
-  if (s->probe == NULL && s->probe_at == 0 && !s->down)
-    probe_start (s);
+  if (!pu_server_is_checked (s) && !s->down)
+    pu_server_probe_start (s);
 }
 
 void
 pu_server_check_crash (pu_server_t *s)
 {
-  if (s->probe == NULL)
+  if (s->probe == NULL && s->inquiry == 0)
     {
-      probe_start (s);
+      pu_server_probe_start (s);
     }
   else
     {
@@ -827,7 +742,7 @@
                s->name);
   router_remove (s);
   s->down = true;
-  server_watch (s);
+  pu_server_watch (s);
   s->local_down_until = uv_now (s->en->o.loop) + LOCAL_DOWN_MS;
   down_propose (s);
 }
@@ -839,8 +754,14 @@
   if (x->at.suspect_tracked)
     pu_suspects_connection_lost (s->en->suspects, x->number);
   g_ptr_array_add (s->held_exchanges, x);
-  if (s->probe == NULL && s->probe_at == 0)
-    probe_start (s);
+  if (!pu_server_is_checked (s))
+    {
+      pu_server_probe_start (s);
+    }
+  else
+    {
+      s->probe_again = true;
+    }
 }
 
 void
@@ -870,8 +791,9 @@
 {
   overrides_tick (s, now);
   local_down_tick (s, now);
+  pu_server_inquiry_tick (s, now);
   if (s->probe_at != 0 && s->probe_at <= now)
-    probe_start (s);
+    pu_server_probe_start (s);
   for (; s->aborted_suspects > 0 && s->aborted_until <= now;
        s->aborted_suspects--)
     pu_server_count_suspect (s->en, s, false);
--- a/tests/partly_cut_off_process_test.py
+++ b/tests/partly_cut_off_process_test.py
@@ -2,6 +2,7 @@
 """Instances that lose their way to a part of the backend servers, which go on
 running and serve the other instances.  tests/cluster.py says how to run this
 file."""
+import http.client
 import threading
 import time
 
@@ -11,7 +12,6 @@
 from platform_process_test import PlatformTest
 
 SERVERS = 4        # of each service
-LOST = 3           # of these, at an instance that is cut off
 EVENTS, EVENT_S = 8, 0.05
 HOLD_S = 0.1
 CALLERS = 3        # at a time, at each instance
@@ -19,11 +19,12 @@
 CUT_S = 3.0
 CUTS = 2
 PAUSE_S = 0.02
+CRASHING = b"crash whoever runs this"
 
 
-class PartlyCutOff(PlatformTest):
-    """Invariant: what an instance sees that is cut off from some backend
-    servers is taken for no crash."""
+class PartlyCutOffTest(PlatformTest):
+    """Callers of instances of which some are cut off from some backend
+    servers."""
     options = {"plain": 5, "cuttable": True}
 
     def setUp(self):
@@ -39,7 +40,8 @@
                 wait_until(f"{one.name} to know {b.name}",
                            lambda one=one, b=b: self.knows(one, b))
         self._end = threading.Event()
-        self.statuses = {one.name: [] for one in self.some}
+        self.cut_at = []  # when cuts began
+        self.asked = {one.name: [] for one in self.some}  # (begun, id, status)
         self._threads = [threading.Thread(target=self.call, args=(one, n))
                          for one in self.some for n in range(CALLERS)]
 
@@ -49,29 +51,35 @@
         while not self._end.is_set():
             i += 1
             method, path, headers = KINDS[(n + i) % len(KINDS)]
-            rid = f"{one.name}-{n}-{i}"
+            rid = f"{path.split('/')[1]}-{one.name}-{n}-{i}"
+            begun = time.monotonic()
             try:
                 status = one.ask(method, path,
                                  {"Deadline-Ms": "4000", **headers}, rid,
                                  body=rid.encode()).status
-            except OSError:
+            except (OSError, http.client.HTTPException):
                 status = 0
-            self.statuses[one.name].append((time.monotonic(), status))
+            self.asked[one.name].append((begun, rid, status))
             time.sleep(PAUSE_S)
 
-    def cut_parts(self, cut):
-        """Cuts each of CUT off from LOST servers of each service, others at
-        each and at each time, while callers ask all instances."""
+    def most_of_each_service(self, i):
+        """All servers of each service but one, another one for each I."""
+        return [b for j, b in enumerate(self.backends)
+                if j % SERVERS != i % SERVERS]
+
+    def cut_parts(self, cut, lost=None, meanwhile=lambda: None):
+        """Cuts each of CUT off from the servers that LOST returns, given a
+        number, while callers ask all instances."""
+        lost = lost or self.most_of_each_service
         for t in self._threads:
             t.start()
         for n in range(CUTS):
             time.sleep(UNDER_WAY_S)
+            self.cut_at.append(time.monotonic())
             for i, one in enumerate(cut):
-                kept = (i + n) % SERVERS
-                one.cut_servers("break", [
-                    b.address.split(":")[0]
-                    for j, b in enumerate(self.backends)
-                    if j % SERVERS != kept])
+                one.cut_servers("break", [b.address.split(":")[0]
+                                          for b in lost(i + n)])
+            meanwhile()
             time.sleep(CUT_S)
             for one in cut:
                 one.cut_servers(None)
@@ -85,6 +93,11 @@
                 for line in one.log.read_text(errors="replace").splitlines()
                 if part in line]
 
+
+class PartlyCutOff(PartlyCutOffTest):
+    """Invariant: what an instance sees that is cut off from some backend
+    servers is taken for no crash."""
+
     def check_nothing_crashed(self):
         down = [line for line in self.lines("Backend server changed state.")
                 if '"now":"down"' in line]
@@ -105,6 +118,26 @@
         self.cut_parts([leader, *others[-2:]])
         self.check_nothing_crashed()
 
+    def test_crash_is_told_from_the_cut(self):
+        """A server crashes at another instance, which reaches all others."""
+        cut, others = self.some[-3:], self.some[:-3]
+        for b in self.backends:
+            b.crash_on = CRASHING if b.models is not None else None
+
+        def crash():
+            method, path, headers = KINDS[2]
+            try:
+                others[0].ask(method, path, headers, "crashing",
+                              body=CRASHING)
+            except (OSError, http.client.HTTPException):
+                pass  # it breaks off
+        self.cut_parts(cut, meanwhile=crash)
+        struck = {line.split(" backend server ")[1].split(".")[0]
+                  for line in self.lines("Proposing a strike")}
+        crashed = {b.name for b in self.backends if b.crashed}
+        self.assertGreater(len(crashed), 0)
+        self.assertEqual(struck, crashed)
+
 
 if __name__ == "__main__":
     main()
