entry: reach is kept by backend server

Callers: served, but in a partial cut each request for a lost server met two of them first, and an instance took itself for cut off several times in seconds and sent away what it could serve.

Change: a backend server that accepts no connection and of which other entries say that it runs is lost to this entry (routing/lost), gets nothing until a probe reaches it, and what needs it goes to another entry, also out of the queue. routing/reach asks eight servers that are not known as lost, comes back by four, and counts probes of the present doubt only. With others to ask, a check asks them at once, also when a connection was not answered, and also for plain services.

--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -282,6 +282,7 @@
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
   pu_reach_init (&en->reach);
+  en->lost = pu_lost_new ();
   pu_entry_origins_init (en);
   en->peers = g_ptr_array_new_with_free_func (pu_entry_peer_free);
   en->peers_version = G_MAXUINT64;
@@ -369,6 +370,7 @@
   g_ptr_array_free (en->other_addresses, TRUE);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->inquiries);
+  pu_lost_free (en->lost);
   g_hash_table_destroy (en->reporters);
   g_hash_table_destroy (en->leaves);
   g_ptr_array_free (en->peers, TRUE);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -10,6 +10,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "once/once.h"
+#include "routing/lost.h"
 #include "routing/origins.h"
 #include "routing/reach.h"
 #include "routing/router.h"
@@ -302,6 +303,7 @@
   GHashTable *reporters; /* name -> pu_reporter_t */
   GHashTable *leaves;    /* name -> leave_t of leaves.c */
   pu_reach_t reach;      /* whether it reaches the backend servers */
+  pu_lost_t *lost;       /* of pu_server_t: those that it does not reach */
   guint64 heard_at;      /* loop time when a backend server last sent
                             anything */
   GPtrArray *peers;      /* of peer_t of reach.c: the other entries */
@@ -572,9 +574,10 @@
    servers reset connections for other reasons too.  */
 void pu_server_crash_probed (pu_server_t *s, const pu_http_result_t *result);
 
-/* pu_server_note_refusal - S has refused a connection.  The leader is told if
-   other entries confirm that S has crashed.  */
-void pu_server_note_refusal (pu_server_t *s);
+/* pu_server_note_unconnected - a request got no connection to S, which REFUSED
+   it or did not answer.  Asks other entries: if S has crashed, the leader is
+   told; if it runs, it is lost to this entry.  */
+void pu_server_note_unconnected (pu_server_t *s, bool refused);
 
 /* pu_server_crash_logged - the log has it that S is down, which confirms a
    crash that is still in question.  */
@@ -582,6 +585,23 @@
 
 void pu_server_inquiry_tick (pu_server_t *s, guint64 now);
 
+/* --- lost.c: backend servers that this entry does not reach --- */
+
+/* pu_server_set_lost - S runs, but is not reached: it gets no requests until a
+   probe reaches it.  pu_server_set_reached - S is reached, or gone.  */
+void pu_server_set_lost (pu_server_t *s);
+void pu_server_set_reached (pu_server_t *s);
+
+/* pu_server_lost_reapply - tells the router, which has just got S, whether S
+   is lost.  */
+void pu_server_lost_reapply (const pu_server_t *s);
+
+void pu_entry_lost_tick (pu_entry_t *en, guint64 now);
+
+/* pu_entry_lost_all - whether any entry may serve X, and this one does not
+   reach any backend server that could run it.  */
+bool pu_entry_lost_all (const pu_exchange_t *x);
+
 /* pu_server_mark_present - treats S as having a ready copy of MODEL until loop
    time UNTIL, even if the reports of S list none.  */
 void pu_server_mark_present (pu_server_t *s, const char *model, guint64 until);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -223,7 +223,8 @@
       = { 503, PU_REFUSAL_CUT_OFF, PU_RUN_OUTCOME_NOT_RUN,
           PU_BUSY_RETRY_AFTER_MS };
 
-  pu_exchange_fail (x, &cut_off, "This entry reaches no backend server.");
+  pu_exchange_fail (x, &cut_off,
+                    "This entry reaches no backend server for this request.");
 }
 
 static void
@@ -664,6 +665,27 @@
          || !must_avoid (x, x->duplicate_wait_server_number);
 }
 
+/* Handles X, which is queued, if its backend servers are lost since.  */
+static void
+queued_tick (pu_exchange_t *x)
+{
+  pu_ticket_t ticket = x->ticket;
+
+  if (!pu_entry_lost_all (x))
+    return;
+  if (pu_entry_refuses_relayed (x))
+    {
+      ticket_cancel (x);
+      fail_cut_off (x);
+    }
+  else if (pu_entry_hand_over (x))
+    {
+      ticket_set (x, 0);
+      pu_router_cancel (x->en->router, ticket, uv_now (x->en->o.loop));
+      pu_entry_schedule_router (x->en);
+    }
+}
+
 static void
 exchange_tick (pu_exchange_t *x, guint64 now)
 {
@@ -678,6 +700,10 @@
     {
       fail_deadline (x);
     }
+  else if (x->phase == PU_EXCHANGE_QUEUED)
+    {
+      queued_tick (x);
+    }
   else if (x->phase == PU_EXCHANGE_WAITING && pu_origin_tick (x, now))
     {
       return;
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -52,6 +52,7 @@
 
   if (s->inquiry != 0)
     g_hash_table_remove (s->en->inquiries, &s->inquiry);
+  pu_lost_remove (s->en->lost, s);
   pu_http_call_cancel (s->probe);
   g_ptr_array_free (s->held_exchanges, TRUE);
   g_hash_table_destroy (s->copy_overrides);
@@ -223,6 +224,7 @@
     {
       pu_router_set_back_off (s->en->router, s->handle, s->back_off_until);
       pu_server_brittle_apply (s);
+      pu_server_lost_reapply (s);
     }
   g_array_free (copies, TRUE);
   g_free (plain);
@@ -231,6 +233,7 @@
 static void
 router_remove (pu_server_t *s)
 {
+  pu_server_set_reached (s);
   if (s->handle != PU_ROUTER_NONE)
     pu_router_remove_backend (s->en->router, s->handle);
   s->handle = PU_ROUTER_NONE;
@@ -255,6 +258,7 @@
   s->refusal_report_at = 0;
   s->next_inquiry_at = 0;
   s->unconfirmed_until = 0;
+  pu_server_set_reached (s);
   pu_server_uncount_version (s);
   g_free (s->software);
   s->software = g_strdup ("");
--- a/libplantainusher/routing/dump.c
+++ b/libplantainusher/routing/dump.c
@@ -1,5 +1,7 @@
 #include "routing/router_int.h"
 
+#include <string.h>
+
 pu_router_stats_t
 pu_router_stats (const pu_router_t *r)
 {
@@ -54,6 +56,28 @@
   return model ? model->ready->len : 0;
 }
 
+bool
+pu_router_all_lost (const pu_router_t *r, pu_router_model_t m,
+                    const char *software)
+{
+  const model_t *model = model_at (r, m);
+  bool any_lost = false;
+
+  for (guint i = 0; model != NULL && i < model->ready->len; i++)
+    {
+      const backend_t *s = backend_at (
+          r, g_array_index (model->ready, ready_copy_t, i).backend);
+
+      if (software != NULL
+          && (*software == '\0' || strcmp (software, s->software) != 0))
+        continue;
+      if (!s->lost)
+        return false;
+      any_lost = true;
+    }
+  return any_lost;
+}
+
 static json_t *
 service_dump (const service_t *s)
 {
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -254,6 +254,18 @@
   backend_mark_dirty (r, b);
 }
 
+void
+pu_router_set_lost (pu_router_t *r, pu_router_backend_t b, bool lost)
+{
+  backend_t *s = backend_at (r, b);
+
+  if (s == NULL || !s->in_use || s->lost == lost)
+    return;
+  s->lost = lost;
+  if (!lost)
+    backend_mark_dirty (r, b);
+}
+
 void
 pu_router_set_back_off (pu_router_t *r, pu_router_backend_t b, guint64 until)
 {
--- a/libplantainusher/routing/reach.h
+++ b/libplantainusher/routing/reach.h
@@ -15,7 +15,9 @@
  * does so may have crashed; with two or more in a row, and no connection made
  * in between, the instance itself is in doubt, and probes of other backend
  * servers decide.  A cut off instance goes on probing, and reaches the backend
- * servers again when all probes of a round succeed.
+ * servers again when all probes of a round succeed.  The loss of a part of
+ * them is another load (routing/lost.h): rounds are large enough that it is
+ * not taken for this one now and then.
  *
  * Does no I/O and reads no clock.  Times are monotonic milliseconds.
  */
@@ -38,6 +40,7 @@
   guint n_failed;
   guint64 failed_at;     /* latest of these failures */
   guint64 next_round_at; /* of probes */
+  bool round_counts;     /* its probes were begun in this doubt */
   guint probes_open;
   guint probes_good; /* of the round */
   guint probes_bad;  /* of the round */
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -236,6 +236,10 @@
 void pu_router_set_back_off (pu_router_t *r, pu_router_backend_t b,
                              guint64 until);
 
+/* pu_router_set_lost - B gets no requests of this router while it is LOST: it
+   runs, but is not reached from here.  */
+void pu_router_set_lost (pu_router_t *r, pu_router_backend_t b, bool lost);
+
 /* pu_router_set_slots_cap - B gets at most CAP requests at once, those of
    other routers included as far as reports show them, whatever it seems to
    bear; 0: as it seems to bear.  */
@@ -506,6 +510,12 @@
    requests.  */
 guint pu_router_ready_copies (const pu_router_t *r, pu_router_model_t m);
 
+/* pu_router_all_lost - whether there are copies of M that may get new requests
+   of a stream of the software version SOFTWARE (NULL: of any), and all are at
+   lost backend servers.  */
+bool pu_router_all_lost (const pu_router_t *r, pu_router_model_t m,
+                         const char *software);
+
 /* pu_router_dump - returns a new JSON object with the services, models,
    backend servers and totals.  The caller owns it.  */
 json_t *pu_router_dump (const pu_router_t *r);
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -118,6 +118,7 @@
   bool in_use;           /* false: the handle is free */
   bool removed;          /* true: freed when its last request ends */
   bool leaving;
+  bool lost;         /* not reached from here */
   bool dirty;        /* may have capacity; in the router's dirty list */
   bool cooling_down; /* in the router's list of cooldowns */
   guint fixed_slots;
--- /dev/null
+++ b/libplantainusher/routing/router_lost_test.cc
@@ -0,0 +1,159 @@
+/* Backend servers that run, but are not reached from here.  */
+
+#include "routing/router.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace
+{
+
+class RouterLost : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    const pu_router_service_options_t s
+        = { "chat", 1, 400, 60, 5000, 0, 10, false, 0 };
+    pu_router_options_t o;
+
+    pu_router_options_init (&o);
+    r_ = pu_router_new (&o);
+    chat_ = pu_router_set_service (r_, &s);
+    m_ = pu_router_set_model (r_, "m", nullptr, 0);
+  }
+  void
+  TearDown () override
+  {
+    pu_router_free (r_);
+  }
+
+  pu_router_backend_t
+  backend (const char *name, const char *software = "v1")
+  {
+    const pu_router_copy_t copy = { "m", "1", PU_ROUTER_COPY_READY };
+    pu_router_backend_options_t b = {};
+
+    b.name = name;
+    b.incarnation = 1;
+    b.region = b.zone = "";
+    b.software = software;
+    b.copies = &copy;
+    b.n_copies = 1;
+    return pu_router_set_backend (r_, &b);
+  }
+
+  pu_router_decision_t
+  offer ()
+  {
+    pu_router_request_t q = {};
+    pu_router_decision_t d;
+
+    q.service = chat_;
+    q.model = m_;
+    q.deadline = now_ + 5000;
+    q.repeatable = true;
+    pu_router_offer (r_, &q, now_, &d);
+    return d;
+  }
+
+  guint
+  scheduled ()
+  {
+    GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
+    guint n;
+
+    pu_router_schedule (r_, now_, out);
+    n = out->len;
+    g_array_free (out, TRUE);
+    return n;
+  }
+
+  pu_router_t *r_ = nullptr;
+  pu_router_service_t chat_ = 0;
+  pu_router_model_t m_ = 0;
+  guint64 now_ = 100000;
+};
+
+TEST_F (RouterLost, RequestsGoToAnotherCopyUntilItIsReached)
+{
+  pu_router_backend_t a = backend ("a");
+  pu_router_backend_t b = backend ("b");
+
+  pu_router_set_lost (r_, a, true);
+  for (int i = 0; i < 20; i++)
+    {
+      pu_router_decision_t d = offer ();
+
+      ASSERT_EQ (b, d.backend);
+      pu_router_finished (r_, d.ticket, PU_ROUTER_COMPLETE, now_);
+      now_ += 100;
+    }
+  pu_router_set_lost (r_, a, false);
+  pu_router_set_lost (r_, b, true);
+  EXPECT_EQ (a, offer ().backend);
+}
+
+TEST_F (RouterLost, RequestWaitsUntilTheOnlyCopyIsReached)
+{
+  pu_router_backend_t a = backend ("a");
+
+  pu_router_set_lost (r_, a, true);
+  EXPECT_EQ (PU_ROUTER_QUEUED, offer ().verdict);
+  EXPECT_EQ (0U, scheduled ());
+  pu_router_set_lost (r_, a, false);
+  EXPECT_EQ (1U, scheduled ());
+}
+
+/* A copy that failed is better than one that can't be reached.  */
+TEST_F (RouterLost, EjectedCopyIsUsedWhenTheOthersAreLost)
+{
+  pu_router_backend_t a = backend ("a");
+  pu_router_backend_t b = backend ("b");
+
+  pu_router_set_lost (r_, a, true);
+  for (int i = 0; i < 5; i++)
+    {
+      pu_router_decision_t d = offer ();
+
+      ASSERT_EQ (PU_ROUTER_DISPATCH, d.verdict);
+      ASSERT_EQ (b, d.backend);
+      pu_router_abandon (r_, d.ticket, PU_ROUTER_FAIL_ERROR, now_);
+    }
+  pu_router_decision_t d = offer ();
+  EXPECT_EQ (PU_ROUTER_DISPATCH, d.verdict);
+  EXPECT_EQ (b, d.backend);
+}
+
+TEST_F (RouterLost, AllAreLostOnlyIfEachCopyThatMayRunItIs)
+{
+  EXPECT_FALSE (pu_router_all_lost (r_, m_, nullptr)) << "there is none";
+  pu_router_backend_t a = backend ("a", "v1");
+  pu_router_backend_t b = backend ("b", "v2");
+  EXPECT_FALSE (pu_router_all_lost (r_, m_, nullptr));
+  pu_router_set_lost (r_, a, true);
+  EXPECT_FALSE (pu_router_all_lost (r_, m_, nullptr));
+  EXPECT_TRUE (pu_router_all_lost (r_, m_, "v1"));
+  EXPECT_FALSE (pu_router_all_lost (r_, m_, "v2"));
+  EXPECT_FALSE (pu_router_all_lost (r_, m_, "v3"));
+  EXPECT_FALSE (pu_router_all_lost (r_, m_, "")) << "none may run it";
+  pu_router_set_lost (r_, b, true);
+  EXPECT_TRUE (pu_router_all_lost (r_, m_, nullptr));
+  pu_router_set_lost (r_, b, false);
+  EXPECT_FALSE (pu_router_all_lost (r_, m_, nullptr));
+}
+
+TEST_F (RouterLost, NextOneWithTheHandleIsNotLost)
+{
+  pu_router_backend_t a = backend ("a");
+
+  pu_router_set_lost (r_, a, true);
+  pu_router_remove_backend (r_, a);
+  pu_router_backend_t b = backend ("b");
+  EXPECT_EQ (b, offer ().backend);
+  EXPECT_FALSE (pu_router_all_lost (r_, m_, nullptr));
+}
+
+} // namespace
