--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -254,8 +254,7 @@
         self._end = threading.Event()
         self._cluster = cluster
         handler = type("Handler", (_Handler,), {"backend": self})
-        self._server = http.server.ThreadingHTTPServer(
-            (cluster.host(), BACKEND_PORT), handler)
+        self._server = _Server((cluster.host(), BACKEND_PORT), handler)
         self._server.daemon_threads = True
         self.address = f"{self._server.server_address[0]}:{BACKEND_PORT}"
         for run in self._server.serve_forever, self._beat:
@@ -387,6 +386,12 @@
                 pass  # its caller was quicker
 
 
+class _Server(http.server.ThreadingHTTPServer):
+    # With the default of 5, what this process is late to accept seems to be
+    # out of reach.
+    request_queue_size = 128
+
+
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     backend = None
