--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -287,11 +287,13 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   en->asked_services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  en->inquiries = g_hash_table_new (g_int64_hash, g_int64_equal);
   en->other_addresses = g_ptr_array_new_with_free_func (g_free);
   en->other_addresses_version = G_MAXUINT64;
   en->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          pu_reporter_free);
   pu_reach_init (&en->reach);
+  en->lost = pu_lost_new ();
   pu_entry_origins_init (en);
   en->peers = g_ptr_array_new_with_free_func (pu_entry_peer_free);
   en->peers_version = G_MAXUINT64;
@@ -386,6 +388,8 @@
   g_hash_table_destroy (en->asked_services);
   g_ptr_array_free (en->other_addresses, TRUE);
   g_hash_table_destroy (en->servers);
+  g_hash_table_destroy (en->inquiries);
+  pu_lost_free (en->lost);
   g_hash_table_destroy (en->reporters);
   g_hash_table_destroy (en->leaves);
   g_ptr_array_free (en->peers, TRUE);
