agent: count polls and polls that failed

Nothing told how often a daemon polls voters, nor how often one refuses: a test that asks whether daemons storm voters without a leader had nothing to read. agent_polls_total and agent_polls_failed_total, on /metrics.

--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -31,6 +31,16 @@
 
 static void poll_start (pu_agent_t *a);
 
+static void
+count (const pu_agent_t *a, const char *name)
+{
+  if (a->options.counters != NULL)
+    {
+      pu_counters_add (a->options.counters,
+                       pu_counters_get (a->options.counters, name), 1);
+    }
+}
+
 /* --- what a poll carries --- */
 
 void
@@ -194,6 +204,7 @@
   guint doublings = MIN (a->failures, PAUSE_DOUBLINGS);
   guint most = MIN (PAUSE_MIN_MS << doublings, PAUSE_MAX_MS);
 
+  count (a, "agent_polls_failed_total");
   if (a->failures++ == 0)
     {
       pu_log_info (PU_AGENT_PART, "Voter %s does not answer: %s",
@@ -328,6 +339,7 @@
   bool old;
 
   pu_agent_voters_home (a);
+  count (a, "agent_polls_total");
   old = a->old_voter != NULL
         && g_strcmp0 (a->old_voter, pu_agent_voter (a)) == 0;
   note_renewals_sent (a);
