tests: news are late at readers of a voter that is cut off (fails)

What callers saw: 404 for a route that the operator's config has, more than two seconds after its acknowledgement, and requests sent to a backend server that had left, at instances that nothing is cut off from.

The test: three or five voters, eight instances without a disk, a relay between the daemons. A minority of the voters is cut off from the others, with the leader or without, all others reach both sides; the config changes each 0.5 s and a backend server leaves. Each instance without a disk must have each acknowledged config in force within 2 s, deny nothing as an older one says later than that, and send nothing to the server that left later than 2 s after it was told. And without any quorum an instance must go on serving, answer 503 for what it doesn't know, and poll at most twice as often as at rest.

Seeds of the platform's stand-in are told by the address that others use, so that nothing goes round the relay; without one nothing changes.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -152,7 +152,8 @@
     some += [Instance(cluster, f"front-{i}", "abc"[i % 3], False)
              for i in range(plain)]
     for one in some:
-        one.values["seeds"] = [c.control for c in some[:disks]][:3]
+        one.values["seeds"] = [f"{c.told}:{CONTROL_PORT}"
+                               for c in some[:disks]][:3]
         one.values["heartbeat_ms"] = heartbeat_ms
         if bounds is not None:
             one.values["bounds"] = bounds
@@ -231,6 +232,7 @@
         self.events = 3
         self.event_s = 0.0     # after each event
         self.beat_s = HEARTBEAT_MS / 1000
+        self.homes = None      # where it checks in; None: at any instance
         self.connections = set()
         self.closing = False   # refuses requests, as while a model goes
         self.refused = []      # ids of these
@@ -284,7 +286,7 @@
 
     def _beat(self):
         while not self._end.wait(self.beat_s):
-            for one in list(self._cluster.daemons.values()):
+            for one in self.homes or list(self._cluster.daemons.values()):
                 try:
                     if one.alive() and self.check_in(one) == 200:
                         break
