control, agent, entry: a voter without a leader keeps no readers

What callers saw: 404 for a route that the operator's config has, and requests sent to a backend server that had left, over two seconds after the acknowledgement, at instances that nothing was cut off from.

Cause: they poll a voter that is cut off from the other voters. It answers as long as it runs: with its old leader for up to two election timeouts (and what is cut off with a leader hears it for two more), then twice without one, and the next voter may be cut off too. The reader doesn't know how old its copy is, and says of what it lacks that it does not exist.

Ruled out: slow transfer or parsing (instances at other voters have the same version within 0.2 s), the operator's path (acknowledged in 10 ms).

Change: a voter that has had no word for 500 ms of a leader that knew itself to lead refuses polls, as one that lacks committed entries does. A leader that no quorum has answered for an election timeout says commit 0, which is no such word; it changes nothing at followers of an older version. Readers poll another voter without a wait first, and pause no longer than a poll's wait, so that without any leader they poll about as often as at rest. The agent keeps the age of its copy, from when the newest answered poll was sent; an entry whose copy is older than two polls and 200 ms, or which still parses a newer document, answers 503 with a short Retry-After for what it does not know.

--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -194,6 +194,14 @@
   return uv_now (a->options.loop) - a->answered_at;
 }
 
+uint64_t
+pu_agent_view_age_ms (const pu_agent_t *a)
+{
+  if (a->current_at == 0)
+    return G_MAXUINT64;
+  return uv_now (a->options.loop) - a->current_at;
+}
+
 bool
 pu_agent_connected (const pu_agent_t *a)
 {
--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -105,6 +105,10 @@
    G_MAXUINT64: none has yet.  */
 uint64_t pu_agent_silent_ms (const pu_agent_t *a);
 
+/* pu_agent_view_age_ms - how old the copy may be: what a voter that knows a
+   leader knew this long ago is in it.  G_MAXUINT64: nobody knows.  */
+uint64_t pu_agent_view_age_ms (const pu_agent_t *a);
+
 /* pu_agent_done_fn - E->kind is PU_OK with R; or, R being NULL,
    PU_ERROR_UNAVAILABLE: it certainly did not run; PU_ERROR_TIMEOUT: it may
    have run, or may not; PU_ERROR_TOO_LARGE, PU_ERROR_DENIED,
--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -50,6 +50,9 @@
   guint failures;            /* polls in a row */
   guint leaderless;          /* answers in a row */
   uint64_t answered_at;      /* by a voter that knows a leader; 0: never */
+  uint64_t poll_sent_at;     /* loop time */
+  uint64_t current_at;       /* the view has what a voter with a leader knew
+                                then; 0: never */
   char *old_voter;           /* address of a voter that does not know
                                 PU_CONTROL_POLL_BLOBS, or NULL */
   GHashTable *renewals;      /* backend server -> renewal_t */
--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -5,7 +5,9 @@
 /* A poll's answer may come this much after its wait.  */
 #define ANSWER_MS 1000
 
-/* Pauses after polls that failed: they double up to the most.  */
+/* Pauses after polls that failed: they double up to the most, and up to the
+   wait of a poll, so that daemons whose polls all fail make about as many of
+   them as others.  */
 #define PAUSE_MIN_MS 20
 #define PAUSE_MAX_MS 1000
 #define PAUSE_DOUBLINGS 6
@@ -158,6 +160,14 @@
     }
 }
 
+/* wait_ms - for how long the voter may wait for news.  Another voter than
+   before answers at once, so that its answer tells how old the view is.  */
+static guint32
+wait_ms (const pu_agent_t *a)
+{
+  return a->failures > 0 ? 0 : a->options.poll_wait_ms;
+}
+
 static GBytes *
 poll_encode (const pu_agent_t *a)
 {
@@ -165,7 +175,7 @@
                 .incarnation = a->self->incarnation,
                 .position = pu_state_position (a->view),
                 .voters_hash = a->voters_hash,
-                .wait_ms = a->options.poll_wait_ms,
+                .wait_ms = wait_ms (a),
                 .fresh = !a->ready || a->gap };
   GBytes *bytes;
 
@@ -198,11 +208,17 @@
   poll_later (a, PAUSE_MIN_MS);
 }
 
+static guint
+pause_max_ms (const pu_agent_t *a)
+{
+  return CLAMP (a->options.poll_wait_ms, PAUSE_MIN_MS, PAUSE_MAX_MS);
+}
+
 void
 pu_agent_poll_failed (pu_agent_t *a, const char *why)
 {
   guint doublings = MIN (a->failures, PAUSE_DOUBLINGS);
-  guint most = MIN (PAUSE_MIN_MS << doublings, PAUSE_MAX_MS);
+  guint most = MIN (PAUSE_MIN_MS << doublings, pause_max_ms (a));
 
   count (a, "agent_polls_failed_total");
   if (a->failures++ == 0)
@@ -241,6 +257,8 @@
       pu_agent_poll_failed (a, "its state is not taken.");
       return;
     }
+  if (r->leader[0] != '\0')
+    a->current_at = a->poll_sent_at;
   pu_agent_announce (a);
   pu_agent_tell (a);
   poll_later (a, 0);
@@ -339,6 +357,7 @@
   bool old;
 
   pu_agent_voters_home (a);
+  a->poll_sent_at = MAX (uv_now (a->options.loop), 1);
   count (a, "agent_polls_total");
   old = a->old_voter != NULL
         && g_strcmp0 (a->old_voter, pu_agent_voter (a)) == 0;
--- a/libplantainusher/control/control_fixture_test.h
+++ b/libplantainusher/control/control_fixture_test.h
@@ -327,6 +327,17 @@
     return *voters[0];
   }
 
+  /* Polls in a row that failed.  */
+  json_int_t
+  failures ()
+  {
+    json_t *dump = pu_agent_dump (agent);
+    json_int_t n = json_integer_value (json_object_get (dump, "failures"));
+
+    json_decref (dump);
+    return n;
+  }
+
   uint64_t
   version ()
   {
--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -53,6 +53,7 @@
   GBytes *image;            /* public image at image_position, or NULL */
   uint64_t image_position;
   const pu_state_t *image_of; /* the state that the image was made from */
+  bool leader_lost;           /* polls are refused for want of a leader */
   bool bulk_waits;            /* a poll waits until bulk data may be sent */
   guint round_replies; /* replies to polls since the last notification */
   size_t round_bytes;  /* the bytes of these */
--- a/libplantainusher/control/control_test.cc
+++ b/libplantainusher/control/control_test.cc
@@ -98,6 +98,35 @@
              submit (1, "two").outcome == PU_OUTCOME_SEEN);
 }
 
+/* A voter that hears no leader doesn't know what others have accepted.  It
+   must not hold polls, and daemons must not wait for it.  */
+TEST_F (Control, VoterWithoutALeaderRefusesPollsUntilItHearsOne)
+{
+  start_all ();
+  start_agent ();
+  submit (0, "one");
+  run_until ([&] { return version () == 1; });
+  run_until ([&] { return pu_agent_view_age_ms (agent) < 450; });
+  Voter *last = leader ();
+  for (auto &v : voters)
+    {
+      if (v.get () != last)
+        stop (*v);
+    }
+  run_until (
+      [&] { return failures () >= 6 && pu_agent_view_age_ms (agent) > 450; });
+  EXPECT_EQ (version (), 1U);
+  EXPECT_TRUE (pu_agent_ready (agent));
+  for (auto &v : voters)
+    {
+      if (v.get () != last)
+        start (*v);
+    }
+  run_until ([&] { return pu_agent_view_age_ms (agent) < 450; });
+  EXPECT_EQ (submit (1, "two").doc_version, 2U);
+  run_until ([&] { return version () == 2; });
+}
+
 TEST_F (Control, AgentStartsFromItsSavedImageAndNeverGoesBack)
 {
   std::string folder = root + "/kept";
--- a/libplantainusher/control/polls.c
+++ b/libplantainusher/control/polls.c
@@ -7,9 +7,10 @@
 #define POLL_WAIT_MAX_MS 30000
 
 /* A voter that has lacked committed entries for longer than this, for example
-   because its disk is full, refuses polls, so that the daemons poll another
-   voter.  Entries are in force within two seconds on the platform, so the
-   limit is well below that; a slow disk sync ends within the limit.  */
+   because its disk is full, or may lack them because it has heard of no leader
+   for so long, refuses polls, so that the daemons poll another voter.  Entries
+   are in force within two seconds on the platform, so the limit is well below
+   that; a slow disk sync and lost heartbeats end within the limit.  */
 #define VOTER_LAG_MAX_MS 500
 
 /* Upper limit of the bytes of entries in one reply.  */
@@ -323,14 +324,28 @@
   pu_rpc_call_refuse (call);
 }
 
-/* voter_lags - whether this voter lacks committed entries for too long to
-   answer P.  No lag is tolerated for an image, because an image of an old
-   state would make the daemon ready with that state.  */
+/* leader_is_lost - whether this voter has heard of no leader for too long to
+   know what is committed.  One that has just started is given time.  */
+static bool
+leader_is_lost (const pu_control_t *c)
+{
+  uint64_t ms = pu_group_leader_silent_ms (c->group);
+
+  if (ms == G_MAXUINT64)
+    return pu_control_now (c) >= c->started + c->options.startup_grace_ms;
+  return ms > VOTER_LAG_MAX_MS;
+}
+
+/* voter_lags - whether this voter lacks committed entries, or may lack them,
+   for too long to answer P.  No lag is tolerated for an image, because an
+   image of an old state would make the daemon ready with that state.  */
 static bool
 voter_lags (const pu_control_t *c, const poll_t *p)
 {
   uint64_t ms = pu_group_commit_lag_ms (c->group);
 
+  if (leader_is_lost (c))
+    return true;
   return needs_image (c, p) ? ms > 0 : ms > VOTER_LAG_MAX_MS;
 }
 
@@ -498,18 +513,43 @@
   uv_timer_start (c->answer_timer, on_notify_timer, wait_ms, 0);
 }
 
+/* log_lost_leader - logs when this voter begins or ceases to refuse all polls
+   for want of a leader.  */
+static void
+log_lost_leader (pu_control_t *c)
+{
+  bool lost = leader_is_lost (c);
+
+  if (lost && !c->leader_lost)
+    {
+      pu_log_event (
+          PU_CONTROL_PART, "Refuses polls: no leader is heard.",
+          PU_LOG_NUMBER ("term", pu_group_term (c->group)),
+          PU_LOG_NUMBER ("silent_ms", pu_group_leader_silent_ms (c->group)),
+          PU_LOG_NUMBER ("polls_waiting", c->polls.length));
+    }
+  else if (!lost && c->leader_lost)
+    {
+      pu_log_event (PU_CONTROL_PART, "Answers polls: a leader is heard.",
+                    PU_LOG_NUMBER ("term", pu_group_term (c->group)),
+                    PU_LOG_TEXT ("leader", pu_control_leader_address (c)));
+    }
+  c->leader_lost = lost;
+}
+
 void
 pu_control_polls_tick (pu_control_t *c, uint64_t now)
 {
   GList *next;
 
+  log_lost_leader (c);
   for (GList *l = c->polls.head; l != NULL; l = next)
     {
       poll_t *p = l->data;
 
       next = l->next;
-      if (now >= p->deadline)
-        poll_process (p, true);
+      if (now >= p->deadline || c->leader_lost)
+        poll_process (p, now >= p->deadline);
     }
 }
 
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -27,15 +27,29 @@
 #define CUT_OFF_POLLS 2
 #define CUT_OFF_SLACK_MS 200
 
+static guint64
+cut_off_ms (const pu_daemon_t *d)
+{
+  return CUT_OFF_POLLS * (guint64)d->settings->timing.poll_wait_ms
+         + CUT_OFF_SLACK_MS;
+}
+
 static bool
 entry_in_touch (void *data)
 {
   const pu_daemon_t *d = data;
-  guint64 cut_off_ms
-      = CUT_OFF_POLLS * (guint64)d->settings->timing.poll_wait_ms
-        + CUT_OFF_SLACK_MS;
 
-  return pu_agent_silent_ms (d->agent) < cut_off_ms;
+  return pu_agent_silent_ms (d->agent) < cut_off_ms (d);
+}
+
+/* A view is as old as the last poll that was answered, and the poll after it
+   is under way.  */
+static bool
+entry_view_current (void *data)
+{
+  const pu_daemon_t *d = data;
+
+  return pu_agent_view_age_ms (d->agent) < cut_off_ms (d);
 }
 
 static guint64
@@ -105,6 +119,7 @@
 {
   h->view = entry_view;
   h->ready = entry_ready;
+  h->view_current = entry_view_current;
   h->leader_reachable = entry_in_touch;
   h->incarnation = entry_incarnation;
   h->propose = entry_propose;
--- a/libplantainusher/entry/admit.c
+++ b/libplantainusher/entry/admit.c
@@ -189,6 +189,8 @@
 pu_exchange_begin_arrived (pu_entry_t *en, pu_http_request_t *http,
                            guint64 arrived)
 {
+  static const pu_refusal_t not_found
+      = { 404, "not_found", PU_RUN_OUTCOME_NOT_RUN, 0 };
   pu_exchange_t *x;
   bool read;
 
@@ -196,7 +198,8 @@
     return;
   x = exchange_new (en, http);
   x->q.arrived = arrived;
-  read = en->front.read (en->front.data, en->document, http, &x->q);
+  read = en->front.read (en->front.data, en->document,
+                         pu_entry_undeclared (en, &not_found), http, &x->q);
   x->last_event = x->q.last_event;
   if (read)
     relay_read (x);
--- a/libplantainusher/entry/document.c
+++ b/libplantainusher/entry/document.c
@@ -19,6 +19,10 @@
    the time in the queue; this limit bounds the memory.  */
 #define ROUTE_QUEUE_MAX 2000
 
+/* Retry-After while the document in force may be out of date: the agent polls
+   another voter, or the parse ends, within some hundred ms.  */
+#define STALE_RETRY_AFTER_MS 500
+
 struct pu_document_parse
 {
   uv_work_t work;
@@ -265,6 +269,27 @@
   pu_view_sync (en);
 }
 
+bool
+pu_entry_document_is_current (const pu_entry_t *en)
+{
+  const pu_entry_hooks_t *h = &en->o.hooks;
+  const pu_doc_record *newest = pu_state_document (h->view (h->data));
+
+  if (h->view_current != NULL && !h->view_current (h->data))
+    return false;
+  return newest == NULL || newest->doc_version == en->document_version
+         || newest->doc_version == en->rejected_version;
+}
+
+const pu_refusal_t *
+pu_entry_undeclared (const pu_entry_t *en, const pu_refusal_t *r)
+{
+  static const pu_refusal_t unsure
+      = { 503, "stale", PU_RUN_OUTCOME_NOT_RUN, STALE_RETRY_AFTER_MS };
+
+  return pu_entry_document_is_current (en) ? r : &unsure;
+}
+
 bool
 pu_entry_document_sync (pu_entry_t *en, const pu_doc_record *record)
 {
--- a/libplantainusher/entry/entries.c
+++ b/libplantainusher/entry/entries.c
@@ -118,7 +118,7 @@
       = g_strdup_printf ("Service '%s' is not declared%s%s.", service,
                          *similar != 0 ? "; similar names: " : "", similar);
 
-  pu_respond_error (http, NULL, &refusal, message);
+  pu_respond_error (http, NULL, pu_entry_undeclared (en, &refusal), message);
   g_free (message);
   g_free (similar);
 }
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -79,6 +79,9 @@
   const pu_state_t *(*view) (void *data);
   /* Whether requests may be served from the view.  */
   bool (*ready) (void *data);
+  /* Whether the view has all that was committed until a short while ago; may
+     be NULL: always.  */
+  bool (*view_current) (void *data);
   /* Whether the lease renewals that this entry makes with `renew` reach the
      leader.  */
   bool (*leader_reachable) (void *data);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -685,6 +685,15 @@
    false, and pu_view_sync is called after the parse.  */
 bool pu_entry_document_sync (pu_entry_t *en, const pu_doc_record *record);
 
+/* pu_entry_document_is_current - whether no newer document than the one in
+   force is known, and the view is new enough to know of it.  */
+bool pu_entry_document_is_current (const pu_entry_t *en);
+
+/* pu_entry_undeclared - returns the refusal of what the document in force does
+   not declare: R, or 503 as long as a newer document may declare it.  */
+const pu_refusal_t *pu_entry_undeclared (const pu_entry_t *en,
+                                         const pu_refusal_t *r);
+
 /* --- view.c: applies the view to the entry's tables --- */
 
 /* pu_view_sync - applies the changes of the view to the entry's tables.  */
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -98,6 +98,30 @@
   EXPECT_TRUE (b.executed_ids.empty ());
 }
 
+/* A newer document may declare what the one in force does not.  */
+TEST_F (Entry, NothingIsCalledUndeclaredWhileTheViewMayBeOld)
+{
+  static const struct
+  {
+    const char *method, *target, *body;
+  } table[] = {
+    { "POST", "/v1/completions", "{\"model\":\"zz\",\"prompt\":\"\"}" },
+    { "GET", "/services/none/x", "" },
+    { "GET", "/v1/entries?service=none", "" },
+  };
+
+  n.view_current = false;
+  for (const auto &row : table)
+    {
+      caller c;
+
+      r.call (c, n, row.method, row.target, row.body);
+      EXPECT_EQ (503, c.status) << row.target;
+      EXPECT_EQ ("not-run", c.headers["x-outcome"]) << row.target;
+      EXPECT_FALSE (c.headers["retry-after"].empty ()) << row.target;
+    }
+}
+
 TEST_F (Entry, RequestWithoutReadyCopyIsRejectedWithRetryAfter)
 {
   r.call_chat (c, n, "hi", true);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -10,6 +10,7 @@
   /* Of a request that any entry serves, and that its entry can't send to a
      backend server: several other entries may be cut off too.  */
   HAND_OVERS_MAX = 16,
+  STATUS_NOT_FOUND = 404,
   STATUS_UNPROCESSABLE = 422,
 };
 
@@ -145,7 +146,7 @@
     {
     case PU_ROUTER_REASON_SERVICE:
     case PU_ROUTER_REASON_MODEL:
-      return 404;
+      return STATUS_NOT_FOUND;
     case PU_ROUTER_REASON_QUEUE_FULL:
       return 429;
     case PU_ROUTER_REASON_REPEAT:
@@ -188,6 +189,8 @@
       = { refusal_status (d->reason), pu_router_reason_name (d->reason),
           PU_RUN_OUTCOME_NOT_RUN, d->retry_after_ms };
 
+  if (r.status == STATUS_NOT_FOUND)
+    r = *pu_entry_undeclared (x->en, &r);
   if (d->ran == PU_ROUTER_UNKNOWN)
     {
       r.outcome = PU_RUN_OUTCOME_UNKNOWN;
--- a/libplantainusher/entry/front.h
+++ b/libplantainusher/entry/front.h
@@ -86,8 +86,10 @@
 typedef struct
 {
   /* Reads HTTP into Q, which is empty.  Returns false after it responded to
-     HTTP with an error.  */
-  bool (*read) (void *data, const pu_document_t *d, pu_http_request_t *http,
+     HTTP with an error.  UNDECLARED is how to refuse what D does not declare:
+     a newer document may declare it.  */
+  bool (*read) (void *data, const pu_document_t *d,
+                const pu_refusal_t *undeclared, pu_http_request_t *http,
                 pu_request_t *q);
   /* Returns the request id that HTTP states, or NULL if it states none.  */
   const char *(*id) (void *data, pu_http_request_t *http);
--- a/libplantainusher/entry/parse.c
+++ b/libplantainusher/entry/parse.c
@@ -231,7 +231,8 @@
 {
   char *similar = pu_document_near_models (x->en->document, x->q.model);
 
-  refuse (x, &not_found, "Model '%s' is not declared%s%s.", x->q.model,
+  refuse (x, pu_entry_undeclared (x->en, &not_found),
+          "Model '%s' is not declared%s%s.", x->q.model,
           *similar != 0 ? "; similar names: " : "", similar);
   g_free (similar);
   return false;
@@ -253,7 +254,8 @@
                    : pu_document_default_service (d, m);
   if (s == PU_HANDLE_NONE || !pu_document_service_lists_model (d, s, m))
     {
-      return refuse (x, &not_found, "No service%s%s offers model '%s'.",
+      return refuse (x, pu_entry_undeclared (x->en, &not_found),
+                     "No service%s%s offers model '%s'.",
                      name != NULL ? " named " : "", name != NULL ? name : "",
                      x->q.model);
     }
@@ -400,7 +402,10 @@
   bool not_repeatable;
 
   if (s == NULL || s->kind != PU_SERVICE_PLAIN)
-    return refuse (x, &not_found, "Plain service '%s' is not declared.", name);
+    {
+      return refuse (x, pu_entry_undeclared (x->en, &not_found),
+                     "Plain service '%s' is not declared.", name);
+    }
   not_repeatable = flag_header (x, "x-not-repeatable")
                    || pu_service_not_repeatable (s, x->q.method, rest);
   service_set (x, s);
--- a/libplantainusher/entry/rig_test.cc
+++ b/libplantainusher/entry/rig_test.cc
@@ -231,6 +231,8 @@
         static_cast<node *> (d)->owner->state);
   };
   h.ready = [] (void *d) { return static_cast<node *> (d)->ready; };
+  h.view_current
+      = [] (void *d) { return static_cast<node *> (d)->view_current; };
   h.leader_reachable
       = [] (void *d) { return static_cast<node *> (d)->voters_reachable; };
   h.incarnation = [] (void *) { return guint64{ 1 }; };
--- a/libplantainusher/entry/rig_test.h
+++ b/libplantainusher/entry/rig_test.h
@@ -97,6 +97,7 @@
   std::string name;
   std::string address;
   bool stopped = false;
+  bool view_current = true;     /* result of the hook view_current */
   bool voters_reachable = true; /* result of the hook leader_reachable */
   bool ready = true;            /* the view may be used for requests */
 
--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -643,6 +643,12 @@
   return pu_replica_quorum_silent_ms (g->replica, now_ms (g));
 }
 
+uint64_t
+pu_group_leader_silent_ms (pu_group_t *g)
+{
+  return pu_replica_leader_silent_ms (g->replica, now_ms (g));
+}
+
 bool
 pu_group_is_leader (const pu_group_t *g)
 {
--- a/libplantainusher/log/group.h
+++ b/libplantainusher/log/group.h
@@ -127,6 +127,12 @@
    message of this leader that a quorum has acknowledged; 0 if this voter is
    not the leader or none was acknowledged.  */
 uint64_t pu_group_quorum_silent_ms (pu_group_t *g);
+
+/* pu_group_leader_silent_ms - returns for how many milliseconds this voter has
+   had no word of a leader that knew itself to lead, so that entries may have
+   been committed without its knowledge; on the leader, the time since it last
+   knew so.  G_MAXUINT64 if there was none since the start.  */
+uint64_t pu_group_leader_silent_ms (pu_group_t *g);
 bool pu_group_is_leader (const pu_group_t *g);
 uint64_t pu_group_term (const pu_group_t *g);
 
--- a/libplantainusher/log/log_msg.x
+++ b/libplantainusher/log/log_msg.x
@@ -122,7 +122,7 @@
   unsigned hyper sent;    /* send time by the leader's clock, in ms */
   unsigned hyper prev_index;
   unsigned hyper prev_term;
-  unsigned hyper commit;
+  unsigned hyper commit;  /* 0: the leader may have been replaced */
   pu_log_entry entries<PU_LOG_ENTRIES_MAX>;
   pu_log_floor floors<PU_LOG_MEMBERS_MAX>;
   /* member from which to fetch a snapshot; id 0: no snapshot is needed */
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -251,6 +251,9 @@
 /* pu_replica_quorum_silent_ms - see pu_group_quorum_silent_ms.  */
 uint64_t pu_replica_quorum_silent_ms (const pu_replica_t *r, uint64_t now);
 
+/* pu_replica_leader_silent_ms - see pu_group_leader_silent_ms.  */
+uint64_t pu_replica_leader_silent_ms (const pu_replica_t *r, uint64_t now);
+
 /* pu_replica_begin_stop - announces that this process is about to stop.  From
    now on this voter transfers leadership to a voter that is not stopping, also
    if it is elected again, and the other members neither transfer leadership to
--- a/libplantainusher/log/replica_append.c
+++ b/libplantainusher/log/replica_append.c
@@ -195,6 +195,15 @@
     a->seeder = m->peer;
 }
 
+/* Whether this leader is sure enough to lead to tell its followers so.
+   Otherwise they would call their state current for as long as they hear a
+   leader that is cut off with them.  */
+static bool
+leads_surely (const pu_replica_t *r, uint64_t now)
+{
+  return now <= pu_r_leadership_confirmed_at (r, now) + r->o.election_ms;
+}
+
 /* Sends an append message: entries if WITH_ENTRIES, else a heartbeat.  */
 static void
 send_append (pu_replica_t *r, pu_progress_t *p, uint64_t now,
@@ -214,7 +223,7 @@
   a->seeder.address = "";
   a->seq = ++p->seq;
   a->sent = now;
-  a->commit = r->commit;
+  a->commit = leads_surely (r, now) ? r->commit : 0;
   set_seeder (r, p, now, a);
   a->prev_index = prev;
   a->prev_term = pu_r_term_at (r, prev, &known);
@@ -273,8 +282,9 @@
 void
 pu_r_leader_tick (pu_replica_t *r, uint64_t now)
 {
-  uint64_t sent = MAX (pu_r_quorum_acked_send_time (r, now), r->leader_since);
+  uint64_t sent = pu_r_leadership_confirmed_at (r, now);
 
+  r->leader_heard_at = MAX (r->leader_heard_at, MIN (sent, now));
   if (now > sent + QUORUM_LOSS_ELECTIONS * (uint64_t)r->o.election_ms)
     {
       pu_r_step_down (r, now, PU_ROLE_QUORUM_LOST);
@@ -634,6 +644,8 @@
   if (r->role == PU_ROLE_LEADER || !well_formed (a))
     return;
   on_leader_contact (r, now, m);
+  if (a->commit > 0)
+    r->leader_heard_at = MAX (r->leader_heard_at, now);
   process_append (r, now, a);
   update_commit_lag (r, now, a->commit);
 }
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -122,6 +122,9 @@
   pu_log_peer leader;           /* id 0: the leader is not known */
   uint64_t last_leader_contact; /* time of the last message from a leader, or
                                    the start time if there was none */
+  uint64_t leader_heard_at; /* time of the last message of a leader that knew
+                               itself to lead; on the leader, of the last such
+                               proof; 0: none yet */
   uint64_t election_deadline;
   uint64_t vote_retry_at; /* when a candidate repeats its vote requests */
   bool transfer_campaign; /* the old leader requested this campaign (leadership
@@ -240,6 +243,7 @@
 void pu_r_on_vote_reply (pu_replica_t *r, uint64_t now, const pu_log_msg *m);
 void pu_r_count_votes (pu_replica_t *r, uint64_t now);
 uint64_t pu_r_quorum_acked_send_time (const pu_replica_t *r, uint64_t now);
+uint64_t pu_r_leadership_confirmed_at (const pu_replica_t *r, uint64_t now);
 uint64_t pu_r_floor (const pu_replica_t *r, uint64_t id);
 void pu_r_raise_floor (pu_replica_t *r, uint64_t id, uint64_t index);
 
--- a/libplantainusher/log/replica_sim.h
+++ b/libplantainusher/log/replica_sim.h
@@ -249,6 +249,11 @@
   {
     return nodes_[i];
   }
+  void
+  cut_link (unsigned a, unsigned b)
+  {
+    blocked_[a][b] = blocked_[b][a] = true;
+  }
   uint64_t
   clock (const Node &n) const
   {
--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -206,6 +206,57 @@
   EXPECT_EQ (s.node (other).name, s.leader ()->name);
 }
 
+/* A voter that is cut off together with the leader hears it until it steps
+   down.  It must not call its state current meanwhile.  */
+TEST (Replica, VoterCutOffWithItsLeaderIsNotToldThatItLeads)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Sim s (5, seed, 0);
+      auto silent = [&] (unsigned i) {
+        return pu_replica_leader_silent_ms (s.node (i).r,
+                                            s.clock (s.node (i)));
+      };
+      auto in_minority = [&] (unsigned i, unsigned companion) {
+        return i == companion || &s.node (i) == s.leader ();
+      };
+
+      s.run (4000);
+      ASSERT_NE (nullptr, s.leader ()) << "seed " << seed;
+      unsigned companion = &s.node (0) == s.leader () ? 1 : 0;
+      std::set<unsigned> minority;
+      for (unsigned i = 0; i < 5; i++)
+        {
+          EXPECT_LE (silent (i), 600U) << "seed " << seed;
+          if (in_minority (i, companion))
+            minority.insert (i);
+        }
+      for (unsigned a : minority)
+        {
+          for (unsigned b = 0; b < 5; b++)
+            {
+              if (minority.count (b) == 0)
+                s.cut_link (a, b);
+            }
+        }
+      s.run (1900);
+      for (unsigned i : minority)
+        EXPECT_GE (silent (i), 500U) << "seed " << seed;
+      s.run (4000);
+      for (unsigned i = 0; i < 5; i++)
+        {
+          if (minority.count (i) == 0)
+            {
+              EXPECT_LE (silent (i), 600U) << "seed " << seed;
+            }
+          else
+            {
+              EXPECT_GE (silent (i), 4000U) << "seed " << seed;
+            }
+        }
+    }
+}
+
 TEST (Replica, TransferRightAfterAnElectionIsCarriedOut)
 {
   for (unsigned seed = 1; seed <= 20; seed++)
--- a/libplantainusher/log/replica_vote.c
+++ b/libplantainusher/log/replica_vote.c
@@ -322,6 +322,14 @@
   return sent[n / 2];
 }
 
+/* Returns the latest time at which this leader is known to have led: that of
+   its election, or of sending a message that a quorum answered.  */
+uint64_t
+pu_r_leadership_confirmed_at (const pu_replica_t *r, uint64_t now)
+{
+  return MAX (pu_r_quorum_acked_send_time (r, now), r->leader_since);
+}
+
 bool
 pu_replica_holds_lease (const pu_replica_t *r, uint64_t now)
 {
@@ -345,3 +353,13 @@
 
   return sent != 0 && sent < now ? now - sent : 0;
 }
+
+uint64_t
+pu_replica_leader_silent_ms (const pu_replica_t *r, uint64_t now)
+{
+  uint64_t heard = r->role == PU_ROLE_LEADER
+                       ? pu_r_leadership_confirmed_at (r, now)
+                       : r->leader_heard_at;
+
+  return heard != 0 ? now - MIN (now, heard) : G_MAXUINT64;
+}
