--- a/libplantainusher/agent/agent.c
+++ b/libplantainusher/agent/agent.c
@@ -202,6 +202,20 @@
   return uv_now (a->options.loop) - a->current_at;
 }
 
+const char *
+pu_agent_leader (const pu_agent_t *a)
+{
+  return a->leader;
+}
+
+const char *
+pu_agent_polled_voter (const pu_agent_t *a)
+{
+  const char *voter = pu_agent_voter (a);
+
+  return voter != NULL ? voter : "";
+}
+
 bool
 pu_agent_connected (const pu_agent_t *a)
 {
--- a/libplantainusher/agent/agent.h
+++ b/libplantainusher/agent/agent.h
@@ -109,6 +109,14 @@
    leader knew this long ago is in it.  G_MAXUINT64: nobody knows.  */
 uint64_t pu_agent_view_age_ms (const pu_agent_t *a);
 
+/* pu_agent_leader - the address of the leader, "" when it is not known; valid
+   until the loop runs again.  */
+const char *pu_agent_leader (const pu_agent_t *a);
+
+/* pu_agent_polled_voter - the address of the voter that is polled, "" without
+   one; valid as above.  */
+const char *pu_agent_polled_voter (const pu_agent_t *a);
+
 /* pu_agent_done_fn - E->kind is PU_OK with R; or, R being NULL,
    PU_ERROR_UNAVAILABLE: it certainly did not run; PU_ERROR_TIMEOUT: it may
    have run, or may not; PU_ERROR_TOO_LARGE, PU_ERROR_DENIED,
