--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -326,7 +326,7 @@
       return;
     }
   x->at.by_server
-      = x->at.owner != NULL
+      = x->at.owner != NULL && x->at.server != NULL
         && g_strcmp0 (pu_http_response_header (r, PU_SERVER_RELAY_HEADER),
                       x->at.server->name)
                == 0;
