agent: an answer that is due at once is awaited for 600 ms

Cause, from its log: all three voters refuse polls until there is a new leader; the agents of the two that go on ask the one that is cut off, and wait 1.4 s for its answer, the longest wait for news included, though they had asked for none. Meanwhile nobody carries the renewals of the backend servers that report there, and after 1.2 s the new leader takes them all down.

Ruled out: lost renewals at the new leader (the polls of the other instances are answered within 0.1 s of its election).

Change: a poll that asks for news at once is given up after 600 ms.

--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -5,6 +5,10 @@
 /* A poll's answer may come this much after its wait.  */
 #define ANSWER_MS 1000
 
+/* For the answer of a voter that is asked for news at once.  The leases of
+   backend servers that report here end while it is awaited in vain.  */
+#define ANSWER_AT_ONCE_MS 600
+
 /* Pauses after polls that failed: they double up to the most, and up to the
    wait of a poll, so that daemons whose polls all fail make about as many of
    them as others.  */
@@ -347,7 +351,7 @@
     }
   a->poll_handle = pu_rpc_client_call (
       client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION, proc, data, size,
-      a->options.poll_wait_ms + ANSWER_MS, fn, a);
+      wait_ms (a) > 0 ? wait_ms (a) + ANSWER_MS : ANSWER_AT_ONCE_MS, fn, a);
 }
 
 static void
