--- a/tests/brittle_process_test.py
+++ b/tests/brittle_process_test.py
@@ -20,7 +20,7 @@
 
 
 class Brittle(PlatformTest):
-    options = {"plain": 3}
+    options = {"plain": 25}
 
     def press(self, method, path, headers, seconds):
         """Requests through all instances, several at a time; the share that
