--- a/tests/stale_view_process_test.py
+++ b/tests/stale_view_process_test.py
@@ -15,6 +15,7 @@
 
 METRICS_PORT = 9464
 CUT_S = 4.0
+READERS = 16  # so many that some poll each voter, nearly always
 CHANGE_EVERY_S = 0.5
 ASK_EVERY_S = 0.03
 DRAIN_S = 2.0     # the platform's drain_ms
@@ -128,7 +129,7 @@
     def cut_off(self, voters, n, with_leader):
         """N of VOTERS are cut off from the others while the config changes and
         a backend server leaves."""
-        self.begin(voters, plain=8)
+        self.begin(voters, plain=READERS)
         some = self.minority(n, with_leader)
         rest = [v for v in self.voters if v not in some]
         cut, end = ways(BOTH, some, rest), threading.Event()
