control_test: leadership is transferred away from the polled voter, not drawn anew

Control.VoterThatCannotWriteDoesNotDelayTheAgent stopped the leader until the agent polled another voter. Nothing makes that happen: the agent turns to one of the two voters left, and which of them is elected follows from the seeds of their timers.

Now the leader transfers its leadership while it goes on as a voter, as another test of this file does already; the fixture has that once.

--- a/libplantainusher/control/control_fixture_test.h
+++ b/libplantainusher/control/control_fixture_test.h
@@ -327,6 +327,20 @@
     return *voters[0];
   }
 
+  /* Waits for a leader other than the voter that the agent polls.  A transfer
+     leaves both running, so that the agent stays with its voter.  */
+  void
+  transfer_leadership_from_polled_voter ()
+  {
+    run_until ([&] { return leader () != nullptr; });
+    while (leader () == nullptr || leader () == &polled_voter ())
+      {
+        if (leader () != nullptr)
+          pu_control_step_down (leader ()->control);
+        run_until ([&] { return leader () != nullptr; });
+      }
+  }
+
   /* Polls in a row that failed.  */
   json_int_t
   failures ()
--- a/libplantainusher/control/control_test.cc
+++ b/libplantainusher/control/control_test.cc
@@ -326,11 +326,7 @@
   b.service = b.address = b.region = b.zone = empty;
   pu_agent_propose (agent, &c, 5000, take_answer, &a);
   run_until ([&] { return a.count > 0 && pu_agent_joined (agent); });
-  while (leader () == &polled_voter ())
-    {
-      pu_control_step_down (leader ()->control);
-      run_until ([&] { return leader () != nullptr; });
-    }
+  transfer_leadership_from_polled_voter ();
   guint64 end = uv_now (&loop) + 1000;
   run_until ([&] { return uv_now (&loop) >= end; });
   auto unsent = [&] {
@@ -449,15 +445,7 @@
   start_agent ();
   EXPECT_EQ (submit (0, "first").doc_version, 1U);
   run_until ([&] { return version () == 1; });
-  while (leader () == nullptr || leader () == &polled_voter ())
-    {
-      Voter &v = polled_voter ();
-      stop (v);
-      run_until ([&] { return leader () != nullptr; });
-      start (v);
-      run_until (
-          [&] { return leader () != nullptr && pu_agent_ready (agent); });
-    }
+  transfer_leadership_from_polled_voter ();
   polled_voter ().disk_full = true;
   for (int i = 1; i <= more_than_send_window; i++)
     {
