Deliberate breaks of brittle servers' owners, parts of prompts, the age of views and witnesses

docs/PROOFS.md had no break for these four rules, so nothing showed that their process tests can fail in a daemon that is otherwise as it should be. Four breaks, each looked at in one place; nothing changes in a build without PU_BREAKS.

--- a/libplantainusher/base/breaks.h
+++ b/libplantainusher/base/breaks.h
@@ -56,6 +56,14 @@
 #define PU_BREAK_TIMEOUT_FREES "timeout-frees"
 /* The last ready copy of a model may be unloaded.  */
 #define PU_BREAK_LAST_COPY_UNLOADED "last-copy-unloaded"
+/* Each entry sends requests to a brittle backend server by itself.  */
+#define PU_BREAK_OWNER_IGNORED "owner-ignored"
+/* No part of a prompt is suspected or convicted.  */
+#define PU_BREAK_PARTS_IGNORED "parts-ignored"
+/* A view of any age denies what it does not have.  */
+#define PU_BREAK_VIEW_AGE_IGNORED "view-age-ignored"
+/* Nobody is asked about a backend server that seems to have crashed.  */
+#define PU_BREAK_WITNESSES_IGNORED "witnesses-ignored"
 
 #ifdef PU_BREAKS
 /* pu_break_active - whether RULE, one of the names above, is broken.  */
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 #include "daemon/parts.h"
 
@@ -49,7 +50,8 @@
 {
   const pu_daemon_t *d = data;
 
-  return pu_agent_view_age_ms (d->agent) < cut_off_ms (d);
+  return pu_agent_view_age_ms (d->agent) < cut_off_ms (d)
+         || pu_break_active (PU_BREAK_VIEW_AGE_IGNORED);
 }
 
 static guint64
--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 enum
@@ -115,7 +116,7 @@
   GArray *owners;
 
   if (s->brittle == NULL || x->only_server != NULL || en->stopping
-      || !x->q.any_entry)
+      || !x->q.any_entry || pu_break_active (PU_BREAK_OWNER_IGNORED))
     return PU_BRITTLE_DIRECT;
   owners = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
   owners_append (s, owners);
--- a/libplantainusher/entry/crashes.c
+++ b/libplantainusher/entry/crashes.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 enum
@@ -156,7 +157,8 @@
   GPtrArray *chosen = g_ptr_array_new ();
   GHashTable *taken = g_hash_table_new (g_str_hash, g_str_equal);
 
-  if (en->o.hooks.ask_witness != NULL)
+  if (en->o.hooks.ask_witness != NULL
+      && !pu_break_active (PU_BREAK_WITNESSES_IGNORED))
     {
       pu_state_each_member (en->o.hooks.view (en->o.hooks.data), candidate_add,
                             candidates);
--- a/libplantainusher/entry/parts.c
+++ b/libplantainusher/entry/parts.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 /* No model has this name.  */
@@ -190,7 +191,8 @@
 pu_parts_verdict_t
 pu_part_verdict (const pu_exchange_t *x, guint64 *which)
 {
-  if (x->q.n_parts == 0 || !x->q.crash_tracked)
+  if (x->q.n_parts == 0 || !x->q.crash_tracked
+      || pu_break_active (PU_BREAK_PARTS_IGNORED))
     return PU_PARTS_UNKNOWN;
   return pu_parts_check (x->en->parts, x->q.parts, x->q.n_parts, now_of (x),
                          which);
