--- a/libplantainusher/routing/router_back_off_test.cc
+++ b/libplantainusher/routing/router_back_off_test.cc
@@ -1,80 +1,28 @@
 /* A backend server that refuses requests and states when it wants them.  */
 
-#include "routing/router.h"
-
-#include <gtest/gtest.h>
-
-#include <vector>
+#include "routing/router_fixture_test.h"
 
 namespace
 {
 
-class BackOff : public testing::Test
+class BackOff : public OneModelRouter
 {
 protected:
-  void
-  SetUp () override
-  {
-    const pu_router_service_options_t s
-        = { "chat", 1, 400, 60, 5000, 0, 10, false, 0 };
-    pu_router_options_t o;
-
-    pu_router_options_init (&o);
-    r_ = pu_router_new (&o);
-    chat_ = pu_router_set_service (r_, &s);
-    m_ = pu_router_set_model (r_, "m", nullptr, 0);
-  }
-  void
-  TearDown () override
+  BackOff () : OneModelRouter ({ "chat", 1, 400, 60, 5000, 0, 10, false, 0 })
   {
-    pu_router_free (r_);
   }
 
   pu_router_backend_t
   backend (const char *name, guint64 incarnation = 1)
   {
-    const pu_router_copy_t copy = { "m", "1", PU_ROUTER_COPY_READY };
-    pu_router_backend_options_t b = {};
-
-    b.name = name;
-    b.incarnation = incarnation;
-    b.region = b.zone = "";
-    b.copies = &copy;
-    b.n_copies = 1;
-    return pu_router_set_backend (r_, &b);
+    return set_backend (name, { .incarnation = incarnation });
   }
 
   pu_router_decision_t
   offer (guint64 deadline)
   {
-    pu_router_request_t q = {};
-    pu_router_decision_t d;
-
-    q.service = chat_;
-    q.model = m_;
-    q.deadline = deadline;
-    q.repeatable = true;
-    pu_router_offer (r_, &q, now_, &d);
-    return d;
-  }
-
-  std::vector<pu_router_decision_t>
-  schedule ()
-  {
-    GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
-    std::vector<pu_router_decision_t> list;
-
-    pu_router_schedule (r_, now_, out);
-    for (guint i = 0; i < out->len; i++)
-      list.push_back (g_array_index (out, pu_router_decision_t, i));
-    g_array_free (out, TRUE);
-    return list;
+    return offer_until (deadline);
   }
-
-  pu_router_t *r_ = nullptr;
-  pu_router_service_t chat_ = 0;
-  pu_router_model_t m_ = 0;
-  guint64 now_ = 100000;
 };
 
 TEST_F (BackOff, RequestsGoToAnotherCopyUntilItEnds)
--- a/libplantainusher/routing/router_lost_test.cc
+++ b/libplantainusher/routing/router_lost_test.cc
@@ -1,80 +1,29 @@
 /* Backend servers that run, but are not reached from here.  */
 
-#include "routing/router.h"
-
-#include <gtest/gtest.h>
-
-#include <vector>
+#include "routing/router_fixture_test.h"
 
 namespace
 {
 
-class RouterLost : public testing::Test
+class RouterLost : public OneModelRouter
 {
 protected:
-  void
-  SetUp () override
+  RouterLost ()
+      : OneModelRouter ({ "chat", 1, 400, 60, 5000, 0, 10, false, 0 })
   {
-    const pu_router_service_options_t s
-        = { "chat", 1, 400, 60, 5000, 0, 10, false, 0 };
-    pu_router_options_t o;
-
-    pu_router_options_init (&o);
-    r_ = pu_router_new (&o);
-    chat_ = pu_router_set_service (r_, &s);
-    m_ = pu_router_set_model (r_, "m", nullptr, 0);
-  }
-  void
-  TearDown () override
-  {
-    pu_router_free (r_);
   }
 
   pu_router_backend_t
   backend (const char *name, const char *software = "v1")
   {
-    const pu_router_copy_t copy = { "m", "1", PU_ROUTER_COPY_READY };
-    pu_router_backend_options_t b = {};
-
-    b.name = name;
-    b.incarnation = 1;
-    b.region = b.zone = "";
-    b.software = software;
-    b.copies = &copy;
-    b.n_copies = 1;
-    return pu_router_set_backend (r_, &b);
+    return set_backend (name, { .software = software });
   }
 
   pu_router_decision_t
   offer ()
   {
-    pu_router_request_t q = {};
-    pu_router_decision_t d;
-
-    q.service = chat_;
-    q.model = m_;
-    q.deadline = now_ + 5000;
-    q.repeatable = true;
-    pu_router_offer (r_, &q, now_, &d);
-    return d;
+    return offer_until (now_ + 5000);
   }
-
-  guint
-  scheduled ()
-  {
-    GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
-    guint n;
-
-    pu_router_schedule (r_, now_, out);
-    n = out->len;
-    g_array_free (out, TRUE);
-    return n;
-  }
-
-  pu_router_t *r_ = nullptr;
-  pu_router_service_t chat_ = 0;
-  pu_router_model_t m_ = 0;
-  guint64 now_ = 100000;
 };
 
 TEST_F (RouterLost, RequestsGoToAnotherCopyUntilItIsReached)
@@ -102,9 +51,9 @@
 
   pu_router_set_lost (r_, a, true);
   EXPECT_EQ (PU_ROUTER_QUEUED, offer ().verdict);
-  EXPECT_EQ (0U, scheduled ());
+  EXPECT_EQ (0U, schedule ().size ());
   pu_router_set_lost (r_, a, false);
-  EXPECT_EQ (1U, scheduled ());
+  EXPECT_EQ (1U, schedule ().size ());
 }
 
 /* A copy that failed is better than one that can't be reached.  */
--- a/libplantainusher/routing/router_software_test.cc
+++ b/libplantainusher/routing/router_software_test.cc
@@ -1,83 +1,29 @@
 /* Requests that resume a stream: only one software version may run them.  */
 
-#include "routing/router.h"
-
-#include <gtest/gtest.h>
-
-#include <vector>
+#include "routing/router_fixture_test.h"
 
 namespace
 {
 
-class RouterSoftware : public testing::Test
+class RouterSoftware : public OneModelRouter
 {
 protected:
-  void
-  SetUp () override
-  {
-    const pu_router_service_options_t s
-        = { "chat", 1, 0, 0, 5000, 0, 20, false, 0 };
-    pu_router_options_t o;
-
-    pu_router_options_init (&o);
-    r_ = pu_router_new (&o);
-    chat_ = pu_router_set_service (r_, &s);
-    m_ = pu_router_set_model (r_, "m", nullptr, 0);
-  }
-  void
-  TearDown () override
+  RouterSoftware ()
+      : OneModelRouter ({ "chat", 1, 0, 0, 5000, 0, 20, false, 0 })
   {
-    pu_router_free (r_);
   }
 
   pu_router_backend_t
   backend (const std::string &name, const char *software, guint slots = 4)
   {
-    const pu_router_copy_t copy = { "m", "1", PU_ROUTER_COPY_READY };
-    pu_router_backend_options_t b = {};
-
-    b.name = name.c_str ();
-    b.incarnation = 1;
-    b.region = b.zone = "";
-    b.software = software;
-    b.slots = slots;
-    b.copies = &copy;
-    b.n_copies = 1;
-    return pu_router_set_backend (r_, &b);
+    return set_backend (name, { .software = software, .slots = slots });
   }
 
   pu_router_decision_t
   offer (const char *software)
   {
-    pu_router_request_t q = {};
-    pu_router_decision_t d;
-
-    q.service = chat_;
-    q.model = m_;
-    q.deadline = now_ + 5000;
-    q.repeatable = true;
-    q.software = software;
-    pu_router_offer (r_, &q, now_, &d);
-    return d;
+    return offer_until (now_ + 5000, software);
   }
-
-  std::vector<pu_router_decision_t>
-  schedule ()
-  {
-    GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_router_decision_t));
-    std::vector<pu_router_decision_t> list;
-
-    pu_router_schedule (r_, now_, out);
-    for (guint i = 0; i < out->len; i++)
-      list.push_back (g_array_index (out, pu_router_decision_t, i));
-    g_array_free (out, TRUE);
-    return list;
-  }
-
-  pu_router_t *r_ = nullptr;
-  pu_router_service_t chat_ = 0;
-  pu_router_model_t m_ = 0;
-  guint64 now_ = 100000;
 };
 
 TEST_F (RouterSoftware, ResumedStreamGoesToItsVersionAmongManyOthers)
