log, agent: what holds up a commit or a proposal is in the log

In one of thirty plays of bad_part_process_test at load 20 nothing was committed for 9.1 s with a leader in office, and no line told why: a disk, a thread that was not free, a member that lacked entries, and a proposal that waited for a leader all looked the same.

Ruled out by reading: agent/propose.c sends each proposal by itself, so that none waits for another; the floor only ends proposals that are over.

One batch is in flight, which bounds the lines. - agent: a proposal that took two seconds is logged, one a second at most, with its attempts, the last failure and the leader that it knew.

--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -66,6 +66,7 @@
   /* propose.c */
   GQueue proposals; /* by rising seq */
   uint64_t next_seq;
+  guint64 slow_logged_at; /* loop time of the last line on a slow proposal */
 
   /* query.c */
   GQueue queries;
--- a/libplantainusher/agent/propose.c
+++ b/libplantainusher/agent/propose.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/log.h"
 #include "control/packed.h"
 
 /* A command over this size is sent compressed.  */
@@ -10,6 +11,10 @@
 /* Pause before an attempt is made again, with jitter.  */
 #define PAUSE_MS 40
 
+/* A proposal that took this long is logged, one a second at most.  */
+#define SLOW_MS 2000
+#define SLOW_LOG_PERIOD_MS 1000
+
 typedef struct
 {
   pu_agent_t *agent;
@@ -19,10 +24,13 @@
   GBytes *command;
   GBytes *packed; /* COMMAND compressed; NULL: it is short, or a voter does not
                      take compressed commands */
-  uint64_t due;   /* loop time, ms */
+  uint64_t begun; /* loop time, ms */
+  uint64_t due;   /* the same */
   bool unknown;   /* an attempt ended so: it may have run */
   bool under_way; /* an attempt is */
   guint attempts;
+  pu_error_kind_t
+      last_failure;  /* of the last attempt that did not settle it */
   uv_timer_t *timer; /* NULL until it is needed */
   pu_agent_done_fn *fn;
   void *data;
@@ -30,12 +38,31 @@
 
 static void proposal_try (proposal_t *p);
 
+static void
+log_slow (const proposal_t *p, const pu_error_t *e)
+{
+  pu_agent_t *a = p->agent;
+  uint64_t now = uv_now (a->options.loop);
+
+  if (now - p->begun < SLOW_MS
+      || !pu_log_limited (&a->slow_logged_at, now, SLOW_LOG_PERIOD_MS))
+    return;
+  pu_log_event (PU_AGENT_PART, "A proposal took long.",
+                PU_LOG_TEXT ("command", pu_command_name (p->type)),
+                PU_LOG_NUMBER ("ms", now - p->begun),
+                PU_LOG_NUMBER ("attempts", p->attempts),
+                PU_LOG_TEXT ("failure", pu_error_kind_name (p->last_failure)),
+                PU_LOG_TEXT ("leader", a->leader),
+                PU_LOG_TEXT ("outcome", pu_error_kind_name (e->kind)));
+}
+
 static void
 proposal_end (proposal_t *p, const pu_reply *r, const pu_error_t *e)
 {
   pu_agent_done_fn *fn = p->fn;
   void *data = p->data;
 
+  log_slow (p, e);
   g_queue_unlink (&p->agent->proposals, &p->node);
   if (p->timer != NULL)
     pu_rpc_timer_free (p->timer);
@@ -129,6 +156,8 @@
 
   if (x->leader[0] != '\0')
     pu_agent_set_leader (p->agent, x->leader);
+  if (x->kind != PU_OK)
+    p->last_failure = (pu_error_kind_t)x->kind;
   switch (x->kind)
     {
     case PU_OK:
@@ -156,6 +185,8 @@
   pu_propose_reply x;
 
   p->under_way = false;
+  if (e->kind != PU_OK)
+    p->last_failure = e->kind;
   if (e->kind == PU_OK
       && pu_codec_decode ((xdrproc_t)xdr_pu_propose_reply, &x, sizeof x, body,
                           n, NULL))
@@ -277,7 +308,8 @@
   /* The caller, and encoding the command, may have taken long since the loop
      read its clock.  */
   uv_update_time (a->options.loop);
-  p->due = uv_now (a->options.loop) + timeout_ms;
+  p->begun = uv_now (a->options.loop);
+  p->due = p->begun + timeout_ms;
   p->fn = fn;
   p->data = data;
   g_queue_push_tail_link (&a->proposals, &p->node);
--- a/libplantainusher/log/group.c
+++ b/libplantainusher/log/group.c
@@ -6,6 +6,7 @@
 
 #include "base/breaks.h"
 #include "base/log.h"
+#include "log/commit_watch.h"
 
 enum
 {
@@ -38,6 +39,7 @@
   bool rejoin_pending; /* replace this voter's identity once the journal is
                           idle */
   bool had_log;        /* the folder holds files of an earlier identity */
+  pu_commit_watch_t commit_watch;
   uv_timer_t timer;
   uv_idle_t idle; /* active while actions may be pending */
   bool closing;
@@ -418,6 +420,7 @@
     return;
   pu_replica_tick (g->replica, now_ms (g));
   execute_pending_actions (g);
+  pu_commit_watch_update (&g->commit_watch, g->replica, now_ms (g));
 }
 
 static void
--- a/libplantainusher/log/journal.c
+++ b/libplantainusher/log/journal.c
@@ -10,6 +10,8 @@
 {
   DEFAULT_SEGMENT_BYTES = 8 * 1048576,
   DISK_FULL_RETRY_MS = 100,
+  SLOW_WRITE_MS = 500,
+  US_PER_MS = 1000,
 };
 
 /* A job that writes the queued entries and metadata on the thread pool: first
@@ -29,6 +31,8 @@
   uint64_t bytes;
   uint32_t entries;
   uint64_t last_index; /* last entry's index; 0: the batch has no entries */
+  gint64 queued_at;    /* monotonic time in us */
+  uint64_t waiting_us; /* from then until a thread of the pool was free */
   uint64_t elapsed_us;
   uint32_t syncs;
   const char *operation; /* the current operation, for the error message */
@@ -173,6 +177,7 @@
   guint step = j->o.sync_each_entry ? 1 : MAX (n, 1);
 
   pu_journal_job_init (&job->base, j, PU_JOURNAL_JOB_BATCH);
+  job->queued_at = g_get_monotonic_time ();
   job->ticket = j->pending_ticket;
   job->entries = n;
   job->frames = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
@@ -242,6 +247,8 @@
 {
   gint64 start = g_get_monotonic_time ();
 
+  if (!job->base.retry)
+    job->waiting_us = (uint64_t)(start - job->queued_at);
   job->base.rc = 0;
   if (job->new_segment_path != NULL && !job->segment_created)
     {
@@ -275,6 +282,23 @@
   g_free (job);
 }
 
+/* Nothing is acknowledged during a write, so a slow one delays commits.  At
+   most one batch is in flight, which bounds the lines.  */
+static void
+log_slow_write (const pu_batch_job_t *job)
+{
+  uint64_t waiting_ms = job->waiting_us / US_PER_MS;
+  uint64_t elapsed_ms = job->elapsed_us / US_PER_MS;
+
+  if (waiting_ms + elapsed_ms < SLOW_WRITE_MS)
+    return;
+  pu_log_note ("journal",
+               "Writing a batch of %u entries took %" G_GUINT64_FORMAT
+               " ms, after %" G_GUINT64_FORMAT
+               " ms of waiting for a thread of the pool.",
+               job->entries, elapsed_ms, waiting_ms);
+}
+
 static void
 finish_batch_job (pu_batch_job_t *job)
 {
@@ -283,6 +307,7 @@
   int rc = job->base.rc;
   const char *operation = job->operation;
 
+  log_slow_write (job);
   j->batch_job = NULL;
   j->stats.batches++;
   j->stats.syncs += job->syncs;
