tests: voters whose disks end no sync; a proposal that is given up is logged

Cause: the line on slow proposals came from two seconds on, while the platform gives proposals of entries one second: in a stall of 9 s none was logged, as all were given up before and proposed anew. Found by a trial in which the disks of all voters stalled.

- agent: a proposal that is given up is logged too, whatever time it had.

--- a/libplantainusher/agent/propose.c
+++ b/libplantainusher/agent/propose.c
@@ -11,8 +11,9 @@
 /* Pause before an attempt is made again, with jitter.  */
 #define PAUSE_MS 40
 
-/* A proposal that took this long is logged, one a second at most.  */
-#define SLOW_MS 2000
+/* A proposal that took this long, or was given up, is logged: one a second at
+   most.  */
+#define SLOW_MS 1000
 #define SLOW_LOG_PERIOD_MS 1000
 
 typedef struct
@@ -38,13 +39,20 @@
 
 static void proposal_try (proposal_t *p);
 
+static bool
+is_given_up (const pu_error_t *e)
+{
+  return e->kind == PU_ERROR_TIMEOUT || e->kind == PU_ERROR_UNAVAILABLE;
+}
+
+/* Tells what P waited for, now that it ends with E.  */
 static void
 log_slow (const proposal_t *p, const pu_error_t *e)
 {
   pu_agent_t *a = p->agent;
   uint64_t now = uv_now (a->options.loop);
 
-  if (now - p->begun < SLOW_MS
+  if (a->closing || (now - p->begun < SLOW_MS && !is_given_up (e))
       || !pu_log_limited (&a->slow_logged_at, now, SLOW_LOG_PERIOD_MS))
     return;
   pu_log_event (PU_AGENT_PART, "A proposal took long.",
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -152,6 +152,7 @@
         self.environment = {}
         self._lost = cluster.folder / f"{name}.lost"
         self._cut = cluster.folder / f"{name}.cut"
+        self._stall = cluster.folder / f"{name}.stall"
         self._p = None
         self._expected = True
         self.starts = 0  # how often it was started
@@ -199,6 +200,20 @@
             "SLOW_SYNC_MS": str(sync_ms),
             "SLOW_DATASYNC_MS": str(datasync_ms)}
 
+    def may_stall_disk(self):
+        """From its next start on, stall_disk works."""
+        self._stall.unlink(missing_ok=True)
+        self.environment = {
+            "LD_PRELOAD": str(self.cluster.build / "tests/libslow_sync.so"),
+            "SYNC_STALL": str(self._stall)}
+
+    def stall_disk(self, stalled=True):
+        """Until called with False, no fsync and no fdatasync ends."""
+        if stalled:
+            self._stall.touch()
+        else:
+            self._stall.unlink(missing_ok=True)
+
     def slow_json(self, load_ms):
         """From its next start on, loading 64 KB or more takes LOAD_MS longer."""
         self.environment = {
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -144,10 +144,10 @@
 
 
 def instances(cluster, disks=3, plain=1, heartbeat_ms=HEARTBEAT_MS,
-              bounds=None, cuttable=False):
+              bounds=None, cuttable=False, stallable=False):
     """DISKS instances with a disk, which are the seeds, and PLAIN without.
     BOUNDS takes the place of the platform's own.  CUTTABLE: their cut_servers
-    works."""
+    works; STALLABLE: their stall_disk does."""
     some = [Instance(cluster, f"core-{i}", "abc"[i % 3], True)
             for i in range(disks)]
     some += [Instance(cluster, f"front-{i}", "abc"[i % 3], False)
@@ -160,6 +160,8 @@
             one.values["bounds"] = bounds
         if cuttable:
             one.may_lose_servers(BACKEND_PORT)
+        if stallable:
+            one.may_stall_disk()
         one.start()
     return some
 
