--- a/libplantainusher/control/control_fixture_test.h
+++ b/libplantainusher/control/control_fixture_test.h
@@ -20,6 +20,19 @@
 inline constexpr guint64 wait_timeout_ms = 20000;
 inline const char *const key = "a peer key of some length";
 
+/* Text that does not compress to less than three quarters.  */
+inline std::string
+random_text (size_t n)
+{
+  GRand *r = g_rand_new_with_seed (7);
+  std::string text (n, '\0');
+
+  for (char &c : text)
+    c = static_cast<char> (g_rand_int_range (r, '0', '0' + 64));
+  g_rand_free (r);
+  return text;
+}
+
 /* A voter: its RPC server, and its control while it runs.  */
 struct Voter
 {
--- a/libplantainusher/control/transfer_test.cc
+++ b/libplantainusher/control/transfer_test.cc
@@ -14,19 +14,6 @@
 /* The bytes that a voter may have sent and that no daemon has received.  */
 constexpr size_t in_flight_max = 256 << 10;
 
-/* Text that does not compress to less than three quarters.  */
-std::string
-random_text (size_t n)
-{
-  GRand *r = g_rand_new_with_seed (7);
-  std::string text (n, '\0');
-
-  for (char &c : text)
-    c = static_cast<char> (g_rand_int_range (r, '0', '0' + 64));
-  g_rand_free (r);
-  return text;
-}
-
 /* Reads of one voter by many daemons, as seen by all of them together.  */
 struct Readers
 {
