log: heartbeats are not held back by a large entry

Cause: an append message with an entry of up to 5 MB was one record on the connection of the heartbeats. While it was under way for longer than an election timeout, followers heard nothing of the leader and the leader nothing of them, so that it lost its lease and its office. A proposal forwarded to the leader held back the follower's acknowledgements in the same way.

Ruled out: time on the loop alone.

Change: an entry over 1 MiB is bulk data. It goes over a connection of its own and is appended alone. Heartbeats overtake it and carry the entry before it while it is unanswered, so that they are not rejected and it is not sent again. It counts as lost after two election timeouts and 1 ms for each KiB. No message is new, so voters of an older version take part.

--- a/libplantainusher/control/control.c
+++ b/libplantainusher/control/control.c
@@ -10,6 +10,9 @@
 #define DEFAULT_RING_BYTES ((size_t)16 << 20)
 #define DROP_LOG_INTERVAL_MS 60000
 
+/* Time for bulk data to arrive.  Pings wait behind them.  */
+#define BULK_TIMEOUT_MS 15000
+
 void
 pu_control_options_init (pu_control_options_t *o)
 {
@@ -39,16 +42,54 @@
   return leader == NULL ? "" : leader->address;
 }
 
+pu_rpc_client_t *
+pu_control_bulk_client (pu_control_t *c, const char *address)
+{
+  return pu_rpc_pool_get (c->bulk_pool, address);
+}
+
 /* --- callbacks of the group --- */
 
+static void
+on_bulk_sent (void *data, const guint8 *body, size_t n, const pu_error_t *e)
+{
+  (void)data;
+  (void)body;
+  (void)n;
+  (void)e;
+}
+
+/* A call, which is never answered, waits for the connection to be made; a
+   one-way message would be lost.  */
+static void
+send_bulk (pu_control_t *c, const pu_log_peer *to, GBytes *msg)
+{
+  pu_rpc_client_t *client = pu_control_bulk_client (c, to->address);
+  gsize size;
+  gconstpointer bytes = g_bytes_get_data (msg, &size);
+
+  if (client != NULL)
+    {
+      pu_rpc_client_call (client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                          PU_CONTROL_REPLICA, bytes, size, BULK_TIMEOUT_MS,
+                          on_bulk_sent, NULL);
+    }
+}
+
 static void
 on_send (const pu_log_peer *to, GBytes *msg, void *data)
 {
   pu_control_t *c = data;
-  pu_rpc_client_t *client = pu_rpc_pool_get (c->pool, to->address);
+  pu_rpc_client_t *client;
   gsize size;
   gconstpointer bytes = g_bytes_get_data (msg, &size);
 
+  if (pu_log_msg_is_bulk (msg))
+    {
+      send_bulk (c, to, msg);
+      return;
+    }
+  client = pu_rpc_pool_get (c->pool, to->address);
   if (client != NULL)
     {
       pu_rpc_client_send (client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
@@ -232,14 +273,15 @@
 }
 
 static pu_rpc_pool_t *
-pool_new (const pu_control_options_t *o)
+pool_new (const pu_control_options_t *o, guint silent_ms)
 {
   pu_rpc_pool_options_t p = { .client = { .loop = o->loop,
                                           .source = o->source,
                                           .key = o->key,
                                           .counters = o->counters,
                                           .seed = (guint32)o->seed,
-                                          .connect_ms = o->connect_ms } };
+                                          .connect_ms = o->connect_ms,
+                                          .silent_ms = silent_ms } };
 
   return pu_rpc_pool_new (&p);
 }
@@ -254,6 +296,7 @@
   pu_feed_free (c->feed);
   pu_state_free (c->state);
   pu_rpc_pool_free (c->pool);
+  pu_rpc_pool_free (c->bulk_pool);
   g_free (c->name);
   g_free (c->address);
   g_free (c);
@@ -273,7 +316,8 @@
   c->feed = pu_feed_new (o->ring_entries, o->ring_bytes);
   c->sessions = pu_sessions_new ();
   c->grants = pu_grants_new ();
-  c->pool = pool_new (o);
+  c->pool = pool_new (o, 0);
+  c->bulk_pool = pool_new (o, BULK_TIMEOUT_MS);
   pu_control_proposals_init (c);
   pu_control_leadership_init (c);
   pu_control_polls_init (c);
--- a/libplantainusher/control/control_private.h
+++ b/libplantainusher/control/control_private.h
@@ -30,6 +30,7 @@
   pu_group_t *group;
   pu_state_t *state;
   pu_rpc_pool_t *pool;
+  pu_rpc_pool_t *bulk_pool; /* for what takes long on a slow link */
   uv_timer_t *tick_timer;
   pu_feed_t *feed;
   pu_sessions_t *sessions;
@@ -94,6 +95,11 @@
    it is unknown.  */
 const char *pu_control_leader_address (const pu_control_t *c);
 
+/* pu_control_bulk_client - returns the client for bulk data to the daemon at
+   ADDRESS, or NULL.  It has a connection of its own, so that heartbeats to the
+   daemon don't wait behind the data.  */
+pu_rpc_client_t *pu_control_bulk_client (pu_control_t *c, const char *address);
+
 /* pu_control_forward - calls procedure PROC of the leader with ARGS, encoded
    by ARGS_PROC, and relays the answer to CALL.  FAIL answers CALL when the
    leader does not.  */
--- a/libplantainusher/control/proposals.c
+++ b/libplantainusher/control/proposals.c
@@ -107,15 +107,18 @@
                     xdrproc_t args_proc, const void *args, guint timeout_ms,
                     pu_control_fail_fn *fail)
 {
-  pu_rpc_client_t *client
-      = pu_rpc_pool_get (c->pool, pu_control_leader_address (c));
-  GBytes *bytes;
-  forward_t *f;
+  GBytes *bytes = pu_codec_encode (args_proc, args);
   gsize size;
-  gconstpointer data;
+  gconstpointer data = g_bytes_get_data (bytes, &size);
+  const char *leader = pu_control_leader_address (c);
+  pu_rpc_client_t *client = size > PU_LOG_BULK_BYTES
+                                ? pu_control_bulk_client (c, leader)
+                                : pu_rpc_pool_get (c->pool, leader);
+  forward_t *f;
 
   if (client == NULL)
     {
+      g_bytes_unref (bytes);
       fail (c, call, PU_ERROR_UNAVAILABLE, "No leader is known.");
       return;
     }
@@ -124,8 +127,6 @@
   f->call = call;
   f->fail = fail;
   g_hash_table_add (c->forwards, f);
-  bytes = pu_codec_encode (args_proc, args);
-  data = g_bytes_get_data (bytes, &size);
   pu_rpc_client_call (client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION, proc,
                       data, size, MIN (timeout_ms, FORWARD_TIMEOUT_MAX_MS),
                       on_forwarded, f);
--- a/libplantainusher/log/group.h
+++ b/libplantainusher/log/group.h
@@ -27,7 +27,9 @@
 
 /* pu_group_send_fn - sends MSG (the caller keeps its reference) to the voter
    at TO->address.  Delivery is best effort: MSG may be lost, delayed,
-   duplicated or reordered.  */
+   duplicated or reordered.  Bulk data (pu_log_msg_is_bulk) should not hold
+   back later messages: heartbeats among them must arrive within an election
+   timeout.  */
 typedef void pu_group_send_fn (const pu_log_peer *to, GBytes *msg, void *data);
 
 /* pu_group_apply_fn - applies the committed entry at INDEX to the state
--- a/libplantainusher/log/record.c
+++ b/libplantainusher/log/record.c
@@ -90,6 +90,15 @@
   return pu_xdr_encode ((xdrproc_t)xdr_pu_log_msg, m);
 }
 
+/* More than all of a message but the data of its entries.  */
+#define MSG_OVERHEAD_MAX_BYTES 262144
+
+bool
+pu_log_msg_is_bulk (GBytes *msg)
+{
+  return g_bytes_get_size (msg) > PU_LOG_BULK_BYTES + MSG_OVERHEAD_MAX_BYTES;
+}
+
 bool
 pu_log_msg_decode (pu_log_msg *m, const void *bytes, size_t len, pu_error_t *e)
 {
--- a/libplantainusher/log/record.h
+++ b/libplantainusher/log/record.h
@@ -57,6 +57,14 @@
 bool pu_log_msg_decode (pu_log_msg *m, const void *bytes, size_t len,
                         pu_error_t *e);
 
+/* PU_LOG_BULK_BYTES - an entry of more bytes is bulk data.  It is sent alone
+   in a message, and its receiver is sent no other entries until it is
+   acknowledged, so that other messages may overtake it.
+   pu_log_msg_is_bulk - whether MSG, an encoded message, contains such an
+   entry.  Small parts of messages may add some bytes before it says so.  */
+#define PU_LOG_BULK_BYTES 1048576
+bool pu_log_msg_is_bulk (GBytes *msg);
+
 /* Functions that make deep copies, which are freed with the _clear functions.
    A string that is NULL is copied as an empty string.  */
 void pu_log_peer_copy (pu_log_peer *to, const pu_log_peer *from);
--- a/libplantainusher/log/replica.c
+++ b/libplantainusher/log/replica.c
@@ -14,7 +14,7 @@
   SNAPSHOT_ENTRIES = 4096,
   SNAPSHOT_BYTES = 16 * 1048576,
   KEEP_ENTRIES = 1024,
-  BATCH_BYTES = 1048576,
+  BATCH_BYTES = PU_LOG_BULK_BYTES,
   WINDOW_MESSAGES = 8,
   UNCOMMITTED_ENTRIES = 8192,
   UNCOMMITTED_BYTES = 64 * 1048576,
@@ -33,6 +33,7 @@
   o->snapshot_bytes = SNAPSHOT_BYTES;
   o->keep_entries = KEEP_ENTRIES;
   o->batch_bytes = BATCH_BYTES;
+  o->bulk_bytes = PU_LOG_BULK_BYTES;
   o->window = WINDOW_MESSAGES;
   o->uncommitted_entries = UNCOMMITTED_ENTRIES;
   o->uncommitted_bytes = UNCOMMITTED_BYTES;
--- a/libplantainusher/log/replica.h
+++ b/libplantainusher/log/replica.h
@@ -80,6 +80,9 @@
   /* default 1 MiB: maximum bytes of entries in one message; a larger entry is
      sent alone in a message */
   uint32_t batch_bytes;
+  /* default PU_LOG_BULK_BYTES, at least batch_bytes: a larger entry is bulk
+     data */
+  uint32_t bulk_bytes;
   uint32_t window; /* default 8: maximum of unanswered messages with entries to
                       one member */
   uint32_t uncommitted_entries; /* default 8192: maximum of proposed entries
--- a/libplantainusher/log/replica_append.c
+++ b/libplantainusher/log/replica_append.c
@@ -9,6 +9,11 @@
  * carries the index and the term of the entry before the next one to send; a
  * follower that missed a message rejects the heartbeat and the leader resends
  * the entries, so lost messages need no retransmission timer.
+ *
+ * A bulk entry takes longer than a heartbeat interval on a slow link, so it
+ * is sent apart from other messages, which may overtake it.  While it is
+ * unanswered, no other entries are sent to the member, and heartbeats carry
+ * the entry before it.
  */
 
 enum
@@ -16,6 +21,10 @@
   /* A leader steps down after this many election timeouts without replies
      from a quorum.  */
   QUORUM_LOSS_ELECTIONS = 2,
+  /* A bulk entry counts as lost when it is unanswered for this many election
+     timeouts and the time that it takes at this rate.  */
+  BULK_LOSS_ELECTIONS = 2,
+  BULK_BYTES_PER_MS = 1024,
 };
 
 pu_progress_t *
@@ -204,6 +213,31 @@
   return now <= pu_r_leadership_confirmed_at (r, now) + r->o.election_ms;
 }
 
+static bool
+is_bulk (const pu_replica_t *r, const pu_record_t *e)
+{
+  return e->len > r->o.bulk_bytes;
+}
+
+static bool
+bulk_pending (const pu_progress_t *p, uint64_t now)
+{
+  return p->bulk > p->match && now < p->bulk_until;
+}
+
+/* Records the entry at the next index as sent, if it is a bulk entry.  */
+static void
+note_bulk (const pu_replica_t *r, pu_progress_t *p, uint64_t now)
+{
+  const pu_record_t *e = pu_replica_entry (r, p->next);
+
+  if (!is_bulk (r, e))
+    return;
+  p->bulk = p->next;
+  p->bulk_until = now + BULK_LOSS_ELECTIONS * (uint64_t)r->o.election_ms
+                  + e->len / BULK_BYTES_PER_MS;
+}
+
 /* Sends an append message: entries if WITH_ENTRIES, else a heartbeat.  */
 static void
 send_append (pu_replica_t *r, pu_progress_t *p, uint64_t now,
@@ -214,7 +248,8 @@
   pu_log_append *a = &b.pu_log_body_u.append;
   pu_log_floor floors[PU_LOG_MEMBERS_MAX];
   pu_log_entry *entries = NULL;
-  uint64_t prev = MAX (p->next - 1, r->base);
+  uint64_t next = bulk_pending (p, now) ? p->bulk : p->next;
+  uint64_t prev = MAX (next - 1, r->base);
   bool known;
 
   if (to == NULL)
@@ -232,6 +267,7 @@
       entries = g_new (pu_log_entry, PU_LOG_ENTRIES_MAX);
       a->entries.entries_val = entries;
       a->entries.entries_len = collect_entries (r, p->next, entries);
+      note_bulk (r, p, now);
       p->next += a->entries.entries_len;
       g_queue_push_tail (&p->in_flight_appends,
                          GSIZE_TO_POINTER (p->next - 1));
@@ -245,6 +281,20 @@
   g_free (entries);
 }
 
+/* Returns whether the next entries may be sent to a member.  A bulk entry
+   must not overtake the entries before it.  */
+static bool
+may_send_entries (const pu_replica_t *r, const pu_progress_t *p, uint64_t now)
+{
+  guint in_flight = p->in_flight_appends.length;
+
+  if (p->probing || p->lost_entries || p->next <= r->base
+      || p->next > pu_r_last_index (r) || in_flight >= r->o.window
+      || bulk_pending (p, now))
+    return false;
+  return in_flight == 0 || !is_bulk (r, pu_replica_entry (r, p->next));
+}
+
 void
 pu_r_flush_sends (pu_replica_t *r, uint64_t now)
 {
@@ -252,9 +302,7 @@
     {
       pu_progress_t *p = &g_array_index (r->progress, pu_progress_t, i);
 
-      while (!p->probing && !p->lost_entries && p->next > r->base
-             && p->next <= pu_r_last_index (r)
-             && p->in_flight_appends.length < r->o.window)
+      while (may_send_entries (r, p, now))
         send_append (r, p, now, true);
     }
 }
@@ -406,6 +454,7 @@
   probe = next < p->next && (next > r->base || p->seeder == 0);
   p->next = next;
   p->probing = true;
+  p->bulk = 0;
   g_queue_clear (&p->in_flight_appends);
   if (probe)
     send_append (r, p, now, false);
--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -50,6 +50,8 @@
                         not count in a quorum and is told to rejoin */
   GQueue in_flight_appends; /* the last index of each unanswered message with
                                entries */
+  uint64_t bulk;            /* index of the last bulk entry sent; 0: none */
+  uint64_t bulk_until;      /* time at which it counts as lost if unanswered */
   uint64_t snapshot;        /* index of the member's newest snapshot */
   uint64_t fetched; /* bytes of a snapshot that the member has fetched */
   uint64_t fetch_progress_at; /* time of the last change of fetched */
--- a/libplantainusher/log/replica_sim.h
+++ b/libplantainusher/log/replica_sim.h
@@ -69,9 +69,9 @@
   uint64_t commits = 0;
 
   Sim (unsigned n, unsigned seed, unsigned breaks, unsigned spares = 0,
-       unsigned wanted = 0)
+       unsigned wanted = 0, uint32_t bulk_bytes = PU_LOG_BULK_BYTES)
       : rand_ (seed), breaks_ (breaks), initial_ (n), wanted_ (wanted),
-        nodes_ (n + spares),
+        bulk_bytes_ (bulk_bytes), nodes_ (n + spares),
         blocked_ (nodes_.size (), std::vector<bool> (nodes_.size (), false))
   {
     for (unsigned i = 0; i < nodes_.size (); i++)
@@ -303,6 +303,7 @@
     o.snapshot_entries = 40;
     o.keep_entries = 10;
     o.batch_bytes = 1;
+    o.bulk_bytes = bulk_bytes_;
     pu_disk_image_init (&d);
     d.meta = n.disk.meta;
     d.snapshot = n.disk.snapshot;
@@ -376,6 +377,7 @@
   unsigned breaks_;
   unsigned initial_;
   unsigned wanted_;
+  uint32_t bulk_bytes_;
   std::vector<Node> nodes_;
   std::vector<std::vector<bool> > blocked_;
   std::vector<Packet> packets_;
--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -36,9 +36,10 @@
 
 static std::string
 run_scenario (unsigned n, unsigned spares, unsigned seed, unsigned breaks,
-              const std::vector<Event> &events, unsigned wanted = 0)
+              const std::vector<Event> &events, unsigned wanted = 0,
+              uint32_t bulk_bytes = PU_LOG_BULK_BYTES)
 {
-  Sim s (n, seed, breaks, spares, wanted);
+  Sim s (n, seed, breaks, spares, wanted, bulk_bytes);
   s.run (4000);
   for (size_t i = 0; i < events.size () && s.violation.empty (); i++)
     s.apply_event (events[i]);
@@ -74,6 +75,21 @@
     RC_FAIL (violation);
 }
 
+/* Like PreservesInvariants, where all entries but those that begin a term are
+   bulk data.  */
+RC_GTEST_PROP (ReplicaFuzz, PreservesInvariantsWithBulkEntries, ())
+{
+  const auto n = *rc::gen::inRange (3U, 6U);
+  const auto spares = *rc::gen::inRange (0U, 2U);
+  const auto seed = *rc::gen::arbitrary<unsigned> ();
+  const auto events
+      = *rc::gen::resize (200, rc::gen::arbitrary<std::vector<Event> > ());
+  const std::string violation
+      = run_scenario (n, spares, seed, 0, events, 0, 1);
+  if (!violation.empty ())
+    RC_FAIL (violation);
+}
+
 /* Returns the number of voters in the leader's configuration.  */
 static unsigned
 voters (Sim &s)
