agent: Send renewals to another voter when a poll is overdue

Cause: renewals of leases and the heartbeat of a daemon go out with a long poll, and the next ones wait until that is answered. At a voter that hangs or is cut off from the daemon that takes 1000 ms more than the wait of a poll, and the next voter may be cut off as well. A daemon that hears nothing for two polls and 200 ms refuses check-ins besides, which costs further renewals.

Ruled out: the renewals of the failed poll are lost (they are sent again), and the next voter keeps them (the silence ends with its message to the leader).

The first answer that names a leader counts, and its voter is polled from then on. No message is new, so a voter of any release takes part; one that doesn't know POLL_BLOBS is skipped.

--- a/libplantainusher/agent/agent_private.h
+++ b/libplantainusher/agent/agent_private.h
@@ -55,10 +55,18 @@
                                 then; 0: never */
   char *old_voter;           /* address of a voter that does not know
                                 PU_CONTROL_POLL_BLOBS, or NULL */
+  char *poll_voter;          /* address of the voter of poll_handle */
   GHashTable *renewals;      /* backend server -> renewal_t */
   GHashTable *sent_renewals; /* the same, of the last polls */
   GHashTable *demand;        /* model -> demand_t */
 
+  /* hedge.c */
+  uv_timer_t *hedge_timer;
+  uint32_t hedge_handle;  /* 0: none under way */
+  char *hedge_voter;      /* address of its voter */
+  uint64_t hedge_sent_at; /* loop time */
+  guint hedges;           /* since the last poll, or the last answer */
+
   /* find.c */
   uv_timer_t *find_timer;
   uint64_t found_at; /* loop time when others were last asked */
@@ -92,6 +100,9 @@
 void pu_agent_voters_learn (pu_agent_t *a, const pu_poll_reply *r);
 void pu_agent_voters_next (pu_agent_t *a);
 void pu_agent_voters_home (pu_agent_t *a);
+
+/* pu_agent_voters_use - polls the voter at ADDRESS next, if it is known.  */
+void pu_agent_voters_use (pu_agent_t *a, const char *address);
 void pu_agent_set_leader (pu_agent_t *a, const char *address);
 
 /* pu_agent_voters_take - N voters, who became that at the position AT: false
@@ -121,6 +132,23 @@
 void pu_agent_call_voter (pu_agent_t *a, guint32 proc, GBytes *body,
                           pu_rpc_answer_t *fn);
 
+/* pu_agent_poll_hedge - encodes a poll without a wait that has all renewals
+   which may not have arrived yet.  */
+GBytes *pu_agent_poll_hedge (pu_agent_t *a);
+
+/* pu_agent_poll_replace - ends the poll under way, if any, and takes the
+   answer R of VOTER to a hedge that was sent at SENT_AT in place of its
+   answer.  */
+void pu_agent_poll_replace (pu_agent_t *a, const char *voter, uint64_t sent_at,
+                            const pu_blob_reply *r);
+
+/* hedge.c */
+void pu_agent_hedge_init (pu_agent_t *a);
+void pu_agent_hedge_clear (pu_agent_t *a);
+
+/* pu_agent_hedge_begin - a poll with a wait of WAIT_MS is sent now.  */
+void pu_agent_hedge_begin (pu_agent_t *a, guint wait_ms);
+
 /* fetch.c */
 
 /* pu_agent_fetch - fetches the blob of R, which has one, and then calls
--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -173,24 +173,37 @@
 }
 
 static GBytes *
-poll_encode (const pu_agent_t *a)
+poll_encode (const pu_agent_t *a, guint32 wait, bool with_demand)
 {
   pu_poll p = { .name = a->self->name,
                 .incarnation = a->self->incarnation,
                 .position = pu_state_position (a->view),
                 .voters_hash = a->voters_hash,
-                .wait_ms = wait_ms (a),
+                .wait_ms = wait,
                 .fresh = !a->ready || a->gap };
   GBytes *bytes;
 
   put_renewals (a, &p);
-  put_demand (a, &p);
+  if (with_demand)
+    put_demand (a, &p);
   bytes = pu_codec_encode ((xdrproc_t)xdr_pu_poll, &p);
   g_free (p.renewals.renewals_val);
   g_free (p.demand.demand_val);
   return bytes;
 }
 
+GBytes *
+pu_agent_poll_hedge (pu_agent_t *a)
+{
+  GBytes *bytes;
+
+  count (a, "agent_polls_hedged_total");
+  copy_renewals (a->sent_renewals, a->renewals);
+  bytes = poll_encode (a, 0, false);
+  note_renewals_sent (a);
+  return bytes;
+}
+
 /* --- the cycle --- */
 
 static void
@@ -298,6 +311,45 @@
   xdr_free ((xdrproc_t)xdr_pu_poll_reply, &r);
 }
 
+static void
+poll_take (pu_agent_t *a, const pu_blob_reply *r)
+{
+  if (r->blobs.blobs_len > 0)
+    {
+      pu_agent_fetch (a, r);
+    }
+  else
+    {
+      pu_agent_poll_received (a, &r->reply);
+    }
+}
+
+static void
+poll_cancel (pu_agent_t *a)
+{
+  pu_rpc_client_t *client;
+
+  if (a->poll_handle == 0)
+    return;
+  client = pu_rpc_pool_get (a->pool, a->poll_voter);
+  if (client != NULL)
+    pu_rpc_client_cancel (client, a->poll_handle);
+  a->poll_handle = 0;
+}
+
+void
+pu_agent_poll_replace (pu_agent_t *a, const char *voter, uint64_t sent_at,
+                       const pu_blob_reply *r)
+{
+  pu_log_info (PU_AGENT_PART, "Voter %s does not answer in time, %s does.",
+               a->poll_voter, voter);
+  poll_cancel (a);
+  uv_timer_stop (a->poll_timer);
+  pu_agent_voters_use (a, voter);
+  a->poll_sent_at = sent_at;
+  poll_take (a, r);
+}
+
 static void
 on_polled (void *data, const guint8 *body, size_t n, const pu_error_t *e)
 {
@@ -323,14 +375,7 @@
       pu_agent_poll_failed (a, "its answer does not decode.");
       return;
     }
-  if (r.blobs.blobs_len > 0)
-    {
-      pu_agent_fetch (a, &r);
-    }
-  else
-    {
-      pu_agent_poll_received (a, &r.reply);
-    }
+  poll_take (a, &r);
   xdr_free ((xdrproc_t)xdr_pu_blob_reply, &r);
 }
 
@@ -349,6 +394,8 @@
       pu_agent_poll_failed (a, "no address.");
       return;
     }
+  g_free (a->poll_voter);
+  a->poll_voter = g_strdup (voter);
   a->poll_handle = pu_rpc_client_call (
       client, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION, proc, data, size,
       wait_ms (a) > 0 ? wait_ms (a) + ANSWER_MS : ANSWER_AT_ONCE_MS, fn, a);
@@ -357,7 +404,7 @@
 static void
 poll_start (pu_agent_t *a)
 {
-  GBytes *bytes = poll_encode (a);
+  GBytes *bytes = poll_encode (a, wait_ms (a), true);
   bool old;
 
   pu_agent_voters_home (a);
@@ -368,6 +415,7 @@
   note_renewals_sent (a);
   /* Demand that is lost with a poll is a hint.  */
   g_hash_table_remove_all (a->demand);
+  pu_agent_hedge_begin (a, wait_ms (a));
   pu_agent_call_voter (a, old ? PU_CONTROL_POLL_DELTAS : PU_CONTROL_POLL_BLOBS,
                        bytes, old ? on_polled_old : on_polled);
   g_bytes_unref (bytes);
@@ -382,6 +430,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   a->demand = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   a->poll_timer = pu_rpc_timer_new (a->options.loop, a);
+  pu_agent_hedge_init (a);
   poll_later (a, 0);
 }
 
@@ -389,8 +438,10 @@
 pu_agent_poll_clear (pu_agent_t *a)
 {
   pu_rpc_timer_free (a->poll_timer);
+  pu_agent_hedge_clear (a);
   g_hash_table_unref (a->renewals);
   g_hash_table_unref (a->sent_renewals);
   g_hash_table_unref (a->demand);
   g_free (a->old_voter);
+  g_free (a->poll_voter);
 }
--- a/libplantainusher/agent/voters.c
+++ b/libplantainusher/agent/voters.c
@@ -138,6 +138,19 @@
   a->at = (a->at + 1) % a->ranked->len;
 }
 
+void
+pu_agent_voters_use (pu_agent_t *a, const char *address)
+{
+  guint found = 0;
+
+  if (!g_ptr_array_find_with_equal_func (a->ranked, address, g_str_equal,
+                                         &found))
+    return;
+  if (a->at == 0)
+    a->moved_at = uv_now (a->options.loop);
+  a->at = found;
+}
+
 void
 pu_agent_voters_home (pu_agent_t *a)
 {
