agent: Send heartbeats while a document is saved

Cause: the answer that brings a new document is held back until it is on the disk (agent/hold.c), and no poll is under way meanwhile. An instance whose disk stalls is therefore silent, and so are the backend servers that report to it.

Ruled out: the disk of the voters (the new process test slows one instance without a vote).

Change: while an answer is held, hedges go to the voter that gave it, one for each wait of a poll, and to the next one when it does not answer. What they bring is not taken: the document before stays in force until the new one is kept.

--- a/libplantainusher/agent/hedge.c
+++ b/libplantainusher/agent/hedge.c
@@ -1,16 +1,15 @@
 #include "agent/agent_private.h"
 
-#include "base/log.h"
-
 /*
  * A poll is also the heartbeat of the daemon and renews the leases of the
- * backend servers that report here.  Neither may wait for a voter that hangs
- * or is cut off.  So, when the answer to a poll is overdue, a hedge is sent to
- * another voter: a poll that waits for no news and carries all renewals that
- * may not have arrived.  The first voter that answers is polled from then on.
+ * backend servers that report here.  Neither may wait for something slow: a
+ * voter that hangs or is cut off, or a disk on which a new document is saved.
+ * So, when the next poll is overdue, a hedge is sent: a poll that waits for no
+ * news and carries all renewals that may not have arrived.  A voter that hangs
+ * is replaced by the first one that answers a hedge.
  */
 
-/* An answer is overdue this much after the wait of its poll.  It
+/* The next poll is overdue this much after the wait of the last one.  It
    covers a voter's timers and a busy machine, and is a fraction of the time
    after which a daemon counts itself as cut off.  */
 #define OVERDUE_MS 200
@@ -49,8 +48,15 @@
 hedge_answered (pu_agent_t *a, const pu_blob_reply *r)
 {
   a->answered_at = MAX (uv_now (a->options.loop), 1);
-  if (a->held == NULL && a->fetching == NULL)
-    pu_agent_poll_replace (a, a->hedge_voter, a->hedge_sent_at, r);
+  if (a->held != NULL)
+    {
+      a->hedges = 0;
+      hedge_later (a, a->options.poll_wait_ms);
+    }
+  else if (a->fetching == NULL)
+    {
+      pu_agent_poll_replace (a, a->hedge_voter, a->hedge_sent_at, r);
+    }
 }
 
 static void
@@ -70,18 +76,21 @@
   xdr_free ((xdrproc_t)xdr_pu_blob_reply, &r);
 }
 
-/* next_voter - the voter for the next hedge, those after the one that is
-   polled in turn.  NULL: it is that one's turn.  */
+/* next_voter - the voter for the next hedge: while an answer is held the one
+   that gave it, and then, or for a poll that is overdue, those after it. NULL:
+   none but the one that is being polled.  */
 static const char *
 next_voter (pu_agent_t *a)
 {
+  guint at = a->at + a->hedges + (a->held == NULL ? 1 : 0);
   const char *voter;
 
   if (a->ranked->len == 0)
     return NULL;
   a->hedges++;
-  voter = a->ranked->pdata[(a->at + a->hedges) % a->ranked->len];
-  return g_strcmp0 (voter, a->poll_voter) == 0 ? NULL : voter;
+  voter = a->ranked->pdata[at % a->ranked->len];
+  return a->held == NULL && g_strcmp0 (voter, a->poll_voter) == 0 ? NULL
+                                                                  : voter;
 }
 
 static void
@@ -106,7 +115,7 @@
   pu_rpc_client_t *client;
   const char *voter;
 
-  if (a->poll_handle == 0)
+  if (a->poll_handle == 0 && a->held == NULL)
     return;
   hedge_cancel (a);
   hedge_later (a, OVERDUE_MS);
--- a/tests/control_process_test.py
+++ b/tests/control_process_test.py
@@ -12,6 +12,8 @@
 DATASYNC_MS = 400
 ROUNDS = 300
 SILENT_S = 3
+STALLED_MS = 4000  # and as long again for the folder
+STALL_WATCHED_S = 7  # more than two sessions
 
 
 class ControlTest(changes.ElevenTest):
@@ -98,6 +100,30 @@
         for one in self.all:
             self.accepted.check(self, one)
 
+    def test_instance_with_a_stalled_disk_stays_a_member(self):
+        """Invariant: an instance is up while it saves a new document, however
+        long its disk takes; the document before stays in force there."""
+        c = self.start()
+        slow, other = self.all[9], self.all[3]
+
+        def known():
+            return [m["name"] for m in other.status()["members"]]
+        c.kill(slow)
+        slow.slow_disk(STALLED_MS)
+        c.start(slow)
+        self.in_force()
+        wait_until("the instance to be a member", lambda: slow.name in known()
+                   and slow.dump()["agent"]["joined"])
+        before = self.accepted.version
+        self.accepted.submit(other, "second")
+        self.in_force([other])
+        end = time.monotonic() + STALL_WATCHED_S
+        while time.monotonic() < end:
+            self.assertIn(slow.name, known())
+            self.assertEqual(slow.document()["version"], before)
+            time.sleep(0.1)
+        self.in_force()
+
     def submit_until_killed(self, c):
         """One change after the other until all daemons are killed; the id of
         the one without an answer."""
