control: Test renewals while a document is fetched

A voter that is short of what it may send answers requests for chunks, empty, at the end of their wait.

--- a/libplantainusher/control/renewals_test.cc
+++ b/libplantainusher/control/renewals_test.cc
@@ -102,6 +102,67 @@
   }
 };
 
+/* A chunk that is asked for, and its answer.  */
+struct Late
+{
+  pu_rpc_call_t *call;
+  uv_timer_t *timer;
+};
+
+/* Answers a call for a chunk with an empty one after 200 ms, as a voter does
+   that is short of what it may send.  */
+void
+answer_late (void *loop, pu_rpc_call_t *call, const guint8 *, size_t)
+{
+  auto *late = new Late{ call, nullptr };
+
+  late->timer = pu_rpc_timer_new (static_cast<uv_loop_t *> (loop), late);
+  uv_timer_start (
+      late->timer,
+      [] (uv_timer_t *t) {
+        auto *x = static_cast<Late *> (t->data);
+        pu_chunk empty = {};
+        GBytes *bytes;
+        gsize size;
+
+        empty.known = true;
+        bytes = pu_codec_encode (reinterpret_cast<xdrproc_t> (xdr_pu_chunk),
+                                 &empty);
+        auto *data
+            = static_cast<const guint8 *> (g_bytes_get_data (bytes, &size));
+        pu_rpc_call_reply (x->call, data, size);
+        g_bytes_unref (bytes);
+        pu_rpc_timer_free (x->timer);
+        delete x;
+      },
+      200, 0);
+}
+
+TEST_F (Renewals, ReachTheLeaderWhileADocumentIsBeingFetched)
+{
+  std::string text = "{\"x\":\"";
+  Answer a;
+
+  for (guint32 i = 0, x = 1; i < 40000; i++)
+    {
+      x = x * 1664525 + 1013904223;
+      text += static_cast<char> ('a' + (x >> 24) % 26);
+    }
+  text += "\"}";
+  begin ();
+  for (auto &v : voters)
+    {
+      pu_rpc_server_remove (v->server, PU_RPC_PROGRAM_CONTROL,
+                            PU_CONTROL_VERSION, PU_CONTROL_CHUNK);
+      pu_rpc_server_add (v->server, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                         PU_CONTROL_CHUNK, answer_late, &loop);
+    }
+  begin_submit (&a, 0, "one", 10000, text);
+  EXPECT_LT (renew_for (2500), lease_ms);
+  EXPECT_EQ (version (), 0u) << "no chunk has arrived";
+  run_until ([&] { return a.count > 0; });
+}
+
 TEST_F (Renewals, ReachTheLeaderWhenTheVoterThatIsPolledHangs)
 {
   begin ();
