agent: Poll between the chunks of a large entry

Cause: a daemon that fetches a large entry sends no poll until it has all of it. The calls for chunks are heartbeats, but carry no renewals.

Ruled out: a hedge beside a chunk under way, which would tell the voter that the chunk had arrived, and so break its bound on bytes under way.

Change: between two chunks, when the last poll is as old as the wait of a poll, one is sent. Its answer describes the same entry, and the transfer goes on with what was received. Images are fetched as before, as another one may follow from a poll.

--- a/libplantainusher/agent/fetch.c
+++ b/libplantainusher/agent/fetch.c
@@ -113,6 +113,17 @@
   fetching_free (a);
 }
 
+/* poll_is_due - whether a poll must carry renewals before the next chunk is
+   asked for.  The voter then describes the same entry again; an image may have
+   changed, and what was received of it would be worth nothing.  */
+static bool
+poll_is_due (const pu_agent_t *a)
+{
+  return !blob_of (a)->image
+         && uv_now (a->options.loop) - a->poll_sent_at
+                >= a->options.poll_wait_ms;
+}
+
 static void
 chunk_received (pu_agent_t *a, const pu_chunk *chunk)
 {
@@ -140,6 +151,11 @@
     {
       fetch_finish (a);
     }
+  else if (poll_is_due (a))
+    {
+      fetching_free (a);
+      pu_agent_poll_again (a);
+    }
   else
     {
       chunk_request (a);
