bad_part_process_test: a part is known while the log accepts nothing

The disks of the three voters end no sync from before the first crash on, for 9 s. Beside the checks of the other kinds, each request with the part must be refused as such at whichever instance it comes to, from 3 s after the fifth crash on, while nothing is committed.

--- a/tests/bad_part_process_test.py
+++ b/tests/bad_part_process_test.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from cluster import main, wait_until
+from cluster import Later, main, wait_until
 from platform_fakes import config, submit
 from platform_process_test import PlatformTest
 from streams import RETRY_S, ask
@@ -23,6 +23,8 @@
 BEGIN_SHARE = 0.5
 QUIET_S = 3.0
 TOGETHER_S = 12.0
+STALL_S = 9.0
+DISKS = 3
 COMMON, BAD = "c0", "bad0"
 DOCUMENTS = 30
 REFUSAL = b"has crashed backend servers"
@@ -185,6 +187,7 @@
         self.check(sound.finish(), quiet_until, end)
         self.assertTrue(told[-1].status == 503 and REFUSAL in told[-1].refusal,
                         (told[-1].status, told[-1].refusal))
+        return told
 
 
 class BadPart(BadPartTest):
@@ -207,6 +210,38 @@
         self.check_place(1)
 
 
+class StalledDisks(BadPartTest):
+    """From before the first crash on the disks of all voters end no sync, so
+    that the log accepts nothing."""
+    options = {"disks": DISKS, "plain": 4, "stallable": True}
+
+    def stall(self):
+        """Returns when the disks go on."""
+        time.sleep(STALL_S)
+        end = time.monotonic()
+        for one in self.some[:DISKS]:
+            one.stall_disk(False)
+        return end
+
+    def bad(self, at, name="bad"):
+        for one in self.some[:DISKS]:
+            one.stall_disk()
+        self.stalled = Later(self.stall)
+        return super().bad(at, name)
+
+    def test_part_is_known_everywhere_while_nothing_is_committed(self):
+        told = self.check_place(2)
+        end = self.stalled.result()
+        self.assertTrue(any("Nothing was committed for" in one.log.read_text(
+            errors="replace") for one in self.some))
+        meanwhile = [t for t in told if self.known_at() < t.sent_at < end]
+        known = sum(REFUSAL in t.refusal for t in meanwhile)
+        print(f"{known} of {len(meanwhile)} requests with the part refused as "
+              "such while nothing is committed")
+        self.assertGreaterEqual(len(meanwhile), 5)
+        self.assertEqual(known, len(meanwhile))
+
+
 class RestartedInstances(BadPartTest):
     def test_part_is_known_after_a_restart_of_all_instances(self):
         sound = self.sound()
