entry, suspects: entries tell each other the parts that they accuse of a crash

Cause: entries shared crashes under parts of prompts by the log alone. While the disks of a quorum of voters end no sync, nothing is committed: each entry knew of the crashes that its own requests had caused, and one part crashed all engines.

Ruled out: conviction by an entry's own crashes (with seven instances and twelve crashes few have three), the leader handing on what it has proposed (what is cut off would tell what never becomes true), an acknowledgement before the sync.

Change: with its proposals an entry tells all others, one way, as it does with withdrawals (PU_CONTROL_ACCUSE, some 300 bytes to each). What is heard counts for ten seconds after the last that was heard, but for a part that a run there has cleared; a lift removes it too. Entries of a version before take no notice.

Left: engines in the place of those that fell are known by the log alone.

--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -42,7 +42,10 @@
 const PU_CONTROL_WITNESS = 16; /* pu_witness_query -> pu_witness_reply, entry
                                   to entry */
 
+const PU_CONTROL_ACCUSE = 17;  /* pu_accusations, one way, entry to entry */
+
 const PU_CONTROL_LIST_MAX = 4096;
+const PU_CONTROL_ACCUSATIONS_MAX = 64;
 const PU_CONTROL_VOTERS_MAX = 16;
 const PU_CONTROL_CHUNK_MAX = 16384;
 const PU_CONTROL_COMMAND_MAX = 5242880;
@@ -252,6 +255,20 @@
   unsigned int sight;         /* pu_sight_t */
 };
 
+/* A crash of a backend server under a part of a prompt (suspects/parts.h), as
+   hashes.  */
+struct pu_accusation
+{
+  unsigned hyper part;
+  unsigned hyper backend;
+  unsigned hyper request;
+};
+
+struct pu_accusations
+{
+  pu_accusation accusations<PU_CONTROL_ACCUSATIONS_MAX>;
+};
+
 enum pu_query_kind
 {
   PU_QUERY_STATUS = 0,        /* to the leader: sessions, voters */
--- a/libplantainusher/control/control_msg_fuzz.cc
+++ b/libplantainusher/control/control_msg_fuzz.cc
@@ -49,7 +49,7 @@
 {
   if (size == 0)
     return 0;
-  switch (data[0] % 15)
+  switch (data[0] % 16)
     {
     case 0:
       CHECK (pu_poll);
@@ -93,6 +93,9 @@
     case 13:
       CHECK (pu_witness_query);
       break;
+    case 14:
+      CHECK (pu_accusations);
+      break;
     default:
       CHECK (pu_witness_reply);
       break;
--- a/libplantainusher/daemon/loads.c
+++ b/libplantainusher/daemon/loads.c
@@ -1,4 +1,5 @@
-/* Load reports of backend servers, from entry to entry, one way.  */
+/* Load reports of backend servers and other news, from entry to entry, one
+   way.  */
 
 #include "control/generated/control_msg.h"
 #include "daemon/parts.h"
@@ -57,6 +58,50 @@
                 pu_codec_encode ((xdrproc_t)xdr_pu_withdrawal, &m));
 }
 
+void
+pu_daemon_accusations_tell (void *daemon, const char *address,
+                            const pu_entry_accusation_t *accusations, guint n)
+{
+  pu_accusation list[PU_CONTROL_ACCUSATIONS_MAX];
+  pu_accusations m = { { MIN (n, PU_CONTROL_ACCUSATIONS_MAX), list } };
+
+  for (guint i = 0; i < m.accusations.accusations_len; i++)
+    {
+      list[i] = (pu_accusation){ accusations[i].part, accusations[i].backend,
+                                 accusations[i].request };
+    }
+  send_one_way (daemon, address, PU_CONTROL_ACCUSE,
+                pu_codec_encode ((xdrproc_t)xdr_pu_accusations, &m));
+}
+
+static void
+on_accused (void *data, pu_rpc_call_t *call, const guint8 *body, size_t n)
+{
+  const pu_daemon_t *d = data;
+  pu_entry_accusation_t list[PU_CONTROL_ACCUSATIONS_MAX];
+  pu_accusations m;
+
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_accusations, &m, sizeof m, body, n,
+                        NULL))
+    {
+      pu_rpc_call_garbage (call);
+      return;
+    }
+  for (guint i = 0; i < m.accusations.accusations_len; i++)
+    {
+      const pu_accusation *a = &m.accusations.accusations_val[i];
+
+      list[i] = (pu_entry_accusation_t){ a->part, a->backend, a->request };
+    }
+  if (d->entry != NULL)
+    {
+      pu_entry_receive_accusations (d->entry, list,
+                                    m.accusations.accusations_len);
+    }
+  xdr_free ((xdrproc_t)xdr_pu_accusations, (char *)&m);
+  pu_rpc_call_drop (call);
+}
+
 static void
 on_withdrawn (void *data, pu_rpc_call_t *call, const guint8 *body, size_t n)
 {
@@ -119,4 +164,6 @@
                      PU_CONTROL_LOADS, on_loads, d);
   pu_rpc_server_add (d->peers, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
                      PU_CONTROL_WITHDRAW, on_withdrawn, d);
+  pu_rpc_server_add (d->peers, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                     PU_CONTROL_ACCUSE, on_accused, d);
 }
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -67,7 +67,7 @@
 void pu_daemon_operator_hooks (pu_daemon_t *d, pu_operator_hooks_t *h);
 void pu_daemon_metrics (GString *out, void *daemon);
 
-/* loads.c - load reports between entries.  */
+/* loads.c - load reports and other news between entries, one way.  */
 void pu_daemon_loads_listen (pu_daemon_t *d);
 void pu_daemon_loads_out (void *daemon, const char *address,
                           const pu_entry_load_t *loads, guint n,
@@ -76,6 +76,10 @@
 void pu_daemon_withdraw_out (void *daemon, const char *address, guint64 id,
                              const char *model, guint life_ms);
 
+void pu_daemon_accusations_tell (void *daemon, const char *address,
+                                 const pu_entry_accusation_t *accusations,
+                                 guint n);
+
 /* pu_daemon_peer_call - calls PROC of the daemon at ADDRESS with M, an XDR
    record of the type TYPE; FN gets D.  Does nothing for an invalid address. */
 void pu_daemon_peer_call (pu_daemon_t *d, const char *address, guint32 proc,
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -62,6 +62,15 @@
   guint life_ms;  /* how long the stream can be resumed */
 } pu_entry_origin_t;
 
+/* A crash of a backend server under a part of a prompt, as hashes (see
+   suspects/parts.h).  */
+typedef struct
+{
+  guint64 part;
+  guint64 backend;
+  guint64 request;
+} pu_entry_accusation_t;
+
 /* pu_entry_done_fn - receives the reply R to a proposal, or the error E, as
    pu_agent_done_fn does.  */
 typedef void pu_entry_done_fn (void *data, const pu_reply *r,
@@ -125,6 +134,10 @@
      which gets them unless the connection breaks.  May be NULL.  */
   void (*tell_origins) (void *data, const char *address,
                         const pu_entry_origin_t *origins, guint n);
+  /* Sends N accusations to the daemon with the peer address ADDRESS.  May be
+     NULL.  */
+  void (*tell_accusations) (void *data, const char *address,
+                            const pu_entry_accusation_t *accusations, guint n);
   /* Asks the daemon with the peer address ADDRESS for the origin KEY.  An
      answer is given to pu_entry_receive_origin, if one comes within
      TIMEOUT_MS.  May be NULL.  */
@@ -253,6 +266,11 @@
 void pu_entry_receive_loads (pu_entry_t *en, const pu_entry_load_t *loads,
                              guint n, guint life_ms);
 
+/* pu_entry_receive_accusations - receives N accusations that another entry
+   sent.  They count here for a while, though the log may lack them.  */
+void pu_entry_receive_accusations (pu_entry_t *en,
+                                   const pu_entry_accusation_t *list, guint n);
+
 /* pu_entry_receive_origins - receives N origins that another entry sent.  */
 void pu_entry_receive_origins (pu_entry_t *en, const pu_entry_origin_t *list,
                                guint n);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -528,6 +528,10 @@
    proportion.  */
 #define PU_ENTRY_LOADS_INTERVAL_MIN_MS 1000
 
+/* pu_load_forward_entries - returns the peer addresses of all other
+   entries.  */
+const GPtrArray *pu_load_forward_entries (pu_entry_t *en);
+
 /* pu_load_forward_queue - queues the load report R of INCARNATION of the
    backend server NAME for the other entries that route to it.  R replaces an
    older report of that backend server that is still queued.  */
--- a/libplantainusher/entry/load_forward.c
+++ b/libplantainusher/entry/load_forward.c
@@ -146,11 +146,11 @@
     g_ptr_array_add (o->en->other_addresses, g_strdup (m->peer_address));
 }
 
-/* Returns the peer addresses of all other entries.  The list is rebuilt only
-   when the members change, since rebuilding it for each load would be slow
-   with hundreds of entries and thousands of backend servers.  */
-static const GPtrArray *
-other_entries (pu_entry_t *en)
+/* The list is rebuilt only when the members change, since rebuilding it for
+   each load would be slow with hundreds of entries and thousands of backend
+   servers.  */
+const GPtrArray *
+pu_load_forward_entries (pu_entry_t *en)
 {
   const pu_state_t *view = en->o.hooks.view (en->o.hooks.data);
   entry_list_t o = { .en = en };
@@ -215,7 +215,7 @@
 static void
 receivers_count_all (pu_entry_t *en)
 {
-  const GPtrArray *others = other_entries (en);
+  const GPtrArray *others = pu_load_forward_entries (en);
   guint up = 0;
 
   pu_state_each_backend (en->o.hooks.view (en->o.hooks.data), add_if_up, &up);
@@ -281,7 +281,7 @@
     return;
   if (en->o.loads_to_all_entries)
     {
-      load_queue (en, other_entries (en), b->name, &load);
+      load_queue (en, pu_load_forward_entries (en), b->name, &load);
       return;
     }
   addresses = receivers_of (en, b);
@@ -368,7 +368,7 @@
   pu_server_withdraw (s, model, now + WITHDRAWAL_MS);
   if (en->o.hooks.withdraw == NULL)
     return;
-  others = other_entries (en);
+  others = pu_load_forward_entries (en);
   for (guint i = 0; i < others->len; i++)
     {
       en->o.hooks.withdraw (en->o.hooks.data, g_ptr_array_index (others, i),
--- a/libplantainusher/entry/parts.c
+++ b/libplantainusher/entry/parts.c
@@ -167,6 +167,55 @@
   g_free (crash);
 }
 
+/* Tells the other entries, which learn of the accusations by the log later, or
+   not at all while it accepts nothing.  */
+static void
+accusations_tell (const pu_server_t *s, const GArray *accused)
+{
+  pu_entry_t *en = s->en;
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (pu_entry_accusation_t));
+  const GPtrArray *others;
+
+  if (en->o.hooks.tell_accusations != NULL && accused->len > 0)
+    {
+      for (guint i = 0; i < accused->len; i++)
+        {
+          const pu_parts_accusation_t *a
+              = &g_array_index (accused, pu_parts_accusation_t, i);
+          pu_entry_accusation_t one
+              = { a->part, server_hash (s->name, strlen (s->name)),
+                  a->request };
+
+          g_array_append_val (list, one);
+        }
+      others = pu_load_forward_entries (en);
+      for (guint i = 0; i < others->len; i++)
+        {
+          en->o.hooks.tell_accusations (
+              en->o.hooks.data, g_ptr_array_index (others, i),
+              (const pu_entry_accusation_t *)(void *)list->data, list->len);
+        }
+    }
+  g_array_free (list, TRUE);
+}
+
+void
+pu_entry_receive_accusations (pu_entry_t *en,
+                              const pu_entry_accusation_t *list, guint n)
+{
+  guint64 now = uv_now (en->o.loop);
+
+  for (guint i = 0; i < n; i++)
+    {
+      const pu_parts_crash_t crash = { list[i].backend, list[i].request };
+
+      pu_parts_heard (en->parts, list[i].part, &crash, now);
+    }
+  pu_log_event (PU_ENTRY_LOG_SLICE,
+                "Another entry accuses parts of prompts of a crash.",
+                PU_LOG_NUMBER ("parts", n));
+}
+
 void
 pu_part_accuse (const pu_server_t *s, guint64 incarnation)
 {
@@ -184,6 +233,7 @@
       accusation_propose (s, incarnation,
                           &g_array_index (accused, pu_parts_accusation_t, i));
     }
+  accusations_tell (s, accused);
   g_array_free (accused, TRUE);
 }
 
--- a/libplantainusher/suspects/parts.c
+++ b/libplantainusher/suspects/parts.c
@@ -19,10 +19,12 @@
   DEFAULT_CLOSED_MS = 1500,
   DEFAULT_ENDED_MS = 5000,
   DEFAULT_OWN_MS = 30000,
+  DEFAULT_HEARD_MS = 10000,
   DEFAULT_LEARN_RUNS = 8,
   DEFAULT_LEARN_MS = 3000,
   DEFAULT_REST_AFTER_MS = 180000,
   ENDED_MAX = 4096,
+  HEARD_MAX = 64, /* accusations of other entries for one part */
 };
 
 /* A run in flight, or one that has ended and may have crashed its backend
@@ -50,6 +52,8 @@
   GArray *logged; /* of pu_parts_crash_t */
   GArray *own;    /* of pu_parts_crash_t, which the log may lack */
   guint64 own_until;
+  GArray *heard; /* of pu_parts_crash_t, at other entries */
+  guint64 heard_until;
   guint64 changed_at; /* when a crash was last added */
 } record_t;
 
@@ -91,6 +95,7 @@
     .closed_ms = DEFAULT_CLOSED_MS,
     .ended_ms = DEFAULT_ENDED_MS,
     .own_ms = DEFAULT_OWN_MS,
+    .heard_ms = DEFAULT_HEARD_MS,
     .learn_runs = DEFAULT_LEARN_RUNS,
     .learn_ms = DEFAULT_LEARN_MS,
     .rest_after_ms = DEFAULT_REST_AFTER_MS,
@@ -104,6 +109,7 @@
 
   g_array_free (r->logged, TRUE);
   g_array_free (r->own, TRUE);
+  g_array_free (r->heard, TRUE);
   g_free (r);
 }
 
@@ -316,7 +322,8 @@
   const record_t *r = value;
 
   (void)part;
-  return r->logged->len == 0 && r->own_until <= *(const guint64 *)now;
+  return r->logged->len == 0
+         && MAX (r->own_until, r->heard_until) <= *(const guint64 *)now;
 }
 
 void
@@ -355,6 +362,7 @@
   r->part = part;
   r->logged = g_array_new (FALSE, FALSE, sizeof (pu_parts_crash_t));
   r->own = g_array_new (FALSE, FALSE, sizeof (pu_parts_crash_t));
+  r->heard = g_array_new (FALSE, FALSE, sizeof (pu_parts_crash_t));
   g_hash_table_insert (p->records, &r->part, r);
   return r;
 }
@@ -461,6 +469,24 @@
   g_ptr_array_free (dead, TRUE);
 }
 
+void
+pu_parts_heard (pu_parts_t *p, guint64 part, const pu_parts_crash_t *crash,
+                guint64 now)
+{
+  record_t *r;
+
+  if (pu_parts_is_cleared (p, part, now))
+    return;
+  r = record_ensure (p, part);
+  if (r->heard_until <= now)
+    g_array_set_size (r->heard, 0);
+  if (r->heard->len >= HEARD_MAX)
+    return;
+  g_array_append_val (r->heard, *crash);
+  r->heard_until = now + p->options.heard_ms;
+  r->changed_at = now;
+}
+
 void
 pu_parts_put (pu_parts_t *p, guint64 part, const pu_parts_crash_t *crashes,
               guint n, guint64 now)
@@ -511,6 +537,8 @@
   evidence_add (e, r->logged);
   if (now < r->own_until)
     evidence_add (e, r->own);
+  if (now < r->heard_until)
+    evidence_add (e, r->heard);
 }
 
 static void
--- a/libplantainusher/suspects/parts.h
+++ b/libplantainusher/suspects/parts.h
@@ -53,6 +53,7 @@
   guint64 ended_ms;       /* how long a broken run is accused of a crash */
   guint64 own_ms;         /* how long an accusation counts here while the log
                              has not accepted it */
+  guint64 heard_ms;       /* the same for an accusation of another entry */
   guint learn_runs;       /* nothing is accused before so many runs have got
                              on, */
   guint64 learn_ms;       /* or so long after the first run */
@@ -116,8 +117,6 @@
 void pu_parts_backend_died (pu_parts_t *p, guint64 backend,
                             guint64 incarnation, GArray *accused, guint64 now);
 
-/* --- accusations of the log --- */
-
 /* A crash under a part.  */
 typedef struct
 {
@@ -125,6 +124,14 @@
   guint64 request;
 } pu_parts_crash_t;
 
+/* pu_parts_heard - another entry accuses PART of CRASH.  It counts here until
+   heard_ms after the last one that was heard, so that crashes at several
+   entries add up while the log accepts nothing.  */
+void pu_parts_heard (pu_parts_t *p, guint64 part,
+                     const pu_parts_crash_t *crash, guint64 now);
+
+/* --- accusations of the log --- */
+
 /* pu_parts_put - the log has the N CRASHES under PART.  */
 void pu_parts_put (pu_parts_t *p, guint64 part,
                    const pu_parts_crash_t *crashes, guint n, guint64 now);
--- a/libplantainusher/suspects/parts_test.cc
+++ b/libplantainusher/suspects/parts_test.cc
@@ -294,6 +294,39 @@
   EXPECT_EQ (check ({ BAD }), PU_PARTS_CONVICTED);
 }
 
+TEST_F (Parts, CrashesAtOtherEntriesCountForAWhileWithoutTheLog)
+{
+  const pu_parts_crash_t crashes[] = { { 1, 10 }, { 2, 20 }, { 3, 30 } };
+
+  clear ({ COMMON });
+  crash ({ BAD }, 1);
+  for (const pu_parts_crash_t &one : crashes)
+    {
+      pu_parts_heard (p, BAD, &one, now);
+      pu_parts_heard (p, COMMON, &one, now);
+      /* The same crash twice is one.  */
+      pu_parts_heard (p, OTHER, &crashes[0], now);
+    }
+  EXPECT_EQ (check ({ BAD }), PU_PARTS_CONVICTED);
+  EXPECT_EQ (check ({ OTHER }), PU_PARTS_ACCUSED);
+  EXPECT_EQ (check ({ COMMON }), PU_PARTS_UNKNOWN);
+  now += o.heard_ms;
+  EXPECT_EQ (check ({ BAD }), PU_PARTS_ACCUSED);
+  pu_parts_tick (p, now);
+  EXPECT_EQ (check ({ OTHER }), PU_PARTS_UNKNOWN);
+}
+
+TEST_F (Parts, RunThatGotOnAnswersWhatOtherEntriesHaveSeen)
+{
+  const pu_parts_crash_t crashes[] = { { 1, 10 }, { 2, 20 }, { 3, 30 } };
+
+  for (const pu_parts_crash_t &one : crashes)
+    pu_parts_heard (p, BAD, &one, now);
+  EXPECT_EQ (check ({ BAD }), PU_PARTS_CONVICTED);
+  clear ({ BAD });
+  EXPECT_EQ (check ({ BAD }), PU_PARTS_UNKNOWN);
+}
+
 TEST_F (Parts, RemovedFromTheLog)
 {
   put (BAD, { { 1, 10 }, { 2, 20 }, { 3, 30 } });
