--- a/libplantainusher/log/replica_test.cc
+++ b/libplantainusher/log/replica_test.cc
@@ -417,6 +417,36 @@
   EXPECT_GE (elected, 18U);
 }
 
+/* Three of seven voters are gone, so the other four need each other's votes:
+   two candidates at once elect nobody.  */
+TEST (Replica, AllRemainingVotersElectALeaderSoonAfterTheirRestart)
+{
+  const uint64_t election_ms = 1000;
+  unsigned late = 0;
+  std::string times;
+
+  for (unsigned seed = 1; seed <= 100; seed++)
+    {
+      Sim s (7, seed, 0);
+      uint64_t taken = 0;
+
+      s.run (4000);
+      for (unsigned i = 0; i < 7; i++)
+        s.stop (i);
+      for (unsigned i = 0; i < 4; i++)
+        s.start (i);
+      while (s.leader () == nullptr && taken < 20 * election_ms)
+        {
+          s.run (sim::STEP_MS);
+          taken += sim::STEP_MS;
+        }
+      late += taken > 2 * election_ms;
+      times += " " + std::to_string (taken);
+      EXPECT_EQ (s.violation, "");
+    }
+  EXPECT_EQ (0U, late) << times;
+}
+
 /* Runs scenarios with seeds 1 to LAST.  Returns the first seed that violates
    an invariant, or 0.  */
 static unsigned
