log: a voter that grants a pre-vote puts off its own campaign

Cause: after a restart of all, the timers of the voters start together. A voter that had just granted another's pre-vote campaigned itself when its own timer ended a moment later; both became candidates, each with its own vote, and where the voters that are left need each other's votes (four of seven, after three lost their disks) nobody was elected for another election timeout.

Ruled out: lost vote requests (they are repeated) and the wait of one election timeout after a start, which all elections share.

Change: the voter waits for half an election timeout, at most once a term, so that a sender that the others don't hear can't hold it up again and again. Of two that ask at once, the one with the longer log goes first, or the one with the lower identity. No vote is granted or refused otherwise than before.

log_test passes, its fuzz included.

--- a/libplantainusher/log/replica_private.h
+++ b/libplantainusher/log/replica_private.h
@@ -126,6 +126,8 @@
                                itself to lead; on the leader, of the last such
                                proof; 0: none yet */
   uint64_t election_deadline;
+  uint64_t yielded_term;  /* last term in which the campaign was put off for
+                             another voter's; 0: none */
   uint64_t vote_retry_at; /* when a candidate repeats its vote requests */
   bool transfer_campaign; /* the old leader requested this campaign (leadership
                              transfer) */
--- a/libplantainusher/log/replica_vote.c
+++ b/libplantainusher/log/replica_vote.c
@@ -28,6 +28,9 @@
      later must be retried, and because a voter grants no vote just after
      its start.  */
   VOTE_REQUESTS_PER_ELECTION = 6,
+  /* A voter that granted a pre-vote waits for this part of the minimum
+     election timeout before it campaigns itself.  */
+  YIELDS_PER_ELECTION = 2,
 };
 
 uint64_t
@@ -208,6 +211,37 @@
   pu_r_send (r, &m->from, &b);
 }
 
+/* Whether the campaign of M's sender goes before this voter's own: that of the
+   longer log, or of the lower identity.  */
+static bool
+goes_first (const pu_replica_t *r, const pu_log_msg *m)
+{
+  const pu_log_vote *v = &m->body.pu_log_body_u.vote;
+  uint64_t term = pu_r_last_term (r);
+  uint64_t index = pu_r_last_index (r);
+
+  if (v->last_term != term || v->last_index != index)
+    return candidate_up_to_date (r, v);
+  return m->from.id < r->self.id;
+}
+
+/* Puts off this voter's own campaign, so that the sender of the pre-vote
+   request M, which it granted, can be elected.  Two candidates at once split
+   the votes, and each split costs an election timeout.  Once a term is enough,
+   and a sender that others don't hear can't hold this voter up for longer.  */
+static void
+yield_to_candidate (pu_replica_t *r, uint64_t now, const pu_log_msg *m)
+{
+  if (r->yielded_term == r->term || r->role == PU_ROLE_CANDIDATE
+      || (r->role == PU_ROLE_PRE_CANDIDATE && !goes_first (r, m)))
+    return;
+  if (r->role == PU_ROLE_PRE_CANDIDATE)
+    r->role = PU_ROLE_FOLLOWER;
+  r->yielded_term = r->term;
+  r->election_deadline = MAX (r->election_deadline,
+                              now + r->o.election_ms / YIELDS_PER_ELECTION);
+}
+
 static void
 on_pre_vote (pu_replica_t *r, uint64_t now, const pu_log_msg *m)
 {
@@ -216,6 +250,8 @@
                  && !leader_lease_may_hold (r, now)
                  && v->last_index >= pu_r_floor (r, m->from.id);
 
+  if (granted)
+    yield_to_candidate (r, now, m);
   send_vote_reply (r, m, granted);
 }
 
