control_test: the test of slow links uses the usual election timeout

Sanitized, beside other builds (load 42), SlowLinks failed in 6 of 6 runs with the change it tests: the election timeout of the fixture is 200 ms, and a turn of the loop of three voters took up to 97 ms of processor time and 206 ms in all, so that the leader lost its lease for want of time, not by the links.

The test has an election timeout of 1,000 ms now and connections slower in the same measure: the entry is under way for three election timeouts, one more than a leader without replies stays in office. The checks are the same: one leader, one uninterrupted lease, both proposals done.

--- a/libplantainusher/control/control_fixture_test.h
+++ b/libplantainusher/control/control_fixture_test.h
@@ -67,6 +67,7 @@
   pu_agent_t *agent = nullptr;
   pu_counters_t *agent_counters = nullptr;
   pu_memory_budget_t memory = {}; /* of each voter's process */
+  guint32 election_ms = 200;
   guint32 session_ms = 8000;
   guint32 startup_grace_ms = 3000;
   pu_state_t *saved = nullptr; /* by the voters' daemons */
@@ -149,8 +150,8 @@
     o.voters = peers.data ();
     o.n_voters = peers.size ();
     o.seed = static_cast<uint64_t> (v.name[1]);
-    o.heartbeat_ms = 50;
-    o.election_ms = 200;
+    o.heartbeat_ms = election_ms / 4;
+    o.election_ms = election_ms;
     o.tick_ms = 20;
     o.sessions_ms = 100;
     o.ring_entries = 8;
--- a/libplantainusher/control/slow_links_test.cc
+++ b/libplantainusher/control/slow_links_test.cc
@@ -3,7 +3,7 @@
 namespace
 {
 
-constexpr guint64 tick_ms = 5;
+constexpr guint64 tick_ms = 15;
 constexpr size_t bytes_per_tick = 20 << 10; /* of each connection, each way */
 
 /* A connection through a relay.  */
@@ -139,7 +139,8 @@
   }
 };
 
-/* Voters whose connections to each other pass 4 MB in a second.  */
+/* Voters whose connections to each other pass 4 MB in three election
+   timeouts.  */
 class SlowLinks : public Control
 {
 public:
@@ -149,6 +150,7 @@
   SetUp () override
   {
     Control::SetUp ();
+    election_ms = 1000;
     for (size_t i = 0; i < voters.size (); i++)
       {
         relays.push_back (std::make_unique<Relay> ());
