--- a/tests/brittle_scale_process_test.py
+++ b/tests/brittle_scale_process_test.py
@@ -178,6 +178,18 @@
         time.sleep(1)
         self.check(since, 0.8, killed=True)
 
+    def test_instances_are_killed_at_one_moment_again_and_again(self):
+        """Those that are back have had no answer of the service yet."""
+        self.press()
+        self.shorten(3)
+        since = time.monotonic()
+        for _ in range(3):
+            self.c.kill(*self.some[DISKS:])
+            for one in self.some[DISKS:]:
+                one.start()
+            time.sleep(4)
+        self.check(since, 0.8, killed=True)
+
     def stream(self):
         self.call = "POST", "/talk/x", TALK
         self.service, self.models = "llm", ["m1"]
