entry: the first request to a service goes by way of its server's owner

An entry that has had no answer of a service doesn't know whether it is brittle, and sent it one request in 150 ms directly. That holds for one entry; after many are killed at one moment each that is back does so, and before servers that reject these are more than any bound.

Ruled out by a trace at 70 instances: rejections by the owners' own requests alone (the last fall is of first requests only), and owners that change.

Such a request goes to the server's owner now, without a bound. An owner that knows the bound keeps it; one without an answer sends one request in 150 ms for all. Where no owner is reached, or none answers for 2 s, the entry asks the server itself, as before. An owner's own refusal says nothing of the service.

brittle_owner_process_test: 12 of 13 passed. test_one_left failed; played alone it failed in one of three plays before the change and in two of three after it, on a machine at load 50. By reading, all its entries have had answers, so that nothing of this change acts there. Not run: ./check.

What it costs: one hop for the first request of an entry to a service.

--- a/libplantainusher/entry/admit.c
+++ b/libplantainusher/entry/admit.c
@@ -177,8 +177,7 @@
     return;
   x->only_server = g_strdup (server);
   x->only_server_bound = g_ascii_strtod (bound, NULL);
-  if (x->only_server_bound > 0)
-    pu_exchange_accept_as_owner (x);
+  pu_exchange_accept_as_owner (x);
 }
 
 /* Reads the headers of a relay, if HTTP comes from another entry.  */
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -150,12 +150,13 @@
     }
 }
 
-/* Sends X to the brittle server S by way of its owner TO.  */
+/* Sends X to S, which is or may be brittle, by way of its owner TO.  */
 static bool
 start_at_owner (pu_exchange_t *x, const pu_server_t *s,
                 const pu_directory_entry_t *to)
 {
-  char *bound = g_strdup_printf ("%.3f", pu_brittle_bound (s->brittle));
+  char *bound = g_strdup_printf (
+      "%.3f", s->brittle != NULL ? pu_brittle_bound (s->brittle) : 0.0);
   pu_header_list_t h;
   bool good;
 
@@ -202,6 +203,7 @@
       pu_server_brittle_sent (x);
       suspects_note_start (x, s);
     }
+  pu_brittle_note_asked (x);
   x->server_attempts++;
   pu_trace_sent (x, s);
   pu_router_sent (x->en->router, x->ticket, now_of (x));
--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -21,8 +21,18 @@
   /* How long an entry that has had no answer of a service sends it one request
      only.  */
   FIRST_ANSWER_MS = 150,
+  /* How long such an entry turns to owners that do not answer, as ones that
+     hang, before it asks the service itself.  */
+  OWNERS_SILENT_MS = 2000,
 };
 
+/* The requests to a service that has not answered yet.  */
+typedef struct
+{
+  guint64 since; /* loop time of the first that nobody has answered */
+  guint64 last;  /* loop time of the last */
+} asked_t;
+
 static guint64
 loop_now (const pu_entry_t *en)
 {
@@ -106,6 +116,24 @@
                                               g_str_equal, NULL);
 }
 
+/* Whether an answer of SERVICE has come, which says whether it is brittle.  */
+static bool
+is_heard (const pu_entry_t *en, const char *service)
+{
+  return g_hash_table_contains (en->heard_services, service);
+}
+
+/* Whether SERVICE may be brittle, as it has not answered yet, and owners may
+   know.  */
+static bool
+may_be_brittle (const pu_entry_t *en, const char *service)
+{
+  const asked_t *asked = g_hash_table_lookup (en->asked_services, service);
+
+  return !is_heard (en, service)
+         && (asked == NULL || loop_now (en) < asked->since + OWNERS_SILENT_MS);
+}
+
 pu_brittle_way_t
 pu_brittle_find_way (const pu_exchange_t *x, const pu_server_t *s,
                      pu_directory_entry_t *to)
@@ -114,8 +142,8 @@
   pu_brittle_way_t way = PU_BRITTLE_NO_WAY;
   GArray *owners;
 
-  if (s->brittle == NULL || x->only_server != NULL || en->stopping
-      || !x->q.any_entry)
+  if (x->only_server != NULL || en->stopping || !x->q.any_entry
+      || (s->brittle == NULL && !may_be_brittle (en, x->q.service)))
     return PU_BRITTLE_DIRECT;
   owners = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
   owners_append (s, owners);
@@ -137,7 +165,9 @@
         }
     }
   g_array_free (owners, TRUE);
-  return way;
+  /* Most services are not brittle.  */
+  return s->brittle == NULL && way == PU_BRITTLE_NO_WAY ? PU_BRITTLE_DIRECT
+                                                        : way;
 }
 
 void
@@ -150,9 +180,10 @@
   /* A split route draws a service anew at each entry.  */
   g_free (x->q.service);
   x->q.service = g_strdup (service_of (s));
-  if (s->brittle == NULL)
+  if (s->brittle == NULL && x->only_server_bound > 0)
     pu_server_brittle_stated (s, x->only_server_bound);
-  adopt (s);
+  if (s->brittle != NULL)
+    adopt (s);
 }
 
 /* --- the limit in the router --- */
@@ -314,26 +345,36 @@
 pu_brittle_awaits_first_answer (const pu_exchange_t *x)
 {
   const pu_entry_t *en = x->en;
-  const guint64 *asked_at;
+  const asked_t *asked;
 
-  if (!x->q.any_entry || x->only_server != NULL
-      || g_hash_table_contains (en->heard_services, x->q.service))
+  if (!x->q.any_entry || (x->only_server != NULL && x->only_server_bound > 0)
+      || is_heard (en, x->q.service))
     return false;
-  asked_at = g_hash_table_lookup (en->asked_services, x->q.service);
-  return asked_at != NULL && loop_now (en) < *asked_at + FIRST_ANSWER_MS;
+  asked = g_hash_table_lookup (en->asked_services, x->q.service);
+  return asked != NULL && loop_now (en) < asked->last + FIRST_ANSWER_MS;
 }
 
-static void
-note_asked (const pu_exchange_t *x)
+void
+pu_brittle_note_asked (const pu_exchange_t *x)
 {
   pu_entry_t *en = x->en;
-  guint64 now = loop_now (en);
+  asked_t *asked = g_hash_table_lookup (en->asked_services, x->q.service);
 
-  if (!g_hash_table_contains (en->heard_services, x->q.service))
+  if (is_heard (en, x->q.service))
+    return;
+  if (asked == NULL)
     {
-      g_hash_table_replace (en->asked_services, g_strdup (x->q.service),
-                            g_memdup2 (&now, sizeof now));
+      asked = g_new0 (asked_t, 1);
+      asked->since = loop_now (en);
+      g_hash_table_insert (en->asked_services, g_strdup (x->q.service), asked);
     }
+  asked->last = loop_now (en);
+}
+
+void
+pu_brittle_note_unasked (const pu_exchange_t *x)
+{
+  g_hash_table_remove (x->en->asked_services, x->q.service);
 }
 
 void
@@ -341,9 +382,13 @@
 {
   pu_entry_t *en = x->en;
 
-  if (x->at.server == NULL
-      || g_hash_table_contains (en->heard_services, x->q.service))
+  if (x->at.server == NULL || is_heard (en, x->q.service))
     return;
+  if (x->at.owner != NULL && !x->at.by_server)
+    {
+      pu_brittle_note_unasked (x);
+      return;
+    }
   g_hash_table_add (en->heard_services, g_strdup (x->q.service));
   g_hash_table_remove (en->asked_services, x->q.service);
 }
@@ -355,7 +400,6 @@
 {
   pu_server_t *s = x->at.server;
 
-  note_asked (x);
   if (s->brittle == NULL)
     return;
   adopt (s);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -250,7 +250,8 @@
                                   none */
   char *only_server; /* brittle server for which it came here by way of its
                         owner, the only one that may run it; NULL: any */
-  double only_server_bound; /* rejections per second that this server bears */
+  double only_server_bound; /* rejections per second that this server bears;
+                               0: not known */
   pu_attempt_t at;
   pu_saved_failure_t saved_failure;
   pu_delivered_t delivered; /* the part of a token stream sent to the caller */
@@ -319,8 +320,7 @@
   GHashTable *brittle_servers; /* set of pu_server_t that bear few
                                   rejections */
   GHashTable *heard_services;  /* set of services of which an answer came */
-  GHashTable *asked_services;  /* other service -> &loop time of the last
-                                  request */
+  GHashTable *asked_services;  /* other service -> asked_t of brittle.c */
   bool applying_all;     /* all backend servers of the view are applied */
   guint changes_logged;  /* changes of state among them */
   GHashTable *reporters; /* name -> pu_reporter_t */
@@ -756,7 +756,11 @@
    of this instance, it is not known whether the service is brittle.  */
 bool pu_brittle_awaits_first_answer (const pu_exchange_t *x);
 
-/* pu_brittle_note_answer - a response to X has come.  */
+/* pu_brittle_note_asked, pu_brittle_note_unasked, pu_brittle_note_answer - X
+   was sent on its way to a server; it has reached none; a response has
+   come.  */
+void pu_brittle_note_asked (const pu_exchange_t *x);
+void pu_brittle_note_unasked (const pu_exchange_t *x);
 void pu_brittle_note_answer (const pu_exchange_t *x);
 
 /* pu_server_brittle_sent, pu_server_brittle_rejected, pu_server_brittle_ended
@@ -774,8 +778,10 @@
 typedef enum
 {
   PU_BRITTLE_DIRECT,
-  PU_BRITTLE_BY_OWNER, /* the server is brittle, and another entry owns it */
-  PU_BRITTLE_NO_WAY    /* none of those that may own it is reached */
+  PU_BRITTLE_BY_OWNER, /* the server is brittle, or may be as its service has
+                          not answered yet, and another entry owns it */
+  PU_BRITTLE_NO_WAY    /* it is brittle, and none of those that may own it is
+                          reached */
 } pu_brittle_way_t;
 
 /* pu_brittle_find_way - returns how X gets to S.  For PU_BRITTLE_BY_OWNER, TO
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -745,6 +745,7 @@
   g_ptr_array_add (x->unreached_owners, g_strdup (x->at.owner));
   pu_entry_reach_note_peer (x->en, x->at.owner);
   x->server_attempts--;
+  pu_brittle_note_unasked (x);
   pu_trace_attempt_failed (x, PU_ROUTER_FAIL_UNSENT);
   pu_attempt_clear (x);
   ticket_cancel (x);
