--- a/tests/brittle_scale_process_test.py
+++ b/tests/brittle_scale_process_test.py
@@ -22,7 +22,8 @@
 TALK = {"Model": "m1", "Token-Counts": "10,3", "Prompt-Prefix": "a:6,b:4"}
 
 
-class ManyInstances(PlatformTest):
+class Pressed(PlatformTest):
+    """Callers of many instances before few servers."""
     options = {"plain": INSTANCES - DISKS}
 
     def setUp(self):
@@ -117,6 +118,8 @@
         logs = [one.log.read_text(errors="replace") for one in self.some]
         self.assertFalse(any('"reason":"convicted"' in text for text in logs))
 
+
+class ManyInstances(Pressed):
     def test_places_withdrawn_at_one_moment(self):
         self.press()
         since = time.monotonic()
@@ -178,6 +181,18 @@
         time.sleep(1)
         self.check(since, 0.8, killed=True)
 
+    def test_instances_are_killed_at_one_moment_again_and_again(self):
+        """Those that are back have had no answer of the service yet."""
+        self.press()
+        self.shorten(3)
+        since = time.monotonic()
+        for _ in range(3):
+            self.c.kill(*self.some[DISKS:])
+            for one in self.some[DISKS:]:
+                one.start()
+            time.sleep(4)
+        self.check(since, 0.8, killed=True)
+
     def stream(self):
         self.call = "POST", "/talk/x", TALK
         self.service, self.models = "llm", ["m1"]
