entry: what another entry answers to an attempt has a file of its own

attempt.c had 924 lines, a good part of them on the responses of a relay and of the owner of a brittle server, which were mixed with those of backend servers. They are attempt_peer.c now, behind five functions; attempt.c has 766 lines.

--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -16,15 +16,8 @@
   /* How long a copy counts as absent after a refusal.  Within this time a new
      report of the backend server lists the copies that exist.  */
   ABSENT_COPY_MS = 1500,
-  RETRY_AFTER_MAX_S = 3600,
   STATUS_CLIENT_ERROR = 400,
-  STATUS_NOT_FOUND = 404,
-  STATUS_REQUEST_TIMEOUT = 408,
-  STATUS_MISDIRECTED = 421,
-  STATUS_UNPROCESSABLE = 422,
-  STATUS_TOO_MANY = 429,
   STATUS_BAD_GATEWAY = 502,
-  STATUS_UNAVAILABLE = 503,
 };
 
 static guint64
@@ -129,8 +122,8 @@
 }
 
 /* Ends X with the complete response of its attempt.  */
-static void
-attempt_finish (pu_exchange_t *x)
+void
+pu_attempt_finish (pu_exchange_t *x)
 {
   bool good = x->at.status < STATUS_CLIENT_ERROR;
 
@@ -195,13 +188,13 @@
 
 /* Handles an attempt that broke after the request was sent.  With the
    built-in frontend, the backend server is probed before the next attempt.  */
-static void
-attempt_break (pu_exchange_t *x, pu_router_failure_t failure)
+void
+pu_attempt_break (pu_exchange_t *x, pu_router_failure_t failure)
 {
   if (x->at.streaming && x->http != NULL && x->head_sent
       && pu_entry_fault_injected (x->en, PU_ENTRY_BREAK_END_TRUNCATED))
     {
-      attempt_finish (x);
+      pu_attempt_finish (x);
       return;
     }
   if (x->at.owner != NULL)
@@ -233,7 +226,7 @@
     }
   else
     {
-      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+      pu_attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
     }
 }
 
@@ -335,26 +328,6 @@
       = g_strdup (pu_http_response_header (r, "x-retry-after-ms"));
 }
 
-/* Whether STATUS tells a caller that its request has not run.  */
-static bool
-status_means_not_run (int status)
-{
-  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED
-         || status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
-}
-
-/* Whether the response is the refusal of the entry that owns the brittle
-   server of AT, not the response of that server.  A refusal without an outcome
-   comes from an entry that does not know of the relay, as while it stops, or
-   that has no such route yet.  */
-static bool
-is_refused_by_owner (const pu_attempt_t *at)
-{
-  return at->owner != NULL && !at->by_server
-         && (at->outcome != NULL || status_means_not_run (at->status)
-             || at->status == STATUS_NOT_FOUND);
-}
-
 /* Whether the response of AT says something about its backend server.  */
 static bool
 is_by_server (const pu_attempt_t *at)
@@ -487,7 +460,7 @@
                    "Dropped a response that does not match request %s.",
                    x->q.id);
     }
-  attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+  pu_attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
 }
 
 /* Whether another entry reports that X did not run at that entry, although an
@@ -502,137 +475,6 @@
                 == 0;
 }
 
-/* Forwards another entry's refusal of X to the caller, with an outcome that
-   covers all attempts of X.  */
-static void
-refusal_forward (pu_exchange_t *x)
-{
-  const pu_attempt_t *at = &x->at;
-  json_t *root
-      = json_loadb ((const char *)at->body->data, at->body->len, 0, NULL);
-  const char *type = "refused";
-  const char *message = "Another entry refused the request.";
-  pu_refusal_t r = { .status = at->status, .outcome = PU_RUN_OUTCOME_UNKNOWN };
-
-  json_unpack (root, "{s:{s:s, s:s}}", "error", "type", &type, "message",
-               &message);
-  r.type = type;
-  if (at->retry_after != NULL && pu_entry_uses_builtin_frontend (x->en))
-    {
-      guint64 seconds = g_ascii_strtoull (at->retry_after, NULL, 10);
-
-      r.retry_after_ms = (guint)MIN (seconds, RETRY_AFTER_MAX_S) * 1000;
-    }
-  else if (at->retry_after != NULL)
-    {
-      guint64 ms = g_ascii_strtoull (at->retry_after, NULL, 10);
-
-      r.retry_after_ms = (guint)MIN (ms, (guint64)RETRY_AFTER_MAX_S * 1000);
-    }
-  if (g_strcmp0 (at->outcome, pu_run_outcome_name (PU_RUN_OUTCOME_NOT_RUN))
-          == 0
-      && !pu_entry_uses_builtin_frontend (x->en))
-    r.outcome = PU_RUN_OUTCOME_NOT_RUN;
-  pu_exchange_fail (x, &r, message);
-  json_decref (root);
-}
-
-/* Whether the refusal of the other entry has the type WANTED.  */
-static bool
-refusal_has_type (const pu_exchange_t *x, const char *wanted)
-{
-  const pu_attempt_t *at = &x->at;
-  json_t *root
-      = json_loadb ((const char *)at->body->data, at->body->len, 0, NULL);
-  const char *type = "";
-  bool same;
-
-  json_unpack (root, "{s:{s:s}}", "error", "type", &type);
-  same = strcmp (type, wanted) == 0;
-  json_decref (root);
-  return same;
-}
-
-/* Leaves the backend server of X alone for as long as the entry that owns it
-   says in its refusal.  */
-static void
-owner_back_off (const pu_exchange_t *x)
-{
-  guint64 ms = x->at.retry_after != NULL
-                   ? g_ascii_strtoull (x->at.retry_after, NULL, 10)
-                   : 0;
-
-  if (x->at.incarnation == x->at.server->incarnation)
-    pu_server_back_off (x->at.server, now_of (x) + MAX (ms, 1));
-}
-
-/* Handles the refusal of X by the entry that owns its backend server.  */
-static void
-owner_refused (pu_exchange_t *x)
-{
-  const pu_attempt_t *at = &x->at;
-
-  if (at->outcome == NULL)
-    {
-      pu_exchange_leave_owner (x);
-    }
-  else if (refusal_has_type (x, PU_REFUSAL_CUT_OFF))
-    {
-      pu_entry_reach_note_peer (x->en, at->owner);
-      pu_exchange_leave_owner (x);
-    }
-  else if (at->status == STATUS_UNPROCESSABLE)
-    {
-      refusal_forward (x);
-    }
-  else if (refusal_has_type (x, PU_REFUSAL_BACK_OFF))
-    {
-      owner_back_off (x);
-      pu_exchange_retry (x, PU_ROUTER_FAIL_UNSENT);
-    }
-  else if (strcmp (at->outcome, pu_run_outcome_name (PU_RUN_OUTCOME_NOT_RUN))
-           == 0)
-    {
-      pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
-    }
-  else
-    {
-      attempt_break (x, PU_ROUTER_FAIL_RELAY);
-    }
-}
-
-/* Handles the complete response of another entry to X, which any entry serves:
-   its refusal, or the answer of a backend server.  */
-static void
-relayed_response_complete (pu_exchange_t *x)
-{
-  pu_attempt_t *at = &x->at;
-  bool refused = at->outcome != NULL;
-
-  if (at->answer.foreign || (x->head_sent && !at->streaming && !refused))
-    {
-      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
-    }
-  else if (refused && refusal_has_type (x, PU_REFUSAL_CUT_OFF))
-    {
-      pu_entry_reach_note_peer (x->en, at->entry);
-      pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
-    }
-  else if (refused)
-    {
-      refusal_forward (x);
-    }
-  else if (status_means_not_run (at->status))
-    {
-      /* It refused before it knew of the relay, as while it stops.  */
-      pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
-    }
-  else
-    {
-      attempt_finish (x);
-    }
-}
-
 /* Handles a complete response when the built-in frontend is used.  */
 static void
 builtin_response_complete (pu_exchange_t *x)
@@ -652,15 +494,15 @@
     }
   else if (broken)
     {
-      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+      pu_attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
     }
   else if (denies_earlier_run (x))
     {
-      refusal_forward (x);
+      pu_peer_refusal_forward (x);
     }
   else
     {
-      attempt_finish (x);
+      pu_attempt_finish (x);
     }
 }
 
@@ -673,9 +515,9 @@
   static const pu_refusal_t failed
       = { STATUS_BAD_GATEWAY, "failed", PU_RUN_OUTCOME_UNKNOWN, 0 };
 
-  if (!status_means_not_run (x->at.status))
+  if (!pu_status_means_not_run (x->at.status))
     {
-      attempt_finish (x);
+      pu_attempt_finish (x);
       return;
     }
   x->may_have_run = true;
@@ -688,7 +530,7 @@
 static void
 failure_save (pu_exchange_t *x)
 {
-  if (status_means_not_run (x->at.status) || x->at.body == NULL)
+  if (pu_status_means_not_run (x->at.status) || x->at.body == NULL)
     return;
   pu_saved_failure_clear (&x->saved_failure);
   x->saved_failure.status = x->at.status;
@@ -775,23 +617,23 @@
 {
   if (ends_inside_event (x))
     {
-      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+      pu_attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
       return;
     }
   if (x->at.server == NULL)
     {
-      relayed_response_complete (x);
+      pu_peer_response_complete (x);
       return;
     }
-  if (is_refused_by_owner (&x->at))
+  if (pu_owner_has_refused (&x->at))
     {
-      owner_refused (x);
+      pu_owner_refusal_handle (x);
       return;
     }
   switch (response_classify (x))
     {
     case RESPONSE_BROKEN:
-      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+      pu_attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
       return;
     case RESPONSE_REPLACED:
       pu_server_mark_replaced (x->at.server);
@@ -822,7 +664,7 @@
       failure_forward (x);
       return;
     case RESPONSE_GOOD:
-      attempt_finish (x);
+      pu_attempt_finish (x);
       return;
     }
 }
@@ -848,7 +690,7 @@
 {
   if (pu_entry_uses_builtin_frontend (x->en))
     {
-      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+      pu_attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
     }
   else
     {
@@ -889,7 +731,7 @@
   /* A stream is complete after its end mark, however the connection ends.  */
   if (x->at.done)
     {
-      attempt_finish (x);
+      pu_attempt_finish (x);
       return;
     }
   switch (result->kind)
@@ -904,11 +746,11 @@
       break;
     case PU_HTTP_END_FIRST_BYTE_TIMEOUT:
     case PU_HTTP_END_PROGRESS_TIMEOUT:
-      attempt_break (x, PU_ROUTER_FAIL_SILENT);
+      pu_attempt_break (x, PU_ROUTER_FAIL_SILENT);
       break;
     case PU_HTTP_END_STALE:
     case PU_HTTP_END_CLOSED:
-      attempt_break (x, PU_ROUTER_FAIL_DIED);
+      pu_attempt_break (x, PU_ROUTER_FAIL_DIED);
       break;
     case PU_HTTP_END_UNTIL_CLOSE:
       response_closed (x);
@@ -916,7 +758,7 @@
     case PU_HTTP_END_TRUNCATED:
     case PU_HTTP_END_MALFORMED:
     case PU_HTTP_END_TOO_LARGE:
-      attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
+      pu_attempt_break (x, PU_ROUTER_FAIL_TRUNCATED);
       break;
     }
 }
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -1073,6 +1073,36 @@
 /* pu_attempt_clear - ends the attempt of X and cancels its call.  */
 void pu_attempt_clear (pu_exchange_t *x);
 
+/* pu_attempt_finish - ends X with the response of its attempt, which is
+   complete; pu_attempt_break handles that the attempt broke with FAILURE and
+   may have run.  */
+void pu_attempt_finish (pu_exchange_t *x);
+void pu_attempt_break (pu_exchange_t *x, pu_router_failure_t failure);
+
+/* --- attempt_peer.c: the response of another entry to an attempt --- */
+
+/* pu_status_means_not_run - whether STATUS tells a caller that its request has
+   not run.  */
+bool pu_status_means_not_run (int status);
+
+/* pu_peer_refusal_forward - forwards another entry's refusal of X to the
+   caller, with an outcome that covers all attempts of X.  */
+void pu_peer_refusal_forward (pu_exchange_t *x);
+
+/* pu_peer_response_complete - handles the complete response of another entry
+   to X, which any entry serves: its refusal, or the answer of a backend
+   server.  */
+void pu_peer_response_complete (pu_exchange_t *x);
+
+/* pu_owner_has_refused - whether the response is the refusal of the entry that
+   owns the brittle server of AT, not the response of that server.  A refusal
+   without an outcome comes from an entry that does not know of the relay, as
+   while it stops, or that has no such route yet.  */
+bool pu_owner_has_refused (const pu_attempt_t *at);
+
+/* pu_owner_refusal_handle - handles that refusal of X.  */
+void pu_owner_refusal_handle (pu_exchange_t *x);
+
 /* --- deliver.c: forwards the response of an attempt to the caller --- */
 
 /* pu_deliver_tokens, pu_deliver_events - forward a part of a stream of tokens
