entry: a request under suspicion is not repeated after its owner lost it

What callers saw: a request that crashes what runs it took a fourth backend server, once through an instance that had just been restarted.

Cause: such an instance sends its first request to a service by way of the server's owner. The crash is then attributed there, the strike is proposed there, and the instance that has the caller hears 'relay' and repeats the request at the next backend server before the strike is known to it. When it sends the request itself, it waits for the verdict. The same held for any request to a brittle server.

Change: a request with a strike, or with an accused part in its prompt, is not repeated after a relay by an owner broke (502, suspected), and its first request to a service goes directly.

--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -124,14 +124,17 @@
   return g_hash_table_contains (en->heard_services, service);
 }
 
-/* Whether SERVICE may be brittle, as it has not answered yet, and owners may
-   know.  */
+/* Whether the service of X may be brittle, as it has not answered yet, and
+   owners may know.  A request that may crash its backend server is sent by
+   this entry, which then sees the crash.  */
 static bool
-may_be_brittle (const pu_entry_t *en, const char *service)
+may_be_brittle (const pu_exchange_t *x)
 {
-  const asked_t *asked = g_hash_table_lookup (en->asked_services, service);
+  const pu_entry_t *en = x->en;
+  const asked_t *asked
+      = g_hash_table_lookup (en->asked_services, x->q.service);
 
-  return !is_heard (en, service)
+  return !is_heard (en, x->q.service) && !pu_exchange_has_strikes (x)
          && (asked == NULL || loop_now (en) < asked->since + OWNERS_SILENT_MS);
 }
 
@@ -144,7 +147,7 @@
   GArray *owners;
 
   if (x->only_server != NULL || en->stopping || !x->q.any_entry
-      || (s->brittle == NULL && !may_be_brittle (en, x->q.service))
+      || (s->brittle == NULL && !may_be_brittle (x))
       || pu_break_active (PU_BREAK_OWNER_IGNORED))
     return PU_BRITTLE_DIRECT;
   owners = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -998,6 +998,10 @@
 void pu_exchange_fail_refused (pu_exchange_t *x,
                                const pu_router_decision_t *d);
 
+/* pu_exchange_has_strikes - whether a crash is attributed to X or to a part of
+   its prompt.  */
+bool pu_exchange_has_strikes (const pu_exchange_t *x);
+
 /* pu_exchange_retry - the attempt of X ended without a response: retries X or
    fails it.  */
 void pu_exchange_retry (pu_exchange_t *x, pu_router_failure_t failure);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -292,6 +292,17 @@
                                     uv_now (x->en->o.loop));
 }
 
+bool
+pu_exchange_has_strikes (const pu_exchange_t *x)
+{
+  if (!x->q.crash_tracked)
+    return false;
+  return pu_suspects_strikes (x->en->suspects, x->q.fingerprint,
+                              uv_now (x->en->o.loop))
+             > 0
+         || pu_part_verdict (x, NULL) != PU_PARTS_UNKNOWN;
+}
+
 /* Whether X may run, by the crashes attributed to its fingerprint and to the
    parts of its prompt.  X must wait while the log has not decided on a strike
    against it.  */
@@ -675,7 +686,18 @@
     }
   pu_exchange_fail (x, &suspected,
                     "The backend server was lost, and others were lost under "
-                    "a part of this request's prompt.");
+                    "this request or a part of its prompt.");
+}
+
+/* Whether X, whose attempt ended with FAILURE, must not be repeated, as it may
+   crash the next backend server too.  A crash under a request that another
+   entry has sent becomes known here only later.  */
+static bool
+must_not_repeat (const pu_exchange_t *x, pu_router_failure_t failure)
+{
+  if (failure == PU_ROUTER_FAIL_RELAY && pu_exchange_has_strikes (x))
+    return true;
+  return pu_part_forbids_repeat (x, failure);
 }
 
 void
@@ -688,7 +710,7 @@
     x->may_have_run = true;
   pu_trace_attempt_failed (x, failure);
   pu_attempt_clear (x);
-  if (pu_part_forbids_repeat (x, failure))
+  if (must_not_repeat (x, failure))
     {
       g_free (entry);
       repeat_refuse (x, failure);
