entry: an owner that has lost its server refuses requests for it at once

What callers saw: beside brittle servers, callers of the only instance that reaches them were served 21 to 34 requests where 150 are, some after their deadline.

Cause: a request that comes to an owner for one server is queued there. An owner refused it as cut off only when all servers of the service are lost, but it sends nothing to the others and so never misses them; the request waited for its whole deadline and was then refused as not run.

Change: for a request that may run on one server only, that server decides whether all are lost.

--- a/libplantainusher/entry/lost.c
+++ b/libplantainusher/entry/lost.c
@@ -121,6 +121,9 @@
 
   if (!x->q.any_entry || pu_lost_count (en->lost) == 0)
     return false;
+  /* An owner may not try, and so not miss, the other servers.  */
+  if (x->only_server != NULL)
+    return pu_lost_contains (en->lost, pu_server_find (x->en, x->only_server));
   model = x->q.plain ? g_strconcat ("service:", x->q.service, NULL)
                      : g_strdup (x->q.model);
   lost = pu_router_all_lost (
