entry: what a backend server states to one entry is told to all

Cause: a statement is a fact about a backend server, and each entry learned it by its own answers alone. 43 instances that get 12 requests a second together need many seconds for that, and all that have not heard send directly.

Ruled out: owners that exceed the bound by themselves (at most 4 of the 5 rejections under which a server fell were the owner's); instances that take themselves for cut off (one did, and was back at once).

Change: routing/spread, a core that tells each statement to the entries 1, 2, 4, 8... places ahead on a ring, at most once for each change, and repeats some of them each half second for entries that have restarted. A statement counts by the time of its answer; its end is told in the same way. Server-Limit goes with it. A fleet of 2 to 300 entries is simulated: everywhere after log2 N steps, also when all hear at once, or with a third of the entries dead.

--- a/libplantainusher/base/breaks.h
+++ b/libplantainusher/base/breaks.h
@@ -58,6 +58,8 @@
 #define PU_BREAK_LAST_COPY_UNLOADED "last-copy-unloaded"
 /* Each entry sends requests to a brittle backend server by itself.  */
 #define PU_BREAK_OWNER_IGNORED "owner-ignored"
+/* Entries drop what others tell them of the statements of backend servers.  */
+#define PU_BREAK_STATEMENTS_IGNORED "statements-ignored"
 /* No part of a prompt is suspected or convicted.  */
 #define PU_BREAK_PARTS_IGNORED "parts-ignored"
 /* A view of any age denies what it does not have.  */
--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -44,8 +44,11 @@
 
 const PU_CONTROL_ACCUSE = 17;  /* pu_accusations, one way, entry to entry */
 
+const PU_CONTROL_STATEMENTS = 18; /* pu_statements, one way, entry to entry */
+
 const PU_CONTROL_LIST_MAX = 4096;
 const PU_CONTROL_ACCUSATIONS_MAX = 64;
+const PU_CONTROL_STATEMENTS_MAX = 64;
 const PU_CONTROL_VOTERS_MAX = 16;
 const PU_CONTROL_CHUNK_MAX = 16384;
 const PU_CONTROL_COMMAND_MAX = 5242880;
@@ -269,6 +272,21 @@
   pu_accusation accusations<PU_CONTROL_ACCUSATIONS_MAX>;
 };
 
+/* What a backend server states in its answers (routing/spread.h).  */
+struct pu_stated
+{
+  pu_name backend;
+  unsigned hyper incarnation;
+  double rejections_per_s;
+  double limit_per_s;
+  unsigned int age_ms;        /* since the answer */
+};
+
+struct pu_statements
+{
+  pu_stated statements<PU_CONTROL_STATEMENTS_MAX>;
+};
+
 enum pu_query_kind
 {
   PU_QUERY_STATUS = 0,        /* to the leader: sessions, voters */
--- a/libplantainusher/control/control_msg_fuzz.cc
+++ b/libplantainusher/control/control_msg_fuzz.cc
@@ -96,6 +96,9 @@
     case 14:
       CHECK (pu_accusations);
       break;
+    case 15:
+      CHECK (pu_statements);
+      break;
     default:
       CHECK (pu_witness_reply);
       break;
--- a/libplantainusher/daemon/hooks.c
+++ b/libplantainusher/daemon/hooks.c
@@ -134,6 +134,7 @@
   h->withdraw = pu_daemon_withdraw_out;
   h->tell_origins = pu_daemon_origins_tell;
   h->tell_accusations = pu_daemon_accusations_tell;
+  h->tell_statements = pu_daemon_statements_tell;
   h->ask_origin = pu_daemon_origin_ask;
   h->ask_witness = pu_daemon_witness_ask;
   h->data = d;
--- a/libplantainusher/daemon/loads.c
+++ b/libplantainusher/daemon/loads.c
@@ -1,26 +1,31 @@
 /* Load reports of backend servers and other news, from entry to entry, one
    way.  */
 
+#include <math.h>
+
 #include "control/generated/control_msg.h"
 #include "daemon/parts.h"
 #include "rpc/rpc.h"
 #include "state/codec.h"
 
-/* send_one_way - consumes BYTES.  */
-static void
+/* send_one_way - consumes BYTES.  Returns whether there is a connection to
+   ADDRESS.  */
+static bool
 send_one_way (const pu_daemon_t *d, const char *address, guint32 proc,
               GBytes *bytes)
 {
   pu_rpc_client_t *peer = pu_agent_peer (d->agent, address);
+  bool sent = false;
 
   if (peer != NULL)
     {
       pu_rpc_client_connect (peer);
-      pu_rpc_client_send (peer, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
-                          proc, g_bytes_get_data (bytes, NULL),
-                          g_bytes_get_size (bytes));
+      sent = pu_rpc_client_send (
+          peer, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION, proc,
+          g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes));
     }
   g_bytes_unref (bytes);
+  return sent;
 }
 
 void
@@ -102,6 +107,69 @@
   pu_rpc_call_drop (call);
 }
 
+bool
+pu_daemon_statements_tell (void *daemon, const char *address,
+                           const pu_statement_t *statements, guint n,
+                           guint64 now)
+{
+  pu_stated list[PU_CONTROL_STATEMENTS_MAX];
+  pu_statements m = { { MIN (n, PU_CONTROL_STATEMENTS_MAX), list } };
+
+  for (guint i = 0; i < m.statements.statements_len; i++)
+    {
+      const pu_statement_t *st = &statements[i];
+
+      list[i] = (pu_stated){ .backend = (char *)st->server,
+                             .incarnation = st->incarnation,
+                             .rejections_per_s = st->rejections_per_s,
+                             .limit_per_s = st->limit_per_s,
+                             .age_ms = (guint32)(now - st->stated_at) };
+    }
+  return send_one_way (daemon, address, PU_CONTROL_STATEMENTS,
+                       pu_codec_encode ((xdrproc_t)xdr_pu_statements, &m));
+}
+
+/* Whether V can be a number of requests per second.  */
+static bool
+is_rate (double v)
+{
+  return isfinite (v) && v >= 0;
+}
+
+static void
+on_stated (void *data, pu_rpc_call_t *call, const guint8 *body, size_t n)
+{
+  const pu_daemon_t *d = data;
+  pu_statement_t list[PU_CONTROL_STATEMENTS_MAX];
+  guint64 now = uv_now (d->loop);
+  guint count = 0;
+  pu_statements m;
+
+  if (!pu_codec_decode ((xdrproc_t)xdr_pu_statements, &m, sizeof m, body, n,
+                        NULL))
+    {
+      pu_rpc_call_garbage (call);
+      return;
+    }
+  for (guint i = 0; i < m.statements.statements_len; i++)
+    {
+      const pu_stated *st = &m.statements.statements_val[i];
+
+      if (!is_rate (st->rejections_per_s) || !is_rate (st->limit_per_s))
+        continue;
+      list[count++]
+          = (pu_statement_t){ .server = st->backend,
+                              .incarnation = st->incarnation,
+                              .rejections_per_s = st->rejections_per_s,
+                              .limit_per_s = st->limit_per_s,
+                              .stated_at = now - MIN (now, st->age_ms) };
+    }
+  if (d->entry != NULL)
+    pu_entry_receive_statements (d->entry, list, count);
+  xdr_free ((xdrproc_t)xdr_pu_statements, (char *)&m);
+  pu_rpc_call_drop (call);
+}
+
 static void
 on_withdrawn (void *data, pu_rpc_call_t *call, const guint8 *body, size_t n)
 {
@@ -166,4 +234,6 @@
                      PU_CONTROL_WITHDRAW, on_withdrawn, d);
   pu_rpc_server_add (d->peers, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
                      PU_CONTROL_ACCUSE, on_accused, d);
+  pu_rpc_server_add (d->peers, PU_RPC_PROGRAM_CONTROL, PU_CONTROL_VERSION,
+                     PU_CONTROL_STATEMENTS, on_stated, d);
 }
--- a/libplantainusher/daemon/parts.h
+++ b/libplantainusher/daemon/parts.h
@@ -80,6 +80,10 @@
                                  const pu_entry_accusation_t *accusations,
                                  guint n);
 
+bool pu_daemon_statements_tell (void *daemon, const char *address,
+                                const pu_statement_t *statements, guint n,
+                                guint64 now);
+
 /* pu_daemon_peer_call - calls PROC of the daemon at ADDRESS with M, an XDR
    record of the type TYPE; FN gets D.  Does nothing for an invalid address. */
 void pu_daemon_peer_call (pu_daemon_t *d, const char *address, guint32 proc,
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -349,7 +349,11 @@
     pu_entry_mark_leaving (x->en, s->name, NULL, NULL);
   pu_server_limit_stated (s, at->answer.limit_per_s);
   if (at->answer.rejections_per_s > 0 || !at->answer.failed)
-    pu_server_brittle_stated (s, at->answer.rejections_per_s);
+    {
+      pu_server_brittle_stated (s, at->answer.rejections_per_s);
+      pu_server_statement_note (s, at->answer.rejections_per_s,
+                                at->answer.limit_per_s);
+    }
   if (at->answer.retry_after_ms > 0)
     pu_server_back_off (s, now_of (x) + at->answer.retry_after_ms + 1);
 }
--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -317,6 +317,9 @@
   service = service_of (s);
   if (per_s <= 0)
     {
+      pu_log_note (PU_ENTRY_LOG_SLICE,
+                   "Backend server %s bears any number of rejections again.",
+                   s->name);
       set_bound (s, 0);
       stopped_forget (en, service);
       return;
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -12,6 +12,7 @@
 #include "base/memory_budget.h"
 #include "control/grants.h"
 #include "entry/front.h"
+#include "routing/spread.h"
 #include "routing/witnesses.h"
 #include "state/state.h"
 
@@ -62,6 +63,9 @@
   guint life_ms;  /* how long the stream can be resumed */
 } pu_entry_origin_t;
 
+/* Statements of backend servers in one message between entries.  */
+#define PU_ENTRY_STATEMENTS_MAX 64
+
 /* A crash of a backend server under a part of a prompt, as hashes (see
    suspects/parts.h).  */
 typedef struct
@@ -138,6 +142,12 @@
      NULL.  */
   void (*tell_accusations) (void *data, const char *address,
                             const pu_entry_accusation_t *accusations, guint n);
+  /* Sends N statements of backend servers, at most PU_ENTRY_STATEMENTS_MAX, to
+     the daemon with the peer address ADDRESS at loop time NOW.  Returns false
+     if there is no connection to it yet.  May be NULL.  */
+  bool (*tell_statements) (void *data, const char *address,
+                           const pu_statement_t *statements, guint n,
+                           guint64 now);
   /* Asks the daemon with the peer address ADDRESS for the origin KEY.  An
      answer is given to pu_entry_receive_origin, if one comes within
      TIMEOUT_MS.  May be NULL.  */
@@ -271,6 +281,11 @@
 void pu_entry_receive_accusations (pu_entry_t *en,
                                    const pu_entry_accusation_t *list, guint n);
 
+/* pu_entry_receive_statements - receives N statements of backend servers that
+   another entry sent.  Their times are loop times of this entry.  */
+void pu_entry_receive_statements (pu_entry_t *en, const pu_statement_t *list,
+                                  guint n);
+
 /* pu_entry_receive_origins - receives N origins that another entry sent.  */
 void pu_entry_receive_origins (pu_entry_t *en, const pu_entry_origin_t *list,
                                guint n);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -15,6 +15,7 @@
 #include "routing/origins.h"
 #include "routing/reach.h"
 #include "routing/router.h"
+#include "routing/spread.h"
 #include "routing/versions.h"
 #include "suspects/parts.h"
 #include "suspects/suspects.h"
@@ -311,10 +312,13 @@
   pu_document_parse_t *parsing; /* parse in progress; NULL: none */
   guint64 changes; /* change count of the view (this daemon's copy of the
                       replicated state) that was last applied */
-  GPtrArray *other_addresses;      /* peer addresses of all other entries */
-  guint64 other_addresses_version; /* version of the view's members that
-                                 other_addresses was made from */
-  GHashTable *servers;             /* name -> pu_server_t */
+  pu_spread_t *statements;           /* what backend servers state */
+  guint64 statement_entries_version; /* version of the view's members that
+                                        `statements` has */
+  GPtrArray *other_addresses;        /* peer addresses of all other entries */
+  guint64 other_addresses_version;   /* version of the view's members that
+                                   other_addresses was made from */
+  GHashTable *servers;               /* name -> pu_server_t */
   GHashTable
       *ticking_servers; /* set of pu_server_t that have a pending timer */
   GHashTable *brittle_servers; /* set of pu_server_t that bear few
@@ -680,6 +684,19 @@
    more.  */
 void pu_server_suspect_aborted (pu_server_t *s);
 
+/* --- statements.c: what backend servers state, told to all entries --- */
+
+/* pu_server_statement_note - S has stated in an answer how many rejections per
+   second it bears and how many requests it takes; 0: any number.  */
+void pu_server_statement_note (pu_server_t *s, double rejections_per_s,
+                               double limit_per_s);
+
+/* pu_server_statement_forget - S is gone.  */
+void pu_server_statement_forget (const pu_server_t *s);
+
+/* pu_statements_tick - tells other entries what they lack.  */
+void pu_statements_tick (pu_entry_t *en, guint64 now);
+
 /* --- server_limit.c: backend servers that limit their requests --- */
 
 /* pu_server_limit_stated - S has stated in a response that it takes PER_S
@@ -689,6 +706,10 @@
    ended.  */
 void pu_server_limit_stated (pu_server_t *s, double per_s);
 
+/* pu_server_limit_told - as pu_server_limit_stated, for what S has stated to
+   another entry at loop time AT.  */
+void pu_server_limit_told (pu_server_t *s, double per_s, guint64 at);
+
 /* pu_server_limit_permits - whether X may be sent to S now, which uses up a
    grant if S limits its requests.  On false X must wait: it is routed again
    after the leader's reply.  */
--- a/libplantainusher/entry/server_limit.c
+++ b/libplantainusher/entry/server_limit.c
@@ -66,9 +66,9 @@
 }
 
 static void
-limit_set (pu_server_t *s, double per_s)
+limit_set (pu_server_t *s, double per_s, guint64 at)
 {
-  s->limit_stated_at = uv_now (s->en->o.loop);
+  s->limit_stated_at = at;
   if (s->limit_per_s == per_s)
     return;
   s->limit_per_s = per_s;
@@ -99,7 +99,7 @@
                &next_ms, "ended", &ended);
   if (ended)
     {
-      limit_set (s, 0);
+      limit_set (s, 0, now);
       return;
     }
   s->grants = (guint)MAX (granted, 0);
@@ -164,11 +164,17 @@
 {
   bool ends = s->limit_per_s > 0 && per_s == 0;
 
-  limit_set (s, per_s);
+  limit_set (s, per_s, uv_now (s->en->o.loop));
   if (ends && s->en->o.hooks.request_grant != NULL)
     grant_request (s, 0);
 }
 
+void
+pu_server_limit_told (pu_server_t *s, double per_s, guint64 at)
+{
+  limit_set (s, per_s, at);
+}
+
 bool
 pu_server_limit_permits (pu_exchange_t *x, pu_server_t *s)
 {
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -379,6 +379,7 @@
       router_remove (s);
       pu_server_uncount_version (s);
       pu_server_brittle_forget (s);
+      pu_server_statement_forget (s);
       s->down = true;
       health_log_change (s, before);
     }
--- /dev/null
+++ b/libplantainusher/routing/spread.h
@@ -0,0 +1,72 @@
+#ifndef PU_ROUTING_SPREAD_H
+#define PU_ROUTING_SPREAD_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/*
+ * spread - what backend servers state about themselves to one entry, brought
+ * to all entries.
+ *
+ * Load pattern: hundreds of entries share a backend server that states in its
+ * answers how much it bears, and most of them are asked so seldom that they
+ * have had no answer since.  What all of them together send to it can be
+ * bounded only if each knows of the statement.
+ *
+ * The entries stand in a ring.  Each tells its neighbours, those 1, 2, 4, 8...
+ * places ahead, what is new to it, so that a statement is everywhere after at
+ * most log2 (N) steps, in N * log2 (N) messages however many entries hear it
+ * from the backend server, and by other ways where some entries are dead or
+ * cut off.  Besides, one neighbour at a time is told again what it should
+ * know, which reaches those that have restarted.  The statement of the latest
+ * answer counts.  It is known by its age, as entries share no clock.
+ *
+ * Does no I/O and reads no clock.  Times are monotonic milliseconds.
+ */
+
+/* What a backend server states; all zero: nothing.  */
+typedef struct
+{
+  const char *server;
+  guint64 incarnation;
+  double rejections_per_s; /* that it bears before it falls over; 0: any
+                              number */
+  double limit_per_s;      /* requests that it takes from all entries; 0: any
+                              number */
+  guint64 stated_at;
+} pu_statement_t;
+
+typedef struct pu_spread pu_spread_t;
+
+pu_spread_t *pu_spread_new (void);
+void pu_spread_free (pu_spread_t *sp);
+
+/* pu_spread_set_entries - the entry with the address SELF has OTHERS, of
+   char *, in any order.  */
+void pu_spread_set_entries (pu_spread_t *sp, const char *self,
+                            const GPtrArray *others);
+
+/* pu_spread_put - records the statement ST of an answer that this entry got,
+   or that another entry told of.  Returns whether it is the latest of its
+   server, and says something.  */
+bool pu_spread_put (pu_spread_t *sp, const pu_statement_t *st);
+
+/* pu_spread_remove - SERVER is gone.  */
+void pu_spread_remove (pu_spread_t *sp, const char *server);
+
+/* pu_spread_neighbours - returns the number of neighbours.  */
+guint pu_spread_neighbours (const pu_spread_t *sp);
+
+/* pu_spread_due - appends to OUT, of pu_statement_t, what neighbour I is to be
+   told at NOW, and returns its address.  The strings live until the next call
+   of another function.  */
+const char *pu_spread_due (pu_spread_t *sp, guint i, guint64 now, GArray *out);
+
+/* pu_spread_told - what was due to neighbour I at NOW has been sent.  */
+void pu_spread_told (pu_spread_t *sp, guint i, guint64 now);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/libplantainusher/routing/spread_test.cc
@@ -0,0 +1,284 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "routing/spread.h"
+}
+
+namespace
+{
+
+constexpr guint64 INCARNATION = 7;
+constexpr guint64 BEGIN = 100000;
+constexpr guint STEP_MS = 50;
+
+pu_statement_t
+brittle (const char *server, double per_s, guint64 at)
+{
+  return { server, INCARNATION, per_s, 0, at };
+}
+
+struct Entry
+{
+  std::string address;
+  pu_spread_t *sp = pu_spread_new ();
+  double knows = 0; /* rejections a second */
+  bool up = true;
+
+  ~Entry () { pu_spread_free (sp); }
+
+  void
+  put (const pu_statement_t &st)
+  {
+    if (pu_spread_put (sp, &st))
+      knows = st.rejections_per_s;
+  }
+};
+
+/* Entries that tell each other; all share one clock.  */
+class Fleet
+{
+public:
+  std::vector<std::unique_ptr<Entry> > entries;
+  guint64 now = BEGIN;
+  guint messages = 0;
+  guint most_statements = 0;
+
+  explicit Fleet (guint n)
+  {
+    for (guint i = 0; i < n; i++)
+      {
+        entries.push_back (std::make_unique<Entry> ());
+        entries[i]->address = "10.0.0." + std::to_string (i) + ":1";
+      }
+    for (auto &e : entries)
+      join (*e);
+  }
+
+  void
+  join (Entry &e)
+  {
+    GPtrArray *others = g_ptr_array_new ();
+
+    for (auto &o : entries)
+      {
+        if (o.get () != &e)
+          g_ptr_array_add (others, const_cast<char *> (o->address.c_str ()));
+      }
+    pu_spread_set_entries (e.sp, e.address.c_str (), others);
+    g_ptr_array_free (others, TRUE);
+  }
+
+  Entry *
+  find (const char *address)
+  {
+    for (auto &e : entries)
+      {
+        if (e->address == address)
+          return e.get ();
+      }
+    return nullptr;
+  }
+
+  void
+  tell (Entry &e, guint i)
+  {
+    GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_statement_t));
+    Entry *to = find (pu_spread_due (e.sp, i, now, out));
+
+    if (out->len > 0 && to->up)
+      {
+        messages++;
+        most_statements = std::max (most_statements, out->len);
+        for (guint k = 0; k < out->len; k++)
+          to->put (g_array_index (out, pu_statement_t, k));
+      }
+    if (to->up)
+      pu_spread_told (e.sp, i, now);
+    g_array_free (out, TRUE);
+  }
+
+  void
+  step ()
+  {
+    for (auto &e : entries)
+      {
+        for (guint i = 0; e->up && i < pu_spread_neighbours (e->sp); i++)
+          tell (*e, i);
+      }
+    now += STEP_MS;
+  }
+
+  guint
+  knowing (double per_s)
+  {
+    guint n = 0;
+
+    for (auto &e : entries)
+      n += e->up && e->knows == per_s;
+    return n;
+  }
+
+  /* Steps until N entries know PER_S, at most 200.  */
+  guint
+  steps_until (guint n, double per_s)
+  {
+    guint steps = 0;
+
+    while (knowing (per_s) < n && steps < 200)
+      {
+        step ();
+        steps++;
+      }
+    return steps;
+  }
+};
+
+class SpreadFleet : public ::testing::TestWithParam<guint>
+{
+};
+
+} // namespace
+
+TEST_P (SpreadFleet, StatementToOneEntryIsEverywhereWithinLogSteps)
+{
+  Fleet f (GetParam ());
+
+  f.entries[0]->put (brittle ("s", 4, f.now));
+  EXPECT_LE (f.steps_until (GetParam (), 4), g_bit_storage (GetParam ()));
+}
+
+TEST_P (SpreadFleet, StatementToAllEntriesAtOnceCostsNoMoreMessages)
+{
+  Fleet f (GetParam ());
+  guint links = 0;
+
+  for (auto &e : f.entries)
+    {
+      e->put (brittle ("s", 4, f.now));
+      links += pu_spread_neighbours (e->sp);
+    }
+  f.step ();
+  EXPECT_LE (f.messages, links);
+  f.step ();
+  EXPECT_LE (f.messages, links + GetParam ());
+}
+
+TEST_P (SpreadFleet, EndOfAStatementIsEverywhereToo)
+{
+  Fleet f (GetParam ());
+
+  f.entries[0]->put (brittle ("s", 4, f.now));
+  f.steps_until (GetParam (), 4);
+  f.entries[GetParam () / 2]->put (brittle ("s", 0, f.now));
+  EXPECT_LE (f.steps_until (GetParam (), 0), g_bit_storage (GetParam ()));
+  for (guint i = 0; i < 100; i++)
+    f.step ();
+  EXPECT_EQ (f.knowing (0), GetParam ());
+}
+
+TEST_P (SpreadFleet, GoesAroundAThirdThatIsDead)
+{
+  Fleet f (GetParam ());
+  std::mt19937 random (GetParam ());
+  guint up = GetParam ();
+
+  for (guint i = 1; i < GetParam (); i++)
+    {
+      f.entries[i]->up = random () % 3 != 0;
+      up -= !f.entries[i]->up;
+    }
+  f.entries[0]->put (brittle ("s", 4, f.now));
+  EXPECT_LE (f.steps_until (up, 4), 2 * g_bit_storage (GetParam ()));
+}
+
+TEST_P (SpreadFleet, EntryThatHasRestartedLearnsWithinTwoSeconds)
+{
+  Fleet f (GetParam ());
+  Entry &late = *f.entries[GetParam () - 1];
+
+  f.entries[0]->put (brittle ("s", 4, f.now));
+  f.steps_until (GetParam (), 4);
+  pu_spread_free (late.sp);
+  late.sp = pu_spread_new ();
+  late.knows = 0;
+  f.join (late);
+  EXPECT_LE (f.steps_until (GetParam (), 4) * STEP_MS, 2000u);
+}
+
+INSTANTIATE_TEST_SUITE_P (Sizes, SpreadFleet,
+                          ::testing::Values (2u, 3u, 11u, 70u, 300u));
+
+TEST (Spread, EntryThatIsAloneHasNoNeighbours)
+{
+  Fleet f (1);
+
+  f.entries[0]->put (brittle ("s", 4, f.now));
+  f.step ();
+  EXPECT_EQ (f.messages, 0u);
+}
+
+TEST (Spread, NothingStatedCostsNoMessage)
+{
+  Fleet f (11);
+
+  for (auto &e : f.entries)
+    e->put (brittle ("s", 0, f.now));
+  for (guint i = 0; i < 20; i++)
+    f.step ();
+  EXPECT_EQ (f.messages, 0u);
+}
+
+TEST (Spread, OlderStatementDoesNotCount)
+{
+  Entry e;
+
+  e.put (brittle ("s", 4, BEGIN));
+  e.put (brittle ("s", 2, BEGIN - 1));
+  EXPECT_EQ (e.knows, 4);
+  e.put (brittle ("s", 0, BEGIN + 1));
+  e.put (brittle ("s", 4, BEGIN));
+  EXPECT_EQ (e.knows, 0);
+}
+
+TEST (Spread, StatementOfAnEarlierProcessDoesNotCount)
+{
+  Entry e;
+  pu_statement_t old = brittle ("s", 2, BEGIN + 5);
+
+  e.put (brittle ("s", 4, BEGIN));
+  old.incarnation--;
+  e.put (old);
+  EXPECT_EQ (e.knows, 4);
+}
+
+TEST (Spread, ServerThatIsGoneIsForgotten)
+{
+  Fleet f (2);
+
+  f.entries[0]->put (brittle ("s", 4, f.now));
+  pu_spread_remove (f.entries[0]->sp, "s");
+  f.step ();
+  EXPECT_EQ (f.messages, 0u);
+}
+
+TEST (Spread, NeighbourIsToldAgainOfFewStatementsAtATime)
+{
+  Fleet f (2);
+
+  for (guint i = 0; i < 300; i++)
+    f.entries[0]->put (brittle (std::to_string (i).c_str (), 4, f.now));
+  f.step ();
+  EXPECT_EQ (f.most_statements, 300u);
+  f.most_statements = 0;
+  f.messages = 0;
+  for (guint i = 0; i < 100; i++)
+    f.step ();
+  EXPECT_LE (f.most_statements, 16u);
+  EXPECT_LE (f.messages, 2u * 11);
+}
--- a/tests/brittle_seldom_asked_process_test.py
+++ b/tests/brittle_seldom_asked_process_test.py
@@ -125,6 +125,32 @@
         self.begin()
         self.withdraw()
 
+    def _all_log(self, change, text):
+        """All instances log TEXT within CONTACT_S of CHANGE ()."""
+        lengths = {one: one.log.stat().st_size for one in self.some}
+        change()
+        end = time.monotonic() + CONTACT_S
+        for one in self.some:
+            wait_until(f"{one.name} to log {text!r}", lambda one=one: text
+                       in one.log.read_bytes()[lengths[one]:].decode(
+                           errors="replace"),
+                       max(end - time.monotonic(), 0.1))
+
+    def test_statements_that_change_are_heard_everywhere(self):
+        self.begin()
+        self._all_log(lambda: self.state(2), "bears 2.00 rejections")
+        self._all_log(lambda: self.state(None), "bears any number")
+        self._all_log(lambda: self.state(4), "bears 4.00 rejections")
+
+    def test_limit_is_heard_everywhere(self):
+        def limit(per_s):
+            for b in self.backends:
+                b.limit = per_s
+        self.begin()
+        self._all_log(lambda: limit(3), "limits its requests to 3.00")
+        self._all_log(lambda: limit(None), "no longer limits")
+
+
 class FewInstancesAreAsked(SeldomAsked):
     per_s, hold_s, favoured = 100, 0.1, 1 / 6
 
