entry: a stream that brings nothing new for 64 KB is broken off

What callers saw: a backend server that sends comments, or the same event again and again, after its first event: 8 of 8 streams broken off at 4.0 to 4.3 s, the route's time, in place of going on at another server; 146 and 729 MB swallowed by one request, 0.6 to 0.9 of a core at each of four instances.

Cause: only the size of one event had a bound, and each comment ends one.

Change: bytes of comments and of events whose id has come before count until an event brings something new. Events without an id that have data count as new, and so do those of a replay, whose ids rise.

--- a/libplantainusher/entry/events.c
+++ b/libplantainusher/entry/events.c
@@ -2,6 +2,13 @@
 
 #include <string.h>
 
+enum
+{
+  /* Bytes of comments and of events that bring nothing new, between two that
+     do.  */
+  IDLE_MAX_BYTES = 65536,
+};
+
 struct pu_event_filter
 {
   pu_event_filter_cb cb;
@@ -16,6 +23,9 @@
   guint ready_events;
   guint64 id; /* id of the incomplete event, if has_id */
   bool has_id;
+  bool has_data;
+  guint64 seen_id; /* highest id, also of events not forwarded */
+  gsize idle;      /* bytes since the last event that brought something new */
 };
 
 pu_event_filter_t *
@@ -63,8 +73,11 @@
 line_parse (pu_event_filter_t *s, const char *line, gsize len)
 {
   static const char field[] = "id:";
+  static const char data[] = "data";
   gsize skip = sizeof field - 1;
 
+  if (len >= sizeof data - 1 && memcmp (line, data, sizeof data - 1) == 0)
+    s->has_data = true;
   if (len < skip || memcmp (line, field, skip) != 0)
     return;
   if (len > skip && line[skip] == ' ')
@@ -72,6 +85,13 @@
   s->has_id = id_parse (line + skip, len - skip, &s->id);
 }
 
+/* Whether the event that is complete brings something new.  */
+static bool
+is_new (const pu_event_filter_t *s)
+{
+  return s->has_id ? s->id > s->seen_id : s->has_data;
+}
+
 /* Handles the end of an event.  Adds the event to the bytes to forward unless
    its id was forwarded before.  */
 static void
@@ -79,6 +99,9 @@
 {
   bool seen = s->has_id && s->id <= s->last_id;
 
+  s->idle = is_new (s) ? 0 : s->idle + s->partial->len;
+  if (s->has_id)
+    s->seen_id = MAX (s->seen_id, s->id);
   if (!seen)
     {
       g_string_append_len (s->ready, s->partial->str, (gssize)s->partial->len);
@@ -89,6 +112,7 @@
   g_string_truncate (s->partial, 0);
   s->line = 0;
   s->has_id = false;
+  s->has_data = false;
 }
 
 /* Handles a line feed, which completes the line that starts at s->line.  */
@@ -125,6 +149,8 @@
       bytes += n;
       if (newline != NULL)
         line_complete (s);
+      if (s->idle > IDLE_MAX_BYTES)
+        return false;
     }
   if (s->ready->len > 0)
     {
--- a/libplantainusher/entry/events.h
+++ b/libplantainusher/entry/events.h
@@ -29,8 +29,9 @@
 void pu_event_filter_free (pu_event_filter_t *s);
 
 /* pu_event_filter_feed - takes LEN BYTES; the events that they complete are
-   given to the callback in one call.  Returns false when an event is too long.
- */
+   given to the callback in one call.  Returns false when an event is too long,
+   or after 64 KB without an event that brings something new, such as
+   comments.  */
 bool pu_event_filter_feed (pu_event_filter_t *s, const char *bytes, gsize len);
 
 /* pu_event_filter_last_id - id of the last event forwarded; if there is none,
--- a/libplantainusher/entry/stream.c
+++ b/libplantainusher/entry/stream.c
@@ -9,6 +9,9 @@
    metadata.  */
 #define EVENT_MAX_BYTES ((gsize)256 * 1024)
 
+/* Bytes of comments and of events without text between two with text.  */
+#define IDLE_MAX_BYTES ((gsize)64 * 1024)
+
 struct pu_stream
 {
   pu_delivered_t *sent;
@@ -22,8 +25,9 @@
                                  repeated */
   guint tokens;
   guint events;
-  char *id; /* completion id in the chunks; NULL: no chunk with an id has
-               arrived */
+  gsize idle; /* bytes since the last event with text */
+  char *id;   /* completion id in the chunks; NULL: no chunk with an id has
+                 arrived */
   pu_stream_result_t result;
 };
 
@@ -129,7 +133,10 @@
   if (!is_same_completion (s, p->id))
     return PU_STREAM_MISMATCH;
   if (*p->text != 0)
-    return token_handle (s, ev, p);
+    {
+      s->idle = 0;
+      return token_handle (s, ev, p);
+    }
   /* A chunk without text is either the first one, which holds the role, or the
      last one, which holds the finish reason.  */
   if (p->has_finish_reason ? !s->sent->finished : s->is_from_start)
@@ -167,7 +174,10 @@
   pu_stream_t *s = data;
 
   s->events++;
+  s->idle += ev->raw_len;
   s->result = event_handle (s, ev);
+  if (s->result == PU_STREAM_MORE && s->idle > IDLE_MAX_BYTES)
+    s->result = PU_STREAM_BROKEN;
   return s->result == PU_STREAM_MORE;
 }
 
--- a/libplantainusher/entry/stream_test.cc
+++ b/libplantainusher/entry/stream_test.cc
@@ -202,6 +202,17 @@
     }
 }
 
+TEST (Stream, CommentsWithoutEndBreakTheStream)
+{
+  caller c;
+  std::string bytes = token_event ("a");
+
+  for (int i = 0; i < 50000; i++)
+    bytes += ": comment\n\n";
+  EXPECT_EQ (PU_STREAM_BROKEN, c.attempt (bytes));
+  EXPECT_LE (c.received.size (), 70000u);
+}
+
 /* Wherever the attempts are cut, however their bytes are split and whether
    they resume or replay, the caller receives each token exactly once.  */
 RC_GTEST_PROP (Stream, AnyCutsDeliverEachTokenOnce, ())
