http: a fetched body that comes byte by byte ends after four timeouts

Each byte of an engine's report or of its answer to an order restarted the limit between two bytes, so that 256 KB could take hours, in which the leader sends the engine no order. The whole body now has four times that limit. FetchBoundsTheTimeOfABodyThatComesByteByByte is new; the wait is read from the code, no engine was played that does this.

--- a/libplantainusher/http/fetch.c
+++ b/libplantainusher/http/fetch.c
@@ -1,11 +1,20 @@
 #include "http/fetch.h"
 
+enum
+{
+  /* How many times the limit between two bytes the whole body may take.  */
+  BODY_TIMEOUTS = 4,
+  US_PER_MS = 1000,
+};
+
 struct pu_http_fetch
 {
   pu_http_call_t *call;
   const pu_http_response_t *response;
   GString *body;
   gsize max;
+  gint64 body_max_us; /* from the head to the end of the body; 0: no limit */
+  gint64 head_at_us;
   pu_http_fetch_cb cb;
   void *cb_data;
 };
@@ -37,16 +46,27 @@
 
   (void)call;
   f->response = r;
+  f->head_at_us = g_get_monotonic_time ();
+}
+
+static bool
+is_too_slow (const pu_http_fetch_t *f)
+{
+  return f->body_max_us > 0
+         && g_get_monotonic_time () > f->head_at_us + f->body_max_us;
 }
 
 static void
 on_body (void *data, pu_http_call_t *call, const char *bytes, gsize len)
 {
   pu_http_fetch_t *f = data;
+  bool slow = is_too_slow (f);
   pu_http_result_t result
-      = { .kind = PU_HTTP_END_TOO_LARGE, .written = true, .head = true };
+      = { .kind = slow ? PU_HTTP_END_PROGRESS_TIMEOUT : PU_HTTP_END_TOO_LARGE,
+          .written = true,
+          .head = true };
 
-  if (len <= f->max - f->body->len)
+  if (!slow && len <= f->max - f->body->len)
     {
       g_string_append_len (f->body, bytes, (gssize)len);
       return;
@@ -75,6 +95,7 @@
 
   f->body = g_string_new (NULL);
   f->max = max;
+  f->body_max_us = (gint64)o->progress_timeout_ms * BODY_TIMEOUTS * US_PER_MS;
   f->cb = cb;
   f->cb_data = data;
   one.events = (pu_http_call_events_t){ on_head, on_body, on_end };
--- a/libplantainusher/http/fetch.h
+++ b/libplantainusher/http/fetch.h
@@ -22,7 +22,9 @@
 typedef void (*pu_http_fetch_cb) (void *data, const pu_http_fetched_t *f);
 
 /* pu_http_fetch - begins the exchange O (its events and data are not looked
-   at) and calls CB once, with at most MAX bytes of body.  NULL and E as
+   at) and calls CB once, with at most MAX bytes of body.  A body that takes
+   longer than four times progress_timeout_ms ends as
+   PU_HTTP_END_PROGRESS_TIMEOUT, however its bytes come.  NULL and E as
    pu_http_client_start.  The handle serves pu_http_fetch_cancel until CB is
    called; most callers drop it.  */
 pu_http_fetch_t *pu_http_fetch (pu_http_client_t *c,
--- a/libplantainusher/http/http_test.cc
+++ b/libplantainusher/http/http_test.cc
@@ -712,6 +712,48 @@
     }
 }
 
+TEST_P (Http, FetchBoundsTheTimeOfABodyThatComesByteByByte)
+{
+  struct got
+  {
+    bool called = false;
+    pu_http_end_t kind{};
+  };
+  auto cb = [] (void *d, const pu_http_fetched_t *f) {
+    *static_cast<got *> (d) = { true, f->result.kind };
+  };
+  got g;
+  pu_http_request_t *open = nullptr;
+  pu_http_call_options_t o{};
+  guint64 begun;
+
+  handler = [this, &open] (pu_http_request_t *r) {
+    open = r;
+    watch (r);
+    pu_http_respond_start (r, 200, nullptr, 0);
+    pu_http_respond_write (r, "a", 1);
+  };
+  o.address = address.c_str ();
+  o.method = "GET";
+  o.target = "/";
+  o.reset = true;
+  o.progress_timeout_ms = 50;
+  pu_http_fetch (client, &o, 100000, cb, &g, nullptr);
+  until ([&open] { return open != nullptr; });
+  begun = uv_now (&loop);
+  until ([&] {
+    if (!gone)
+      pu_http_respond_write (open, "a", 1);
+    g_usleep (10000);
+    return gone || uv_now (&loop) > begun + 2000;
+  });
+  EXPECT_TRUE (g.called);
+  EXPECT_EQ (PU_HTTP_END_PROGRESS_TIMEOUT, g.kind);
+  EXPECT_LT (uv_now (&loop) - begun, 1000u);
+  if (!gone)
+    pu_http_respond_finish (open);
+}
+
 INSTANTIATE_TEST_SUITE_P (Servers, Http, testing::Values (false, true));
 INSTANTIATE_TEST_SUITE_P (Servers, StrictHttp, testing::Values (true));
 
