entry: responses that are kept whole share a fifth of the memory limit

Cause: each response had a bound, 8 MB, and all together had none.

Change: the bytes of all responses that are not complete are counted. What passes a fifth of the limit (memory holds up to twice as much, as arrays double) drops the largest, whose request goes to another server if it may be repeated. With one bad server that is its response.

--- a/libplantainusher/base/memory_budget.c
+++ b/libplantainusher/base/memory_budget.c
@@ -14,6 +14,10 @@
 #define ARRIVING_PCT 25
 #define ARRIVING_LARGE_PCT 20
 
+/* Share of the limit for the bytes of responses that are not complete.  The
+   memory that holds them is up to twice as much.  */
+#define ANSWERS_PCT 20
+
 /* A level ends this much below the share at which it began.  */
 #define HYSTERESIS_PCT 5
 
@@ -67,6 +71,12 @@
                                     : share_of (m, ARRIVING_LARGE_PCT);
 }
 
+uint64_t
+pu_memory_answers_max (const pu_memory_budget_t *m)
+{
+  return m == NULL || m->limit == 0 ? UINT64_MAX : share_of (m, ANSWERS_PCT);
+}
+
 bool
 pu_memory_arriving_fits (const pu_memory_budget_t *m, uint64_t held,
                          uint64_t more)
--- a/libplantainusher/base/memory_budget.h
+++ b/libplantainusher/base/memory_budget.h
@@ -69,6 +69,11 @@
 void pu_memory_arriving_move (pu_memory_budget_t *m, uint64_t before,
                               uint64_t after);
 
+/* pu_memory_answers_max - the most that the responses which are kept until
+   they are complete may take together, in bytes; UINT64_MAX when M, which may
+   be NULL, has no limit.  */
+uint64_t pu_memory_answers_max (const pu_memory_budget_t *m);
+
 /* pu_memory_level_name - "normal", "hold bulk transfers" or "refuse
    requests".  */
 const char *pu_memory_level_name (pu_memory_level_t level);
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -58,10 +58,9 @@
 }
 
 void
-pu_saved_failure_clear (pu_saved_failure_t *k)
+pu_saved_failure_clear (pu_entry_t *en, pu_saved_failure_t *k)
 {
-  if (k->body != NULL)
-    g_byte_array_free (k->body, TRUE);
+  pu_buffered_free (en, k->body);
   if (k->headers != NULL)
     g_ptr_array_free (k->headers, TRUE);
   *k = (pu_saved_failure_t){ 0 };
@@ -84,8 +83,7 @@
   g_free (at->content_type);
   g_free (at->outcome);
   g_free (at->retry_after);
-  if (at->body != NULL)
-    g_byte_array_free (at->body, TRUE);
+  pu_buffered_free (x->en, at->body);
   if (at->headers != NULL)
     g_ptr_array_free (at->headers, TRUE);
   pu_stream_free (at->stream);
@@ -384,21 +382,6 @@
     pu_router_first_token (x->en->router, x->ticket, now_of (x));
 }
 
-static void
-body_append (pu_exchange_t *x, const char *bytes, gsize len)
-{
-  pu_attempt_t *at = &x->at;
-
-  if (at->body->len + len > x->en->o.body_max)
-    {
-      at->overflow = true;
-    }
-  else
-    {
-      g_byte_array_append (at->body, (const guint8 *)bytes, (guint)len);
-    }
-}
-
 static void
 fail_duplicate (pu_exchange_t *x)
 {
@@ -443,7 +426,7 @@
     x->en->heard_at = now_of (x);
   if (!at->streaming && !at->answer.foreign)
     {
-      body_append (x, bytes, len);
+      at->overflow = !pu_buffered_append (x, bytes, len);
     }
   else if (!at->answer.foreign && !at->done)
     {
@@ -536,7 +519,7 @@
 {
   if (pu_status_means_not_run (x->at.status) || x->at.body == NULL)
     return;
-  pu_saved_failure_clear (&x->saved_failure);
+  pu_saved_failure_clear (x->en, &x->saved_failure);
   x->saved_failure.status = x->at.status;
   x->saved_failure.headers = g_steal_pointer (&x->at.headers);
   x->saved_failure.body = g_steal_pointer (&x->at.body);
--- a/libplantainusher/entry/deliver.c
+++ b/libplantainusher/entry/deliver.c
@@ -142,7 +142,8 @@
     progress_report (x, pu_stream_token_count (x->at.stream));
   if (x->once)
     {
-      g_byte_array_append (x->at.body, (const guint8 *)bytes, (guint)len);
+      if (!pu_buffered_append (x, bytes, len))
+        x->at.overflow = true;
       return;
     }
   stream_write (x, bytes, len);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -312,6 +312,7 @@
   pu_document_parse_t *parsing; /* parse in progress; NULL: none */
   guint64 changes; /* change count of the view (this daemon's copy of the
                       replicated state) that was last applied */
+  uint64_t buffered_bytes;           /* of the responses that are kept whole */
   pu_spread_t *statements;           /* what backend servers state */
   guint64 statement_entries_version; /* version of the view's members that
                                         `statements` has */
@@ -1087,13 +1088,23 @@
 bool pu_attempt_start (pu_exchange_t *x, pu_server_t *s);
 bool pu_attempt_relay (pu_exchange_t *x, const pu_directory_entry_t *to);
 
+/* --- buffered.c: responses that are kept whole --- */
+
+/* pu_buffered_append - appends LEN BYTES to the response that X keeps whole.
+   Returns false if it is too large, or is the largest of all while they take
+   too much memory together.  May break the attempt of another exchange.  */
+bool pu_buffered_append (pu_exchange_t *x, const char *bytes, gsize len);
+
+/* pu_buffered_free - frees BODY, which was appended to, or NULL.  */
+void pu_buffered_free (pu_entry_t *en, GByteArray *body);
+
 /* --- attempt.c: the response to an attempt --- */
 
 /* The callbacks of an attempt's call, whose data is the exchange.  */
 extern const pu_http_call_events_t pu_attempt_events;
 
 /* pu_saved_failure_clear - frees the response in K, which is then empty.  */
-void pu_saved_failure_clear (pu_saved_failure_t *k);
+void pu_saved_failure_clear (pu_entry_t *en, pu_saved_failure_t *k);
 
 /* pu_attempt_clear - ends the attempt of X and cancels its call.  */
 void pu_attempt_clear (pu_exchange_t *x);
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -20,7 +20,7 @@
 pu_exchange_free (pu_exchange_t *x)
 {
   pu_request_clear (&x->q);
-  pu_saved_failure_clear (&x->saved_failure);
+  pu_saved_failure_clear (x->en, &x->saved_failure);
   g_free (x->key);
   g_free (x->software);
   g_free (x->only_server);
