http: what an answer sends beside its body has a bound in bytes and time

What callers saw, where one of three backend servers sends bytes without end until its caller closes (four instances, eight callers, 4 s for a request): 504 after 4 s while other servers could serve, for informational heads, a chunk extension, trailers, and for a head, an extension or a trailer that comes byte by byte; up to 625 MB swallowed by one request and 0.7 of a core.

Cause: only a single unfinished head had a bound. Informational heads were dropped one by one, and each moved the rest of the buffer; the decoder of chunks drops extensions and trailers without telling; any byte counts as progress.

Change: all heads of an answer together have the bound of one. Chunk lines and trailers have 16 KB and 16 bytes for each byte of the body, which small chunks need. A head, a chunk line or a trailer has 1 s from its first byte to its last. An answer over a bound is none.

--- a/libplantainusher/http/client_private.h
+++ b/libplantainusher/http/client_private.h
@@ -35,10 +35,12 @@
   guint open_handles;
   bool reused;
   bool writing;
-  bool received; /* a byte of the answer */
-  bool refused;  /* nothing listens at the address */
-  bool failed;   /* connecting failed at once: reported by the timer */
-  bool reset;    /* as the call wants it */
+  guint64 within_since; /* loop time at which it was first seen within what
+                           pu_http_reader_is_within tells; 0: it is not */
+  bool received;        /* a byte of the answer */
+  bool refused;         /* nothing listens at the address */
+  bool failed;          /* connecting failed at once: reported by the timer */
+  bool reset;           /* as the call wants it */
   bool paused;
   bool late; /* the limit passed while the loop was blocked */
 } pu_conn_t;
--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -10,6 +10,9 @@
   /* A timer that fires so late says that the loop was blocked: what has
      arrived meanwhile is read before the server is taken for silent.  */
   LATE_MS = 10,
+  /* How long a head, the line before a chunk or a trailer may take from its
+     first byte to its last.  */
+  WITHIN_MAX_MS = 1000,
 };
 
 static void
@@ -149,6 +152,23 @@
   return conn->call != NULL;
 }
 
+/* Whether what is neither body nor silence has gone on for too long.  */
+static bool
+is_dribbling (pu_conn_t *conn)
+{
+  guint64 now = uv_now (conn->tcp.loop);
+
+  if (!pu_http_reader_is_within (conn->call->reader))
+    {
+      conn->within_since = 0;
+    }
+  else if (conn->within_since == 0)
+    {
+      conn->within_since = now;
+    }
+  return conn->within_since != 0 && now > conn->within_since + WITHIN_MAX_MS;
+}
+
 static void
 data_read (pu_conn_t *conn, char *bytes, gsize len)
 {
@@ -168,6 +188,9 @@
       pu_call_end (conn->call, PU_HTTP_END_TOO_LARGE);
       break;
     case PU_HTTP_READ_MORE:
+      if (is_dribbling (conn))
+        pu_call_end (conn->call, PU_HTTP_END_MALFORMED);
+      break;
     case PU_HTTP_READ_STOPPED:
       break;
     }
@@ -265,6 +288,7 @@
 
   conn->phase = CONN_WAITING;
   conn->received = false;
+  conn->within_since = 0;
   bufs[0] = uv_buf_init (conn->head->str, (unsigned)conn->head->len);
   if (conn->body != NULL)
     {
--- a/libplantainusher/http/response.c
+++ b/libplantainusher/http/response.c
@@ -10,6 +10,18 @@
   STATUS_SWITCHING = 101,
   STATUS_NO_CONTENT = 204,
   STATUS_NOT_MODIFIED = 304,
+  /* Bytes of chunk lines and trailers that an answer may have, and for each
+     byte of its body.  */
+  FRAMING_MAX = 16384,
+  FRAMING_PER_BYTE = 16,
+};
+
+/* Values of phr_chunked_decoder._state.  */
+enum
+{
+  DECODER_SIZE,
+  DECODER_EXTENSION,
+  DECODER_DATA,
 };
 
 struct pu_http_reader
@@ -19,8 +31,11 @@
   bool has_head;
   bool keep_alive;
   GByteArray *head; /* bytes of an unfinished head */
+  gsize interim;    /* bytes of the informational heads before it */
   pu_http_response_t response;
-  guint64 left; /* of a body of stated length */
+  guint64 left;    /* of a body of stated length */
+  guint64 body;    /* bytes of a body in chunks so far */
+  guint64 framing; /* other bytes of the chunks, and of trailers */
   struct phr_chunked_decoder chunked;
 };
 
@@ -73,6 +88,19 @@
   return rd->has_head;
 }
 
+bool
+pu_http_reader_is_within (const pu_http_reader_t *rd)
+{
+  const struct phr_chunked_decoder *c = &rd->chunked;
+
+  if (!rd->has_head)
+    return rd->head->len > 0;
+  if (rd->response.body_kind != PU_HTTP_BODY_CHUNKED)
+    return false;
+  return c->_state == DECODER_SIZE ? c->_hex_count > 0
+                                   : c->_state != DECODER_DATA;
+}
+
 const pu_http_response_t *
 pu_http_reader_response (const pu_http_reader_t *rd)
 {
@@ -170,27 +198,29 @@
     }
 }
 
-/* Parses the head that is gathered so far.  *USED is its size once whole.  */
+/* Parses the head that is gathered so far, from its byte AT on.  *USED is its
+   size once whole.  */
 static pu_http_read_t
-head_parse (pu_http_reader_t *rd, gsize last_len, gsize *used)
+head_parse (pu_http_reader_t *rd, gsize at, gsize last_len, gsize *used)
 {
+  gsize gathered = rd->head->len - at;
   struct phr_header headers[PU_HTTP_HEADERS_MAX];
   size_t n = PU_HTTP_HEADERS_MAX;
   const char *msg = NULL;
   size_t msg_len = 0;
   int minor = 0;
-  int size = phr_parse_response ((const char *)rd->head->data, rd->head->len,
+  int size = phr_parse_response ((const char *)rd->head->data + at, gathered,
                                  &minor, &rd->response.status, &msg, &msg_len,
                                  headers, &n, last_len);
 
   if (size == -2)
     {
-      return rd->head->len > rd->head_max ? PU_HTTP_READ_TOO_LARGE
-                                          : PU_HTTP_READ_MORE;
+      return rd->interim + gathered > rd->head_max ? PU_HTTP_READ_TOO_LARGE
+                                                   : PU_HTTP_READ_MORE;
     }
   if (size < 0 || rd->response.status == STATUS_SWITCHING)
     return PU_HTTP_READ_MALFORMED;
-  if ((gsize)size > rd->head_max)
+  if (rd->interim + (gsize)size > rd->head_max)
     return PU_HTTP_READ_TOO_LARGE;
   *used = (gsize)size;
   headers_copy (&rd->response, headers, n);
@@ -203,19 +233,23 @@
 head_feed (pu_http_reader_t *rd, char **bytes, gsize *len)
 {
   gsize last_len = rd->head->len;
+  gsize at = 0;
   gsize used = 0;
   pu_http_read_t result;
 
   g_byte_array_append (rd->head, (const guint8 *)*bytes, (guint)*len);
   for (;;)
     {
-      result = head_parse (rd, last_len, &used);
+      result = head_parse (rd, at, last_len, &used);
       if (result != PU_HTTP_READ_DONE
           || rd->response.status >= STATUS_INFORMATIONAL_END)
         break;
-      g_byte_array_remove_range (rd->head, 0, (guint)used);
+      at += used;
+      rd->interim += used;
       last_len = 0;
     }
+  if (at > 0)
+    g_byte_array_remove_range (rd->head, 0, (guint)at);
   if (result != PU_HTTP_READ_DONE)
     return result;
   *bytes += *len - (rd->head->len - used);
@@ -248,12 +282,18 @@
 
   if (after > 0)
     rd->keep_alive = false;
+  rd->body += n;
+  rd->framing += len - n - (after > 0 ? (gsize)after : 0);
   /* What came before a malformed chunk is part of the answer.  */
   if (n > 0 && !calls->on_body (data, bytes, n))
     return PU_HTTP_READ_STOPPED;
   if (after == -1)
     return PU_HTTP_READ_MALFORMED;
-  return after >= 0 ? PU_HTTP_READ_DONE : PU_HTTP_READ_MORE;
+  if (after >= 0)
+    return PU_HTTP_READ_DONE;
+  return rd->framing > FRAMING_MAX + FRAMING_PER_BYTE * rd->body
+             ? PU_HTTP_READ_TOO_LARGE
+             : PU_HTTP_READ_MORE;
 }
 
 static pu_http_read_t
--- a/libplantainusher/http/response.h
+++ b/libplantainusher/http/response.h
@@ -33,7 +33,8 @@
   PU_HTTP_READ_DONE,      /* the answer is whole */
   PU_HTTP_READ_STOPPED,   /* a callback returned false */
   PU_HTTP_READ_MALFORMED, /* not HTTP, or contradictory lengths */
-  PU_HTTP_READ_TOO_LARGE, /* the head is over its limit */
+  PU_HTTP_READ_TOO_LARGE, /* the heads, or what is neither head nor body, are
+                             over their limit */
 } pu_http_read_t;
 
 typedef struct
@@ -54,8 +55,9 @@
 
 typedef struct pu_http_reader pu_http_reader_t;
 
-/* pu_http_reader_new - a reader for one answer whose head has at most
-   HEAD_MAX bytes.  NO_BODY: the request's method is HEAD.  */
+/* pu_http_reader_new - a reader for one answer whose heads, the informational
+   ones included, have at most HEAD_MAX bytes together.  NO_BODY: the request's
+   method is HEAD.  */
 pu_http_reader_t *pu_http_reader_new (gsize head_max, bool no_body);
 void pu_http_reader_free (pu_http_reader_t *rd);
 
@@ -73,6 +75,10 @@
 /* pu_http_reader_has_head - whether the head was read.  */
 bool pu_http_reader_has_head (const pu_http_reader_t *rd);
 
+/* pu_http_reader_is_within - whether a head, the line before a chunk or a
+   trailer has begun and is not whole.  */
+bool pu_http_reader_is_within (const pu_http_reader_t *rd);
+
 /* pu_http_reader_response - the answer's head, valid after on_head.  */
 const pu_http_response_t *pu_http_reader_response (const pu_http_reader_t *rd);
 
--- a/libplantainusher/http/response_test.cc
+++ b/libplantainusher/http/response_test.cc
@@ -49,6 +49,16 @@
 const std::string OK = "HTTP/1.1 200 OK\r\n";
 const std::string CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
+std::string
+repeated (const std::string &s, std::size_t n)
+{
+  std::string all;
+
+  while (n-- > 0)
+    all += s;
+  return all;
+}
+
 TEST (Response, EndsAndReuse)
 {
   struct
@@ -85,6 +95,8 @@
     { "nonsense\r\n\r\n", PU_HTTP_READ_MALFORMED, "", false },
     { OK + "X: " + std::string (300, 'x') + "\r\n\r\n", PU_HTTP_READ_TOO_LARGE,
       "", false },
+    { repeated ("HTTP/1.1 100 Continue\r\n\r\n", 20), PU_HTTP_READ_TOO_LARGE,
+      "", true },
   };
 
   for (const auto &row : table)
@@ -98,6 +110,68 @@
       }
 }
 
+/* Reads HEAD, then UNIT again and again until the answer ends, for 4 MB at
+   most.  Sets READ to the bytes behind HEAD that were read.  */
+pu_http_read_t
+read_without_end (const std::string &head, const std::string &unit,
+                  std::size_t &read)
+{
+  static const pu_http_response_calls_t calls = { on_head, on_body };
+  pu_http_reader_t *rd = pu_http_reader_new (65536, false);
+  result got;
+  std::string bytes = head;
+
+  got.end = pu_http_reader_feed (rd, &bytes[0], bytes.size (), &calls, &got);
+  for (read = 0; got.end == PU_HTTP_READ_MORE && read < 4000000;
+       read += bytes.size ())
+    {
+      bytes = repeated (unit, 1000 / unit.size () + 1);
+      got.end
+          = pu_http_reader_feed (rd, &bytes[0], bytes.size (), &calls, &got);
+    }
+  pu_http_reader_free (rd);
+  return got.end;
+}
+
+TEST (Response, BytesWithoutEndThatAreNoBodyAreBounded)
+{
+  struct
+  {
+    std::string head;
+    const char *unit;
+  } const table[] = {
+    { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "HTTP/1.1 100 Continue\r\n", "X: y\r\n" },
+    { OK, "X: y\r\n" },
+    { "HTTP/1.1 200 ", "O" },
+    { CHUNKED + "2;", "x" },
+    { CHUNKED, "0" },
+    { CHUNKED + "2\r\nab\r\n2;x", "=y" },
+    { CHUNKED + "0\r\n", "X: y\r\n" },
+    { CHUNKED + "0\r\n", "X" },
+    { CHUNKED, "1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\nx\r\n" },
+  };
+
+  for (const auto &row : table)
+    {
+      std::size_t size = 0;
+
+      EXPECT_NE (PU_HTTP_READ_MORE,
+                 read_without_end (row.head, row.unit, size))
+          << row.head << row.unit;
+      EXPECT_LE (size, 70000u) << row.head << row.unit;
+    }
+}
+
+TEST (Response, BodyInSmallChunksIsSound)
+{
+  result got
+      = read (CHUNKED + repeated ("1\r\nx\r\n", 100000) + "0\r\n\r\n", 1000);
+
+  EXPECT_EQ (PU_HTTP_READ_DONE, got.end);
+  EXPECT_EQ (100000u, got.body.size ());
+}
+
 TEST (Response, BytesAfterTheEndForbidReuse)
 {
   EXPECT_FALSE (read (OK + "Content-Length: 1\r\n\r\nxHTTP/1.1", 1000).keep);
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -216,6 +216,9 @@
     os.close(connection.detach())
 
 
+ENDLESS_MAX_S = 10.0  # of an answer without end that nobody closes
+
+
 class Backend:
     """A backend server in this process: `ran` lists the ids of the requests
     that it ran, `orders` the bodies of the orders that it accepted."""
@@ -234,6 +237,9 @@
         self.framing = None    # of answers: "length", "chunks", "close"
         self.ends_inside = None  # event in which new streams end, in order
         self.hold_s = 0.0      # before it answers
+        self.endless = None    # (begin, unit, pause): what it answers with,
+                               # again and again until its caller closes
+        self.endless_took = []  # (bytes, seconds) of these answers
         self.events = 3
         self.event_s = 0.0     # after each event
         self.beat_s = HEARTBEAT_MS / 1000
@@ -575,8 +581,29 @@
             finally:
                 b.leave()
 
+    def _answer_without_end(self, rid):
+        b = self.backend
+        begin, unit, pause_s = b.endless
+        begin = begin.replace(b"@ID@", rid.encode()).replace(
+            b"@SEAL@", b"seal." + b.name.encode())
+        unit *= 1 if pause_s > 0 else max(1, 16384 // len(unit))
+        self.close_connection = True
+        at, sent = time.monotonic(), len(begin)
+        try:
+            self.connection.sendall(begin)
+            while time.monotonic() < at + ENDLESS_MAX_S:
+                self.connection.sendall(unit)
+                sent += len(unit)
+                time.sleep(pause_s)
+        except OSError:
+            pass  # its caller has closed
+        b.endless_took.append((sent, time.monotonic() - at))
+
     def _run(self, rid, body):
         b = self.backend
+        if b.endless is not None:
+            self._answer_without_end(rid)
+            return
         if b.models is not None:
             self._stream(rid, body)
         elif b.cut:
