routing: an owner refuses at once what will be late in a lasting overload

What callers saw: before brittle servers that can serve a third of what is asked, half of the refused requests were refused after 3.7 s or more, with a time to come back of 0.3 s (1,095 of 1,270 refusals `deadline`; 43 instances, brittle_seldom_asked_process_test).

Cause: at a server's owner requests that can still meet their target go before late ones. Under a lasting overload there are always enough of them, so that a late one waits until its deadline in vain. The predicted wait did not see that, and its rate is the mean since the queue began to fill. And what an owner names as the time to come back was lost: the entry that met the caller named its own, which knows nothing of the owner's queue.

Change: routing/overload counts what came and what started in half seconds. When for two seconds more came, and in no half second fewer, a request that only one server may run is refused as soon as it will be late. The time to come back grows with the ratio of both, and is passed on to the caller.

Others than an owner's requests may start on a copy with less to do, so the rule is for an owner's alone.

--- a/libplantainusher/entry/attempt_peer.c
+++ b/libplantainusher/entry/attempt_peer.c
@@ -80,14 +80,35 @@
   return same;
 }
 
+/* Returns the time to come back that the refusal of another entry names, in
+   milliseconds, 0 for none.  */
+static guint
+refusal_retry_ms (const pu_exchange_t *x)
+{
+  guint64 ms = x->at.retry_after != NULL
+                   ? g_ascii_strtoull (x->at.retry_after, NULL, 10)
+                   : 0;
+
+  return (guint)MIN (ms, (guint64)RETRY_AFTER_MAX_S * 1000);
+}
+
+/* Notes when the backend server of X may have room by its owner, which knows
+   what all entries ask of it.  */
+static void
+owner_retry_note (pu_exchange_t *x)
+{
+  guint ms = refusal_retry_ms (x);
+
+  if (ms > 0 && (x->owner_retry_ms == 0 || ms < x->owner_retry_ms))
+    x->owner_retry_ms = ms;
+}
+
 /* Leaves the backend server of X alone for as long as the entry that owns it
    says in its refusal.  */
 static void
 owner_back_off (const pu_exchange_t *x)
 {
-  guint64 ms = x->at.retry_after != NULL
-                   ? g_ascii_strtoull (x->at.retry_after, NULL, 10)
-                   : 0;
+  guint ms = refusal_retry_ms (x);
 
   if (x->at.incarnation == x->at.server->incarnation)
     pu_server_back_off (x->at.server, uv_now (x->en->o.loop) + MAX (ms, 1));
@@ -113,12 +134,14 @@
     }
   else if (refusal_has_type (x, PU_REFUSAL_BACK_OFF))
     {
+      owner_retry_note (x);
       owner_back_off (x);
       pu_exchange_retry (x, PU_ROUTER_FAIL_UNSENT);
     }
   else if (strcmp (at->outcome, pu_run_outcome_name (PU_RUN_OUTCOME_NOT_RUN))
            == 0)
     {
+      owner_retry_note (x);
       pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
     }
   else
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -249,8 +249,10 @@
   GPtrArray *unreached_owners; /* names of owners of brittle servers that were
                                   not reached, or did not serve it; NULL:
                                   none */
-  char *only_server; /* brittle server for which it came here by way of its
-                        owner, the only one that may run it; NULL: any */
+  char *only_server;    /* brittle server for which it came here by way of its
+                           owner, the only one that may run it; NULL: any */
+  guint owner_retry_ms; /* the shortest time to come back that an owner
+                           named in a refusal; 0: none */
   double only_server_bound; /* rejections per second that this server bears;
                                0: not known */
   pu_attempt_t at;
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -202,6 +202,7 @@
     {
       r.outcome = PU_RUN_OUTCOME_RAN;
     }
+  r.retry_after_ms = MAX (r.retry_after_ms, x->owner_retry_ms);
   if (r.retry_after_ms == 0 && (r.status == 429 || r.status == 503))
     r.retry_after_ms = PU_BUSY_RETRY_AFTER_MS;
   /* The router has already removed the ticket of a refused request.  */
--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -284,6 +284,7 @@
   if (service_may_start (r, service_at (r, q->service))
       && choose_copy (r, q, now, &c))
     {
+      pu_overload_came (&model_at (r, q->model)->overload, now);
       request_start (r, q, &c, now, d);
     }
   else
--- a/libplantainusher/routing/queue.c
+++ b/libplantainusher/routing/queue.c
@@ -115,16 +115,20 @@
 }
 
 double
-queue_wait_ms (const pu_router_t *r, const request_t *q)
+queue_wait_ms (const pu_router_t *r, const request_t *q, guint64 now)
 {
   model_t *m = model_at (r, q->model);
   const flow_t *f = find_flow (m, q->service);
+  double drain = m->drain_per_ms;
   GSequenceIter *at;
 
-  if (m->drain_per_ms <= 0 || !f || m->waiting == 0)
+  /* The rate since the queue began to fill is too old in a long overload.  */
+  if (q->backend_name != NULL && pu_overload_lasts (&m->overload, now))
+    drain = pu_overload_starts_per_ms (&m->overload, now);
+  if (drain <= 0 || !f || m->waiting == 0)
     return 0;
   at = g_sequence_search (f->queue, (gpointer)q, compare_queue_order, NULL);
-  return g_sequence_iter_get_position (at) / m->drain_per_ms;
+  return g_sequence_iter_get_position (at) / drain;
 }
 
 bool
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -228,6 +228,7 @@
 static void
 enqueue (pu_router_t *r, request_t *q, guint64 now, pu_router_decision_t *d)
 {
+  pu_overload_came (&model_at (r, q->model)->overload, now);
   queue_add (r, q, now);
   *d = (pu_router_decision_t){
     .verdict = PU_ROUTER_QUEUED,
@@ -270,6 +271,7 @@
   s->in_flight++;
   s->peak_in_flight = MAX (s->peak_in_flight, s->in_flight);
   m->in_flight++;
+  pu_overload_started (&m->overload, now);
   m->mean_prompt_tokens
       += MEAN_SAMPLE_WEIGHT * (q->prompt_tokens - m->mean_prompt_tokens);
   if (q->prompt_tokens > 0)
@@ -387,14 +389,50 @@
   return start > now ? (double)(start - now) : 0;
 }
 
+/* Whether late requests that only the backend server of Q may run do not
+   start, as more that are not late come than it does.  Others may start on a
+   copy that has less to do.  */
+static bool
+late_do_not_start (const pu_router_t *r, const request_t *q, guint64 now)
+{
+  return q->backend_name != NULL
+         && pu_overload_lasts (&model_at (r, q->model)->overload, now);
+}
+
+/* Whether Q, which would wait for WAIT_MS, will be late and not start.  */
+static bool
+will_not_start (const pu_router_t *r, const request_t *q, double wait_ms,
+                guint64 now)
+{
+  bool late = q->late || (double)now + wait_ms > (double)q->late_at;
+
+  return late && late_do_not_start (r, q, now);
+}
+
+/* Returns when the caller of Q, which will not start, may come back: when
+   those that wait now have started, the later the more others come back too.
+ */
+static double
+overload_wait_ms (pu_router_t *r, const request_t *q, guint64 now)
+{
+  return service_at (r, q->service)->first_token_ms
+         * pu_overload_ratio (&model_at (r, q->model)->overload, now);
+}
+
 void
 enqueue_or_refuse (pu_router_t *r, request_t *q, guint64 now,
                    pu_router_decision_t *d)
 {
   const service_t *s = service_at (r, q->service);
-  double wait = MAX (queue_wait_ms (r, q), back_off_ms (r, q, now));
+  double wait = MAX (queue_wait_ms (r, q, now), back_off_ms (r, q, now));
 
-  if (q->expires_at < now || (double)now + wait > (double)q->expires_at)
+  if (will_not_start (r, q, wait, now))
+    {
+      pu_overload_came (&model_at (r, q->model)->overload, now);
+      request_refuse (r, q, PU_ROUTER_REASON_DEADLINE,
+                      overload_wait_ms (r, q, now), d);
+    }
+  else if (q->expires_at < now || (double)now + wait > (double)q->expires_at)
     {
       request_refuse (r, q, PU_ROUTER_REASON_DEADLINE, wait, d);
     }
@@ -423,6 +461,7 @@
     }
   else if (can_start_now (r, q, now, &c))
     {
+      pu_overload_came (&model_at (r, q->model)->overload, now);
       request_start (r, q, &c, now, d);
     }
   else
@@ -522,16 +561,18 @@
   while (!g_sequence_iter_is_end (at))
     {
       request_t *q = g_sequence_get (at);
+      bool late_starts = !late_do_not_start (r, q, now);
 
       if (queue_timeout_at (q) >= now)
         return;
-      if (!q->late && q->expires_at >= now)
+      if (!q->late && q->expires_at >= now && late_starts)
         {
           requeue_late (r, q, now);
           at = g_sequence_get_begin_iter (r->waiting_by_timeout);
           continue;
         }
-      refuse_waiting (r, q, PU_ROUTER_REASON_DEADLINE, 0, out);
+      refuse_waiting (r, q, PU_ROUTER_REASON_DEADLINE,
+                      late_starts ? 0 : overload_wait_ms (r, q, now), out);
       if (r->options.test_break == PU_ROUTER_BREAK_EXPIRY)
         {
           pu_router_decision_t again
--- a/libplantainusher/routing/router_fixture_test.h
+++ b/libplantainusher/routing/router_fixture_test.h
@@ -50,22 +50,43 @@
     return pu_router_set_backend (r_, &b);
   }
 
-  /* Offers a request that may be repeated; SOFTWARE: it resumes a stream.  */
-  pu_router_decision_t
-  offer_until (guint64 deadline, const char *software = nullptr)
+  /* A request that may be repeated.  */
+  pu_router_request_t
+  request_until (guint64 deadline) const
   {
     pu_router_request_t q = {};
-    pu_router_decision_t d;
 
     q.service = chat_;
     q.model = m_;
     q.deadline = deadline;
     q.repeatable = true;
+    return q;
+  }
+
+  /* Offers a request that may be repeated; SOFTWARE: it resumes a stream.  */
+  pu_router_decision_t
+  offer_until (guint64 deadline, const char *software = nullptr)
+  {
+    pu_router_request_t q = request_until (deadline);
+    pu_router_decision_t d;
+
     q.software = software;
     pu_router_offer (r_, &q, now_, &d);
     return d;
   }
 
+  /* Offers a request that only BACKEND may run.  */
+  pu_router_decision_t
+  offer_to (const char *backend, guint64 deadline)
+  {
+    pu_router_request_t q = request_until (deadline);
+    pu_router_decision_t d;
+
+    q.backend_name = backend;
+    pu_router_offer (r_, &q, now_, &d);
+    return d;
+  }
+
   std::vector<pu_router_decision_t>
   schedule ()
   {
--- a/libplantainusher/routing/router_int.h
+++ b/libplantainusher/routing/router_int.h
@@ -2,6 +2,7 @@
 #define PU_ROUTING_ROUTER_INT_H
 
 #include "routing/estimate.h"
+#include "routing/overload.h"
 #include "routing/router.h"
 
 /*
@@ -11,7 +12,7 @@
  * queue.c     queues of waiting requests   limit.c   limits, retry budgets,
  *                                                    ejection
  * router.c    offers and scheduling        dump.c    statistics and JSON
- * feedback.c  estimates and retries
+ * feedback.c  estimates and retries        overload.c load that lasts
  */
 
 /* Most failed backend servers that a request remembers and avoids.  */
@@ -90,6 +91,7 @@
                             waiting without a break */
   double drain_per_ms;   /* requests started from queue per ms; 0: not known */
   guint starts;          /* requests started from the queue since busy_since */
+  pu_overload_t overload;
   /* When a request was last admitted although the estimate predicted that it
      would be late.  */
   guint64 probed_at;
@@ -402,7 +404,7 @@
 /* queue_wait_ms - returns how long Q would wait behind the requests ahead of
    it in its flow, which is the waiting requests of its service for its model;
    0 if not known.  */
-double queue_wait_ms (const pu_router_t *r, const request_t *q);
+double queue_wait_ms (const pu_router_t *r, const request_t *q, guint64 now);
 
 /* queue_evict - removes the last request from the flow of Q, to make room for
    Q.  Returns false if the flow is empty or the priority of its last request
