entry: a plain server that is full has an owner, as a brittle one has

Cause: what fits is a matter of all entries together, and each entry found out by itself, with a request each 100 ms.

Change: a plain server that rejects a request with 503 and names no time to come back counts as crowded for 3 s at all entries, and has its owner for that time, with a bound of 64 rejections a second that limits how many requests are tried at once. Where no owner is reached it is asked directly; a crash of a crowded server is judged as any other; what it states is not overridden by an entry that only found it crowded.

A bound of 8 would give a server with many places too little: 6 requests of unknown outcome at once.

--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -279,6 +279,7 @@
   unsigned hyper incarnation;
   double rejections_per_s;
   double limit_per_s;
+  unsigned int crowded_ms;    /* for so long from now on; 0: not */
   unsigned int age_ms;        /* since the answer */
 };
 
--- a/libplantainusher/daemon/loads.c
+++ b/libplantainusher/daemon/loads.c
@@ -123,6 +123,8 @@
                              .incarnation = st->incarnation,
                              .rejections_per_s = st->rejections_per_s,
                              .limit_per_s = st->limit_per_s,
+                             .crowded_ms
+                             = (guint32)(MAX (st->crowded_until, now) - now),
                              .age_ms = (guint32)(now - st->stated_at) };
     }
   return send_one_way (daemon, address, PU_CONTROL_STATEMENTS,
@@ -162,6 +164,8 @@
                               .incarnation = st->incarnation,
                               .rejections_per_s = st->rejections_per_s,
                               .limit_per_s = st->limit_per_s,
+                              .crowded_until
+                              = st->crowded_ms > 0 ? now + st->crowded_ms : 0,
                               .stated_at = now - MIN (now, st->age_ms) };
     }
   if (d->entry != NULL)
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -155,8 +155,7 @@
 start_at_owner (pu_exchange_t *x, const pu_server_t *s,
                 const pu_directory_entry_t *to)
 {
-  char *bound = g_strdup_printf (
-      "%.3f", s->brittle != NULL ? pu_brittle_bound (s->brittle) : 0.0);
+  char *bound = g_strdup_printf ("%.3f", s->stated_per_s);
   pu_header_list_t h;
   bool good;
 
--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -3,7 +3,11 @@
 
    Each of them has an owner, an entry that sends it the requests of all
    entries and so knows each of them (routing/brittle.h).  The others choose
-   the server as always, but send their requests by way of its owner.  */
+   the server as always, but send their requests by way of its owner.
+
+   A plain server that is crowded has an owner as well.  It reports no load, so
+   that many entries, each with a few requests, would spend most attempts on
+   rejections.  */
 
 #include "entry/entry_private.h"
 
@@ -22,9 +26,16 @@
   /* How long an entry that has had no answer of a service sends it one request
      only.  */
   FIRST_ANSWER_MS = 150,
+  /* How long a server that rejects a request for want of room counts as
+     crowded, and after which part of that time it is told again.  */
+  CROWDED_MS = 3000,
+  CROWDED_TOLD_MS = 1000,
+  /* Rejections a second of a crowded server that states no bound.  */
+  CROWDED_PER_S = 64,
   /* How long such an entry turns to owners that do not answer, as ones that
      hang, before it asks the service itself.  */
   OWNERS_SILENT_MS = 2000,
+  STATUS_UNAVAILABLE = 503,
 };
 
 /* The requests to a service that has not answered yet.  */
@@ -171,8 +182,8 @@
     }
   g_array_free (owners, TRUE);
   /* Most services are not brittle.  */
-  return s->brittle == NULL && way == PU_BRITTLE_NO_WAY ? PU_BRITTLE_DIRECT
-                                                        : way;
+  return s->stated_per_s == 0 && way == PU_BRITTLE_NO_WAY ? PU_BRITTLE_DIRECT
+                                                          : way;
 }
 
 void
@@ -185,7 +196,7 @@
   /* A split route draws a service anew at each entry.  */
   g_free (x->q.service);
   x->q.service = g_strdup (service_of (s));
-  if (s->brittle == NULL && x->only_server_bound > 0)
+  if (s->stated_per_s == 0 && x->only_server_bound > 0)
     pu_server_brittle_stated (s, x->only_server_bound);
   if (s->brittle != NULL)
     adopt (s);
@@ -219,25 +230,27 @@
   pu_entry_schedule_router (s->en);
 }
 
-void
-pu_entry_brittle_tick (pu_entry_t *en)
-{
-  GHashTableIter it;
-  gpointer value;
+/* --- bounds --- */
 
-  g_hash_table_iter_init (&it, en->brittle_servers);
-  while (g_hash_table_iter_next (&it, &value, NULL))
-    pu_server_brittle_apply (value);
+bool
+pu_server_is_crowded (const pu_server_t *s)
+{
+  return loop_now (s->en) < s->crowded_until;
 }
 
-/* --- what servers state --- */
-
+/* Puts the bound into force that S states, or has because it is crowded.  */
 static void
-set_bound (pu_server_t *s, double per_s)
+bound_update (pu_server_t *s)
 {
-  if (per_s <= 0)
+  double per_s = s->stated_per_s;
+
+  if (per_s == 0 && pu_server_is_crowded (s))
+    per_s = CROWDED_PER_S;
+  if (per_s == 0)
     {
-      pu_server_brittle_forget (s);
+      g_hash_table_remove (s->en->brittle_servers, s);
+      pu_brittle_free (s->brittle);
+      s->brittle = NULL;
     }
   else if (s->brittle == NULL)
     {
@@ -251,19 +264,62 @@
   pu_server_brittle_apply (s);
 }
 
-/* Returns how many rejections a second S bears, 0 for any number.  */
-static double
-bound_of (const pu_server_t *s)
+static void
+set_stated (pu_server_t *s, double per_s)
+{
+  s->stated_per_s = MAX (per_s, 0);
+  bound_update (s);
+}
+
+void
+pu_entry_brittle_tick (pu_entry_t *en)
+{
+  GList *all = g_hash_table_get_keys (en->brittle_servers);
+
+  for (const GList *l = all; l != NULL; l = l->next)
+    bound_update (l->data);
+  g_list_free (all);
+}
+
+void
+pu_server_crowded_told (pu_server_t *s, guint64 until)
+{
+  if (!s->plain || until <= s->crowded_until)
+    return;
+  if (!pu_server_is_crowded (s) && until > loop_now (s->en))
+    {
+      pu_log_info (PU_ENTRY_LOG_SLICE,
+                   "Backend server %s is crowded; its owner sends it the "
+                   "requests of all.",
+                   s->name);
+    }
+  s->crowded_until = until;
+  bound_update (s);
+}
+
+/* S has rejected a request for want of room.  */
+static void
+crowded_note (pu_server_t *s)
 {
-  return s->brittle != NULL ? pu_brittle_bound (s->brittle) : 0;
+  guint64 now = loop_now (s->en);
+
+  if (!s->plain || s->stated_per_s > 0
+      || s->crowded_until + CROWDED_TOLD_MS > now + CROWDED_MS)
+    return;
+  pu_server_crowded_told (s, now + CROWDED_MS);
+  pu_server_statement_note (s, 0, s->limit_per_s);
 }
 
+/* --- what servers state --- */
+
 void
 pu_server_brittle_forget (pu_server_t *s)
 {
   g_hash_table_remove (s->en->brittle_servers, s);
   pu_brittle_free (s->brittle);
   s->brittle = NULL;
+  s->stated_per_s = 0;
+  s->crowded_until = 0;
   s->adopted_until = 0;
 }
 
@@ -274,16 +330,17 @@
   GHashTableIter it;
   gpointer value;
 
-  if (s->brittle != NULL)
+  if (s->stated_per_s > 0)
     return;
   g_hash_table_iter_init (&it, s->en->brittle_servers);
   while (g_hash_table_iter_next (&it, &value, NULL))
     {
       const pu_server_t *other = value;
 
-      if (strcmp (service_of (other), service) != 0)
+      if (other->stated_per_s == 0
+          || strcmp (service_of (other), service) != 0)
         continue;
-      set_bound (s, bound_of (other));
+      set_stated (s, other->stated_per_s);
       return;
     }
 }
@@ -312,7 +369,7 @@
   GHashTableIter it;
   gpointer value;
 
-  if (bound_of (s) == per_s)
+  if (s->stated_per_s == per_s)
     return;
   service = service_of (s);
   if (per_s <= 0)
@@ -320,7 +377,7 @@
       pu_log_note (PU_ENTRY_LOG_SLICE,
                    "Backend server %s bears any number of rejections again.",
                    s->name);
-      set_bound (s, 0);
+      set_stated (s, 0);
       stopped_forget (en, service);
       return;
     }
@@ -333,16 +390,16 @@
       pu_server_t *other = value;
 
       if (other == s
-          || (other->brittle == NULL
+          || (other->stated_per_s == 0
               && strcmp (service_of (other), service) == 0))
-        set_bound (other, per_s);
+        set_stated (other, per_s);
     }
 }
 
 bool
 pu_server_may_have_fallen (const pu_server_t *s)
 {
-  return s->brittle != NULL
+  return s->stated_per_s > 0
          && pu_brittle_may_have_fallen (s->brittle, is_owned (s),
                                         loop_now (s->en));
 }
@@ -415,12 +472,23 @@
   pu_server_brittle_apply (s);
 }
 
+/* Whether the response of AT, which this entry sent, says that its backend
+   server has no room now.  */
+static bool
+is_out_of_room (const pu_attempt_t *at)
+{
+  return at->owner == NULL && at->status == STATUS_UNAVAILABLE
+         && at->answer.retry_after_ms == 0 && !at->answer.leaving;
+}
+
 void
 pu_server_brittle_rejected (pu_exchange_t *x)
 {
   pu_server_t *s = x->at.server;
 
   x->at.rejected = true;
+  if (is_out_of_room (&x->at))
+    crowded_note (s);
   if (s->brittle == NULL)
     return;
   pu_brittle_rejected (s->brittle, x->at.sent_at, loop_now (s->en));
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -107,7 +107,12 @@
                               counted in running_suspects */
   guint64 back_off_until;    /* loop time until which it wants no requests of
                                 this entry */
-  pu_brittle_t *brittle;     /* NULL: it bears any number of rejections */
+  pu_brittle_t *brittle; /* NULL: it bears any number of rejections, and is not
+                            crowded */
+  double stated_per_s;   /* rejections per second that it bears, as it states;
+                            0: any number */
+  guint64 crowded_until; /* loop time until which it is known to have no room
+                            for what all entries send */
   guint64 adopted_until; /* loop time until which this entry sends requests to
                             the brittle server, whoever owns it */
   double limit_per_s;    /* requests per second that it takes from all entries
@@ -771,6 +776,15 @@
    same service too, until they state something else.  */
 void pu_server_brittle_stated (pu_server_t *s, double per_s);
 
+/* pu_server_is_crowded - whether S, which is a plain server, has rejected a
+   request for want of room lately, of this or another entry.  Such a server
+   has an owner as if it were brittle.  */
+bool pu_server_is_crowded (const pu_server_t *s);
+
+/* pu_server_crowded_told - another entry has found S crowded, until loop time
+   UNTIL.  */
+void pu_server_crowded_told (pu_server_t *s, guint64 until);
+
 /* pu_server_brittle_inherit - S is a new process: as long as it has stated
    nothing, it bears as few rejections as others of its service.  */
 void pu_server_brittle_inherit (pu_server_t *s);
--- a/libplantainusher/entry/statements.c
+++ b/libplantainusher/entry/statements.c
@@ -60,11 +60,13 @@
 pu_server_statement_note (pu_server_t *s, double rejections_per_s,
                           double limit_per_s)
 {
-  pu_statement_t st = { .server = s->name,
-                        .incarnation = s->incarnation,
-                        .rejections_per_s = rejections_per_s,
-                        .limit_per_s = limit_per_s,
-                        .stated_at = loop_now (s->en) };
+  pu_statement_t st
+      = { .server = s->name,
+          .incarnation = s->incarnation,
+          .rejections_per_s = rejections_per_s,
+          .limit_per_s = limit_per_s,
+          .crowded_until = pu_server_is_crowded (s) ? s->crowded_until : 0,
+          .stated_at = loop_now (s->en) };
 
   pu_spread_put (s->en->statements, &st);
 }
@@ -75,6 +77,19 @@
   pu_spread_remove (s->en->statements, s->name);
 }
 
+static void
+statement_apply (pu_server_t *s, const pu_statement_t *st)
+{
+  /* An entry that found S crowded may not know what S states.  */
+  bool crowded = st->crowded_until > 0;
+
+  if (st->rejections_per_s > 0 || !crowded)
+    pu_server_brittle_stated (s, st->rejections_per_s);
+  if (st->limit_per_s > 0 || !crowded)
+    pu_server_limit_told (s, st->limit_per_s, st->stated_at);
+  pu_server_crowded_told (s, st->crowded_until);
+}
+
 void
 pu_entry_receive_statements (pu_entry_t *en, const pu_statement_t *list,
                              guint n)
@@ -86,10 +101,8 @@
       const pu_statement_t *st = &list[i];
       pu_server_t *s = pu_server_find (en, st->server);
 
-      if (s == NULL || s->incarnation != st->incarnation
-          || !pu_spread_put (en->statements, st))
-        continue;
-      pu_server_brittle_stated (s, st->rejections_per_s);
-      pu_server_limit_told (s, st->limit_per_s, st->stated_at);
+      if (s != NULL && s->incarnation == st->incarnation
+          && pu_spread_put (en->statements, st))
+        statement_apply (s, st);
     }
 }
--- a/libplantainusher/routing/brittle.c
+++ b/libplantainusher/routing/brittle.c
@@ -58,12 +58,6 @@
   b->rejections_per_s = per_s;
 }
 
-double
-pu_brittle_bound (const pu_brittle_t *b)
-{
-  return b->rejections_per_s;
-}
-
 static void
 sent_remove (pu_brittle_t *b, guint64 sent_at)
 {
--- a/libplantainusher/routing/brittle.h
+++ b/libplantainusher/routing/brittle.h
@@ -33,9 +33,6 @@
 /* pu_brittle_set_bound - the server now bears PER_S rejections a second.  */
 void pu_brittle_set_bound (pu_brittle_t *b, double per_s);
 
-/* pu_brittle_bound - returns the rejections a second that the server bears. */
-double pu_brittle_bound (const pu_brittle_t *b);
-
 /* pu_brittle_sent - a request is sent to the server at NOW.  */
 void pu_brittle_sent (pu_brittle_t *b, guint64 now);
 
--- a/libplantainusher/routing/spread.c
+++ b/libplantainusher/routing/spread.c
@@ -10,6 +10,7 @@
   /* How long it is known that a server states nothing any more, so that older
      statements of it, which are still under way, do not count.  */
   ENDED_MS = 30000,
+  SAME_TIME_MS = 500,
 };
 
 typedef struct
@@ -156,7 +157,15 @@
 static bool
 says_nothing (const pu_statement_t *st)
 {
-  return st->rejections_per_s == 0 && st->limit_per_s == 0;
+  return st->rejections_per_s == 0 && st->limit_per_s == 0
+         && st->crowded_until == 0;
+}
+
+/* Whether A and B are one time, as told by several entries.  */
+static bool
+is_same_time (guint64 a, guint64 b)
+{
+  return (a == 0) == (b == 0) && MAX (a, b) - MIN (a, b) < SAME_TIME_MS;
 }
 
 static bool
@@ -164,7 +173,8 @@
 {
   return a->incarnation == b->incarnation
          && a->rejections_per_s == b->rejections_per_s
-         && a->limit_per_s == b->limit_per_s;
+         && a->limit_per_s == b->limit_per_s
+         && is_same_time (a->crowded_until, b->crowded_until);
 }
 
 static bool
--- a/libplantainusher/routing/spread.h
+++ b/libplantainusher/routing/spread.h
@@ -35,6 +35,7 @@
                               number */
   double limit_per_s;      /* requests that it takes from all entries; 0: any
                               number */
+  guint64 crowded_until;   /* it rejects requests for want of room; 0: not */
   guint64 stated_at;
 } pu_statement_t;
 
--- a/libplantainusher/routing/spread_test.cc
+++ b/libplantainusher/routing/spread_test.cc
@@ -20,7 +20,7 @@
 pu_statement_t
 brittle (const char *server, double per_s, guint64 at)
 {
-  return { server, INCARNATION, per_s, 0, at };
+  return { server, INCARNATION, per_s, 0, 0, at };
 }
 
 struct Entry
@@ -257,6 +257,31 @@
   EXPECT_EQ (e.knows, 4);
 }
 
+TEST (Spread, CrowdedServerIsToldAgainWhenItStaysCrowded)
+{
+  Fleet f (2);
+  pu_statement_t st = brittle ("s", 0, f.now);
+
+  st.crowded_until = f.now + 3000;
+  f.entries[0]->put (st);
+  f.step ();
+  f.step ();
+  f.messages = 0;
+  /* The same, as another entry tells it.  */
+  st.crowded_until += 10;
+  st.stated_at += 10;
+  f.entries[0]->put (st);
+  f.step ();
+  EXPECT_EQ (f.messages, 0u);
+  st.crowded_until += 1000;
+  st.stated_at += 1000;
+  f.now += 1000;
+  f.messages = 0;
+  f.entries[0]->put (st);
+  f.step ();
+  EXPECT_GE (f.messages, 1u);
+}
+
 TEST (Spread, ServerThatIsGoneIsForgotten)
 {
   Fleet f (2);
