spread: a neighbour that is not reached does not hold up the others

Each half second one neighbour is told again what it should know, which reaches entries that have restarted. The turn went on only when the neighbour had been told: one that is dead, while it is still a member, held up the turn of all. Found by reading.

--- a/libplantainusher/entry/statements.c
+++ b/libplantainusher/entry/statements.c
@@ -42,7 +42,7 @@
           MIN (due->len - at, PU_ENTRY_STATEMENTS_MAX), now);
     }
   if (sent)
-    pu_spread_told (en->statements, i, now);
+    pu_spread_told (en->statements, i);
   g_array_free (due, TRUE);
 }
 
--- a/libplantainusher/routing/spread.c
+++ b/libplantainusher/routing/spread.c
@@ -276,6 +276,9 @@
 
   if (is_repair_due (sp, i, now))
     {
+      /* Whether it can be told or not: the next one may be reached.  */
+      sp->repair_next++;
+      sp->repair_at = now + REPAIR_INTERVAL_MS;
       ended_remove (sp, now);
       repair_append (sp, n->told, out);
     }
@@ -291,11 +294,7 @@
 }
 
 void
-pu_spread_told (pu_spread_t *sp, guint i, guint64 now)
+pu_spread_told (pu_spread_t *sp, guint i)
 {
   g_array_index (sp->neighbours, neighbour_t, i).told = sp->changes;
-  if (!is_repair_due (sp, i, now))
-    return;
-  sp->repair_next++;
-  sp->repair_at = now + REPAIR_INTERVAL_MS;
 }
--- a/libplantainusher/routing/spread.h
+++ b/libplantainusher/routing/spread.h
@@ -65,8 +65,8 @@
    of another function.  */
 const char *pu_spread_due (pu_spread_t *sp, guint i, guint64 now, GArray *out);
 
-/* pu_spread_told - what was due to neighbour I at NOW has been sent.  */
-void pu_spread_told (pu_spread_t *sp, guint i, guint64 now);
+/* pu_spread_told - what was due to neighbour I has been sent.  */
+void pu_spread_told (pu_spread_t *sp, guint i);
 
 G_END_DECLS
 
--- a/libplantainusher/routing/spread_test.cc
+++ b/libplantainusher/routing/spread_test.cc
@@ -99,7 +99,7 @@
           to->put (g_array_index (out, pu_statement_t, k));
       }
     if (to->up)
-      pu_spread_told (e.sp, i, now);
+      pu_spread_told (e.sp, i);
     g_array_free (out, TRUE);
   }
 
@@ -114,6 +114,13 @@
     now += STEP_MS;
   }
 
+  void
+  play (guint ms)
+  {
+    for (const guint64 end = now + ms; now < end;)
+      step ();
+  }
+
   guint
   knowing (double per_s)
   {
@@ -211,6 +218,27 @@
   EXPECT_LE (f.steps_until (GetParam (), 4) * STEP_MS, 2000u);
 }
 
+TEST_P (SpreadFleet, EntryThatHasRestartedLearnsThoughAThirdIsDead)
+{
+  Fleet f (GetParam ());
+  Entry &late = *f.entries[GetParam () - 1];
+  guint up = GetParam ();
+
+  f.entries[0]->put (brittle ("s", 4, f.now));
+  f.steps_until (GetParam (), 4);
+  for (guint i = 1; i + 1 < GetParam (); i += 3)
+    {
+      f.entries[i]->up = false;
+      up--;
+    }
+  f.play (1000);
+  pu_spread_free (late.sp);
+  late.sp = pu_spread_new ();
+  late.knows = 0;
+  f.join (late);
+  EXPECT_LE (f.steps_until (up, 4) * STEP_MS, 5000u);
+}
+
 INSTANTIATE_TEST_SUITE_P (Sizes, SpreadFleet,
                           ::testing::Values (2u, 3u, 11u, 70u, 300u));
 
