--- a/libplantainusher/control/control_msg.x
+++ b/libplantainusher/control/control_msg.x
@@ -272,7 +272,7 @@
   pu_accusation accusations<PU_CONTROL_ACCUSATIONS_MAX>;
 };
 
-/* What a backend server states in its answers (routing/spread.h).  */
+/* What a backend server states in its answers (routing/gossip.h).  */
 struct pu_stated
 {
   pu_name backend;
--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -26,15 +26,15 @@
   /* How long an entry that has had no answer of a service sends it one request
      only.  */
   FIRST_ANSWER_MS = 150,
+  /* How long such an entry turns to owners that do not answer, as ones that
+     hang, before it asks the service itself.  */
+  OWNERS_SILENT_MS = 2000,
   /* How long a server that rejects a request for want of room counts as
      crowded, and after which part of that time it is told again.  */
   CROWDED_MS = 3000,
   CROWDED_TOLD_MS = 1000,
   /* Rejections a second of a crowded server that states no bound.  */
   CROWDED_PER_S = 64,
-  /* How long such an entry turns to owners that do not answer, as ones that
-     hang, before it asks the service itself.  */
-  OWNERS_SILENT_MS = 2000,
   STATUS_UNAVAILABLE = 503,
 };
 
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -289,7 +289,7 @@
   en->asked_services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   en->inquiries = g_hash_table_new (g_int64_hash, g_int64_equal);
-  en->statements = pu_spread_new ();
+  en->statements = pu_gossip_new ();
   en->statement_entries_version = G_MAXUINT64;
   en->other_addresses = g_ptr_array_new_with_free_func (g_free);
   en->other_addresses_version = G_MAXUINT64;
@@ -389,7 +389,7 @@
   g_hash_table_destroy (en->brittle_servers);
   g_hash_table_destroy (en->heard_services);
   g_hash_table_destroy (en->asked_services);
-  pu_spread_free (en->statements);
+  pu_gossip_free (en->statements);
   g_ptr_array_free (en->other_addresses, TRUE);
   g_hash_table_destroy (en->servers);
   g_hash_table_destroy (en->inquiries);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -12,7 +12,7 @@
 #include "base/memory_budget.h"
 #include "control/grants.h"
 #include "entry/front.h"
-#include "routing/spread.h"
+#include "routing/gossip.h"
 #include "routing/witnesses.h"
 #include "state/state.h"
 
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -15,7 +15,7 @@
 #include "routing/origins.h"
 #include "routing/reach.h"
 #include "routing/router.h"
-#include "routing/spread.h"
+#include "routing/gossip.h"
 #include "routing/versions.h"
 #include "suspects/parts.h"
 #include "suspects/suspects.h"
@@ -320,7 +320,7 @@
   guint64 changes; /* change count of the view (this daemon's copy of the
                       replicated state) that was last applied */
   uint64_t buffered_bytes;           /* of the responses that are kept whole */
-  pu_spread_t *statements;           /* what backend servers state */
+  pu_gossip_t *statements;           /* what backend servers state */
   guint64 statement_entries_version; /* version of the view's members that
                                         `statements` has */
   GPtrArray *other_addresses;        /* peer addresses of all other entries */
--- a/libplantainusher/entry/statements.c
+++ b/libplantainusher/entry/statements.c
@@ -1,5 +1,5 @@
 /* What backend servers state in their answers to requests of any entry, for
-   all entries (routing/spread.h).  */
+   all entries (routing/gossip.h).  */
 
 #include "entry/entry_private.h"
 
@@ -23,7 +23,7 @@
   self = pu_state_member (view, en->name);
   if (self == NULL)
     return;
-  pu_spread_set_entries (en->statements, self->peer_address,
+  pu_gossip_set_entries (en->statements, self->peer_address,
                          pu_load_forward_entries (en));
   en->statement_entries_version = pu_state_membership_version (view);
 }
@@ -32,7 +32,7 @@
 neighbour_tell (pu_entry_t *en, guint i, guint64 now)
 {
   GArray *due = g_array_new (FALSE, FALSE, sizeof (pu_statement_t));
-  const char *address = pu_spread_due (en->statements, i, now, due);
+  const char *address = pu_gossip_due (en->statements, i, now, due);
   bool sent = true;
 
   for (guint at = 0; at < due->len && sent; at += PU_ENTRY_STATEMENTS_MAX)
@@ -42,7 +42,7 @@
           MIN (due->len - at, PU_ENTRY_STATEMENTS_MAX), now);
     }
   if (sent)
-    pu_spread_told (en->statements, i);
+    pu_gossip_told (en->statements, i);
   g_array_free (due, TRUE);
 }
 
@@ -52,7 +52,7 @@
   if (en->o.hooks.tell_statements == NULL)
     return;
   entries_update (en);
-  for (guint i = 0; i < pu_spread_neighbours (en->statements); i++)
+  for (guint i = 0; i < pu_gossip_neighbours (en->statements); i++)
     neighbour_tell (en, i, now);
 }
 
@@ -68,13 +68,13 @@
           .crowded_until = pu_server_is_crowded (s) ? s->crowded_until : 0,
           .stated_at = loop_now (s->en) };
 
-  pu_spread_put (s->en->statements, &st);
+  pu_gossip_put (s->en->statements, &st);
 }
 
 void
 pu_server_statement_forget (const pu_server_t *s)
 {
-  pu_spread_remove (s->en->statements, s->name);
+  pu_gossip_remove (s->en->statements, s->name);
 }
 
 static void
@@ -102,7 +102,7 @@
       pu_server_t *s = pu_server_find (en, st->server);
 
       if (s != NULL && s->incarnation == st->incarnation
-          && pu_spread_put (en->statements, st))
+          && pu_gossip_put (en->statements, st))
         statement_apply (s, st);
     }
 }
--- a/libplantainusher/routing/spread.c
+++ b/libplantainusher/routing/gossip.c
@@ -1,4 +1,4 @@
-#include "routing/spread.h"
+#include "routing/gossip.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -29,14 +29,14 @@
 /* An entry on the ring.  */
 typedef struct
 {
-  guint64 place;
+  guint64 hash;
   const char *address;
-} seat_t;
+} ring_node_t;
 
-struct pu_spread
+struct pu_gossip
 {
-  GHashTable *facts; /* server -> fact_t */
-  GQueue turns;      /* of fact_t: told again longest ago first */
+  GHashTable *facts;   /* server -> fact_t */
+  GQueue repair_queue; /* of fact_t: repeated longest ago first */
   GArray *neighbours;
   guint64 changes;
   guint repair_next; /* index of the neighbour */
@@ -58,44 +58,44 @@
   g_free (((neighbour_t *)neighbour)->address);
 }
 
-pu_spread_t *
-pu_spread_new (void)
+pu_gossip_t *
+pu_gossip_new (void)
 {
-  pu_spread_t *sp = g_new0 (pu_spread_t, 1);
+  pu_gossip_t *g = g_new0 (pu_gossip_t, 1);
 
-  sp->facts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fact_free);
-  sp->neighbours = g_array_new (FALSE, FALSE, sizeof (neighbour_t));
-  g_array_set_clear_func (sp->neighbours, neighbour_clear);
-  return sp;
+  g->facts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fact_free);
+  g->neighbours = g_array_new (FALSE, FALSE, sizeof (neighbour_t));
+  g_array_set_clear_func (g->neighbours, neighbour_clear);
+  return g;
 }
 
 void
-pu_spread_free (pu_spread_t *sp)
+pu_gossip_free (pu_gossip_t *g)
 {
-  if (sp == NULL)
+  if (g == NULL)
     return;
-  g_queue_clear (&sp->turns);
-  g_hash_table_destroy (sp->facts);
-  g_array_free (sp->neighbours, TRUE);
-  g_free (sp);
+  g_queue_clear (&g->repair_queue);
+  g_hash_table_destroy (g->facts);
+  g_array_free (g->neighbours, TRUE);
+  g_free (g);
 }
 
 /* --- neighbours --- */
 
-static seat_t
-seat_of (const char *address)
+static ring_node_t
+ring_node_of (const char *address)
 {
-  return (seat_t){ XXH3_64bits (address, strlen (address)), address };
+  return (ring_node_t){ XXH3_64bits (address, strlen (address)), address };
 }
 
 static gint
-seats_compare (gconstpointer a, gconstpointer b)
+ring_nodes_compare (gconstpointer a, gconstpointer b)
 {
-  const seat_t *x = a;
-  const seat_t *y = b;
+  const ring_node_t *x = a;
+  const ring_node_t *y = b;
 
-  if (x->place != y->place)
-    return x->place < y->place ? -1 : 1;
+  if (x->hash != y->hash)
+    return x->hash < y->hash ? -1 : 1;
   return strcmp (x->address, y->address);
 }
 
@@ -113,43 +113,43 @@
 }
 
 void
-pu_spread_set_entries (pu_spread_t *sp, const char *self,
+pu_gossip_set_entries (pu_gossip_t *g, const char *self,
                        const GPtrArray *others)
 {
-  GArray *ring = g_array_new (FALSE, FALSE, sizeof (seat_t));
+  GArray *ring = g_array_new (FALSE, FALSE, sizeof (ring_node_t));
   GArray *found = g_array_new (FALSE, FALSE, sizeof (neighbour_t));
-  seat_t own = seat_of (self);
+  ring_node_t own = ring_node_of (self);
   guint at = 0;
 
   g_array_set_clear_func (found, neighbour_clear);
   g_array_append_val (ring, own);
   for (guint i = 0; i < others->len; i++)
     {
-      seat_t one = seat_of (g_ptr_array_index (others, i));
+      ring_node_t one = ring_node_of (g_ptr_array_index (others, i));
 
       g_array_append_val (ring, one);
     }
-  g_array_sort (ring, seats_compare);
-  while (g_array_index (ring, seat_t, at).address != self)
+  g_array_sort (ring, ring_nodes_compare);
+  while (g_array_index (ring, ring_node_t, at).address != self)
     at++;
   for (guint step = 1; step < ring->len; step *= 2)
     {
       const char *address
-          = g_array_index (ring, seat_t, (at + step) % ring->len).address;
+          = g_array_index (ring, ring_node_t, (at + step) % ring->len).address;
       neighbour_t n
-          = { g_strdup (address), told_before (sp->neighbours, address) };
+          = { g_strdup (address), told_before (g->neighbours, address) };
 
       g_array_append_val (found, n);
     }
   g_array_free (ring, TRUE);
-  g_array_free (sp->neighbours, TRUE);
-  sp->neighbours = found;
+  g_array_free (g->neighbours, TRUE);
+  g->neighbours = found;
 }
 
 guint
-pu_spread_neighbours (const pu_spread_t *sp)
+pu_gossip_neighbours (const pu_gossip_t *g)
 {
-  return sp->neighbours->len;
+  return g->neighbours->len;
 }
 
 /* --- facts --- */
@@ -186,103 +186,103 @@
 }
 
 static fact_t *
-fact_add (pu_spread_t *sp, const char *server)
+fact_add (pu_gossip_t *g, const char *server)
 {
   fact_t *f = g_new0 (fact_t, 1);
 
   f->server = g_strdup (server);
-  g_hash_table_insert (sp->facts, f->server, f);
-  g_queue_push_tail (&sp->turns, f);
+  g_hash_table_insert (g->facts, f->server, f);
+  g_queue_push_tail (&g->repair_queue, f);
   return f;
 }
 
 static void
-fact_remove (pu_spread_t *sp, fact_t *f)
+fact_remove (pu_gossip_t *g, fact_t *f)
 {
-  g_queue_remove (&sp->turns, f);
-  g_hash_table_remove (sp->facts, f->server);
+  g_queue_remove (&g->repair_queue, f);
+  g_hash_table_remove (g->facts, f->server);
 }
 
 bool
-pu_spread_put (pu_spread_t *sp, const pu_statement_t *st)
+pu_gossip_put (pu_gossip_t *g, const pu_statement_t *st)
 {
-  fact_t *f = g_hash_table_lookup (sp->facts, st->server);
+  fact_t *f = g_hash_table_lookup (g->facts, st->server);
 
   if (f == NULL && says_nothing (st))
     return false;
   if (f == NULL)
-    f = fact_add (sp, st->server);
+    f = fact_add (g, st->server);
   if (f->change > 0 && is_older (st, &f->values))
     return false;
   if (f->change == 0 || !is_same (st, &f->values))
-    f->change = ++sp->changes;
+    f->change = ++g->changes;
   f->values = *st;
   f->values.server = f->server;
   return true;
 }
 
 void
-pu_spread_remove (pu_spread_t *sp, const char *server)
+pu_gossip_remove (pu_gossip_t *g, const char *server)
 {
-  fact_t *f = g_hash_table_lookup (sp->facts, server);
+  fact_t *f = g_hash_table_lookup (g->facts, server);
 
   if (f != NULL)
-    fact_remove (sp, f);
+    fact_remove (g, f);
 }
 
 /* --- telling --- */
 
 static void
-ended_remove (pu_spread_t *sp, guint64 now)
+ended_remove (pu_gossip_t *g, guint64 now)
 {
   GList *next;
 
-  for (GList *l = sp->turns.head; l != NULL; l = next)
+  for (GList *l = g->repair_queue.head; l != NULL; l = next)
     {
       fact_t *f = l->data;
 
       next = l->next;
       if (says_nothing (&f->values) && f->values.stated_at + ENDED_MS < now)
-        fact_remove (sp, f);
+        fact_remove (g, f);
     }
 }
 
 /* Appends the facts whose turn it is.  */
 static void
-repair_append (pu_spread_t *sp, guint64 told, GArray *out)
+repair_append (pu_gossip_t *g, guint64 told, GArray *out)
 {
-  guint most = MIN (REPAIR_MAX, sp->turns.length);
+  guint most = MIN (REPAIR_MAX, g->repair_queue.length);
 
   for (guint i = 0; i < most; i++)
     {
-      fact_t *f = g_queue_pop_head (&sp->turns);
+      fact_t *f = g_queue_pop_head (&g->repair_queue);
 
-      g_queue_push_tail (&sp->turns, f);
+      g_queue_push_tail (&g->repair_queue, f);
       if (f->change <= told)
         g_array_append_val (out, f->values);
     }
 }
 
 static bool
-is_repair_due (const pu_spread_t *sp, guint i, guint64 now)
+is_repair_due (const pu_gossip_t *g, guint i, guint64 now)
 {
-  return now >= sp->repair_at && i == sp->repair_next % sp->neighbours->len;
+  return now >= g->repair_at && i == g->repair_next % g->neighbours->len;
 }
 
 const char *
-pu_spread_due (pu_spread_t *sp, guint i, guint64 now, GArray *out)
+pu_gossip_due (pu_gossip_t *g, guint i, guint64 now, GArray *out)
 {
-  const neighbour_t *n = &g_array_index (sp->neighbours, neighbour_t, i);
+  const neighbour_t *n = &g_array_index (g->neighbours, neighbour_t, i);
 
-  if (is_repair_due (sp, i, now))
+  if (is_repair_due (g, i, now))
     {
       /* Whether it can be told or not: the next one may be reached.  */
-      sp->repair_next++;
-      sp->repair_at = now + REPAIR_INTERVAL_MS;
-      ended_remove (sp, now);
-      repair_append (sp, n->told, out);
+      g->repair_next++;
+      g->repair_at = now + REPAIR_INTERVAL_MS;
+      ended_remove (g, now);
+      repair_append (g, n->told, out);
     }
-  for (const GList *l = n->told < sp->changes ? sp->turns.head : NULL;
+  for (const GList *l = n->told < g->changes ? g->repair_queue.head : NULL;
        l != NULL; l = l->next)
     {
       const fact_t *f = l->data;
@@ -294,7 +294,7 @@
 }
 
 void
-pu_spread_told (pu_spread_t *sp, guint i)
+pu_gossip_told (pu_gossip_t *g, guint i)
 {
-  g_array_index (sp->neighbours, neighbour_t, i).told = sp->changes;
+  g_array_index (g->neighbours, neighbour_t, i).told = g->changes;
 }
--- a/libplantainusher/routing/spread.h
+++ b/libplantainusher/routing/gossip.h
@@ -1,5 +1,5 @@
-#ifndef PU_ROUTING_SPREAD_H
-#define PU_ROUTING_SPREAD_H
+#ifndef PU_ROUTING_GOSSIP_H
+#define PU_ROUTING_GOSSIP_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -7,7 +7,7 @@
 G_BEGIN_DECLS
 
 /*
- * spread - what backend servers state about themselves to one entry, brought
+ * gossip - what backend servers state about themselves to one entry, brought
  * to all entries.
  *
  * Load pattern: hundreds of entries share a backend server that states in its
@@ -19,9 +19,10 @@
  * places ahead, what is new to it, so that a statement is everywhere after at
  * most log2 (N) steps, in N * log2 (N) messages however many entries hear it
  * from the backend server, and by other ways where some entries are dead or
- * cut off.  Besides, one neighbour at a time is told again what it should
- * know, which reaches those that have restarted.  The statement of the latest
- * answer counts.  It is known by its age, as entries share no clock.
+ * cut off.  Besides, some statements are repeated to one neighbour at
+ * a time (anti-entropy), which reaches those that have restarted.  The
+ * statement of the latest answer counts.  It is known by its age, as entries
+ * share no clock.
  *
  * Does no I/O and reads no clock.  Times are monotonic milliseconds.
  */
@@ -39,34 +40,34 @@
   guint64 stated_at;
 } pu_statement_t;
 
-typedef struct pu_spread pu_spread_t;
+typedef struct pu_gossip pu_gossip_t;
 
-pu_spread_t *pu_spread_new (void);
-void pu_spread_free (pu_spread_t *sp);
+pu_gossip_t *pu_gossip_new (void);
+void pu_gossip_free (pu_gossip_t *g);
 
-/* pu_spread_set_entries - the entry with the address SELF has OTHERS, of
+/* pu_gossip_set_entries - the entry with the address SELF has OTHERS, of
    char *, in any order.  */
-void pu_spread_set_entries (pu_spread_t *sp, const char *self,
+void pu_gossip_set_entries (pu_gossip_t *g, const char *self,
                             const GPtrArray *others);
 
-/* pu_spread_put - records the statement ST of an answer that this entry got,
+/* pu_gossip_put - records the statement ST of an answer that this entry got,
    or that another entry told of.  Returns whether it is the latest of its
    server, and says something.  */
-bool pu_spread_put (pu_spread_t *sp, const pu_statement_t *st);
+bool pu_gossip_put (pu_gossip_t *g, const pu_statement_t *st);
 
-/* pu_spread_remove - SERVER is gone.  */
-void pu_spread_remove (pu_spread_t *sp, const char *server);
+/* pu_gossip_remove - SERVER is gone.  */
+void pu_gossip_remove (pu_gossip_t *g, const char *server);
 
-/* pu_spread_neighbours - returns the number of neighbours.  */
-guint pu_spread_neighbours (const pu_spread_t *sp);
+/* pu_gossip_neighbours - returns the number of neighbours.  */
+guint pu_gossip_neighbours (const pu_gossip_t *g);
 
-/* pu_spread_due - appends to OUT, of pu_statement_t, what neighbour I is to be
+/* pu_gossip_due - appends to OUT, of pu_statement_t, what neighbour I is to be
    told at NOW, and returns its address.  The strings live until the next call
    of another function.  */
-const char *pu_spread_due (pu_spread_t *sp, guint i, guint64 now, GArray *out);
+const char *pu_gossip_due (pu_gossip_t *g, guint i, guint64 now, GArray *out);
 
-/* pu_spread_told - what was due to neighbour I has been sent.  */
-void pu_spread_told (pu_spread_t *sp, guint i);
+/* pu_gossip_told - what was due to neighbour I has been sent.  */
+void pu_gossip_told (pu_gossip_t *g, guint i);
 
 G_END_DECLS
 
--- a/libplantainusher/routing/spread_test.cc
+++ b/libplantainusher/routing/gossip_test.cc
@@ -7,7 +7,7 @@
 
 extern "C"
 {
-#include "routing/spread.h"
+#include "routing/gossip.h"
 }
 
 namespace
@@ -26,16 +26,16 @@
 struct Entry
 {
   std::string address;
-  pu_spread_t *sp = pu_spread_new ();
+  pu_gossip_t *sp = pu_gossip_new ();
   double knows = 0; /* rejections a second */
   bool up = true;
 
-  ~Entry () { pu_spread_free (sp); }
+  ~Entry () { pu_gossip_free (sp); }
 
   void
   put (const pu_statement_t &st)
   {
-    if (pu_spread_put (sp, &st))
+    if (pu_gossip_put (sp, &st))
       knows = st.rejections_per_s;
   }
 };
@@ -70,7 +70,7 @@
         if (o.get () != &e)
           g_ptr_array_add (others, const_cast<char *> (o->address.c_str ()));
       }
-    pu_spread_set_entries (e.sp, e.address.c_str (), others);
+    pu_gossip_set_entries (e.sp, e.address.c_str (), others);
     g_ptr_array_free (others, TRUE);
   }
 
@@ -89,7 +89,7 @@
   tell (Entry &e, guint i)
   {
     GArray *out = g_array_new (FALSE, FALSE, sizeof (pu_statement_t));
-    Entry *to = find (pu_spread_due (e.sp, i, now, out));
+    Entry *to = find (pu_gossip_due (e.sp, i, now, out));
 
     if (out->len > 0 && to->up)
       {
@@ -99,7 +99,7 @@
           to->put (g_array_index (out, pu_statement_t, k));
       }
     if (to->up)
-      pu_spread_told (e.sp, i);
+      pu_gossip_told (e.sp, i);
     g_array_free (out, TRUE);
   }
 
@@ -108,7 +108,7 @@
   {
     for (auto &e : entries)
       {
-        for (guint i = 0; e->up && i < pu_spread_neighbours (e->sp); i++)
+        for (guint i = 0; e->up && i < pu_gossip_neighbours (e->sp); i++)
           tell (*e, i);
       }
     now += STEP_MS;
@@ -146,13 +146,13 @@
   }
 };
 
-class SpreadFleet : public ::testing::TestWithParam<guint>
+class GossipFleet : public ::testing::TestWithParam<guint>
 {
 };
 
 } // namespace
 
-TEST_P (SpreadFleet, StatementToOneEntryIsEverywhereWithinLogSteps)
+TEST_P (GossipFleet, StatementToOneEntryIsEverywhereWithinLogSteps)
 {
   Fleet f (GetParam ());
 
@@ -160,7 +160,7 @@
   EXPECT_LE (f.steps_until (GetParam (), 4), g_bit_storage (GetParam ()));
 }
 
-TEST_P (SpreadFleet, StatementToAllEntriesAtOnceCostsNoMoreMessages)
+TEST_P (GossipFleet, StatementToAllEntriesAtOnceCostsNoMoreMessages)
 {
   Fleet f (GetParam ());
   guint links = 0;
@@ -168,7 +168,7 @@
   for (auto &e : f.entries)
     {
       e->put (brittle ("s", 4, f.now));
-      links += pu_spread_neighbours (e->sp);
+      links += pu_gossip_neighbours (e->sp);
     }
   f.step ();
   EXPECT_LE (f.messages, links);
@@ -176,7 +176,7 @@
   EXPECT_LE (f.messages, links + GetParam ());
 }
 
-TEST_P (SpreadFleet, EndOfAStatementIsEverywhereToo)
+TEST_P (GossipFleet, EndOfAStatementIsEverywhereToo)
 {
   Fleet f (GetParam ());
 
@@ -189,7 +189,7 @@
   EXPECT_EQ (f.knowing (0), GetParam ());
 }
 
-TEST_P (SpreadFleet, GoesAroundAThirdThatIsDead)
+TEST_P (GossipFleet, GoesAroundAThirdThatIsDead)
 {
   Fleet f (GetParam ());
   std::mt19937 random (GetParam ());
@@ -204,21 +204,21 @@
   EXPECT_LE (f.steps_until (up, 4), 2 * g_bit_storage (GetParam ()));
 }
 
-TEST_P (SpreadFleet, EntryThatHasRestartedLearnsWithinTwoSeconds)
+TEST_P (GossipFleet, EntryThatHasRestartedLearnsWithinTwoSeconds)
 {
   Fleet f (GetParam ());
   Entry &late = *f.entries[GetParam () - 1];
 
   f.entries[0]->put (brittle ("s", 4, f.now));
   f.steps_until (GetParam (), 4);
-  pu_spread_free (late.sp);
-  late.sp = pu_spread_new ();
+  pu_gossip_free (late.sp);
+  late.sp = pu_gossip_new ();
   late.knows = 0;
   f.join (late);
   EXPECT_LE (f.steps_until (GetParam (), 4) * STEP_MS, 2000u);
 }
 
-TEST_P (SpreadFleet, EntryThatHasRestartedLearnsThoughAThirdIsDead)
+TEST_P (GossipFleet, EntryThatHasRestartedLearnsThoughAThirdIsDead)
 {
   Fleet f (GetParam ());
   Entry &late = *f.entries[GetParam () - 1];
@@ -232,17 +232,17 @@
       up--;
     }
   f.play (1000);
-  pu_spread_free (late.sp);
-  late.sp = pu_spread_new ();
+  pu_gossip_free (late.sp);
+  late.sp = pu_gossip_new ();
   late.knows = 0;
   f.join (late);
   EXPECT_LE (f.steps_until (up, 4) * STEP_MS, 5000u);
 }
 
-INSTANTIATE_TEST_SUITE_P (Sizes, SpreadFleet,
+INSTANTIATE_TEST_SUITE_P (Sizes, GossipFleet,
                           ::testing::Values (2u, 3u, 11u, 70u, 300u));
 
-TEST (Spread, EntryThatIsAloneHasNoNeighbours)
+TEST (Gossip, EntryThatIsAloneHasNoNeighbours)
 {
   Fleet f (1);
 
@@ -251,7 +251,7 @@
   EXPECT_EQ (f.messages, 0u);
 }
 
-TEST (Spread, NothingStatedCostsNoMessage)
+TEST (Gossip, NothingStatedCostsNoMessage)
 {
   Fleet f (11);
 
@@ -262,7 +262,7 @@
   EXPECT_EQ (f.messages, 0u);
 }
 
-TEST (Spread, OlderStatementDoesNotCount)
+TEST (Gossip, OlderStatementDoesNotCount)
 {
   Entry e;
 
@@ -274,7 +274,7 @@
   EXPECT_EQ (e.knows, 0);
 }
 
-TEST (Spread, StatementOfAnEarlierProcessDoesNotCount)
+TEST (Gossip, StatementOfAnEarlierProcessDoesNotCount)
 {
   Entry e;
   pu_statement_t old = brittle ("s", 2, BEGIN + 5);
@@ -285,7 +285,7 @@
   EXPECT_EQ (e.knows, 4);
 }
 
-TEST (Spread, CrowdedServerIsToldAgainWhenItStaysCrowded)
+TEST (Gossip, CrowdedServerIsToldAgainWhenItStaysCrowded)
 {
   Fleet f (2);
   pu_statement_t st = brittle ("s", 0, f.now);
@@ -310,17 +310,17 @@
   EXPECT_GE (f.messages, 1u);
 }
 
-TEST (Spread, ServerThatIsGoneIsForgotten)
+TEST (Gossip, ServerThatIsGoneIsForgotten)
 {
   Fleet f (2);
 
   f.entries[0]->put (brittle ("s", 4, f.now));
-  pu_spread_remove (f.entries[0]->sp, "s");
+  pu_gossip_remove (f.entries[0]->sp, "s");
   f.step ();
   EXPECT_EQ (f.messages, 0u);
 }
 
-TEST (Spread, NeighbourIsToldAgainOfFewStatementsAtATime)
+TEST (Gossip, NeighbourIsToldAgainOfFewStatementsAtATime)
 {
   Fleet f (2);
 
