entry: a request that waits between attempts does not return to the server that failed

Cause, from its log: the instance had had no answer of the service yet, so that after the failed attempt the request waited 150 ms for its turn (pu_brittle_awaits_first_answer). It gives its ticket back meanwhile, and with it goes what it has tried. The same holds for each wait that gives a ticket back.

Change: an exchange keeps the name of the backend server on which its last attempt failed, other than by a refusal, and offers itself with it; the router passes over that server while the model has other copies.

--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -256,6 +256,7 @@
                                   none */
   char *only_server;    /* brittle server for which it came here by way of its
                            owner, the only one that may run it; NULL: any */
+  char *failed_server;  /* on which its last attempt failed; NULL: none */
   guint owner_retry_ms; /* the shortest time to come back that an owner
                            named in a refusal; 0: none */
   double only_server_bound; /* rejections per second that this server bears;
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -24,6 +24,7 @@
   g_free (x->key);
   g_free (x->software);
   g_free (x->only_server);
+  g_free (x->failed_server);
   if (x->unreached_owners != NULL)
     g_ptr_array_free (x->unreached_owners, TRUE);
   g_ptr_array_free (x->avoid, TRUE);
@@ -436,6 +437,7 @@
       || pu_entry_fault_injected (x->en, PU_ENTRY_BREAK_RETRY_NON_REPEATABLE),
     .software = x->software,
     .backend_name = x->only_server,
+    .tried_backend = x->failed_server,
   };
   pu_router_decision_t d;
 
@@ -709,6 +711,12 @@
 
   if (pu_router_failure_may_have_run (failure))
     x->may_have_run = true;
+  if (x->at.server != NULL && failure != PU_ROUTER_FAIL_NOT_RUN
+      && failure != PU_ROUTER_FAIL_UNSENT)
+    {
+      g_free (x->failed_server);
+      x->failed_server = g_strdup (x->at.server->name);
+    }
   pu_trace_attempt_failed (x, failure);
   pu_attempt_clear (x);
   if (must_not_repeat (x, failure))
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -169,6 +169,17 @@
   request_set_due (r, q);
 }
 
+/* Records that an attempt of Q failed on the backend server NAME before Q was
+   offered.  */
+static void
+tried_note (const pu_router_t *r, request_t *q, const char *name)
+{
+  const backend_t *b = backend_at (r, pu_router_find_backend (r, name));
+
+  if (b != NULL && model_at (r, q->model)->ready->len > 1)
+    q->tried[q->n_tried++] = b->serial;
+}
+
 static void
 request_fill (pu_router_t *r, request_t *q, const pu_router_request_t *in,
               guint64 now)
@@ -197,6 +208,8 @@
   q->repeatable = in->repeatable;
   q->software = g_strdup (in->software);
   q->backend_name = g_strdup (in->backend_name);
+  if (in->tried_backend != NULL && in->backend_name == NULL)
+    tried_note (r, q, in->tried_backend);
   q->wants_preferred = (guint)g_rand_int_range (r->rand, 0, 1000) < m->share;
   request_set_due (r, q);
 }
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -336,8 +336,10 @@
   const char *software; /* it resumes a stream: only backend servers with this
                            software version may run it, none if ""; NULL: any.
                            Copied.  */
-  const char *backend_name; /* only this backend server may run it; NULL: any.
-                               Copied.  */
+  const char *tried_backend; /* on which an earlier attempt failed; NULL: none.
+                                Others go before it if there are any.  */
+  const char *backend_name;  /* only this backend server may run it; NULL: any.
+                                Copied.  */
 } pu_router_request_t;
 
 typedef enum
