entry: log what limits the requests to a crowded server

Whether the owner of a crowded server is limited by what it takes for the server's places or by the router's slots could not be told from the logs, nor why a server is crowded and when that ends. Once a second an owner logs its requests in flight, the slots, the places and what waits; the rejection that makes a server crowded and the end of that time have a line each. No change of behaviour.

--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -33,6 +33,8 @@
      crowded, and after which part of that time it is told again.  */
   CROWDED_MS = 3000,
   CROWDED_TOLD_MS = 1000,
+  CROWDED_LOG_MS
+  = 1000, /* between two log lines of an owner on such a server */
   /* Rejections a second of a crowded server that states no bound.  */
   CROWDED_PER_S = 64,
   STATUS_UNAVAILABLE = 503,
@@ -248,6 +250,11 @@
     per_s = CROWDED_PER_S;
   if (per_s == 0)
     {
+      if (s->brittle != NULL && s->crowded_until > 0)
+        {
+          pu_log_info (PU_ENTRY_LOG_SLICE,
+                       "Backend server %s is no longer crowded.", s->name);
+        }
       g_hash_table_remove (s->en->brittle_servers, s);
       pu_brittle_free (s->brittle);
       s->brittle = NULL;
@@ -264,6 +271,28 @@
   pu_server_brittle_apply (s);
 }
 
+/* Logs what limits the requests to S, a crowded server that this entry
+   owns.  */
+static void
+crowded_log (pu_server_t *s)
+{
+  guint64 now = loop_now (s->en);
+  pu_router_load_t load;
+
+  if (s->brittle == NULL || !pu_server_is_crowded (s) || !is_owned (s)
+      || now < s->crowded_logged_at + CROWDED_LOG_MS)
+    return;
+  s->crowded_logged_at = now;
+  pu_router_backend_load (s->en->router, s->handle, now, &load);
+  pu_log_event (PU_ENTRY_LOG_SLICE, "Owns a crowded backend server.",
+                PU_LOG_TEXT ("server", s->name),
+                PU_LOG_NUMBER ("running", load.own),
+                PU_LOG_NUMBER ("slots", load.slots),
+                PU_LOG_NUMBER ("places", pu_brittle_places (s->brittle)),
+                PU_LOG_NUMBER ("waiting", pu_router_waiting_for (s->en->router,
+                                                                 s->handle)));
+}
+
 static void
 set_stated (pu_server_t *s, double per_s)
 {
@@ -277,7 +306,10 @@
   GList *all = g_hash_table_get_keys (en->brittle_servers);
 
   for (const GList *l = all; l != NULL; l = l->next)
-    bound_update (l->data);
+    {
+      crowded_log (l->data);
+      bound_update (l->data);
+    }
   g_list_free (all);
 }
 
@@ -306,6 +338,9 @@
   if (!s->plain || s->stated_per_s > 0
       || s->crowded_until + CROWDED_TOLD_MS > now + CROWDED_MS)
     return;
+  pu_log_info (PU_ENTRY_LOG_SLICE,
+               "Backend server %s rejected a request for want of room.",
+               s->name);
   pu_server_crowded_told (s, now + CROWDED_MS);
   pu_server_statement_note (s, 0, s->limit_per_s);
 }
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -113,6 +113,7 @@
                             0: any number */
   guint64 crowded_until; /* loop time until which it is known to have no room
                             for what all entries send */
+  guint64 crowded_logged_at; /* loop time of the last log line on it */
   guint64 adopted_until; /* loop time until which this entry sends requests to
                             the brittle server, whoever owns it */
   double limit_per_s;    /* requests per second that it takes from all entries
--- a/libplantainusher/routing/dump.c
+++ b/libplantainusher/routing/dump.c
@@ -158,6 +158,7 @@
   if (s == NULL)
     return;
   load->own = s->in_flight;
+  load->slots = backend_slot_limit (s);
   if (s->reported_at == 0)
     return;
   load->running = s->report.running;
@@ -165,6 +166,24 @@
   load->age_ms = now - s->reported_at + s->report.age_ms;
 }
 
+guint
+pu_router_waiting_for (const pu_router_t *r, pu_router_backend_t b)
+{
+  const backend_t *s = backend_at (r, b);
+  guint n = 0;
+
+  if (s == NULL)
+    return 0;
+  for (GSequenceIter *at = g_sequence_get_begin_iter (r->waiting_by_timeout);
+       !g_sequence_iter_is_end (at); at = g_sequence_iter_next (at))
+    {
+      const request_t *q = g_sequence_get (at);
+
+      n += g_strcmp0 (q->backend_name, s->name) == 0;
+    }
+  return n;
+}
+
 const char *
 pu_router_failure_name (pu_router_failure_t failure)
 {
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -267,6 +267,7 @@
   guint running; /* running requests of all entries, by the last report */
   guint waiting;
   guint64 age_ms; /* age of the last report; G_MAXUINT32: there was none */
+  guint slots;    /* most requests of this router in flight at once */
 } pu_router_load_t;
 
 /* pu_router_backend_load - sets LOAD to the load of B, or to no load and no
@@ -274,6 +275,10 @@
 void pu_router_backend_load (const pu_router_t *r, pu_router_backend_t b,
                              guint64 now, pu_router_load_t *load);
 
+/* pu_router_waiting_for - returns how many requests wait here that only B may
+   run.  Takes time that grows with the requests that wait.  */
+guint pu_router_waiting_for (const pu_router_t *r, pu_router_backend_t b);
+
 /* Load reports and prefix cache events of backend servers.  */
 
 typedef struct
