Test that fails: plain servers at two thirds of what fits, after a burst

70 instances, three plain servers with 6 places and a queue of 24 each, 0.09 s a request, 133 requests a second where 200 fit; 150 more at one moment. From a second after the burst on 0.95 are to be served, half within the target, and none refused.

The stand-in of a backend server gets a queue before its places.

--- /dev/null
+++ b/tests/crowded_process_test.py
@@ -0,0 +1,103 @@
+#!/usr/bin/env python3
+"""On the users' platform plain backend servers that are loaded at two thirds
+serve what they did after a burst that they had to reject in part.
+tests/cluster.py says how to run this file."""
+import collections
+import http.client
+import random
+import sys
+import threading
+import time
+
+from brittle_scale_process_test import PATIENCE_S, SERVERS, Pressed
+from cluster import main, wait_until
+from platform_fakes import config, route, submit
+
+INSTANCES = 70
+DISKS = 3
+PLACES, QUEUE, HOLD_S = 6, 24, 0.09
+LOADED = 2 / 3       # of what fits
+BURST = 150          # requests at one moment
+AGAIN_S = 1.0        # after the burst, from when on nothing is refused
+PLAYED_S = 10.0      # after the burst
+TARGET_S = 0.45
+SERVED, IN_TARGET = 0.95, 0.5
+SEED = 7
+
+
+class LoadedAtTwoThirds(Pressed):
+    options = {"plain": INSTANCES - DISKS}
+    calls = (("GET", "/safe/x"), ("POST", "/unsafe/x"))
+
+    def setUp(self):
+        super().setUp()
+        self.random = random.Random(SEED)
+
+    def _become_brittle(self, b):
+        b.hold_s, b.places, b.queue = HOLD_S, PLACES, QUEUE
+
+    def _ask(self, one, call, number):
+        at = time.monotonic()
+        try:
+            status = one.ask(*call, {}, f"open-{one.name}-{number}",
+                             timeout_s=PATIENCE_S + 1).status
+        except (OSError, ValueError, http.client.HTTPException):
+            status = 0
+        self.answers.append((at, status, time.monotonic() - at))
+
+    def _start_one(self, number):
+        one = self.random.choice(self.some)
+        call = self.random.choice(self.calls)
+        threading.Thread(target=self._ask, args=(one, call, number),
+                         daemon=True).start()
+
+    def _arrive(self):
+        number, at = 0, time.monotonic()
+        per_s = SERVERS * PLACES / HOLD_S * LOADED
+        while not self._end.is_set():
+            at += self.random.expovariate(per_s)
+            self._end.wait(max(0, at - time.monotonic()))
+            number += 1
+            self._start_one(number)
+
+    def begin(self):
+        goal = {"latency_goal_ms": round(TARGET_S * 1000)}
+        submit(self.some, config(1, [
+            route("s", "/safe/", "safe", **goal),
+            route("u", "/unsafe/", "unsafe", max_attempts=1, **goal)]))
+        for i in range(SERVERS):
+            self._add(i)
+        for one in self.some:
+            for b in list(self.backends):
+                wait_until(f"{one.name} to know {b.name}",
+                           lambda one=one, b=b: self.knows(one, b))
+            self.wait_served(one)
+        threading.Thread(target=self._arrive, daemon=True).start()
+        time.sleep(2)
+
+    def check_served(self, since):
+        time.sleep(max(0, since + PLAYED_S - time.monotonic()) + PATIENCE_S)
+        said = [(status, took) for at, status, took in list(self.answers)
+                if since <= at < since + PLAYED_S]
+        good = [took for status, took in said if status == 200]
+        figures = {
+            "asked": len(said), "served": round(len(good) / len(said), 3),
+            "in target": round(sum(t <= TARGET_S for t in good)
+                               / len(said), 3),
+            "statuses": dict(collections.Counter(s for s, _ in said)),
+            "rejected": [len(b.rejected_at) for b in self.backends]}
+        print(self.id().rsplit(".", 1)[-1], figures, file=sys.stderr,
+              flush=True)
+        self.assertGreaterEqual(figures["served"], SERVED, figures)
+        self.assertGreaterEqual(figures["in target"], IN_TARGET, figures)
+        self.assertNotIn(503, figures["statuses"], figures)
+
+    def test_servers_are_not_starved_after_a_burst(self):
+        self.begin()
+        for i in range(BURST):
+            self._start_one(f"burst-{i}")
+        self.check_served(time.monotonic() + AGAIN_S)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -171,7 +171,7 @@
 def route(name, prefix, kind, service="app", **more):
     return {"name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
             "timeout_ms": 4000, "latency_goal_ms": 1000, "priority": 1,
-            "max_attempts": 2, "service": service, **more}
+            "max_attempts": 2, "service": service} | more
 
 
 def config(version, routes=None, models=(), adapters=0):
@@ -254,7 +254,9 @@
         self.limit = None      # requests a second that it names in answers
         self.brittle = None    # rejections a second that it bears, as it says
         self.places = None     # requests at once; it rejects others
+        self.queue = 0         # requests that may wait for one of the places
         self.running = 0
+        self.waiting = 0
         self.rejected_at = []  # when it rejected for want of a place
         self.falls_over = False  # goes down when it rejects more than it bears
         self.fell = False
@@ -269,6 +271,7 @@
         self.busy_until = 0.0
         self._seq = 0
         self._lock = threading.Lock()
+        self._room = threading.Condition(self._lock)
         self._end = threading.Event()
         self._cluster = cluster
         handler = type("Handler", (_Handler,), {"backend": self})
@@ -345,10 +348,20 @@
                     "waiting": 0, "running": self.running, "kv_used": 0,
                     "kv_total": 100000, "handles": 0}
 
+    def _is_full(self):
+        return self.places is not None and self.running >= self.places
+
     def enter(self):
-        """Whether a request gets a place."""
-        with self._lock:
-            if self.places is None or self.running < self.places:
+        """Whether a request gets a place, at once or after those that wait
+        before it."""
+        with self._room:
+            may_wait = self._is_full() or self.waiting > 0
+            if may_wait and self.waiting < self.queue:
+                self.waiting += 1
+                self._room.wait_for(lambda: not self._is_full())
+                self.waiting -= 1
+                may_wait = False
+            if not may_wait:
                 self.running += 1
                 return True
             now = time.monotonic()
@@ -361,8 +374,9 @@
         return False
 
     def leave(self):
-        with self._lock:
+        with self._room:
             self.running -= 1
+            self._room.notify()
 
     def wrongs(self):
         """What was wrong with the orders that it accepted."""
