routing: slots of a backend server that reports no load grow again

Cause: each rejection shrinks the adaptive slots to nine tenths of the load, 4 at least, and only a load report lets them grow. Plain servers report none.

Change: without reports the slots grow by one for as many answers as there are slots, while they are used. A cap set from outside, by the owner of a server, takes the place of slots that are only a guess.

--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -163,12 +163,24 @@
   b->prefill_window_shrunk_at = now;
 }
 
+/* Whether the adaptive slots of S have nothing to go by but rejections.  */
+static bool
+reports_no_load (const backend_t *s)
+{
+  return s->reported_at == 0;
+}
+
 guint
 backend_slot_limit (const backend_t *s)
 {
   guint slots = s->fixed_slots ? s->fixed_slots : (guint)s->slots;
 
-  return s->slots_cap > 0 ? MIN (slots, s->slots_cap) : slots;
+  if (s->slots_cap == 0)
+    return slots;
+  /* Whoever sets the cap knows more than the adaptive slots do.  */
+  if (s->fixed_slots == 0 && reports_no_load (s))
+    return s->slots_cap;
+  return MIN (slots, s->slots_cap);
 }
 
 static void
@@ -306,11 +318,23 @@
     eject (r, b, now);
 }
 
+/* Grows the slots of S, which has answered a request, by one for as many
+   answers as there are slots.  Rejections have shrunk them, and S has no
+   reports that would let them grow again.  */
+static void
+slots_grow_unreported (const pu_router_t *r, backend_t *s)
+{
+  if (reports_no_load (s) && s->slots_have_shrunk
+      && s->in_flight * 100 >= s->slots * SLOTS_SATURATED_PCT)
+    s->slots = MIN (s->slots + 1 / s->slots, r->options.slots_max);
+}
+
 void
 backend_succeeded (pu_router_t *r, pu_router_backend_t b)
 {
   backend_t *s = backend_at (r, b);
 
+  slots_grow_unreported (r, s);
   s->consecutive_failures = 0;
   s->failure_share -= FAILURE_WEIGHT * s->failure_share;
   if (s->ejections == 0)
