entry: the limit of a crowded server's owner is what the server accepts

Cause: an owner took the requests that it had in flight at a rejection for the server's places. When its time begins, the server is full of the others' requests. The number grew by one in 2 s, and was lost after 3 s. Evidence: "Owns a crowded backend server." with 1 or 2 places and 10 to 58 requests waiting, of a server that runs 6 and queues 24. That code is right for a brittle server, where each rejection costs; a crowded one bears any number.

Change: routing/crowded. A request sent as the n-th at once and rejected shows that n - 1 fit. Above that the limit doubles its steps each 50 ms as long as nothing is rejected, and probes less often, down to once in 1.6 s, where each probe is. It is kept from one crowded time to the next. Whatever has waited in the server's queue says nothing of its room. The servers that are crowded move to entry/crowded.c.

--- a/libplantainusher/entry/brittle.c
+++ b/libplantainusher/entry/brittle.c
@@ -3,11 +3,8 @@
 
    Each of them has an owner, an entry that sends it the requests of all
    entries and so knows each of them (routing/brittle.h).  The others choose
-   the server as always, but send their requests by way of its owner.
-
-   A plain server that is crowded has an owner as well.  It reports no load, so
-   that many entries, each with a few requests, would spend most attempts on
-   rejections.  */
+   the server as always, but send their requests by way of its owner.  A plain
+   server that is crowded has an owner as well (crowded.c).  */
 
 #include "entry/entry_private.h"
 
@@ -29,15 +26,6 @@
   /* How long such an entry turns to owners that do not answer, as ones that
      hang, before it asks the service itself.  */
   OWNERS_SILENT_MS = 2000,
-  /* How long a server that rejects a request for want of room counts as
-     crowded, and after which part of that time it is told again.  */
-  CROWDED_MS = 3000,
-  CROWDED_TOLD_MS = 1000,
-  CROWDED_LOG_MS
-  = 1000, /* between two log lines of an owner on such a server */
-  /* Rejections a second of a crowded server that states no bound.  */
-  CROWDED_PER_S = 64,
-  STATUS_UNAVAILABLE = 503,
 };
 
 /* The requests to a service that has not answered yet.  */
@@ -85,8 +73,8 @@
   g_free (key);
 }
 
-static bool
-is_owned (const pu_server_t *s)
+bool
+pu_server_is_owned (const pu_server_t *s)
 {
   GArray *owners = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
   bool own;
@@ -106,17 +94,24 @@
   return loop_now (s->en) < s->adopted_until;
 }
 
+/* Whether S has an owner.  */
+static bool
+has_owner (const pu_server_t *s)
+{
+  return s->brittle != NULL || pu_server_is_crowded (s);
+}
+
 /* Sends requests to S from this entry for a while.  */
 static void
 adopt (pu_server_t *s)
 {
-  if (is_owned (s))
+  if (pu_server_is_owned (s))
     return;
   if (!is_adopted (s))
     {
       pu_log_note (PU_ENTRY_LOG_SLICE,
-                   "Sends requests to brittle backend server %s, as its owner "
-                   "is not reached.",
+                   "Sends requests to backend server %s, as its owner is not "
+                   "reached.",
                    s->name);
     }
   s->adopted_until = loop_now (s->en) + ADOPTED_MS;
@@ -160,7 +155,7 @@
   GArray *owners;
 
   if (x->only_server != NULL || en->stopping || !x->q.any_entry
-      || (s->brittle == NULL && !may_be_brittle (x))
+      || (!has_owner (s) && !may_be_brittle (x))
       || pu_break_active (PU_BREAK_OWNER_IGNORED))
     return PU_BRITTLE_DIRECT;
   owners = g_array_new (FALSE, FALSE, sizeof (pu_directory_entry_t));
@@ -200,61 +195,59 @@
   x->q.service = g_strdup (service_of (s));
   if (s->stated_per_s == 0 && x->only_server_bound > 0)
     pu_server_brittle_stated (s, x->only_server_bound);
-  if (s->brittle != NULL)
+  if (has_owner (s))
     adopt (s);
 }
 
 /* --- the limit in the router --- */
 
+/* Sets the limit of S, which states what it bears.  */
+static void
+bound_apply (pu_server_t *s, bool owned)
+{
+  guint64 now = loop_now (s->en);
+  guint limit = pu_brittle_limit (s->brittle, owned, now);
+
+  if (limit == 0)
+    {
+      pu_server_back_off (s, pu_brittle_free_at (s->brittle, now));
+    }
+  else
+    {
+      pu_router_set_slots_cap (s->en->router, s->handle, limit);
+    }
+}
+
 void
 pu_server_brittle_apply (pu_server_t *s)
 {
-  bool owned = s->brittle != NULL && is_owned (s);
-  guint limit;
+  bool owned = has_owner (s) && pu_server_is_owned (s);
 
   if (s->handle == PU_ROUTER_NONE)
     return;
-  if (s->brittle == NULL || (!owned && !is_adopted (s)))
+  if (!has_owner (s) || (!owned && !is_adopted (s)))
     {
       pu_router_set_slots_cap (s->en->router, s->handle, 0);
       return;
     }
-  limit = pu_brittle_limit (s->brittle, owned, loop_now (s->en));
-  if (limit == 0)
+  if (s->brittle != NULL)
     {
-      pu_server_back_off (s,
-                          pu_brittle_free_at (s->brittle, loop_now (s->en)));
+      bound_apply (s, owned);
     }
   else
     {
-      pu_router_set_slots_cap (s->en->router, s->handle, limit);
+      pu_router_set_slots_cap (s->en->router, s->handle,
+                               pu_server_crowded_cap (s));
     }
   pu_entry_schedule_router (s->en);
 }
 
-/* --- bounds --- */
-
-bool
-pu_server_is_crowded (const pu_server_t *s)
-{
-  return loop_now (s->en) < s->crowded_until;
-}
-
-/* Puts the bound into force that S states, or has because it is crowded.  */
 static void
-bound_update (pu_server_t *s)
+set_stated (pu_server_t *s, double per_s)
 {
-  double per_s = s->stated_per_s;
-
-  if (per_s == 0 && pu_server_is_crowded (s))
-    per_s = CROWDED_PER_S;
-  if (per_s == 0)
+  s->stated_per_s = MAX (per_s, 0);
+  if (per_s <= 0)
     {
-      if (s->brittle != NULL && s->crowded_until > 0)
-        {
-          pu_log_info (PU_ENTRY_LOG_SLICE,
-                       "Backend server %s is no longer crowded.", s->name);
-        }
       g_hash_table_remove (s->en->brittle_servers, s);
       pu_brittle_free (s->brittle);
       s->brittle = NULL;
@@ -271,78 +264,15 @@
   pu_server_brittle_apply (s);
 }
 
-/* Logs what limits the requests to S, a crowded server that this entry
-   owns.  */
-static void
-crowded_log (pu_server_t *s)
-{
-  guint64 now = loop_now (s->en);
-  pu_router_load_t load;
-
-  if (s->brittle == NULL || !pu_server_is_crowded (s) || !is_owned (s)
-      || now < s->crowded_logged_at + CROWDED_LOG_MS)
-    return;
-  s->crowded_logged_at = now;
-  pu_router_backend_load (s->en->router, s->handle, now, &load);
-  pu_log_event (PU_ENTRY_LOG_SLICE, "Owns a crowded backend server.",
-                PU_LOG_TEXT ("server", s->name),
-                PU_LOG_NUMBER ("running", load.own),
-                PU_LOG_NUMBER ("slots", load.slots),
-                PU_LOG_NUMBER ("places", pu_brittle_places (s->brittle)),
-                PU_LOG_NUMBER ("waiting", pu_router_waiting_for (s->en->router,
-                                                                 s->handle)));
-}
-
-static void
-set_stated (pu_server_t *s, double per_s)
-{
-  s->stated_per_s = MAX (per_s, 0);
-  bound_update (s);
-}
-
 void
 pu_entry_brittle_tick (pu_entry_t *en)
 {
-  GList *all = g_hash_table_get_keys (en->brittle_servers);
-
-  for (const GList *l = all; l != NULL; l = l->next)
-    {
-      crowded_log (l->data);
-      bound_update (l->data);
-    }
-  g_list_free (all);
-}
-
-void
-pu_server_crowded_told (pu_server_t *s, guint64 until)
-{
-  if (!s->plain || until <= s->crowded_until)
-    return;
-  if (!pu_server_is_crowded (s) && until > loop_now (s->en))
-    {
-      pu_log_info (PU_ENTRY_LOG_SLICE,
-                   "Backend server %s is crowded; its owner sends it the "
-                   "requests of all.",
-                   s->name);
-    }
-  s->crowded_until = until;
-  bound_update (s);
-}
-
-/* S has rejected a request for want of room.  */
-static void
-crowded_note (pu_server_t *s)
-{
-  guint64 now = loop_now (s->en);
+  GHashTableIter it;
+  gpointer value;
 
-  if (!s->plain || s->stated_per_s > 0
-      || s->crowded_until + CROWDED_TOLD_MS > now + CROWDED_MS)
-    return;
-  pu_log_info (PU_ENTRY_LOG_SLICE,
-               "Backend server %s rejected a request for want of room.",
-               s->name);
-  pu_server_crowded_told (s, now + CROWDED_MS);
-  pu_server_statement_note (s, 0, s->limit_per_s);
+  g_hash_table_iter_init (&it, en->brittle_servers);
+  while (g_hash_table_iter_next (&it, &value, NULL))
+    pu_server_brittle_apply (value);
 }
 
 /* --- what servers state --- */
@@ -354,8 +284,8 @@
   pu_brittle_free (s->brittle);
   s->brittle = NULL;
   s->stated_per_s = 0;
-  s->crowded_until = 0;
   s->adopted_until = 0;
+  pu_server_crowded_forget (s);
 }
 
 void
@@ -372,8 +302,7 @@
     {
       const pu_server_t *other = value;
 
-      if (other->stated_per_s == 0
-          || strcmp (service_of (other), service) != 0)
+      if (strcmp (service_of (other), service) != 0)
         continue;
       set_stated (s, other->stated_per_s);
       return;
@@ -435,7 +364,7 @@
 pu_server_may_have_fallen (const pu_server_t *s)
 {
   return s->stated_per_s > 0
-         && pu_brittle_may_have_fallen (s->brittle, is_owned (s),
+         && pu_brittle_may_have_fallen (s->brittle, pu_server_is_owned (s),
                                         loop_now (s->en));
 }
 
@@ -500,34 +429,26 @@
 {
   pu_server_t *s = x->at.server;
 
-  if (s->brittle == NULL)
+  pu_server_crowded_sent (s);
+  if (!has_owner (s))
     return;
   adopt (s);
-  pu_brittle_sent (s->brittle, loop_now (s->en));
+  if (s->brittle != NULL)
+    pu_brittle_sent (s->brittle, loop_now (s->en));
   pu_server_brittle_apply (s);
 }
 
-/* Whether the response of AT, which this entry sent, says that its backend
-   server has no room now.  */
-static bool
-is_out_of_room (const pu_attempt_t *at)
-{
-  return at->owner == NULL && at->status == STATUS_UNAVAILABLE
-         && at->answer.retry_after_ms == 0 && !at->answer.leaving;
-}
-
 void
 pu_server_brittle_rejected (pu_exchange_t *x)
 {
   pu_server_t *s = x->at.server;
 
   x->at.rejected = true;
-  if (is_out_of_room (&x->at))
-    crowded_note (s);
-  if (s->brittle == NULL)
-    return;
-  pu_brittle_rejected (s->brittle, x->at.sent_at, loop_now (s->en));
-  pu_server_brittle_apply (s);
+  pu_server_crowded_rejected (x);
+  if (s->brittle != NULL)
+    pu_brittle_rejected (s->brittle, x->at.sent_at, loop_now (s->en));
+  if (has_owner (s))
+    pu_server_brittle_apply (s);
 }
 
 void
@@ -535,9 +456,11 @@
 {
   pu_server_t *s = x->at.server;
 
-  if (s == NULL || s->brittle == NULL || x->at.owner != NULL || x->at.rejected
-      || x->at.sent_at == 0)
+  if (s == NULL || x->at.owner != NULL || x->at.rejected || x->at.sent_at == 0)
     return;
-  pu_brittle_ended (s->brittle, x->at.sent_at, loop_now (s->en));
-  pu_server_brittle_apply (s);
+  pu_server_crowded_ended (s, x->at.sent_at);
+  if (s->brittle != NULL)
+    pu_brittle_ended (s->brittle, x->at.sent_at, loop_now (s->en));
+  if (has_owner (s))
+    pu_server_brittle_apply (s);
 }
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -211,6 +211,7 @@
 
   pu_servers_tick (en, now);
   pu_entry_brittle_tick (en);
+  pu_entry_crowded_tick (en);
   pu_statements_tick (en, now);
   pu_entry_reach_tick (en, now);
   pu_strikes_tick (en, now);
@@ -284,6 +285,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pu_server_free);
   en->ticking_servers = g_hash_table_new (NULL, NULL);
   en->brittle_servers = g_hash_table_new (NULL, NULL);
+  en->crowded_servers = g_hash_table_new (NULL, NULL);
   en->heard_services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   en->asked_services
@@ -387,6 +389,7 @@
   g_hash_table_destroy (en->model_waits);
   g_hash_table_destroy (en->ticking_servers);
   g_hash_table_destroy (en->brittle_servers);
+  g_hash_table_destroy (en->crowded_servers);
   g_hash_table_destroy (en->heard_services);
   g_hash_table_destroy (en->asked_services);
   pu_gossip_free (en->statements);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -11,6 +11,7 @@
 #include "http/server.h"
 #include "once/once.h"
 #include "routing/brittle.h"
+#include "routing/crowded.h"
 #include "routing/lost.h"
 #include "routing/origins.h"
 #include "routing/reach.h"
@@ -107,15 +108,16 @@
                               counted in running_suspects */
   guint64 back_off_until;    /* loop time until which it wants no requests of
                                 this entry */
-  pu_brittle_t *brittle; /* NULL: it bears any number of rejections, and is not
-                            crowded */
+  pu_brittle_t *brittle;     /* NULL: it bears any number of rejections */
+  pu_crowded_t *crowded;     /* of a plain server; NULL: this entry has sent it
+                                nothing */
   double stated_per_s;   /* rejections per second that it bears, as it states;
                             0: any number */
   guint64 crowded_until; /* loop time until which it is known to have no room
                             for what all entries send */
   guint64 crowded_logged_at; /* loop time of the last log line on it */
   guint64 adopted_until; /* loop time until which this entry sends requests to
-                            the brittle server, whoever owns it */
+                            the server, whoever owns it */
   double limit_per_s;    /* requests per second that it takes from all entries
                             together; 0: not limited */
   guint64 limit_stated_at;   /* loop time when it last stated limit_per_s */
@@ -334,6 +336,7 @@
   GHashTable *brittle_servers; /* set of pu_server_t that bear few
                                   rejections */
   GHashTable *heard_services;  /* set of services of which an answer came */
+  GHashTable *crowded_servers; /* set of pu_server_t that are crowded */
   GHashTable *asked_services;  /* other service -> asked_t of brittle.c */
   bool applying_all;     /* all backend servers of the view are applied */
   guint changes_logged;  /* changes of state among them */
@@ -778,15 +781,6 @@
    same service too, until they state something else.  */
 void pu_server_brittle_stated (pu_server_t *s, double per_s);
 
-/* pu_server_is_crowded - whether S, which is a plain server, has rejected a
-   request for want of room lately, of this or another entry.  Such a server
-   has an owner as if it were brittle.  */
-bool pu_server_is_crowded (const pu_server_t *s);
-
-/* pu_server_crowded_told - another entry has found S crowded, until loop time
-   UNTIL.  */
-void pu_server_crowded_told (pu_server_t *s, guint64 until);
-
 /* pu_server_brittle_inherit - S is a new process: as long as it has stated
    nothing, it bears as few rejections as others of its service.  */
 void pu_server_brittle_inherit (pu_server_t *s);
@@ -807,6 +801,10 @@
 void pu_brittle_note_unasked (const pu_exchange_t *x);
 void pu_brittle_note_answer (const pu_exchange_t *x);
 
+/* pu_server_is_owned - whether this entry is the first of those that may own
+   S.  */
+bool pu_server_is_owned (const pu_server_t *s);
+
 /* pu_server_brittle_sent, pu_server_brittle_rejected, pu_server_brittle_ended
    - this entry has sent X to its server; the current attempt of X was rejected
    for want of room; it has ended in any way.  */
@@ -846,6 +844,35 @@
 /* pu_entry_brittle_tick - updates the limits of brittle servers.  */
 void pu_entry_brittle_tick (pu_entry_t *en);
 
+/* --- crowded.c: plain backend servers that have no room --- */
+
+/* pu_server_is_crowded - whether S, which is a plain server, has no room for
+   what all entries send it.  It has an owner then, as if it were brittle.  */
+bool pu_server_is_crowded (const pu_server_t *s);
+
+/* pu_server_crowded_told - another entry has found S crowded, until loop time
+   UNTIL.  */
+void pu_server_crowded_told (pu_server_t *s, guint64 until);
+
+/* pu_server_crowded_cap - returns the most requests at once that this entry
+   may send S in place of all entries, 0: any number.  */
+guint pu_server_crowded_cap (const pu_server_t *s);
+
+/* pu_server_crowded_sent, pu_server_crowded_ended, pu_server_crowded_rejected
+   - this entry has sent S a request; the one that was sent at SENT_AT has
+   ended in another way than by a rejection; the current attempt of X was
+   rejected.  */
+void pu_server_crowded_sent (pu_server_t *s);
+void pu_server_crowded_ended (pu_server_t *s, guint64 sent_at);
+void pu_server_crowded_rejected (const pu_exchange_t *x);
+
+/* pu_server_crowded_forget - S is gone, or is about to be another process.  */
+void pu_server_crowded_forget (pu_server_t *s);
+
+/* pu_entry_crowded_tick - ends the time of servers that are no longer
+   crowded.  */
+void pu_entry_crowded_tick (pu_entry_t *en);
+
 /* --- strikes.c: strikes against requests --- */
 
 /* pu_strike_begin - proposes ONE, a strike for the crash of S, to the log.  */
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -55,6 +55,7 @@
   pu_lost_remove (s->en->lost, s);
   pu_http_call_cancel (s->probe);
   pu_brittle_free (s->brittle);
+  pu_crowded_free (s->crowded);
   g_ptr_array_free (s->held_exchanges, TRUE);
   g_hash_table_destroy (s->copy_overrides);
   g_free (s->name);
