entry: a server is crowded by a share of rejections, while requests wait

What callers saw: three servers with some 200 rejections together in 34 s were behind their owners nearly without a pause, ten times or so each.

Cause: one rejection made a server crowded for all, for 3 s. When that ended all entries sent directly, something was rejected, and it began anew: the measure took its own effect for the cause.

Change: an entry calls a server crowded when two or more of its requests, and a quarter of them, were rejected within a second. Its owner calls it crowded for longer only while requests wait there for room; when none does, the others send directly again after 3 s.

--- a/libplantainusher/entry/crowded.c
+++ b/libplantainusher/entry/crowded.c
@@ -3,7 +3,8 @@
 
    Such a server has an owner as a brittle one has (brittle.c): it reports no
    load, so that many entries, each with a few requests, would spend most
-   attempts on rejections.  All entries are told.  */
+   attempts on rejections.  All entries are told.  It stays crowded for as long
+   as requests have to wait at its owner.  */
 
 #include "entry/entry_private.h"
 
@@ -58,9 +59,6 @@
 
   if (s->crowded_until + CROWDED_TOLD_MS > now + CROWDED_MS)
     return;
-  pu_log_info (PU_ENTRY_LOG_SLICE,
-               "Backend server %s rejected a request for want of room.",
-               s->name);
   pu_server_crowded_told (s, now + CROWDED_MS);
   pu_server_statement_note (s, 0, s->limit_per_s);
 }
@@ -107,8 +105,13 @@
       return;
     }
   pu_crowded_rejected (s->crowded, x->at.sent_at, now);
-  if (s->stated_per_s == 0)
-    crowded_note (s);
+  if (s->stated_per_s > 0 || pu_server_is_crowded (s)
+      || !pu_crowded_is_found (s->crowded, now))
+    return;
+  pu_log_info (PU_ENTRY_LOG_SLICE,
+               "Backend server %s rejects requests for want of room.",
+               s->name);
+  crowded_note (s);
 }
 
 guint
@@ -131,21 +134,30 @@
 }
 
 static void
-owner_log (pu_server_t *s)
+owner_log (pu_server_t *s, const pu_router_load_t *load, guint waiting)
 {
-  guint64 now = loop_now (s->en);
-  pu_router_load_t load;
-
-  if (!pu_log_limited (&s->crowded_logged_at, now, LOG_INTERVAL_MS))
+  if (!pu_log_limited (&s->crowded_logged_at, loop_now (s->en),
+                       LOG_INTERVAL_MS))
     return;
-  pu_router_backend_load (s->en->router, s->handle, now, &load);
   pu_log_event (PU_ENTRY_LOG_SLICE, "Owns a crowded backend server.",
                 PU_LOG_TEXT ("server", s->name),
-                PU_LOG_NUMBER ("running", load.own),
-                PU_LOG_NUMBER ("slots", load.slots),
+                PU_LOG_NUMBER ("running", load->own),
+                PU_LOG_NUMBER ("slots", load->slots),
                 PU_LOG_NUMBER ("limit", pu_server_crowded_cap (s)),
-                PU_LOG_NUMBER ("waiting", pu_router_waiting_for (s->en->router,
-                                                                 s->handle)));
+                PU_LOG_NUMBER ("waiting", waiting));
+}
+
+/* S, which this entry owns, stays crowded while requests wait for room.  */
+static void
+owner_tick (pu_server_t *s)
+{
+  guint waiting = pu_router_waiting_for (s->en->router, s->handle);
+  pu_router_load_t load;
+
+  pu_router_backend_load (s->en->router, s->handle, loop_now (s->en), &load);
+  owner_log (s, &load, waiting);
+  if (waiting > 0 && load.own >= load.slots)
+    crowded_note (s);
 }
 
 void
@@ -158,7 +170,7 @@
       pu_server_t *s = l->data;
 
       if (pu_server_is_crowded (s) && pu_server_is_owned (s))
-        owner_log (s);
+        owner_tick (s);
       if (pu_server_is_crowded (s))
         continue;
       pu_log_info (PU_ENTRY_LOG_SLICE,
--- a/libplantainusher/routing/crowded.c
+++ b/libplantainusher/routing/crowded.c
@@ -2,6 +2,11 @@
 
 enum
 {
+  SPAN_MS = 500, /* outcomes are counted in this span and the one before it */
+  /* Rejections in these spans, and their share of the outcomes in percent,
+     from which on the server is crowded.  */
+  FOUND_MIN = 2,
+  FOUND_PCT = 25,
   /* A rejection for want of room comes back sooner than this.  A later one is
      of a request that had room, and waited in the server's queue for too
      long.  */
@@ -18,9 +23,17 @@
   guint at_once; /* requests in flight with this one when it was sent */
 } sent_t;
 
+typedef struct
+{
+  guint rejected;
+  guint other;
+} outcomes_t;
+
 struct pu_crowded
 {
-  GArray *sent;     /* of sent_t, in order: those that have not ended */
+  GArray *sent; /* of sent_t, in order: those that have not ended */
+  outcomes_t spans[2];
+  guint64 span;     /* number of the present span */
   guint limit;      /* G_MAXUINT: not known */
   guint step;       /* by which the limit grows next */
   guint64 probe_ms; /* time without a rejection until then */
@@ -48,6 +61,20 @@
   g_free (c);
 }
 
+/* Returns the counts of the span of NOW.  */
+static outcomes_t *
+outcomes_at (pu_crowded_t *c, guint64 now)
+{
+  guint64 number = now / SPAN_MS;
+
+  if (number > c->span + 1)
+    c->spans[(number + 1) % 2] = (outcomes_t){ 0 };
+  if (number > c->span)
+    c->spans[number % 2] = (outcomes_t){ 0 };
+  c->span = number;
+  return &c->spans[number % 2];
+}
+
 void
 pu_crowded_sent (pu_crowded_t *c, guint64 now)
 {
@@ -83,6 +110,7 @@
   bool is_limit = c->sent->len >= c->limit;
 
   sent_remove (c, sent_at, false);
+  outcomes_at (c, now)->other++;
   if (!is_limit || now < c->changed_at + c->probe_ms)
     return;
   /* Nothing was rejected since the last step.  */
@@ -100,6 +128,7 @@
 
   if (now >= sent_at + PROMPT_MS || at_once == 0)
     return;
+  outcomes_at (c, now)->rejected++;
   /* One attempt to grow, however many of its requests are rejected.  */
   if (c->step > 1)
     c->probe_ms = MIN (c->probe_ms * 2, PROBE_MAX_MS);
@@ -108,6 +137,19 @@
   c->changed_at = now;
 }
 
+bool
+pu_crowded_is_found (pu_crowded_t *c, guint64 now)
+{
+  guint rejected;
+  guint other;
+
+  outcomes_at (c, now);
+  rejected = c->spans[0].rejected + c->spans[1].rejected;
+  other = c->spans[0].other + c->spans[1].other;
+  return rejected >= FOUND_MIN
+         && rejected * 100 >= (rejected + other) * FOUND_PCT;
+}
+
 guint
 pu_crowded_limit (const pu_crowded_t *c)
 {
--- a/libplantainusher/routing/crowded.h
+++ b/libplantainusher/routing/crowded.h
@@ -7,12 +7,16 @@
 G_BEGIN_DECLS
 
 /*
- * crowded - how many requests at once an entry sends to a plain backend server
- * that has no room for what all entries send it, when it sends them all.
+ * crowded - when a plain backend server has no room for what all entries send
+ * it, and how many requests at once the entry that then sends them all may
+ * send.
  *
  * Load pattern: many entries with a few requests each share a backend server
- * that reports no load and bears any number of rejections.  One rejection says
- * that the server was full at that moment, of the requests of all entries.
+ * that reports no load and bears any number of rejections.  After a burst it
+ * rejects some requests though it can serve all that come afterwards; under a
+ * lasting overload most attempts of each entry are rejections.  One rejection
+ * says that the server was full at that moment, of the requests of all
+ * entries.  Only a share of them over a time says that it is crowded.
  *
  * The limit is what the server itself has accepted: a request that was sent
  * as the n-th at once and rejected shows that n - 1 fit.  Above that the limit
@@ -42,6 +46,10 @@
    SENT_AT, for want of room.  */
 void pu_crowded_rejected (pu_crowded_t *c, guint64 sent_at, guint64 now);
 
+/* pu_crowded_is_found - whether so many of the last requests of this entry
+   were rejected that the server is crowded.  */
+bool pu_crowded_is_found (pu_crowded_t *c, guint64 now);
+
 /* pu_crowded_limit - returns the most requests at once that this entry may
    send if it sends those of all; G_MAXUINT: not known, any number.  */
 guint pu_crowded_limit (const pu_crowded_t *c);
--- a/libplantainusher/routing/crowded_test.cc
+++ b/libplantainusher/routing/crowded_test.cc
@@ -164,4 +164,37 @@
   EXPECT_EQ (G_MAXUINT, pu_crowded_limit (c));
 }
 
+TEST_F (Crowded, OneRejectionDoesNotMakeAServerCrowded)
+{
+  pu_crowded_sent (c, now);
+  pu_crowded_rejected (c, now, now + 2);
+  EXPECT_FALSE (pu_crowded_is_found (c, now + 2));
+}
+
+TEST_F (Crowded, FewRejectionsAmongManyAnswersDoNotMakeAServerCrowded)
+{
+  for (int i = 0; i < 10; i++)
+    {
+      pu_crowded_sent (c, now);
+      pu_crowded_ended (c, now, now);
+    }
+  for (int i = 0; i < 3; i++)
+    {
+      pu_crowded_sent (c, now);
+      pu_crowded_rejected (c, now, now);
+    }
+  EXPECT_FALSE (pu_crowded_is_found (c, now));
+}
+
+TEST_F (Crowded, RejectionsOfMostRequestsMakeAServerCrowdedForAWhile)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      pu_crowded_sent (c, now);
+      pu_crowded_rejected (c, now, now);
+    }
+  EXPECT_TRUE (pu_crowded_is_found (c, now));
+  EXPECT_FALSE (pu_crowded_is_found (c, now + 2000));
+}
+
 }
