entry: a refusal by an owner that sent nothing is no attempt at the server

Cause: whatever an owner refused counted as the server's rejection: the one attempt was spent, it took from the retry budget, shrank the server's slots and kept it from requests for 0.1 s at the entry that met the caller. Nothing had reached the server.

Change: unless the owner says that its attempt was rejected, the attempt is taken back, and the request goes on to the other servers of the service, each once (PU_ROUTER_FAIL_DECLINED).

--- a/libplantainusher/entry/attempt_peer.c
+++ b/libplantainusher/entry/attempt_peer.c
@@ -114,6 +114,26 @@
     pu_server_back_off (x->at.server, uv_now (x->en->o.loop) + MAX (ms, 1));
 }
 
+/* Handles the refusal of an owner that has not sent X to the backend server:
+   no attempt was made at it.  */
+static void
+owner_unsent (pu_exchange_t *x, pu_router_failure_t failure)
+{
+  owner_retry_note (x);
+  x->server_attempts--;
+  pu_exchange_retry (x, failure);
+}
+
+/* Whether the owner refused X after attempts at the backend server.  */
+static bool
+has_owner_attempted (const pu_exchange_t *x)
+{
+  return refusal_has_type (x,
+                           pu_router_reason_name (PU_ROUTER_REASON_ATTEMPTS))
+         || refusal_has_type (x,
+                              pu_router_reason_name (PU_ROUTER_REASON_BUDGET));
+}
+
 void
 pu_owner_refusal_handle (pu_exchange_t *x)
 {
@@ -134,19 +154,22 @@
     }
   else if (refusal_has_type (x, PU_REFUSAL_BACK_OFF))
     {
-      owner_retry_note (x);
       owner_back_off (x);
-      pu_exchange_retry (x, PU_ROUTER_FAIL_UNSENT);
+      owner_unsent (x, PU_ROUTER_FAIL_UNSENT);
     }
   else if (strcmp (at->outcome, pu_run_outcome_name (PU_RUN_OUTCOME_NOT_RUN))
-           == 0)
+           != 0)
+    {
+      pu_attempt_break (x, PU_ROUTER_FAIL_RELAY);
+    }
+  else if (has_owner_attempted (x))
     {
       owner_retry_note (x);
       pu_exchange_retry (x, PU_ROUTER_FAIL_NOT_RUN);
     }
   else
     {
-      pu_attempt_break (x, PU_ROUTER_FAIL_RELAY);
+      owner_unsent (x, PU_ROUTER_FAIL_DECLINED);
     }
 }
 
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -712,7 +712,8 @@
   if (pu_router_failure_may_have_run (failure))
     x->may_have_run = true;
   if (x->at.server != NULL && failure != PU_ROUTER_FAIL_NOT_RUN
-      && failure != PU_ROUTER_FAIL_UNSENT)
+      && failure != PU_ROUTER_FAIL_UNSENT
+      && failure != PU_ROUTER_FAIL_DECLINED)
     {
       g_free (x->failed_server);
       x->failed_server = g_strdup (x->at.server->name);
@@ -758,7 +759,8 @@
      because an interrupted stream may be resumed on the same copy.  */
   if (d.verdict == PU_ROUTER_REFUSE && d.reason == PU_ROUTER_REASON_ATTEMPTS
       && x->q.repeatable && x->q.attempts_max == 0 && !x->offered_again
-      && failure != PU_ROUTER_FAIL_NOT_RUN)
+      && failure != PU_ROUTER_FAIL_NOT_RUN
+      && failure != PU_ROUTER_FAIL_DECLINED)
     {
       x->offered_again = true;
       ticket_set (x, 0);
--- a/libplantainusher/routing/dump.c
+++ b/libplantainusher/routing/dump.c
@@ -196,6 +196,7 @@
     [PU_ROUTER_FAIL_ERROR] = "error",
     [PU_ROUTER_FAIL_ABSENT] = "absent",
     [PU_ROUTER_FAIL_UNSENT] = "unsent",
+    [PU_ROUTER_FAIL_DECLINED] = "declined",
     [PU_ROUTER_FAIL_RELAY] = "relay",
   };
 
--- a/libplantainusher/routing/feedback.c
+++ b/libplantainusher/routing/feedback.c
@@ -176,6 +176,7 @@
     case PU_ROUTER_FAIL_NOT_RUN:
     case PU_ROUTER_FAIL_ABSENT:
     case PU_ROUTER_FAIL_UNSENT:
+    case PU_ROUTER_FAIL_DECLINED:
       return false;
     case PU_ROUTER_FAIL_DIED:
     case PU_ROUTER_FAIL_ERROR:
@@ -187,6 +188,15 @@
   return true;
 }
 
+/* Whether an attempt that ended with FAILURE has reached no backend
+   server.  */
+static bool
+is_unconnected (pu_router_failure_t failure)
+{
+  return failure == PU_ROUTER_FAIL_CONNECT || failure == PU_ROUTER_FAIL_UNSENT
+         || failure == PU_ROUTER_FAIL_DECLINED;
+}
+
 /* Takes back the attempt of Q that ended without a connection: it reached no
    backend server, so it is none of the attempts that the route allows, and
    needs no retry budget.  Returns false if Q has had too many of these.  */
@@ -268,9 +278,7 @@
     }
   record_failure (r, q, failure, now);
   request_stop (r, q, now);
-  charged
-      = (failure != PU_ROUTER_FAIL_CONNECT && failure != PU_ROUTER_FAIL_UNSENT)
-        || !uncharge_unconnected (q);
+  charged = !is_unconnected (failure) || !uncharge_unconnected (q);
   q->late = is_served_late (r, q, now);
   request_set_due (r, q);
   reason = retry_refusal_reason (r, q, charged, now);
--- a/libplantainusher/routing/limit.c
+++ b/libplantainusher/routing/limit.c
@@ -304,7 +304,7 @@
       return;
     }
   if (failure == PU_ROUTER_FAIL_ABSENT || failure == PU_ROUTER_FAIL_UNSENT
-      || failure == PU_ROUTER_FAIL_RELAY)
+      || failure == PU_ROUTER_FAIL_DECLINED || failure == PU_ROUTER_FAIL_RELAY)
     return;
   /* An error response is weaker evidence than a broken connection, as some
      requests fail on every backend server.  */
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -464,6 +464,8 @@
   PU_ROUTER_FAIL_ABSENT,    /* not run: the backend server lacks the copy */
   PU_ROUTER_FAIL_UNSENT,    /* another entry that was to send the request did
                                not: no fault of the backend server */
+  PU_ROUTER_FAIL_DECLINED,  /* the same, and it would not for a while: another
+                               backend server may have room */
   PU_ROUTER_FAIL_RELAY      /* the way by another entry broke after sending: no
                                fault of the backend server */
 } pu_router_failure_t;
--- a/libplantainusher/routing/router_tried_test.cc
+++ b/libplantainusher/routing/router_tried_test.cc
@@ -57,3 +57,27 @@
   set_backend ("a", Backend ());
   EXPECT_EQ (goes_to ("gone"), "a");
 }
+
+/* An owner that would not send a request has not spent an attempt at its
+   backend server.  */
+TEST_F (TriedBackend, ThatWasDeclinedByItsOwnerLeavesTheOnlyAttemptForOthers)
+{
+  pu_router_request_t q = request_until (now_ + 4000);
+  pu_router_decision_t d;
+  std::string first;
+
+  set_backend ("a", Backend ());
+  set_backend ("b", Backend ());
+  pu_router_set_service_retries (r_, 0, 0);
+  q.attempts_max = 1;
+  q.repeatable = false;
+  pu_router_offer (r_, &q, now_, &d);
+  ASSERT_EQ (PU_ROUTER_DISPATCH, d.verdict);
+  first = pu_router_backend_name (r_, d.backend);
+  pu_router_retry (r_, d.ticket, PU_ROUTER_FAIL_DECLINED, now_, &d);
+  ASSERT_EQ (PU_ROUTER_DISPATCH, d.verdict);
+  EXPECT_NE (first, pu_router_backend_name (r_, d.backend));
+  pu_router_retry (r_, d.ticket, PU_ROUTER_FAIL_DECLINED, now_, &d);
+  EXPECT_EQ (PU_ROUTER_REFUSE, d.verdict);
+  EXPECT_EQ (PU_ROUTER_NOT_RUN, d.ran);
+}
--- a/tests/crowded_process_test.py
+++ b/tests/crowded_process_test.py
@@ -4,6 +4,7 @@
 tests/cluster.py says how to run this file."""
 import collections
 import http.client
+import json
 import random
 import sys
 import threading
@@ -75,6 +76,15 @@
         threading.Thread(target=self._arrive, daemon=True).start()
         time.sleep(2)
 
+    def _reasons(self):
+        """Why instances refused requests, in the burst too."""
+        found = collections.Counter()
+        for one in self.some:
+            for line in one.log.read_text(errors="replace").splitlines():
+                if '"Refused or failed."' in line:
+                    found[json.loads(line)["reason"]] += 1
+        return dict(found)
+
     def check_served(self, since):
         time.sleep(max(0, since + PLAYED_S - time.monotonic()) + PATIENCE_S)
         said = [(status, took) for at, status, took in list(self.answers)
@@ -85,7 +95,8 @@
             "in target": round(sum(t <= TARGET_S for t in good)
                                / len(said), 3),
             "statuses": dict(collections.Counter(s for s, _ in said)),
-            "rejected": [len(b.rejected_at) for b in self.backends]}
+            "rejected": [len(b.rejected_at) for b in self.backends],
+            "reasons": self._reasons()}
         print(self.id().rsplit(".", 1)[-1], figures, file=sys.stderr,
               flush=True)
         self.assertGreaterEqual(figures["served"], SERVED, figures)
