entry: an owner keeps a crowded server busy, and queues the rest itself

Cause: an owner filled the queue of its server, which goes first come, first served, whatever is late by then. A server with 6 places and a queue of 24 answers after five times its working time.

Change: a plain server states its slots in its check-in. They go into its record, as the software version does, in a copy with a reserved name that earlier releases ignore. An owner sends two requests at once for each slot, one that runs and one that waits; what the server has accepted stays the limit where that is less, as where places are withdrawn or no slots are stated.

Ruled out: the limit from the measured times of answers. It takes a server that has become slow for one with a queue, and holds back more than it has to.

--- a/libplantainusher/entry/crowded.c
+++ b/libplantainusher/entry/crowded.c
@@ -9,6 +9,7 @@
 #include "entry/entry_private.h"
 
 #include "base/log.h"
+#include "state/slots.h"
 
 enum
 {
@@ -114,11 +115,25 @@
   crowded_note (s);
 }
 
+/* Returns how many requests at once keep S busy: one runs and one waits for
+   each of its slots.  Any more would only wait there, first come, first
+   served, while those that wait here go in the order of their targets.  */
+static guint
+busy_limit (const pu_server_t *s)
+{
+  const pu_backend_record *b
+      = pu_state_backend (s->en->o.hooks.view (s->en->o.hooks.data), s->name);
+  guint slots = b != NULL ? pu_backend_slots (b) : 0;
+
+  return slots > 0 ? 2 * slots : G_MAXUINT;
+}
+
 guint
 pu_server_crowded_cap (const pu_server_t *s)
 {
   guint limit = s->crowded != NULL ? pu_crowded_limit (s->crowded) : G_MAXUINT;
 
+  limit = MIN (limit, busy_limit (s));
   return limit == G_MAXUINT ? 0 : limit;
 }
 
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -194,7 +194,7 @@
       pu_router_copy_t one
           = { c->model, c->model_version, router_phase (c->phase) };
 
-      if (!pu_copy_is_software (c) && !is_marked_absent (s, c->model))
+      if (!pu_copy_is_fact (c) && !is_marked_absent (s, c->model))
         g_array_append_val (copies, one);
     }
   overrides_append (s, b, copies);
--- a/libplantainusher/operator/views.c
+++ b/libplantainusher/operator/views.c
@@ -168,7 +168,7 @@
     {
       const pu_copy_record *c = &b->copies.copies_val[i];
 
-      if (pu_copy_is_software (c))
+      if (pu_copy_is_fact (c))
         continue;
       json_array_append_new (
           list, json_pack ("{s:s, s:s, s:i, s:s}", "model", c->model,
--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -204,7 +204,7 @@
     {
       guint32 item;
 
-      if (pu_copy_is_software (&b->copies.copies_val[i]))
+      if (pu_copy_is_fact (&b->copies.copies_val[i]))
         continue;
       item = pu_names_intern (&l->item_names, b->copies.copies_val[i].model);
       pu_dispatcher_mark_loaded (l->dispatcher, handle, item,
--- a/libplantainusher/placer/sync.c
+++ b/libplantainusher/placer/sync.c
@@ -270,7 +270,7 @@
       pu_ledger_copy_t h = { .memory_mb = c->memory_mb,
                              .phase = (pu_ledger_phase_t)c->phase };
 
-      if (pu_copy_is_software (c))
+      if (pu_copy_is_fact (c))
         continue;
       h.copy = pu_placer_sync_intern_copy (sync, c->model, c->model_version);
       g_array_append_val (sync->held_copies, h);
--- a/libplantainusher/state/software.c
+++ b/libplantainusher/state/software.c
@@ -3,30 +3,31 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* No model has this name: documents don't allow a colon in one.  */
+/* Documents don't allow a colon in the name of a model.  */
+#define FACT_MARK ':'
 #define SOFTWARE_NAME "software:"
 
 bool
-pu_copy_is_software (const pu_copy_record *c)
+pu_copy_is_fact (const pu_copy_record *c)
 {
-  return strcmp (c->model, SOFTWARE_NAME) == 0;
+  return strchr (c->model, FACT_MARK) != NULL;
 }
 
 static pu_copy_record *
-find (const pu_backend_record *b)
+find (const pu_backend_record *b, const char *name)
 {
   for (u_int i = 0; i < b->copies.copies_len; i++)
     {
-      if (pu_copy_is_software (&b->copies.copies_val[i]))
+      if (strcmp (b->copies.copies_val[i].model, name) == 0)
         return &b->copies.copies_val[i];
     }
   return NULL;
 }
 
 const char *
-pu_backend_software (const pu_backend_record *b)
+pu_backend_fact (const pu_backend_record *b, const char *name)
 {
-  const pu_copy_record *c = find (b);
+  const pu_copy_record *c = find (b, name);
 
   return c != NULL ? c->model_version : "";
 }
@@ -41,10 +42,10 @@
   b->copies.copies_len--;
 }
 
-/* Appends the copy that states VERSION.  A full list is left as it is: the
-   version is then not known.  */
+/* Appends the copy that states VALUE.  A full list is left as it is: the value
+   is then not known.  */
 static void
-append_copy (pu_backend_record *b, const char *version)
+append_copy (pu_backend_record *b, const char *name, const char *value)
 {
   u_int n = b->copies.copies_len;
 
@@ -55,20 +56,31 @@
       = reallocarray (b->copies.copies_val, n + 1, sizeof (pu_copy_record));
   if (b->copies.copies_val == NULL)
     g_error ("Out of memory.");
-  b->copies.copies_val[n]
-      = (pu_copy_record){ .model = strdup (SOFTWARE_NAME),
-                          .model_version = strdup (version),
-                          .phase = PU_COPY_DRAINING };
+  b->copies.copies_val[n] = (pu_copy_record){ .model = strdup (name),
+                                              .model_version = strdup (value),
+                                              .phase = PU_COPY_DRAINING };
   b->copies.copies_len = n + 1;
 }
 
 void
-pu_backend_set_software (pu_backend_record *b, const char *version)
+pu_backend_set_fact (pu_backend_record *b, const char *name, const char *value)
 {
-  pu_copy_record *c = find (b);
+  pu_copy_record *c = find (b, name);
 
   if (c != NULL)
     remove_copy (b, c);
-  if (*version != '\0')
-    append_copy (b, version);
+  if (*value != '\0')
+    append_copy (b, name, value);
+}
+
+const char *
+pu_backend_software (const pu_backend_record *b)
+{
+  return pu_backend_fact (b, SOFTWARE_NAME);
+}
+
+void
+pu_backend_set_software (pu_backend_record *b, const char *version)
+{
+  pu_backend_set_fact (b, SOFTWARE_NAME, version);
 }
--- a/libplantainusher/state/software.h
+++ b/libplantainusher/state/software.h
@@ -28,9 +28,16 @@
    VERSION, at most PU_NAME_MAX bytes; "": not known.  */
 void pu_backend_set_software (pu_backend_record *b, const char *version);
 
-/* pu_copy_is_software - whether C is not a copy of a model, but states the
-   software version.  */
-bool pu_copy_is_software (const pu_copy_record *c);
+/* pu_copy_is_fact - whether C is not a copy of a model, but states something
+   else of its backend server.  */
+bool pu_copy_is_fact (const pu_copy_record *c);
+
+/* pu_backend_fact, pu_backend_set_fact - the text that the record of B states
+   under the reserved model name NAME, "" if there is none; sets it to a copy
+   of VALUE, at most PU_NAME_MAX bytes, "": none.  The string belongs to B.  */
+const char *pu_backend_fact (const pu_backend_record *b, const char *name);
+void pu_backend_set_fact (pu_backend_record *b, const char *name,
+                          const char *value);
 
 G_END_DECLS
 
--- a/libplantainusher/state/software_test.cc
+++ b/libplantainusher/state/software_test.cc
@@ -55,7 +55,7 @@
 {
   pu_backend_set_software (b, "v1.1");
   ASSERT_EQ (1U, b->copies.copies_len);
-  EXPECT_TRUE (pu_copy_is_software (&b->copies.copies_val[0]));
+  EXPECT_TRUE (pu_copy_is_fact (&b->copies.copies_val[0]));
   EXPECT_EQ (PU_COPY_DRAINING, b->copies.copies_val[0].phase);
   EXPECT_EQ (0U, b->copies.copies_val[0].memory_mb);
 }
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -255,6 +255,7 @@
         self.brittle = None    # rejections a second that it bears, as it says
         self.places = None     # requests at once; it rejects others
         self.queue = 0         # requests that may wait for one of the places
+        self.slots = 8         # that its check-ins state
         self.running = 0
         self.waiting = 0
         self.rejected_at = []  # when it rejected for want of a place
@@ -288,7 +289,7 @@
         """The status of one check-in there."""
         self._seq += 1
         body = {"service": self.service, "address": self.address,
-                "zone": self.zone, "slots": 8,
+                "zone": self.zone, "slots": self.slots,
                 "state": self.state, "cold_left_ms": 0, "seq": self._seq}
         if self.version is not None:
             body["version"] = self.version
