entry: an owner counts the target from when the caller asked

What callers saw: under an overload requests were answered just after their target, and some were cut off at their deadline though a server ran them.

Cause: an owner goes by target and deadline as if the request had begun with it. The time at the entry that met the caller, and at owners that declined, was lost. What a busy server takes was told from an idle one. A request might start at its deadline, whose answer nobody waits for, and a refusal at the deadline comes too late for the caller to hear that it has not run.

Change: a relay to an owner names its age; what an owner expects of its server is the time that answers take; a request waits until 50 ms, or a quarter of what is left, before its deadline.

--- a/libplantainusher/entry/admit.c
+++ b/libplantainusher/entry/admit.c
@@ -172,9 +172,14 @@
 {
   const char *server = pu_http_request_header (x->http, "x-relay-server");
   const char *bound = pu_http_request_header (x->http, "x-relay-rejections");
+  const char *age = pu_http_request_header (x->http, "x-relay-age");
+  guint64 age_ms = 0;
 
   if (server == NULL || bound == NULL)
     return;
+  if (age != NULL)
+    g_ascii_string_to_unsigned (age, 10, 0, G_MAXUINT32, &age_ms, NULL);
+  x->relay_age_ms = (guint)age_ms;
   x->only_server = g_strdup (server);
   x->only_server_bound = g_ascii_strtod (bound, NULL);
   pu_exchange_accept_as_owner (x);
--- a/libplantainusher/entry/attempt_send.c
+++ b/libplantainusher/entry/attempt_send.c
@@ -167,6 +167,8 @@
   relay_headers_add (x, 1, &h);
   pu_header_list_add (&h, PU_SERVER_RELAY_HEADER, s->name);
   pu_header_list_add (&h, "X-Relay-Rejections", bound);
+  pu_header_list_add_number (&h, "X-Relay-Age",
+                             now_of (x) - MIN (now_of (x), x->q.arrived));
   x->at.owner = g_strdup (to->name);
   good = call_start (x, to->address, x->q.target, &h);
   pu_header_list_clear (&h);
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -260,6 +260,8 @@
   char *only_server;    /* brittle server for which it came here by way of its
                            owner, the only one that may run it; NULL: any */
   char *failed_server;  /* on which its last attempt failed; NULL: none */
+  guint relay_age_ms;   /* how long it was at the entry that sent it here as
+                           to an owner */
   guint owner_retry_ms; /* the shortest time to come back that an owner
                            named in a refusal; 0: none */
   double only_server_bound; /* rejections per second that this server bears;
--- a/libplantainusher/entry/exchange.c
+++ b/libplantainusher/entry/exchange.c
@@ -10,6 +10,9 @@
   /* Of a request that any entry serves, and that its entry can't send to a
      backend server: several other entries may be cut off too.  */
   HAND_OVERS_MAX = 16,
+  /* Time for a refusal to get back to the entry that sent a request to the
+     owner of its backend server.  */
+  RETURN_MS = 50,
   STATUS_NOT_FOUND = 404,
   STATUS_UNPROCESSABLE = 422,
 };
@@ -413,6 +416,20 @@
   return true;
 }
 
+/* Returns until when X may wait here.  If it can't start before, the entry
+   that sent it must hear so before its own deadline, or has to say that the
+   request may have run.  */
+static guint64
+wait_deadline (const pu_exchange_t *x)
+{
+  guint64 now = uv_now (x->en->o.loop);
+  guint64 left = x->q.deadline > now ? x->q.deadline - now : 0;
+
+  if (x->only_server == NULL)
+    return x->q.deadline;
+  return x->q.deadline - MIN (RETURN_MS, left / 4);
+}
+
 void
 pu_exchange_offer (pu_exchange_t *x)
 {
@@ -423,7 +440,7 @@
         router, x->q.route != NULL ? x->q.route : x->q.service),
     .model = pu_router_find_model (router, x->q.plain ? plain : x->q.model),
     .priority = x->q.priority,
-    .deadline = x->q.deadline,
+    .deadline = wait_deadline (x),
     .prompt_tokens = x->q.prompt_tokens,
     .max_tokens = x->q.max_tokens,
     .prefix = x->q.prefix,
@@ -437,6 +454,7 @@
       || pu_entry_fault_injected (x->en, PU_ENTRY_BREAK_RETRY_NON_REPEATABLE),
     .software = x->software,
     .backend_name = x->only_server,
+    .age_ms = x->relay_age_ms,
     .tried_backend = x->failed_server,
   };
   pu_router_decision_t d;
--- a/libplantainusher/routing/choose.c
+++ b/libplantainusher/routing/choose.c
@@ -47,8 +47,10 @@
   double without_load = model_prefill_token_ms (r, m) * q->prompt_tokens
                         + linear_fit_predict (&m->decode_step_fit, 1);
 
-  return model_prefill_token_ms (r, m) > 0 ? MIN (fitted, without_load)
-                                           : fitted;
+  /* The only backend server that may run Q is kept busy with others.  */
+  if (q->backend_name != NULL || model_prefill_token_ms (r, m) <= 0)
+    return fitted;
+  return MIN (fitted, without_load);
 }
 
 /* Returns the time between two output tokens, in milliseconds, on an engine
--- a/libplantainusher/routing/overload_test.cc
+++ b/libplantainusher/routing/overload_test.cc
@@ -171,3 +171,26 @@
   EXPECT_EQ (served_, 30u);
   EXPECT_EQ (refused_, 0u);
 }
+
+/* An owner must not count the target from when a request reaches it.  */
+TEST_F (OverloadedRouter, RequestThatIsLateByItsAgeDoesNotGoFirst)
+{
+  pu_router_request_t q = request_until (now_ + TIMEOUT_MS);
+  pu_router_decision_t late;
+  pu_router_decision_t in_time;
+
+  offer ();
+  q.backend_name = "b";
+  q.age_ms = TARGET_MS;
+  pu_router_offer (r_, &q, now_, &late);
+  ASSERT_EQ (PU_ROUTER_QUEUED, late.verdict);
+  now_++;
+  q.age_ms = 0;
+  pu_router_offer (r_, &q, now_, &in_time);
+  ASSERT_EQ (PU_ROUTER_QUEUED, in_time.verdict);
+  schedule ();
+  now_ += RUN_MS;
+  pu_router_finished (r_, running_.ticket, PU_ROUTER_COMPLETE, now_);
+  for (const auto &d : schedule ())
+    EXPECT_EQ (in_time.ticket, d.ticket);
+}
--- a/libplantainusher/routing/router.c
+++ b/libplantainusher/routing/router.c
@@ -190,7 +190,7 @@
   q->service = in->service;
   q->model = in->model;
   q->priority = MIN (in->priority, PU_ROUTER_PRIORITY_MAX);
-  q->offered_at = now;
+  q->offered_at = now - MIN (now, in->age_ms);
   q->deadline = in->deadline ? in->deadline : now + s->timeout_ms;
   q->prompt_tokens = in->prompt_tokens;
   q->max_tokens = in->max_tokens;
--- a/libplantainusher/routing/router.h
+++ b/libplantainusher/routing/router.h
@@ -345,6 +345,8 @@
                                 Others go before it if there are any.  */
   const char *backend_name;  /* only this backend server may run it; NULL: any.
                                 Copied.  */
+  guint
+      age_ms; /* since its caller sent it to another entry; 0: it came here */
 } pu_router_request_t;
 
 typedef enum
