--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -254,14 +254,14 @@
   bool offered_again; /* was offered to the router again after every copy had
                         been tried */
   GPtrArray *avoid;   /* names of entries to which a relay failed */
-  GPtrArray *unreached_owners; /* names of owners of brittle servers that were
+  GPtrArray *unreached_owners; /* names of owners of backend servers that were
                                   not reached, or did not serve it; NULL:
                                   none */
-  char *only_server;    /* brittle server for which it came here by way of its
+  char *only_server;    /* backend server for which it came here by way of its
                            owner, the only one that may run it; NULL: any */
   char *failed_server;  /* on which its last attempt failed; NULL: none */
-  guint relay_age_ms;   /* how long it was at the entry that sent it here as
-                           to an owner */
+  guint relay_age_ms;   /* how long the entry that sent it to this owner had
+                           it */
   guint owner_retry_ms; /* the shortest time to come back that an owner
                            named in a refusal; 0: none */
   double only_server_bound; /* rejections per second that this server bears;
