Test of endless answers: the server that answers so is one that is asked

All 620 requests of four instances went to another one (log lines 'Sent.' to s-2).

The test took the first of three servers, and an instance that has few requests at once prefers one server, by the first times that it measured.

Now the test asks each instance 20 times before it begins, and takes the server that most requests of the second half went to. All checks and bounds are as they were.

--- a/tests/endless_answers_process_test.py
+++ b/tests/endless_answers_process_test.py
@@ -13,6 +13,7 @@
 
 CALLERS = 8
 PLAY_S = 4.0
+SETTLED_REQUESTS = 10    # of each instance, until it prefers a server
 CLOSED_S = 2.0           # until an instance has closed such an answer
 BYTES_MAX = 1000000      # of one that is no body, with what sockets hold
 BUSY_MAX = 0.5           # of a processor, each instance
@@ -70,9 +71,27 @@
             self.answers.append((status, time.monotonic() - at, whole))
             self._end.wait(0.05)
 
+    def _ask_all(self, times):
+        """TIMES requests at each instance; how many each server ran."""
+        before = [len(b.ran) for b in self.backends]
+        for n in range(times):
+            for one in self.some:
+                rid = f"{one.name}-before-{n}"
+                wait_until(f"{one.name} to be answered",
+                           lambda one=one, rid=rid:
+                           one.ask(*self.call, rid).status == 200)
+        return [len(b.ran) - n for b, n in zip(self.backends, before)]
+
+    def _preferred(self):
+        """The server that most requests go to.  Few are under way at once, so
+        that an instance may have no reason to ask another."""
+        self._ask_all(SETTLED_REQUESTS)
+        ran = self._ask_all(SETTLED_REQUESTS)
+        return self.backends[ran.index(max(ran))]
+
     def play(self, begin, unit, pause_s=0.0, most=BYTES_MAX):
+        bad = self._preferred()
         before = [processor_s(one) for one in self.some]
-        bad = self.backends[0]
         bad.endless = begin, unit, pause_s
         threads = [threading.Thread(target=self._ask, args=(i,), daemon=True)
                    for i in range(self.callers)]
