routing: a getter that nothing calls is gone

pu_brittle_places was added for a log line of the owner of a crowded server, which shows the limit of routing/crowded since. No change of behaviour: everything builds, the tests of routing pass.

--- a/libplantainusher/routing/brittle.c
+++ b/libplantainusher/routing/brittle.c
@@ -144,12 +144,6 @@
               b->places);
 }
 
-guint
-pu_brittle_places (const pu_brittle_t *b)
-{
-  return b->places;
-}
-
 bool
 pu_brittle_may_have_fallen (const pu_brittle_t *b, bool owner, guint64 now)
 {
--- a/libplantainusher/routing/brittle.h
+++ b/libplantainusher/routing/brittle.h
@@ -50,10 +50,6 @@
    its place for a while, tries one at a time.  */
 guint pu_brittle_limit (pu_brittle_t *b, bool owner, guint64 now);
 
-/* pu_brittle_places - returns how many places the server is known to have;
-   G_MAXUINT: not known.  */
-guint pu_brittle_places (const pu_brittle_t *b);
-
 /* pu_brittle_free_at - returns the time when the oldest rejection that counts
    at NOW no longer does, 0 if there is none.  */
 guint64 pu_brittle_free_at (const pu_brittle_t *b, guint64 now);
