--- a/review/standins.py
+++ b/review/standins.py
@@ -44,11 +44,13 @@
     """A model engine as PROTOCOL.md has it: it checks fences and the expected
     number of accepted orders, refuses orders while another is under way, lists
     a model once it is loaded, and crashes when it is ordered to load more than
-    its memory holds."""
+    its memory holds.  SIZES: name of a model -> MB; ADAPTER_MB: of each
+    adapter."""
 
     def __init__(self, cluster, name, service, sizes, weights_mb, load_s,
-                 record, **more):
+                 record, adapter_mb=0.0, **more):
         self.sizes, self.weights_mb, self.load_s = sizes, weights_mb, load_s
+        self.adapter_mb = adapter_mb
         self.record = record
         self.fence = 0
         self.coming = None      # model that it loads
@@ -81,6 +83,8 @@
         if time.monotonic() < self.busy_until \
                 or body.get("expected", self.accepted) != self.accepted:
             return 409
+        if "adapter" in body:
+            return self._adapter_order(body)
         held = body["model"] in self.models
         if held == (body["op"] == "load"):
             return 200
@@ -89,19 +93,39 @@
             self.models.remove(body["model"])
             self.busy_until = time.monotonic() + UNLOAD_S
             return 202
-        wanted = [*self.models, body["model"]]
-        mb = sum(self.sizes[m] for m in wanted)
-        if mb > self.weights_mb and self.overloaded is None:
-            self.overloaded = (wanted, mb)
+        self._check_memory([*self.models, body["model"]], self.adapters)
         self.coming = body["model"]
         self.busy_until = time.monotonic() + self.load_s
         return 202
 
+    def _check_memory(self, models, adapters):
+        mb = sum(self.sizes[m] for m in models) \
+            + len(adapters) * self.adapter_mb
+        if mb > self.weights_mb and self.overloaded is None:
+            self.overloaded = ([*models, *adapters], mb)
+
+    def _adapter_order(self, body):
+        """An adapter is there at once, and so is the end of one that no
+        request uses."""
+        name = f"{body['model']}/{body['adapter']}"
+        if body["op"] == "unload":
+            if name in self.adapters:
+                self.adapters.remove(name)
+                self.accepted += 1
+            return 200
+        if body["model"] not in self.models:
+            return 400
+        if name in self.adapters:
+            return 200
+        self.accepted += 1
+        self._check_memory(self.models, [*self.adapters, name])
+        self.adapters.append(name)
+        return 202
+
     def held(self):
         with self._lock:
             self._settle()
-            return [{"name": m, "version": 1, "adapters": []}
-                    for m in self.models]
+            return super().held()
 
     def report(self):
         return {"stage": "both", "models": self.held(), "seq": self.accepted,
