--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,16 +19,24 @@
 CALL_S = 1.0         # without an answer, the next daemon is called
 HELD_UP_S = 1.0      # the check-in, from the end of the cut on
 DRAIN_S = 2.0        # drain_ms
+WORK_S = 0.1         # of a request
+CALLERS = 12
 SERVES_S = 8.0       # after the acknowledgement: "at times many seconds"
 
 
 class Server(Backend):
-    """Notes when requests reach it."""
+    """Notes when requests reach it.  While it is cut off from control, its
+    check-ins fail."""
 
     def __init__(self, *args, **more):
-        self.reached = []
+        self.reached, self.cut_off = [], False
         super().__init__(*args, **more)
 
+    def check_in(self, instance):
+        if self.cut_off:
+            raise OSError("cut off from control")
+        return super().check_in(instance)
+
     def enter(self):
         self.reached.append(time.monotonic())
         return super().enter()
@@ -39,9 +47,10 @@
     submit(some, config(1, [{"name": "app", "health_path": "/health",
                              "max_conns": 100}],
                         [route("r", "/app/", "safe", "app")]))
-    one, two = (Server(c, f"i-{i}", "app") for i in (1, 2))
+    one, two = (Server(c, f"i-{i}", "app", zone="ab"[i - 1]) for i in (1, 2))
     for b in one, two:
         b.beat_s = HEARTBEAT_MS / 1000
+        b.hold_s = WORK_S
     end = threading.Event()
 
     def ask(at, rid):
@@ -53,11 +62,11 @@
 
     def demand(n):
         i = 0
-        while not end.wait(0.05):
+        while not end.wait(0.02):
             i += 1
             ask(some[n % len(some)], f"q{n}-{i}")
 
-    for n in range(4):
+    for n in range(CALLERS):
         threading.Thread(target=demand, args=(n,), daemon=True).start()
     wait_until("both engines to be reached",
                lambda: one.reached and two.reached)
@@ -65,8 +74,12 @@
     record("both engines serve")
 
     # The cut: check-ins and calls of i-1 to control are held up on their way.
+    # It begins shortly before a check-in.
+    before = one._seq
+    wait_until("a check-in", lambda: one._seq > before)
+    time.sleep(HEARTBEAT_MS / 1000 - 0.2)
     begun = time.monotonic()
-    one.beat_s = 3600.0
+    one.cut_off = True
     one._seq += 1
     held = {"service": "app", "address": one.address, "zone": one.zone,
             "version": one.version, "slots": one.slots, "state": "ready",
