--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
-"""An engine is cut off from control for some seconds and leaves meanwhile.
-Its DELETE is acknowledged, then one of its check-ins that the partition had
-held up arrives, and requests are sent to it again."""
+"""An engine starts again under its id.  A check-in of its earlier boot, which
+said that it was leaving, arrives seconds late.  The engine of now is taken for
+leaving, and is never given a request again."""
 import http.client
 import pathlib
 import sys
@@ -13,105 +13,108 @@
 from standins import (TROUBLE, Backend, config, instances, main, request,  # noqa: E402
                       route, submit, wait_until)
 
-HEARTBEAT_MS = 1200  # as at all sites
-CUT_S = 5.0          # srv_cut: for_s (5)
-LEAVES_S = 3.0       # after the beginning of the cut
-CALL_S = 1.0         # without an answer, the next daemon is called
-HELD_UP_S = 1.0      # the check-in, from the end of the cut on
-DRAIN_S = 2.0        # drain_ms
-WORK_S = 0.1         # of a request
-CALLERS = 12
-SERVES_S = 8.0       # after the acknowledgement: "at times many seconds"
+RETRY_S = 1.0     # without an answer, the next daemon is called
+DRAIN_S = 2.0     # from the acknowledgement until the earlier boot exits
+LATE_S = 6.0      # the check-in that was held up, from its sending
+SETTLE_S = 3.0    # from then on until the answers are counted
+COUNT_S = 20.0
+SERVICES = ("one", "two")  # each with an engine and a route of its own
 
 
-class Server(Backend):
-    """Notes when requests reach it.  While it is cut off from control, its
-    check-ins fail."""
+def check_in_body(b, state, seq):
+    return {"service": b.service, "address": b.address, "zone": b.zone,
+            "version": b.version, "slots": b.slots, "state": state,
+            "cold_left_ms": 0, "seq": seq, "born": b.born}
 
-    def __init__(self, *args, **more):
-        self.reached, self.cut_off = [], False
-        super().__init__(*args, **more)
 
-    def check_in(self, instance):
-        if self.cut_off:
-            raise OSError("cut off from control")
-        return super().check_in(instance)
-
-    def enter(self):
-        self.reached.append(time.monotonic())
-        return super().enter()
+def restart(b):
+    """B ends and starts again: its connections end, its count of check-ins
+    starts anew, and its time of birth is another."""
+    for one in list(b.connections):
+        try:
+            one.shutdown(2)
+        except OSError:
+            pass
+    b.born = int(time.time() * 1000)
+    b._seq = 0
 
 
 def case(c, record):
-    some = instances(c, disks=3, plain=1, heartbeat_ms=HEARTBEAT_MS)
-    submit(some, config(1, [{"name": "app", "health_path": "/health",
-                             "max_conns": 100}],
-                        [route("r", "/app/", "safe", "app")]))
-    one, two = (Server(c, f"i-{i}", "app", zone="ab"[i - 1]) for i in (1, 2))
-    for b in one, two:
-        b.beat_s = HEARTBEAT_MS / 1000
-        b.hold_s = WORK_S
-    end = threading.Event()
+    some = instances(c, disks=3, plain=1)
+    submit(some, config(1, [{"name": s, "health_path": "/health",
+                             "max_conns": 100} for s in SERVICES],
+                        [route(f"r-{s}", f"/{s}/", "safe", s)
+                         for s in SERVICES]))
+    born = int(time.time() * 1000)
+    first, other = (Backend(c, f"i-{s}", s, born=born) for s in SERVICES)
+    counting, lock = threading.Event(), threading.Lock()
+    end, answers = threading.Event(), {s: {} for s in SERVICES}
 
-    def ask(at, rid):
+    def ask(one, service, rid):
         try:
-            return at.ask("GET", "/app/x", {"Deadline-Ms": "2000"}, rid,
-                          3).status
+            return one.ask("GET", f"/{service}/x", {"Deadline-Ms": "2000"},
+                           rid, 3).status
         except (OSError, http.client.HTTPException) as e:
             return type(e).__name__
 
+    for one in some:
+        for s in SERVICES:
+            wait_until(f"{s} at {one.name}",
+                       lambda one=one, s=s: ask(one, s, "w") == 200)
+    record("both services are served at all instances")
+
     def demand(n):
         i = 0
-        while not end.wait(0.02):
+        while not end.wait(0.1):
             i += 1
-            ask(some[n % len(some)], f"q{n}-{i}")
+            s = SERVICES[i % 2]
+            status = ask(some[n % len(some)], s, f"q{n}-{i}")
+            if counting.is_set():
+                with lock:
+                    answers[s][status] = answers[s].get(status, 0) + 1
 
-    for n in range(CALLERS):
+    for n in range(4):
         threading.Thread(target=demand, args=(n,), daemon=True).start()
-    wait_until("both engines to be reached",
-               lambda: one.reached and two.reached)
-    time.sleep(3)
-    record("both engines serve")
-
-    # The cut: check-ins and calls of i-1 to control are held up on their way.
-    # It begins shortly before a check-in.
-    before = one._seq
-    wait_until("a check-in", lambda: one._seq > before)
-    time.sleep(HEARTBEAT_MS / 1000 - 0.2)
-    begun = time.monotonic()
-    one.cut_off = True
-    one._seq += 1
-    held = {"service": "app", "address": one.address, "zone": one.zone,
-            "version": one.version, "slots": one.slots, "state": "ready",
-            "cold_left_ms": 0, "seq": one._seq}
-    record(f"{one.name} is cut off from control, not from the fronts; its "
-           f"check-in {held['seq']} (ready) is held up")
-    time.sleep(LEAVES_S)
-    record(f"{one.name} leaves: its DELETE is held up too, and sent again "
-           "each second to the next daemon")
-    time.sleep(max(0.0, begun + CUT_S - time.monotonic()))
-    record("the cut heals")
-    a = request(some[0].control, "DELETE", f"/api/instances/{one.name}",
-                timeout_s=1)
-    acknowledged = time.monotonic()
-    record(f"{some[0].name} answers {a.status} to the DELETE of {one.name}")
-    if a.status != 200:
-        raise RuntimeError("the DELETE was not acknowledged")
-    time.sleep(HELD_UP_S)
+    first.homes = [some[0]]
+    first._seq += 2
+    late = check_in_body(first, "draining", first._seq)
+    sent = time.monotonic()
+    record(f"the earlier boot of {first.name} reports to {some[-1].name} that "
+           f"it is draining; the check-in is held up on its way: {late}")
+    time.sleep(RETRY_S)
+    first.state = "draining"
+    record(f"without an answer it reports to {some[0].name}: "
+           f"{first.check_in(some[0])}")
+    time.sleep(DRAIN_S)
+    restart(first)
+    first.state = "ready"
+    record(f"{first.name} has exited and started again, born {first.born}")
+    time.sleep(max(0.0, sent + LATE_S - time.monotonic()))
+    wait_until("the new boot to be served",
+               lambda: ask(some[0], "one", "w2") == 200)
+    record(f"{first.name} is ready, and its requests are served")
     if TROUBLE:
-        a = request(some[1].control, "PUT", f"/api/instances/{one.name}",
-                    held, timeout_s=1)
-        record(f"the check-in {held['seq']} arrives at {some[1].name}: "
-               f"{a.status}")
-    time.sleep(max(0.0, acknowledged + SERVES_S - time.monotonic()))
+        a = request(some[-1].control, "PUT", f"/api/instances/{first.name}",
+                    late, timeout_s=2)
+        record(f"the check-in of the earlier boot arrives: {a.status}")
+    time.sleep(SETTLE_S)
+    counting.set()
+    record("from here on the answers count")
+    time.sleep(COUNT_S)
     end.set()
-    late = [t - acknowledged for t in one.reached
-            if t > acknowledged + DRAIN_S]
-    record(f"{len(late)} requests reached {one.name} later than {DRAIN_S} s "
-           "after the acknowledgement"
-           + (f", the first after {late[0]:.3f} s, the last after "
-              f"{late[-1]:.3f} s" if late else ""))
-    return not late
+    with lock:
+        counts = {s: dict(answers[s]) for s in SERVICES}
+    record(f"{first.name} (ready, born {first.born}) checked in "
+           f"{first._seq} times since its start")
+    asked = {s: sum(n.values()) for s, n in counts.items()}
+    served = {s: counts[s].get(200, 0) for s in SERVICES}
+    for s in SERVICES:
+        record(f"service {s}: {asked[s]} requests, answered {counts[s]}")
+    share = served["one"] / asked["one"]
+    share_all = sum(served.values()) / sum(asked.values())
+    record(f"served: {share:.3f} of the requests for service one, "
+           f"{share_all:.3f} of all")
+    return share >= share_all / 4
 
 
 if __name__ == "__main__":
