entry: a leave is of the incarnation that said it

Cause: pu_entry_mark_leaving took a name only. It marked the incarnation that the view had when the message was read, and leave_propose the one that the view had when a leader stood.

Change: each leave names the incarnation; the table of waiting leaves is keyed by both. A removal, which names none, is of the latest incarnation known when it is read. A leave ends when a later incarnation has registered.

--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -205,8 +205,8 @@
   return en->o.hooks.leader_reachable (en->o.hooks.data);
 }
 
-static guint64
-known_incarnation (const pu_entry_t *en, const char *name)
+guint64
+pu_entry_latest_incarnation (const pu_entry_t *en, const char *name)
 {
   const pu_backend_record *b = view_record (en, name);
   const pu_reporter_t *p = g_hash_table_lookup (en->reporters, name);
@@ -222,7 +222,7 @@
   const pu_reporter_t *p = g_hash_table_lookup (en->reporters, record->name);
   pu_announcement_t a = { .seq = seq };
 
-  if (record->incarnation < known_incarnation (en, record->name))
+  if (record->incarnation < pu_entry_latest_incarnation (en, record->name))
     return false;
   if (p != NULL && p->record->incarnation == record->incarnation
       && seq <= p->seq)
@@ -323,17 +323,17 @@
   g_free (a);
 }
 
-/* Answers the report SEQ of NAME.  That it leaves is acknowledged when the log
-   has it.  */
+/* Answers the report SEQ with the record B.  That it leaves is acknowledged
+   when the log has it.  */
 static void
 report_answer_when_known (pu_entry_t *en, pu_http_request_t *http,
-                          const char *name, guint64 seq, bool leaving)
+                          const pu_backend_record *b, guint64 seq)
 {
   static const pu_http_request_events_t events
       = { on_leave_disconnected, NULL };
   leave_answer_t *a;
 
-  if (!leaving)
+  if (!b->leaving)
     {
       report_answer (en, http, seq, false);
       return;
@@ -343,7 +343,7 @@
   a->http = http;
   a->seq = seq;
   pu_http_request_watch (http, &events, a);
-  pu_entry_mark_leaving (en, name, on_leave, a);
+  pu_entry_mark_leaving (en, b->name, b->incarnation, on_leave, a);
 }
 
 static void
@@ -366,12 +366,12 @@
   else if (p != NULL && p->record->incarnation == incarnation
            && a.seq <= p->seq)
     {
-      report_answer_when_known (en, http, name, p->seq, p->record->leaving);
+      report_answer_when_known (en, http, p->record, p->seq);
     }
   else
     {
       report_apply (en, &a);
-      report_answer_when_known (en, http, name, a.seq, a.record->leaving);
+      report_answer_when_known (en, http, a.record, a.seq);
     }
   pu_announcement_clear (&a);
 }
@@ -412,7 +412,7 @@
     {
       report_reject (en, http, f);
     }
-  else if (incarnation < known_incarnation (en, name))
+  else if (incarnation < pu_entry_latest_incarnation (en, name))
     {
       pu_respond_json (http, 409,
                        json_pack ("{s:s, s:s}", "error", "conflict", "message",
--- a/libplantainusher/entry/attempt.c
+++ b/libplantainusher/entry/attempt.c
@@ -344,7 +344,7 @@
       || at->answer.replaced || !is_by_server (at))
     return;
   if (at->answer.leaving && !s->leaving)
-    pu_entry_mark_leaving (x->en, s->name, NULL, NULL);
+    pu_entry_mark_leaving (x->en, s->name, at->incarnation, NULL, NULL);
   pu_server_limit_stated (s, at->answer.limit_per_s);
   if (at->answer.rejections_per_s > 0 || !at->answer.failed)
     {
--- a/libplantainusher/entry/entry.c
+++ b/libplantainusher/entry/entry.c
@@ -312,8 +312,8 @@
   en->peers_version = G_MAXUINT64;
   en->cut_off_peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  en->leaves
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pu_leave_free);
+  en->leaves = g_hash_table_new_full (pu_leave_hash, pu_leave_equal,
+                                      pu_leave_free, NULL);
   en->suspect_standings
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   en->logged_parts
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -391,12 +391,18 @@
    that each entry in contact with the voters learns of it.  */
 typedef void pu_entry_leave_fn (void *data, bool known);
 
-/* pu_entry_mark_leaving - records that the backend server NAME has reported
-   that it shuts down.  It gets no new requests of this entry, and the log is
-   told until it has that.  FN, if not NULL, is called exactly once, within
-   800 ms and maybe before this returns: a leave that the log does not have
-   must not be acknowledged.  */
+/* pu_entry_mark_leaving - records that INCARNATION of the backend server NAME
+   has reported that it shuts down.  It gets no new requests of this entry, and
+   the log is told until it has that.  FN, if not NULL, is called exactly once,
+   within 800 ms and maybe before this returns: a leave that the log does not
+   have must not be acknowledged.  */
 void pu_entry_mark_leaving (pu_entry_t *en, const char *name,
+                            guint64 incarnation, pu_entry_leave_fn *fn,
+                            void *data);
+
+/* pu_entry_mark_removed - does the same for the latest incarnation of NAME
+   that this entry knows, for a message that names none.  FN is not NULL.  */
+void pu_entry_mark_removed (pu_entry_t *en, const char *name,
                             pu_entry_leave_fn *fn, void *data);
 
 /* pu_entry_document - the document in force on this entry, or NULL.  */
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -360,7 +360,7 @@
   bool applying_all;     /* all backend servers of the view are applied */
   guint changes_logged;  /* changes of state among them */
   GHashTable *reporters; /* name -> pu_reporter_t */
-  GHashTable *leaves;    /* name -> leave_t of leaves.c */
+  GHashTable *leaves;    /* set of leave_t of leaves.c */
   pu_reach_t reach;      /* whether it reaches the backend servers */
   pu_lost_t *lost;       /* of pu_server_t: those that it does not reach */
   guint64 heard_at;      /* loop time when a backend server last sent
@@ -759,6 +759,12 @@
    after the leader's reply.  */
 bool pu_server_limit_permits (pu_exchange_t *x, pu_server_t *s);
 
+/* --- announce.c: who has reported --- */
+
+/* pu_entry_latest_incarnation - the latest incarnation of the backend server
+   NAME that the view or a report to this entry has named, or 0.  */
+guint64 pu_entry_latest_incarnation (const pu_entry_t *en, const char *name);
+
 /* --- leaves.c: backend servers that have said that they leave --- */
 
 /* pu_leaves_tick - calls the waiters whose time is over, proposes again what
@@ -767,6 +773,8 @@
 
 /* pu_leaves_give_up - calls all waiters: the leave is not known.  */
 void pu_leaves_give_up (pu_entry_t *en);
+guint pu_leave_hash (gconstpointer leave);
+gboolean pu_leave_equal (gconstpointer a, gconstpointer b);
 void pu_leave_free (gpointer leave);
 
 /* --- reach.c: whether this entry reaches the backend servers --- */
--- a/libplantainusher/entry/leaves.c
+++ b/libplantainusher/entry/leaves.c
@@ -1,9 +1,12 @@
 /* Backend servers that have said that they leave: the log is told until it has
    that, and only then is it acknowledged, as all other entries learn of it
-   from the log.  */
+   from the log.  A leave is of one incarnation, since a message or a proposal
+   may outlast the process that it is about.  */
 
 #include "entry/entry_private.h"
 
+#include <string.h>
+
 #include "base/log.h"
 
 enum
@@ -23,20 +26,32 @@
   guint64 due; /* loop time */
 } waiter_t;
 
-/* The leave of a backend server that the view does not show yet.  */
+/* The leave of an incarnation that the view does not show yet.  It is its own
+   key in the table of leaves, by name and incarnation.  */
 typedef struct
 {
+  char *name;
+  guint64 incarnation;
   GArray *waiters; /* of waiter_t */
   bool proposing;
   guint64 propose_at; /* loop time of the next proposal */
   guint64 started_at; /* loop time */
 } leave_t;
 
+/* What the view shows of a leave.  */
+typedef enum
+{
+  LEAVE_OPEN,      /* nothing */
+  LEAVE_RECORDED,  /* the incarnation leaves */
+  LEAVE_SUPERSEDED /* a later incarnation has taken its place */
+} leave_status_t;
+
 /* A proposal that has no reply yet.  */
 typedef struct
 {
   pu_entry_t *en;
   char *name;
+  guint64 incarnation;
 } proposal_t;
 
 static guint64
@@ -45,28 +60,73 @@
   return uv_now (en->o.loop);
 }
 
+guint
+pu_leave_hash (gconstpointer leave)
+{
+  const leave_t *l = leave;
+
+  return g_str_hash (l->name) ^ g_int64_hash (&l->incarnation);
+}
+
+gboolean
+pu_leave_equal (gconstpointer a, gconstpointer b)
+{
+  const leave_t *l = a;
+  const leave_t *m = b;
+
+  return l->incarnation == m->incarnation && strcmp (l->name, m->name) == 0;
+}
+
 void
 pu_leave_free (gpointer leave)
 {
   leave_t *l = leave;
 
   g_array_free (l->waiters, TRUE);
+  g_free (l->name);
   g_free (l);
 }
 
+static leave_t *
+leave_find (const pu_entry_t *en, const char *name, guint64 incarnation)
+{
+  const leave_t key = { .name = (char *)name, .incarnation = incarnation };
+
+  return g_hash_table_lookup (en->leaves, &key);
+}
+
+static leave_t *
+leave_get_or_add (pu_entry_t *en, const char *name, guint64 incarnation)
+{
+  leave_t *l = leave_find (en, name, incarnation);
+
+  if (l != NULL)
+    return l;
+  l = g_new0 (leave_t, 1);
+  l->name = g_strdup (name);
+  l->incarnation = incarnation;
+  l->waiters = g_array_new (FALSE, FALSE, sizeof (waiter_t));
+  l->started_at = loop_now (en);
+  g_hash_table_add (en->leaves, l);
+  return l;
+}
+
 static const pu_backend_record *
 view_record (const pu_entry_t *en, const char *name)
 {
   return pu_state_backend (en->o.hooks.view (en->o.hooks.data), name);
 }
 
-/* Whether the view shows that NAME gets no new requests.  */
-static bool
-is_known (const pu_entry_t *en, const char *name)
+static leave_status_t
+leave_status (const pu_entry_t *en, const char *name, guint64 incarnation)
 {
   const pu_backend_record *b = view_record (en, name);
 
-  return b != NULL && (b->leaving || b->down);
+  if (b == NULL || b->incarnation < incarnation)
+    return LEAVE_OPEN;
+  if (b->incarnation > incarnation)
+    return LEAVE_SUPERSEDED;
+  return b->leaving || b->down ? LEAVE_RECORDED : LEAVE_OPEN;
 }
 
 /* Calls the waiters of L that are due by NOW, or all of them.  */
@@ -85,18 +145,21 @@
 }
 
 static void
-leave_end (pu_entry_t *en, const char *name, bool known)
+leave_end (pu_entry_t *en, leave_t *l, leave_status_t status)
 {
-  leave_t *l = g_hash_table_lookup (en->leaves, name);
+  static const char *const outcomes[] = {
+    [LEAVE_OPEN] = "given up",
+    [LEAVE_RECORDED] = "in the log",
+    [LEAVE_SUPERSEDED] = "a later incarnation has registered",
+  };
 
-  if (l == NULL)
-    return;
   pu_log_event (PU_ENTRY_LOG_SLICE, "A backend server leaves.",
-                PU_LOG_TEXT ("server", name),
-                PU_LOG_TEXT ("outcome", known ? "in the log" : "given up"),
+                PU_LOG_TEXT ("server", l->name),
+                PU_LOG_NUMBER ("incarnation", l->incarnation),
+                PU_LOG_TEXT ("outcome", outcomes[status]),
                 PU_LOG_NUMBER ("waited_ms", loop_now (en) - l->started_at));
-  waiters_call (l, known, G_MAXUINT64);
-  g_hash_table_remove (en->leaves, name);
+  waiters_call (l, status != LEAVE_OPEN, G_MAXUINT64);
+  g_hash_table_remove (en->leaves, l);
 }
 
 static void
@@ -104,13 +167,13 @@
 {
   proposal_t *p = data;
   pu_entry_t *en = p->en;
-  leave_t *l = g_hash_table_lookup (en->leaves, p->name);
+  leave_t *l = leave_find (en, p->name, p->incarnation);
 
   en->pending--;
-  if (r != NULL
+  if (l != NULL && r != NULL
       && (r->outcome == PU_OUTCOME_DONE || r->outcome == PU_OUTCOME_SEEN))
     {
-      leave_end (en, p->name, true);
+      leave_end (en, l, LEAVE_RECORDED);
     }
   else if (l != NULL)
     {
@@ -126,76 +189,83 @@
 }
 
 static void
-leave_propose (pu_entry_t *en, const char *name, leave_t *l)
+leave_propose (pu_entry_t *en, leave_t *l)
 {
-  const pu_backend_record *b = view_record (en, name);
+  const pu_backend_record *b = view_record (en, l->name);
   pu_command c = { .type = PU_COMMAND_BACKEND_LEAVING };
   proposal_t *p;
 
-  /* Without a record, the proposal of the report that adds it is under way. */
-  if (b == NULL || l->proposing || loop_now (en) < l->propose_at)
+  /* Without its record, the proposal of the report that adds it is under
+     way.  */
+  if (b == NULL || b->incarnation < l->incarnation || l->proposing
+      || loop_now (en) < l->propose_at)
     return;
   p = g_new0 (proposal_t, 1);
   p->en = en;
-  p->name = g_strdup (name);
+  p->name = g_strdup (l->name);
+  p->incarnation = l->incarnation;
   l->proposing = true;
   en->pending++;
   c.pu_command_u.backend_leaving.name = p->name;
-  c.pu_command_u.backend_leaving.incarnation = b->incarnation;
+  c.pu_command_u.backend_leaving.incarnation = p->incarnation;
   en->o.hooks.propose (en->o.hooks.data, &c, en->o.log_proposal_timeout_ms,
                        on_proposed, p);
 }
 
 void
-pu_entry_mark_leaving (pu_entry_t *en, const char *name, pu_entry_leave_fn *fn,
-                       void *data)
+pu_entry_mark_leaving (pu_entry_t *en, const char *name, guint64 incarnation,
+                       pu_entry_leave_fn *fn, void *data)
 {
-  const pu_backend_record *b = view_record (en, name);
-  guint64 now = loop_now (en);
-  waiter_t w = { fn, data, now + ACKNOWLEDGE_MS };
-  leave_t *l = g_hash_table_lookup (en->leaves, name);
+  waiter_t w = { fn, data, loop_now (en) + ACKNOWLEDGE_MS };
+  leave_t *l;
 
-  if (b != NULL)
-    pu_server_set_leaving (en, name, b->incarnation);
-  /* What no report and no record has named gets no requests.  */
-  if (is_known (en, name)
-      || (b == NULL && !g_hash_table_contains (en->reporters, name)))
+  pu_server_set_leaving (en, name, incarnation);
+  if (leave_status (en, name, incarnation) != LEAVE_OPEN)
     {
       if (fn != NULL)
         fn (data, true);
       return;
     }
-  if (l == NULL)
-    {
-      l = g_new0 (leave_t, 1);
-      l->waiters = g_array_new (FALSE, FALSE, sizeof (waiter_t));
-      l->started_at = now;
-      g_hash_table_insert (en->leaves, g_strdup (name), l);
-    }
+  l = leave_get_or_add (en, name, incarnation);
   if (fn != NULL)
     g_array_append_val (l->waiters, w);
-  leave_propose (en, name, l);
+  leave_propose (en, l);
+}
+
+void
+pu_entry_mark_removed (pu_entry_t *en, const char *name, pu_entry_leave_fn *fn,
+                       void *data)
+{
+  guint64 incarnation = pu_entry_latest_incarnation (en, name);
+
+  /* What no report and no record has named gets no requests.  */
+  if (incarnation == 0)
+    {
+      fn (data, true);
+      return;
+    }
+  pu_entry_mark_leaving (en, name, incarnation, fn, data);
 }
 
 void
 pu_leaves_tick (pu_entry_t *en, guint64 now)
 {
-  GList *names = g_hash_table_get_keys (en->leaves);
+  GList *leaves = g_hash_table_get_keys (en->leaves);
 
-  for (const GList *n = names; n != NULL; n = n->next)
+  for (const GList *n = leaves; n != NULL; n = n->next)
     {
-      const char *name = n->data;
-      leave_t *l = g_hash_table_lookup (en->leaves, name);
+      leave_t *l = n->data;
+      leave_status_t status = leave_status (en, l->name, l->incarnation);
 
-      if (is_known (en, name) || now >= l->started_at + GIVE_UP_MS)
+      if (status != LEAVE_OPEN || now >= l->started_at + GIVE_UP_MS)
         {
-          leave_end (en, name, is_known (en, name));
+          leave_end (en, l, status);
           continue;
         }
       waiters_call (l, false, now);
-      leave_propose (en, name, l);
+      leave_propose (en, l);
     }
-  g_list_free (names);
+  g_list_free (leaves);
 }
 
 void
@@ -205,6 +275,6 @@
   gpointer l;
 
   g_hash_table_iter_init (&it, en->leaves);
-  while (g_hash_table_iter_next (&it, NULL, &l))
+  while (g_hash_table_iter_next (&it, &l, NULL))
     waiters_call (l, false, G_MAXUINT64);
 }
