platform: a check-in that is refused as stale is not acknowledged

Cause: pu_entry_add_report refused a check-in of an earlier incarnation, or with an old seq, and its result was not looked at: 200 went to a sender whose lease was not renewed and whose record was not taken.

A late report that the present incarnation is draining holds, as an incarnation that leaves does not return.

--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -215,7 +215,7 @@
   return p != NULL ? MAX (known, p->record->incarnation) : known;
 }
 
-bool
+pu_report_result_t
 pu_entry_add_report (pu_entry_t *en, const pu_backend_record *record,
                      guint64 seq)
 {
@@ -223,14 +223,14 @@
   pu_announcement_t a = { .seq = seq };
 
   if (record->incarnation < pu_entry_latest_incarnation (en, record->name))
-    return false;
+    return PU_REPORT_SUPERSEDED;
   if (p != NULL && p->record->incarnation == record->incarnation
       && seq <= p->seq)
-    return false;
+    return PU_REPORT_LATE;
   a.record = record_copy (record);
   report_apply (en, &a);
   pu_announcement_clear (&a);
-  return true;
+  return PU_REPORT_APPLIED;
 }
 
 /* --- HTTP handler --- */
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -380,12 +380,19 @@
    another instance.  */
 bool pu_entry_accepts_reports (const pu_entry_t *en);
 
+typedef enum
+{
+  PU_REPORT_APPLIED,
+  PU_REPORT_LATE,      /* a later one of the same incarnation was applied */
+  PU_REPORT_SUPERSEDED /* a later incarnation is known */
+} pu_report_result_t;
+
 /* pu_entry_add_report - applies a report that a frontend has read: RECORD
    (copied) with the sequence number SEQ, which rises from report to report of
-   an incarnation.  Returns false, and changes nothing, if the report is not
-   newer than the last one applied.  */
-bool pu_entry_add_report (pu_entry_t *en, const pu_backend_record *record,
-                          guint64 seq);
+   an incarnation.  Changes nothing unless it returns PU_REPORT_APPLIED.  */
+pu_report_result_t pu_entry_add_report (pu_entry_t *en,
+                                        const pu_backend_record *record,
+                                        guint64 seq);
 
 /* pu_entry_leave_fn - KNOWN: the log has it that a backend server leaves, so
    that each entry in contact with the voters learns of it.  */
--- a/tests/leaves_process_test.py
+++ b/tests/leaves_process_test.py
@@ -104,9 +104,18 @@
         self.restart(first)
         for at in self.some:
             self.wait_served(at)
-        self.check_in(last, "draining", seq=MANY_SEQ, born=born)
+        status = self.check_in(last, "draining", seq=MANY_SEQ, born=born)
         time.sleep(SETTLE_S)
         self.assertEqual(self.statuses(), {200})
+        self.assertEqual(status, 409)
+
+    def test_late_check_in_is_not_acknowledged(self):
+        first = self.some[0]
+        self.one.homes = [first]
+        seq = self.one._seq
+        wait_until("later check-ins", lambda: self.one._seq > seq + 2)
+        self.assertEqual(self.check_in(first, "ready", seq=seq), 409)
+        self.assertEqual(self.check_in(first, "ready", seq=MANY_SEQ), 200)
 
     def test_leave_that_waits_for_a_leader(self):
         leader = self.leader()
