entry: a late removal does not end the next incarnation's service

What callers saw: an instance hangs; an engine's DELETE goes there without an answer and is acknowledged by another. The engine exits, starts again under its id and is served; the instance goes on and reads the DELETE. From then on every request for the service is answered 503. Nobody had said that the present incarnation leaves.

Cause: a DELETE names no incarnation, and was taken as one of whichever the view had.

Change: a removal is of the latest incarnation known when it is read, and is refused (503, with a log line) where that may be the wrong one: the view is too old to serve from; the incarnation took the place of an earlier one less than 10 s ago; or a later one registered while the log was asked. An incarnation that leaves by DELETE alone within 10 s of such a start gets no acknowledgement. Ruled out: to look whether the sender still waits, as a message that the network held up may come on a connection of its own.

Result: test_late_removal_at_an_instance_that_hung and test_late_removal_on_its_way failed on (503 in place of 200, one run each) and pass, as do three tests of entry/leaves_test.cc. test_removal_of_an_incarnation_that_has_served_for_long holds that a removal is acknowledged after that time.

--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -80,6 +80,8 @@
   /* Identifies the server in `suspects` of the entry, the table that records
      which request is in flight on which server; never reused.  */
   guint number;
+  guint64 replaced_at;   /* loop time when its incarnation took the place of an
+                            earlier one; 0: this entry knew none */
   char *software;        /* version of its own software; "": not known */
   char *counted_service; /* under which it is counted in `versions` of the
                             entry, with counted_software; NULL: it is not */
@@ -699,6 +701,12 @@
 void pu_server_set_leaving (pu_entry_t *en, const char *name,
                             guint64 incarnation);
 
+/* pu_server_replaced_ms - for how long INCARNATION of the backend server NAME
+   has been known to have taken the place of an earlier one; G_MAXUINT64: no
+   earlier one was known.  */
+guint64 pu_server_replaced_ms (const pu_entry_t *en, const char *name,
+                               guint64 incarnation);
+
 /* pu_server_back_off - sends no request to S until loop time UNTIL, as S asked
    for with a refusal.  Lasts as long as the incarnation of S.  */
 void pu_server_back_off (pu_server_t *s, guint64 until);
--- a/libplantainusher/entry/leaves.c
+++ b/libplantainusher/entry/leaves.c
@@ -17,13 +17,16 @@
   RETRY_MS = 100,
   GIVE_UP_MS = 20000, /* by then the lease of a backend server that is gone has
                          ended */
+  LATE_MS = 10000,    /* the longest that a removal is on its way */
 };
 
 typedef struct
 {
   pu_entry_leave_fn *fn;
   void *data;
-  guint64 due; /* loop time */
+  guint64 due;            /* loop time */
+  bool names_incarnation; /* else the message may have been about a later one,
+                             if there is one */
 } waiter_t;
 
 /* The leave of an incarnation that the view does not show yet.  It is its own
@@ -129,9 +132,17 @@
   return b->leaving || b->down ? LEAVE_RECORDED : LEAVE_OPEN;
 }
 
+/* Whether the leave that W waits for may be acknowledged.  */
+static bool
+is_known (const waiter_t *w, leave_status_t status)
+{
+  return status == LEAVE_RECORDED
+         || (status == LEAVE_SUPERSEDED && w->names_incarnation);
+}
+
 /* Calls the waiters of L that are due by NOW, or all of them.  */
 static void
-waiters_call (leave_t *l, bool known, guint64 now)
+waiters_call (leave_t *l, leave_status_t status, guint64 now)
 {
   for (guint i = l->waiters->len; i-- > 0;)
     {
@@ -140,7 +151,7 @@
       if (w.due > now)
         continue;
       g_array_remove_index (l->waiters, i);
-      w.fn (w.data, known);
+      w.fn (w.data, is_known (&w, status));
     }
 }
 
@@ -158,7 +169,7 @@
                 PU_LOG_NUMBER ("incarnation", l->incarnation),
                 PU_LOG_TEXT ("outcome", outcomes[status]),
                 PU_LOG_NUMBER ("waited_ms", loop_now (en) - l->started_at));
-  waiters_call (l, status != LEAVE_OPEN, G_MAXUINT64);
+  waiters_call (l, status, G_MAXUINT64);
   g_hash_table_remove (en->leaves, l);
 }
 
@@ -212,39 +223,74 @@
                        on_proposed, p);
 }
 
-void
-pu_entry_mark_leaving (pu_entry_t *en, const char *name, guint64 incarnation,
-                       pu_entry_leave_fn *fn, void *data)
+/* Records the leave of INCARNATION of NAME, for which W waits if it has a
+   function.  */
+static void
+leave_begin (pu_entry_t *en, const char *name, guint64 incarnation, waiter_t w)
 {
-  waiter_t w = { fn, data, loop_now (en) + ACKNOWLEDGE_MS };
+  leave_status_t status = leave_status (en, name, incarnation);
   leave_t *l;
 
   pu_server_set_leaving (en, name, incarnation);
-  if (leave_status (en, name, incarnation) != LEAVE_OPEN)
+  if (status != LEAVE_OPEN)
     {
-      if (fn != NULL)
-        fn (data, true);
+      if (w.fn != NULL)
+        w.fn (w.data, is_known (&w, status));
       return;
     }
   l = leave_get_or_add (en, name, incarnation);
-  if (fn != NULL)
+  w.due = loop_now (en) + ACKNOWLEDGE_MS;
+  if (w.fn != NULL)
     g_array_append_val (l->waiters, w);
   leave_propose (en, l);
 }
 
+void
+pu_entry_mark_leaving (pu_entry_t *en, const char *name, guint64 incarnation,
+                       pu_entry_leave_fn *fn, void *data)
+{
+  leave_begin (
+      en, name, incarnation,
+      (waiter_t){ .fn = fn, .data = data, .names_incarnation = true });
+}
+
+/* Returns why a removal of INCARNATION of NAME, which it does not name, may be
+   about another one, or NULL.  */
+static const char *
+removal_doubt (const pu_entry_t *en, const char *name, guint64 incarnation)
+{
+  const pu_entry_hooks_t *h = &en->o.hooks;
+
+  if (h->view_current != NULL && !h->view_current (h->data))
+    return "this instance's view is old";
+  if (pu_server_replaced_ms (en, name, incarnation) < LATE_MS)
+    return "it may be late, of the incarnation before";
+  return NULL;
+}
+
 void
 pu_entry_mark_removed (pu_entry_t *en, const char *name, pu_entry_leave_fn *fn,
                        void *data)
 {
   guint64 incarnation = pu_entry_latest_incarnation (en, name);
+  const char *doubt = removal_doubt (en, name, incarnation);
 
+  if (doubt != NULL)
+    {
+      pu_log_event (PU_ENTRY_LOG_SLICE, "A removal was refused.",
+                    PU_LOG_TEXT ("server", name),
+                    PU_LOG_NUMBER ("incarnation", incarnation),
+                    PU_LOG_TEXT ("reason", doubt));
+      fn (data, false);
+      return;
+    }
   /* What no report and no record has named gets no requests.  */
   if (incarnation == 0)
     {
       fn (data, true);
       return;
     }
-  pu_entry_mark_leaving (en, name, incarnation, fn, data);
+  leave_begin (en, name, incarnation, (waiter_t){ .fn = fn, .data = data });
 }
 
 void
@@ -262,7 +308,7 @@
           leave_end (en, l, status);
           continue;
         }
-      waiters_call (l, false, now);
+      waiters_call (l, LEAVE_OPEN, now);
       leave_propose (en, l);
     }
   g_list_free (leaves);
@@ -276,5 +322,5 @@
 
   g_hash_table_iter_init (&it, en->leaves);
   while (g_hash_table_iter_next (&it, &l, NULL))
-    waiters_call (l, false, G_MAXUINT64);
+    waiters_call (l, LEAVE_OPEN, G_MAXUINT64);
 }
--- a/libplantainusher/entry/leaves_test.cc
+++ b/libplantainusher/entry/leaves_test.cc
@@ -24,6 +24,34 @@
     r.apply (c);
   }
 
+  struct answer
+  {
+    bool given = false;
+    bool known = false;
+  };
+
+  /* Removes e1 by a message that names no incarnation.  */
+  void
+  begin_removal (answer &a)
+  {
+    const auto on_leave = [] (void *data, bool known) {
+      *static_cast<answer *> (data) = { true, known };
+    };
+
+    pu_entry_mark_removed (n.entry, "e1", on_leave, &a);
+  }
+
+  /* Does so, and returns whether the removal may be acknowledged.  */
+  bool
+  remove ()
+  {
+    answer a;
+
+    begin_removal (a);
+    r.run_until ([&] { return a.given; });
+    return a.known;
+  }
+
   /* Runs the loop for MS.  */
   void
   run_for (guint64 ms)
@@ -55,3 +83,40 @@
   EXPECT_FALSE (pu_state_backend (r.state, "e1")->leaving);
   EXPECT_EQ (200, call_status ());
 }
+
+/* Guards against a removal that was on its way while the backend server
+   started again, and then ends the service of the later incarnation.  */
+TEST_F (Leaves, RemovalSoonAfterARestartIsRefused)
+{
+  register_elsewhere (2);
+  EXPECT_FALSE (remove ());
+  run_for (500);
+  EXPECT_FALSE (pu_state_backend (r.state, "e1")->leaving);
+  EXPECT_EQ (200, call_status ());
+}
+
+/* Guards against the acknowledgement of a removal that may have been of the
+   incarnation that registered meanwhile.  */
+TEST_F (Leaves, RemovalThatWaitsIsNotAcknowledgedForAnEarlierIncarnation)
+{
+  answer a;
+
+  r.quorum = false;
+  begin_removal (a);
+  EXPECT_FALSE (a.given);
+  register_elsewhere (2);
+  r.run_until ([&] { return a.given; });
+  EXPECT_FALSE (a.known);
+  EXPECT_EQ (200, call_status ());
+}
+
+/* Guards against a removal that is taken for one of the incarnation in a view
+   that has missed the next.  */
+TEST_F (Leaves, RemovalIsRefusedWithoutACurrentView)
+{
+  n.view_current = false;
+  EXPECT_FALSE (remove ());
+  n.view_current = true;
+  EXPECT_TRUE (remove ());
+  EXPECT_EQ (503, call_status ());
+}
--- a/libplantainusher/entry/servers.c
+++ b/libplantainusher/entry/servers.c
@@ -248,7 +248,10 @@
 incarnation_set (pu_server_t *s, const pu_backend_record *b)
 {
   if (s->incarnation != 0)
-    pu_server_propose_strikes (s, s->incarnation);
+    {
+      pu_server_propose_strikes (s, s->incarnation);
+      s->replaced_at = uv_now (s->en->o.loop);
+    }
   g_hash_table_remove (s->en->load_ids, &s->load_id);
   s->incarnation = b->incarnation;
   s->load_id = pu_entry_load_id (s->name, s->incarnation);
@@ -398,6 +401,21 @@
     pu_router_set_leaving (en->router, s->handle);
 }
 
+guint64
+pu_server_replaced_ms (const pu_entry_t *en, const char *name,
+                       guint64 incarnation)
+{
+  const pu_server_t *s = pu_server_find (en, name);
+
+  if (s == NULL || s->incarnation == 0)
+    return G_MAXUINT64;
+  /* A report has named it, and the view has the one before.  */
+  if (s->incarnation < incarnation)
+    return 0;
+  return s->replaced_at == 0 ? G_MAXUINT64
+                             : uv_now (en->o.loop) - s->replaced_at;
+}
+
 void
 pu_server_back_off (pu_server_t *s, guint64 until)
 {
--- a/tests/leaves_process_test.py
+++ b/tests/leaves_process_test.py
@@ -13,6 +13,7 @@
 SETTLE_S = 3.0  # until all instances have heard of a leave
 COUNT_S = 5.0
 PAUSE_S = 0.1
+LATE_S = 10.5   # from a restart on, until a removal can't be older
 MANY_SEQ = 9999
 
 
@@ -79,6 +80,13 @@
         self.one.silent = True
         time.sleep(PAUSE_S)
 
+    def leave(self, at):
+        """It leaves by a removal at AT, as one that never says draining."""
+        self.silence()
+        wait_until("the leave to be acknowledged",
+                   lambda: self.remove(at) == 200)
+        time.sleep(DRAIN_S)
+
     def statuses(self):
         """The statuses that callers of all instances get."""
         found = set()
@@ -88,6 +96,11 @@
             time.sleep(PAUSE_S)
         return found
 
+    def assert_unused(self):
+        before = len(self.one.ran)
+        self.statuses()
+        self.assertEqual(len(self.one.ran) - before, 0)
+
 
 class Incarnations(LeavesTest):
     """Invariant: a message about one incarnation of a backend server does not
@@ -130,6 +143,38 @@
         time.sleep(SETTLE_S)
         self.assertEqual(self.statuses(), {200})
 
+    def test_late_removal_at_an_instance_that_hung(self):
+        first, hung = self.some[0], self.some[-1]
+        hung.stop()
+        self.assertIsNone(self.remove(hung))
+        self.leave(first)
+        self.restart(first)
+        self.wait_served(first)
+        hung.cont()
+        time.sleep(SETTLE_S)
+        self.assertEqual(self.statuses(), {200})
+
+    def test_late_removal_on_its_way(self):
+        first, last = self.some[0], self.some[-1]
+        self.leave(first)
+        self.restart(first)
+        for at in self.some:
+            self.wait_served(at)
+        status = self.remove(last)
+        time.sleep(SETTLE_S)
+        self.assertEqual(self.statuses(), {200})
+        self.assertEqual(status, 503)
+
+    def test_removal_of_an_incarnation_that_has_served_for_long(self):
+        first, last = self.some[0], self.some[-1]
+        self.leave(first)
+        self.restart(first)
+        for at in self.some:
+            self.wait_served(at)
+        time.sleep(LATE_S)
+        self.leave(last)
+        self.assert_unused()
+
 
 if __name__ == "__main__":
     main()
