state: a leave is recorded for a backend server that is down

What callers saw: an engine is cut off from control, its lease ends, it leaves, and its DELETE is acknowledged at once. After a restart of all instances the same, as nothing of the leave was kept.

Cause: BACKEND_LEAVING was refused for a record that is down, and the entry acknowledged without the log whatever gets no requests at that moment.

Change: the command marks a record that is down, names a later incarnation as a conflict and a repeated leave as seen. An entry acknowledges only what the record of that incarnation says. A late report brings the record up again, as leaving.

--- a/libplantainusher/entry/leaves.c
+++ b/libplantainusher/entry/leaves.c
@@ -129,7 +129,7 @@
     return LEAVE_OPEN;
   if (b->incarnation > incarnation)
     return LEAVE_SUPERSEDED;
-  return b->leaving || b->down ? LEAVE_RECORDED : LEAVE_OPEN;
+  return b->leaving ? LEAVE_RECORDED : LEAVE_OPEN;
 }
 
 /* Whether the leave that W waits for may be acknowledged.  */
@@ -186,6 +186,10 @@
     {
       leave_end (en, l, LEAVE_RECORDED);
     }
+  else if (l != NULL && r != NULL && r->outcome == PU_OUTCOME_CONFLICT)
+    {
+      leave_end (en, l, LEAVE_SUPERSEDED);
+    }
   else if (l != NULL)
     {
       pu_log_info (PU_ENTRY_LOG_SLICE,
--- a/libplantainusher/entry/leaves_test.cc
+++ b/libplantainusher/entry/leaves_test.cc
@@ -120,3 +120,19 @@
   EXPECT_TRUE (remove ());
   EXPECT_EQ (503, call_status ());
 }
+
+/* Guards against a leave that is acknowledged, as a backend server that is
+   down gets no requests, and that nothing remembers.  */
+TEST_F (Leaves, LeaveOfADownBackendServerIsRecorded)
+{
+  pu_command c{};
+  char name[] = "e1";
+
+  c.type = PU_COMMAND_BACKEND_DOWN;
+  c.pu_command_u.backend_down = { name, 1 };
+  r.apply (c);
+  EXPECT_TRUE (remove ());
+  EXPECT_TRUE (pu_state_backend (r.state, "e1")->leaving);
+  EXPECT_EQ (200, r.announce (b, n));
+  EXPECT_EQ (503, call_status ());
+}
--- a/libplantainusher/state/apply_backends.c
+++ b/libplantainusher/state/apply_backends.c
@@ -223,13 +223,32 @@
   a->state->changes++;
 }
 
+/* A server that is down is marked as well: a report that is late may bring it
+   up again.  */
 void
 pu_apply_backend_leaving (pu_apply_t *a, const pu_down *c)
 {
-  pu_backend_record *b = current_backend (a, c);
+  pu_backend_record *b = g_tree_lookup (a->state->backends, c->name);
 
-  if (b == NULL)
-    return;
+  if (b == NULL || b->incarnation < c->incarnation)
+    {
+      pu_apply_set_outcome (a, PU_OUTCOME_REFUSED,
+                            "Incarnation %lu of %s is not known.",
+                            (unsigned long)c->incarnation, c->name);
+      return;
+    }
+  if (b->incarnation > c->incarnation)
+    {
+      pu_apply_set_outcome (a, PU_OUTCOME_CONFLICT,
+                            "Newer incarnation %lu of %s is known.",
+                            (unsigned long)b->incarnation, c->name);
+      return;
+    }
+  if (b->leaving)
+    {
+      pu_apply_set_outcome (a, PU_OUTCOME_SEEN, "%s leaves already.", c->name);
+      return;
+    }
   b->leaving = TRUE;
   pu_tables_mark_backend_changed (a->state, b->name);
   pu_memory_backend_leaving (a->state->memory, b);
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -91,6 +91,38 @@
   EXPECT_FALSE (pu_state_backend (s.state, "b")->leaving);
 }
 
+/* Guards against a backend server that left while it was down, and gets
+   requests again after a late report.  */
+TEST (State, LeaveOfADownBackendServerIsKept)
+{
+  StateFixture s;
+  StateFixture t;
+  std::string bytes;
+
+  s.backend ("b", 1, 1);
+  s.down (PU_COMMAND_BACKEND_DOWN, "b", 1);
+  EXPECT_EQ (PU_OUTCOME_DONE, s.down (PU_COMMAND_BACKEND_LEAVING, "b", 1));
+  EXPECT_EQ (PU_OUTCOME_SEEN, s.down (PU_COMMAND_BACKEND_LEAVING, "b", 1));
+  bytes = s.image (false);
+  ASSERT_TRUE (
+      pu_state_decode (t.state, bytes.data (), bytes.size (), nullptr));
+  t.backend ("b", 1, 2);
+  EXPECT_FALSE (pu_state_backend (t.state, "b")->down);
+  EXPECT_TRUE (pu_state_backend (t.state, "b")->leaving);
+  EXPECT_EQ (PU_OUTCOME_CONFLICT, t.reserve ("b", "m", 1).outcome);
+}
+
+/* Guards against a leave that ends the service of the next incarnation.  */
+TEST (State, LeaveOfAnEarlierIncarnationConflicts)
+{
+  StateFixture s;
+
+  s.backend ("b", 1, 1);
+  s.backend ("b", 2, 1);
+  EXPECT_EQ (PU_OUTCOME_CONFLICT, s.down (PU_COMMAND_BACKEND_LEAVING, "b", 1));
+  EXPECT_FALSE (pu_state_backend (s.state, "b")->leaving);
+}
+
 namespace
 {
 
--- a/tests/leaves_process_test.py
+++ b/tests/leaves_process_test.py
@@ -14,6 +14,7 @@
 COUNT_S = 5.0
 PAUSE_S = 0.1
 LATE_S = 10.5   # from a restart on, until a removal can't be older
+DOWN_S = 5.0    # until one that is silent is down
 MANY_SEQ = 9999
 
 
@@ -176,5 +177,41 @@
         self.assert_unused()
 
 
+class Left(LeavesTest):
+    """Invariant: a backend server whose leave was acknowledged gets no new
+    requests, whatever of it arrives late."""
+    has_born = False
+
+    def leave_down(self):
+        """It leaves after its lease has ended."""
+        self.silence()
+        for at in self.some:
+            wait_until(f"{at.name} to take it for down",
+                       lambda at=at: at.ask("GET", "/safe/x").status == 503,
+                       DOWN_S)
+        self.leave(self.some[0])
+
+    def test_late_check_in_after_a_leave_while_down(self):
+        self.leave_down()
+        self.check_in(self.some[1], "ready", seq=MANY_SEQ)
+        self.assert_unused()
+
+    def test_late_check_in_after_a_restart_of_all_instances(self):
+        self.leave_down()
+        for one in self.some:
+            one.kill()
+        for one in self.some:
+            one.start()
+        for one in self.some:
+            wait_until(f"{one.name} to be ready", one.is_ready)
+        self.check_in(self.some[1], "ready", seq=MANY_SEQ)
+        self.assert_unused()
+
+
+class LeftWithBorn(Left):
+    """The same of one whose check-ins say when it started."""
+    has_born = True
+
+
 if __name__ == "__main__":
     main()
