http: a request that is given up is not delivered later

The attempt was over, and its connection closed in order, but the kernel goes on sending what the peer has not acknowledged.

Ruled out: that an entry chose the engine after the leave; every instance had it as down from 7.1 s on.

Change: the client resets the connection of a call that ends early while bytes of its request are unacknowledged (SIOCOUTQ). What was acknowledged is closed in order, as a reset can be lost and the server may be at work.

--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -1,7 +1,9 @@
 #include "http/client_private.h"
 #include "http/tcp.h"
 
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 enum
@@ -31,6 +33,18 @@
   pu_client_closed (c);
 }
 
+/* Whether the peer has not acknowledged all that was written.  Closed in
+   order, the kernel would send it again, for many seconds.  */
+static bool
+has_unacknowledged (const pu_conn_t *conn)
+{
+  uv_os_fd_t fd;
+  int bytes = 0;
+
+  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+         && ioctl (fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 static void
 tcp_close (pu_conn_t *conn, bool reset)
 {
@@ -41,7 +55,8 @@
 void
 pu_conn_close (pu_conn_t *conn)
 {
-  bool reset = conn->reset && conn->call != NULL;
+  bool reset = conn->call != NULL
+               && (conn->reset || conn->writing || has_unacknowledged (conn));
 
   if (conn->phase == CONN_CLOSING)
     return;
