state: a leave of an incarnation without a report is recorded

What callers may see: an engine leaves before its first check-in has arrived, as one that starts while it is cut off from control. Its DELETE was acknowledged, as no record names it, and nothing remembered it: the check-in arrives late, and the engine, which is exiting, gets requests.

Change: the log keeps a record that is down and leaves, and a later report of that incarnation comes up as leaving. A removal of a name that is not known is taken as of the one incarnation that it has, where backend servers state none. Where they do, or where none is known, it is refused: an acknowledgement would hold for an incarnation that nobody has named. A leave no longer waits for the proposal of the report that adds its record.

--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -410,8 +410,9 @@
 /* pu_entry_mark_removed - does the same for the latest incarnation of NAME
    that this entry knows, for a message that names none.  Nothing is recorded,
    and FN gets false, if the message may be about another one: the view is too
-   old to serve from, or the incarnation has taken the place of an earlier one
-   less than ten seconds ago.  FN is not NULL.  */
+   old to serve from, the incarnation has taken the place of an earlier one
+   less than ten seconds ago, or no incarnation of NAME is known and others
+   state theirs.  FN is not NULL.  */
 void pu_entry_mark_removed (pu_entry_t *en, const char *name,
                             pu_entry_leave_fn *fn, void *data);
 
--- a/libplantainusher/entry/leaves.c
+++ b/libplantainusher/entry/leaves.c
@@ -206,14 +206,10 @@
 static void
 leave_propose (pu_entry_t *en, leave_t *l)
 {
-  const pu_backend_record *b = view_record (en, l->name);
   pu_command c = { .type = PU_COMMAND_BACKEND_LEAVING };
   proposal_t *p;
 
-  /* Without its record, the proposal of the report that adds it is under
-     way.  */
-  if (b == NULL || b->incarnation < l->incarnation || l->proposing
-      || loop_now (en) < l->propose_at)
+  if (l->proposing || loop_now (en) < l->propose_at)
     return;
   p = g_new0 (proposal_t, 1);
   p->en = en;
@@ -258,13 +254,38 @@
       (waiter_t){ .fn = fn, .data = data, .names_incarnation = true });
 }
 
+static void
+note_incarnation (const pu_backend_record *b, void *data)
+{
+  guint64 *latest = data;
+
+  *latest = MAX (*latest, b->incarnation);
+}
+
+/* Whether backend servers are known, and none states its incarnation: a name
+   then has a single one.  */
+static bool
+names_have_one_incarnation (const pu_entry_t *en)
+{
+  guint64 latest = 0;
+
+  pu_state_each_backend (en->o.hooks.view (en->o.hooks.data), note_incarnation,
+                         &latest);
+  return latest == PU_INCARNATION_UNREPORTED;
+}
+
 /* Returns why a removal of INCARNATION of NAME, which it does not name, may be
-   about another one, or NULL.  */
+   about another one, or NULL.  INCARNATION 0: none is known.  */
 static const char *
 removal_doubt (const pu_entry_t *en, const char *name, guint64 incarnation)
 {
   const pu_entry_hooks_t *h = &en->o.hooks;
 
+  if (*name == '\0' || strlen (name) > PU_NAME_MAX)
+    return "its name is invalid";
+  if (incarnation == 0 && !names_have_one_incarnation (en))
+    return "which incarnation is meant is not known";
+
   if (h->view_current != NULL && !h->view_current (h->data))
     return "this instance's view is old";
   if (pu_server_replaced_ms (en, name, incarnation) < LATE_MS)
@@ -288,12 +309,8 @@
       fn (data, false);
       return;
     }
-  /* What no report and no record has named gets no requests.  */
   if (incarnation == 0)
-    {
-      fn (data, true);
-      return;
-    }
+    incarnation = PU_INCARNATION_UNREPORTED;
   leave_begin (en, name, incarnation, (waiter_t){ .fn = fn, .data = data });
 }
 
--- a/libplantainusher/entry/leaves_test.cc
+++ b/libplantainusher/entry/leaves_test.cc
@@ -32,22 +32,22 @@
 
   /* Removes e1 by a message that names no incarnation.  */
   void
-  begin_removal (answer &a)
+  begin_removal (answer &a, const char *name = "e1")
   {
     const auto on_leave = [] (void *data, bool known) {
       *static_cast<answer *> (data) = { true, known };
     };
 
-    pu_entry_mark_removed (n.entry, "e1", on_leave, &a);
+    pu_entry_mark_removed (n.entry, name, on_leave, &a);
   }
 
   /* Does so, and returns whether the removal may be acknowledged.  */
   bool
-  remove ()
+  remove (const char *name = "e1")
   {
     answer a;
 
-    begin_removal (a);
+    begin_removal (a, name);
     r.run_until ([&] { return a.given; });
     return a.known;
   }
@@ -136,3 +136,23 @@
   EXPECT_EQ (200, r.announce (b, n));
   EXPECT_EQ (503, call_status ());
 }
+
+/* Guards against a removal that is acknowledged, as the backend server is not
+   known, and that nothing remembers when its first report arrives.  */
+TEST_F (Leaves, RemovalOfAnUnknownBackendServerIsRecorded)
+{
+  EXPECT_TRUE (remove ());
+  EXPECT_TRUE (remove ("e2"));
+  r.add_backend ("e2", "", n);
+  EXPECT_EQ (503, call_status ());
+}
+
+/* Guards against an acknowledgement that holds for none of the incarnations
+   that a backend server may report.  */
+TEST_F (Leaves, RemovalOfAnUnknownIncarnationIsRefused)
+{
+  register_elsewhere (2);
+  EXPECT_FALSE (remove ("e2"));
+  r.add_backend ("e2", "", n);
+  EXPECT_FALSE (pu_state_backend (r.state, "e2")->leaving);
+}
--- a/libplantainusher/state/apply_backends.c
+++ b/libplantainusher/state/apply_backends.c
@@ -223,8 +223,33 @@
   a->state->changes++;
 }
 
-/* A server that is down is marked as well: a report that is late may bring it
-   up again.  */
+/* Adds a record that says no more than that the incarnation in C leaves, for a
+   report of it that comes later.  */
+static void
+add_leaving_backend (pu_apply_t *a, const pu_down *c)
+{
+  const pu_backend_record n = { .name = c->name,
+                                .incarnation = c->incarnation,
+                                .kind = PU_BACKEND_PLAIN,
+                                .service = (char *)"",
+                                .address = (char *)"",
+                                .region = (char *)"",
+                                .zone = (char *)"",
+                                .leaving = TRUE };
+  pu_backend_record *b;
+
+  store_report (
+      a, pu_codec_clone ((xdrproc_t)xdr_pu_backend_record, &n, sizeof n));
+  b = current_backend (a, c);
+  if (b == NULL)
+    return;
+  b->down = TRUE;
+  pu_memory_backend_down (a->state->memory, b);
+  evict_down_backend (a->state);
+}
+
+/* A server that is down, or of which no report has come yet, is marked as
+   well: a report that is late may bring it up.  */
 void
 pu_apply_backend_leaving (pu_apply_t *a, const pu_down *c)
 {
@@ -232,9 +257,7 @@
 
   if (b == NULL || b->incarnation < c->incarnation)
     {
-      pu_apply_set_outcome (a, PU_OUTCOME_REFUSED,
-                            "Incarnation %lu of %s is not known.",
-                            (unsigned long)c->incarnation, c->name);
+      add_leaving_backend (a, c);
       return;
     }
   if (b->incarnation > c->incarnation)
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -112,6 +112,31 @@
   EXPECT_EQ (PU_OUTCOME_CONFLICT, t.reserve ("b", "m", 1).outcome);
 }
 
+/* Guards against a backend server that left before its first report arrived,
+   and is served from then on.  */
+TEST (State, LeaveOfAnUnknownIncarnationIsKept)
+{
+  StateFixture s;
+  StateFixture t;
+  std::string bytes;
+
+  EXPECT_EQ (PU_OUTCOME_DONE, s.down (PU_COMMAND_BACKEND_LEAVING, "b", 2));
+  EXPECT_TRUE (pu_state_backend (s.state, "b")->down);
+  bytes = s.image (true);
+  ASSERT_TRUE (
+      pu_state_decode (t.state, bytes.data (), bytes.size (), nullptr));
+  t.backend ("b", 1, 1);
+  EXPECT_TRUE (pu_state_backend (t.state, "b")->down) << "an earlier one";
+  t.backend ("b", 2, 1);
+  EXPECT_FALSE (pu_state_backend (t.state, "b")->down);
+  EXPECT_TRUE (pu_state_backend (t.state, "b")->leaving);
+  t.backend ("b", 3, 1);
+  EXPECT_FALSE (pu_state_backend (t.state, "b")->leaving);
+  EXPECT_EQ (PU_OUTCOME_DONE, t.down (PU_COMMAND_BACKEND_LEAVING, "b", 4));
+  EXPECT_EQ (4u, pu_state_backend (t.state, "b")->incarnation);
+  EXPECT_TRUE (pu_state_backend (t.state, "b")->down);
+}
+
 /* Guards against a leave that ends the service of the next incarnation.  */
 TEST (State, LeaveOfAnEarlierIncarnationConflicts)
 {
