state: records of servers that are down are evicted by age

Cause: beyond 1,024 records of backend servers that are down, the first by name was evicted, be it the one that had just left. Its leave was then forgotten at once.

Change: the record that has not changed for longest goes first. Images list backend servers in the order of their last change, so that a voter that starts from one evicts the same records as the others. Earlier releases read such images as before. Voters that start from images of an earlier release may differ in which record they evict, until each has a new one.

--- a/libplantainusher/state/apply_backends.c
+++ b/libplantainusher/state/apply_backends.c
@@ -176,36 +176,34 @@
   return down;
 }
 
-/* Returns the first backend server that is down and has no open orders, or
-   NULL.  */
-static const pu_backend_record *
-find_removable_backend (const pu_state_t *s)
+static bool
+is_removable_backend (const char *name, void *data)
 {
-  for (GTreeNode *n = g_tree_node_first (s->backends); n != NULL;
-       n = g_tree_node_next (n))
-    {
-      const pu_backend_record *b = g_tree_node_value (n);
+  const pu_state_t *s = data;
 
-      if (b->down && !pu_memory_has_orders (s->memory, b->name))
-        return b;
-    }
-  return NULL;
+  return pu_state_backend (s, name)->down
+         && !pu_memory_has_orders (s->memory, name);
 }
 
 /* Removes the record of one backend server that is down, when there are more
-   than DOWN_BACKENDS_MAX.  */
+   than DOWN_BACKENDS_MAX: the one that has not changed for longest, as late
+   reports of the others are more likely.  */
 static void
 evict_down_backend (pu_state_t *s)
 {
-  const pu_backend_record *found;
+  const char *oldest;
+  char *name;
 
   if (count_down_backends (s) <= DOWN_BACKENDS_MAX)
     return;
-  found = find_removable_backend (s);
-  if (found == NULL)
+  oldest = pu_change_index_find_oldest (s->recent_backends,
+                                        is_removable_backend, s);
+  if (oldest == NULL)
     return;
-  pu_memory_remove_backend (s->memory, found->name);
-  pu_tables_remove_backend (s, found->name);
+  name = g_strdup (oldest);
+  pu_memory_remove_backend (s->memory, name);
+  pu_tables_remove_backend (s, name);
+  g_free (name);
 }
 
 void
--- a/libplantainusher/state/change_index.c
+++ b/libplantainusher/state/change_index.c
@@ -73,6 +73,20 @@
   g_hash_table_remove (c->nodes, name);
 }
 
+const char *
+pu_change_index_find_oldest (const pu_change_index_t *c,
+                             pu_change_index_match_fn *matches, void *data)
+{
+  for (const GList *l = c->queue.head; l != NULL; l = l->next)
+    {
+      const node_t *n = l->data;
+
+      if (matches (n->name, data))
+        return n->name;
+    }
+  return NULL;
+}
+
 void
 pu_change_index_each_since (const pu_change_index_t *c, uint64_t since,
                             pu_change_index_fn *fn, void *data)
--- a/libplantainusher/state/change_index.h
+++ b/libplantainusher/state/change_index.h
@@ -2,6 +2,7 @@
 #define PU_STATE_CHANGE_INDEX_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 G_BEGIN_DECLS
@@ -32,6 +33,14 @@
  */
 void pu_change_index_remove (pu_change_index_t *c, const char *name);
 
+/* pu_change_index_find_oldest - returns the name whose last change is the
+   oldest among those for which MATCHES returns true, or NULL.  It belongs to
+   C.  MATCHES must not modify C.  */
+typedef bool pu_change_index_match_fn (const char *name, void *data);
+const char *pu_change_index_find_oldest (const pu_change_index_t *c,
+                                         pu_change_index_match_fn *matches,
+                                         void *data);
+
 /* pu_change_index_each_since - calls FN with each name whose last change has a
    number above SINCE, the latest change first.  FN must not modify C.  */
 void pu_change_index_each_since (const pu_change_index_t *c, uint64_t since,
--- a/libplantainusher/state/image.c
+++ b/libplantainusher/state/image.c
@@ -28,23 +28,39 @@
   return array;
 }
 
-/* Sets the backend servers of M to shallow copies of S's, and SERVED at the
-   end.  Without room for it, a copy of the image takes the versions for
-   unknown.  */
+/* A list of backend servers that is filled from its end.  */
+typedef struct
+{
+  const pu_state_t *state;
+  pu_backend_record *list;
+  guint left;
+} backend_list_t;
+
+static void
+copy_backend (const char *name, void *data)
+{
+  backend_list_t *l = data;
+
+  l->list[--l->left] = *pu_state_backend (l->state, name);
+}
+
+/* Sets the backend servers of M to shallow copies of S's, in the order of
+   their last change, which decides on evictions, and SERVED at the end.
+   Without room for it, a copy of the image takes the versions for unknown.  */
 static void
 copy_backends (const pu_state_t *s, const pu_backend_record *served,
                pu_state_image *m)
 {
   guint n = (guint)g_tree_nnodes (s->backends);
-  pu_backend_record *list = copy_records (
-      s->backends, sizeof (pu_backend_record), &m->backends.backends_len);
+  backend_list_t l
+      = { s, g_new0 (pu_backend_record, (gsize)n + 1), .left = n };
 
-  m->backends.backends_val = list;
+  pu_change_index_each_since (s->recent_backends, 0, copy_backend, &l);
+  m->backends.backends_val = l.list;
+  m->backends.backends_len = n;
   if (n >= PU_LIST_MAX)
     return;
-  list = g_renew (pu_backend_record, list, (gsize)n + 1);
-  list[n] = *served;
-  m->backends.backends_val = list;
+  l.list[n] = *served;
   m->backends.backends_len = n + 1;
 }
 
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -214,6 +214,37 @@
     }
 }
 
+/* Guards against a leave that is forgotten at once, as another record was
+   evicted in the order of names.  A voter that starts from an image evicts the
+   same records.  */
+TEST (State, EvictsTheBackendServerThatIsDownForLongest)
+{
+  StateFixture s;
+  StateFixture t;
+  std::string bytes;
+
+  for (int i = 0; i < 1024; i++)
+    {
+      const std::string name = "b" + std::to_string (5000 - i);
+
+      s.backend (name, 1, 0);
+      s.down (PU_COMMAND_BACKEND_DOWN, name, 1);
+    }
+  bytes = s.image (false);
+  ASSERT_TRUE (
+      pu_state_decode (t.state, bytes.data (), bytes.size (), nullptr));
+  for (StateFixture *one : { &s, &t })
+    {
+      one->down (PU_COMMAND_BACKEND_LEAVING, "a", 1);
+      EXPECT_NE (nullptr, pu_state_backend (one->state, "a"));
+      EXPECT_EQ (nullptr, pu_state_backend (one->state, "b5000"));
+      one->down (PU_COMMAND_BACKEND_LEAVING, "a2", 1);
+      EXPECT_NE (nullptr, pu_state_backend (one->state, "a"));
+      EXPECT_EQ (nullptr, pu_state_backend (one->state, "b4999"));
+    }
+  EXPECT_EQ (s.image (false), t.image (false));
+}
+
 TEST (State, ReservationOverTheMemoryLimitConflicts)
 {
   StateFixture s;
