--- a/libplantainusher/base/breaks.h
+++ b/libplantainusher/base/breaks.h
@@ -30,6 +30,11 @@
 #define PU_BREAK_STOP_CUTS "stop-cuts"
 /* Work goes to copies and backend servers that are leaving.  */
 #define PU_BREAK_DRAINING_USED "draining-used"
+/* The leave of a backend server that gets no requests is acknowledged without
+   the log.  */
+#define PU_BREAK_LEAVE_UNRECORDED "leave-unrecorded"
+/* A removal is taken as of the latest incarnation, however late it may be.  */
+#define PU_BREAK_LATE_REMOVAL_TAKEN "late-removal-taken"
 /* An entry that is leaving is still named to callers.  */
 #define PU_BREAK_LEAVING_NAMED "leaving-named"
 /* A backend server or an entry that is silent is waited for.  */
--- a/libplantainusher/entry/leaves.c
+++ b/libplantainusher/entry/leaves.c
@@ -7,6 +7,7 @@
 
 #include <string.h>
 
+#include "base/breaks.h"
 #include "base/log.h"
 
 enum
@@ -129,6 +130,8 @@
     return LEAVE_OPEN;
   if (b->incarnation > incarnation)
     return LEAVE_SUPERSEDED;
+  if (b->down && pu_break_active (PU_BREAK_LEAVE_UNRECORDED))
+    return LEAVE_RECORDED;
   return b->leaving ? LEAVE_RECORDED : LEAVE_OPEN;
 }
 
@@ -193,7 +196,9 @@
   else if (l != NULL)
     {
       pu_log_info (PU_ENTRY_LOG_SLICE,
-                   "The log does not have yet that %s leaves: %s", p->name,
+                   "The log does not have yet that incarnation "
+                   "%" G_GUINT64_FORMAT " of %s leaves: %s",
+                   p->incarnation, p->name,
                    r != NULL ? r->detail : e->message);
       l->proposing = false;
       l->propose_at = loop_now (en) + RETRY_MS;
@@ -288,7 +293,8 @@
 
   if (h->view_current != NULL && !h->view_current (h->data))
     return "this instance's view is old";
-  if (pu_server_replaced_ms (en, name, incarnation) < LATE_MS)
+  if (pu_server_replaced_ms (en, name, incarnation) < LATE_MS
+      && !pu_break_active (PU_BREAK_LATE_REMOVAL_TAKEN))
     return "it may be late, of the incarnation before";
   return NULL;
 }
