--- a/libplantainusher/entry/leaves.c
+++ b/libplantainusher/entry/leaves.c
@@ -290,7 +290,6 @@
     return "its name is invalid";
   if (incarnation == 0 && !names_have_one_incarnation (en))
     return "which incarnation is meant is not known";
-
   if (h->view_current != NULL && !h->view_current (h->data))
     return "this instance's view is old";
   if (pu_server_replaced_ms (en, name, incarnation) < LATE_MS
