entry: only declared models are demand

What callers saw: a request whose Model header names a model or adapter that no config has is answered 404, and within a second the process that answered it ends (SIGTRAP, "An XDR record cannot be encoded"), with all requests that it holds.

Cause: the entry reported demand before it knew whether the document declares the model. The agent put the name into its next poll as it came, in a form with three bytes for each capital; names of polls have at most 128 bytes, and the encoder ends the process for what it cannot encode. Demand for such names also crowded out that of models that are declared: a poll takes the first 4,096 in the order of a hash table, and the rest was forgotten.

What a poll has no room for waits for the next one.

PlatformFront.RequestForAnUndeclaredModelIsNoDemand, Control.DemandForMoreModelsThanAPollCarriesReachesTheLeader and Requests of long_names_process_test fail before and pass.

--- a/libplantainusher/agent/poll.c
+++ b/libplantainusher/agent/poll.c
@@ -178,6 +178,20 @@
     }
 }
 
+/* Forgets the demand that put_demand has put into a poll; what it had no room
+   for waits for the next one.  Demand that is lost with a poll is a hint.  */
+static void
+remove_sent_demand (pu_agent_t *a)
+{
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, a->demand);
+  for (guint n = 0;
+       n < PU_CONTROL_LIST_MAX && g_hash_table_iter_next (&iter, NULL, NULL);
+       n++)
+    g_hash_table_iter_remove (&iter);
+}
+
 /* wait_ms - for how long the voter may wait for news.  Another voter than
    before answers at once, so that its answer tells how old the view is; so
    does the same one after an answer that waited for the disk.  */
@@ -490,8 +504,7 @@
   old = a->old_voter != NULL
         && g_strcmp0 (a->old_voter, pu_agent_voter (a)) == 0;
   note_renewals_sent (a);
-  /* Demand that is lost with a poll is a hint.  */
-  g_hash_table_remove_all (a->demand);
+  remove_sent_demand (a);
   pu_agent_hedge_begin (a, wait_ms (a));
   pu_agent_call_voter (a, old ? PU_CONTROL_POLL_DELTAS : PU_CONTROL_POLL_BLOBS,
                        bytes, old ? on_polled_old : on_polled);
--- a/libplantainusher/control/control_test.cc
+++ b/libplantainusher/control/control_test.cc
@@ -562,4 +562,30 @@
   EXPECT_EQ (told.urgency["m"], std::make_pair (300U, 1200U));
 }
 
+/* Guards against demand that is forgotten unsent, as a poll has no room for
+   all models at once.  */
+TEST_F (Control, DemandForMoreModelsThanAPollCarriesReachesTheLeader)
+{
+  const guint models = PU_CONTROL_LIST_MAX + 904;
+  Told told;
+
+  start_all ();
+  start_agent ();
+  run_until ([&] { return pu_agent_joined (agent); });
+  for (auto &v : voters)
+    {
+      pu_control_on_demand (
+          v->control,
+          [] (void *data, const char *model, guint32 requests, guint32) {
+            static_cast<Told *> (data)->requests[model] += requests;
+          },
+          &told);
+    }
+  for (guint i = 0; i < models; i++)
+    pu_agent_demand (agent, ("m" + std::to_string (i)).c_str (), 1, 1);
+  run_until ([&] { return told.requests.size () == models; });
+  for (const auto &one : told.requests)
+    EXPECT_EQ (1u, one.second) << one.first;
+}
+
 } // namespace
--- a/libplantainusher/entry/demand.c
+++ b/libplantainusher/entry/demand.c
@@ -27,6 +27,17 @@
 #define MEAN_TARGET_MS 2000.0
 #define TARGET_FACTOR_MAX 2.0
 
+/* A GHRFunc: whether the document of the entry DATA does not declare
+   MODEL.  */
+static gboolean
+is_undeclared (gpointer model, gpointer mean, gpointer data)
+{
+  const pu_entry_t *en = data;
+
+  (void)mean;
+  return pu_document_find_model (en->document, model) == PU_HANDLE_NONE;
+}
+
 /* Estimates how long X would occupy a whole engine, in milliseconds.  */
 static double
 engine_exclusive_ms (const pu_exchange_t *x)
@@ -93,22 +104,15 @@
   if (x->q.plain || x->demand_reported)
     return;
   x->demand_reported = true;
+  /* No engine can be told to load it, and callers could fill the table with
+     names of their own.  */
+  if (is_undeclared (x->q.model, NULL, en))
+    return;
   ms = expected_busy_ms (x);
   en->o.hooks.demand (en->o.hooks.data, x->q.model, 1, (guint32)(ms + 0.5));
   report_urgency (x, ms);
 }
 
-/* A GHRFunc: whether the document of the entry DATA does not declare
-   MODEL.  */
-static gboolean
-is_undeclared (gpointer model, gpointer mean, gpointer data)
-{
-  const pu_entry_t *en = data;
-
-  (void)mean;
-  return pu_document_find_model (en->document, model) == PU_HANDLE_NONE;
-}
-
 void
 pu_demand_remove_stale (pu_entry_t *en)
 {
--- /dev/null
+++ b/tests/long_names_process_test.py
@@ -0,0 +1,71 @@
+#!/usr/bin/env python3
+"""Names from outside that are too long for the records that they would go
+into: whoever sends one is answered, and no process ends.  tests/cluster.py
+says how to run this file."""
+import time
+
+from cluster import main, request, wait_until
+from platform_fakes import config
+from platform_process_test import PlatformTest
+
+# Of capitals, each of which has three bytes in its encoded form.
+LONG = {n: "A" * n for n in (20, 42, 43, 64, 128, 4000)}
+# Instances poll each half second at least; the leader hears each second.
+PASSED_ON_S = 2.5
+TALK = {"Token-Counts": "10,3", "Prompt-Prefix": "a:6,b:4",
+        "Deadline-Ms": "2000"}
+
+
+class LongNames(PlatformTest):
+    def setUp(self):
+        super().setUp()
+        self.serving(config(1, models=["m1"], adapters=2))
+
+    def check_all_serve(self):
+        time.sleep(PASSED_ON_S)
+        for one in self.some:
+            self.assertTrue(one.alive(), one.name)
+            self.assertEqual(one.ask("GET", "/safe/x").status, 200)
+
+    def engine(self):
+        b = self.backend("e-0", "llm", models=["m1"])
+        for one in self.some:
+            wait_until(f"{one.name} to know {b.name}",
+                       lambda one=one: self.knows(one, b))
+        return b
+
+    def talk(self, one, model, rid):
+        return one.ask("POST", "/talk/x", {**TALK, "Model": model}, rid,
+                       body={}).status
+
+
+class Requests(LongNames):
+    def test_models_and_adapters_of_requests(self):
+        self.engine()
+        for one in self.some:
+            for n, name in LONG.items():
+                for model in name, f"m1/{name}", f"{name}/a1", "m" * n:
+                    self.assertEqual(self.talk(one, model, f"{model[:9]}{n}"),
+                                     404, (n, model[:9]))
+        self.check_all_serve()
+        self.assertEqual(self.talk(self.some[0], "m1", "last"), 200)
+
+
+class CheckIns(LongNames):
+    def test_names_of_check_ins_and_leaves(self):
+        one = self.some[0]
+        for n, name in LONG.items():
+            path = f"/api/instances/{name}"
+            body = {"service": name, "address": "127.0.0.1:9", "zone": "a",
+                    "slots": 8, "state": "ready", "seq": 1,
+                    "models": [{"name": name, "version": 1,
+                                "adapters": [name]}]}
+            status = request(one.control, "PUT", path, body).status
+            self.assertEqual(status, 200 if n <= 20 else 400, n)
+            self.assertIn(request(one.control, "DELETE", path).status,
+                          (200, 503), n)
+        self.check_all_serve()
+
+
+if __name__ == "__main__":
+    main()
