placer: names that are too long are left out of reports of engines

What was seen: an engine whose report lists a model or an adapter by a name of 43 capitals or more ends the core process that leads, then the next one that leads. One bad engine takes down all voters in turn.

Cause: the leader plans to unload what the document does not declare, and tells all entries that the copy goes (a withdrawal), in a message whose names have at most 128 bytes. Check-ins are checked for that length, reports were not.

Change: the reader of reports leaves out and counts names that fit in no record, by the check that check-ins use. The rest of the report counts. The leader counts such reports (placement_reports_cut_total) and logs the engine, once in ten seconds.

--- a/libplantainusher/placer/sequenced.c
+++ b/libplantainusher/placer/sequenced.c
@@ -641,6 +641,8 @@
           = pu_counters_get (o->counters, "placement_reports_fetched_total");
       s->answers_lost
           = pu_counters_get (o->counters, "placement_answers_lost_total");
+      s->reports_cut
+          = pu_counters_get (o->counters, "placement_reports_cut_total");
     }
   pu_control_add_leader_task (o->control, &task);
   pu_control_on_demand (o->control, on_demand, s);
--- a/libplantainusher/placer/sequenced_calls.c
+++ b/libplantainusher/placer/sequenced_calls.c
@@ -17,6 +17,7 @@
   REPORT_TIMEOUT_MS = 600,
   REPORT_AGE_MS = 300, /* assumed age of the numbers in a report when
                           the engine sends it */
+  LOG_INTERVAL_MS = 10000,
   SEQ_TERM_SHIFT = 40, /* number of low bits of a sequence number
                           that count the reports of one term */
 };
@@ -339,6 +340,23 @@
   g_ptr_array_free (r->on_disk, TRUE);
 }
 
+/* Counts and logs the names that were left out of the report R of E.  */
+static void
+note_left_out (pu_sequenced_t *s, const engine_t *e, const pu_wire_report_t *r)
+{
+  if (r->left_out == 0)
+    return;
+  count (s, s->reports_cut);
+  if (pu_log_limited (&s->cut_report_logged_ms, pu_sequenced_now (s),
+                      LOG_INTERVAL_MS))
+    {
+      pu_log_warn (PART,
+                   "Engine %s reports %u models or adapters whose name is too "
+                   "long; they are ignored.",
+                   e->name, r->left_out);
+    }
+}
+
 static void
 on_report (void *data, const pu_http_fetched_t *f)
 {
@@ -360,6 +378,7 @@
       && s->options.wire->report_read (f->body, f->body_len, &r, findings)
       && is_of_incarnation (&r, pu_sequenced_get_engine (s->leader, a.engine)))
     {
+      note_left_out (s, pu_sequenced_get_engine (s->leader, a.engine), &r);
       apply_report (s, &a, &r);
     }
   else
--- a/libplantainusher/placer/sequenced_private.h
+++ b/libplantainusher/placer/sequenced_private.h
@@ -78,6 +78,8 @@
   pu_counter_t orders_sent;
   pu_counter_t reports_fetched;
   pu_counter_t answers_lost;
+  pu_counter_t reports_cut;     /* reports with names that were left out */
+  guint64 cut_report_logged_ms; /* when the last of them was logged */
 };
 
 /* Returns the monotonic time, in milliseconds, that the control module passes
--- a/libplantainusher/placer/wire.h
+++ b/libplantainusher/placer/wire.h
@@ -40,6 +40,8 @@
   GPtrArray *coming; /* adapters that are being loaded */
   GPtrArray *in_memory; /* models with weights in host memory */
   GPtrArray *on_disk;   /* models with weights on the host disk */
+  guint left_out; /* names that are too long for a record; they are in none of
+                     the lists */
 } pu_wire_report_t;
 
 typedef struct
--- a/tests/long_names_process_test.py
+++ b/tests/long_names_process_test.py
@@ -51,6 +51,46 @@
         self.assertEqual(self.talk(self.some[0], "m1", "last"), 200)
 
 
+class Reports(LongNames):
+    """An engine reports names that are too long beside one that is not."""
+
+    def play(self, change):
+        b = self.engine()
+        plain = b.report
+
+        def report():
+            told = plain()
+            change(told)
+            return told
+        b.report = report
+        # It takes orders for what it reports and does not hold.
+        b.order = lambda body, told: 202
+        self.check_all_serve()
+        for i, one in enumerate(self.some):
+            self.assertEqual(self.talk(one, "m1", f"after-{i}"), 200)
+        told = [line for one in self.some
+                for line in one.log.read_text(errors="replace").splitlines()
+                if "whose name is too long" in line]
+        self.assertTrue(told and all("e-0" in line for line in told), told)
+
+    def test_models(self):
+        self.play(lambda told: told["models"].extend(
+            {"name": name, "version": 1, "adapters": []}
+            for name in LONG.values()))
+
+    def test_adapters(self):
+        self.play(lambda told: told["models"][0]["adapters"].extend(
+            LONG.values()))
+
+    def test_adapters_on_their_way(self):
+        self.play(lambda told: told.update(incoming=[
+            f"m1/{name}@1" for name in LONG.values()]))
+
+    def test_models_in_memory_and_on_disk(self):
+        self.play(lambda told: told.update(available={
+            "in_memory": list(LONG.values()), "on_disk": list(LONG.values())}))
+
+
 class CheckIns(LongNames):
     def test_names_of_check_ins_and_leaves(self):
         one = self.some[0]
