entry: a content type that is too long to store is not stored

What callers saw: a plain service answers a request that has an Idempotency-Key with a Content-Type of more than 128 bytes, and the entry ends by SIGTRAP with all that it holds. Found by a table of all texts from outside and the records that they reach; the same cause as names of models in demand.

Change: such a result is treated as one whose body is too large to store: the caller and each resend get 502, and that the request ran.

Result: AtMostOnce.ContentTypeThatIsTooLongToStoreIsNotStored ends by SIGTRAP before and passes.

--- a/libplantainusher/entry/deliver.c
+++ b/libplantainusher/entry/deliver.c
@@ -248,6 +248,13 @@
   x->http = NULL;
 }
 
+/* Whether the log has room for R, the result of a request.  */
+static bool
+is_storable (const pu_once_result_t *r)
+{
+  return r->len <= PU_RESULT_MAX && strlen (r->content_type) <= PU_NAME_MAX;
+}
+
 void
 pu_deliver_at_most_once (pu_exchange_t *x)
 {
@@ -262,7 +269,7 @@
 
   if (result.content_type == NULL)
     result.content_type = "";
-  if (at->body->len > PU_RESULT_MAX)
+  if (!is_storable (&result))
     {
       text = pu_error_json_text (
           &large, "The request ran; its response is too large to store.");
--- a/libplantainusher/entry/entry_test.cc
+++ b/libplantainusher/entry/entry_test.cc
@@ -704,6 +704,28 @@
   EXPECT_EQ (1u, b.executed_ids.size ());
 }
 
+/* Guards against an end of the process: names of records have a bound.  */
+TEST_F (AtMostOnce, ContentTypeThatIsTooLongToStoreIsNotStored)
+{
+  const std::string type = "text/" + std::string (PU_NAME_MAX, 'x');
+  const pu_http_header_t h[] = { { "content-type", type.c_str () } };
+  backend &b = r.add_backend ("p1", "board", n);
+  caller again;
+
+  b.stalls = true;
+  b.token_count = 0;
+  r.send (c, n, "POST", "/services/board/assign", "{}", KEY_HEADER);
+  r.run_until ([&b] { return b.pending_requests.size () == 1; });
+  pu_http_respond (b.pending_requests[0], 200, h, 1, "done", 4);
+  r.run_until ([this] { return c.ended; });
+  EXPECT_EQ (502, c.status);
+  EXPECT_EQ ("ran", c.headers["x-outcome"]);
+  r.run_until ([this] { return pu_entry_in_flight (n.entry) == 0; });
+  r.call (again, n, "POST", "/services/board/assign", "{}", KEY_HEADER);
+  EXPECT_EQ (c.body, again.body);
+  EXPECT_EQ (1u, b.executed_ids.size ());
+}
+
 /* --- relays between several entries --- */
 
 struct MultipleEntries : testing::Test
