state: the table of backend servers has a bound

What was seen: 6,000 names that check in again and again within their leases end all three core processes by SIGTRAP within 6 s ("An XDR record cannot be encoded"), as do 5,000 in the test below. No config need name their service. Whether a voter that is started again stays up was not looked at.

Cause: an image of the state has room for 4,096 records of backend servers, and the table had no bound but for those that are down. The same class as names that are too long: a list from outside went into a record unchecked.

Change: a new record evicts the one that has been down for longest, and is refused when all are up. An instance whose view has no room answers the check-in with 503, counts it (reports_without_room_total) and logs its sender once a minute.

--- a/libplantainusher/entry/announce.c
+++ b/libplantainusher/entry/announce.c
@@ -199,6 +199,29 @@
     }
 }
 
+/* Whether the replicated state has no room for a record of NAME, which it does
+   not have; counts and logs that.  */
+static bool
+lacks_room (pu_entry_t *en, const char *name)
+{
+  pu_counters_t *c = en->o.counters;
+
+  if (pu_state_has_room_for_backend (en->o.hooks.view (en->o.hooks.data),
+                                     name))
+    return false;
+  if (c != NULL)
+    pu_counters_add (c, pu_counters_get (c, "reports_without_room_total"), 1);
+  if (pu_log_limited (&en->no_room_logged_at, loop_now (en),
+                      INVALID_LOG_PERIOD_MS))
+    {
+      pu_log_warn (PU_ENTRY_LOG_SLICE,
+                   "The report of %s is refused: %d backend servers are up, "
+                   "and there is no room for more.",
+                   name, PU_LIST_MAX);
+    }
+  return true;
+}
+
 bool
 pu_entry_accepts_reports (const pu_entry_t *en)
 {
@@ -227,6 +250,8 @@
   if (p != NULL && p->record->incarnation == record->incarnation
       && seq <= p->seq)
     return PU_REPORT_LATE;
+  if (lacks_room (en, record->name))
+    return PU_REPORT_NO_ROOM;
   a.record = record_copy (record);
   report_apply (en, &a);
   pu_announcement_clear (&a);
@@ -350,6 +375,8 @@
 report_handle (pu_entry_t *en, pu_http_request_t *http, const json_t *root,
                const char *name, guint64 incarnation, pu_findings_t *f)
 {
+  static const pu_refusal_t no_room
+      = { 503, "no_room", PU_RUN_OUTCOME_NOT_RUN, 0 };
   const pu_backend_record *base = known_record (en, name, incarnation);
   const pu_reporter_t *p = g_hash_table_lookup (en->reporters, name);
   pu_announcement_t a = { 0 };
@@ -368,6 +395,11 @@
     {
       report_answer_when_known (en, http, p->record, p->seq);
     }
+  else if (lacks_room (en, name))
+    {
+      pu_respond_error (http, NULL, &no_room,
+                        "There is no room for another backend server.");
+    }
   else
     {
       report_apply (en, &a);
--- a/libplantainusher/entry/entry.h
+++ b/libplantainusher/entry/entry.h
@@ -383,8 +383,10 @@
 typedef enum
 {
   PU_REPORT_APPLIED,
-  PU_REPORT_LATE,      /* a later one of the same incarnation was applied */
-  PU_REPORT_SUPERSEDED /* a later incarnation is known */
+  PU_REPORT_LATE,       /* a later one of the same incarnation was applied */
+  PU_REPORT_SUPERSEDED, /* a later incarnation is known */
+  PU_REPORT_NO_ROOM     /* as many backend servers are up as there is room
+                           for */
 } pu_report_result_t;
 
 /* pu_entry_add_report - applies a report that a frontend has read: RECORD
--- a/libplantainusher/entry/entry_private.h
+++ b/libplantainusher/entry/entry_private.h
@@ -427,6 +427,8 @@
   guint64 invalid_reports;
   guint64 invalid_report_logged_at; /* loop time when an invalid report was
                                        last logged; limits the log lines */
+  guint64 no_room_logged_at; /* the same for a report that there is no room
+                                for */
   GRand *random;
   bool leaving;
   bool stopping;
--- a/libplantainusher/state/apply_backends.c
+++ b/libplantainusher/state/apply_backends.c
@@ -43,14 +43,100 @@
                  a->position);
 }
 
+/* The most records of backend servers that are down; above it, each
+   BACKEND_DOWN evicts one that has no open orders.  */
+#define DOWN_BACKENDS_MAX 1024
+
+static guint
+count_down_backends (const pu_state_t *s)
+{
+  guint down = 0;
+
+  for (GTreeNode *n = g_tree_node_first (s->backends); n != NULL;
+       n = g_tree_node_next (n))
+    {
+      const pu_backend_record *b = g_tree_node_value (n);
+
+      down += b->down ? 1 : 0;
+    }
+  return down;
+}
+
+static bool
+is_removable_backend (const char *name, void *data)
+{
+  const pu_state_t *s = data;
+
+  return pu_state_backend (s, name)->down
+         && !pu_memory_has_orders (s->memory, name);
+}
+
+/* Removes the record of one backend server that is down and has no open
+   orders: the one that has not changed for longest, as late reports of the
+   others are more likely.  Returns false when there is none.  */
+static bool
+evict_down_backend (pu_state_t *s)
+{
+  const char *oldest = pu_change_index_find_oldest (s->recent_backends,
+                                                    is_removable_backend, s);
+  char *name;
+
+  if (oldest == NULL)
+    return false;
+  name = g_strdup (oldest);
+  pu_memory_remove_backend (s->memory, name);
+  pu_tables_remove_backend (s, name);
+  g_free (name);
+  return true;
+}
+
+static void
+limit_down_backends (pu_state_t *s)
+{
+  if (count_down_backends (s) > DOWN_BACKENDS_MAX)
+    evict_down_backend (s);
+}
+
+/* Whether the record of NAME can be stored beside the others: an image has no
+   room for more.  */
+static bool
+fits_backend (const pu_state_t *s, const char *name)
+{
+  return pu_state_backend (s, name) != NULL
+         || g_tree_nnodes (s->backends) < PU_LIST_MAX;
+}
+
+bool
+pu_state_has_room_for_backend (const pu_state_t *s, const char *name)
+{
+  return fits_backend (s, name)
+         || pu_change_index_find_oldest (s->recent_backends,
+                                         is_removable_backend, (void *)s)
+                != NULL;
+}
+
+/* Makes room for the record of NAME; returns false when no record can be
+   evicted.  */
+static bool
+make_room (pu_state_t *s, const char *name)
+{
+  return fits_backend (s, name) || evict_down_backend (s);
+}
+
 /* Counts the report N in the ledger and stores N in the table; refuses a stale
-   report.  Takes ownership of N.  */
+   report, and a new one without room.  Takes ownership of N.  */
 static void
 store_report (pu_apply_t *a, pu_backend_record *n)
 {
   GArray *closed = g_array_new (FALSE, FALSE, sizeof (guint64));
 
-  if (pu_memory_backend_up (a->state->memory, n, closed))
+  if (!make_room (a->state, n->name))
+    {
+      pu_apply_set_outcome (a, PU_OUTCOME_REFUSED,
+                            "There is no room for another backend server.");
+      pu_codec_free ((xdrproc_t)xdr_pu_backend_record, n);
+    }
+  else if (pu_memory_backend_up (a->state->memory, n, closed))
     {
       remove_closed_orders (a->state, closed);
       keep_version (a, pu_state_backend (a->state, n->name), n);
@@ -157,55 +243,6 @@
   return NULL;
 }
 
-/* The most records of backend servers that are down; above it, each
-   BACKEND_DOWN evicts one that has no open orders.  */
-#define DOWN_BACKENDS_MAX 1024
-
-static guint
-count_down_backends (const pu_state_t *s)
-{
-  guint down = 0;
-
-  for (GTreeNode *n = g_tree_node_first (s->backends); n != NULL;
-       n = g_tree_node_next (n))
-    {
-      const pu_backend_record *b = g_tree_node_value (n);
-
-      down += b->down ? 1 : 0;
-    }
-  return down;
-}
-
-static bool
-is_removable_backend (const char *name, void *data)
-{
-  const pu_state_t *s = data;
-
-  return pu_state_backend (s, name)->down
-         && !pu_memory_has_orders (s->memory, name);
-}
-
-/* Removes the record of one backend server that is down, when there are more
-   than DOWN_BACKENDS_MAX: the one that has not changed for longest, as late
-   reports of the others are more likely.  */
-static void
-evict_down_backend (pu_state_t *s)
-{
-  const char *oldest;
-  char *name;
-
-  if (count_down_backends (s) <= DOWN_BACKENDS_MAX)
-    return;
-  oldest = pu_change_index_find_oldest (s->recent_backends,
-                                        is_removable_backend, s);
-  if (oldest == NULL)
-    return;
-  name = g_strdup (oldest);
-  pu_memory_remove_backend (s->memory, name);
-  pu_tables_remove_backend (s, name);
-  g_free (name);
-}
-
 void
 pu_apply_backend_down (pu_apply_t *a, const pu_down *c)
 {
@@ -217,7 +254,7 @@
   b->down = TRUE;
   pu_tables_mark_backend_changed (a->state, b->name);
   pu_memory_backend_down (a->state->memory, b);
-  evict_down_backend (a->state);
+  limit_down_backends (a->state);
   a->state->changes++;
 }
 
@@ -243,7 +280,7 @@
     return;
   b->down = TRUE;
   pu_memory_backend_down (a->state->memory, b);
-  evict_down_backend (a->state);
+  limit_down_backends (a->state);
 }
 
 /* A server that is down, or of which no report has come yet, is marked as
--- a/libplantainusher/state/state.h
+++ b/libplantainusher/state/state.h
@@ -145,6 +145,12 @@
                                          const char *name);
 const pu_backend_record *pu_state_backend (const pu_state_t *s,
                                            const char *name);
+
+/* pu_state_has_room_for_backend - whether a report of the backend server NAME
+   could be stored: there is a record of NAME, fewer than PU_LIST_MAX records,
+   or one that can be evicted, as its backend server is down.  */
+bool pu_state_has_room_for_backend (const pu_state_t *s, const char *name);
+
 const pu_claim_record *pu_state_claim (const pu_state_t *s,
                                        const char *service, const char *key);
 const pu_suspect_record *pu_state_suspect (const pu_state_t *s,
--- a/libplantainusher/state/state_test.cc
+++ b/libplantainusher/state/state_test.cc
@@ -245,6 +245,35 @@
   EXPECT_EQ (s.image (false), t.image (false));
 }
 
+/* Guards against an end of all voters: an image has no room for more records
+   than PU_LIST_MAX.  */
+TEST (State, BackendServersBeyondTheRoomOfAnImageAreRefused)
+{
+  StateFixture s;
+  StateFixture t;
+  std::string bytes;
+
+  for (int i = 0; i < PU_LIST_MAX; i++)
+    s.backend ("b" + std::to_string (i), 1, 0);
+  EXPECT_FALSE (pu_state_has_room_for_backend (s.state, "c"));
+  EXPECT_TRUE (pu_state_has_room_for_backend (s.state, "b7"));
+  s.backend ("c", 1, 0);
+  EXPECT_EQ (PU_OUTCOME_REFUSED, s.down (PU_COMMAND_BACKEND_LEAVING, "d", 1));
+  EXPECT_EQ (nullptr, pu_state_backend (s.state, "c"));
+  EXPECT_EQ (nullptr, pu_state_backend (s.state, "d"));
+  for (bool public_only : { false, true })
+    {
+      bytes = s.image (public_only);
+      ASSERT_TRUE (
+          pu_state_decode (t.state, bytes.data (), bytes.size (), nullptr));
+    }
+  s.down (PU_COMMAND_BACKEND_DOWN, "b7", 1);
+  EXPECT_TRUE (pu_state_has_room_for_backend (s.state, "c"));
+  s.backend ("c", 1, 0);
+  EXPECT_NE (nullptr, pu_state_backend (s.state, "c"));
+  EXPECT_EQ (nullptr, pu_state_backend (s.state, "b7"));
+}
+
 TEST (State, ReservationOverTheMemoryLimitConflicts)
 {
   StateFixture s;
--- a/tests/long_names_process_test.py
+++ b/tests/long_names_process_test.py
@@ -1,7 +1,10 @@
 #!/usr/bin/env python3
-"""Names from outside that are too long for the records that they would go
-into: whoever sends one is answered, and no process ends.  tests/cluster.py
+"""Names from outside that are too long, or too many, for the records that they
+would go into: whoever sends one is answered, and no process ends.  tests/cluster.py
 says how to run this file."""
+import http.client
+import json
+import threading
 import time
 
 from cluster import main, request, wait_until
@@ -12,6 +15,9 @@
 LONG = {n: "A" * n for n in (20, 42, 43, 64, 128, 4000)}
 # Instances poll each half second at least; the leader hears each second.
 PASSED_ON_S = 2.5
+SERVERS = 5000  # records have room for 4,096
+CHECKING_IN = 16  # at the same time
+CHECKING_IN_S = 5.0
 TALK = {"Token-Counts": "10,3", "Prompt-Prefix": "a:6,b:4",
         "Deadline-Ms": "2000"}
 
@@ -106,6 +112,34 @@
                           (200, 503), n)
         self.check_all_serve()
 
+    def test_more_backend_servers_than_there_is_room_for(self):
+        """All check in within their leases."""
+        one, told = self.some[0], set()
+        end = time.monotonic() + CHECKING_IN_S
+
+        def check_in(part):
+            conn = http.client.HTTPConnection(one.control, timeout=5)
+            n = 0
+            while time.monotonic() < end:
+                n += 1
+                for i in range(part, SERVERS, CHECKING_IN):
+                    conn.request("PUT", f"/api/instances/x-{i}", json.dumps(
+                        {"service": "other", "address": f"127.0.0.1:{i + 1}",
+                         "zone": "b", "slots": 8, "state": "ready",
+                         "seq": n}))
+                    answer = conn.getresponse()
+                    answer.read()
+                    told.add(answer.status)
+            conn.close()
+        threads = [threading.Thread(target=check_in, args=(i,))
+                   for i in range(CHECKING_IN)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        self.assertEqual(told, {200, 503})
+        self.check_all_serve()
+
 
 if __name__ == "__main__":
     main()
