http: a reset while the request is written is no end of the answer

What callers saw: an engine answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written. The caller gets the part as a complete answer.

Cause: an answer without a length is whole when its connection ends in order. The socket is asked for that, and tells an error once: the write that fails with the reset takes it, after which a read sees an end in order. It takes a write before a read: by chance within one turn of the loop, and each time where reading rests, as the caller takes the answer slowly. The kernel's state of the connection does not tell either, as it is closed in both cases. A time-out of what was sent (TCP_USER_TIMEOUT) takes the same way.

Change: the connection remembers that writing failed. EPIPE is the exception: the kernel gives it when the peer had closed its side in order before the reset, as a server does that has answered and does not read the rest of a request. Such an answer is delivered as before.

--- a/libplantainusher/http/client_private.h
+++ b/libplantainusher/http/client_private.h
@@ -41,6 +41,8 @@
   bool received;        /* a byte of the answer */
   bool refused;         /* nothing listens at the address */
   bool failed;          /* connecting failed at once: reported by the timer */
+  bool cut;             /* it was reset, or timed out, while the request was
+                           being written */
   bool reset;           /* as the call wants it */
   bool paused;
   bool late; /* the limit passed while the loop was blocked */
--- a/libplantainusher/http/connection.c
+++ b/libplantainusher/http/connection.c
@@ -212,14 +212,15 @@
 }
 
 /* Whether the peer has closed its side in order.  libuv tells of an end where
-   bytes and a reset have come together, so the socket itself is asked.  */
+   bytes and a reset have come together, so the socket itself is asked.  It
+   tells an error once, and a write may have got it.  */
 static bool
 ended_in_order (const pu_conn_t *conn)
 {
   uv_os_fd_t fd;
   char byte;
 
-  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+  return !conn->cut && uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
          && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
@@ -289,8 +290,11 @@
 {
   pu_conn_t *conn = w->data;
 
-  (void)status; /* A failure shows when reading, with what came before it.  */
   conn->writing = false;
+  /* What came before a failure is still read.  With EPIPE the peer had closed
+     its side in order before it reset the connection.  */
+  if (status < 0 && status != UV_EPIPE)
+    conn->cut = true;
 }
 
 void
